--- /dev/null
+++ b/clementinepin/batch/__init__.py
@@ -0,0 +1,7 @@
+"""Durable batch jobs."""
+
+from __future__ import annotations
+
+from clementinepin.batch.models import BatchService, FileRow, JobStatus
+
+__all__ = ["BatchService", "FileRow", "JobStatus"]
--- /dev/null
+++ b/clementinepin/entry/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP for callers and operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/clementinepin/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""Fleet-wide roles: configuration spread, stewards of services, leaving."""
+
+from __future__ import annotations
--- /dev/null
+++ b/clementinepin/platform/exceptions.py
@@ -0,0 +1,40 @@
+"""Failures of the platform's services."""
+
+from __future__ import annotations
+
+from clementinepin.exceptions import ClementinepinError, ConflictError, Outcome
+
+
+class VersionConflictError(ConflictError):
+    """A compare-and-swap lost. ``current`` is the version that stands, 0 if absent."""
+
+    code = "version_conflict"
+
+    def __init__(self, key: str, current: int, value: bytes | None) -> None:
+        super().__init__(f"{key} is at version {current}")
+        self.key = key
+        self.current = current
+        self.value = value
+
+
+class PlatformUnavailableError(ClementinepinError):
+    """The call was not made: breaker open, budget spent or no connection. Nothing changed."""
+
+    code = "platform_unavailable"
+    outcome = Outcome.NOT_RUN
+    status = 503
+
+
+class ReplyLostError(ClementinepinError):
+    """The call was sent and its reply lost; the change may have taken effect."""
+
+    code = "platform_reply_lost"
+    outcome = Outcome.OUTCOME_UNKNOWN
+    status = 503
+
+
+class LeaseLostError(ClementinepinError):
+    """The lease has lapsed."""
+
+    code = "lease_lost"
+    status = 409
--- /dev/null
+++ b/clementinepin/scheduling/models.py
@@ -0,0 +1,78 @@
+"""Protocol between callers of targets (entry, batch) and the scheduling decisions."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple, Protocol
+
+from gevent.event import Event
+
+from clementinepin.targets import TargetAddress
+
+
+class CallInfo(NamedTuple):
+    """What a decision needs to know of one request.
+
+    ``deadline`` is monotonic seconds. ``fingerprint`` covers service and body.
+    ``application`` is empty for plain services. ``prefix_hash`` is empty without a prompt.
+    ``tried`` lists targets not to choose again.
+    """
+
+    request_id: str
+    account: str
+    service: str
+    application: str
+    priority: str
+    deadline: float
+    fingerprint: str
+    prefix_hash: str = ""
+    tokens_max: int = 0
+    idempotent: bool = True
+    tried: tuple[str, ...] = ()
+
+
+class Placement(NamedTuple):
+    """A granted slot at a target. ``preempted`` is set when a batch call must yield it."""
+
+    ticket: int
+    target: TargetAddress
+    preempted: Event
+
+
+class CallResult(StrEnum):
+    """How an attempt ended, for routing, ejection and quarantine."""
+
+    SUCCESS = "success"
+    NOT_REACHED = "not_reached"
+    REFUSED = "refused"
+    REFUSED_LEAVING = "refused_leaving"
+    LOST = "lost"
+    REJECTED = "rejected"
+    CANCELLED = "cancelled"
+    PREEMPTED = "preempted"
+
+
+class Scheduler(Protocol):
+    """Admission, routing, retries and preemption for one instance."""
+
+    def acquire(self, call: CallInfo) -> Placement:
+        """Wait for a slot; raises a NotRunError subclass that holds proof.
+
+        Online calls wait by deadline and fair share. Batch calls get only slots of
+        targets whose batch allowance this instance owns.
+        """
+
+    def report_first_token(self, ticket: int) -> None:
+        """Note that the first token of an attempt arrived."""
+
+    def report_tokens(self, ticket: int, tokens: int) -> None:
+        """Note progress, for limits and for the choice of what to preempt."""
+
+    def finish(self, ticket: int, result: CallResult) -> None:
+        """Give the slot back."""
+
+    def allow_retry(self, call: CallInfo, result: CallResult) -> float | None:
+        """Return the monotonic time of the next attempt, or None when none is allowed."""
+
+    def count_batch_slots(self, application: str) -> int:
+        """Return free batch slots for an application on targets that this instance owns."""
--- /dev/null
+++ b/clementinepin/storage/exceptions.py
@@ -0,0 +1,18 @@
+"""Failures of bulk storage."""
+
+from __future__ import annotations
+
+from clementinepin.exceptions import ClementinepinError, NotRunError
+
+
+class StorageUnavailableError(NotRunError):
+    """The data could not be made durable; nothing was accepted."""
+
+    code = "storage_unavailable"
+
+
+class SegmentLostError(ClementinepinError):
+    """No intact copy of a segment could be reached."""
+
+    code = "segment_lost"
+    status = 503
--- /dev/null
+++ b/clementinepin/targets/exceptions.py
@@ -0,0 +1,47 @@
+"""Failures of targets, by what they prove about the request."""
+
+from __future__ import annotations
+
+from clementinepin.exceptions import ClementinepinError, NotRunError, Outcome, OutcomeUnknownError
+
+
+class TargetNotReachedError(NotRunError):
+    """No byte of the request was written to the target."""
+
+    code = "target_not_reached"
+
+
+class TargetRefusedError(NotRunError):
+    """The target refused before admission (leaving, full or model not loaded)."""
+
+    code = "target_refused"
+
+    def __init__(self, message: str = "", *, leaving: bool = False) -> None:
+        super().__init__(message)
+        self.leaving = leaving
+
+
+class TargetLostError(OutcomeUnknownError):
+    """The connection broke or timed out after the request was written."""
+
+    code = "target_lost"
+
+
+class TargetRejectedError(ClementinepinError):
+    """The target answered with an error of its own; ``body`` is passed on."""
+
+    code = "target_rejected"
+    outcome = Outcome.FAILED
+    status = 502
+
+    def __init__(self, status: int, body: bytes) -> None:
+        super().__init__(f"target answered {status}")
+        self.target_status = status
+        self.body = body
+
+
+class OrderRefusedError(ClementinepinError):
+    """The engine refused an order that carried an old fencing number."""
+
+    code = "order_refused"
+    status = 409
