--- a/clementinepin/core.py
+++ b/clementinepin/core.py
@@ -14,6 +14,7 @@
     from clementinepin.config import Configuration, Settings
     from clementinepin.helpers.clock import Clock
     from clementinepin.helpers.metrics import Metrics
+    from clementinepin.platform import ListedInstance
 
 LOG_PREFIX = "core:"
 E = TypeVar("E")
@@ -41,6 +42,13 @@
         self.configuration = configuration
 
 
+class InstancesChanged:
+    """Event: a new view of instances and targets, from the list and peers' words."""
+
+    def __init__(self, rows: tuple[ListedInstance, ...]) -> None:
+        self.rows = rows
+
+
 class DrainStarted:
     """Event: this instance is leaving; ``deadline`` is monotonic seconds."""
 
