Load settings and operators' file sets, checked whole

Settings and file sets are validated by schema; every fault is collected as a typed row of file, table, key and what was expected.

--- a/clementinepin/config/__init__.py
+++ b/clementinepin/config/__init__.py
@@ -2,6 +2,25 @@
 
 from __future__ import annotations
 
+from clementinepin.config._codec import (
+    Part,
+    check_part,
+    decode_part,
+    digest_bytes,
+    encode_parts,
+    merge_parts,
+    summarize_parts,
+)
+from clementinepin.config._files import load_files
+from clementinepin.config._redaction import dump_redacted
+from clementinepin.config._settings import load_settings
+from clementinepin.config.exceptions import (
+    ConfigurationInvalidError,
+    ConfigurationIssue,
+    ConfigurationPartError,
+    SettingsInvalidError,
+    format_issue,
+)
 from clementinepin.config.models import (
     AccountSpec,
     AdapterSpec,
@@ -25,15 +44,30 @@
     "AdapterSpec",
     "ApplicationSpec",
     "Configuration",
+    "ConfigurationInvalidError",
+    "ConfigurationIssue",
+    "ConfigurationPartError",
     "InstanceSettings",
     "LimitSettings",
     "LogSettings",
     "MetricsSettings",
     "ModelSpec",
+    "Part",
     "PathRule",
     "PlatformSettings",
     "SecuritySettings",
     "ServiceSpec",
     "Settings",
+    "SettingsInvalidError",
     "StorageSettings",
+    "check_part",
+    "decode_part",
+    "digest_bytes",
+    "dump_redacted",
+    "encode_parts",
+    "format_issue",
+    "load_files",
+    "load_settings",
+    "merge_parts",
+    "summarize_parts",
 ]
