Add the stand-in of the key-value service

Cause: components need a key-value service with faults before a real one is at hand. Change: a pure state machine (versions, compare-and-swap, leases by clock, a compacted history for watches), an in-memory client with fault hooks, and a small HTTP gateway in the form of the etcd v3 JSON API with resources for faults and call counts. WatchCompactedError tells a watcher to list again.

--- a/clementinepin/platform/exceptions.py
+++ b/clementinepin/platform/exceptions.py
@@ -38,3 +38,10 @@
 
     code = "lease_lost"
     status = 409
+
+
+class WatchCompactedError(ClementinepinError):
+    """Changes behind the version asked for are gone; list the range again, then watch."""
+
+    code = "watch_compacted"
+    status = 409
--- /dev/null
+++ b/standins/key_value/__init__.py
@@ -0,0 +1,9 @@
+"""Stand-in of the platform's key-value service: a state machine, a fake and a small server."""
+
+from __future__ import annotations
+
+from standins.key_value._gateway import create_server
+from standins.key_value._memory import CallHook, MemoryKeyValueStore
+from standins.key_value._state import KeyValueState
+
+__all__ = ["CallHook", "KeyValueState", "MemoryKeyValueStore", "create_server"]
--- /dev/null
+++ b/tests/standins/test_key_value.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+import pytest
+
+from clementinepin.platform.exceptions import (
+    LeaseLostError,
+    PlatformUnavailableError,
+    ReplyLostError,
+    VersionConflictError,
+    WatchCompactedError,
+)
+from standins.key_value import KeyValueState, MemoryKeyValueStore
+
+
+@pytest.fixture
+def store(clock):
+    return MemoryKeyValueStore(clock)
+
+
+def test_compare_and_swap_names_the_winner(store):
+    version = store.put("a", b"1", expected=0)
+    with pytest.raises(VersionConflictError) as caught:
+        store.put("a", b"2", expected=0)
+    assert (caught.value.current, caught.value.value) == (version, b"1")
+    assert store.put("a", b"3", expected=version) > version
+
+
+def test_delete_needs_the_version(store):
+    version = store.put("a", b"1", expected=0)
+    with pytest.raises(VersionConflictError):
+        store.delete("a", expected=version + 1)
+    store.delete("a", expected=version)
+    assert store.get("a") is None
+
+
+def test_range_pages_in_key_order(store):
+    for key in ("p/2", "p/1", "q/1", "p/3"):
+        store.put(key, key.encode(), expected=0)
+    assert [r.key for r in store.list_range("p/", limit=2)] == ["p/1", "p/2"]
+    assert [r.key for r in store.list_range("p/", after="p/2")] == ["p/3"]
+
+
+def test_lapsed_lease_deletes_its_keys(store, clock):
+    grant = store.grant_lease(5.0)
+    store.put("a", b"1", expected=0, lease_id=grant.lease_id)
+    clock.advance(4.0)
+    assert store.keep_lease(grant.lease_id).deadline == clock.now + 5.0
+    clock.advance(5.0)
+    assert store.get("a") is None
+    with pytest.raises(LeaseLostError):
+        store.keep_lease(grant.lease_id)
+
+
+def test_lost_reply_took_effect_and_outage_did_not(store):
+    store.replies_to_lose = 1
+    with pytest.raises(ReplyLostError):
+        store.put("a", b"1", expected=0)
+    store.down = True
+    with pytest.raises(PlatformUnavailableError):
+        store.put("a", b"2", expected=None)
+    store.down = False
+    assert store.get("a").value == b"1"
+
+
+def test_watch_replays_and_drops(store):
+    first = store.put("w/a", b"1", expected=0)
+    store.put("x", b"1", expected=0)
+    store.delete("w/a", expected=None)
+    events = store.watch("w/", after_version=first - 1)
+    assert [next(events).value for _ in range(2)] == [b"1", None]
+    store.drop_watches()
+    with pytest.raises(PlatformUnavailableError):
+        next(events)
+
+
+def test_watch_behind_the_compaction_asks_for_a_list(clock):
+    store = MemoryKeyValueStore(clock, KeyValueState(history_max=4))
+    for n in range(8):
+        store.put("w", bytes([n]), expected=None)
+    with pytest.raises(WatchCompactedError):
+        next(store.watch("w", after_version=1))
