--- a/clementinepin/platform/__init__.py
+++ b/clementinepin/platform/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from clementinepin.platform._instance_list import create_instance_list
+from clementinepin.platform._weight_store import create_weight_store
 from clementinepin.platform.models import (
     InstanceList,
     KeyValue,
@@ -20,4 +22,6 @@
     "ListedInstance",
     "WatchEvent",
     "WeightStore",
+    "create_instance_list",
+    "create_weight_store",
 ]
