Add messages between instances and membership

gRPC runs on an asyncio loop in one native thread, bridged to gevent by an async watcher; messages are MessagePack with a code over sender, receiver, method, time and body. Membership probes one member a period along fingers of a hash ring, merges statements by incarnation, and compares views by bucket digests. Messages to all go along trees of the ring.

--- /dev/null
+++ b/bench/_membership_network.py
@@ -0,0 +1,123 @@
+"""Membership tables of many instances exchanging messages in virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from clementinepin.platform import ListedInstance
+from clementinepin.systems import membership
+from clementinepin.tables.membership import MemberState
+
+Link = Callable[[str, str], bool]
+
+
+def create_instance(index: int, data_centres: int = 12) -> ListedInstance:
+    """Return a made-up instance."""
+    data_centre = f"dc{index % data_centres}"
+    name = f"instance-{index:04d}"
+    address = f"10.0.{index // 250}.{index % 250}"
+    return ListedInstance(
+        name, "clementinepin", address, 8000, 8001, data_centre, "region-1", "live"
+    )
+
+
+class MembershipNetwork:
+    """Runs every table once a period; ``link`` tells whether a message arrives."""
+
+    def __init__(self, count: int, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.now = 1000.0
+        self.link: Link = lambda _sender, _receiver: True
+        self.listed = [create_instance(index) for index in range(count)]
+        self.tables = {
+            row.name: membership.create_table(row, 1000 + index, self.now)
+            for index, row in enumerate(self.listed)
+        }
+        self.down: set[str] = set()
+        self.messages = 0
+        self.bytes = 0
+        for table in self.tables.values():
+            membership.merge_listed(table, self.listed)
+
+    def run(self, periods: int) -> None:
+        """Run some periods."""
+        for _ in range(periods):
+            self.now += membership.PROBE_PERIOD_S
+            for name in sorted(self.tables):
+                if name not in self.down:
+                    self._run_member(name)
+
+    def count_periods(self, reached: Callable[[], bool], limit: int) -> int | None:
+        """Return the periods run until a condition holds, or None beyond the limit."""
+        for period in range(limit):
+            if reached():
+                return period
+            self.run(1)
+        return limit if reached() else None
+
+    def views(self) -> dict[str, list[str]]:
+        """Return the live members that each running member sees."""
+        return {
+            name: membership.list_live(table)
+            for name, table in self.tables.items()
+            if name not in self.down
+        }
+
+    def agrees(self) -> bool:
+        """Tell whether all running members see just the running members."""
+        running = sorted(set(self.tables) - self.down)
+        return all(view == running for view in self.views().values())
+
+    def restart(self, name: str, incarnation: int) -> None:
+        """Start a fresh process of a member."""
+        instance = next(row for row in self.listed if row.name == name)
+        self.tables[name] = membership.create_table(instance, incarnation, self.now)
+        membership.merge_listed(self.tables[name], self.listed)
+        self.down.discard(name)
+
+    def _passes(self, sender: str, receiver: str) -> bool:
+        return receiver not in self.down and self.link(sender, receiver)
+
+    def _count(self, message: object) -> None:
+        self.messages += 1
+        self.bytes += len(msgspec.msgpack.encode(message))
+
+    def _run_member(self, name: str) -> None:
+        table = self.tables[name]
+        target = membership.advance(table, self.now, self.random)
+        if target is None or self._probe(name, target):
+            return
+        for relay in membership.choose_relays(table, target, self.random):
+            self.messages += 2
+            if self._passes(name, relay) and self._passes(relay, target):
+                return
+        membership.note_silence(table, target, self.now, self.now)
+
+    def _probe(self, name: str, target: str) -> bool:
+        table, other = self.tables[name], self.tables[target]
+        was_dead = table.rows[target].state == MemberState.DEAD
+        probe = membership.create_exchange(table, target)
+        self._count(probe)
+        if not self._passes(name, target):
+            return False
+        membership.accept_exchange(other, probe, self.now)
+        answer = membership.create_exchange(other, name)
+        self._count(answer)
+        if membership.accept_exchange(table, answer, self.now) or was_dead:
+            self._sync(name, target)
+        return True
+
+    def _sync(self, name: str, target: str) -> None:
+        table, other = self.tables[name], self.tables[target]
+        digests = membership.digest_buckets(table)
+        rows = membership.select_differing(other, digests)
+        own_rows = membership.select_differing(table, membership.digest_buckets(other))
+        self._count((digests, rows))
+        self._count(own_rows)
+        for row in rows:
+            membership.merge_row(table, row, self.now)
+        for row in own_rows:
+            membership.merge_row(other, row, self.now)
--- a/clementinepin/peers/__init__.py
+++ b/clementinepin/peers/__init__.py
@@ -2,6 +2,16 @@
 
 from __future__ import annotations
 
-from clementinepin.peers.models import Handler, PeerNetwork
+from clementinepin.peers._network import create_peer_network
+from clementinepin.peers.exceptions import PeerRefusedError, PeerUnavailableError
+from clementinepin.peers.models import Handler, PeerNetwork, Provider, Receiver
 
-__all__ = ["Handler", "PeerNetwork"]
+__all__ = [
+    "Handler",
+    "PeerNetwork",
+    "PeerRefusedError",
+    "PeerUnavailableError",
+    "Provider",
+    "Receiver",
+    "create_peer_network",
+]
--- /dev/null
+++ b/clementinepin/peers/_membership.py
@@ -0,0 +1,170 @@
+"""Carries out the decisions on membership: probes, relays and comparisons of views."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from loguru import logger
+
+from clementinepin.core import InstancesChanged
+from clementinepin.peers import _messages as messages
+from clementinepin.peers.exceptions import PeerUnavailableError
+from clementinepin.peers.models import PeerNetwork, Provider, Receiver
+from clementinepin.platform import ListedInstance
+from clementinepin.systems import membership
+from clementinepin.tables.membership import MembershipTable, MemberState
+
+if TYPE_CHECKING:
+    from clementinepin.core import Core
+
+LOG_PREFIX = "membership:"
+METHOD_PROBE = "membership.probe"
+METHOD_RELAY = "membership.relay"
+METHOD_SYNC = "membership.sync"
+METHOD_MERGE = "membership.merge"
+SYNC_TIMEOUT_S = 3.0
+
+
+class MembershipService:
+    """Holds this instance's table and talks to peers about it."""
+
+    def __init__(self, core: Core, network: PeerNetwork) -> None:
+        self._core = core
+        self._network = network
+        self._attachments: dict[str, tuple[Provider, Receiver]] = {}
+        now = core.clock.monotonic()
+        incarnation = int(core.clock.wall() * 1000)
+        own = create_own_row(core)
+        self.table: MembershipTable = membership.create_table(own, incarnation, now)
+        network.register(METHOD_PROBE, self._answer_probe)
+        network.register(METHOD_RELAY, self._answer_relay)
+        network.register(METHOD_SYNC, self._answer_sync)
+        network.register(METHOD_MERGE, self._answer_merge)
+        core.subscribe(InstancesChanged, self._take_list)
+
+    def attach(self, topic: str, provide: Provider, receive: Receiver) -> None:
+        """Send a small message with each probe."""
+        self._attachments[topic] = (provide, receive)
+
+    def run_period(self) -> None:
+        """Probe one member without waiting for it."""
+        now = self._core.clock.monotonic()
+        target = membership.advance(self.table, now, self._core.random)
+        if target is not None:
+            gevent.spawn(self._probe, target)
+
+    def _take_list(self, event: InstancesChanged) -> None:
+        rows = [row for row in event.rows if row.service == messages.OWN_SERVICE]
+        membership.merge_listed(self.table, rows)
+
+    def _probe(self, target: str) -> None:
+        probed_at = self._core.clock.monotonic()
+        row = self.table.rows.get(target)
+        was_dead = row is not None and row.state == MemberState.DEAD
+        try:
+            differs = self._exchange(target)
+        except PeerUnavailableError:
+            self._note_failure(target, probed_at)
+            return
+        if differs or was_dead:
+            self._sync(target)
+
+    def _exchange(self, target: str) -> bool:
+        exchange = membership.create_exchange(self.table, target)
+        deadline = self._core.clock.monotonic() + membership.PROBE_TIMEOUT_S
+        message = messages.pack_exchange(exchange, self._provide())
+        answer = self._network.call(target, METHOD_PROBE, message, deadline=deadline)
+        return self._accept(target, answer)
+
+    def _note_failure(self, target: str, probed_at: float) -> None:
+        self._core.metrics.incr("membership.probes_failed")
+        relays = membership.choose_relays(self.table, target, self._core.random)
+        asked = [gevent.spawn(self._ask_relay, relay, target) for relay in relays]
+        gevent.joinall(asked)
+        if any(greenlet.value for greenlet in asked):
+            return
+        row = self.table.rows.get(target)
+        if row is not None and row.state == MemberState.ALIVE:
+            logger.info("{} Suspect {}.", LOG_PREFIX, target)
+        membership.note_silence(self.table, target, probed_at, self._core.clock.monotonic())
+
+    def _ask_relay(self, relay: str, target: str) -> bool:
+        deadline = self._core.clock.monotonic() + 2 * membership.PROBE_TIMEOUT_S
+        message = messages.RelayMessage(target=target)
+        try:
+            answer = self._network.call(relay, METHOD_RELAY, message, deadline=deadline)
+            return bool(messages.read_message(answer, messages.RelayAnswer)["answered"])
+        except PeerUnavailableError:
+            return False
+
+    def _sync(self, target: str) -> None:
+        deadline = self._core.clock.monotonic() + SYNC_TIMEOUT_S
+        digests = list(membership.digest_buckets(self.table))
+        message = messages.SyncMessage(digests=digests)
+        try:
+            raw = self._network.call(target, METHOD_SYNC, message, deadline=deadline)
+            answer = messages.read_message(raw, messages.SyncAnswer)
+            own_rows = membership.select_differing(self.table, answer["digests"])
+            self._merge(answer["rows"])
+            merge = messages.MergeMessage(rows=[messages.pack_row(row) for row in own_rows])
+            self._network.call(target, METHOD_MERGE, merge, deadline=deadline)
+        except PeerUnavailableError:
+            logger.debug("{} No comparison with {}.", LOG_PREFIX, target)
+
+    def _answer_probe(self, sender: str, raw: dict[str, Any]) -> messages.ExchangeMessage:
+        self._accept(sender, raw)
+        exchange = membership.create_exchange(self.table, sender)
+        return messages.pack_exchange(exchange, self._provide())
+
+    def _answer_relay(self, sender: str, raw: dict[str, Any]) -> messages.RelayAnswer:
+        message = messages.read_message(raw, messages.RelayMessage)
+        try:
+            self._exchange(message["target"])
+        except PeerUnavailableError:
+            return messages.RelayAnswer(answered=False)
+        return messages.RelayAnswer(answered=True)
+
+    def _answer_sync(self, sender: str, raw: dict[str, Any]) -> messages.SyncAnswer:
+        message = messages.read_message(raw, messages.SyncMessage)
+        rows = membership.select_differing(self.table, message["digests"])
+        return messages.SyncAnswer(
+            rows=[messages.pack_row(row) for row in rows],
+            digests=list(membership.digest_buckets(self.table)),
+        )
+
+    def _answer_merge(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
+        self._merge(messages.read_message(raw, messages.MergeMessage)["rows"])
+        return {}
+
+    def _merge(self, rows: list[messages.MemberMessage]) -> None:
+        now = self._core.clock.monotonic()
+        for row in rows:
+            membership.merge_row(self.table, messages.unpack_row(row), now)
+
+    def _accept(self, sender: str, raw: dict[str, Any]) -> bool:
+        message = messages.read_message(raw, messages.ExchangeMessage)
+        exchange = messages.unpack_exchange(message)
+        differs = membership.accept_exchange(self.table, exchange, self._core.clock.monotonic())
+        for topic, attached in message["attached"].items():
+            if topic in self._attachments:
+                self._attachments[topic][1](sender, attached)
+        return differs
+
+    def _provide(self) -> dict[str, dict[str, Any]]:
+        return {topic: dict(provide()) for topic, (provide, _) in self._attachments.items()}
+
+
+def create_own_row(core: Core) -> ListedInstance:
+    """Return this instance's row from its settings."""
+    own = core.settings.instance
+    return ListedInstance(
+        name=own.name,
+        service=messages.OWN_SERVICE,
+        address=own.address,
+        port=own.port,
+        peer_port=own.peer_port,
+        data_centre=own.data_centre,
+        region=own.region,
+        state="live",
+    )
--- /dev/null
+++ b/clementinepin/peers/_network.py
@@ -0,0 +1,183 @@
+"""The network between instances: gRPC messages, membership and trees as one component."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from loguru import logger
+
+from clementinepin.core import spawn_loop
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.peers import _messages as messages
+from clementinepin.peers import _security as security
+from clementinepin.peers._bridge import AsyncBridge
+from clementinepin.peers._membership import MembershipService
+from clementinepin.peers._transport import PeerService, PeerTransport
+from clementinepin.peers._trees import TreeService
+from clementinepin.peers.exceptions import (
+    PeerAuthenticationError,
+    PeerMethodUnknownError,
+    PeerUnavailableError,
+)
+from clementinepin.peers.models import Handler, PeerNetwork, Provider, Receiver
+from clementinepin.platform import ListedInstance
+from clementinepin.systems import membership
+
+if TYPE_CHECKING:
+    from clementinepin.core import Core
+
+LOG_PREFIX = "peers:"
+LISTEN_TIMEOUT_S = 5.0
+CLOSE_TIMEOUT_S = 3.0
+
+
+class GrpcPeerNetwork:
+    """Peers over grpclib; component ``peers``."""
+
+    name = "peers"
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+        self._own = core.settings.instance.name
+        self._secret = core.settings.security.peer_secret
+        self._handlers: dict[str, Handler] = {}
+        self._bridge = AsyncBridge()
+        self._transport = PeerTransport(
+            PeerService(self._authenticate, self._dispatch_async),
+            security.create_server_context(core.settings.security),
+            security.create_client_context(core.settings.security),
+        )
+        self._membership = MembershipService(core, self)
+        self._trees = TreeService(core, self, self._membership.table, self._dispatch)
+        self._prober: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Listen and begin to probe; raises PeerUnavailableError when the port is taken."""
+        own = self._core.settings.instance
+        self._bridge.start()
+        try:
+            self._bridge.call(
+                lambda: self._transport.listen(own.address, own.peer_port), LISTEN_TIMEOUT_S
+            )
+        except OSError as err:
+            raise PeerUnavailableError(f"can't listen on port {own.peer_port}: {err}") from err
+        self._prober = spawn_loop(
+            self._membership.run_period, membership.PROBE_PERIOD_S, LOG_PREFIX
+        )
+
+    def stop(self, deadline: float) -> None:
+        """Stop probing and close all connections."""
+        if self._prober is not None:
+            self._prober.kill()
+        try:
+            self._bridge.call(self._transport.close, CLOSE_TIMEOUT_S)
+        except (PeerUnavailableError, TimeoutError):
+            logger.debug("{} Connections were cut.", LOG_PREFIX)
+        self._bridge.stop()
+
+    def describe_state(self) -> dict[str, Any]:
+        """Return the members and connections."""
+        table = self._membership.table
+        rows = {
+            name: {
+                "incarnation": row.incarnation,
+                "state": row.state.name.lower(),
+                "leaving": row.leaving,
+            }
+            for name, row in sorted(table.rows.items())
+        }
+        return {
+            "members": rows,
+            "pending": len(table.pending),
+            "connections": self._transport.count_connections(),
+            "methods": sorted(self._handlers),
+        }
+
+    def register(self, method: str, handler: Handler) -> None:
+        """Serve a method."""
+        self._handlers[method] = handler
+
+    def call(
+        self, instance: str, method: str, message: Mapping[str, Any], *, deadline: float
+    ) -> dict[str, Any]:
+        """Call a peer before the monotonic deadline; raises PeerUnavailableError."""
+        if instance == self._own:
+            return dict(self._dispatch(instance, method, dict(message)))
+        row = self._membership.table.rows.get(instance)
+        left_s = deadline - self._core.clock.monotonic()
+        if row is None or left_s <= 0:
+            raise PeerUnavailableError(f"{instance}: unknown or out of time")
+        body = messages.encode_message(message)
+        metadata = security.sign_message(
+            self._secret, self._own, instance, method, body, self._core.clock.wall()
+        )
+        address = (row.instance.address, row.instance.peer_port)
+        self._core.metrics.incr("peers.messages_sent")
+        self._core.metrics.incr("peers.bytes_sent", len(body))
+        try:
+            answer = self._bridge.call(
+                lambda: self._transport.send(instance, address, body, metadata, left_s), left_s
+            )
+        except TimeoutError as err:
+            raise PeerUnavailableError(f"{instance}: no answer in time") from err
+        return messages.decode_message(answer)
+
+    def list_live(self) -> list[str]:
+        """Return the names of live instances, sorted."""
+        return membership.list_live(self._membership.table)
+
+    def list_members(self) -> list[ListedInstance]:
+        """Return the instances that are not dead."""
+        return membership.list_known(self._membership.table)
+
+    def mark_leaving(self, instance: str) -> None:
+        """Note a peer's own word that it leaves."""
+        membership.mark_leaving(self._membership.table, instance)
+
+    def attach(self, topic: str, provide: Provider, receive: Receiver) -> None:
+        """Send a small message with each probe."""
+        self._membership.attach(topic, provide, receive)
+
+    def spread(self, method: str, message: Mapping[str, Any]) -> None:
+        """Call a method on all other live instances, best effort."""
+        self._trees.spread(method, message)
+
+    def gather(
+        self, method: str, message: Mapping[str, Any], *, deadline: float
+    ) -> dict[str, dict[str, Any]]:
+        """Return the answers of all live instances."""
+        return self._trees.gather(method, message, deadline=deadline)
+
+    def _authenticate(self, metadata: Mapping[str, object]) -> security.Envelope:
+        return security.verify_metadata(self._secret, self._own, metadata, self._core.clock.wall())
+
+    async def _dispatch_async(self, envelope: security.Envelope, body: bytes) -> bytes:
+        if security.digest_body(body) != envelope.digest:
+            raise PeerAuthenticationError("body does not match its digest")
+        return await self._bridge.run_in_greenlet(lambda: self._serve(envelope, body))
+
+    def _serve(self, envelope: security.Envelope, body: bytes) -> bytes:
+        message = messages.decode_message(body)
+        answer = self._dispatch(envelope.sender, envelope.method, message)
+        return messages.encode_message(answer)
+
+    def _dispatch(self, sender: str, method: str, message: dict[str, Any]) -> Mapping[str, Any]:
+        handler = self._handlers.get(method)
+        if handler is None:
+            raise PeerMethodUnknownError(method)
+        try:
+            return handler(sender, message)
+        except ClementinepinError:
+            raise
+        except Exception as err:
+            logger.opt(exception=err).warning("{} Handler of {} failed.", LOG_PREFIX, method)
+            raise PeerUnavailableError(f"{method} failed") from err
+
+
+def create_peer_network(core: Core) -> PeerNetwork:
+    """Return the component ``peers``, registered with the core."""
+    network = GrpcPeerNetwork(core)
+    core.register(network)
+    return network
--- /dev/null
+++ b/clementinepin/peers/_security.py
@@ -0,0 +1,102 @@
+"""Proof of the sender of a message, and TLS between instances."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import ssl
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from clementinepin.config import SecuritySettings
+from clementinepin.peers.exceptions import PeerAuthenticationError
+
+PROTOCOL_VERSION = 1
+VALIDITY_S = 30.0
+SKEW_MAX_S = 30.0
+_DIGEST_BYTES = 16
+
+_KEYS = ("version", "sender", "receiver", "method", "valid-until", "digest")
+_PREFIX = "x-peer-"
+
+
+class Envelope(NamedTuple):
+    """What is known of a message before its body is read."""
+
+    sender: str
+    method: str
+    version: int
+    digest: str
+
+
+def sign_message(
+    secret: str, sender: str, receiver: str, method: str, body: bytes, wall: float
+) -> dict[str, str]:
+    """Return the metadata of a message, valid for a bounded time."""
+    values = {
+        "version": str(PROTOCOL_VERSION),
+        "sender": sender,
+        "receiver": receiver,
+        "method": method,
+        "valid-until": str(int(wall + VALIDITY_S)),
+        "digest": digest_body(body),
+    }
+    metadata = {_PREFIX + key: value for key, value in values.items()}
+    return {**metadata, _PREFIX + "mac": _authenticate(secret, values)}
+
+
+def verify_metadata(
+    secret: str, receiver: str, metadata: Mapping[str, object], wall: float
+) -> Envelope:
+    """Return the envelope of a message; raises PeerAuthenticationError.
+
+    A replay within the validity is possible, so handlers must be idempotent.
+    """
+    values = {key: str(metadata.get(_PREFIX + key, "")) for key in _KEYS}
+    mac = str(metadata.get(_PREFIX + "mac", ""))
+    if not hmac.compare_digest(mac.encode(), _authenticate(secret, values).encode()):
+        raise PeerAuthenticationError("wrong code")
+    valid_until = float(values["valid-until"])
+    if not wall - SKEW_MAX_S <= valid_until <= wall + VALIDITY_S + SKEW_MAX_S:
+        raise PeerAuthenticationError("message out of date")
+    if values["receiver"] != receiver:
+        raise PeerAuthenticationError("message for another instance")
+    version = int(values["version"])
+    return Envelope(values["sender"], values["method"], version, values["digest"])
+
+
+def digest_body(body: bytes) -> str:
+    """Return the digest that ties a body to its metadata."""
+    return hashlib.blake2b(body, digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def _authenticate(secret: str, values: Mapping[str, str]) -> str:
+    text = "\n".join(values[key] for key in _KEYS)
+    key = hashlib.sha256(secret.encode()).digest()
+    return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES, key=key).hexdigest()
+
+
+def create_server_context(security: SecuritySettings) -> ssl.SSLContext | None:
+    """Return a context that asks peers for a certificate, or None without a peer CA."""
+    if security.peer_tls_ca is None or security.tls_certificate is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=security.peer_tls_ca)
+    return _finish_context(context, security)
+
+
+def create_client_context(security: SecuritySettings) -> ssl.SSLContext | None:
+    """Return a context that verifies peers by the peer CA, or None without one."""
+    if security.peer_tls_ca is None or security.tls_certificate is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=security.peer_tls_ca)
+    # Instances go by changing IP numbers: the CA is for peers alone, and names prove nothing.
+    context.check_hostname = False
+    return _finish_context(context, security)
+
+
+def _finish_context(context: ssl.SSLContext, security: SecuritySettings) -> ssl.SSLContext:
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_cert_chain(str(security.tls_certificate), security.tls_key)
+    context.set_alpn_protocols(["h2"])
+    return context
--- /dev/null
+++ b/clementinepin/peers/_trees.py
@@ -0,0 +1,129 @@
+"""Messages to all instances along trees: one message each, in few steps."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any
+
+import gevent
+
+from clementinepin.peers import _messages as messages
+from clementinepin.peers.exceptions import PeerUnavailableError
+from clementinepin.peers.models import PeerNetwork
+from clementinepin.systems.rings import WHOLE_RING, Branch, RingRange, split_range
+from clementinepin.tables.membership import MembershipTable
+
+if TYPE_CHECKING:
+    from clementinepin.core import Core
+
+METHOD_SPREAD = "tree.spread"
+METHOD_GATHER = "tree.gather"
+HEADS_MAX = 4
+SPREAD_TIMEOUT_S = 5.0
+HEAD_TIMEOUT_S = 1.0
+GATHER_SHARE = 0.8
+
+Dispatch = Callable[[str, str, dict[str, Any]], Mapping[str, Any]]
+
+
+class TreeService:
+    """Passes messages on to branches of the ring; a head that fails is replaced."""
+
+    def __init__(
+        self, core: Core, network: PeerNetwork, table: MembershipTable, dispatch: Dispatch
+    ) -> None:
+        self._core = core
+        self._network = network
+        self._table = table
+        self._dispatch = dispatch
+        network.register(METHOD_SPREAD, self._answer_spread)
+        network.register(METHOD_GATHER, self._answer_gather)
+
+    def spread(self, method: str, message: Mapping[str, Any]) -> None:
+        """Call a method on all other live instances, best effort, without waiting."""
+        deadline = self._core.clock.wall() + SPREAD_TIMEOUT_S
+        tree = _create_message(method, message, WHOLE_RING, [], deadline)
+        self._pass_on(tree)
+
+    def gather(
+        self, method: str, message: Mapping[str, Any], *, deadline: float
+    ) -> dict[str, dict[str, Any]]:
+        """Return the answers of all instances that gave one before the monotonic deadline."""
+        left_s = deadline - self._core.clock.monotonic()
+        wall = self._core.clock.wall() + left_s
+        tree = _create_message(method, message, WHOLE_RING, [], wall)
+        return self._collect(self._table.own, tree)
+
+    def _answer_spread(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
+        tree = messages.read_message(raw, messages.TreeMessage)
+        self._pass_on(tree)
+        gevent.spawn(self._dispatch, sender, tree["method"], tree["message"])
+        return {}
+
+    def _answer_gather(self, sender: str, raw: dict[str, Any]) -> messages.TreeAnswer:
+        tree = messages.read_message(raw, messages.TreeMessage)
+        return messages.TreeAnswer(answers=self._collect(sender, tree))
+
+    def _pass_on(self, tree: messages.TreeMessage) -> None:
+        for branch in self._split(tree):
+            gevent.spawn(self._call_branch, METHOD_SPREAD, branch, tree, HEAD_TIMEOUT_S)
+
+    def _collect(self, sender: str, tree: messages.TreeMessage) -> dict[str, dict[str, Any]]:
+        timeout_s = max(0.0, tree["deadline"] - self._core.clock.wall()) * GATHER_SHARE
+        asked = [
+            gevent.spawn(self._call_branch, METHOD_GATHER, branch, tree, timeout_s)
+            for branch in self._split(tree)
+        ]
+        own = dict(self._dispatch(sender, tree["method"], tree["message"]))
+        gevent.joinall(asked, timeout=timeout_s)
+        answers = {self._table.own: own}
+        for greenlet in asked:
+            if greenlet.successful() and greenlet.value is not None:
+                answer = messages.read_message(greenlet.value, messages.TreeAnswer)
+                answers.update(answer["answers"])
+        return answers
+
+    def _split(self, tree: messages.TreeMessage) -> tuple[Branch, ...]:
+        whole = RingRange(tree["low"], tree["high"])
+        excluded = {self._table.own, *tree["passed"]}
+        return split_range(self._table.list_ring(), whole, excluded)
+
+    def _call_branch(
+        self, method: str, branch: Branch, tree: messages.TreeMessage, timeout_s: float
+    ) -> dict[str, Any] | None:
+        heads = branch.heads[:HEADS_MAX]
+        passed = [*tree["passed"], self._table.own]
+        for index, head in enumerate(heads):
+            left_s = min(timeout_s, tree["deadline"] - self._core.clock.wall())
+            if left_s <= 0:
+                return None
+            # A later head must have time left when the first one hangs.
+            share_s = left_s if index == len(heads) - 1 else left_s / 2
+            deadline = self._core.clock.wall() + share_s
+            message = _create_message(
+                tree["method"], tree["message"], branch.range, passed, deadline
+            )
+            until = self._core.clock.monotonic() + share_s
+            try:
+                return self._network.call(head, method, message, deadline=until)
+            except PeerUnavailableError:
+                passed.append(head)
+        return None
+
+
+def _create_message(
+    method: str,
+    message: Mapping[str, Any],
+    ring_range: RingRange,
+    passed: list[str],
+    deadline: float,
+) -> messages.TreeMessage:
+    # Positions go up to 2 ** 64, one more than an unsigned integer of MessagePack holds.
+    return messages.TreeMessage(
+        method=method,
+        message=dict(message),
+        low=ring_range.low,
+        high=min(ring_range.high, WHOLE_RING.high - 1),
+        passed=passed,
+        deadline=deadline,
+    )
--- a/clementinepin/peers/exceptions.py
+++ b/clementinepin/peers/exceptions.py
@@ -11,3 +11,36 @@
     code = "peer_unavailable"
     outcome = Outcome.OUTCOME_UNKNOWN
     status = 503
+
+
+class PeerRefusedError(PeerUnavailableError):
+    """The peer answered with a failure; ``peer_code`` is that failure's code."""
+
+    code = "peer_refused"
+
+    def __init__(self, message: str, peer_code: str) -> None:
+        super().__init__(message)
+        self.peer_code = peer_code
+
+
+class PeerMethodUnknownError(ClementinepinError):
+    """No handler of this instance serves the method; the peer may run another release."""
+
+    code = "peer_method_unknown"
+    status = 404
+
+
+class PeerMessageInvalidError(ClementinepinError):
+    """A message between instances could not be decoded."""
+
+    code = "peer_message_invalid"
+    outcome = Outcome.NOT_RUN
+    status = 400
+
+
+class PeerAuthenticationError(ClementinepinError):
+    """A message bears no valid proof of its sender."""
+
+    code = "peer_authentication"
+    outcome = Outcome.NOT_RUN
+    status = 401
--- /dev/null
+++ b/tests/peers/test_network.py
@@ -0,0 +1,129 @@
+from __future__ import annotations
+
+import time
+
+import gevent
+import pytest
+
+from clementinepin.exceptions import ConflictError
+from clementinepin.peers import PeerRefusedError, PeerUnavailableError
+from clementinepin.peers._network import GrpcPeerNetwork
+
+
+def _soon() -> float:
+    return time.monotonic() + 5.0
+
+
+def test_call_reaches_the_handler_with_the_sender(start_networks):
+    a, b = start_networks("a", "b")
+    b.register("echo", lambda sender, message: {"sender": sender, **message})
+    assert a.call("b", "echo", {"x": 1}, deadline=_soon()) == {"sender": "a", "x": 1}
+    assert a.call("a", "membership.merge", {"rows": []}, deadline=_soon()) == {}
+
+
+def test_handlers_run_at_the_same_time(start_networks):
+    """Mutation: run handlers in the hub's callback; the first one then blocks the second."""
+    a, b = start_networks("a", "b")
+    gate = gevent.event.Event()
+
+    def wait(sender, message):
+        gate.wait()
+        return {}
+
+    b.register("wait", wait)
+    b.register("open", lambda sender, message: gate.set() or {})
+    waiting = gevent.spawn(a.call, "b", "wait", {}, deadline=_soon())
+    a.call("b", "open", {}, deadline=_soon())
+    assert waiting.get() == {}
+
+
+def test_unknown_peer_and_closed_port_are_unavailable(start_networks):
+    a, b = start_networks("a", "b")
+    with pytest.raises(PeerUnavailableError):
+        a.call("c", "echo", {}, deadline=_soon())
+    b.stop(0.0)
+    with pytest.raises(PeerUnavailableError):
+        a.call("b", "echo", {}, deadline=_soon())
+
+
+def test_deadline_bounds_a_call_to_a_silent_handler(start_networks):
+    a, b = start_networks("a", "b")
+    b.register("hang", lambda sender, message: gevent.sleep(60) or {})
+    with pytest.raises(PeerUnavailableError):
+        a.call("b", "hang", {}, deadline=time.monotonic() + 0.2)
+
+
+def test_failure_of_a_handler_keeps_its_code(start_networks):
+    a, b = start_networks("a", "b")
+
+    def refuse(sender, message):
+        raise ConflictError("no")
+
+    b.register("refuse", refuse)
+    with pytest.raises(PeerRefusedError) as caught:
+        a.call("b", "refuse", {}, deadline=_soon())
+    assert caught.value.peer_code == "conflict"
+    with pytest.raises(PeerRefusedError) as caught:
+        a.call("b", "absent", {}, deadline=_soon())
+    assert caught.value.peer_code == "peer_method_unknown"
+
+
+def test_other_secret_is_refused(start_networks):
+    """Mutation: leave the comparison out of verify_metadata."""
+    a, b = start_networks("a", "b", secrets={"b": "t" * 16})
+    b.register("echo", lambda sender, message: message)
+    with pytest.raises(PeerUnavailableError, match="UNAUTHENTICATED"):
+        a.call("b", "echo", {}, deadline=_soon())
+
+
+def test_spread_and_gather_reach_all_but_the_lost(start_networks):
+    """Mutation: try only the first head of a branch."""
+    networks = start_networks(*(f"n{index}" for index in range(9)))
+    heard: list[str] = []
+    for network in networks:
+        network.register("note", lambda sender, message, own=network._own: heard.append(own) or {})
+        network.register("count", lambda sender, message, own=network._own: {"own": own})
+    lost = (
+        networks[0]
+        ._trees._split(
+            {
+                "low": 0,
+                "high": 2**64 - 1,
+                "method": "",
+                "message": {},
+                "passed": [],
+                "deadline": 0.0,
+            }
+        )[0]
+        .heads[0]
+    )
+    next(network for network in networks if network._own == lost).stop(0.0)
+    expected = sorted(f"n{index}" for index in range(9) if f"n{index}" != lost)
+    answers = networks[0].gather("count", {}, deadline=_soon())
+    assert sorted(answers) == expected
+    networks[0].spread("note", {})
+    with gevent.Timeout(10):
+        while len(heard) < len(expected) - 1:
+            gevent.sleep(0.01)
+    assert sorted(heard) == [name for name in expected if name != "n0"]
+
+
+def test_probes_carry_attachments_and_leaving(start_networks):
+    a, b = start_networks("a", "b")
+    received = []
+    a.attach("topic", lambda: {"from": "a"}, lambda sender, message: None)
+    b.attach("topic", lambda: {"from": "b"}, lambda sender, message: received.append(message))
+    a.mark_leaving("a")
+    assert isinstance(a, GrpcPeerNetwork)
+    a._membership._probe("b")
+    assert received == [{"from": "a"}]
+    assert b.list_live() == ["b"]
+    assert a.list_live() == ["b"]
+
+
+def test_silent_member_becomes_suspect(start_networks):
+    a, b, _ = start_networks("a", "b", "c")
+    b.stop(0.0)
+    a._membership._probe("b")
+    assert a.describe_state()["members"]["b"]["state"] == "suspect"
+    assert "b" in a.list_live()
