--- a/clementinepin/entry/_calls.py
+++ b/clementinepin/entry/_calls.py
@@ -25,14 +25,22 @@
 WHOLE_ONLY_FIELDS: Final = ("logprobs", "tools", "functions", "best_of", "echo")
 IGNORED_FIELDS: Final = frozenset({"stream", "stream_options", "resume", "user"})
 
-_TOKENS = vol.All(int, vol.Range(min=1, max=TOKENS_LIMIT))
+
+def _check_integer(value: object) -> object:
+    """Refuse booleans, which are integers in this language but not in JSON."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise vol.Invalid("expected an integer")
+    return value
+
+
+_TOKENS = vol.All(_check_integer, vol.Range(min=1, max=TOKENS_LIMIT))
 _MESSAGE = vol.Schema({vol.Required("role"): str}, extra=vol.ALLOW_EXTRA)
 _COMMON: dict[Any, Any] = {
     vol.Required("model"): vol.All(str, vol.Length(min=1, max=256)),
     vol.Optional("stream"): vol.Any(bool, None),
     vol.Optional("max_tokens"): vol.Any(_TOKENS, None),
     vol.Optional("max_completion_tokens"): vol.Any(_TOKENS, None),
-    vol.Optional("n"): vol.Any(vol.All(int, vol.Range(min=1, max=128)), None),
+    vol.Optional("n"): vol.Any(vol.All(_check_integer, vol.Range(min=1, max=128)), None),
 }
 COMPLETION_SCHEMA: Final = vol.Schema(
     {**_COMMON, vol.Required("prompt"): vol.Any(str, [str])}, extra=vol.ALLOW_EXTRA
--- a/clementinepin/entry/_http.py
+++ b/clementinepin/entry/_http.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, Final, NamedTuple
 
+import gevent
 import msgspec
 
 from clementinepin.config import AccountSpec
@@ -98,12 +99,11 @@
         source = self.environ["wsgi.input"]
         total = 0
         while True:
-            piece = self._read_piece(source)
+            expected_s = BODY_GRACE_S + (total + BODY_PIECE_BYTES) / BODY_RATE_MIN_BYTES_S
+            piece = self._read_piece(source, started + expected_s - self._clock.monotonic())
             if not piece:
                 return
             total += len(piece)
-            if self._clock.monotonic() > started + BODY_GRACE_S + total / BODY_RATE_MIN_BYTES_S:
-                raise BodyTimeoutError("the body comes too slowly")
             yield piece
 
     def read_json(self) -> dict[str, Any]:
@@ -113,15 +113,18 @@
     def _content_length(self) -> int:
         return int(self.environ.get("CONTENT_LENGTH") or 0)
 
-    def _read_piece(self, source: Any) -> bytes:
+    def _read_piece(self, source: Any, wait_s: float) -> bytes:
+        timeout = gevent.Timeout.start_new(max(wait_s, 0.0), TimeoutError)
         try:
             return bytes(source.read(BODY_PIECE_BYTES))
         except TimeoutError as err:
             self._give_up()
-            raise BodyTimeoutError("the body stalled") from err
+            raise BodyTimeoutError("the body comes too slowly") from err
         except OSError as err:
             self._give_up()
             raise BodyIncompleteError(f"the body is incomplete: {err}") from err
+        finally:
+            timeout.close()
 
     def _too_large(self) -> BodyTooLargeError:
         self._give_up()
--- a/clementinepin/entry/_server.py
+++ b/clementinepin/entry/_server.py
@@ -26,8 +26,9 @@
 REFUSAL_TIMEOUT_S: Final = 1.0
 REFUSAL_RETRY_S: Final = 1.0
 REFUSALS_MAX: Final = 64
-DISCARD_MAX_BYTES: Final = 262_144
-RawAnswer = tuple[str, bytes]
+LINGER_S: Final = 1.0
+DISCARD_MAX_BYTES: Final = 8_000_000
+READ_SIZE_BYTES: Final = 65_536
 
 
 class _SlowHeadersTimeout(gevent.Timeout):
@@ -74,7 +75,8 @@
         except _SlowHeadersTimeout as err:
             if err is not timeout:
                 raise
-            return self._reject(HeaderTimeoutError("the header section came too slowly"))
+            self._reject(HeaderTimeoutError("the header section came too slowly"))
+            return None
         finally:
             timeout.close()
 
@@ -92,6 +94,8 @@
             super().handle_one_response()
         finally:
             self.server.active -= 1
+        if self.environ.get("clementinepin.close"):
+            linger(self.socket)
 
     def run_application(self) -> None:
         """Run the application; an unread body of a refused request is not read to its end."""
@@ -123,16 +127,22 @@
             return False
         return bool(first)
 
-    def _handle_client_error(self, ex: BaseException) -> RawAnswer:
+    def _handle_client_error(self, ex: BaseException) -> None:
         if isinstance(ex, ClementinepinError):
-            return self._reject(ex)
+            self._reject(ex)
+            return
         if not isinstance(ex, (ValueError, HTTPException, OSError)):
             logger.opt(exception=ex).warning("{} Request not parsed.", LOG_PREFIX)
-        return self._reject(HeadersRejectedError("the request line or headers are malformed"))
+        self._reject(HeadersRejectedError("the request line or headers are malformed"))
 
-    def _reject(self, err: ClementinepinError) -> RawAnswer:
+    def _reject(self, err: ClementinepinError) -> None:
+        """Answer a request that was not parsed; returns None, which ends the connection."""
         self.server.rejected += 1
-        return str(err.status), make_raw_error(err)
+        try:
+            self.socket.sendall(make_raw_error(err))
+        except OSError as problem:
+            logger.debug("{} Refusal not sent: {}.", LOG_PREFIX, problem)
+        linger(self.socket)
 
 
 class EntryServer(pywsgi.WSGIServer):
@@ -208,8 +218,7 @@
         try:
             sock.settimeout(REFUSAL_TIMEOUT_S)
             sock.sendall(make_raw_error(err))
-            sock.shutdown(socket.SHUT_WR)
-            sock.recv(HEADERS_MAX_BYTES)
+            linger(sock)
         except OSError as problem:
             logger.debug("{} Refusal not sent: {}.", LOG_PREFIX, problem)
         finally:
@@ -217,6 +226,26 @@
             sock.close()
 
 
+def linger(sock: Any) -> None:
+    """End our side and discard what still comes, for a moment.
+
+    Closing with unread bytes would reset the connection, and the caller might lose the answer.
+    """
+    timeout = gevent.Timeout.start_new(LINGER_S, TimeoutError)
+    left = DISCARD_MAX_BYTES
+    try:
+        sock.shutdown(socket.SHUT_WR)
+        while left > 0:
+            data = sock.recv(READ_SIZE_BYTES)
+            if not data:
+                return
+            left -= len(data)
+    except OSError:
+        return
+    finally:
+        timeout.close()
+
+
 def create_tls(certificate: str | None, key: str | None) -> ssl.SSLContext | None:
     """Return the TLS context of the server, or None without a certificate."""
     if not certificate:
