Prove that a claimed key runs at most once under losses and double owners

Cause: a claim is granted by any instance that thinks it owns a partition. Change: property over sends, lost writes, lost replies and a split view, in virtual time, and tests of joins, spills and outages.

--- /dev/null
+++ b/tests/claims/test_store.py
@@ -0,0 +1,200 @@
+from __future__ import annotations
+
+import gevent
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from clementinepin.claims import StoredOutcome
+from clementinepin.claims.const import HEAD_MAX_BYTES, PREFIX_CLAIM_LOGS
+from clementinepin.claims.exceptions import ClaimMismatchError, ClaimUnavailableError
+from clementinepin.exceptions import ClementinepinError, OutcomeUnknownError
+from clementinepin.platform.exceptions import PlatformUnavailableError, ReplyLostError
+from tests.claims.conftest import Network
+
+ANSWER = StoredOutcome("success", 200, "text/plain", b"booked")
+NOT_RUN = StoredOutcome("not_run", 503, "application/json", b"{}")
+
+
+def run(network, *calls):
+    greenlets = [gevent.spawn(call) for call in calls]
+    network.time.run(greenlets)
+    return [g.value if g.successful() else g.exception for g in greenlets]
+
+
+def claim(network, name, key="k", digest="d", wait_s=5.0):
+    return lambda: network.claims[name].claim(
+        "desk", key, digest, deadline=network.clock.now + wait_s
+    )
+
+
+def settle(network, name, held, outcome=ANSWER):
+    return lambda: network.claims[name].settle(held, outcome)
+
+
+def test_a_resend_joins_the_running_call_and_gets_its_outcome(make_network):
+    network = make_network("a", "b", "c")
+    (held,) = run(network, claim(network, "a"))
+    assert held.fresh
+
+    def finish():
+        network.time.sleep(1.0)
+        network.claims["a"].settle(held, ANSWER)
+
+    joined, _ = run(network, claim(network, "b"), finish)
+    assert not joined.fresh
+    assert joined.stored == ANSWER
+
+
+def test_another_request_under_the_key_is_a_mismatch(make_network):
+    network = make_network("a", "b")
+    run(network, claim(network, "a"))
+    (error,) = run(network, claim(network, "b", digest="other"))
+    assert isinstance(error, ClaimMismatchError)
+
+
+def test_a_run_that_did_not_run_frees_the_key(make_network):
+    network = make_network("a", "b")
+    (held,) = run(network, claim(network, "a"))
+    run(network, settle(network, "a", held, NOT_RUN))
+    (again,) = run(network, claim(network, "b"))
+    assert again.fresh
+
+
+def test_the_key_of_a_lost_instance_is_unknown_and_never_granted(make_network):
+    network = make_network("a", "b")
+    run(network, claim(network, "a"))
+    network.live.discard("a")
+    (error,) = run(network, claim(network, "b"))
+    assert isinstance(error, OutcomeUnknownError)
+
+
+def test_an_outage_refuses_as_not_run(make_network):
+    network = make_network("a")
+    network.stores["a"].down = True
+    (error,) = run(network, claim(network, "a"))
+    assert isinstance(error, ClaimUnavailableError)
+
+
+def test_a_large_answer_is_stored_apart_and_read_back(make_network):
+    network = make_network("a", "b")
+    large = ANSWER._replace(body=b"x" * 50_000)
+    (held,) = run(network, claim(network, "a"))
+    run(network, settle(network, "a", held, large))
+    (joined,) = run(network, claim(network, "b"))
+    assert joined.stored == large
+
+
+def test_an_unreadable_answer_is_unknown_not_refused(make_network):
+    """A resend of a call that ran is never told that nothing ran.
+
+    Mutation: let PlatformUnavailableError through ``_read_body``.
+    """
+    network = make_network("a", "b")
+    (held,) = run(network, claim(network, "a"))
+    run(network, settle(network, "a", held, ANSWER._replace(body=b"x" * 50_000)))
+    owner = "a" if network.claims["a"]._partitions else "b"
+    asker = "b" if owner == "a" else "a"
+    network.stores[asker].down = True
+    (error,) = run(network, claim(network, asker))
+    assert isinstance(error, OutcomeUnknownError)
+
+
+def test_old_rows_spill_to_logs_and_still_hold_their_keys(make_network):
+    network = make_network("a", "b")
+    body = ANSWER._replace(body=b"y" * 3_000)
+    keys = [f"k{i}" for i in range(400)]
+    for key in keys:
+        (held,) = run(network, claim(network, "a", key=key))
+        run(network, settle(network, "a", held, body))
+    logs = network.state.list_range(PREFIX_CLAIM_LOGS, PREFIX_CLAIM_LOGS + "~", 0)
+    assert logs
+    heads = network.state.list_range("claims/", "claims/~", 0)
+    assert max(len(row.value) for row in heads) <= HEAD_MAX_BYTES
+    network.claims["b"]._partitions.clear()
+    network.live.discard("a")
+    (joined,) = run(network, claim(network, "b", key=keys[0]))
+    assert joined.stored == body
+
+
+def test_a_missing_log_refuses_instead_of_freeing_keys(make_network):
+    """A key whose rows can't be read is not granted again.
+
+    Mutation: return no rows for a log that is missing.
+    """
+    network = make_network("a", "b")
+    body = ANSWER._replace(body=b"y" * 3_000)
+    for i in range(400):
+        (held,) = run(network, claim(network, "a", key=f"k{i}"))
+        run(network, settle(network, "a", held, body))
+    for row in network.state.list_range(PREFIX_CLAIM_LOGS, PREFIX_CLAIM_LOGS + "~", 0):
+        network.state.delete(row.key, None)
+    network.live.discard("a")
+    (error,) = run(network, claim(network, "b", key="k0"))
+    assert isinstance(error, ClaimUnavailableError)
+
+
+class Loser:
+    """A fault hook that loses writes before or after their effect by a fixed plan."""
+
+    def __init__(self, plan):
+        self.plan = list(plan)
+
+    def before(self, call, key):
+        if call == "put" and self.plan and self.plan[0] == "before":
+            self.plan.pop(0)
+            raise PlatformUnavailableError(key)
+
+    def after(self, call, key):
+        if call != "put" or not self.plan:
+            return
+        if self.plan.pop(0) == "after":
+            raise ReplyLostError(key)
+
+
+LOSSES = st.lists(st.sampled_from(["", "before", "after"]), max_size=12)
+SENDS = st.lists(
+    st.tuples(
+        st.sampled_from("abc"),
+        st.sampled_from([0.0, 0.1, 1.0, 3.0]),
+        st.sampled_from(["ok", "die", "free"]),
+    ),
+    min_size=2,
+    max_size=6,
+)
+
+
+@given(sends=SENDS, peer_losses=LOSSES, write_losses=LOSSES, split=st.booleans())
+def test_a_key_runs_at_most_once_under_any_losses(sends, peer_losses, write_losses, split):
+    """Between two ``not_run`` outcomes a key is granted once, with double owners and losses.
+
+    Mutations: write the head with ``expected=None``; GRANT when the claimant is not live.
+    """
+    network = Network(("a", "b", "c"))
+    network.losses = list(peer_losses)
+    for store in network.stores.values():
+        store.hook = Loser(write_losses)
+        store.delay_s = 0.05
+    if split:
+        network.view = {"a": {"a"}, "b": {"b", "c"}, "c": {"b", "c"}}
+    runs = []
+
+    def send(name, delay_s, end):
+        network.time.sleep(delay_s)
+        try:
+            held = claim(network, name, wait_s=4.0)()
+        except ClementinepinError:
+            return
+        if not held.fresh or end == "free":
+            if held.fresh:
+                network.claims[name].settle(held, NOT_RUN)
+            return
+        runs.append(name)
+        network.time.sleep(0.5)
+        if end == "ok":
+            network.claims[name].settle(held, ANSWER)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(gevent, "sleep", network.time.sleep)
+        network.time.run([gevent.spawn(send, *plan) for plan in sends])
+    assert len(runs) <= 1
