Add the client of the key-value service

Cause: every component needs the platform's key-value service within one budget and must know what became of a write whose reply was lost. Change: token bucket, circuit breaker, jittered backoff between endpoints, counted calls; each value ends in an operation id, and a lost conditional write is sent again under the same id and version, so that a lost race against one's own id is a success.

--- a/clementinepin/platform/__init__.py
+++ b/clementinepin/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from clementinepin.platform._key_value import create_key_value_store
 from clementinepin.platform.models import (
     InstanceList,
     KeyValue,
@@ -20,4 +21,5 @@
     "ListedInstance",
     "WatchEvent",
     "WeightStore",
+    "create_key_value_store",
 ]
--- a/clementinepin/platform/exceptions.py
+++ b/clementinepin/platform/exceptions.py
@@ -41,7 +41,14 @@
 
 
 class WatchCompactedError(ClementinepinError):
-    """Changes behind the version asked for are gone; list the range again, then watch."""
+    """Changes behind the version asked for are gone.
+
+    List the range again, then watch behind ``compacted`` or a later version.
+    """
 
     code = "watch_compacted"
     status = 409
+
+    def __init__(self, message: str = "", *, compacted: int = 0) -> None:
+        super().__init__(message)
+        self.compacted = compacted
--- a/standins/key_value/_memory.py
+++ b/standins/key_value/_memory.py
@@ -112,7 +112,7 @@
                 raise PlatformUnavailableError(prefix)
             self.state.expire_leases(self.clock.monotonic())
             if after_version < self.state.compacted:
-                raise WatchCompactedError(prefix)
+                raise WatchCompactedError(prefix, compacted=self.state.compacted)
             for event in self.state.list_events(prefix, end, after_version):
                 after_version = event.version
                 yield event
--- /dev/null
+++ b/tests/platform/test_key_value.py
@@ -0,0 +1,165 @@
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+
+import gevent
+import pytest
+
+from clementinepin.helpers.clock import create_system_clock
+from clementinepin.helpers.metrics import create_metrics
+from clementinepin.platform import create_key_value_store
+from clementinepin.platform.exceptions import (
+    LeaseLostError,
+    PlatformUnavailableError,
+    ReplyLostError,
+    VersionConflictError,
+    WatchCompactedError,
+)
+from standins.key_value import create_server
+
+
+@pytest.fixture
+def server():
+    server = create_server("127.0.0.1", 0, create_system_clock())
+    server.start()
+    yield server
+    server.stop()
+
+
+def create_store(server, calls_per_s=500.0):
+    settings = SimpleNamespace(
+        platform=SimpleNamespace(
+            key_value=(f"http://127.0.0.1:{server.server_port}",),
+            key_value_calls_per_s=calls_per_s,
+        )
+    )
+    clock = create_system_clock()
+    return create_key_value_store(settings, clock, create_metrics(None, 0, ""), random.Random(1))
+
+
+@pytest.fixture
+def store(server):
+    return create_store(server)
+
+
+def test_values_and_versions_round_trip(store):
+    version = store.put("a/1", b"\x00binary\xff", expected=0)
+    assert store.get("a/1") == ("a/1", b"\x00binary\xff", version)
+    store.put("a/2", b"", expected=0)
+    assert [r.value for r in store.list_range("a/")] == [b"\x00binary\xff", b""]
+    assert [r.key for r in store.list_range("a/", after="a/1")] == ["a/2"]
+    assert [r.key for r in store.list_range("a/", limit=1)] == ["a/1"]
+    assert store.get("b") is None
+
+
+def test_lost_race_names_the_winner(store):
+    version = store.put("a", b"1", expected=0)
+    with pytest.raises(VersionConflictError) as caught:
+        store.put("a", b"1", expected=0)
+    assert (caught.value.current, caught.value.value) == (version, b"1")
+
+
+@pytest.mark.parametrize("lost", [1, 3])
+def test_lost_reply_of_a_conditional_write_is_settled(server, store, lost):
+    """Mutation: compare no operation id in ``put``; the settled write looks like a lost race."""
+    server.application.faults["lose_replies"] = lost
+    version = store.put("a", b"1", expected=0)
+    assert store.get("a") == ("a", b"1", version)
+    assert server.application.state.revision == 1
+
+
+def test_equal_value_of_another_writer_is_not_taken_for_ours(server, store):
+    """Mutation: compare values instead of operation ids; two writers believe that they won."""
+    other = create_store(server)
+    other.put("a", b"same", expected=0)
+    server.application.faults["lose_replies"] = 1
+    with pytest.raises(ReplyLostError):
+        store.put("a", b"same", expected=0)
+
+
+def test_unconditional_write_is_not_repeated(server, store):
+    """Mutation: repeat it; a delayed copy could overwrite a later writer's value."""
+    server.application.faults["lose_replies"] = 1
+    with pytest.raises(ReplyLostError):
+        store.put("a", b"1", expected=None)
+    assert server.application.state.revision == 1
+
+
+def test_lost_reply_of_a_delete_is_settled(server, store):
+    version = store.put("a", b"1", expected=0)
+    server.application.faults["lose_replies"] = 1
+    store.delete("a", expected=version)
+    assert store.get("a") is None
+
+
+def test_outage_opens_the_breaker_and_names_a_time(server, store):
+    server.application.faults["down"] = True
+    with pytest.raises(PlatformUnavailableError):
+        store.get("a")
+    counted = sum(server.application.counts.values())
+    with pytest.raises(PlatformUnavailableError) as caught:
+        store.get("a")
+    assert caught.value.retry_at is not None
+    assert sum(server.application.counts.values()) == counted
+
+
+def test_spent_budget_refuses_without_a_call(server):
+    store = create_store(server, calls_per_s=0.1)
+    for _ in range(20):
+        store.get("a")
+    with pytest.raises(PlatformUnavailableError) as caught:
+        store.get("a")
+    assert caught.value.retry_at is not None
+    assert server.application.counts["/v3/kv/range"] == 20
+
+
+def test_leases(server, store):
+    grant = store.grant_lease(10.0)
+    store.put("a", b"1", expected=0, lease_id=grant.lease_id)
+    assert store.keep_lease(grant.lease_id).deadline >= grant.deadline
+    store.revoke_lease(grant.lease_id)
+    assert store.get("a") is None
+    with pytest.raises(LeaseLostError):
+        store.keep_lease(grant.lease_id)
+    with pytest.raises(LeaseLostError):
+        store.put("a", b"1", expected=0, lease_id=grant.lease_id)
+    store.revoke_lease(grant.lease_id)
+
+
+def test_watch_resumes_behind_a_drop_without_a_gap(server, store):
+    first = store.put("w/1", b"1", expected=0)
+    watch = store.watch("w/", after_version=first - 1)
+    assert next(watch) == ("w/1", b"1", first)
+    server.application.faults["down"] = True
+    with pytest.raises(PlatformUnavailableError):
+        next(watch)
+    server.application.faults["down"] = False
+    version = store.put("w/2", b"2", expected=0)
+    store.delete("w/1", expected=None)
+    watch = store.watch("w/", after_version=first)
+    assert next(watch) == ("w/2", b"2", version)
+    assert next(watch).value is None
+    watch.close()
+
+
+def test_watch_behind_the_compaction_names_the_version(server, store):
+    server.application.state.compacted = 5
+    with pytest.raises(WatchCompactedError) as caught:
+        next(store.watch("w/", after_version=1))
+    assert caught.value.compacted == 5
+
+
+def test_dead_endpoint_is_passed_over(server):
+    store = create_store(server)
+    store.put("a", b"1", expected=0)
+    settings = SimpleNamespace(
+        platform=SimpleNamespace(
+            key_value=("http://127.0.0.1:1", f"http://127.0.0.1:{server.server_port}"),
+            key_value_calls_per_s=500.0,
+        )
+    )
+    clock = create_system_clock()
+    other = create_key_value_store(settings, clock, create_metrics(None, 0, ""), random.Random(1))
+    assert other.get("a").value == b"1"
+    gevent.idle()
