--- a/clementinepin/platform/__init__.py
+++ b/clementinepin/platform/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from clementinepin.platform._instance_list import create_instance_list
+from clementinepin.platform._key_value import create_key_value_store
 from clementinepin.platform._weight_store import create_weight_store
 from clementinepin.platform.models import (
     InstanceList,
@@ -23,5 +24,6 @@
     "WatchEvent",
     "WeightStore",
     "create_instance_list",
+    "create_key_value_store",
     "create_weight_store",
 ]
