--- /dev/null
+++ b/standins/plain/__init__.py
@@ -0,0 +1,7 @@
+"""Stand-in for a plain service with calls that may not be repeated."""
+
+from __future__ import annotations
+
+from standins.plain._service import PlainService
+
+__all__ = ["PlainService"]
