--- /dev/null
+++ b/clementinepin/_cli/instances.py
@@ -0,0 +1,72 @@
+"""Commands on instances: show, state, drain and where."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, Final
+
+import gevent
+
+from clementinepin._cli.client import Entry, EntryClient
+from clementinepin._cli.exceptions import EntryUnreachableError, UsageError
+from clementinepin._cli.output import Printer
+from clementinepin.exceptions import OutcomeUnknownError
+
+DRAIN_WAIT_S: Final = 120.0
+POLL_S: Final = 0.25
+OWN_SERVICE: Final = "clementinepin"
+
+
+def read_rows(value: Any) -> list[dict[str, Any]]:
+    """Return the rows of an answer, bare or under its only list."""
+    if isinstance(value, list):
+        return value
+    lists = [rows for rows in value.values() if isinstance(rows, list)]
+    return lists[0] if lists else []
+
+
+def show_rows(path: str, client: EntryClient, printer: Printer) -> None:
+    """Print the rows of an operator's resource."""
+    printer.print_value(read_rows(client.fetch(path)))
+
+
+def find_instance(client: EntryClient, name: str) -> Entry:
+    """Return the address of an instance by name; raises UsageError for an unknown one."""
+    for row in read_rows(client.fetch("/ops/instances")):
+        if row["name"] == name and row.get("service", OWN_SERVICE) == OWN_SERVICE:
+            return Entry(row["address"], int(row["port"]), tls=client.uses_tls)
+    raise UsageError(f"no instance is named {name}", param="INSTANCE")
+
+
+def show_state(name: str, client: EntryClient, printer: Printer) -> None:
+    """Print an instance's dump."""
+    printer.print_value(client.narrow(find_instance(client, name)).fetch("/ops/state"))
+
+
+def drain(name: str, wait: bool, client: EntryClient, printer: Printer) -> None:
+    """Tell an instance to leave; with ``wait``, until it has stopped."""
+    only = client.narrow(find_instance(client, name))
+    answer = only.post("/ops/drain", {}, repeatable=True)
+    if wait:
+        _wait_stopped(only, name, printer)
+        answer = {**answer, "stopped": True}
+    printer.print_value({"instance": name, **answer})
+
+
+def show_entries(client: EntryClient, printer: Printer) -> None:
+    """Print which entries to use and until when."""
+    printer.print_value(client.fetch("/v1/entries"))
+
+
+def _wait_stopped(only: EntryClient, name: str, printer: Printer) -> None:
+    deadline = time.monotonic() + DRAIN_WAIT_S
+    while time.monotonic() < deadline:
+        printer.show_progress(f"{name} is finishing what is in flight")
+        try:
+            only.fetch("/healthz")
+        except EntryUnreachableError:
+            return
+        except Exception as err:
+            printer.show_progress(f"{name}: {err}")
+        gevent.sleep(POLL_S)
+    raise OutcomeUnknownError(f"{name} has not stopped yet")
--- /dev/null
+++ b/clementinepin/_cli/output.py
@@ -0,0 +1,107 @@
+"""Print results as tables or JSON, and progress on a terminal."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from typing import Any, TextIO
+
+import msgspec
+
+COLUMN_GAP = "  "
+RATE_MIN_S = 0.5
+
+
+class Printer:
+    """Writes results to one stream and progress to another."""
+
+    def __init__(
+        self, *, as_json: bool, out: TextIO | None = None, err: TextIO | None = None
+    ) -> None:
+        self._as_json = as_json
+        self._out = out or sys.stdout
+        self._err = err or sys.stderr
+        self._progress_at = 0.0
+        self._progress_open = False
+
+    def print_value(self, value: Any) -> None:
+        """Print rows or a mapping."""
+        self.end_progress()
+        if self._as_json:
+            self._out.write(msgspec.json.encode(value, order="sorted").decode() + "\n")
+        elif isinstance(value, Mapping):
+            self._out.write(format_mapping(value))
+        else:
+            self._out.write(format_rows(value))
+        self._out.flush()
+
+    def print_text(self, text: str) -> None:
+        """Print a sentence for a person; JSON output leaves it out."""
+        if not self._as_json:
+            self.end_progress()
+            self._out.write(text + "\n")
+            self._out.flush()
+
+    def print_error(self, code: str, message: str, retry_at: float | None) -> None:
+        """Print a failure."""
+        self.end_progress()
+        if self._as_json:
+            error = {"code": code, "message": message, "retry_at": retry_at}
+            self._err.write(msgspec.json.encode({"error": error}).decode() + "\n")
+            return
+        hint = f" Try again at {format_time(retry_at)}." if retry_at else ""
+        self._err.write(f"clementinepin: {code}: {message}.{hint}\n")
+
+    def show_progress(self, text: str) -> None:
+        """Rewrite the progress line of a terminal; other outputs get none."""
+        now = time.monotonic()
+        if not self._err.isatty() or now - self._progress_at < RATE_MIN_S:
+            return
+        self._progress_at = now
+        self._progress_open = True
+        self._err.write(f"\r\x1b[K{text}")
+        self._err.flush()
+
+    def end_progress(self) -> None:
+        """Clear the progress line."""
+        if self._progress_open:
+            self._progress_open = False
+            self._err.write("\r\x1b[K")
+            self._err.flush()
+
+
+def format_rows(rows: Sequence[Mapping[str, Any]]) -> str:
+    """Return rows as an aligned table with the keys of the first as heading."""
+    if not rows:
+        return "none\n"
+    columns = list(rows[0])
+    table = [columns, *([format_cell(c, row.get(c)) for c in columns] for row in rows)]
+    widths = [max(len(line[i]) for line in table) for i in range(len(columns))]
+    lines = [
+        COLUMN_GAP.join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        for line in table
+    ]
+    return "".join(line.rstrip() + "\n" for line in lines)
+
+
+def format_mapping(value: Mapping[str, Any]) -> str:
+    """Return a mapping as one line a key."""
+    width = max((len(key) for key in value), default=0)
+    return "".join(f"{k.ljust(width)}{COLUMN_GAP}{format_cell(k, v)}\n" for k, v in value.items())
+
+
+def format_cell(name: str, value: Any) -> str:
+    """Return a value as text; wall-clock times by the ending of their name."""
+    if value is None:
+        return "-"
+    if name.endswith(("_at", "_until")) and isinstance(value, (int, float)):
+        return format_time(value)
+    if isinstance(value, (Mapping, list)):
+        return msgspec.json.encode(value).decode()
+    return str(value)
+
+
+def format_time(seconds: float) -> str:
+    """Return a wall-clock time in UTC."""
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(seconds))
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,265 @@
+"""A whole fleet on loopback: stand-ins of the platform, targets and N daemons."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import tomllib
+from functools import partial
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from geventhttpclient import HTTPClient
+
+from standins.processes import (
+    LOOPBACK,
+    ChildProcess,
+    ProcessGroup,
+    accepts_connections,
+    wait_until,
+)
+
+READY_S: Final = 20.0
+HTTP_TIMEOUT_S: Final = 10.0
+SERVICE_OWN: Final = "clementinepin"
+PEER_SECRET: Final = "peer-secret-of-a-loopback-fleet"
+
+
+class TargetPlan(NamedTuple):
+    """Targets of one service; ``options`` go to the stand-in's command line."""
+
+    service: str
+    kind: str
+    workers: int
+    options: tuple[str, ...] = ()
+
+
+class FleetPlan(NamedTuple):
+    """What to start. ``folders`` of the daemons get a data folder."""
+
+    region: str
+    data_centres: tuple[str, ...]
+    daemons: int
+    folders: int
+    operator_key: str
+    keys: dict[str, str]
+    targets: tuple[TargetPlan, ...]
+    demo: dict[str, str] = {}
+    weight_rate: float = 50.0
+    drain_s: float = 10.0
+    advice_s: float = 2.0
+    list_lag_s: float = 1.0
+
+
+class Member(NamedTuple):
+    """One started process with its row in the instance list."""
+
+    row: dict[str, Any]
+    process: ChildProcess
+
+    @property
+    def port(self) -> int:
+        """Return the port for HTTP."""
+        return int(self.row["targets"][0].rpartition(":")[2])
+
+    @property
+    def name(self) -> str:
+        """Return the name in the instance list."""
+        return str(self.row["labels"]["name"])
+
+
+def load_plan(path: Path) -> FleetPlan:
+    """Return the plan in a ``fleet.toml``."""
+    document = tomllib.loads(path.read_text())
+    targets = [
+        TargetPlan(
+            name,
+            "engine",
+            table["workers"],
+            ("--slots", str(table["slots"]), "--step-ms", str(table["step_ms"])),
+        )
+        for name, table in document["engines"].items()
+    ]
+    targets += [TargetPlan(n, "plain", t["workers"]) for n, t in document["plain"].items()]
+    return FleetPlan(
+        region=document["region"],
+        data_centres=tuple(document["data_centres"]),
+        daemons=document["daemons"],
+        folders=document["folders"],
+        operator_key=document["operator_key"],
+        keys=document["keys"],
+        targets=tuple(targets),
+        demo=document.get("demo", {}),
+    )
+
+
+def send_json(port: int, method: str, path: str, value: object = None) -> Any:
+    """Send one request to a loopback port and return the decoded answer."""
+    client = HTTPClient(
+        LOOPBACK, port, network_timeout=HTTP_TIMEOUT_S, connection_timeout=HTTP_TIMEOUT_S
+    )
+    try:
+        body = b"" if value is None else json.dumps(value).encode()
+        raw = client.request(method, path, body, {"Content-Type": "application/json"}).read()
+        return json.loads(bytes(raw) or b"null")
+    finally:
+        client.close()
+
+
+class Fleet:
+    """Started processes of one plan."""
+
+    def __init__(self, plan: FleetPlan, group: ProcessGroup) -> None:
+        self.plan = plan
+        self.group = group
+        self.daemons: list[Member] = []
+        self.targets: dict[str, list[Member]] = {}
+        self.key_value_port = group.pick_port()
+        self.list_port = group.pick_port()
+        self.weights_port = group.pick_port()
+
+    def start(self) -> None:
+        """Start everything and wait until each daemon answers."""
+        self._start_platform()
+        for target in self.plan.targets:
+            self.targets[target.service] = [
+                self._start_target(target, number) for number in range(1, target.workers + 1)
+            ]
+        for port in self._list_outside_ports():
+            wait_until(partial(accepts_connections, port), READY_S, f"port {port}")
+        for number in range(1, self.plan.daemons + 1):
+            self.daemons.append(self._start_daemon(number))
+        self.publish_rows()
+        for member in self.daemons:
+            self.wait_ready(member)
+
+    def wait_ready(self, member: Member) -> float:
+        """Wait until a daemon's health resource answers; return the seconds it took."""
+        return wait_until(lambda: is_healthy(member.port), READY_S, f"{member.name} not ready")
+
+    def publish_rows(self) -> None:
+        """Give the instance list its present rows."""
+        members = [*self.daemons, *(m for group in self.targets.values() for m in group)]
+        send_json(self.list_port, "PUT", "/standin/rows", [m.row for m in members])
+
+    def set_state(self, member: Member, state: str) -> None:
+        """Change a member's state in the instance list."""
+        member.row["labels"]["state"] = state
+        self.publish_rows()
+
+    def set_key_value_fault(self, **fault: object) -> None:
+        """Start or end a fault of the key-value service, such as ``down=True``."""
+        send_json(self.key_value_port, "POST", "/standin/fault", fault)
+
+    def count_key_value_calls(self) -> dict[str, int]:
+        """Return the calls that the key-value service has counted, by resource."""
+        counts: dict[str, int] = send_json(self.key_value_port, "GET", "/standin/counts")
+        return counts
+
+    def list_entries(self) -> list[str]:
+        """Return the base addresses of all daemons."""
+        return [f"http://{LOOPBACK}:{member.port}" for member in self.daemons]
+
+    def _start_platform(self) -> None:
+        start = self.group.start
+        start("key-value", ["standins.key_value", "--port", str(self.key_value_port)])
+        lag = str(self.plan.list_lag_s)
+        start(
+            "instance-list",
+            ["standins.instance_list", "--port", str(self.list_port), "--lag", lag],
+        )
+        start(
+            "weight-store",
+            [
+                "standins.weight_store",
+                "--port",
+                str(self.weights_port),
+                "--rate",
+                str(self.plan.weight_rate),
+            ],
+        )
+
+    def _list_outside_ports(self) -> list[int]:
+        ports = [self.key_value_port, self.list_port, self.weights_port]
+        return ports + [m.port for group in self.targets.values() for m in group]
+
+    def _start_target(self, target: TargetPlan, number: int) -> Member:
+        name = f"{target.service}-{number}"
+        port = self.group.pick_port()
+        arguments = [f"standins.{target.kind}", "--port", str(port), "--name", name]
+        if target.kind == "engine":
+            arguments += ["--service", target.service]
+        else:
+            arguments += ["--journal", str(self.group.folder / f"{name}.journal")]
+        process = self.group.start(name, [*arguments, *target.options])
+        return Member(self._make_row(name, target.service, port, 0, number), process)
+
+    def _start_daemon(self, number: int) -> Member:
+        name = f"entry-{number}"
+        port, peer_port = self.group.pick_port(), self.group.pick_port()
+        row = self._make_row(name, SERVICE_OWN, port, peer_port, number)
+        path = self.group.folder / f"{name}.toml"
+        path.write_text(self._format_settings(row, port, peer_port, number))
+        process = self.group.start(name, ["clementinepin.daemon", "--config", str(path)])
+        return Member(row, process)
+
+    def _make_row(
+        self, name: str, service: str, port: int, peer_port: int, number: int
+    ) -> dict[str, Any]:
+        centres = self.plan.data_centres
+        labels = {
+            "name": name,
+            "service": service,
+            "data_centre": centres[number % len(centres)],
+            "region": self.plan.region,
+            "state": "live",
+            "peer_port": str(peer_port),
+        }
+        return {"targets": [f"{LOOPBACK}:{port}"], "labels": labels}
+
+    def _format_settings(self, row: dict[str, Any], port: int, peer_port: int, number: int) -> str:
+        labels = row["labels"]
+        digest = hashlib.sha256(self.plan.operator_key.encode()).hexdigest()
+        folder = ""
+        if number <= self.plan.folders:
+            path = self.group.folder / f"{labels['name']}.data"
+            path.mkdir(exist_ok=True)
+            folder = f"\n[storage]\nfolder = {json.dumps(str(path))}\n"
+        return f"""version = 1
+
+[instance]
+name = "{labels['name']}"
+address = "{LOOPBACK}"
+port = {port}
+peer_port = {peer_port}
+data_centre = "{labels['data_centre']}"
+region = "{labels['region']}"
+
+[platform]
+key_value = ["{LOOPBACK}:{self.key_value_port}"]
+instance_list = "{LOOPBACK}:{self.list_port}"
+weight_store = "{LOOPBACK}:{self.weights_port}"
+key_value_calls_per_s = 200.0
+{folder}
+[limits]
+advice_s = {self.plan.advice_s}
+drain_s = {self.plan.drain_s}
+
+[security]
+peer_secret = "{PEER_SECRET}"
+operator_key_digest = "{digest}"
+
+[logs]
+level = "DEBUG"
+"""
+
+
+def is_healthy(port: int) -> bool:
+    """Return whether a daemon's health resource answers 200."""
+    client = HTTPClient(LOOPBACK, port, network_timeout=1.0, connection_timeout=1.0)
+    try:
+        return bool(client.get("/healthz").status_code == 200)
+    except OSError:
+        return False
+    finally:
+        client.close()
