--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,220 @@
+"""Show the whole system on loopback.
+
+Usage:
+  demo [kirkvoice | lakaz] [--items N]
+
+Options:
+  --items N   Items of the batch job [default: 40].
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import shutil
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, Final
+
+import gevent
+from docopt import docopt
+
+from clementinepin.cli import run
+from standins.caller import Answer, Caller
+from standins.engine import make_token
+from standins.fleet import Fleet, FleetPlan, Member, load_plan, send_json
+from standins.processes import ProcessGroup, ProcessNotReadyError, wait_until
+
+EXAMPLES: Final = Path("examples")
+LOG_TAIL_LINES: Final = 8
+STREAM_TOKENS: Final = 150
+DRAIN_AFTER_TOKENS: Final = 10
+SERVE_WAIT_S: Final = 20.0
+STOP_WAIT_S: Final = 15.0
+
+
+class DemoFailedError(Exception):
+    """A step did not show what it should."""
+
+
+class Demo:
+    """Steps over one started fleet."""
+
+    def __init__(self, name: str, plan: FleetPlan, fleet: Fleet, items: int) -> None:
+        self._name = name
+        self._plan = plan
+        self._fleet = fleet
+        self._items = items
+        self._started_at = time.monotonic()
+        self._caller = Caller(plan.keys[plan.demo["online_account"]])
+
+    def run(self) -> None:
+        """Run every step in order."""
+        self._tell(f"start {self._plan.daemons} instances and the stand-ins")
+        self._fleet.start()
+        self._set_environment()
+        self._tell("apply the file set and wait until it is in force everywhere")
+        self._command("apply", str(EXAMPLES / self._name), "--wait")
+        self._command("show", "instances")
+        self._command("where", "--json")
+        self._call_streamed()
+        self._call_whole()
+        self._call_plain()
+        self._run_job()
+        self._drain_in_stream()
+        self._tell("every step showed what it should")
+
+    def _set_environment(self) -> None:
+        os.environ["CLEMENTINEPIN_ENTRY"] = ",".join(self._fleet.list_entries())
+        os.environ["CLEMENTINEPIN_OPERATOR_KEY"] = self._plan.operator_key
+        os.environ["CLEMENTINEPIN_KEY"] = self._plan.keys[self._plan.demo["batch_account"]]
+
+    def _tell(self, text: str) -> None:
+        print(f"[{time.monotonic() - self._started_at:5.1f} s] {text}", flush=True)
+
+    def _command(self, *argv: str) -> None:
+        print(f"$ clementinepin {' '.join(argv)}", flush=True)
+        code = run(list(argv))
+        if code:
+            raise DemoFailedError(f"clementinepin {argv[0]} exited with {code}")
+
+    def _make_body(self, *, stream: bool, tokens: int) -> dict[str, Any]:
+        return {
+            "model": self._plan.demo["online_application"],
+            "prompt": self._plan.demo["prompt"],
+            "max_tokens": tokens,
+            "stream": stream,
+        }
+
+    def _call_streamed(self) -> None:
+        self._tell("an online call, streamed, once the models are loaded")
+        port = self._fleet.daemons[0].port
+        body = self._make_body(stream=True, tokens=12)
+
+        def serves() -> bool:
+            return self._caller.complete(port, body).whole
+
+        wait_until(serves, SERVE_WAIT_S, "no target serves the application")
+        answer = self._caller.complete(port, body)
+        self._check_answer(answer, 12)
+        print(f"  {answer.text}({answer.first_token_s * 1000:.0f} ms to the first token)")
+
+    def _call_whole(self) -> None:
+        self._tell("the same call, whole, at another instance")
+        answer = self._caller.complete(
+            self._fleet.daemons[1].port, self._make_body(stream=False, tokens=12)
+        )
+        self._check_answer(answer, 12)
+        print(f"  {answer.text}")
+
+    def _check_answer(self, answer: Answer, tokens: int) -> None:
+        prompt = self._plan.demo["prompt"]
+        expected = "".join(make_token(prompt, index) for index in range(tokens))
+        if not answer.whole or answer.text != expected:
+            raise DemoFailedError(f"the answer is not whole: {answer.status} {answer.code}")
+
+    def _call_plain(self) -> None:
+        path = self._plan.demo["plain_path"]
+        self._tell(f"POST {path} may not be repeated; sent twice with one key, it runs once")
+        headers = {"Idempotency-Key": "demo-1", "X-Run-Key": "demo-1"}
+        for member in self._fleet.daemons[:2]:
+            answer = self._caller.call(member.port, "POST", path, b'{"demo":1}', headers)
+            print(f"  {answer.status} {answer.text}")
+            if answer.status != 200:
+                raise DemoFailedError(f"the plain call failed: {answer.code}")
+        service = path.split("/")[2]
+        target = self._fleet.targets[service][0]
+        runs = send_json(target.port, "GET", "/standin/runs")["runs"].get("demo-1")
+        if runs != 1:
+            raise DemoFailedError(f"the plain call ran {runs} times")
+
+    def _run_job(self) -> None:
+        self._tell(f"a batch job of {self._items} items, awaited")
+        file = self._fleet.group.folder / "items.jsonl"
+        lines = [self._make_item(number) for number in range(self._items)]
+        file.write_text("".join(json.dumps(line) + "\n" for line in lines))
+        self._command("job", "submit", str(file), "--wait", "--json", "--job-key", "demo")
+        self._command("job", "list")
+        results = self._fleet.group.folder / "results.jsonl"
+        job_id = self._find_job()
+        self._command("job", "results", job_id, "--output", str(results))
+        found = [json.loads(line) for line in results.read_text().splitlines()]
+        for row in found[:3]:
+            text = row["response"]["body"]["choices"][0]["text"]
+            print(f"  {row['custom_id']}: {text}")
+        if [row["custom_id"] for row in found] != [line["custom_id"] for line in lines]:
+            raise DemoFailedError("the results are not one an item in order")
+
+    def _make_item(self, number: int) -> dict[str, Any]:
+        body = {
+            "model": self._plan.demo["batch_application"],
+            "prompt": f"{self._plan.demo['item_prompt']} {number}",
+            "max_tokens": 8,
+        }
+        return {
+            "custom_id": f"item-{number:04d}",
+            "method": "POST",
+            "url": "/v1/completions",
+            "body": body,
+        }
+
+    def _find_job(self) -> str:
+        caller = Caller(self._plan.keys[self._plan.demo["batch_account"]])
+        answer = caller.call(self._fleet.daemons[2].port, "GET", "/v1/batches")
+        return str(json.loads(answer.text)["data"][0]["id"])
+
+    def _drain_in_stream(self) -> None:
+        leaving = self._fleet.daemons[-1]
+        self._tell(f"drain {leaving.name} in the middle of a stream of {STREAM_TOKENS} tokens")
+        drained: list[gevent.Greenlet] = []
+
+        def notice(count: int, _: str) -> None:
+            if count == DRAIN_AFTER_TOKENS:
+                drained.append(gevent.spawn(self._command, "drain", leaving.name, "--json"))
+
+        body = self._make_body(stream=True, tokens=STREAM_TOKENS)
+        answer = self._caller.complete(leaving.port, body, on_token=notice)
+        self._check_answer(answer, STREAM_TOKENS)
+        gevent.joinall(drained, raise_error=True)
+        self._tell(f"the stream completed with {answer.tokens} tokens")
+        self._wait_stopped(leaving)
+
+    def _wait_stopped(self, leaving: Member) -> None:
+        code = leaving.process.wait(STOP_WAIT_S)
+        if code != 0:
+            raise DemoFailedError(f"{leaving.name} ended with {code}")
+        answer = self._caller.call(self._fleet.daemons[0].port, "GET", "/v1/entries")
+        names = [row["name"] for row in json.loads(answer.text)["data"]]
+        if leaving.name in names:
+            raise DemoFailedError(f"{leaving.name} is still advised")
+        self._tell(f"{leaving.name} stopped with 0; callers are sent to {', '.join(names)}")
+
+
+def main() -> None:
+    """Run the demo and exit 0 if every step held."""
+    args = docopt(__doc__ or "")
+    name = "lakaz" if args["lakaz"] else "kirkvoice"
+    plan = load_plan(EXAMPLES / name / "demo" / "fleet.toml")
+    folder = Path(tempfile.mkdtemp(prefix="clementinepin-demo-"))
+    try:
+        with ProcessGroup(folder) as group:
+            Demo(name, plan, Fleet(plan, group), int(args["--items"])).run()
+    except (DemoFailedError, ProcessNotReadyError) as err:
+        print(f"demo failed: {err}", file=sys.stderr)
+        _print_logs(folder)
+        sys.exit(1)
+    finally:
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+def _print_logs(folder: Path) -> None:
+    for path in sorted(folder.glob("*.log")):
+        lines = path.read_text(errors="replace").splitlines()[-LOG_TAIL_LINES:]
+        if lines:
+            print(f"--- {path.name}", *lines, sep="\n", file=sys.stderr)
+
+
+if __name__ == "__main__":
+    main()
