--- a/clementinepin/scheduling/__init__.py
+++ b/clementinepin/scheduling/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from clementinepin.scheduling._scheduler import create_scheduler
 from clementinepin.scheduling.models import CallInfo, CallResult, Placement, Scheduler
 
-__all__ = ["CallInfo", "CallResult", "Placement", "Scheduler"]
+__all__ = ["CallInfo", "CallResult", "Placement", "Scheduler", "create_scheduler"]
--- /dev/null
+++ b/clementinepin/scheduling/_decider.py
@@ -0,0 +1,204 @@
+"""The decisions of one instance behind one object; pure but for its tables."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Iterable
+
+from clementinepin.const import InstanceState
+from clementinepin.platform import ListedInstance
+from clementinepin.systems import demand, quarantine, retries
+from clementinepin.systems.actions import Action, Grant, Preempt
+from clementinepin.systems.admission import admit_call
+from clementinepin.systems.allowance import AllowancePolicy, update_allowance
+from clementinepin.systems.placement import Placer
+from clementinepin.systems.preemption import choose_victims
+from clementinepin.systems.results import Ending, finish_call, note_first_token, note_tokens
+from clementinepin.systems.routing import is_online, list_candidates
+from clementinepin.systems.subset import update_roles
+from clementinepin.tables import (
+    CallInfo,
+    CallResult,
+    DemandRow,
+    Tables,
+    TargetRow,
+    View,
+    WaitingRow,
+)
+from clementinepin.targets import TargetAddress
+
+ACCOUNT_IDLE_S = 600.0
+SERVICE_OWN = "clementinepin"
+
+
+class Decider:
+    """Tables and the systems that run over them. ``now`` is monotonic, ``wall`` wall-clock."""
+
+    def __init__(
+        self, view: View, policy: AllowancePolicy, queue_max: int, rng: random.Random
+    ) -> None:
+        self.tables = Tables()
+        self.view = view
+        self.policy = policy
+        self._queue_max = queue_max
+        self._random = rng
+        self._ids = itertools.count(1)
+
+    def set_view(self, view: View) -> None:
+        """Take a new configuration or list of live instances."""
+        self.view = view
+        for row in list(self.tables.targets):
+            self.tables.targets.update(row.name, slots_max=self._get_slots(row.service))
+        update_roles(self.tables, view)
+
+    def set_targets(self, rows: Iterable[ListedInstance]) -> None:
+        """Take a new list of targets."""
+        listed = {row.name: row for row in rows if row.service != SERVICE_OWN}
+        for known in list(self.tables.targets):
+            if known.name not in listed:
+                self.tables.targets.remove(known.name)
+                self.tables.allowances.pop(known.name, None)
+        for row in listed.values():
+            self._put_target(row)
+        update_roles(self.tables, self.view)
+        names = frozenset(listed) | frozenset(row.service for row in listed.values())
+        self.tables.measures.retain(names)
+
+    def submit(self, call: CallInfo, now: float, wall: float) -> WaitingRow:
+        """Queue a call; raises a NotRunError."""
+        return admit_call(self.tables, self.view, call, next(self._ids), self._queue_max, now, wall)
+
+    def withdraw(self, waiting_id: int) -> None:
+        """Forget a call whose caller went away."""
+        self.tables.online.pop(waiting_id)
+        self.tables.batch.pop(waiting_id)
+
+    def tick(self, now: float, wall: float) -> list[Action]:
+        """Run all systems once and return what is to be done."""
+        placer = self._create_placer()
+        actions = placer.place_online(now, wall)
+        actions += self._preempt(now)
+        actions += placer.place_batch(now, wall)
+        actions += demand.list_signals(self.tables, self.view, now)
+        return actions
+
+    def grant_alone(self, waiting: WaitingRow, target: str, now: float) -> Grant | None:
+        """Grant a suspect the target that was closed for it; None when it went away."""
+        if not any(row.waiting_id == waiting.waiting_id for row in self._list_waiting()):
+            return None
+        return self._create_placer().grant(waiting, target, now, alone=True)
+
+    def delay_isolation(self, waiting_id: int, not_before: float) -> None:
+        """Let a suspect that got no target ask again later."""
+        for queue in (self.tables.online, self.tables.batch):
+            queue.update(waiting_id, asking=False, not_before=not_before)
+
+    def note_first_token(self, ticket: int, now: float) -> None:
+        """Note the first token of an attempt."""
+        note_first_token(self.tables, ticket, now)
+
+    def note_tokens(self, ticket: int, tokens: int, now: float) -> None:
+        """Note progress of an attempt."""
+        note_tokens(self.tables, ticket, tokens, now)
+
+    def finish(self, ticket: int, result: CallResult, now: float, wall: float) -> Ending | None:
+        """Give a slot back."""
+        return finish_call(self.tables, self.view, ticket, result, now, wall)
+
+    def plan_retry(
+        self, call: CallInfo, result: CallResult, now: float, wall: float
+    ) -> float | None:
+        """Return the time of the next attempt, or None."""
+        if quarantine.is_condemned(self.tables.suspects, call.fingerprint, wall):
+            return None
+        return retries.plan_retry(self.tables.retries, call, result, now, self._random)
+
+    def receive_demand(self, sender: str, target: str, row: DemandRow, now: float) -> int | None:
+        """Take another instance's word of a target; returns the online calls of the rest."""
+        known = self.tables.targets.get(target)
+        if known is None:
+            return None
+        self.tables.demand.put(target, sender, row)
+        others = self.tables.demand.list_target(target).items()
+        told = sum(d.online for i, d in others if i != sender and d.expires_at > now)
+        return known.online + told
+
+    def note_others(self, target: str, told: int, others: int, now: float) -> None:
+        """Take the answer of a target's owner."""
+        self.tables.targets.update(target, told=told, others_online=others, others_at=now)
+
+    def count_batch_slots(self, application: str, now: float) -> int:
+        """Return free batch slots for an application on owned targets."""
+        configuration = self.view.configuration
+        spec = configuration.applications.get(application) if configuration else None
+        model = configuration.models.get(spec.model) if configuration and spec else None
+        if model is None:
+            return 0
+        self._update_allowances(now)
+        free = self._create_placer().count_free(now)
+        call = CallInfo("", "", model.service, application, "", now, "")
+        pool = [row for row in self.tables.targets.list_service(model.service) if row.name in free]
+        waiting = sum(row.call.application == application for row in self.tables.batch)
+        slots = sum(max(0, free[row.name]) for row in list_candidates(call, pool, self.view, now))
+        return max(0, slots - waiting)
+
+    def expire(self, now: float, wall: float) -> None:
+        """Forget what is out of date."""
+        self.tables.demand.expire(now, frozenset(self.view.live))
+        self.tables.suspects.expire(wall)
+        self.tables.accounts.expire(now - ACCOUNT_IDLE_S)
+
+    def _create_placer(self) -> Placer:
+        return Placer(self.tables, self.view, self.policy, self._ids)
+
+    def _list_waiting(self) -> list[WaitingRow]:
+        return [*self.tables.online, *self.tables.batch]
+
+    def _update_allowances(self, now: float) -> None:
+        for name in self.tables.owned:
+            row = self.tables.targets.get(name)
+            if row is not None:
+                update_allowance(self.tables, row, self.view, self.policy, now)
+
+    def _preempt(self, now: float) -> list[Action]:
+        self._update_allowances(now)
+        actions: list[Action] = []
+        running = {row.target for row in self.tables.calls if not is_online(row.call)}
+        for target in sorted(running):
+            known = self.tables.allowances.get(target)
+            allowance = known.allowance if known and target in self.tables.owned else 0
+            for ticket in choose_victims(self.tables, target, allowance):
+                self.tables.calls.update(ticket, yielding=True)
+                actions.append(Preempt(ticket))
+        return actions
+
+    def _put_target(self, listed: ListedInstance) -> None:
+        known = self.tables.targets.get(listed.name)
+        address = TargetAddress(listed.name, listed.address, listed.port)
+        fresh = TargetRow(
+            name=listed.name,
+            service=listed.service,
+            address=address,
+            data_centre=listed.data_centre,
+            region=listed.region,
+            slots_max=self._get_slots(listed.service),
+            leaving=listed.state != InstanceState.LIVE,
+        )
+        if known is None or known.address != address:
+            self.tables.targets.put(fresh)
+            return
+        self.tables.targets.put(
+            known._replace(
+                service=fresh.service,
+                data_centre=fresh.data_centre,
+                region=fresh.region,
+                slots_max=fresh.slots_max,
+                leaving=fresh.leaving,
+            )
+        )
+
+    def _get_slots(self, service: str) -> int:
+        configuration = self.view.configuration
+        spec = configuration.services.get(service) if configuration else None
+        return spec.slots_max if spec else 0
--- /dev/null
+++ b/clementinepin/scheduling/_describe.py
@@ -0,0 +1,50 @@
+"""Dump of the scheduler's tables."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from clementinepin.scheduling._decider import Decider
+from clementinepin.tables import TargetRow
+
+
+def describe_decider(decider: Decider, now: float, wall: float) -> dict[str, Any]:
+    """Return a JSON-ready dump; times are seconds from now."""
+    tables = decider.tables
+    return {
+        "live": list(decider.view.live),
+        "owned": sorted(tables.owned),
+        "online_waiting": len(tables.online),
+        "batch_waiting": len(tables.batch),
+        "running": len(tables.calls),
+        "targets": [_describe_target(decider, row, now) for row in tables.targets],
+        "retries": {service: row._asdict() for service, row in tables.retries.items()},
+        "suspects": [
+            {
+                "fingerprint": row.fingerprint,
+                "targets_lost": [loss.target for loss in row.losses],
+                "condemned": row.condemned,
+                "expires_in_s": round(row.expires_at - wall, 1),
+            }
+            for row in tables.suspects
+        ],
+    }
+
+
+def _describe_target(decider: Decider, row: TargetRow, now: float) -> dict[str, Any]:
+    tables = decider.tables
+    allowance = tables.allowances.get(row.name)
+    return {
+        "name": row.name,
+        "service": row.service,
+        "online": row.online,
+        "batch": row.batch,
+        "others_online": row.others_online,
+        "batch_allowance": allowance.allowance if allowance and row.name in tables.owned else None,
+        "open": row.is_open(now),
+        "ejected_for_s": max(0.0, round(row.ejected_until - now, 1)),
+        "closed_for_s": max(0.0, round(row.closed_until - now, 1)),
+        "failures": row.failures,
+        "reported": row.report is not None,
+        "first_token_s": round(tables.measures.get(row.name).first_token_s, 4),
+    }
--- /dev/null
+++ b/clementinepin/scheduling/_gossip.py
@@ -0,0 +1,233 @@
+"""Messages between schedulers: sending, and what a received one changes."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import gevent
+from loguru import logger
+
+from clementinepin.core import Core
+from clementinepin.peers import PeerNetwork
+from clementinepin.peers.exceptions import PeerUnavailableError
+from clementinepin.scheduling import _messages as messages
+from clementinepin.scheduling._decider import Decider
+from clementinepin.systems import isolation, quarantine
+from clementinepin.systems.actions import Signal
+from clementinepin.systems.demand import DEMAND_TTL_S, forget_told
+from clementinepin.systems.results import REFUSED_LEAVING_S
+from clementinepin.tables import DemandRow, SuspectRow
+
+LOG_PREFIX = "scheduling:"
+BURST_TIMEOUT_S = 0.5
+SPREAD_TIMEOUT_S = 0.3
+ISOLATE_TIMEOUT_S = 2.0
+DRAIN_MAX_S = 1.0
+DRAIN_PERIOD_S = 0.01
+
+
+class Gossip:
+    """Keeps the tables of all schedulers near each other; ``wake`` runs the systems."""
+
+    def __init__(
+        self, core: Core, peers: PeerNetwork, decider: Decider, wake: Callable[[], None]
+    ) -> None:
+        self._core = core
+        self._peers = peers
+        self._decider = decider
+        self._wake = wake
+        self._pending: defaultdict[str, dict[str, int]] = defaultdict(dict)
+        self._sending: set[str] = set()
+        peers.register(messages.METHOD_BURST, self._receive_burst)
+        peers.register(messages.METHOD_CLOSE, self._receive_close)
+        peers.register(messages.METHOD_LEAVING, self._receive_leaving)
+        peers.register(messages.METHOD_SUSPECT, self._receive_suspects)
+        peers.register(messages.METHOD_LIST, self._receive_list)
+        peers.register(messages.METHOD_ISOLATE, self._receive_isolate)
+        peers.register(messages.METHOD_RELEASE, self._receive_release)
+
+    def signal(self, signal: Signal) -> None:
+        """Tell an owner; while one message is under way the next collects newer counts."""
+        self._pending[signal.owner][signal.target] = signal.online
+        if signal.owner in self._sending:
+            return
+        self._sending.add(signal.owner)
+        gevent.spawn(self._send_bursts, signal.owner)
+
+    def spread_suspect(self, row: SuspectRow) -> None:
+        """Tell all live instances of a suspect; wait for their answers for a bounded time."""
+        message = messages.SuspectsMessage(suspects=[messages.encode_suspect(row)])
+        self._broadcast(messages.METHOD_SUSPECT, message, SPREAD_TIMEOUT_S)
+
+    def spread_leaving(self, target: str) -> None:
+        """Tell all live instances that a target refused because it leaves."""
+        message = messages.LeavingMessage(target=target)
+        gevent.spawn(self._broadcast, messages.METHOD_LEAVING, message, SPREAD_TIMEOUT_S)
+
+    def learn_suspects(self) -> bool:
+        """Ask one peer for its suspects; False when none answered."""
+        own = self._core.settings.instance.name
+        for peer in [name for name in self._peers.list_live() if name != own]:
+            try:
+                reply = self._call(peer, messages.METHOD_LIST, {}, BURST_TIMEOUT_S)
+            except PeerUnavailableError:
+                continue
+            self._receive_suspects(peer, reply)
+            return True
+        return False
+
+    def isolate(self, target: str, fingerprint: str, remaining_s: float) -> bool:
+        """Ask the owner to close a target for a suspect; returns when nothing else runs there."""
+        message = messages.IsolateMessage(
+            target=target, fingerprint=fingerprint, remaining_s=remaining_s
+        )
+        own = self._core.settings.instance.name
+        owner = self._decider.tables.owners.get(target)
+        if owner is None:
+            return False
+        if owner == own:
+            return bool(self._receive_isolate(own, dict(message))["granted"])
+        try:
+            reply = self._call(owner, messages.METHOD_ISOLATE, message, ISOLATE_TIMEOUT_S)
+        except PeerUnavailableError:
+            return False
+        return bool(reply.get("granted"))
+
+    def release(self, target: str, fingerprint: str) -> None:
+        """Tell the owner that the suspect is done; what is lost here ends by its deadline."""
+        message = messages.IsolateMessage(target=target, fingerprint=fingerprint, remaining_s=0.0)
+        own = self._core.settings.instance.name
+        owner = self._decider.tables.owners.get(target)
+        if owner == own:
+            self._receive_release(own, dict(message))
+            return
+        if owner is not None:
+            gevent.spawn(self._try_call, owner, messages.METHOD_RELEASE, message, BURST_TIMEOUT_S)
+
+    def _call(
+        self, peer: str, method: str, message: Mapping[str, Any], timeout_s: float
+    ) -> dict[str, Any]:
+        deadline = self._core.clock.monotonic() + timeout_s
+        return self._peers.call(peer, method, message, deadline=deadline)
+
+    def _try_call(
+        self, peer: str, method: str, message: Mapping[str, Any], timeout_s: float
+    ) -> bool:
+        try:
+            self._call(peer, method, message, timeout_s)
+        except PeerUnavailableError as err:
+            logger.debug("{} No answer from {}: {}.", LOG_PREFIX, peer, err.code)
+            return False
+        return True
+
+    def _broadcast(self, method: str, message: Mapping[str, Any], timeout_s: float) -> None:
+        own = self._core.settings.instance.name
+        calls = [
+            gevent.spawn(self._try_call, peer, method, message, timeout_s)
+            for peer in self._peers.list_live()
+            if peer != own
+        ]
+        gevent.joinall(calls, timeout=timeout_s)
+
+    def _send_bursts(self, owner: str) -> None:
+        try:
+            while self._pending[owner]:
+                counts = self._pending.pop(owner)
+                self._send_burst(owner, counts)
+        finally:
+            self._sending.discard(owner)
+
+    def _send_burst(self, owner: str, counts: dict[str, int]) -> None:
+        message = messages.BurstMessage(
+            demands=[self._describe_demand(target, n) for target, n in counts.items()]
+        )
+        try:
+            reply = self._call(owner, messages.METHOD_BURST, message, BURST_TIMEOUT_S)
+        except PeerUnavailableError:
+            for target in counts:
+                forget_told(self._decider.tables, target)
+            return
+        now = self._core.clock.monotonic()
+        for target, others in reply.get("others", {}).items():
+            self._decider.note_others(target, counts.get(target, 0), others, now)
+        self._wake()
+
+    def _describe_demand(self, target: str, online: int) -> messages.DemandMessage:
+        measures = self._decider.tables.measures.get(target)
+        return messages.DemandMessage(
+            target=target,
+            online=online,
+            first_token_s=measures.first_token_s,
+            between_tokens_s=measures.between_tokens_s,
+        )
+
+    def _receive_burst(self, sender: str, message: dict[str, Any]) -> messages.BurstReply:
+        now = self._core.clock.monotonic()
+        others = {}
+        for item in message["demands"]:
+            row = DemandRow(
+                item["online"], item["first_token_s"], item["between_tokens_s"], now + DEMAND_TTL_S
+            )
+            count = self._decider.receive_demand(sender, item["target"], row, now)
+            if count is not None:
+                others[item["target"]] = count
+        self._wake()
+        return messages.BurstReply(others=others)
+
+    def _receive_close(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+        until = self._core.clock.monotonic() + message["remaining_s"]
+        self._decider.tables.targets.update(message["target"], closed_until=until)
+        self._wake()
+        return {}
+
+    def _receive_leaving(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+        until = self._core.clock.monotonic() + REFUSED_LEAVING_S
+        self._decider.tables.targets.update(message["target"], refused_until=until)
+        self._wake()
+        return {}
+
+    def _receive_suspects(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+        wall = self._core.clock.wall()
+        for item in message["suspects"]:
+            row = messages.decode_suspect(item)
+            quarantine.merge_suspect(self._decider.tables.suspects, row, wall)
+        self._wake()
+        return {}
+
+    def _receive_list(self, sender: str, message: dict[str, Any]) -> messages.SuspectsMessage:
+        rows = self._decider.tables.suspects
+        return messages.SuspectsMessage(suspects=[messages.encode_suspect(row) for row in rows])
+
+    def _receive_isolate(self, sender: str, message: dict[str, Any]) -> messages.IsolateReply:
+        now = self._core.clock.monotonic()
+        target, fingerprint = message["target"], message["fingerprint"]
+        tables = self._decider.tables
+        until = now + message["remaining_s"]
+        if target not in tables.owned or not isolation.grant_isolation(
+            tables, target, fingerprint, sender, until, now
+        ):
+            return messages.IsolateReply(granted=False)
+        self._wake()
+        close = messages.CloseMessage(target=target, remaining_s=message["remaining_s"])
+        self._broadcast(messages.METHOD_CLOSE, close, SPREAD_TIMEOUT_S)
+        self._wait_drained(target, now + DRAIN_MAX_S)
+        return messages.IsolateReply(granted=True)
+
+    def _wait_drained(self, target: str, deadline: float) -> None:
+        clock = self._core.clock
+        while clock.monotonic() < deadline:
+            if not isolation.count_running(self._decider.tables, target, clock.monotonic()):
+                return
+            gevent.sleep(DRAIN_PERIOD_S)
+
+    def _receive_release(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+        now = self._core.clock.monotonic()
+        target = message["target"]
+        tables = self._decider.tables
+        if isolation.release_isolation(tables, target, message["fingerprint"], now):
+            close = messages.CloseMessage(target=target, remaining_s=0.0)
+            gevent.spawn(self._broadcast, messages.METHOD_CLOSE, close, SPREAD_TIMEOUT_S)
+            self._wake()
+        return {}
--- /dev/null
+++ b/clementinepin/scheduling/_reports.py
@@ -0,0 +1,97 @@
+"""Polls of load reports and cache events of the targets that this instance follows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent.pool import Pool
+from loguru import logger
+
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.scheduling._decider import Decider
+from clementinepin.tables import TargetRow
+from clementinepin.targets import CacheEvent, Engine, TargetAddress
+
+LOG_PREFIX = "scheduling:"
+POLLS_PER_S = 16.0
+POLL_PERIOD_MIN_S = 0.5
+POLLS_PARALLEL = 8
+PREFIXES_MAX = 512
+KIND_ENGINE = "engine"
+
+
+class ReportPoller:
+    """Fetches load reports in turn, at a bounded rate for each instance."""
+
+    def __init__(self, decider: Decider, create_engine: Callable[[TargetAddress], Engine]) -> None:
+        self._decider = decider
+        self._create_engine = create_engine
+        self._engines: dict[TargetAddress, Engine] = {}
+        self._sequences: dict[TargetAddress, int] = {}
+        self._busy: set[TargetAddress] = set()
+        self._pool = Pool(POLLS_PARALLEL)
+
+    def run(self) -> None:
+        """Poll forever."""
+        while True:
+            rows = self._list_followed()
+            for row in rows:
+                self._spawn(row)
+            gevent.sleep(max(POLL_PERIOD_MIN_S, len(rows) / POLLS_PER_S))
+
+    def stop(self) -> None:
+        """End polls that still run."""
+        self._pool.kill(block=False)
+
+    def _list_followed(self) -> list[TargetRow]:
+        view, tables = self._decider.view, self._decider.tables
+        if view.configuration is None:
+            return []
+        followed = []
+        for spec in view.configuration.services.values():
+            if spec.kind != KIND_ENGINE:
+                continue
+            wanted = tables.owned | tables.followed.get(spec.name, frozenset())
+            pool = tables.targets.list_service(spec.name)
+            followed += [row for row in pool if row.name in wanted]
+        known = {row.address for row in followed}
+        self._engines = {a: e for a, e in self._engines.items() if a in known}
+        self._sequences = {a: s for a, s in self._sequences.items() if a in known}
+        return followed
+
+    def _spawn(self, row: TargetRow) -> None:
+        if row.address in self._busy or self._pool.full():
+            return
+        self._busy.add(row.address)
+        self._pool.spawn(self._poll, row)
+
+    def _poll(self, row: TargetRow) -> None:
+        engine = self._engines.get(row.address) or self._create_engine(row.address)
+        self._engines[row.address] = engine
+        try:
+            report = engine.fetch_load()
+            self._decider.tables.targets.update(row.name, report=report)
+            after = self._sequences.get(row.address, 0)
+            self._note_events(row, engine.fetch_cache_events(after))
+        except ClementinepinError as err:
+            logger.debug("{} No report from {}: {}.", LOG_PREFIX, row.name, err.code)
+        finally:
+            self._busy.discard(row.address)
+
+    def _note_events(self, row: TargetRow, events: list[CacheEvent]) -> None:
+        """Keep stored prefixes as hints; a gap in the sequence makes all of them doubtful."""
+        if not events:
+            return
+        known = self._decider.tables.targets.get(row.name)
+        if known is None:
+            return
+        after = self._sequences.get(row.address, 0)
+        prefixes = dict.fromkeys(known.cached_prefixes if events[0].sequence == after + 1 else ())
+        for event in events:
+            prefixes.pop(event.prefix_hash, None)
+            if event.stored:
+                prefixes[event.prefix_hash] = None
+        self._sequences[row.address] = events[-1].sequence
+        newest = frozenset(list(prefixes)[-PREFIXES_MAX:])
+        self._decider.tables.targets.update(row.name, cached_prefixes=newest)
--- /dev/null
+++ b/clementinepin/scheduling/_scheduler.py
@@ -0,0 +1,250 @@
+"""The scheduler of one instance: waits, clocks and messages around the decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import gevent
+from gevent.event import AsyncResult, Event
+from loguru import logger
+
+from clementinepin.core import ConfigurationChanged, Core, InstancesChanged, spawn_loop
+from clementinepin.exceptions import NotRunError
+from clementinepin.peers import PeerNetwork
+from clementinepin.scheduling._decider import Decider
+from clementinepin.scheduling._describe import describe_decider
+from clementinepin.scheduling._gossip import Gossip
+from clementinepin.scheduling._reports import ReportPoller
+from clementinepin.scheduling.models import CallInfo, CallResult, Placement
+from clementinepin.systems.actions import Action, Grant, Isolate, Preempt, Refuse, Signal
+from clementinepin.systems.allowance import create_policy
+from clementinepin.systems.exceptions import SchedulerStoppedError
+from clementinepin.systems.results import Ending
+from clementinepin.tables import View, WaitingRow
+from clementinepin.targets import Engine, TargetAddress
+
+LOG_PREFIX = "scheduling:"
+TICK_PERIOD_S = 0.02
+VIEW_PERIOD_S = 0.5
+ISOLATION_RETRY_S = 0.05
+RETRY_AFTER_STOP_S = 1.0
+
+
+class _Waiter(NamedTuple):
+    row: WaitingRow
+    result: AsyncResult
+
+
+class GeventScheduler:
+    """Component ``scheduling``: Scheduler over the decider of this instance."""
+
+    name = "scheduling"
+
+    def __init__(
+        self, core: Core, peers: PeerNetwork, create_engine: Callable[[TargetAddress], Engine]
+    ) -> None:
+        instance = core.settings.instance
+        view = View(instance.name, instance.data_centre, instance.region, (instance.name,), None)
+        policy = create_policy(core.settings.allowance_policy)
+        self._core = core
+        self._peers = peers
+        self._decider = Decider(view, policy, core.settings.limits.queue_max, core.random)
+        self._gossip = Gossip(core, peers, self._decider, self._wake)
+        self._poller = ReportPoller(self._decider, create_engine)
+        self._waiters: dict[int, _Waiter] = {}
+        self._preempted: dict[int, Event] = {}
+        self._greenlets: list[gevent.Greenlet] = []
+        self._learnt = False
+        self._stopped = False
+        core.subscribe(ConfigurationChanged, lambda _event: self._refresh_view())
+        core.subscribe(InstancesChanged, self._note_instances)
+
+    def start(self) -> None:
+        """Start the tick, the view and the polls."""
+        self._greenlets = [
+            spawn_loop(self._wake, TICK_PERIOD_S, LOG_PREFIX),
+            spawn_loop(self._refresh, VIEW_PERIOD_S, LOG_PREFIX),
+            gevent.spawn(self._poller.run),
+        ]
+
+    def stop(self, deadline: float) -> None:
+        """Refuse what waits and end the loops."""
+        self._stopped = True
+        retry_at = self._core.clock.wall() + RETRY_AFTER_STOP_S
+        for waiter in list(self._waiters.values()):
+            self._decider.withdraw(waiter.row.waiting_id)
+            waiter.result.set_exception(SchedulerStoppedError(retry_at=retry_at))
+        self._waiters.clear()
+        gevent.killall(self._greenlets, block=False)
+        self._poller.stop()
+
+    def describe_state(self) -> dict[str, Any]:
+        """Return targets, queues, limits and suspects."""
+        clock = self._core.clock
+        return describe_decider(self._decider, clock.monotonic(), clock.wall())
+
+    def acquire(self, call: CallInfo) -> Placement:
+        """Wait for a slot; raises a NotRunError subclass that holds proof."""
+        if self._stopped:
+            raise SchedulerStoppedError(retry_at=self._core.clock.wall() + RETRY_AFTER_STOP_S)
+        clock = self._core.clock
+        try:
+            row = self._decider.submit(call, clock.monotonic(), clock.wall())
+        except NotRunError as err:
+            raise self._count_refusal(err) from None
+        waiter = _Waiter(row, AsyncResult())
+        self._waiters[row.waiting_id] = waiter
+        self._wake()
+        try:
+            return waiter.result.get()
+        except BaseException:
+            self._give_up(waiter)
+            raise
+
+    def report_first_token(self, ticket: int) -> None:
+        """Note that the first token of an attempt arrived."""
+        self._decider.note_first_token(ticket, self._core.clock.monotonic())
+
+    def report_tokens(self, ticket: int, tokens: int) -> None:
+        """Note progress of an attempt."""
+        self._decider.note_tokens(ticket, tokens, self._core.clock.monotonic())
+
+    def finish(self, ticket: int, result: CallResult) -> None:
+        """Give the slot back; after a loss, return once the live peers know the suspect."""
+        clock = self._core.clock
+        self._preempted.pop(ticket, None)
+        ending = self._decider.finish(ticket, result, clock.monotonic(), clock.wall())
+        if ending is None:
+            return
+        self._core.metrics.incr(f"scheduling.attempts.{result.value}")
+        if ending.row.alone:
+            self._gossip.release(ending.row.target, ending.row.call.fingerprint)
+        if ending.leaving is not None:
+            logger.info("{} Target {} is leaving.", LOG_PREFIX, ending.leaving)
+            self._gossip.spread_leaving(ending.leaving)
+        self._wake()
+        self._spread_suspect(ending)
+
+    def allow_retry(self, call: CallInfo, result: CallResult) -> float | None:
+        """Return the monotonic time of the next attempt, or None when none is allowed."""
+        clock = self._core.clock
+        retry_at = self._decider.plan_retry(call, result, clock.monotonic(), clock.wall())
+        name = "allowed" if retry_at is not None else "denied"
+        self._core.metrics.incr(f"scheduling.retries.{name}")
+        return retry_at
+
+    def count_batch_slots(self, application: str) -> int:
+        """Return free batch slots for an application on owned targets."""
+        return self._decider.count_batch_slots(application, self._core.clock.monotonic())
+
+    def _give_up(self, waiter: _Waiter) -> None:
+        self._waiters.pop(waiter.row.waiting_id, None)
+        self._decider.withdraw(waiter.row.waiting_id)
+        if waiter.result.successful():
+            self.finish(waiter.result.value.ticket, CallResult.CANCELLED)
+
+    def _refresh(self) -> None:
+        self._refresh_view()
+        clock = self._core.clock
+        self._decider.expire(clock.monotonic(), clock.wall())
+        if not self._learnt:
+            self._learnt = self._gossip.learn_suspects()
+        self._core.metrics.gauge("scheduling.online_waiting", len(self._decider.tables.online))
+        self._core.metrics.gauge("scheduling.batch_waiting", len(self._decider.tables.batch))
+
+    def _refresh_view(self) -> None:
+        known = self._decider.view
+        live = tuple(self._peers.list_live())
+        view = known._replace(live=live, configuration=self._core.configuration)
+        if view != known:
+            self._decider.set_view(view)
+            self._wake()
+
+    def _note_instances(self, event: InstancesChanged) -> None:
+        self._decider.set_targets(event.rows)
+        self._refresh_view()
+        self._wake()
+
+    def _wake(self) -> None:
+        clock = self._core.clock
+        for action in self._decider.tick(clock.monotonic(), clock.wall()):
+            self._carry_out(action)
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Grant():
+                self._carry_grant(action)
+            case Refuse():
+                self._carry_refusal(action)
+            case Preempt():
+                self._carry_preemption(action)
+            case Signal():
+                self._gossip.signal(action)
+            case Isolate():
+                gevent.spawn(self._carry_isolation, action)
+
+    def _carry_grant(self, grant: Grant) -> None:
+        waiter = self._waiters.pop(grant.waiting_id, None)
+        target = self._decider.tables.targets.get(grant.target)
+        if waiter is None or target is None:
+            self.finish(grant.ticket, CallResult.CANCELLED)
+            return
+        preempted = Event()
+        self._preempted[grant.ticket] = preempted
+        waiter.result.set(Placement(grant.ticket, target.address, preempted))
+
+    def _carry_refusal(self, refusal: Refuse) -> None:
+        waiter = self._waiters.pop(refusal.waiting_id, None)
+        if waiter is not None:
+            waiter.result.set_exception(self._count_refusal(refusal.error))
+
+    def _carry_preemption(self, preempt: Preempt) -> None:
+        self._core.metrics.incr("scheduling.preempted")
+        event = self._preempted.get(preempt.ticket)
+        if event is not None:
+            event.set()
+
+    def _carry_isolation(self, action: Isolate) -> None:
+        waiter = self._waiters.get(action.waiting_id)
+        if waiter is None:
+            return
+        call = waiter.row.call
+        now = self._core.clock.monotonic()
+        granted = self._gossip.isolate(action.target, call.fingerprint, call.deadline - now)
+        now = self._core.clock.monotonic()
+        grant = self._decider.grant_alone(waiter.row, action.target, now) if granted else None
+        if grant is not None:
+            logger.info("{} Suspect runs alone on {}.", LOG_PREFIX, action.target)
+            self._carry_grant(grant)
+            return
+        if granted:
+            self._gossip.release(action.target, call.fingerprint)
+        self._decider.delay_isolation(action.waiting_id, now + ISOLATION_RETRY_S)
+
+    def _spread_suspect(self, ending: Ending) -> None:
+        row = ending.suspect
+        if row is None:
+            return
+        if row.condemned:
+            self._core.metrics.incr("scheduling.condemned")
+            logger.warning("{} Request {} is condemned.", LOG_PREFIX, row.fingerprint)
+        elif row.cleared_at == 0.0:
+            self._core.metrics.incr("scheduling.suspects")
+            logger.warning("{} Request {} is suspect.", LOG_PREFIX, row.fingerprint)
+        self._gossip.spread_suspect(row)
+
+    def _count_refusal(self, error: NotRunError) -> NotRunError:
+        """Count a refusal and turn its time of return into wall-clock seconds."""
+        self._core.metrics.incr(f"scheduling.refused.{error.code}")
+        if error.retry_at is not None:
+            clock = self._core.clock
+            error.retry_at += clock.wall() - clock.monotonic()
+        return error
+
+
+def create_scheduler(
+    core: Core, peers: PeerNetwork, create_engine: Callable[[TargetAddress], Engine]
+) -> GeventScheduler:
+    """Return the component ``scheduling``."""
+    return GeventScheduler(core, peers, create_engine)
--- a/clementinepin/scheduling/models.py
+++ b/clementinepin/scheduling/models.py
@@ -2,33 +2,14 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 from gevent.event import Event
 
+from clementinepin.tables import CallInfo, CallResult
 from clementinepin.targets import TargetAddress
 
-
-class CallInfo(NamedTuple):
-    """What a decision needs to know of one request.
-
-    ``deadline`` is monotonic seconds. ``fingerprint`` covers service and body.
-    ``application`` is empty for plain services. ``prefix_hash`` is empty without a prompt.
-    ``tried`` lists targets not to choose again.
-    """
-
-    request_id: str
-    account: str
-    service: str
-    application: str
-    priority: str
-    deadline: float
-    fingerprint: str
-    prefix_hash: str = ""
-    tokens_max: int = 0
-    idempotent: bool = True
-    tried: tuple[str, ...] = ()
+__all__ = ["CallInfo", "CallResult", "Placement", "Scheduler"]
 
 
 class Placement(NamedTuple):
@@ -39,19 +20,6 @@
     preempted: Event
 
 
-class CallResult(StrEnum):
-    """How an attempt ended, for routing, ejection and quarantine."""
-
-    SUCCESS = "success"
-    NOT_REACHED = "not_reached"
-    REFUSED = "refused"
-    REFUSED_LEAVING = "refused_leaving"
-    LOST = "lost"
-    REJECTED = "rejected"
-    CANCELLED = "cancelled"
-    PREEMPTED = "preempted"
-
-
 class Scheduler(Protocol):
     """Admission, routing, retries and preemption for one instance."""
 
--- /dev/null
+++ b/clementinepin/systems/allowance.py
@@ -0,0 +1,139 @@
+"""Policies for the number of batch calls that an owned target may run."""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple, Protocol
+
+from clementinepin.exceptions import InvalidInputError
+from clementinepin.tables import AllowanceRow, Tables, TargetRow, View
+
+POLICY_ADAPTIVE = "adaptive"
+POLICY_BLIND = "blind"
+POLICY_FIXED = "fixed"
+POLICY_NONE = "none"
+
+PEAK_HALF_LIFE_MIN_S = 0.1
+PEAK_HALF_LIFE_MAX_S = 1.0
+HEADROOM_SHARE_MAX = 0.25
+CAP_DECREASE_FACTOR = 0.7
+CAP_INCREASE_SLOTS_PER_S = 4.0
+CAP_PERIOD_S = 0.25
+FIXED_BATCH_SHARE = 0.5
+
+
+class OnlineState(NamedTuple):
+    """What an allowance follows.
+
+    ``online`` counts online calls of all instances at the target. The ratios are measured times
+    over the service's targets; 0.0 when nothing was measured.
+    """
+
+    slots_max: int
+    online: int
+    first_token_ratio: float
+    between_tokens_ratio: float
+    preference: float
+
+
+class AllowancePolicy(Protocol):
+    """Decides how many batch calls a target may run beside online ones."""
+
+    def count_online_slots(self, slots_max: int) -> int:
+        """Return the slots that online calls may use."""
+
+    def compute(self, row: AllowanceRow, state: OnlineState, now: float) -> AllowanceRow:
+        """Return the next state of the allowance."""
+
+
+class _AdaptivePolicy:
+    def count_online_slots(self, slots_max: int) -> int:
+        return slots_max
+
+    def compute(self, row: AllowanceRow, state: OnlineState, now: float) -> AllowanceRow:
+        elapsed_s = max(0.0, now - row.updated_at)
+        peak = max(float(state.online), row.peak * 0.5 ** (elapsed_s / _half_life(state)))
+        cap = _adjust_cap(row, state, elapsed_s)
+        headroom = HEADROOM_SHARE_MAX * state.preference * state.slots_max
+        free = state.slots_max - math.ceil(peak - 0.5) - round(headroom)
+        return AllowanceRow(max(0, min(free, math.floor(cap))), peak, cap, now)
+
+
+def _half_life(state: OnlineState) -> float:
+    return PEAK_HALF_LIFE_MIN_S + state.preference * (PEAK_HALF_LIFE_MAX_S - PEAK_HALF_LIFE_MIN_S)
+
+
+def _adjust_cap(row: AllowanceRow, state: OnlineState, elapsed_s: float) -> float:
+    if row.updated_at == 0.0:
+        return float(state.slots_max)
+    late = max(state.first_token_ratio, state.between_tokens_ratio) > 1.0
+    if late and state.online:
+        return row.cap * CAP_DECREASE_FACTOR ** min(1.0, elapsed_s / CAP_PERIOD_S)
+    return min(float(state.slots_max), row.cap + CAP_INCREASE_SLOTS_PER_S * elapsed_s)
+
+
+class _BlindPolicy:
+    def count_online_slots(self, slots_max: int) -> int:
+        return slots_max
+
+    def compute(self, row: AllowanceRow, state: OnlineState, now: float) -> AllowanceRow:
+        return AllowanceRow(state.slots_max, 0.0, 0.0, now)
+
+
+class _FixedPolicy:
+    def count_online_slots(self, slots_max: int) -> int:
+        return slots_max - math.floor(slots_max * FIXED_BATCH_SHARE)
+
+    def compute(self, row: AllowanceRow, state: OnlineState, now: float) -> AllowanceRow:
+        return AllowanceRow(math.floor(state.slots_max * FIXED_BATCH_SHARE), 0.0, 0.0, now)
+
+
+class _NonePolicy:
+    def count_online_slots(self, slots_max: int) -> int:
+        return slots_max
+
+    def compute(self, row: AllowanceRow, state: OnlineState, now: float) -> AllowanceRow:
+        return AllowanceRow(0, 0.0, 0.0, now)
+
+
+def create_policy(name: str) -> AllowancePolicy:
+    """Return the policy of a name; raises InvalidInputError."""
+    policies: dict[str, AllowancePolicy] = {
+        POLICY_ADAPTIVE: _AdaptivePolicy(),
+        POLICY_BLIND: _BlindPolicy(),
+        POLICY_FIXED: _FixedPolicy(),
+        POLICY_NONE: _NonePolicy(),
+    }
+    if name not in policies:
+        raise InvalidInputError(f"no policy {name}", param="allowance_policy")
+    return policies[name]
+
+
+def measure_online(tables: Tables, row: TargetRow, view: View, now: float) -> OnlineState:
+    """Return the online state of an owned target from own calls and other instances' words."""
+    others = [d for d in tables.demand.list_target(row.name).values() if d.expires_at > now]
+    own = tables.measures.get(row.name)
+    first_token_s = max([own.first_token_s, *(d.first_token_s for d in others)])
+    between_tokens_s = max([own.between_tokens_s, *(d.between_tokens_s for d in others)])
+    configuration = view.configuration
+    spec = configuration.services.get(row.service) if configuration else None
+    return OnlineState(
+        slots_max=row.slots_max,
+        online=row.online + sum(d.online for d in others),
+        first_token_ratio=first_token_s / spec.first_token_target_s if spec else 0.0,
+        between_tokens_ratio=between_tokens_s / spec.between_tokens_target_s if spec else 0.0,
+        preference=spec.preference if spec else 1.0,
+    )
+
+
+def update_allowance(
+    tables: Tables, row: TargetRow, view: View, policy: AllowancePolicy, now: float
+) -> int:
+    """Recompute the allowance of an owned target and return it; a closed target has none."""
+    known = tables.allowances.get(row.name) or AllowanceRow()
+    state = measure_online(tables, row, view, now)
+    fresh = policy.compute(known, state, now)
+    if not row.is_open(now) or row.closed_until > now or row.ejected_until > now:
+        fresh = fresh._replace(allowance=0)
+    tables.allowances[row.name] = fresh
+    return fresh.allowance
--- /dev/null
+++ b/clementinepin/systems/placement.py
@@ -0,0 +1,196 @@
+"""Placement of waiting calls: who goes next, where, and who is refused."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from clementinepin.exceptions import NotRunError
+from clementinepin.systems import quarantine
+from clementinepin.systems.actions import Action, Grant, Isolate, Refuse
+from clementinepin.systems.allowance import AllowancePolicy
+from clementinepin.systems.exceptions import (
+    DeadlineUnreachableError,
+    NoTargetError,
+    RequestCondemnedError,
+    ServiceUnknownError,
+)
+from clementinepin.systems.fairness import note_started, order_waiting
+from clementinepin.systems.limits import has_concurrency
+from clementinepin.systems.routing import (
+    allows_place,
+    choose_target,
+    find_application,
+    is_online,
+    list_candidates,
+)
+from clementinepin.tables import CallInfo, CallRow, Tables, TargetRow, View, WaitingRow
+
+NO_TARGET_RETRY_S = 1.0
+CLOSED_SHARE_MAX = 0.25
+
+
+class Placer:
+    """One pass over the queues; ``tickets`` yields fresh ticket numbers."""
+
+    def __init__(
+        self, tables: Tables, view: View, policy: AllowancePolicy, tickets: Iterator[int]
+    ) -> None:
+        self._tables = tables
+        self._view = view
+        self._policy = policy
+        self._tickets = tickets
+        self._blocked: set[tuple[str, str, str]] = set()
+
+    def place_online(self, now: float, wall: float) -> list[Action]:
+        """Grant, refuse or isolate waiting online calls in the order of fair share."""
+        self._blocked.clear()
+        actions: list[Action] = []
+        for row in order_waiting(list(self._tables.online)):
+            action = self._judge(row, now, wall)
+            if action is None and not self._must_isolate(row, wall):
+                action = self._place_online_call(row, now)
+            if action is not None:
+                actions.append(action)
+        return actions
+
+    def place_batch(self, now: float, wall: float) -> list[Action]:
+        """Grant waiting batch calls the free allowance of owned targets."""
+        self._blocked.clear()
+        if not len(self._tables.batch):
+            return []
+        free = self.count_free(now)
+        actions: list[Action] = []
+        for row in order_waiting(list(self._tables.batch)):
+            action = self._judge(row, now, wall)
+            if action is None and not self._must_isolate(row, wall):
+                action = self._place_batch_call(row, free, now)
+            if action is not None:
+                actions.append(action)
+        return actions
+
+    def count_free(self, now: float) -> dict[str, int]:
+        """Return the free batch slots of owned targets by name."""
+        free = {}
+        for name in sorted(self._tables.owned):
+            target = self._tables.targets.get(name)
+            allowance = self._tables.allowances.get(name)
+            if target is not None and allowance is not None:
+                free[name] = allowance.allowance - target.batch
+        return free
+
+    def grant(self, row: WaitingRow, target: str, now: float, *, alone: bool = False) -> Grant:
+        """Take a call off its queue and count it as in flight at a target."""
+        queue = self._tables.online if is_online(row.call) else self._tables.batch
+        queue.pop(row.waiting_id)
+        note_started(self._tables, row)
+        ticket = next(self._tickets)
+        self._tables.calls.put(CallRow(ticket, row.call, target, now, alone=alone))
+        if is_online(row.call):
+            account = self._tables.accounts.get(row.call.account)
+            self._tables.accounts.update(account.name, running=account.running + 1)
+            self._tables.targets.add_running(target, online=1)
+        else:
+            self._tables.targets.add_running(target, batch=1)
+        return Grant(row.waiting_id, ticket, target)
+
+    def _judge(self, row: WaitingRow, now: float, wall: float) -> Action | None:
+        suspects = self._tables.suspects
+        call = row.call
+        if quarantine.is_condemned(suspects, call.fingerprint, wall):
+            return self._refuse(row, RequestCondemnedError(call.request_id))
+        if call.deadline <= now:
+            return self._refuse(row, DeadlineUnreachableError(retry_at=now + NO_TARGET_RETRY_S))
+        try:
+            known = self._list_known(call, now)
+        except ServiceUnknownError as err:
+            return self._refuse(row, err)
+        if not known:
+            return self._refuse(row, NoTargetError(retry_at=now + NO_TARGET_RETRY_S))
+        return self._isolate(row, now) if self._must_isolate(row, wall) else None
+
+    def _must_isolate(self, row: WaitingRow, wall: float) -> bool:
+        suspects = self._tables.suspects
+        return row.asking or quarantine.is_suspect(suspects, row.call.fingerprint, wall)
+
+    def _refuse(self, row: WaitingRow, error: NotRunError) -> Refuse:
+        queue = self._tables.online if is_online(row.call) else self._tables.batch
+        queue.pop(row.waiting_id)
+        return Refuse(row.waiting_id, error)
+
+    def _list_known(self, call: CallInfo, now: float) -> list[TargetRow]:
+        application = find_application(call, self._view.configuration)
+        return [
+            row
+            for row in self._tables.targets.list_service(call.service)
+            if row.is_open(now)
+            and row.name not in call.tried
+            and (application is None or allows_place(application, row))
+        ]
+
+    def _isolate(self, row: WaitingRow, now: float) -> Action | None:
+        if row.asking or row.not_before > now:
+            return None
+        pool = self._tables.targets.list_service(row.call.service)
+        closed = sum(target.closed_until > now for target in pool)
+        if closed and closed + 1 > len(pool) * CLOSED_SHARE_MAX:
+            return None
+        candidates = list_candidates(row.call, pool, self._view, now)
+        if not candidates:
+            return None
+        queue = self._tables.online if is_online(row.call) else self._tables.batch
+        queue.update(row.waiting_id, asking=True)
+        quietest = min(candidates, key=lambda target: (target.online + target.batch, target.name))
+        return Isolate(row.waiting_id, quietest.name)
+
+    def _place_online_call(self, row: WaitingRow, now: float) -> Action | None:
+        call = row.call
+        key = ("", call.service, call.application)
+        if key in self._blocked or ("account", call.account, "") in self._blocked:
+            return None
+        if not self._has_concurrency(call):
+            self._blocked.add(("account", call.account, ""))
+            return None
+        target = self._choose_online(call, now)
+        if target is None:
+            if not call.tried:
+                self._blocked.add(key)
+            return None
+        return self.grant(row, target.name, now)
+
+    def _choose_online(self, call: CallInfo, now: float) -> TargetRow | None:
+        view = self._view
+        pool = self._tables.targets.list_service(call.service)
+        subset = self._tables.followed.get(call.service, frozenset())
+        near = [row for row in pool if row.name in subset]
+        candidates = list_candidates(call, near, view, now)
+        if not candidates:
+            return None
+        slots = self._policy.count_online_slots(candidates[0].slots_max)
+        return choose_target(call, candidates, slots, view, now)
+
+    def _has_concurrency(self, call: CallInfo) -> bool:
+        configuration = self._view.configuration
+        spec = configuration.accounts.get(call.account) if configuration else None
+        if spec is None:
+            return True
+        account = self._tables.accounts.get(call.account)
+        return has_concurrency(account, spec, len(self._view.live))
+
+    def _place_batch_call(self, row: WaitingRow, free: dict[str, int], now: float) -> Action | None:
+        call = row.call
+        key = ("", call.service, call.application)
+        if key in self._blocked:
+            return None
+        pool = [t for t in self._tables.targets.list_service(call.service) if t.name in free]
+        candidates = [
+            target
+            for target in list_candidates(call, pool, self._view, now)
+            if free[target.name] > 0
+        ]
+        if not candidates:
+            if not call.tried:
+                self._blocked.add(key)
+            return None
+        best = max(candidates, key=lambda target: (free[target.name], target.name))
+        free[best.name] -= 1
+        return self.grant(row, best.name, now)
--- /dev/null
+++ b/clementinepin/systems/quarantine.py
@@ -0,0 +1,75 @@
+"""Requests that cost targets: suspicion, isolation and condemnation."""
+
+from __future__ import annotations
+
+from clementinepin.tables import Loss, SuspectRow, SuspectTable
+
+LOSSES_CONDEMN = 2
+LOSSES_KEPT = 4
+SAME_LOSS_S = 2.0
+SUSPECT_TTL_S = 600.0
+CONDEMNED_TTL_S = 86_400.0
+
+
+def note_loss(table: SuspectTable, fingerprint: str, target: str, wall: float) -> SuspectRow:
+    """Note that a target was lost while a request ran on it; returns the row to spread."""
+    row = SuspectRow(fingerprint, (Loss(target, wall),), False, 0.0, wall + SUSPECT_TTL_S)
+    return merge_suspect(table, row, wall)
+
+
+def note_cleared(table: SuspectTable, fingerprint: str, wall: float) -> SuspectRow | None:
+    """Note that a suspect ran to its end; returns the row to spread, None without suspicion."""
+    known = table.get(fingerprint)
+    if known is None or known.condemned:
+        return None
+    return merge_suspect(table, known._replace(cleared_at=wall), wall)
+
+
+def merge_suspect(table: SuspectTable, row: SuspectRow, wall: float) -> SuspectRow:
+    """Join what a peer knows with what is known here and return the result.
+
+    The join is commutative and idempotent, so that messages may be lost, late or doubled.
+    """
+    known = table.get(row.fingerprint)
+    merged = row if known is None else _join(known, row)
+    condemned = merged.condemned or count_losses(merged) >= LOSSES_CONDEMN
+    if condemned and not merged.condemned:
+        expires_at = max(merged.expires_at, wall + CONDEMNED_TTL_S)
+        merged = merged._replace(condemned=True, expires_at=expires_at)
+    table.put(merged)
+    return merged
+
+
+def count_losses(row: SuspectRow) -> int:
+    """Return the number of losses that count against a request."""
+    return sum(loss.lost_at > row.cleared_at for loss in row.losses)
+
+
+def is_suspect(table: SuspectTable, fingerprint: str, wall: float) -> bool:
+    """Tell whether a request must run alone."""
+    row = table.get(fingerprint)
+    return row is not None and row.expires_at > wall and count_losses(row) > 0
+
+
+def is_condemned(table: SuspectTable, fingerprint: str, wall: float) -> bool:
+    """Tell whether a request must not run again."""
+    row = table.get(fingerprint)
+    return row is not None and row.expires_at > wall and row.condemned
+
+
+def _join(left: SuspectRow, right: SuspectRow) -> SuspectRow:
+    losses: list[Loss] = []
+    for loss in sorted({*left.losses, *right.losses}, key=lambda item: (item.lost_at, item.target)):
+        if not any(_is_same(loss, kept) for kept in losses):
+            losses.append(loss)
+    return SuspectRow(
+        fingerprint=left.fingerprint,
+        losses=tuple(losses[-LOSSES_KEPT:]),
+        condemned=left.condemned or right.condemned,
+        cleared_at=max(left.cleared_at, right.cleared_at),
+        expires_at=max(left.expires_at, right.expires_at),
+    )
+
+
+def _is_same(left: Loss, right: Loss) -> bool:
+    return left.target == right.target and abs(left.lost_at - right.lost_at) < SAME_LOSS_S
--- /dev/null
+++ b/clementinepin/systems/routing.py
@@ -0,0 +1,149 @@
+"""Choice of a target for one call."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+from clementinepin.config import ApplicationSpec, Configuration
+from clementinepin.const import Priority
+from clementinepin.helpers.rendezvous import score_pair
+from clementinepin.systems.exceptions import ServiceUnknownError
+from clementinepin.tables import CallInfo, TargetRow, View
+
+OTHERS_FRESH_S = 1.0
+OTHERS_HALF_LIFE_S = 0.5
+SLOW_START_S = 10.0
+SLOW_START_SHARE_MIN = 0.2
+AFFINITY_SLACK_SHARE = 0.25
+CACHED_BONUS_SHARE = 0.1
+REMOTE_DATA_CENTRE_SHARE = 0.02
+SPILL_LOAD_SHARE = 0.85
+CHOICES = 2
+
+
+def find_application(call: CallInfo, configuration: Configuration | None) -> ApplicationSpec | None:
+    """Return the call's application, None for a plain service; raises ServiceUnknownError."""
+    if configuration is None or call.service not in configuration.services:
+        raise ServiceUnknownError(f"no service {call.service}", param="service")
+    if not call.application:
+        return None
+    application = configuration.applications.get(call.application)
+    if application is None:
+        raise ServiceUnknownError(f"no application {call.application}", param="model")
+    return application
+
+
+def list_candidates(
+    call: CallInfo, rows: Sequence[TargetRow], view: View, now: float
+) -> list[TargetRow]:
+    """Return the targets that may run a call now, whether or not they have room."""
+    application = find_application(call, view.configuration)
+    usable = [
+        row
+        for row in rows
+        if row.is_open(now)
+        and row.ejected_until <= now
+        and row.closed_until <= now
+        and row.name not in call.tried
+        and (application is None or allows_place(application, row))
+    ]
+    if application is None:
+        return usable
+    serving = [row for row in usable if row.report is not None and serves(application, row)]
+    return serving or [row for row in usable if row.report is None]
+
+
+def allows_place(application: ApplicationSpec, row: TargetRow) -> bool:
+    """Tell whether the configuration lets an application run where a target stands."""
+    if application.regions and row.region not in application.regions:
+        return False
+    return not application.data_centres or row.data_centre in application.data_centres
+
+
+def serves(application: ApplicationSpec, row: TargetRow) -> bool:
+    """Tell whether a target reported the application's model and adapter as loaded."""
+    report = row.report
+    if report is None:
+        return False
+    if application.model not in {name.split(":")[0] for name in report.models}:
+        return False
+    if application.adapter is None:
+        return True
+    return application.adapter in {name.split(":")[0] for name in report.adapters}
+
+
+def estimate_others(row: TargetRow, deciders: int, now: float) -> float:
+    """Return the likely number of online calls of other instances at a target.
+
+    The last word counts less with age; without one the others are taken to do as this one does.
+    """
+    guess = float(row.online * (deciders - 1))
+    if row.others_at == 0.0:
+        return guess
+    trust = 0.5 ** (max(0.0, now - row.others_at) / OTHERS_HALF_LIFE_S)
+    return trust * row.others_online + (1.0 - trust) * min(guess, row.others_online)
+
+
+def compute_ramp(row: TargetRow, now: float) -> float:
+    """Return the share of its slots that a target may use while it starts slowly."""
+    if row.slow_start_until <= now:
+        return 1.0
+    left = (row.slow_start_until - now) / SLOW_START_S
+    return max(SLOW_START_SHARE_MIN, 1.0 - left)
+
+
+def count_room(row: TargetRow, slots: int, deciders: int, now: float) -> int:
+    """Return how many more online calls this instance may place at a target.
+
+    Its own share of the slots is always its own. With a fresh word of the others it may take one
+    share more than it had told them, up to what they leave: deciders that act on the same word
+    then place at most twice the slots, and one that serves alone soon uses all of them.
+    """
+    usable = slots * compute_ramp(row, now)
+    share = math.ceil(usable / max(1, deciders))
+    limit = float(share)
+    if now - row.others_at <= OTHERS_FRESH_S:
+        limit = max(limit, min(usable - row.others_online, row.told + share))
+    return max(0, math.floor(limit) - row.online)
+
+
+def compute_load(row: TargetRow, call: CallInfo, view: View, now: float) -> float:
+    """Return the share of a target's slots in online use, with costs for place and cache."""
+    online = row.online + estimate_others(row, len(view.live), now)
+    load = online / max(1.0, row.slots_max * compute_ramp(row, now))
+    if row.data_centre != view.data_centre:
+        load += REMOTE_DATA_CENTRE_SHARE
+    if call.prefix_hash and call.prefix_hash in row.cached_prefixes:
+        load -= CACHED_BONUS_SHARE
+    return load
+
+
+def choose_target(
+    call: CallInfo, candidates: Sequence[TargetRow], slots: int, view: View, now: float
+) -> TargetRow | None:
+    """Return the target for an online call, or None when none has room.
+
+    The two candidates of the power of two choices come from the rendezvous ranking of the prompt
+    prefix, or of the request. All instances so rank alike: equal prefixes meet a warm cache, and
+    equal requests sent through many instances at once reach two targets and not all of them.
+    """
+    deciders = len(view.live)
+    roomy = [row for row in candidates if count_room(row, slots, deciders, now) > 0]
+    if not roomy:
+        return None
+    near = [row for row in roomy if row.region == view.region]
+    if near and any(compute_load(row, call, view, now) < SPILL_LOAD_SHARE for row in near):
+        roomy = near
+    key = call.prefix_hash or call.fingerprint
+    ranked = sorted(roomy, key=lambda row: (score_pair(key, row.name), row.name), reverse=True)
+    pair = ranked[:CHOICES]
+    loads = [compute_load(row, call, view, now) for row in pair]
+    slack = AFFINITY_SLACK_SHARE if call.prefix_hash else 0.0
+    best = min(range(len(pair)), key=lambda i: (loads[i] - (slack if i == 0 else 0.0), i))
+    return pair[best]
+
+
+def is_online(call: CallInfo) -> bool:
+    """Tell whether a call belongs to the online class of service."""
+    return call.priority == Priority.ONLINE
--- /dev/null
+++ b/clementinepin/systems/subset.py
@@ -0,0 +1,61 @@
+"""Choice of the targets that an instance follows."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from clementinepin.helpers.rendezvous import score_pair
+from clementinepin.tables import Tables, View
+
+SUBSET_MAX = 24
+TARGET_DECIDERS_MIN = 3
+
+
+class Placed(Protocol):
+    """Anything with a name and a place."""
+
+    @property
+    def name(self) -> str:
+        """Return the name."""
+
+    @property
+    def region(self) -> str:
+        """Return the region."""
+
+
+def compute_subset(
+    targets: Iterable[Placed], instance: str, region: str, live_count: int
+) -> frozenset[str]:
+    """Return the names of the targets of one service to route to.
+
+    All of them while they are few. Beyond that the highest rendezvous weights, own region first,
+    so that a change of one target or instance moves few others.
+    """
+    rows = list(targets)
+    size = compute_subset_size(len(rows), live_count)
+    if size >= len(rows):
+        return frozenset(row.name for row in rows)
+    ranked = sorted(
+        rows, key=lambda row: (row.region != region, -score_pair(row.name, instance), row.name)
+    )
+    return frozenset(row.name for row in ranked[:size])
+
+
+def compute_subset_size(target_count: int, live_count: int) -> int:
+    """Return how many targets to follow, so that each target keeps several deciders."""
+    shared = -(-target_count * TARGET_DECIDERS_MIN // max(1, live_count))
+    return min(target_count, max(SUBSET_MAX, shared))
+
+
+def update_roles(tables: Tables, view: View) -> None:
+    """Recompute which targets this instance owns and which it follows."""
+    tables.owners.update([row.name for row in tables.targets], view.live)
+    tables.owned = frozenset(tables.owners.list_owned(view.instance))
+    services = {row.service for row in tables.targets}
+    tables.followed = {
+        service: compute_subset(
+            tables.targets.list_service(service), view.instance, view.region, len(view.live)
+        )
+        for service in services
+    }
--- a/clementinepin/tables/__init__.py
+++ b/clementinepin/tables/__init__.py
@@ -1,3 +1,53 @@
 """Rows and the tables that hold them."""
 
 from __future__ import annotations
+
+from clementinepin.tables._accounts import AccountRow, AccountTable
+from clementinepin.tables._calls import (
+    CallInfo,
+    CallResult,
+    CallRow,
+    CallTable,
+    WaitingRow,
+    WaitingTable,
+)
+from clementinepin.tables._demand import (
+    AllowanceRow,
+    DemandRow,
+    DemandTable,
+    IsolationRow,
+    ToldRow,
+)
+from clementinepin.tables._measures import MeasureRow, MeasureTable, RetryRow, RetryTable
+from clementinepin.tables._owners import OwnerTable
+from clementinepin.tables._suspects import Loss, SuspectRow, SuspectTable
+from clementinepin.tables._targets import TargetRow, TargetTable
+from clementinepin.tables._view import Tables, View
+
+__all__ = [
+    "AccountRow",
+    "AccountTable",
+    "AllowanceRow",
+    "CallInfo",
+    "CallResult",
+    "CallRow",
+    "CallTable",
+    "DemandRow",
+    "DemandTable",
+    "IsolationRow",
+    "Loss",
+    "MeasureRow",
+    "MeasureTable",
+    "OwnerTable",
+    "RetryRow",
+    "RetryTable",
+    "SuspectRow",
+    "SuspectTable",
+    "Tables",
+    "TargetRow",
+    "TargetTable",
+    "ToldRow",
+    "View",
+    "WaitingRow",
+    "WaitingTable",
+]
--- /dev/null
+++ b/clementinepin/tables/_accounts.py
@@ -0,0 +1,46 @@
+"""Use of limits by client accounts on this instance."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+
+class AccountRow(NamedTuple):
+    """Use by one account.
+
+    ``requests_at`` and ``tokens_at`` are the theoretical arrival times of a generic cell rate
+    algorithm in monotonic seconds. ``virtual_time`` maps a priority to the account's virtual
+    finish time.
+    """
+
+    name: str
+    running: int = 0
+    requests_at: float = 0.0
+    tokens_at: float = 0.0
+    online_virtual: float = 0.0
+    batch_virtual: float = 0.0
+    used_at: float = 0.0
+
+
+class AccountTable:
+    """Accounts that were seen lately, by name."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, AccountRow] = {}
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def get(self, name: str) -> AccountRow:
+        """Return an account's row; an unused one when it was not seen."""
+        return self._rows.get(name) or AccountRow(name)
+
+    def update(self, name: str, **changes: Any) -> None:
+        """Change fields of an account's row."""
+        self._rows[name] = self.get(name)._replace(**changes)
+
+    def expire(self, before: float) -> None:
+        """Forget idle accounts that were last used before a time."""
+        self._rows = {
+            name: row for name, row in self._rows.items() if row.running or row.used_at >= before
+        }
--- /dev/null
+++ b/clementinepin/tables/_demand.py
@@ -0,0 +1,65 @@
+"""Online calls in flight at owned targets, by instance."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class DemandRow(NamedTuple):
+    """What an instance last said of one target; ``expires_at`` is monotonic seconds."""
+
+    online: int
+    first_token_s: float
+    between_tokens_s: float
+    expires_at: float
+
+
+class DemandTable:
+    """Demand rows by target and instance."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, dict[str, DemandRow]] = {}
+
+    def put(self, target: str, instance: str, row: DemandRow) -> None:
+        """Replace what an instance said of a target."""
+        self._rows.setdefault(target, {})[instance] = row
+
+    def list_target(self, target: str) -> dict[str, DemandRow]:
+        """Return the rows of a target by instance."""
+        return self._rows.get(target, {})
+
+    def expire(self, now: float, live: frozenset[str]) -> None:
+        """Forget what is out of date and what was said by instances that left."""
+        self._rows = {
+            target: kept
+            for target, rows in self._rows.items()
+            if (kept := {i: r for i, r in rows.items() if r.expires_at > now and i in live})
+        }
+
+
+class ToldRow(NamedTuple):
+    """What this instance last told the owner of a target's allowance."""
+
+    online: int
+    told_at: float
+
+
+class AllowanceRow(NamedTuple):
+    """State of the batch allowance of an owned target.
+
+    ``peak`` is the recent peak of online calls, ``cap`` the bound set by measured latency; both
+    in slots, true at ``updated_at``.
+    """
+
+    allowance: int = 0
+    peak: float = 0.0
+    cap: float = 0.0
+    updated_at: float = 0.0
+
+
+class IsolationRow(NamedTuple):
+    """A target that its owner closed for one suspect, until a monotonic time."""
+
+    fingerprint: str
+    holder: str
+    until: float
--- /dev/null
+++ b/clementinepin/tables/_targets.py
@@ -0,0 +1,87 @@
+"""Targets as this instance sees them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from clementinepin.targets import LoadReport, TargetAddress
+
+
+class TargetRow(NamedTuple):
+    """One target. Times are monotonic seconds; 0.0 means never.
+
+    ``leaving`` is the list's word, ``refused_until`` stands for the target's own refusal.
+    ``online`` and ``batch`` count this instance's own calls in flight. ``others_online`` is what
+    the owner of the target's allowance last said of the other instances, true at ``others_at``;
+    ``told`` is what this instance had said of its own calls by then.
+    """
+
+    name: str
+    service: str
+    address: TargetAddress
+    data_centre: str
+    region: str
+    slots_max: int
+    leaving: bool = False
+    refused_until: float = 0.0
+    report: LoadReport | None = None
+    online: int = 0
+    batch: int = 0
+    others_online: int = 0
+    others_at: float = 0.0
+    told: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    slow_start_until: float = 0.0
+    closed_until: float = 0.0
+    cached_prefixes: frozenset[str] = frozenset()
+
+    def is_open(self, now: float) -> bool:
+        """Tell whether the target takes new work, as far as is known."""
+        return not self.leaving and self.refused_until <= now
+
+
+class TargetTable:
+    """Targets by name, in name order."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, TargetRow] = {}
+
+    def __iter__(self) -> Iterator[TargetRow]:
+        return iter(self._rows.values())
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def get(self, name: str) -> TargetRow | None:
+        """Return a target, or None."""
+        return self._rows.get(name)
+
+    def put(self, row: TargetRow) -> None:
+        """Add or replace a target."""
+        known = row.name in self._rows
+        self._rows[row.name] = row
+        if not known:
+            self._rows = dict(sorted(self._rows.items()))
+
+    def update(self, name: str, **changes: Any) -> None:
+        """Change fields of a target that is still known."""
+        row = self._rows.get(name)
+        if row is not None:
+            self._rows[name] = row._replace(**changes)
+
+    def add_running(self, name: str, *, online: int = 0, batch: int = 0) -> None:
+        """Add to the counts of own calls in flight."""
+        row = self._rows.get(name)
+        if row is not None:
+            self._rows[name] = row._replace(online=row.online + online, batch=row.batch + batch)
+
+    def remove(self, name: str) -> None:
+        """Forget a target."""
+        self._rows.pop(name, None)
+
+    def list_service(self, service: str) -> list[TargetRow]:
+        """Return the targets of a service."""
+        return [row for row in self._rows.values() if row.service == service]
