--- a/clementinepin/platform/exceptions.py
+++ b/clementinepin/platform/exceptions.py
@@ -38,3 +38,17 @@
 
     code = "lease_lost"
     status = 409
+
+
+class WatchCompactedError(ClementinepinError):
+    """Changes behind the version asked for are gone.
+
+    List the range again, then watch behind ``compacted`` or a later version.
+    """
+
+    code = "watch_compacted"
+    status = 409
+
+    def __init__(self, message: str = "", *, compacted: int = 0) -> None:
+        super().__init__(message)
+        self.compacted = compacted
