--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,277 @@
+"""Measure the relay: tokens a second, added time to the first token, memory of open streams.
+
+Usage:
+  relay [--short]
+
+Options:
+  --short   Finish within 50 s.
+
+One real daemon stands before stand-in engines. The last line is one JSON object.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import gevent
+from docopt import docopt
+from gevent import socket
+
+from standins.fleet import Fleet, FleetPlan, Member, TargetPlan
+from standins.processes import LOOPBACK, ProcessGroup, wait_until
+
+KEY: Final = "bench-key"
+OPERATOR_KEY: Final = "bench-operator"
+FILES: Final = Path("bench/relay.toml")
+BLAST_STREAMS: Final = 4
+BLAST_TOKENS: Final = 20_000
+STREAMS_OPEN: Final = 256
+REQUESTS_PER_S: Final = 54.0
+TOKENS_TARGET: Final = 30_000
+TTFT_TARGET_MS: Final = 3.0
+READ_BYTES: Final = 65_536
+WAIT_S: Final = 30.0
+CONNECT_S: Final = 5.0
+SETTLE_S: Final = 5.0
+PAGE_KIB: Final = 1024
+
+
+class Lengths(NamedTuple):
+    """How long each part runs, in seconds."""
+
+    blast_s: float
+    ttft_s: float
+
+
+class RelayBench:
+    """One daemon, a blasting service and a stepping one."""
+
+    def __init__(self, group: ProcessGroup) -> None:
+        self._group = group
+        options = ("--slots", "512", "--waiting-max", "512", "--models")
+        self._plan = FleetPlan(
+            region="bench",
+            data_centres=("b1",),
+            daemons=1,
+            folders=0,
+            operator_key=OPERATOR_KEY,
+            keys={"bench": KEY},
+            targets=(
+                TargetPlan("blast", "engine", 2, ("--blast", *options, "blast-lm@1")),
+                TargetPlan("step", "engine", 1, ("--step-ms", "2", *options, "step-lm@1")),
+                TargetPlan("slow", "engine", 1, ("--step-ms", "66", *options, "slow-lm@1")),
+            ),
+        )
+        self._fleet = Fleet(self._plan, group)
+
+    def start(self) -> None:
+        """Start the fleet and wait until every application answers."""
+        self._fleet.start()
+        call(
+            self._daemon.port, "/ops/config", {"files": {"a.toml": FILES.read_text()}}, OPERATOR_KEY
+        )
+        for application in ("blast", "step", "slow"):
+            body = make_body(application, 2)
+            wait_until(lambda body=body: self._answers(body), WAIT_S, f"{application} unserved")
+
+    def measure(self, lengths: Lengths) -> dict[str, Any]:
+        """Return all figures."""
+        direct_tokens = self._measure_tokens(self._engine_port("blast"), lengths.blast_s)
+        before_s = read_cpu_s(self._daemon.process.pid)
+        tokens = self._measure_tokens(self._daemon.port, lengths.blast_s)
+        cpu_s = read_cpu_s(self._daemon.process.pid) - before_s
+        through, direct = self._measure_ttft(lengths.ttft_s)
+        idle_kib, open_kib, single_us = self._measure_open_streams()
+        return {
+            "tokens_per_second": round(tokens),
+            "tokens_per_second_direct": round(direct_tokens),
+            "cpu_us_per_token": round(cpu_s / (tokens * lengths.blast_s) * 1e6, 2),
+            "cpu_us_per_token_one_by_one": round(single_us, 1),
+            "added_ttft_p99_ms": round(pick(through, 0.99) - pick(direct, 0.99), 2),
+            "added_ttft_p50_ms": round(pick(through, 0.5) - pick(direct, 0.5), 2),
+            "ttft_p99_ms": round(pick(through, 0.99), 2),
+            "ttft_p99_direct_ms": round(pick(direct, 0.99), 2),
+            "ttft_requests": len(through),
+            "ttft_failed": through.count(math.inf) + direct.count(math.inf),
+            "resident_idle_mib": round(idle_kib / PAGE_KIB, 1),
+            "resident_256_streams_mib": round(open_kib / PAGE_KIB, 1),
+            "target_tokens_per_second": TOKENS_TARGET,
+            "target_added_ttft_p99_ms": TTFT_TARGET_MS,
+        }
+
+    @property
+    def _daemon(self) -> Member:
+        return self._fleet.daemons[0]
+
+    def _engine_port(self, service: str) -> int:
+        return self._fleet.targets[service][0].port
+
+    def _answers(self, body: dict[str, Any]) -> bool:
+        status, _ = call(self._daemon.port, "/v1/completions", body, KEY)
+        return status == 200
+
+    def _measure_tokens(self, port: int, seconds: float) -> float:
+        """Return tokens a second of a few endless streams."""
+        started = time.monotonic()
+        body = make_body(pick_model(port == self._daemon.port, "blast"), BLAST_TOKENS)
+        counters = [
+            gevent.spawn(count_tokens, port, body, started + seconds) for _ in range(BLAST_STREAMS)
+        ]
+        gevent.joinall(counters, raise_error=True)
+        return sum(c.value for c in counters) / (time.monotonic() - started)
+
+    def _measure_ttft(self, seconds: float) -> tuple[list[float], list[float]]:
+        """Return times to the first token in ms, through the daemon and direct, interleaved."""
+        through: list[gevent.Greenlet] = []
+        direct: list[gevent.Greenlet] = []
+        started = time.monotonic()
+        engine_port = self._engine_port("step")
+        for number in range(int(seconds * REQUESTS_PER_S)):
+            gevent.sleep(max(0.0, started + number / REQUESTS_PER_S - time.monotonic()))
+            body = make_body("step", 8, f"question {number}")
+            through.append(gevent.spawn(time_first_token, self._daemon.port, body))
+            gevent.sleep(0.5 / REQUESTS_PER_S)
+            direct.append(gevent.spawn(time_first_token, engine_port, {**body, "model": "step-lm"}))
+        gevent.joinall([*through, *direct], raise_error=True)
+        return [g.value for g in through], [g.value for g in direct]
+
+    def _measure_open_streams(self) -> tuple[int, int, float]:
+        """Return resident memory in KiB, idle and with open streams, and CPU us a token.
+
+        Here each token comes in a write of its own, as from a real engine.
+        """
+        pid = self._daemon.process.pid
+        idle_kib = read_resident_kib(pid)
+        socks = [
+            send(self._daemon.port, "/v1/completions", make_body("slow", 2_000), KEY)
+            for _ in range(STREAMS_OPEN)
+        ]
+        for sock in socks:
+            if not sock.recv(READ_BYTES).startswith(b"HTTP/1.1 200"):
+                raise StreamsNotOpenError("a stream was refused")
+        deadline = time.monotonic() + SETTLE_S
+        before_s = read_cpu_s(pid)
+        readers = [gevent.spawn(count_events, sock, deadline) for sock in socks]
+        gevent.joinall(readers, raise_error=True)
+        cpu_s = read_cpu_s(pid) - before_s
+        open_kib = read_resident_kib(pid)
+        for sock in socks:
+            sock.close()
+        return idle_kib, open_kib, cpu_s / sum(r.value for r in readers) * 1e6
+
+
+class StreamsNotOpenError(Exception):
+    """Not all streams of the memory measurement were accepted."""
+
+
+def make_body(model: str, tokens: int, prompt: str = "hello") -> dict[str, Any]:
+    """Return a streamed completion."""
+    return {"model": model, "prompt": prompt, "max_tokens": tokens, "stream": True}
+
+
+def pick_model(through: bool, name: str) -> str:
+    """Return the application's name through the daemon, the model's name direct."""
+    return name if through else f"{name}-lm"
+
+
+def send(port: int, path: str, body: object, key: str) -> socket.socket:
+    """Send one request on a new connection."""
+    data = json.dumps(body).encode()
+    sock = socket.create_connection((LOOPBACK, port), timeout=CONNECT_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.settimeout(WAIT_S)
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: bench\r\nConnection: close\r\n"
+        f"Authorization: Bearer {key}\r\nContent-Length: {len(data)}\r\n\r\n"
+    )
+    sock.sendall(head.encode() + data)
+    return sock
+
+
+def call(port: int, path: str, body: object, key: str) -> tuple[int, bytes]:
+    """Send one request and return status and raw answer."""
+    sock = send(port, path, body, key)
+    pieces = list(iter(lambda: sock.recv(READ_BYTES), b""))
+    sock.close()
+    raw = b"".join(pieces)
+    return int(raw[9:12] or 0), raw
+
+
+def count_tokens(port: int, body: dict[str, Any], deadline: float) -> int:
+    """Return the tokens of streams that follow each other until the deadline."""
+    total = 0
+    while time.monotonic() < deadline:
+        sock = send(port, "/v1/completions", body, KEY)
+        while data := sock.recv(READ_BYTES):
+            total += data.count(b'"choices"')
+            if time.monotonic() >= deadline:
+                break
+        sock.close()
+    return total
+
+
+def count_events(sock: socket.socket, deadline: float) -> int:
+    """Return the tokens that one open stream brings until the deadline."""
+    total = 0
+    while time.monotonic() < deadline:
+        total += sock.recv(READ_BYTES).count(b'"choices"')
+    return total
+
+
+def time_first_token(port: int, body: dict[str, Any]) -> float:
+    """Return the ms from before the connection to the first event with text."""
+    started = time.monotonic()
+    try:
+        sock = send(port, "/v1/completions", body, KEY)
+        seen = b""
+        while b'"choices"' not in seen:
+            data = sock.recv(READ_BYTES)
+            if not data:
+                return math.inf
+            seen += data
+        first_ms = (time.monotonic() - started) * 1000
+        while sock.recv(READ_BYTES):
+            continue
+        sock.close()
+    except OSError:
+        return math.inf
+    return first_ms
+
+
+def pick(values: list[float], share: float) -> float:
+    """Return a quantile by nearest rank."""
+    ranked = sorted(values)
+    return ranked[min(len(ranked) - 1, math.ceil(share * len(ranked)) - 1)]
+
+
+def read_resident_kib(pid: int) -> int:
+    """Return a process's resident memory."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    return 0
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return a process's user and system time."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100
+
+
+def main() -> None:
+    """Run the bench and print its figures."""
+    args = docopt(__doc__ or "")
+    lengths = Lengths(6.0, 12.0) if args["--short"] else Lengths(20.0, 60.0)
+    with tempfile.TemporaryDirectory() as folder, ProcessGroup(Path(folder)) as group:
+        bench = RelayBench(group)
+        bench.start()
+        print(json.dumps(bench.measure(lengths)))
+
+
+if __name__ == "__main__":
+    main()
--- a/clementinepin/entry/_component.py
+++ b/clementinepin/entry/_component.py
@@ -19,7 +19,6 @@
 from clementinepin.entry._routes import create_router
 from clementinepin.entry._server import EntryServer, create_tls
 from clementinepin.fleet import Fleet
-from clementinepin.helpers.clock import Clock
 from clementinepin.peers import PeerNetwork
 from clementinepin.scheduling import Scheduler
 from clementinepin.targets import Engine, TargetAddress, create_plain
@@ -101,7 +100,7 @@
     claims: ClaimStore,
     fleet: Fleet,
     peers: PeerNetwork,
-    create_engine: Callable[[TargetAddress, Clock], Engine],
+    create_engine: Callable[[TargetAddress], Engine],
 ) -> Entry:
     """Return the entry; it listens once started."""
     context = EntryContext(
--- a/clementinepin/entry/_context.py
+++ b/clementinepin/entry/_context.py
@@ -31,7 +31,7 @@
     def __init__(
         self,
         clock: Clock,
-        create_engine: Callable[[TargetAddress, Clock], Engine],
+        create_engine: Callable[[TargetAddress], Engine],
         create_plain: Callable[[TargetAddress, Clock], PlainService],
     ) -> None:
         self._clock = clock
@@ -46,7 +46,7 @@
         if engine is None:
             if len(self._engines) >= CLIENTS_MAX:
                 self._engines.clear()
-            engine = self._engines[address] = self._create_engine(address, self._clock)
+            engine = self._engines[address] = self._create_engine(address)
         return engine
 
     def get_plain(self, address: TargetAddress) -> PlainService:
--- a/clementinepin/entry/_envelope.py
+++ b/clementinepin/entry/_envelope.py
@@ -24,7 +24,9 @@
 }
 SERVER_ERROR_TYPE: Final = "server_error"
 STATUS_SERVER_MIN: Final = 500
+CAPACITY_STATUSES: Final = frozenset({429, 503})
 RETRY_AFTER_MIN_S: Final = 1
+RETRY_DEFAULT_S: Final = 1.0
 
 
 def make_envelope(err: ClementinepinError) -> dict[str, Any]:
@@ -43,14 +45,21 @@
 
 
 def make_error_response(err: ClementinepinError, wall_now: float) -> Response:
-    """Return the whole response of a failure, with the headers for a retry."""
+    """Return the whole response of a failure, with the headers for a retry.
+
+    A refusal for want of capacity always says when to come back.
+    """
+    status = get_status(err)
+    not_run = err.outcome is Outcome.NOT_RUN
+    if not_run and err.retry_at is None and status in CAPACITY_STATUSES:
+        err.retry_at = wall_now + RETRY_DEFAULT_S
     headers = [("Content-Type", JSON_TYPE), (HEADER_OUTCOME, str(err.outcome))]
-    retriable = err.outcome is Outcome.NOT_RUN and err.retry_at is not None
+    retriable = not_run and err.retry_at is not None
     headers.append(("X-Should-Retry", "true" if retriable else "false"))
     if err.retry_at is not None:
         wait_s = max(RETRY_AFTER_MIN_S, math.ceil(err.retry_at - wall_now))
         headers.append(("Retry-After", str(wait_s)))
-    return Response(get_status(err), headers, msgspec.json.encode(make_envelope(err)))
+    return Response(status, headers, msgspec.json.encode(make_envelope(err)))
 
 
 def make_error_event(err: ClementinepinError) -> bytes:
--- a/clementinepin/entry/_http.py
+++ b/clementinepin/entry/_http.py
@@ -150,5 +150,6 @@
 def make_json_response(
     value: object, status: int = 200, headers: Iterable[tuple[str, str]] = ()
 ) -> Response:
-    """Return a JSON response."""
-    return Response(status, [("Content-Type", JSON_TYPE), *headers], msgspec.json.encode(value))
+    """Return a JSON response; what JSON can't hold becomes text."""
+    body = msgspec.json.encode(value, enc_hook=str)
+    return Response(status, [("Content-Type", JSON_TYPE), *headers], body)
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -156,6 +156,8 @@
             self._parser.feed(data)
         except HTTPParseError as err:
             self.close()
+            if not data:
+                raise TargetLostError("target closed the connection in its answer") from err
             self._failure = TargetProtocolError(f"answer can't be parsed: {err}")
             if not self._parser.pieces:
                 raise self._failure from err
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import random
+from functools import partial
 
 import gevent
 from gevent import socket
@@ -261,7 +262,7 @@
         self.batch, self.claims, self.fleet = FakeBatch(), FakeClaims(), FakeFleet()
         self.entry = create_entry(
             self.core, self.scheduler, self.batch, self.claims, self.fleet, FakePeers(),
-            create_engine,
+            partial(create_engine, clock=clock),
         )  # fmt: skip
         self.core.register(self.entry)
         self.core.start()
--- a/tests/entry/test_online.py
+++ b/tests/entry/test_online.py
@@ -44,7 +44,8 @@
     """Return a script that delivers two tokens and then ends otherwise."""
 
     def script(request):
-        events = [make_event(get_id(request), t) for t in TEXTS[:2]]
+        chat = "chat" in request["path"]
+        events = [make_event(get_id(request), t, chat=chat) for t in TEXTS[:2]]
         return [STREAM_HEAD, *map(chunk, events), *ending]
 
     return script
--- /dev/null
+++ b/tests/entry/test_tls.py
@@ -0,0 +1,70 @@
+from __future__ import annotations
+
+import datetime
+import ipaddress
+import socket
+import ssl
+
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+
+from tests.entry.fakes import read_to_end, run_in_thread
+
+
+@pytest.fixture
+def tls_files(tmp_path):
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "entry")])
+    start = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(start)
+        .not_valid_after(start + datetime.timedelta(days=36_500))
+        .add_extension(x509.SubjectAlternativeName([address]), critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    (tmp_path / "cert.pem").write_bytes(certificate.public_bytes(pem))
+    (tmp_path / "key.pem").write_bytes(
+        key.private_bytes(pem, serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
+    )
+    return {
+        "tls_certificate": str(tmp_path / "cert.pem"),
+        "tls_key": str(tmp_path / "key.pem"),
+    }
+
+
+def fetch_health(port, certificate):
+
+    context = ssl.create_default_context(cafile=certificate)
+    plain = socket.create_connection(("127.0.0.1", port), timeout=5.0)
+    with context.wrap_socket(plain, server_hostname="127.0.0.1") as sock:
+        sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        return sock.recv(65536)
+
+
+def test_callers_are_served_over_tls_alone(serve, tls_files):
+    entry = serve(security=tls_files)
+    answer = run_in_thread(lambda: fetch_health(entry.entry.port, tls_files["tls_certificate"]))
+    assert answer.startswith(b"HTTP/1.1 200")
+    plain = entry.connect()
+    plain.sendall(b"GET /healthz HTTP/1.1\r\n\r\n")
+    try:
+        assert not read_to_end(plain).startswith(b"HTTP")
+    except ConnectionResetError:
+        plain.close()
+
+
+def test_a_handshake_that_stalls_ends_in_time(serve, tls_files):
+    """Mutation: no timeout on the handshake: the connection stays for ever."""
+    entry = serve(security=tls_files)
+    stalled = entry.connect()
+    stalled.sendall(b"\x16\x03\x01")
+    assert read_to_end(stalled) == b""
