--- /dev/null
+++ b/clementinepin/batch/_active.py
@@ -0,0 +1,58 @@
+"""Table of active jobs, kept by a watch on the index."""
+
+from __future__ import annotations
+
+from clementinepin.batch._codec import PREFIX_ACTIVE, decode_row
+from clementinepin.tables.jobs import JobRow, JobState, PlanRow
+from clementinepin.tables.shards import ProgressRow
+
+
+class ActiveJob:
+    """A job that is not ended, with what this instance knows of its shards.
+
+    ``held_until`` and ``claim_at`` are wall-clock seconds.
+    """
+
+    def __init__(self, row: JobRow) -> None:
+        self.row = row
+        self.plan: PlanRow | None = None
+        self.progress = ProgressRow()
+        self.progress_at = 0.0
+        self.held_until: dict[int, float] = {}
+        self.claim_at = 0.0
+        self.check_at = 0.0
+
+    @property
+    def cancelling(self) -> bool:
+        """Tell whether the job was marked cancelled."""
+        return self.row.state == JobState.CANCELLING
+
+    @property
+    def items_left(self) -> int:
+        """Return about how many items have no result."""
+        return max(0, self.row.items - self.progress.completed - self.progress.failed)
+
+
+class ActiveJobs:
+    """Active jobs by id; a RangeListener of the index."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, ActiveJob] = {}
+
+    def put_row(self, key: str, value: bytes, version: int) -> None:
+        """Take in an index entry."""
+        row = decode_row(value, JobRow)
+        self.note(row)
+
+    def remove_row(self, key: str) -> None:
+        """Forget a job that ended."""
+        self.jobs.pop(key.removeprefix(PREFIX_ACTIVE), None)
+
+    def note(self, row: JobRow) -> ActiveJob:
+        """Take in a job; a mark of cancellation is never taken back."""
+        job = self.jobs.get(row.job_id)
+        if job is None:
+            job = self.jobs[row.job_id] = ActiveJob(row)
+        elif not job.cancelling:
+            job.row = row
+        return job
--- /dev/null
+++ b/clementinepin/batch/_claimer.py
@@ -0,0 +1,171 @@
+"""Claims of shards: how much work to hold, of which job, and the steps of a claim."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable, Collection
+
+from loguru import logger
+
+from clementinepin.batch._active import ActiveJob, ActiveJobs
+from clementinepin.batch._closer import JobCloser
+from clementinepin.batch._codec import decode_row
+from clementinepin.batch._items import CODE_ATTEMPTS, ItemWork, fail_item
+from clementinepin.batch._jobs import JobStore
+from clementinepin.batch._keeper import ShardKeeper
+from clementinepin.batch._lines import parse_line
+from clementinepin.batch._owned import OwnedShard
+from clementinepin.batch._shards import ShardStore, StoredShard
+from clementinepin.core import Core
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.rendezvous import score_pair
+from clementinepin.storage import SegmentStore
+from clementinepin.systems.shard_order import AccountUse, JobCandidate, choose_shard, order_jobs
+from clementinepin.systems.shard_state import is_exhausted, list_undone
+from clementinepin.tables.jobs import JobRow, JobState, PlanRow
+
+LOG_PREFIX = "batch:"
+OWNED_MAX = 16
+PROBES_MAX = 4
+PROGRESS_MAX_AGE_S = 15.0
+CLAIM_PAUSE_S = 5.0
+
+
+class ShardClaimer:
+    """Claims shards while there are batch slots that no held item could use."""
+
+    def __init__(
+        self,
+        core: Core,
+        active: ActiveJobs,
+        jobs: JobStore,
+        shards: ShardStore,
+        segments: SegmentStore,
+        closer: JobCloser,
+        keeper: ShardKeeper,
+        count_free: Callable[[str], int],
+        list_live: Callable[[], Collection[str] | None],
+    ) -> None:
+        self._core = core
+        self._active = active
+        self._jobs = jobs
+        self._shards = shards
+        self._segments = segments
+        self._closer = closer
+        self._keeper = keeper
+        self._count_free = count_free
+        self._list_live = list_live
+        self.owner = f"{core.settings.instance.name}/{secrets.token_hex(4)}"
+        self.use: dict[str, AccountUse] = {}
+
+    def step(self) -> None:
+        """Claim at most one shard for each application that has free slots."""
+        if self._core.draining:
+            return
+        now = self._core.clock.wall()
+        applications = {job.row.application for job in self._active.jobs.values()}
+        for application in sorted(applications):
+            if len(self._keeper.owned) >= OWNED_MAX:
+                return
+            if self._count_waiting(application) < self._count_free(application):
+                self._claim_for(application, now)
+
+    def _count_waiting(self, application: str) -> int:
+        owned = self._keeper.owned.values()
+        return sum(len(o.waiting) for o in owned if o.job.application == application)
+
+    def _claim_for(self, application: str, now: float) -> None:
+        candidates = [
+            JobCandidate(job.row.job_id, job.row.account, job.row.due_at, job.items_left)
+            for job in self._active.jobs.values()
+            if job.row.application == application and not job.cancelling and job.claim_at <= now
+        ]
+        for candidate in order_jobs(candidates, self.use, now):
+            job = self._active.jobs.get(candidate.job_id)
+            if job is not None and self._claim_from(job, now):
+                return
+
+    def _claim_from(self, job: ActiveJob, now: float) -> bool:
+        """Probe a few shards of a job; tell whether one was claimed."""
+        row = job.row
+        if now - job.progress_at > PROGRESS_MAX_AGE_S:
+            job.progress = self._closer.load_progress(row.job_id)
+            job.progress_at = now
+        if self._closer.end_if_complete(row, job.progress):
+            self._active.remove_row(row.job_id)
+            return False
+        plan = self._load_plan(job)
+        start = score_pair(row.job_id, self.owner) % row.shards
+        for _ in range(PROBES_MAX):
+            shard = choose_shard(row.shards, job.progress.sealed, self._list_held(job), start, now)
+            if shard is None:
+                break
+            if self._probe(job, plan, shard, now):
+                return True
+        job.claim_at = now + CLAIM_PAUSE_S * self._core.random.uniform(0.5, 1.5)
+        return False
+
+    def _list_held(self, job: ActiveJob) -> dict[int, float]:
+        mine = [shard for job_id, shard in self._keeper.owned if job_id == job.row.job_id]
+        return job.held_until | dict.fromkeys(mine, float("inf"))
+
+    def _probe(self, job: ActiveJob, plan: PlanRow, shard: int, now: float) -> bool:
+        row = job.row
+        result = self._shards.claim(
+            row.job_id,
+            shard,
+            items=plan.shards[shard].items,
+            owner=self.owner,
+            now=now,
+            live=self._list_live(),
+        )
+        if result.stored is None:
+            self._note_missed(job, shard, sealed=result.decision.sealed, retry_at=now)
+            job.held_until[shard] = max(result.decision.retry_at, now + 1.0)
+            return False
+        self._take(row, plan, shard, result.stored)
+        return True
+
+    def _note_missed(self, job: ActiveJob, shard: int, *, sealed: bool, retry_at: float) -> None:
+        """Repair the progress of a shard whose owner sealed it and died."""
+        if not sealed:
+            return
+        current = self._shards.load(job.row.job_id, shard)
+        if current is not None:
+            self._closer.note_sealed(job.row, shard, current.row)
+        job.progress_at = 0.0
+
+    def _take(self, job: JobRow, plan: PlanRow, shard: int, stored: StoredShard) -> None:
+        """Hold a claimed shard, or seal it when the job was cancelled meanwhile."""
+        owned = OwnedShard(job, shard, stored, [])
+        self._keeper.add(owned)
+        try:
+            current = self._jobs.find(job.account, job.job_id)
+            if current is None or current.row.ended or current.row.state == JobState.CANCELLING:
+                owned.cancelled = True
+                return
+            self._fill(owned, plan.shards[shard].segment)
+        except ClementinepinError:
+            owned.leaving = True
+            raise
+        logger.debug("{} Claimed shard {} of {}.", LOG_PREFIX, shard, job.job_id)
+
+    def _fill(self, owned: OwnedShard, segment: str) -> None:
+        """Load the items without a result; none runs again after claims that led nowhere."""
+        row = owned.stored.row
+        lines = self._segments.read(segment).split(b"\n")
+        attempts = dict(row.attempts)
+        for index in list_undone(row):
+            line = parse_line(lines[index], index + 1)
+            request_id = f"{owned.job.job_id}-{owned.shard}-{index}-{row.epoch}"
+            work = ItemWork(index, request_id, line, attempts.get(index, 0))
+            if is_exhausted(row):
+                result = fail_item(work, CODE_ATTEMPTS, "instance after instance was lost")
+                owned.hold_result(work, result, self._core.clock.monotonic())
+            else:
+                owned.waiting.append(work)
+
+    def _load_plan(self, job: ActiveJob) -> PlanRow:
+        if job.plan is None:
+            job.plan = decode_row(self._segments.read(job.row.plan), PlanRow)
+        return job.plan
--- /dev/null
+++ b/clementinepin/batch/_closer.py
@@ -0,0 +1,137 @@
+"""Progress of jobs, their end, and the seal of cancelled ones."""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from clementinepin.batch._active import ActiveJob
+from clementinepin.batch._codec import decode_row, encode_row, key_progress
+from clementinepin.batch._jobs import JobStore
+from clementinepin.batch._shards import ShardLostError, ShardStore, create_operation
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.platform import KeyValueStore
+from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
+from clementinepin.systems.shard_state import seal_cancelled
+from clementinepin.tables.jobs import JobRow, JobState
+from clementinepin.tables.shards import ProgressRow, ShardRow, count_bits, has_bit, set_bits
+
+LOG_PREFIX = "batch:"
+
+
+class JobCloser:
+    """Notes sealed shards; the one who notes the last one ends the job."""
+
+    def __init__(self, key_value: KeyValueStore, jobs: JobStore, shards: ShardStore) -> None:
+        self._key_value = key_value
+        self._jobs = jobs
+        self._shards = shards
+        self._unnoted: list[tuple[JobRow, int, ShardRow]] = []
+        self._flushing = False
+
+    def note_sealed(self, job: JobRow, shard: int, row: ShardRow) -> None:
+        """Add a sealed shard to the job's progress, now or as soon as the platform answers."""
+        self._unnoted.append((job, shard, row))
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what could not be noted before; one greenlet at a time."""
+        if self._flushing:
+            return
+        self._flushing = True
+        try:
+            self._flush_all()
+        finally:
+            self._flushing = False
+
+    def load_progress(self, job_id: str) -> ProgressRow:
+        """Return a job's progress as noted."""
+        stored = self._key_value.get(key_progress(job_id))
+        return decode_row(stored.value, ProgressRow) if stored else ProgressRow()
+
+    def end_if_complete(self, job: JobRow, progress: ProgressRow) -> bool:
+        """End a job whose shards are all sealed; tell whether it ended."""
+        if count_bits(progress.sealed) < job.shards:
+            return False
+        self._jobs.end(job.account, job.job_id, progress.completed, progress.failed)
+        return True
+
+    def seal_job(self, job: JobRow) -> None:
+        """Seal each shard of a cancelled job that anyone claimed, then end the job.
+
+        A claim after this listing reads the job's mark behind its claim and seals itself.
+        """
+        completed = failed = 0
+        for page in self._shards.list_pages(job.job_id):
+            for shard, stored in page.items():
+                row = self._seal(job, shard, stored.row, stored.version)
+                failed += row.failed
+                completed += count_bits(row.done) - row.failed
+        self._jobs.end(job.account, job.job_id, completed, failed)
+
+    def check(self, active: ActiveJob, now: float, orphan_s: float) -> JobRow | None:
+        """Compare an index entry with the job's record and finish what was left over.
+
+        Returns the record of a job that goes on.
+        """
+        stored = self._jobs.find(active.row.account, active.row.job_id)
+        if stored is None:
+            if now - active.row.created_at > orphan_s:
+                self._jobs.drop_index(active.row.job_id)
+            return None
+        job = stored.row
+        if job.ended:
+            self._jobs.drop_index(job.job_id)
+            return None
+        if job.state == JobState.CANCELLING:
+            self.seal_job(job)
+            return None
+        active.progress = self.load_progress(job.job_id)
+        return None if self.end_if_complete(job, active.progress) else job
+
+    def _flush_all(self) -> None:
+        while self._unnoted:
+            job, shard, row = self._unnoted[0]
+            try:
+                progress = self._add(job, shard, row)
+                self.end_if_complete(job, progress)
+            except ClementinepinError as err:
+                logger.debug("{} Progress postponed: {}.", LOG_PREFIX, err.code)
+                return
+            del self._unnoted[0]
+
+    def _seal(self, job: JobRow, shard: int, row: ShardRow, version: int) -> ShardRow:
+        """Seal one shard against its owner's writes; return the row as it stays."""
+        while not row.sealed:
+            wanted = seal_cancelled(row, create_operation())
+            try:
+                return self._shards.swap(job.job_id, shard, wanted, version).row
+            except ShardLostError:
+                current = self._shards.load(job.job_id, shard)
+            if current is None:
+                return row
+            row, version = current.row, current.version
+        return row
+
+    def _add(self, job: JobRow, shard: int, row: ShardRow) -> ProgressRow:
+        """Add one shard by compare-and-swap; a shard counts once."""
+        key = key_progress(job.job_id)
+        stored = self._key_value.get(key)
+        version, value = (stored.version, stored.value) if stored else (0, None)
+        while True:
+            progress = decode_row(value, ProgressRow) if value is not None else ProgressRow()
+            if has_bit(progress.sealed, shard):
+                return progress
+            wanted = ProgressRow(
+                sealed=set_bits(progress.sealed, [shard]),
+                completed=progress.completed + count_bits(row.done) - row.failed,
+                failed=progress.failed + row.failed,
+            )
+            try:
+                self._key_value.put(key, encode_row(wanted), expected=version)
+            except VersionConflictError as err:
+                version, value = err.current, err.value
+            except ReplyLostError:
+                stored = self._key_value.get(key)
+                version, value = (stored.version, stored.value) if stored else (0, None)
+            else:
+                return wanted
--- /dev/null
+++ b/clementinepin/batch/_codec.py
@@ -0,0 +1,78 @@
+"""Encoding of rows, keys in the key-value service and digests."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+
+from clementinepin.const import PREFIX_FILES, PREFIX_JOBS, PREFIX_SHARDS
+
+PREFIX_ACTIVE = "active/"
+PREFIX_PROGRESS = "progress/"
+JOB_ID_PREFIX = "batch_"
+DIGEST_BYTES = 16
+R = TypeVar("R")
+
+
+class ResultLine(NamedTuple):
+    """A result inside a segment: the item's index in its shard and its JSON line."""
+
+    item: int
+    line: bytes
+
+
+def encode_row(row: Any) -> bytes:
+    """Return a row as a MessagePack map, so that fields may be added."""
+    return msgspec.msgpack.encode(row._asdict())
+
+
+def decode_row(data: bytes, row_type: type[R]) -> R:
+    """Return a row; fields that it does not know are dropped, missing ones take defaults."""
+    stored = msgspec.msgpack.decode(data)
+    kind: Any = row_type
+    defaults = kind._field_defaults
+    values = [stored[f] if f in stored else defaults[f] for f in kind._fields]
+    return msgspec.convert(values, type=row_type)
+
+
+def digest_text(*parts: str) -> str:
+    """Return a digest in hex of the parts, which are kept apart."""
+    joined = msgspec.msgpack.encode(parts)
+    return hashlib.blake2b(joined, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def name_job(account: str, job_key: str) -> str:
+    """Return the id of a job; the same account and key give the same id."""
+    return JOB_ID_PREFIX + digest_text(account, job_key)
+
+
+def key_file(account: str, file_id: str) -> str:
+    """Return the key of a file's record."""
+    return f"{PREFIX_FILES}{account}/{file_id}"
+
+
+def key_job(account: str, job_id: str) -> str:
+    """Return the key of a job's record."""
+    return f"{PREFIX_JOBS}{account}/{job_id.removeprefix(JOB_ID_PREFIX)}"
+
+
+def key_active(job_id: str) -> str:
+    """Return the key of the index entry that a job has while it is not ended."""
+    return f"{PREFIX_ACTIVE}{job_id}"
+
+
+def key_progress(job_id: str) -> str:
+    """Return the key of a job's progress."""
+    return f"{PREFIX_PROGRESS}{job_id}"
+
+
+def prefix_shards(job_id: str) -> str:
+    """Return the prefix of a job's shard records."""
+    return f"{PREFIX_SHARDS}{job_id}/"
+
+
+def key_shard(job_id: str, shard: int) -> str:
+    """Return the key of a shard's record."""
+    return f"{prefix_shards(job_id)}{shard:06d}"
--- /dev/null
+++ b/clementinepin/batch/_dispatcher.py
@@ -0,0 +1,135 @@
+"""Puts held items on free batch slots, fair between accounts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from loguru import logger
+
+from clementinepin.batch._items import ItemRunner, ItemWork
+from clementinepin.batch._keeper import ShardKeeper
+from clementinepin.batch._owned import OwnedShard
+from clementinepin.core import Core
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.systems.shard_order import AccountUse, JobCandidate, order_jobs
+
+LOG_PREFIX = "batch:"
+HELD_MAX_BYTES = 64_000_000
+USE_HALF_LIFE_S = 60.0
+FAILURE_PAUSE_S = 5.0
+
+
+class ItemDispatcher:
+    """Starts items; results go back to their shard."""
+
+    def __init__(
+        self,
+        core: Core,
+        keeper: ShardKeeper,
+        runner: ItemRunner,
+        count_slots: Callable[[str], int],
+    ) -> None:
+        self._core = core
+        self._keeper = keeper
+        self._runner = runner
+        self._count_slots = count_slots
+        self._starting: dict[str, int] = {}
+        self._use: dict[str, float] = {}
+        self._decayed_at = core.clock.monotonic()
+        self.running = 0
+
+    def count_free(self, application: str) -> int:
+        """Return slots that no started item waits for."""
+        return max(0, self._count_slots(application) - self._starting.get(application, 0))
+
+    def list_use(self) -> dict[str, AccountUse]:
+        """Return the recent service of each account here."""
+        configuration = self._core.configuration
+        accounts = configuration.accounts if configuration else {}
+        weights = {name: accounts[name].weight for name in self._use if name in accounts}
+        return {n: AccountUse(use, weights.get(n, 1.0)) for n, use in self._use.items()}
+
+    def step(self) -> None:
+        """Start as many items as there are free slots."""
+        now = self._core.clock.monotonic()
+        self._decay_use(now)
+        if self._core.configuration is None or self._keeper.held_bytes >= HELD_MAX_BYTES:
+            return
+        applications = {owned.job.application for owned in self._keeper.owned.values()}
+        for application in sorted(applications):
+            for _ in range(self.count_free(application)):
+                if not self._start_next(application, now):
+                    break
+
+    def _start_next(self, application: str, now: float) -> bool:
+        shards = {
+            owned.key: owned
+            for owned in self._keeper.owned.values()
+            if owned.job.application == application and not owned.leaving and not owned.cancelled
+        }
+        for owned in _order_shards(shards, self.list_use(), self._core.clock.wall()):
+            work = owned.take_item(now)
+            if work is not None:
+                account = owned.job.account
+                self._use[account] = self._use.get(account, 0.0) + 1.0
+                self._starting[application] = self._starting.get(application, 0) + 1
+                gevent.spawn(self._run, owned, work)
+                return True
+        return False
+
+    def _run(self, owned: OwnedShard, work: ItemWork) -> None:
+        """Run an item once and give its result or its progress back to the shard."""
+        configuration = self._core.configuration
+        application = owned.job.application
+        self.running += 1
+        result = None
+        try:
+            if configuration is not None:
+                note_placed = _Once(lambda: self._note_placed(application))
+                try:
+                    result = self._runner.run(work, owned.job.account, configuration, note_placed)
+                finally:
+                    note_placed()
+        except ClementinepinError as err:
+            work.not_before = self._core.clock.monotonic() + FAILURE_PAUSE_S
+            logger.warning("{} Item postponed: {}.", LOG_PREFIX, err.code)
+        finally:
+            self.running -= 1
+            if result is None:
+                owned.put_back(work)
+            else:
+                owned.hold_result(work, result, self._core.clock.monotonic())
+                self._core.metrics.incr("batch.items_done")
+
+    def _note_placed(self, application: str) -> None:
+        self._starting[application] -= 1
+
+    def _decay_use(self, now: float) -> None:
+        factor = 0.5 ** ((now - self._decayed_at) / USE_HALF_LIFE_S)
+        self._decayed_at = now
+        self._use = {n: use * factor for n, use in self._use.items() if use * factor > 0.01}
+
+
+class _Once:
+    """Calls a function the first time only."""
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self._call: Callable[[], None] | None = call
+
+    def __call__(self) -> None:
+        call, self._call = self._call, None
+        if call is not None:
+            call()
+
+
+def _order_shards(
+    shards: dict[tuple[str, int], OwnedShard], use: dict[str, AccountUse], now: float
+) -> list[OwnedShard]:
+    """Return the shards by the order of their jobs, lower numbers first within a job."""
+    jobs: dict[str, JobCandidate] = {}
+    for owned in shards.values():
+        row = owned.job
+        jobs[row.job_id] = JobCandidate(row.job_id, row.account, row.due_at, row.items)
+    position = {job.job_id: n for n, job in enumerate(order_jobs(jobs.values(), use, now))}
+    return [shards[key] for key in sorted(shards, key=lambda key: (position[key[0]], key[1]))]
--- /dev/null
+++ b/clementinepin/batch/_items.py
@@ -0,0 +1,259 @@
+"""Run one item of a shard on a slot, and keep its progress when it must yield."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+import gevent
+import msgspec
+import xxhash
+from gevent.event import Event
+
+from clementinepin.batch._lines import InputLine
+from clementinepin.batch._results import STATUS_OK, build_answer, build_error, build_result
+from clementinepin.config import Configuration
+from clementinepin.const import Priority
+from clementinepin.exceptions import NotRunError
+from clementinepin.helpers.clock import Clock
+from clementinepin.scheduling import CallInfo, CallResult, Placement, Scheduler
+from clementinepin.targets import Engine, GenerateRequest, StreamChunk, TargetAddress
+from clementinepin.targets.exceptions import (
+    TargetLostError,
+    TargetNotReachedError,
+    TargetRefusedError,
+    TargetRejectedError,
+)
+
+ATTEMPTS_MAX = 5
+REFUSAL_PAUSE_S = 1.0
+REFUSAL_PAUSE_MAX_S = 30.0
+RETRY_PAUSE_S = 0.5
+STATUS_TOO_MANY = 429
+STATUS_SERVER_ERROR = 500
+CODE_ATTEMPTS = "attempts_exhausted"
+CODE_MODEL = "model_not_found"
+CODES_FINAL = frozenset({"request_condemned", "request_quarantined", "poison_request"})
+CreateEngine = Callable[[TargetAddress], Engine]
+
+
+class ItemWork:
+    """An item in hand: its request, and what was delivered before it had to yield.
+
+    ``not_before`` is monotonic seconds. ``attempts`` counts targets that were lost.
+    """
+
+    def __init__(self, index: int, request_id: str, line: InputLine, attempts: int) -> None:
+        self.index = index
+        self.request_id = request_id
+        self.line = line
+        self.attempts = attempts
+        self.not_before = 0.0
+        self.text = ""
+        self.tokens = 0
+        self.finish_reason: str | None = None
+        self.stop = Event()
+
+
+class ItemResult(NamedTuple):
+    """The line to commit; ``failed`` counts towards the job's failed items."""
+
+    line: bytes
+    failed: bool
+
+
+class _Ended(NamedTuple):
+    """How a stream ended; ``rejection`` is set when the target answered with an error."""
+
+    result: CallResult
+    rejection: TargetRejectedError | None = None
+
+
+class ItemRunner:
+    """Runs items on the scheduler's slots; a run ends in a result or leaves progress."""
+
+    def __init__(self, scheduler: Scheduler, create_engine: CreateEngine, clock: Clock) -> None:
+        self._scheduler = scheduler
+        self._create_engine = create_engine
+        self._clock = clock
+
+    def run(
+        self,
+        work: ItemWork,
+        account: str,
+        configuration: Configuration,
+        note_placed: Callable[[], None],
+    ) -> ItemResult | None:
+        """Run once; None asks for another run from ``work.not_before`` on.
+
+        ``note_placed`` is called as soon as a slot is granted.
+        """
+        if work.attempts >= ATTEMPTS_MAX:
+            return fail_item(work, CODE_ATTEMPTS, f"{work.attempts} targets were lost")
+        call = build_call(work, account, configuration, self._clock.monotonic())
+        if call is None:
+            return fail_item(work, CODE_MODEL, "the model is no longer configured")
+        try:
+            placement = self._scheduler.acquire(call)
+        except NotRunError as err:
+            return self._note_refusal(work, err)
+        note_placed()
+        ended = self._run_placed(work, call, placement, configuration)
+        return self._conclude(work, call, ended)
+
+    def _run_placed(
+        self, work: ItemWork, call: CallInfo, placement: Placement, configuration: Configuration
+    ) -> _Ended:
+        """Generate until the end, a preemption or a stop, and give the slot back."""
+        request = build_request(work, call, configuration)
+        ended = _Ended(CallResult.CANCELLED)
+        reader = gevent.spawn(self._generate, work, request, placement)
+        try:
+            gevent.wait([reader, placement.preempted, work.stop], count=1)
+            if reader.ready():
+                ended = reader.get()
+            elif not work.stop.is_set():
+                ended = _Ended(CallResult.PREEMPTED)
+        finally:
+            reader.kill()
+            self._scheduler.finish(placement.ticket, ended.result)
+        return ended
+
+    def _generate(self, work: ItemWork, request: GenerateRequest, placement: Placement) -> _Ended:
+        """Read the stream into ``work``; killing this greenlet cancels at the engine."""
+        stream: Iterator[StreamChunk] = iter(())
+        try:
+            stream = self._create_engine(placement.target).generate(request)
+            return self._read_stream(work, stream, placement.ticket)
+        except TargetNotReachedError:
+            return _Ended(CallResult.NOT_REACHED)
+        except TargetRefusedError as err:
+            return _Ended(CallResult.REFUSED_LEAVING if err.leaving else CallResult.REFUSED)
+        except TargetLostError:
+            return _Ended(CallResult.LOST)
+        except TargetRejectedError as err:
+            return _Ended(CallResult.REJECTED, err)
+        finally:
+            close_stream(stream)
+
+    def _read_stream(self, work: ItemWork, stream: Iterator[StreamChunk], ticket: int) -> _Ended:
+        """Take in chunks; a stream that ends before its last chunk is a loss."""
+        first = True
+        for chunk in stream:
+            if first and chunk.tokens:
+                first = False
+                self._scheduler.report_first_token(ticket)
+            work.text += chunk.text
+            work.tokens += chunk.tokens
+            self._scheduler.report_tokens(ticket, chunk.tokens)
+            if chunk.done:
+                work.finish_reason = chunk.finish_reason
+                return _Ended(CallResult.SUCCESS)
+        return _Ended(CallResult.LOST)
+
+    def _conclude(self, work: ItemWork, call: CallInfo, ended: _Ended) -> ItemResult | None:
+        if ended.result is CallResult.SUCCESS:
+            return _succeed(work)
+        if ended.rejection is not None and is_final_rejection(ended.rejection.target_status):
+            return _reject(work, ended.rejection)
+        if ended.result in (CallResult.LOST, CallResult.REJECTED):
+            work.attempts += 1
+        if ended.result not in (CallResult.PREEMPTED, CallResult.CANCELLED):
+            again_at = self._scheduler.allow_retry(call, ended.result)
+            pause_at = self._clock.monotonic() + RETRY_PAUSE_S
+            work.not_before = pause_at if again_at is None else again_at
+        return None
+
+    def _note_refusal(self, work: ItemWork, err: NotRunError) -> ItemResult | None:
+        if err.code in CODES_FINAL:
+            return fail_item(work, err.code, err.message)
+        pause_s = REFUSAL_PAUSE_S
+        if err.retry_at is not None:
+            pause_s = max(0.0, err.retry_at - self._clock.wall())
+        work.not_before = self._clock.monotonic() + min(pause_s, REFUSAL_PAUSE_MAX_S)
+        return None
+
+
+def close_stream(stream: Iterator[StreamChunk]) -> None:
+    """Close an iterator at once, so that the engine learns of it now."""
+    close = getattr(stream, "close", None)
+    if close is not None:
+        close()
+
+
+def build_call(
+    work: ItemWork, account: str, configuration: Configuration, now: float
+) -> CallInfo | None:
+    """Return what the scheduler needs, or None if the model is not configured."""
+    application = configuration.applications.get(str(work.line.body["model"]))
+    if application is None:
+        return None
+    service = configuration.services[configuration.models[application.model].service]
+    body = work.line.body
+    tokens_max = body.get("max_tokens")
+    return CallInfo(
+        request_id=work.request_id,
+        account=account,
+        service=service.name,
+        application=application.name,
+        priority=Priority.BATCH,
+        deadline=now + service.request_timeout_s,
+        fingerprint=fingerprint_body(service.name, body),
+        tokens_max=tokens_max if isinstance(tokens_max, int) else 0,
+    )
+
+
+def build_request(work: ItemWork, call: CallInfo, configuration: Configuration) -> GenerateRequest:
+    """Return the generation, which goes on behind what was delivered before."""
+    application = configuration.applications[call.application]
+    model = application.model
+    if application.adapter:
+        model = f"{model}:{application.adapter}"
+    return GenerateRequest(
+        request_id=work.request_id,
+        path=work.line.url,
+        body={**work.line.body, "model": model},
+        priority=call.priority,
+        deadline=call.deadline,
+        resume_text=work.text,
+        resume_tokens=work.tokens,
+    )
+
+
+def fingerprint_body(service: str, body: dict[str, Any]) -> str:
+    """Return the identity of a request's content, by which crashes are traced to it."""
+    encoded = msgspec.json.encode(body, order="sorted")
+    return xxhash.xxh3_128_hexdigest(service.encode() + b"\x00" + encoded)
+
+
+def is_final_rejection(status: int) -> bool:
+    """Tell whether another attempt would end alike: the target blames the request."""
+    return status < STATUS_SERVER_ERROR and status != STATUS_TOO_MANY
+
+
+def _succeed(work: ItemWork) -> ItemResult:
+    body = build_answer(
+        work.request_id,
+        work.line.url,
+        str(work.line.body["model"]),
+        work.text,
+        work.tokens,
+        work.finish_reason,
+    )
+    line = build_result(work.request_id, work.line.custom_id, STATUS_OK, body)
+    return ItemResult(line, failed=False)
+
+
+def _reject(work: ItemWork, rejection: TargetRejectedError) -> ItemResult:
+    try:
+        body = msgspec.json.decode(rejection.body)
+    except msgspec.DecodeError:
+        body = {"error": {"message": rejection.body.decode(errors="replace")}}
+    line = build_result(work.request_id, work.line.custom_id, rejection.target_status, body)
+    return ItemResult(line, failed=True)
+
+
+def fail_item(work: ItemWork, code: str, message: str) -> ItemResult:
+    """Return the result of an item that can't be done."""
+    line = build_error(work.request_id, work.line.custom_id, code, message)
+    return ItemResult(line, failed=True)
--- /dev/null
+++ b/clementinepin/batch/_lines.py
@@ -0,0 +1,71 @@
+"""Parsing of batch input: JSON Lines in the callers' batch format."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+
+from clementinepin.batch.exceptions import InvalidLineError
+
+LINE_MAX_BYTES = 1_000_000
+CUSTOM_ID_MAX_CHARS = 512
+ENDPOINTS = ("/v1/completions", "/v1/chat/completions")
+
+
+class InputLine(msgspec.Struct, frozen=True):
+    """One item as a caller wrote it."""
+
+    custom_id: str
+    method: str
+    url: str
+    body: dict[str, Any]
+
+
+def split_lines(chunks: Iterable[bytes]) -> Iterator[bytes]:
+    """Yield lines without their end, in bounded memory; an empty last line is left out."""
+    rest = b""
+    number = 0
+    for chunk in chunks:
+        lines = (rest + chunk).split(b"\n")
+        rest = lines.pop()
+        for line in lines:
+            number += 1
+            yield _check_length(line, number)
+        _check_length(rest, number + 1)
+    if rest:
+        yield rest
+
+
+def parse_line(line: bytes, number: int) -> InputLine:
+    """Return the item of a line; raises InvalidLineError with its number."""
+    try:
+        item = msgspec.json.decode(line, type=InputLine)
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        raise InvalidLineError(number, str(err)) from err
+    _check_item(item, number)
+    return item
+
+
+def read_model(item: InputLine, number: int) -> str:
+    """Return the model that an item names."""
+    model = item.body.get("model")
+    if not isinstance(model, str) or not model:
+        raise InvalidLineError(number, "body.model must be a string")
+    return model
+
+
+def _check_item(item: InputLine, number: int) -> None:
+    if not 0 < len(item.custom_id) <= CUSTOM_ID_MAX_CHARS:
+        raise InvalidLineError(number, f"custom_id must have 1 to {CUSTOM_ID_MAX_CHARS} characters")
+    if item.method != "POST":
+        raise InvalidLineError(number, "method must be POST")
+    if item.url not in ENDPOINTS:
+        raise InvalidLineError(number, f"url must be one of {', '.join(ENDPOINTS)}")
+
+
+def _check_length(line: bytes, number: int) -> bytes:
+    if len(line) > LINE_MAX_BYTES:
+        raise InvalidLineError(number, f"line exceeds {LINE_MAX_BYTES} bytes")
+    return line.removesuffix(b"\r")
--- /dev/null
+++ b/clementinepin/batch/_owned.py
@@ -0,0 +1,108 @@
+"""Shards that this instance holds, with their items and results in hand."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from clementinepin.batch._codec import ResultLine
+from clementinepin.batch._items import ItemResult, ItemWork
+from clementinepin.batch._shards import StoredShard
+from clementinepin.tables.jobs import JobRow
+from clementinepin.tables.shards import ShardRow
+
+COMMIT_ITEMS = 64
+COMMIT_AGE_S = 15.0
+
+
+class HeldResult(NamedTuple):
+    """A result that is not committed yet."""
+
+    result: ResultLine
+    failed: bool
+
+
+class PendingSwap(NamedTuple):
+    """A write that is not settled; ``results`` become durable by it."""
+
+    row: ShardRow
+    results: tuple[HeldResult, ...]
+
+
+class OwnedShard:
+    """One claimed shard. No second write is built while one is unsettled."""
+
+    def __init__(self, job: JobRow, shard: int, stored: StoredShard, items: list[ItemWork]) -> None:
+        self.job = job
+        self.shard = shard
+        self.stored = stored
+        self.waiting = items
+        self.running: dict[int, ItemWork] = {}
+        self.results: list[HeldResult] = []
+        self.held_bytes = 0
+        self.oldest_at: float | None = None
+        self.pending: PendingSwap | None = None
+        self.busy = False
+        self.cancelled = False
+        self.leaving = False
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return the identity of the shard."""
+        return self.job.job_id, self.shard
+
+    @property
+    def finished(self) -> bool:
+        """Tell whether each item has a result, committed or held."""
+        return not self.waiting and not self.running
+
+    def take_item(self, now: float) -> ItemWork | None:
+        """Move the next item that may run to the running ones; ``now`` is monotonic."""
+        for position, work in enumerate(self.waiting):
+            if work.not_before <= now:
+                del self.waiting[position]
+                self.running[work.index] = work
+                return work
+        return None
+
+    def put_back(self, work: ItemWork) -> None:
+        """Return an item that has no result yet."""
+        self.running.pop(work.index, None)
+        self.waiting.append(work)
+
+    def hold_result(self, work: ItemWork, result: ItemResult, now: float) -> None:
+        """Keep a result until it is committed; ``now`` is monotonic."""
+        self.running.pop(work.index, None)
+        self.results.append(HeldResult(ResultLine(work.index, result.line), result.failed))
+        self.held_bytes += len(result.line)
+        if self.oldest_at is None:
+            self.oldest_at = now
+
+    def needs_commit(self, now: float) -> bool:
+        """Tell whether results should be committed; ``now`` is monotonic."""
+        if not self.results:
+            return False
+        aged = self.oldest_at is not None and now - self.oldest_at >= COMMIT_AGE_S
+        return self.finished or self.leaving or aged or len(self.results) >= COMMIT_ITEMS
+
+    def settle(self, stored: StoredShard, now: float) -> None:
+        """Take in that the pending write stands."""
+        pending = self.pending
+        self.pending = None
+        self.stored = stored
+        if pending is None or not pending.results:
+            return
+        committed = {held.result.item for held in pending.results}
+        self.results = [held for held in self.results if held.result.item not in committed]
+        self.held_bytes = sum(len(held.result.line) for held in self.results)
+        self.oldest_at = now if self.results else None
+
+    def list_attempts(self) -> tuple[tuple[int, int], ...]:
+        """Return the lost attempts of items without a result."""
+        works: Iterable[ItemWork] = [*self.waiting, *self.running.values()]
+        return tuple((work.index, work.attempts) for work in works if work.attempts)
+
+    def stop_items(self) -> None:
+        """Cancel what runs."""
+        for work in list(self.running.values()):
+            work.stop.set()
--- /dev/null
+++ b/clementinepin/batch/_results.py
@@ -0,0 +1,85 @@
+"""Result lines in the callers' batch output format, and their way through segments."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+
+from clementinepin.batch._codec import ResultLine
+from clementinepin.batch._lines import ENDPOINTS
+from clementinepin.batch._shards import ShardStore
+from clementinepin.storage import SegmentStore
+from clementinepin.tables.shards import ShardRow
+
+STATUS_OK = 200
+LINES_PER_CHUNK = 64
+
+
+def build_answer(
+    request_id: str, endpoint: str, model: str, text: str, tokens: int, finish_reason: str | None
+) -> dict[str, Any]:
+    """Return the body of a whole answer, as the endpoint would give it unstreamed."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason or "stop"}
+    is_chat = endpoint == ENDPOINTS[1]
+    if is_chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": f"cmpl-{request_id}",
+        "object": "chat.completion" if is_chat else "text_completion",
+        "model": model,
+        "choices": [choice],
+        "usage": {"completion_tokens": tokens},
+    }
+
+
+def build_result(request_id: str, custom_id: str, status: int, body: Any) -> bytes:
+    """Return the line of an item that a target answered."""
+    response = {"status_code": status, "request_id": request_id, "body": body}
+    return _encode(request_id, custom_id, response, None)
+
+
+def build_error(request_id: str, custom_id: str, code: str, message: str) -> bytes:
+    """Return the line of an item that can't be done."""
+    return _encode(request_id, custom_id, None, {"code": code, "message": message})
+
+
+def encode_results(results: Iterable[ResultLine]) -> bytes:
+    """Return the content of a segment of results."""
+    return msgspec.msgpack.encode(sorted(results))
+
+
+def decode_results(data: bytes) -> list[ResultLine]:
+    """Return the results in a segment."""
+    return msgspec.msgpack.decode(data, type=list[ResultLine])
+
+
+def stream_results(job_id: str, shards: ShardStore, segments: SegmentStore) -> Iterator[bytes]:
+    """Yield committed results in item order; at most one shard's are in memory."""
+    for page in shards.list_pages(job_id):
+        for shard in sorted(page):
+            lines = read_shard_results(page[shard].row, segments)
+            for first in range(0, len(lines), LINES_PER_CHUNK):
+                part = lines[first : first + LINES_PER_CHUNK]
+                yield b"".join(result.line + b"\n" for result in part)
+
+
+def read_shard_results(row: ShardRow, segments: SegmentStore) -> list[ResultLine]:
+    """Return a shard's committed results in item order."""
+    results: list[ResultLine] = []
+    for commit in row.commits:
+        results.extend(decode_results(segments.read(commit.segment)))
+    return sorted(results)
+
+
+def _encode(request_id: str, custom_id: str, response: Any, error: Any) -> bytes:
+    line = {
+        "id": f"batch_req_{request_id}",
+        "custom_id": custom_id,
+        "response": response,
+        "error": error,
+    }
+    return msgspec.json.encode(line)
--- /dev/null
+++ b/clementinepin/batch/_service.py
@@ -0,0 +1,261 @@
+"""The batch component: files and jobs for callers, and the loops that work on them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+import gevent
+
+from clementinepin.batch._active import ActiveJob, ActiveJobs
+from clementinepin.batch._claimer import ShardClaimer
+from clementinepin.batch._closer import JobCloser
+from clementinepin.batch._codec import PREFIX_ACTIVE
+from clementinepin.batch._dispatcher import ItemDispatcher
+from clementinepin.batch._items import CreateEngine, ItemRunner
+from clementinepin.batch._jobs import JobStore
+from clementinepin.batch._keeper import ShardKeeper
+from clementinepin.batch._results import stream_results
+from clementinepin.batch._shards import ShardStore
+from clementinepin.batch._status import build_status, is_application_open
+from clementinepin.batch._uploads import FileStore, describe_record
+from clementinepin.batch.exceptions import InvalidBatchError
+from clementinepin.batch.models import FileRow, JobStatus
+from clementinepin.core import Core, DrainStarted, InstancesChanged, spawn_loop
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.rendezvous import choose_owner
+from clementinepin.platform import KeyValueStore, RangeFollower
+from clementinepin.scheduling import Scheduler
+from clementinepin.storage import SegmentStore
+from clementinepin.tables.jobs import JobRow
+from clementinepin.tables.shards import ProgressRow, count_bits
+
+LOG_PREFIX = "batch:"
+SERVICE_NAME = "clementinepin"
+DISPATCH_PERIOD_S = 0.05
+KEEP_PERIOD_S = 0.2
+CLAIM_PERIOD_S = 0.25
+CHECK_PERIOD_S = 1.0
+JOB_CHECK_S = 30.0
+CANCEL_CHECK_S = 2.0
+ORPHAN_S = 3600.0
+EXACT_SHARDS_MAX = 64
+
+
+class BatchComponent:
+    """BatchService and Component of one instance."""
+
+    name = "batch"
+
+    def __init__(
+        self,
+        core: Core,
+        key_value: KeyValueStore,
+        segments: SegmentStore,
+        scheduler: Scheduler,
+        create_engine: CreateEngine,
+    ) -> None:
+        self._core = core
+        self._segments = segments
+        self._active = ActiveJobs()
+        self._files = FileStore(key_value, segments, core.clock, self._check_model)
+        self._jobs = JobStore(key_value, core.clock)
+        self._shards = ShardStore(key_value)
+        self._closer = JobCloser(key_value, self._jobs, self._shards)
+        self._keeper = ShardKeeper(core, self._shards, segments, self._closer)
+        self._dispatcher = ItemDispatcher(
+            core,
+            self._keeper,
+            ItemRunner(scheduler, create_engine, core.clock),
+            scheduler.count_batch_slots,
+        )
+        self._claimer = ShardClaimer(
+            core,
+            self._active,
+            self._jobs,
+            self._shards,
+            segments,
+            self._closer,
+            self._keeper,
+            self._dispatcher.count_free,
+            self._list_live,
+        )
+        self._follower = RangeFollower(key_value, PREFIX_ACTIVE, self._active, core.random)
+        self._live: frozenset[str] | None = None
+        self._greenlets: list[gevent.Greenlet] = []
+        core.subscribe(InstancesChanged, self._note_instances)
+        core.subscribe(DrainStarted, self._note_drain)
+
+    def start(self) -> None:
+        """Start the loops."""
+        self._greenlets = [
+            gevent.spawn(self._follower.run),
+            self._spawn(self._dispatcher.step, DISPATCH_PERIOD_S),
+            self._spawn(self._keeper.step, KEEP_PERIOD_S),
+            self._spawn(self._claim, CLAIM_PERIOD_S),
+            self._spawn(self._check_jobs, CHECK_PERIOD_S),
+        ]
+
+    def stop(self, deadline: float) -> None:
+        """Hand over all shards before the monotonic deadline."""
+        gevent.killall(self._greenlets)
+        self._keeper.hand_over(deadline)
+
+    def describe_state(self) -> dict[str, Any]:
+        """Return the shards held and the jobs known."""
+        return {
+            "active_jobs": len(self._active.jobs),
+            "items_running": self._dispatcher.running,
+            "held_bytes": self._keeper.held_bytes,
+            "shards": [
+                {
+                    "job": owned.job.job_id,
+                    "shard": owned.shard,
+                    "epoch": owned.stored.row.epoch,
+                    "lease_until": owned.stored.row.lease_until,
+                    "waiting": len(owned.waiting),
+                    "running": len(owned.running),
+                    "uncommitted": len(owned.results),
+                }
+                for owned in self._keeper.owned.values()
+            ],
+        }
+
+    def store_file(
+        self, account: str, filename: str, purpose: str, chunks: Iterable[bytes]
+    ) -> FileRow:
+        """Make an upload durable in bounded memory."""
+        return describe_record(self._files.store(account, filename, purpose, chunks))
+
+    def describe_file(self, account: str, file_id: str) -> FileRow:
+        """Return a file's row; raises FileNotFoundInAccountError."""
+        return describe_record(self._files.load(account, file_id))
+
+    def read_file(self, account: str, file_id: str) -> Iterator[bytes]:
+        """Stream a file's content."""
+        return self._files.read(self._files.load(account, file_id))
+
+    def submit(
+        self, account: str, job_key: str, file_id: str, endpoint: str, due_at: float
+    ) -> JobStatus:
+        """Accept a job durably, or return the same job for a resend; typed conflicts."""
+        file = self._files.load(account, file_id)
+        if file.application and not self._check_model(account, file.application):
+            raise InvalidBatchError(f"model {file.application!r} is not open", param="model")
+        row = self._jobs.accept(account, job_key, file, endpoint, due_at)
+        if not row.ended:
+            self._active.note(row)
+        return self._describe(row)
+
+    def describe(self, account: str, job_id: str) -> JobStatus:
+        """Return a job's status; raises JobNotFoundError."""
+        return self._describe(self._jobs.load(account, job_id).row)
+
+    def list_jobs(self, account: str | None, *, limit: int = 100) -> list[JobStatus]:
+        """Return an account's newest jobs, or the active jobs of all accounts, as last noted."""
+        if account is not None:
+            rows = self._jobs.list_account(account, limit)
+            return [self._describe_known(row) for row in rows]
+        now = self._core.clock.wall()
+        jobs = sorted(self._active.jobs.values(), key=lambda job: job.row.due_at)
+        return [build_status(job.row, job.progress, now) for job in jobs[:limit]]
+
+    def cancel(self, account: str, job_id: str) -> JobStatus:
+        """Mark a job cancelled durably; sealing follows."""
+        row = self._jobs.mark_cancelled(account, job_id)
+        if not row.ended:
+            self._active.note(row).row = row
+            self._keeper.cancel(job_id)
+        return self._describe(row)
+
+    def read_results(self, account: str, job_id: str) -> Iterator[bytes]:
+        """Stream the results so far as JSON Lines in item order, in bounded memory."""
+        row = self._jobs.load(account, job_id).row
+        return stream_results(row.job_id, self._shards, self._segments)
+
+    def _spawn(self, step: Callable[[], None], period_s: float) -> gevent.Greenlet:
+        """Run a step each period; an unavailable platform or storage is no surprise to log."""
+
+        def run() -> None:
+            try:
+                step()
+            except ClementinepinError as err:
+                self._core.metrics.incr(f"batch.steps_failed.{err.code}")
+
+        return spawn_loop(run, period_s, LOG_PREFIX)
+
+    def _describe(self, row: JobRow) -> JobStatus:
+        if row.ended:
+            return build_status(row, ProgressRow(), self._core.clock.wall())
+        if row.shards > EXACT_SHARDS_MAX:
+            progress = self._closer.load_progress(row.job_id)
+        else:
+            progress = self._count_shards(row.job_id)
+        return build_status(row, progress, self._core.clock.wall())
+
+    def _describe_known(self, row: JobRow) -> JobStatus:
+        """Describe without a call: progress as this instance noted it last."""
+        job = self._active.jobs.get(row.job_id)
+        progress = job.progress if job else ProgressRow()
+        return build_status(row, progress, self._core.clock.wall())
+
+    def _count_shards(self, job_id: str) -> ProgressRow:
+        done = failed = 0
+        for page in self._shards.list_pages(job_id):
+            done += sum(count_bits(stored.row.done) for stored in page.values())
+            failed += sum(stored.row.failed for stored in page.values())
+        return ProgressRow(completed=done - failed, failed=failed)
+
+    def _claim(self) -> None:
+        self._claimer.use = self._dispatcher.list_use()
+        self._claimer.step()
+
+    def _check_jobs(self) -> None:
+        """Stop cancelled jobs here; finish jobs whose owner by rendezvous this instance is."""
+        self._closer.flush()
+        now = self._core.clock.wall()
+        for job in list(self._active.jobs.values()):
+            if job.cancelling:
+                self._keeper.cancel(job.row.job_id)
+            if self._is_check_due(job, now):
+                job.check_at = now + JOB_CHECK_S * self._core.random.uniform(0.5, 1.5)
+                current = self._closer.check(job, now, ORPHAN_S)
+                if current is not None:
+                    self._active.note(current)
+
+    def _is_check_due(self, job: ActiveJob, now: float) -> bool:
+        own = self._core.settings.instance.name
+        members = (self._live or frozenset()) | {own}
+        if choose_owner(job.row.job_id, members) != own:
+            return False
+        if job.cancelling:
+            job.check_at = min(job.check_at, now + CANCEL_CHECK_S)
+        elif job.check_at == 0.0:
+            job.check_at = now + JOB_CHECK_S * self._core.random.uniform(0.1, 1.0)
+        return now >= job.check_at
+
+    def _list_live(self) -> frozenset[str] | None:
+        return self._live
+
+    def _note_instances(self, event: InstancesChanged) -> None:
+        names = {row.name for row in event.rows if row.service == SERVICE_NAME}
+        self._live = frozenset(names) if names else None
+
+    def _note_drain(self, event: DrainStarted) -> None:
+        self._keeper.leave()
+
+    def _check_model(self, account: str, model: str) -> bool:
+        return is_application_open(self._core.configuration, account, model)
+
+
+def create_batch(
+    core: Core,
+    key_value: KeyValueStore,
+    segments: SegmentStore,
+    scheduler: Scheduler,
+    create_engine: CreateEngine,
+) -> BatchComponent:
+    """Create the batch component and register it."""
+    component = BatchComponent(core, key_value, segments, scheduler, create_engine)
+    core.register(component)
+    return component
--- /dev/null
+++ b/clementinepin/batch/_shards.py
@@ -0,0 +1,141 @@
+"""Shard records in the key-value service: claim, swap with settlement, listing."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Collection, Iterator
+from typing import NamedTuple
+
+from clementinepin.batch._codec import decode_row, encode_row, key_shard, prefix_shards
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.platform import KeyValueStore
+from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
+from clementinepin.systems.shard_state import ClaimDecision, SwapOutcome, claim_shard, judge_swap
+from clementinepin.tables.shards import ShardRow
+
+PAGE_ROWS = 64
+CLAIM_TRIES_MAX = 3
+
+
+class ShardLostError(ClementinepinError):
+    """Another writer holds or sealed the shard; ``landed`` tells whether the write counted."""
+
+    code = "shard_lost"
+    status = 409
+
+    def __init__(self, message: str, *, landed: bool) -> None:
+        super().__init__(message)
+        self.landed = landed
+
+
+class StoredShard(NamedTuple):
+    """A shard's record with the version that it was read or written at; 0 if absent."""
+
+    row: ShardRow
+    version: int
+
+
+class ClaimResult(NamedTuple):
+    """A claimed shard, or why there is none."""
+
+    stored: StoredShard | None
+    decision: ClaimDecision
+
+
+def create_operation() -> str:
+    """Return a name for one write."""
+    return secrets.token_hex(6)
+
+
+class ShardStore:
+    """Adapter that carries out decisions on shard records."""
+
+    def __init__(self, key_value: KeyValueStore) -> None:
+        self._key_value = key_value
+
+    def claim(
+        self,
+        job_id: str,
+        shard: int,
+        *,
+        items: int,
+        owner: str,
+        now: float,
+        live: Collection[str] | None,
+    ) -> ClaimResult:
+        """Try to claim; the first try assumes that nobody did before."""
+        current: StoredShard | None = None
+        for _ in range(CLAIM_TRIES_MAX):
+            decision = claim_shard(
+                current.row if current else None,
+                items=items,
+                owner=owner,
+                operation=create_operation(),
+                now=now,
+                live=live,
+            )
+            if decision.row is None:
+                break
+            version = current.version if current else 0
+            written, current = self._try_put(job_id, shard, decision.row, version)
+            if written:
+                return ClaimResult(current, decision)
+        return ClaimResult(None, decision)
+
+    def swap(self, job_id: str, shard: int, wanted: ShardRow, version: int) -> StoredShard:
+        """Write ``wanted`` over a version; raises ShardLostError when superseded.
+
+        After any other failure call again with the same row: it counts at most once.
+        """
+        while True:
+            written, current = self._try_put(job_id, shard, wanted, version)
+            if written and current is not None:
+                return current
+            outcome = judge_swap(current.row if current else None, wanted)
+            if outcome is SwapOutcome.LANDED:
+                raise ShardLostError(f"{job_id}/{shard}", landed=True)
+            moved = (current.version if current else 0) != version
+            if outcome is SwapOutcome.SUPERSEDED or moved:
+                raise ShardLostError(f"{job_id}/{shard}", landed=False)
+
+    def load(self, job_id: str, shard: int) -> StoredShard | None:
+        """Return a shard's record or None."""
+        stored = self._key_value.get(key_shard(job_id, shard))
+        if stored is None:
+            return None
+        return StoredShard(decode_row(stored.value, ShardRow), stored.version)
+
+    def list_pages(self, job_id: str) -> Iterator[dict[int, StoredShard]]:
+        """Yield the records that exist, a page at a time, in order."""
+        prefix, after = prefix_shards(job_id), ""
+        while True:
+            page = self._key_value.list_range(prefix, after=after, limit=PAGE_ROWS)
+            yield {
+                int(stored.key.removeprefix(prefix)): StoredShard(
+                    decode_row(stored.value, ShardRow), stored.version
+                )
+                for stored in page
+            }
+            if len(page) < PAGE_ROWS:
+                return
+            after = page[-1].key
+
+    def _try_put(
+        self, job_id: str, shard: int, wanted: ShardRow, version: int
+    ) -> tuple[bool, StoredShard | None]:
+        """Return whether the write stands, and the record as it is now."""
+        key = key_shard(job_id, shard)
+        try:
+            written = self._key_value.put(key, encode_row(wanted), expected=version)
+        except VersionConflictError as err:
+            if err.value is None:
+                return False, None
+            current = StoredShard(decode_row(err.value, ShardRow), err.current)
+        except ReplyLostError:
+            loaded = self.load(job_id, shard)
+            if loaded is None:
+                return False, None
+            current = loaded
+        else:
+            return True, StoredShard(wanted, written)
+        return current.row.operation == wanted.operation, current
--- a/clementinepin/platform/__init__.py
+++ b/clementinepin/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from clementinepin.platform._follower import RangeFollower, RangeListener
 from clementinepin.platform._key_value import create_key_value_store
 from clementinepin.platform.models import (
     InstanceList,
@@ -19,6 +20,8 @@
     "KeyValueStore",
     "LeaseGrant",
     "ListedInstance",
+    "RangeFollower",
+    "RangeListener",
     "WatchEvent",
     "WeightStore",
     "create_key_value_store",
--- /dev/null
+++ b/clementinepin/platform/_follower.py
@@ -0,0 +1,103 @@
+"""Follow a key range: list once, then watch, and resume after drops without a gap."""
+
+from __future__ import annotations
+
+import random
+from typing import Protocol
+
+import gevent
+from loguru import logger
+
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.platform._backoff import choose_backoff
+from clementinepin.platform.exceptions import WatchCompactedError
+from clementinepin.platform.models import KeyValueStore
+
+LOG_PREFIX = "platform:"
+PAGE_ROWS = 1000
+DROPS_PAUSE_MAX_S = 5.0
+
+
+class RangeListener(Protocol):
+    """Receives the rows of a range. The same change may be told more than once."""
+
+    def put_row(self, key: str, value: bytes, version: int) -> None:
+        """Take in a row."""
+
+    def remove_row(self, key: str) -> None:
+        """Take out a row."""
+
+
+class RangeFollower:
+    """Keeps a listener up to date with the rows under a prefix."""
+
+    def __init__(
+        self,
+        key_value: KeyValueStore,
+        prefix: str,
+        listener: RangeListener,
+        rng: random.Random,
+    ) -> None:
+        self._key_value = key_value
+        self._prefix = prefix
+        self._listener = listener
+        self._random = rng
+        self._keys: set[str] = set()
+        self._after: int | None = None
+        self._compacted = 0
+        self._drops = 0
+
+    def run(self) -> None:
+        """Follow until killed."""
+        while True:
+            try:
+                self.follow_once()
+            except WatchCompactedError as err:
+                self._compacted = max(self._compacted, err.compacted)
+                self._after = None
+            except ClementinepinError as err:
+                logger.debug("{} Watch on {} dropped: {}.", LOG_PREFIX, self._prefix, err.code)
+            self._drops += 1
+            pause_s = choose_backoff(self._drops, self._random)
+            gevent.sleep(min(DROPS_PAUSE_MAX_S, pause_s * min(self._drops, 10)))
+
+    def follow_once(self) -> None:
+        """List if needed and watch until the connection drops."""
+        if self._after is None:
+            self._after = self.list_rows()
+        for event in self._key_value.watch(self._prefix, after_version=self._after):
+            self._drops = 0
+            self._after = event.version
+            if event.value is None:
+                self._remove(event.key)
+            else:
+                self._put(event.key, event.value, event.version)
+
+    def list_rows(self) -> int:
+        """List the range and return the version to watch behind.
+
+        Only versions of the first page are safe: a row may change while later ones are read.
+        """
+        seen: set[str] = set()
+        watch_after, after = self._compacted, ""
+        while True:
+            page = self._key_value.list_range(self._prefix, after=after, limit=PAGE_ROWS)
+            if not after:
+                watch_after = max([watch_after, *(row.version for row in page)])
+            for row in page:
+                seen.add(row.key)
+                self._put(row.key, row.value, row.version)
+            if len(page) < PAGE_ROWS:
+                break
+            after = page[-1].key
+        for key in self._keys - seen:
+            self._remove(key)
+        return watch_after
+
+    def _put(self, key: str, value: bytes, version: int) -> None:
+        self._keys.add(key)
+        self._listener.put_row(key, value, version)
+
+    def _remove(self, key: str) -> None:
+        self._keys.discard(key)
+        self._listener.remove_row(key)
--- /dev/null
+++ b/clementinepin/systems/shard_state.py
@@ -0,0 +1,155 @@
+"""Decisions on one shard's record: claim, renew, commit, release, seal, settle."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from enum import StrEnum
+from typing import NamedTuple
+
+from clementinepin.tables.shards import (
+    CommitRow,
+    ShardRow,
+    ShardState,
+    count_bits,
+    has_bit,
+    set_bits,
+)
+
+LEASE_S = 90.0
+RENEW_BEFORE_S = 60.0
+TAKEOVER_GRACE_S = 5.0
+BARREN_MAX = 8
+
+
+class ClaimDecision(NamedTuple):
+    """A row to write, or None with the time from which another try makes sense."""
+
+    row: ShardRow | None
+    sealed: bool = False
+    retry_at: float = 0.0
+
+
+class SwapOutcome(StrEnum):
+    """What became of a compare-and-swap, told from the row that stands now."""
+
+    LANDED = "landed"
+    SUPERSEDED = "superseded"
+    REPEAT = "repeat"
+
+
+def claim_shard(
+    current: ShardRow | None,
+    *,
+    items: int,
+    owner: str,
+    operation: str,
+    now: float,
+    live: Collection[str] | None,
+) -> ClaimDecision:
+    """Decide on a claim. ``owner`` is NAME/INCARNATION; ``live`` None means not known.
+
+    A lease is left alone until it lapsed, unless its holder is gone from the live
+    instances, or is the claimer itself, which does not know of it: an earlier
+    incarnation, or a claim whose reply was lost.
+    """
+    if current is None:
+        row = ShardRow(1, owner, now + LEASE_S, items, barren=1, operation=operation)
+        return ClaimDecision(row)
+    if current.sealed:
+        return ClaimDecision(None, sealed=True)
+    if not _may_take(current, owner, now, live):
+        return ClaimDecision(None, retry_at=current.lease_until + TAKEOVER_GRACE_S)
+    row = current._replace(
+        epoch=current.epoch + 1,
+        owner=owner,
+        lease_until=now + LEASE_S,
+        barren=current.barren + 1,
+        operation=operation,
+    )
+    return ClaimDecision(row)
+
+
+def renew_shard(row: ShardRow, operation: str, now: float) -> ShardRow:
+    """Extend the lease."""
+    return row._replace(lease_until=now + LEASE_S, operation=operation)
+
+
+def needs_renewal(row: ShardRow, now: float) -> bool:
+    """Tell whether the lease should be extended now."""
+    return now >= row.lease_until - RENEW_BEFORE_S
+
+
+def commit_results(
+    row: ShardRow,
+    *,
+    segment: str,
+    items: Collection[int],
+    failed: int,
+    attempts: Iterable[tuple[int, int]],
+    operation: str,
+    now: float,
+) -> ShardRow:
+    """Return the row with one more segment; it is sealed once all items are done.
+
+    ``items`` must have no result yet, or an item would have two.
+    """
+    if any(has_bit(row.done, item) for item in items):
+        raise ValueError("an item has a committed result already")
+    done = set_bits(row.done, items)
+    state = ShardState.COMPLETE if count_bits(done) >= row.items else ShardState.OPEN
+    return row._replace(
+        commits=(*row.commits, CommitRow(segment, len(items))),
+        done=done,
+        failed=row.failed + failed,
+        attempts=tuple(pair for pair in attempts if not has_bit(done, pair[0])),
+        barren=0,
+        state=state,
+        lease_until=now + LEASE_S,
+        operation=operation,
+    )
+
+
+def release_shard(row: ShardRow, operation: str) -> ShardRow:
+    """Return the row without an owner, for another instance to claim at once."""
+    return row._replace(owner="", lease_until=0.0, barren=0, operation=operation)
+
+
+def seal_cancelled(row: ShardRow, operation: str) -> ShardRow:
+    """Return the row sealed by a cancelled job; what was committed stays."""
+    return row._replace(state=ShardState.CANCELLED, operation=operation)
+
+
+def is_exhausted(row: ShardRow) -> bool:
+    """Tell whether claim after claim ended without a result."""
+    return row.barren > BARREN_MAX
+
+
+def judge_swap(current: ShardRow | None, wanted: ShardRow) -> SwapOutcome:
+    """Tell what became of a write of ``wanted`` that lost, or whose reply was lost.
+
+    Only the holder of an epoch writes at that epoch, but for the seal of a cancelled job.
+    """
+    if current is None:
+        return SwapOutcome.REPEAT
+    if current.operation == wanted.operation:
+        return SwapOutcome.LANDED
+    if current.epoch > wanted.epoch or current.sealed:
+        landed = bool(wanted.commits) and wanted.commits[-1] in current.commits
+        return SwapOutcome.LANDED if landed else SwapOutcome.SUPERSEDED
+    if current.epoch == wanted.epoch and current.owner != wanted.owner:
+        return SwapOutcome.SUPERSEDED
+    return SwapOutcome.REPEAT
+
+
+def list_undone(row: ShardRow) -> list[int]:
+    """Return the items without a committed result, in order."""
+    return [item for item in range(row.items) if not has_bit(row.done, item)]
+
+
+def _may_take(row: ShardRow, owner: str, now: float, live: Collection[str] | None) -> bool:
+    if not row.owner or now > row.lease_until + TAKEOVER_GRACE_S:
+        return True
+    holder = row.owner.partition("/")[0]
+    if holder == owner.partition("/")[0]:
+        return True
+    return live is not None and holder not in live
--- /dev/null
+++ b/clementinepin/tables/jobs.py
@@ -0,0 +1,73 @@
+"""Rows of batch jobs and uploaded files. Times are wall-clock seconds."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class JobState(StrEnum):
+    """State of a job."""
+
+    IN_PROGRESS = "in_progress"
+    CANCELLING = "cancelling"
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+
+
+class ShardInput(NamedTuple):
+    """The input of one shard: a segment of JSON Lines and the number of lines in it."""
+
+    segment: str
+    items: int
+
+
+class PlanRow(NamedTuple):
+    """How a batch input is cut into shards."""
+
+    application: str
+    endpoint: str
+    shards: tuple[ShardInput, ...]
+
+
+class FileRecord(NamedTuple):
+    """An uploaded file as stored. ``plan`` names a segment, empty if it is no batch input."""
+
+    file_id: str
+    account: str
+    filename: str
+    purpose: str
+    size_bytes: int
+    created_at: float
+    keep_until: float
+    segments: tuple[str, ...]
+    plan: str = ""
+    application: str = ""
+    endpoint: str = ""
+    items: int = 0
+
+
+class JobRow(NamedTuple):
+    """The record of a job. ``body_digest`` tells a resend from a different job."""
+
+    job_id: str
+    account: str
+    body_digest: str
+    input_file_id: str
+    endpoint: str
+    application: str
+    created_at: float
+    due_at: float
+    keep_until: float
+    plan: str
+    shards: int
+    items: int
+    state: str = JobState.IN_PROGRESS
+    ended_at: float | None = None
+    completed: int = 0
+    failed: int = 0
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether nothing is left to do."""
+        return self.ended_at is not None
--- /dev/null
+++ b/tests/batch/test_service.py
@@ -0,0 +1,128 @@
+from __future__ import annotations
+
+import pytest
+
+from clementinepin.batch.exceptions import (
+    DuplicateCustomIdError,
+    FileNotFoundInAccountError,
+    InvalidBatchError,
+    InvalidLineError,
+    JobConflictError,
+    JobNotFoundError,
+    UnknownModelError,
+)
+from standins.key_value import MemoryKeyValueStore
+from tests.batch.fakes import (
+    ACCOUNT,
+    ENDPOINT,
+    FakeEngine,
+    Node,
+    build_input,
+    build_line,
+    read_results,
+    wait_for,
+)
+
+
+@pytest.fixture
+def key_value(clock):
+    return MemoryKeyValueStore(clock)
+
+
+@pytest.fixture
+def node(clock, key_value):
+    node = Node(clock, key_value)
+    yield node
+    node.kill()
+
+
+def submit(node, count, key="k1", due_s=3600.0):
+    file = node.batch.store_file(ACCOUNT, "in.jsonl", "batch", [build_input(count)])
+    due_at = node.core.clock.wall() + due_s
+    return node.batch.submit(ACCOUNT, key, file.file_id, ENDPOINT, due_at)
+
+
+def is_ended(node, job):
+    return node.batch.describe(ACCOUNT, job.job_id).ended_at is not None
+
+
+def test_job_runs_to_its_end_with_results_in_order(node):
+    job = submit(node, 40)
+    assert (job.state, job.items_total) == ("in_progress", 40)
+    node.start()
+    wait_for(lambda: is_ended(node, job))
+    status = node.batch.describe(ACCOUNT, job.job_id)
+    assert (status.state, status.items_completed, status.items_failed) == ("completed", 40, 0)
+    results = read_results(node.batch, job.job_id)
+    assert [r["custom_id"] for r in results] == [f"c{n}" for n in range(40)]
+    assert results[7]["response"]["body"]["choices"][0]["text"] == "re:p7"
+    assert node.engine.runs.total() == 40
+
+
+def test_resend_returns_the_same_job_and_other_body_conflicts(node):
+    first = submit(node, 3)
+    assert submit(node, 3).job_id == first.job_id
+    assert len(node.batch.list_jobs(ACCOUNT)) == 1
+    with pytest.raises(JobConflictError):
+        submit(node, 4)
+
+
+@pytest.mark.parametrize(
+    ("line", "error"),
+    [
+        (b"{", InvalidLineError),
+        (b"\xff\xfe", InvalidLineError),
+        (b"", InvalidLineError),
+        (build_line(1, method="GET"), InvalidLineError),
+        (build_line(1, url="/v1/other"), InvalidLineError),
+        (build_line(1, custom_id=""), InvalidLineError),
+        (build_line(1, body={}), InvalidLineError),
+        (build_line(0), DuplicateCustomIdError),
+        (b"[" * 100_000, InvalidLineError),
+        (b'"' + b"x" * 1_000_001, InvalidLineError),
+    ],
+)
+def test_bad_line_is_named_and_nothing_is_kept(node, key_value, line, error):
+    with pytest.raises(error) as caught:
+        node.batch.store_file(ACCOUNT, "f", "batch", [build_line(0), b"\n" + line + b"\n"])
+    assert caught.value.line == 2
+    assert key_value.list_range("files/") == []
+
+
+def test_unknown_model_and_empty_file_are_refused(node):
+    with pytest.raises(UnknownModelError):
+        node.batch.store_file(ACCOUNT, "f", "batch", [build_line(0, model="none")])
+    with pytest.raises(InvalidBatchError):
+        node.batch.store_file(ACCOUNT, "f", "batch", [])
+
+
+def test_file_of_another_account_is_not_found(node):
+    file = node.batch.store_file(ACCOUNT, "f", "other", [b"abc"])
+    assert b"".join(node.batch.read_file(ACCOUNT, file.file_id)) == b"abc"
+    with pytest.raises(FileNotFoundInAccountError):
+        node.batch.describe_file("other", file.file_id)
+    with pytest.raises(JobNotFoundError):
+        node.batch.describe("other", "batch_0")
+
+
+def test_cancelled_job_stops_and_keeps_what_was_committed(clock, key_value):
+    node = Node(clock, key_value, engine=FakeEngine(pause_s=0.01), slots=2)
+    job = submit(node, 400)
+    node.start()
+    wait_for(lambda: node.batch.describe(ACCOUNT, job.job_id).items_completed > 0)
+    assert node.batch.cancel(ACCOUNT, job.job_id).state == "cancelling"
+
+    def ended():
+        clock.advance(1.0)
+        return is_ended(node, job)
+
+    wait_for(ended)
+    status = node.batch.describe(ACCOUNT, job.job_id)
+    results = read_results(node.batch, job.job_id)
+    assert status.state == "cancelled"
+    assert len(results) == status.items_completed < 400
+    wait_for(lambda: not node.scheduler.placements)
+    runs = node.engine.runs.total()
+    wait_for(lambda: not node.batch._active.jobs)
+    assert node.engine.runs.total() == runs
+    node.kill()
