Move rows of jobs and shards behind the tables module

Cause: other tables are private modules behind one public module, and these two were not. Change: rename and re-export them, and name the condemned request's code by its type.

--- a/clementinepin/batch/_active.py
+++ b/clementinepin/batch/_active.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from clementinepin.batch._codec import PREFIX_ACTIVE, decode_row
-from clementinepin.tables.jobs import JobRow, JobState, PlanRow
-from clementinepin.tables.shards import ProgressRow
+from clementinepin.tables import JobRow, JobState, PlanRow, ProgressRow
 
 
 class ActiveJob:
--- a/clementinepin/batch/_claimer.py
+++ b/clementinepin/batch/_claimer.py
@@ -22,7 +22,7 @@
 from clementinepin.storage import SegmentStore
 from clementinepin.systems.shard_order import AccountUse, JobCandidate, choose_shard, order_jobs
 from clementinepin.systems.shard_state import is_exhausted, list_undone
-from clementinepin.tables.jobs import JobRow, JobState, PlanRow
+from clementinepin.tables import JobRow, JobState, PlanRow
 
 LOG_PREFIX = "batch:"
 OWNED_MAX = 16
--- a/clementinepin/batch/_closer.py
+++ b/clementinepin/batch/_closer.py
@@ -12,8 +12,15 @@
 from clementinepin.platform import KeyValueStore
 from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.systems.shard_state import seal_cancelled
-from clementinepin.tables.jobs import JobRow, JobState
-from clementinepin.tables.shards import ProgressRow, ShardRow, count_bits, has_bit, set_bits
+from clementinepin.tables import (
+    JobRow,
+    JobState,
+    ProgressRow,
+    ShardRow,
+    count_bits,
+    has_bit,
+    set_bits,
+)
 
 LOG_PREFIX = "batch:"
 
--- a/clementinepin/batch/_items.py
+++ b/clementinepin/batch/_items.py
@@ -17,6 +17,7 @@
 from clementinepin.exceptions import NotRunError
 from clementinepin.helpers.clock import Clock
 from clementinepin.scheduling import CallInfo, CallResult, Placement, Scheduler
+from clementinepin.systems.exceptions import RequestCondemnedError
 from clementinepin.targets import Engine, GenerateRequest, StreamChunk, TargetAddress
 from clementinepin.targets.exceptions import (
     TargetLostError,
@@ -33,7 +34,7 @@
 STATUS_SERVER_ERROR = 500
 CODE_ATTEMPTS = "attempts_exhausted"
 CODE_MODEL = "model_not_found"
-CODES_FINAL = frozenset({"request_condemned", "request_quarantined", "poison_request"})
+CODES_FINAL = frozenset({RequestCondemnedError.code})
 CreateEngine = Callable[[TargetAddress], Engine]
 
 
--- a/clementinepin/batch/_jobs.py
+++ b/clementinepin/batch/_jobs.py
@@ -16,7 +16,7 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.platform import KeyValueStore
 from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
-from clementinepin.tables.jobs import FileRecord, JobRow, JobState
+from clementinepin.tables import FileRecord, JobRow, JobState
 
 JOB_KEEP_S = 14 * 86_400.0
 INDEX_REPEAT_S = 60.0
--- a/clementinepin/batch/_keeper.py
+++ b/clementinepin/batch/_keeper.py
@@ -19,7 +19,7 @@
     renew_shard,
     seal_cancelled,
 )
-from clementinepin.tables.shards import ShardRow
+from clementinepin.tables import ShardRow
 
 LOG_PREFIX = "batch:"
 RETRY_PAUSE_S = 1.0
--- a/clementinepin/batch/_owned.py
+++ b/clementinepin/batch/_owned.py
@@ -8,8 +8,7 @@
 from clementinepin.batch._codec import ResultLine
 from clementinepin.batch._items import ItemResult, ItemWork
 from clementinepin.batch._shards import StoredShard
-from clementinepin.tables.jobs import JobRow
-from clementinepin.tables.shards import ShardRow
+from clementinepin.tables import JobRow, ShardRow
 
 COMMIT_ITEMS = 64
 COMMIT_AGE_S = 15.0
--- a/clementinepin/batch/_results.py
+++ b/clementinepin/batch/_results.py
@@ -11,7 +11,7 @@
 from clementinepin.batch._lines import ENDPOINTS
 from clementinepin.batch._shards import ShardStore
 from clementinepin.storage import SegmentStore
-from clementinepin.tables.shards import ShardRow
+from clementinepin.tables import ShardRow
 
 STATUS_OK = 200
 LINES_PER_CHUNK = 64
--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -27,8 +27,7 @@
 from clementinepin.platform import KeyValueStore, RangeFollower
 from clementinepin.scheduling import Scheduler
 from clementinepin.storage import SegmentStore
-from clementinepin.tables.jobs import JobRow
-from clementinepin.tables.shards import ProgressRow, count_bits
+from clementinepin.tables import JobRow, ProgressRow, count_bits
 
 LOG_PREFIX = "batch:"
 SERVICE_NAME = "clementinepin"
--- a/clementinepin/batch/_shards.py
+++ b/clementinepin/batch/_shards.py
@@ -11,7 +11,7 @@
 from clementinepin.platform import KeyValueStore
 from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.systems.shard_state import ClaimDecision, SwapOutcome, claim_shard, judge_swap
-from clementinepin.tables.shards import ShardRow
+from clementinepin.tables import ShardRow
 
 PAGE_ROWS = 64
 CLAIM_TRIES_MAX = 3
--- a/clementinepin/batch/_status.py
+++ b/clementinepin/batch/_status.py
@@ -5,8 +5,7 @@
 from clementinepin.batch.models import JobStatus
 from clementinepin.config import Configuration
 from clementinepin.const import Priority
-from clementinepin.tables.jobs import JobRow
-from clementinepin.tables.shards import ProgressRow
+from clementinepin.tables import JobRow, ProgressRow
 
 
 def build_status(row: JobRow, progress: ProgressRow, now: float) -> JobStatus:
--- a/clementinepin/batch/_uploads.py
+++ b/clementinepin/batch/_uploads.py
@@ -21,7 +21,7 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.platform import KeyValueStore
 from clementinepin.storage import SegmentStore
-from clementinepin.tables.jobs import FileRecord, PlanRow, ShardInput
+from clementinepin.tables import FileRecord, PlanRow, ShardInput
 
 PURPOSE_BATCH = "batch"
 FILE_KEEP_S = 14 * 86_400.0
--- a/clementinepin/systems/shard_order.py
+++ b/clementinepin/systems/shard_order.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from clementinepin.tables.shards import has_bit
+from clementinepin.tables import has_bit
 
 SERVICE_STEP_ITEMS = 64.0
 ITEM_ESTIMATE_S = 0.05
--- a/clementinepin/systems/shard_state.py
+++ b/clementinepin/systems/shard_state.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from clementinepin.tables.shards import (
+from clementinepin.tables import (
     CommitRow,
     ShardRow,
     ShardState,
--- a/clementinepin/tables/__init__.py
+++ b/clementinepin/tables/__init__.py
@@ -18,8 +18,18 @@
     IsolationRow,
     ToldRow,
 )
+from clementinepin.tables._jobs import FileRecord, JobRow, JobState, PlanRow, ShardInput
 from clementinepin.tables._measures import MeasureRow, MeasureTable, RetryRow, RetryTable
 from clementinepin.tables._owners import OwnerTable
+from clementinepin.tables._shards import (
+    CommitRow,
+    ProgressRow,
+    ShardRow,
+    ShardState,
+    count_bits,
+    has_bit,
+    set_bits,
+)
 from clementinepin.tables._suspects import Loss, SuspectRow, SuspectTable
 from clementinepin.tables._targets import TargetRow, TargetTable
 from clementinepin.tables._view import Tables, View
@@ -32,15 +42,24 @@
     "CallResult",
     "CallRow",
     "CallTable",
+    "CommitRow",
     "DemandRow",
     "DemandTable",
+    "FileRecord",
     "IsolationRow",
+    "JobRow",
+    "JobState",
     "Loss",
     "MeasureRow",
     "MeasureTable",
     "OwnerTable",
+    "PlanRow",
+    "ProgressRow",
     "RetryRow",
     "RetryTable",
+    "ShardInput",
+    "ShardRow",
+    "ShardState",
     "SuspectRow",
     "SuspectTable",
     "Tables",
@@ -50,4 +69,7 @@
     "View",
     "WaitingRow",
     "WaitingTable",
+    "count_bits",
+    "has_bit",
+    "set_bits",
 ]
