Count waiting calls apart from running ones in demand

Cause: a suspect that waits for a target of its own counted as demand there, so the target seemed busy and each isolation waited its whole second. Change: demand carries both counts.

--- /dev/null
+++ b/bench/_model.py
@@ -0,0 +1,112 @@
+"""An in-process model of engines and a network in virtual time, around the real deciders.
+
+The engine steps as the stand-in does: a step of ``STEP_BASE_S`` and more for each running
+sequence, a prefill for each sequence that takes a slot, admission in arrival order.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+STEP_BASE_S = 0.010
+STEP_ACTIVE_S = 0.0005
+PREFILL_TOKEN_S = 0.00005
+WAITING_MAX = 64
+
+
+class Loop:
+    """Events in virtual time."""
+
+    def __init__(self) -> None:
+        self.now = 1_000.0
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def after(self, delay_s: float, step: Callable[[], None]) -> None:
+        """Run a step after a delay."""
+        heapq.heappush(self._heap, (self.now + delay_s, next(self._order), step))
+
+    def run(self, until: float) -> None:
+        """Run all events up to a time."""
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, step = heapq.heappop(self._heap)
+            step()
+        self.now = until
+
+
+class Placed(NamedTuple):
+    """A named thing in a data centre."""
+
+    name: str
+    data_centre: str
+
+
+class Generation:
+    """A sequence in an engine; callbacks run when the engine produces, before the network."""
+
+    def __init__(
+        self,
+        prompt_tokens: int,
+        tokens_left: int,
+        on_token: Callable[[int], None],
+        on_done: Callable[[], None],
+    ) -> None:
+        self.prompt_tokens = prompt_tokens
+        self.tokens_left = tokens_left
+        self.produced = 0
+        self.on_token = on_token
+        self.on_done = on_done
+
+
+class ModelEngine:
+    """A continuous batcher without priorities."""
+
+    def __init__(self, loop: Loop, slots: int) -> None:
+        self._loop = loop
+        self._slots = slots
+        self._stepping = False
+        self.waiting: deque[Generation] = deque()
+        self.running: list[Generation] = []
+        self.slot_seconds = 0.0
+
+    def admit(self, generation: Generation) -> bool:
+        """Queue a sequence; False when the queue is full."""
+        if len(self.waiting) >= WAITING_MAX:
+            return False
+        self.waiting.append(generation)
+        if not self._stepping:
+            self._begin_step()
+        return True
+
+    def cancel(self, generation: Generation) -> None:
+        """Take a sequence out."""
+        if generation in self.running:
+            self.running.remove(generation)
+        elif generation in self.waiting:
+            self.waiting.remove(generation)
+
+    def _begin_step(self) -> None:
+        prefill_s = 0.0
+        while self.waiting and len(self.running) < self._slots:
+            generation = self.waiting.popleft()
+            self.running.append(generation)
+            prefill_s += generation.prompt_tokens * PREFILL_TOKEN_S
+        self._stepping = bool(self.running)
+        if not self._stepping:
+            return
+        step_s = prefill_s + STEP_BASE_S + STEP_ACTIVE_S * len(self.running)
+        self._loop.after(step_s, self._end_step)
+
+    def _end_step(self) -> None:
+        for generation in list(self.running):
+            generation.produced += 1
+            generation.tokens_left -= 1
+            generation.on_token(generation.produced)
+            if generation.tokens_left <= 0:
+                self.running.remove(generation)
+                generation.on_done()
+        self._begin_step()
--- a/clementinepin/scheduling/_gossip.py
+++ b/clementinepin/scheduling/_gossip.py
@@ -38,7 +38,7 @@
         self._peers = peers
         self._decider = decider
         self._wake = wake
-        self._pending: defaultdict[str, dict[str, int]] = defaultdict(dict)
+        self._pending: defaultdict[str, dict[str, Signal]] = defaultdict(dict)
         self._sending: set[str] = set()
         peers.register(messages.METHOD_BURST, self._receive_burst)
         peers.register(messages.METHOD_CLOSE, self._receive_close)
@@ -50,7 +50,7 @@
 
     def signal(self, signal: Signal) -> None:
         """Tell an owner; while one message is under way the next collects newer counts."""
-        self._pending[signal.owner][signal.target] = signal.online
+        self._pending[signal.owner][signal.target] = signal
         if signal.owner in self._sending:
             return
         self._sending.add(signal.owner)
@@ -134,31 +134,33 @@
     def _send_bursts(self, owner: str) -> None:
         try:
             while self._pending[owner]:
-                counts = self._pending.pop(owner)
-                self._send_burst(owner, counts)
+                signals = self._pending.pop(owner)
+                self._send_burst(owner, signals)
         finally:
             self._sending.discard(owner)
 
-    def _send_burst(self, owner: str, counts: dict[str, int]) -> None:
+    def _send_burst(self, owner: str, signals: dict[str, Signal]) -> None:
         message = messages.BurstMessage(
-            demands=[self._describe_demand(target, n) for target, n in counts.items()]
+            demands=[self._describe_demand(signal) for signal in signals.values()]
         )
         try:
             reply = self._call(owner, messages.METHOD_BURST, message, BURST_TIMEOUT_S)
         except PeerUnavailableError:
-            for target in counts:
+            for target in signals:
                 forget_told(self._decider.tables, target)
             return
         now = self._core.clock.monotonic()
         for target, others in reply.get("others", {}).items():
-            self._decider.note_others(target, counts.get(target, 0), others, now)
+            if target in signals:
+                self._decider.note_others(target, signals[target].online, others, now)
         self._wake()
 
-    def _describe_demand(self, target: str, online: int) -> messages.DemandMessage:
-        measures = self._decider.tables.measures.get(target)
+    def _describe_demand(self, signal: Signal) -> messages.DemandMessage:
+        measures = self._decider.tables.measures.get(signal.target)
         return messages.DemandMessage(
-            target=target,
-            online=online,
+            target=signal.target,
+            online=signal.online,
+            waiting=signal.waiting,
             first_token_s=measures.first_token_s,
             between_tokens_s=measures.between_tokens_s,
         )
@@ -168,7 +170,11 @@
         others = {}
         for item in message["demands"]:
             row = DemandRow(
-                item["online"], item["first_token_s"], item["between_tokens_s"], now + DEMAND_TTL_S
+                item["online"],
+                item["waiting"],
+                item["first_token_s"],
+                item["between_tokens_s"],
+                now + DEMAND_TTL_S,
             )
             count = self._decider.receive_demand(sender, item["target"], row, now)
             if count is not None:
--- a/clementinepin/scheduling/_messages.py
+++ b/clementinepin/scheduling/_messages.py
@@ -19,10 +19,11 @@
 
 
 class DemandMessage(TypedDict):
-    """Online calls in flight at one target, and measured times in seconds."""
+    """Online calls in flight at one target and waiting for it; measured times in seconds."""
 
     target: str
     online: int
+    waiting: int
     first_token_s: float
     between_tokens_s: float
 
--- a/clementinepin/systems/actions.py
+++ b/clementinepin/systems/actions.py
@@ -36,11 +36,12 @@
 
 
 class Signal(NamedTuple):
-    """Tell the owner of a target's allowance how many online calls are in flight here."""
+    """Tell the owner of a target's allowance how many online calls are in flight here, and wait."""
 
     owner: str
     target: str
     online: int
+    waiting: int
 
 
 Action = Grant | Refuse | Preempt | Isolate | Signal
--- a/clementinepin/systems/allowance.py
+++ b/clementinepin/systems/allowance.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from clementinepin.exceptions import InvalidInputError
+from clementinepin.systems.demand import count_pressure
 from clementinepin.tables import AllowanceRow, Tables, TargetRow, View
 
 POLICY_ADAPTIVE = "adaptive"
@@ -25,8 +26,8 @@
 class OnlineState(NamedTuple):
     """What an allowance follows.
 
-    ``online`` counts online calls of all instances at the target. The ratios are measured times
-    over the service's targets; 0.0 when nothing was measured.
+    ``online`` counts online calls of all instances at the target and those that wait for it. The
+    ratios are measured times over the service's targets; 0.0 when nothing was measured.
     """
 
     slots_max: int
@@ -113,13 +114,14 @@
     """Return the online state of an owned target from own calls and other instances' words."""
     others = [d for d in tables.demand.list_target(row.name).values() if d.expires_at > now]
     own = tables.measures.get(row.name)
+    waiting = count_pressure(tables, row.service)
     first_token_s = max([own.first_token_s, *(d.first_token_s for d in others)])
     between_tokens_s = max([own.between_tokens_s, *(d.between_tokens_s for d in others)])
     configuration = view.configuration
     spec = configuration.services.get(row.service) if configuration else None
     return OnlineState(
         slots_max=row.slots_max,
-        online=row.online + sum(d.online for d in others),
+        online=row.online + waiting + sum(d.online + d.waiting for d in others),
         first_token_ratio=first_token_s / spec.first_token_target_s if spec else 0.0,
         between_tokens_ratio=between_tokens_s / spec.between_tokens_target_s if spec else 0.0,
         preference=spec.preference if spec else 1.0,
--- a/clementinepin/tables/_demand.py
+++ b/clementinepin/tables/_demand.py
@@ -6,9 +6,13 @@
 
 
 class DemandRow(NamedTuple):
-    """What an instance last said of one target; ``expires_at`` is monotonic seconds."""
+    """What an instance last said of one target; ``expires_at`` is monotonic seconds.
+
+    ``online`` calls are in flight; ``waiting`` ones would take a slot there.
+    """
 
     online: int
+    waiting: int
     first_token_s: float
     between_tokens_s: float
     expires_at: float
@@ -41,6 +45,7 @@
     """What this instance last told the owner of a target's allowance."""
 
     online: int
+    waiting: int
     told_at: float
 
 
