--- /dev/null
+++ b/bench/_faults/__init__.py
@@ -0,0 +1,3 @@
+"""Private parts of the fault bench."""
+
+from __future__ import annotations
--- /dev/null
+++ b/bench/_faults/jobs.py
@@ -0,0 +1,145 @@
+"""Batch jobs that run while faults happen, and their check."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import Counter
+from typing import Any, Final
+
+import gevent
+
+from bench._faults.load import Load
+from bench._faults.tally import Tally
+from standins.caller import Answer, Caller
+from standins.engine import make_token
+from standins.fleet import Fleet
+
+CALL_TIMEOUT_S: Final = 8.0
+POLL_S: Final = 0.3
+ITEM_TOKENS: Final = 12
+BOUNDARY: Final = "fault-bench-7f31"
+ENDED: Final = ("completed", "cancelled")
+
+
+class Jobs:
+    """Submits jobs, resends them, cancels one and checks the results."""
+
+    def __init__(self, fleet: Fleet, load: Load, tally: Tally) -> None:
+        demo = fleet.plan.demo
+        self._load = load
+        self._tally = tally
+        self._application = demo["batch_application"]
+        self._caller = Caller(fleet.plan.keys[demo["batch_account"]], timeout_s=CALL_TIMEOUT_S)
+
+    def submit(self, key: str, items: int, deadline: float) -> str:
+        """Upload and submit until accepted, twice with the same key; return the job's id."""
+        content = "".join(json.dumps(self._make_item(key, n)) + "\n" for n in range(items))
+        ids = [self._submit_once(key, content, deadline) for _ in range(2)]
+        if len(set(ids)) != 1:
+            self._tally.note("doubled", f"job {key} was accepted as {ids}")
+        return ids[0]
+
+    def cancel(self, job_id: str, deadline: float) -> None:
+        """Cancel a job and wait for the end; nothing may be added behind it."""
+        self._send_until("POST", f"/v1/batches/{job_id}/cancel", b"{}", {}, deadline)
+        self.wait(job_id, deadline)
+        before = len(self.read_results(job_id, deadline))
+        gevent.sleep(2.0)
+        after = len(self.read_results(job_id, deadline))
+        if after != before:
+            self._tally.note("ran_on_after_cancel", f"{before} results became {after}")
+
+    def wait(self, job_id: str, deadline: float) -> dict[str, Any]:
+        """Poll until a job ends or the deadline passes; return its last description."""
+        job: dict[str, Any] = {"status": "unknown"}
+        while time.monotonic() < deadline:
+            answer = self._call("GET", f"/v1/batches/{job_id}")
+            if answer.status == 200:
+                job = json.loads(answer.text)
+            if job["status"] in ENDED:
+                return job
+            gevent.sleep(POLL_S)
+        self._tally.note("unfinished", f"job {job_id}: {job.get('request_counts')}")
+        return job
+
+    def check(self, key: str, job_id: str, items: int, deadline: float) -> None:
+        """Count lost, doubled and wrong results of a job."""
+        rows = self.read_results(job_id, deadline)
+        counts = Counter(row["custom_id"] for row in rows)
+        for number in range(items):
+            name = f"{key}-{number}"
+            if counts[name] == 0:
+                self._tally.note("lost", f"{name} has no result")
+            elif counts[name] > 1:
+                self._tally.note("doubled", f"{name} has {counts[name]} results")
+        for row in rows:
+            self._check_row(row)
+
+    def read_results(self, job_id: str, deadline: float) -> list[dict[str, Any]]:
+        """Return the rows of a job's results so far."""
+        path = f"/v1/files/output-{job_id}/content"
+        answer = self._send_until("GET", path, b"", {}, deadline)
+        return [json.loads(line) for line in answer.text.splitlines()]
+
+    def _check_row(self, row: dict[str, Any]) -> None:
+        response = row.get("response") or {}
+        if row.get("error") or response.get("status_code") != 200:
+            self._tally.note("item_failed", f"{row['custom_id']}: {row.get('error')}")
+            return
+        text = response["body"]["choices"][0]["text"]
+        prompt = f"item {row['custom_id']}"
+        if text != "".join(make_token(prompt, index) for index in range(ITEM_TOKENS)):
+            self._tally.note("cut", f"{row['custom_id']} has a wrong result")
+        self._tally.seen["items_right"] += 1
+
+    def _make_item(self, key: str, number: int) -> dict[str, Any]:
+        name = f"{key}-{number}"
+        body = {
+            "model": self._application,
+            "prompt": f"item {name}",
+            "max_tokens": ITEM_TOKENS,
+        }
+        return {"custom_id": name, "method": "POST", "url": "/v1/completions", "body": body}
+
+    def _submit_once(self, key: str, content: str, deadline: float) -> str:
+        mark = f"--{BOUNDARY}\r\nContent-Disposition: form-data; name="
+        form = f'{mark}"purpose"\r\n\r\nbatch\r\n{mark}"file"; filename="{key}.jsonl"\r\n\r\n'
+        body = f"{form}{content}\r\n--{BOUNDARY}--\r\n".encode()
+        headers = {"Content-Type": f"multipart/form-data; boundary={BOUNDARY}"}
+        uploaded = self._send_until("POST", "/v1/files", body, headers, deadline)
+        message = {
+            "input_file_id": json.loads(uploaded.text)["id"],
+            "endpoint": "/v1/completions",
+            "completion_window": "1h",
+        }
+        headers = {"Idempotency-Key": key}
+        sent = json.dumps(message).encode()
+        answer = self._send_until("POST", "/v1/batches", sent, headers, deadline)
+        return str(json.loads(answer.text)["id"])
+
+    def _send_until(
+        self, method: str, path: str, body: bytes, headers: dict[str, str], deadline: float
+    ) -> Answer:
+        """Send to one entry after the other until one succeeds."""
+        while True:
+            answer = self._call(method, path, body, headers)
+            if answer.status == 200 and answer.whole:
+                return answer
+            if time.monotonic() > deadline:
+                raise JobCallFailedError(f"{method} {path}: {answer.status} {answer.code}")
+            gevent.sleep(POLL_S)
+
+    def _call(
+        self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> Answer:
+        port = self._load.directory.pick()
+        answer = self._caller.call(port, method, path, body, headers)
+        if answer.status != 200:
+            self._tally.seen[f"job_call_{answer.code if answer.outcome else 'broken'}"] += 1
+            self._load.directory.avoid(port)
+        return answer
+
+
+class JobCallFailedError(Exception):
+    """A call on a job had no success before its deadline."""
--- a/standins/engine/__init__.py
+++ b/standins/engine/__init__.py
@@ -10,6 +10,7 @@
     Sequence,
     Token,
     make_prefix_hash,
+    make_prompt_hash,
     make_token,
 )
 
@@ -21,5 +22,6 @@
     "Sequence",
     "Token",
     "make_prefix_hash",
+    "make_prompt_hash",
     "make_token",
 ]
--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -19,11 +19,13 @@
   --models LIST          Models loaded at the start, NAME@VERSION with commas [default: ].
   --adapters LIST        Adapters loaded at the start, as for models [default: ].
   --poison MARKER        Crash on a prompt that holds the marker [default: ].
+  --journal FILE         File that keeps one line an admission.
   --blast                Answer with pre-built events at once.
 """
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 
 import gevent
@@ -64,7 +66,8 @@
     state = EngineState(read_options(args))
     preload(state, "model", args["--models"])
     preload(state, "adapter", args["--adapters"])
-    server = EngineServer(state, blast=args["--blast"])
+    journal = Path(args["--journal"]) if args["--journal"] else None
+    server = EngineServer(state, blast=args["--blast"], journal=journal)
     gevent.spawn(server.run_steps)
     create_server(int(args["--port"]), server.create_app()).serve_forever()
 
--- a/standins/engine/_http.py
+++ b/standins/engine/_http.py
@@ -5,6 +5,7 @@
 import os
 import time
 from collections.abc import Callable, Iterator
+from pathlib import Path
 from typing import Any, Final
 
 import gevent
@@ -12,7 +13,7 @@
 from gevent.event import Event
 from gevent.queue import Empty, Queue
 
-from standins.engine._state import EngineState, Fault, Sequence, Token
+from standins.engine._state import EngineState, Fault, Sequence, Token, make_prompt_hash
 from standins.web import Request, Response, StreamCutError, create_app
 
 CRASH_EXIT_CODE: Final = 70
@@ -28,9 +29,12 @@
 class EngineServer:
     """Runs the steps of an engine and serves its resources."""
 
-    def __init__(self, state: EngineState, *, blast: bool = False) -> None:
+    def __init__(
+        self, state: EngineState, *, blast: bool = False, journal: Path | None = None
+    ) -> None:
         self._state = state
         self._blast = blast
+        self._journal = journal
         self._queues: dict[int, Tokens] = {}
         self._work = Event()
 
@@ -124,6 +128,7 @@
         if self._blast:
             return Response(200, _blast(request_id, body, chat), "text/event-stream")
         sequence = state.admit(request_id, body)
+        self._record(sequence)
         tokens: Tokens = Queue()
         self._queues[id(sequence)] = tokens
         self._work.set()
@@ -132,6 +137,13 @@
             return Response(200, _stream(request_id, items, chat), "text/event-stream")
         return Response(200, _collect(request_id, body, items, chat), "application/json")
 
+    def _record(self, sequence: Sequence) -> None:
+        """Write one line for an admission, so that counts survive a killed process."""
+        if self._journal is None:
+            return
+        with self._journal.open("a") as file:
+            file.write(f"{sequence.request_id} {make_prompt_hash(sequence.prompt)}\n")
+
     def _drain(self, request: Request, sequence: Sequence, tokens: Tokens) -> Iterator[Token]:
         """Yield a sequence's tokens; closing the iterator cancels the generation."""
         cut_after = self._state.take_truncation()
--- a/standins/engine/_state.py
+++ b/standins/engine/_state.py
@@ -81,6 +81,11 @@
     return f"w{xxhash.xxh32_intdigest(f'{index}:{prompt}'.encode()) % 100_000:05d} "
 
 
+def make_prompt_hash(prompt: str) -> str:
+    """Return the hash of a whole prompt, as the journal names it."""
+    return xxhash.xxh3_64_hexdigest(prompt.encode())
+
+
 def make_prefix_hash(prompt: str) -> str:
     """Return the hash of a prompt's leading characters, as the cache names it."""
     return xxhash.xxh3_64_hexdigest(prompt[:PREFIX_CHARS].encode())
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -160,6 +160,15 @@
         """Return the base addresses of all daemons."""
         return [f"http://{LOOPBACK}:{member.port}" for member in self.daemons]
 
+    def read_journal(self, service: str) -> list[list[str]]:
+        """Return the words of each line that a service's targets wrote."""
+        lines: list[list[str]] = []
+        for member in self.targets[service]:
+            path = self.group.folder / f"{member.name}.journal"
+            if path.exists():
+                lines += [line.split() for line in path.read_text().splitlines()]
+        return lines
+
     def _start_platform(self) -> None:
         start = self.group.start
         start("key-value", ["standins.key_value", "--port", str(self.key_value_port)])
@@ -187,10 +196,9 @@
         name = f"{target.service}-{number}"
         port = self.group.pick_port()
         arguments = [f"standins.{target.kind}", "--port", str(port), "--name", name]
+        arguments += ["--journal", str(self.group.folder / f"{name}.journal")]
         if target.kind == "engine":
             arguments += ["--service", target.service]
-        else:
-            arguments += ["--journal", str(self.group.folder / f"{name}.journal")]
         process = self.group.start(name, [*arguments, *target.options])
         return Member(self._make_row(name, target.service, port, 0, number), process)
 
