--- /dev/null
+++ b/bench/_control/__init__.py
@@ -0,0 +1,3 @@
+"""Private parts of the bench of control costs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/bench/_control/host.py
@@ -0,0 +1,28 @@
+"""Many daemons in one process, as peers of the measured one.
+
+Usage: ``python -m bench._control.host SETTINGS...``. Each file is one instance with every
+component, so that the messages are the real ones.
+"""
+
+from __future__ import annotations
+
+import sys
+
+import gevent
+from clementinepin.daemon import build_core
+from loguru import logger
+
+from clementinepin.config import load_settings
+
+
+def main() -> None:
+    """Start every instance and serve until killed."""
+    logger.remove()
+    cores = [build_core(load_settings(path)) for path in sys.argv[1:]]
+    for core in cores:
+        core.start()
+    gevent.wait()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/_control/sample.py
@@ -0,0 +1,105 @@
+"""Read what a process costs: processor time, memory, bytes, messages and calls."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Final, NamedTuple
+
+import gevent
+from gevent.server import DatagramServer
+
+NS_PER_S: Final = 1e9
+KIB: Final = 1024
+KEY_VALUE_PREFIX: Final = "clementinepin.platform.key_value.calls."
+
+
+class Reading(NamedTuple):
+    """Totals at a time."""
+
+    at: float
+    cpu_s: float
+    resident_bytes: int
+    counts: Counter[str]
+
+
+class StatsCollector:
+    """Adds up the counters of a daemon's statsd packets."""
+
+    def __init__(self) -> None:
+        self.counters: Counter[str] = Counter()
+        self._server = DatagramServer("127.0.0.1:0", self._take)
+        self._server.start()
+
+    @property
+    def port(self) -> int:
+        """Return the port to send to."""
+        return int(self._server.server_port)
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    def _take(self, data: bytes, _: object) -> None:
+        for line in data.decode().splitlines():
+            name, _, rest = line.partition(":")
+            value, _, kind = rest.partition("|")
+            if kind.startswith("c"):
+                self.counters[name] += int(float(value))
+
+
+class Meter:
+    """Reads one process."""
+
+    def __init__(self, pid: int, counts_path: Path, stats: StatsCollector) -> None:
+        self._pid = pid
+        self._counts_path = counts_path
+        self._stats = stats
+
+    def read(self) -> Reading:
+        """Return the totals now."""
+        counts = Counter(json.loads(self._counts_path.read_text()))
+        for name, value in self._stats.counters.items():
+            if name.startswith(KEY_VALUE_PREFIX):
+                counts["key_value_calls"] += value
+        counts["requests"] = self._stats.counters["clementinepin.entry.requests"]
+        return Reading(
+            time.monotonic(), read_cpu_s(self._pid), read_resident_bytes(self._pid), counts
+        )
+
+    def measure(self, window_s: float) -> dict[str, float]:
+        """Return the rates over a window and the memory at its end."""
+        first = self.read()
+        gevent.sleep(window_s)
+        last = self.read()
+        span = last.at - first.at
+        moved = {k: (last.counts[k] - first.counts[k]) / span for k in last.counts}
+        return {
+            "cpu": (last.cpu_s - first.cpu_s) / span,
+            "resident_bytes": float(last.resident_bytes),
+            "bytes_in_per_s": moved.get("bytes_in", 0.0),
+            "bytes_out_per_s": moved.get("bytes_out", 0.0),
+            "messages_per_s": moved.get("calls_in", 0.0) + moved.get("calls_out", 0.0),
+            "key_value_calls_per_s": moved.get("key_value_calls", 0.0),
+        }
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor seconds of all threads of a process."""
+    total = 0
+    for task in Path(f"/proc/{pid}/task").iterdir():
+        try:
+            total += int((task / "schedstat").read_text().split()[0])
+        except (FileNotFoundError, ProcessLookupError):
+            continue
+    return total / NS_PER_S
+
+
+def read_resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * KIB
+    return 0
--- a/bench/_faults/jobs.py
+++ b/bench/_faults/jobs.py
@@ -5,6 +5,7 @@
 import json
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, Final
 
 import gevent
@@ -14,11 +15,11 @@
 from standins.caller import Answer, Caller
 from standins.engine import make_token
 from standins.fleet import Fleet
+from standins.jobs import create_job, upload_file
 
 CALL_TIMEOUT_S: Final = 8.0
 POLL_S: Final = 0.3
 ITEM_TOKENS: Final = 12
-BOUNDARY: Final = "fault-bench-7f31"
 ENDED: Final = ("completed", "cancelled")
 
 
@@ -42,7 +43,7 @@
 
     def cancel(self, job_id: str, deadline: float) -> None:
         """Cancel a job and wait for the end; nothing may be added behind it."""
-        self._send_until("POST", f"/v1/batches/{job_id}/cancel", b"{}", {}, deadline)
+        self._send_until("POST", f"/v1/batches/{job_id}/cancel", b"{}", deadline)
         self.wait(job_id, deadline)
         before = len(self.read_results(job_id, deadline))
         gevent.sleep(2.0)
@@ -54,7 +55,7 @@
         """Poll until a job ends or the deadline passes; return its last description."""
         job: dict[str, Any] = {"status": "unknown"}
         while time.monotonic() < deadline:
-            answer = self._call("GET", f"/v1/batches/{job_id}")
+            answer = self._try(lambda port: self._caller.call(port, "GET", f"/v1/batches/{job_id}"))
             if answer.status == 200:
                 job = json.loads(answer.text)
             if job["status"] in ENDED:
@@ -79,7 +80,7 @@
     def read_results(self, job_id: str, deadline: float) -> list[dict[str, Any]]:
         """Return the rows of a job's results so far."""
         path = f"/v1/files/output-{job_id}/content"
-        answer = self._send_until("GET", path, b"", {}, deadline)
+        answer = self._send_until("GET", path, b"", deadline)
         return [json.loads(line) for line in answer.text.splitlines()]
 
     def _check_row(self, row: dict[str, Any]) -> None:
@@ -103,38 +104,29 @@
         return {"custom_id": name, "method": "POST", "url": "/v1/completions", "body": body}
 
     def _submit_once(self, key: str, content: str, deadline: float) -> str:
-        mark = f"--{BOUNDARY}\r\nContent-Disposition: form-data; name="
-        form = f'{mark}"purpose"\r\n\r\nbatch\r\n{mark}"file"; filename="{key}.jsonl"\r\n\r\n'
-        body = f"{form}{content}\r\n--{BOUNDARY}--\r\n".encode()
-        headers = {"Content-Type": f"multipart/form-data; boundary={BOUNDARY}"}
-        uploaded = self._send_until("POST", "/v1/files", body, headers, deadline)
-        message = {
-            "input_file_id": json.loads(uploaded.text)["id"],
-            "endpoint": "/v1/completions",
-            "completion_window": "1h",
-        }
-        headers = {"Idempotency-Key": key}
-        sent = json.dumps(message).encode()
-        answer = self._send_until("POST", "/v1/batches", sent, headers, deadline)
+        uploaded = self._repeat(
+            lambda port: upload_file(self._caller, port, f"{key}.jsonl", content), deadline
+        )
+        file_id = json.loads(uploaded.text)["id"]
+        answer = self._repeat(lambda port: create_job(self._caller, port, key, file_id), deadline)
         return str(json.loads(answer.text)["id"])
 
-    def _send_until(
-        self, method: str, path: str, body: bytes, headers: dict[str, str], deadline: float
-    ) -> Answer:
+    def _send_until(self, method: str, path: str, body: bytes, deadline: float) -> Answer:
+        return self._repeat(lambda port: self._caller.call(port, method, path, body), deadline)
+
+    def _repeat(self, send: Callable[[int], Answer], deadline: float) -> Answer:
         """Send to one entry after the other until one succeeds."""
         while True:
-            answer = self._call(method, path, body, headers)
+            answer = self._try(send)
             if answer.status == 200 and answer.whole:
                 return answer
             if time.monotonic() > deadline:
-                raise JobCallFailedError(f"{method} {path}: {answer.status} {answer.code}")
+                raise JobCallFailedError(f"{answer.status} {answer.code}")
             gevent.sleep(POLL_S)
 
-    def _call(
-        self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
-    ) -> Answer:
+    def _try(self, send: Callable[[int], Answer]) -> Answer:
         port = self._load.directory.pick()
-        answer = self._caller.call(port, method, path, body, headers)
+        answer = send(port)
         if answer.status != 200:
             self._tally.seen[f"job_call_{answer.code if answer.outcome else 'broken'}"] += 1
             self._load.directory.avoid(port)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -51,6 +51,14 @@
     list_lag_s: float = 1.0
 
 
+class PlatformPorts(NamedTuple):
+    """Loopback ports of the platform's stand-ins."""
+
+    key_value: int
+    instance_list: int
+    weight_store: int
+
+
 class Member(NamedTuple):
     """One started process with its row in the instance list."""
 
@@ -106,6 +114,23 @@
         client.close()
 
 
+def pick_platform_ports(group: ProcessGroup) -> PlatformPorts:
+    """Return three free ports."""
+    return PlatformPorts(group.pick_port(), group.pick_port(), group.pick_port())
+
+
+def start_platform(
+    group: ProcessGroup, ports: PlatformPorts, list_lag_s: float, weight_rate: float
+) -> None:
+    """Start the stand-ins of the platform."""
+    for name, module, port, options in (
+        ("key-value", "key_value", ports.key_value, []),
+        ("instance-list", "instance_list", ports.instance_list, ["--lag", str(list_lag_s)]),
+        ("weight-store", "weight_store", ports.weight_store, ["--rate", str(weight_rate)]),
+    ):
+        group.start(name, [f"standins.{module}", "--port", str(port), *options])
+
+
 class Fleet:
     """Started processes of one plan."""
 
@@ -114,13 +139,11 @@
         self.group = group
         self.daemons: list[Member] = []
         self.targets: dict[str, list[Member]] = {}
-        self.key_value_port = group.pick_port()
-        self.list_port = group.pick_port()
-        self.weights_port = group.pick_port()
+        self.ports = pick_platform_ports(group)
 
     def start(self) -> None:
         """Start everything and wait until each daemon answers."""
-        self._start_platform()
+        start_platform(self.group, self.ports, self.plan.list_lag_s, self.plan.weight_rate)
         for target in self.plan.targets:
             self.targets[target.service] = [
                 self._start_target(target, number) for number in range(1, target.workers + 1)
@@ -140,7 +163,7 @@
     def publish_rows(self) -> None:
         """Give the instance list its present rows."""
         members = [*self.daemons, *(m for group in self.targets.values() for m in group)]
-        send_json(self.list_port, "PUT", "/standin/rows", [m.row for m in members])
+        send_json(self.ports.instance_list, "PUT", "/standin/rows", [m.row for m in members])
 
     def set_state(self, member: Member, state: str) -> None:
         """Change a member's state in the instance list."""
@@ -149,11 +172,11 @@
 
     def set_key_value_fault(self, **fault: object) -> None:
         """Start or end a fault of the key-value service, such as ``down=True``."""
-        send_json(self.key_value_port, "POST", "/standin/fault", fault)
+        send_json(self.ports.key_value, "POST", "/standin/fault", fault)
 
     def count_key_value_calls(self) -> dict[str, int]:
         """Return the calls that the key-value service has counted, by resource."""
-        counts: dict[str, int] = send_json(self.key_value_port, "GET", "/standin/counts")
+        counts: dict[str, int] = send_json(self.ports.key_value, "GET", "/standin/counts")
         return counts
 
     def list_entries(self) -> list[str]:
@@ -169,28 +192,8 @@
                 lines += [line.split() for line in path.read_text().splitlines()]
         return lines
 
-    def _start_platform(self) -> None:
-        start = self.group.start
-        start("key-value", ["standins.key_value", "--port", str(self.key_value_port)])
-        lag = str(self.plan.list_lag_s)
-        start(
-            "instance-list",
-            ["standins.instance_list", "--port", str(self.list_port), "--lag", lag],
-        )
-        start(
-            "weight-store",
-            [
-                "standins.weight_store",
-                "--port",
-                str(self.weights_port),
-                "--rate",
-                str(self.plan.weight_rate),
-            ],
-        )
-
     def _list_outside_ports(self) -> list[int]:
-        ports = [self.key_value_port, self.list_port, self.weights_port]
-        return ports + [m.port for group in self.targets.values() for m in group]
+        return [*self.ports] + [m.port for group in self.targets.values() for m in group]
 
     def _start_target(self, target: TargetPlan, number: int) -> Member:
         name = f"{target.service}-{number}"
@@ -206,8 +209,17 @@
         name = f"entry-{number}"
         port, peer_port = self.group.pick_port(), self.group.pick_port()
         row = self._make_row(name, SERVICE_OWN, port, peer_port, number)
+        data = self.group.folder / f"{name}.data"
+        text = format_settings(
+            row,
+            self.ports,
+            operator_key=self.plan.operator_key,
+            advice_s=self.plan.advice_s,
+            drain_s=self.plan.drain_s,
+            folder=data if number <= self.plan.folders else None,
+        )
         path = self.group.folder / f"{name}.toml"
-        path.write_text(self._format_settings(row, port, peer_port, number))
+        path.write_text(text)
         process = self.group.start(name, ["clementinepin.daemon", "--config", str(path)])
         return Member(row, process)
 
@@ -215,50 +227,72 @@
         self, name: str, service: str, port: int, peer_port: int, number: int
     ) -> dict[str, Any]:
         centres = self.plan.data_centres
-        labels = {
-            "name": name,
-            "service": service,
-            "data_centre": centres[number % len(centres)],
-            "region": self.plan.region,
-            "state": "live",
-            "peer_port": str(peer_port),
-        }
-        return {"targets": [f"{LOOPBACK}:{port}"], "labels": labels}
-
-    def _format_settings(self, row: dict[str, Any], port: int, peer_port: int, number: int) -> str:
-        labels = row["labels"]
-        digest = hashlib.sha256(self.plan.operator_key.encode()).hexdigest()
-        folder = ""
-        if number <= self.plan.folders:
-            path = self.group.folder / f"{labels['name']}.data"
-            path.mkdir(exist_ok=True)
-            folder = f"\n[storage]\nfolder = {json.dumps(str(path))}\n"
-        return f"""version = 1
+        centre = centres[number % len(centres)]
+        return make_row(name, service, port, peer_port, centre, self.plan.region)
+
+
+def make_row(
+    name: str, service: str, port: int, peer_port: int, data_centre: str, region: str
+) -> dict[str, Any]:
+    """Return a live row of the instance list on loopback."""
+    labels = {
+        "name": name,
+        "service": service,
+        "data_centre": data_centre,
+        "region": region,
+        "state": "live",
+        "peer_port": str(peer_port),
+    }
+    return {"targets": [f"{LOOPBACK}:{port}"], "labels": labels}
+
+
+def format_settings(
+    row: dict[str, Any],
+    ports: PlatformPorts,
+    *,
+    operator_key: str,
+    advice_s: float,
+    drain_s: float,
+    folder: Path | None = None,
+    statsd_port: int | None = None,
+    log_level: str = "DEBUG",
+) -> str:
+    """Return the settings file of one daemon; creates its data folder."""
+    labels = row["labels"]
+    port = row["targets"][0].rpartition(":")[2]
+    digest = hashlib.sha256(operator_key.encode()).hexdigest()
+    extra = ""
+    if folder is not None:
+        folder.mkdir(exist_ok=True)
+        extra += f"[storage]\nfolder = {json.dumps(str(folder))}\n\n"
+    if statsd_port is not None:
+        extra += f'[metrics]\nhost = "{LOOPBACK}"\nport = {statsd_port}\n\n'
+    return f"""version = 1
 
 [instance]
 name = "{labels['name']}"
 address = "{LOOPBACK}"
 port = {port}
-peer_port = {peer_port}
+peer_port = {labels['peer_port']}
 data_centre = "{labels['data_centre']}"
 region = "{labels['region']}"
 
 [platform]
-key_value = ["{LOOPBACK}:{self.key_value_port}"]
-instance_list = "{LOOPBACK}:{self.list_port}"
-weight_store = "{LOOPBACK}:{self.weights_port}"
+key_value = ["{LOOPBACK}:{ports.key_value}"]
+instance_list = "{LOOPBACK}:{ports.instance_list}"
+weight_store = "{LOOPBACK}:{ports.weight_store}"
 key_value_calls_per_s = 200.0
-{folder}
+
 [limits]
-advice_s = {self.plan.advice_s}
-drain_s = {self.plan.drain_s}
+advice_s = {advice_s}
+drain_s = {drain_s}
 
 [security]
 peer_secret = "{PEER_SECRET}"
 operator_key_digest = "{digest}"
 
-[logs]
-level = "DEBUG"
+{extra}[logs]
+level = "{log_level}"
 """
 
 
