Keep bulk segments as synced files in several data centres

Cause: all segments were inline in the key-value service, whose bytes are few. Reads verify the digest and pass over damaged copies; holders replace lost folders (an empty replacement counts as lost), heal damaged or vanished copies, remove copies without a record unless one is written again, and one instance reclaims records past their time.

--- a/clementinepin/batch/_active.py
+++ b/clementinepin/batch/_active.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from clementinepin.batch._codec import PREFIX_ACTIVE, decode_row
+from clementinepin.batch._codec import PREFIX_ACTIVE
+from clementinepin.helpers.rows import decode_row
 from clementinepin.tables import JobRow, JobState, PlanRow, ProgressRow
 
 
--- a/clementinepin/batch/_claimer.py
+++ b/clementinepin/batch/_claimer.py
@@ -9,7 +9,6 @@
 
 from clementinepin.batch._active import ActiveJob, ActiveJobs
 from clementinepin.batch._closer import JobCloser
-from clementinepin.batch._codec import decode_row
 from clementinepin.batch._items import CODE_ATTEMPTS, ItemWork, fail_item
 from clementinepin.batch._jobs import JobStore
 from clementinepin.batch._keeper import ShardKeeper
@@ -19,6 +18,7 @@
 from clementinepin.core import Core
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.rendezvous import score_pair
+from clementinepin.helpers.rows import decode_row
 from clementinepin.storage import SegmentStore
 from clementinepin.systems.shard_order import AccountUse, JobCandidate, choose_shard, order_jobs
 from clementinepin.systems.shard_state import is_exhausted, list_undone
--- a/clementinepin/batch/_closer.py
+++ b/clementinepin/batch/_closer.py
@@ -5,10 +5,11 @@
 from loguru import logger
 
 from clementinepin.batch._active import ActiveJob
-from clementinepin.batch._codec import decode_row, encode_row, key_progress
+from clementinepin.batch._codec import key_progress
 from clementinepin.batch._jobs import JobStore
 from clementinepin.batch._shards import ShardLostError, ShardStore, create_operation
 from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.rows import decode_row, encode_row
 from clementinepin.platform import KeyValueStore
 from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.systems.shard_state import seal_cancelled
--- a/clementinepin/batch/_codec.py
+++ b/clementinepin/batch/_codec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from typing import Any, NamedTuple, TypeVar
+from typing import NamedTuple
 
 import msgspec
 
@@ -13,7 +13,6 @@
 PREFIX_PROGRESS = "progress/"
 JOB_ID_PREFIX = "batch_"
 DIGEST_BYTES = 16
-R = TypeVar("R")
 
 
 class ResultLine(NamedTuple):
@@ -23,20 +22,6 @@
     line: bytes
 
 
-def encode_row(row: Any) -> bytes:
-    """Return a row as a MessagePack map, so that fields may be added."""
-    return msgspec.msgpack.encode(row._asdict())
-
-
-def decode_row(data: bytes, row_type: type[R]) -> R:
-    """Return a row; fields that it does not know are dropped, missing ones take defaults."""
-    stored = msgspec.msgpack.decode(data)
-    kind: Any = row_type
-    defaults = kind._field_defaults
-    values = [stored[f] if f in stored else defaults[f] for f in kind._fields]
-    return msgspec.convert(values, type=row_type)
-
-
 def digest_text(*parts: str) -> str:
     """Return a digest in hex of the parts, which are kept apart."""
     joined = msgspec.msgpack.encode(parts)
--- a/clementinepin/batch/_jobs.py
+++ b/clementinepin/batch/_jobs.py
@@ -4,16 +4,10 @@
 
 from typing import NamedTuple
 
-from clementinepin.batch._codec import (
-    decode_row,
-    digest_text,
-    encode_row,
-    key_active,
-    key_job,
-    name_job,
-)
+from clementinepin.batch._codec import digest_text, key_active, key_job, name_job
 from clementinepin.batch.exceptions import InvalidBatchError, JobConflictError, JobNotFoundError
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.rows import decode_row, encode_row
 from clementinepin.platform import KeyValueStore
 from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.tables import FileRecord, JobRow, JobState
--- a/clementinepin/batch/_shards.py
+++ b/clementinepin/batch/_shards.py
@@ -6,8 +6,9 @@
 from collections.abc import Collection, Iterator
 from typing import NamedTuple
 
-from clementinepin.batch._codec import decode_row, encode_row, key_shard, prefix_shards
+from clementinepin.batch._codec import key_shard, prefix_shards
 from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.rows import decode_row, encode_row
 from clementinepin.platform import KeyValueStore
 from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.systems.shard_state import ClaimDecision, SwapOutcome, claim_shard, judge_swap
--- a/clementinepin/batch/_uploads.py
+++ b/clementinepin/batch/_uploads.py
@@ -8,7 +8,7 @@
 import gevent
 import xxhash
 
-from clementinepin.batch._codec import decode_row, encode_row, key_file
+from clementinepin.batch._codec import key_file
 from clementinepin.batch._lines import parse_line, read_model, split_lines
 from clementinepin.batch.exceptions import (
     DuplicateCustomIdError,
@@ -19,6 +19,7 @@
 )
 from clementinepin.batch.models import FileRow
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.rows import decode_row, encode_row
 from clementinepin.platform import KeyValueStore
 from clementinepin.storage import SegmentStore
 from clementinepin.tables import FileRecord, PlanRow, ShardInput
--- /dev/null
+++ b/clementinepin/storage/_directory.py
@@ -0,0 +1,81 @@
+"""Which data folders there are, and which are in reach."""
+
+from __future__ import annotations
+
+from clementinepin.core import Core
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.rows import decode_row, encode_row
+from clementinepin.peers import PeerNetwork
+from clementinepin.platform import KeyValueStore
+from clementinepin.tables import HolderRow
+
+PREFIX_HOLDERS = "holders/"
+REFRESH_S = 60.0
+REFRESH_EMPTY_S = 5.0
+PUBLISH_S = 600.0
+HOLDERS_MAX = 1000
+
+
+class HolderDirectory:
+    """A cached list of folders; each instance publishes its own."""
+
+    def __init__(self, core: Core, key_value: KeyValueStore, peers: PeerNetwork) -> None:
+        self._core = core
+        self._key_value = key_value
+        self._peers = peers
+        self._rows: dict[str, HolderRow] = {}
+        self._refresh_at = 0.0
+        self._publish_at = 0.0
+
+    def list_live(self) -> dict[str, HolderRow]:
+        """Return the folders of live instances by id; one folder an instance, the newest.
+
+        An older folder of an instance is one that was lost when it was replaced.
+        """
+        self._refresh_if_due()
+        live = set(self._peers.list_live()) | {self._core.settings.instance.name}
+        newest: dict[str, HolderRow] = {}
+        for row in self._rows.values():
+            known = newest.get(row.instance)
+            if row.instance in live and (known is None or row.updated_at > known.updated_at):
+                newest[row.instance] = row
+        return {row.folder_id: row for row in newest.values()}
+
+    def find(self, folder_id: str) -> HolderRow | None:
+        """Return a folder's row, live or not."""
+        return self._rows.get(folder_id)
+
+    def publish(self, folder_id: str, free_bytes: int) -> None:
+        """Make the own folder known, now and then, and take off earlier ones."""
+        now = self._core.clock.monotonic()
+        if now < self._publish_at:
+            return
+        instance = self._core.settings.instance
+        row = HolderRow(
+            folder_id, instance.name, instance.data_centre, free_bytes, self._core.clock.wall()
+        )
+        self._key_value.put(PREFIX_HOLDERS + folder_id, encode_row(row), expected=None)
+        self._publish_at = now + PUBLISH_S
+        self.refresh()
+        for stale in list(self._rows.values()):
+            if stale.instance == instance.name and stale.folder_id != folder_id:
+                self._key_value.delete(PREFIX_HOLDERS + stale.folder_id, expected=None)
+                self._rows.pop(stale.folder_id, None)
+
+    def refresh(self) -> None:
+        """Read the list."""
+        stored = self._key_value.list_range(PREFIX_HOLDERS, limit=HOLDERS_MAX)
+        rows = [decode_row(kv.value, HolderRow) for kv in stored]
+        self._rows = {row.folder_id: row for row in rows}
+        pause_s = REFRESH_S if rows else REFRESH_EMPTY_S
+        jitter = self._core.random.uniform(0.75, 1.25)
+        self._refresh_at = self._core.clock.monotonic() + pause_s * jitter
+
+    def _refresh_if_due(self) -> None:
+        """Refresh; an older list serves while the platform is unavailable."""
+        if self._core.clock.monotonic() < self._refresh_at:
+            return
+        try:
+            self.refresh()
+        except ClementinepinError:
+            self._refresh_at = self._core.clock.monotonic() + REFRESH_EMPTY_S
--- a/clementinepin/storage/_store.py
+++ b/clementinepin/storage/_store.py
@@ -1,22 +1,39 @@
-"""The segment store: write-once data, named by digest."""
+"""The segment store: write-once data, named by digest, in the key-value service or in files."""
 
 from __future__ import annotations
 
 from typing import Any
 
-from clementinepin.const import PREFIX_SEGMENTS, VALUE_MAX_BYTES
-from clementinepin.core import Core
+import gevent
+from loguru import logger
+
+from clementinepin.const import VALUE_MAX_BYTES
+from clementinepin.core import Core, spawn_loop
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.rendezvous import rank_owners
 from clementinepin.peers import PeerNetwork
 from clementinepin.platform import KeyValueStore
-from clementinepin.platform.exceptions import (
-    PlatformUnavailableError,
-    ReplyLostError,
-    VersionConflictError,
-)
-from clementinepin.storage._codec import compress, decompress, name_segment
+from clementinepin.platform.exceptions import PlatformUnavailableError, ReplyLostError
+from clementinepin.storage._budget import InlineBudget
+from clementinepin.storage._codec import StoredFile, compress, decompress, name_segment
+from clementinepin.storage._directory import HolderDirectory
+from clementinepin.storage._files import FileOperations, create_file_operations
+from clementinepin.storage._folder import SegmentFolder
+from clementinepin.storage._records import SegmentRecords
+from clementinepin.storage._repair import SegmentRepair
+from clementinepin.storage._transfers import SegmentTransfers
 from clementinepin.storage.exceptions import SegmentLostError, StorageUnavailableError
+from clementinepin.systems.segment_placement import choose_holders, is_durable
+from clementinepin.tables import HolderRow, SegmentRow
 
 LOG_PREFIX = "storage:"
+INLINE_SMALL_BYTES = 32_000
+INLINE_MAX_BYTES = VALUE_MAX_BYTES - 1_000
+KEEP_S = 60 * 86_400.0
+WRITE_MAX_S = 600.0
+GUESSES_MAX = 6
+UNAVAILABLE_PAUSE_S = 2.0
+MAINTENANCE_PERIOD_S = 1.0
 
 
 class SegmentStoreComponent:
@@ -24,47 +41,183 @@
 
     name = "storage"
 
-    def __init__(self, core: Core, key_value: KeyValueStore, peers: PeerNetwork) -> None:
+    def __init__(
+        self,
+        core: Core,
+        key_value: KeyValueStore,
+        peers: PeerNetwork,
+        operations: FileOperations,
+    ) -> None:
+        settings = core.settings.storage
         self._core = core
-        self._key_value = key_value
         self._peers = peers
+        self._folder: SegmentFolder | None = None
+        if settings.folder is not None:
+            self._folder = SegmentFolder(
+                operations, settings.folder, settings.budget_bytes, core.clock
+            )
+        self._records = SegmentRecords(key_value)
+        self._directory = HolderDirectory(core, key_value, peers)
+        self._transfers = SegmentTransfers(core, peers, self._folder)
+        self._repair = SegmentRepair(
+            core, peers, self._records, self._directory, self._transfers, self._folder
+        )
+        self._budget = InlineBudget(core.clock.monotonic())
+        self._greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
-        """Start nothing yet."""
+        """Open the data folder and start its upkeep."""
+        self._open_folder()
+        self._greenlets = [spawn_loop(self._maintain, MAINTENANCE_PERIOD_S, LOG_PREFIX)]
 
     def stop(self, deadline: float) -> None:
-        """Stop nothing yet."""
+        """Stop the upkeep."""
+        gevent.killall(self._greenlets)
 
     def describe_state(self) -> dict[str, Any]:
-        """Return a JSON-ready dump."""
-        return {}
+        """Return the data folder's use and the folders in reach."""
+        folder = self._folder
+        return {
+            "folder_id": folder.folder_id if folder else None,
+            "segments_held": len(folder.held) if folder else 0,
+            "free_bytes": folder.free_bytes if folder else 0,
+            "repairs_waiting": self._repair.count_waiting(),
+            "holders": sorted(row.instance for row in self._directory.list_live().values()),
+        }
 
     def write(self, data: bytes) -> str:
-        """Make the data durable and return its name."""
+        """Make the data durable and return its name; raises StorageUnavailableError."""
         name = name_segment(data)
         frame = compress(data)
-        if len(frame) > VALUE_MAX_BYTES:
-            raise StorageUnavailableError("the segment is too large")
         try:
-            self._key_value.put(PREFIX_SEGMENTS + name, frame, expected=0)
-        except VersionConflictError:
-            return name
+            if len(frame) <= INLINE_SMALL_BYTES and self._take_inline(len(frame)):
+                self._write_inline(name, frame)
+            elif not self._write_files(name, frame):
+                self._write_inline_or_refuse(name, frame)
         except (PlatformUnavailableError, ReplyLostError) as err:
-            raise StorageUnavailableError(name, retry_at=err.retry_at) from err
+            raise StorageUnavailableError(err.code, retry_at=err.retry_at) from err
         return name
 
     def read(self, name: str) -> bytes:
         """Return the data; raises SegmentLostError when no good copy is left in reach."""
-        stored = self._key_value.get(PREFIX_SEGMENTS + name)
-        if stored is None:
+        try:
+            record = self._records.load(name)
+        except PlatformUnavailableError as err:
+            return self._read_by_rank(name, err)
+        if record is None:
             raise SegmentLostError(name)
-        return decompress(name, stored.value)
+        if record.row.inline:
+            return decompress(name, record.row.inline)
+        rows = [self._directory.find(folder_id) for folder_id in record.row.holders]
+        return self._read_from([row for row in rows if row is not None], name)
+
+    def _open_folder(self) -> None:
+        """Open the data folder; with a broken disk the instance serves without it."""
+        if self._folder is None:
+            return
+        try:
+            self._folder.open()
+        except OSError as err:
+            logger.error("{} The data folder can't be used: {}.", LOG_PREFIX, err)
+
+    def _write_inline(self, name: str, frame: bytes) -> None:
+        row = SegmentRow(len(frame), self._core.clock.wall() + KEEP_S, inline=frame)
+        self._records.publish(name, row)
+        self._core.metrics.incr("storage.writes.inline")
+
+    def _write_inline_or_refuse(self, name: str, frame: bytes) -> None:
+        """Fall back to the key-value service while the budget lasts."""
+        if len(frame) <= INLINE_MAX_BYTES and self._take_inline(len(frame)):
+            self._write_inline(name, frame)
+            return
+        self._core.metrics.incr("storage.writes.refused")
+        wait_s = self._budget.estimate_wait(len(frame), self._count_instances())
+        retry_at = self._core.clock.wall() + max(UNAVAILABLE_PAUSE_S, wait_s)
+        raise StorageUnavailableError("no two data centres take a copy", retry_at=retry_at)
+
+    def _write_files(self, name: str, frame: bytes) -> bool:
+        """Copy to folders in several data centres; False when too few take a copy.
+
+        A copy without a record is removed after a while, so a write that took longer than
+        that is not answered as durable.
+        """
+        started_at = self._core.clock.monotonic()
+        keep_until = self._core.clock.wall() + KEEP_S
+        written = self._place_copies(name, frame, keep_until)
+        if not is_durable(written):
+            return False
+        holders = tuple(row.folder_id for row in written)
+        self._records.publish(name, SegmentRow(len(frame), keep_until, holders=holders))
+        if self._core.clock.monotonic() - started_at > WRITE_MAX_S:
+            raise StorageUnavailableError("the write took too long")
+        self._core.metrics.incr("storage.writes.files")
+        return True
+
+    def _place_copies(self, name: str, frame: bytes, keep_until: float) -> list[HolderRow]:
+        """Send copies; folders that refuse are replaced by others, once."""
+        live = self._directory.list_live()
+        written: list[HolderRow] = []
+        tried: set[str] = set()
+        for _ in range(2):
+            others = [row for row in live.values() if row.folder_id not in tried]
+            chosen = choose_holders(name, others, len(frame), kept=written)
+            if not is_durable([*written, *chosen]):
+                break
+            tried.update(row.folder_id for row in chosen)
+            holders = tuple(row.folder_id for row in [*written, *chosen])
+            written += self._transfers.send_all(
+                chosen, name, StoredFile(frame, holders, keep_until)
+            )
+        return written
+
+    def _read_from(self, rows: list[HolderRow], name: str) -> bytes:
+        own = self._core.settings.instance
+        near = sorted(
+            rows,
+            key=lambda row: (row.instance != own.name, row.data_centre != own.data_centre),
+        )
+        for row in near:
+            try:
+                return decompress(name, self._transfers.fetch(row, name))
+            except ClementinepinError as err:
+                self._core.metrics.incr(f"storage.reads_failed.{err.code}")
+        raise SegmentLostError(name)
+
+    def _read_by_rank(self, name: str, err: PlatformUnavailableError) -> bytes:
+        """Read from where a write would have put copies, while no record can be read."""
+        live = self._directory.list_live()
+        ranked = [live[folder_id] for folder_id in rank_owners(name, live)]
+        try:
+            return self._read_from(ranked[:GUESSES_MAX], name)
+        except SegmentLostError:
+            raise err from None
+
+    def _take_inline(self, size_bytes: int) -> bool:
+        now = self._core.clock.monotonic()
+        return self._budget.take(size_bytes, self._count_instances(), now)
+
+    def _count_instances(self) -> int:
+        return len(self._peers.list_live())
+
+    def _maintain(self) -> None:
+        """Do a step of upkeep; an unavailable platform is no surprise to log."""
+        try:
+            if self._folder is not None and self._folder.folder_id:
+                self._directory.publish(self._folder.folder_id, self._folder.free_bytes)
+            self._repair.step()
+        except ClementinepinError as err:
+            self._core.metrics.incr(f"storage.steps_failed.{err.code}")
 
 
 def create_segment_store(
-    core: Core, key_value: KeyValueStore, peers: PeerNetwork
+    core: Core,
+    key_value: KeyValueStore,
+    peers: PeerNetwork,
+    operations: FileOperations | None = None,
 ) -> SegmentStoreComponent:
-    """Create the segment store and register it."""
-    component = SegmentStoreComponent(core, key_value, peers)
+    """Create the segment store and register it; ``operations`` None means the real disk."""
+    component = SegmentStoreComponent(
+        core, key_value, peers, operations or create_file_operations()
+    )
     core.register(component)
     return component
--- /dev/null
+++ b/clementinepin/storage/_transfers.py
@@ -0,0 +1,156 @@
+"""Segments between instances, in chunks below the message limit."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any, TypedDict
+
+import gevent
+
+from clementinepin.core import Core
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.peers import PeerNetwork
+from clementinepin.storage._codec import StoredFile, decompress
+from clementinepin.storage._folder import SegmentFolder
+from clementinepin.storage.exceptions import SegmentLostError, StorageUnavailableError
+from clementinepin.tables import HolderRow
+
+METHOD_PUT = "storage.put"
+METHOD_GET = "storage.get"
+CHUNK_BYTES = 1_000_000
+TRANSFER_TIMEOUT_S = 5.0
+UPLOADS_MAX = 64
+
+
+class PutMessage(TypedDict):
+    """A chunk of a copy; the last one makes it durable."""
+
+    name: str
+    folder_id: str
+    offset: int
+    size_bytes: int
+    holders: Sequence[str]
+    keep_until: float
+    data: bytes
+
+
+class GetMessage(TypedDict):
+    """A request for a chunk of a copy."""
+
+    name: str
+    folder_id: str
+    offset: int
+
+
+class SegmentTransfers:
+    """Sends and fetches copies, and serves the own folder to peers."""
+
+    def __init__(self, core: Core, peers: PeerNetwork, folder: SegmentFolder | None) -> None:
+        self._core = core
+        self._peers = peers
+        self._folder = folder
+        self._uploads: dict[tuple[str, str], bytearray] = {}
+        peers.register(METHOD_PUT, self._serve_put)
+        peers.register(METHOD_GET, self._serve_get)
+
+    def send_all(self, rows: Sequence[HolderRow], name: str, stored: StoredFile) -> list[HolderRow]:
+        """Copy to several folders at once; return those where the copy is durable."""
+        greenlets = [gevent.spawn(self._send_quietly, row, name, stored) for row in rows]
+        gevent.joinall(greenlets)
+        return [row for row, greenlet in zip(rows, greenlets, strict=True) if greenlet.value]
+
+    def send(self, row: HolderRow, name: str, stored: StoredFile) -> None:
+        """Copy to one folder; raises StorageUnavailableError or PeerUnavailableError."""
+        if self._is_own(row.folder_id):
+            self._put_own(name, stored)
+            return
+        deadline = self._core.clock.monotonic() + TRANSFER_TIMEOUT_S
+        for offset in range(0, len(stored.frame), CHUNK_BYTES):
+            message: PutMessage = {
+                "name": name,
+                "folder_id": row.folder_id,
+                "offset": offset,
+                "size_bytes": len(stored.frame),
+                "holders": stored.holders,
+                "keep_until": stored.keep_until,
+                "data": stored.frame[offset : offset + CHUNK_BYTES],
+            }
+            answer = self._peers.call(row.instance, METHOD_PUT, message, deadline=deadline)
+            if not answer.get("accepted"):
+                raise StorageUnavailableError(f"{row.instance} took no copy")
+
+    def fetch(self, row: HolderRow, name: str) -> bytes:
+        """Return a frame whose content is what the name says, from one folder."""
+        if self._is_own(row.folder_id) and self._folder is not None:
+            frame = self._folder.read(name).frame
+        else:
+            frame = self._fetch_chunks(row, name)
+        decompress(name, frame)
+        return frame
+
+    def _fetch_chunks(self, row: HolderRow, name: str) -> bytes:
+        deadline = self._core.clock.monotonic() + TRANSFER_TIMEOUT_S
+        frame = bytearray()
+        while True:
+            message: GetMessage = {
+                "name": name,
+                "folder_id": row.folder_id,
+                "offset": len(frame),
+            }
+            answer = self._peers.call(row.instance, METHOD_GET, message, deadline=deadline)
+            if not answer.get("found") or not answer["data"]:
+                raise SegmentLostError(name)
+            frame += answer["data"]
+            if len(frame) >= answer["size_bytes"]:
+                return bytes(frame)
+
+    def _send_quietly(self, row: HolderRow, name: str, stored: StoredFile) -> bool:
+        try:
+            self.send(row, name, stored)
+        except ClementinepinError as err:
+            self._core.metrics.incr(f"storage.copies_failed.{err.code}")
+            return False
+        return True
+
+    def _serve_put(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+        """Take a chunk; an old folder's id is refused, as its other copies are gone."""
+        if not self._is_own(message["folder_id"]):
+            return {"accepted": False}
+        key = (sender, message["name"])
+        upload = self._uploads.setdefault(key, bytearray())
+        if message["offset"] == 0:
+            upload.clear()
+        if message["offset"] != len(upload) or len(self._uploads) > UPLOADS_MAX:
+            del self._uploads[key]
+            return {"accepted": False}
+        upload += message["data"]
+        if len(upload) < message["size_bytes"]:
+            return {"accepted": True}
+        del self._uploads[key]
+        stored = StoredFile(bytes(upload), tuple(message["holders"]), message["keep_until"])
+        try:
+            decompress(message["name"], stored.frame)
+            self._put_own(message["name"], stored)
+        except ClementinepinError as err:
+            return {"accepted": False, "code": err.code}
+        return {"accepted": True}
+
+    def _serve_get(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+        """Return a chunk; a copy that should be here and is not is noted to be healed."""
+        if self._folder is None:
+            return {"found": False}
+        try:
+            frame = self._folder.read(message["name"]).frame
+        except SegmentLostError:
+            return {"found": False}
+        offset = message["offset"]
+        data = frame[offset : offset + CHUNK_BYTES]
+        return {"found": True, "size_bytes": len(frame), "data": data}
+
+    def _is_own(self, folder_id: str) -> bool:
+        return self._folder is not None and self._folder.folder_id == folder_id != ""
+
+    def _put_own(self, name: str, stored: StoredFile) -> None:
+        if self._folder is None:
+            raise StorageUnavailableError("no data folder here")
+        self._folder.put(name, stored)
--- a/clementinepin/tables/__init__.py
+++ b/clementinepin/tables/__init__.py
@@ -21,6 +21,7 @@
 from clementinepin.tables._jobs import FileRecord, JobRow, JobState, PlanRow, ShardInput
 from clementinepin.tables._measures import MeasureRow, MeasureTable, RetryRow, RetryTable
 from clementinepin.tables._owners import OwnerTable
+from clementinepin.tables._segments import HolderRow, SegmentRow
 from clementinepin.tables._shards import (
     CommitRow,
     ProgressRow,
@@ -46,6 +47,7 @@
     "DemandRow",
     "DemandTable",
     "FileRecord",
+    "HolderRow",
     "IsolationRow",
     "JobRow",
     "JobState",
@@ -57,6 +59,7 @@
     "ProgressRow",
     "RetryRow",
     "RetryTable",
+    "SegmentRow",
     "ShardInput",
     "ShardRow",
     "ShardState",
--- /dev/null
+++ b/tests/storage/test_store.py
@@ -0,0 +1,200 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from clementinepin.exceptions import Outcome
+from clementinepin.platform.exceptions import PlatformUnavailableError
+from clementinepin.storage._budget import INLINE_FLEET_BYTES_PER_DAY
+from clementinepin.storage._repair import ORPHAN_S, RECLAIM_GRACE_S, REPAIR_AFTER_S
+from clementinepin.storage._store import KEEP_S
+from clementinepin.storage.exceptions import SegmentLostError, StorageUnavailableError
+from standins.key_value import MemoryKeyValueStore
+from tests.storage.fakes import Cluster
+
+BULK = random.Random(1).randbytes(2_500_000)
+
+
+@pytest.fixture
+def key_value(clock):
+    return MemoryKeyValueStore(clock)
+
+
+@pytest.fixture
+def cluster(clock, key_value):
+    return Cluster(clock, key_value, ["dc1", "dc2", "dc3", "dc4"])
+
+
+def test_small_segment_is_inline_and_named_by_digest(cluster, key_value):
+    name = cluster.nodes["a"].store.write(b"small" * 100)
+    assert cluster.nodes["d"].store.read(name) == b"small" * 100
+    assert cluster.nodes["b"].store.write(b"small" * 100) == name
+    assert len(key_value.list_range("segments/")) == 1
+    assert not cluster.find_holders(name)
+
+
+def test_bulk_has_copies_in_three_data_centres(cluster):
+    name = cluster.nodes["a"].store.write(BULK)
+    assert len(cluster.find_holders(name)) == 3
+    for node in cluster.nodes.values():
+        assert node.store.read(name) == BULK
+
+
+def test_one_data_centre_is_not_enough(clock, key_value):
+    """Mutation: ``is_durable`` counts folders in place of data centres."""
+    cluster = Cluster(clock, key_value, ["dc1", "dc1", "dc1"])
+    with pytest.raises(StorageUnavailableError) as caught:
+        cluster.nodes["a"].store.write(BULK)
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert caught.value.retry_at > clock.wall()
+
+
+def test_inline_budget_ends_and_refills(clock, key_value):
+    node = Cluster(clock, key_value, []).add("a", "dc1", with_disk=False)
+    chunk = 900_000
+    for n in range(int(INLINE_FLEET_BYTES_PER_DAY // (chunk + 1_000))):
+        node.store.write(random.Random(n).randbytes(chunk))
+    with pytest.raises(StorageUnavailableError) as caught:
+        node.store.write(random.Random(-1).randbytes(chunk))
+    clock.advance(caught.value.retry_at - clock.wall() + 1.0)
+    node.store.write(random.Random(-1).randbytes(chunk))
+
+
+@pytest.mark.parametrize("fault", ["full", "torn", "down"])
+def test_write_goes_to_another_holder_when_one_refuses(cluster, fault):
+    name = cluster.nodes["a"].store.write(BULK)
+    other = BULK + b"x"
+    victim = sorted(cluster.find_holders(name))[0]
+    for holder in cluster.nodes:
+        if holder != victim:
+            continue
+        if fault == "down":
+            cluster.network.down.add(holder)
+        else:
+            setattr(cluster.nodes[holder].disk, fault, True)
+    writer = next(n for n in cluster.nodes if n != victim)
+    second = cluster.nodes[writer].store.write(other)
+    assert len(cluster.find_holders(second) - {victim}) >= 2
+    assert cluster.nodes[writer].store.read(second) == other
+
+
+def test_all_disks_full_is_a_true_refusal(cluster, key_value):
+    for node in cluster.nodes.values():
+        node.disk.full = True
+    with pytest.raises(StorageUnavailableError):
+        cluster.nodes["a"].store.write(BULK)
+    assert key_value.list_range("segments/") == []
+
+
+def test_reader_passes_over_damaged_copies_and_scrub_heals_them(cluster):
+    name = cluster.nodes["a"].store.write(BULK)
+    first, second, third = sorted(cluster.find_holders(name))
+    cluster.nodes[first].disk.flip_bit(name)
+    cluster.nodes[second].disk.flip_bit(name)
+    assert cluster.nodes["a"].store.read(name) == BULK
+    cluster.advance(20.0, rounds=20)
+    cluster.network.down.add(third)
+    assert cluster.nodes[first].store.read(name) == BULK
+
+
+def test_copy_that_vanished_from_a_disk_comes_back(cluster):
+    """Mutation: ``_serve_get`` answers without noting; the copy stays away for good."""
+    name = cluster.nodes["a"].store.write(BULK)
+    holders = sorted(cluster.find_holders(name))
+    outside = next(n for n in cluster.nodes if n not in holders)
+    for holder in holders[:2]:
+        cluster.nodes[holder].disk.files.clear()
+    assert cluster.nodes[outside].store.read(name) == BULK
+    cluster.advance(5.0, rounds=5)
+    cluster.network.down.add(holders[2])
+    assert cluster.nodes[outside].store.read(name) == BULK
+
+
+def test_copy_torn_by_a_crash_is_removed_on_open(cluster, clock):
+    node = cluster.nodes["a"]
+    node.disk.files["/d/x.1234.partial"] = (b"half", clock.wall())
+    node.store._open_folder()
+    assert "/d/x.1234.partial" not in node.disk.files
+
+
+def test_no_intact_copy_is_a_typed_loss(cluster):
+    """Mutation: skip the digest in ``decompress``; damaged data would be returned."""
+    name = cluster.nodes["a"].store.write(BULK)
+    for holder in cluster.find_holders(name):
+        cluster.nodes[holder].disk.flip_bit(name)
+    with pytest.raises(SegmentLostError):
+        cluster.nodes["a"].store.read(name)
+    with pytest.raises(SegmentLostError):
+        cluster.nodes["a"].store.read("0" * 40)
+
+
+def test_lost_holder_is_replaced_without_an_operator(cluster):
+    """Mutation: ``plan_repair`` returns None; a second loss then leaves one copy."""
+    name = cluster.nodes["a"].store.write(BULK)
+    victim = sorted(cluster.find_holders(name))[0]
+    cluster.network.down.add(victim)
+    cluster.advance(REPAIR_AFTER_S + 60.0, rounds=30)
+    assert len(cluster.find_holders(name)) == 3
+    survivor = next(n for n in cluster.nodes if n != victim)
+    assert cluster.nodes[survivor].store.read(name) == BULK
+
+
+def test_empty_replacement_of_a_holder_counts_as_lost(cluster):
+    """Mutation: name holders by instance in place of folder; the empty one counts as a copy."""
+    name = cluster.nodes["a"].store.write(BULK)
+    victim = sorted(cluster.find_holders(name))[0]
+    old = cluster.nodes[victim]
+    old.store._folder.held.clear()
+    cluster.clock.advance(1.0)
+    cluster.add(victim, old.core.settings.instance.data_centre)
+    for node in cluster.nodes.values():
+        node.store._directory.refresh()
+    cluster.advance(REPAIR_AFTER_S + 60.0, rounds=30)
+    assert len(cluster.find_holders(name)) == 3
+
+
+def test_copy_without_a_record_is_removed_but_not_one_written_again(cluster, key_value):
+    """Mutation: drop the check of ``changed_at`` in ``remove_stale``; the new copy is lost."""
+    name = cluster.nodes["a"].store.write(BULK)
+    key_value.delete("segments/" + name, expected=None)
+    cluster.clock.advance(ORPHAN_S + 1.0)
+    assert cluster.nodes["a"].store.write(BULK) == name
+    cluster.advance(20.0, rounds=10)
+    assert len(cluster.find_holders(name)) == 3
+    key_value.delete("segments/" + name, expected=None)
+    cluster.advance(ORPHAN_S + 20.0, rounds=10)
+    assert not cluster.find_holders(name)
+
+
+def test_reclaim_waits_for_the_deadline_and_a_second_write_extends_it(cluster, key_value):
+    name = cluster.nodes["a"].store.write(b"old" * 50)
+    cluster.clock.advance(KEEP_S - 10.0)
+    again = cluster.nodes["b"].store.write(b"kept" * 50)
+    cluster.clock.advance(RECLAIM_GRACE_S)
+    cluster.advance(10.0)
+    assert key_value.get("segments/" + name) is not None
+    assert cluster.nodes["a"].store.write(b"old" * 50) == name
+    cluster.advance(RECLAIM_GRACE_S, rounds=40)
+    assert cluster.nodes["a"].store.read(name) == b"old" * 50
+    cluster.advance(KEEP_S + RECLAIM_GRACE_S, rounds=2)
+    cluster.advance(8_000.0, rounds=4)
+    assert key_value.get("segments/" + name) is None
+    assert key_value.get("segments/" + again) is None
+
+
+def test_outage_refuses_writes_and_reads_copies_by_rank(cluster, key_value):
+    name = cluster.nodes["a"].store.write(BULK)
+    inline = cluster.nodes["a"].store.write(b"inline")
+    key_value.down = True
+    with pytest.raises(StorageUnavailableError):
+        cluster.nodes["a"].store.write(BULK + b"y")
+    assert cluster.nodes["b"].store.read(name) == BULK
+    with pytest.raises(PlatformUnavailableError):
+        cluster.nodes["b"].store.read(inline)
+
+
+def test_lost_reply_of_the_record_is_settled(cluster, key_value):
+    key_value.replies_to_lose = 1
+    name = cluster.nodes["a"].store.write(BULK)
+    assert cluster.nodes["b"].store.read(name) == BULK
