Answer demand with the online calls at all targets of the owner

Cause: entries knew of others only where they had calls, and an even share counted as free room at targets known to be full. Change: an owner's answer covers all its targets, it is asked each 0.1 s while calls run, and the share holds only without a fresh word or after 50 ms of waiting.

--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -102,6 +102,7 @@
         self.refused = 0
         self.batch_tokens = 0
         self.preemptions = 0
+        self.messages = 0
         self.yield_hooks: list[Callable[[], None]] = []
         self.workers = {f"w{i}": DATA_CENTRES[i % 4] for i in range(deployment.workers)}
         self.engines = {n: ModelEngine(self.loop, deployment.slots) for n in self.workers}
@@ -242,7 +243,8 @@
                 return
             item.done += 1
             fleet.batch_tokens += 1
-            self.decider.note_tokens(grant.ticket, 1, self._loop.now)
+            if count % 16 == 0:
+                self.decider.note_tokens(grant.ticket, 16, self._loop.now)
 
         def end(result: CallResult) -> None:
             if self._preempts.pop(grant.ticket, None) is None:
@@ -285,7 +287,7 @@
     def receive(self, sender: Entry, signals: dict[str, Signal], delay_s: float) -> None:
         """Take another entry's demand and answer."""
         now = self._loop.now
-        others = {}
+        self._fleet.messages += 1
         for target, signal in signals.items():
             measures = sender.decider.tables.measures.get(target)
             row = DemandRow(
@@ -295,16 +297,16 @@
                 measures.between_tokens_s,
                 now + DEMAND_TTL_S,
             )
-            count = self.decider.receive_demand(sender.place.name, target, row, now)
-            if count is not None:
-                others[target] = count
+            self.decider.receive_demand(sender.place.name, target, row)
         self.wake()
+        others = self.decider.count_others(sender.place.name, now)
         self._loop.after(delay_s, lambda: sender.take_reply(self.place.name, signals, others))
 
     def take_reply(self, owner: str, signals: dict[str, Signal], others: dict[str, int]) -> None:
         """Take an owner's answer and send what came up meanwhile."""
         for target, count in others.items():
-            self.decider.note_others(target, signals[target].online, count, self._loop.now)
+            told = signals[target].online if target in signals else None
+            self.decider.note_others(target, told, count, self._loop.now)
         self.wake()
         self._send(owner)
 
--- a/clementinepin/scheduling/_decider.py
+++ b/clementinepin/scheduling/_decider.py
@@ -114,19 +114,31 @@
             return None
         return retries.plan_retry(self.tables.retries, call, result, now, self._random)
 
-    def receive_demand(self, sender: str, target: str, row: DemandRow, now: float) -> int | None:
-        """Take another instance's word of a target; returns the online calls of the rest."""
+    def receive_demand(self, sender: str, target: str, row: DemandRow) -> None:
+        """Take another instance's word of a target."""
+        if self.tables.targets.get(target) is not None:
+            self.tables.demand.put(target, sender, row)
+
+    def count_others(self, asking: str, now: float) -> dict[str, int]:
+        """Return the online calls of all instances but one at each owned target."""
+        counts = {}
+        for name in self.tables.owned:
+            known = self.tables.targets.get(name)
+            if known is None:
+                continue
+            told = self.tables.demand.list_target(name).items()
+            counts[name] = known.online + sum(
+                d.online for instance, d in told if instance != asking and d.expires_at > now
+            )
+        return counts
+
+    def note_others(self, target: str, told: int | None, others: int, now: float) -> None:
+        """Take the answer of a target's owner; ``told`` is the count that it had by then."""
         known = self.tables.targets.get(target)
         if known is None:
-            return None
-        self.tables.demand.put(target, sender, row)
-        others = self.tables.demand.list_target(target).items()
-        told = sum(d.online for i, d in others if i != sender and d.expires_at > now)
-        return known.online + told
-
-    def note_others(self, target: str, told: int, others: int, now: float) -> None:
-        """Take the answer of a target's owner."""
-        self.tables.targets.update(target, told=told, others_online=others, others_at=now)
+            return
+        told = known.told if told is None else told
+        self.tables.targets.put(known._replace(told=told, others_online=others, others_at=now))
 
     def count_batch_slots(self, application: str, now: float) -> int:
         """Return free batch slots for an application on owned targets."""
--- a/clementinepin/scheduling/_gossip.py
+++ b/clementinepin/scheduling/_gossip.py
@@ -151,8 +151,8 @@
             return
         now = self._core.clock.monotonic()
         for target, others in reply.get("others", {}).items():
-            if target in signals:
-                self._decider.note_others(target, signals[target].online, others, now)
+            told = signals[target].online if target in signals else None
+            self._decider.note_others(target, told, others, now)
         self._wake()
 
     def _describe_demand(self, signal: Signal) -> messages.DemandMessage:
@@ -167,7 +167,6 @@
 
     def _receive_burst(self, sender: str, message: dict[str, Any]) -> messages.BurstReply:
         now = self._core.clock.monotonic()
-        others = {}
         for item in message["demands"]:
             row = DemandRow(
                 item["online"],
@@ -176,11 +175,9 @@
                 item["between_tokens_s"],
                 now + DEMAND_TTL_S,
             )
-            count = self._decider.receive_demand(sender, item["target"], row, now)
-            if count is not None:
-                others[item["target"]] = count
+            self._decider.receive_demand(sender, item["target"], row)
         self._wake()
-        return messages.BurstReply(others=others)
+        return messages.BurstReply(others=self._decider.count_others(sender, now))
 
     def _receive_close(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
         until = self._core.clock.monotonic() + message["remaining_s"]
--- a/clementinepin/systems/demand.py
+++ b/clementinepin/systems/demand.py
@@ -7,23 +7,30 @@
 
 DEMAND_REFRESH_S = 0.25
 DEMAND_RENEW_S = 0.5
+DEMAND_ASK_S = 0.1
 DEMAND_TTL_S = 2.0
 
 
 def list_signals(tables: Tables, view: View, now: float) -> list[Signal]:
-    """Return what must be told now: a rise at once, a fall or a renewal after a while."""
-    signals = []
+    """Return what must be told now: a rise at once, a fall or a renewal after a while.
+
+    An owner that hears nothing else is asked now and then while online calls are in flight, as
+    its answer counts the calls of the others at all its targets.
+    """
+    signals: list[Signal] = []
     for service, names in tables.followed.items():
+        rows = [row for name in sorted(names) if (row := tables.targets.get(name)) is not None]
         waiting = count_pressure(tables, service)
-        for name in sorted(names):
-            row = tables.targets.get(name)
-            owner = tables.owners.get(name)
-            if row is None or owner is None or owner == view.instance:
-                continue
-            if not _must_tell(tables.told.get(name), row.online, waiting, now):
+        active = waiting > 0 or any(row.online for row in rows)
+        for row in rows:
+            owner = tables.owners.get(row.name)
+            if owner is None or owner == view.instance:
                 continue
-            tables.told[name] = ToldRow(row.online, waiting, now)
-            signals.append(Signal(owner, name, row.online, waiting))
+            asks = active and now - tables.asked.get(owner, 0.0) >= DEMAND_ASK_S
+            if asks or _must_tell(tables.told.get(row.name), row.online, waiting, now):
+                tables.told[row.name] = ToldRow(row.online, waiting, now)
+                tables.asked[owner] = now
+                signals.append(Signal(owner, row.name, row.online, waiting))
     return signals
 
 
--- a/clementinepin/systems/placement.py
+++ b/clementinepin/systems/placement.py
@@ -39,11 +39,12 @@
         self._view = view
         self._policy = policy
         self._tickets = tickets
+        self._known: dict[tuple[str, str], bool] = {}
         self._blocked: set[tuple[str, str, str]] = set()
 
     def place_online(self, now: float, wall: float) -> list[Action]:
         """Grant, refuse or isolate waiting online calls in the order of fair share."""
-        self._blocked.clear()
+        self._begin_pass()
         actions: list[Action] = []
         for row in order_waiting(list(self._tables.online)):
             action = self._judge(row, now, wall)
@@ -55,9 +56,9 @@
 
     def place_batch(self, now: float, wall: float) -> list[Action]:
         """Grant waiting batch calls the free allowance of owned targets."""
-        self._blocked.clear()
         if not len(self._tables.batch):
             return []
+        self._begin_pass()
         free = self.count_free(now)
         actions: list[Action] = []
         for row in order_waiting(list(self._tables.batch)):
@@ -93,6 +94,10 @@
             self._tables.targets.add_running(target, batch=1)
         return Grant(row.waiting_id, ticket, target)
 
+    def _begin_pass(self) -> None:
+        self._blocked.clear()
+        self._known.clear()
+
     def _judge(self, row: WaitingRow, now: float, wall: float) -> Action | None:
         suspects = self._tables.suspects
         call = row.call
@@ -101,7 +106,7 @@
         if call.deadline <= now:
             return self._refuse(row, DeadlineUnreachableError(retry_at=now + NO_TARGET_RETRY_S))
         try:
-            known = self._list_known(call, now)
+            known = self._is_known(call, now)
         except ServiceUnknownError as err:
             return self._refuse(row, err)
         if not known:
@@ -110,6 +115,8 @@
 
     def _must_isolate(self, row: WaitingRow, wall: float) -> bool:
         suspects = self._tables.suspects
+        if not len(suspects):
+            return False
         return row.asking or quarantine.is_suspect(suspects, row.call.fingerprint, wall)
 
     def _refuse(self, row: WaitingRow, error: NotRunError) -> Refuse:
@@ -117,15 +124,21 @@
         queue.pop(row.waiting_id)
         return Refuse(row.waiting_id, error)
 
-    def _list_known(self, call: CallInfo, now: float) -> list[TargetRow]:
+    def _is_known(self, call: CallInfo, now: float) -> bool:
+        """Tell whether any target may come to serve a call; one answer a pass and application."""
+        key = (call.service, call.application)
+        if not call.tried and key in self._known:
+            return self._known[key]
         application = find_application(call, self._view.configuration)
-        return [
-            row
-            for row in self._tables.targets.list_service(call.service)
-            if row.is_open(now)
+        known = any(
+            row.is_open(now)
             and row.name not in call.tried
             and (application is None or allows_place(application, row))
-        ]
+            for row in self._tables.targets.list_service(call.service)
+        )
+        if not call.tried:
+            self._known[key] = known
+        return known
 
     def _isolate(self, row: WaitingRow, now: float) -> Action | None:
         if row.asking or row.not_before > now:
@@ -150,23 +163,23 @@
         if not self._has_concurrency(call):
             self._blocked.add(("account", call.account, ""))
             return None
-        target = self._choose_online(call, now)
+        target = self._choose_online(row, now)
         if target is None:
             if not call.tried:
                 self._blocked.add(key)
             return None
         return self.grant(row, target.name, now)
 
-    def _choose_online(self, call: CallInfo, now: float) -> TargetRow | None:
-        view = self._view
+    def _choose_online(self, row: WaitingRow, now: float) -> TargetRow | None:
+        view, call = self._view, row.call
         pool = self._tables.targets.list_service(call.service)
         subset = self._tables.followed.get(call.service, frozenset())
-        near = [row for row in pool if row.name in subset]
+        near = [target for target in pool if target.name in subset]
         candidates = list_candidates(call, near, view, now)
         if not candidates:
             return None
         slots = self._policy.count_online_slots(candidates[0].slots_max)
-        return choose_target(call, candidates, slots, view, now)
+        return choose_target(call, candidates, slots, view, now, now - row.enqueued_at)
 
     def _has_concurrency(self, call: CallInfo) -> bool:
         configuration = self._view.configuration
--- a/clementinepin/systems/routing.py
+++ b/clementinepin/systems/routing.py
@@ -20,6 +20,7 @@
 REMOTE_DATA_CENTRE_SHARE = 0.02
 SPILL_LOAD_SHARE = 0.85
 CHOICES = 2
+SHARE_WAIT_S = 0.05
 
 
 def find_application(call: CallInfo, configuration: Configuration | None) -> ApplicationSpec | None:
@@ -93,19 +94,24 @@
     return max(SLOW_START_SHARE_MIN, 1.0 - left)
 
 
+def count_share(row: TargetRow, slots: int, deciders: int, now: float) -> int:
+    """Return this instance's even share of a target's slots, at least one."""
+    return max(1, math.ceil(slots * compute_ramp(row, now) / max(1, deciders)))
+
+
 def count_room(row: TargetRow, slots: int, deciders: int, now: float) -> int:
     """Return how many more online calls this instance may place at a target.
 
-    Its own share of the slots is always its own. With a fresh word of the others it may take one
-    share more than it had told them, up to what they leave: deciders that act on the same word
-    then place at most twice the slots, and one that serves alone soon uses all of them.
+    Without a fresh word of the others it keeps to its share. With one it takes what they leave,
+    but one share at most beyond what it had told them: deciders that act on the same word then
+    place at most twice the slots, and one that serves alone soon uses all of them.
     """
-    usable = slots * compute_ramp(row, now)
-    share = math.ceil(usable / max(1, deciders))
-    limit = float(share)
-    if now - row.others_at <= OTHERS_FRESH_S:
-        limit = max(limit, min(usable - row.others_online, row.told + share))
-    return max(0, math.floor(limit) - row.online)
+    share = count_share(row, slots, deciders, now)
+    if now - row.others_at > OTHERS_FRESH_S and deciders > 1:
+        return max(0, share - row.online)
+    usable = math.floor(slots * compute_ramp(row, now))
+    limit = usable if deciders <= 1 else min(usable - row.others_online, row.told + share)
+    return max(0, limit - row.online)
 
 
 def compute_load(row: TargetRow, call: CallInfo, view: View, now: float) -> float:
@@ -114,22 +120,34 @@
     load = online / max(1.0, row.slots_max * compute_ramp(row, now))
     if row.data_centre != view.data_centre:
         load += REMOTE_DATA_CENTRE_SHARE
+    if row.report is not None:
+        load += row.report.waiting / max(1, row.slots_max)
     if call.prefix_hash and call.prefix_hash in row.cached_prefixes:
         load -= CACHED_BONUS_SHARE
     return load
 
 
 def choose_target(
-    call: CallInfo, candidates: Sequence[TargetRow], slots: int, view: View, now: float
+    call: CallInfo,
+    candidates: Sequence[TargetRow],
+    slots: int,
+    view: View,
+    now: float,
+    waited_s: float,
 ) -> TargetRow | None:
     """Return the target for an online call, or None when none has room.
 
+    A call that has waited for SHARE_WAIT_S may use this instance's share even where the others
+    seem to hold all slots, so that no instance keeps another one out.
+
     The two candidates of the power of two choices come from the rendezvous ranking of the prompt
     prefix, or of the request. All instances so rank alike: equal prefixes meet a warm cache, and
     equal requests sent through many instances at once reach two targets and not all of them.
     """
     deciders = len(view.live)
     roomy = [row for row in candidates if count_room(row, slots, deciders, now) > 0]
+    if not roomy and waited_s >= SHARE_WAIT_S:
+        roomy = [row for row in candidates if row.online < count_share(row, slots, deciders, now)]
     if not roomy:
         return None
     near = [row for row in roomy if row.region == view.region]
--- a/clementinepin/tables/_view.py
+++ b/clementinepin/tables/_view.py
@@ -49,6 +49,7 @@
         self.owned: frozenset[str] = frozenset()
         self.followed: dict[str, frozenset[str]] = {}
         self.told: dict[str, ToldRow] = {}
+        self.asked: dict[str, float] = {}
         self.allowances: dict[str, AllowanceRow] = {}
         self.isolations: dict[str, IsolationRow] = {}
         self.online_virtual = 0.0
