Add the fleet: configuration, instances, stewards and leaving

Revisions are created if absent behind the newest; a lost reply is settled by writing again and comparing operation ids. Two watchers a data centre read the service once a second; the others learn by a tree message and by revisions sent along with probes. Each instance reads the instance list at a period that grows with it and tells the others what changed.

--- /dev/null
+++ b/clementinepin/fleet/_configuration.py
@@ -0,0 +1,240 @@
+"""The configuration in force here: accepting, learning and handing it on."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from gevent.lock import BoundedSemaphore
+from loguru import logger
+
+from clementinepin.config import (
+    Configuration,
+    ConfigurationPartError,
+    Part,
+    check_part,
+    decode_part,
+    encode_parts,
+    load_files,
+    merge_parts,
+    summarize_parts,
+)
+from clementinepin.fleet import _messages as messages
+from clementinepin.fleet._messages import Manifest
+from clementinepin.fleet._revisions import RETRY_S, RevisionStore, create_conflict
+from clementinepin.fleet.exceptions import ConfigurationUnavailableError
+from clementinepin.fleet.models import ApplyResult
+from clementinepin.peers import PeerNetwork, PeerUnavailableError
+from clementinepin.platform import KeyValueStore
+from clementinepin.platform.exceptions import PlatformUnavailableError, ReplyLostError
+from clementinepin.systems.watchers import is_watcher
+
+if TYPE_CHECKING:
+    from clementinepin.core import Core
+
+LOG_PREFIX = "configuration:"
+WATCH_PERIOD_S = 1.0
+FETCH_TIMEOUT_S = 2.0
+COUNT_TIMEOUT_S = 3.0
+ANNOUNCE_PARTS_MAX_BYTES = 32_000
+PARTS_ANSWER_MAX_BYTES = 500_000
+PARTS_ASK_MAX = 200
+PARTS_ATTEMPTS = 8
+PARTS_PAUSE_S = 0.2
+
+
+class ConfigurationService:
+    """Keeps manifest and parts of the revision in force."""
+
+    def __init__(self, core: Core, key_value: KeyValueStore, peers: PeerNetwork) -> None:
+        self._core = core
+        self._peers = peers
+        self._store = RevisionStore(key_value, core.clock)
+        self._manifest: Manifest | None = None
+        self._data: dict[str, bytes] = {}
+        self._parts: dict[str, Part] = {}
+        self._lock = BoundedSemaphore()
+        peers.register(messages.METHOD_ANNOUNCE, self._take_announcement)
+        peers.register(messages.METHOD_FETCH, self._answer_fetch)
+        peers.register(messages.METHOD_PARTS, self._answer_parts)
+        peers.register(messages.METHOD_IN_FORCE, self._answer_in_force)
+        peers.attach(messages.TOPIC_CONFIGURATION, self._provide_digest, self._take_digest)
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force, 0 before the first."""
+        return self._manifest["revision"] if self._manifest else 0
+
+    def apply(self, files: Mapping[str, bytes], base: int | None) -> ApplyResult:
+        """Check a file set and accept it as the revision behind ``base``."""
+        # A check of 13,000 accounts takes most of a second: keep it off the event loop.
+        configuration, data = gevent.get_hub().threadpool.apply(_load_parts, (dict(files),))
+        newest = self._read_newest()
+        newest_revision = newest["revision"] if newest else 0
+        is_resend = base is None or newest_revision - 1 <= base <= newest_revision
+        if newest is not None and newest["digest"] == configuration.digest and is_resend:
+            self.learn(newest, data, "the key-value service")
+            return ApplyResult(newest_revision, configuration.digest)
+        if base is not None and base != newest_revision:
+            raise create_conflict(newest or _create_absent())
+        manifest = self._create_manifest(newest_revision + 1, configuration, data)
+        known = set(newest["parts"]) if newest else set()
+        changed = {digest: part for digest, part in data.items() if digest not in known}
+        self._store.create_revision(manifest, changed)
+        logger.info("{} Accepted revision {}.", LOG_PREFIX, manifest["revision"])
+        self.learn(manifest, data, "an operator")
+        self._announce(manifest, changed)
+        return ApplyResult(manifest["revision"], manifest["digest"])
+
+    def run_watch(self) -> None:
+        """Look for a newer revision in the service, if this instance is a watcher."""
+        own = self._core.settings.instance
+        if not is_watcher(own.name, own.data_centre, self._peers.list_members()):
+            return
+        try:
+            newest = self._store.read_newest(self._manifest)
+            if newest is None or newest["revision"] <= self.revision:
+                return
+            missing = [digest for digest in newest["parts"] if digest not in self._data]
+            found = self._store.read_parts(missing)
+        except (PlatformUnavailableError, ReplyLostError):
+            self._core.metrics.incr("configuration.watch_failed")
+            return
+        if self.learn(newest, found, "the key-value service"):
+            self._announce(newest, found)
+
+    def count_in_force(self) -> dict[str, int]:
+        """Return the revision in force by instance."""
+        deadline = self._core.clock.monotonic() + COUNT_TIMEOUT_S
+        answers = self._peers.gather(messages.METHOD_IN_FORCE, {}, deadline=deadline)
+        return {name: int(answer.get("revision", 0)) for name, answer in answers.items()}
+
+    def learn(self, manifest: Manifest, found: Mapping[str, bytes], source: str) -> bool:
+        """Put a newer revision in force if its parts are at hand; return whether it was."""
+        with self._lock:
+            if manifest["revision"] <= self.revision:
+                return False
+            if summarize_parts(manifest["parts"]) != manifest["digest"]:
+                raise ConfigurationPartError(f"manifest {manifest['revision']} is damaged")
+            if any(
+                digest not in found and digest not in self._data for digest in manifest["parts"]
+            ):
+                return False
+            self._put_in_force(manifest, found)
+        logger.info("{} Revision {} in force, from {}.", LOG_PREFIX, self.revision, source)
+        return True
+
+    def _put_in_force(self, manifest: Manifest, found: Mapping[str, bytes]) -> None:
+        data = {d: self._data[d] if d in self._data else found[d] for d in manifest["parts"]}
+        parts = {
+            digest: self._parts.get(digest) or decode_part(digest, data[digest]) for digest in data
+        }
+        configuration = merge_parts(manifest["revision"], parts)
+        self._manifest, self._data, self._parts = manifest, data, parts
+        self._core.set_configuration(configuration)
+        self._core.metrics.gauge("configuration.revision", manifest["revision"])
+
+    def _read_newest(self) -> Manifest | None:
+        try:
+            return self._store.read_newest(self._manifest)
+        except (PlatformUnavailableError, ReplyLostError) as err:
+            retry_at = self._core.clock.wall() + RETRY_S
+            raise ConfigurationUnavailableError(str(err), retry_at=retry_at) from err
+
+    def _create_manifest(
+        self, revision: int, configuration: Configuration, data: Mapping[str, bytes]
+    ) -> Manifest:
+        return Manifest(
+            revision=revision,
+            digest=configuration.digest,
+            parts=sorted(data),
+            operation_id=uuid.uuid4().hex,
+            accepted_by=self._core.settings.instance.name,
+            accepted_at=self._core.clock.wall(),
+        )
+
+    def _announce(self, manifest: Manifest, changed: Mapping[str, bytes]) -> None:
+        size = sum(len(data) for data in changed.values())
+        parts = dict(changed) if size <= ANNOUNCE_PARTS_MAX_BYTES else {}
+        message = messages.AnnounceMessage(manifest=manifest, parts=parts)
+        self._peers.spread(messages.METHOD_ANNOUNCE, message)
+
+    def _take_announcement(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
+        message = messages.read_message(raw, messages.AnnounceMessage)
+        self._learn_from_peer(sender, message["manifest"], message["parts"])
+        return {}
+
+    def _take_digest(self, sender: str, raw: dict[str, Any]) -> None:
+        if messages.read_message(raw, messages.DigestMessage)["revision"] > self.revision:
+            gevent.spawn(self._fetch_from_peer, sender)
+
+    def _fetch_from_peer(self, peer: str) -> None:
+        deadline = self._core.clock.monotonic() + FETCH_TIMEOUT_S
+        message = messages.FetchMessage(revision=self.revision)
+        try:
+            raw = self._peers.call(peer, messages.METHOD_FETCH, message, deadline=deadline)
+            manifest = messages.read_message(raw, messages.FetchAnswer)["manifest"]
+            if manifest is not None:
+                self._learn_from_peer(peer, manifest, {})
+        except (PeerUnavailableError, ConfigurationPartError) as err:
+            logger.debug("{} Nothing learnt from {}: {}.", LOG_PREFIX, peer, err)
+
+    def _learn_from_peer(self, peer: str, manifest: Manifest, found: dict[str, bytes]) -> None:
+        if manifest["revision"] <= self.revision:
+            return
+        found = dict(found)
+        attempts_left = PARTS_ATTEMPTS
+        while missing := self._list_missing(manifest, found):
+            deadline = self._core.clock.monotonic() + FETCH_TIMEOUT_S
+            message = messages.PartsMessage(digests=missing[:PARTS_ASK_MAX])
+            raw = self._peers.call(peer, messages.METHOD_PARTS, message, deadline=deadline)
+            answer = messages.read_message(raw, messages.PartsAnswer)["parts"]
+            if not answer:
+                # The peer passed the announcement on before it had the parts itself.
+                attempts_left -= 1
+                if attempts_left == 0:
+                    return
+                gevent.sleep(PARTS_PAUSE_S)
+            for digest, data in answer.items():
+                check_part(digest, data)
+            found.update(answer)
+        self.learn(manifest, found, peer)
+
+    def _list_missing(self, manifest: Manifest, found: Mapping[str, bytes]) -> list[str]:
+        return [d for d in manifest["parts"] if d not in self._data and d not in found]
+
+    def _answer_fetch(self, sender: str, raw: dict[str, Any]) -> messages.FetchAnswer:
+        message = messages.read_message(raw, messages.FetchMessage)
+        newer = self._manifest if self.revision > message["revision"] else None
+        return messages.FetchAnswer(manifest=newer)
+
+    def _answer_parts(self, sender: str, raw: dict[str, Any]) -> messages.PartsAnswer:
+        message = messages.read_message(raw, messages.PartsMessage)
+        parts: dict[str, bytes] = {}
+        size = 0
+        for digest in message["digests"]:
+            data = self._data.get(digest)
+            if data is None or size + len(data) > PARTS_ANSWER_MAX_BYTES:
+                continue
+            parts[digest] = data
+            size += len(data)
+        return messages.PartsAnswer(parts=parts)
+
+    def _answer_in_force(self, sender: str, raw: dict[str, Any]) -> messages.InForceAnswer:
+        return messages.InForceAnswer(revision=self.revision)
+
+    def _provide_digest(self) -> messages.DigestMessage:
+        return messages.DigestMessage(revision=self.revision)
+
+
+def _load_parts(files: dict[str, bytes]) -> tuple[Configuration, dict[str, bytes]]:
+    configuration = load_files(files)
+    return configuration, encode_parts(configuration)
+
+
+def _create_absent() -> Manifest:
+    return Manifest(
+        revision=0, digest="", parts=[], operation_id="", accepted_by="nobody", accepted_at=0.0
+    )
--- /dev/null
+++ b/clementinepin/fleet/_fleet.py
@@ -0,0 +1,131 @@
+"""The component ``fleet``: configuration, instances, stewards and leaving."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from loguru import logger
+
+from clementinepin.core import DrainStarted, spawn_loop
+from clementinepin.fleet import _messages as messages
+from clementinepin.fleet._configuration import WATCH_PERIOD_S, ConfigurationService
+from clementinepin.fleet._instances import InstanceService
+from clementinepin.fleet._stewards import STEWARD_PERIOD_S, EngineFactory, StewardService
+from clementinepin.fleet.models import ApplyResult, EntryAdvice, Fleet
+from clementinepin.peers import PeerNetwork
+from clementinepin.platform import InstanceList, KeyValueStore, ListedInstance, WeightStore
+from clementinepin.systems.advice import choose_entries
+from clementinepin.systems.drain import DrainPlan, plan_drain
+
+if TYPE_CHECKING:
+    from clementinepin.core import Core
+
+LOG_PREFIX = "fleet:"
+
+
+class FleetComponent:
+    """Fleet-wide roles of one instance."""
+
+    name = "fleet"
+
+    def __init__(
+        self,
+        core: Core,
+        key_value: KeyValueStore,
+        peers: PeerNetwork,
+        instance_list: InstanceList,
+        weight_store: WeightStore,
+        create_engine: EngineFactory,
+    ) -> None:
+        self._core = core
+        self._peers = peers
+        self._plan: DrainPlan | None = None
+        self._greenlets: list[gevent.Greenlet] = []
+        self.configuration = ConfigurationService(core, key_value, peers)
+        self.instances = InstanceService(core, instance_list, peers)
+        self.stewards = StewardService(core, key_value, peers, weight_store, create_engine)
+        peers.register(messages.METHOD_LEAVING, self._take_leaving)
+        core.subscribe(DrainStarted, self._start_drain)
+
+    def start(self) -> None:
+        """Read the list, watch the configuration and take roles."""
+        self._greenlets = [
+            gevent.spawn(self.instances.run),
+            spawn_loop(self.configuration.run_watch, WATCH_PERIOD_S, LOG_PREFIX),
+            spawn_loop(self.stewards.run_period, STEWARD_PERIOD_S, LOG_PREFIX),
+        ]
+
+    def stop(self, deadline: float) -> None:
+        """Hand over roles and stop the loops."""
+        gevent.killall(self._greenlets)
+        self.stewards.hand_over(deadline)
+
+    def describe_state(self) -> dict[str, Any]:
+        """Return revision, roles and the plan of a drain."""
+        return {
+            "revision": self.configuration.revision,
+            "instances": [row._asdict() for row in self.instances.list_rows()],
+            "stewards": self.stewards.describe_state(),
+            "drain": self._plan._asdict() if self._plan else None,
+        }
+
+    def apply(self, files: Mapping[str, bytes], *, base: int | None) -> ApplyResult:
+        """Accept a whole file set."""
+        return self.configuration.apply(files, base)
+
+    def count_in_force(self) -> dict[str, int]:
+        """Return the revision in force by instance name."""
+        return self.configuration.count_in_force()
+
+    def advise_entries(self) -> EntryAdvice:
+        """Return live entries, the nearest first."""
+        own = self._core.settings.instance
+        members = self._peers.list_members()
+        entries = choose_entries(members, own.data_centre, own.region, self._core.random)
+        valid_until = self._core.clock.wall() + self._core.settings.limits.advice_s
+        return EntryAdvice(entries, valid_until)
+
+    def list_instances(self) -> list[ListedInstance]:
+        """Return our instances by membership, and targets by the list."""
+        members = self._peers.list_members()
+        names = {row.name for row in members}
+        targets = [
+            row
+            for row in self.instances.list_rows()
+            if row.service != "clementinepin" and row.name not in names
+        ]
+        return members + targets
+
+    def list_stewards(self) -> dict[str, str]:
+        """Return the holder of each service's steward lease."""
+        return self.stewards.list_holders()
+
+    def _start_drain(self, event: DrainStarted) -> None:
+        now = self._core.clock.monotonic()
+        own = self._core.settings.instance.name
+        self._plan = plan_drain(now, event.deadline, self._core.settings.limits.advice_s)
+        self._peers.mark_leaving(own)
+        self._peers.spread(messages.METHOD_LEAVING, messages.LeavingMessage(name=own))
+        gevent.spawn(self.stewards.hand_over, event.deadline)
+        logger.info("{} Leaving.", LOG_PREFIX)
+
+    def _take_leaving(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
+        message = messages.read_message(raw, messages.LeavingMessage)
+        self._peers.mark_leaving(message["name"])
+        return {}
+
+
+def create_fleet(
+    core: Core,
+    key_value: KeyValueStore,
+    peers: PeerNetwork,
+    instance_list: InstanceList,
+    weight_store: WeightStore,
+    create_engine: EngineFactory,
+) -> Fleet:
+    """Return the component ``fleet``, registered with the core."""
+    fleet = FleetComponent(core, key_value, peers, instance_list, weight_store, create_engine)
+    core.register(fleet)
+    return fleet
--- /dev/null
+++ b/clementinepin/fleet/_instances.py
@@ -0,0 +1,98 @@
+"""Reads the platform's instance list and tells the other instances what changed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import msgspec
+from loguru import logger
+
+from clementinepin.config import ConfigurationPartError
+from clementinepin.const import InstanceState
+from clementinepin.core import InstancesChanged
+from clementinepin.fleet import _messages as messages
+from clementinepin.peers import PeerNetwork
+from clementinepin.platform import InstanceList, ListedInstance
+from clementinepin.platform.exceptions import PlatformUnavailableError
+from clementinepin.systems import instances
+from clementinepin.tables.instances import InstanceTable, ObservedRow
+
+if TYPE_CHECKING:
+    from clementinepin.core import Core
+
+LOG_PREFIX = "instances:"
+
+
+class InstanceService:
+    """Holds the view of instances and targets, and publishes each change of it."""
+
+    def __init__(self, core: Core, instance_list: InstanceList, peers: PeerNetwork) -> None:
+        self._core = core
+        self._list = instance_list
+        self._peers = peers
+        self._table = InstanceTable()
+        peers.register(messages.METHOD_INSTANCES, self._take_changes)
+
+    def list_rows(self) -> tuple[ListedInstance, ...]:
+        """Return instances and targets by name."""
+        return self._table.list_rows()
+
+    def run(self) -> None:
+        """Read the list for ever."""
+        while True:
+            self.read()
+            rows = len(self._table.rows)
+            gevent.sleep(instances.choose_read_period(rows, self._core.random))
+
+    def read(self) -> None:
+        """Read the list once; an unreachable list leaves the view as it is."""
+        observed_at = self._core.clock.wall()
+        try:
+            rows = self._list.fetch()
+        except PlatformUnavailableError as err:
+            self._core.metrics.incr("instances.read_failed")
+            logger.debug("{} List not read: {}.", LOG_PREFIX, err)
+            return
+        changes = instances.merge_list(self._table, rows, observed_at)
+        if not changes:
+            return
+        self._publish(changes)
+        packed = [_pack_change(name, change) for name, change in changes.items()]
+        self._peers.spread(messages.METHOD_INSTANCES, messages.InstancesMessage(changes=packed))
+
+    def _take_changes(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
+        message = messages.read_message(raw, messages.InstancesMessage)
+        changes = {change["name"]: _unpack_change(change) for change in message["changes"]}
+        taken = instances.merge_changes(self._table, changes)
+        if taken:
+            self._publish(taken)
+        return {}
+
+    def _publish(self, changes: dict[str, ObservedRow]) -> None:
+        for name, change in sorted(changes.items()):
+            state = change.row.state if change.row else "gone"
+            logger.debug("{} {} is {}.", LOG_PREFIX, name, state)
+        self._core.publish(InstancesChanged(self.list_rows()))
+
+    def is_own_leaving(self) -> bool:
+        """Tell whether the platform lists this instance as leaving."""
+        observed = self._table.rows.get(self._core.settings.instance.name)
+        row = observed.row if observed else None
+        return row is not None and row.state == InstanceState.LEAVING
+
+
+def _pack_change(name: str, change: ObservedRow) -> messages.InstanceChange:
+    row = list(change.row) if change.row is not None else None
+    return messages.InstanceChange(name=name, row=row, observed_at=change.observed_at)
+
+
+def _unpack_change(change: messages.InstanceChange) -> ObservedRow:
+    if change["row"] is None:
+        return ObservedRow(None, change["observed_at"])
+    try:
+        # Fields that a newer release adds stand at the end.
+        row = msgspec.convert(change["row"][: len(ListedInstance._fields)], ListedInstance)
+    except msgspec.ValidationError as err:
+        raise ConfigurationPartError(f"row can't be read: {err}") from err
+    return ObservedRow(row, change["observed_at"])
--- /dev/null
+++ b/clementinepin/fleet/_stewards.py
@@ -0,0 +1,254 @@
+"""Stewards of services: hold leases, compare engines with the configuration, send orders."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from gevent.pool import Pool
+from loguru import logger
+
+from clementinepin.config import ServiceSpec
+from clementinepin.const import InstanceState
+from clementinepin.core import InstancesChanged
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.fleet._leases import UNREACHED, LeaseKeeper
+from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.rendezvous import rank_owners
+from clementinepin.peers import PeerNetwork
+from clementinepin.platform import KeyValueStore, ListedInstance, WeightStore
+from clementinepin.platform.exceptions import PlatformUnavailableError
+from clementinepin.systems import stewardship
+from clementinepin.tables.stewardship import (
+    OrderKind,
+    PendingOrder,
+    StewardLease,
+    TargetView,
+)
+from clementinepin.targets import Engine, LoadReport, TargetAddress
+from clementinepin.targets.exceptions import OrderRefusedError, TargetNotReachedError
+
+if TYPE_CHECKING:
+    from clementinepin.core import Core
+
+LOG_PREFIX = "stewards:"
+STEWARD_PERIOD_S = 2.0
+CANDIDATES = 2
+REPORTS_PER_ROUND = 10
+HAND_OVER_POLL_S = 0.05
+
+EngineFactory = Callable[[TargetAddress, Clock], Engine]
+
+
+class _Stewardship:
+    """What this instance knows of one service that it tends."""
+
+    def __init__(self, lease: StewardLease) -> None:
+        self.lease = lease
+        self.reports: dict[str, LoadReport] = {}
+        self.pending: dict[str, PendingOrder] = {}
+        self.held_back = 0
+        self.turn = 0
+        self.load_from: dict[str, float] = {}
+        self.round: gevent.Greenlet | None = None
+
+    def is_busy(self) -> bool:
+        """Tell whether a round is running."""
+        return self.round is not None and not self.round.ready()
+
+
+class StewardService:
+    """Takes leases of services and brings their engines to the wanted state."""
+
+    def __init__(
+        self,
+        core: Core,
+        key_value: KeyValueStore,
+        peers: PeerNetwork,
+        weight_store: WeightStore,
+        create_engine: EngineFactory,
+    ) -> None:
+        self._core = core
+        self._peers = peers
+        self._weight_store = weight_store
+        self._create_engine = create_engine
+        self._keeper = LeaseKeeper(key_value, core.clock, core.settings.instance.name)
+        self._held: dict[str, _Stewardship] = {}
+        self._targets: dict[str, list[ListedInstance]] = {}
+        self._engines: dict[TargetAddress, Engine] = {}
+        core.subscribe(InstancesChanged, self._take_instances)
+
+    def run_period(self) -> None:
+        """Look after leases, and start a round of each tended service."""
+        configuration = self._core.configuration
+        if configuration is None or self._core.draining:
+            return
+        services = {n: s for n, s in configuration.services.items() if s.kind == "engine"}
+        for name in [name for name in self._held if name not in services]:
+            self._keeper.release(self._held.pop(name).lease.lease_id)
+        for name, service in sorted(services.items()):
+            self._keep_or_acquire(name, service)
+            held = self._held.get(name)
+            if held is not None and not held.is_busy():
+                held.round = gevent.spawn(self.run_round, name)
+
+    def run_round(self, service: str) -> None:
+        """Read reports of a service's engines and send the orders that are needed."""
+        held = self._held.get(service)
+        configuration = self._core.configuration
+        if held is None or configuration is None:
+            return
+        views = self._refresh_views(service, held)
+        now = self._core.clock.monotonic()
+        held.pending = stewardship.drop_reported(held.pending, views, now)
+        wanted = stewardship.choose_wanted(configuration, service)
+        plan = stewardship.plan_orders(wanted, views, held.pending, now)
+        held.held_back = len(plan.held_back)
+        for entry in plan.orders:
+            if not self._send(service, held, entry):
+                return
+
+    def hand_over(self, deadline: float) -> None:
+        """Give all leases back, once orders in flight have ended."""
+        held = list(self._held.values())
+        self._held.clear()
+        for stewardship_held in held:
+            while stewardship_held.is_busy() and self._core.clock.monotonic() < deadline:
+                gevent.sleep(HAND_OVER_POLL_S)
+            if not stewardship_held.is_busy():
+                self._keeper.release(stewardship_held.lease.lease_id)
+
+    def list_holders(self) -> dict[str, str]:
+        """Return the holder by service; without the service, only what is held here."""
+        try:
+            return self._keeper.list_holders()
+        except UNREACHED:
+            own = self._core.settings.instance.name
+            return dict.fromkeys(sorted(self._held), own)
+
+    def describe_state(self) -> dict[str, Any]:
+        """Return leases and orders."""
+        return {
+            name: {
+                "fencing_number": held.lease.fencing_number,
+                "deadline": held.lease.deadline,
+                "pending": [entry.order._asdict() for entry in held.pending.values()],
+                "held_back": held.held_back,
+            }
+            for name, held in sorted(self._held.items())
+        }
+
+    def _take_instances(self, event: InstancesChanged) -> None:
+        targets: dict[str, list[ListedInstance]] = {}
+        for row in event.rows:
+            if row.state == InstanceState.LIVE:
+                targets.setdefault(row.service, []).append(row)
+        self._targets = targets
+        addresses = {_locate(row) for rows in targets.values() for row in rows}
+        for address in [address for address in self._engines if address not in addresses]:
+            del self._engines[address]
+
+    def _keep_or_acquire(self, name: str, service: ServiceSpec) -> None:
+        held = self._held.get(name)
+        if held is None:
+            candidates = rank_owners(f"steward/{name}", self._peers.list_live())[:CANDIDATES]
+            if self._core.settings.instance.name not in candidates:
+                return
+            lease = self._keeper.acquire(name, checks_fencing=service.checks_fencing)
+            if lease is not None:
+                self._held[name] = _Stewardship(lease)
+            return
+        now = self._core.clock.monotonic()
+        if not stewardship.needs_renewal(held.lease, now):
+            return
+        lease = self._keeper.extend(held.lease)
+        if lease is None or self._core.clock.monotonic() >= lease.deadline:
+            self._give_up(name, held, "lease lost")
+        else:
+            held.lease = lease
+
+    def _give_up(self, name: str, held: _Stewardship, reason: str) -> None:
+        if self._held.get(name) is held:
+            del self._held[name]
+            logger.info("{} No longer steward of {}: {}.", LOG_PREFIX, name, reason)
+
+    def _refresh_views(self, service: str, held: _Stewardship) -> list[TargetView]:
+        rows = self._targets.get(service, [])
+        count = min(len(rows), REPORTS_PER_ROUND)
+        chosen = [rows[(held.turn + index) % len(rows)] for index in range(count)]
+        held.turn += count
+        for row, report in zip(
+            chosen, Pool(REPORTS_PER_ROUND).map(self._fetch, chosen), strict=True
+        ):
+            if report is None:
+                held.reports.pop(row.name, None)
+            else:
+                held.reports[row.name] = report
+        names = {row.name for row in rows}
+        held.reports = {name: r for name, r in held.reports.items() if name in names}
+        return [TargetView(row.name, held.reports.get(row.name)) for row in rows]
+
+    def _fetch(self, row: ListedInstance) -> LoadReport | None:
+        try:
+            return self._take_engine(row).fetch_load()
+        except ClementinepinError:
+            return None
+
+    def _take_engine(self, row: ListedInstance) -> Engine:
+        address = _locate(row)
+        engine = self._engines.get(address)
+        if engine is None:
+            engine = self._engines[address] = self._create_engine(address, self._core.clock)
+        return engine
+
+    def _send(self, service: str, held: _Stewardship, entry: PendingOrder) -> bool:
+        """Send an order; return whether this instance may send another."""
+        order = entry.order
+        row = next((r for r in self._targets.get(service, []) if r.name == order.target), None)
+        if row is None or not self._may_load(held, order.weights):
+            return True
+        # Asked last, so that no wait lies between the look at the lease and the order.
+        if self._held.get(service) is not held or not stewardship.may_order(
+            held.lease, self._core.clock.monotonic()
+        ):
+            return False
+        held.pending[order.target] = entry
+        try:
+            with gevent.Timeout(stewardship.ORDER_MAX_S, TimeoutError):
+                self._call_engine(self._take_engine(row), entry, held.lease.fencing_number)
+        except OrderRefusedError:
+            self._give_up(service, held, "an engine knows a newer steward")
+            return False
+        except TargetNotReachedError:
+            held.pending.pop(order.target, None)
+        except (ClementinepinError, TimeoutError) as err:
+            logger.warning("{} Order to {} open: {}.", LOG_PREFIX, order.target, err)
+        self._core.metrics.incr("stewards.orders")
+        return True
+
+    def _may_load(self, held: _Stewardship, weights: str) -> bool:
+        if not weights:
+            return True
+        now = self._core.clock.wall()
+        if now < held.load_from.get(weights, 0.0):
+            return False
+        try:
+            held.load_from[weights] = self._weight_store.check_rate(weights)
+        except PlatformUnavailableError:
+            return False
+        return held.load_from[weights] <= self._core.clock.wall()
+
+    def _call_engine(self, engine: Engine, entry: PendingOrder, fencing_number: int) -> None:
+        order = entry.order
+        logger.info("{} Order {} {} to {}.", LOG_PREFIX, order.kind, order.name, order.target)
+        if order.kind == OrderKind.LOAD_MODEL:
+            engine.load_model(order.name, order.version, order.weights, fencing_number)
+        elif order.kind == OrderKind.LOAD_ADAPTER:
+            engine.load_adapter(order.name, order.version, order.weights, fencing_number)
+        else:
+            engine.change_role(order.name, fencing_number)
+
+
+def _locate(row: ListedInstance) -> TargetAddress:
+    return TargetAddress(row.name, row.address, row.port)
--- a/clementinepin/peers/_trees.py
+++ b/clementinepin/peers/_trees.py
@@ -6,7 +6,9 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
+from loguru import logger
 
+from clementinepin.exceptions import ClementinepinError
 from clementinepin.peers import _messages as messages
 from clementinepin.peers.exceptions import PeerUnavailableError
 from clementinepin.peers.models import PeerNetwork
@@ -16,6 +18,7 @@
 if TYPE_CHECKING:
     from clementinepin.core import Core
 
+LOG_PREFIX = "peers:"
 METHOD_SPREAD = "tree.spread"
 METHOD_GATHER = "tree.gather"
 HEADS_MAX = 4
@@ -57,13 +60,19 @@
     def _answer_spread(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
         tree = messages.read_message(raw, messages.TreeMessage)
         self._pass_on(tree)
-        gevent.spawn(self._dispatch, sender, tree["method"], tree["message"])
+        gevent.spawn(self._deliver, sender, tree)
         return {}
 
     def _answer_gather(self, sender: str, raw: dict[str, Any]) -> messages.TreeAnswer:
         tree = messages.read_message(raw, messages.TreeMessage)
         return messages.TreeAnswer(answers=self._collect(sender, tree))
 
+    def _deliver(self, sender: str, tree: messages.TreeMessage) -> None:
+        try:
+            self._dispatch(sender, tree["method"], tree["message"])
+        except ClementinepinError as err:
+            logger.debug("{} {} not taken: {}.", LOG_PREFIX, tree["method"], err)
+
     def _pass_on(self, tree: messages.TreeMessage) -> None:
         for branch in self._split(tree):
             gevent.spawn(self._call_branch, METHOD_SPREAD, branch, tree, HEAD_TIMEOUT_S)
--- /dev/null
+++ b/clementinepin/systems/advice.py
@@ -0,0 +1,24 @@
+"""Choice of entries to advise to a caller."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from clementinepin.const import InstanceState
+from clementinepin.platform import ListedInstance
+
+ENTRIES_MAX = 16
+
+
+def choose_entries(
+    members: Iterable[ListedInstance], data_centre: str, region: str, rng: random.Random
+) -> tuple[ListedInstance, ...]:
+    """Return live entries, own data_centre first, then own region, each group shuffled.
+
+    The shuffle spreads callers that all take the first entry.
+    """
+    live = [row for row in members if row.state == InstanceState.LIVE]
+    rng.shuffle(live)
+    live.sort(key=lambda row: (row.data_centre != data_centre, row.region != region))
+    return tuple(live[:ENTRIES_MAX])
--- /dev/null
+++ b/clementinepin/systems/watchers.py
@@ -0,0 +1,22 @@
+"""Choice of the few instances that look at the key-value service for all."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from clementinepin.const import InstanceState
+from clementinepin.helpers.rendezvous import rank_owners
+from clementinepin.platform import ListedInstance
+
+WATCHERS_PER_DATA_CENTRE = 2
+
+
+def is_watcher(own: str, data_centre: str, members: Iterable[ListedInstance]) -> bool:
+    """Tell whether an instance watches the configuration for its data_centre."""
+    near = [
+        row.name
+        for row in members
+        if row.data_centre == data_centre and row.state == InstanceState.LIVE
+    ]
+    watchers = rank_owners(f"configuration/{data_centre}", near)[:WATCHERS_PER_DATA_CENTRE]
+    return own in watchers
--- /dev/null
+++ b/tests/fleet/test_stewards.py
@@ -0,0 +1,158 @@
+from __future__ import annotations
+
+import pytest
+
+from clementinepin.systems.stewardship import LEASE_TTL_S, ORDER_MAX_S
+from tests.fleet.fakes import FakeFleet, create_files, create_row
+
+
+def _create(engines: int = 3, *, checks: bool = True, workers_min: int = 1) -> FakeFleet:
+    fleet = FakeFleet(engines=engines, checks=checks)
+    files = create_files("1", checks=checks, workers_min=workers_min)
+    fleet.fleets["n0"].apply(files, base=0)
+    fleet.list_targets()
+    return fleet
+
+
+def _holders(fleet: FakeFleet) -> list[str]:
+    return [name for name, component in fleet.fleets.items() if component.stewards._held]
+
+
+def _run(fleet: FakeFleet, periods: int, *names: str) -> None:
+    for _ in range(periods):
+        fleet.run_stewards(*names)
+        fleet.clock.advance(2.0)
+
+
+def _versions(fleet: FakeFleet) -> list[str]:
+    return [engine.models.get("homily", "") for engine in fleet.engines.values()]
+
+
+def test_one_steward_brings_all_engines_to_the_wanted_state():
+    fleet = _create()
+    _run(fleet, 8)
+    assert len(_holders(fleet)) == 1
+    assert _versions(fleet) == ["1", "1", "1"]
+    assert all(engine.adapters == {"tags": "1"} for engine in fleet.engines.values())
+    assert list(fleet.fleets["n1"].list_stewards()) == ["homily-lm"]
+
+
+def test_rollout_keeps_workers_min_serving():
+    """Mutation: leave workers_min out of _may_take_away."""
+    fleet = _create(engines=4, workers_min=3)
+    _run(fleet, 4)
+    fleet.fleets["n0"].apply(create_files("2", workers_min=3), base=1)
+    fleet.run_stewards()
+    assert sorted(_versions(fleet)) == ["1", "1", "1", "2"]
+    _run(fleet, 8)
+    assert _versions(fleet) == ["2"] * 4
+
+
+def test_last_serving_worker_is_never_taken():
+    """Mutation: let _may_take_away compare with 0 workers."""
+    fleet = _create(engines=1)
+    _run(fleet, 4)
+    fleet.fleets["n0"].apply(create_files("2"), base=1)
+    _run(fleet, 8)
+    assert _versions(fleet) == ["1"]
+    holder = _holders(fleet)[0]
+    assert fleet.fleets[holder].stewards.describe_state()["homily-lm"]["held_back"] == 1
+
+
+def test_wrong_role_is_changed_back():
+    fleet = _create()
+    fleet.engines["w1"].role = "prefill"
+    _run(fleet, 6)
+    assert fleet.engines["w1"].role == "serve"
+
+
+def test_new_steward_waits_for_the_longest_order_where_numbers_are_ignored():
+    """Mutation: let _create_lease wait 0 seconds in any case."""
+    fleet = _create(checks=False)
+    fleet.run_stewards()
+    assert not any(engine.orders for engine in fleet.engines.values())
+    fleet.clock.advance(ORDER_MAX_S)
+    fleet.run_stewards()
+    assert any(engine.orders for engine in fleet.engines.values())
+
+
+def _pause_holder(fleet: FakeFleet) -> tuple[str, list[str]]:
+    holder = _holders(fleet)[0]
+    others = [name for name in fleet.fleets if name != holder]
+    fleet.clock.advance(LEASE_TTL_S + 1)
+    for name in others:
+        network = fleet.board.networks[name]
+        network.list_live = lambda others=others: others
+    return holder, others
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_holder_that_wakes_behind_its_lease_orders_nothing(checks: bool):
+    """Mutation: let may_order return True."""
+    fleet = _create(checks=checks)
+    _run(fleet, 12)
+    holder, others = _pause_holder(fleet)
+    fleet.engines["w0"].models["homily"] = "0"
+    before = [list(engine.orders) for engine in fleet.engines.values()]
+    fleet.fleets[holder].stewards.run_round("homily-lm")
+    assert [engine.orders for engine in fleet.engines.values()] == before
+    _run(fleet, 12, *others)
+    assert _versions(fleet) == ["1", "1", "1"]
+
+
+def test_late_order_of_an_old_steward_is_refused_or_put_right():
+    fleet = _create(checks=True)
+    _run(fleet, 4)
+    holder, others = _pause_holder(fleet)
+    old = fleet.fleets[holder].stewards._held["homily-lm"]
+    old_number = old.lease.fencing_number
+    _run(fleet, 2, *others)
+    fleet.engines["w0"].models["homily"] = "0"
+    _run(fleet, 2, *others)
+    # The old holder's clock stands still, so that it believes in its lease.
+    old.lease = old.lease._replace(deadline=fleet.clock.monotonic() + LEASE_TTL_S)
+    fleet.engines["w0"].models["homily"] = "0"
+    fleet.fleets[holder].stewards.run_round("homily-lm")
+    assert fleet.engines["w0"].models["homily"] == "0"
+    assert "homily-lm" not in fleet.fleets[holder].stewards._held
+    _run(fleet, 4, *others)
+    assert fleet.engines["w0"].models["homily"] == "1"
+    assert fleet.engines["w0"].fencing_number > old_number
+
+
+def test_hand_over_frees_the_lease_at_once():
+    fleet = _create()
+    _run(fleet, 2)
+    holder = _holders(fleet)[0]
+    fleet.cores[holder].drain(fleet.clock.monotonic() + 60)
+    fleet.fleets[holder].stewards.hand_over(fleet.clock.monotonic() + 60)
+    others = [name for name in fleet.fleets if name != holder]
+    _run(fleet, 1, *others)
+    assert len(_holders(fleet)) == 1
+    assert _holders(fleet) != [holder]
+
+
+def test_outage_keeps_the_lease_only_until_its_deadline():
+    fleet = _create()
+    _run(fleet, 2)
+    holder = _holders(fleet)[0]
+    for store in fleet.stores.values():
+        store.down = True
+    fleet.clock.advance(LEASE_TTL_S - 6)
+    fleet.run_stewards()
+    assert _holders(fleet) == [holder]
+    fleet.clock.advance(LEASE_TTL_S)
+    fleet.run_stewards()
+    assert _holders(fleet) == []
+
+
+def test_leaving_target_gets_no_order():
+    fleet = _create()
+    rows = [create_row(n, service="homily-lm", peer_port=0) for n in fleet.engines]
+    rows[0] = rows[0]._replace(state="leaving")
+    fleet.table.set_rows([*fleet.rows, *rows])
+    fleet.clock.advance(1.0)
+    for component in fleet.fleets.values():
+        component.instances.read()
+    _run(fleet, 4)
+    assert _versions(fleet) == ["", "1", "1"]
