Prefer targets that are not nearly full

Cause: the two candidates of a call could both be nearly full while a third was free. Change: targets under SPILL_LOAD_SHARE 0.75 come first, near ones before far ones.

--- a/clementinepin/systems/routing.py
+++ b/clementinepin/systems/routing.py
@@ -18,7 +18,7 @@
 AFFINITY_SLACK_SHARE = 0.25
 CACHED_BONUS_SHARE = 0.1
 REMOTE_DATA_CENTRE_SHARE = 0.02
-SPILL_LOAD_SHARE = 0.85
+SPILL_LOAD_SHARE = 0.75
 CHOICES = 2
 SHARE_WAIT_S = 0.05
 
@@ -150,9 +150,7 @@
         roomy = [row for row in candidates if row.online < count_share(row, slots, deciders, now)]
     if not roomy:
         return None
-    near = [row for row in roomy if row.region == view.region]
-    if near and any(compute_load(row, call, view, now) < SPILL_LOAD_SHARE for row in near):
-        roomy = near
+    roomy = _prefer_calm(call, roomy, view, now)
     key = call.prefix_hash or call.fingerprint
     ranked = sorted(roomy, key=lambda row: (score_pair(key, row.name), row.name), reverse=True)
     pair = ranked[:CHOICES]
@@ -162,6 +160,13 @@
     return pair[best]
 
 
+def _prefer_calm(call: CallInfo, rows: list[TargetRow], view: View, now: float) -> list[TargetRow]:
+    """Return the near targets that are not nearly full, else the far ones, else all."""
+    calm = [row for row in rows if compute_load(row, call, view, now) < SPILL_LOAD_SHARE]
+    near = [row for row in calm if row.region == view.region]
+    return near or calm or rows
+
+
 def is_online(call: CallInfo) -> bool:
     """Tell whether a call belongs to the online class of service."""
     return call.priority == Priority.ONLINE
