--- a/clementinepin/fleet/_instances.py
+++ b/clementinepin/fleet/_instances.py
@@ -32,6 +32,7 @@
         self._list = instance_list
         self._peers = peers
         self._table = InstanceTable()
+        self._was_live = False
         peers.register(messages.METHOD_INSTANCES, self._take_changes)
 
     def list_rows(self) -> tuple[ListedInstance, ...]:
@@ -74,12 +75,19 @@
             state = change.row.state if change.row else "gone"
             logger.debug("{} {} is {}.", LOG_PREFIX, name, state)
         self._core.publish(InstancesChanged(self.list_rows()))
-
-    def is_own_leaving(self) -> bool:
-        """Tell whether the platform lists this instance as leaving."""
-        observed = self._table.rows.get(self._core.settings.instance.name)
-        row = observed.row if observed else None
-        return row is not None and row.state == InstanceState.LEAVING
+        own = changes.get(self._core.settings.instance.name)
+        if own is not None and own.row is not None:
+            self._follow_own_state(own.row.state)
+
+    def _follow_own_state(self, state: str) -> None:
+        # The list lags: leaving may be the word on an earlier process of this name, unless
+        # this process was listed as live before.
+        if state == InstanceState.LIVE:
+            self._was_live = True
+        elif self._was_live and not self._core.draining:
+            logger.info("{} The platform takes this instance away.", LOG_PREFIX)
+            clock = self._core.clock
+            self._core.drain(clock.monotonic() + self._core.settings.limits.drain_s)
 
 
 def _pack_change(name: str, change: ObservedRow) -> messages.InstanceChange:
