Wire all components into the daemon

Cause: the parts had no process. Change: daemon.py builds them in one order, drains on TERM, dumps its state on USR1.

--- /dev/null
+++ b/clementinepin/daemon.py
@@ -0,0 +1,126 @@
+"""The daemon: builds the components, runs until told to leave, then stops in order."""
+
+from __future__ import annotations
+
+import random
+import signal
+import sys
+from functools import partial
+from typing import Any, cast
+
+import gevent
+import msgspec
+from docopt import docopt
+from gevent.event import Event
+from loguru import logger
+
+from clementinepin import __version__
+from clementinepin.batch import create_batch
+from clementinepin.claims import create_claim_store
+from clementinepin.config import Settings, load_settings
+from clementinepin.core import Component, Core, DrainStarted
+from clementinepin.entry import create_entry
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.fleet import create_fleet
+from clementinepin.helpers.clock import create_system_clock
+from clementinepin.helpers.logs import configure_logs
+from clementinepin.helpers.loop import check_loop_backend
+from clementinepin.helpers.metrics import create_metrics
+from clementinepin.peers import create_peer_network
+from clementinepin.platform import (
+    create_instance_list,
+    create_key_value_store,
+    create_weight_store,
+)
+from clementinepin.scheduling import create_scheduler
+from clementinepin.storage import create_segment_store
+from clementinepin.targets import create_engine
+
+USAGE = """Run one instance of the serving system.
+
+Usage:
+  clementinepind --config FILE
+  clementinepind (-h | --help)
+  clementinepind --version
+
+Signals: TERM and INT drain and stop; USR1 writes a state dump to standard error.
+Exit codes: 0 clean stop, 2 wrong usage or settings, 1 any other failure.
+"""
+LOG_PREFIX = "daemon:"
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+
+def build_core(settings: Settings) -> Core:
+    """Create all components of one instance, in start order."""
+    clock = create_system_clock()
+    rng = random.Random()
+    metrics = create_metrics(settings.metrics.host, settings.metrics.port, settings.metrics.prefix)
+    core = Core(settings, clock, metrics, rng)
+    engines = partial(create_engine, clock=clock)
+    key_value = create_key_value_store(settings, clock, metrics, rng)
+    instance_list = create_instance_list(settings, clock)
+    weight_store = create_weight_store(settings, clock)
+    peers = create_peer_network(core)
+    segments = create_segment_store(core, key_value, peers)
+    fleet = create_fleet(core, key_value, peers, instance_list, weight_store, engines)
+    scheduler = create_scheduler(core, peers, engines)
+    claims = create_claim_store(core, key_value, peers)
+    batch = create_batch(core, key_value, segments, scheduler, engines)
+    entry = create_entry(core, scheduler, batch, claims, fleet, peers, engines)
+    for component in (peers, segments, scheduler, fleet, claims, batch, entry):
+        core.register(cast(Component, component))
+    return core
+
+
+def run_core(core: Core) -> None:
+    """Run until a signal or an operator's drain, then stop within the drain time."""
+    drained = Event()
+    core.subscribe(DrainStarted, lambda _event: drained.set())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, _start_drain, core)
+    gevent.signal_handler(signal.SIGUSR1, dump_state, core)
+    core.start()
+    logger.info("{} Serving on {}.", LOG_PREFIX, core.settings.instance.name)
+    drained.wait()
+    deadline = core.clock.monotonic() + core.settings.limits.drain_s
+    core.stop(deadline)
+    logger.info("{} Stopped.", LOG_PREFIX)
+
+
+def _start_drain(core: Core) -> None:
+    logger.info("{} Leaving.", LOG_PREFIX)
+    core.drain(core.clock.monotonic() + core.settings.limits.drain_s)
+
+
+def dump_state(core: Core) -> None:
+    """Write the state of all components to standard error as one JSON line."""
+    sys.stderr.buffer.write(encode_state(core.describe_state()) + b"\n")
+    sys.stderr.buffer.flush()
+
+
+def encode_state(state: dict[str, Any]) -> bytes:
+    """Return a state dump as JSON."""
+    return msgspec.json.encode(state, enc_hook=str)
+
+
+def main() -> int:
+    """Parse the command line and run one instance."""
+    args = docopt(USAGE, version=__version__)
+    try:
+        check_loop_backend()
+        settings = load_settings(args["FILE"])
+    except ClementinepinError as err:
+        sys.stderr.write(f"clementinepind: {err.code}: {err.message}\n")
+        return EXIT_SETTINGS
+    configure_logs(settings.logs.format, settings.logs.level, settings.instance.name)
+    try:
+        run_core(build_core(settings))
+    except (ClementinepinError, OSError) as err:
+        logger.error("{} Ended by {}.", LOG_PREFIX, err)
+        return EXIT_FAILED
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
