Create engines from an address alone in the stewards

Cause: the stewards passed a clock that the daemon's factory already holds, so no model was ever loaded. Change: one signature of the engine factory.

--- a/clementinepin/fleet/_stewards.py
+++ b/clementinepin/fleet/_stewards.py
@@ -14,7 +14,6 @@
 from clementinepin.core import InstancesChanged
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.fleet._leases import UNREACHED, LeaseKeeper
-from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rendezvous import rank_owners
 from clementinepin.peers import PeerNetwork
 from clementinepin.platform import KeyValueStore, ListedInstance, WeightStore
@@ -38,7 +37,7 @@
 REPORTS_PER_ROUND = 10
 HAND_OVER_POLL_S = 0.05
 
-EngineFactory = Callable[[TargetAddress, Clock], Engine]
+EngineFactory = Callable[[TargetAddress], Engine]
 
 
 class _Stewardship:
@@ -199,7 +198,7 @@
         address = _locate(row)
         engine = self._engines.get(address)
         if engine is None:
-            engine = self._engines[address] = self._create_engine(address, self._core.clock)
+            engine = self._engines[address] = self._create_engine(address)
         return engine
 
     def _send(self, service: str, held: _Stewardship, entry: PendingOrder) -> bool:
