--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -25,14 +25,17 @@
     """Mutation: run handlers in the hub's callback; the first one then blocks the second."""
     a, b = start_networks("a", "b")
     gate = gevent.event.Event()
+    started = gevent.event.Event()
 
     def wait(sender, message):
+        started.set()
         gate.wait()
         return {}
 
     b.register("wait", wait)
     b.register("open", lambda sender, message: gate.set() or {})
     waiting = gevent.spawn(a.call, "b", "wait", {}, deadline=_soon())
+    assert started.wait(5)
     a.call("b", "open", {}, deadline=_soon())
     assert waiting.get() == {}
 
