Fold the digest of a view as rows change

Cause: each probe hashed all rows. Change: buckets are folded by exclusive or when a row changes, and suspect and dead members are kept by name.

--- a/bench/_membership_network.py
+++ b/bench/_membership_network.py
@@ -112,9 +112,9 @@
 
     def _sync(self, name: str, target: str) -> None:
         table, other = self.tables[name], self.tables[target]
-        digests = membership.digest_buckets(table)
+        digests = list(table.digests)
         rows = membership.select_differing(other, digests)
-        own_rows = membership.select_differing(table, membership.digest_buckets(other))
+        own_rows = membership.select_differing(table, other.digests)
         self._count((digests, rows))
         self._count(own_rows)
         for row in rows:
--- a/clementinepin/peers/_membership.py
+++ b/clementinepin/peers/_membership.py
@@ -100,7 +100,7 @@
 
     def _sync(self, target: str) -> None:
         deadline = self._core.clock.monotonic() + SYNC_TIMEOUT_S
-        digests = list(membership.digest_buckets(self.table))
+        digests = list(self.table.digests)
         message = messages.SyncMessage(digests=digests)
         try:
             raw = self._network.call(target, METHOD_SYNC, message, deadline=deadline)
@@ -130,7 +130,7 @@
         rows = membership.select_differing(self.table, message["digests"])
         return messages.SyncAnswer(
             rows=[messages.pack_row(row) for row in rows],
-            digests=list(membership.digest_buckets(self.table)),
+            digests=list(self.table.digests),
         )
 
     def _answer_merge(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
--- a/clementinepin/systems/membership.py
+++ b/clementinepin/systems/membership.py
@@ -8,17 +8,22 @@
 
 from __future__ import annotations
 
+import functools
 import math
+import operator
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-import xxhash
-
 from clementinepin.const import InstanceState
 from clementinepin.platform import ListedInstance
-from clementinepin.systems.rings import choose_fingers, locate_name
-from clementinepin.tables.membership import MemberRow, MembershipTable, MemberState
+from clementinepin.systems.rings import choose_fingers
+from clementinepin.tables.membership import (
+    MemberRow,
+    MembershipTable,
+    MemberState,
+    choose_bucket,
+)
 
 PROBE_PERIOD_S = 1.0
 PROBE_TIMEOUT_S = 0.5
@@ -31,7 +36,6 @@
 ROWS_PER_MESSAGE = 8
 ROWS_PER_SYNC = 96
 SENDS_FACTOR = 3
-DIGEST_BUCKETS = 64
 
 
 class Exchange(NamedTuple):
@@ -133,14 +137,16 @@
 def _forgive_pause(table: MembershipTable, gap: float, now: float) -> None:
     # This process stood still, so that the others' silence proves nothing.
     table.resumed_at = now
-    for row in list(table.rows.values()):
+    for name in sorted(table.unsettled):
+        row = table.rows[name]
         if row.state == MemberState.SUSPECT:
             table.set_row(row._replace(deadline=row.deadline + gap), announce=False)
 
 
 def _expire_rows(table: MembershipTable, now: float) -> None:
-    for name, row in list(table.rows.items()):
-        if row.state == MemberState.ALIVE or now < row.deadline:
+    for name in sorted(table.unsettled):
+        row = table.rows[name]
+        if now < row.deadline:
             continue
         if row.state == MemberState.SUSPECT:
             deadline = now + DEAD_RETENTION_S
@@ -153,8 +159,8 @@
     """Return a listed member believed dead, to heal a split, or any other member."""
     lost = [
         name
-        for name, row in table.rows.items()
-        if row.state == MemberState.DEAD and name in table.listed
+        for name in table.unsettled
+        if table.rows[name].state == MemberState.DEAD and name in table.listed
     ]
     others = lost or [name for name in table.list_ring() if name != table.own]
     return rng.choice(sorted(others)) if others else None
@@ -203,33 +209,16 @@
 
 def digest_view(table: MembershipTable) -> int:
     """Return a digest of all statements on members that are not dead."""
-    return _fold(digest_buckets(table))
+    return functools.reduce(operator.xor, table.digests)
 
 
-def digest_buckets(table: MembershipTable) -> tuple[int, ...]:
-    """Return a digest for each bucket of members; equal views give equal digests."""
-    if table.digests_changes == table.changes:
-        return table.digests
-    buckets = [0] * DIGEST_BUCKETS
-    for name in table.list_ring():
-        row = table.rows[name]
-        statement = f"{name} {row.incarnation} {int(row.leaving)}".encode()
-        buckets[locate_name(name) % DIGEST_BUCKETS] ^= xxhash.xxh3_64_intdigest(statement)
-    table.digests = tuple(buckets)
-    table.digests_changes = table.changes
-    return table.digests
-
-
-def select_differing(table: MembershipTable, theirs: Iterable[int]) -> tuple[MemberRow, ...]:
+def select_differing(table: MembershipTable, theirs: Sequence[int]) -> tuple[MemberRow, ...]:
     """Return rows of the buckets in which a peer's digests differ, dead ones included."""
-    differing = {
-        index
-        for index, (own, other) in enumerate(zip(digest_buckets(table), theirs, strict=False))
-        if own != other
-    }
-    rows = [
-        row for name, row in table.rows.items() if locate_name(name) % DIGEST_BUCKETS in differing
-    ]
+    pairs = zip(table.digests, theirs, strict=False)
+    differing = {index for index, (own, other) in enumerate(pairs) if own != other}
+    if not differing:
+        return ()
+    rows = [row for name, row in table.rows.items() if choose_bucket(name) in differing]
     return tuple(rows[:ROWS_PER_SYNC])
 
 
@@ -248,10 +237,3 @@
         )
         for row in rows
     ]
-
-
-def _fold(digests: Iterable[int]) -> int:
-    folded = 0
-    for digest in digests:
-        folded ^= digest
-    return folded
--- a/clementinepin/tables/membership.py
+++ b/clementinepin/tables/membership.py
@@ -5,8 +5,12 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+import xxhash
+
 from clementinepin.platform import ListedInstance
-from clementinepin.systems.rings import order_ring
+from clementinepin.systems.rings import locate_name, order_ring
+
+DIGEST_BUCKETS = 64
 
 
 class MemberState(IntEnum):
@@ -31,43 +35,50 @@
     """Rows by name, and what is still to be told.
 
     ``pending`` counts how often the latest change of a member was sent. ``listed`` holds the
-    state by name in the platform's list. ``version`` grows when the set of members that are not
-    dead changes, ``changes`` with every change.
+    state by name in the platform's list, ``unsettled`` the suspect and the dead. ``version``
+    grows when the set of members that are not dead changes. ``digests`` has one digest for each
+    bucket of the members that are not dead; equal views have equal digests.
     """
 
     def __init__(self, own: MemberRow, now: float) -> None:
         self.own = own.instance.name
-        self.rows: dict[str, MemberRow] = {self.own: own}
-        self.pending: dict[str, int] = {self.own: 0}
+        self.rows: dict[str, MemberRow] = {}
+        self.pending: dict[str, int] = {}
         self.listed: dict[str, str] = {}
+        self.unsettled: set[str] = set()
+        self.digests = [0] * DIGEST_BUCKETS
         self.version = 0
-        self.changes = 0
-        self.digests: tuple[int, ...] = ()
-        self.digests_changes = -1
         self.turn = 0
         self.ticked_at = now
         self.resumed_at = now
         self.synced_at = now
         self._ring: tuple[str, ...] = ()
         self._ring_version = -1
+        self.set_row(own)
 
     def set_row(self, row: MemberRow, *, announce: bool = True) -> None:
         """Store a row; a change is told to others unless ``announce`` is False."""
         name = row.instance.name
-        before = self.rows.get(name)
-        self.rows[name] = row
-        self.changes += 1
-        if before is None or (before.state == MemberState.DEAD) != (row.state == MemberState.DEAD):
-            self.version += 1
+        self._replace_row(name, row)
         if announce:
             self.pending[name] = 0
 
     def remove_row(self, name: str) -> None:
         """Forget a member."""
-        self.rows.pop(name, None)
+        self._replace_row(name, None)
         self.pending.pop(name, None)
-        self.version += 1
-        self.changes += 1
+
+    def _replace_row(self, name: str, row: MemberRow | None) -> None:
+        before = self.rows.pop(name, None)
+        self.digests[choose_bucket(name)] ^= _digest_row(before) ^ _digest_row(row)
+        if _is_present(before) != _is_present(row):
+            self.version += 1
+        self.unsettled.discard(name)
+        if row is None:
+            return
+        self.rows[name] = row
+        if row.state != MemberState.ALIVE:
+            self.unsettled.add(name)
 
     def list_ring(self) -> tuple[str, ...]:
         """Return the names of members that are not dead, in ring order."""
@@ -76,3 +87,20 @@
             self._ring = order_ring(names)
             self._ring_version = self.version
         return self._ring
+
+
+def choose_bucket(name: str) -> int:
+    """Return the bucket of a member."""
+    return locate_name(name) % DIGEST_BUCKETS
+
+
+def _is_present(row: MemberRow | None) -> bool:
+    return row is not None and row.state != MemberState.DEAD
+
+
+def _digest_row(row: MemberRow | None) -> int:
+    if row is None or row.state == MemberState.DEAD:
+        return 0
+    # Suspicions come and go; left out, they do not make views differ.
+    statement = f"{row.instance.name} {row.incarnation} {int(row.leaving)}"
+    return xxhash.xxh3_64_intdigest(statement.encode())
--- a/tests/fleet/fakes.py
+++ b/tests/fleet/fakes.py
@@ -204,7 +204,7 @@
                 if held.round is not None:
                     held.round.join()
 
-    def _find_engine(self, address: TargetAddress, clock: ManualClock) -> FakeEngine:
+    def _find_engine(self, address: TargetAddress) -> FakeEngine:
         return self.engines[address.name]
 
 
