Let the first steward of a service order at once, and rounds with work follow fast

Cause: on engines that ignore fencing numbers every new steward waited out an older holder's longest order, also the first one ever, and a round came each 2 s however much was to do. Change: the first holder is the one that creates the service's mark (create-if-absent; a conflict, a lost reply or an outage means waiting); rounds come each 0.5 s while orders are planned or pending. Mutations of the mark fail two tests.

--- a/clementinepin/fleet/_leases.py
+++ b/clementinepin/fleet/_leases.py
@@ -18,6 +18,7 @@
 
 LOG_PREFIX = "stewards:"
 PREFIX_STEWARDS = PREFIX_LEASES + "stewards/"
+PREFIX_KNOWN = PREFIX_LEASES + "stewards-known/"
 HOLDERS_MAX = 1000
 
 UNREACHED = (PlatformUnavailableError, ReplyLostError)
@@ -49,7 +50,8 @@
             self.release(grant.lease_id)
             return None
         logger.info("{} Steward of {} with number {}.", LOG_PREFIX, service, number)
-        return self._create_lease(grant, number, checks_fencing=checks_fencing)
+        waits = not checks_fencing and not self._is_first(service)
+        return self._create_lease(grant, number, waits=waits)
 
     def extend(self, lease: StewardLease) -> StewardLease | None:
         """Return the lease with its new deadline, as it was when out of reach, None if lost."""
@@ -73,11 +75,17 @@
         rows = self._key_value.list_range(PREFIX_STEWARDS, limit=HOLDERS_MAX)
         return {row.key.removeprefix(PREFIX_STEWARDS): row.value.decode() for row in rows}
 
-    def _create_lease(
-        self, grant: LeaseGrant, number: int, *, checks_fencing: bool
-    ) -> StewardLease:
+    def _is_first(self, service: str) -> bool:
+        """Tell whether no instance was ever steward: only one can create the service's mark."""
+        try:
+            self._key_value.put(PREFIX_KNOWN + service, self._own.encode(), expected=0)
+        except (VersionConflictError, *UNREACHED):
+            return False
+        return True
+
+    def _create_lease(self, grant: LeaseGrant, number: int, *, waits: bool) -> StewardLease:
         # The old lease is over, but an order sent in it may still be running at an engine
         # that does not look at numbers.
-        wait_s = 0.0 if checks_fencing else ORDER_MAX_S
+        wait_s = ORDER_MAX_S if waits else 0.0
         orders_from = self._clock.monotonic() + wait_s
         return StewardLease(grant.lease_id, number, grant.deadline, orders_from)
--- a/clementinepin/fleet/_stewards.py
+++ b/clementinepin/fleet/_stewards.py
@@ -32,7 +32,8 @@
     from clementinepin.core import Core
 
 LOG_PREFIX = "stewards:"
-STEWARD_PERIOD_S = 2.0
+STEWARD_PERIOD_S = 0.5
+QUIET_ROUND_S = 2.0
 CANDIDATES = 2
 REPORTS_PER_ROUND = 10
 HAND_OVER_POLL_S = 0.05
@@ -50,6 +51,7 @@
         self.held_back = 0
         self.turn = 0
         self.load_from: dict[str, float] = {}
+        self.next_round_at = 0.0
         self.round: gevent.Greenlet | None = None
 
     def is_busy(self) -> bool:
@@ -86,10 +88,11 @@
         services = {n: s for n, s in configuration.services.items() if s.kind == "engine"}
         for name in [name for name in self._held if name not in services]:
             self._keeper.release(self._held.pop(name).lease.lease_id)
+        now = self._core.clock.monotonic()
         for name, service in sorted(services.items()):
             self._keep_or_acquire(name, service)
             held = self._held.get(name)
-            if held is not None and not held.is_busy():
+            if held is not None and not held.is_busy() and now >= held.next_round_at:
                 held.round = gevent.spawn(self.run_round, name)
 
     def run_round(self, service: str) -> None:
@@ -104,6 +107,9 @@
         wanted = stewardship.choose_wanted(configuration, service)
         plan = stewardship.plan_orders(wanted, views, held.pending, now)
         held.held_back = len(plan.held_back)
+        # Rounds follow each other fast only while there is something to bring about.
+        if not plan.orders and not held.pending:
+            held.next_round_at = now + QUIET_ROUND_S
         for entry in plan.orders:
             if not self._send(service, held, entry):
                 return
--- a/tests/fleet/test_stewards.py
+++ b/tests/fleet/test_stewards.py
@@ -84,9 +84,17 @@
     assert fleet.engines["w1"].role == "serve"
 
 
+def test_first_steward_of_a_service_does_not_wait():
+    """Mutation: let _is_first return False in any case."""
+    fleet = _create(checks=False)
+    fleet.run_stewards()
+    assert any(engine.orders for engine in fleet.engines.values())
+
+
 def test_new_steward_waits_for_the_longest_order_where_numbers_are_ignored():
-    """Mutation: let _create_lease wait 0 seconds in any case."""
+    """Mutations: let _create_lease wait 0 seconds in any case; let _is_first return True."""
     fleet = _create(checks=False)
+    fleet.state.put("leases/stewards-known/homily-lm", b"former", 0)
     fleet.run_stewards()
     assert not any(engine.orders for engine in fleet.engines.values())
     fleet.clock.advance(ORDER_MAX_S)
