Bound the memory of callers' bodies and test any schedule of failed attempts

A body limit alone let many callers at once hold a whole body each; all bodies of an instance now share one budget, given back behind the response.

--- a/clementinepin/entry/_app.py
+++ b/clementinepin/entry/_app.py
@@ -10,6 +10,7 @@
 
 from clementinepin.core import Core
 from clementinepin.entry._auth import Authenticator
+from clementinepin.entry._budget import BodyBudget
 from clementinepin.entry._drain import DrainGate
 from clementinepin.entry._envelope import make_error_response
 from clementinepin.entry._http import Request, Response
@@ -18,6 +19,7 @@
 from clementinepin.exceptions import ClementinepinError
 
 LOG_PREFIX: Final = "entry:"
+BODIES_WHOLE_MAX: Final = 8
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
@@ -31,10 +33,12 @@
         self._router = router
         self._authenticator = authenticator
         self._gate = gate
+        self.budget = BodyBudget(core.settings.limits.body_max_bytes * BODIES_WHOLE_MAX)
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request."""
-        request = Request(environ, self._core.clock, self._core.settings.limits.body_max_bytes)
+        body_max_bytes = self._core.settings.limits.body_max_bytes
+        request = Request(environ, self._core.clock, body_max_bytes, self.budget)
         response = self._answer(request)
         headers = list(response.headers)
         if self._core.draining or environ.get("clementinepin.close"):
--- a/clementinepin/entry/_calls.py
+++ b/clementinepin/entry/_calls.py
@@ -7,7 +7,6 @@
 from typing import Any, Final, NamedTuple
 from urllib.parse import unquote
 
-import msgspec
 import voluptuous as vol
 import xxhash
 
@@ -16,6 +15,7 @@
 from clementinepin.entry._resume import ResumePoint
 from clementinepin.entry.exceptions import ApplicationNotFoundError
 from clementinepin.exceptions import InvalidInputError
+from clementinepin.helpers.fingerprint import make_fingerprint
 from clementinepin.scheduling import CallInfo
 
 HEADER_IDEMPOTENT: Final = "X-Idempotent"
@@ -23,7 +23,6 @@
 TOKENS_LIMIT: Final = 1_000_000
 STOP_SEQUENCES_MAX: Final = 16
 WHOLE_ONLY_FIELDS: Final = ("logprobs", "tools", "functions", "best_of", "echo")
-IGNORED_FIELDS: Final = frozenset({"stream", "stream_options", "resume", "user"})
 
 
 def _check_integer(value: object) -> object:
@@ -141,19 +140,6 @@
     )
 
 
-def make_fingerprint(service: str, body: dict[str, Any]) -> str:
-    """Return what a request is known by when it is sent again: service and what is asked."""
-    asked = {name: value for name, value in body.items() if name not in IGNORED_FIELDS}
-    data = msgspec.json.encode(asked, order="deterministic")
-    return xxhash.xxh3_128_hexdigest(service.encode() + b"\0" + data)
-
-
-def make_raw_fingerprint(service: str, method: str, path: str, body: bytes) -> str:
-    """Return what a plain call is known by when it is sent again."""
-    head = f"{service}\0{method}\0{path}\0".encode()
-    return xxhash.xxh3_128_hexdigest(head + body)
-
-
 def make_prefix_hash(body: dict[str, Any]) -> str:
     """Return the hash of the prompt's leading characters, as engines name cached prefixes."""
     messages = body.get("messages")
--- a/clementinepin/entry/_component.py
+++ b/clementinepin/entry/_component.py
@@ -37,7 +37,8 @@
         self._peers = peers
         self._gate = DrainGate(context.core, context.fleet)
         self._authenticator = Authenticator(context.core.settings.security.operator_key_digest)
-        self._server = self._create_server(context)
+        self._app = EntryApp(self._core, create_router(context), self._authenticator, self._gate)
+        self._server = self._create_server()
         context.core.subscribe(ConfigurationChanged, self._use_configuration)
 
     @property
@@ -73,16 +74,16 @@
             "active": server.active,
             "refused_connections": server.refused,
             "rejected_headers": server.rejected,
+            "body_bytes_held": self._app.budget.held,
             "refuse_at": self._gate.refuse_at,
             "peers_live": self._peers.list_live(),
         }
 
-    def _create_server(self, context: EntryContext) -> EntryServer:
+    def _create_server(self) -> EntryServer:
         settings = self._core.settings
-        app = EntryApp(self._core, create_router(context), self._authenticator, self._gate)
         return EntryServer(
             (settings.instance.address, settings.instance.port),
-            app,
+            self._app,
             self._core.clock,
             connections_max=settings.limits.connections_max,
             header_timeout_s=settings.limits.header_timeout_s,
--- a/clementinepin/entry/_http.py
+++ b/clementinepin/entry/_http.py
@@ -9,9 +9,11 @@
 import msgspec
 
 from clementinepin.config import AccountSpec
+from clementinepin.entry._budget import BodyBudget
 from clementinepin.entry.exceptions import (
     AuthenticationError,
     BodyIncompleteError,
+    BodyMemoryExhaustedError,
     BodyTimeoutError,
     BodyTooLargeError,
     JsonInvalidError,
@@ -38,7 +40,9 @@
 class Request:
     """One request: environment of the WSGI server, route parameters and the account."""
 
-    def __init__(self, environ: dict[str, Any], clock: Clock, body_max_bytes: int) -> None:
+    def __init__(
+        self, environ: dict[str, Any], clock: Clock, body_max_bytes: int, budget: BodyBudget
+    ) -> None:
         self.environ = environ
         self.method: str = environ["REQUEST_METHOD"]
         self.path: str = environ.get("PATH_INFO", "/")
@@ -49,6 +53,9 @@
         self._account: AccountSpec | None = None
         self._clock = clock
         self._body_max_bytes = body_max_bytes
+        self._budget = budget
+        self._reserved = 0
+        environ["clementinepin.finish"] = self.finish
 
     @property
     def account(self) -> AccountSpec:
@@ -90,9 +97,15 @@
             total += len(piece)
             if total > self._body_max_bytes:
                 raise self._too_large()
+            self._reserve(len(piece))
             pieces.append(piece)
         return b"".join(pieces)
 
+    def finish(self) -> None:
+        """Give the body's memory back; the server calls this behind the response."""
+        self._budget.release(self._reserved)
+        self._reserved = 0
+
     def iter_body(self) -> Iterator[bytes]:
         """Yield the body in pieces; a body below the least rate raises BodyTimeoutError."""
         started = self._clock.monotonic()
@@ -110,6 +123,14 @@
         """Return the body as a JSON object; raises JsonInvalidError."""
         return decode_object(self.read_body())
 
+    def _reserve(self, size: int) -> None:
+        try:
+            self._budget.reserve(size)
+        except BodyMemoryExhaustedError:
+            self._give_up()
+            raise
+        self._reserved += size
+
     def _content_length(self) -> int:
         return int(self.environ.get("CONTENT_LENGTH") or 0)
 
--- a/clementinepin/entry/_server.py
+++ b/clementinepin/entry/_server.py
@@ -94,6 +94,9 @@
             super().handle_one_response()
         finally:
             self.server.active -= 1
+            finish = self.environ.get("clementinepin.finish")
+            if finish is not None:
+                finish()
         if self.environ.get("clementinepin.close"):
             linger(self.socket)
 
--- a/clementinepin/entry/_services.py
+++ b/clementinepin/entry/_services.py
@@ -14,7 +14,7 @@
     HEADER_REQUEST_ID,
     Priority,
 )
-from clementinepin.entry._calls import HEADER_IDEMPOTENT, is_idempotent, make_raw_fingerprint
+from clementinepin.entry._calls import HEADER_IDEMPOTENT, is_idempotent
 from clementinepin.entry._context import EntryContext
 from clementinepin.entry._http import Request, Response
 from clementinepin.entry._keys import run_once
@@ -24,6 +24,7 @@
     ClementinepinError,
     InvalidInputError,
 )
+from clementinepin.helpers.fingerprint import make_raw_fingerprint
 from clementinepin.scheduling import CallInfo, CallResult, Placement
 from clementinepin.targets import PlainRequest, PlainResponse
 from clementinepin.targets.exceptions import (
--- a/clementinepin/entry/exceptions.py
+++ b/clementinepin/entry/exceptions.py
@@ -118,6 +118,12 @@
     code = "connections_exhausted"
 
 
+class BodyMemoryExhaustedError(NotRunError):
+    """The bodies that this instance holds take all the memory they may."""
+
+    code = "body_memory_exhausted"
+
+
 class InstanceLeavingError(NotRunError):
     """The instance is leaving; the message names others."""
 
--- a/clementinepin/targets/_engine.py
+++ b/clementinepin/targets/_engine.py
@@ -191,6 +191,8 @@
         chunk = decoder.feed(data)
         if chunk is None:
             continue
+        if chunk.done and exchange.ended:
+            exchange.drain()
         yield chunk
         if chunk.done:
             exchange.drain()
--- /dev/null
+++ b/tests/entry/test_attempts.py
@@ -0,0 +1,127 @@
+"""Any schedule of failures over the attempts of one call, with engines that follow it."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from clementinepin.core import Core
+from clementinepin.entry._attempts import OnlineAttempts
+from clementinepin.entry._calls import find_application, find_service, make_call
+from clementinepin.entry._context import EntryContext, Targets
+from clementinepin.exceptions import ClementinepinError, Outcome
+from clementinepin.helpers.clock import create_system_clock
+from clementinepin.helpers.metrics import create_metrics
+from clementinepin.targets import StreamChunk, TargetAddress
+from clementinepin.targets.exceptions import (
+    AnswerMixedUpError,
+    TargetLostError,
+    TargetNotReachedError,
+    TargetProtocolError,
+    TargetRefusedError,
+    TargetRejectedError,
+    TargetTimeoutError,
+)
+from tests.entry.fakes import FakeScheduler, make_configuration, make_settings
+
+TOKENS = [f"w{i} " for i in range(6)]
+UNWRITTEN = (TargetNotReachedError, TargetRefusedError)
+FAILURES = {
+    "not_reached": TargetNotReachedError,
+    "refused": TargetRefusedError,
+    "lost": TargetLostError,
+    "timeout": TargetTimeoutError,
+    "protocol": TargetProtocolError,
+    "mixed_up": AnswerMixedUpError,
+    "rejected": lambda: TargetRejectedError(400, b"{}"),
+    "none": lambda: None,
+}
+STEP = st.tuples(st.sampled_from(sorted(FAILURES)), st.integers(0, len(TOKENS)))
+
+
+class ScheduledEngine:
+    """Delivers some tokens behind the resume point and then fails as its step says."""
+
+    def __init__(self, step, journal):
+        self._name, self._count = step
+        self._journal = journal
+
+    def generate(self, request):
+        failure = FAILURES[self._name]()
+        if isinstance(failure, UNWRITTEN):
+            raise failure
+        self._journal.append(request)
+        assert request.resume_text == "".join(TOKENS[: request.resume_tokens])
+        left = TOKENS[request.resume_tokens :]
+        for token in left if failure is None else left[: self._count]:
+            yield StreamChunk(token.encode(), token, 1, done=False)
+        if failure is not None:
+            raise failure
+        yield StreamChunk(b"data: [DONE]\n\n", "", 0, done=True, finish_reason="stop")
+
+
+def run_call(steps, *, idempotent, close_after=None):
+    """Return scheduler, journal of written attempts, delivered chunks and the failure."""
+    journal = []
+    clock = create_system_clock()
+    targets = [TargetAddress(f"t{i}", "127.0.0.1", i + 1) for i in range(len(steps))]
+    scheduler = FakeScheduler(targets, retries=10)
+    engines = {t: ScheduledEngine(s, journal) for t, s in zip(targets, steps, strict=True)}
+    core = Core(make_settings(), clock, create_metrics(None, 0, ""), random.Random(1))
+    configuration = make_configuration()
+    context = EntryContext(
+        core, scheduler, None, None, None, Targets(clock, engines.get, None), None
+    )
+    account = configuration.accounts["lets"]
+    application = find_application(configuration, account, "assist")
+    service = find_service(configuration, application)
+    body = {"model": "assist", "prompt": "x", "stream": True}
+    deadline = clock.monotonic() + 60.0
+    call = make_call(
+        body, "/v1/completions", account, application, service, deadline, idempotent=idempotent
+    )
+    chunks, failure = [], None
+    run = OnlineAttempts(context, call).run()
+    try:
+        for chunk in run:
+            chunks.append(chunk)
+            if len(chunks) == close_after:
+                break
+    except ClementinepinError as err:
+        failure = err
+    run.close()
+    return scheduler, journal, chunks, failure
+
+
+@settings(max_examples=300)
+@given(steps=st.lists(STEP, max_size=6), idempotent=st.booleans())
+def test_any_schedule_of_failures_ends_truly(steps, idempotent):
+    """Mutations: ``may_have_run`` stays False (a false not run); ``idempotent`` is ignored (it
+    runs twice); the resume point is dropped (doubled tokens); a failure ends the loop quietly.
+    """
+    scheduler, journal, chunks, failure = run_call(steps, idempotent=idempotent)
+    text = "".join(c.text for c in chunks)
+    done = bool(chunks) and chunks[-1].done
+    assert done is (failure is None)
+    assert text == "".join(TOKENS) if done else "".join(TOKENS).startswith(text)
+    assert [c.done for c in chunks[:-1]] == [False] * len(chunks[:-1])
+    if failure is not None and failure.outcome is Outcome.NOT_RUN:
+        assert journal == []
+    if not idempotent:
+        assert len(journal) <= 1
+    assert scheduler.open == {}
+    assert len(scheduler.results) <= len(steps)
+
+
+@settings(max_examples=100)
+@given(
+    steps=st.lists(STEP, min_size=1, max_size=4),
+    idempotent=st.booleans(),
+    close_after=st.integers(1, 5),
+)
+def test_a_caller_that_leaves_at_any_chunk_frees_every_slot(steps, idempotent, close_after):
+    """Mutation: ``_attempt`` finishes its ticket outside ``finally``: a slot stays held."""
+    scheduler, _, _, _ = run_call(steps, idempotent=idempotent, close_after=close_after)
+    assert scheduler.open == {}
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -5,13 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from clementinepin.entry._calls import (
-    CHAT_SCHEMA,
-    COMPLETION_SCHEMA,
-    check_body,
-    make_fingerprint,
-    make_prefix_hash,
-)
+from clementinepin.entry._calls import CHAT_SCHEMA, COMPLETION_SCHEMA, check_body, make_prefix_hash
 from clementinepin.entry._http import decode_object
 from clementinepin.entry._resume import ResumeSigner, read_resume_point
 from clementinepin.entry._router import Access, Route, Router
@@ -22,6 +16,7 @@
     RouteNotFoundError,
 )
 from clementinepin.exceptions import InvalidInputError
+from clementinepin.helpers.fingerprint import make_fingerprint
 from tests.entry.fakes import KEY, Answer, read_to_end
 from tests.entry.test_online import COMPLETION, play_whole
 
@@ -178,6 +173,25 @@
     assert_serves(entry)
 
 
+def test_bodies_in_memory_are_bounded_over_all_requests(serve, monkeypatch):
+    """Mutation: ``reserve`` only counts: many large bodies at once take all memory."""
+    monkeypatch.setattr("clementinepin.entry._app.BODIES_WHOLE_MAX", 2)
+    entry = serve(play_whole, limits={"body_max_bytes": 150_000, "header_timeout_s": 5.0})
+    held = [entry.connect() for _ in range(3)]
+    for sock in held:
+        sock.sendall(HEAD + b"Content-Length: 140000\r\n\r\n" + b"x" * 139_999)
+        gevent.sleep(0.02)
+    refused = Answer(read_to_end(held.pop()))
+    assert refused.error["code"] == "body_memory_exhausted"
+    assert refused.headers["retry-after"]
+    for sock in held:
+        sock.sendall(b"x")
+        sock.shutdown(gevent.socket.SHUT_WR)
+        assert Answer(read_to_end(sock)).error["code"] == "invalid_json"
+    assert entry.entry.describe_state()["body_bytes_held"] == 0
+    assert_serves(entry)
+
+
 def test_keep_alive_serves_several_requests(serve):
     entry = serve(play_whole)
     sock = entry.connect()
