--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -62,7 +62,7 @@
         yield StreamChunk(b"data: [DONE]\n\n", "", 0, done=True, finish_reason="stop")
 
 
-def run_call(steps, *, idempotent, close_after=None):
+def run_call(steps, *, idempotent, count=1, close_after=None):
     """Return scheduler, journal of written attempts, delivered chunks and the failure."""
     journal = []
     clock = create_system_clock()
@@ -77,7 +77,7 @@
     account = configuration.accounts["lets"]
     application = find_application(configuration, account, "assist")
     service = find_service(configuration, application)
-    body = {"model": "assist", "prompt": "x", "stream": True}
+    body = {"model": "assist", "prompt": "x", "stream": True, "n": count}
     deadline = clock.monotonic() + 60.0
     call = make_call(
         body, "/v1/completions", account, application, service, deadline, idempotent=idempotent
@@ -96,12 +96,13 @@
 
 
 @settings(max_examples=300)
-@given(steps=st.lists(STEP, max_size=6), idempotent=st.booleans())
-def test_any_schedule_of_failures_ends_truly(steps, idempotent):
+@given(steps=st.lists(STEP, max_size=6), idempotent=st.booleans(), count=st.integers(1, 2))
+def test_any_schedule_of_failures_ends_truly(steps, idempotent, count):
     """Mutations: ``may_have_run`` stays False (a false not run); ``idempotent`` is ignored (it
-    runs twice); the resume point is dropped (doubled tokens); a failure ends the loop quietly.
+    runs twice); the resume point is dropped (doubled tokens); a failure ends the loop quietly;
+    a call of several answers goes on elsewhere (its answers can't be told apart).
     """
-    scheduler, journal, chunks, failure = run_call(steps, idempotent=idempotent)
+    scheduler, journal, chunks, failure = run_call(steps, idempotent=idempotent, count=count)
     text = "".join(c.text for c in chunks)
     done = bool(chunks) and chunks[-1].done
     assert done is (failure is None)
@@ -111,6 +112,8 @@
         assert journal == []
     if not idempotent:
         assert len(journal) <= 1
+    if count > 1:
+        assert [r.resume_tokens for r in journal] == [0] * len(journal)
     assert scheduler.open == {}
     assert len(scheduler.results) <= len(steps)
 
