Close batch out of a target by the height of its recent online peak

Cause: a fixed headroom took slots from batch in idle hours and still left batch beside bursts. Change: free slots go to batch while the recent peak is low and to nobody while it is high; the bench names calls by their place in the trace, so that runs compare.

--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -54,6 +54,7 @@
 class Arrival(NamedTuple):
     """An online call of a trace; ``at`` counts from its start."""
 
+    name: str
     at: float
     entry: int
     tokens: int
@@ -129,14 +130,12 @@
         self.loop.run(start + duration_s)
 
     def _send(self, arrival: Arrival, sent_at: float) -> None:
-        self.entries[arrival.entry].serve_online(arrival.tokens, sent_at)
+        self.entries[arrival.entry].serve_online(arrival.name, arrival.tokens, sent_at)
 
 
 class Entry:
     """One instance: a decider, its waits and its batch runner."""
 
-    _requests = itertools.count()
-
     def __init__(
         self,
         fleet: Fleet,
@@ -149,6 +148,7 @@
     ) -> None:
         view = View(name, data_centre, "r", live, configuration)
         self.place = Placed(name, data_centre)
+        self._requests = itertools.count()
         self.decider = Decider(view, create_policy(policy), 10_000, random.Random(seed))
         self._fleet = fleet
         self._loop = fleet.loop
@@ -170,11 +170,10 @@
         self._tick()
         if batch:
             for _ in range(BATCH_WAITING):
-                self._submit_batch(BatchItem(f"b{next(self._requests)}"))
+                self._submit_batch(BatchItem(self._name_item()))
 
-    def serve_online(self, tokens: int, sent_at: float) -> None:
+    def serve_online(self, name: str, tokens: int, sent_at: float) -> None:
         """Serve a call that a client sent at a time."""
-        name = f"o{next(self._requests)}"
         call = CallInfo(name, "a", "lm", "app", "online", self._loop.now + 60.0, name, "", tokens)
         self._submit(call, lambda grant: self._run_online(grant, tokens, sent_at))
 
@@ -192,6 +191,9 @@
                 case Signal():
                     self._signal(action)
 
+    def _name_item(self) -> str:
+        return f"{self.place.name}.b{next(self._requests)}"
+
     def _submit(self, call: CallInfo, on_grant: Callable[[Grant], None]) -> None:
         try:
             row = self.decider.submit(call, self._loop.now, self._loop.now)
@@ -251,7 +253,7 @@
                 return
             now = self._loop.now
             self.decider.finish(grant.ticket, result, now, now)
-            left = item if result is CallResult.PREEMPTED else BatchItem(f"b{next(self._requests)}")
+            left = item if result is CallResult.PREEMPTED else BatchItem(self._name_item())
             self._submit_batch(left)
 
         def preempt() -> None:
--- a/bench/mix.py
+++ b/bench/mix.py
@@ -42,7 +42,9 @@
         if at >= duration_s:
             return arrivals
         if rng.random() < share / BURST_SHARE:
-            arrivals.append(Arrival(at, rng.randrange(6), rng.randint(*ONLINE_TOKENS)))
+            arrivals.append(
+                Arrival(f"o{len(arrivals)}", at, rng.randrange(6), rng.randint(*ONLINE_TOKENS))
+            )
 
 
 def run(
--- a/clementinepin/systems/allowance.py
+++ b/clementinepin/systems/allowance.py
@@ -14,9 +14,10 @@
 POLICY_FIXED = "fixed"
 POLICY_NONE = "none"
 
-PEAK_HALF_LIFE_MIN_S = 0.1
-PEAK_HALF_LIFE_MAX_S = 1.0
-HEADROOM_SHARE_MAX = 0.25
+RECENT_HALF_LIFE_S = 0.1
+PEAK_HALF_LIFE_S = (0.1, 0.5)
+BURST_LOW_SHARE = (0.6, 0.3)
+BURST_HIGH_SHARE = (1.0, 0.5)
 CAP_DECREASE_FACTOR = 0.7
 CAP_INCREASE_SLOTS_PER_S = 4.0
 CAP_PERIOD_S = 0.25
@@ -53,15 +54,33 @@
 
     def compute(self, row: AllowanceRow, state: OnlineState, now: float) -> AllowanceRow:
         elapsed_s = max(0.0, now - row.updated_at)
-        peak = max(float(state.online), row.peak * 0.5 ** (elapsed_s / _half_life(state)))
+        recent = _decay(row.recent, state.online, elapsed_s, RECENT_HALF_LIFE_S)
+        half_life_s = _blend(PEAK_HALF_LIFE_S, state.preference)
+        peak = _decay(row.peak, state.online, elapsed_s, half_life_s)
         cap = _adjust_cap(row, state, elapsed_s)
-        headroom = HEADROOM_SHARE_MAX * state.preference * state.slots_max
-        free = state.slots_max - math.ceil(peak - 0.5) - round(headroom)
-        return AllowanceRow(max(0, min(free, math.floor(cap))), peak, cap, now)
+        burst = _measure_burst(peak, state)
+        idle = state.slots_max - math.ceil(recent - 0.5)
+        free = math.floor(idle * (1.0 - burst) + 0.5)
+        return AllowanceRow(max(0, min(free, math.floor(cap))), recent, peak, cap, now)
 
 
-def _half_life(state: OnlineState) -> float:
-    return PEAK_HALF_LIFE_MIN_S + state.preference * (PEAK_HALF_LIFE_MAX_S - PEAK_HALF_LIFE_MIN_S)
+def _decay(known: float, online: int, elapsed_s: float, half_life_s: float) -> float:
+    return max(float(online), known * 0.5 ** (elapsed_s / half_life_s))
+
+
+def _blend(pair: tuple[float, float], preference: float) -> float:
+    return pair[0] + preference * (pair[1] - pair[0])
+
+
+def _measure_burst(peak: float, state: OnlineState) -> float:
+    """Return how far the recent peak stands between two shares of the slots, from 0 to 1.
+
+    Below the first a target is taken as idle and batch gets all free slots; above the second it
+    gets none, as each batch call lengthens the steps of those that are late already.
+    """
+    low = _blend(BURST_LOW_SHARE, state.preference) * state.slots_max
+    high = _blend(BURST_HIGH_SHARE, state.preference) * state.slots_max
+    return min(1.0, max(0.0, (peak - low) / max(1.0, high - low)))
 
 
 def _adjust_cap(row: AllowanceRow, state: OnlineState, elapsed_s: float) -> float:
@@ -78,7 +97,7 @@
         return slots_max
 
     def compute(self, row: AllowanceRow, state: OnlineState, now: float) -> AllowanceRow:
-        return AllowanceRow(state.slots_max, 0.0, 0.0, now)
+        return AllowanceRow(state.slots_max, updated_at=now)
 
 
 class _FixedPolicy:
@@ -86,7 +105,7 @@
         return slots_max - math.floor(slots_max * FIXED_BATCH_SHARE)
 
     def compute(self, row: AllowanceRow, state: OnlineState, now: float) -> AllowanceRow:
-        return AllowanceRow(math.floor(state.slots_max * FIXED_BATCH_SHARE), 0.0, 0.0, now)
+        return AllowanceRow(math.floor(state.slots_max * FIXED_BATCH_SHARE), updated_at=now)
 
 
 class _NonePolicy:
@@ -94,7 +113,7 @@
         return slots_max
 
     def compute(self, row: AllowanceRow, state: OnlineState, now: float) -> AllowanceRow:
-        return AllowanceRow(0, 0.0, 0.0, now)
+        return AllowanceRow(0, updated_at=now)
 
 
 def create_policy(name: str) -> AllowancePolicy:
--- a/clementinepin/tables/_demand.py
+++ b/clementinepin/tables/_demand.py
@@ -52,11 +52,12 @@
 class AllowanceRow(NamedTuple):
     """State of the batch allowance of an owned target.
 
-    ``peak`` is the recent peak of online calls, ``cap`` the bound set by measured latency; both
-    in slots, true at ``updated_at``.
+    ``recent`` and ``peak`` are peaks of online calls over a short and a longer past, ``cap`` is
+    the bound set by measured latency; all in slots, true at ``updated_at``.
     """
 
     allowance: int = 0
+    recent: float = 0.0
     peak: float = 0.0
     cap: float = 0.0
     updated_at: float = 0.0
