--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -156,7 +156,6 @@
         self._preempts: dict[int, Callable[[], None]] = {}
         self._pending: dict[str, dict[str, Signal]] = {}
         self._sending: set[str] = set()
-        self._waiting_batch = 0
         rows = [
             ListedInstance(n, "lm", "127.0.0.1", 1, 0, dc, "r", "live")
             for n, dc in fleet.workers.items()
@@ -169,8 +168,7 @@
         self._poll()
         self._tick()
         if batch:
-            for _ in range(BATCH_WAITING):
-                self._submit_batch(BatchItem(self._name_item()))
+            self._refill_batch()
 
     def serve_online(self, name: str, tokens: int, sent_at: float) -> None:
         """Serve a call that a client sent at a time."""
@@ -229,6 +227,10 @@
         )
         self._loop.after(delay_s, lambda: engine.admit(generation))
 
+    def _refill_batch(self) -> None:
+        while len(self.decider.tables.batch) < BATCH_WAITING:
+            self._submit_batch(BatchItem(self._name_item()))
+
     def _submit_batch(self, item: BatchItem) -> None:
         name = f"{item.name}.{item.done}"
         call = CallInfo(
@@ -253,8 +255,9 @@
                 return
             now = self._loop.now
             self.decider.finish(grant.ticket, result, now, now)
-            left = item if result is CallResult.PREEMPTED else BatchItem(self._name_item())
-            self._submit_batch(left)
+            if result is CallResult.PREEMPTED:
+                self._submit_batch(item)
+            self._refill_batch()
 
         def preempt() -> None:
             fleet.preemptions += 1
--- a/clementinepin/systems/allowance.py
+++ b/clementinepin/systems/allowance.py
@@ -15,9 +15,13 @@
 POLICY_NONE = "none"
 
 RECENT_HALF_LIFE_S = 0.1
-PEAK_HALF_LIFE_S = (0.1, 0.5)
-BURST_LOW_SHARE = (0.6, 0.3)
-BURST_HIGH_SHARE = (1.0, 0.5)
+PEAK_HALF_LIFE_S = 0.3
+SERVICE_HALF_LIFE_S = 0.2
+TARGET_LOW_SHARE = (0.6, 0.6)
+TARGET_HIGH_SHARE = (1.0, 1.0)
+SERVICE_LOW_SHARE = (0.5, 0.3)
+SERVICE_HIGH_SHARE = (0.9, 0.5)
+SERVICE_FRESH_S = 0.5
 CAP_DECREASE_FACTOR = 0.7
 CAP_INCREASE_SLOTS_PER_S = 4.0
 CAP_PERIOD_S = 0.25
@@ -27,12 +31,14 @@
 class OnlineState(NamedTuple):
     """What an allowance follows.
 
-    ``online`` counts online calls of all instances at the target and those that wait for it. The
+    ``online`` counts online calls of all instances at the target and those that wait for it,
+    ``service_share`` is the share of the service's slots in online use as far as known here. The
     ratios are measured times over the service's targets; 0.0 when nothing was measured.
     """
 
     slots_max: int
     online: int
+    service_share: float
     first_token_ratio: float
     between_tokens_ratio: float
     preference: float
@@ -55,32 +61,41 @@
     def compute(self, row: AllowanceRow, state: OnlineState, now: float) -> AllowanceRow:
         elapsed_s = max(0.0, now - row.updated_at)
         recent = _decay(row.recent, state.online, elapsed_s, RECENT_HALF_LIFE_S)
-        half_life_s = _blend(PEAK_HALF_LIFE_S, state.preference)
-        peak = _decay(row.peak, state.online, elapsed_s, half_life_s)
+        peak = _decay(row.peak, state.online, elapsed_s, PEAK_HALF_LIFE_S)
+        service_peak = _decay(row.service_peak, state.service_share, elapsed_s, SERVICE_HALF_LIFE_S)
         cap = _adjust_cap(row, state, elapsed_s)
-        burst = _measure_burst(peak, state)
+        burst = max(
+            _measure_burst(
+                peak / max(1, state.slots_max), TARGET_LOW_SHARE, TARGET_HIGH_SHARE, state
+            ),
+            _measure_burst(service_peak, SERVICE_LOW_SHARE, SERVICE_HIGH_SHARE, state),
+        )
         idle = state.slots_max - math.ceil(recent - 0.5)
         free = math.floor(idle * (1.0 - burst) + 0.5)
-        return AllowanceRow(max(0, min(free, math.floor(cap))), recent, peak, cap, now)
+        return AllowanceRow(
+            max(0, min(free, math.floor(cap))), recent, peak, service_peak, cap, now
+        )
 
 
-def _decay(known: float, online: int, elapsed_s: float, half_life_s: float) -> float:
-    return max(float(online), known * 0.5 ** (elapsed_s / half_life_s))
+def _decay(known: float, online: float, elapsed_s: float, half_life_s: float) -> float:
+    return max(online, known * 0.5 ** (elapsed_s / half_life_s))
 
 
 def _blend(pair: tuple[float, float], preference: float) -> float:
     return pair[0] + preference * (pair[1] - pair[0])
 
 
-def _measure_burst(peak: float, state: OnlineState) -> float:
-    """Return how far the recent peak stands between two shares of the slots, from 0 to 1.
+def _measure_burst(
+    peak: float, low: tuple[float, float], high: tuple[float, float], state: OnlineState
+) -> float:
+    """Return how far a peak stands between two shares of the slots, from 0 to 1.
 
-    Below the first a target is taken as idle and batch gets all free slots; above the second it
-    gets none, as each batch call lengthens the steps of those that are late already.
+    Below the first, batch gets all free slots; above the second it gets none, as each batch call
+    lengthens the steps of online calls that are late already.
     """
-    low = _blend(BURST_LOW_SHARE, state.preference) * state.slots_max
-    high = _blend(BURST_HIGH_SHARE, state.preference) * state.slots_max
-    return min(1.0, max(0.0, (peak - low) / max(1.0, high - low)))
+    bottom = _blend(low, state.preference)
+    top = _blend(high, state.preference)
+    return min(1.0, max(0.0, (peak - bottom) / (top - bottom)))
 
 
 def _adjust_cap(row: AllowanceRow, state: OnlineState, elapsed_s: float) -> float:
@@ -141,12 +156,36 @@
     return OnlineState(
         slots_max=row.slots_max,
         online=row.online + waiting + sum(d.online + d.waiting for d in others),
+        service_share=measure_service(tables, row.service, now),
         first_token_ratio=first_token_s / spec.first_token_target_s if spec else 0.0,
         between_tokens_ratio=between_tokens_s / spec.between_tokens_target_s if spec else 0.0,
         preference=spec.preference if spec else 1.0,
     )
 
 
+def measure_service(tables: Tables, service: str, now: float) -> float:
+    """Return the share of a service's slots in online use, over targets with fresh counts.
+
+    Owned targets count by what all instances told, others by the answers of their owners.
+    """
+    online = slots = 0
+    waiting = count_pressure(tables, service)
+    for name in tables.followed.get(service, ()):
+        row = tables.targets.get(name)
+        if row is None:
+            continue
+        if name in tables.owned:
+            told = tables.demand.list_target(name).values()
+            online += sum(d.online + d.waiting for d in told if d.expires_at > now)
+        elif now - row.others_at <= SERVICE_FRESH_S:
+            online += row.others_online
+        else:
+            continue
+        online += row.online + waiting
+        slots += row.slots_max
+    return online / slots if slots else 0.0
+
+
 def update_allowance(
     tables: Tables, row: TargetRow, view: View, policy: AllowancePolicy, now: float
 ) -> int:
--- a/clementinepin/tables/_demand.py
+++ b/clementinepin/tables/_demand.py
@@ -53,12 +53,14 @@
     """State of the batch allowance of an owned target.
 
     ``recent`` and ``peak`` are peaks of online calls over a short and a longer past, ``cap`` is
-    the bound set by measured latency; all in slots, true at ``updated_at``.
+    the bound set by measured latency, all in slots; ``service_peak`` is the recent peak of the
+    service's share of slots in online use. All are true at ``updated_at``.
     """
 
     allowance: int = 0
     recent: float = 0.0
     peak: float = 0.0
+    service_peak: float = 0.0
     cap: float = 0.0
     updated_at: float = 0.0
 
