Prove batch jobs by a matrix of faults at every step

Cause: exactly one result, a stop by cancel and durable acceptance must hold whatever fails at whichever step. Change: scenario outlines over three components in virtual time: loss of workers or of the instance, resend, outage, slowness, lost replies, a pause past the lease, poison, truncated answers, a lost disk and a clean stop, each at each step from acceptance to the seal.

--- a/clementinepin/batch/_claimer.py
+++ b/clementinepin/batch/_claimer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 from collections.abc import Callable, Collection
 
 from loguru import logger
@@ -55,7 +54,7 @@
         self._keeper = keeper
         self._count_free = count_free
         self._list_live = list_live
-        self.owner = f"{core.settings.instance.name}/{secrets.token_hex(4)}"
+        self.owner = f"{core.settings.instance.name}/{core.random.getrandbits(32):08x}"
         self.use: dict[str, AccountUse] = {}
 
     def step(self) -> None:
--- /dev/null
+++ b/tests/fault_matrix/test_batch.py
@@ -0,0 +1,103 @@
+"""Fault matrix of batch jobs.
+
+Mutations that it catches: no version in the write of a shard; a claim that runs all items
+again; no seal of a cancelled job's shards; no look at the job behind a claim; a truncated
+stream taken for a whole one; no resume behind what was delivered; sealed shards not noted; a
+lapsed lease never taken over; unbounded attempts; a cancel mark not written; a job id that
+differs for a resend; no release on a clean stop; one copy in place of three.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from clementinepin.tables import count_bits
+from tests.batch import fakes
+from tests.fault_matrix.cluster import ITEMS, POISON, Cluster
+
+scenarios("batch.feature")
+
+
+@pytest.fixture
+def context():
+    return {}
+
+
+@given(parsers.parse('a cluster that meets "{fault}" at "{step}"'), target_fixture="cluster")
+def create_cluster(clock, fault, step):
+    return Cluster(clock, step, fault, with_files=fault == "disk lost")
+
+
+@when("a client submits a job until it is accepted")
+def submit_job(cluster, context):
+    context["job_id"] = cluster.submit().job_id
+
+
+@when("a client cancels the job once it has a result")
+def cancel_job(cluster, context):
+    job_id = context["job_id"]
+    cluster.advance_until(lambda: any(r.commits for r in cluster.list_shards(job_id).values()))
+    cluster.call_until_answered("cancel", fakes.ACCOUNT, job_id)
+
+
+@when("the cluster runs until the job has ended")
+def run_to_the_end(cluster, context):
+    job_id = context["job_id"]
+    cluster.advance_until(lambda: cluster.read_job(job_id).ended)
+    assert cluster.struck is not None, "the step was never reached"
+    cluster.advance_until(lambda: all(g.ready() for g in cluster.extra))
+    if cluster.fault == "clean stop":
+        assert not any(owner.startswith(cluster.struck.name) for owner in cluster.left)
+
+
+@then("the job is completed with one result an item")
+def check_completed(cluster, context):
+    status = cluster.describe(context["job_id"])
+    poisoned = int(cluster.poisoned)
+    assert status.state == "completed"
+    assert status.items_completed + status.items_failed == ITEMS
+    assert status.items_failed <= poisoned
+    results = cluster.read_results(context["job_id"])
+    assert [r["custom_id"] for r in results] == [f"c{n}" for n in range(ITEMS)]
+    check_answers(results)
+
+
+@then("the job is cancelled with at most one result an item")
+def check_cancelled(cluster, context):
+    status = cluster.describe(context["job_id"])
+    assert status.state == "cancelled"
+    results = cluster.read_results(context["job_id"])
+    assert len(results) == status.items_completed + status.items_failed
+    assert max(Counter(r["custom_id"] for r in results).values()) == 1
+    assert all(row.sealed for row in cluster.list_shards(context["job_id"]).values())
+    check_answers(results)
+
+
+@then("nothing changes any more")
+def check_quiet(cluster, context):
+    job_id = context["job_id"]
+    cluster.advance(10)
+    before = cluster.list_shards(job_id)
+    runs = [node.target.runs.total() for node in cluster.nodes]
+    cluster.advance(200)
+    assert cluster.list_shards(job_id) == before
+    assert [node.target.runs.total() for node in cluster.nodes] == runs
+    assert cluster.state.list_range("active/", "active0", 0) == []
+    for row in before.values():
+        assert sum(commit.items for commit in row.commits) == count_bits(row.done)
+    accepted = [g.value.job_id for g in cluster.extra if hasattr(g.value, "job_id")]
+    assert set(accepted) <= {job_id}
+
+
+def check_answers(results):
+    """Each answer is its own item's and whole, or the poison's typed error."""
+    for result in results:
+        prompt = "p" + result["custom_id"][1:]
+        if result["error"] is not None:
+            assert prompt == POISON
+            assert result["error"]["code"] == "attempts_exhausted"
+            continue
+        assert result["response"]["body"]["choices"][0]["text"] == "re:" + prompt
