Share the form of engine bodies between online calls and batch items

Cause: batch items were fingerprinted otherwise than online calls, so that quarantine would not know a resend, kept a caller's resume field, and could not return answers that streams do not carry (tools, logprobs, several choices). Change: one module of targets makes bodies and fingerprints for both; items whose answer is more than text ask for it whole; engines' own usage is kept; the factories of storage and batch leave registration to the daemon, whose start order they had changed.

--- a/clementinepin/batch/_items.py
+++ b/clementinepin/batch/_items.py
@@ -7,18 +7,26 @@
 
 import gevent
 import msgspec
-import xxhash
 from gevent.event import Event
+from loguru import logger
 
 from clementinepin.batch._lines import InputLine
 from clementinepin.batch._results import STATUS_OK, build_answer, build_error, build_result
 from clementinepin.config import Configuration
 from clementinepin.const import Priority
-from clementinepin.exceptions import NotRunError
+from clementinepin.exceptions import ClementinepinError, NotRunError
 from clementinepin.helpers.clock import Clock
 from clementinepin.scheduling import CallInfo, CallResult, Placement, Scheduler
 from clementinepin.systems.exceptions import RequestCondemnedError
-from clementinepin.targets import Engine, GenerateRequest, StreamChunk, TargetAddress
+from clementinepin.targets import (
+    Engine,
+    GenerateRequest,
+    StreamChunk,
+    TargetAddress,
+    is_plain_body,
+    make_engine_body,
+    make_fingerprint,
+)
 from clementinepin.targets.exceptions import (
     TargetLostError,
     TargetNotReachedError,
@@ -26,6 +34,7 @@
     TargetRejectedError,
 )
 
+LOG_PREFIX = "batch:"
 ATTEMPTS_MAX = 5
 REFUSAL_PAUSE_S = 1.0
 REFUSAL_PAUSE_MAX_S = 30.0
@@ -53,6 +62,9 @@
         self.text = ""
         self.tokens = 0
         self.finish_reason: str | None = None
+        self.resumed = False
+        self.usage = b""
+        self.whole = b""
         self.stop = Event()
 
 
@@ -125,7 +137,7 @@
         stream: Iterator[StreamChunk] = iter(())
         try:
             stream = self._create_engine(placement.target).generate(request)
-            return self._read_stream(work, stream, placement.ticket)
+            return self._read_stream(work, request, stream, placement.ticket)
         except TargetNotReachedError:
             return _Ended(CallResult.NOT_REACHED)
         except TargetRefusedError as err:
@@ -134,10 +146,19 @@
             return _Ended(CallResult.LOST)
         except TargetRejectedError as err:
             return _Ended(CallResult.REJECTED, err)
+        except ClementinepinError as err:
+            logger.warning("{} Stream of an item broke: {}.", LOG_PREFIX, err.code)
+            return _Ended(CallResult.LOST)
         finally:
             close_stream(stream)
 
-    def _read_stream(self, work: ItemWork, stream: Iterator[StreamChunk], ticket: int) -> _Ended:
+    def _read_stream(
+        self,
+        work: ItemWork,
+        request: GenerateRequest,
+        stream: Iterator[StreamChunk],
+        ticket: int,
+    ) -> _Ended:
         """Take in chunks; a stream that ends before its last chunk is a loss."""
         first = True
         for chunk in stream:
@@ -147,8 +168,10 @@
             work.text += chunk.text
             work.tokens += chunk.tokens
             self._scheduler.report_tokens(ticket, chunk.tokens)
+            work.finish_reason = chunk.finish_reason or work.finish_reason
+            work.usage = chunk.usage or work.usage
             if chunk.done:
-                work.finish_reason = chunk.finish_reason
+                work.whole = chunk.data if request.whole else b""
                 return _Ended(CallResult.SUCCESS)
         return _Ended(CallResult.LOST)
 
@@ -191,7 +214,7 @@
         return None
     service = configuration.services[configuration.models[application.model].service]
     body = work.line.body
-    tokens_max = body.get("max_tokens")
+    tokens_max = body.get("max_completion_tokens") or body.get("max_tokens")
     return CallInfo(
         request_id=work.request_id,
         account=account,
@@ -199,48 +222,45 @@
         application=application.name,
         priority=Priority.BATCH,
         deadline=now + service.request_timeout_s,
-        fingerprint=fingerprint_body(service.name, body),
+        fingerprint=make_fingerprint(service.name, body),
         tokens_max=tokens_max if isinstance(tokens_max, int) else 0,
     )
 
 
 def build_request(work: ItemWork, call: CallInfo, configuration: Configuration) -> GenerateRequest:
     """Return the generation, which goes on behind what was delivered before."""
-    application = configuration.applications[call.application]
-    model = application.model
-    if application.adapter:
-        model = f"{model}:{application.adapter}"
+    work.resumed = work.resumed or work.tokens > 0
+    body = make_engine_body(work.line.body, configuration.applications[call.application])
     return GenerateRequest(
         request_id=work.request_id,
         path=work.line.url,
-        body={**work.line.body, "model": model},
+        body=body,
         priority=call.priority,
         deadline=call.deadline,
         resume_text=work.text,
         resume_tokens=work.tokens,
+        whole=not is_plain_body(body),
     )
 
 
-def fingerprint_body(service: str, body: dict[str, Any]) -> str:
-    """Return the identity of a request's content, by which crashes are traced to it."""
-    encoded = msgspec.json.encode(body, order="sorted")
-    return xxhash.xxh3_128_hexdigest(service.encode() + b"\x00" + encoded)
-
-
 def is_final_rejection(status: int) -> bool:
     """Tell whether another attempt would end alike: the target blames the request."""
     return status < STATUS_SERVER_ERROR and status != STATUS_TOO_MANY
 
 
 def _succeed(work: ItemWork) -> ItemResult:
-    body = build_answer(
-        work.request_id,
-        work.line.url,
-        str(work.line.body["model"]),
-        work.text,
-        work.tokens,
-        work.finish_reason,
-    )
+    """Return the result of a whole answer, as the engine gave it or put together."""
+    body: Any = msgspec.Raw(work.whole)
+    if not work.whole:
+        body = build_answer(
+            work.request_id,
+            work.line.url,
+            str(work.line.body["model"]),
+            work.text,
+            b"" if work.resumed else work.usage,
+            work.tokens,
+            work.finish_reason,
+        )
     line = build_result(work.request_id, work.line.custom_id, STATUS_OK, body)
     return ItemResult(line, failed=False)
 
--- a/clementinepin/batch/_results.py
+++ b/clementinepin/batch/_results.py
@@ -18,21 +18,31 @@
 
 
 def build_answer(
-    request_id: str, endpoint: str, model: str, text: str, tokens: int, finish_reason: str | None
+    request_id: str,
+    endpoint: str,
+    model: str,
+    text: str,
+    usage: bytes,
+    tokens: int,
+    finish_reason: str | None,
 ) -> dict[str, Any]:
-    """Return the body of a whole answer, as the endpoint would give it unstreamed."""
-    choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason or "stop"}
+    """Return the body of a whole answer, as the endpoint would give it unstreamed.
+
+    ``usage`` is the engine's own count as JSON, or empty for ours of the tokens it generated.
+    """
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason, "logprobs": None}
     is_chat = endpoint == ENDPOINTS[1]
     if is_chat:
         choice["message"] = {"role": "assistant", "content": text}
     else:
         choice["text"] = text
+    counted = {"prompt_tokens": 0, "completion_tokens": tokens, "total_tokens": tokens}
     return {
-        "id": f"cmpl-{request_id}",
+        "id": f"{'chatcmpl' if is_chat else 'cmpl'}-{request_id}",
         "object": "chat.completion" if is_chat else "text_completion",
         "model": model,
         "choices": [choice],
-        "usage": {"completion_tokens": tokens},
+        "usage": msgspec.Raw(usage) if usage else counted,
     }
 
 
--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -254,7 +254,5 @@
     scheduler: Scheduler,
     create_engine: CreateEngine,
 ) -> BatchComponent:
-    """Create the batch component and register it."""
-    component = BatchComponent(core, key_value, segments, scheduler, create_engine)
-    core.register(component)
-    return component
+    """Create the batch component."""
+    return BatchComponent(core, key_value, segments, scheduler, create_engine)
--- a/clementinepin/entry/_calls.py
+++ b/clementinepin/entry/_calls.py
@@ -7,7 +7,6 @@
 from typing import Any, Final, NamedTuple
 from urllib.parse import unquote
 
-import msgspec
 import voluptuous as vol
 import xxhash
 
@@ -17,13 +16,12 @@
 from clementinepin.entry.exceptions import ApplicationNotFoundError
 from clementinepin.exceptions import InvalidInputError
 from clementinepin.scheduling import CallInfo
+from clementinepin.targets import is_plain_body, make_engine_body, make_fingerprint
 
 HEADER_IDEMPOTENT: Final = "X-Idempotent"
 PREFIX_CHARS: Final = 256
 TOKENS_LIMIT: Final = 1_000_000
 STOP_SEQUENCES_MAX: Final = 16
-WHOLE_ONLY_FIELDS: Final = ("logprobs", "tools", "functions", "best_of", "echo")
-IGNORED_FIELDS: Final = frozenset({"stream", "stream_options", "resume", "user"})
 
 
 def _check_integer(value: object) -> object:
@@ -96,13 +94,6 @@
     return configuration.services[configuration.models[application.model].service]
 
 
-def make_engine_model(application: ApplicationSpec) -> str:
-    """Return the name that engines know: MODEL or MODEL:ADAPTER."""
-    if application.adapter:
-        return f"{application.model}:{application.adapter}"
-    return application.model
-
-
 def make_call(
     body: dict[str, Any],
     path: str,
@@ -114,11 +105,8 @@
     idempotent: bool,
 ) -> OnlineCall:
     """Return the call of a checked body."""
-    engine_body = {name: value for name, value in body.items() if name != "resume"}
-    engine_body["model"] = make_engine_model(application)
     stream = bool(body.get("stream"))
-    single = body.get("n") in (None, 1) and isinstance(body.get("prompt", ""), str)
-    plain = single and not any(body.get(name) for name in WHOLE_ONLY_FIELDS)
+    plain = is_plain_body(body)
     info = CallInfo(
         request_id=uuid.uuid4().hex,
         account=account.name,
@@ -134,20 +122,13 @@
     return OnlineCall(
         info=info,
         path=path,
-        body=engine_body,
+        body=make_engine_body(body, application),
         stream=stream,
         whole=not stream and not plain,
         resumable=idempotent and plain,
     )
 
 
-def make_fingerprint(service: str, body: dict[str, Any]) -> str:
-    """Return what a request is known by when it is sent again: service and what is asked."""
-    asked = {name: value for name, value in body.items() if name not in IGNORED_FIELDS}
-    data = msgspec.json.encode(asked, order="deterministic")
-    return xxhash.xxh3_128_hexdigest(service.encode() + b"\0" + data)
-
-
 def make_raw_fingerprint(service: str, method: str, path: str, body: bytes) -> str:
     """Return what a plain call is known by when it is sent again."""
     head = f"{service}\0{method}\0{path}\0".encode()
--- a/clementinepin/storage/_store.py
+++ b/clementinepin/storage/_store.py
@@ -215,9 +215,5 @@
     peers: PeerNetwork,
     operations: FileOperations | None = None,
 ) -> SegmentStoreComponent:
-    """Create the segment store and register it; ``operations`` None means the real disk."""
-    component = SegmentStoreComponent(
-        core, key_value, peers, operations or create_file_operations()
-    )
-    core.register(component)
-    return component
+    """Create the segment store ; ``operations`` None means the real disk."""
+    return SegmentStoreComponent(core, key_value, peers, operations or create_file_operations())
--- a/clementinepin/targets/__init__.py
+++ b/clementinepin/targets/__init__.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+from clementinepin.targets._bodies import (
+    is_plain_body,
+    make_engine_body,
+    make_engine_model,
+    make_fingerprint,
+)
 from clementinepin.targets._engine import create_engine
 from clementinepin.targets._plain import PlainRequest, PlainResponse, PlainService, create_plain
 from clementinepin.targets.models import (
@@ -25,4 +31,8 @@
     "TargetAddress",
     "create_engine",
     "create_plain",
+    "is_plain_body",
+    "make_engine_body",
+    "make_engine_model",
+    "make_fingerprint",
 ]
--- /dev/null
+++ b/clementinepin/targets/_bodies.py
@@ -0,0 +1,40 @@
+"""What online calls and batch items have in common in the bodies that engines get."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import msgspec
+import xxhash
+
+from clementinepin.config import ApplicationSpec
+
+WHOLE_ONLY_FIELDS: Final = ("logprobs", "tools", "functions", "best_of", "echo")
+IGNORED_FIELDS: Final = frozenset({"stream", "stream_options", "resume", "user"})
+
+
+def make_engine_model(application: ApplicationSpec) -> str:
+    """Return the name that engines know: MODEL or MODEL:ADAPTER."""
+    if application.adapter:
+        return f"{application.model}:{application.adapter}"
+    return application.model
+
+
+def make_engine_body(body: dict[str, Any], application: ApplicationSpec) -> dict[str, Any]:
+    """Return a body for an engine; a caller has no say in what is resumed."""
+    engine_body = {name: value for name, value in body.items() if name != "resume"}
+    engine_body["model"] = make_engine_model(application)
+    return engine_body
+
+
+def make_fingerprint(service: str, body: dict[str, Any]) -> str:
+    """Return what a request is known by when it is sent again: service and what is asked."""
+    asked = {name: value for name, value in body.items() if name not in IGNORED_FIELDS}
+    data = msgspec.json.encode(asked, order="deterministic")
+    return xxhash.xxh3_128_hexdigest(service.encode() + b"\0" + data)
+
+
+def is_plain_body(body: dict[str, Any]) -> bool:
+    """Tell whether an answer can be put together from the text of a stream."""
+    single = body.get("n") in (None, 1) and isinstance(body.get("prompt", ""), str)
+    return single and not any(body.get(name) for name in WHOLE_ONLY_FIELDS)
