--- a/clementinepin/entry/_calls.py
+++ b/clementinepin/entry/_calls.py
@@ -17,12 +17,12 @@
 from clementinepin.exceptions import InvalidInputError
 from clementinepin.helpers.fingerprint import make_fingerprint
 from clementinepin.scheduling import CallInfo
+from clementinepin.targets import is_plain_body, make_engine_body
 
 HEADER_IDEMPOTENT: Final = "X-Idempotent"
 PREFIX_CHARS: Final = 256
 TOKENS_LIMIT: Final = 1_000_000
 STOP_SEQUENCES_MAX: Final = 16
-WHOLE_ONLY_FIELDS: Final = ("logprobs", "tools", "functions", "best_of", "echo")
 
 
 def _check_integer(value: object) -> object:
@@ -95,13 +95,6 @@
     return configuration.services[configuration.models[application.model].service]
 
 
-def make_engine_model(application: ApplicationSpec) -> str:
-    """Return the name that engines know: MODEL or MODEL:ADAPTER."""
-    if application.adapter:
-        return f"{application.model}:{application.adapter}"
-    return application.model
-
-
 def make_call(
     body: dict[str, Any],
     path: str,
@@ -113,11 +106,8 @@
     idempotent: bool,
 ) -> OnlineCall:
     """Return the call of a checked body."""
-    engine_body = {name: value for name, value in body.items() if name != "resume"}
-    engine_body["model"] = make_engine_model(application)
     stream = bool(body.get("stream"))
-    single = body.get("n") in (None, 1) and isinstance(body.get("prompt", ""), str)
-    plain = single and not any(body.get(name) for name in WHOLE_ONLY_FIELDS)
+    plain = is_plain_body(body)
     info = CallInfo(
         request_id=uuid.uuid4().hex,
         account=account.name,
@@ -133,7 +123,7 @@
     return OnlineCall(
         info=info,
         path=path,
-        body=engine_body,
+        body=make_engine_body(body, application),
         stream=stream,
         whole=not stream and not plain,
         resumable=idempotent and plain,
