--- a/bench/_faults/jobs.py
+++ b/bench/_faults/jobs.py
@@ -35,12 +35,25 @@
 
     def submit(self, key: str, items: int, deadline: float) -> str:
         """Upload and submit until accepted, twice with the same key; return the job's id."""
-        content = "".join(json.dumps(self._make_item(key, n)) + "\n" for n in range(items))
+        content = self._make_content(key, items)
         ids = [self._submit_once(key, content, deadline) for _ in range(2)]
         if len(set(ids)) != 1:
             self._tally.note("doubled", f"job {key} was accepted as {ids}")
         return ids[0]
 
+    def submit_at(self, port: int, key: str, items: int, deadline: float) -> str:
+        """Have a job accepted by one entry alone; return the job's id."""
+        content = self._make_content(key, items)
+        while True:
+            uploaded = upload_file(self._caller, port, f"{key}.jsonl", content)
+            if uploaded.status == 200:
+                answer = create_job(self._caller, port, key, json.loads(uploaded.text)["id"])
+                if answer.status == 200:
+                    return str(json.loads(answer.text)["id"])
+            if time.monotonic() > deadline:
+                raise JobCallFailedError(f"job {key} was not accepted on port {port}")
+            gevent.sleep(POLL_S)
+
     def cancel(self, job_id: str, deadline: float) -> None:
         """Cancel a job and wait for the end; nothing may be added behind it."""
         self._send_until("POST", f"/v1/batches/{job_id}/cancel", b"{}", deadline)
@@ -94,6 +107,9 @@
             self._tally.note("cut", f"{row['custom_id']} has a wrong result")
         self._tally.seen["items_right"] += 1
 
+    def _make_content(self, key: str, items: int) -> str:
+        return "".join(json.dumps(self._make_item(key, n)) + "\n" for n in range(items))
+
     def _make_item(self, key: str, number: int) -> dict[str, Any]:
         name = f"{key}-{number}"
         body = {
--- a/bench/_faults/load.py
+++ b/bench/_faults/load.py
@@ -18,6 +18,7 @@
 NOT_RUN: Final = "not_run"
 CALL_TIMEOUT_S: Final = 6.0
 GIVE_UP_S: Final = 25.0
+RESENDS_KEYED: Final = 2
 PAUSE_S: Final = 0.15
 RETRY_PAUSE_S: Final = 0.3
 STREAM_TOKENS: Final = (10, 120)
@@ -44,7 +45,7 @@
         self.plain_ends: dict[str, str] = {}
 
     def start(
-        self, *, streams: int = 6, wholes: int = 3, singles: int = 2, plains: int = 3
+        self, *, streams: int = 10, wholes: int = 3, singles: int = 2, plains: int = 4
     ) -> None:
         """Start the callers."""
         for kind, count, step in (
@@ -140,7 +141,7 @@
         headers = {"X-Run-Key": name}
         if keyed:
             headers["Idempotency-Key"] = f"key-{name}"
-        end = NOT_RUN
+        end, unknown = NOT_RUN, 0
         deadline = time.monotonic() + GIVE_UP_S
         while time.monotonic() < deadline:
             port = self.directory.pick()
@@ -151,8 +152,9 @@
                 break
             if answer.sent and answer.outcome != NOT_RUN:
                 end = "unknown"
+                unknown += 1
             self._note_failure("plain", port, answer)
-            if not keyed and answer.sent:
+            if unknown > (RESENDS_KEYED if keyed else 0):
                 break
         self._tally.seen[f"plain_{end}"] += 1
         self.plain_ends[name] = end
--- a/bench/_faults/schedule.py
+++ b/bench/_faults/schedule.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from bench._faults.jobs import Jobs
 from bench._faults.load import Load
 from bench._faults.tally import Tally
 from standins.caller import Caller
@@ -26,6 +27,7 @@
 DRAIN_WAIT_S: Final = 20.0
 OUTAGE_S: Final = 10.0
 PAUSE_S: Final = 5.0
+JOB_ACCEPT_S: Final = 20.0
 
 
 class Faults:
@@ -56,6 +58,29 @@
         member.process.restart()
         self._fleet.wait_ready(member)
 
+    def kill_after_acknowledging(self, jobs: Jobs, key: str, items: int) -> str:
+        """Kill a daemon as soon as it has acknowledged a job; the resend finds the same job."""
+        member = self._rng.choice(self._fleet.daemons)
+        deadline = time.monotonic() + JOB_ACCEPT_S
+        job_id = jobs.submit_at(member.port, key, items, deadline)
+        member.process.kill()
+        again = jobs.submit(key, items, deadline)
+        if again != job_id:
+            self._tally.note("doubled", f"job {key} was {job_id}, its resend {again}")
+        member.process.restart()
+        self._fleet.wait_ready(member)
+        return job_id
+
+    def cut_plain_calls(self) -> None:
+        """Break calls of the plain service after they ran, then crash it under load."""
+        name = self._fleet.plan.demo["plain_path"].split("/")[2]
+        member = self._fleet.targets[name][0]
+        send_json(member.port, "POST", "/standin/fault", {"kind": "truncate", "count": 6})
+        gevent.sleep(1.0)
+        member.process.kill()
+        gevent.sleep(0.5)
+        member.process.restart()
+
     def pause_instance(self) -> None:
         """Stop a daemon where it stands and let it go on after its leases lapsed."""
         member = self._rng.choice(self._fleet.daemons)
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -37,6 +37,7 @@
 ITEMS_SHORT: Final = 300
 ITEMS_FULL: Final = 2_000
 ITEMS_CANCELLED: Final = 400
+ITEMS_EXTRA: Final = 60
 ROUNDS_FULL: Final = 4
 END_WAIT_S: Final = 12.0
 JOB_DEADLINE_S: Final = 300.0
@@ -72,23 +73,34 @@
     deadline = time.monotonic() + JOB_DEADLINE_S
     kept = gevent.spawn(jobs.submit, "kept", items, deadline)
     rows: list[dict[str, Any]] = []
+    accepted: list[tuple[str, str]] = []
     for number in range(1 if short else ROUNDS_FULL):
-        _run_round(Faults(fleet, load, tally, seed + number), jobs, number, rows, tally)
+        accepted += _run_round(Faults(fleet, load, tally, seed + number), jobs, number, rows, tally)
     load.stop()
     _check_job(jobs, kept, items, tally)
+    _check_accepted(jobs, accepted)
     _check_runs(fleet, load, tally)
     return {**tally.summarize(), "faults": rows, "seed": seed}
 
 
 def _run_round(
     faults: Faults, jobs: Jobs, number: int, rows: list[dict[str, Any]], tally: Tally
-) -> None:
+) -> list[tuple[str, str]]:
+    """Run every fault once; return key and id of the jobs accepted in between."""
+    accepted: list[tuple[str, str]] = []
+
     def run_step(name: str, step: Callable[[], None]) -> None:
         schedule.run_step(name, step, rows, tally)
 
     run_step("configuration race", lambda: faults.change_configuration(EXAMPLE))
     run_step("target killed", faults.kill_target)
     run_step("instance killed", faults.kill_instance)
+    key = f"acknowledged-{number}"
+    run_step(
+        "instance killed after acknowledging",
+        lambda: accepted.append((key, faults.kill_after_acknowledging(jobs, key, ITEMS_EXTRA))),
+    )
+    run_step("plain calls cut and target killed", faults.cut_plain_calls)
     run_step("replies lost, watches dropped", faults.lose_replies)
     cancelled = gevent.spawn(_cancel_job, jobs, f"cancelled-{number}")
     outage = gevent.spawn(run_step, "key-value service down", faults.stop_key_value)
@@ -103,6 +115,7 @@
     run_step("streams cut, answers late", faults.truncate_and_delay)
     run_step("poison request", faults.send_poison)
     gevent.joinall([cancelled], raise_error=True)
+    return accepted
 
 
 def _apply_first(fleet: Fleet) -> None:
@@ -142,6 +155,13 @@
         tally.note("lost", f"the job can't be read: {err}")
 
 
+def _check_accepted(jobs: Jobs, accepted: list[tuple[str, str]]) -> None:
+    deadline = time.monotonic() + END_WAIT_S
+    for key, job_id in accepted:
+        jobs.wait(job_id, deadline)
+        jobs.check(key, job_id, ITEMS_EXTRA, deadline)
+
+
 def _check_runs(fleet: Fleet, load: Load, tally: Tally) -> None:
     """Compare what callers were told with what targets ran."""
     service = fleet.plan.demo["plain_path"].split("/")[2]
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -200,13 +200,21 @@
     folder = Path(tempfile.mkdtemp(prefix="clementinepin-demo-"))
     try:
         with ProcessGroup(folder) as group:
-            Demo(name, plan, Fleet(plan, group), int(args["--items"])).run()
+            failed = _run(Demo(name, plan, Fleet(plan, group), int(args["--items"])), folder)
+    finally:
+        shutil.rmtree(folder, ignore_errors=True)
+    sys.exit(1 if failed else 0)
+
+
+def _run(demo: Demo, folder: Path) -> bool:
+    """Run the demo and return whether it failed; the logs are shown as they stand then."""
+    try:
+        demo.run()
     except (DemoFailedError, ProcessNotReadyError) as err:
         print(f"demo failed: {err}", file=sys.stderr)
         _print_logs(folder)
-        sys.exit(1)
-    finally:
-        shutil.rmtree(folder, ignore_errors=True)
+        return True
+    return False
 
 
 def _print_logs(folder: Path) -> None:
