Test the daemon as a process and the demo as a whole

Cause: no test started the real daemon. Change: wrong settings, state dump, clean stop and the whole demo run as processes.

--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,67 @@
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from clementinepin.daemon import EXIT_SETTINGS
+from standins.fleet import Fleet, FleetPlan
+from standins.processes import ProcessGroup
+
+SECRETS = ("operator-key-of-a-test", "peer-secret-of-a-loopback-fleet")
+STOP_WAIT_S = 20.0
+RUN_WAIT_S = 120.0
+
+
+def run_module(*arguments):
+    return subprocess.run(
+        [sys.executable, "-m", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=RUN_WAIT_S,
+        check=False,
+    )
+
+
+def test_settings_at_fault_end_the_daemon_with_their_own_code(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text('version = 1\n[instance]\nnam = "a"\n')
+    result = run_module("clementinepin.daemon", "--config", str(path))
+    assert result.returncode == EXIT_SETTINGS
+    assert "nam" in result.stderr
+    assert "Traceback" not in result.stderr
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    plan = FleetPlan("r", ("r-a",), 1, 1, SECRETS[0], {}, (), advice_s=0.2, drain_s=2.0)
+    with ProcessGroup(tmp_path) as group:
+        started = Fleet(plan, group)
+        started.start()
+        yield started
+
+
+def test_the_daemon_dumps_its_state_and_stops_clean(fleet, tmp_path):
+    """A dump holds every part and no secret; TERM ends the process with 0.
+
+    Mutation: dump the security settings.
+    """
+    process = fleet.daemons[0].process
+    process.send(signal.SIGUSR1)
+    process.send(signal.SIGTERM)
+    assert process.wait(STOP_WAIT_S) == 0
+    log = next(tmp_path.glob("entry-1.log")).read_text()
+    dump = next(json.loads(line) for line in log.splitlines() if line.startswith("{"))
+    parts = {"peers", "storage", "fleet", "scheduling", "claims", "batch", "entry"}
+    assert parts <= set(dump["components"])
+    assert not any(secret in log for secret in SECRETS)
+    assert "Traceback" not in log
+
+
+def test_the_demo_shows_the_whole_path():
+    result = run_module("standins.demo", "kirkvoice", "--items", "12")
+    assert result.returncode == 0, result.stdout + result.stderr
+    assert "every step showed what it should" in result.stdout
