--- a/clementinepin/scheduling/_reports.py
+++ b/clementinepin/scheduling/_reports.py
@@ -33,12 +33,15 @@
         self._pool = Pool(POLLS_PARALLEL)
 
     def run(self) -> None:
-        """Poll forever."""
+        """Poll forever, in turn and evenly spaced, so that none is left out for the others."""
         while True:
             rows = self._list_followed()
+            pause_s = max(POLL_PERIOD_MIN_S / (len(rows) or 1), 1 / POLLS_PER_S)
             for row in rows:
                 self._spawn(row)
-            gevent.sleep(max(POLL_PERIOD_MIN_S, len(rows) / POLLS_PER_S))
+                gevent.sleep(pause_s)
+            if not rows:
+                gevent.sleep(POLL_PERIOD_MIN_S)
 
     def stop(self) -> None:
         """End polls that still run."""
