--- a/bench/_control/dimensions.py
+++ b/bench/_control/dimensions.py
@@ -30,13 +30,15 @@
 
 
 @contextmanager
-def open_rig(*, nodes: int = NODES_BASE, workers: int = WORKERS_BASE) -> Iterator[Rig]:
+def open_rig(
+    *, nodes: int = NODES_BASE, workers: int = WORKERS_BASE, listed: int | None = None
+) -> Iterator[Rig]:
     """Start a rig with a small file set in force, and stop it at the end."""
     with (
         tempfile.TemporaryDirectory(prefix="clementinepin-control-") as folder,
         ProcessGroup(Path(folder)) as group,
     ):
-        rig = Rig(group, nodes=nodes, workers=workers).start()
+        rig = Rig(group, nodes=nodes, workers=workers, listed=listed).start()
         try:
             rig.apply()
             yield rig
@@ -55,8 +57,8 @@
 
 
 def vary_workers(values: list[int], window: Window) -> list[Point]:
-    """Measure against the number of engines in the instance list."""
-    with open_rig(workers=max(values)) as rig:
+    """Measure against the number of engines in the instance list; it only grows."""
+    with open_rig(workers=max(values), listed=min(values)) as rig:
 
         def set_workers(workers: int) -> None:
             rig.publish_workers(workers)
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -30,7 +30,7 @@
 from bench._faults.tally import Tally
 from standins.caller import Caller
 from standins.fleet import Fleet, load_plan
-from standins.processes import ProcessGroup, wait_until
+from standins.processes import ProcessGroup, stop_on_signal, wait_until
 
 EXAMPLE: Final = Path("examples/kirkvoice")
 READY_S: Final = 15.0
@@ -46,6 +46,7 @@
 def main() -> None:
     """Run the rounds and print the counts."""
     args = docopt(__doc__ or "")
+    stop_on_signal()
     folder = Path(tempfile.mkdtemp(prefix="clementinepin-faults-"))
     started = time.monotonic()
     try:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -25,7 +25,7 @@
 from standins.caller import Answer, Caller
 from standins.engine import make_token
 from standins.fleet import Fleet, FleetPlan, Member, load_plan, send_json
-from standins.processes import ProcessGroup, ProcessNotReadyError, wait_until
+from standins.processes import ProcessGroup, ProcessNotReadyError, stop_on_signal, wait_until
 
 EXAMPLES: Final = Path("examples")
 LOG_TAIL_LINES: Final = 8
@@ -195,6 +195,7 @@
 def main() -> None:
     """Run the demo and exit 0 if every step held."""
     args = docopt(__doc__ or "")
+    stop_on_signal()
     name = "lakaz" if args["lakaz"] else "kirkvoice"
     plan = load_plan(EXAMPLES / name / "demo" / "fleet.toml")
     folder = Path(tempfile.mkdtemp(prefix="clementinepin-demo-"))
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -137,6 +137,15 @@
     return time.monotonic() - started
 
 
+def stop_on_signal() -> None:
+    """Let a TERM signal leave all contexts, so that started processes end too."""
+
+    def leave(number: int, _: object) -> None:
+        sys.exit(128 + number)
+
+    signal.signal(signal.SIGTERM, leave)
+
+
 def accepts_connections(port: int) -> bool:
     """Return whether something listens on a loopback port."""
     try:
