Cut the cost of relaying tokens that come one by one

Each read armed a timeout of its own, each event was sent by sendall with its memory view, and connecting by create_connection switched to a resolver thread for an IP number.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -15,6 +15,7 @@
 import math
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
@@ -31,6 +32,7 @@
 BLAST_STREAMS: Final = 4
 BLAST_TOKENS: Final = 20_000
 STREAMS_OPEN: Final = 256
+STEADY: Final = ("--step-ms", "20", "--step-active-ms", "0")
 REQUESTS_PER_S: Final = 54.0
 TOKENS_TARGET: Final = 30_000
 TTFT_TARGET_MS: Final = 3.0
@@ -48,6 +50,21 @@
     ttft_s: float
 
 
+class Steady(NamedTuple):
+    """What open streams cost: resident KiB and shares of a core, without and with them."""
+
+    idle_kib: int
+    open_kib: int
+    idle_cpu_share: float
+    cpu_share: float
+    tokens_per_s: float
+
+    @property
+    def cpu_us_per_token(self) -> float:
+        """Return the slope of processor time over tokens."""
+        return (self.cpu_share - self.idle_cpu_share) / self.tokens_per_s * 1e6
+
+
 class RelayBench:
     """One daemon, a blasting service and a stepping one."""
 
@@ -64,7 +81,7 @@
             targets=(
                 TargetPlan("blast", "engine", 2, ("--blast", *options, "blast-lm@1")),
                 TargetPlan("step", "engine", 1, ("--step-ms", "2", *options, "step-lm@1")),
-                TargetPlan("slow", "engine", 1, ("--step-ms", "66", *options, "slow-lm@1")),
+                TargetPlan("slow", "engine", 3, (*STEADY, *options, "slow-lm@1")),
             ),
         )
         self._fleet = Fleet(self._plan, group)
@@ -86,20 +103,23 @@
         tokens = self._measure_tokens(self._daemon.port, lengths.blast_s)
         cpu_s = read_cpu_s(self._daemon.process.pid) - before_s
         through, direct = self._measure_ttft(lengths.ttft_s)
-        idle_kib, open_kib, single_us = self._measure_open_streams()
+        steady = self._measure_open_streams()
         return {
             "tokens_per_second": round(tokens),
             "tokens_per_second_direct": round(direct_tokens),
             "cpu_us_per_token": round(cpu_s / (tokens * lengths.blast_s) * 1e6, 2),
-            "cpu_us_per_token_one_by_one": round(single_us, 1),
+            "one_by_one_tokens_per_second": round(steady.tokens_per_s),
+            "one_by_one_cpu_share": round(steady.cpu_share, 3),
+            "idle_cpu_share": round(steady.idle_cpu_share, 3),
+            "one_by_one_cpu_us_per_token": round(steady.cpu_us_per_token, 1),
             "added_ttft_p99_ms": round(pick(through, 0.99) - pick(direct, 0.99), 2),
             "added_ttft_p50_ms": round(pick(through, 0.5) - pick(direct, 0.5), 2),
             "ttft_p99_ms": round(pick(through, 0.99), 2),
             "ttft_p99_direct_ms": round(pick(direct, 0.99), 2),
             "ttft_requests": len(through),
             "ttft_failed": through.count(math.inf) + direct.count(math.inf),
-            "resident_idle_mib": round(idle_kib / PAGE_KIB, 1),
-            "resident_256_streams_mib": round(open_kib / PAGE_KIB, 1),
+            "resident_idle_mib": round(steady.idle_kib / PAGE_KIB, 1),
+            "resident_256_streams_mib": round(steady.open_kib / PAGE_KIB, 1),
             "target_tokens_per_second": TOKENS_TARGET,
             "target_added_ttft_p99_ms": TTFT_TARGET_MS,
         }
@@ -140,29 +160,23 @@
         gevent.joinall([*through, *direct], raise_error=True)
         return [g.value for g in through], [g.value for g in direct]
 
-    def _measure_open_streams(self) -> tuple[int, int, float]:
-        """Return resident memory in KiB, idle and with open streams, and CPU us a token.
-
-        Here each token comes in a write of its own, as from a real engine.
-        """
+    def _measure_open_streams(self) -> Steady:
+        """Measure open streams in which each token comes in a write of its own."""
         pid = self._daemon.process.pid
         idle_kib = read_resident_kib(pid)
+        idle_share, _ = measure_share(pid, lambda: gevent.sleep(SETTLE_S))
         socks = [
-            send(self._daemon.port, "/v1/completions", make_body("slow", 2_000), KEY)
+            send(self._daemon.port, "/v1/completions", make_body("slow", 20_000), KEY)
             for _ in range(STREAMS_OPEN)
         ]
         for sock in socks:
             if not sock.recv(READ_BYTES).startswith(b"HTTP/1.1 200"):
                 raise StreamsNotOpenError("a stream was refused")
-        deadline = time.monotonic() + SETTLE_S
-        before_s = read_cpu_s(pid)
-        readers = [gevent.spawn(count_events, sock, deadline) for sock in socks]
-        gevent.joinall(readers, raise_error=True)
-        cpu_s = read_cpu_s(pid) - before_s
+        share, tokens = measure_share(pid, lambda: read_streams(socks, SETTLE_S))
         open_kib = read_resident_kib(pid)
         for sock in socks:
             sock.close()
-        return idle_kib, open_kib, cpu_s / sum(r.value for r in readers) * 1e6
+        return Steady(idle_kib, open_kib, idle_share, share, tokens / SETTLE_S)
 
 
 class StreamsNotOpenError(Exception):
@@ -215,6 +229,21 @@
     return total
 
 
+def measure_share(pid: int, work: Callable[[], Any]) -> tuple[float, Any]:
+    """Return the share of a core that a process took while ``work`` ran, and its result."""
+    started, before_s = time.monotonic(), read_cpu_s(pid)
+    result = work()
+    return (read_cpu_s(pid) - before_s) / (time.monotonic() - started), result
+
+
+def read_streams(socks: list[socket.socket], seconds: float) -> int:
+    """Return the tokens that open streams bring in some seconds."""
+    deadline = time.monotonic() + seconds
+    readers = [gevent.spawn(count_events, sock, deadline) for sock in socks]
+    gevent.joinall(readers, raise_error=True)
+    return sum(r.value for r in readers)
+
+
 def count_events(sock: socket.socket, deadline: float) -> int:
     """Return the tokens that one open stream brings until the deadline."""
     total = 0
--- a/clementinepin/daemon.py
+++ b/clementinepin/daemon.py
@@ -69,7 +69,7 @@
     batch = create_batch(core, key_value, segments, scheduler, engines)
     entry = create_entry(core, scheduler, batch, claims, fleet, peers, engines)
     for component in (peers, segments, scheduler, fleet, claims, batch, entry):
-        core.register(cast(Component, component))
+        core.register(cast("Component", component))
     return core
 
 
--- a/clementinepin/entry/_server.py
+++ b/clementinepin/entry/_server.py
@@ -120,6 +120,17 @@
         if not self.headers_sent:
             self._send_error_response_if_possible(500)
 
+    def _sendall(self, data: bytes | bytearray) -> None:
+        """Send with one call where the kernel takes all, as it does for an event."""
+        try:
+            sent = self.socket.send(data)
+            if sent < len(data):
+                self.socket.sendall(memoryview(data)[sent:])
+        except OSError:
+            self.close_connection = True
+            raise
+        self.response_length += len(data)
+
     def _wait_for_request(self) -> bool:
         """Wait for the first byte of a request; return False when none comes."""
         try:
--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Any, Final
 
+import gevent
 from gevent import socket
 
 from clementinepin.helpers.clock import Clock
@@ -21,11 +22,17 @@
 
 
 class Connection:
-    """One connection; ``written`` counts the bytes that the kernel took for this request."""
+    """One connection; ``written`` counts the bytes that the kernel took for this request.
+
+    Writes wait with a timeout of their own. Reads share one timer, which ends the connection
+    at the deadline: a timeout for each read would cost more than the read.
+    """
 
     def __init__(self, sock: socket.socket, clock: Clock) -> None:
         self._sock = sock
         self._clock = clock
+        self._timer: Any = None
+        self._expired = False
         self.written = 0
         self.idle_since = clock.monotonic()
 
@@ -41,15 +48,24 @@
             self.written += sent
             view = view[sent:]
 
-    def read(self, size: int, deadline: float) -> bytes:
+    def limit_reads(self, deadline: float) -> None:
+        """End the connection at the monotonic deadline unless it is released before."""
+        self._stop_timer()
+        self._sock.settimeout(None)
+        wait_s = max(deadline - self._clock.monotonic(), WAIT_MIN_S)
+        self._timer = gevent.get_hub().loop.timer(wait_s)
+        self._timer.start(self._expire)
+
+    def read(self, size: int) -> bytes:
         """Return the next bytes, empty at the end of the connection."""
         try:
-            self._limit_wait(deadline)
-            return self._sock.recv(size)
-        except TimeoutError as err:
-            raise TargetTimeoutError("target sent nothing before the deadline") from err
+            data = self._sock.recv(size)
         except OSError as err:
+            self._check_expired()
             raise TargetLostError(f"connection broke: {err}") from err
+        if not data:
+            self._check_expired()
+        return data
 
     def is_idle(self) -> bool:
         """Return whether the connection may carry another request.
@@ -70,8 +86,32 @@
 
     def close(self) -> None:
         """Close the socket; closing twice is harmless."""
+        self._stop_timer()
         self._sock.close()
 
+    def rest(self) -> None:
+        """Note that the connection is idle from now on."""
+        self._stop_timer()
+        self.idle_since = self._clock.monotonic()
+
+    def _check_expired(self) -> None:
+        if self._expired:
+            raise TargetTimeoutError("target did not end its answer before the deadline")
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.stop()
+            self._timer.close()
+            self._timer = None
+
+    def _expire(self) -> None:
+        """Wake the reader with an end of file. Runs in the hub, so it must not block."""
+        self._expired = True
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
     def _limit_wait(self, deadline: float) -> None:
         wait_s = deadline - self._clock.monotonic()
         if wait_s <= 0 and self.written == 0:
@@ -99,11 +139,15 @@
         wait_s = min(deadline - self._clock.monotonic(), CONNECT_TIMEOUT_S)
         if wait_s <= 0:
             raise TargetNotReachedError("the deadline passed before connecting")
-        peer = (self._address.address, self._address.port)
+        host, port = self._address.address, self._address.port
+        # An IP number needs no resolver, which would cost a switch to a native thread.
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         try:
-            sock = socket.create_connection(peer, timeout=wait_s)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.settimeout(wait_s)
+            sock.connect((host, port))
         except OSError as err:
+            sock.close()
             raise TargetNotReachedError(f"{self._address.name} can't be reached: {err}") from err
         return Connection(sock, self._clock)
 
@@ -122,7 +166,7 @@
         if len(self._idle) >= IDLE_CONNECTIONS_MAX:
             connection.close()
             return
-        connection.idle_since = self._clock.monotonic()
+        connection.rest()
         self._idle.append(connection)
 
     def close(self) -> None:
--- a/clementinepin/targets/_events.py
+++ b/clementinepin/targets/_events.py
@@ -61,6 +61,9 @@
             data = self._rest + data
         if b"\r" in data:
             data = data.replace(b"\r\n", b"\n")
+        if data.endswith(EVENT_END):
+            self._rest = b""
+            return self._decode(data)
         end = data.rfind(EVENT_END)
         if end < 0:
             self._keep(data)
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -72,14 +72,12 @@
         pool: ConnectionPool,
         connection: Connection,
         method: str,
-        deadline: float,
         clock: Clock,
     ) -> None:
         self._pool = pool
         self._clock = clock
         self._connection: Connection | None = connection
         self._parser = _Parser(method)
-        self._deadline = deadline
         self._failure: TargetLostError | None = None
         self.status = 0
         self.header_lines: tuple[tuple[str, str], ...] = ()
@@ -91,16 +89,15 @@
 
         Raises TargetLostError when the answer is cut short.
         """
-        while True:
-            data = self._parser.take_body()
-            if data:
-                return data
+        parser = self._parser
+        while not parser.pieces:
             if self._failure is not None:
                 raise self._failure
-            if self._parser.ended:
+            if parser.ended:
                 self._finish()
                 return b""
             self._feed()
+        return parser.take_body()
 
     def read_all(self, size_max: int) -> bytes:
         """Return the whole body; raises TargetProtocolError above the limit."""
@@ -119,8 +116,8 @@
 
         The answer is whole already: what goes wrong here only costs the connection.
         """
-        now = self._clock.monotonic()
-        self._deadline = min(self._deadline, now + DRAIN_TIMEOUT_S)
+        if self._connection is not None and not self._parser.ended:
+            self._connection.limit_reads(self._clock.monotonic() + DRAIN_TIMEOUT_S)
         try:
             if self.read():
                 self.close()
@@ -152,7 +149,7 @@
         if self._connection is None:
             raise TargetLostError("the exchange was closed")
         try:
-            data = self._connection.read(READ_SIZE_BYTES, self._deadline)
+            data = self._connection.read(READ_SIZE_BYTES)
             self._parser.feed(data)
         except HTTPParseError as err:
             self.close()
@@ -202,9 +199,8 @@
             connection = self._pool.acquire(request.deadline)
         try:
             connection.write(self._serialize(request), request.deadline)
-            return HttpExchange(
-                self._pool, connection, request.method, request.deadline, self._clock
-            )
+            connection.limit_reads(request.deadline)
+            return HttpExchange(self._pool, connection, request.method, self._clock)
         except BaseException:
             connection.close()
             raise
