Let views compare who is present, and verify old words of death

Cause: 590 tables that knew each other from the list compared incarnations for minutes (519 different digests after 60 periods, 858 bytes/s), and behind a split the words of death of one side took out members of the other. Change: digests cover presence and leaving alone; both sides of a comparison choose the same buckets by a seed; a death from a comparison makes an instance look for itself; deaths told before are retracted once one was wrong.

--- a/bench/_membership_network.py
+++ b/bench/_membership_network.py
@@ -113,11 +113,10 @@
     def _sync(self, name: str, target: str) -> None:
         table, other = self.tables[name], self.tables[target]
         digests = list(table.digests)
-        rows = membership.select_differing(other, digests)
-        own_rows = membership.select_differing(table, other.digests)
+        seed = self.random.getrandbits(32)
+        rows = membership.select_differing(other, digests, seed)
+        own_rows = membership.select_differing(table, list(other.digests), seed)
         self._count((digests, rows))
         self._count(own_rows)
-        for row in rows:
-            membership.merge_row(table, row, self.now)
-        for row in own_rows:
-            membership.merge_row(other, row, self.now)
+        membership.merge_compared(table, rows, self.now)
+        membership.merge_compared(other, own_rows, self.now)
--- a/clementinepin/peers/_membership.py
+++ b/clementinepin/peers/_membership.py
@@ -24,6 +24,7 @@
 METHOD_SYNC = "membership.sync"
 METHOD_MERGE = "membership.merge"
 SYNC_TIMEOUT_S = 3.0
+SEED_BITS = 32
 
 
 class MembershipService:
@@ -101,11 +102,12 @@
     def _sync(self, target: str) -> None:
         deadline = self._core.clock.monotonic() + SYNC_TIMEOUT_S
         digests = list(self.table.digests)
-        message = messages.SyncMessage(digests=digests)
+        seed = self._core.random.getrandbits(SEED_BITS)
+        message = messages.SyncMessage(digests=digests, seed=seed)
         try:
             raw = self._network.call(target, METHOD_SYNC, message, deadline=deadline)
             answer = messages.read_message(raw, messages.SyncAnswer)
-            own_rows = membership.select_differing(self.table, answer["digests"])
+            own_rows = membership.select_differing(self.table, answer["digests"], seed)
             self._merge(answer["rows"])
             merge = messages.MergeMessage(rows=[messages.pack_row(row) for row in own_rows])
             self._network.call(target, METHOD_MERGE, merge, deadline=deadline)
@@ -127,7 +129,7 @@
 
     def _answer_sync(self, sender: str, raw: dict[str, Any]) -> messages.SyncAnswer:
         message = messages.read_message(raw, messages.SyncMessage)
-        rows = membership.select_differing(self.table, message["digests"])
+        rows = membership.select_differing(self.table, message["digests"], message["seed"])
         return messages.SyncAnswer(
             rows=[messages.pack_row(row) for row in rows],
             digests=list(self.table.digests),
@@ -138,9 +140,8 @@
         return {}
 
     def _merge(self, rows: list[messages.MemberMessage]) -> None:
-        now = self._core.clock.monotonic()
-        for row in rows:
-            membership.merge_row(self.table, messages.unpack_row(row), now)
+        unpacked = [messages.unpack_row(row) for row in rows]
+        membership.merge_compared(self.table, unpacked, self._core.clock.monotonic())
 
     def _accept(self, sender: str, raw: dict[str, Any]) -> bool:
         message = messages.read_message(raw, messages.ExchangeMessage)
--- a/clementinepin/peers/_messages.py
+++ b/clementinepin/peers/_messages.py
@@ -50,9 +50,10 @@
 
 
 class SyncMessage(TypedDict):
-    """Digests of the sender's buckets."""
+    """Digests of the sender's buckets, and the seed that both choose buckets by."""
 
     digests: list[int]
+    seed: int
 
 
 class SyncAnswer(TypedDict):
--- a/clementinepin/systems/membership.py
+++ b/clementinepin/systems/membership.py
@@ -32,10 +32,11 @@
 PAUSE_S = 3.0
 SYNC_PERIOD_S = 5.0
 WANDER_EVERY_TURNS = 5
+VERIFY_EVERY_TURNS = 2
 INDIRECT_PROBES = 2
 ROWS_PER_MESSAGE = 8
-ROWS_PER_SYNC = 96
-SENDS_FACTOR = 3
+BUCKETS_PER_SYNC = 6
+SENDS_FACTOR = 4
 
 
 class Exchange(NamedTuple):
@@ -79,12 +80,38 @@
         return False
     if known is None and merged.state == MemberState.DEAD:
         return False
+    table.doubted.pop(name, None)
+    if known is not None and known.state == MemberState.DEAD != merged.state:
+        _retract_deaths(table)
     # A first word of a member known from the list is no news to the others.
     news = known is None or known.incarnation > 0 or merged[2:4] != known[2:4]
     table.set_row(merged._replace(deadline=_choose_deadline(merged.state, now)), announce=news)
     return True
 
 
+def _retract_deaths(table: MembershipTable) -> None:
+    # One wrong death means that others may be wrong: stop telling of those told before. A
+    # true one is found out by comparing views.
+    for name, sends in list(table.pending.items()):
+        if sends > 0 and table.rows[name].state == MemberState.DEAD:
+            del table.pending[name]
+
+
+def merge_compared(table: MembershipTable, rows: Iterable[MemberRow], now: float) -> None:
+    """Take in statements from a comparison of whole views.
+
+    Behind a split each side holds the other for dead. Such old words would take out members
+    that answer well, so they only have this instance look for itself.
+    """
+    for row in rows:
+        name = row.instance.name
+        known = table.rows.get(name)
+        if row.state != MemberState.DEAD or known is None or known.state == MemberState.DEAD:
+            merge_row(table, row, now)
+        elif name != table.own and row.incarnation >= known.incarnation:
+            table.doubted[name] = row
+
+
 def _combine(known: MemberRow | None, row: MemberRow) -> MemberRow:
     if known is None or row.incarnation > known.incarnation:
         return row
@@ -130,6 +157,8 @@
     table.turn += 1
     if table.turn % WANDER_EVERY_TURNS == 0:
         return _choose_wanderer(table, rng)
+    if table.doubted and table.turn % VERIFY_EVERY_TURNS == 0:
+        return rng.choice(sorted(table.doubted))
     fingers = choose_fingers(table.own, table.list_ring())
     return fingers[table.turn % len(fingers)] if fingers else None
 
@@ -181,25 +210,29 @@
 
 
 def create_exchange(table: MembershipTable, peer: str) -> Exchange:
-    """Return what to tell a peer: its own row first if in doubt, then the least told changes."""
-    limit = SENDS_FACTOR * math.ceil(math.log2(len(table.rows) + 1))
+    """Return what to tell a peer: doubts on itself first, then the least told changes."""
+    limit = SENDS_FACTOR * math.ceil(math.log10(len(table.rows) + 1))
     names = sorted(table.pending, key=lambda name: (table.pending[name], name))
     chosen = names[:ROWS_PER_MESSAGE]
     for name in chosen:
         table.pending[name] += 1
         if table.pending[name] >= limit:
             del table.pending[name]
-    row = table.rows.get(peer)
-    if row is not None and row.state != MemberState.ALIVE and peer not in chosen:
-        chosen.insert(0, peer)
-    return Exchange(tuple(table.rows[name] for name in chosen), digest_view(table))
+    rows = [table.rows[name] for name in chosen]
+    row = table.doubted.pop(peer, None) or table.rows.get(peer)
+    if row is not None and row.state != MemberState.ALIVE and row not in rows:
+        rows.insert(0, row)
+    return Exchange(tuple(rows), digest_view(table))
 
 
 def accept_exchange(table: MembershipTable, exchange: Exchange, now: float) -> bool:
     """Take in a peer's statements; return True when the whole views should be compared."""
     for row in exchange.rows:
         merge_row(table, row, now)
-    if table.pending or exchange.rows or exchange.digest == digest_view(table):
+    if exchange.digest == digest_view(table):
+        return False
+    in_flight = len(table.pending) + len(exchange.rows)
+    if 0 < in_flight <= ROWS_PER_MESSAGE:
         return False
     if now - table.synced_at < SYNC_PERIOD_S:
         return False
@@ -212,14 +245,20 @@
     return functools.reduce(operator.xor, table.digests)
 
 
-def select_differing(table: MembershipTable, theirs: Sequence[int]) -> tuple[MemberRow, ...]:
-    """Return rows of the buckets in which a peer's digests differ, dead ones included."""
+def select_differing(
+    table: MembershipTable, theirs: Sequence[int], seed: int
+) -> tuple[MemberRow, ...]:
+    """Return rows of buckets in which a peer's digests differ, dead ones included.
+
+    Both sides pass one seed, so that they choose the same buckets and those agree afterwards.
+    """
     pairs = zip(table.digests, theirs, strict=False)
-    differing = {index for index, (own, other) in enumerate(pairs) if own != other}
-    if not differing:
+    differing = [index for index, (own, other) in enumerate(pairs) if own != other]
+    random.Random(seed).shuffle(differing)
+    chosen = set(differing[:BUCKETS_PER_SYNC])
+    if not chosen:
         return ()
-    rows = [row for name, row in table.rows.items() if choose_bucket(name) in differing]
-    return tuple(rows[:ROWS_PER_SYNC])
+    return tuple(row for name, row in table.rows.items() if choose_bucket(name) in chosen)
 
 
 def list_live(table: MembershipTable) -> list[str]:
--- a/clementinepin/tables/membership.py
+++ b/clementinepin/tables/membership.py
@@ -35,7 +35,8 @@
     """Rows by name, and what is still to be told.
 
     ``pending`` counts how often the latest change of a member was sent. ``listed`` holds the
-    state by name in the platform's list, ``unsettled`` the suspect and the dead. ``version``
+    state by name in the platform's list, ``unsettled`` the suspect and the dead. ``doubted``
+    holds words of death that came from a whole view and are to be verified first. ``version``
     grows when the set of members that are not dead changes. ``digests`` has one digest for each
     bucket of the members that are not dead; equal views have equal digests.
     """
@@ -46,6 +47,7 @@
         self.pending: dict[str, int] = {}
         self.listed: dict[str, str] = {}
         self.unsettled: set[str] = set()
+        self.doubted: dict[str, MemberRow] = {}
         self.digests = [0] * DIGEST_BUCKETS
         self.version = 0
         self.turn = 0
@@ -67,6 +69,7 @@
         """Forget a member."""
         self._replace_row(name, None)
         self.pending.pop(name, None)
+        self.doubted.pop(name, None)
 
     def _replace_row(self, name: str, row: MemberRow | None) -> None:
         before = self.rows.pop(name, None)
@@ -101,6 +104,7 @@
 def _digest_row(row: MemberRow | None) -> int:
     if row is None or row.state == MemberState.DEAD:
         return 0
-    # Suspicions come and go; left out, they do not make views differ.
-    statement = f"{row.instance.name} {row.incarnation} {int(row.leaving)}"
+    # Only who is present and who leaves must agree: incarnations order statements, and a
+    # fresh fleet would compare views for minutes to learn all of them.
+    statement = f"{row.instance.name} {int(row.leaving)}"
     return xxhash.xxh3_64_intdigest(statement.encode())
