Claim ahead of free slots and look at a lapsed lease before starting items

Change: several claims a step with a small reserve, loops that are woken, progress taken in at once; no item starts past the lease unless the platform was just found unreachable.

--- a/clementinepin/batch/_active.py
+++ b/clementinepin/batch/_active.py
@@ -48,6 +48,12 @@
         """Forget a job that ended."""
         self.jobs.pop(key.removeprefix(PREFIX_ACTIVE), None)
 
+    def note_progress(self, job_id: str, progress: ProgressRow) -> None:
+        """Take in a job's progress as it was just written."""
+        job = self.jobs.get(job_id)
+        if job is not None:
+            job.progress = progress
+
     def note(self, row: JobRow) -> ActiveJob:
         """Take in a job; a mark of cancellation is never taken back."""
         job = self.jobs.get(row.job_id)
--- a/clementinepin/batch/_claimer.py
+++ b/clementinepin/batch/_claimer.py
@@ -24,7 +24,10 @@
 from clementinepin.tables import JobRow, JobState, PlanRow
 
 LOG_PREFIX = "batch:"
-OWNED_MAX = 16
+UNFINISHED_MAX = 16
+OWNED_MAX = 64
+CLAIMS_PER_STEP = 8
+RESERVE_ITEMS = 4
 PROBES_MAX = 4
 PROGRESS_MAX_AGE_S = 15.0
 CLAIM_PAUSE_S = 5.0
@@ -56,24 +59,36 @@
         self._list_live = list_live
         self.owner = f"{core.settings.instance.name}/{core.random.getrandbits(32):08x}"
         self.use: dict[str, AccountUse] = {}
+        self.note_claimed: Callable[[], None] = lambda: None
 
     def step(self) -> None:
-        """Claim at most one shard for each application that has free slots."""
+        """Claim shards for each application that has free slots, a few at a time."""
         if self._core.draining:
             return
         now = self._core.clock.wall()
         applications = {job.row.application for job in self._active.jobs.values()}
         for application in sorted(applications):
-            if len(self._keeper.owned) >= OWNED_MAX:
-                return
-            if self._count_waiting(application) < self._count_free(application):
-                self._claim_for(application, now)
+            for _ in range(CLAIMS_PER_STEP):
+                if not self._is_short(application) or not self._claim_for(application, now):
+                    break
+                self.note_claimed()
+
+    def _is_short(self, application: str) -> bool:
+        """Tell whether the held items could leave a slot empty soon."""
+        owned = self._keeper.owned.values()
+        unfinished = sum(not shard.finished for shard in owned)
+        if unfinished >= UNFINISHED_MAX or len(owned) >= OWNED_MAX:
+            return False
+        free = self._count_free(application)
+        running = self._count_items(application, lambda owned: len(owned.running))
+        reserve = RESERVE_ITEMS if running else 0
+        return self._count_items(application, lambda owned: len(owned.waiting)) < free + reserve
 
-    def _count_waiting(self, application: str) -> int:
+    def _count_items(self, application: str, count: Callable[[OwnedShard], int]) -> int:
         owned = self._keeper.owned.values()
-        return sum(len(o.waiting) for o in owned if o.job.application == application)
+        return sum(count(o) for o in owned if o.job.application == application)
 
-    def _claim_for(self, application: str, now: float) -> None:
+    def _claim_for(self, application: str, now: float) -> bool:
         candidates = [
             JobCandidate(job.row.job_id, job.row.account, job.row.due_at, job.items_left)
             for job in self._active.jobs.values()
@@ -82,7 +97,8 @@
         for candidate in order_jobs(candidates, self.use, now):
             job = self._active.jobs.get(candidate.job_id)
             if job is not None and self._claim_from(job, now):
-                return
+                return True
+        return False
 
     def _claim_from(self, job: ActiveJob, now: float) -> bool:
         """Probe a few shards of a job; tell whether one was claimed."""
@@ -119,20 +135,18 @@
             live=self._list_live(),
         )
         if result.stored is None:
-            self._note_missed(job, shard, sealed=result.decision.sealed, retry_at=now)
+            if result.decision.sealed:
+                self._note_missed(job, shard)
             job.held_until[shard] = max(result.decision.retry_at, now + 1.0)
             return False
         self._take(row, plan, shard, result.stored)
         return True
 
-    def _note_missed(self, job: ActiveJob, shard: int, *, sealed: bool, retry_at: float) -> None:
-        """Repair the progress of a shard whose owner sealed it and died."""
-        if not sealed:
-            return
+    def _note_missed(self, job: ActiveJob, shard: int) -> None:
+        """Learn of a sealed shard, and note it in case its owner died before it could."""
         current = self._shards.load(job.row.job_id, shard)
         if current is not None:
             self._closer.note_sealed(job.row, shard, current.row)
-        job.progress_at = 0.0
 
     def _take(self, job: JobRow, plan: PlanRow, shard: int, stored: StoredShard) -> None:
         """Hold a claimed shard, or seal it when the job was cancelled meanwhile."""
--- a/clementinepin/batch/_closer.py
+++ b/clementinepin/batch/_closer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from loguru import logger
 
 from clementinepin.batch._active import ActiveJob
@@ -35,6 +37,8 @@
         self._shards = shards
         self._unnoted: list[tuple[JobRow, int, ShardRow]] = []
         self._flushing = False
+        self._noted: dict[str, tuple[int, bytes]] = {}
+        self.note_progress: Callable[[str, ProgressRow], None] = lambda _job_id, _progress: None
 
     def note_sealed(self, job: JobRow, shard: int, row: ShardRow) -> None:
         """Add a sealed shard to the job's progress, now or as soon as the platform answers."""
@@ -61,6 +65,7 @@
         if count_bits(progress.sealed) < job.shards:
             return False
         self._jobs.end(job.account, job.job_id, progress.completed, progress.failed)
+        self._noted.pop(job.job_id, None)
         return True
 
     def seal_job(self, job: JobRow) -> None:
@@ -101,6 +106,7 @@
             job, shard, row = self._unnoted[0]
             try:
                 progress = self._add(job, shard, row)
+                self.note_progress(job.job_id, progress)
                 self.end_if_complete(job, progress)
             except ClementinepinError as err:
                 logger.debug("{} Progress postponed: {}.", LOG_PREFIX, err.code)
@@ -121,10 +127,9 @@
         return row
 
     def _add(self, job: JobRow, shard: int, row: ShardRow) -> ProgressRow:
-        """Add one shard by compare-and-swap; a shard counts once."""
+        """Add one shard by compare-and-swap, first on what was seen last; it counts once."""
         key = key_progress(job.job_id)
-        stored = self._key_value.get(key)
-        version, value = (stored.version, stored.value) if stored else (0, None)
+        version, value = self._noted.get(job.job_id, (0, None))
         while True:
             progress = decode_row(value, ProgressRow) if value is not None else ProgressRow()
             if has_bit(progress.sealed, shard):
@@ -134,12 +139,14 @@
                 completed=progress.completed + count_bits(row.done) - row.failed,
                 failed=progress.failed + row.failed,
             )
+            data = encode_row(wanted)
             try:
-                self._key_value.put(key, encode_row(wanted), expected=version)
+                version = self._key_value.put(key, data, expected=version)
             except VersionConflictError as err:
                 version, value = err.current, err.value
             except ReplyLostError:
                 stored = self._key_value.get(key)
                 version, value = (stored.version, stored.value) if stored else (0, None)
             else:
+                self._noted[job.job_id] = (version, data)
                 return wanted
--- a/clementinepin/batch/_dispatcher.py
+++ b/clementinepin/batch/_dispatcher.py
@@ -38,6 +38,8 @@
         self._use: dict[str, float] = {}
         self._decayed_at = core.clock.monotonic()
         self.running = 0
+        self.note_ended: Callable[[bool], None] = lambda _finished: None
+        self.note_short: Callable[[], None] = lambda: None
 
     def count_free(self, application: str) -> int:
         """Return slots that no started item waits for."""
@@ -60,15 +62,17 @@
         for application in sorted(applications):
             for _ in range(self.count_free(application)):
                 if not self._start_next(application, now):
+                    self.note_short()
                     break
 
     def _start_next(self, application: str, now: float) -> bool:
+        wall = self._core.clock.wall()
         shards = {
             owned.key: owned
             for owned in self._keeper.owned.values()
-            if owned.job.application == application and not owned.leaving and not owned.cancelled
+            if owned.waiting and owned.job.application == application and owned.is_open(wall)
         }
-        for owned in _order_shards(shards, self.list_use(), self._core.clock.wall()):
+        for owned in _order_shards(shards, self.list_use(), wall):
             work = owned.take_item(now)
             if work is not None:
                 account = owned.job.account
@@ -101,6 +105,7 @@
             else:
                 owned.hold_result(work, result, self._core.clock.monotonic())
                 self._core.metrics.incr("batch.items_done")
+            self.note_ended(owned.finished)
 
     def _note_placed(self, application: str) -> None:
         self._starting[application] -= 1
--- a/clementinepin/batch/_keeper.py
+++ b/clementinepin/batch/_keeper.py
@@ -115,6 +115,7 @@
             self._retry_at.pop(owned.key, None)
         except ClementinepinError as err:
             pause_s = RETRY_PAUSE_S * self._core.random.uniform(0.5, 1.5)
+            owned.unreachable_at = self._core.clock.wall()
             self._retry_at[owned.key] = self._core.clock.monotonic() + pause_s
             self._core.metrics.incr("batch.writes_postponed")
             logger.debug("{} Write of a shard postponed: {}.", LOG_PREFIX, err.code)
--- /dev/null
+++ b/clementinepin/batch/_loops.py
@@ -0,0 +1,48 @@
+"""Loops of the batch component: a step each period, or sooner when woken."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.metrics import Metrics
+
+LOG_PREFIX = "batch:"
+WAKE_MIN_S = 0.005
+
+
+class StepLoop:
+    """Runs a step over and over; an unavailable platform or storage is no surprise to log."""
+
+    def __init__(self, step: Callable[[], None], period_s: float, metrics: Metrics) -> None:
+        self._step = step
+        self._period_s = period_s
+        self._metrics = metrics
+        self._wake = Event()
+
+    def wake(self) -> None:
+        """Run the next step soon."""
+        self._wake.set()
+
+    def start(self) -> gevent.Greenlet:
+        """Run in a greenlet until it is killed."""
+        return gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            self._run_step()
+            gevent.sleep(WAKE_MIN_S)
+            self._wake.wait(self._period_s)
+            self._wake.clear()
+
+    def _run_step(self) -> None:
+        try:
+            self._step()
+        except ClementinepinError as err:
+            self._metrics.incr(f"batch.steps_failed.{err.code}")
+        except Exception as err:
+            logger.opt(exception=err).warning("{} Step failed: {}.", LOG_PREFIX, err)
--- a/clementinepin/batch/_owned.py
+++ b/clementinepin/batch/_owned.py
@@ -8,6 +8,7 @@
 from clementinepin.batch._codec import ResultLine
 from clementinepin.batch._items import ItemResult, ItemWork
 from clementinepin.batch._shards import StoredShard
+from clementinepin.systems.shard_state import may_start
 from clementinepin.tables import JobRow, ShardRow
 
 COMMIT_ITEMS = 64
@@ -42,6 +43,7 @@
         self.oldest_at: float | None = None
         self.pending: PendingSwap | None = None
         self.busy = False
+        self.unreachable_at: float | None = None
         self.cancelled = False
         self.leaving = False
 
@@ -55,6 +57,12 @@
         """Tell whether each item has a result, committed or held."""
         return not self.waiting and not self.running
 
+    def is_open(self, wall: float) -> bool:
+        """Tell whether items may start; ``wall`` is wall-clock seconds."""
+        if self.leaving or self.cancelled:
+            return False
+        return may_start(self.stored.row, wall, self.unreachable_at)
+
     def take_item(self, now: float) -> ItemWork | None:
         """Move the next item that may run to the running ones; ``now`` is monotonic."""
         for position, work in enumerate(self.waiting):
@@ -88,6 +96,7 @@
         """Take in that the pending write stands."""
         pending = self.pending
         self.pending = None
+        self.unreachable_at = None
         self.stored = stored
         if pending is None or not pending.results:
             return
--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import gevent
@@ -15,21 +15,20 @@
 from clementinepin.batch._items import CreateEngine, ItemRunner
 from clementinepin.batch._jobs import JobStore
 from clementinepin.batch._keeper import ShardKeeper
+from clementinepin.batch._loops import StepLoop
 from clementinepin.batch._results import stream_results
 from clementinepin.batch._shards import ShardStore
 from clementinepin.batch._status import build_status, is_application_open
 from clementinepin.batch._uploads import FileStore, describe_record
 from clementinepin.batch.exceptions import InvalidBatchError
 from clementinepin.batch.models import FileRow, JobStatus
-from clementinepin.core import Core, DrainStarted, InstancesChanged, spawn_loop
-from clementinepin.exceptions import ClementinepinError
+from clementinepin.core import Core, DrainStarted, InstancesChanged
 from clementinepin.helpers.rendezvous import choose_owner
 from clementinepin.platform import KeyValueStore, RangeFollower
 from clementinepin.scheduling import Scheduler
 from clementinepin.storage import SegmentStore
 from clementinepin.tables import JobRow, ProgressRow, count_bits
 
-LOG_PREFIX = "batch:"
 SERVICE_NAME = "clementinepin"
 DISPATCH_PERIOD_S = 0.05
 KEEP_PERIOD_S = 0.2
@@ -61,6 +60,7 @@
         self._jobs = JobStore(key_value, core.clock)
         self._shards = ShardStore(key_value)
         self._closer = JobCloser(key_value, self._jobs, self._shards)
+        self._closer.note_progress = self._active.note_progress
         self._keeper = ShardKeeper(core, self._shards, segments, self._closer)
         self._dispatcher = ItemDispatcher(
             core,
@@ -80,6 +80,14 @@
             self._list_live,
         )
         self._follower = RangeFollower(key_value, PREFIX_ACTIVE, self._active, core.random)
+        dispatch = StepLoop(self._dispatcher.step, DISPATCH_PERIOD_S, core.metrics)
+        keep = StepLoop(self._keeper.step, KEEP_PERIOD_S, core.metrics)
+        claim = StepLoop(self._claim, CLAIM_PERIOD_S, core.metrics)
+        check = StepLoop(self._check_jobs, CHECK_PERIOD_S, core.metrics)
+        self._loops = (dispatch, keep, claim, check)
+        self._dispatcher.note_ended = self._note_ended
+        self._dispatcher.note_short = claim.wake
+        self._claimer.note_claimed = dispatch.wake
         self._live: frozenset[str] | None = None
         self._greenlets: list[gevent.Greenlet] = []
         core.subscribe(InstancesChanged, self._note_instances)
@@ -87,13 +95,8 @@
 
     def start(self) -> None:
         """Start the loops."""
-        self._greenlets = [
-            gevent.spawn(self._follower.run),
-            self._spawn(self._dispatcher.step, DISPATCH_PERIOD_S),
-            self._spawn(self._keeper.step, KEEP_PERIOD_S),
-            self._spawn(self._claim, CLAIM_PERIOD_S),
-            self._spawn(self._check_jobs, CHECK_PERIOD_S),
-        ]
+        self._greenlets = [gevent.spawn(self._follower.run)]
+        self._greenlets += [loop.start() for loop in self._loops]
 
     def stop(self, deadline: float) -> None:
         """Hand over all shards before the monotonic deadline."""
@@ -172,17 +175,6 @@
         row = self._jobs.load(account, job_id).row
         return stream_results(row.job_id, self._shards, self._segments)
 
-    def _spawn(self, step: Callable[[], None], period_s: float) -> gevent.Greenlet:
-        """Run a step each period; an unavailable platform or storage is no surprise to log."""
-
-        def run() -> None:
-            try:
-                step()
-            except ClementinepinError as err:
-                self._core.metrics.incr(f"batch.steps_failed.{err.code}")
-
-        return spawn_loop(run, period_s, LOG_PREFIX)
-
     def _describe(self, row: JobRow) -> JobStatus:
         if row.ended:
             return build_status(row, ProgressRow(), self._core.clock.wall())
@@ -240,6 +232,12 @@
         names = {row.name for row in event.rows if row.service == SERVICE_NAME}
         self._live = frozenset(names) if names else None
 
+    def _note_ended(self, shard_finished: bool) -> None:
+        dispatch, keep, *_ = self._loops
+        dispatch.wake()
+        if shard_finished:
+            keep.wake()
+
     def _note_drain(self, event: DrainStarted) -> None:
         self._keeper.leave()
 
--- a/clementinepin/systems/shard_state.py
+++ b/clementinepin/systems/shard_state.py
@@ -18,6 +18,7 @@
 LEASE_S = 90.0
 RENEW_BEFORE_S = 60.0
 TAKEOVER_GRACE_S = 5.0
+UNREACHABLE_MAX_S = 15.0
 BARREN_MAX = 8
 
 
@@ -79,6 +80,17 @@
     return now >= row.lease_until - RENEW_BEFORE_S
 
 
+def may_start(row: ShardRow, now: float, unreachable_at: float | None) -> bool:
+    """Tell whether the owner may start an item; both times are wall-clock seconds.
+
+    Past the lease it must look at the record first, as another may hold or have sealed the
+    shard, unless a write failed just now because the platform could not be reached.
+    """
+    if now < row.lease_until:
+        return True
+    return unreachable_at is not None and now - unreachable_at < UNREACHABLE_MAX_S
+
+
 def commit_results(
     row: ShardRow,
     *,
