--- a/clementinepin/batch/_items.py
+++ b/clementinepin/batch/_items.py
@@ -16,6 +16,7 @@
 from clementinepin.const import Priority
 from clementinepin.exceptions import ClementinepinError, NotRunError
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.fingerprint import make_fingerprint
 from clementinepin.scheduling import CallInfo, CallResult, Placement, Scheduler
 from clementinepin.systems.exceptions import RequestCondemnedError
 from clementinepin.targets import (
@@ -25,7 +26,6 @@
     TargetAddress,
     is_plain_body,
     make_engine_body,
-    make_fingerprint,
 )
 from clementinepin.targets.exceptions import (
     TargetLostError,
--- a/clementinepin/entry/_calls.py
+++ b/clementinepin/entry/_calls.py
@@ -15,8 +15,9 @@
 from clementinepin.entry._resume import ResumePoint
 from clementinepin.entry.exceptions import ApplicationNotFoundError
 from clementinepin.exceptions import InvalidInputError
+from clementinepin.helpers.fingerprint import make_fingerprint
 from clementinepin.scheduling import CallInfo
-from clementinepin.targets import is_plain_body, make_engine_body, make_fingerprint
+from clementinepin.targets import is_plain_body, make_engine_body
 
 HEADER_IDEMPOTENT: Final = "X-Idempotent"
 PREFIX_CHARS: Final = 256
@@ -129,12 +130,6 @@
     )
 
 
-def make_raw_fingerprint(service: str, method: str, path: str, body: bytes) -> str:
-    """Return what a plain call is known by when it is sent again."""
-    head = f"{service}\0{method}\0{path}\0".encode()
-    return xxhash.xxh3_128_hexdigest(head + body)
-
-
 def make_prefix_hash(body: dict[str, Any]) -> str:
     """Return the hash of the prompt's leading characters, as engines name cached prefixes."""
     messages = body.get("messages")
--- a/clementinepin/targets/__init__.py
+++ b/clementinepin/targets/__init__.py
@@ -6,7 +6,6 @@
     is_plain_body,
     make_engine_body,
     make_engine_model,
-    make_fingerprint,
 )
 from clementinepin.targets._engine import create_engine
 from clementinepin.targets._plain import PlainRequest, PlainResponse, PlainService, create_plain
@@ -34,5 +33,4 @@
     "is_plain_body",
     "make_engine_body",
     "make_engine_model",
-    "make_fingerprint",
 ]
