--- a/bench/_control/host.py
+++ b/bench/_control/host.py
@@ -9,10 +9,10 @@
 import sys
 
 import gevent
-from clementinepin.daemon import build_core
 from loguru import logger
 
 from clementinepin.config import load_settings
+from clementinepin.daemon import build_core
 
 
 def main() -> None:
