--- /dev/null
+++ b/tests/bench/test_faults_parts.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+import json
+import random
+from types import SimpleNamespace
+
+from bench._faults.directory import Directory
+from bench._faults.schedule import run_step
+from bench._faults.tally import Tally
+from standins.caller import Answer
+from standins.processes import ProcessNotReadyError
+
+
+def make_answer(status: int, text: str = "") -> Answer:
+    return Answer(status, text, 0, status == 200, True, "", "", None, "", 0.0, 0.0)
+
+
+class FakeCaller:
+    """Answers ``/v1/entries`` by port."""
+
+    def __init__(self, advice: dict[int, list[int]]) -> None:
+        self.advice = advice
+        self.asked: list[int] = []
+
+    def call(self, port: int, method: str, path: str) -> Answer:
+        self.asked.append(port)
+        if port not in self.advice:
+            return make_answer(0)
+        rows = [{"port": p} for p in self.advice[port]]
+        return make_answer(200, json.dumps({"data": rows, "valid_until": 2e9 * 100}))
+
+
+def make_directory(advice: dict[int, list[int]], ports: list[int]) -> tuple[Directory, FakeCaller]:
+    caller = FakeCaller(advice)
+    fleet = SimpleNamespace(daemons=[SimpleNamespace(port=port) for port in ports])
+    return Directory(fleet, caller, random.Random(1)), caller
+
+
+def test_every_kind_of_broken_promise_is_in_the_summary() -> None:
+    """Mutation: leave a kind out of the tuple in Tally.summarize."""
+    tally = Tally()
+    for kind in ("lost", "doubled", "cut", "false_not_run", "ran_twice", "reverted"):
+        tally.note(kind, "text")
+    result = tally.summarize()
+    names = ("lost", "doubled", "cut", "false_not_run", "ran_twice")
+    assert [result[name] for name in names] == [1] * 5
+    assert result["other_broken"] == {"reverted": 1}
+    assert result["targets_lost_per_poison"] is None
+
+
+def test_worst_figures_are_kept() -> None:
+    tally = Tally()
+    tally.config_seconds += [0.5, 9.0, 1.0]
+    tally.poison_deaths += [2, 5]
+    result = tally.summarize()
+    assert (result["config_seconds_max"], result["targets_lost_per_poison"]) == (9.0, 5)
+
+
+def test_a_late_step_is_a_broken_promise() -> None:
+    def step() -> None:
+        raise ProcessNotReadyError("never ready")
+
+    tally, rows = Tally(), []
+    run_step("late", step, rows, tally)
+    assert tally.broken["step_late"] == 1
+    assert [row["fault"] for row in rows] == ["late"]
+
+
+def test_directory_uses_advised_entries_and_asks_the_next_one() -> None:
+    """Mutation: return any daemon's port although advice was given."""
+    directory, caller = make_directory({2: [3]}, [1, 2, 3])
+    assert {directory.pick() for _ in range(20)} == {3}
+    assert caller.asked[-1] == 2
+    assert not directory.advises(1)
+
+
+def test_directory_leaves_an_avoided_entry_alone() -> None:
+    directory, _ = make_directory({1: [1, 2], 2: [1, 2]}, [1, 2])
+    directory.pick()
+    directory.avoid(1)
+    assert {directory.pick() for _ in range(20)} == {2}
