Fit the cost of configuration changes to the rate that was reached

Each change is awaited before the next pause, so the rate asked for was above the one reached and the slope came out too low. The count of revisions over the window now gives x.

--- a/bench/_control/dimensions.py
+++ b/bench/_control/dimensions.py
@@ -89,13 +89,16 @@
 
 
 def vary_changes(values: list[float], window: Window) -> list[Point]:
-    """Measure against the rate of configuration changes a second."""
+    """Measure against configuration changes a second; x is the rate reached."""
     points = []
     with open_rig() as rig:
         for rate in values:
             applier = gevent.spawn(_apply_at, rig, rate)
             gevent.sleep(window.settle_s)
-            points.append({"x": rate, **rig.meter.measure(max(window.seconds, 3 / (rate or 3)))})
+            first, started = rig.read_revision(), time.monotonic()
+            point = rig.meter.measure(max(window.seconds, 3 / (rate or 3)))
+            reached = (rig.read_revision() - first) / (time.monotonic() - started)
+            points.append({"x": reached, **point})
             applier.kill()
     return points
 
