Catch typed failures alone while waiting for a drained instance

The wait for a stopped instance caught every exception, so a defect of the tool would have looked like a slow stop. Only the project's own failures count as not yet stopped now.

--- a/clementinepin/_cli/instances.py
+++ b/clementinepin/_cli/instances.py
@@ -10,7 +10,7 @@
 from clementinepin._cli.client import Entry, EntryClient
 from clementinepin._cli.exceptions import EntryUnreachableError, UsageError
 from clementinepin._cli.output import Printer
-from clementinepin.exceptions import OutcomeUnknownError
+from clementinepin.exceptions import ClementinepinError, OutcomeUnknownError
 
 DRAIN_WAIT_S: Final = 120.0
 POLL_S: Final = 0.25
@@ -66,7 +66,7 @@
             only.fetch("/healthz")
         except EntryUnreachableError:
             return
-        except Exception as err:
+        except ClementinepinError as err:
             printer.show_progress(f"{name}: {err}")
         gevent.sleep(POLL_S)
     raise OutcomeUnknownError(f"{name} has not stopped yet")
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -272,3 +272,23 @@
     assert run(["drain", "entry-2", "--entry", entry.address]) == ExitCode.OK
     assert [(r.method, r.path) for r in other.requests] == [("POST", "/ops/drain")]
     assert run(["drain", "entry-9", "--entry", entry.address]) == ExitCode.USAGE
+
+
+def test_drain_waits_until_the_instance_has_stopped(entry: FakeEntry, other: FakeEntry) -> None:
+    """Mutation: return from _wait_stopped on any failure; the refusal then counts as stopped."""
+    host, _, port = other.address.rpartition(":")
+    row = {"name": "entry-2", "service": "clementinepin", "address": host, "port": int(port)}
+    entry.answer_json("GET", "/ops/instances", [row])
+    other.answer_json("POST", "/ops/drain", {"draining": True})
+    asked = []
+
+    def refuse(_: Request) -> Response:
+        asked.append(1)
+        if len(asked) == 2:
+            other.server.stop_accepting()
+            other.server.close()
+        return Response(503, b"{}")
+
+    other.answers[("GET", "/healthz")] = refuse
+    assert run(["drain", "entry-2", "--wait", "--entry", entry.address]) == ExitCode.OK
+    assert len(asked) == 2
