Measure one configuration change against the number of accounts

The bench now has a change accepted by a peer and counts what it costs the measured instance above its idle use.

--- a/bench/_control/dimensions.py
+++ b/bench/_control/dimensions.py
@@ -13,6 +13,7 @@
 
 from bench._control.fit import fit_line
 from bench._control.rig import Rig
+from bench._control.sample import Reading
 from standins.processes import ProcessGroup
 
 NODES_BASE: Final = 6
@@ -103,6 +104,35 @@
     return points
 
 
+def vary_change_accounts(values: list[int], window: Window) -> list[Point]:
+    """Measure one change, accepted elsewhere, against the accounts; totals above idle.
+
+    ``accept_s`` is the time until the accepting instance has answered.
+    """
+    points = []
+    with open_rig() as rig:
+        for accounts in values:
+            rig.apply(accounts=accounts)
+            gevent.sleep(window.settle_s)
+            idle = rig.meter.measure(window.seconds)
+            first, started = rig.meter.read(), time.monotonic()
+            revision, accept_s = rig.apply_elsewhere(accounts=accounts, change=1)
+            gevent.sleep(max(0.0, window.seconds - (time.monotonic() - started)))
+            last = rig.meter.read()
+            rig.wait_revision(revision)
+            span = last.at - first.at
+            points.append(
+                {
+                    "x": float(accounts),
+                    "accept_s": accept_s,
+                    "cpu_s": last.cpu_s - first.cpu_s - idle["cpu"] * span,
+                    "bytes_in": _grow(first, last, "bytes_in") - idle["bytes_in_per_s"] * span,
+                    "bytes_out": _grow(first, last, "bytes_out") - idle["bytes_out_per_s"] * span,
+                }
+            )
+    return points
+
+
 def vary_jobs(values: list[int], window: Window) -> list[Point]:
     """Measure against the number of ended jobs that the fleet keeps."""
     with open_rig() as rig:
@@ -184,8 +214,8 @@
                     "cpu_s": last.cpu_s - first.cpu_s,
                     "resident_bytes": float(last.resident_bytes),
                     "key_value_calls": float(rig.count_key_value_calls() - calls),
-                    "bytes_in": float(last.counts["bytes_in"] - first.counts["bytes_in"]),
-                    "bytes_out": float(last.counts["bytes_out"] - first.counts["bytes_out"]),
+                    "bytes_in": _grow(first, last, "bytes_in"),
+                    "bytes_out": _grow(first, last, "bytes_out"),
                 }
             )
     return points
@@ -198,6 +228,10 @@
     return {name: fit_line(xs, [p[name] for p in points])._asdict() for name in names}
 
 
+def _grow(first: Reading, last: Reading, name: str) -> float:
+    return float(last.counts[name] - first.counts[name])
+
+
 def _vary_files(
     values: list[int], window: Window, make_sizes: Callable[[int], dict[str, int]]
 ) -> list[Point]:
--- a/bench/_control/rig.py
+++ b/bench/_control/rig.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import time
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -94,10 +95,20 @@
         """Apply a generated file set and wait until the measured daemon has it."""
         message = json.dumps({"base": None, "files": make_files(**sizes)}).encode()
         answer = self.operator.call(self.port, "POST", "/ops/config", message)
-        revision = int(json.loads(answer.text)["revision"])
-        wait_until(lambda: self.read_revision() >= revision, READY_S, f"revision {revision}")
+        self.wait_revision(int(json.loads(answer.text)["revision"]))
         return len(message)
 
+    def apply_elsewhere(self, **sizes: int) -> tuple[int, float]:
+        """Have a file set accepted by a peer; return the revision and the seconds it took."""
+        message = json.dumps({"base": None, "files": make_files(**sizes)}).encode()
+        started = time.monotonic()
+        answer = self.operator.call(_read_port(self._node_rows[1]), "POST", "/ops/config", message)
+        return int(json.loads(answer.text)["revision"]), time.monotonic() - started
+
+    def wait_revision(self, revision: int) -> None:
+        """Wait until the measured daemon has a revision."""
+        wait_until(lambda: self.read_revision() >= revision, READY_S, f"revision {revision}")
+
     def read_revision(self) -> int:
         """Return the revision in force at the measured daemon."""
         answer = self.operator.call(self.port, "GET", "/ops/config")
--- a/bench/control.py
+++ b/bench/control.py
@@ -35,6 +35,7 @@
     "models": (dim.vary_models, [1, 3, 5, 7]),
     "configuration_bytes": (dim.vary_configuration_bytes, [1, 400, 1600, 4000]),
     "changes_per_s": (dim.vary_changes, [0.0, 0.25, 0.5, 1.0]),
+    "change_accounts": (dim.vary_change_accounts, [10, 1000, 4000, 13_000]),
     "jobs": (dim.vary_jobs, [0, 10, 20, 40]),
     "requests_per_s": (dim.vary_requests, [0, 15, 30, 60]),
     "streams": (dim.vary_streams, [0, 8, 16, 32, 64]),
