Finish keyed streams without their caller and close header and path loopholes

A keyed stream whose caller left was stored as unknown for ever, though its call could still end: it now ends in the background, and a stop waits for it. Two content lengths, unknown transfer encodings, folded headers, method overrides, path parameters and doubly encoded paths no longer reach a target in a form that could run a call twice.

--- a/clementinepin/entry/_calls.py
+++ b/clementinepin/entry/_calls.py
@@ -20,6 +20,7 @@
 from clementinepin.targets import is_plain_body, make_engine_body
 
 HEADER_IDEMPOTENT: Final = "X-Idempotent"
+DECODINGS_MAX: Final = 3
 PREFIX_CHARS: Final = 256
 TOKENS_LIMIT: Final = 1_000_000
 STOP_SEQUENCES_MAX: Final = 16
@@ -144,9 +145,15 @@
 
 
 def normalize_path(path: str) -> str:
-    """Return a path as a lenient target may read it: decoded, without dots and double slashes."""
-    decoded = unquote(path.partition("?")[0])
-    return posixpath.normpath("/" + decoded.lstrip("/").replace("\\", "/"))
+    """Return a path as a lenient target may read it.
+
+    Decoded as often as it can be, without parameters of segments, dots and double slashes.
+    """
+    decoded = path.partition("?")[0]
+    for _ in range(DECODINGS_MAX):
+        decoded = unquote(decoded)
+    bare = "/".join(segment.partition(";")[0] for segment in decoded.split("/"))
+    return posixpath.normpath("/" + bare.lstrip("/").replace("\\", "/"))
 
 
 def is_idempotent(service: ServiceSpec, method: str, path: str) -> bool:
--- a/clementinepin/entry/_completions.py
+++ b/clementinepin/entry/_completions.py
@@ -105,13 +105,16 @@
             logger.debug("{} Former stream not cancelled: {}.", LOG_PREFIX, err.code)
 
     def _run(self, request: Request, call: OnlineCall, model: str) -> Response:
+        started = self._context.core.clock.monotonic()
         attempts = OnlineAttempts(self._context, call)
         chunks = attempts.run()
         headers = [(HEADER_REQUEST_ID, echo_request_id(request, call))]
         if not call.stream:
             body = collect_answer(chunks, call, model, self._context.core.clock.wall())
+            self._time("entry.answer_ms", started)
             return Response(200, [("Content-Type", JSON_TYPE), *headers], body)
         first = next(chunks)
+        self._time("entry.first_token_ms", started)
         headers += [("Content-Type", EVENTS_TYPE), ("Cache-Control", "no-store")]
         token = ""
         if call.resumable and attempts.target is not None:
@@ -144,6 +147,10 @@
         finally:
             chunks.close()  # type: ignore[attr-defined]
 
+    def _time(self, name: str, started: float) -> None:
+        elapsed_s = self._context.core.clock.monotonic() - started
+        self._context.core.metrics.timing(name, elapsed_s * 1000.0)
+
     def _sign(self, call: OnlineCall, target: TargetAddress) -> str:
         return self._context.signer.sign(
             ResumeToken(
--- a/clementinepin/entry/_component.py
+++ b/clementinepin/entry/_component.py
@@ -13,7 +13,7 @@
 from clementinepin.core import ConfigurationChanged, Core
 from clementinepin.entry._app import EntryApp
 from clementinepin.entry._auth import Authenticator
-from clementinepin.entry._context import EntryContext, Targets
+from clementinepin.entry._context import Background, EntryContext, Targets
 from clementinepin.entry._drain import DrainGate
 from clementinepin.entry._resume import ResumeSigner
 from clementinepin.entry._routes import create_router
@@ -35,6 +35,7 @@
     def __init__(self, context: EntryContext, peers: PeerNetwork) -> None:
         self._core = context.core
         self._peers = peers
+        self._background = context.background
         self._gate = DrainGate(context.core, context.fleet)
         self._authenticator = Authenticator(context.core.settings.security.operator_key_digest)
         self._app = EntryApp(self._core, create_router(context), self._authenticator, self._gate)
@@ -59,12 +60,15 @@
         refuse_at = self._gate.refuse_at
         if refuse_at is not None:
             gevent.sleep(max(0.0, min(refuse_at, deadline) - clock.monotonic()))
-        while self._server.active and clock.monotonic() < deadline:
+        while self._count_active() and clock.monotonic() < deadline:
             gevent.sleep(STOP_POLL_S)
-        if self._server.active:
-            logger.warning("{} Cutting {} requests.", LOG_PREFIX, self._server.active)
+        if self._count_active():
+            logger.warning("{} Cutting {} requests.", LOG_PREFIX, self._count_active())
         self._server.stop(timeout=STOP_POLL_S)
 
+    def _count_active(self) -> int:
+        return self._server.active + self._background.active
+
     def describe_state(self) -> dict[str, Any]:
         """Return a JSON-ready dump without secrets."""
         server = self._server
@@ -72,6 +76,7 @@
             "port": self.port,
             "connections": server.connections,
             "active": server.active,
+            "active_without_caller": self._background.active,
             "refused_connections": server.refused,
             "rejected_headers": server.rejected,
             "body_bytes_held": self._app.budget.held,
@@ -112,5 +117,6 @@
         fleet=fleet,
         targets=Targets(core.clock, create_engine, create_plain),
         signer=ResumeSigner(core.settings.security.peer_secret),
+        background=Background(),
     )
     return Entry(context, peers)
--- a/clementinepin/entry/_context.py
+++ b/clementinepin/entry/_context.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
+from gevent.pool import Group
+
 from clementinepin.batch import BatchService
 from clementinepin.claims import ClaimStore
 from clementinepin.config import Configuration
@@ -59,8 +61,24 @@
         return plain
 
 
+class Background:
+    """Calls that go on without their caller; a stop waits for them."""
+
+    def __init__(self) -> None:
+        self._group = Group()
+
+    @property
+    def active(self) -> int:
+        """Return how many run."""
+        return len(self._group)
+
+    def spawn(self, function: Callable[..., object], *args: object) -> None:
+        """Run a function in a greenlet."""
+        self._group.spawn(function, *args)
+
+
 class EntryContext(NamedTuple):
-    """Components that the resources call."""
+    """Components that the resources call, and ``background`` for what outlives its caller."""
 
     core: Core
     scheduler: Scheduler
@@ -69,6 +87,7 @@
     fleet: Fleet
     targets: Targets
     signer: ResumeSigner
+    background: Background
 
     def get_configuration(self) -> Configuration:
         """Return the configuration in force; raises ConfigurationMissingError."""
--- a/clementinepin/entry/_http.py
+++ b/clementinepin/entry/_http.py
@@ -16,6 +16,7 @@
     BodyMemoryExhaustedError,
     BodyTimeoutError,
     BodyTooLargeError,
+    HeadersRejectedError,
     JsonInvalidError,
 )
 from clementinepin.helpers.clock import Clock
@@ -24,6 +25,7 @@
 EVENTS_TYPE: Final = "text/event-stream"
 DONE_EVENT: Final = b"data: [DONE]\n\n"
 LINES_TYPE: Final = "application/jsonl"
+LINE_BREAKS: Final = frozenset("\r\n\0")
 BODY_PIECE_BYTES: Final = 65_536
 BODY_GRACE_S: Final = 20.0
 BODY_RATE_MIN_BYTES_S: Final = 10_000
@@ -76,7 +78,10 @@
         return str(self.environ.get(f"HTTP_{key}") or "")
 
     def list_headers(self) -> list[tuple[str, str]]:
-        """Return the headers with their names in title case."""
+        """Return the headers with their names in title case.
+
+        Raises HeadersRejectedError for a value that would end its line towards a target.
+        """
         headers = [
             (name.removeprefix("HTTP_").replace("_", "-").title(), str(value))
             for name, value in self.environ.items()
@@ -85,6 +90,9 @@
         content_type = self.environ.get("CONTENT_TYPE")
         if content_type:
             headers.append(("Content-Type", str(content_type)))
+        for name, value in headers:
+            if not LINE_BREAKS.isdisjoint(value):
+                raise HeadersRejectedError(f"the header {name} has a line break in its value")
         return headers
 
     def read_body(self) -> bytes:
--- a/clementinepin/entry/_keys.py
+++ b/clementinepin/entry/_keys.py
@@ -69,6 +69,29 @@
     return key
 
 
+class _KeptBody:
+    """What is kept of a streamed body, up to the bound."""
+
+    def __init__(self) -> None:
+        self.pieces: list[bytes] = []
+        self.size = 0
+        self.cut = False
+
+    def add(self, piece: bytes) -> None:
+        """Keep a piece."""
+        self.size += len(piece)
+        if self.size <= STORED_MAX_BYTES:
+            self.pieces.append(piece)
+
+    def is_whole(self, response: Response) -> bool:
+        """Return whether this is an answer: a failed stream lacks its end marker."""
+        if self.cut or self.size > STORED_MAX_BYTES:
+            return False
+        if dict(response.headers).get("Content-Type") != EVENTS_TYPE:
+            return True
+        return bool(self.pieces) and self.pieces[-1].endswith(DONE_EVENT)
+
+
 class _Settler:
     """Settles one fresh claim once."""
 
@@ -93,24 +116,33 @@
     def follow(self, response: Response, body: Iterator[bytes]) -> Iterator[bytes]:
         """Pass a streamed body on and settle at its end.
 
-        A stream that ends early, by the target's fault or the caller's, is of unknown outcome.
+        When the caller leaves, the call runs on to its end without it, so that a resend with
+        the key finds the answer.
         """
-        pieces: list[bytes] = []
-        size = 0
-        whole = False
+        kept = _KeptBody()
         try:
             for piece in body:
-                size += len(piece)
-                if size <= STORED_MAX_BYTES:
-                    pieces.append(piece)
+                kept.add(piece)
                 yield piece
-            whole = _is_whole(response, pieces)
-        finally:
-            body.close()  # type: ignore[attr-defined]
-            if whole and size <= STORED_MAX_BYTES:
-                self.settle_success(response, b"".join(pieces))
-            else:
-                self.settle_failure(OutcomeUnknownError("the former answer was not kept whole"))
+        except GeneratorExit:
+            self._context.background.spawn(self._finish, response, body, kept)
+            raise
+        self._settle_kept(response, kept)
+
+    def _finish(self, response: Response, body: Iterator[bytes], kept: _KeptBody) -> None:
+        try:
+            for piece in body:
+                kept.add(piece)
+        except ClementinepinError as err:
+            logger.info("{} Call without its caller ended: {}.", LOG_PREFIX, err.code)
+            kept.cut = True
+        self._settle_kept(response, kept)
+
+    def _settle_kept(self, response: Response, kept: _KeptBody) -> None:
+        if kept.is_whole(response):
+            self.settle_success(response, b"".join(kept.pieces))
+        else:
+            self.settle_failure(OutcomeUnknownError("the former answer was not kept whole"))
 
     def _settle(self, outcome: StoredOutcome) -> None:
         try:
@@ -120,13 +152,6 @@
             self._context.core.metrics.incr("entry.settle_failed")
 
 
-def _is_whole(response: Response, pieces: list[bytes]) -> bool:
-    """Return whether a body that ended is an answer: a failed stream lacks its end marker."""
-    if dict(response.headers).get("Content-Type") != EVENTS_TYPE:
-        return True
-    return bool(pieces) and pieces[-1].endswith(DONE_EVENT)
-
-
 def _replay(claim: Claim) -> Response:
     stored = claim.stored
     if stored is None:
--- a/clementinepin/entry/_server.py
+++ b/clementinepin/entry/_server.py
@@ -21,6 +21,7 @@
 
 LOG_PREFIX: Final = "entry:"
 HEADERS_MAX_BYTES: Final = 32_768
+CHUNKED: Final = "chunked"
 KEEP_ALIVE_S: Final = 60.0
 STALL_TIMEOUT_S: Final = 20.0
 REFUSAL_TIMEOUT_S: Final = 1.0
@@ -80,6 +81,16 @@
         finally:
             timeout.close()
 
+    def read_request(self, raw_requestline: str) -> Any:
+        """Parse a request; one whose body has no certain end is refused."""
+        result = super().read_request(raw_requestline)
+        if len(self.headers.get_all("Content-Length", [])) > 1:
+            raise HeadersRejectedError("the request has more than one Content-Length")
+        encoding = self.headers.get("Transfer-Encoding", CHUNKED)
+        if encoding.lower() != CHUNKED:
+            raise HeadersRejectedError(f"Transfer-Encoding {encoding[:40]!r} is not known")
+        return result
+
     def get_environ(self) -> dict[str, Any]:
         """Return the environment; the raw path is kept for services."""
         self._header_timer.close()
--- a/clementinepin/entry/_services.py
+++ b/clementinepin/entry/_services.py
@@ -49,6 +49,7 @@
         "Trailer",
         "Transfer-Encoding",
         "Upgrade",
+        "X-HTTP-Method-Override",
         HEADER_DEADLINE,
         HEADER_IDEMPOTENCY_KEY,
         HEADER_IDEMPOTENT,
--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -168,6 +168,13 @@
             return
         connection.rest()
         self._idle.append(connection)
+        self._close_old()
+
+    def _close_old(self) -> None:
+        """Close the oldest connection once it idled too long to be used again."""
+        oldest = self._idle[0]
+        if self._clock.monotonic() - oldest.idle_since > IDLE_MAX_S:
+            self._idle.pop(0).close()
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -268,7 +268,7 @@
         self.core.start()
 
     def stop(self):
-        self.entry.stop(self.core.clock.monotonic())
+        self.entry.stop(self.core.clock.monotonic() + 2.0)
 
     def connect(self):
         return socket.create_connection(("127.0.0.1", self.entry.port), timeout=5.0)
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -72,7 +72,7 @@
     core = Core(make_settings(), clock, create_metrics(None, 0, ""), random.Random(1))
     configuration = make_configuration()
     context = EntryContext(
-        core, scheduler, None, None, None, Targets(clock, engines.get, None), None
+        core, scheduler, None, None, None, Targets(clock, engines.get, None), None, None
     )
     account = configuration.accounts["lets"]
     application = find_application(configuration, account, "assist")
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -72,6 +72,8 @@
         (HEAD + b"X-A: b\r\n" * 3_000 + b"\r\n", 400),
         (HEAD + b"X-A: b\r\n" * 150 + b"\r\n", 400),
         (HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+        (HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400),
+        (HEAD + b"Content-Length: 2\r\nContent-Length: 90\r\n\r\n{}", 400),
         (HEAD + b"Transfer-Encoding: chunked\r\n\r\nffffffffffffffffffff\r\n", 400),
         (b"GET /" + b"a" * 9_000 + b" HTTP/1.1\r\n\r\n", 414),
     ],
--- a/tests/entry/test_online.py
+++ b/tests/entry/test_online.py
@@ -5,6 +5,7 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 
 from clementinepin.claims.exceptions import ClaimUnavailableError
 from clementinepin.config import PathRule
@@ -272,6 +273,35 @@
     assert answers[1].headers["x-replayed"] == "true"
 
 
+def test_a_keyed_call_ends_without_its_caller_and_a_resend_gets_the_answer(serve):
+    """Mutation: ``follow`` does not go on in the background: the resend finds no answer."""
+    gate = Event()
+
+    def script(request):
+        steps = play_whole(request)
+        yield steps[0] + chunk(make_event(get_id(request), ""))
+        gate.wait(5.0)
+        for _ in range(200):
+            yield chunk(make_event(get_id(request), ""))
+            gevent.sleep(0)
+        yield from steps[1:]
+
+    entry = serve(script)
+    body = {**COMPLETION, "stream": True}
+    data = json.dumps(body).encode()
+    sock = entry.connect()
+    head = f"POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer {KEY}\r\n"
+    sock.sendall(f"{head}Idempotency-Key: k\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+    sock.recv(100)
+    sock.close()
+    gate.set()
+    entry.stop()
+    assert entry.scheduler.results == {1: CallResult.SUCCESS}
+    stored = entry.claims.settled["lets", "k"]
+    assert stored.outcome == "success"
+    assert stored.body.endswith(b"data: [DONE]\n\n")
+
+
 def test_a_cut_stream_is_stored_as_unknown_not_as_success(serve):
     """Mutation: ``_is_whole`` returns True: the cut stream is replayed as a success."""
     entry = serve(play_cut(CUT))
--- a/tests/entry/test_services.py
+++ b/tests/entry/test_services.py
@@ -32,7 +32,9 @@
 
 
 @pytest.mark.parametrize("ending", [[CUT], [RESET], [make_reply(b"x" * 50)[:-9], CUT]])
-@pytest.mark.parametrize("path", ["/bookings", "/bookings/3", "/%62ookings", "//bookings?a=b"])
+@pytest.mark.parametrize(
+    "path", ["/bookings", "/%62ookings", "//bookings?a=b", "/bookings;x=1/3", "/%2562ookings"]
+)
 def test_a_call_that_may_not_be_repeated_is_sent_once(serve, ending, path):
     """Mutation: ``is_idempotent`` compares the raw path: the encoded one runs twice."""
     entry = serve(lambda _: ending, answer_with(b"second"))
@@ -83,6 +85,25 @@
     assert entry.scheduler.results == {1: CallResult.LOST}
 
 
+def test_no_header_reaches_a_target_that_changes_the_call(serve):
+    entry = serve(answer_with(b"x"))
+    headers = {"X-HTTP-Method-Override": "POST", "X-Other": "kept"}
+    entry.call("GET", "/services/desk/bookings", headers=headers)
+    sent = entry.targets[0].requests[0]["headers"]
+    assert "x-http-method-override" not in sent
+    assert sent["x-other"] == "kept"
+    folded = {"X-Folded": "a\r\n Evil: b"}
+    answer = entry.call("GET", "/services/desk/bookings", headers=folded)
+    assert answer.error["code"] == "headers_rejected"
+    assert len(entry.targets[0].requests) == 1
+
+
+def test_an_answer_without_a_body_passes(serve):
+    entry = serve(lambda _: [b"HTTP/1.1 204 No Content\r\n\r\n"])
+    answer = entry.call("DELETE", "/services/desk/x")
+    assert (answer.status, answer.body) == (204, b"")
+
+
 def test_a_targets_own_error_passes_unchanged(serve):
     answer = serve(answer_with(b"busy", "503 Busy")).call("GET", "/services/desk/x")
     assert (answer.status, answer.body) == (503, b"busy")
