Make the test of a keyed call without its caller catch a stop that does not wait

The mutation that leaves background calls out of the count survived, as the call ended before the stop looked. A second gate now holds the call until the stop is under way; both named mutations are caught.

--- a/tests/entry/test_online.py
+++ b/tests/entry/test_online.py
@@ -274,8 +274,10 @@
 
 
 def test_a_keyed_call_ends_without_its_caller_and_a_resend_gets_the_answer(serve):
-    """Mutation: ``follow`` does not go on in the background: the resend finds no answer."""
-    gate = Event()
+    """Mutations: ``follow`` does not go on in the background: the resend finds no answer; the
+    stop does not count what runs there: it returns before the end.
+    """
+    gate, last_gate = Event(), Event()
 
     def script(request):
         steps = play_whole(request)
@@ -284,6 +286,7 @@
         for _ in range(200):
             yield chunk(make_event(get_id(request), ""))
             gevent.sleep(0)
+        last_gate.wait(5.0)
         yield from steps[1:]
 
     entry = serve(script)
@@ -295,6 +298,7 @@
     sock.recv(100)
     sock.close()
     gate.set()
+    gevent.spawn_later(0.2, last_gate.set)
     entry.stop()
     assert entry.scheduler.results == {1: CallResult.SUCCESS}
     stored = entry.claims.settled["lets", "k"]
