Leave a target that hangs before the caller's deadline

A target that stopped sending held its caller until the deadline, thirty seconds for a search. A stream that brings nothing for 2.5 s is now given up and goes on elsewhere from what was delivered, and a first attempt without a token within four times the service's target is tried elsewhere once, without blame on target or request. Calls that may not be repeated still wait.

--- a/clementinepin/entry/_attempts.py
+++ b/clementinepin/entry/_attempts.py
@@ -19,6 +19,8 @@
 )
 
 REPORT_EVERY_TOKENS: Final = 16
+PATIENCE_MIN_S: Final = 2.0
+PATIENCE_TARGETS: Final = 4.0
 
 
 class OnlineAttempts:
@@ -92,8 +94,21 @@
             resume_tokens=self._tokens,
             idempotent=self._call.info.idempotent,
             whole=call.whole,
+            first_token_by=self._compute_first_token_by(),
         )
 
+    def _compute_first_token_by(self) -> float:
+        """Return when the first attempt is given up for another one; 0 for all others.
+
+        Only the first: a request that needs long everywhere must end somewhere.
+        """
+        call = self._call
+        if not call.resumable or self._attempts.info.tried:
+            return 0.0
+        patience_s = max(PATIENCE_MIN_S, PATIENCE_TARGETS * call.first_token_target_s)
+        now = self._context.core.clock.monotonic()
+        return now + patience_s if now + 2 * patience_s < call.info.deadline else 0.0
+
     def _note(self, chunk: StreamChunk) -> None:
         self._delivered = True
         if chunk.text:
--- a/clementinepin/entry/_calls.py
+++ b/clementinepin/entry/_calls.py
@@ -64,6 +64,7 @@
     stream: bool
     whole: bool
     resumable: bool
+    first_token_target_s: float
     resume: ResumePoint = ResumePoint()
 
 
@@ -128,6 +129,7 @@
         stream=stream,
         whole=not stream and not plain,
         resumable=idempotent and plain,
+        first_token_target_s=service.first_token_target_s,
     )
 
 
--- a/clementinepin/entry/_retry.py
+++ b/clementinepin/entry/_retry.py
@@ -16,6 +16,7 @@
     TargetNotReachedError,
     TargetRefusedError,
     TargetRejectedError,
+    TargetStalledError,
     TargetTimeoutError,
 )
 
@@ -50,6 +51,8 @@
         if self.may_have_run and not self.info.idempotent:
             raise self.judge(err)
         result = classify_failure(err, started=started)
+        if isinstance(err, TargetLostError):
+            result = CallResult.LOST
         retry_at = self._context.scheduler.allow_retry(self.info, result)
         if retry_at is None or retry_at >= self.info.deadline:
             raise self.judge(err)
@@ -71,8 +74,11 @@
 def classify_failure(err: ClementinepinError, *, started: bool) -> CallResult:
     """Return what an attempt's failure says of its target.
 
-    A deadline that passes while an answer flows says nothing against the target.
+    A deadline that passes while an answer flows says nothing against the target, nor does a
+    slow first token: the request may be a long one.
     """
+    if isinstance(err, TargetStalledError):
+        return CallResult.LOST if started else CallResult.CANCELLED
     if isinstance(err, TargetNotReachedError):
         return CallResult.NOT_REACHED
     if isinstance(err, TargetRefusedError):
--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -19,6 +19,7 @@
 IDLE_MAX_S: Final = 2.0
 IDLE_CONNECTIONS_MAX: Final = 64
 WAIT_MIN_S: Final = 0.001
+STALL_CHECK_S: Final = 2.5
 
 
 class Connection:
@@ -32,6 +33,10 @@
         self._sock = sock
         self._clock = clock
         self._timer: Any = None
+        self._deadline = 0.0
+        self._watches_stalls = False
+        self._reads = 0
+        self._reads_seen = 0
         self._expired = False
         self.written = 0
         self.idle_since = clock.monotonic()
@@ -52,14 +57,20 @@
         """End the connection at the monotonic deadline unless it is released before."""
         self._stop_timer()
         self._sock.settimeout(None)
-        wait_s = max(deadline - self._clock.monotonic(), WAIT_MIN_S)
-        self._timer = gevent.get_hub().loop.timer(wait_s)
-        self._timer.start(self._expire)
+        self._deadline = deadline
+        self._start_timer()
+
+    def watch_stalls(self, deadline: float) -> None:
+        """Move the deadline, and end the connection earlier when it brings nothing for long."""
+        self._watches_stalls = True
+        self._reads_seen = self._reads
+        self.limit_reads(deadline)
 
     def read(self, size: int) -> bytes:
         """Return the next bytes, empty at the end of the connection."""
         try:
             data = self._sock.recv(size)
+            self._reads += 1
         except OSError as err:
             self._check_expired()
             raise TargetLostError(f"connection broke: {err}") from err
@@ -92,12 +103,30 @@
     def rest(self) -> None:
         """Note that the connection is idle from now on."""
         self._stop_timer()
+        self._watches_stalls = False
         self.idle_since = self._clock.monotonic()
 
     def _check_expired(self) -> None:
         if self._expired:
             raise TargetTimeoutError("target did not end its answer before the deadline")
 
+    def _start_timer(self) -> None:
+        wait_s = max(self._deadline - self._clock.monotonic(), WAIT_MIN_S)
+        if self._watches_stalls:
+            wait_s = min(wait_s, STALL_CHECK_S)
+        self._timer = gevent.get_hub().loop.timer(wait_s)
+        self._timer.start(self._check_progress)
+
+    def _check_progress(self) -> None:
+        """Expire at the deadline, or when a whole period brought nothing. Runs in the hub."""
+        self._stop_timer()
+        stalled = self._watches_stalls and self._reads == self._reads_seen
+        if stalled or self._clock.monotonic() >= self._deadline:
+            self._expire()
+            return
+        self._reads_seen = self._reads
+        self._start_timer()
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.stop()
@@ -105,7 +134,7 @@
             self._timer = None
 
     def _expire(self) -> None:
-        """Wake the reader with an end of file. Runs in the hub, so it must not block."""
+        """Wake the reader with an end of file; must not block."""
         self._expired = True
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
--- a/clementinepin/targets/_engine.py
+++ b/clementinepin/targets/_engine.py
@@ -20,6 +20,8 @@
     TargetProtocolError,
     TargetRefusedError,
     TargetRejectedError,
+    TargetStalledError,
+    TargetTimeoutError,
 )
 from clementinepin.targets.models import (
     CacheEvent,
@@ -57,14 +59,19 @@
 
     def generate(self, request: GenerateRequest) -> Iterator[StreamChunk]:
         """Stream an answer; closing the iterator cancels at the engine."""
-        exchange = self._start(request)
         try:
-            if request.whole:
-                yield _read_whole(exchange, request.request_id)
-                return
-            yield from _read_stream(exchange, request.request_id)
-        finally:
-            exchange.close()
+            exchange = self._start(request)
+            try:
+                if request.whole:
+                    yield _read_whole(exchange, request.request_id)
+                    return
+                yield from _read_stream(exchange, request)
+            finally:
+                exchange.close()
+        except TargetTimeoutError as err:
+            if self._clock.monotonic() >= request.deadline:
+                raise
+            raise TargetStalledError("target sent nothing for too long") from err
 
     def cancel(self, request_id: str) -> None:
         """Stop a generation; unknown ids are ignored."""
@@ -123,7 +130,7 @@
                 path=request.path,
                 headers=(JSON_HEADER, (HEADER_REQUEST_ID, request.request_id)),
                 body=msgspec.json.encode(body),
-                deadline=request.deadline,
+                deadline=request.first_token_by or request.deadline,
                 fresh=not request.idempotent,
             )
         )
@@ -185,9 +192,13 @@
     raise TargetRejectedError(exchange.status, body)
 
 
-def _read_stream(exchange: HttpExchange, request_id: str) -> Iterator[StreamChunk]:
-    decoder = EventDecoder(request_id)
+def _read_stream(exchange: HttpExchange, request: GenerateRequest) -> Iterator[StreamChunk]:
+    decoder = EventDecoder(request.request_id)
+    started = False
     while data := exchange.read():
+        if not started:
+            started = True
+            exchange.watch_stalls(request.deadline)
         chunk = decoder.feed(data)
         if chunk is None:
             continue
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -111,6 +111,11 @@
             pieces.append(data)
         return b"".join(pieces)
 
+    def watch_stalls(self, deadline: float) -> None:
+        """Move the deadline, and give up earlier when the target sends nothing for long."""
+        if self._connection is not None:
+            self._connection.watch_stalls(deadline)
+
     def drain(self) -> None:
         """Read to the clean end for a moment, so that the connection can serve again.
 
--- a/clementinepin/targets/exceptions.py
+++ b/clementinepin/targets/exceptions.py
@@ -34,6 +34,12 @@
     status = 504
 
 
+class TargetStalledError(TargetTimeoutError):
+    """The target sent nothing for too long, though the deadline has not passed."""
+
+    code = "target_stalled"
+
+
 class TargetProtocolError(TargetLostError):
     """The target's answer breaks the protocol, so its end can't be trusted."""
 
--- a/clementinepin/targets/models.py
+++ b/clementinepin/targets/models.py
@@ -19,7 +19,8 @@
 
     ``resume_text`` and ``resume_tokens`` hold what was delivered before. ``idempotent`` False
     asks for a connection that never carried another request. ``whole`` asks for one JSON
-    answer in place of events.
+    answer in place of events. ``first_token_by`` is monotonic: a stream that has not begun by
+    then is given up; 0 means the deadline.
     """
 
     request_id: str
@@ -31,6 +32,7 @@
     resume_tokens: int = 0
     idempotent: bool = True
     whole: bool = False
+    first_token_by: float = 0.0
 
 
 class StreamChunk(NamedTuple):
--- a/tests/entry/test_online.py
+++ b/tests/entry/test_online.py
@@ -122,6 +122,42 @@
     assert entry.scheduler.results == {1: CallResult.LOST, 2: CallResult.SUCCESS}
 
 
+@pytest.mark.parametrize("stream", [False, True])
+def test_a_stream_that_stalls_goes_on_elsewhere(serve, monkeypatch, stream):
+    """Mutation: ``_check_progress`` looks at the deadline alone: the caller waits for it."""
+    monkeypatch.setattr("clementinepin.targets._connection.STALL_CHECK_S", 0.1)
+    entry = serve(play_cut(HANG), play_whole, configuration=make_configuration(timeout_s=60.0))
+    answer = entry.call("POST", "/v1/completions", {**COMPLETION, "stream": stream})
+    if stream:
+        assert read_text(read_events(answer)[0]) == "".join(TEXTS)
+    else:
+        assert answer.json["choices"][0]["text"] == "".join(TEXTS)
+    assert entry.scheduler.results == {1: CallResult.LOST, 2: CallResult.SUCCESS}
+
+
+def test_a_target_that_never_begins_is_left_without_blame(serve, monkeypatch):
+    """Mutation: no ``first_token_by``: the caller waits for the deadline."""
+    monkeypatch.setattr("clementinepin.entry._attempts.PATIENCE_MIN_S", 0.1)
+    monkeypatch.setattr("clementinepin.entry._attempts.PATIENCE_TARGETS", 0.0)
+    configuration = make_configuration(timeout_s=60.0)
+    entry = serve(lambda _: [HANG], play_whole, configuration=configuration)
+    answer = entry.call("POST", "/v1/completions", COMPLETION)
+    assert answer.json["choices"][0]["text"] == "".join(TEXTS)
+    assert entry.scheduler.results == {1: CallResult.CANCELLED, 2: CallResult.SUCCESS}
+
+
+def test_a_stalled_call_that_may_not_be_repeated_is_not_sent_again(serve, monkeypatch):
+    """Mutation: ``_compute_first_token_by`` ignores ``resumable``: it ends before its time."""
+    monkeypatch.setattr("clementinepin.entry._attempts.PATIENCE_MIN_S", 0.05)
+    monkeypatch.setattr("clementinepin.entry._attempts.PATIENCE_TARGETS", 0.0)
+    entry = serve(lambda _: [HANG], play_whole, configuration=make_configuration(timeout_s=0.4))
+    headers = {"X-Idempotent": "false"}
+    answer = entry.call("POST", "/v1/completions", COMPLETION, headers=headers)
+    assert answer.error["code"] == "target_timeout"
+    assert answer.error["outcome"] == "outcome_unknown"
+    assert entry.targets[1].requests == []
+
+
 def test_a_whole_answer_goes_on_elsewhere_too(serve):
     entry = serve(play_cut(CUT), play_whole)
     answer = entry.call("POST", "/v1/completions", COMPLETION)
