Test answers cut anywhere and any bytes on a caller's connection

Two property tests over real sockets: an answer cut at any byte, by close or reset, is lost and never called not run; any lines that a caller sends end its own connection and leave the entry serving.

--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -2,7 +2,7 @@
 
 import gevent
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from clementinepin.entry._calls import CHAT_SCHEMA, COMPLETION_SCHEMA, check_body, make_prefix_hash
@@ -142,6 +142,27 @@
     assert entry.targets[0].requests == []
 
 
+def test_any_bytes_on_a_connection_end_it_and_nothing_else(serve):
+    """Mutation: ``_handle_client_error`` raises what is not a ValueError: no answer is sent."""
+    entry = serve(play_whole)
+    lines = [b"GET /healthz HTTP/1.1", HEAD.strip(), b"Content-Length: 3", b"X: y", b":", b""]
+    line = st.sampled_from(lines) | st.binary(max_size=20)
+    pieces = st.lists(line, max_size=6).map(b"\r\n".join)
+
+    @settings(max_examples=80)
+    @given(data=pieces)
+    def send_any(data):
+        sock = entry.connect()
+        sock.sendall(data + b"\r\n\r\n")
+        sock.shutdown(gevent.socket.SHUT_WR)
+        answer = read_to_end(sock)
+        assert answer == b"" or answer.startswith((b"HTTP/1.", b"{"))
+
+    send_any()
+    assert entry.entry.describe_state()["active"] == 0
+    assert_serves(entry)
+
+
 def test_a_half_closed_caller_gets_its_answer(serve):
     entry = serve(play_whole)
     sock = entry.connect()
--- a/tests/targets/test_engine.py
+++ b/tests/targets/test_engine.py
@@ -5,7 +5,7 @@
 
 import gevent
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from clementinepin.helpers.clock import create_system_clock
@@ -137,6 +137,32 @@
     assert not any(c.done for c in chunks)
 
 
+FRAMED = STREAM_HEAD + chunk(make_stream(ID, TEXTS)) + LAST_CHUNK
+SIZED = make_reply(make_stream(ID, TEXTS))
+
+
+@settings(max_examples=60)
+@given(data=st.data(), answer=st.sampled_from([FRAMED, SIZED]), end=st.sampled_from([CUT, RESET]))
+def test_an_answer_cut_anywhere_is_lost_and_never_not_run(data, answer, end):
+    """Mutation: an end of file in the headers is TargetNotReachedError: a sent call is not run.
+
+    Cut behind the end marker an answer is whole, whatever becomes of the framing.
+    """
+    size = data.draw(st.integers(0, len(answer) - 1))
+    target = ScriptedTarget(lambda _: [answer[:size], end])
+    chunks = []
+    try:
+        chunks.extend(engine_of(target).generate(make_request()))
+    except TargetLostError:
+        assert not any(c.done for c in chunks)
+        assert "one two three".startswith(read_text(chunks))
+    else:
+        assert read_text(chunks) == "one two three"
+        assert b"[DONE]\n\n" in answer[:size]
+    finally:
+        target.stop()
+
+
 def test_nothing_written_is_not_reached(serve):
     target = serve(CUT)
     address = target.address
