--- a/clementinepin/fleet/_configuration.py
+++ b/clementinepin/fleet/_configuration.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
-from gevent.lock import BoundedSemaphore
 from loguru import logger
 
 from clementinepin.config import (
@@ -55,7 +54,8 @@
         self._manifest: Manifest | None = None
         self._data: dict[str, bytes] = {}
         self._parts: dict[str, Part] = {}
-        self._lock = BoundedSemaphore()
+        self._next: tuple[Manifest, dict[str, bytes]] | None = None
+        self._publishing = False
         peers.register(messages.METHOD_ANNOUNCE, self._take_announcement)
         peers.register(messages.METHOD_FETCH, self._answer_fetch)
         peers.register(messages.METHOD_PARTS, self._answer_parts)
@@ -112,22 +112,35 @@
         return {name: int(answer.get("revision", 0)) for name, answer in answers.items()}
 
     def learn(self, manifest: Manifest, found: Mapping[str, bytes], source: str) -> bool:
-        """Put a newer revision in force if its parts are at hand; return whether it was."""
-        with self._lock:
-            if manifest["revision"] <= self.revision:
-                return False
-            if summarize_parts(manifest["parts"]) != manifest["digest"]:
-                raise ConfigurationPartError(f"manifest {manifest['revision']} is damaged")
-            if any(
-                digest not in found and digest not in self._data for digest in manifest["parts"]
-            ):
-                return False
-            self._put_in_force(manifest, found)
-        logger.info("{} Revision {} in force, from {}.", LOG_PREFIX, self.revision, source)
+        """Put a newer revision in force if its parts are at hand; return whether it will be.
+
+        Listeners of one revision are all called before those of the next, whoever learns it.
+        """
+        newest = self._next[0] if self._next else self._manifest
+        if newest is not None and manifest["revision"] <= newest["revision"]:
+            return False
+        if summarize_parts(manifest["parts"]) != manifest["digest"]:
+            raise ConfigurationPartError(f"manifest {manifest['revision']} is damaged")
+        if self._list_missing(manifest, found):
+            return False
+        data = {d: self._data[d] if d in self._data else found[d] for d in manifest["parts"]}
+        self._next = (manifest, data)
+        logger.info("{} Revision {} from {}.", LOG_PREFIX, manifest["revision"], source)
+        if not self._publishing:
+            self._put_all_in_force()
         return True
 
-    def _put_in_force(self, manifest: Manifest, found: Mapping[str, bytes]) -> None:
-        data = {d: self._data[d] if d in self._data else found[d] for d in manifest["parts"]}
+    def _put_all_in_force(self) -> None:
+        self._publishing = True
+        try:
+            while self._next is not None:
+                manifest, data = self._next
+                self._next = None
+                self._put_in_force(manifest, data)
+        finally:
+            self._publishing = False
+
+    def _put_in_force(self, manifest: Manifest, data: dict[str, bytes]) -> None:
         parts = {
             digest: self._parts.get(digest) or decode_part(digest, data[digest]) for digest in data
         }
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -4,6 +4,7 @@
 import pytest
 
 from clementinepin.config import ConfigurationInvalidError
+from clementinepin.core import ConfigurationChanged
 from clementinepin.fleet import (
     ConfigurationConflictError,
     ConfigurationUnavailableError,
@@ -178,6 +179,22 @@
     assert fleet.cores["n1"].configuration.revision == 2
 
 
+def test_revision_learnt_by_a_listener_is_published_behind_the_first():
+    """Mutation: put each revision in force within learn; a listener then hears 2 before 1."""
+    fleet = FakeFleet()
+    core = fleet.cores["n0"]
+    heard: list[int] = []
+
+    def apply_next(event: ConfigurationChanged) -> None:
+        if event.configuration.revision == 1:
+            fleet.fleets["n1"].apply(create_files("2"), base=1)
+
+    core.subscribe(ConfigurationChanged, apply_next)
+    core.subscribe(ConfigurationChanged, lambda event: heard.append(event.configuration.revision))
+    fleet.fleets["n0"].apply(create_files("1"), base=0)
+    assert heard == [1, 2]
+
+
 def test_watchers_are_few():
     fleet = FakeFleet(count=12)
     for component in fleet.fleets.values():
