Delete old revisions and parts of configurations

Change: one instance deletes revisions over an hour old beyond the newest 100, and parts without reference for an hour, by version; writers touch parts that they refer to, and look again after a pause.

--- /dev/null
+++ b/clementinepin/fleet/_collector.py
@@ -0,0 +1,86 @@
+"""Deletes revisions and parts of old configurations from the key-value service."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from clementinepin.fleet._messages import decode_manifest
+from clementinepin.fleet._revisions import PAGE_ROWS, PREFIX_PARTS, PREFIX_REVISIONS
+from clementinepin.helpers.rendezvous import choose_owner
+from clementinepin.peers import PeerNetwork
+from clementinepin.platform import KeyValue, KeyValueStore
+from clementinepin.platform.exceptions import (
+    PlatformUnavailableError,
+    ReplyLostError,
+    VersionConflictError,
+)
+from clementinepin.systems import retention
+from clementinepin.systems.retention import SeenPart, StoredRevision
+
+if TYPE_CHECKING:
+    from clementinepin.core import Core
+
+LOG_PREFIX = "configuration:"
+COLLECT_PERIOD_S = 600.0
+
+
+class Collector:
+    """Runs on one instance at a time, as far as views agree; two at once do no harm."""
+
+    def __init__(self, core: Core, key_value: KeyValueStore, peers: PeerNetwork) -> None:
+        self._core = core
+        self._key_value = key_value
+        self._peers = peers
+        self._seen: dict[str, SeenPart] = {}
+
+    def run(self) -> None:
+        """Delete what nobody needs, if this instance is the collector."""
+        own = self._core.settings.instance.name
+        if choose_owner("configuration/collector", self._peers.list_live()) != own:
+            self._seen = {}
+            return
+        try:
+            self._collect()
+        except (PlatformUnavailableError, ReplyLostError) as err:
+            logger.debug("{} Collection broken off: {}.", LOG_PREFIX, err)
+
+    def _collect(self) -> None:
+        # Parts are listed first: one that is written later than its listing has a new version.
+        stored = {
+            row.key.removeprefix(PREFIX_PARTS): row.version for row in self._list(PREFIX_PARTS)
+        }
+        revisions = [_read_revision(row) for row in self._list(PREFIX_REVISIONS)]
+        outdated = retention.choose_revisions(revisions, self._core.clock.wall())
+        for row in outdated:
+            self._delete(row.key, row.version)
+        kept = revisions[len(outdated) :]
+        referred = {digest for row in kept for digest in row.parts}
+        now = self._core.clock.monotonic()
+        choice = retention.choose_parts(stored, referred, self._seen, now)
+        self._seen = choice.seen
+        for digest, version in choice.deletable.items():
+            self._delete(PREFIX_PARTS + digest, version)
+
+    def _list(self, prefix: str) -> Iterator[KeyValue]:
+        after = ""
+        while True:
+            rows = self._key_value.list_range(prefix, after=after, limit=PAGE_ROWS)
+            yield from rows
+            if len(rows) < PAGE_ROWS:
+                return
+            after = rows[-1].key
+
+    def _delete(self, key: str, version: int) -> None:
+        try:
+            self._key_value.delete(key, expected=version)
+        except VersionConflictError:
+            return
+        self._core.metrics.incr("configuration.collected")
+
+
+def _read_revision(row: KeyValue) -> StoredRevision:
+    manifest = decode_manifest(row.value)
+    return StoredRevision(row.key, row.version, manifest["accepted_at"], tuple(manifest["parts"]))
--- a/clementinepin/fleet/_fleet.py
+++ b/clementinepin/fleet/_fleet.py
@@ -10,6 +10,7 @@
 
 from clementinepin.core import DrainStarted, spawn_loop
 from clementinepin.fleet import _messages as messages
+from clementinepin.fleet._collector import COLLECT_PERIOD_S, Collector
 from clementinepin.fleet._configuration import WATCH_PERIOD_S, ConfigurationService
 from clementinepin.fleet._instances import InstanceService
 from clementinepin.fleet._stewards import STEWARD_PERIOD_S, EngineFactory, StewardService
@@ -44,6 +45,7 @@
         self._plan: DrainPlan | None = None
         self._greenlets: list[gevent.Greenlet] = []
         self.configuration = ConfigurationService(core, key_value, peers)
+        self.collector = Collector(core, key_value, peers)
         self.instances = InstanceService(core, instance_list, peers)
         self.stewards = StewardService(core, key_value, peers, weight_store, create_engine)
         peers.register(messages.METHOD_LEAVING, self._take_leaving)
@@ -54,6 +56,7 @@
         self._greenlets = [
             gevent.spawn(self.instances.run),
             spawn_loop(self.configuration.run_watch, WATCH_PERIOD_S, LOG_PREFIX),
+            spawn_loop(self.collector.run, COLLECT_PERIOD_S, LOG_PREFIX),
             spawn_loop(self.stewards.run_period, STEWARD_PERIOD_S, LOG_PREFIX),
         ]
 
--- a/clementinepin/fleet/_revisions.py
+++ b/clementinepin/fleet/_revisions.py
@@ -32,6 +32,7 @@
 SETTLE_PAUSE_S = 0.2
 SETTLE_ATTEMPTS_MAX = 25
 RETRY_S = 5.0
+PAUSE_S = 60.0
 
 
 def format_revision_key(revision: int) -> str:
@@ -69,22 +70,41 @@
         Raises ConfigurationConflictError, ConfigurationUnavailableError (nothing accepted) or
         ConfigurationUnknownError.
         """
+        began = self._clock.monotonic()
         try:
             for digest, data in parts.items():
                 self._write_part(digest, data)
-        except (PlatformUnavailableError, ReplyLostError) as err:
+        except (PlatformUnavailableError, ReplyLostError, VersionConflictError) as err:
             raise self._refuse() from err
         self._write_manifest(manifest)
+        if self._clock.monotonic() - began > PAUSE_S:
+            self._verify_base(manifest, parts)
 
     def _write_part(self, digest: str, data: bytes) -> None:
+        key = PREFIX_PARTS + digest
         try:
-            self._key_value.put(PREFIX_PARTS + digest, data, expected=0)
-        except VersionConflictError:
-            return
+            self._key_value.put(key, data, expected=0)
+        except VersionConflictError as err:
+            # Written anew, a part that no revision refers to yet is not collected.
+            self._key_value.put(key, data, expected=err.current)
         except ReplyLostError:
-            if self._key_value.get(PREFIX_PARTS + digest) is None:
+            if self._key_value.get(key) is None:
                 raise
 
+    def _verify_base(self, manifest: Manifest, parts: Mapping[str, bytes]) -> None:
+        """Make sure, after a pause, that neither base nor parts were collected meanwhile."""
+        revision = manifest["revision"]
+        try:
+            base = self._key_value.get(format_revision_key(revision - 1))
+            newest = self.read_newest(manifest)
+            stored = self.read_parts(parts)
+            for digest in [digest for digest in parts if digest not in stored]:
+                self._write_part(digest, parts[digest])
+        except (PlatformUnavailableError, ReplyLostError, VersionConflictError) as err:
+            raise ConfigurationUnknownError(f"revision {revision} may be accepted") from err
+        if base is None and newest is not None and newest["revision"] > revision:
+            raise create_conflict(newest)
+
     def _write_manifest(self, manifest: Manifest) -> None:
         key = format_revision_key(manifest["revision"])
         value = encode_manifest(manifest)
