--- a/clementinepin/fleet/_fleet.py
+++ b/clementinepin/fleet/_fleet.py
@@ -18,7 +18,7 @@
 from clementinepin.peers import PeerNetwork
 from clementinepin.platform import InstanceList, KeyValueStore, ListedInstance, WeightStore
 from clementinepin.systems.advice import choose_entries
-from clementinepin.systems.drain import DrainPlan, plan_drain
+from clementinepin.systems.drain import DrainPlan, limit_advice, plan_drain
 
 if TYPE_CHECKING:
     from clementinepin.core import Core
@@ -87,8 +87,8 @@
         own = self._core.settings.instance
         members = self._peers.list_members()
         entries = choose_entries(members, own.data_centre, own.region, self._core.random)
-        valid_until = self._core.clock.wall() + self._core.settings.limits.advice_s
-        return EntryAdvice(entries, valid_until)
+        wall = self._core.clock.wall()
+        return EntryAdvice(entries, limit_advice(wall, self._core.settings.limits.advice_s))
 
     def list_instances(self) -> list[ListedInstance]:
         """Return our instances by membership, and targets by the list."""
--- a/clementinepin/systems/drain.py
+++ b/clementinepin/systems/drain.py
@@ -19,6 +19,14 @@
 
 
 def plan_drain(now: float, deadline: float, advice_s: float) -> DrainPlan:
-    """Return the plan: others may advise this instance until the word has reached them."""
-    serve_until = min(now + SPREAD_S + advice_s, deadline)
-    return DrainPlan(serve_until, deadline)
+    """Return the plan of a stop that begins now."""
+    return DrainPlan(min(now + advice_s, deadline), deadline)
+
+
+def limit_advice(wall: float, advice_s: float) -> float:
+    """Return until when advice given now is valid, in wall-clock seconds.
+
+    A leaving instance serves for ``advice_s``. Others may advise it until its word has reached
+    them, so that advice is valid for less.
+    """
+    return wall + max(advice_s - SPREAD_S, advice_s / 2)
