Ask peers for the configuration as soon as they are known

Change: an instance without a configuration asks up to three live peers when it first sees the list. The test fails without the subscription.

--- a/clementinepin/fleet/_configuration.py
+++ b/clementinepin/fleet/_configuration.py
@@ -20,6 +20,7 @@
     merge_parts,
     summarize_parts,
 )
+from clementinepin.core import InstancesChanged
 from clementinepin.fleet import _messages as messages
 from clementinepin.fleet._messages import Manifest
 from clementinepin.fleet._revisions import RETRY_S, RevisionStore, create_conflict
@@ -42,6 +43,7 @@
 PARTS_ASK_MAX = 200
 PARTS_ATTEMPTS = 8
 PARTS_PAUSE_S = 0.2
+FIRST_PEERS = 3
 
 
 class ConfigurationService:
@@ -61,6 +63,7 @@
         peers.register(messages.METHOD_PARTS, self._answer_parts)
         peers.register(messages.METHOD_IN_FORCE, self._answer_in_force)
         peers.attach(messages.TOPIC_CONFIGURATION, self._provide_digest, self._take_digest)
+        core.subscribe(InstancesChanged, self._ask_first_peers)
 
     @property
     def revision(self) -> int:
@@ -183,6 +186,15 @@
         if messages.read_message(raw, messages.DigestMessage)["revision"] > self.revision:
             gevent.spawn(self._fetch_from_peer, sender)
 
+    def _ask_first_peers(self, _event: InstancesChanged) -> None:
+        # Without a configuration every call is refused: do not wait for the first probe.
+        if self._manifest is not None:
+            return
+        own = self._core.settings.instance.name
+        others = [name for name in self._peers.list_live() if name != own]
+        for peer in self._core.random.sample(others, min(FIRST_PEERS, len(others))):
+            gevent.spawn(self._fetch_from_peer, peer)
+
     def _fetch_from_peer(self, peer: str) -> None:
         deadline = self._core.clock.monotonic() + FETCH_TIMEOUT_S
         message = messages.FetchMessage(revision=self.revision)
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -157,6 +157,17 @@
     assert fresh.configuration.revision == 1
 
 
+def test_fresh_instance_asks_peers_as_soon_as_it_knows_them():
+    """Mutation: leave the subscription of _ask_first_peers out."""
+    fleet = FakeFleet()
+    fleet.fleets["n0"].apply(create_files(), base=0)
+    fresh = fleet.start(create_row("n9"))
+    fleet.table.set_rows(fleet.rows)
+    fresh.instances.read()
+    gevent.sleep(0)
+    assert fresh.configuration.revision == 1
+
+
 def test_missed_announcement_is_made_good_by_a_probe():
     fleet = FakeFleet()
     fleet.board.link = lambda sender, receiver: receiver != "n2"
