Let the list correct the address of a member that never spoke

Cause: the first listed address of an instance stood for ever if the list changed before its process was met. Change: until a member's own word arrives, the list may correct it.

--- a/clementinepin/systems/membership.py
+++ b/clementinepin/systems/membership.py
@@ -65,6 +65,10 @@
         if known is None:
             row = MemberRow(instance, 0, MemberState.ALIVE, leaving, 0.0)
             table.set_row(row, announce=False)
+        elif known.incarnation == 0 and known.instance != instance:
+            # Only the list has spoken of it so far, so that the list may correct itself.
+            moved = known._replace(instance=instance, leaving=known.leaving or leaving)
+            table.set_row(moved, announce=False)
         elif leaving and not known.leaving and (turned or known.incarnation == 0):
             table.set_row(known._replace(leaving=True))
 
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -40,6 +40,26 @@
     assert waiting.get() == {}
 
 
+def test_segment_of_a_megabyte_passes_whole(start_networks):
+    a, b = start_networks("a", "b")
+    b.register("echo", lambda sender, message: message)
+    data = bytes(range(256)) * 4096
+    assert a.call("b", "echo", {"data": data}, deadline=_soon()) == {"data": data}
+
+
+def test_peer_that_moved_is_reached_at_its_new_port(start_networks):
+    """Mutation: keep the connection in _take_channel though the address changed."""
+    a, b = start_networks("a", "b")
+    b.register("echo", lambda sender, message: {"by": "old"})
+    assert a.call("b", "echo", {}, deadline=_soon()) == {"by": "old"}
+    (moved,) = start_networks("b")
+    moved.register("echo", lambda sender, message: {"by": "new"})
+    rows = [row for row in moved.list_members() if row.name == "b"]
+    member = a._membership.table.rows["b"]
+    a._membership.table.set_row(member._replace(instance=rows[0]))
+    assert a.call("b", "echo", {}, deadline=_soon()) == {"by": "new"}
+
+
 def test_unknown_peer_and_closed_port_are_unavailable(start_networks):
     a, b = start_networks("a", "b")
     with pytest.raises(PeerUnavailableError):
--- a/tests/systems/test_membership.py
+++ b/tests/systems/test_membership.py
@@ -120,6 +120,19 @@
     assert membership.list_live(table) == ["instance-0000"]
 
 
+def test_list_corrects_the_address_of_a_member_that_never_spoke():
+    """Mutation: leave the row as it is once it is known."""
+    table = membership.create_table(create_instance(0), 1, 0.0)
+    membership.merge_listed(table, [create_instance(1)])
+    moved = create_instance(1)._replace(peer_port=9)
+    membership.merge_listed(table, [moved])
+    assert table.rows["instance-0001"].instance == moved
+    spoken = MemberRow(create_instance(1), 7, MemberState.ALIVE, False, 0.0)
+    membership.merge_row(table, spoken, 0.0)
+    membership.merge_listed(table, [moved])
+    assert table.rows["instance-0001"].instance == create_instance(1)
+
+
 def test_message_stays_bounded_after_many_changes():
     """Mutation: send all pending rows in create_exchange."""
     table = membership.create_table(create_instance(0), 1, 0.0)
