--- a/clementinepin/fleet/_instances.py
+++ b/clementinepin/fleet/_instances.py
@@ -55,10 +55,14 @@
             self._core.metrics.incr("instances.read_failed")
             logger.debug("{} List not read: {}.", LOG_PREFIX, err)
             return
+        is_first = not self._table.rows
         changes = instances.merge_list(self._table, rows, observed_at)
         if not changes:
             return
         self._publish(changes)
+        if is_first:
+            # To a fresh instance all rows are new, to the others none is.
+            return
         packed = [_pack_change(name, change) for name, change in changes.items()]
         self._peers.spread(messages.METHOD_INSTANCES, messages.InstancesMessage(changes=packed))
 
--- a/tests/fleet/test_leaving.py
+++ b/tests/fleet/test_leaving.py
@@ -80,6 +80,20 @@
     assert seen == {"n0": ["w0"], "n1": ["w0"], "n2": ["w0"]}
 
 
+def test_fresh_instance_tells_nobody_the_whole_list(monkeypatch):
+    """Mutation: spread the changes of the first read."""
+    fleet = FakeFleet(engines=2)
+    fleet.list_targets()
+    told: list[str] = []
+    fresh = fleet.start(create_row("n9"))
+    monkeypatch.setattr(
+        fleet.board.networks["n9"], "spread", lambda method, message: told.append(method)
+    )
+    fresh.instances.read()
+    assert len(fresh.instances.list_rows()) == 5
+    assert told == []
+
+
 def test_older_observation_loses():
     """Mutation: leave the comparison of observed_at out of merge_changes."""
     fleet = FakeFleet(engines=1)
