Mark a service as known where its engines check numbers too

Cause: a service that is declared first as checking and later as ignoring fencing numbers had no mark, so that its next steward did not wait for earlier orders. Change: every first steward creates the mark. The state machine of membership lets splits last up to 30 periods, as the mutation it names had survived shorter ones.

--- a/clementinepin/fleet/_leases.py
+++ b/clementinepin/fleet/_leases.py
@@ -50,8 +50,9 @@
             self.release(grant.lease_id)
             return None
         logger.info("{} Steward of {} with number {}.", LOG_PREFIX, service, number)
-        waits = not checks_fencing and not self._is_first(service)
-        return self._create_lease(grant, number, waits=waits)
+        # Marked even where numbers are checked: the configuration may say otherwise later.
+        is_first = self._is_first(service)
+        return self._create_lease(grant, number, waits=not checks_fencing and not is_first)
 
     def extend(self, lease: StewardLease) -> StewardLease | None:
         """Return the lease with its new deadline, as it was when out of reach, None if lost."""
--- a/tests/fleet/test_stewards.py
+++ b/tests/fleet/test_stewards.py
@@ -102,6 +102,18 @@
     assert any(engine.orders for engine in fleet.engines.values())
 
 
+def test_steward_waits_where_an_earlier_one_gave_orders_to_engines_that_checked():
+    """Mutation: mark a service as known only where engines ignore numbers."""
+    fleet = _create(checks=True)
+    _run(fleet, 4)
+    holder = _holders(fleet)[0]
+    fleet.fleets["n0"].apply(create_files("2", checks=False), base=1)
+    fleet.fleets[holder].stewards.hand_over(fleet.clock.monotonic() + 60)
+    before = [len(engine.orders) for engine in fleet.engines.values()]
+    fleet.run_stewards()
+    assert [len(engine.orders) for engine in fleet.engines.values()] == before
+
+
 def _pause_holder(fleet: FakeFleet) -> tuple[str, list[str]]:
     holder = _holders(fleet)[0]
     others = [name for name in fleet.fleets if name != holder]
--- a/tests/systems/test_membership.py
+++ b/tests/systems/test_membership.py
@@ -146,8 +146,7 @@
 class ClusterMachine(RuleBasedStateMachine):
     """Splits, losses and restarts in any order; once they end, all views agree.
 
-    Mutation: keep a row's deadline when it turns from suspect to alive in merge_row, or let
-    _choose_wanderer skip dead members.
+    Mutation: let _choose_wanderer skip dead members.
     """
 
     @initialize()
@@ -159,10 +158,11 @@
     def run(self, periods: int) -> None:
         self.network.run(periods)
 
-    @rule(cut=st.sets(st.integers(0, 8), min_size=1, max_size=8))
-    def split(self, cut: set[int]) -> None:
+    @rule(cut=st.sets(st.integers(0, 8), min_size=1, max_size=8), periods=st.integers(0, 30))
+    def split(self, cut: set[int], periods: int) -> None:
         side = {f"instance-{index:04d}" for index in cut}
         self.network.link = lambda sender, receiver: (sender in side) == (receiver in side)
+        self.network.run(periods)
 
     @rule()
     def join(self) -> None:
