Tell an unreadable answer from silence

Cause: an answer that could not be decoded ended the probing greenlet with a trace, or a whole question to all. Change: the peer counts as alive and the answer is left out. The test fails when such an answer counts as a failed probe.

--- a/clementinepin/peers/_membership.py
+++ b/clementinepin/peers/_membership.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from clementinepin.core import InstancesChanged
+from clementinepin.exceptions import ClementinepinError
 from clementinepin.peers import _messages as messages
 from clementinepin.peers.exceptions import PeerUnavailableError
 from clementinepin.peers.models import PeerNetwork, Provider, Receiver
@@ -68,6 +69,10 @@
         except PeerUnavailableError:
             self._note_failure(target, probed_at)
             return
+        except ClementinepinError as err:
+            # An answer that this release can't read still comes from a live peer.
+            logger.warning("{} Answer of {} not read: {}.", LOG_PREFIX, target, err)
+            return
         if differs or was_dead:
             self._sync(target)
 
@@ -96,7 +101,7 @@
         try:
             answer = self._network.call(relay, METHOD_RELAY, message, deadline=deadline)
             return bool(messages.read_message(answer, messages.RelayAnswer)["answered"])
-        except PeerUnavailableError:
+        except ClementinepinError:
             return False
 
     def _sync(self, target: str) -> None:
@@ -111,8 +116,8 @@
             self._merge(answer["rows"])
             merge = messages.MergeMessage(rows=[messages.pack_row(row) for row in own_rows])
             self._network.call(target, METHOD_MERGE, merge, deadline=deadline)
-        except PeerUnavailableError:
-            logger.debug("{} No comparison with {}.", LOG_PREFIX, target)
+        except ClementinepinError as err:
+            logger.debug("{} No comparison with {}: {}.", LOG_PREFIX, target, err)
 
     def _answer_probe(self, sender: str, raw: dict[str, Any]) -> messages.ExchangeMessage:
         self._accept(sender, raw)
--- a/clementinepin/peers/_trees.py
+++ b/clementinepin/peers/_trees.py
@@ -10,7 +10,7 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.peers import _messages as messages
-from clementinepin.peers.exceptions import PeerUnavailableError
+from clementinepin.peers.exceptions import PeerMessageInvalidError, PeerUnavailableError
 from clementinepin.peers.models import PeerNetwork
 from clementinepin.systems.rings import WHOLE_RING, Branch, RingRange, split_range
 from clementinepin.tables.membership import MembershipTable
@@ -87,9 +87,7 @@
         gevent.joinall(asked, timeout=timeout_s)
         answers = {self._table.own: own}
         for greenlet in asked:
-            if greenlet.successful() and greenlet.value is not None:
-                answer = messages.read_message(greenlet.value, messages.TreeAnswer)
-                answers.update(answer["answers"])
+            answers.update(_read_answers(greenlet))
         return answers
 
     def _split(self, tree: messages.TreeMessage) -> tuple[Branch, ...]:
@@ -120,6 +118,16 @@
         return None
 
 
+def _read_answers(greenlet: gevent.Greenlet) -> dict[str, dict[str, Any]]:
+    if not greenlet.successful() or greenlet.value is None:
+        return {}
+    try:
+        answer = messages.read_message(greenlet.value, messages.TreeAnswer)
+    except PeerMessageInvalidError:
+        return {}
+    return answer["answers"]
+
+
 def _create_message(
     method: str,
     message: Mapping[str, Any],
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -150,3 +150,14 @@
     a._membership._probe("b")
     assert a.describe_state()["members"]["b"]["state"] == "suspect"
     assert "b" in a.list_live()
+
+
+def test_unreadable_answer_is_no_silence(start_networks):
+    """Mutation: take an unreadable answer for a failed probe."""
+    a, b = start_networks("a", "b")
+    b.register("membership.probe", lambda sender, message: {"rows": 7})
+    a._membership._probe("b")
+    assert a.describe_state()["members"]["b"]["state"] == "alive"
+    b.register("tree.gather", lambda sender, message: {"answers": 7})
+    a.register("count", lambda sender, message: {})
+    assert a.gather("count", {}, deadline=_soon()) == {"a": {}}
