--- /dev/null
+++ b/tests/platform/test_follower.py
@@ -0,0 +1,102 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from clementinepin.helpers.clock import ManualClock
+from clementinepin.platform import RangeFollower
+from clementinepin.platform.exceptions import PlatformUnavailableError, WatchCompactedError
+from standins.key_value import KeyValueState, MemoryKeyValueStore
+
+
+class Table:
+    def __init__(self):
+        self.rows = {}
+
+    def put_row(self, key, value, version):
+        self.rows[key] = value
+
+    def remove_row(self, key):
+        self.rows.pop(key, None)
+
+
+class DroppingStore(MemoryKeyValueStore):
+    """Its watches yield what is there and drop."""
+
+    def watch(self, prefix, *, after_version):
+        if after_version < self.state.compacted:
+            raise WatchCompactedError(prefix, compacted=self.state.compacted)
+        yield from self.state.list_events(prefix, prefix + "~", after_version)
+        raise PlatformUnavailableError(prefix)
+
+
+def follow(follower):
+    """Go on until a watch has dropped with nothing left to tell."""
+    for _ in range(3):
+        try:
+            follower.follow_once()
+        except WatchCompactedError as err:
+            follower._compacted = max(follower._compacted, err.compacted)
+            follower._after = None
+        except PlatformUnavailableError:
+            return
+
+
+CHANGES = st.lists(
+    st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=6), min_size=1, max_size=6
+)
+
+
+@given(batches=CHANGES, history=st.integers(2, 50))
+def test_table_follows_the_range_across_drops_and_compactions(batches, history):
+    """Mutation: keep keys that a new list no longer has; a deleted row stays for good."""
+    store = DroppingStore(ManualClock(), KeyValueState(history_max=history))
+    table = Table()
+    follower = RangeFollower(store, "p/", table, random.Random(1))
+    for changes in batches:
+        for key, present in changes:
+            if present:
+                store.put(f"p/{key}", str(store.state.revision).encode(), expected=None)
+            else:
+                store.delete(f"p/{key}", expected=None)
+            store.put("q/other", b"", expected=None)
+        follow(follower)
+        assert table.rows == {row.key: row.value for row in store.list_range("p/")}
+
+
+def test_change_while_later_pages_are_read_is_not_missed(monkeypatch):
+    """Mutation: watch behind the highest version of all pages; the change is never told."""
+    monkeypatch.setattr("clementinepin.platform._follower.PAGE_ROWS", 2)
+    store = DroppingStore(ManualClock())
+    for key in "abcd":
+        store.put(f"p/{key}", b"old", expected=0)
+    table = Table()
+    follower = RangeFollower(store, "p/", table, random.Random(1))
+    pages = []
+
+    class Hook:
+        def before(self, call, key):
+            if call == "list_range":
+                pages.append(key)
+            if len(pages) == 2:
+                store.hook = None
+                store.put("p/a", b"new", expected=None)
+                store.put("p/d", b"newer", expected=None)
+
+        def after(self, call, key):
+            return
+
+    store.hook = Hook()
+    follow(follower)
+    assert table.rows["p/a"] == b"new"
+
+
+def test_outage_while_listing_is_told():
+    store = DroppingStore(ManualClock())
+    store.down = True
+    follower = RangeFollower(store, "p/", Table(), random.Random(1))
+    with pytest.raises(PlatformUnavailableError):
+        follower.follow_once()
--- /dev/null
+++ b/tests/systems/test_shard_machine.py
@@ -0,0 +1,221 @@
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from clementinepin.helpers.rows import decode_row, encode_row
+from clementinepin.systems.shard_state import (
+    LEASE_S,
+    SwapOutcome,
+    claim_shard,
+    commit_results,
+    judge_swap,
+    list_undone,
+    release_shard,
+    renew_shard,
+    seal_cancelled,
+)
+from clementinepin.tables import ShardRow, count_bits
+from standins.key_value import KeyValueState
+
+ITEMS = 6
+KEY = "shards/j/000000"
+OWNERS = ("a/1", "b/1", "c/1")
+FATES = st.sampled_from(["answered", "reply lost", "lost before", "late"])
+
+
+class Owner:
+    """What one instance believes; ``pending`` is a write that it could not settle."""
+
+    def __init__(self):
+        self.row = None
+        self.version = 0
+        self.results = []
+        self.pending = None
+
+
+class ShardMachine(RuleBasedStateMachine):
+    """Three instances on one shard: late and lost writes, pauses, losses and a cancel.
+
+    Mutations that it catches: a write without a version (``expected=None``), ``list_undone``
+    that returns all items, ``judge_swap`` that tells LANDED for a superseded commit.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1000.0
+        self.state = KeyValueState()
+        self.owners = {name: Owner() for name in OWNERS}
+        self.late = []
+        self.operation = 0
+        self.sealed_as = None
+        self.believed = Counter()
+
+    @rule(name=st.sampled_from(OWNERS), fate=FATES, knows_live=st.booleans())
+    def claim(self, name, fate, knows_live):
+        owner = self.owners[name]
+        if owner.row is not None:
+            return
+        current = self.read()
+        decision = claim_shard(
+            current[0] if current else None,
+            items=ITEMS,
+            owner=name,
+            operation=self.name_operation(),
+            now=self.now,
+            live=("a", "b") if knows_live else None,
+        )
+        if decision.row is None:
+            return
+        version = current[1] if current else 0
+        written = self.write(decision.row, version, fate)
+        if written:
+            owner.row, owner.version = decision.row, written
+            owner.results, owner.pending = [], None
+
+    @rule(name=st.sampled_from(OWNERS), count=st.integers(1, ITEMS))
+    def run_items(self, name, count):
+        owner = self.owners[name]
+        if owner.row is None:
+            return
+        in_hand = {item for item, _ in owner.results}
+        todo = [item for item in list_undone(owner.row) if item not in in_hand]
+        owner.results += [(item, f"{name}:{item}") for item in todo[:count]]
+
+    @rule(name=st.sampled_from(OWNERS), fate=FATES)
+    def commit(self, name, fate):
+        owner = self.owners[name]
+        if owner.row is None or (not owner.results and owner.pending is None):
+            return
+        if owner.pending is None:
+            owner.pending = commit_results(
+                owner.row,
+                segment="+".join(sorted(text for _, text in owner.results)),
+                items=[item for item, _ in owner.results],
+                failed=0,
+                attempts=(),
+                operation=self.name_operation(),
+                now=self.now,
+            )
+        self.settle(owner, fate)
+
+    @rule(name=st.sampled_from(OWNERS), fate=FATES, leave=st.booleans())
+    def renew_or_release(self, name, fate, leave):
+        owner = self.owners[name]
+        if owner.row is None:
+            return
+        if owner.pending is None:
+            change = release_shard if leave else None
+            operation = self.name_operation()
+            owner.pending = (
+                change(owner.row, operation)
+                if change
+                else renew_shard(owner.row, operation, self.now)
+            )
+        self.settle(owner, fate)
+
+    @rule(name=st.sampled_from(OWNERS))
+    def lose_instance(self, name):
+        self.owners[name] = Owner()
+
+    @rule(seconds=st.sampled_from([1.0, 30.0, LEASE_S + 10.0]))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @precondition(lambda self: self.late)
+    @rule(data=st.data())
+    def deliver_late(self, data):
+        """A write that was given up on reaches the service after all."""
+        row, version = self.late.pop(data.draw(st.integers(0, len(self.late) - 1)))
+        self.put(row, version)
+
+    @rule()
+    def cancel(self):
+        current = self.read()
+        if current is None or current[0].sealed:
+            return
+        self.put(seal_cancelled(current[0], self.name_operation()), current[1])
+
+    @invariant()
+    def one_result_an_item(self):
+        current = self.read()
+        if current is None:
+            return
+        row = current[0]
+        texts = [text for commit in row.commits for text in commit.segment.split("+")]
+        items = Counter(text.partition(":")[2] for text in texts)
+        assert all(count == 1 for count in items.values())
+        assert len(texts) == count_bits(row.done) == sum(c.items for c in row.commits)
+
+    @invariant()
+    def nothing_changes_after_the_seal(self):
+        current = self.read()
+        if current is None:
+            return
+        if self.sealed_as is not None:
+            assert current[0] == self.sealed_as
+        elif current[0].sealed:
+            self.sealed_as = current[0]
+
+    def teardown(self):
+        """Whatever happened before, one instance that goes on brings the shard to its end."""
+        for _ in range(50):
+            current = self.read()
+            if current is not None and current[0].sealed:
+                return
+            self.now += LEASE_S + 10.0
+            self.owners["a/1"] = Owner()
+            self.claim("a/1", "answered", False)
+            self.run_items("a/1", ITEMS)
+            self.commit("a/1", "answered")
+        raise AssertionError("the shard never ended")
+
+    def settle(self, owner, fate):
+        """Write what is pending; keep it for another try while its fate is not known."""
+        wanted = owner.pending
+        written = self.write(wanted, owner.version, fate)
+        if written is None:
+            return
+        if written:
+            owner.row, owner.version, owner.pending = wanted, written, None
+            owner.results = [r for r in owner.results if r[0] in list_undone(wanted)]
+            if not wanted.owner or wanted.sealed:
+                owner.row = None
+            return
+        current = self.read()
+        outcome = judge_swap(current[0], wanted)
+        if outcome is SwapOutcome.LANDED:
+            assert not wanted.commits or wanted.commits[-1] in current[0].commits
+        owner.row, owner.pending, owner.results = None, None, []
+
+    def write(self, row, version, fate):
+        """Return the new version, 0 for a lost race, None while the fate is not known."""
+        if fate == "lost before":
+            return None
+        if fate == "late":
+            self.late.append((row, version))
+            return None
+        written = self.put(row, version)
+        if fate == "reply lost":
+            current = self.read()
+            return current[1] if current and current[0].operation == row.operation else 0
+        return written
+
+    def put(self, row, version):
+        result = self.state.put(KEY, encode_row(row), version)
+        return result.version if result.succeeded else 0
+
+    def read(self):
+        stored = self.state.get(KEY)
+        return (decode_row(stored.value, ShardRow), stored.version) if stored else None
+
+    def name_operation(self):
+        self.operation += 1
+        return str(self.operation)
+
+
+TestShardMachine = ShardMachine.TestCase
+TestShardMachine.settings = settings(max_examples=200, stateful_step_count=40)
--- /dev/null
+++ b/tests/systems/test_shard_order.py
@@ -0,0 +1,94 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from clementinepin.systems.shard_order import (
+    SERVICE_STEP_ITEMS,
+    AccountUse,
+    JobCandidate,
+    choose_shard,
+    order_jobs,
+)
+from clementinepin.systems.shard_state import (
+    BARREN_MAX,
+    LEASE_S,
+    TAKEOVER_GRACE_S,
+    UNREACHABLE_MAX_S,
+    claim_shard,
+    is_exhausted,
+    may_start,
+)
+from clementinepin.tables import ShardRow, set_bits
+
+BITS = st.sets(st.integers(0, 40))
+
+
+def test_least_slack_goes_first_within_an_account():
+    """Mutation: sort by ``due_at`` alone; the long job that must start now comes second."""
+    long = JobCandidate("long", "a", due_at=10_000.0, items_left=180_000)
+    short = JobCandidate("short", "a", due_at=5_000.0, items_left=10)
+    assert [j.job_id for j in order_jobs([short, long], {}, now=0.0)] == ["long", "short"]
+
+
+def test_big_job_starves_no_other_account():
+    """Mutation: leave the account's service out of the rank; the small job waits to the end."""
+    big = JobCandidate("big", "a", due_at=100.0, items_left=410_000)
+    small = JobCandidate("small", "b", due_at=90_000.0, items_left=20)
+    use = {"a": AccountUse(0.0, 1.0)}
+    served = []
+    for _ in range(300):
+        first = order_jobs([big, small], use, now=0.0)[0]
+        served.append(first.job_id)
+        if first.account == "a":
+            use["a"] = AccountUse(use["a"].items + 1, 1.0)
+        else:
+            use["b"] = AccountUse(use.get("b", AccountUse(0, 1)).items + 1, 1.0)
+    assert served.index("small") <= SERVICE_STEP_ITEMS
+    assert abs(served.count("big") - served.count("small")) <= 2 * SERVICE_STEP_ITEMS
+
+
+def test_weight_scales_an_accounts_share():
+    jobs = [JobCandidate("x", "a", 100.0, 1), JobCandidate("y", "b", 200.0, 1)]
+    use = {"a": AccountUse(500.0, 10.0), "b": AccountUse(500.0, 1.0)}
+    assert order_jobs(jobs, use, now=0.0)[0].job_id == "x"
+
+
+@given(sealed=BITS, held=BITS, shards=st.integers(1, 40), start=st.integers(0, 39))
+def test_choice_of_a_shard_misses_none(sealed, held, shards, start):
+    """Mutation: search only behind ``start``; shards before it are never found."""
+    held_until = dict.fromkeys(held, 10.0)
+    shard = choose_shard(shards, set_bits(b"", sealed), held_until, start % shards, now=5.0)
+    free = set(range(shards)) - sealed - held
+    assert shard in free if free else shard is None
+
+
+def claim(row, owner="b/1", now=0.0, live=None):
+    return claim_shard(row, items=4, owner=owner, operation="op", now=now, live=live)
+
+
+def test_takeover_waits_for_the_lease_unless_the_holder_is_gone():
+    row = claim(None, owner="a/1").row
+    assert claim(row, now=LEASE_S).row is None
+    assert claim(row, now=LEASE_S).retry_at > LEASE_S
+    assert claim(row, now=LEASE_S + TAKEOVER_GRACE_S + 1.0).row.epoch == 2
+    assert claim(row, live={"b"}).row.epoch == 2
+    assert claim(row, live={"a", "b"}).row is None
+    assert claim(row, owner="a/2").row.epoch == 2
+
+
+def test_claims_that_lead_nowhere_are_bounded():
+    """Mutation: ``barren`` is not carried over; an item that kills its owner runs for ever."""
+    row = None
+    for n in range(BARREN_MAX + 1):
+        row = claim(row, owner=f"i{n}/1", now=n * 1000.0).row
+        assert is_exhausted(row) == (n == BARREN_MAX)
+
+
+def test_no_item_starts_past_the_lease_unless_the_platform_is_away():
+    """Mutation: always True; an owner back from a pause runs items of a cancelled job."""
+    row = ShardRow(1, "a/1", lease_until=100.0, items=4)
+    assert may_start(row, 99.0, None)
+    assert not may_start(row, 100.0, None)
+    assert may_start(row, 101.0, 100.0)
+    assert not may_start(row, 101.0 + UNREACHABLE_MAX_S, 100.0)
