--- a/clementinepin/systems/quarantine.py
+++ b/clementinepin/systems/quarantine.py
@@ -31,7 +31,7 @@
     The join is commutative and idempotent, so that messages may be lost, late or doubled.
     """
     known = table.get(row.fingerprint)
-    merged = row if known is None else _join(known, row)
+    merged = _join(known or row, row)
     condemned = merged.condemned or count_losses(merged) >= LOSSES_CONDEMN
     if condemned and not merged.condemned:
         expires_at = max(merged.expires_at, wall + CONDEMNED_TTL_S)
--- /dev/null
+++ b/tests/scheduling/test_poison.py
@@ -0,0 +1,83 @@
+"""One request that kills targets, over several schedulers and resends."""
+
+from __future__ import annotations
+
+import random
+
+import gevent
+import pytest
+
+from clementinepin.exceptions import NotRunError
+from clementinepin.scheduling import CallResult
+from clementinepin.scheduling._messages import METHOD_ISOLATE
+from clementinepin.systems.exceptions import RequestCondemnedError
+from tests.scheduling.fakes import build_call, build_configuration, build_fleet
+
+INSTANCES = tuple(f"e{i}" for i in range(6))
+TARGETS = tuple(f"t{i}" for i in range(9))
+
+
+def send_poison(scheduler, lost):
+    call = build_call("poison", fingerprint="poison")
+    while True:
+        try:
+            placement = scheduler.acquire(call)
+        except NotRunError:
+            return
+        gevent.sleep(0)
+        lost.add(placement.target.name)
+        scheduler.finish(placement.ticket, CallResult.LOST)
+        if scheduler.allow_retry(call, CallResult.LOST) is None:
+            return
+        call = call._replace(tried=(*call.tried, placement.target.name))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_one_request_costs_two_targets_at_most_with_resends_from_any_entry(seed):
+    """Fails with LOSSES_CONDEMN 3, or when `finish` does not spread the suspect."""
+    rng = random.Random(seed)
+    fleet = build_fleet(INSTANCES, TARGETS, build_configuration(slots=12))
+    lost = set()
+    for _ in range(5):
+        gevent.joinall([gevent.spawn(send_poison, fleet[rng.choice(INSTANCES)], lost)])
+    assert len(lost) == 2
+
+
+def test_one_request_sent_through_all_entries_at_once_costs_two_targets_at_most():
+    """Fails when the pair of candidates is drawn by each instance for itself."""
+    fleet = build_fleet(INSTANCES, TARGETS, build_configuration(slots=12))
+    lost = set()
+    senders = [gevent.spawn(send_poison, scheduler, lost) for scheduler in fleet.values()]
+    gevent.joinall(senders, timeout=10)
+    assert all(sender.ready() for sender in senders)
+    assert len(lost) <= 2
+
+
+def test_two_suspects_do_not_share_a_target():
+    """Fails when `grant_isolation` passes over the fingerprint that holds the target."""
+    fleet = build_fleet(("e1",), ("t1",))
+    handler = fleet["e1"]._peers.handlers[METHOD_ISOLATE]
+    answers = [
+        handler("e1", {"target": "t1", "fingerprint": name, "remaining_s": 5.0})["granted"]
+        for name in ("f", "g")
+    ]
+    assert answers == [True, False]
+
+
+def test_innocent_neighbours_are_cleared_and_only_the_poison_is_condemned():
+    """Fails when a loss in isolation also counts against the suspects that wait."""
+    fleet = build_fleet(("e1", "e2"), TARGETS, build_configuration(slots=12))
+    scheduler = fleet["e1"]
+    names = ("poison", "good1", "good2")
+    for name in names:
+        placement = scheduler.acquire(build_call(name, fingerprint=name))
+        scheduler.finish(placement.ticket, CallResult.LOST)
+    for name in names:
+        placement = fleet["e2"].acquire(build_call(name, fingerprint=name))
+        result = CallResult.LOST if name == "poison" else CallResult.SUCCESS
+        fleet["e2"].finish(placement.ticket, result)
+    with pytest.raises(RequestCondemnedError):
+        scheduler.acquire(build_call("poison", fingerprint="poison"))
+    for name in names[1:]:
+        placement = scheduler.acquire(build_call(name, fingerprint=name))
+        scheduler.finish(placement.ticket, CallResult.SUCCESS)
