--- a/clementinepin/batch/_keeper.py
+++ b/clementinepin/batch/_keeper.py
@@ -95,7 +95,8 @@
         for owned in list(self.owned.values()):
             owned.leaving = True
             owned.stop_items()
-        greenlets = [gevent.spawn(self._release, owned) for owned in list(self.owned.values())]
+        shards = list(self.owned.values())
+        greenlets = [gevent.spawn(self._release, owned, deadline) for owned in shards]
         wait_s = max(0.0, deadline - self._core.clock.monotonic())
         gevent.joinall(greenlets, timeout=wait_s)
         gevent.killall(greenlets)
@@ -114,6 +115,7 @@
             self._retry_at.pop(owned.key, None)
         except ClementinepinError as err:
             pause_s = RETRY_PAUSE_S * self._core.random.uniform(0.5, 1.5)
+            owned.unreachable_at = self._core.clock.wall()
             self._retry_at[owned.key] = self._core.clock.monotonic() + pause_s
             self._core.metrics.incr("batch.writes_postponed")
             logger.debug("{} Write of a shard postponed: {}.", LOG_PREFIX, err.code)
@@ -148,9 +150,9 @@
         )
         return PendingSwap(wanted, taken)
 
-    def _release(self, owned: OwnedShard) -> None:
-        """Write until the shard is released, sealed or lost."""
-        while owned.key in self.owned:
+    def _release(self, owned: OwnedShard, deadline: float) -> None:
+        """Write until the shard is released, sealed or lost, or the time is over."""
+        while owned.key in self.owned and self._core.clock.monotonic() < deadline:
             if owned.busy or owned.running:
                 gevent.sleep(0.02)
                 continue
