--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -104,7 +104,6 @@
         self.batch_tokens = 0
         self.preemptions = 0
         self.messages = 0
-        self.yield_hooks: list[Callable[[], None]] = []
         self.workers = {f"w{i}": DATA_CENTRES[i % 4] for i in range(deployment.workers)}
         self.engines = {n: ModelEngine(self.loop, deployment.slots) for n in self.workers}
         names = tuple(f"e{i}" for i in range(6))
@@ -224,6 +223,7 @@
             tokens,
             lambda count: self._loop.after(delay_s, lambda: receive(count)),
             lambda: self._loop.after(delay_s, finish),
+            online=True,
         )
         self._loop.after(delay_s, lambda: engine.admit(generation))
 
@@ -269,6 +269,7 @@
             BATCH_TOKENS - item.done,
             lambda count: self._loop.after(delay_s, lambda: note(count)),
             lambda: self._loop.after(delay_s, lambda: end(CallResult.SUCCESS)),
+            online=False,
         )
         self._preempts[grant.ticket] = preempt
         self._loop.after(delay_s, lambda: engine.admit(generation))
--- a/bench/_model.py
+++ b/bench/_model.py
@@ -54,7 +54,10 @@
         tokens_left: int,
         on_token: Callable[[int], None],
         on_done: Callable[[], None],
+        *,
+        online: bool,
     ) -> None:
+        self.online = online
         self.prompt_tokens = prompt_tokens
         self.tokens_left = tokens_left
         self.produced = 0
@@ -63,7 +66,10 @@
 
 
 class ModelEngine:
-    """A continuous batcher without priorities."""
+    """A continuous batcher without priorities.
+
+    Online sequences waited beside running batch ones up to ``blocked_until``.
+    """
 
     def __init__(self, loop: Loop, slots: int) -> None:
         self._loop = loop
@@ -72,6 +78,7 @@
         self.waiting: deque[Generation] = deque()
         self.running: list[Generation] = []
         self.slot_seconds = 0.0
+        self.blocked_until = 0.0
 
     def admit(self, generation: Generation) -> bool:
         """Queue a sequence; False when the queue is full."""
@@ -99,8 +106,14 @@
         if not self._stepping:
             return
         step_s = prefill_s + STEP_BASE_S + STEP_ACTIVE_S * len(self.running)
+        if self._is_blocked():
+            self.blocked_until = self._loop.now + step_s
         self._loop.after(step_s, self._end_step)
 
+    def _is_blocked(self) -> bool:
+        """Tell whether an online sequence waits while a batch sequence runs."""
+        return any(g.online for g in self.waiting) and not all(g.online for g in self.running)
+
     def _end_step(self) -> None:
         for generation in list(self.running):
             generation.produced += 1
