--- a/clementinepin/config/_settings.py
+++ b/clementinepin/config/_settings.py
@@ -32,7 +32,7 @@
 DRAIN_S_DEFAULT = 60.0
 STATSD_PORT_DEFAULT = 8125
 PEER_SECRET_MIN_CHARS = 16
-ALLOWANCE_POLICIES = ("adaptive", "blind", "fixed")
+ALLOWANCE_POLICIES = ("adaptive", "blind", "fixed", "none")
 
 _PORT = val.accept_integer(1, 65_535)
 _SECONDS = val.accept_number(0.01, 86_400)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -50,6 +50,7 @@
     drain_s: float = 10.0
     advice_s: float = 2.0
     list_lag_s: float = 1.0
+    allowance_policy: str = "adaptive"
 
 
 class PlatformPorts(NamedTuple):
@@ -224,6 +225,7 @@
             advice_s=self.plan.advice_s,
             drain_s=self.plan.drain_s,
             folder=data if number <= self.plan.folders else None,
+            allowance_policy=self.plan.allowance_policy,
         )
         path = self.group.folder / f"{name}.toml"
         path.write_text(text)
@@ -263,6 +265,7 @@
     folder: Path | None = None,
     statsd_port: int | None = None,
     log_level: str = "DEBUG",
+    allowance_policy: str = "adaptive",
 ) -> str:
     """Return the settings file of one daemon; creates its data folder."""
     labels = row["labels"]
@@ -275,6 +278,7 @@
     if statsd_port is not None:
         extra += f'[metrics]\nhost = "{LOOPBACK}"\nport = {statsd_port}\n\n'
     return f"""version = 1
+allowance_policy = "{allowance_policy}"
 
 [instance]
 name = "{labels['name']}"
