--- a/bench/live.py
+++ b/bench/live.py
@@ -2,8 +2,8 @@
 
 Usage: python -m bench.live [--short]. Kirkvoice on loopback: six daemons, five engines, no added
 network delay. The short form plays one burst for ``none`` and ``adaptive``, the full one four
-bursts for all policies and
-takes as idle capacity what batch alone did less the tokens of online calls. The last line is one JSON object.
+bursts for all policies, with the rate of batch alone as the measure of idle capacity. The last
+line is one JSON object.
 """
 
 from __future__ import annotations
