Walk only followed and owned targets for each request

Cause: at 2,000 targets and 590 instances each request walked all targets several times. Change: lists by followed and owned names, the pool only for failures, a tick each 50 ms instead of 20. Figures, one process on a busy machine, CPU a request and idle tick: 1,060 and 166 us before, 549 and 105 us after; at 54 requests/s 0.066 and 0.032 of a core. At 9 targets it is 0.014 to 0.017.

--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -25,7 +25,7 @@
 from clementinepin.tables import DemandRow, View
 from clementinepin.targets import LoadReport
 
-TICK_S = 0.02
+TICK_S = 0.05
 POLL_S = 0.5
 LOCAL_S = 0.0001
 BATCH_WAITING = 16
--- a/clementinepin/scheduling/_decider.py
+++ b/clementinepin/scheduling/_decider.py
@@ -150,7 +150,8 @@
         update_allowances(self.tables, self.view, self.policy, now)
         free = self._create_placer().count_free(now)
         call = CallInfo("", "", model.service, application, "", now, "")
-        pool = [row for row in self.tables.targets.list_service(model.service) if row.name in free]
+        owned = self.tables.targets.list_names(free)
+        pool = [row for row in owned if row.service == model.service]
         waiting = sum(row.call.application == application for row in self.tables.batch)
         slots = sum(max(0, free[row.name]) for row in list_candidates(call, pool, self.view, now))
         return max(0, slots - waiting)
--- a/clementinepin/scheduling/_reports.py
+++ b/clementinepin/scheduling/_reports.py
@@ -52,7 +52,7 @@
         for spec in view.configuration.services.values():
             if spec.kind != KIND_ENGINE:
                 continue
-            wanted = tables.owned | tables.followed.get(spec.name, frozenset())
+            wanted = tables.owned.union(tables.followed.get(spec.name, ()))
             pool = tables.targets.list_service(spec.name)
             followed += [row for row in pool if row.name in wanted]
         known = {row.address for row in followed}
--- a/clementinepin/scheduling/_scheduler.py
+++ b/clementinepin/scheduling/_scheduler.py
@@ -25,7 +25,7 @@
 from clementinepin.targets import Engine, TargetAddress
 
 LOG_PREFIX = "scheduling:"
-TICK_PERIOD_S = 0.02
+TICK_PERIOD_S = 0.05
 VIEW_PERIOD_S = 0.5
 ISOLATION_RETRY_S = 0.05
 RETRY_AFTER_STOP_S = 1.0
--- a/clementinepin/systems/demand.py
+++ b/clementinepin/systems/demand.py
@@ -19,7 +19,7 @@
     """
     signals: list[Signal] = []
     for service, names in tables.followed.items():
-        rows = [row for name in sorted(names) if (row := tables.targets.get(name)) is not None]
+        rows = tables.targets.list_names(names)
         waiting = count_pressure(tables, service)
         active = waiting > 0 or any(row.online for row in rows)
         for row in rows:
--- a/clementinepin/systems/placement.py
+++ b/clementinepin/systems/placement.py
@@ -133,11 +133,16 @@
         if not call.tried and key in self._known:
             return self._known[key]
         application = find_application(call, self._view.configuration)
+        targets = self._tables.targets
         known = any(
             row.is_open(now)
             and row.name not in call.tried
             and (application is None or allows_place(application, row))
-            for row in self._tables.targets.list_service(call.service)
+            for pool in (
+                targets.list_names(self._tables.followed.get(call.service, ())),
+                targets.iterate_service(call.service),
+            )
+            for row in pool
         )
         if not call.tried:
             self._known[key] = known
@@ -175,9 +180,7 @@
 
     def _choose_online(self, row: WaitingRow, now: float) -> TargetRow | None:
         view, call = self._view, row.call
-        pool = self._tables.targets.list_service(call.service)
-        subset = self._tables.followed.get(call.service, frozenset())
-        near = [target for target in pool if target.name in subset]
+        near = self._tables.targets.list_names(self._tables.followed.get(call.service, ()))
         candidates = list_candidates(call, near, view, now)
         if not candidates:
             return None
@@ -197,7 +200,8 @@
         key = ("", call.service, call.application)
         if key in self._blocked:
             return None
-        pool = [t for t in self._tables.targets.list_service(call.service) if t.name in free]
+        owned = self._tables.targets.list_names(free)
+        pool = [target for target in owned if target.service == call.service]
         candidates = [
             target
             for target in list_candidates(call, pool, self._view, now)
--- a/clementinepin/systems/results.py
+++ b/clementinepin/systems/results.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from clementinepin.systems import quarantine
-from clementinepin.systems.ejection import judge_target
+from clementinepin.systems.ejection import FAILURES_MAX, judge_target
 from clementinepin.systems.limits import estimate_tokens, refund_tokens
 from clementinepin.systems.routing import is_online
 from clementinepin.tables import CallResult, CallRow, SuspectRow, Tables, View
@@ -89,8 +89,11 @@
     target = tables.targets.get(row.target)
     if target is None:
         return
-    pool = tables.targets.list_service(target.service)
-    tables.targets.put(judge_target(target, pool, result, now))
+    failed = result in FAILURES_MAX
+    pool = tables.targets.list_service(target.service) if failed else []
+    judged = judge_target(target, pool, result, now)
+    if judged != target:
+        tables.targets.put(judged)
 
 
 def _judge_request(
--- a/clementinepin/systems/subset.py
+++ b/clementinepin/systems/subset.py
@@ -54,8 +54,15 @@
     tables.owned = frozenset(tables.owners.list_owned(view.instance))
     services = {row.service for row in tables.targets}
     tables.followed = {
-        service: compute_subset(
-            tables.targets.list_service(service), view.instance, view.region, len(view.live)
+        service: tuple(
+            sorted(
+                compute_subset(
+                    tables.targets.list_service(service),
+                    view.instance,
+                    view.region,
+                    len(view.live),
+                )
+            )
         )
         for service in services
     }
--- a/clementinepin/tables/_targets.py
+++ b/clementinepin/tables/_targets.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
 from clementinepin.targets import LoadReport, TargetAddress
@@ -82,6 +82,14 @@
         """Forget a target."""
         self._rows.pop(name, None)
 
+    def list_names(self, names: Iterable[str]) -> list[TargetRow]:
+        """Return the targets of these names that are known."""
+        return [row for name in names if (row := self._rows.get(name)) is not None]
+
+    def iterate_service(self, service: str) -> Iterator[TargetRow]:
+        """Yield the targets of a service."""
+        return (row for row in self._rows.values() if row.service == service)
+
     def list_service(self, service: str) -> list[TargetRow]:
         """Return the targets of a service."""
-        return [row for row in self._rows.values() if row.service == service]
+        return list(self.iterate_service(service))
--- a/clementinepin/tables/_view.py
+++ b/clementinepin/tables/_view.py
@@ -47,7 +47,7 @@
         self.suspects = SuspectTable(SUSPECTS_MAX)
         self.owners = OwnerTable()
         self.owned: frozenset[str] = frozenset()
-        self.followed: dict[str, frozenset[str]] = {}
+        self.followed: dict[str, tuple[str, ...]] = {}
         self.told: dict[str, ToldRow] = {}
         self.asked: dict[str, float] = {}
         self.allowances: dict[str, AllowanceRow] = {}
