Let an owner use what it knows of its own targets

Cause: an owner heard the others' calls at its targets, yet placed its own as if it knew nothing, one share at most. A target closed for a suspect could also stay closed at peers for as long as the suspect's deadline when the release was lost.

--- a/clementinepin/scheduling/_decider.py
+++ b/clementinepin/scheduling/_decider.py
@@ -76,6 +76,7 @@
 
     def tick(self, now: float, wall: float) -> list[Action]:
         """Run all systems once and return what is to be done."""
+        demand.refresh_owned(self.tables, now)
         placer = self._create_placer()
         actions = placer.place_online(now, wall)
         actions += self._preempt(now)
--- a/clementinepin/scheduling/_describe.py
+++ b/clementinepin/scheduling/_describe.py
@@ -5,7 +5,9 @@
 from typing import Any
 
 from clementinepin.scheduling._decider import Decider
-from clementinepin.tables import TargetRow
+from clementinepin.tables import AccountRow, TargetRow
+
+ACCOUNTS_SHOWN_MAX = 100
 
 
 def describe_decider(decider: Decider, now: float, wall: float) -> dict[str, Any]:
@@ -18,6 +20,11 @@
         "batch_waiting": len(tables.batch),
         "running": len(tables.calls),
         "targets": [_describe_target(decider, row, now) for row in tables.targets],
+        "accounts": [
+            _describe_account(row, now)
+            for row in tables.accounts
+            if row.running or row.requests_at > now or row.tokens_at > now
+        ][:ACCOUNTS_SHOWN_MAX],
         "retries": {service: row._asdict() for service, row in tables.retries.items()},
         "suspects": [
             {
@@ -31,6 +38,15 @@
     }
 
 
+def _describe_account(row: AccountRow, now: float) -> dict[str, Any]:
+    return {
+        "name": row.name,
+        "running": row.running,
+        "requests_ahead_s": max(0.0, round(row.requests_at - now, 2)),
+        "tokens_ahead_s": max(0.0, round(row.tokens_at - now, 2)),
+    }
+
+
 def _describe_target(decider: Decider, row: TargetRow, now: float) -> dict[str, Any]:
     tables = decider.tables
     allowance = tables.allowances.get(row.name)
--- a/clementinepin/scheduling/_gossip.py
+++ b/clementinepin/scheduling/_gossip.py
@@ -207,13 +207,14 @@
         now = self._core.clock.monotonic()
         target, fingerprint = message["target"], message["fingerprint"]
         tables = self._decider.tables
-        until = now + message["remaining_s"]
+        remaining_s = min(message["remaining_s"], isolation.ISOLATION_MAX_S)
+        until = now + remaining_s
         if target not in tables.owned or not isolation.grant_isolation(
             tables, target, fingerprint, sender, until, now
         ):
             return messages.IsolateReply(granted=False)
         self._wake()
-        close = messages.CloseMessage(target=target, remaining_s=message["remaining_s"])
+        close = messages.CloseMessage(target=target, remaining_s=remaining_s)
         self._broadcast(messages.METHOD_CLOSE, close, SPREAD_TIMEOUT_S)
         self._wait_drained(target, now + DRAIN_MAX_S)
         return messages.IsolateReply(granted=True)
--- a/clementinepin/scheduling/_scheduler.py
+++ b/clementinepin/scheduling/_scheduler.py
@@ -123,6 +123,9 @@
         if ending.leaving is not None:
             logger.info("{} Target {} is leaving.", LOG_PREFIX, ending.leaving)
             self._gossip.spread_leaving(ending.leaving)
+        if ending.ejected is not None:
+            self._core.metrics.incr("scheduling.ejected")
+            logger.warning("{} Target {} is ejected.", LOG_PREFIX, ending.ejected)
         self._wake()
         self._spread_suspect(ending)
 
--- a/clementinepin/systems/demand.py
+++ b/clementinepin/systems/demand.py
@@ -34,6 +34,14 @@
     return signals
 
 
+def refresh_owned(tables: Tables, now: float) -> None:
+    """Take what the others told of owned targets as this instance's own word of them."""
+    for row in tables.targets.list_names(tables.owned):
+        rows = tables.demand.list_target(row.name).values()
+        others = sum(told.online for told in rows if told.expires_at > now)
+        tables.targets.put(row._replace(told=row.online, others_online=others, others_at=now))
+
+
 def forget_told(tables: Tables, target: str) -> None:
     """Make the next tick tell a target's owner again, after a message was lost."""
     tables.told.pop(target, None)
--- a/clementinepin/systems/isolation.py
+++ b/clementinepin/systems/isolation.py
@@ -16,7 +16,6 @@
         return False
     if known is not None and known.until > now and known.holder != holder:
         return False
-    until = min(until, now + ISOLATION_MAX_S)
     tables.isolations[target] = IsolationRow(fingerprint, holder, until)
     tables.targets.update(target, closed_until=until)
     return True
--- a/clementinepin/systems/results.py
+++ b/clementinepin/systems/results.py
@@ -15,11 +15,16 @@
 
 
 class Ending(NamedTuple):
-    """A finished call, and what peers must hear: a suspect's row or a target that leaves."""
+    """A finished call, and what follows from its end.
+
+    Peers must hear of a suspect's row and of a target that leaves; ``ejected`` names the target
+    if this call's failure ejected it.
+    """
 
     row: CallRow
     suspect: SuspectRow | None
     leaving: str | None
+    ejected: str | None
 
 
 def note_first_token(tables: Tables, ticket: int, now: float) -> None:
@@ -61,12 +66,13 @@
     if row is None:
         return None
     _release_slot(tables, view, row, result, now)
-    _judge_target(tables, row, result, now)
+    ejected = row.target if _judge_target(tables, row, result, now) else None
     leaving = None
     if result is CallResult.REFUSED_LEAVING:
         tables.targets.update(row.target, refused_until=now + REFUSED_LEAVING_S)
         leaving = row.target
-    return Ending(row, _judge_request(tables, row, result, now, wall), leaving)
+    suspect = _judge_request(tables, row, result, now, wall)
+    return Ending(row, suspect, leaving, ejected)
 
 
 def _release_slot(tables: Tables, view: View, row: CallRow, result: CallResult, now: float) -> None:
@@ -85,15 +91,17 @@
         refund_tokens(tables.accounts, spec, charged, row.tokens, len(view.live))
 
 
-def _judge_target(tables: Tables, row: CallRow, result: CallResult, now: float) -> None:
+def _judge_target(tables: Tables, row: CallRow, result: CallResult, now: float) -> bool:
+    """Return whether the result ejected the target."""
     target = tables.targets.get(row.target)
     if target is None:
-        return
+        return False
     failed = result in FAILURES_MAX
     pool = tables.targets.list_service(target.service) if failed else []
     judged = judge_target(target, pool, result, now)
     if judged != target:
         tables.targets.put(judged)
+    return judged.ejections > target.ejections
 
 
 def _judge_request(
--- a/clementinepin/tables/_accounts.py
+++ b/clementinepin/tables/_accounts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 
@@ -9,8 +10,8 @@
     """Use by one account.
 
     ``requests_at`` and ``tokens_at`` are the theoretical arrival times of a generic cell rate
-    algorithm in monotonic seconds. ``virtual_time`` maps a priority to the account's virtual
-    finish time.
+    algorithm in monotonic seconds. ``online_virtual`` and ``batch_virtual`` are the account's
+    virtual finish times in the queues.
     """
 
     name: str
@@ -28,6 +29,9 @@
     def __init__(self) -> None:
         self._rows: dict[str, AccountRow] = {}
 
+    def __iter__(self) -> Iterator[AccountRow]:
+        return iter(self._rows.values())
+
     def __len__(self) -> int:
         return len(self._rows)
 
--- a/tests/scheduling/test_poison.py
+++ b/tests/scheduling/test_poison.py
@@ -11,6 +11,7 @@
 from clementinepin.scheduling import CallResult
 from clementinepin.scheduling._messages import METHOD_ISOLATE
 from clementinepin.systems.exceptions import RequestCondemnedError
+from clementinepin.systems.isolation import ISOLATION_MAX_S
 from tests.scheduling.fakes import build_call, build_configuration, build_fleet
 
 INSTANCES = tuple(f"e{i}" for i in range(6))
@@ -81,3 +82,14 @@
     for name in names[1:]:
         placement = scheduler.acquire(build_call(name, fingerprint=name))
         scheduler.finish(placement.ticket, CallResult.SUCCESS)
+
+
+def test_a_target_stays_closed_for_a_bounded_time_when_the_release_is_lost():
+    """Fails when the time of the message is passed on to the peers unbounded."""
+    fleet = build_fleet(("e1", "e2"), TARGETS, build_configuration(slots=12))
+    first = fleet["e1"].acquire(build_call("x", fingerprint="f"))
+    fleet["e1"].finish(first.ticket, CallResult.LOST)
+    fleet["e1"].acquire(build_call("x", fingerprint="f", deadline=1e12))
+    for scheduler in fleet.values():
+        closed = [t["closed_for_s"] for t in scheduler.describe_state()["targets"]]
+        assert 0.0 < max(closed) <= ISOLATION_MAX_S
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -112,3 +112,17 @@
     assert scheduler.describe_state()["online_waiting"] == 0
     scheduler.finish(placed[0].ticket, CallResult.SUCCESS)
     assert scheduler.describe_state()["running"] == 3
+
+
+def test_the_dump_shows_limited_accounts_ejected_targets_and_suspects():
+    scheduler = build_fleet(targets=("t1", "t2", "t3", "t4"))["e1"]
+    first = scheduler.acquire(build_call("a", fingerprint="f"))
+    scheduler.finish(first.ticket, CallResult.NOT_REACHED)
+    second = scheduler.acquire(build_call("b", fingerprint="g"))
+    scheduler.finish(second.ticket, CallResult.LOST)
+    scheduler.acquire(build_call("c", "busy"))
+    state = scheduler.describe_state()
+    ejected = [t["name"] for t in state["targets"] if t["ejected_for_s"] > 0]
+    assert ejected == [first.target.name]
+    assert [s["fingerprint"] for s in state["suspects"]] == ["g"]
+    assert [a["running"] for a in state["accounts"] if a["name"] == "busy"] == [1]
--- a/tests/systems/test_routing.py
+++ b/tests/systems/test_routing.py
@@ -96,3 +96,13 @@
     assert ending.leaving == grant.target
     decider.set_targets([build_target(t) for t in ("t1", "t2")])
     assert grant.target not in {t for i in range(4) for t in place(decider, f"q{i}")}
+
+
+def test_the_owner_of_a_target_knows_the_others_calls_without_a_message():
+    """Fails without `refresh_owned`: the owner would keep to its share of an idle target."""
+    decider = build_decider("e1", INSTANCES, ("t1", "t2", "t3", "t4"), slots=12)
+    owned = sorted(decider.tables.owned)
+    assert owned
+    decider.set_targets([build_target(owned[0])])
+    placed = [place(decider, f"r{i}") for i in range(13)]
+    assert placed == [[owned[0]]] * 12 + [[]]
