--- a/clementinepin/entry/_calls.py
+++ b/clementinepin/entry/_calls.py
@@ -20,6 +20,7 @@
 from clementinepin.targets import is_plain_body, make_engine_body
 
 HEADER_IDEMPOTENT: Final = "X-Idempotent"
+DECODINGS_MAX: Final = 3
 PREFIX_CHARS: Final = 256
 TOKENS_LIMIT: Final = 1_000_000
 STOP_SEQUENCES_MAX: Final = 16
@@ -63,6 +64,7 @@
     stream: bool
     whole: bool
     resumable: bool
+    first_token_target_s: float
     resume: ResumePoint = ResumePoint()
 
 
@@ -127,6 +129,7 @@
         stream=stream,
         whole=not stream and not plain,
         resumable=idempotent and plain,
+        first_token_target_s=service.first_token_target_s,
     )
 
 
@@ -144,9 +147,15 @@
 
 
 def normalize_path(path: str) -> str:
-    """Return a path as a lenient target may read it: decoded, without dots and double slashes."""
-    decoded = unquote(path.partition("?")[0])
-    return posixpath.normpath("/" + decoded.lstrip("/").replace("\\", "/"))
+    """Return a path as a lenient target may read it.
+
+    Decoded as often as it can be, without parameters of segments, dots and double slashes.
+    """
+    decoded = path.partition("?")[0]
+    for _ in range(DECODINGS_MAX):
+        decoded = unquote(decoded)
+    bare = "/".join(segment.partition(";")[0] for segment in decoded.split("/"))
+    return posixpath.normpath("/" + bare.lstrip("/").replace("\\", "/"))
 
 
 def is_idempotent(service: ServiceSpec, method: str, path: str) -> bool:
