Split the optional tables out of the launcher's settings

The tables of storage and metrics are now formatted apart. Nothing else changed; the seven tests of processes and settings pass.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -271,12 +271,7 @@
     labels = row["labels"]
     port = row["targets"][0].rpartition(":")[2]
     digest = hashlib.sha256(operator_key.encode()).hexdigest()
-    extra = ""
-    if folder is not None:
-        folder.mkdir(exist_ok=True)
-        extra += f"[storage]\nfolder = {json.dumps(str(folder))}\n\n"
-    if statsd_port is not None:
-        extra += f'[metrics]\nhost = "{LOOPBACK}"\nport = {statsd_port}\n\n'
+    extra = _format_optional(folder, statsd_port)
     return f"""version = 1
 allowance_policy = "{allowance_policy}"
 
@@ -307,6 +302,16 @@
 """
 
 
+def _format_optional(folder: Path | None, statsd_port: int | None) -> str:
+    text = ""
+    if folder is not None:
+        folder.mkdir(exist_ok=True)
+        text += f"[storage]\nfolder = {json.dumps(str(folder))}\n\n"
+    if statsd_port is not None:
+        text += f'[metrics]\nhost = "{LOOPBACK}"\nport = {statsd_port}\n\n'
+    return text
+
+
 def is_healthy(port: int) -> bool:
     """Return whether a daemon's health resource answers 200."""
     client = HTTPClient(LOOPBACK, port, network_timeout=1.0, connection_timeout=1.0)
