Release the shards of an instance that has had no batch slots for five seconds

With the engines gone for good the job would never end. An instance without slots and without running items now gives its shards back after 5 s.

--- a/clementinepin/batch/_dispatcher.py
+++ b/clementinepin/batch/_dispatcher.py
@@ -18,6 +18,7 @@
 HELD_MAX_BYTES = 64_000_000
 USE_HALF_LIFE_S = 60.0
 FAILURE_PAUSE_S = 5.0
+STARVED_S = 5.0
 
 
 class ItemDispatcher:
@@ -37,6 +38,7 @@
         self._starting: dict[str, int] = {}
         self._use: dict[str, float] = {}
         self._decayed_at = core.clock.monotonic()
+        self._fed_at: dict[str, float] = {}
         self.running = 0
         self.note_ended: Callable[[bool], None] = lambda _finished: None
         self.note_short: Callable[[], None] = lambda: None
@@ -64,6 +66,21 @@
                 if not self._start_next(application, now):
                     self.note_short()
                     break
+            self._release_starved(application, now)
+
+    def _release_starved(self, application: str, now: float) -> None:
+        """Let other instances have the shards of an application without slots here.
+
+        The targets owned here may be gone for good, while renewals would keep the shards.
+        """
+        shards = [o for o in self._keeper.owned.values() if o.job.application == application]
+        if self._count_slots(application) or any(owned.running for owned in shards):
+            self._fed_at[application] = now
+            return
+        if now - self._fed_at.setdefault(application, now) < STARVED_S:
+            return
+        for owned in shards:
+            owned.leaving = True
 
     def _start_next(self, application: str, now: float) -> bool:
         wall = self._core.clock.wall()
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import gevent
 import pytest
 
 from clementinepin.batch.exceptions import (
@@ -11,6 +12,7 @@
     JobNotFoundError,
     UnknownModelError,
 )
+from clementinepin.systems.exceptions import NoTargetError
 from standins.key_value import MemoryKeyValueStore
 from tests.batch.fakes import (
     ACCOUNT,
@@ -126,3 +128,22 @@
     wait_for(lambda: not node.batch._active.jobs)
     assert node.engine.runs.total() == runs
     node.kill()
+
+
+def test_shards_of_an_instance_without_slots_go_to_another(clock, key_value, node):
+    """Mutation: leave _release_starved out; the owner then renews its shards for ever."""
+    job = submit(node, 3)
+    node.scheduler.refusal = NoTargetError()
+    node.start()
+    wait_for(lambda: node.batch._keeper.owned)
+    wait_for(lambda: not any(o.running for o in node.batch._keeper.owned.values()))
+    node.scheduler.slots = 0
+    other = Node(clock, key_value, name="i2", seed=2)
+    for _ in range(20):
+        clock.advance(1.0)
+        gevent.sleep(0.06)
+    assert not node.batch._keeper.owned
+    other.start()
+    wait_for(lambda: is_ended(other, job))
+    assert [r["custom_id"] for r in read_results(other.batch, job.job_id)] == ["c0", "c1", "c2"]
+    other.kill()
