--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -250,12 +250,29 @@
         return ["i1"]
 
 
+class SkippingClock:
+    """The system's clock, moved forward when told."""
+
+    def __init__(self):
+        self._system = create_system_clock()
+        self._skipped = 0.0
+
+    def monotonic(self):
+        return self._system.monotonic() + self._skipped
+
+    def wall(self):
+        return self._system.wall() + self._skipped
+
+    def skip(self, seconds):
+        self._skipped += seconds
+
+
 class ServedEntry:
     """An entry over fakes that serves on a loopback port."""
 
     def __init__(self, targets=(), *, limits=None, security=None, configuration=None):
         settings = make_settings(limits, security)
-        clock = create_system_clock()
+        clock = self.clock = SkippingClock()
         self.core = Core(settings, clock, create_metrics(None, 0, ""), random.Random(1))
         self.core.set_configuration(configuration or make_configuration())
         self.scheduler = FakeScheduler([t.address for t in targets])
@@ -270,6 +287,9 @@
     def stop(self):
         self.entry.stop(self.core.clock.monotonic() + 2.0)
 
+    def describe(self, name):
+        return self.entry.describe_state()[name]
+
     def connect(self):
         return socket.create_connection(("127.0.0.1", self.entry.port), timeout=5.0)
 
@@ -330,6 +350,13 @@
     return b"".join(pieces)
 
 
+def wait_for(condition):
+    """Let the other greenlets run until a condition holds."""
+    with gevent.Timeout(5.0):
+        while not condition():
+            gevent.sleep(0.001)
+
+
 def run_in_thread(function):
     """Run blocking code in a native thread while the entry serves in this one."""
     return gevent.get_hub().threadpool.apply(function)
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -17,7 +17,7 @@
 )
 from clementinepin.exceptions import InvalidInputError
 from clementinepin.helpers.fingerprint import make_fingerprint
-from tests.entry.fakes import KEY, Answer, read_to_end
+from tests.entry.fakes import KEY, Answer, read_to_end, wait_for
 from tests.entry.test_online import COMPLETION, play_whole
 
 HEAD = f"POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer {KEY}\r\n".encode()
@@ -158,7 +158,7 @@
         assert read_to_end(sock).startswith(b"HTTP/1.1 ")
 
     send_any()
-    assert entry.entry.describe_state()["active"] == 0
+    assert entry.describe("active") == 0
     assert_serves(entry)
 
 
@@ -184,14 +184,14 @@
     held = [entry.connect() for _ in range(3)]
     for sock in held:
         sock.sendall(b"G")
-    gevent.sleep(0.05)
+    wait_for(lambda: entry.describe("connections") == 3)
     answer = Answer(read_to_end(entry.connect()))
     assert answer.status == 503
     assert answer.error["code"] == "connections_exhausted"
     assert answer.headers["retry-after"] == "1"
     for sock in held:
         sock.close()
-    gevent.sleep(0.05)
+    wait_for(lambda: entry.describe("connections") == 0)
     assert_serves(entry)
 
 
@@ -200,9 +200,10 @@
     monkeypatch.setattr("clementinepin.entry._app.BODIES_WHOLE_MAX", 2)
     entry = serve(play_whole, limits={"body_max_bytes": 150_000, "header_timeout_s": 5.0})
     held = [entry.connect() for _ in range(3)]
-    for sock in held:
+    for number, sock in enumerate(held):
         sock.sendall(HEAD + b"Content-Length: 140000\r\n\r\n" + b"x" * 139_999)
-        gevent.sleep(0.02)
+        expected = 131_072 * min(number + 1, 2)
+        wait_for(lambda expected=expected: entry.describe("body_bytes_held") >= expected)
     refused = Answer(read_to_end(held.pop()))
     assert refused.error["code"] == "body_memory_exhausted"
     assert refused.headers["retry-after"]
@@ -210,7 +211,7 @@
         sock.sendall(b"x")
         sock.shutdown(gevent.socket.SHUT_WR)
         assert Answer(read_to_end(sock)).error["code"] == "invalid_json"
-    assert entry.entry.describe_state()["body_bytes_held"] == 0
+    wait_for(lambda: entry.describe("body_bytes_held") == 0)
     assert_serves(entry)
 
 
--- a/tests/entry/test_resources.py
+++ b/tests/entry/test_resources.py
@@ -6,7 +6,7 @@
 from clementinepin.core import DrainStarted
 from clementinepin.entry._batches import parse_window
 from clementinepin.exceptions import InvalidInputError
-from tests.entry.fakes import KEY, OPERATOR_KEY, OTHER_KEY, PEER_SECRET, digest
+from tests.entry.fakes import KEY, OPERATOR_KEY, OTHER_KEY, PEER_SECRET, digest, wait_for
 from tests.entry.test_multipart import TYPE, make_form
 from tests.entry.test_online import COMPLETION, play_whole
 
@@ -198,13 +198,13 @@
 
 def test_a_leaving_instance_serves_until_the_advice_expired_and_then_names_others(serve):
     """Mutation: ``refuse_at`` is now: callers with a valid advice are refused at once."""
-    entry = serve(play_whole, limits={"advice_s": 0.3})
+    entry = serve(play_whole, limits={"advice_s": 30.0, "drain_s": 60.0})
     assert entry.call("POST", "/ops/drain", key=OPERATOR_KEY).status == 202
     assert entry.core.draining
     served = entry.call("POST", "/v1/completions", COMPLETION)
     assert served.status == 200
     assert served.headers["connection"] == "close"
-    gevent.sleep(0.35)
+    entry.clock.skip(30.0)
     refused = entry.call("POST", "/v1/completions", COMPLETION)
     assert refused.error["code"] == "instance_leaving"
     assert refused.error["outcome"] == "not_run"
@@ -223,7 +223,7 @@
 
     entry = serve(script)
     running = gevent.spawn(entry.call, "POST", "/v1/completions", {**COMPLETION, "stream": True})
-    gevent.sleep(0.05)
+    wait_for(lambda: entry.describe("active") == 1)
     entry.entry.stop(entry.core.clock.monotonic() + 5.0)
     assert entry.scheduler.open == {}
     answer = running.get()
--- a/tests/entry/test_tls.py
+++ b/tests/entry/test_tls.py
@@ -51,7 +51,7 @@
 
 
 def test_callers_are_served_over_tls_alone(serve, tls_files):
-    entry = serve(security=tls_files)
+    entry = serve(security=tls_files, limits={"header_timeout_s": 5.0})
     answer = run_in_thread(lambda: fetch_health(entry.entry.port, tls_files["tls_certificate"]))
     assert answer.startswith(b"HTTP/1.1 200")
     plain = entry.connect()
