--- a/bench/_control/rig.py
+++ b/bench/_control/rig.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import time
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -39,11 +40,14 @@
 class Rig:
     """Started processes; ``meter`` reads the measured daemon."""
 
-    def __init__(self, group: ProcessGroup, *, nodes: int, workers: int) -> None:
+    def __init__(
+        self, group: ProcessGroup, *, nodes: int, workers: int, listed: int | None = None
+    ) -> None:
         self._group = group
         self._ports = pick_platform_ports(group)
         self._engine_rows = [self._make_row(f"engine-{n}", SERVICE, n) for n in range(workers)]
         self._node_rows = [self._make_row(f"node-{n}", SERVICE_OWN, n) for n in range(nodes)]
+        self._listed = workers if listed is None else listed
         self.stats = StatsCollector()
         self.port = _read_port(self._node_rows[0])
         self.operator = Caller(OPERATOR_KEY, timeout_s=READY_S)
@@ -54,9 +58,9 @@
         start_platform(self._group, self._ports, 0.0, 1000.0)
         ports = [str(_read_port(row)) for row in self._engine_rows]
         self._group.start("farm", ["bench._control.farm", *ports])
-        for port in (*self._ports, *(int(p) for p in ports[-1:])):
+        for port in (*self._ports, *map(int, ports)):
             wait_until(partial(accepts_connections, port), READY_S, f"port {port}")
-        self.publish_workers(len(self._engine_rows))
+        self.publish_workers(self._listed)
         paths = [self._write_settings(row, number) for number, row in enumerate(self._node_rows)]
         if len(paths) > 1:
             self._group.start("host", ["bench._control.host", *map(str, paths[1:])])
@@ -91,10 +95,20 @@
         """Apply a generated file set and wait until the measured daemon has it."""
         message = json.dumps({"base": None, "files": make_files(**sizes)}).encode()
         answer = self.operator.call(self.port, "POST", "/ops/config", message)
-        revision = int(json.loads(answer.text)["revision"])
-        wait_until(lambda: self.read_revision() >= revision, READY_S, f"revision {revision}")
+        self.wait_revision(int(json.loads(answer.text)["revision"]))
         return len(message)
 
+    def apply_elsewhere(self, **sizes: int) -> tuple[int, float]:
+        """Have a file set accepted by a peer; return the revision and the seconds it took."""
+        message = json.dumps({"base": None, "files": make_files(**sizes)}).encode()
+        started = time.monotonic()
+        answer = self.operator.call(_read_port(self._node_rows[1]), "POST", "/ops/config", message)
+        return int(json.loads(answer.text)["revision"]), time.monotonic() - started
+
+    def wait_revision(self, revision: int) -> None:
+        """Wait until the measured daemon has a revision."""
+        wait_until(lambda: self.read_revision() >= revision, READY_S, f"revision {revision}")
+
     def read_revision(self) -> int:
         """Return the revision in force at the measured daemon."""
         answer = self.operator.call(self.port, "GET", "/ops/config")
--- a/clementinepin/scheduling/_scheduler.py
+++ b/clementinepin/scheduling/_scheduler.py
@@ -25,7 +25,7 @@
 from clementinepin.targets import Engine, TargetAddress
 
 LOG_PREFIX = "scheduling:"
-TICK_PERIOD_S = 0.02
+TICK_PERIOD_S = 0.05
 VIEW_PERIOD_S = 0.5
 ISOLATION_RETRY_S = 0.05
 RETRY_AFTER_STOP_S = 1.0
@@ -123,6 +123,9 @@
         if ending.leaving is not None:
             logger.info("{} Target {} is leaving.", LOG_PREFIX, ending.leaving)
             self._gossip.spread_leaving(ending.leaving)
+        if ending.ejected is not None:
+            self._core.metrics.incr("scheduling.ejected")
+            logger.warning("{} Target {} is ejected.", LOG_PREFIX, ending.ejected)
         self._wake()
         self._spread_suspect(ending)
 
