--- a/clementinepin/entry/_auth.py
+++ b/clementinepin/entry/_auth.py
@@ -6,6 +6,8 @@
 import hmac
 from typing import Final
 
+from gevent.event import Event
+
 from clementinepin.config import AccountSpec, Configuration
 from clementinepin.entry._http import Request
 from clementinepin.entry._router import Access
@@ -17,6 +19,7 @@
 
 SCHEME: Final = "bearer"
 KEY_MAX_CHARS: Final = 512
+CONFIGURATION_WAIT_S: Final = 2.0
 
 
 class Authenticator:
@@ -24,7 +27,8 @@
 
     def __init__(self, operator_key_digest: str) -> None:
         self._operator_digest = operator_key_digest.lower()
-        self._accounts: dict[str, AccountSpec] | None = None
+        self._accounts: dict[str, AccountSpec] = {}
+        self._configured = Event()
 
     def use_configuration(self, configuration: Configuration) -> None:
         """Index the accounts by the digests of their keys."""
@@ -33,6 +37,7 @@
             for account in configuration.accounts.values()
             for digest in account.key_digests
         }
+        self._configured.set()
 
     def authorize(self, request: Request, access: Access) -> None:
         """Note who calls; raises AuthenticationError or PermissionDeniedError."""
@@ -53,8 +58,11 @@
         return bool(self._operator_digest) and hmac.compare_digest(digest, self._operator_digest)
 
     def _find_account(self, digest: str) -> AccountSpec | None:
-        """Look a digest up; the comparison of what was found takes constant time."""
-        if self._accounts is None:
+        """Look a digest up; the comparison of what was found takes constant time.
+
+        A fresh instance learns its configuration within seconds; its first callers wait for it.
+        """
+        if not self._configured.wait(CONFIGURATION_WAIT_S):
             raise ConfigurationMissingError("no configuration is in force here yet")
         account = self._accounts.get(digest)
         if account is None:
