Keep the failure of one part from stopping the others

Cause: an event ended at the first listener that raised, so later parts missed a revision or a drain, and a part that failed to stop left the rest running. Change: both go on and log.

--- a/clementinepin/core.py
+++ b/clementinepin/core.py
@@ -84,9 +84,13 @@
         self._listeners[event_type].append(listener)
 
     def publish(self, event: object) -> None:
-        """Call the listeners of the event's type in order."""
+        """Call all listeners of the event's type in order; the failure of one stops no other."""
         for listener in self._listeners[type(event)]:
-            listener(event)
+            try:
+                listener(event)
+            except Exception as err:
+                name = type(event).__name__
+                logger.opt(exception=err).error("{} Listener of {} failed.", LOG_PREFIX, name)
 
     def set_configuration(self, configuration: Configuration) -> bool:
         """Put a newer revision in force; return False for an older or equal one."""
@@ -111,10 +115,14 @@
         self.publish(DrainStarted(deadline))
 
     def stop(self, deadline: float) -> None:
-        """Stop all components in reverse order."""
+        """Stop all components in reverse order; the failure of one stops no other."""
         for component in reversed(self.components.values()):
-            component.stop(deadline)
-            logger.debug("{} Stopped {}.", LOG_PREFIX, component.name)
+            try:
+                component.stop(deadline)
+            except Exception as err:
+                logger.opt(exception=err).error("{} Stop of {} failed.", LOG_PREFIX, component.name)
+            else:
+                logger.debug("{} Stopped {}.", LOG_PREFIX, component.name)
 
     def describe_state(self) -> dict[str, Any]:
         """Return the dump of every component."""
