Bound the questions to owners of allowances among many owners

Cause: at the design size an instance follows 24 targets with about as many owners, and asking each ten times a second would pass the budget of 6 KB/s alone. Change: up to 6 owners are asked each 0.1 s, more share 10 asks/s. A demand for one target is 96 bytes, an answer for two is 35.

--- a/clementinepin/systems/demand.py
+++ b/clementinepin/systems/demand.py
@@ -8,6 +8,8 @@
 DEMAND_REFRESH_S = 0.25
 DEMAND_RENEW_S = 0.5
 DEMAND_ASK_S = 0.1
+OWNERS_FEW = 6
+DEMAND_ASKS_PER_S = 10.0
 DEMAND_TTL_S = 2.0
 
 
@@ -18,6 +20,7 @@
     its answer counts the calls of the others at all its targets.
     """
     signals: list[Signal] = []
+    ask_s = compute_ask_period(tables)
     for service, names in tables.followed.items():
         rows = tables.targets.list_names(names)
         waiting = count_pressure(tables, service)
@@ -26,7 +29,7 @@
             owner = tables.owners.get(row.name)
             if owner is None or owner == view.instance:
                 continue
-            asks = active and now - tables.asked.get(owner, 0.0) >= DEMAND_ASK_S
+            asks = active and now - tables.asked.get(owner, 0.0) >= ask_s
             if asks or _must_tell(tables.told.get(row.name), row.online, waiting, now):
                 tables.told[row.name] = ToldRow(row.online, waiting, now)
                 tables.asked[owner] = now
@@ -34,6 +37,17 @@
     return signals
 
 
+def compute_ask_period(tables: Tables) -> float:
+    """Return the seconds between two questions to one owner.
+
+    Few owners are asked often; among many the asks of an instance have a bound.
+    """
+    owners = {tables.owners.get(name) for names in tables.followed.values() for name in names}
+    if len(owners) <= OWNERS_FEW:
+        return DEMAND_ASK_S
+    return len(owners) / DEMAND_ASKS_PER_S
+
+
 def refresh_owned(tables: Tables, now: float) -> None:
     """Take what the others told of owned targets as this instance's own word of them."""
     for row in tables.targets.list_names(tables.owned):
--- a/tests/systems/test_routing.py
+++ b/tests/systems/test_routing.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from clementinepin.scheduling import CallResult
-from clementinepin.systems.actions import Grant
+from clementinepin.systems.actions import Grant, Signal
 from clementinepin.systems.routing import CHOICES, compute_ramp, count_room, estimate_others
 from clementinepin.tables import TargetRow
 from clementinepin.targets import TargetAddress
@@ -106,3 +106,16 @@
     decider.set_targets([build_target(owned[0])])
     placed = [place(decider, f"r{i}") for i in range(13)]
     assert placed == [[owned[0]]] * 12 + [[]]
+
+
+def test_asks_of_an_instance_have_a_bound_among_many_owners():
+    """Fails when `compute_ask_period` is the same for any number of owners."""
+    for live, targets in ((6, 9), (100, 200)):
+        names = [f"e{i}" for i in range(live)]
+        decider = build_decider("e1", names, [f"t{i}" for i in range(targets)], slots=8)
+        place(decider, "first")
+        asked = 0
+        for step in range(200):
+            now = START + step * 0.05
+            asked += sum(isinstance(a, Signal) for a in decider.tick(now, now))
+        assert asked <= 10 * (60 if live == 6 else 13)
