Delete records of jobs and files past their time; replace lost instances in the matrix

Cause: records grew for ever, and the matrix could lose its last instance, which no design survives. Change: one instance pages through jobs and files and deletes what is ended and past its time, shards first; segments are kept longer than all that may refer to them; in the matrix an empty instance follows each lost one.

--- a/clementinepin/batch/_jobs.py
+++ b/clementinepin/batch/_jobs.py
@@ -126,7 +126,7 @@
             application=file.application,
             created_at=now,
             due_at=due_at,
-            keep_until=now + JOB_KEEP_S,
+            keep_until=max(now, due_at) + JOB_KEEP_S,
             plan=file.plan,
             shards=len(file.segments),
             items=file.items,
--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -17,6 +17,7 @@
 from clementinepin.batch._keeper import ShardKeeper
 from clementinepin.batch._loops import StepLoop
 from clementinepin.batch._results import stream_results
+from clementinepin.batch._retention import RecordRetention
 from clementinepin.batch._shards import ShardStore
 from clementinepin.batch._status import build_status, is_application_open
 from clementinepin.batch._uploads import FileStore, describe_record
@@ -37,6 +38,7 @@
 JOB_CHECK_S = 30.0
 CANCEL_CHECK_S = 2.0
 ORPHAN_S = 3600.0
+RETENTION_ROLE = "retention"
 EXACT_SHARDS_MAX = 64
 
 
@@ -59,6 +61,7 @@
         self._files = FileStore(key_value, segments, core.clock, self._check_model)
         self._jobs = JobStore(key_value, core.clock)
         self._shards = ShardStore(key_value)
+        self._retention = RecordRetention(key_value, core.clock)
         self._closer = JobCloser(key_value, self._jobs, self._shards)
         self._closer.note_progress = self._active.note_progress
         self._keeper = ShardKeeper(core, self._shards, segments, self._closer)
@@ -204,6 +207,8 @@
     def _check_jobs(self) -> None:
         """Stop cancelled jobs here; finish jobs whose owner by rendezvous this instance is."""
         self._closer.flush()
+        if self._is_steward(RETENTION_ROLE):
+            self._retention.step()
         now = self._core.clock.wall()
         for job in list(self._active.jobs.values()):
             if job.cancelling:
@@ -215,9 +220,7 @@
                     self._active.note(current)
 
     def _is_check_due(self, job: ActiveJob, now: float) -> bool:
-        own = self._core.settings.instance.name
-        members = (self._live or frozenset()) | {own}
-        if choose_owner(job.row.job_id, members) != own:
+        if not self._is_steward(job.row.job_id):
             return False
         if job.cancelling:
             job.check_at = min(job.check_at, now + CANCEL_CHECK_S)
@@ -225,6 +228,11 @@
             job.check_at = now + JOB_CHECK_S * self._core.random.uniform(0.1, 1.0)
         return now >= job.check_at
 
+    def _is_steward(self, role: str) -> bool:
+        """Tell whether this instance is a role's owner by rendezvous."""
+        own = self._core.settings.instance.name
+        return choose_owner(role, (self._live or frozenset()) | {own}) == own
+
     def _list_live(self) -> frozenset[str] | None:
         return self._live
 
--- a/tests/fault_matrix/cluster.py
+++ b/tests/fault_matrix/cluster.py
@@ -49,6 +49,7 @@
 SLOTS = 4
 CHUNK_S = 1.0
 SLOW_S = 3.0
+REPLACE_S = 20.0
 OUTAGE_S = 150.0
 PAUSE_S = 120.0
 POISON = "p3"
@@ -108,7 +109,6 @@
         if with_files:
             self.segments._budget.take = lambda *args: False
             self.segments._open_folder()
-            self.segments._maintain()
         self.scheduler = fakes.FakeScheduler(SLOTS)
         self.target = Target(self)
         self.batch = fakes.create_batch(
@@ -138,9 +138,10 @@
             raise gevent.GreenletExit
 
     def lose(self):
-        """Lose the instance: nothing that it still does has an effect."""
+        """Lose the instance: nothing that it still does has an effect. An empty one follows."""
         self.dead = True
         self.cluster.network.down.add(self.name)
+        self.cluster.call_later(REPLACE_S, self.cluster.add_node)
 
     def tick(self):
         if not self.dead and self._tick.ready():
@@ -178,7 +179,12 @@
         self.timers = []
         self.left = []
         self.extra = []
-        self.nodes = [Node(self, name, with_files) for name in ("i1", "i2", "i3")]
+        self.with_files = with_files
+        self.nodes = []
+        for _ in range(3):
+            self.add_node()
+        for node in self.nodes:
+            node.segments._maintain()
         for node in self.nodes:
             node.segments._directory.refresh()
         file = self.nodes[0].batch.store_file(
@@ -187,6 +193,9 @@
         self.file_id = file.file_id
         self.plan = list(plan)
 
+    def add_node(self):
+        self.nodes.append(Node(self, f"i{len(self.nodes) + 1}", self.with_files))
+
     def wait(self, seconds):
         """Wait in virtual time."""
         until = self.clock.now + seconds
@@ -245,6 +254,7 @@
 
     def call(self, method, *args):
         """Call as a client does: the answer, or None when refused, unknown or cut off."""
+        self.advance_until(self.list_alive)
         alive = self.list_alive()
         node = alive[self.clock.now.__hash__() % len(alive)]
         greenlet = gevent.spawn(getattr(node.batch, method), *args)
@@ -278,6 +288,7 @@
 
     def read_results(self, job_id):
         """Read the results at one of the instances, as a caller sees them."""
+        self.advance_until(self.list_alive)
         node = self.list_alive()[-1]
         read = gevent.spawn(lambda: b"".join(node.batch.read_results(fakes.ACCOUNT, job_id)))
         self.advance_until(read.ready)
@@ -307,7 +318,7 @@
 
     def _strike_instance_lost(self, node, key):
         node.lose()
-        self.call_later(20.0, self.publish_instances)
+        self.call_later(REPLACE_S + 1.0, self.publish_instances)
 
     def _strike_resend(self, node, key):
         args = (fakes.ACCOUNT, "key", self.file_id, fakes.ENDPOINT, self.clock.now + 3600.0)
--- a/tests/fault_matrix/test_batch.py
+++ b/tests/fault_matrix/test_batch.py
@@ -115,10 +115,10 @@
     """After its end no item of a job runs and no record changes."""
     cluster.advance(10)
     before = cluster.list_shards(job_id)
-    runs = [node.target.runs.total() for node in cluster.nodes]
+    runs = sum(node.target.runs.total() for node in cluster.nodes)
     cluster.advance(200)
     assert cluster.list_shards(job_id) == before
-    assert [node.target.runs.total() for node in cluster.nodes] == runs
+    assert sum(node.target.runs.total() for node in cluster.nodes) == runs
     assert cluster.state.list_range("active/", "active0", 0) == []
     for row in before.values():
         assert sum(commit.items for commit in row.commits) == count_bits(row.done)
