--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -2,7 +2,7 @@
 
 import gevent
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from clementinepin.entry._calls import CHAT_SCHEMA, COMPLETION_SCHEMA, check_body, make_prefix_hash
@@ -72,6 +72,8 @@
         (HEAD + b"X-A: b\r\n" * 3_000 + b"\r\n", 400),
         (HEAD + b"X-A: b\r\n" * 150 + b"\r\n", 400),
         (HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+        (HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400),
+        (HEAD + b"Content-Length: 2\r\nContent-Length: 90\r\n\r\n{}", 400),
         (HEAD + b"Transfer-Encoding: chunked\r\n\r\nffffffffffffffffffff\r\n", 400),
         (b"GET /" + b"a" * 9_000 + b" HTTP/1.1\r\n\r\n", 414),
     ],
@@ -140,6 +142,26 @@
     assert entry.targets[0].requests == []
 
 
+def test_any_bytes_on_a_connection_end_it_and_nothing_else(serve):
+    """Mutation: ``_reject`` sends nothing: the caller is cut off without an answer."""
+    entry = serve(play_whole)
+    lines = [b"GET /healthz HTTP/1.1", HEAD.strip(), b"Content-Length: 3", b"X: y", b":", b""]
+    line = st.sampled_from(lines) | st.binary(max_size=20)
+    pieces = st.lists(line, max_size=6).map(b"\r\n".join)
+
+    @settings(max_examples=80)
+    @given(data=pieces)
+    def send_any(data):
+        sock = entry.connect()
+        sock.sendall(data + b"\r\n\r\n")
+        sock.shutdown(gevent.socket.SHUT_WR)
+        assert read_to_end(sock).startswith(b"HTTP/1.1 ")
+
+    send_any()
+    assert entry.entry.describe_state()["active"] == 0
+    assert_serves(entry)
+
+
 def test_a_half_closed_caller_gets_its_answer(serve):
     entry = serve(play_whole)
     sock = entry.connect()
--- a/tests/entry/test_online.py
+++ b/tests/entry/test_online.py
@@ -5,6 +5,7 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 
 from clementinepin.claims.exceptions import ClaimUnavailableError
 from clementinepin.config import PathRule
@@ -121,6 +122,42 @@
     assert entry.scheduler.results == {1: CallResult.LOST, 2: CallResult.SUCCESS}
 
 
+@pytest.mark.parametrize("stream", [False, True])
+def test_a_stream_that_stalls_goes_on_elsewhere(serve, monkeypatch, stream):
+    """Mutation: ``_check_progress`` looks at the deadline alone: the caller waits for it."""
+    monkeypatch.setattr("clementinepin.targets._connection.STALL_CHECK_S", 0.1)
+    entry = serve(play_cut(HANG), play_whole, configuration=make_configuration(timeout_s=60.0))
+    answer = entry.call("POST", "/v1/completions", {**COMPLETION, "stream": stream})
+    if stream:
+        assert read_text(read_events(answer)[0]) == "".join(TEXTS)
+    else:
+        assert answer.json["choices"][0]["text"] == "".join(TEXTS)
+    assert entry.scheduler.results == {1: CallResult.LOST, 2: CallResult.SUCCESS}
+
+
+def test_a_target_that_never_begins_is_left_without_blame(serve, monkeypatch):
+    """Mutation: no ``first_token_by``: the caller waits for the deadline."""
+    monkeypatch.setattr("clementinepin.entry._attempts.PATIENCE_MIN_S", 0.1)
+    monkeypatch.setattr("clementinepin.entry._attempts.PATIENCE_TARGETS", 0.0)
+    configuration = make_configuration(timeout_s=60.0)
+    entry = serve(lambda _: [HANG], play_whole, configuration=configuration)
+    answer = entry.call("POST", "/v1/completions", COMPLETION)
+    assert answer.json["choices"][0]["text"] == "".join(TEXTS)
+    assert entry.scheduler.results == {1: CallResult.CANCELLED, 2: CallResult.SUCCESS}
+
+
+def test_a_stalled_call_that_may_not_be_repeated_is_not_sent_again(serve, monkeypatch):
+    """Mutation: ``_compute_first_token_by`` ignores ``resumable``: it ends before its time."""
+    monkeypatch.setattr("clementinepin.entry._attempts.PATIENCE_MIN_S", 0.05)
+    monkeypatch.setattr("clementinepin.entry._attempts.PATIENCE_TARGETS", 0.0)
+    entry = serve(lambda _: [HANG], play_whole, configuration=make_configuration(timeout_s=0.4))
+    headers = {"X-Idempotent": "false"}
+    answer = entry.call("POST", "/v1/completions", COMPLETION, headers=headers)
+    assert answer.error["code"] == "target_timeout"
+    assert answer.error["outcome"] == "outcome_unknown"
+    assert entry.targets[1].requests == []
+
+
 def test_a_whole_answer_goes_on_elsewhere_too(serve):
     entry = serve(play_cut(CUT), play_whole)
     answer = entry.call("POST", "/v1/completions", COMPLETION)
@@ -272,6 +309,39 @@
     assert answers[1].headers["x-replayed"] == "true"
 
 
+def test_a_keyed_call_ends_without_its_caller_and_a_resend_gets_the_answer(serve):
+    """Mutations: ``follow`` does not go on in the background: the resend finds no answer; the
+    stop does not count what runs there: it returns before the end.
+    """
+    gate, last_gate = Event(), Event()
+
+    def script(request):
+        steps = play_whole(request)
+        yield steps[0] + chunk(make_event(get_id(request), ""))
+        gate.wait(5.0)
+        for _ in range(200):
+            yield chunk(make_event(get_id(request), ""))
+            gevent.sleep(0)
+        last_gate.wait(5.0)
+        yield from steps[1:]
+
+    entry = serve(script)
+    body = {**COMPLETION, "stream": True}
+    data = json.dumps(body).encode()
+    sock = entry.connect()
+    head = f"POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer {KEY}\r\n"
+    sock.sendall(f"{head}Idempotency-Key: k\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+    sock.recv(100)
+    sock.close()
+    gate.set()
+    gevent.spawn_later(0.2, last_gate.set)
+    entry.stop()
+    assert entry.scheduler.results == {1: CallResult.SUCCESS}
+    stored = entry.claims.settled["lets", "k"]
+    assert stored.outcome == "success"
+    assert stored.body.endswith(b"data: [DONE]\n\n")
+
+
 def test_a_cut_stream_is_stored_as_unknown_not_as_success(serve):
     """Mutation: ``_is_whole`` returns True: the cut stream is replayed as a success."""
     entry = serve(play_cut(CUT))
