--- a/clementinepin/storage/_repair.py
+++ b/clementinepin/storage/_repair.py
@@ -49,6 +49,7 @@
         self._transfers = transfers
         self._folder = folder
         self._missing_since: dict[str, float] = {}
+        self._lost: set[str] = set()
         self._scan_at = 0.0
         self._waiting: list[str] = []
         self._scrubbing: list[str] = []
@@ -69,9 +70,9 @@
         self._reclaim_some()
 
     def _note_lost(self, folder: SegmentFolder) -> None:
-        """Queue the segments that this instance must copy, as their holders stay away."""
+        """Queue what this instance must copy, as holders stay away; fewest copies go first."""
         now = self._core.clock.monotonic()
-        if now < self._scan_at or self._waiting:
+        if now < self._scan_at:
             return
         self._scan_at = now + SCAN_PERIOD_S
         live = self._directory.list_live()
@@ -79,14 +80,16 @@
         missing = named - live.keys()
         self._missing_since = {h: self._missing_since.get(h, now) for h in missing}
         lost = {h for h, at in self._missing_since.items() if now - at >= REPAIR_AFTER_S}
-        if not lost:
+        if not lost or (lost == self._lost and self._waiting):
             return
-        self._waiting = [
+        self._lost = lost
+        waiting = [
             name
             for name, held in folder.held.items()
             if not lost.isdisjoint(held.holders)
             and plan_repair(name, held.size_bytes, held.holders, live, folder.folder_id)
         ]
+        self._waiting = sorted(waiting, key=lambda n: -len(live.keys() & folder.held[n].holders))
 
     def _repair_some(self, folder: SegmentFolder) -> None:
         for _ in range(min(REPAIRS_PER_STEP, len(self._waiting))):
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -159,6 +159,29 @@
     assert cluster.nodes[survivor].store.read(name) == BULK
 
 
+def test_segments_with_one_copy_left_are_repaired_first(clock, key_value, monkeypatch):
+    """Mutation: leave the queue unsorted, or as it was before the second loss."""
+    monkeypatch.setattr("clementinepin.storage._repair.REPAIRS_PER_STEP", 1)
+    cluster = Cluster(clock, key_value, [f"dc{n}" for n in range(6)])
+    names = [cluster.nodes["a"].store.write(BULK + bytes([n])) for n in range(30)]
+    first, second = "b", "c"
+    both = {n for n in names if {first, second} <= cluster.find_holders(n)}
+    cluster.network.down.add(first)
+    cluster.advance(REPAIR_AFTER_S + 10.0, rounds=4)
+    cluster.network.down.add(second)
+    endangered = {n for n in both if len(cluster.find_holders(n)) == 1}
+    assert endangered
+    repaired = []
+    for _ in range(60):
+        cluster.advance(REPAIR_AFTER_S / 10)
+        repaired += [n for n in endangered - set(repaired) if len(cluster.find_holders(n)) > 1]
+        if len(repaired) == len(endangered):
+            break
+    lacking = [n for n in names if len(cluster.find_holders(n)) == 2]
+    assert len(repaired) == len(endangered)
+    assert lacking
+
+
 def test_empty_replacement_of_a_holder_counts_as_lost(cluster):
     """Mutation: ``_read_id`` gives each folder the same id; the empty one counts as a copy."""
     name = cluster.nodes["a"].store.write(BULK)
