Test the order of repairs at the queue

Cause: the test of repairs in order of copies left was slow and caught neither of its mutations. Change: it looks at the queues after a first and a second loss.

--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -160,26 +160,23 @@
 
 
 def test_segments_with_one_copy_left_are_repaired_first(clock, key_value, monkeypatch):
-    """Mutation: leave the queue unsorted, or as it was before the second loss."""
-    monkeypatch.setattr("clementinepin.storage._repair.REPAIRS_PER_STEP", 1)
+    """Mutations: leave the queue unsorted; keep it as it was before the second loss."""
+    monkeypatch.setattr("clementinepin.storage._repair.REPAIRS_PER_STEP", 0)
     cluster = Cluster(clock, key_value, [f"dc{n}" for n in range(6)])
-    names = [cluster.nodes["a"].store.write(BULK + bytes([n])) for n in range(30)]
-    first, second = "b", "c"
-    both = {n for n in names if {first, second} <= cluster.find_holders(n)}
-    cluster.network.down.add(first)
-    cluster.advance(REPAIR_AFTER_S + 10.0, rounds=4)
-    cluster.network.down.add(second)
-    endangered = {n for n in both if len(cluster.find_holders(n)) == 1}
-    assert endangered
-    repaired = []
-    for _ in range(60):
-        cluster.advance(REPAIR_AFTER_S / 10)
-        repaired += [n for n in endangered - set(repaired) if len(cluster.find_holders(n)) > 1]
-        if len(repaired) == len(endangered):
-            break
-    lacking = [n for n in names if len(cluster.find_holders(n)) == 2]
-    assert len(repaired) == len(endangered)
-    assert lacking
+    rng = random.Random(2)
+    names = [cluster.nodes["a"].store.write(rng.randbytes(40_000)) for _ in range(40)]
+    for lost in "bc":
+        cluster.network.down.add(lost)
+        cluster.advance(REPAIR_AFTER_S + 20.0, rounds=4)
+    copies = {name: len(cluster.find_holders(name)) for name in names}
+    queues = [n.store._repair._waiting for n in cluster.nodes.values() if n.disk]
+    queues = [q for node, q in zip(cluster.nodes, queues, strict=True) if node not in "bc"]
+    for queue in queues:
+        order = [copies[name] for name in reversed(queue)]
+        assert order == sorted(order)
+    queued = {name for queue in queues for name in queue}
+    assert queued == {name for name, count in copies.items() if count < 3}
+    assert 1 in copies.values()
 
 
 def test_empty_replacement_of_a_holder_counts_as_lost(cluster):
