Rest the loops of an idle batch component; read the progress of listed jobs

Cause: an idle component took 1.5 % of a core (in process, with the fake's watch), and a list of jobs showed no progress of jobs that run elsewhere. Change: loops wait a second while there is nothing to do and are woken by new jobs and claims; the first ten unfinished jobs of a list are read; reclaim reads a page each five seconds. Result: 0.8 % of a core idle in the same run; batch and storage tests pass.

--- a/clementinepin/batch/_active.py
+++ b/clementinepin/batch/_active.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from clementinepin.batch._codec import PREFIX_ACTIVE
 from clementinepin.helpers.rows import decode_row
 from clementinepin.tables import JobRow, JobState, PlanRow, ProgressRow
@@ -38,6 +40,7 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, ActiveJob] = {}
+        self.note_added: Callable[[], None] = lambda: None
 
     def put_row(self, key: str, value: bytes, version: int) -> None:
         """Take in an index entry."""
@@ -59,6 +62,7 @@
         job = self.jobs.get(row.job_id)
         if job is None:
             job = self.jobs[row.job_id] = ActiveJob(row)
+            self.note_added()
         elif not job.cancelling:
             job.row = row
         return job
--- a/clementinepin/batch/_loops.py
+++ b/clementinepin/batch/_loops.py
@@ -13,15 +13,26 @@
 
 LOG_PREFIX = "batch:"
 WAKE_MIN_S = 0.005
+IDLE_PERIOD_S = 1.0
 
 
 class StepLoop:
-    """Runs a step over and over; an unavailable platform or storage is no surprise to log."""
-
-    def __init__(self, step: Callable[[], None], period_s: float, metrics: Metrics) -> None:
+    """Runs a step over and over; an unavailable platform or storage is no surprise to log.
+
+    While ``is_busy`` is False the period is longer.
+    """
+
+    def __init__(
+        self,
+        step: Callable[[], None],
+        period_s: float,
+        metrics: Metrics,
+        is_busy: Callable[[], bool],
+    ) -> None:
         self._step = step
         self._period_s = period_s
         self._metrics = metrics
+        self._is_busy = is_busy
         self._wake = Event()
 
     def wake(self) -> None:
@@ -36,7 +47,7 @@
         while True:
             self._run_step()
             gevent.sleep(WAKE_MIN_S)
-            self._wake.wait(self._period_s)
+            self._wake.wait(self._period_s if self._is_busy() else IDLE_PERIOD_S)
             self._wake.clear()
 
     def _run_step(self) -> None:
--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -40,6 +40,7 @@
 ORPHAN_S = 3600.0
 RETENTION_ROLE = "retention"
 EXACT_SHARDS_MAX = 64
+LISTED_PROGRESS_MAX = 10
 
 
 class BatchComponent:
@@ -83,10 +84,12 @@
             self._list_live,
         )
         self._follower = RangeFollower(key_value, PREFIX_ACTIVE, self._active, core.random)
-        dispatch = StepLoop(self._dispatcher.step, DISPATCH_PERIOD_S, core.metrics)
-        keep = StepLoop(self._keeper.step, KEEP_PERIOD_S, core.metrics)
-        claim = StepLoop(self._claim, CLAIM_PERIOD_S, core.metrics)
-        check = StepLoop(self._check_jobs, CHECK_PERIOD_S, core.metrics)
+        metrics = core.metrics
+        dispatch = StepLoop(self._dispatcher.step, DISPATCH_PERIOD_S, metrics, self._holds_shards)
+        keep = StepLoop(self._keeper.step, KEEP_PERIOD_S, metrics, self._holds_shards)
+        claim = StepLoop(self._claim, CLAIM_PERIOD_S, metrics, self._knows_jobs)
+        check = StepLoop(self._check_jobs, CHECK_PERIOD_S, metrics, self._knows_jobs)
+        self._active.note_added = claim.wake
         self._loops = (dispatch, keep, claim, check)
         self._dispatcher.note_ended = self._note_ended
         self._dispatcher.note_short = claim.wake
@@ -157,9 +160,14 @@
         return self._describe(self._jobs.load(account, job_id).row)
 
     def list_jobs(self, account: str | None, *, limit: int = 100) -> list[JobStatus]:
-        """Return an account's newest jobs, or the active jobs of all accounts, as last noted."""
+        """Return an account's newest jobs, or the active jobs of all accounts as last noted.
+
+        The progress of an account's first few unfinished jobs is read, a call each.
+        """
         if account is not None:
             rows = self._jobs.list_account(account, limit)
+            for row in [row for row in rows if not row.ended][:LISTED_PROGRESS_MAX]:
+                self._active.note(row).progress = self._closer.load_progress(row.job_id)
             return [self._describe_known(row) for row in rows]
         now = self._core.clock.wall()
         jobs = sorted(self._active.jobs.values(), key=lambda job: job.row.due_at)
@@ -228,6 +236,12 @@
             job.check_at = now + JOB_CHECK_S * self._core.random.uniform(0.1, 1.0)
         return now >= job.check_at
 
+    def _holds_shards(self) -> bool:
+        return bool(self._keeper.owned)
+
+    def _knows_jobs(self) -> bool:
+        return bool(self._active.jobs)
+
     def _is_steward(self, role: str) -> bool:
         """Tell whether this instance is a role's owner by rendezvous."""
         own = self._core.settings.instance.name
--- a/clementinepin/storage/_repair.py
+++ b/clementinepin/storage/_repair.py
@@ -26,6 +26,7 @@
 ORPHAN_S = 3_600.0
 RECLAIM_GRACE_S = 86_400.0
 RECLAIM_PAGE_ROWS = 16
+RECLAIM_PAGE_PERIOD_S = 5.0
 RECLAIM_PAUSE_S = 3_600.0
 RECLAIM_ROLE = "reclaim"
 
@@ -190,6 +191,7 @@
             self._reclaim_at = now + RECLAIM_PAUSE_S
         else:
             self._reclaim_after = page[-1][0]
+            self._reclaim_at = now + RECLAIM_PAGE_PERIOD_S
 
     def _reclaim(self, name: str, record: StoredRecord) -> None:
         """Delete a record; copies follow when their holders miss it."""
