Tell a lost acceptance or cancel as unknown, never as not run

Cause: behind a lost reply of a job's creation or of a cancel mark, and behind an acceptance that stood, a failed read was answered as not run; the matrix did not look at refusals. Change: the matrix checks that a refusal as not run leaves no effect; acceptance and cancel answer without another read, and a lost reply that can't be settled stays unknown.

--- a/clementinepin/batch/_jobs.py
+++ b/clementinepin/batch/_jobs.py
@@ -9,7 +9,11 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rows import decode_row, encode_row
 from clementinepin.platform import KeyValueStore
-from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
+from clementinepin.platform.exceptions import (
+    PlatformUnavailableError,
+    ReplyLostError,
+    VersionConflictError,
+)
 from clementinepin.tables import FileRecord, JobRow, JobState
 
 JOB_KEEP_S = 14 * 86_400.0
@@ -47,7 +51,7 @@
         self._put_index(row)
         accepted = self._create(row)
         if self._clock.monotonic() - indexed_at > INDEX_REPEAT_S:
-            self._put_index(row)
+            self._repeat_index(row)
         return accepted
 
     def find(self, account: str, job_id: str) -> StoredJob | None:
@@ -79,14 +83,21 @@
 
     def mark_cancelled(self, account: str, job_id: str) -> JobRow:
         """Mark a job cancelled durably; a job that ended stays as it is."""
+        lost: ReplyLostError | None = None
         while True:
-            stored = self.load(account, job_id)
+            stored = self._load_settling(account, job_id, lost)
             if stored.row.ended or stored.row.state == JobState.CANCELLING:
                 return stored.row
             wanted = stored.row._replace(state=JobState.CANCELLING)
-            if self._swap(wanted, stored.version):
-                self._note_cancel(wanted)
-                return wanted
+            try:
+                self._put(wanted, stored.version)
+            except VersionConflictError:
+                continue
+            except ReplyLostError as err:
+                lost = err
+                continue
+            self._note_cancel(wanted)
+            return wanted
 
     def end(self, account: str, job_id: str, completed: int, failed: int) -> JobRow:
         """Note that all shards are sealed, and take the job off the index."""
@@ -101,7 +112,10 @@
                 completed=completed,
                 failed=failed,
             )
-            self._swap(wanted, stored.version)
+            try:
+                self._put(wanted, stored.version)
+            except (VersionConflictError, ReplyLostError):
+                continue
         self._key_value.delete(key_active(job_id), expected=None)
         return stored.row
 
@@ -133,27 +147,45 @@
         )
 
     def _create(self, row: JobRow) -> JobRow:
+        """Create the record; a reply that stays lost is told as such, never as not run."""
         try:
-            self._key_value.put(key_job(row.account, row.job_id), encode_row(row), expected=0)
+            self._put(row, 0)
         except VersionConflictError as err:
             if err.value is None:
                 raise
             return _check_same(decode_row(err.value, JobRow), row)
-        except ReplyLostError:
-            stored = self.find(row.account, row.job_id)
+        except ReplyLostError as err:
+            stored = self._find_settling(row.account, row.job_id, err)
             if stored is None:
                 raise
             return _check_same(stored.row, row)
         return row
 
-    def _swap(self, wanted: JobRow, version: int) -> bool:
-        """Write if the version stands; False asks the caller to read again."""
-        key = key_job(wanted.account, wanted.job_id)
+    def _find_settling(
+        self, account: str, job_id: str, lost: ReplyLostError | None
+    ) -> StoredJob | None:
+        """Read a record; behind a lost reply, a failure to read leaves the outcome unknown."""
+        try:
+            return self.find(account, job_id)
+        except PlatformUnavailableError as err:
+            raise lost or err from err
+
+    def _load_settling(self, account: str, job_id: str, lost: ReplyLostError | None) -> StoredJob:
+        stored = self._find_settling(account, job_id, lost)
+        if stored is None:
+            raise JobNotFoundError(job_id, param="batch_id")
+        return stored
+
+    def _put(self, row: JobRow, version: int) -> None:
+        key = key_job(row.account, row.job_id)
+        self._key_value.put(key, encode_row(row), expected=version)
+
+    def _repeat_index(self, row: JobRow) -> None:
+        """Put the entry again after a pause in which it may have been dropped."""
         try:
-            self._key_value.put(key, encode_row(wanted), expected=version)
-        except (VersionConflictError, ReplyLostError):
-            return False
-        return True
+            self._put_index(row)
+        except PlatformUnavailableError as err:
+            raise ReplyLostError(row.job_id) from err
 
     def _put_index(self, row: JobRow) -> None:
         try:
@@ -165,10 +197,10 @@
                 raise
 
     def _note_cancel(self, row: JobRow) -> None:
-        """Spread the mark by the index; the record alone decides."""
+        """Spread the mark by the index; the record alone decides, so a failure is no loss."""
         try:
             self._key_value.put(key_active(row.job_id), encode_row(row), expected=None)
-        except ReplyLostError:
+        except (PlatformUnavailableError, ReplyLostError):
             return
 
 
--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -153,7 +153,7 @@
         row = self._jobs.accept(account, job_key, file, endpoint, due_at)
         if not row.ended:
             self._active.note(row)
-        return self._describe(row)
+        return self._describe_known(row)
 
     def describe(self, account: str, job_id: str) -> JobStatus:
         """Return a job's status; raises JobNotFoundError."""
@@ -179,7 +179,7 @@
         if not row.ended:
             self._active.note(row).row = row
             self._keeper.cancel(job_id)
-        return self._describe(row)
+        return self._describe_known(row)
 
     def read_results(self, account: str, job_id: str) -> Iterator[bytes]:
         """Stream the results so far as JSON Lines in item order, in bounded memory."""
@@ -196,7 +196,10 @@
         return build_status(row, progress, self._core.clock.wall())
 
     def _describe_known(self, row: JobRow) -> JobStatus:
-        """Describe without a call: progress as this instance noted it last."""
+        """Describe without a call: progress as this instance noted it last.
+
+        Behind a write that took effect no failed read may tell the caller otherwise.
+        """
         job = self._active.jobs.get(row.job_id)
         progress = job.progress if job else ProgressRow()
         return build_status(row, progress, self._core.clock.wall())
--- a/tests/fault_matrix/cluster.py
+++ b/tests/fault_matrix/cluster.py
@@ -8,8 +8,9 @@
 import msgspec
 from gevent.event import Event
 
+from clementinepin.batch._codec import name_job
 from clementinepin.core import InstancesChanged
-from clementinepin.exceptions import ClementinepinError
+from clementinepin.exceptions import ClementinepinError, Outcome
 from clementinepin.helpers.rows import decode_row
 from clementinepin.platform import ListedInstance
 from clementinepin.platform.exceptions import ReplyLostError
@@ -178,6 +179,7 @@
         self.slow_until = 0.0
         self.timers = []
         self.left = []
+        self.refusals = []
         self.extra = []
         self.with_files = with_files
         self.nodes = []
@@ -259,6 +261,8 @@
         node = alive[self.clock.now.__hash__() % len(alive)]
         greenlet = gevent.spawn(getattr(node.batch, method), *args)
         self.advance_until(lambda: greenlet.ready() or node.dead or not node.gate.is_set())
+        if greenlet.ready() and not greenlet.successful():
+            self.refusals.append(greenlet.exception)
         if not greenlet.ready() or not greenlet.successful():
             return None
         return None if isinstance(greenlet.value, gevent.GreenletExit) else greenlet.value
@@ -273,10 +277,26 @@
         raise AssertionError(f"{method} was never answered")
 
     def submit(self):
-        due_at = self.clock.now + 3600.0
-        return self.call_until_answered(
-            "submit", fakes.ACCOUNT, "key", self.file_id, fakes.ENDPOINT, due_at
-        )
+        args = (fakes.ACCOUNT, "key", self.file_id, fakes.ENDPOINT, self.clock.now + 3600.0)
+        key = f"jobs/{fakes.ACCOUNT}/{name_job(fakes.ACCOUNT, 'key').removeprefix('batch_')}"
+        return self.call_checked("submit", args, lambda: self.state.get(key) is not None)
+
+    def cancel(self, job_id):
+        marked = (JobState.CANCELLING, JobState.CANCELLED)
+        args = (fakes.ACCOUNT, job_id)
+        return self.call_checked("cancel", args, lambda: self.read_job(job_id).state in marked)
+
+    def call_checked(self, method, args, took_effect):
+        """Send until answered; a refusal as not run must leave no effect behind."""
+        for _ in range(300):
+            before, count = took_effect() or bool(self.extra), len(self.refusals)
+            answer = self.call(method, *args)
+            if answer is not None:
+                return answer
+            refused = [e for e in self.refusals[count:] if e.outcome is Outcome.NOT_RUN]
+            assert before or self.extra or not refused or not took_effect(), refused
+            self.advance(3)
+        raise AssertionError(f"{method} was never answered")
 
     def describe(self, job_id):
         return self.call_until_answered("describe", fakes.ACCOUNT, job_id)
--- a/tests/fault_matrix/test_batch.py
+++ b/tests/fault_matrix/test_batch.py
@@ -4,7 +4,8 @@
 again; no seal of a cancelled job's shards; no look at the job behind a claim; a truncated
 stream taken for a whole one; no resume behind what was delivered; sealed shards not noted; a
 lapsed lease never taken over; unbounded attempts; a cancel mark not written; a job id that
-differs for a resend; no release on a clean stop; one copy in place of three.
+differs for a resend; no release on a clean stop; one copy in place of three; a refusal as not run
+behind an acceptance or a cancel mark that stands.
 """
 
 from __future__ import annotations
@@ -22,7 +23,6 @@
 from clementinepin.batch import _keeper
 from clementinepin.helpers.clock import ManualClock
 from clementinepin.tables import JobState, count_bits
-from tests.batch import fakes
 from tests.fault_matrix.cluster import FAULTS, ITEMS, POISON, STEPS, Cluster
 
 scenarios("batch.feature")
@@ -61,7 +61,7 @@
 def cancel_job(cluster, context):
     job_id = context["job_id"]
     cluster.advance_until(lambda: any(r.commits for r in cluster.list_shards(job_id).values()))
-    cluster.call_until_answered("cancel", fakes.ACCOUNT, job_id)
+    cluster.cancel(job_id)
 
 
 @when("the cluster runs until the job has ended")
@@ -156,7 +156,7 @@
                 or cluster.read_job(job_id).ended
             )
         )
-        cluster.call_until_answered("cancel", fakes.ACCOUNT, job_id)
+        cluster.cancel(job_id)
     cluster.advance_until(lambda: cluster.read_job(job_id).ended)
     cluster.advance_until(lambda: all(g.ready() for g in cluster.extra))
     if cluster.read_job(job_id).state == JobState.CANCELLED:
