Wait for a model that left the configuration until the job is due

Cause: an item whose model was not configured failed at once, so one wrong file set would have ended a job's items for good, while no slots at all would have kept the job open for ever; and uploads were taken unchecked before a configuration was known. Change: a few items wait for the model and fail once the job is due; uploads and jobs are refused as not run until a configuration is known.

--- a/clementinepin/batch/_claimer.py
+++ b/clementinepin/batch/_claimer.py
@@ -171,7 +171,8 @@
         for index in list_undone(row):
             line = parse_line(lines[index], index + 1)
             request_id = f"{owned.job.job_id}-{owned.shard}-{index}-{row.epoch}"
-            work = ItemWork(index, request_id, line, attempts.get(index, 0))
+            lost = attempts.get(index, 0)
+            work = ItemWork(index, request_id, line, lost, owned.job.due_at)
             if is_exhausted(row):
                 result = fail_item(work, CODE_ATTEMPTS, "instance after instance was lost")
                 owned.hold_result(work, result, self._core.clock.monotonic())
--- a/clementinepin/batch/_dispatcher.py
+++ b/clementinepin/batch/_dispatcher.py
@@ -18,6 +18,7 @@
 HELD_MAX_BYTES = 64_000_000
 USE_HALF_LIFE_S = 60.0
 FAILURE_PAUSE_S = 5.0
+UNCONFIGURED_SLOTS = 4
 
 
 class ItemDispatcher:
@@ -42,8 +43,16 @@
         self.note_short: Callable[[], None] = lambda: None
 
     def count_free(self, application: str) -> int:
-        """Return slots that no started item waits for."""
-        return max(0, self._count_slots(application) - self._starting.get(application, 0))
+        """Return slots that no started item waits for.
+
+        A few items of an application that is not configured go on, to wait for it or to fail.
+        """
+        configuration = self._core.configuration
+        if configuration is None:
+            return 0
+        known = application in configuration.applications
+        slots = self._count_slots(application) if known else UNCONFIGURED_SLOTS
+        return max(0, slots - self._starting.get(application, 0))
 
     def list_use(self) -> dict[str, AccountUse]:
         """Return the recent service of each account here."""
--- a/clementinepin/batch/_items.py
+++ b/clementinepin/batch/_items.py
@@ -38,6 +38,7 @@
 ATTEMPTS_MAX = 5
 REFUSAL_PAUSE_S = 1.0
 REFUSAL_PAUSE_MAX_S = 30.0
+MODEL_PAUSE_S = 30.0
 RETRY_PAUSE_S = 0.5
 STATUS_TOO_MANY = 429
 STATUS_SERVER_ERROR = 500
@@ -50,14 +51,18 @@
 class ItemWork:
     """An item in hand: its request, and what was delivered before it had to yield.
 
-    ``not_before`` is monotonic seconds. ``attempts`` counts targets that were lost.
+    ``not_before`` is monotonic seconds, ``due_at`` wall-clock seconds. ``attempts`` counts
+    targets that were lost.
     """
 
-    def __init__(self, index: int, request_id: str, line: InputLine, attempts: int) -> None:
+    def __init__(
+        self, index: int, request_id: str, line: InputLine, attempts: int, due_at: float
+    ) -> None:
         self.index = index
         self.request_id = request_id
         self.line = line
         self.attempts = attempts
+        self.due_at = due_at
         self.not_before = 0.0
         self.text = ""
         self.tokens = 0
@@ -105,7 +110,7 @@
             return fail_item(work, CODE_ATTEMPTS, f"{work.attempts} targets were lost")
         call = build_call(work, account, configuration, self._clock.monotonic())
         if call is None:
-            return fail_item(work, CODE_MODEL, "the model is no longer configured")
+            return self._wait_for_model(work)
         try:
             placement = self._scheduler.acquire(call)
         except NotRunError as err:
@@ -188,6 +193,13 @@
             work.not_before = pause_at if again_at is None else again_at
         return None
 
+    def _wait_for_model(self, work: ItemWork) -> ItemResult | None:
+        """Wait for a model that left the configuration, which may be a mistake, until due."""
+        if self._clock.wall() >= work.due_at:
+            return fail_item(work, CODE_MODEL, "the model is not configured")
+        work.not_before = self._clock.monotonic() + MODEL_PAUSE_S
+        return None
+
     def _note_refusal(self, work: ItemWork, err: NotRunError) -> ItemResult | None:
         if err.code in CODES_FINAL:
             return fail_item(work, err.code, err.message)
--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -21,7 +21,7 @@
 from clementinepin.batch._shards import ShardStore
 from clementinepin.batch._status import build_status, is_application_open
 from clementinepin.batch._uploads import FileStore, describe_record
-from clementinepin.batch.exceptions import InvalidBatchError
+from clementinepin.batch.exceptions import BatchUnavailableError, InvalidBatchError
 from clementinepin.batch.models import FileRow, JobStatus
 from clementinepin.core import Core, DrainStarted, InstancesChanged
 from clementinepin.helpers.rendezvous import choose_owner
@@ -38,6 +38,7 @@
 JOB_CHECK_S = 30.0
 CANCEL_CHECK_S = 2.0
 ORPHAN_S = 3600.0
+CONFIGURATION_PAUSE_S = 2.0
 RETENTION_ROLE = "retention"
 EXACT_SHARDS_MAX = 64
 LISTED_PROGRESS_MAX = 10
@@ -267,7 +268,12 @@
         self._keeper.leave()
 
     def _check_model(self, account: str, model: str) -> bool:
-        return is_application_open(self._core.configuration, account, model)
+        """Tell whether an account may use a model; refuses while that can't be known."""
+        configuration = self._core.configuration
+        if configuration is None:
+            retry_at = self._core.clock.wall() + CONFIGURATION_PAUSE_S
+            raise BatchUnavailableError("no configuration is known here yet", retry_at=retry_at)
+        return is_application_open(configuration, account, model)
 
 
 def create_batch(
--- a/clementinepin/batch/_status.py
+++ b/clementinepin/batch/_status.py
@@ -37,10 +37,8 @@
     return now + (row.items - done) * elapsed_s / done
 
 
-def is_application_open(configuration: Configuration | None, account: str, model: str) -> bool:
-    """Tell whether an account may use an application for batch; yes while it can't be known."""
-    if configuration is None:
-        return True
+def is_application_open(configuration: Configuration, account: str, model: str) -> bool:
+    """Tell whether an account may use an application for batch."""
     application = configuration.applications.get(model)
     spec = configuration.accounts.get(account)
     if application is None or spec is None:
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -3,6 +3,7 @@
 import pytest
 
 from clementinepin.batch.exceptions import (
+    BatchUnavailableError,
     DuplicateCustomIdError,
     FileNotFoundInAccountError,
     InvalidBatchError,
@@ -11,6 +12,7 @@
     JobNotFoundError,
     UnknownModelError,
 )
+from clementinepin.exceptions import Outcome
 from standins.key_value import MemoryKeyValueStore
 from tests.batch.fakes import (
     ACCOUNT,
@@ -96,6 +98,30 @@
         node.batch.store_file(ACCOUNT, "f", "batch", [])
 
 
+def test_job_of_a_model_that_left_ends_when_due(node, clock):
+    """Mutation: no slots for what is not configured; the job never ends."""
+    job = submit(node, 20, due_s=50.0)
+    node.core.configuration.applications.clear()
+    node.start()
+    wait_for(lambda: node.batch._keeper.owned)
+
+    def ended():
+        clock.advance(1.0)
+        return is_ended(node, job)
+
+    wait_for(ended)
+    assert node.batch.describe(ACCOUNT, job.job_id).items_failed == 20
+    assert clock.wall() >= job.due_at
+
+
+def test_upload_is_refused_as_not_run_before_a_configuration_is_known(node):
+    node.core.configuration = None
+    with pytest.raises(BatchUnavailableError) as caught:
+        node.batch.store_file(ACCOUNT, "f", "batch", [build_input(1)])
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert caught.value.retry_at is not None
+
+
 def test_file_of_another_account_is_not_found(node):
     file = node.batch.store_file(ACCOUNT, "f", "other", [b"abc"])
     assert b"".join(node.batch.read_file(ACCOUNT, file.file_id)) == b"abc"
