Add a third copy when a third data centre gets a data folder

Cause: segments written while two data centres had folders kept two copies for good. Change: a holder that compares a copy with its record queues a segment that could have a further copy.

--- a/clementinepin/storage/_repair.py
+++ b/clementinepin/storage/_repair.py
@@ -136,7 +136,10 @@
                 return
 
     def _check_record(self, folder: SegmentFolder, name: str) -> bool:
-        """Compare a copy with its record now and then; tell whether a call was made."""
+        """Compare a copy with its record now and then; tell whether a call was made.
+
+        A segment that was written while there were fewer data centres gets its further copy.
+        """
         now = self._core.clock.wall()
         held = folder.held[name]
         expired = held.keep_until + RECLAIM_GRACE_S < now
@@ -148,8 +151,12 @@
             if folder.remove_stale(name, now - ORPHAN_S):
                 self._core.metrics.incr("storage.orphans_removed")
             return True
+        row = record.row
         held.checked_at = now
-        held.holders, held.keep_until = record.row.holders, record.row.keep_until
+        held.holders, held.keep_until = row.holders, row.keep_until
+        live = self._directory.list_live()
+        if plan_repair(name, row.size_bytes, row.holders, live, folder.folder_id):
+            self._waiting.append(name)
         return True
 
     def _heal_some(self, folder: SegmentFolder) -> None:
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -179,6 +179,17 @@
     assert 1 in copies.values()
 
 
+def test_third_copy_follows_when_a_third_data_centre_comes(clock, key_value):
+    """Mutation: ``_check_record`` queues nothing; two copies stay two."""
+    cluster = Cluster(clock, key_value, ["dc1", "dc2"])
+    name = cluster.nodes["a"].store.write(BULK)
+    assert len(cluster.find_holders(name)) == 2
+    cluster.add("c", "dc3")
+    cluster.advance(ORPHAN_S + 200.0, rounds=20)
+    assert len(cluster.find_holders(name)) == 3
+    assert len(cluster.nodes["a"].store._records.load(name).row.holders) == 3
+
+
 def test_empty_replacement_of_a_holder_counts_as_lost(cluster):
     """Mutation: ``_read_id`` gives each folder the same id; the empty one counts as a copy."""
     name = cluster.nodes["a"].store.write(BULK)
