--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -17,10 +17,11 @@
 from clementinepin.batch._keeper import ShardKeeper
 from clementinepin.batch._loops import StepLoop
 from clementinepin.batch._results import stream_results
+from clementinepin.batch._retention import RecordRetention
 from clementinepin.batch._shards import ShardStore
 from clementinepin.batch._status import build_status, is_application_open
 from clementinepin.batch._uploads import FileStore, describe_record
-from clementinepin.batch.exceptions import InvalidBatchError
+from clementinepin.batch.exceptions import BatchUnavailableError, InvalidBatchError
 from clementinepin.batch.models import FileRow, JobStatus
 from clementinepin.core import Core, DrainStarted, InstancesChanged
 from clementinepin.helpers.rendezvous import choose_owner
@@ -37,7 +38,10 @@
 JOB_CHECK_S = 30.0
 CANCEL_CHECK_S = 2.0
 ORPHAN_S = 3600.0
+CONFIGURATION_PAUSE_S = 2.0
+RETENTION_ROLE = "retention"
 EXACT_SHARDS_MAX = 64
+LISTED_PROGRESS_MAX = 10
 
 
 class BatchComponent:
@@ -59,6 +63,7 @@
         self._files = FileStore(key_value, segments, core.clock, self._check_model)
         self._jobs = JobStore(key_value, core.clock)
         self._shards = ShardStore(key_value)
+        self._retention = RecordRetention(key_value, core.clock)
         self._closer = JobCloser(key_value, self._jobs, self._shards)
         self._closer.note_progress = self._active.note_progress
         self._keeper = ShardKeeper(core, self._shards, segments, self._closer)
@@ -80,10 +85,12 @@
             self._list_live,
         )
         self._follower = RangeFollower(key_value, PREFIX_ACTIVE, self._active, core.random)
-        dispatch = StepLoop(self._dispatcher.step, DISPATCH_PERIOD_S, core.metrics)
-        keep = StepLoop(self._keeper.step, KEEP_PERIOD_S, core.metrics)
-        claim = StepLoop(self._claim, CLAIM_PERIOD_S, core.metrics)
-        check = StepLoop(self._check_jobs, CHECK_PERIOD_S, core.metrics)
+        metrics = core.metrics
+        dispatch = StepLoop(self._dispatcher.step, DISPATCH_PERIOD_S, metrics, self._holds_shards)
+        keep = StepLoop(self._keeper.step, KEEP_PERIOD_S, metrics, self._holds_shards)
+        claim = StepLoop(self._claim, CLAIM_PERIOD_S, metrics, self._knows_jobs)
+        check = StepLoop(self._check_jobs, CHECK_PERIOD_S, metrics, self._knows_jobs)
+        self._active.note_added = claim.wake
         self._loops = (dispatch, keep, claim, check)
         self._dispatcher.note_ended = self._note_ended
         self._dispatcher.note_short = claim.wake
@@ -147,16 +154,21 @@
         row = self._jobs.accept(account, job_key, file, endpoint, due_at)
         if not row.ended:
             self._active.note(row)
-        return self._describe(row)
+        return self._describe_known(row)
 
     def describe(self, account: str, job_id: str) -> JobStatus:
         """Return a job's status; raises JobNotFoundError."""
         return self._describe(self._jobs.load(account, job_id).row)
 
     def list_jobs(self, account: str | None, *, limit: int = 100) -> list[JobStatus]:
-        """Return an account's newest jobs, or the active jobs of all accounts, as last noted."""
+        """Return an account's newest jobs, or the active jobs of all accounts as last noted.
+
+        The progress of an account's first few unfinished jobs is read, a call each.
+        """
         if account is not None:
             rows = self._jobs.list_account(account, limit)
+            for row in [row for row in rows if not row.ended][:LISTED_PROGRESS_MAX]:
+                self._active.note(row).progress = self._closer.load_progress(row.job_id)
             return [self._describe_known(row) for row in rows]
         now = self._core.clock.wall()
         jobs = sorted(self._active.jobs.values(), key=lambda job: job.row.due_at)
@@ -168,7 +180,7 @@
         if not row.ended:
             self._active.note(row).row = row
             self._keeper.cancel(job_id)
-        return self._describe(row)
+        return self._describe_known(row)
 
     def read_results(self, account: str, job_id: str) -> Iterator[bytes]:
         """Stream the results so far as JSON Lines in item order, in bounded memory."""
@@ -185,7 +197,10 @@
         return build_status(row, progress, self._core.clock.wall())
 
     def _describe_known(self, row: JobRow) -> JobStatus:
-        """Describe without a call: progress as this instance noted it last."""
+        """Describe without a call: progress as this instance noted it last.
+
+        Behind a write that took effect no failed read may tell the caller otherwise.
+        """
         job = self._active.jobs.get(row.job_id)
         progress = job.progress if job else ProgressRow()
         return build_status(row, progress, self._core.clock.wall())
@@ -204,6 +219,8 @@
     def _check_jobs(self) -> None:
         """Stop cancelled jobs here; finish jobs whose owner by rendezvous this instance is."""
         self._closer.flush()
+        if self._is_steward(RETENTION_ROLE):
+            self._retention.step()
         now = self._core.clock.wall()
         for job in list(self._active.jobs.values()):
             if job.cancelling:
@@ -215,9 +232,7 @@
                     self._active.note(current)
 
     def _is_check_due(self, job: ActiveJob, now: float) -> bool:
-        own = self._core.settings.instance.name
-        members = (self._live or frozenset()) | {own}
-        if choose_owner(job.row.job_id, members) != own:
+        if not self._is_steward(job.row.job_id):
             return False
         if job.cancelling:
             job.check_at = min(job.check_at, now + CANCEL_CHECK_S)
@@ -225,6 +240,17 @@
             job.check_at = now + JOB_CHECK_S * self._core.random.uniform(0.1, 1.0)
         return now >= job.check_at
 
+    def _holds_shards(self) -> bool:
+        return bool(self._keeper.owned)
+
+    def _knows_jobs(self) -> bool:
+        return bool(self._active.jobs)
+
+    def _is_steward(self, role: str) -> bool:
+        """Tell whether this instance is a role's owner by rendezvous."""
+        own = self._core.settings.instance.name
+        return choose_owner(role, (self._live or frozenset()) | {own}) == own
+
     def _list_live(self) -> frozenset[str] | None:
         return self._live
 
@@ -242,7 +268,12 @@
         self._keeper.leave()
 
     def _check_model(self, account: str, model: str) -> bool:
-        return is_application_open(self._core.configuration, account, model)
+        """Tell whether an account may use a model; refuses while that can't be known."""
+        configuration = self._core.configuration
+        if configuration is None:
+            retry_at = self._core.clock.wall() + CONFIGURATION_PAUSE_S
+            raise BatchUnavailableError("no configuration is known here yet", retry_at=retry_at)
+        return is_application_open(configuration, account, model)
 
 
 def create_batch(
