--- a/clementinepin/storage/_repair.py
+++ b/clementinepin/storage/_repair.py
@@ -26,6 +26,7 @@
 ORPHAN_S = 3_600.0
 RECLAIM_GRACE_S = 86_400.0
 RECLAIM_PAGE_ROWS = 16
+RECLAIM_PAGE_PERIOD_S = 5.0
 RECLAIM_PAUSE_S = 3_600.0
 RECLAIM_ROLE = "reclaim"
 
@@ -49,6 +50,7 @@
         self._transfers = transfers
         self._folder = folder
         self._missing_since: dict[str, float] = {}
+        self._lost: set[str] = set()
         self._scan_at = 0.0
         self._waiting: list[str] = []
         self._scrubbing: list[str] = []
@@ -69,9 +71,9 @@
         self._reclaim_some()
 
     def _note_lost(self, folder: SegmentFolder) -> None:
-        """Queue the segments that this instance must copy, as their holders stay away."""
+        """Queue what this instance must copy, as holders stay away; fewest copies go first."""
         now = self._core.clock.monotonic()
-        if now < self._scan_at or self._waiting:
+        if now < self._scan_at:
             return
         self._scan_at = now + SCAN_PERIOD_S
         live = self._directory.list_live()
@@ -79,14 +81,16 @@
         missing = named - live.keys()
         self._missing_since = {h: self._missing_since.get(h, now) for h in missing}
         lost = {h for h, at in self._missing_since.items() if now - at >= REPAIR_AFTER_S}
-        if not lost:
+        if not lost or (lost == self._lost and self._waiting):
             return
-        self._waiting = [
+        self._lost = lost
+        waiting = [
             name
             for name, held in folder.held.items()
             if not lost.isdisjoint(held.holders)
             and plan_repair(name, held.size_bytes, held.holders, live, folder.folder_id)
         ]
+        self._waiting = sorted(waiting, key=lambda n: -len(live.keys() & folder.held[n].holders))
 
     def _repair_some(self, folder: SegmentFolder) -> None:
         for _ in range(min(REPAIRS_PER_STEP, len(self._waiting))):
@@ -132,7 +136,10 @@
                 return
 
     def _check_record(self, folder: SegmentFolder, name: str) -> bool:
-        """Compare a copy with its record now and then; tell whether a call was made."""
+        """Compare a copy with its record now and then; tell whether a call was made.
+
+        A segment that was written while there were fewer data centres gets its further copy.
+        """
         now = self._core.clock.wall()
         held = folder.held[name]
         expired = held.keep_until + RECLAIM_GRACE_S < now
@@ -144,8 +151,12 @@
             if folder.remove_stale(name, now - ORPHAN_S):
                 self._core.metrics.incr("storage.orphans_removed")
             return True
+        row = record.row
         held.checked_at = now
-        held.holders, held.keep_until = record.row.holders, record.row.keep_until
+        held.holders, held.keep_until = row.holders, row.keep_until
+        live = self._directory.list_live()
+        if plan_repair(name, row.size_bytes, row.holders, live, folder.folder_id):
+            self._waiting.append(name)
         return True
 
     def _heal_some(self, folder: SegmentFolder) -> None:
@@ -187,6 +198,7 @@
             self._reclaim_at = now + RECLAIM_PAUSE_S
         else:
             self._reclaim_after = page[-1][0]
+            self._reclaim_at = now + RECLAIM_PAGE_PERIOD_S
 
     def _reclaim(self, name: str, record: StoredRecord) -> None:
         """Delete a record; copies follow when their holders miss it."""
--- a/tests/fault_matrix/cluster.py
+++ b/tests/fault_matrix/cluster.py
@@ -8,8 +8,9 @@
 import msgspec
 from gevent.event import Event
 
+from clementinepin.batch._codec import name_job
 from clementinepin.core import InstancesChanged
-from clementinepin.exceptions import ClementinepinError
+from clementinepin.exceptions import ClementinepinError, Outcome
 from clementinepin.helpers.rows import decode_row
 from clementinepin.platform import ListedInstance
 from clementinepin.platform.exceptions import ReplyLostError
@@ -49,6 +50,7 @@
 SLOTS = 4
 CHUNK_S = 1.0
 SLOW_S = 3.0
+REPLACE_S = 20.0
 OUTAGE_S = 150.0
 PAUSE_S = 120.0
 POISON = "p3"
@@ -108,7 +110,6 @@
         if with_files:
             self.segments._budget.take = lambda *args: False
             self.segments._open_folder()
-            self.segments._maintain()
         self.scheduler = fakes.FakeScheduler(SLOTS)
         self.target = Target(self)
         self.batch = fakes.create_batch(
@@ -138,9 +139,10 @@
             raise gevent.GreenletExit
 
     def lose(self):
-        """Lose the instance: nothing that it still does has an effect."""
+        """Lose the instance: nothing that it still does has an effect. An empty one follows."""
         self.dead = True
         self.cluster.network.down.add(self.name)
+        self.cluster.call_later(REPLACE_S, self.cluster.add_node)
 
     def tick(self):
         if not self.dead and self._tick.ready():
@@ -177,8 +179,14 @@
         self.slow_until = 0.0
         self.timers = []
         self.left = []
+        self.refusals = []
         self.extra = []
-        self.nodes = [Node(self, name, with_files) for name in ("i1", "i2", "i3")]
+        self.with_files = with_files
+        self.nodes = []
+        for _ in range(3):
+            self.add_node()
+        for node in self.nodes:
+            node.segments._maintain()
         for node in self.nodes:
             node.segments._directory.refresh()
         file = self.nodes[0].batch.store_file(
@@ -187,6 +195,9 @@
         self.file_id = file.file_id
         self.plan = list(plan)
 
+    def add_node(self):
+        self.nodes.append(Node(self, f"i{len(self.nodes) + 1}", self.with_files))
+
     def wait(self, seconds):
         """Wait in virtual time."""
         until = self.clock.now + seconds
@@ -245,10 +256,13 @@
 
     def call(self, method, *args):
         """Call as a client does: the answer, or None when refused, unknown or cut off."""
+        self.advance_until(self.list_alive)
         alive = self.list_alive()
         node = alive[self.clock.now.__hash__() % len(alive)]
         greenlet = gevent.spawn(getattr(node.batch, method), *args)
         self.advance_until(lambda: greenlet.ready() or node.dead or not node.gate.is_set())
+        if greenlet.ready() and not greenlet.successful():
+            self.refusals.append(greenlet.exception)
         if not greenlet.ready() or not greenlet.successful():
             return None
         return None if isinstance(greenlet.value, gevent.GreenletExit) else greenlet.value
@@ -263,10 +277,26 @@
         raise AssertionError(f"{method} was never answered")
 
     def submit(self):
-        due_at = self.clock.now + 3600.0
-        return self.call_until_answered(
-            "submit", fakes.ACCOUNT, "key", self.file_id, fakes.ENDPOINT, due_at
-        )
+        args = (fakes.ACCOUNT, "key", self.file_id, fakes.ENDPOINT, self.clock.now + 3600.0)
+        key = f"jobs/{fakes.ACCOUNT}/{name_job(fakes.ACCOUNT, 'key').removeprefix('batch_')}"
+        return self.call_checked("submit", args, lambda: self.state.get(key) is not None)
+
+    def cancel(self, job_id):
+        marked = (JobState.CANCELLING, JobState.CANCELLED)
+        args = (fakes.ACCOUNT, job_id)
+        return self.call_checked("cancel", args, lambda: self.read_job(job_id).state in marked)
+
+    def call_checked(self, method, args, took_effect):
+        """Send until answered; a refusal as not run must leave no effect behind."""
+        for _ in range(300):
+            before, count = took_effect() or bool(self.extra), len(self.refusals)
+            answer = self.call(method, *args)
+            if answer is not None:
+                return answer
+            refused = [e for e in self.refusals[count:] if e.outcome is Outcome.NOT_RUN]
+            assert before or self.extra or not refused or not took_effect(), refused
+            self.advance(3)
+        raise AssertionError(f"{method} was never answered")
 
     def describe(self, job_id):
         return self.call_until_answered("describe", fakes.ACCOUNT, job_id)
@@ -278,6 +308,7 @@
 
     def read_results(self, job_id):
         """Read the results at one of the instances, as a caller sees them."""
+        self.advance_until(self.list_alive)
         node = self.list_alive()[-1]
         read = gevent.spawn(lambda: b"".join(node.batch.read_results(fakes.ACCOUNT, job_id)))
         self.advance_until(read.ready)
@@ -307,7 +338,7 @@
 
     def _strike_instance_lost(self, node, key):
         node.lose()
-        self.call_later(20.0, self.publish_instances)
+        self.call_later(REPLACE_S + 1.0, self.publish_instances)
 
     def _strike_resend(self, node, key):
         args = (fakes.ACCOUNT, "key", self.file_id, fakes.ENDPOINT, self.clock.now + 3600.0)
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -159,6 +159,37 @@
     assert cluster.nodes[survivor].store.read(name) == BULK
 
 
+def test_segments_with_one_copy_left_are_repaired_first(clock, key_value, monkeypatch):
+    """Mutations: leave the queue unsorted; keep it as it was before the second loss."""
+    monkeypatch.setattr("clementinepin.storage._repair.REPAIRS_PER_STEP", 0)
+    cluster = Cluster(clock, key_value, [f"dc{n}" for n in range(6)])
+    rng = random.Random(2)
+    names = [cluster.nodes["a"].store.write(rng.randbytes(40_000)) for _ in range(40)]
+    for lost in "bc":
+        cluster.network.down.add(lost)
+        cluster.advance(REPAIR_AFTER_S + 20.0, rounds=4)
+    copies = {name: len(cluster.find_holders(name)) for name in names}
+    queues = [n.store._repair._waiting for n in cluster.nodes.values() if n.disk]
+    queues = [q for node, q in zip(cluster.nodes, queues, strict=True) if node not in "bc"]
+    for queue in queues:
+        order = [copies[name] for name in reversed(queue)]
+        assert order == sorted(order)
+    queued = {name for queue in queues for name in queue}
+    assert queued == {name for name, count in copies.items() if count < 3}
+    assert 1 in copies.values()
+
+
+def test_third_copy_follows_when_a_third_data_centre_comes(clock, key_value):
+    """Mutation: ``_check_record`` queues nothing; two copies stay two."""
+    cluster = Cluster(clock, key_value, ["dc1", "dc2"])
+    name = cluster.nodes["a"].store.write(BULK)
+    assert len(cluster.find_holders(name)) == 2
+    cluster.add("c", "dc3")
+    cluster.advance(ORPHAN_S + 200.0, rounds=20)
+    assert len(cluster.find_holders(name)) == 3
+    assert len(cluster.nodes["a"].store._records.load(name).row.holders) == 3
+
+
 def test_empty_replacement_of_a_holder_counts_as_lost(cluster):
     """Mutation: ``_read_id`` gives each folder the same id; the empty one counts as a copy."""
     name = cluster.nodes["a"].store.write(BULK)
