--- a/clementinepin/scheduling/_decider.py
+++ b/clementinepin/scheduling/_decider.py
@@ -29,6 +29,8 @@
 from clementinepin.targets import TargetAddress
 
 ACCOUNT_IDLE_S = 600.0
+ISOLATION_RETRY_S = 0.05
+UNISOLABLE_S = 5.0
 SERVICE_OWN = "clementinepin"
 
 
@@ -90,8 +92,10 @@
             return None
         return self._create_placer().grant(waiting, target, now, alone=True)
 
-    def delay_isolation(self, waiting_id: int, not_before: float) -> None:
-        """Let a suspect that got no target ask again later."""
+    def delay_isolation(self, waiting_id: int, target: str, now: float) -> None:
+        """Let a suspect that did not get a target ask again later, for another one first."""
+        not_before = now + ISOLATION_RETRY_S
+        self.tables.targets.update(target, unisolable_until=now + UNISOLABLE_S)
         for queue in (self.tables.online, self.tables.batch):
             queue.update(waiting_id, asking=False, not_before=not_before)
 
--- a/clementinepin/scheduling/_scheduler.py
+++ b/clementinepin/scheduling/_scheduler.py
@@ -27,7 +27,6 @@
 LOG_PREFIX = "scheduling:"
 TICK_PERIOD_S = 0.05
 VIEW_PERIOD_S = 0.5
-ISOLATION_RETRY_S = 0.05
 RETRY_AFTER_STOP_S = 1.0
 
 
@@ -223,7 +222,7 @@
             return
         if granted:
             self._gossip.release(action.target, call.fingerprint)
-        self._decider.delay_isolation(action.waiting_id, now + ISOLATION_RETRY_S)
+        self._decider.delay_isolation(action.waiting_id, action.target, now)
 
     def _spread_suspect(self, ending: Ending) -> None:
         row = ending.suspect
--- a/clementinepin/systems/placement.py
+++ b/clementinepin/systems/placement.py
@@ -160,8 +160,8 @@
             return None
         queue = self._tables.online if is_online(row.call) else self._tables.batch
         queue.update(row.waiting_id, asking=True)
-        quietest = min(candidates, key=lambda target: (target.online + target.batch, target.name))
-        return Isolate(row.waiting_id, quietest.name)
+        chosen = min(candidates, key=lambda target: _rank_for_isolation(target, now))
+        return Isolate(row.waiting_id, chosen.name)
 
     def _place_online_call(self, row: WaitingRow, now: float) -> Action | None:
         call = row.call
@@ -214,3 +214,8 @@
         best = max(candidates, key=lambda target: (free[target.name], target.name))
         free[best.name] -= 1
         return self.grant(row, best.name, now)
+
+
+def _rank_for_isolation(target: TargetRow, now: float) -> tuple[bool, int, str]:
+    """Order targets for a suspect: those whose owner answers first, then the quietest."""
+    return target.unisolable_until > now, target.online + target.batch, target.name
--- a/clementinepin/tables/_targets.py
+++ b/clementinepin/tables/_targets.py
@@ -14,7 +14,8 @@
     ``leaving`` is the list's word, ``refused_until`` stands for the target's own refusal.
     ``online`` and ``batch`` count this instance's own calls in flight. ``others_online`` is what
     the owner of the target's allowance last said of the other instances, true at ``others_at``;
-    ``told`` is what this instance had said of its own calls by then.
+    ``told`` is what this instance had said of its own calls by then. Until ``unisolable_until``
+    its owner is not asked again to close it for a suspect.
     """
 
     name: str
@@ -36,6 +37,7 @@
     ejected_until: float = 0.0
     slow_start_until: float = 0.0
     closed_until: float = 0.0
+    unisolable_until: float = 0.0
     cached_prefixes: frozenset[str] = frozenset()
 
     def is_open(self, now: float) -> bool:
--- a/tests/scheduling/test_poison.py
+++ b/tests/scheduling/test_poison.py
@@ -93,3 +93,23 @@
     for scheduler in fleet.values():
         closed = [t["closed_for_s"] for t in scheduler.describe_state()["targets"]]
         assert 0.0 < max(closed) <= ISOLATION_MAX_S
+
+
+def test_a_suspect_turns_to_another_target_when_an_owner_does_not_answer(monkeypatch):
+    """Fails when `_rank_for_isolation` passes over `unisolable_until`."""
+    fleet = build_fleet(("e1", "e2"), TARGETS, build_configuration(slots=12))
+    first = fleet["e1"].acquire(build_call("x", fingerprint="f"))
+    fleet["e1"].finish(first.ticket, CallResult.LOST)
+    asked = []
+
+    def isolate(target, fingerprint, remaining_s):
+        asked.append(target)
+        return len(asked) > 1
+
+    monkeypatch.setattr(fleet["e1"]._gossip, "isolate", isolate)
+    waiting = gevent.spawn(fleet["e1"].acquire, build_call("x", fingerprint="f"))
+    while not waiting.dead:
+        gevent.sleep(0.01)
+        fleet["e1"]._wake()
+    assert len(set(asked)) == 2
+    assert waiting.get().target.name == asked[1]
