--- a/clementinepin/batch/_dispatcher.py
+++ b/clementinepin/batch/_dispatcher.py
@@ -18,6 +18,8 @@
 HELD_MAX_BYTES = 64_000_000
 USE_HALF_LIFE_S = 60.0
 FAILURE_PAUSE_S = 5.0
+UNCONFIGURED_SLOTS = 4
+STARVED_S = 5.0
 
 
 class ItemDispatcher:
@@ -37,13 +39,22 @@
         self._starting: dict[str, int] = {}
         self._use: dict[str, float] = {}
         self._decayed_at = core.clock.monotonic()
+        self._fed_at: dict[str, float] = {}
         self.running = 0
         self.note_ended: Callable[[bool], None] = lambda _finished: None
         self.note_short: Callable[[], None] = lambda: None
 
     def count_free(self, application: str) -> int:
-        """Return slots that no started item waits for."""
-        return max(0, self._count_slots(application) - self._starting.get(application, 0))
+        """Return slots that no started item waits for.
+
+        A few items of an application that is not configured go on, to wait for it or to fail.
+        """
+        configuration = self._core.configuration
+        if configuration is None:
+            return 0
+        known = application in configuration.applications
+        slots = self._count_slots(application) if known else UNCONFIGURED_SLOTS
+        return max(0, slots - self._starting.get(application, 0))
 
     def list_use(self) -> dict[str, AccountUse]:
         """Return the recent service of each account here."""
@@ -64,6 +75,21 @@
                 if not self._start_next(application, now):
                     self.note_short()
                     break
+            self._release_starved(application, now)
+
+    def _release_starved(self, application: str, now: float) -> None:
+        """Let other instances have the shards of an application without slots here.
+
+        The targets owned here may be gone for good, while renewals would keep the shards.
+        """
+        shards = [o for o in self._keeper.owned.values() if o.job.application == application]
+        if self.count_free(application) or any(owned.running for owned in shards):
+            self._fed_at[application] = now
+            return
+        if now - self._fed_at.setdefault(application, now) < STARVED_S:
+            return
+        for owned in shards:
+            owned.leaving = True
 
     def _start_next(self, application: str, now: float) -> bool:
         wall = self._core.clock.wall()
