Poll load reports at two a second, and faster only for new targets

Change: 2 polls/s, 8 while a target has not reported its models, at most 20 times; a waiting count older than 1 s no longer counts.

--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -19,6 +19,7 @@
 from clementinepin.platform import ListedInstance
 from clementinepin.scheduling import CallInfo, CallResult
 from clementinepin.scheduling._decider import Decider
+from clementinepin.scheduling._reports import POLLS_PER_S
 from clementinepin.systems.actions import Grant, Preempt, Refuse, Signal
 from clementinepin.systems.allowance import create_policy
 from clementinepin.systems.demand import DEMAND_TTL_S
@@ -26,7 +27,7 @@
 from clementinepin.targets import LoadReport
 
 TICK_S = 0.05
-POLL_S = 0.5
+REPORT_LAG_S = 0.5
 LOCAL_S = 0.0001
 BATCH_WAITING = 16
 BATCH_PROMPT_TOKENS = 100
@@ -327,11 +328,12 @@
                 len(engine.running), len(engine.waiting), 0.0, ("m",), (), "serve", 0, now
             )
             self._loop.after(
-                POLL_S,
+                REPORT_LAG_S,
                 lambda n=name, r=report: self.decider.tables.targets.update(n, report=r),
             )
         if now == 1_000.0:
             for name in self._fleet.engines:
                 empty = LoadReport(0, 0, 0.0, ("m",), (), "serve", 0, now)
                 self.decider.tables.targets.update(name, report=empty)
-        self._loop.after(POLL_S, self._poll)
+        period_s = len(self._fleet.engines) / POLLS_PER_S
+        self._loop.after(period_s, self._poll)
--- a/clementinepin/scheduling/_reports.py
+++ b/clementinepin/scheduling/_reports.py
@@ -14,8 +14,10 @@
 from clementinepin.targets import CacheEvent, Engine, TargetAddress
 
 LOG_PREFIX = "scheduling:"
-POLLS_PER_S = 16.0
+POLLS_PER_S = 2.0
+POLLS_UNREADY_PER_S = 8.0
 POLL_PERIOD_MIN_S = 0.5
+UNREADY_POLLS_MAX = 20
 POLLS_PARALLEL = 8
 PREFIXES_MAX = 512
 KIND_ENGINE = "engine"
@@ -29,6 +31,7 @@
         self._create_engine = create_engine
         self._engines: dict[TargetAddress, Engine] = {}
         self._sequences: dict[TargetAddress, int] = {}
+        self._unready: dict[TargetAddress, int] = {}
         self._busy: set[TargetAddress] = set()
         self._pool = Pool(POLLS_PARALLEL)
 
@@ -36,13 +39,20 @@
         """Poll forever, in turn and evenly spaced, so that none is left out for the others."""
         while True:
             rows = self._list_followed()
-            pause_s = max(POLL_PERIOD_MIN_S / (len(rows) or 1), 1 / POLLS_PER_S)
+            pause_s = max(POLL_PERIOD_MIN_S / (len(rows) or 1), 1 / self._choose_rate(rows))
             for row in rows:
                 self._spawn(row)
                 gevent.sleep(pause_s)
             if not rows:
                 gevent.sleep(POLL_PERIOD_MIN_S)
 
+    def _choose_rate(self, rows: list[TargetRow]) -> float:
+        """Return polls a second: more while a new target has not reported what it serves."""
+        unready = {row.address for row in rows if row.report is None or not row.report.models}
+        self._unready = {a: self._unready.get(a, 0) + 1 for a in unready}
+        waits = any(polls <= UNREADY_POLLS_MAX for polls in self._unready.values())
+        return POLLS_UNREADY_PER_S if waits else POLLS_PER_S
+
     def stop(self) -> None:
         """End polls that still run."""
         self._pool.kill(block=False)
--- a/clementinepin/systems/routing.py
+++ b/clementinepin/systems/routing.py
@@ -12,6 +12,7 @@
 from clementinepin.tables import CallInfo, TargetRow, View
 
 OTHERS_FRESH_S = 1.0
+REPORT_FRESH_S = 1.0
 OTHERS_HALF_LIFE_S = 0.5
 SLOW_START_S = 10.0
 SLOW_START_SHARE_MIN = 0.2
@@ -121,7 +122,7 @@
     load = online / max(1.0, row.slots_max * compute_ramp(row, now))
     if row.data_centre != view.data_centre:
         load += REMOTE_DATA_CENTRE_SHARE
-    if row.report is not None:
+    if row.report is not None and now - row.report.reported_at <= REPORT_FRESH_S:
         load += row.report.waiting / max(1, row.slots_max)
     if call.prefix_hash and call.prefix_hash in row.cached_prefixes:
         load -= CACHED_BONUS_SHARE
--- a/tests/scheduling/test_reports.py
+++ b/tests/scheduling/test_reports.py
@@ -6,10 +6,17 @@
 
 from clementinepin.scheduling import _reports
 from clementinepin.scheduling._decider import Decider
-from clementinepin.scheduling._reports import POLLS_PARALLEL, ReportPoller
+from clementinepin.scheduling._reports import (
+    POLLS_PARALLEL,
+    POLLS_PER_S,
+    POLLS_UNREADY_PER_S,
+    UNREADY_POLLS_MAX,
+    ReportPoller,
+)
 from clementinepin.systems.allowance import create_policy
 from clementinepin.tables import View
 from clementinepin.targets import LoadReport
+from clementinepin.targets.exceptions import TargetNotReachedError
 from tests.scheduling.fakes import build_configuration, build_target
 
 TARGETS = 2 * POLLS_PARALLEL + 1
@@ -29,6 +36,36 @@
         return []
 
 
+class SilentEngine:
+    def fetch_load(self):
+        raise TargetNotReachedError("t")
+
+
+def count_rates(engine, rounds):
+    view = View("e1", "dc1", "r1", ("e1",), build_configuration())
+    decider = Decider(view, create_policy("adaptive"), 100, random.Random(1))
+    decider.set_targets([build_target("t1")])
+    decider.set_view(view)
+    poller = ReportPoller(decider, lambda address: engine)
+    rates = []
+    for _ in range(rounds):
+        rows = poller._list_followed()
+        rates.append(poller._choose_rate(rows))
+        poller._poll(rows[0])
+    return rates
+
+
+def test_a_target_that_reported_its_models_is_polled_slowly():
+    """Mutation: choose the fast rate in any case."""
+    assert count_rates(SlowEngine("t1", set()), 3) == [POLLS_UNREADY_PER_S, *[POLLS_PER_S] * 2]
+
+
+def test_a_target_that_never_answers_does_not_keep_the_fast_rate():
+    """Mutation: leave UNREADY_POLLS_MAX out."""
+    rates = count_rates(SilentEngine(), UNREADY_POLLS_MAX + 1)
+    assert rates == [*[POLLS_UNREADY_PER_S] * UNREADY_POLLS_MAX, POLLS_PER_S]
+
+
 def test_every_followed_target_is_polled_when_there_are_more_than_polls_in_parallel(monkeypatch):
     """Mutation: poll all rows at once and sleep behind the loop; the last ones are never asked."""
     monkeypatch.setattr(_reports, "POLL_PERIOD_MIN_S", 0.02)
