Look at a lost instance's shards as soon as it is gone

Cause: an instance that had seen a shard held did not look at it again before the lease and 5 s, up to 95 s, although a claim is allowed once the holder is gone from the list.

--- a/clementinepin/batch/_active.py
+++ b/clementinepin/batch/_active.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from clementinepin.batch._codec import PREFIX_ACTIVE
 from clementinepin.helpers.rows import decode_row
@@ -12,7 +12,7 @@
 class ActiveJob:
     """A job that is not ended, with what this instance knows of its shards.
 
-    ``held_until`` and ``claim_at`` are wall-clock seconds.
+    ``held_until`` and ``claim_at`` are wall-clock seconds; ``holders`` names who holds a shard.
     """
 
     def __init__(self, row: JobRow) -> None:
@@ -21,9 +21,25 @@
         self.progress = ProgressRow()
         self.progress_at = 0.0
         self.held_until: dict[int, float] = {}
+        self.holders: dict[int, str] = {}
         self.claim_at = 0.0
         self.check_at = 0.0
 
+    def note_held(self, shard: int, until: float, holder: str) -> None:
+        """Note that another instance holds a shard."""
+        self.held_until[shard] = until
+        self.holders[shard] = holder
+
+    def forget_holders(self, gone: Collection[str]) -> bool:
+        """Look again at what instances that are gone held; tell whether there was any."""
+        shards = [shard for shard, holder in self.holders.items() if holder in gone]
+        for shard in shards:
+            del self.holders[shard]
+            del self.held_until[shard]
+        if shards:
+            self.claim_at = 0.0
+        return bool(shards)
+
     @property
     def cancelling(self) -> bool:
         """Tell whether the job was marked cancelled."""
--- a/clementinepin/batch/_claimer.py
+++ b/clementinepin/batch/_claimer.py
@@ -137,7 +137,8 @@
         if result.stored is None:
             if result.decision.sealed:
                 self._note_missed(job, shard)
-            job.held_until[shard] = max(result.decision.retry_at, now + 1.0)
+            decision = result.decision
+            job.note_held(shard, max(decision.retry_at, now + 1.0), decision.holder)
             return False
         self._take(row, plan, shard, result.stored)
         return True
--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -91,6 +91,7 @@
         claim = StepLoop(self._claim, CLAIM_PERIOD_S, metrics, self._knows_jobs)
         check = StepLoop(self._check_jobs, CHECK_PERIOD_S, metrics, self._knows_jobs)
         self._active.note_added = claim.wake
+        self._wake_claim = claim.wake
         self._loops = (dispatch, keep, claim, check)
         self._dispatcher.note_ended = self._note_ended
         self._dispatcher.note_short = claim.wake
@@ -255,8 +256,15 @@
         return self._live
 
     def _note_instances(self, event: InstancesChanged) -> None:
-        names = {row.name for row in event.rows if row.service == SERVICE_NAME}
-        self._live = frozenset(names) if names else None
+        rows = [row for row in event.rows if row.service == SERVICE_NAME]
+        names = frozenset(row.name for row in rows)
+        gone = (self._live or frozenset()) - names
+        self._live = names or None
+        if not names:
+            return
+        found = [job.forget_holders(gone) for job in self._active.jobs.values()]
+        if any(found):
+            self._wake_claim()
 
     def _note_ended(self, shard_finished: bool) -> None:
         dispatch, keep, *_ = self._loops
--- a/clementinepin/systems/shard_state.py
+++ b/clementinepin/systems/shard_state.py
@@ -23,11 +23,15 @@
 
 
 class ClaimDecision(NamedTuple):
-    """A row to write, or None with the time from which another try makes sense."""
+    """A row to write, or None with the time from which another try makes sense.
+
+    ``holder`` names the instance that holds the shard until then.
+    """
 
     row: ShardRow | None
     sealed: bool = False
     retry_at: float = 0.0
+    holder: str = ""
 
 
 class SwapOutcome(StrEnum):
@@ -59,7 +63,8 @@
     if current.sealed:
         return ClaimDecision(None, sealed=True)
     if not _may_take(current, owner, now, live):
-        return ClaimDecision(None, retry_at=current.lease_until + TAKEOVER_GRACE_S)
+        retry_at = current.lease_until + TAKEOVER_GRACE_S
+        return ClaimDecision(None, retry_at=retry_at, holder=_name_holder(current))
     row = current._replace(
         epoch=current.epoch + 1,
         owner=owner,
@@ -161,7 +166,11 @@
 def _may_take(row: ShardRow, owner: str, now: float, live: Collection[str] | None) -> bool:
     if not row.owner or now > row.lease_until + TAKEOVER_GRACE_S:
         return True
-    holder = row.owner.partition("/")[0]
+    holder = _name_holder(row)
     if holder == owner.partition("/")[0]:
         return True
     return live is not None and holder not in live
+
+
+def _name_holder(row: ShardRow) -> str:
+    return row.owner.partition("/")[0]
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -13,7 +13,9 @@
     JobNotFoundError,
     UnknownModelError,
 )
+from clementinepin.core import InstancesChanged
 from clementinepin.exceptions import Outcome
+from clementinepin.platform import ListedInstance
 from clementinepin.systems.exceptions import NoTargetError
 from standins.key_value import MemoryKeyValueStore
 from tests.batch.fakes import (
@@ -173,3 +175,24 @@
     wait_for(lambda: is_ended(other, job))
     assert [r["custom_id"] for r in read_results(other.batch, job.job_id)] == ["c0", "c1", "c2"]
     other.kill()
+
+
+def build_instance(name):
+    return ListedInstance(name, "clementinepin", "127.0.0.1", 80, 81, "dc1", "r1", "live")
+
+
+def test_shards_of_a_lost_instance_are_looked_at_as_soon_as_it_is_gone(clock, key_value):
+    """No lease has to lapse first. Mutation: let forget_holders find no shard."""
+    lost = Node(clock, key_value, engine=FakeEngine(pause_s=60.0))
+    job = submit(lost, 3)
+    lost.start()
+    wait_for(lambda: lost.batch._keeper.owned)
+    other = Node(clock, key_value, name="i2", seed=2)
+    other.core.publish(InstancesChanged((build_instance("i1"), build_instance("i2"))))
+    other.start()
+    wait_for(lambda: any(held.holders for held in other.batch._active.jobs.values()))
+    lost.kill()
+    other.core.publish(InstancesChanged((build_instance("i2"),)))
+    wait_for(lambda: is_ended(other, job))
+    assert [r["custom_id"] for r in read_results(other.batch, job.job_id)] == ["c0", "c1", "c2"]
+    other.kill()
