--- a/standins/instance_list/_server.py
+++ b/standins/instance_list/_server.py
@@ -8,15 +8,9 @@
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.platform import ListedInstance
-from standins._http import (
-    Environ,
-    StartResponse,
-    answer_empty,
-    answer_json,
-    create_http_server,
-    read_json,
-)
 from standins.instance_list._table import LaggingTable
+from standins.web import Request, Response, create_app
+from standins.web import create_server as create_http_server
 
 LABELS = ("name", "service", "data_centre", "region", "state")
 
@@ -26,24 +20,24 @@
         self._table = table
         self._available = True
 
-    def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
-        request = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
-        if request == ("PUT", "/standin/rows"):
-            self._table.set_rows(_parse_group(group) for group in read_json(environ))
-            return answer_json(start_response, {})
-        if request == ("PUT", "/standin/faults"):
-            return self._set_faults(read_json(environ), start_response)
-        if request != ("GET", "/instances"):
-            return answer_empty(start_response, "404 Not Found")
+    def route(self, request: Request) -> Response:
+        """Answer one request."""
+        resource = (request.method, request.path)
+        if resource == ("PUT", "/standin/rows"):
+            self._table.set_rows(_parse_group(group) for group in request.json())
+            return Response.from_json({})
+        if resource == ("PUT", "/standin/faults"):
+            return self._set_faults(request.json())
+        if resource != ("GET", "/instances"):
+            return Response(404)
         if not self._available:
-            return answer_empty(start_response, "503 Service Unavailable")
-        rows = [_format_row(row) for row in self._table.list_rows()]
-        return answer_json(start_response, rows)
+            return Response(503)
+        return Response.from_json([_format_row(row) for row in self._table.list_rows()])
 
-    def _set_faults(self, faults: dict[str, Any], start_response: StartResponse) -> list[bytes]:
+    def _set_faults(self, faults: dict[str, Any]) -> Response:
         self._table.lag_s = faults.get("lag_s", self._table.lag_s)
         self._available = faults.get("available", self._available)
-        return answer_json(start_response, {})
+        return Response.from_json({})
 
 
 def _parse_group(group: dict[str, Any]) -> ListedInstance:
@@ -65,4 +59,5 @@
 
 def create_server(host: str, port: int, clock: Clock, lag_s: float = 0.0) -> WSGIServer:
     """Return the server, not yet started."""
-    return create_http_server(host, port, _Application(LaggingTable(clock, lag_s)))
+    application = _Application(LaggingTable(clock, lag_s))
+    return create_http_server(port, create_app(application.route), host)
--- a/standins/web.py
+++ b/standins/web.py
@@ -38,9 +38,9 @@
         except OSError:
             return True
 
-    def json(self) -> dict[str, Any]:
+    def json(self) -> Any:
         """Return the decoded body."""
-        return msgspec.json.decode(self.body or b"{}")  # type: ignore[no-any-return]
+        return msgspec.json.decode(self.body or b"{}")
 
 
 class Response(NamedTuple):
--- a/standins/weight_store/_server.py
+++ b/standins/weight_store/_server.py
@@ -7,7 +7,8 @@
 from gevent.pywsgi import WSGIServer
 
 from clementinepin.helpers.clock import Clock
-from standins._http import Environ, StartResponse, answer_empty, create_http_server
+from standins.web import Request, Response, create_app
+from standins.web import create_server as create_http_server
 from standins.weight_store._limit import LoadLimit
 
 
@@ -15,16 +16,17 @@
     def __init__(self, limit: LoadLimit) -> None:
         self._limit = limit
 
-    def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
-        if environ["REQUEST_METHOD"] not in ("HEAD", "GET"):
-            return answer_empty(start_response, "405 Method Not Allowed")
+    def route(self, request: Request) -> Response:
+        """Answer one request."""
+        if request.method not in ("HEAD", "GET"):
+            return Response(405)
         wait_s = self._limit.take()
         if wait_s > 0:
-            headers = [("Retry-After", str(math.ceil(wait_s)))]
-            return answer_empty(start_response, "429 Too Many Requests", headers)
-        return answer_empty(start_response, "200 OK")
+            return Response(429, headers=[("Retry-After", str(math.ceil(wait_s)))])
+        return Response(200)
 
 
 def create_server(host: str, port: int, clock: Clock, loads_per_s: float) -> WSGIServer:
     """Return the server, not yet started."""
-    return create_http_server(host, port, _Application(LoadLimit(clock, loads_per_s)))
+    application = _Application(LoadLimit(clock, loads_per_s))
+    return create_http_server(port, create_app(application.route), host)
