Count the time of ended threads in the control bench

Cause: processor time was the sum over threads alive, so a thread that ended inside a window took its time away: the point of 1,000 accounts read -0.014 of a core, and the fit charged 13,000 accounts with 0.04. Change: the process's own total from the kernel; the relay bench reads by the same two functions, its copies are gone.

--- a/bench/_control/sample.py
+++ b/bench/_control/sample.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import time
 from collections import Counter
 from pathlib import Path
@@ -11,7 +12,9 @@
 import gevent
 from gevent.server import DatagramServer
 
-NS_PER_S: Final = 1e9
+TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
+UTIME_FIELD: Final = 11
+STIME_FIELD: Final = 12
 KIB: Final = 1024
 KEY_VALUE_PREFIX: Final = "clementinepin.platform.key_value.calls."
 
@@ -87,14 +90,9 @@
 
 
 def read_cpu_s(pid: int) -> float:
-    """Return the processor seconds of all threads of a process."""
-    total = 0
-    for task in Path(f"/proc/{pid}/task").iterdir():
-        try:
-            total += int((task / "schedstat").read_text().split()[0])
-        except (FileNotFoundError, ProcessLookupError):
-            continue
-    return total / NS_PER_S
+    """Return the processor seconds of a process, those of its ended threads included."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[UTIME_FIELD]) + int(fields[STIME_FIELD])) / TICKS_PER_S
 
 
 def read_resident_bytes(pid: int) -> int:
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -23,6 +23,7 @@
 from docopt import docopt
 from gevent import socket
 
+from bench._control.sample import read_cpu_s, read_resident_bytes
 from standins.fleet import Fleet, FleetPlan, Member, TargetPlan
 from standins.processes import LOOPBACK, ProcessGroup, wait_until
 
@@ -41,7 +42,7 @@
 WAIT_S: Final = 30.0
 CONNECT_S: Final = 5.0
 SETTLE_S: Final = 5.0
-PAGE_KIB: Final = 1024
+MIB_BYTES: Final = 1_048_576
 
 
 class Lengths(NamedTuple):
@@ -54,8 +55,8 @@
 class Steady(NamedTuple):
     """What open streams cost: resident KiB and shares of a core, without and with them."""
 
-    idle_kib: int
-    open_kib: int
+    idle_bytes: int
+    open_bytes: int
     idle_cpu_share: float
     cpu_share: float
     tokens_per_s: float
@@ -123,8 +124,8 @@
             "ttft_p99_direct_ms": round(pick(direct, 0.99), 2),
             "ttft_requests": len(through),
             "ttft_failed": through.count(math.inf) + direct.count(math.inf),
-            "resident_idle_mib": round(steady.idle_kib / PAGE_KIB, 1),
-            "resident_256_streams_mib": round(steady.open_kib / PAGE_KIB, 1),
+            "resident_idle_mib": round(steady.idle_bytes / MIB_BYTES, 1),
+            "resident_256_streams_mib": round(steady.open_bytes / MIB_BYTES, 1),
             "target_tokens_per_second": TOKENS_TARGET,
             "target_added_ttft_p99_ms": TTFT_TARGET_MS,
         }
@@ -168,7 +169,7 @@
     def _measure_open_streams(self) -> Steady:
         """Measure open streams in which each token comes in a write of its own."""
         pid = self._daemon.process.pid
-        idle_kib = read_resident_kib(pid)
+        idle_bytes = read_resident_bytes(pid)
         idle_share, _ = measure_share(pid, lambda: gevent.sleep(SETTLE_S))
         socks = [
             send(self._daemon.port, "/v1/completions", make_body("slow", 20_000), KEY)
@@ -178,10 +179,10 @@
             if not sock.recv(READ_BYTES).startswith(b"HTTP/1.1 200"):
                 raise StreamsNotOpenError("a stream was refused")
         share, tokens = measure_share(pid, lambda: read_streams(socks, SETTLE_S))
-        open_kib = read_resident_kib(pid)
+        open_bytes = read_resident_bytes(pid)
         for sock in socks:
             sock.close()
-        return Steady(idle_kib, open_kib, idle_share, share, tokens / SETTLE_S)
+        return Steady(idle_bytes, open_bytes, idle_share, share, tokens / SETTLE_S)
 
 
 class StreamsNotOpenError(Exception):
@@ -283,20 +284,6 @@
     return ranked[min(len(ranked) - 1, math.ceil(share * len(ranked)) - 1)]
 
 
-def read_resident_kib(pid: int) -> int:
-    """Return a process's resident memory."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1])
-    return 0
-
-
-def read_cpu_s(pid: int) -> float:
-    """Return a process's user and system time."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / 100
-
-
 def main() -> None:
     """Run the bench and print its figures."""
     args = docopt(__doc__ or "")
--- a/tests/bench/test_control_parts.py
+++ b/tests/bench/test_control_parts.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import os
+import threading
 from collections import Counter
 
 import gevent
@@ -10,7 +11,12 @@
 from bench._control import metered
 from bench._control.dimensions import fit_points
 from bench._control.rig import make_files
-from bench._control.sample import StatsCollector, read_cpu_s, read_resident_bytes
+from bench._control.sample import (
+    TICKS_PER_S,
+    StatsCollector,
+    read_cpu_s,
+    read_resident_bytes,
+)
 from clementinepin.config import load_files
 
 
@@ -70,6 +76,15 @@
     assert read_resident_bytes(os.getpid()) > 1_000_000
 
 
+def test_the_time_of_an_ended_thread_counts() -> None:
+    """Mutation: add up the threads that are still there."""
+    before_s = read_cpu_s(os.getpid())
+    thread = threading.Thread(target=lambda: sum(range(6_000_000)))
+    thread.start()
+    thread.join()
+    assert read_cpu_s(os.getpid()) - before_s >= 1 / TICKS_PER_S
+
+
 def test_each_quantity_gets_a_fit() -> None:
     points = [{"x": 1.0, "a": 2.0, "b": 5.0}, {"x": 3.0, "a": 6.0, "b": 5.0}]
     fits = fit_points(points)
