--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from typing import Any
+from typing import Any, NamedTuple
 
 import gevent
 
@@ -44,6 +44,13 @@
 LISTED_PROGRESS_MAX = 10
 
 
+class _Loops(NamedTuple):
+    dispatch: StepLoop
+    keep: StepLoop
+    claim: StepLoop
+    check: StepLoop
+
+
 class BatchComponent:
     """BatchService and Component of one instance."""
 
@@ -85,22 +92,27 @@
             self._list_live,
         )
         self._follower = RangeFollower(key_value, PREFIX_ACTIVE, self._active, core.random)
-        metrics = core.metrics
-        dispatch = StepLoop(self._dispatcher.step, DISPATCH_PERIOD_S, metrics, self._holds_shards)
-        keep = StepLoop(self._keeper.step, KEEP_PERIOD_S, metrics, self._holds_shards)
-        claim = StepLoop(self._claim, CLAIM_PERIOD_S, metrics, self._knows_jobs)
-        check = StepLoop(self._check_jobs, CHECK_PERIOD_S, metrics, self._knows_jobs)
-        self._active.note_added = claim.wake
-        self._wake_claim = claim.wake
-        self._loops = (dispatch, keep, claim, check)
-        self._dispatcher.note_ended = self._note_ended
-        self._dispatcher.note_short = claim.wake
-        self._claimer.note_claimed = dispatch.wake
+        self._loops = self._create_loops()
         self._live: frozenset[str] | None = None
         self._greenlets: list[gevent.Greenlet] = []
         core.subscribe(InstancesChanged, self._note_instances)
         core.subscribe(DrainStarted, self._note_drain)
 
+    def _create_loops(self) -> _Loops:
+        """Create the loops and connect each to what ends its rest."""
+        metrics = self._core.metrics
+        loops = _Loops(
+            StepLoop(self._dispatcher.step, DISPATCH_PERIOD_S, metrics, self._holds_shards),
+            StepLoop(self._keeper.step, KEEP_PERIOD_S, metrics, self._holds_shards),
+            StepLoop(self._claim, CLAIM_PERIOD_S, metrics, self._knows_jobs),
+            StepLoop(self._check_jobs, CHECK_PERIOD_S, metrics, self._knows_jobs),
+        )
+        self._active.note_added = loops.claim.wake
+        self._dispatcher.note_ended = self._note_ended
+        self._dispatcher.note_short = loops.claim.wake
+        self._claimer.note_claimed = loops.dispatch.wake
+        return loops
+
     def start(self) -> None:
         """Start the loops."""
         self._greenlets = [gevent.spawn(self._follower.run)]
@@ -264,13 +276,12 @@
             return
         found = [job.forget_holders(gone) for job in self._active.jobs.values()]
         if any(found):
-            self._wake_claim()
+            self._loops.claim.wake()
 
     def _note_ended(self, shard_finished: bool) -> None:
-        dispatch, keep, *_ = self._loops
-        dispatch.wake()
+        self._loops.dispatch.wake()
         if shard_finished:
-            keep.wake()
+            self._loops.keep.wake()
 
     def _note_drain(self, event: DrainStarted) -> None:
         self._keeper.leave()
