Give the refusal of a second result a type and a code

Cause: the last guard against a doubled result raised a bare ValueError and had no test. Change: a typed failure and a test. Measured: the tests of shards and batch pass; without the guard the new test fails.

--- a/clementinepin/systems/exceptions.py
+++ b/clementinepin/systems/exceptions.py
@@ -1,8 +1,8 @@
-"""Refusals by the systems. Each holds proof that the request did not run."""
+"""Failures of the systems. A refusal holds proof that the request did not run."""
 
 from __future__ import annotations
 
-from clementinepin.exceptions import NotRunError
+from clementinepin.exceptions import ClementinepinError, NotRunError
 
 
 class AccountLimitedError(NotRunError):
@@ -52,3 +52,9 @@
 
     code = "instance_stopping"
     status = 503
+
+
+class DoubledResultError(ClementinepinError):
+    """A commit would give an item a second result; it is not written."""
+
+    code = "doubled_result"
--- a/clementinepin/systems/shard_state.py
+++ b/clementinepin/systems/shard_state.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from clementinepin.systems.exceptions import DoubledResultError
 from clementinepin.tables import (
     CommitRow,
     ShardRow,
@@ -111,7 +112,7 @@
     ``items`` must have no result yet, or an item would have two.
     """
     if any(has_bit(row.done, item) for item in items):
-        raise ValueError("an item has a committed result already")
+        raise DoubledResultError("an item has a committed result already")
     done = set_bits(row.done, items)
     state = ShardState.COMPLETE if count_bits(done) >= row.items else ShardState.OPEN
     return row._replace(
--- a/tests/systems/test_shard_order.py
+++ b/tests/systems/test_shard_order.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from clementinepin.systems.exceptions import DoubledResultError
 from clementinepin.systems.shard_order import (
     SERVICE_STEP_ITEMS,
     AccountUse,
@@ -16,6 +18,7 @@
     TAKEOVER_GRACE_S,
     UNREACHABLE_MAX_S,
     claim_shard,
+    commit_results,
     is_exhausted,
     may_start,
 )
@@ -92,3 +95,12 @@
     assert not may_start(row, 100.0, None)
     assert may_start(row, 101.0, 100.0)
     assert not may_start(row, 101.0 + UNREACHABLE_MAX_S, 100.0)
+
+
+def test_an_item_never_gets_a_second_result():
+    """Mutation: leave the check of committed items out of commit_results."""
+    row = ShardRow(1, "a/1", 100.0, 4)
+    known = {"failed": 0, "attempts": (), "now": 0.0}
+    row = commit_results(row, segment="s1", items=[1], operation="o1", **known)
+    with pytest.raises(DoubledResultError):
+        commit_results(row, segment="s2", items=[0, 1], operation="o2", **known)
