Wait at a stop until the outcomes of keyed calls are stored

Cause: an outcome that was still being written when an instance stopped was lost, and a resend got outcome_unknown. Change: stop waits for them within its deadline.

--- a/clementinepin/claims/_store.py
+++ b/clementinepin/claims/_store.py
@@ -5,6 +5,7 @@
 from typing import Any, NotRequired, TypedDict
 
 import gevent
+from gevent.pool import Group
 from loguru import logger
 
 from clementinepin.claims._partition import Answer, Partition
@@ -70,6 +71,7 @@
         self._instance = core.settings.instance.name
         self._partitions: dict[int, Partition] = {}
         self._tokens: dict[tuple[str, str], str] = {}
+        self._settling = Group()
         self._lease_id = 0
         self._lease_renew_at = 0.0
         peers.register(METHOD_CLAIM, self._serve_claim)
@@ -79,12 +81,15 @@
         """Start nothing: partitions load on first use."""
 
     def stop(self, deadline: float) -> None:
-        """Hold nothing over a stop: every grant is durable before its answer."""
+        """Wait until the outcomes in hand are stored, so that resends find them."""
+        left_s = max(0.0, deadline - self._clock.monotonic())
+        self._settling.join(timeout=left_s)
 
     def describe_state(self) -> dict[str, Any]:
         """Return row counts of the partitions in memory and the claims in hand."""
         rows = {f"{i:02d}": len(p) for i, p in sorted(self._partitions.items())}
-        return {"partitions": rows, "claims_in_hand": len(self._tokens)}
+        in_hand = len(self._tokens) + len(self._settling)
+        return {"partitions": rows, "claims_in_hand": in_hand}
 
     def claim(self, account: str, key: str, request_digest: str, *, deadline: float) -> Claim:
         """Claim a key or join; see ClaimStore."""
@@ -131,12 +136,12 @@
             outcome.body,
         )
         deadline = self._clock.monotonic() + SETTLE_RETRY_S
-        greenlet = gevent.spawn(self._settle_until, row, deadline)
+        greenlet = self._settling.spawn(self._settle_until, row, deadline)
         greenlet.join(timeout=SETTLE_WAIT_S)
 
     def _free(self, row: ClaimRow) -> None:
         free = row._replace(outcome=str(Outcome.NOT_RUN))
-        gevent.spawn(self._settle_until, free, self._clock.monotonic() + SETTLE_RETRY_S)
+        self._settling.spawn(self._settle_until, free, self._clock.monotonic() + SETTLE_RETRY_S)
 
     def _settle_until(self, row: ClaimRow, deadline: float) -> None:
         wait_until = self._clock.wall() + SETTLE_RETRY_S
--- a/tests/claims/test_store.py
+++ b/tests/claims/test_store.py
@@ -69,6 +69,28 @@
     assert isinstance(error, OutcomeUnknownError)
 
 
+def test_a_stop_waits_for_outcomes_in_hand(make_network):
+    """A resend at another instance finds the outcome of a call that ended at the stop.
+
+    Mutation: return from ``stop`` at once.
+    """
+    network = make_network("a", "b")
+    (held,) = run(network, claim(network, "a"))
+    network.stores["a"].down = network.stores["b"].down = True
+    settling = gevent.spawn(settle(network, "a", held))
+    stopping = gevent.spawn(network.claims["a"].stop, network.clock.now + 30.0)
+
+    def restore():
+        network.time.sleep(3.0)
+        assert not stopping.dead
+        network.stores["a"].down = network.stores["b"].down = False
+
+    network.time.run([gevent.spawn(restore), settling, stopping])
+    network.live.discard("a")
+    (joined,) = run(network, claim(network, "b"))
+    assert joined.stored == ANSWER
+
+
 def test_an_outage_refuses_as_not_run(make_network):
     network = make_network("a")
     network.stores["a"].down = True
