Page through an account's jobs and say when there are more

Cause: a list of jobs said that there was no more in any case, so a client library stopped at the first page. Change: has_more is true behind a full page, and after names the job to go on behind.

--- a/clementinepin/batch/_jobs.py
+++ b/clementinepin/batch/_jobs.py
@@ -68,18 +68,20 @@
             raise JobNotFoundError(job_id, param="batch_id")
         return stored
 
-    def list_account(self, account: str, limit: int) -> list[JobRow]:
-        """Return an account's newest jobs."""
+    def list_account(self, account: str, limit: int, after: str = "") -> list[JobRow]:
+        """Return an account's newest jobs, or the newest of those behind job ``after``."""
+        bound = _rank_by_age(self.load(account, after).row) if after else None
         rows: list[JobRow] = []
-        prefix, after = key_job(account, ""), ""
+        prefix, last_key = key_job(account, ""), ""
         while True:
-            page = self._key_value.list_range(prefix, after=after, limit=PAGE_ROWS)
-            rows.extend(decode_row(stored.value, JobRow) for stored in page)
-            rows.sort(key=lambda row: row.created_at, reverse=True)
+            page = self._key_value.list_range(prefix, after=last_key, limit=PAGE_ROWS)
+            known = [decode_row(stored.value, JobRow) for stored in page]
+            rows.extend(row for row in known if bound is None or _rank_by_age(row) < bound)
+            rows.sort(key=_rank_by_age, reverse=True)
             del rows[limit:]
             if len(page) < PAGE_ROWS:
                 return rows
-            after = page[-1].key
+            last_key = page[-1].key
 
     def mark_cancelled(self, account: str, job_id: str) -> JobRow:
         """Mark a job cancelled durably; a job that ended stays as it is."""
@@ -204,6 +206,10 @@
             return
 
 
+def _rank_by_age(row: JobRow) -> tuple[float, str]:
+    return row.created_at, row.job_id
+
+
 def _check_same(current: JobRow, wanted: JobRow) -> JobRow:
     if current.body_digest != wanted.body_digest:
         raise JobConflictError(
--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -173,13 +173,15 @@
         """Return a job's status; raises JobNotFoundError."""
         return self._describe(self._jobs.load(account, job_id).row)
 
-    def list_jobs(self, account: str | None, *, limit: int = 100) -> list[JobStatus]:
+    def list_jobs(
+        self, account: str | None, *, limit: int = 100, after: str = ""
+    ) -> list[JobStatus]:
         """Return an account's newest jobs, or the active jobs of all accounts as last noted.
 
         The progress of an account's first few unfinished jobs is read, a call each.
         """
         if account is not None:
-            rows = self._jobs.list_account(account, limit)
+            rows = self._jobs.list_account(account, limit, after)
             for row in [row for row in rows if not row.ended][:LISTED_PROGRESS_MAX]:
                 self._active.note(row).progress = self._closer.load_progress(row.job_id)
             return [self._describe_known(row) for row in rows]
--- a/clementinepin/batch/models.py
+++ b/clementinepin/batch/models.py
@@ -61,8 +61,10 @@
     def describe(self, account: str, job_id: str) -> JobStatus:
         """Return a job's status; raises JobNotFoundError."""
 
-    def list_jobs(self, account: str | None, *, limit: int = 100) -> list[JobStatus]:
-        """Return jobs of an account, or of all accounts."""
+    def list_jobs(
+        self, account: str | None, *, limit: int = 100, after: str = ""
+    ) -> list[JobStatus]:
+        """Return an account's jobs, newest first, behind a job; or active ones of all accounts."""
 
     def cancel(self, account: str, job_id: str) -> JobStatus:
         """Mark a job cancelled durably; sealing follows."""
--- a/clementinepin/entry/_batches.py
+++ b/clementinepin/entry/_batches.py
@@ -70,15 +70,17 @@
     def list_jobs(self, request: Request) -> Response:
         """List the account's jobs."""
         limit = _read_limit(request.query)
-        rows = self._context.batch.list_jobs(request.account.name, limit=limit)
-        data = [format_job(row) for row in rows]
+        after = parse_qs(request.query).get("after", [""])[0]
+        account = request.account.name
+        rows = self._context.batch.list_jobs(account, limit=limit + 1, after=after)
+        data = [format_job(row) for row in rows[:limit]]
         return make_json_response(
             {
                 "object": "list",
                 "data": data,
                 "first_id": data[0]["id"] if data else None,
                 "last_id": data[-1]["id"] if data else None,
-                "has_more": False,
+                "has_more": len(rows) > limit,
             }
         )
 
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -65,6 +65,22 @@
     assert node.engine.runs.total() == 40
 
 
+def test_jobs_are_listed_newest_first_and_page_by_page(node, clock):
+    """Mutation: leave ``bound`` out of list_account; each page then starts anew."""
+    ids = []
+    for number in range(5):
+        clock.advance(float(number % 2))
+        ids.append(submit(node, 1, key=f"k{number}").job_id)
+    pages, after = [], ""
+    for _ in range(3):
+        page = [row.job_id for row in node.batch.list_jobs(ACCOUNT, limit=2, after=after)]
+        pages.append(page)
+        after = page[-1]
+    assert [len(page) for page in pages] == [2, 2, 1]
+    assert sorted(job for page in pages for job in page) == sorted(ids)
+    assert pages[0][0] in ids[3:]
+
+
 def test_resend_returns_the_same_job_and_other_body_conflicts(node):
     first = submit(node, 3)
     assert submit(node, 3).job_id == first.job_id
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -199,8 +199,11 @@
     def describe(self, account, job_id):
         return self._find(self.jobs, account, job_id)[0]
 
-    def list_jobs(self, account, *, limit=100):
-        return [s for s, _ in self.jobs.values() if account in (None, s.account)][:limit]
+    def list_jobs(self, account, *, limit=100, after=""):
+        rows = [s for s, _ in self.jobs.values() if account in (None, s.account)][::-1]
+        ids = [row.job_id for row in rows]
+        start = ids.index(after) + 1 if after else 0
+        return rows[start : start + limit]
 
     def cancel(self, account, job_id):
         status, key = self._find(self.jobs, account, job_id)
--- a/tests/entry/test_resources.py
+++ b/tests/entry/test_resources.py
@@ -83,6 +83,18 @@
     assert cancelled.json["status"] == "cancelling"
 
 
+def test_a_long_list_of_jobs_says_that_there_is_more(serve):
+    """Mutation: answer ``has_more`` False in any case."""
+    entry = serve()
+    upload(entry)
+    for week in range(3):
+        entry.call("POST", "/v1/batches", BATCH, headers={"Idempotency-Key": f"week {week}"})
+    first = entry.call("GET", "/v1/batches?limit=2").json
+    rest = entry.call("GET", f"/v1/batches?limit=2&after={first['last_id']}").json
+    assert [first["has_more"], rest["has_more"]] == [True, False]
+    assert len({row["id"] for row in first["data"] + rest["data"]}) == 3
+
+
 def test_a_key_tells_two_jobs_over_one_file_apart(serve):
     entry = serve()
     upload(entry)
