Never tell a resend that saw its call running that nothing ran

Cause: a resend that waited for a running call was refused as claim_unavailable (not run) when the last question to the partition's owner got no answer, as only that answer was judged. Change: once the call was seen running, a resend that can't learn its end gets outcome_unknown.

--- a/clementinepin/claims/_store.py
+++ b/clementinepin/claims/_store.py
@@ -185,14 +185,17 @@
     ) -> dict[str, Any]:
         # The token stays the same over all tries, so a grant whose reply was lost is found again.
         message = {**row._asdict(), "wait_until": wait_until}
-        reply = None
+        running = False
         while self._clock.monotonic() < deadline:
             reply = self._ask(method, message, deadline)
-            if reply is not None and reply["decision"] != Decision.RUNNING:
-                return reply
             if reply is None:
                 gevent.sleep(ASK_RETRY_S * (0.5 + self._core.random.random()))
-        if method == METHOD_CLAIM and reply_is_running(reply):
+                continue
+            if reply["decision"] != Decision.RUNNING:
+                return reply
+            running = True
+        if running:
+            # Also when the last answer is missing: nobody may read this as "never run".
             raise OutcomeUnknownError("A former run of this key has not ended.")
         raise ClaimUnavailableError("No claim could be made durable in time.")
 
@@ -245,11 +248,6 @@
         return f"{self._core.random.getrandbits(128):032x}"
 
 
-def reply_is_running(reply: dict[str, Any] | None) -> bool:
-    """Tell whether a reply says that another run of the key goes on."""
-    return reply is not None and reply["decision"] == Decision.RUNNING
-
-
 def read_row(message: dict[str, Any]) -> ClaimRow:
     """Return the row in a peer's message; unknown fields are left out."""
     return ClaimRow(**{k: v for k, v in message.items() if k in ClaimRow._fields})
--- a/tests/claims/test_store.py
+++ b/tests/claims/test_store.py
@@ -91,6 +91,22 @@
     assert joined.stored == ANSWER
 
 
+def test_a_resend_that_saw_the_call_run_is_never_told_not_run(make_network):
+    """The service going away while a resend waits leaves the outcome unknown.
+
+    Mutation: judge by the last answer alone.
+    """
+    network = make_network("a", "b")
+    run(network, claim(network, "a"))
+
+    def fail():
+        network.time.sleep(3.0)
+        network.stores["a"].down = network.stores["b"].down = True
+
+    error, _ = run(network, claim(network, "b", wait_s=8.0), fail)
+    assert isinstance(error, OutcomeUnknownError)
+
+
 def test_an_outage_refuses_as_not_run(make_network):
     network = make_network("a")
     network.stores["a"].down = True
