--- a/bench/_control/sample.py
+++ b/bench/_control/sample.py
@@ -16,7 +16,7 @@
 UTIME_FIELD: Final = 11
 STIME_FIELD: Final = 12
 KIB: Final = 1024
-KEY_VALUE_PREFIX: Final = "clementinepin.platform.key_value.calls."
+KEY_VALUE_PREFIX: Final = "clementinepin.infrastructure.key_value.calls."
 
 
 class Reading(NamedTuple):
--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -16,7 +16,7 @@
     ServiceSpec,
 )
 from clementinepin.exceptions import NotRunError
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.scheduling import CallInfo, CallResult
 from clementinepin.scheduling._decider import Decider
 from clementinepin.scheduling._reports import POLLS_PER_S
--- a/bench/_membership_network.py
+++ b/bench/_membership_network.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.systems import membership
 from clementinepin.tables.membership import MemberState
 
--- a/bench/decide.py
+++ b/bench/decide.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from bench._fleet import LAKAZ, build_configuration
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.scheduling import CallInfo, CallResult
 from clementinepin.scheduling._decider import Decider
 from clementinepin.systems.actions import Grant
--- a/clementinepin/batch/_closer.py
+++ b/clementinepin/batch/_closer.py
@@ -12,8 +12,8 @@
 from clementinepin.batch._shards import ShardLostError, ShardStore, create_operation
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.rows import decode_row, encode_row
-from clementinepin.platform import KeyValueStore
-from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
+from clementinepin.infrastructure import KeyValueStore
+from clementinepin.infrastructure.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.systems.shard_state import seal_cancelled
 from clementinepin.tables import (
     JobRow,
--- a/clementinepin/batch/_jobs.py
+++ b/clementinepin/batch/_jobs.py
@@ -8,8 +8,8 @@
 from clementinepin.batch.exceptions import InvalidBatchError, JobConflictError, JobNotFoundError
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rows import decode_row, encode_row
-from clementinepin.platform import KeyValueStore
-from clementinepin.platform.exceptions import (
+from clementinepin.infrastructure import KeyValueStore
+from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
     ReplyLostError,
     VersionConflictError,
--- a/clementinepin/batch/_retention.py
+++ b/clementinepin/batch/_retention.py
@@ -11,8 +11,8 @@
 from clementinepin.const import PREFIX_FILES, PREFIX_JOBS
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rows import decode_row
-from clementinepin.platform import KeyValue, KeyValueStore
-from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
+from clementinepin.infrastructure import KeyValue, KeyValueStore
+from clementinepin.infrastructure.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.tables import FileRecord, JobRow
 
 PAGE_ROWS = 100
--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -25,7 +25,7 @@
 from clementinepin.batch.models import FileRow, JobStatus
 from clementinepin.core import Core, DrainStarted, InstancesChanged
 from clementinepin.helpers.rendezvous import choose_owner
-from clementinepin.platform import KeyValueStore, RangeFollower
+from clementinepin.infrastructure import KeyValueStore, RangeFollower
 from clementinepin.scheduling import Scheduler
 from clementinepin.storage import SegmentStore
 from clementinepin.tables import JobRow, ProgressRow, count_bits
--- a/clementinepin/batch/_shards.py
+++ b/clementinepin/batch/_shards.py
@@ -9,8 +9,8 @@
 from clementinepin.batch._codec import key_shard, prefix_shards
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.rows import decode_row, encode_row
-from clementinepin.platform import KeyValueStore
-from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
+from clementinepin.infrastructure import KeyValueStore
+from clementinepin.infrastructure.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.systems.shard_state import ClaimDecision, SwapOutcome, claim_shard, judge_swap
 from clementinepin.tables import ShardRow
 
--- a/clementinepin/batch/_uploads.py
+++ b/clementinepin/batch/_uploads.py
@@ -20,7 +20,7 @@
 from clementinepin.batch.models import FileRow
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rows import decode_row, encode_row
-from clementinepin.platform import KeyValueStore
+from clementinepin.infrastructure import KeyValueStore
 from clementinepin.storage import SegmentStore
 from clementinepin.tables import FileRecord, PlanRow, ShardInput
 
--- a/clementinepin/claims/_partition.py
+++ b/clementinepin/claims/_partition.py
@@ -36,8 +36,8 @@
 from clementinepin.claims.exceptions import ClaimUnavailableError
 from clementinepin.const import PREFIX_CLAIMS
 from clementinepin.helpers.clock import Clock
-from clementinepin.platform import KeyValueStore
-from clementinepin.platform.exceptions import (
+from clementinepin.infrastructure import KeyValueStore
+from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
     ReplyLostError,
     VersionConflictError,
--- a/clementinepin/claims/_store.py
+++ b/clementinepin/claims/_store.py
@@ -36,10 +36,10 @@
 from clementinepin.core import Core
 from clementinepin.exceptions import ClementinepinError, Outcome, OutcomeUnknownError
 from clementinepin.helpers.rendezvous import choose_owner
+from clementinepin.infrastructure import KeyValueStore
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from clementinepin.peers import PeerNetwork
 from clementinepin.peers.exceptions import PeerUnavailableError
-from clementinepin.platform import KeyValueStore
-from clementinepin.platform.exceptions import PlatformUnavailableError
 
 
 class RowMessage(TypedDict):
--- a/clementinepin/core.py
+++ b/clementinepin/core.py
@@ -14,7 +14,7 @@
     from clementinepin.config import Configuration, Settings
     from clementinepin.helpers.clock import Clock
     from clementinepin.helpers.metrics import Metrics
-    from clementinepin.platform import ListedInstance
+    from clementinepin.infrastructure import ListedInstance
 
 LOG_PREFIX = "core:"
 E = TypeVar("E")
--- a/clementinepin/daemon.py
+++ b/clementinepin/daemon.py
@@ -26,12 +26,12 @@
 from clementinepin.helpers.logs import configure_logs
 from clementinepin.helpers.loop import check_loop_backend
 from clementinepin.helpers.metrics import create_metrics
-from clementinepin.peers import create_peer_network
-from clementinepin.platform import (
+from clementinepin.infrastructure import (
     create_instance_list,
     create_key_value_store,
     create_weight_store,
 )
+from clementinepin.peers import create_peer_network
 from clementinepin.scheduling import create_scheduler
 from clementinepin.storage import create_segment_store
 from clementinepin.targets import create_engine
--- a/clementinepin/entry/_catalogue.py
+++ b/clementinepin/entry/_catalogue.py
@@ -8,7 +8,7 @@
 from clementinepin.entry._calls import find_application
 from clementinepin.entry._context import EntryContext
 from clementinepin.entry._http import Request, Response, make_json_response
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 
 
 class Catalogue:
--- a/clementinepin/fleet/_collector.py
+++ b/clementinepin/fleet/_collector.py
@@ -10,13 +10,13 @@
 from clementinepin.fleet._messages import decode_manifest
 from clementinepin.fleet._revisions import PAGE_ROWS, PREFIX_PARTS, PREFIX_REVISIONS
 from clementinepin.helpers.rendezvous import choose_owner
-from clementinepin.peers import PeerNetwork
-from clementinepin.platform import KeyValue, KeyValueStore
-from clementinepin.platform.exceptions import (
+from clementinepin.infrastructure import KeyValue, KeyValueStore
+from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
     ReplyLostError,
     VersionConflictError,
 )
+from clementinepin.peers import PeerNetwork
 from clementinepin.systems import retention
 from clementinepin.systems.retention import SeenPart, StoredRevision
 
--- a/clementinepin/fleet/_configuration.py
+++ b/clementinepin/fleet/_configuration.py
@@ -26,9 +26,9 @@
 from clementinepin.fleet._revisions import RETRY_S, RevisionStore, create_conflict
 from clementinepin.fleet.exceptions import ConfigurationUnavailableError
 from clementinepin.fleet.models import ApplyResult
+from clementinepin.infrastructure import KeyValueStore
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError, ReplyLostError
 from clementinepin.peers import PeerNetwork, PeerUnavailableError
-from clementinepin.platform import KeyValueStore
-from clementinepin.platform.exceptions import PlatformUnavailableError, ReplyLostError
 from clementinepin.systems.watchers import is_watcher
 
 if TYPE_CHECKING:
--- a/clementinepin/fleet/_fleet.py
+++ b/clementinepin/fleet/_fleet.py
@@ -15,8 +15,8 @@
 from clementinepin.fleet._instances import InstanceService
 from clementinepin.fleet._stewards import STEWARD_PERIOD_S, EngineFactory, StewardService
 from clementinepin.fleet.models import ApplyResult, EntryAdvice, Fleet
+from clementinepin.infrastructure import InstanceList, KeyValueStore, ListedInstance, WeightStore
 from clementinepin.peers import PeerNetwork
-from clementinepin.platform import InstanceList, KeyValueStore, ListedInstance, WeightStore
 from clementinepin.systems.advice import choose_entries
 from clementinepin.systems.drain import DrainPlan, limit_advice, plan_drain
 
--- a/clementinepin/fleet/_instances.py
+++ b/clementinepin/fleet/_instances.py
@@ -12,9 +12,9 @@
 from clementinepin.const import InstanceState
 from clementinepin.core import InstancesChanged
 from clementinepin.fleet import _messages as messages
+from clementinepin.infrastructure import InstanceList, ListedInstance
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from clementinepin.peers import PeerNetwork
-from clementinepin.platform import InstanceList, ListedInstance
-from clementinepin.platform.exceptions import PlatformUnavailableError
 from clementinepin.systems import instances
 from clementinepin.tables.instances import InstanceTable, ObservedRow
 
--- a/clementinepin/fleet/_leases.py
+++ b/clementinepin/fleet/_leases.py
@@ -6,8 +6,8 @@
 
 from clementinepin.const import PREFIX_LEASES
 from clementinepin.helpers.clock import Clock
-from clementinepin.platform import KeyValueStore, LeaseGrant
-from clementinepin.platform.exceptions import (
+from clementinepin.infrastructure import KeyValueStore, LeaseGrant
+from clementinepin.infrastructure.exceptions import (
     LeaseLostError,
     PlatformUnavailableError,
     ReplyLostError,
--- a/clementinepin/fleet/_revisions.py
+++ b/clementinepin/fleet/_revisions.py
@@ -18,8 +18,8 @@
     ConfigurationUnknownError,
 )
 from clementinepin.helpers.clock import Clock
-from clementinepin.platform import KeyValueStore
-from clementinepin.platform.exceptions import (
+from clementinepin.infrastructure import KeyValueStore
+from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
     ReplyLostError,
     VersionConflictError,
--- a/clementinepin/fleet/_stewards.py
+++ b/clementinepin/fleet/_stewards.py
@@ -15,9 +15,9 @@
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.fleet._leases import UNREACHED, LeaseKeeper
 from clementinepin.helpers.rendezvous import rank_owners
+from clementinepin.infrastructure import KeyValueStore, ListedInstance, WeightStore
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from clementinepin.peers import PeerNetwork
-from clementinepin.platform import KeyValueStore, ListedInstance, WeightStore
-from clementinepin.platform.exceptions import PlatformUnavailableError
 from clementinepin.systems import stewardship
 from clementinepin.tables.stewardship import (
     OrderKind,
--- a/clementinepin/fleet/models.py
+++ b/clementinepin/fleet/models.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 
 
 class ApplyResult(NamedTuple):
--- a/clementinepin/helpers/logs.py
+++ b/clementinepin/helpers/logs.py
@@ -1,9 +1,10 @@
-"""Set up of structured logs: text lines or JSON lines on standard error."""
+"""Set up of structured logs: lines on standard error, or events on standard output."""
 
 from __future__ import annotations
 
+import os
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 from loguru import logger
@@ -11,6 +12,8 @@
 if TYPE_CHECKING:
     from loguru import Message, Record
 
+LINES_PER_S: Final = 300.0  # several lines a request at the busiest entry instance
+LINES_BURST: Final = 600.0  # a start or a change of the whole fleet in one go
 TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} {level: <7} {extra[instance]} {message}"
 
 
@@ -41,3 +44,51 @@
         "error": repr(exception.value) if exception else None,
     }
     return msgspec.json.encode(line) + b"\n"
+
+
+class EventLines:
+    """Writes events as JSON lines to a descriptor; bounded and never blocking.
+
+    Above ``LINES_PER_S`` lines are dropped and counted; the count leaves with a later line.
+    """
+
+    def __init__(self, instance: str, descriptor: int) -> None:
+        self._instance = instance
+        self._descriptor = descriptor
+        self._tokens = LINES_BURST
+        self._updated_at = 0.0
+        self._dropped = 0
+
+    def write(self, message: Message) -> None:
+        """Write one record of loguru."""
+        record = message.record
+        now = record["time"].timestamp()
+        self._tokens = min(LINES_BURST, self._tokens + (now - self._updated_at) * LINES_PER_S)
+        self._updated_at = now
+        if self._tokens < 1.0:
+            self._dropped += 1
+            return
+        self._tokens -= 1.0
+        line = {
+            "time": round(now, 4),
+            "level": record["level"].name,
+            "instance": self._instance,
+            "event": record["message"],
+            **record["extra"],
+        }
+        if record["exception"] is not None:
+            line["error"] = repr(record["exception"].value)
+        if self._dropped:
+            line["dropped"] = self._dropped
+        try:
+            os.write(self._descriptor, msgspec.json.encode(line, enc_hook=str) + b"\n")
+            self._dropped = 0
+        except BlockingIOError:
+            self._dropped += 1
+
+
+def configure_event_logs(instance: str, level: str = "INFO") -> None:
+    """Send events as JSON lines to standard output."""
+    logger.remove()
+    os.set_blocking(sys.stdout.fileno(), False)
+    logger.add(EventLines(instance, sys.stdout.fileno()).write, level=level)
--- /dev/null
+++ b/clementinepin/infrastructure/__init__.py
@@ -0,0 +1,32 @@
+"""Clients of the platform's services."""
+
+from __future__ import annotations
+
+from clementinepin.infrastructure._follower import RangeFollower, RangeListener
+from clementinepin.infrastructure._instance_list import create_instance_list
+from clementinepin.infrastructure._key_value import create_key_value_store
+from clementinepin.infrastructure._weight_store import create_weight_store
+from clementinepin.infrastructure.models import (
+    InstanceList,
+    KeyValue,
+    KeyValueStore,
+    LeaseGrant,
+    ListedInstance,
+    WatchEvent,
+    WeightStore,
+)
+
+__all__ = [
+    "InstanceList",
+    "KeyValue",
+    "KeyValueStore",
+    "LeaseGrant",
+    "ListedInstance",
+    "RangeFollower",
+    "RangeListener",
+    "WatchEvent",
+    "WeightStore",
+    "create_instance_list",
+    "create_key_value_store",
+    "create_weight_store",
+]
--- a/clementinepin/platform/_follower.py
+++ b/clementinepin/infrastructure/_follower.py
@@ -9,9 +9,9 @@
 from loguru import logger
 
 from clementinepin.exceptions import ClementinepinError
-from clementinepin.platform._backoff import choose_backoff
-from clementinepin.platform.exceptions import WatchCompactedError
-from clementinepin.platform.models import KeyValueStore
+from clementinepin.infrastructure._backoff import choose_backoff
+from clementinepin.infrastructure.exceptions import WatchCompactedError
+from clementinepin.infrastructure.models import KeyValueStore
 
 LOG_PREFIX = "platform:"
 PAGE_ROWS = 1000
--- a/clementinepin/platform/_http.py
+++ b/clementinepin/infrastructure/_http.py
@@ -8,7 +8,7 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
-from clementinepin.platform.exceptions import PlatformUnavailableError
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 3.0
--- a/clementinepin/platform/_instance_list.py
+++ b/clementinepin/infrastructure/_instance_list.py
@@ -10,9 +10,9 @@
 from clementinepin.config import Settings
 from clementinepin.const import InstanceState
 from clementinepin.helpers.clock import Clock
-from clementinepin.platform._http import create_http_reader, fetch_answer
-from clementinepin.platform.exceptions import PlatformUnavailableError
-from clementinepin.platform.models import InstanceList, ListedInstance
+from clementinepin.infrastructure._http import create_http_reader, fetch_answer
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
+from clementinepin.infrastructure.models import InstanceList, ListedInstance
 
 LOG_PREFIX = "instance list:"
 PATH = "/instances"
--- a/clementinepin/platform/_key_value.py
+++ b/clementinepin/infrastructure/_key_value.py
@@ -20,19 +20,19 @@
 from clementinepin.exceptions import InvalidInputError
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.metrics import Metrics
-from clementinepin.platform import _messages as messages
-from clementinepin.platform._backoff import choose_backoff
-from clementinepin.platform._breaker import CircuitBreaker
-from clementinepin.platform._budget import TokenBucket
-from clementinepin.platform._transport import Transport
-from clementinepin.platform.exceptions import (
+from clementinepin.infrastructure import _messages as messages
+from clementinepin.infrastructure._backoff import choose_backoff
+from clementinepin.infrastructure._breaker import CircuitBreaker
+from clementinepin.infrastructure._budget import TokenBucket
+from clementinepin.infrastructure._transport import Transport
+from clementinepin.infrastructure.exceptions import (
     LeaseLostError,
     PlatformUnavailableError,
     ReplyLostError,
     VersionConflictError,
     WatchCompactedError,
 )
-from clementinepin.platform.models import KeyValue, KeyValueStore, LeaseGrant, WatchEvent
+from clementinepin.infrastructure.models import KeyValue, KeyValueStore, LeaseGrant, WatchEvent
 
 if TYPE_CHECKING:
     from clementinepin.config import Settings
--- a/clementinepin/platform/_messages.py
+++ b/clementinepin/infrastructure/_messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from clementinepin.platform.models import KeyValue
+from clementinepin.infrastructure.models import KeyValue
 
 OPERATION_ID_BYTES = 8
 
--- a/clementinepin/platform/_transport.py
+++ b/clementinepin/infrastructure/_transport.py
@@ -10,7 +10,7 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 
-from clementinepin.platform.exceptions import (
+from clementinepin.infrastructure.exceptions import (
     LeaseLostError,
     PlatformUnavailableError,
     ReplyLostError,
--- a/clementinepin/platform/_weight_store.py
+++ b/clementinepin/infrastructure/_weight_store.py
@@ -4,9 +4,9 @@
 
 from clementinepin.config import Settings
 from clementinepin.helpers.clock import Clock
-from clementinepin.platform._http import create_http_reader, fetch_answer
-from clementinepin.platform.exceptions import PlatformUnavailableError
-from clementinepin.platform.models import WeightStore
+from clementinepin.infrastructure._http import create_http_reader, fetch_answer
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
+from clementinepin.infrastructure.models import WeightStore
 
 STATUS_OK = 200
 STATUS_TOO_MANY_REQUESTS = 429
--- a/clementinepin/peers/_membership.py
+++ b/clementinepin/peers/_membership.py
@@ -9,10 +9,10 @@
 
 from clementinepin.core import InstancesChanged
 from clementinepin.exceptions import ClementinepinError
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.peers import _messages as messages
 from clementinepin.peers.exceptions import PeerUnavailableError
 from clementinepin.peers.models import PeerNetwork, Provider, Receiver
-from clementinepin.platform import ListedInstance
 from clementinepin.systems import membership
 from clementinepin.tables.membership import MembershipTable, MemberState
 
--- a/clementinepin/peers/_messages.py
+++ b/clementinepin/peers/_messages.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from clementinepin.const import InstanceState
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.peers.exceptions import PeerMessageInvalidError
-from clementinepin.platform import ListedInstance
 from clementinepin.systems.membership import Exchange
 from clementinepin.tables.membership import MemberRow, MemberState
 
--- a/clementinepin/peers/_network.py
+++ b/clementinepin/peers/_network.py
@@ -10,6 +10,7 @@
 
 from clementinepin.core import spawn_loop
 from clementinepin.exceptions import ClementinepinError
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.peers import _messages as messages
 from clementinepin.peers import _security as security
 from clementinepin.peers._bridge import AsyncBridge
@@ -22,7 +23,6 @@
     PeerUnavailableError,
 )
 from clementinepin.peers.models import Handler, PeerNetwork, Provider, Receiver
-from clementinepin.platform import ListedInstance
 from clementinepin.systems import membership
 
 if TYPE_CHECKING:
--- a/clementinepin/peers/models.py
+++ b/clementinepin/peers/models.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 
 Handler = Callable[[str, dict[str, Any]], Mapping[str, Any]]
 Provider = Callable[[], Mapping[str, Any]]
--- a/clementinepin/platform/__init__.py
+++ b/clementinepin/platform/__init__.py
@@ -1,32 +1,15 @@
-"""Clients of the platform's services."""
+"""Adapter to the users' platform: its names, formats and calls, and nothing that decides."""
 
 from __future__ import annotations
 
-from clementinepin.platform._follower import RangeFollower, RangeListener
-from clementinepin.platform._instance_list import create_instance_list
-from clementinepin.platform._key_value import create_key_value_store
-from clementinepin.platform._weight_store import create_weight_store
-from clementinepin.platform.models import (
-    InstanceList,
-    KeyValue,
-    KeyValueStore,
-    LeaseGrant,
-    ListedInstance,
-    WatchEvent,
-    WeightStore,
-)
+from clementinepin.platform._settings import SETTINGS_VARIABLE, load_instance_settings
+from clementinepin.platform._store import create_store
+from clementinepin.platform._wire import PlatformWire, create_wire
 
 __all__ = [
-    "InstanceList",
-    "KeyValue",
-    "KeyValueStore",
-    "LeaseGrant",
-    "ListedInstance",
-    "RangeFollower",
-    "RangeListener",
-    "WatchEvent",
-    "WeightStore",
-    "create_instance_list",
-    "create_key_value_store",
-    "create_weight_store",
+    "SETTINGS_VARIABLE",
+    "PlatformWire",
+    "create_store",
+    "create_wire",
+    "load_instance_settings",
 ]
--- /dev/null
+++ b/clementinepin/platform/_settings.py
@@ -0,0 +1,100 @@
+"""The platform's settings file of one process."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+
+from clementinepin.serving.exceptions import SettingsError
+from clementinepin.serving.models import InstanceSettings
+
+SETTINGS_VARIABLE: Final = "CLEMENTINEPIN_BOOT"
+ROLE_STORE: Final = "store"
+RESERVED_DESCRIPTORS: Final = 200  # the platform keeps these for files
+
+
+class _Listen(msgspec.Struct):
+    """Addresses by purpose; a purpose that the role does not serve is absent."""
+
+    front: str = ""
+    ready: str = ""
+    directory: str = ""
+
+
+class _Limits(msgspec.Struct):
+    max_fds: int = 1024
+
+
+class _Bounds(msgspec.Struct):
+    grace_period_s: float = 8.0
+    ttl_max_s: float = 5.0
+    settle_timeout_ms: float = 1000.0
+    status_retention_s: float = 120.0
+
+
+class _Platform(msgspec.Struct):
+    address: str
+
+
+class _File(msgspec.Struct):
+    """``node`` is the instance, ``zone`` its data centre."""
+
+    node: str
+    ip: str
+    zone: str
+    platform: _Platform
+    internal_ports: list[int]
+    region: str = ""
+    serves: list[str] = []
+    listen: _Listen = msgspec.field(default_factory=_Listen)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def load_instance_settings(path: str) -> InstanceSettings:
+    """Read the settings file; raises SettingsError that names the field at fault."""
+    try:
+        raw: dict[str, Any] = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        file = msgspec.convert(raw, _File, strict=False)
+    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as err:
+        raise SettingsError(f"settings file {path!r}: {err}") from err
+    if not file.internal_ports:
+        raise SettingsError(f"settings file {path!r}: internal_ports is empty")
+    runs_jobs = ROLE_STORE in file.serves
+    # Two roles of one machine share its ports: each takes the port of its position.
+    return InstanceSettings(
+        name=file.node,
+        runs_jobs=runs_jobs,
+        host=file.ip,
+        data_centre=file.zone,
+        region=file.region,
+        link_port=file.internal_ports[0],
+        entry_address=_split_address(file.listen.front),
+        ready_address=_split_address(file.listen.ready),
+        directory_address=_split_address(file.listen.directory),
+        store_address=_require_address(file.platform.address, "platform.address"),
+        grace_s=file.bounds.grace_period_s,
+        directory_ttl_max_s=file.bounds.ttl_max_s,
+        settle_s=file.bounds.settle_timeout_ms / 1000,
+        status_retention_s=file.bounds.status_retention_s,
+        connections_max=max(64, file.limits.max_fds - RESERVED_DESCRIPTORS),
+    )
+
+
+def _split_address(text: str) -> tuple[str, int] | None:
+    if not text:
+        return None
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise SettingsError(f"{text!r} is not an address")
+    return host, int(port)
+
+
+def _require_address(text: str, field: str) -> tuple[str, int]:
+    address = _split_address(text)
+    if address is None:
+        raise SettingsError(f"{field} is empty")
+    return address
--- /dev/null
+++ b/clementinepin/platform/_store.py
@@ -0,0 +1,199 @@
+"""Client of the platform's store: ranges, watches, conditional writes and leases."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any, Final
+from urllib.parse import quote
+
+import msgspec
+
+from clementinepin.helpers.clock import Clock
+from clementinepin.infrastructure import KeyValue, LeaseGrant, WatchEvent
+from clementinepin.infrastructure.exceptions import (
+    LeaseLostError,
+    PlatformUnavailableError,
+    ReplyLostError,
+    VersionConflictError,
+    WatchCompactedError,
+)
+from clementinepin.serving.store import Change, Page
+from clementinepin.targets import HttpRequest, TargetAddress, Transport
+from clementinepin.targets.exceptions import TargetLostError, TargetNotReachedError
+
+CALL_TIMEOUT_S: Final = 1.5  # the store answers in milliseconds; an outage must be noticed soon
+WATCH_WAIT_MS: Final = 25_000  # within the platform's bound of 30 s; each wait costs one call
+WATCH_MARGIN_S: Final = 2.0
+ANSWER_MAX_BYTES: Final = 64_000_000  # pages are bounded by the store at about 1 MB
+JSON_HEADERS: Final = (("Content-Type", "application/json"),)
+
+
+class _Row(msgspec.Struct):
+    """A stored item, or a removal in a watch. ``rev`` is the version of its last change."""
+
+    key: str
+    value: str = ""
+    rev: int = 0
+    created_at: int = 0
+    tombstone: bool = False
+
+
+class _Page(msgspec.Struct):
+    items: list[_Row] = []
+    truncated: bool = False
+    store_revision: int = 0
+
+
+class _Events(msgspec.Struct):
+    events: list[_Row] = []
+    store_revision: int = 0
+
+
+class _Written(msgspec.Struct):
+    rev: int = 0
+
+
+class _Lost(msgspec.Struct):
+    items: list[_Row] = []
+
+
+class _Lease(msgspec.Struct):
+    lease: int = 0
+    ttl_ms: int = 0
+
+
+class _Store:
+    """The StateStore over HTTP. Nothing is sent a second time here."""
+
+    def __init__(self, address: tuple[str, int], clock: Clock) -> None:
+        self._clock = clock
+        self._transport = Transport(TargetAddress("store", *address), clock)
+        self.calls = 0
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return the current value of a key, or None."""
+        status, body = self._call("GET", f"/v1/kv-key?key={quote(key, safe='')}")
+        if status == 404:
+            return None
+        return _make_value(self._decode(status, body, _Row))
+
+    def list_range(self, prefix: str, *, stale: bool = False) -> Page:
+        """Return all values under a prefix and the version from which to watch."""
+        rows: list[KeyValue] = []
+        after, version = "", -1
+        while True:
+            page = self._fetch_page(prefix, after, stale)
+            rows.extend(_make_value(row) for row in page.items)
+            version = page.store_revision if version < 0 else version
+            if not page.truncated or not page.items:
+                return Page(rows, version)
+            after = page.items[-1].key
+
+    def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
+        """Wait for changes behind a version; raises WatchCompactedError when history is gone."""
+        path = f"/v1/kv-watch?path_prefix={quote(prefix, safe='')}&after={after}"
+        path += f"&max_wait_ms={WATCH_WAIT_MS}"
+        status, body = self._call("GET", path, WATCH_WAIT_MS / 1000 + WATCH_MARGIN_S)
+        if status == 410:
+            raise WatchCompactedError(prefix)
+        answer = self._decode(status, body, _Events)
+        return [_make_event(row) for row in answer.events], max(after, answer.store_revision)
+
+    def write(self, change: Change) -> int:
+        """Apply a change as a whole and return its version.
+
+        Raises VersionConflictError, LeaseLostError, PlatformUnavailableError (nothing was done)
+        or ReplyLostError (it may be done, now or later).
+        """
+        message: dict[str, Any] = {
+            "precondition": [{"key": k, "rev": v} for k, v in change.expected.items()],
+            "set_keys": [
+                {"key": k, "value": base64.b64encode(v).decode(), "lease": change.lease_id}
+                for k, v in change.put.items()
+            ],
+            "remove": list(change.remove),
+        }
+        status, body = self._call("POST", "/v1/kv-txn", body=message)
+        if status == 412:
+            lost = self._decode(200, body, _Lost)
+            current = {row.key: row.rev for row in lost.items}
+            key = next((k for k, v in change.expected.items() if current.get(k, 0) != v), "")
+            raise VersionConflictError(key, current.get(key, 0), None)
+        if status == 404:
+            raise LeaseLostError(str(change.lease_id))
+        return self._decode(status, body, _Written).rev
+
+    def grant_lease(self, ttl_s: float) -> LeaseGrant:
+        """Create a lease; its deadline counts from before the call."""
+        sent_at = self._clock.monotonic()
+        status, body = self._call("POST", "/v1/kv-lease", body={"ttl_ms": int(ttl_s * 1000)})
+        lease = self._decode(status, body, _Lease)
+        return LeaseGrant(lease.lease, sent_at + lease.ttl_ms / 1000)
+
+    def keep_lease(self, lease_id: int) -> LeaseGrant:
+        """Extend a lease; raises LeaseLostError once it ended."""
+        sent_at = self._clock.monotonic()
+        status, body = self._call("POST", f"/v1/kv-keep/{lease_id}")
+        if status == 404:
+            raise LeaseLostError(str(lease_id))
+        lease = self._decode(status, body, _Lease)
+        return LeaseGrant(lease_id, sent_at + lease.ttl_ms / 1000)
+
+    def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys; one that has ended is no failure."""
+        self._call("DELETE", f"/v1/kv-lease-end/{lease_id}")
+
+    def _fetch_page(self, prefix: str, after: str, stale: bool) -> _Page:
+        path = f"/v1/kv-range?path_prefix={quote(prefix, safe='')}"
+        if after:
+            path += f"&after={quote(after, safe='')}"
+        if stale:
+            path += "&allow_stale=1"
+        status, body = self._call("GET", path)
+        return self._decode(status, body, _Page)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float = CALL_TIMEOUT_S,
+        body: dict[str, Any] | None = None,
+    ) -> tuple[int, bytes]:
+        self.calls += 1
+        data = b"" if body is None else msgspec.json.encode(body)
+        deadline = self._clock.monotonic() + timeout_s
+        headers = JSON_HEADERS if data else ()
+        try:
+            request = HttpRequest(method, path, headers, data, deadline)
+            exchange = self._transport.send(request)
+            answer = exchange.read_all(ANSWER_MAX_BYTES)
+        except TargetNotReachedError as err:
+            raise PlatformUnavailableError(f"store: {err}") from err
+        except TargetLostError as err:
+            raise ReplyLostError(f"store: {err}") from err
+        if exchange.status in (429, 503):
+            raise PlatformUnavailableError(f"store answered {exchange.status}")
+        return exchange.status, answer
+
+    @staticmethod
+    def _decode(status: int, body: bytes, kind: Any) -> Any:
+        if status != 200:
+            raise ReplyLostError(f"store answered {status}")
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.DecodeError as err:
+            raise ReplyLostError(f"store's answer can't be read: {err}") from err
+
+
+def create_store(address: tuple[str, int], clock: Clock) -> _Store:
+    """Return the client that this process shares."""
+    return _Store(address, clock)
+
+
+def _make_value(row: _Row) -> KeyValue:
+    return KeyValue(row.key, base64.b64decode(row.value), row.rev)
+
+
+def _make_event(row: _Row) -> WatchEvent:
+    value = None if row.tombstone else base64.b64decode(row.value)
+    return WatchEvent(row.key, value, row.rev)
--- a/clementinepin/scheduling/_decider.py
+++ b/clementinepin/scheduling/_decider.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 
 from clementinepin.const import InstanceState
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.systems import demand, quarantine, retries
 from clementinepin.systems.actions import Action, Grant, Preempt
 from clementinepin.systems.admission import admit_call
--- /dev/null
+++ b/clementinepin/serving/_app.py
@@ -0,0 +1,262 @@
+"""One instance of the serving path: the parts, and what a caller's request passes through."""
+
+from __future__ import annotations
+
+import random
+from typing import Any, Final
+
+import gevent
+from loguru import logger
+
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.clock import Clock
+from clementinepin.serving._dispatcher import Dispatcher
+from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._forward import Forwarder, is_job_route
+from clementinepin.serving._http import CallerConnection, CallerRequest, CallerServer
+from clementinepin.serving._item_run import ItemRunner
+from clementinepin.serving._jobs import JobDesk
+from clementinepin.serving._pools import TargetPools
+from clementinepin.serving._retirement import Retirement
+from clementinepin.serving._runner import JobRunner
+from clementinepin.serving._slots import SlotBroker
+from clementinepin.serving.exceptions import (
+    BadRequestError,
+    CallerGoneError,
+    NotConfiguredError,
+    OverloadedError,
+    RouteNotFoundError,
+)
+from clementinepin.serving.models import CallerLimits, InstanceSettings, Member, Route
+from clementinepin.serving.store import StateStore
+from clementinepin.serving.wire import Wire
+
+RESOLVE_TTL_S: Final = 2.0  # callers notice a lost instance at their next connection anyway
+STOP_ACCEPTING_SHARE: Final = 0.78  # of the grace time; the longest usual stream ends in the rest
+STOP_MARGIN_S: Final = 0.5  # left to end the process
+STARTING_RETRY_S: Final = 0.5
+IDLE_CHECK_S: Final = 0.05
+DEFAULT_LIMITS: Final = CallerLimits()
+
+
+class App:
+    """All parts of one instance."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        store: StateStore,
+        wire: Wire,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._wire = wire
+        self._clock = clock
+        self._active = 0
+        self.fleet = FleetView(settings, store, wire, clock)
+        pools = TargetPools(self.fleet, clock)
+        self.slots = SlotBroker(settings.name, settings.data_centre, self.fleet, clock, rng)
+        self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng)
+        self._jobs = JobDesk(store, self.fleet, wire, clock)
+        self._dispatcher: Dispatcher | None = None
+        self._runner: JobRunner | None = None
+        self._retirement: Retirement | None = None
+        if settings.runs_jobs:
+            address = settings.host, settings.link_port
+            self._dispatcher = Dispatcher(address, self.fleet, clock, rng)
+            items = ItemRunner(self.fleet, self.slots, pools, wire, clock)
+            self._runner = JobRunner(settings, store, self.fleet, items, wire, clock)
+            self._retirement = Retirement(settings, store, wire, clock, self.leave)
+        self._servers = self._create_servers()
+
+    def start(self) -> None:
+        """Start all parts."""
+        if self._dispatcher is not None:
+            self._dispatcher.start()
+        self.slots.start()
+        self.fleet.start()
+        if self._runner is not None:
+            self._runner.start()
+        if self._retirement is not None:
+            self._retirement.start()
+        for server in self._servers:
+            server.start()
+
+    def leave(self) -> None:
+        """Take no new callers or jobs; what is here goes on."""
+        if self._runner is not None:
+            self._runner.leave()
+        self.fleet.announce_leaving()
+
+    def stop(self) -> None:
+        """Serve callers that come late, then end when nothing is in work or time is up."""
+        now = self._clock.monotonic()
+        deadline = now + self._settings.grace_s - STOP_MARGIN_S
+        accepting_until = now + self._settings.grace_s * STOP_ACCEPTING_SHARE
+        self.leave()
+        if self._servers:
+            while self._clock.monotonic() < accepting_until:
+                gevent.sleep(IDLE_CHECK_S)
+            for server in self._servers:
+                server.stop_accepting()
+        while self._active and self._clock.monotonic() < deadline:
+            gevent.sleep(IDLE_CHECK_S)
+        self.fleet.withdraw()
+        self.slots.stop()
+        if self._dispatcher is not None:
+            self._dispatcher.stop()
+
+    def describe_state(self) -> dict[str, Any]:
+        """Return a JSON-ready dump."""
+        return {
+            "instance": self._settings.name,
+            "active": self._active,
+            "fleet": self.fleet.describe_state(),
+            "slots": self.slots.describe_state(),
+            "dispatcher": self._dispatcher.describe_state() if self._dispatcher else None,
+            "jobs": self._runner.describe_state() if self._runner else None,
+        }
+
+    def _create_servers(self) -> list[CallerServer]:
+        settings = self._settings
+        roles = (
+            (settings.entry_address, self._serve_caller),
+            (settings.ready_address, self._serve_ready),
+            (settings.directory_address, self._serve_directory),
+        )
+        return [
+            CallerServer(address, handle, self._get_limits, settings.connections_max)
+            for address, handle in roles
+            if address is not None
+        ]
+
+    def _get_limits(self) -> CallerLimits:
+        desired = self.fleet.configuration.desired
+        return desired.limits if desired else DEFAULT_LIMITS
+
+    def _serve_caller(self, connection: CallerConnection) -> None:
+        """Serve requests of one connection until it ends."""
+        while True:
+            try:
+                request = connection.read_request()
+            except BadRequestError as err:
+                connection.must_close = True
+                connection.answer(err.status)
+                connection.close()
+                return
+            if request is None:
+                return
+            self._active += 1
+            try:
+                if not self._answer(connection, request):
+                    return
+            finally:
+                self._active -= 1
+            if not connection.can_continue():
+                connection.close()
+                return
+
+    def _answer(self, connection: CallerConnection, request: CallerRequest) -> bool:
+        """Answer one request; False when its connection is of no more use."""
+        started_at = self._clock.monotonic()
+        connection.must_close = connection.must_close or self.fleet.leaving
+        try:
+            self._dispatch(connection, request, started_at)
+        except CallerGoneError:
+            return False
+        except ClementinepinError as err:
+            if connection.answered:
+                connection.close(abruptly=True)
+                return False
+            lines = []
+            if isinstance(err, OverloadedError):
+                lines.append(("Retry-After", f"{err.retry_after_s:.3f}"))
+            elif isinstance(err, NotConfiguredError):
+                lines.append(("Retry-After", f"{STARTING_RETRY_S}"))
+            logger.bind(code=err.code, status=err.status, error=str(err), path=request.path).info(
+                "request_failed"
+            )
+            connection.answer(err.status, lines=lines)
+        return True
+
+    def _dispatch(
+        self, connection: CallerConnection, request: CallerRequest, started_at: float
+    ) -> None:
+        desired = self.fleet.configuration.desired
+        if desired is None:
+            raise NotConfiguredError("no configuration is known yet")
+        if self._answer_job_call(connection, request):
+            return
+        host = request.headers.get("host", "")
+        route = desired.find_route(host, request.path.partition("?")[0])
+        if route is None:
+            raise RouteNotFoundError(f"no route for {host}{request.path}")
+        if is_job_route(route):
+            self._submit_job(connection, request, route)
+            return
+        self._forwarder.serve(connection, request, route, started_at)
+
+    def _submit_job(
+        self, connection: CallerConnection, request: CallerRequest, route: Route
+    ) -> None:
+        if request.method != "POST":
+            raise BadRequestError("a job is submitted by POST", 405)
+        facts = self._wire.read_request(request.headers)
+        items = self._wire.read_job(request.body)
+        self._jobs.submit(facts.request_id, request.headers.get("host", ""), route, items)
+        connection.answer(202)
+
+    def _answer_job_call(self, connection: CallerConnection, request: CallerRequest) -> bool:
+        call = self._wire.read_job_call(request.method, request.path, request.headers)
+        if call is None:
+            return False
+        if call.verb == "read":
+            lines = [("Content-Type", "application/json")]
+            connection.answer(200, self._jobs.read(call), lines)
+        elif call.verb == "body":
+            connection.answer(200, self._jobs.read_body(call))
+        else:
+            self._jobs.end(call)
+            connection.answer(200)
+        return True
+
+    def _serve_ready(self, connection: CallerConnection) -> None:
+        self._serve_simple(connection, self._answer_ready)
+
+    def _serve_directory(self, connection: CallerConnection) -> None:
+        self._serve_simple(connection, self._answer_directory)
+
+    def _serve_simple(self, connection: CallerConnection, answer: Any) -> None:
+        while True:
+            try:
+                request = connection.read_request()
+            except BadRequestError as err:
+                connection.must_close = True
+                connection.answer(err.status)
+                return
+            if request is None:
+                return
+            answer(connection, request)
+            if not connection.can_continue():
+                return
+
+    def _answer_ready(self, connection: CallerConnection, _request: CallerRequest) -> None:
+        ready = not self.fleet.leaving and self.fleet.configuration.desired is not None
+        connection.answer(200 if ready else 503)
+
+    def _answer_directory(self, connection: CallerConnection, request: CallerRequest) -> None:
+        if request.path.partition("?")[0] != self._wire.resolve_path:
+            connection.answer(404)
+            return
+        addresses = choose_addresses(self.fleet.list_entries())
+        if not addresses:
+            connection.answer(503, lines=[("Retry-After", f"{STARTING_RETRY_S}")])
+            return
+        body = self._wire.make_resolve_answer(addresses, RESOLVE_TTL_S)
+        connection.answer(200, body, [("Content-Type", "application/json")])
+
+
+def choose_addresses(entries: list[Member]) -> list[str]:
+    """Return where callers may connect, at most 64 addresses."""
+    return [member.entry_address for member in entries][:64]
--- /dev/null
+++ b/clementinepin/serving/_fleet.py
@@ -0,0 +1,294 @@
+"""What this instance believes of the fleet: configuration, targets and instances of ours."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import gevent
+import msgspec
+from gevent.event import Event
+from loguru import logger
+
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.clock import Clock
+from clementinepin.infrastructure import KeyValue
+from clementinepin.infrastructure.exceptions import LeaseLostError
+from clementinepin.serving.models import DesiredState, InstanceSettings, Member, Target
+from clementinepin.serving.store import Change, StateStore, StoreFollower
+from clementinepin.serving.wire import Wire
+
+LEASE_S: Final = 3.0  # a lost instance leaves the directory within this time
+LEASE_RENEWAL_S: Final = 1.0  # two renewals may fail before the lease ends
+LAPSE_GRACE_S: Final = 2.2  # the platform restores lapsed entries within two seconds
+PRUNE_PERIOD_S: Final = 0.2
+RETRY_S: Final = 0.3  # pause after a failed registration
+
+
+class ConfigurationView:
+    """Keeps the newest desired state; an older one never replaces it."""
+
+    def __init__(self, wire: Wire) -> None:
+        self._wire = wire
+        self.desired: DesiredState | None = None
+
+    def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
+        """Take in the range, which holds one key of interest."""
+        for row in rows:
+            self.apply_change(row.key, row.value, row.version)
+
+    def apply_change(self, key: str, value: bytes | None, version: int) -> None:
+        """Put a newer desired state in force."""
+        if key != self._wire.config_key or value is None:
+            return
+        try:
+            desired = self._wire.read_desired_state(value)
+        except msgspec.DecodeError as err:
+            logger.bind(store_version=version, error=str(err)).error("configuration_unreadable")
+            return
+        if self.desired is None or desired.version > self.desired.version:
+            self.desired = desired
+            facts = logger.bind(version=desired.version, store_version=version)
+            facts.bind(routes=len(desired.routes)).info("configuration_in_force")
+
+
+class TargetView:
+    """Targets by id. Entries that lapse in an outage of the store stay for a grace time."""
+
+    def __init__(self, wire: Wire, clock: Clock, on_change: Callable[[], None]) -> None:
+        self._wire = wire
+        self._clock = clock
+        self._on_change = on_change
+        self._missing_until: dict[str, float] = {}
+        self.rows: dict[str, Target] = {}
+        self.is_store_shaky: Callable[[], bool] = lambda: False
+
+    def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
+        """Take in the whole range."""
+        seen = set()
+        for row in rows:
+            target = self._wire.read_target(row.key, row.value)
+            if target is not None:
+                seen.add(target.target_id)
+                self._put(target)
+        for target_id in set(self.rows) - seen:
+            self._miss(target_id, after_outage)
+        self._on_change()
+
+    def apply_change(self, key: str, value: bytes | None, version: int) -> None:
+        """Take in one entry, or its removal."""
+        if value is None:
+            self._miss(self._wire.read_target_id(key), self.is_store_shaky())
+        else:
+            target = self._wire.read_target(key, value)
+            if target is None:
+                logger.bind(key=key, store_version=version).warning("target_entry_unreadable")
+                return
+            self._put(target)
+        self._on_change()
+
+    def prune(self) -> None:
+        """Remove targets whose grace ended."""
+        now = self._clock.monotonic()
+        ended = [target_id for target_id, until in self._missing_until.items() if now >= until]
+        for target_id in ended:
+            del self._missing_until[target_id]
+            self._remove(target_id, "lapsed")
+        if ended:
+            self._on_change()
+
+    def find_usable(self, target_id: str) -> Target | None:
+        """Return a target that may get new requests, or None."""
+        target = self.rows.get(target_id)
+        return None if target is None or target.draining else target
+
+    def _put(self, target: Target) -> None:
+        self._missing_until.pop(target.target_id, None)
+        known = self.rows.get(target.target_id)
+        if known != target:
+            self.rows[target.target_id] = target
+            facts = logger.bind(target=target.target_id, draining=target.draining)
+            facts.bind(address=f"{target.host}:{target.port}").info("target_known")
+
+    def _miss(self, target_id: str, in_outage: bool) -> None:
+        if target_id not in self.rows:
+            return
+        if in_outage:
+            until = self._clock.monotonic() + LAPSE_GRACE_S
+            self._missing_until.setdefault(target_id, until)
+        else:
+            self._remove(target_id, "removed")
+
+    def _remove(self, target_id: str, reason: str) -> None:
+        if self.rows.pop(target_id, None) is not None:
+            logger.bind(target=target_id, reason=reason).info("target_gone")
+
+
+class MemberView:
+    """Instances of ours that registered under a lease."""
+
+    def __init__(self, prefix: str, own_name: str, on_change: Callable[[], None]) -> None:
+        self._prefix = prefix
+        self._own_key = prefix + own_name
+        self._on_change = on_change
+        self.rows: dict[str, Member] = {}
+        self.own_lost = Event()
+
+    def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
+        """Take in the whole range. After an outage, what is missing may only have lapsed."""
+        if not after_outage:
+            self.rows.clear()
+        if all(row.key != self._own_key for row in rows):
+            self.own_lost.set()
+        for row in rows:
+            self._put(row.key, row.value, row.version)
+        self._on_change()
+
+    def apply_change(self, key: str, value: bytes | None, version: int) -> None:
+        """Take in one registration, or its end."""
+        if value is not None:
+            self._put(key, value, version)
+        else:
+            name = key.removeprefix(self._prefix)
+            if key == self._own_key:
+                self.own_lost.set()
+            elif self.rows.pop(name, None) is not None:
+                logger.bind(instance=name, store_version=version).info("instance_gone")
+        self._on_change()
+
+    def _put(self, key: str, value: bytes, version: int) -> None:
+        try:
+            member = msgspec.msgpack.decode(value, type=Member)
+        except msgspec.DecodeError as err:
+            logger.bind(key=key, error=str(err)).warning("instance_entry_unreadable")
+            return
+        known = self.rows.get(member.name)
+        since = known.since_version if known is not None else version
+        self.rows[member.name] = member._replace(since_version=since)
+        if known is None:
+            logger.bind(instance=member.name, store_version=version).info("instance_known")
+
+
+class FleetView:
+    """Follows the store and registers this instance."""
+
+    def __init__(
+        self, settings: InstanceSettings, store: StateStore, wire: Wire, clock: Clock
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._wire = wire
+        self._clock = clock
+        self._listeners: list[Callable[[], None]] = []
+        self._greenlets: list[gevent.Greenlet] = []
+        self._members_prefix = wire.own_prefix + "nodes/"
+        self._lease_id = 0
+        self._refresh = Event()
+        self.leaving = False
+        self.configuration = ConfigurationView(wire)
+        self.targets = TargetView(wire, clock, self._announce)
+        self.members = MemberView(self._members_prefix, settings.name, self._announce)
+        self.followers = {
+            "configuration": StoreFollower(store, wire.config_key, self.configuration, clock),
+            "targets": StoreFollower(store, wire.targets_prefix, self.targets, clock),
+            "members": StoreFollower(store, self._members_prefix, self.members, clock),
+        }
+        self.targets.is_store_shaky = self.followers["targets"].is_shaky
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change of targets or members."""
+        self._listeners.append(listener)
+
+    def start(self) -> None:
+        """Start to follow and to register."""
+        self._greenlets = [gevent.spawn(f.run) for f in self.followers.values()]
+        self._greenlets.append(gevent.spawn(self._keep_registered))
+        self._greenlets.append(gevent.spawn(self._prune))
+
+    def announce_leaving(self) -> None:
+        """Tell all instances that this one takes no new callers."""
+        self.leaving = True
+        self._refresh.set()
+        self.members.own_lost.set()
+
+    def withdraw(self) -> None:
+        """End the registration; a failure only leaves it to its lease."""
+        gevent.killall(self._greenlets)
+        try:
+            if self._lease_id:
+                self._store.revoke_lease(self._lease_id)
+        except ClementinepinError as err:
+            logger.bind(error=str(err)).info("registration_left_to_lease")
+
+    def list_entries(self) -> list[Member]:
+        """Return instances that take callers, this one included."""
+        own = self._describe_self()
+        members = {**self.members.rows, own.name: own}
+        return [m for m in members.values() if m.entry_address and not m.leaving]
+
+    def list_job_runners(self) -> list[Member]:
+        """Return instances that run jobs, oldest first."""
+        rows = [m for m in self.members.rows.values() if m.runs_jobs and not m.leaving]
+        return sorted(rows, key=lambda member: (member.since_version, member.name))
+
+    def describe_state(self) -> dict[str, Any]:
+        """Return a JSON-ready dump."""
+        desired = self.configuration.desired
+        return {
+            "configuration_version": desired.version if desired else 0,
+            "targets": {k: t._asdict() for k, t in self.targets.rows.items()},
+            "members": {k: m._asdict() for k, m in self.members.rows.items()},
+            "followers": {k: f.describe_state() for k, f in self.followers.items()},
+        }
+
+    def _announce(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+    def _describe_self(self) -> Member:
+        settings = self._settings
+        entry = settings.entry_address
+        return Member(
+            name=settings.name,
+            runs_jobs=settings.runs_jobs,
+            host=settings.host,
+            link_port=settings.link_port,
+            entry_address=f"{entry[0]}:{entry[1]}" if entry else "",
+            data_centre=settings.data_centre,
+            region=settings.region,
+            leaving=self.leaving,
+        )
+
+    def _keep_registered(self) -> None:
+        lost = self.members.own_lost
+        lost.set()
+        while True:
+            try:
+                if lost.is_set():
+                    lost.clear()
+                    self._register()
+                else:
+                    self._store.keep_lease(self._lease_id)
+            except LeaseLostError:
+                logger.bind(lease=self._lease_id).warning("registration_lost")
+                self._lease_id = 0
+                lost.set()
+                continue
+            except ClementinepinError as err:
+                logger.bind(error=str(err)).debug("registration_failed")
+                lost.set()
+                gevent.sleep(RETRY_S)
+                continue
+            lost.wait(LEASE_RENEWAL_S)
+
+    def _register(self) -> None:
+        if not self._lease_id:
+            self._lease_id = self._store.grant_lease(LEASE_S).lease_id
+        value = msgspec.msgpack.encode(self._describe_self())
+        key = self._members_prefix + self._settings.name
+        self._store.write(Change({}, {key: value}, lease_id=self._lease_id))
+
+    def _prune(self) -> None:
+        while True:
+            gevent.sleep(PRUNE_PERIOD_S)
+            self.targets.prune()
--- /dev/null
+++ b/clementinepin/serving/_forward.py
@@ -0,0 +1,346 @@
+"""Forwards one caller's request to targets and passes the answer on."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+from loguru import logger
+
+from clementinepin.helpers.clock import Clock
+from clementinepin.serving._events import EventCutter
+from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._http import HOP_HEADERS, CallerConnection, CallerRequest
+from clementinepin.serving._pools import TargetPools
+from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
+from clementinepin.serving.exceptions import (
+    AnswerLostError,
+    CallerGoneError,
+    DeadlineError,
+    OverloadedError,
+)
+from clementinepin.serving.models import RequestFacts, Route, RouteKind, Target
+from clementinepin.serving.wire import Wire
+from clementinepin.systems import estimates
+from clementinepin.systems.dispatching import RunOutcome
+from clementinepin.targets import Abort, HttpExchange, HttpRequest
+from clementinepin.targets.exceptions import (
+    TargetLostError,
+    TargetNotReachedError,
+    TargetProtocolError,
+    TargetTimeoutError,
+)
+
+FIRST_EVENT_STALL_S: Final = 1.2  # callers give up a stream after 2 s without an event
+UNREACHED_MAX: Final = 4  # targets tried without a byte written before the caller is told
+REFUSED_RETRY_S: Final = 0.3  # Retry-After behind a target that refused as full
+SERVER_ERROR: Final = 500
+SUCCESS_BELOW: Final = 300
+
+
+class _Call:
+    """One request on its way. ``sends`` counts targets that were sent bytes of it."""
+
+    def __init__(
+        self, request: CallerRequest, facts: RequestFacts, route: Route, started_at: float
+    ) -> None:
+        self.request = request
+        self.facts = facts
+        self.route = route
+        self.started_at = started_at
+        left_s = route.timeout_s if facts.time_left_s is None else facts.time_left_s
+        self.deadline = started_at + min(left_s, route.timeout_s)
+        self.returned = estimates.is_return(left_s, route.timeout_s)
+        self.abort = Abort()
+        self.cancel_wait: Callable[[], None] = lambda: None
+        self.gone = False
+        self.sends = 0
+        self.unreached = 0
+        self.maybe_run = False
+        self.excluded: set[str] = set()
+        self.answer_started = False
+        self.last_event_id = facts.last_event_id
+        self.target_id = ""
+        self.waited_s = 0.0
+        self.is_complete = False
+
+    def leave(self) -> None:
+        """The caller is gone: end whatever the request is waiting for."""
+        self.gone = True
+        self.abort.trigger()
+        self.cancel_wait()
+
+
+class _Sent(NamedTuple):
+    exchange: HttpExchange
+    target: Target
+
+
+class Forwarder:
+    """Serves requests of routes that lead to targets."""
+
+    def __init__(
+        self,
+        fleet: FleetView,
+        slots: SlotBroker,
+        pools: TargetPools,
+        wire: Wire,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._fleet = fleet
+        self._slots = slots
+        self._pools = pools
+        self._wire = wire
+        self._clock = clock
+        self._random = rng
+
+    def serve(
+        self, connection: CallerConnection, request: CallerRequest, route: Route, started_at: float
+    ) -> None:
+        """Answer the request; raises a typed failure while nothing was answered."""
+        call = _Call(request, self._wire.read_request(request.headers), route, started_at)
+        connection.watch_caller(call.leave)
+        outcome = "failed"
+        try:
+            self._run_attempts(connection, call)
+            outcome = "served" if call.is_complete else "cut"
+        except CallerGoneError:
+            outcome = "caller_gone"
+            raise
+        except OverloadedError as err:
+            outcome = err.code
+            raise
+        finally:
+            connection.stop_watching()
+            self._log_end(call, outcome)
+
+    def _run_attempts(self, connection: CallerConnection, call: _Call) -> None:
+        while True:
+            slot = self._take_slot(call)
+            outcome = RunOutcome.CANCELLED
+            try:
+                outcome = self._use_slot(connection, call, slot)
+            finally:
+                self._slots.release(slot, outcome)
+            if call.is_complete:
+                return
+            if call.gone:
+                raise CallerGoneError("the caller closed its connection")
+            self._check_next_attempt(connection, call, outcome)
+
+    def _take_slot(self, call: _Call) -> Slot:
+        request = self._make_slot_request(call)
+        asked_at = self._clock.monotonic()
+
+        def remember(cancel: Callable[[], None]) -> None:
+            call.cancel_wait = cancel
+
+        try:
+            return self._slots.acquire(request, remember)
+        except OverloadedError as err:
+            self._log(call).bind(reason=str(err), retry_after_s=round(err.retry_after_s, 3)).info(
+                "request_turned_away"
+            )
+            if call.answer_started or call.maybe_run:
+                raise AnswerLostError("no target is left to go on with") from err
+            raise
+        finally:
+            call.waited_s += self._clock.monotonic() - asked_at
+
+    def _make_slot_request(self, call: _Call) -> SlotRequest:
+        facts, route = call.facts, call.route
+        run_s = estimates.estimate_run(facts.output_tokens_max, facts.length_hint)
+        service = choose_service(route, self._random)
+        start_by = call.started_at + max(0.0, route.objective_s - estimates.FIRST_EVENT_S)
+        return SlotRequest(
+            service=service,
+            is_batch=False,
+            on_time_by=start_by,
+            deadline=call.deadline - estimates.FIRST_EVENT_S,
+            run_s=run_s,
+            prefix_ids=facts.prefix_ids,
+            excluded=frozenset(call.excluded),
+            returned=call.returned or call.answer_started,
+        )
+
+    def _use_slot(self, connection: CallerConnection, call: _Call, slot: Slot) -> RunOutcome:
+        target = self._fleet.targets.find_usable(slot.target_id)
+        if target is None or call.gone:
+            call.excluded.add(slot.target_id)
+            return RunOutcome.CANCELLED
+        call.target_id = slot.target_id
+        try:
+            exchange = self._send(call, target)
+        except TargetNotReachedError as err:
+            call.unreached += 1
+            call.excluded.add(slot.target_id)
+            self._log(call).bind(error=str(err)).info("target_not_reached")
+            return RunOutcome.CANCELLED if call.gone else RunOutcome.UNREACHED
+        except TargetLostError as err:
+            return self._note_lost(call, err)
+        return self._take_answer(connection, call, _Sent(exchange, target))
+
+    def _send(self, call: _Call, target: Target) -> HttpExchange:
+        request = call.request
+        now = self._clock.monotonic()
+        headers = [
+            (name, value)
+            for name, value in request.lines
+            if name.lower() not in HOP_HEADERS and not self._wire.is_replaced_header(name.lower())
+        ]
+        headers.extend(self._wire.make_target_headers(target.target_id, call.deadline - now))
+        if call.last_event_id and call.answer_started:
+            headers = [h for h in headers if h[0].lower() != "last-event-id"]
+            headers.append(self._wire.make_resume_header(call.last_event_id))
+        call.abort.unbind()
+        message = HttpRequest(
+            method=request.method,
+            path=request.path,
+            headers=tuple(headers),
+            body=request.body,
+            deadline=call.deadline,
+            host=request.headers.get("host", ""),
+            abort=call.abort,
+        )
+        call.sends += 1
+        try:
+            return self._pools.get(target).send(message)
+        except TargetNotReachedError:
+            call.sends -= 1
+            raise
+
+    def _take_answer(self, connection: CallerConnection, call: _Call, sent: _Sent) -> RunOutcome:
+        exchange = sent.exchange
+        wire = self._wire
+        if not wire.is_answer_to(call.facts.request_id, exchange.headers):
+            exchange.close()
+            return self._note_lost(call, TargetProtocolError("answer to another request"))
+        if wire.is_refusal(exchange.status, exchange.headers):
+            exchange.drain()
+            call.excluded.add(sent.target.target_id)
+            self._log(call).bind(status=exchange.status).info("target_refused")
+            return RunOutcome.REFUSED
+        if exchange.status < SUCCESS_BELOW and not wire.has_signature(exchange.headers):
+            exchange.close()
+            return self._note_lost(call, TargetProtocolError("success without a signature"))
+        call.maybe_run = True
+        if exchange.status >= SERVER_ERROR and self._may_resend(call):
+            exchange.drain()
+            call.excluded.add(sent.target.target_id)
+            return RunOutcome.BROKEN
+        return self._pass_answer(connection, call, exchange)
+
+    def _pass_answer(
+        self, connection: CallerConnection, call: _Call, exchange: HttpExchange
+    ) -> RunOutcome:
+        """Pass the answer on as it comes; what was begun is resumed or visibly cut."""
+        if call.answer_started and exchange.status != 200:
+            exchange.close()
+            return self._note_lost(call, TargetProtocolError(f"resuming got {exchange.status}"))
+        try:
+            if not call.answer_started:
+                lines = [h for h in exchange.header_lines if h[0].lower() not in HOP_HEADERS]
+                connection.start_answer(exchange.status, lines)
+                call.answer_started = True
+            if call.route.resumable and exchange.status == 200:
+                self._pass_events(connection, call, exchange)
+            else:
+                while data := exchange.read():
+                    connection.send_data(data)
+            connection.end_answer()
+            call.is_complete = True
+        except TargetLostError as err:
+            return self._note_lost(call, err)
+        except OSError:
+            call.gone = True
+            exchange.close()
+            return RunOutcome.CANCELLED
+        failed = exchange.status >= SERVER_ERROR
+        return RunOutcome.BROKEN if failed else RunOutcome.SERVED
+
+    def _pass_events(
+        self, connection: CallerConnection, call: _Call, exchange: HttpExchange
+    ) -> None:
+        cutter = EventCutter()
+        while data := exchange.read():
+            events = cutter.feed(data)
+            if events:
+                connection.send_data(b"".join(event.raw for event in events))
+                call.last_event_id = max(call.last_event_id, events[-1].event_id)
+        if cutter.rest.strip():
+            raise TargetProtocolError("the stream ended in the middle of an event")
+
+    def _note_lost(self, call: _Call, err: TargetLostError) -> RunOutcome:
+        call.maybe_run = True
+        if call.gone:
+            return RunOutcome.CANCELLED
+        call.excluded.add(call.target_id)
+        self._log(call).bind(error=f"{err.code}: {err}").info("target_lost")
+        if isinstance(err, TargetTimeoutError) and self._clock.monotonic() >= call.deadline:
+            return RunOutcome.CANCELLED
+        return RunOutcome.BROKEN
+
+    def _may_resend(self, call: _Call) -> bool:
+        return (
+            call.route.is_repeatable
+            and call.sends < call.route.attempts_max
+            and self._clock.monotonic() < call.deadline
+        )
+
+    def _check_next_attempt(
+        self, connection: CallerConnection, call: _Call, outcome: RunOutcome
+    ) -> None:
+        """Return when another attempt may follow, else raise what is known."""
+        if self._clock.monotonic() >= call.deadline:
+            if call.answer_started:
+                raise AnswerLostError("the time of the request ended in its answer")
+            raise DeadlineError("the time of the request ended")
+        if outcome is RunOutcome.BROKEN:
+            if not self._may_resend(call):
+                raise AnswerLostError("the target's answer was lost")
+            return
+        if outcome is RunOutcome.REFUSED and call.sends >= call.route.attempts_max:
+            if call.maybe_run:
+                raise AnswerLostError("no attempt is left")
+            raise OverloadedError("the target refused and no attempt is left", REFUSED_RETRY_S)
+        if call.unreached >= UNREACHED_MAX:
+            if call.maybe_run:
+                raise AnswerLostError("no target could be reached")
+            raise OverloadedError("no target could be reached", REFUSED_RETRY_S)
+
+    def _log(self, call: _Call) -> Any:
+        desired = self._fleet.configuration.desired
+        return logger.bind(
+            request_id=call.facts.request_id,
+            route=call.route.name,
+            configuration=desired.version if desired else 0,
+            target=call.target_id,
+        )
+
+    def _log_end(self, call: _Call, outcome: str) -> None:
+        took_s = self._clock.monotonic() - call.started_at
+        self._log(call).bind(
+            outcome=outcome,
+            sends=call.sends,
+            returned=call.returned,
+            waited_ms=round(call.waited_s * 1000, 1),
+            took_ms=round(took_s * 1000, 1),
+            dispatcher=self._slots.dispatcher_name,
+        ).info("request_ended")
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Return one of the route's services by weight."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    if not any(weights):
+        return route.shares[0].service
+    return rng.choices([share.service for share in route.shares], weights)[0]
+
+
+def is_job_route(route: Route) -> bool:
+    """Tell whether requests of the route submit jobs."""
+    return route.kind is RouteKind.JOB
--- /dev/null
+++ b/clementinepin/serving/_http.py
@@ -0,0 +1,258 @@
+"""HTTP/1.1 towards callers: bounded requests, kept connections, notice of a caller that left."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any, Final, NamedTuple
+
+import gevent
+import h11
+from gevent import socket
+from gevent.server import StreamServer
+from loguru import logger
+
+from clementinepin.serving.exceptions import BadRequestError
+from clementinepin.serving.models import CallerLimits
+
+READ_SIZE_BYTES: Final = 65_536
+BODY_TIMEOUT_S: Final = 10.0  # a body that comes this slowly can't be answered within any route
+SEND_TIMEOUT_S: Final = 10.0  # a caller that reads nothing for this long is gone
+LINGER_S: Final = 1.0  # unread bytes at a close would reset the answer away
+BACKLOG: Final = 1024
+REASONS: Final = {200: b"OK", 202: b"Accepted", 429: b"Too Many Requests"}
+HOP_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class CallerRequest(NamedTuple):
+    """A request as it was read whole. ``headers`` are lower-cased, ``lines`` as they came."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    lines: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class CallerConnection:
+    """One caller's connection. One greenlet reads requests and writes answers."""
+
+    def __init__(self, sock: Any, limits: CallerLimits) -> None:
+        self._sock = sock
+        self._limits = limits
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_max_bytes)
+        self._watcher: Any = None
+        self.must_close = False
+        self.answered = False
+
+    def read_request(self) -> CallerRequest | None:
+        """Return the next request, or None when the connection ended or idled too long.
+
+        Raises BadRequestError for what breaks the protocol or a bound.
+        """
+        if self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE:
+            self._parser.start_next_cycle()
+        self.answered = False
+        try:
+            head = self._read_head()
+            if head is None:
+                return None
+            return self._read_rest(head)
+        except h11.RemoteProtocolError as err:
+            raise BadRequestError(str(err), err.error_status_hint) from err
+        except gevent.Timeout as err:
+            raise BadRequestError("the request came too slowly", 408) from err
+
+    def watch_caller(self, on_gone: Callable[[], None]) -> None:
+        """Call ``on_gone`` once when the caller closes while its request is in work."""
+        self.stop_watching()
+        self._watcher = gevent.get_hub().loop.io(self._sock.fileno(), 1)
+        self._watcher.start(self._check_caller, on_gone)
+
+    def stop_watching(self) -> None:
+        """End the watch."""
+        if self._watcher is not None:
+            self._watcher.stop()
+            self._watcher.close()
+            self._watcher = None
+
+    def start_answer(self, status: int, lines: Iterable[tuple[str, str]]) -> None:
+        """Send status and headers."""
+        headers = [(name, value) for name, value in lines]
+        if self.must_close:
+            headers.append(("Connection", "close"))
+        event = h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
+        self.answered = True
+        self._send(self._parser.send(event))
+
+    def send_data(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._send(self._parser.send(h11.Data(data=data)))
+
+    def end_answer(self) -> None:
+        """End the answer as complete."""
+        self._send(self._parser.send(h11.EndOfMessage()))
+
+    def answer(self, status: int, body: bytes = b"", lines: Iterable[tuple[str, str]] = ()) -> None:
+        """Send a whole answer."""
+        headers = [*lines, ("Content-Length", str(len(body)))]
+        try:
+            self.start_answer(status, headers)
+            if body:
+                self.send_data(body)
+            self.end_answer()
+        except h11.LocalProtocolError:
+            # The request could not be parsed far enough for the parser to accept an answer.
+            self.must_close = True
+            head = f"HTTP/1.1 {status} Error\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+            self._send(head.encode())
+
+    def can_continue(self) -> bool:
+        """Tell whether another request may come on this connection."""
+        return (
+            not self.must_close
+            and self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE
+        )
+
+    def close(self, *, abruptly: bool = False) -> None:
+        """Close; ``abruptly`` marks the answer as broken off."""
+        self.stop_watching()
+        if not abruptly:
+            self._linger()
+        self._sock.close()
+
+    def _read_head(self) -> h11.Request | None:
+        """Wait for the first byte within the idle time, then for the headers."""
+        event = self._parser.next_event()
+        if event is h11.NEED_DATA:
+            self._sock.settimeout(self._limits.idle_timeout_s)
+            try:
+                data = self._sock.recv(READ_SIZE_BYTES)
+            except OSError:
+                return None
+            self._parser.receive_data(data)
+            event = self._parser.next_event()
+        with gevent.Timeout(self._limits.header_timeout_s):
+            while event is h11.NEED_DATA:
+                event = self._receive()
+        return event if isinstance(event, h11.Request) else None
+
+    def _read_rest(self, head: h11.Request) -> CallerRequest | None:
+        pieces: list[bytes] = []
+        total = 0
+        if self._parser.they_are_waiting_for_100_continue:
+            self._send(self._parser.send(h11.InformationalResponse(status_code=100, headers=[])))
+        with gevent.Timeout(BODY_TIMEOUT_S):
+            while True:
+                event = self._parser.next_event()
+                while event is h11.NEED_DATA:
+                    event = self._receive()
+                if isinstance(event, h11.Data):
+                    total += len(event.data)
+                    if total > self._limits.body_max_bytes:
+                        raise BadRequestError("the body is too large", 413)
+                    pieces.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    break
+                else:
+                    return None
+        lines = tuple(
+            (k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers.raw_items()
+        )
+        headers = {name.lower(): value for name, value in lines}
+        method = head.method.decode("latin-1")
+        return CallerRequest(
+            method, head.target.decode("latin-1"), headers, lines, b"".join(pieces)
+        )
+
+    def _receive(self) -> Any:
+        self._sock.settimeout(None)
+        try:
+            data = self._sock.recv(READ_SIZE_BYTES)
+        except OSError:
+            data = b""
+        self._parser.receive_data(data)
+        return self._parser.next_event()
+
+    def _check_caller(self, on_gone: Callable[[], None]) -> None:
+        """Look whether the connection ended; data of a next request ends the watch. Hub only."""
+        try:
+            # The plain socket below gevent's: a look from the hub must not wait.
+            gone = not self._sock._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return
+        except OSError:
+            gone = True
+        self.stop_watching()
+        if gone:
+            on_gone()
+
+    def _send(self, data: bytes | None) -> None:
+        if not data:
+            return
+        self._sock.settimeout(SEND_TIMEOUT_S)
+        self._sock.sendall(data)
+
+    def _linger(self) -> None:
+        """End our side and discard what still comes, for a moment."""
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+            with gevent.Timeout(LINGER_S, False):
+                self._sock.settimeout(LINGER_S)
+                while self._sock.recv(READ_SIZE_BYTES):
+                    pass
+        except OSError:
+            return
+
+
+class CallerServer:
+    """Listens for callers and hands each connection to a handler in a greenlet of its own."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handle: Callable[[CallerConnection], None],
+        get_limits: Callable[[], CallerLimits],
+        connections_max: int,
+    ) -> None:
+        self._handle = handle
+        self._get_limits = get_limits
+        self._connections_max = connections_max
+        self._server = StreamServer(address, self._serve, backlog=BACKLOG)
+        self.connections = 0
+
+    def start(self) -> None:
+        """Open the listener."""
+        self._server.start()
+
+    def stop_accepting(self) -> None:
+        """Close the listener; open connections go on."""
+        self._server.close()
+
+    def _serve(self, sock: Any, _peer: Any) -> None:
+        if self.connections >= self._connections_max:
+            sock.close()
+            return
+        self.connections += 1
+        connection = CallerConnection(sock, self._get_limits())
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._handle(connection)
+        except OSError as err:
+            logger.bind(error=str(err)).debug("caller_connection_broke")
+        finally:
+            self.connections -= 1
+            connection.stop_watching()
+            sock.close()
--- /dev/null
+++ b/clementinepin/serving/_item_run.py
@@ -0,0 +1,241 @@
+"""Runs one item of a job: asks for a slot, yields it, resumes, and knows when to give up."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+import gevent
+from loguru import logger
+
+from clementinepin.helpers.clock import Clock
+from clementinepin.serving import _job_records as records
+from clementinepin.serving._events import EventCutter
+from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._pools import TargetPools
+from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
+from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
+from clementinepin.serving.models import ItemState, JobItem, Route, Target
+from clementinepin.serving.wire import Wire
+from clementinepin.systems import estimates
+from clementinepin.systems.dispatching import RunOutcome
+from clementinepin.targets import Abort, HttpExchange, HttpRequest
+from clementinepin.targets.exceptions import (
+    TargetLostError,
+    TargetNotReachedError,
+    TargetProtocolError,
+)
+
+FIRST_ANSWER_S: Final = 4.0  # an item is sent to a free slot; a longer wait is a silent target
+RUN_MAX_S: Final = 30.0  # several times the longest item on an engine at its slowest
+PAUSE_S: Final = 0.2  # before the next ask after a failure
+CRASHES_MAX: Final = 3  # runs lost without an event before an item is held back
+FIRM_FACTOR: Final = 1.5  # an item yields no more when this share of its run time is left
+STATUS_OK: Final = 200
+STATUS_NEVER: Final = 422
+
+
+class ItemRun:
+    """State of one item's run. ``state`` stays None when it was cancelled."""
+
+    def __init__(self, item: JobItem, head: records.JobHead, failures: int) -> None:
+        self.item = item
+        self.head = head
+        self.failures = failures
+        self.crashes = 0
+        self.texts: list[str] = []
+        self.last_event_id = 0
+        self.state: ItemState | None = None
+        self.cancelled = False
+        self.abort = Abort()
+        self.cancel_wait: Callable[[], None] = lambda: None
+
+    @property
+    def text(self) -> str:
+        """Return the data of all events so far."""
+        return "\n".join(self.texts)
+
+    def cancel(self) -> None:
+        """Stop for good."""
+        self.cancelled = True
+        self.abort.trigger()
+        self.cancel_wait()
+
+    def yield_slot(self) -> None:
+        """Stop at the target; the run goes on later behind its last event."""
+        self.abort.trigger()
+
+
+class ItemRunner:
+    """Runs items to their end."""
+
+    def __init__(
+        self, fleet: FleetView, slots: SlotBroker, pools: TargetPools, wire: Wire, clock: Clock
+    ) -> None:
+        self._fleet = fleet
+        self._slots = slots
+        self._pools = pools
+        self._wire = wire
+        self._clock = clock
+
+    def run(self, run: ItemRun) -> None:
+        """Run until the item is done, dead or cancelled."""
+        while run.state is None and not run.cancelled:
+            now_ms = self._clock.wall() * 1000
+            if now_ms >= run.head.expires_ms:
+                self._give_up(run, "its time ended")
+                return
+            route = self._find_route(run)
+            if route is None or run.crashes >= CRASHES_MAX:
+                gevent.sleep(PAUSE_S * 5)
+                continue
+            outcome = self._run_once(run, route)
+            if run.state is None and outcome is not RunOutcome.SERVED and not run.cancelled:
+                gevent.sleep(PAUSE_S if outcome is not RunOutcome.CANCELLED else 0.0)
+
+    def _find_route(self, run: ItemRun) -> Route | None:
+        desired = self._fleet.configuration.desired
+        if desired is None:
+            return None
+        return desired.find_route(run.head.host, run.item.path.partition("?")[0])
+
+    def _run_once(self, run: ItemRun, route: Route) -> RunOutcome:
+        run.abort = Abort()
+        try:
+            slot = self._slots.acquire(self._make_slot_request(run, route), self._remember(run))
+        except (OverloadedError, CallerGoneError):
+            return RunOutcome.REFUSED
+        outcome = RunOutcome.CANCELLED
+        self._slots.watch_yield(slot, run.yield_slot)
+        try:
+            outcome = self._use_slot(run, route, slot)
+        finally:
+            self._slots.release(slot, outcome)
+        logger.bind(
+            request_id=run.item.item_id,
+            job=run.head.job_id,
+            target=slot.target_id,
+            outcome=str(outcome),
+            events=run.last_event_id,
+            failures=run.failures,
+            alone=slot.alone,
+        ).info("item_run_ended")
+        return outcome
+
+    def _remember(self, run: ItemRun) -> Callable[[Callable[[], None]], None]:
+        def remember(cancel: Callable[[], None]) -> None:
+            run.cancel_wait = cancel
+
+        return remember
+
+    def _make_slot_request(self, run: ItemRun, route: Route) -> SlotRequest:
+        facts = self._wire.read_request(
+            {k.lower(): v for k, v in self._wire.make_item_headers(run.item)}
+        )
+        run_s = estimates.estimate_run(facts.output_tokens_max, facts.length_hint)
+        now = self._clock.monotonic()
+        due_in_s = run.head.due_ms / 1000 - self._clock.wall()
+        return SlotRequest(
+            service=route.shares[0].service,
+            is_batch=True,
+            on_time_by=now + due_in_s - run_s,
+            deadline=now + max(0.0, run.head.expires_ms / 1000 - self._clock.wall()),
+            run_s=run_s,
+            prefix_ids=facts.prefix_ids,
+            is_firm=0 < due_in_s < run_s * FIRM_FACTOR,
+        )
+
+    def _use_slot(self, run: ItemRun, route: Route, slot: Slot) -> RunOutcome:
+        target = self._fleet.targets.find_usable(slot.target_id)
+        if target is None or run.cancelled:
+            return RunOutcome.CANCELLED
+        events_before = run.last_event_id
+        try:
+            exchange = self._send(run, target)
+            return self._take_answer(run, route, exchange)
+        except TargetNotReachedError as err:
+            self._log_lost(run, target, err)
+            return RunOutcome.CANCELLED if run.abort.triggered else RunOutcome.UNREACHED
+        except TargetLostError as err:
+            if run.abort.triggered:
+                return RunOutcome.CANCELLED
+            self._log_lost(run, target, err)
+            if run.last_event_id == events_before:
+                run.crashes += 1
+            return RunOutcome.BROKEN
+
+    def _send(self, run: ItemRun, target: Target) -> HttpExchange:
+        now = self._clock.monotonic()
+        headers = self._wire.make_item_headers(run.item)
+        headers.extend(self._wire.make_target_headers(target.target_id, RUN_MAX_S))
+        if run.last_event_id:
+            headers.append(self._wire.make_resume_header(run.last_event_id))
+        message = HttpRequest(
+            method="POST",
+            path=run.item.path,
+            headers=tuple(headers),
+            body=run.item.body,
+            deadline=now + FIRST_ANSWER_S,
+            host=run.head.host,
+            abort=run.abort,
+        )
+        return self._pools.get(target).send(message)
+
+    def _take_answer(self, run: ItemRun, route: Route, exchange: HttpExchange) -> RunOutcome:
+        wire = self._wire
+        if not wire.is_answer_to(run.item.item_id, exchange.headers):
+            exchange.close()
+            raise TargetProtocolError("answer to another request")
+        if wire.is_refusal(exchange.status, exchange.headers):
+            exchange.drain()
+            return RunOutcome.REFUSED
+        if exchange.status != STATUS_OK:
+            exchange.drain()
+            self._note_status(run, route, exchange.status)
+            return RunOutcome.SERVED
+        if not wire.has_signature(exchange.headers):
+            exchange.close()
+            raise TargetProtocolError("success without a signature")
+        exchange.watch_stalls(self._clock.monotonic() + RUN_MAX_S)
+        self._read_events(run, exchange)
+        run.state = ItemState.COMPLETED
+        return RunOutcome.SERVED
+
+    def _read_events(self, run: ItemRun, exchange: HttpExchange) -> None:
+        """Take events in their order; one that is out of order ends the trust in the stream."""
+        cutter = EventCutter()
+        while data := exchange.read():
+            for event in cutter.feed(data):
+                if event.event_id != run.last_event_id + 1:
+                    exchange.close()
+                    raise TargetProtocolError(f"event {event.event_id} out of order")
+                run.texts.append(event.text)
+                run.last_event_id = event.event_id
+                run.crashes = 0
+        if cutter.rest.strip():
+            raise TargetProtocolError("the stream ended in the middle of an event")
+
+    def _note_status(self, run: ItemRun, route: Route, status: int) -> None:
+        run.failures += 1
+        run.texts.clear()
+        run.last_event_id = 0
+        if status == STATUS_NEVER:
+            self._give_up(run, "the target says that it can't be done")
+        elif run.failures >= route.attempts_max:
+            self._give_up(run, f"{run.failures} attempts failed, the last with {status}")
+
+    def _give_up(self, run: ItemRun, reason: str) -> None:
+        run.texts.clear()
+        run.state = ItemState.DEAD
+        logger.bind(request_id=run.item.item_id, job=run.head.job_id, reason=reason).info(
+            "item_given_up"
+        )
+
+    def _log_lost(self, run: ItemRun, target: Target, err: Exception) -> None:
+        logger.bind(
+            request_id=run.item.item_id,
+            job=run.head.job_id,
+            target=target.target_id,
+            error=str(err),
+            crashes=run.crashes,
+        ).info("item_target_lost")
--- /dev/null
+++ b/clementinepin/serving/_job_records.py
@@ -0,0 +1,160 @@
+"""Records of jobs in the store.
+
+| key | holds | changed by |
+| --- | --- | --- |
+| ``cp/jobs/ID`` | announcement that runners watch | written once |
+| ``cp/ends/ID`` | mark of an ended job that runners watch | written once |
+| ``jb/ID/N`` | items with their bodies, in parts | written once |
+| ``js/ID`` | progress: listed items and failed attempts | compare-and-swap |
+| ``jt/ID/N`` | text of the result at position N | written once, with its progress |
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+import msgspec
+
+from clementinepin.serving.exceptions import JobNotFoundError
+from clementinepin.serving.models import ItemState, JobItem
+from clementinepin.serving.store import Change, StateStore
+
+PART_BYTES: Final = 700_000  # a value may hold a megabyte, as base64 on the way
+ANNOUNCED: Final = "jobs/"
+ENDED: Final = "ends/"
+PARTS: Final = "jb/"
+PROGRESS: Final = "js/"
+TEXTS: Final = "jt/"
+
+
+class JobHead(msgspec.Struct, array_like=True, frozen=True):
+    """The announcement of a job. ``owner`` runs it unless it is gone; times are Unix ms."""
+
+    job_id: str
+    route: str
+    host: str
+    owner: str
+    created_ms: int
+    due_ms: int
+    expires_ms: int
+    parts: int
+
+
+class ListedItem(msgspec.Struct, array_like=True, frozen=True):
+    """An item with a result; its place in the list is its position."""
+
+    item_id: str
+    state: ItemState
+    tokens: int
+
+
+class JobProgress(msgspec.Struct, array_like=True, frozen=True):
+    """What changes in the life of a job. ``failures`` counts failed runs by item."""
+
+    route: str
+    owner: str
+    total: int
+    tokens_left: int
+    ended: bool
+    listed: tuple[ListedItem, ...] = ()
+    failures: dict[str, int] = {}
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether results are still to come."""
+        return not self.ended and len(self.listed) < self.total
+
+    def count_waiting(self) -> int:
+        """Return the tokens of items that are not finished."""
+        return 0 if self.ended else self.tokens_left
+
+
+class _Items(msgspec.Struct, array_like=True):
+    items: list[JobItem]
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_head = msgspec.msgpack.Decoder(JobHead).decode
+_decode_progress = msgspec.msgpack.Decoder(JobProgress).decode
+_decode_items = msgspec.msgpack.Decoder(_Items).decode
+
+
+class JobKeys:
+    """Keys of one job. ``prefix`` starts the keys that runners watch."""
+
+    def __init__(self, prefix: str, job_id: str) -> None:
+        self.announced = f"{prefix}{ANNOUNCED}{job_id}"
+        self.ended = f"{prefix}{ENDED}{job_id}"
+        self.parts = f"{PARTS}{job_id}/"
+        self.progress = f"{PROGRESS}{job_id}"
+        self.texts = f"{TEXTS}{job_id}/"
+
+    def text(self, position: int) -> str:
+        """Return the key of a result's text."""
+        return f"{self.texts}{position:05d}"
+
+
+def make_submission(keys: JobKeys, head: JobHead, items: tuple[JobItem, ...]) -> Change:
+    """Return the write that accepts a job as a whole, unless it is there already."""
+    data = _encode(_Items(list(items)))
+    parts = [data[i : i + PART_BYTES] for i in range(0, len(data), PART_BYTES)]
+    tokens = sum(item.tokens for item in items)
+    progress = JobProgress(head.route, head.owner, len(items), tokens, False)
+    announced = msgspec.structs.replace(head, parts=len(parts))
+    put = {keys.announced: _encode(announced), keys.progress: _encode(progress)}
+    put.update({f"{keys.parts}{i:03d}": part for i, part in enumerate(parts)})
+    return Change({keys.announced: 0}, put)
+
+
+def make_progress_change(
+    keys: JobKeys, version: int, progress: JobProgress, texts: dict[int, str] | None = None
+) -> Change:
+    """Return the write that replaces the progress and adds the texts of new positions."""
+    put = {keys.progress: _encode(progress)}
+    put.update({keys.text(i): text.encode() for i, text in (texts or {}).items()})
+    if progress.ended:
+        put[keys.ended] = b"1"
+    return Change({keys.progress: version}, put)
+
+
+def make_removal(keys: JobKeys, version: int, progress: JobProgress, parts: int) -> list[Change]:
+    """Return the writes that remove a job: its progress last, so that a cut removal goes on."""
+    rows = [keys.text(i) for i in range(len(progress.listed))]
+    rows += [f"{keys.parts}{i:03d}" for i in range(parts)]
+    changes = [Change({}, {}, tuple(rows[i : i + 30])) for i in range(0, len(rows), 30)]
+    last = (keys.announced, keys.ended, keys.progress)
+    return [*changes, Change({keys.progress: version}, {}, last)]
+
+
+def read_head(value: bytes) -> JobHead:
+    """Decode an announcement."""
+    return _decode_head(value)
+
+
+def read_progress(value: bytes) -> JobProgress:
+    """Decode a progress record."""
+    return _decode_progress(value)
+
+
+def fetch_progress(store: StateStore, keys: JobKeys) -> tuple[JobProgress, int]:
+    """Return progress and version; raises JobNotFoundError."""
+    row = store.get(keys.progress)
+    if row is None:
+        raise JobNotFoundError("no such job")
+    return _decode_progress(row.value), row.version
+
+
+def fetch_items(store: StateStore, keys: JobKeys) -> list[JobItem]:
+    """Return the items of a job; raises JobNotFoundError."""
+    page = store.list_range(keys.parts)
+    data = b"".join(row.value for row in page.values)
+    if not data:
+        raise JobNotFoundError("no such job")
+    return _decode_items(data).items
+
+
+def count_waiting_tokens(rows: Iterable[bytes], route: str) -> int:
+    """Return the tokens of unfinished items on a route."""
+    progress = (_decode_progress(row) for row in rows)
+    return sum(p.count_waiting() for p in progress if p.route == route)
--- /dev/null
+++ b/clementinepin/serving/_jobs.py
@@ -0,0 +1,241 @@
+"""Jobs as callers see them: submit, read, look at a body, end. The store holds all of it."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Final, TypeVar
+
+import gevent
+from loguru import logger
+
+from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.rendezvous import choose_owner
+from clementinepin.infrastructure.exceptions import (
+    PlatformUnavailableError,
+    ReplyLostError,
+    VersionConflictError,
+)
+from clementinepin.serving import _job_records as records
+from clementinepin.serving._fleet import FleetView
+from clementinepin.serving.exceptions import (
+    BadRequestError,
+    DeadlineError,
+    JobNotFoundError,
+    OverloadedError,
+    TokensExhaustedError,
+)
+from clementinepin.serving.models import ItemResult, ItemState, JobItem, Route
+from clementinepin.serving.store import StateStore
+from clementinepin.serving.wire import JobCall, Wire
+
+ID_MAX_CHARS: Final = 120  # keys of the store hold 200 bytes with our prefixes
+STORE_RETRY_S: Final = 0.1
+READ_HOLD_MAX_S: Final = 0.8  # a held read looks once more before its caller's wait ends
+CALL_TIMEOUT_S: Final = 3.0  # callers wait 4 s for a confirmation
+UNAVAILABLE_RETRY_S: Final = 1.0
+PAGE_TEXT_BYTES: Final = 900_000  # a page of results holds a megabyte
+CACHED_TEXT_BYTES: Final = 6_000_000  # about 500 results; small entry instances have 128 MB
+T = TypeVar("T")
+
+
+class _ResultCache:
+    """Texts by job and position; results never change."""
+
+    def __init__(self) -> None:
+        self._rows: OrderedDict[tuple[str, int], ItemResult] = OrderedDict()
+        self._bytes = 0
+
+    def get(self, job_id: str, position: int) -> ItemResult | None:
+        """Return a known result."""
+        return self._rows.get((job_id, position))
+
+    def put(self, job_id: str, position: int, result: ItemResult) -> None:
+        """Keep a result, and drop the oldest beyond the bound."""
+        if (job_id, position) not in self._rows:
+            self._bytes += len(result.text)
+        self._rows[job_id, position] = result
+        while self._bytes > CACHED_TEXT_BYTES:
+            self._bytes -= len(self._rows.popitem(last=False)[1].text)
+
+
+class JobDesk:
+    """Serves the callers' calls on jobs at any instance."""
+
+    def __init__(self, store: StateStore, fleet: FleetView, wire: Wire, clock: Clock) -> None:
+        self._store = store
+        self._fleet = fleet
+        self._wire = wire
+        self._clock = clock
+        self._cache = _ResultCache()
+        self._totals: dict[str, int] = {}
+
+    def submit(self, job_id: str, host: str, route: Route, items: tuple[JobItem, ...]) -> None:
+        """Accept a job; returns when it is stored, also when it was before.
+
+        Raises TokensExhaustedError and OverloadedError only when nothing of it was stored.
+        """
+        keys = self._make_keys(job_id)
+        runners = [member.name for member in self._fleet.list_job_runners()]
+        now_ms = int(self._clock.wall() * 1000)
+        head = records.JobHead(
+            job_id=job_id,
+            route=route.name,
+            host=host,
+            owner=choose_owner(job_id, runners) or "",
+            created_ms=now_ms,
+            due_ms=now_ms + int(route.due_s * 1000),
+            expires_ms=now_ms + int(route.retention_s * 1000),
+            parts=0,
+        )
+        change = records.make_submission(keys, head, items)
+        if route.tokens_max:
+            self._check_tokens(keys, route, sum(item.tokens for item in items))
+        try:
+            self._settle(lambda: self._store.write(change))
+            logger.bind(request_id=job_id, items=len(items), owner=head.owner).info("job_accepted")
+        except VersionConflictError:
+            logger.bind(request_id=job_id).info("job_known")
+        self._totals[job_id] = len(items)
+
+    def read(self, call: JobCall) -> bytes:
+        """Return results from a position on; held for a moment while there is none."""
+        keys = self._make_keys(call.job_id)
+        total = self._totals.get(call.job_id)
+        results = self._take_cached(call.job_id, call.after)
+        if results and total is not None:
+            return self._wire.make_results(total, call.after, results)
+        if total is not None and call.wait_s > 0 and call.after < total:
+            gevent.sleep(min(READ_HOLD_MAX_S, call.wait_s * READ_HOLD_MAX_S))
+        progress, _ = self._retry(lambda: records.fetch_progress(self._store, keys))
+        self._totals[call.job_id] = progress.total
+        listed = progress.listed[call.after :]
+        if not listed and progress.is_open and total is None and call.wait_s > 0:
+            gevent.sleep(min(READ_HOLD_MAX_S, call.wait_s * READ_HOLD_MAX_S))
+            progress, _ = self._retry(lambda: records.fetch_progress(self._store, keys))
+            listed = progress.listed[call.after :]
+        results = self._fetch_results(keys, call, listed)
+        return self._wire.make_results(progress.total, call.after, results)
+
+    def read_body(self, call: JobCall) -> bytes:
+        """Return the body of an item; raises JobNotFoundError."""
+        keys = self._make_keys(call.job_id)
+        for item in self._retry(lambda: records.fetch_items(self._store, keys)):
+            if item.item_id == call.item_id:
+                return item.body
+        raise JobNotFoundError("no such item")
+
+    def end(self, call: JobCall) -> None:
+        """End a job; returns when that is stored."""
+        keys = self._make_keys(call.job_id)
+
+        def try_once() -> None:
+            progress, version = records.fetch_progress(self._store, keys)
+            if progress.ended:
+                return
+            ended = records.JobProgress(
+                progress.route,
+                progress.owner,
+                progress.total,
+                progress.tokens_left,
+                True,
+                progress.listed,
+                progress.failures,
+            )
+            self._store.write(records.make_progress_change(keys, version, ended))
+
+        deadline = self._clock.monotonic() + CALL_TIMEOUT_S
+        while True:
+            try:
+                self._settle(try_once)
+                logger.bind(request_id=call.job_id).info("job_ended")
+                return
+            except VersionConflictError as err:
+                if self._clock.monotonic() > deadline:
+                    raise DeadlineError("the job changed too often") from err
+
+    def _check_tokens(self, keys: records.JobKeys, route: Route, tokens: int) -> None:
+        """Raise TokensExhaustedError unless the job fits, or is there already."""
+        page = self._retry(lambda: self._store.list_range(records.PROGRESS))
+        if any(row.key == keys.progress for row in page.values):
+            return
+        waiting = records.count_waiting_tokens((row.value for row in page.values), route.name)
+        if waiting + tokens > route.tokens_max:
+            logger.bind(waiting=waiting, tokens=tokens, bound=route.tokens_max).info(
+                "job_too_large"
+            )
+            raise TokensExhaustedError("the job does not fit now", UNAVAILABLE_RETRY_S)
+
+    def _take_cached(self, job_id: str, after: int) -> list[ItemResult]:
+        results: list[ItemResult] = []
+        size = 0
+        while size < PAGE_TEXT_BYTES:
+            result = self._cache.get(job_id, after + len(results))
+            if result is None:
+                break
+            results.append(result)
+            size += len(result.text)
+        return results
+
+    def _fetch_results(
+        self, keys: records.JobKeys, call: JobCall, listed: tuple[records.ListedItem, ...]
+    ) -> list[ItemResult]:
+        results: list[ItemResult] = []
+        size = 0
+        for position, item in enumerate(listed, call.after):
+            result = self._cache.get(call.job_id, position)
+            if result is None:
+                result = ItemResult(
+                    item.item_id, item.state, self._fetch_text(keys, position, item)
+                )
+                self._cache.put(call.job_id, position, result)
+            size += len(result.text)
+            if results and size > PAGE_TEXT_BYTES:
+                break
+            results.append(result)
+        return results
+
+    def _fetch_text(self, keys: records.JobKeys, position: int, item: records.ListedItem) -> str:
+        if item.state is ItemState.DEAD:
+            return ""
+        row = self._retry(lambda: self._store.get(keys.text(position)))
+        if row is None:
+            raise OverloadedError("a result's text is missing", UNAVAILABLE_RETRY_S)
+        return row.value.decode()
+
+    def _make_keys(self, job_id: str) -> records.JobKeys:
+        quoted = self._wire.quote(job_id)
+        if not quoted or len(quoted) > ID_MAX_CHARS:
+            raise BadRequestError("the job's id is empty or too long")
+        return records.JobKeys(self._wire.own_prefix, quoted)
+
+    def _settle(self, write: Callable[[], T]) -> T:
+        """Repeat a conditional write until its outcome is known.
+
+        Raises OverloadedError when it can't have been done, DeadlineError when it may be.
+        """
+        deadline = self._clock.monotonic() + CALL_TIMEOUT_S
+        lost = False
+        while True:
+            try:
+                return write()
+            except ReplyLostError as err:
+                lost, failure = True, str(err)
+            except PlatformUnavailableError as err:
+                failure = str(err)
+            if self._clock.monotonic() + STORE_RETRY_S > deadline:
+                if lost:
+                    raise DeadlineError(f"unknown whether it is stored: {failure}")
+                raise OverloadedError(f"the store is away: {failure}", UNAVAILABLE_RETRY_S)
+            gevent.sleep(STORE_RETRY_S)
+
+    def _retry(self, read: Callable[[], T]) -> T:
+        """Repeat a read for a moment; raises OverloadedError, which promises nothing ran."""
+        deadline = self._clock.monotonic() + CALL_TIMEOUT_S / 3
+        while True:
+            try:
+                return read()
+            except (ReplyLostError, PlatformUnavailableError) as err:
+                if self._clock.monotonic() + STORE_RETRY_S > deadline:
+                    raise OverloadedError(f"store: {err}", UNAVAILABLE_RETRY_S) from err
+            gevent.sleep(STORE_RETRY_S)
--- /dev/null
+++ b/clementinepin/serving/_messages.py
@@ -0,0 +1,148 @@
+"""Messages between the dispatcher and the instances that ask it for slots."""
+
+from __future__ import annotations
+
+import struct
+from typing import Any, Final
+
+import gevent
+import msgspec
+from gevent import socket
+from loguru import logger
+
+HEADER: Final = struct.Struct(">I")
+FRAME_MAX_BYTES: Final = 1_000_000  # a hello of a few thousand slots; more is not a peer of ours
+
+
+class TakenSlot(msgspec.Struct, array_like=True, frozen=True):
+    """A slot in use at the time of a hello; ``run_s`` is what is left of its expected time."""
+
+    number: int
+    service: str
+    target_id: str
+    is_batch: bool
+    is_firm: bool
+    run_s: float
+
+
+class Hello(msgspec.Struct, array_like=True, tag=0, frozen=True):
+    """First message of an asking instance."""
+
+    name: str
+    slots: list[TakenSlot]
+
+
+class AskSlot(msgspec.Struct, array_like=True, tag=1, frozen=True):
+    """Asks for a slot. Durations, as clocks differ; the receiver turns them into times."""
+
+    number: int
+    service: str
+    is_batch: bool
+    on_time_in_s: float
+    deadline_in_s: float
+    run_s: float
+    prefix_ids: list[str]
+    data_centre: str
+    excluded: list[str]
+    returned: bool
+    is_firm: bool
+
+
+class EndSlot(msgspec.Struct, array_like=True, tag=2, frozen=True):
+    """Frees a slot or withdraws an ask."""
+
+    number: int
+    outcome: str
+
+
+class GrantSlot(msgspec.Struct, array_like=True, tag=3, frozen=True):
+    """The request may be sent to this target."""
+
+    number: int
+    target_id: str
+
+
+class RefuseSlot(msgspec.Struct, array_like=True, tag=4, frozen=True):
+    """The request should be refused."""
+
+    number: int
+    retry_after_s: float
+    reason: str
+
+
+class YieldSlot(msgspec.Struct, array_like=True, tag=5, frozen=True):
+    """The batch item in the slot should stop."""
+
+    number: int
+
+
+class SlotQueued(msgspec.Struct, array_like=True, tag=6, frozen=True):
+    """Asks of the receiver wait; sent at once and then as a sign of life."""
+
+
+Message = Hello | AskSlot | EndSlot | GrantSlot | RefuseSlot | YieldSlot | SlotQueued
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Message).decode
+
+
+def pack_message(message: Message) -> bytes:
+    """Return a message as a frame with its length in front."""
+    data = _encode(message)
+    return HEADER.pack(len(data)) + data
+
+
+class FrameReader:
+    """Cuts a byte stream into messages."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[Any]:
+        """Return the messages completed by the data; raises ValueError for a bad frame."""
+        self._rest += data
+        messages = []
+        while len(self._rest) >= HEADER.size:
+            (size,) = HEADER.unpack_from(self._rest)
+            if size > FRAME_MAX_BYTES:
+                raise ValueError(f"frame of {size} bytes")
+            end = HEADER.size + size
+            if len(self._rest) < end:
+                break
+            messages.append(_decode(self._rest[HEADER.size : end]))
+            self._rest = self._rest[end:]
+        return messages
+
+
+class MessageSender:
+    """Writes messages to one connection; what is queued together leaves together."""
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+        self._pending: list[bytes] = []
+        self._sending = False
+
+    def send(self, message: Message) -> None:
+        """Queue a message. A broken connection is closed, which its reader notices."""
+        self._pending.append(pack_message(message))
+        if not self._sending:
+            self._sending = True
+            gevent.spawn(self._flush)
+
+    def close(self) -> None:
+        """Close the connection; its reader sees an end of file."""
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError as err:
+            logger.bind(error=str(err)).debug("slot_link_closed_already")
+
+    def _flush(self) -> None:
+        try:
+            while self._pending:
+                data = b"".join(self._pending)
+                self._pending.clear()
+                self._sock.sendall(data)
+        except OSError as err:
+            logger.bind(error=str(err)).info("slot_link_broke")
+            self.close()
+        finally:
+            self._sending = False
--- /dev/null
+++ b/clementinepin/serving/_pools.py
@@ -0,0 +1,38 @@
+"""Connections to targets, one pool a target that is known."""
+
+from __future__ import annotations
+
+from clementinepin.helpers.clock import Clock
+from clementinepin.serving._fleet import FleetView
+from clementinepin.serving.models import Target
+from clementinepin.targets import TargetAddress, Transport
+
+
+class TargetPools:
+    """Transports by target and start; those of targets that are gone are closed."""
+
+    def __init__(self, fleet: FleetView, clock: Clock) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._transports: dict[str, tuple[Target, Transport]] = {}
+        fleet.subscribe(self._drop_gone)
+
+    def get(self, target: Target) -> Transport:
+        """Return the transport to a target."""
+        known = self._transports.get(target.target_id)
+        if known is not None and _is_same(known[0], target):
+            return known[1]
+        if known is not None:
+            known[1].close()
+        address = TargetAddress(target.target_id, target.host, target.port)
+        transport = Transport(address, self._clock)
+        self._transports[target.target_id] = target, transport
+        return transport
+
+    def _drop_gone(self) -> None:
+        for target_id in set(self._transports) - set(self._fleet.targets.rows):
+            self._transports.pop(target_id)[1].close()
+
+
+def _is_same(one: Target, other: Target) -> bool:
+    return (one.host, one.port, one.started_at_ms) == (other.host, other.port, other.started_at_ms)
--- /dev/null
+++ b/clementinepin/serving/_runner.py
@@ -0,0 +1,292 @@
+"""Runs the items of jobs that this instance owns, on slots that online requests leave."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import gevent
+import msgspec
+from gevent.event import Event
+from gevent.lock import BoundedSemaphore
+from loguru import logger
+
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.rendezvous import choose_owner
+from clementinepin.infrastructure import KeyValue
+from clementinepin.infrastructure.exceptions import VersionConflictError
+from clementinepin.serving import _job_records as records
+from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._item_run import ItemRun, ItemRunner
+from clementinepin.serving.models import InstanceSettings, ItemState
+from clementinepin.serving.store import StateStore, StoreFollower
+from clementinepin.serving.wire import Wire
+
+GROUP_S: Final = 0.3  # results of a job that end this close together share a write
+RESULTS_PER_WRITE: Final = 28  # the store takes 32 entries a write
+TEXT_BYTES_PER_WRITE: Final = 2_000_000  # keeps a write short on a slow link
+ITEMS_AT_ONCE: Final = 24  # asks in the dispatcher's queue an instance; more would only wait there
+LOOK_PERIOD_S: Final = 0.5  # how soon jobs of a lost owner are taken over
+STORE_RETRY_S: Final = 0.3
+REMOVE_MARGIN_S: Final = 10.0
+
+
+class _Job:
+    """One owned job in work."""
+
+    def __init__(self, head: records.JobHead, keys: records.JobKeys) -> None:
+        self.head = head
+        self.keys = keys
+        self.progress: records.JobProgress | None = None
+        self.version = 0
+        self.done: list[ItemRun] = []
+        self.changed = Event()
+        self.runs: dict[str, ItemRun] = {}
+        self.greenlet: gevent.Greenlet | None = None
+        self.stopped = False
+
+    def stop(self) -> None:
+        """Give up all runs; nothing is listed any more."""
+        self.stopped = True
+        for run in self.runs.values():
+            run.cancel()
+        self.changed.set()
+
+
+class _Announcements:
+    """Feeds announcements and ends into the runner."""
+
+    def __init__(self, prefix: str, put: Callable[[str, bytes | None], None]) -> None:
+        self._prefix = prefix
+        self._put = put
+
+    def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
+        """Take in the whole range; what is missing ended or was removed long ago."""
+        for row in rows:
+            self._put(row.key.removeprefix(self._prefix), row.value)
+
+    def apply_change(self, key: str, value: bytes | None, version: int) -> None:
+        """Take in one change."""
+        self._put(key.removeprefix(self._prefix), value)
+
+
+class JobRunner:
+    """Takes jobs over, runs their items and lists the results."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        store: StateStore,
+        fleet: FleetView,
+        items: ItemRunner,
+        wire: Wire,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._fleet = fleet
+        self._items = items
+        self._wire = wire
+        self._clock = clock
+        self._heads: dict[str, records.JobHead] = {}
+        self._ended: set[str] = set()
+        self._finished: set[str] = set()
+        self._jobs: dict[str, _Job] = {}
+        self._room = BoundedSemaphore(ITEMS_AT_ONCE)
+        self._greenlets: list[gevent.Greenlet] = []
+        self._look = Event()
+        self.leaving = False
+        prefix = wire.own_prefix
+        self._followers = [
+            StoreFollower(store, prefix + name, _Announcements(prefix + name, take), clock)
+            for name, take in (
+                (records.ANNOUNCED, self._take_head),
+                (records.ENDED, self._take_end),
+            )
+        ]
+
+    def start(self) -> None:
+        """Follow announcements and take jobs over."""
+        self._greenlets = [gevent.spawn(f.run) for f in self._followers]
+        self._greenlets.append(gevent.spawn(self._run_looks))
+
+    def leave(self) -> None:
+        """Stop all work; others take the jobs over once this instance is marked as leaving."""
+        self.leaving = True
+        for job in list(self._jobs.values()):
+            job.stop()
+
+    def describe_state(self) -> dict[str, Any]:
+        """Return a JSON-ready dump."""
+        return {"known": len(self._heads), "owned": sorted(self._jobs)}
+
+    def _take_head(self, job_id: str, value: bytes | None) -> None:
+        if value is None:
+            self._heads.pop(job_id, None)
+            self._finished.discard(job_id)
+            return
+        try:
+            self._heads[job_id] = records.read_head(value)
+        except msgspec.DecodeError as err:
+            logger.bind(request_id=job_id, error=str(err)).error("job_unreadable")
+            return
+        self._look.set()
+
+    def _take_end(self, job_id: str, value: bytes | None) -> None:
+        if value is None:
+            self._ended.discard(job_id)
+            return
+        self._ended.add(job_id)
+        job = self._jobs.get(job_id)
+        if job is not None:
+            logger.bind(request_id=job_id).info("job_stopped")
+            job.stop()
+
+    def _run_looks(self) -> None:
+        while True:
+            self._look.wait(LOOK_PERIOD_S)
+            self._look.clear()
+            try:
+                self._look_at_jobs()
+            except ClementinepinError as err:
+                logger.bind(error=str(err)).info("jobs_not_looked_at")
+
+    def _look_at_jobs(self) -> None:
+        alive = {member.name for member in self._fleet.list_job_runners()}
+        alive.add(self._settings.name)
+        for job_id, head in list(self._heads.items()):
+            if self.leaving or job_id in self._jobs or job_id in self._finished:
+                continue
+            if job_id in self._ended:
+                self._remove_if_old(job_id, head)
+                continue
+            owner = head.owner if head.owner in alive else choose_owner(job_id, alive)
+            if owner == self._settings.name:
+                job = _Job(head, records.JobKeys(self._wire.own_prefix, job_id))
+                self._jobs[job_id] = job
+                job.greenlet = gevent.spawn(self._run_job, job_id, job)
+        for job_id in list(self._finished):
+            if job_id in self._heads:
+                self._remove_if_old(job_id, self._heads[job_id])
+
+    def _run_job(self, job_id: str, job: _Job) -> None:
+        try:
+            while not job.stopped:
+                try:
+                    self._load(job)
+                    self._run_items(job)
+                    self._list_results(job)
+                    break
+                except ClementinepinError as err:
+                    logger.bind(request_id=job_id, error=str(err)).info("job_interrupted")
+                    gevent.sleep(STORE_RETRY_S)
+            if not self.leaving:
+                self._finished.add(job_id)
+        finally:
+            self._jobs.pop(job_id, None)
+
+    def _load(self, job: _Job) -> None:
+        job.progress, job.version = records.fetch_progress(self._store, job.keys)
+        if job.progress.ended:
+            job.stop()
+
+    def _run_items(self, job: _Job) -> None:
+        """Start a run for each item that is not listed and not running yet."""
+        progress = job.progress
+        if progress is None or job.stopped or not progress.is_open:
+            return
+        listed = {row.item_id for row in progress.listed}
+        for item in records.fetch_items(self._store, job.keys):
+            if item.item_id in listed or item.item_id in job.runs:
+                continue
+            run = ItemRun(item, job.head, progress.failures.get(item.item_id, 0))
+            job.runs[item.item_id] = run
+            gevent.spawn(self._run_item, job, run)
+
+    def _run_item(self, job: _Job, run: ItemRun) -> None:
+        with self._room:
+            if not job.stopped:
+                self._items.run(run)
+        if run.state is not None:
+            job.done.append(run)
+            job.changed.set()
+
+    def _list_results(self, job: _Job) -> None:
+        """Write results as they come, until all items are listed or the job ends."""
+        while not job.stopped and job.progress is not None and job.progress.is_open:
+            job.changed.wait()
+            if not job.stopped and len(job.done) + len(job.progress.listed) < job.progress.total:
+                gevent.sleep(GROUP_S)
+            job.changed.clear()
+            while job.done and not job.stopped:
+                self._write_results(job)
+
+    def _write_results(self, job: _Job) -> None:
+        """Append a group of results in one conditional write."""
+        progress = job.progress
+        if progress is None:
+            return
+        listed = {row.item_id for row in progress.listed}
+        job.done = [run for run in job.done if run.item.item_id not in listed]
+        group = choose_group(job.done)
+        if not group:
+            return
+        rows = tuple(
+            records.ListedItem(run.item.item_id, run.state or ItemState.DEAD, run.item.tokens)
+            for run in group
+        )
+        first = len(progress.listed)
+        texts = {
+            first + i: run.text for i, run in enumerate(group) if run.state is ItemState.COMPLETED
+        }
+        failures = {run.item.item_id: run.failures for run in job.runs.values() if run.failures}
+        changed = records.JobProgress(
+            route=progress.route,
+            owner=self._settings.name,
+            total=progress.total,
+            tokens_left=progress.tokens_left - sum(row.tokens for row in rows),
+            ended=False,
+            listed=progress.listed + rows,
+            failures=failures,
+        )
+        change = records.make_progress_change(job.keys, job.version, changed, texts)
+        try:
+            job.version = self._store.write(change)
+            job.progress = changed
+        except VersionConflictError:
+            logger.bind(request_id=job.head.job_id, version=job.version).info(
+                "job_changed_elsewhere"
+            )
+            self._load(job)
+            return
+        job.done = job.done[len(group) :]
+        logger.bind(request_id=job.head.job_id, position=first, count=len(group)).info(
+            "results_listed"
+        )
+
+    def _remove_if_old(self, job_id: str, head: records.JobHead) -> None:
+        age_s = self._clock.wall() - head.created_ms / 1000
+        if age_s < self._settings.status_retention_s + REMOVE_MARGIN_S:
+            return
+        if choose_owner(job_id, [m.name for m in self._fleet.list_job_runners()]) != (
+            self._settings.name
+        ):
+            return
+        keys = records.JobKeys(self._wire.own_prefix, job_id)
+        progress, version = records.fetch_progress(self._store, keys)
+        for change in records.make_removal(keys, version, progress, head.parts):
+            self._store.write(change)
+        logger.bind(request_id=job_id, age_s=round(age_s)).info("job_removed")
+
+
+def choose_group(done: list[ItemRun]) -> list[ItemRun]:
+    """Return the first results that fit into one write."""
+    group: list[ItemRun] = []
+    size = 0
+    for run in done[:RESULTS_PER_WRITE]:
+        size += len(run.text)
+        if group and size > TEXT_BYTES_PER_WRITE:
+            break
+        group.append(run)
+    return group
--- /dev/null
+++ b/clementinepin/serving/_slots.py
@@ -0,0 +1,312 @@
+"""The asking side: gets slots from the dispatcher, or chooses alone while none answers."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+import gevent
+from gevent import socket
+from gevent.event import AsyncResult
+from loguru import logger
+
+from clementinepin.helpers.clock import Clock
+from clementinepin.serving import _messages as messages
+from clementinepin.serving._dispatcher import update_targets
+from clementinepin.serving._fleet import FleetView
+from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
+from clementinepin.serving.models import Member
+from clementinepin.systems import dispatching
+from clementinepin.systems.dispatching import RunOutcome
+from clementinepin.tables.dispatch import Ask, DispatchTable
+
+REPLY_TIMEOUT_S: Final = 0.08  # some round trips between data centres plus a busy dispatcher
+SILENCE_MAX_S: Final = 0.35  # three signs of life missed
+CONNECT_TIMEOUT_S: Final = 0.5
+HELLO_TIMEOUT_S: Final = 0.5  # a process that stands still accepts connections, but says nothing
+RECONNECT_S: Final = 0.1
+ALONE_RETRY_S: Final = 0.3  # Retry-After when no dispatcher answers and the own share is used up
+READ_SIZE_BYTES: Final = 65_536
+
+
+class SlotRequest(NamedTuple):
+    """What a request needs; times are monotonic seconds of this instance."""
+
+    service: str
+    is_batch: bool
+    on_time_by: float
+    deadline: float
+    run_s: float
+    prefix_ids: tuple[str, ...] = ()
+    excluded: frozenset[str] = frozenset()
+    returned: bool = False
+    is_firm: bool = False
+
+
+class Slot(NamedTuple):
+    """A granted slot. ``alone`` says that it was chosen without the dispatcher."""
+
+    number: int
+    target_id: str
+    alone: bool
+
+
+class _Waiter:
+    """One ask that waits for its answer."""
+
+    def __init__(self, request: SlotRequest) -> None:
+        self.request = request
+        self.result: AsyncResult = AsyncResult()
+
+
+class SlotBroker:
+    """Hands out slots to the requests of this instance."""
+
+    def __init__(
+        self, name: str, data_centre: str, fleet: FleetView, clock: Clock, rng: random.Random
+    ) -> None:
+        self._name = name
+        self._data_centre = data_centre
+        self._fleet = fleet
+        self._clock = clock
+        self._random = rng
+        self._numbers = itertools.count(1)
+        self._waiters: dict[int, _Waiter] = {}
+        self._yields: dict[int, Callable[[], None]] = {}
+        self._taken: dict[int, tuple[SlotRequest, str, float]] = {}
+        self._link: messages.MessageSender | None = None
+        self._dispatcher: Member | None = None
+        self._heard_at = 0.0
+        self._suspect = False
+        self._greenlets: list[gevent.Greenlet] = []
+        self._table = DispatchTable()
+
+    def start(self) -> None:
+        """Keep a link to the dispatcher."""
+        self._fleet.subscribe(self._update_targets)
+        self._greenlets = [gevent.spawn(self._keep_link), gevent.spawn(self._watch_silence)]
+
+    def stop(self) -> None:
+        """Close the link."""
+        gevent.killall(self._greenlets)
+        self._drop_link()
+
+    @property
+    def dispatcher_name(self) -> str:
+        """Return the instance that is asked now, empty without a link."""
+        return self._dispatcher.name if self._dispatcher and self._link is not None else ""
+
+    def acquire(
+        self, request: SlotRequest, on_waiting: Callable[[Callable[[], None]], None]
+    ) -> Slot:
+        """Return a slot; raises OverloadedError, or CallerGoneError when cancelled.
+
+        ``on_waiting`` is given a function that cancels the wait.
+        """
+        number = next(self._numbers)
+        if self._link is None or self._suspect:
+            return self._choose_alone(number, request)
+        waiter = _Waiter(request)
+        self._waiters[number] = waiter
+        on_waiting(lambda: waiter.result.set(CallerGoneError("the caller left the queue")))
+        try:
+            self._send(self._make_ask(number, request))
+            answer = self._wait(waiter)
+        finally:
+            self._waiters.pop(number, None)
+        if isinstance(answer, messages.GrantSlot):
+            self._note_taken(number, request, answer.target_id)
+            return Slot(number, answer.target_id, alone=False)
+        if isinstance(answer, messages.RefuseSlot):
+            raise OverloadedError(answer.reason, answer.retry_after_s)
+        self._send(messages.EndSlot(number, RunOutcome.CANCELLED))
+        if isinstance(answer, CallerGoneError):
+            raise answer
+        return self._choose_alone(number, request)
+
+    def release(self, slot: Slot, outcome: RunOutcome) -> None:
+        """Give a slot back and tell how its use ended."""
+        self._taken.pop(slot.number, None)
+        self._yields.pop(slot.number, None)
+        key = (self._name, slot.number)
+        dispatching.finish(self._table, key, outcome, self._clock.monotonic())
+        if self._link is not None:
+            self._send(messages.EndSlot(slot.number, outcome))
+
+    def watch_yield(self, slot: Slot, on_yield: Callable[[], None]) -> None:
+        """Call ``on_yield`` when the dispatcher wants the slot back."""
+        self._yields[slot.number] = on_yield
+
+    def describe_state(self) -> dict[str, Any]:
+        """Return a JSON-ready dump."""
+        return {
+            "dispatcher": self.dispatcher_name,
+            "suspect": self._suspect,
+            "waiting": len(self._waiters),
+            "taken": len(self._taken),
+        }
+
+    def _wait(self, waiter: _Waiter) -> Any:
+        """Return the answer, or None when the dispatcher fell silent."""
+        with gevent.Timeout(REPLY_TIMEOUT_S, False):
+            return waiter.result.get()
+        now = self._clock.monotonic()
+        if now - self._heard_at > REPLY_TIMEOUT_S:
+            self._note_silence("no reply")
+            return None
+        with gevent.Timeout(max(0.0, waiter.request.deadline - now), False):
+            return waiter.result.get()
+        return None
+
+    def _choose_alone(self, number: int, request: SlotRequest) -> Slot:
+        """Choose by own counts; each instance keeps to about its share of every target."""
+        now = self._clock.monotonic()
+        ask = self._make_own_ask(number, request, now)
+        target = dispatching.choose_target(self._table.targets.values(), ask, now)
+        if target is None:
+            raise OverloadedError("no free target known", ALONE_RETRY_S)
+        share = math.ceil(2 * target.slots / max(1, len(self._fleet.list_entries())))
+        if target.taken >= max(2, share):
+            raise OverloadedError("own share used up", ALONE_RETRY_S)
+        self._note_taken(number, request, target.target_id)
+        return Slot(number, target.target_id, alone=True)
+
+    def _note_taken(self, number: int, request: SlotRequest, target_id: str) -> None:
+        now = self._clock.monotonic()
+        self._taken[number] = (request, target_id, now)
+        ask = self._make_own_ask(number, request, now)
+        dispatching.adopt_grant(self._table, ask, target_id, now)
+
+    def _make_own_ask(self, number: int, request: SlotRequest, now: float) -> Ask:
+        return Ask(
+            key=(self._name, number),
+            service=request.service,
+            is_batch=request.is_batch,
+            asked_at=now,
+            on_time_by=request.on_time_by,
+            deadline=request.deadline,
+            run_s=request.run_s,
+            prefix_ids=request.prefix_ids,
+            data_centre=self._data_centre,
+            excluded=request.excluded,
+        )
+
+    def _make_ask(self, number: int, request: SlotRequest) -> messages.AskSlot:
+        now = self._clock.monotonic()
+        return messages.AskSlot(
+            number=number,
+            service=request.service,
+            is_batch=request.is_batch,
+            on_time_in_s=request.on_time_by - now,
+            deadline_in_s=request.deadline - now,
+            run_s=request.run_s,
+            prefix_ids=list(request.prefix_ids),
+            data_centre=self._data_centre,
+            excluded=list(request.excluded),
+            returned=request.returned,
+            is_firm=request.is_firm,
+        )
+
+    def _update_targets(self) -> None:
+        update_targets(self._table, self._fleet.targets.rows)
+        chosen = self._choose_dispatcher()
+        if (chosen and chosen.name) != (self._dispatcher and self._dispatcher.name):
+            self._drop_link()
+
+    def _choose_dispatcher(self) -> Member | None:
+        """Return the oldest instance that runs jobs: joining ones never move the duty."""
+        runners = self._fleet.list_job_runners()
+        return runners[0] if runners else None
+
+    def _keep_link(self) -> None:
+        while True:
+            chosen = self._choose_dispatcher()
+            if chosen is None:
+                gevent.sleep(RECONNECT_S)
+                continue
+            try:
+                self._run_link(chosen)
+            except (OSError, ValueError) as err:
+                logger.bind(dispatcher=chosen.name, error=str(err)).info("dispatcher_lost")
+            finally:
+                self._drop_link()
+            gevent.sleep(RECONNECT_S)
+
+    def _run_link(self, member: Member) -> None:
+        sock = socket.socket()
+        try:
+            sock.settimeout(CONNECT_TIMEOUT_S)
+            sock.connect((member.host, member.link_port))
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._link, self._dispatcher = messages.MessageSender(sock), member
+            self._suspect = True
+            self._send(messages.Hello(self._name, self._list_taken()))
+            reader = messages.FrameReader()
+            sock.settimeout(HELLO_TIMEOUT_S)
+            while data := sock.recv(READ_SIZE_BYTES):
+                self._heard_at = self._clock.monotonic()
+                if self._suspect:
+                    self._suspect = False
+                    sock.settimeout(None)
+                    logger.bind(dispatcher=member.name).info("dispatcher_regained")
+                for message in reader.feed(data):
+                    self._take_message(message)
+        finally:
+            sock.close()
+
+    def _list_taken(self) -> list[messages.TakenSlot]:
+        now = self._clock.monotonic()
+        return [
+            messages.TakenSlot(
+                number,
+                request.service,
+                target_id,
+                request.is_batch,
+                request.is_firm,
+                max(0.0, since + request.run_s - now),
+            )
+            for number, (request, target_id, since) in self._taken.items()
+        ]
+
+    def _take_message(self, message: Any) -> None:
+        if isinstance(message, messages.YieldSlot):
+            on_yield = self._yields.pop(message.number, None)
+            if on_yield is not None:
+                on_yield()
+        elif isinstance(message, (messages.GrantSlot, messages.RefuseSlot)):
+            waiter = self._waiters.get(message.number)
+            if waiter is not None and not waiter.result.ready():
+                waiter.result.set(message)
+            elif isinstance(message, messages.GrantSlot) and message.number not in self._taken:
+                self._send(messages.EndSlot(message.number, RunOutcome.CANCELLED))
+
+    def _watch_silence(self) -> None:
+        while True:
+            gevent.sleep(SILENCE_MAX_S / 3)
+            waiting = bool(self._waiters) and self._link is not None and not self._suspect
+            if waiting and self._clock.monotonic() - self._heard_at > SILENCE_MAX_S:
+                self._note_silence("no sign of life")
+
+    def _note_silence(self, reason: str) -> None:
+        if not self._suspect:
+            self._suspect = True
+            logger.bind(dispatcher=self.dispatcher_name, reason=reason).warning("dispatcher_silent")
+            self._drop_link()
+
+    def _wake_waiters(self) -> None:
+        for waiter in list(self._waiters.values()):
+            if not waiter.result.ready():
+                waiter.result.set(None)
+
+    def _send(self, message: messages.Message) -> None:
+        if self._link is not None:
+            self._link.send(message)
+
+    def _drop_link(self) -> None:
+        if self._link is not None:
+            link, self._link = self._link, None
+            link.close()
+            self._wake_waiters()
--- /dev/null
+++ b/clementinepin/serving/models.py
@@ -0,0 +1,172 @@
+"""Rows of the serving path, in the product's own words."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class RouteKind(StrEnum):
+    """What a caller of a route may expect to be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+    JOB = "job"
+
+
+class ServiceShare(NamedTuple):
+    """A service that takes part of a route's requests, by weight."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """A rule that sends requests of a host and path prefix to services.
+
+    ``timeout_s`` bounds a request; ``objective_s`` is the latency objective up to the first
+    event; ``gap_objective_s`` the one between events. ``attempts_max`` counts targets a request
+    may be sent to. For jobs, ``due_s`` and ``retention_s`` count from the submission and
+    ``tokens_max`` bounds the tokens of unfinished items over the fleet (0: no bound).
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout_s: float
+    objective_s: float
+    gap_objective_s: float = 0.0
+    priority: int = 0
+    attempts_max: int = 1
+    resumable: bool = False
+    due_s: float = 0.0
+    retention_s: float = 0.0
+    tokens_max: int = 0
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether a request of the route may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+
+
+class Service(NamedTuple):
+    """A service of targets. ``slots`` is the batch size of its engines, 0 if unknown."""
+
+    name: str
+    health_path: str
+    connections_max: int
+    slots: int
+
+
+class CallerLimits(NamedTuple):
+    """Bounds on what a caller may send."""
+
+    header_max_bytes: int = 16_384
+    body_max_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class DesiredState(NamedTuple):
+    """The operators' configuration of routes and services as a whole."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: CallerLimits
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of the host with the longest prefix of the path."""
+        matches = [r for r in self.routes if r.host == host and path.startswith(r.path_prefix)]
+        return max(matches, key=lambda route: len(route.path_prefix), default=None)
+
+
+class Target(NamedTuple):
+    """A target as it registered itself. ``started_at_ms`` tells two starts of one id apart."""
+
+    target_id: str
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    slots: int
+    draining: bool
+    started_at_ms: int = 0
+
+
+class Member(NamedTuple):
+    """An instance of ours. ``link_port`` takes calls of other instances.
+
+    ``entry_address`` is where callers connect, empty on instances that take none.
+    ``since_version`` is the store version at which it registered.
+    """
+
+    name: str
+    runs_jobs: bool
+    host: str
+    link_port: int
+    entry_address: str
+    data_centre: str
+    region: str
+    leaving: bool
+    since_version: int = 0
+
+
+class InstanceSettings(NamedTuple):
+    """What one instance learns from its settings file. Addresses are ``(host, port)``."""
+
+    name: str
+    runs_jobs: bool
+    host: str
+    data_centre: str
+    region: str
+    link_port: int
+    entry_address: tuple[str, int] | None
+    ready_address: tuple[str, int] | None
+    directory_address: tuple[str, int] | None
+    store_address: tuple[str, int]
+    grace_s: float
+    directory_ttl_max_s: float
+    settle_s: float
+    status_retention_s: float
+    connections_max: int
+
+
+class RequestFacts(NamedTuple):
+    """What the headers of a request say. ``time_left_s`` is None where the caller sent none."""
+
+    request_id: str
+    time_left_s: float | None
+    prompt_tokens: int
+    output_tokens_max: int
+    length_hint: int
+    prefix_ids: tuple[str, ...]
+    last_event_id: int
+
+
+class JobItem(NamedTuple):
+    """One item of a job: a request for tokens that is run later."""
+
+    item_id: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    tokens: int
+
+
+class ItemState(StrEnum):
+    """Final state of an item."""
+
+    COMPLETED = "completed"
+    DEAD = "dead"
+
+
+class ItemResult(NamedTuple):
+    """The listed outcome of an item."""
+
+    item_id: str
+    state: ItemState
+    text: str
--- a/clementinepin/storage/_directory.py
+++ b/clementinepin/storage/_directory.py
@@ -5,8 +5,8 @@
 from clementinepin.core import Core
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.rows import decode_row, encode_row
+from clementinepin.infrastructure import KeyValueStore
 from clementinepin.peers import PeerNetwork
-from clementinepin.platform import KeyValueStore
 from clementinepin.tables import HolderRow
 
 PREFIX_HOLDERS = "holders/"
--- a/clementinepin/storage/_records.py
+++ b/clementinepin/storage/_records.py
@@ -6,8 +6,8 @@
 
 from clementinepin.const import PREFIX_SEGMENTS
 from clementinepin.helpers.rows import decode_row, encode_row
-from clementinepin.platform import KeyValueStore
-from clementinepin.platform.exceptions import ReplyLostError, VersionConflictError
+from clementinepin.infrastructure import KeyValueStore
+from clementinepin.infrastructure.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.tables import SegmentRow
 
 KEEP_SLACK_S = 86_400.0
--- a/clementinepin/storage/_store.py
+++ b/clementinepin/storage/_store.py
@@ -11,9 +11,9 @@
 from clementinepin.core import Core, spawn_loop
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.rendezvous import rank_owners
+from clementinepin.infrastructure import KeyValueStore
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError, ReplyLostError
 from clementinepin.peers import PeerNetwork
-from clementinepin.platform import KeyValueStore
-from clementinepin.platform.exceptions import PlatformUnavailableError, ReplyLostError
 from clementinepin.storage._budget import InlineBudget
 from clementinepin.storage._codec import StoredFile, compress, decompress, name_segment
 from clementinepin.storage._directory import HolderDirectory
--- a/clementinepin/systems/advice.py
+++ b/clementinepin/systems/advice.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from clementinepin.const import InstanceState
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 
 ENTRIES_MAX = 16
 
--- /dev/null
+++ b/clementinepin/systems/dispatching.py
@@ -0,0 +1,274 @@
+"""Which request gets which slot, which waits, which is turned away and which yields.
+
+Engines admit in order of arrival and know no priorities, so no request is sent before a slot
+is free for it: what has to wait waits here, where order can still be chosen.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import Final, NamedTuple
+
+from clementinepin.tables.dispatch import Ask, DispatchTable, Grant, GrantKey, TargetLoad
+
+PREFIXES_MAX: Final = 512  # prefixes remembered a target; an engine keeps a few hundred
+FULL_S: Final = 0.15  # a target that refused as full is asked again after a slot's usual turnover
+AVOID_MIN_S: Final = 0.5  # pause after the first failure in a row, doubled with each
+AVOID_MAX_S: Final = 4.0  # a restarted target comes back within some seconds
+RETURN_MIN_S: Final = 0.1  # a caller needs a new connection to return
+RETURN_MAX_S: Final = 1.6  # callers wait at most a third of their time, 5 s here
+FAILURES_TO_AVOID: Final = 2  # one lost answer may be the request's own fault
+
+
+class RunOutcome(StrEnum):
+    """How the use of a slot ended."""
+
+    SERVED = "served"
+    CANCELLED = "cancelled"
+    REFUSED = "refused"
+    UNREACHED = "unreached"
+    BROKEN = "broken"
+
+
+class Granted(NamedTuple):
+    """The request may be sent to the target now."""
+
+    key: GrantKey
+    target_id: str
+
+
+class TurnedAway(NamedTuple):
+    """The request should return after ``retry_after_s``; it was not sent anywhere."""
+
+    key: GrantKey
+    retry_after_s: float
+    reason: str
+
+
+class YieldAsked(NamedTuple):
+    """The batch item in this slot should stop and be resumed later."""
+
+    key: GrantKey
+
+
+Action = Granted | TurnedAway | YieldAsked
+
+
+def submit(table: DispatchTable, ask: Ask, now: float, rng: random.Random) -> list[Action]:
+    """Decide about a new request: a slot at once, a place in the queue, or a refusal.
+
+    Load pattern: a burst of several times the lull. A request whose slot would come too late
+    for its objective is told at once, while it can still return in time.
+    """
+    actions = _try_start(table, ask, now)
+    if actions:
+        return actions
+    if not ask.is_batch:
+        refusal = _judge_wait(table, ask, now, rng)
+        if refusal is not None:
+            return [refusal]
+    table.waiting[ask.key] = ask
+    return []
+
+
+def finish(table: DispatchTable, key: GrantKey, outcome: RunOutcome, now: float) -> None:
+    """Free a slot, or take a request out of the queue, and note how the target did."""
+    table.waiting.pop(key, None)
+    grant = table.grants.pop(key, None)
+    if grant is None:
+        return
+    target = table.targets.get(grant.target_id)
+    if target is None:
+        return
+    target.grants.pop(key, None)
+    note_outcome(target, outcome, now)
+
+
+def note_outcome(target: TargetLoad, outcome: RunOutcome, now: float) -> None:
+    """Take in what a send showed of a target.
+
+    Load pattern: targets that are dark, grey or full beside healthy ones. Only traffic counts:
+    a probe may lie either way.
+    """
+    if outcome is RunOutcome.SERVED:
+        target.failures = 0
+        target.avoid_until = 0.0
+    elif outcome is RunOutcome.REFUSED:
+        target.full_until = now + FULL_S
+    elif outcome in (RunOutcome.UNREACHED, RunOutcome.BROKEN):
+        target.failures += 2 if outcome is RunOutcome.UNREACHED else 1
+        doublings = target.failures - FAILURES_TO_AVOID
+        if doublings >= 0:
+            target.avoid_until = now + min(AVOID_MAX_S, AVOID_MIN_S * 2.0**doublings)
+
+
+def serve_queue(table: DispatchTable, now: float) -> list[Action]:
+    """Start what waits, in order; turn away what would wait past its use.
+
+    Load pattern: a queue that outlives its burst. Order: requests that can still be on time,
+    callers who returned before new ones, then late ones, then batch items by their due time.
+    """
+    actions: list[Action] = []
+    blocked: set[tuple[str, bool]] = set()
+    for ask in sorted(table.waiting.values(), key=lambda a: _rank(a, now)):
+        if now >= ask.deadline:
+            del table.waiting[ask.key]
+            actions.append(TurnedAway(ask.key, RETURN_MIN_S, "waited past its deadline"))
+            continue
+        kind = (ask.service, ask.is_batch)
+        if kind in blocked and not ask.excluded:
+            continue
+        started = _try_start(table, ask, now)
+        if started:
+            del table.waiting[ask.key]
+            actions.extend(started)
+        else:
+            blocked.add(kind)
+            if not ask.is_batch:
+                blocked.add((ask.service, True))
+    return actions
+
+
+def choose_target(targets: Iterable[TargetLoad], ask: Ask, now: float) -> TargetLoad | None:
+    """Return the target with a free slot that should run the request, or None.
+
+    Load pattern: even spread over engines whose steps grow with what runs. Among equally loaded
+    ones the one that has read the request's prefix goes first, then one in its data centre.
+    """
+    best: TargetLoad | None = None
+    best_score: tuple[float, float, int] | None = None
+    for target in targets:
+        if target.service != ask.service or target.target_id in ask.excluded:
+            continue
+        if target.taken >= target.slots or now < target.full_until or now < target.avoid_until:
+            continue
+        score = (
+            target.taken / target.slots,
+            -_count_known_prefixes(target, ask.prefix_ids),
+            int(target.data_centre != ask.data_centre),
+        )
+        if best_score is None or score < best_score:
+            best, best_score = target, score
+    return best
+
+
+def predict_start(table: DispatchTable, ask: Ask, now: float) -> float:
+    """Return when a slot will be free for the request, behind those that wait before it."""
+    ends = sorted(
+        max(now, grant.ends_at)
+        for target in table.targets.values()
+        if target.service == ask.service and now >= target.avoid_until
+        for grant in target.grants.values()
+        if not grant.yielding
+    )
+    rank = _rank(ask, now)
+    ahead = sum(
+        1
+        for other in table.waiting.values()
+        if other.service == ask.service and not other.is_batch and _rank(other, now) < rank
+    )
+    if not ends:
+        return float("inf")
+    turns, position = divmod(ahead, len(ends))
+    return ends[position] + turns * ask.run_s
+
+
+def describe_load(table: DispatchTable, service: str) -> tuple[int, int, int]:
+    """Return taken slots, all slots, and waiting requests of a service."""
+    targets = [t for t in table.targets.values() if t.service == service]
+    waiting = sum(1 for ask in table.waiting.values() if ask.service == service)
+    return sum(t.taken for t in targets), sum(t.slots for t in targets), waiting
+
+
+def adopt_grant(table: DispatchTable, ask: Ask, target_id: str, now: float) -> None:
+    """Enter a slot that is in use already, as its user reports it."""
+    target = table.targets.get(target_id)
+    if target is not None:
+        _take_slot(table, target, ask, now)
+
+
+def _try_start(table: DispatchTable, ask: Ask, now: float) -> list[Action]:
+    target = choose_target(table.targets.values(), ask, now)
+    if target is not None:
+        _take_slot(table, target, ask, now)
+        return [Granted(ask.key, target.target_id)]
+    if ask.is_batch:
+        return []
+    victim = _choose_victim(table, ask, now)
+    if victim is None:
+        return []
+    victim.yielding = True
+    _take_slot(table, table.targets[victim.target_id], ask, now)
+    return [YieldAsked(victim.key), Granted(ask.key, victim.target_id)]
+
+
+def _choose_victim(table: DispatchTable, ask: Ask, now: float) -> Grant | None:
+    """Return the batch item that loses least by yielding to the request.
+
+    Load pattern: an online burst while batch fills the engines. The youngest item goes first.
+    """
+    candidates = [
+        grant
+        for target in table.targets.values()
+        if target.service == ask.service
+        and target.target_id not in ask.excluded
+        and now >= target.full_until
+        and now >= target.avoid_until
+        and target.count_firm() <= target.slots
+        for grant in target.grants.values()
+        if grant.is_batch and not grant.yielding and not grant.is_firm
+    ]
+    return max(candidates, key=lambda grant: grant.started_at, default=None)
+
+
+def _take_slot(table: DispatchTable, target: TargetLoad, ask: Ask, now: float) -> None:
+    grant = Grant(ask, target.target_id, now)
+    table.grants[ask.key] = grant
+    target.grants[ask.key] = grant
+    for prefix_id in ask.prefix_ids[:-1]:
+        target.prefixes[prefix_id] = None
+        target.prefixes.move_to_end(prefix_id)
+    while len(target.prefixes) > PREFIXES_MAX:
+        target.prefixes.popitem(last=False)
+
+
+def _judge_wait(
+    table: DispatchTable, ask: Ask, now: float, rng: random.Random
+) -> TurnedAway | None:
+    """Refuse a request that can't start in time; spread the returns over the free slots.
+
+    Load pattern: a refused wave that would return together. Each refusal books the next start
+    behind those booked before it.
+    """
+    start = predict_start(table, ask, now)
+    if start <= ask.on_time_by:
+        return None
+    if ask.returned and start < ask.deadline:
+        return None
+    if not any(t.service == ask.service for t in table.targets.values()):
+        return TurnedAway(ask.key, RETURN_MIN_S * 5, "no target")
+    pace_s = ask.run_s / max(1, describe_load(table, ask.service)[1])
+    booked = max(start, table.returns_at.get(ask.service, 0.0) + pace_s, now + RETURN_MIN_S)
+    booked = min(booked, now + RETURN_MAX_S)
+    table.returns_at[ask.service] = booked
+    wait_s = min(RETURN_MAX_S, booked - now + rng.uniform(0.0, pace_s))
+    return TurnedAway(ask.key, wait_s, "no slot in time")
+
+
+def _rank(ask: Ask, now: float) -> tuple[int, float]:
+    if ask.is_batch:
+        return 3, ask.on_time_by
+    if now > ask.on_time_by:
+        return 2, ask.deadline
+    return (0 if ask.returned else 1), ask.on_time_by
+
+
+def _count_known_prefixes(target: TargetLoad, prefix_ids: tuple[str, ...]) -> int:
+    count = 0
+    for prefix_id in prefix_ids[:-1]:
+        if prefix_id not in target.prefixes:
+            break
+        count += 1
+    return count
--- /dev/null
+++ b/clementinepin/systems/estimates.py
@@ -0,0 +1,23 @@
+"""Estimates of how long requests run on the engines."""
+
+from __future__ import annotations
+
+from typing import Final
+
+STEP_S: Final = 0.0039  # a token on a full engine: 3.55 ms and 0.046 ms for each of 8 requests
+FIRST_EVENT_S: Final = 0.06  # sending, prefill and the first step, from calm days
+RETURN_SHARE: Final = 0.93  # callers count their time from the first attempt
+OUTPUT_DEFAULT: Final = 200  # tokens assumed where neither a hint nor a bound was sent
+
+
+def estimate_run(output_tokens_max: int, length_hint: int) -> float:
+    """Return the seconds that a request is expected to hold its slot."""
+    tokens = length_hint or output_tokens_max or OUTPUT_DEFAULT
+    if output_tokens_max:
+        tokens = min(tokens, output_tokens_max)
+    return FIRST_EVENT_S + tokens * STEP_S
+
+
+def is_return(time_left_s: float, timeout_s: float) -> bool:
+    """Tell by the time left whether a caller was refused before and came back."""
+    return time_left_s < timeout_s * RETURN_SHARE
--- a/clementinepin/systems/instances.py
+++ b/clementinepin/systems/instances.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Iterable
 
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.tables.instances import InstanceTable, ObservedRow
 
 ROW_BYTES = 220
--- a/clementinepin/systems/membership.py
+++ b/clementinepin/systems/membership.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from clementinepin.const import InstanceState
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.systems.rings import choose_fingers
 from clementinepin.tables.membership import (
     MemberRow,
--- a/clementinepin/systems/watchers.py
+++ b/clementinepin/systems/watchers.py
@@ -6,7 +6,7 @@
 
 from clementinepin.const import InstanceState
 from clementinepin.helpers.rendezvous import rank_owners
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 
 WATCHERS_PER_DATA_CENTRE = 2
 
--- /dev/null
+++ b/clementinepin/tables/dispatch.py
@@ -0,0 +1,84 @@
+"""Rows of the dispatcher: load of targets, requests that wait, and slots that are taken."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+GrantKey = tuple[str, int]
+
+
+class Ask(NamedTuple):
+    """A request for a slot. Times are monotonic seconds of the dispatcher's clock.
+
+    ``key`` is the asking instance and its number for the request. ``on_time_by`` is the latest
+    start at which the first event meets its objective; ``deadline`` the latest useful start.
+    ``run_s`` is the expected time in the slot. ``returned`` marks a caller who was refused
+    before. ``is_firm`` marks a batch item that would be overdue if it yielded its slot.
+    """
+
+    key: GrantKey
+    service: str
+    is_batch: bool
+    asked_at: float
+    on_time_by: float
+    deadline: float
+    run_s: float
+    prefix_ids: tuple[str, ...] = ()
+    data_centre: str = ""
+    excluded: frozenset[str] = frozenset()
+    returned: bool = False
+    is_firm: bool = False
+
+
+class Grant:
+    """A taken slot. ``ends_at`` is an estimate; ``yielding`` says that it was asked to end."""
+
+    __slots__ = ("ends_at", "is_batch", "is_firm", "key", "started_at", "target_id", "yielding")
+
+    def __init__(self, ask: Ask, target_id: str, now: float) -> None:
+        self.key = ask.key
+        self.target_id = target_id
+        self.is_batch = ask.is_batch
+        self.is_firm = ask.is_firm
+        self.started_at = now
+        self.ends_at = now + ask.run_s
+        self.yielding = False
+
+
+class TargetLoad:
+    """What the dispatcher knows of one target.
+
+    ``avoid_until`` is set after failures; ``full_until`` after a refusal by the target itself.
+    """
+
+    def __init__(self, target_id: str, service: str, data_centre: str, slots: int) -> None:
+        self.target_id = target_id
+        self.service = service
+        self.data_centre = data_centre
+        self.slots = slots
+        self.started_at_ms = 0
+        self.grants: dict[GrantKey, Grant] = {}
+        self.failures = 0
+        self.avoid_until = 0.0
+        self.full_until = 0.0
+        self.prefixes: OrderedDict[str, None] = OrderedDict()
+
+    @property
+    def taken(self) -> int:
+        """Return slots in use; one that was asked to yield still counts for a moment."""
+        return len(self.grants)
+
+    def count_firm(self) -> int:
+        """Return slots that no yielding will free."""
+        return sum(1 for grant in self.grants.values() if not grant.yielding)
+
+
+class DispatchTable:
+    """All rows of one dispatcher."""
+
+    def __init__(self) -> None:
+        self.targets: dict[str, TargetLoad] = {}
+        self.waiting: dict[GrantKey, Ask] = {}
+        self.grants: dict[GrantKey, Grant] = {}
+        self.returns_at: dict[str, float] = {}
--- a/clementinepin/tables/instances.py
+++ b/clementinepin/tables/instances.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 
 
 class ObservedRow(NamedTuple):
--- a/clementinepin/tables/membership.py
+++ b/clementinepin/tables/membership.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.systems.rings import locate_name, order_ring
 
 DIGEST_BUCKETS = 64
--- a/clementinepin/targets/__init__.py
+++ b/clementinepin/targets/__init__.py
@@ -7,7 +7,9 @@
     make_engine_body,
     make_engine_model,
 )
+from clementinepin.targets._connection import Abort
 from clementinepin.targets._engine import create_engine
+from clementinepin.targets._exchange import HttpExchange, HttpRequest, Transport
 from clementinepin.targets._plain import PlainRequest, PlainResponse, PlainService, create_plain
 from clementinepin.targets.models import (
     CacheEvent,
@@ -19,15 +21,19 @@
 )
 
 __all__ = [
+    "Abort",
     "CacheEvent",
     "Engine",
     "GenerateRequest",
+    "HttpExchange",
+    "HttpRequest",
     "LoadReport",
     "PlainRequest",
     "PlainResponse",
     "PlainService",
     "StreamChunk",
     "TargetAddress",
+    "Transport",
     "create_engine",
     "create_plain",
     "is_plain_body",
--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -19,6 +19,10 @@
 IDLE_MAX_S: Final = 2.0
 IDLE_CONNECTIONS_MAX: Final = 64
 WAIT_MIN_S: Final = 0.001
+KEEPALIVE_IDLE_S: Final = 2  # a silent peer is found out within four seconds
+KEEPALIVE_INTERVAL_S: Final = 1
+KEEPALIVE_PROBES: Final = 2
+USER_TIMEOUT_MS: Final = 3000  # unacknowledged bytes end the connection in about the same time
 STALL_CHECK_S: Final = 2.5
 
 
@@ -39,6 +43,8 @@
         self._reads_seen = 0
         self._expired = False
         self.written = 0
+        self.carried = 0
+        self.idle_max_s = IDLE_MAX_S
         self.idle_since = clock.monotonic()
 
     def write(self, data: bytes, deadline: float) -> None:
@@ -84,7 +90,7 @@
         An idle connection has nothing to read: data or an end of file means that the target
         closed it or sent bytes that belong to no request.
         """
-        if self._clock.monotonic() - self.idle_since > IDLE_MAX_S:
+        if self._clock.monotonic() - self.idle_since > self.idle_max_s:
             return False
         self._sock.settimeout(0.0)
         try:
@@ -100,9 +106,17 @@
         self._stop_timer()
         self._sock.close()
 
+    def abort(self) -> None:
+        """End the connection from another greenlet; its reader sees an end of file."""
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
     def rest(self) -> None:
         """Note that the connection is idle from now on."""
         self._stop_timer()
+        self.carried += 1
         self._watches_stalls = False
         self.idle_since = self._clock.monotonic()
 
@@ -136,10 +150,7 @@
     def _expire(self) -> None:
         """Wake the reader with an end of file; must not block."""
         self._expired = True
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            return
+        self.abort()
 
     def _limit_wait(self, deadline: float) -> None:
         wait_s = deadline - self._clock.monotonic()
@@ -155,6 +166,30 @@
         return TargetLostError(f"connection broke after {self.written} bytes: {err}")
 
 
+class Abort:
+    """Lets another greenlet give up an exchange at any step of it."""
+
+    def __init__(self) -> None:
+        self.triggered = False
+        self._connection: Connection | None = None
+
+    def bind(self, connection: Connection) -> None:
+        """Name the connection that carries the exchange."""
+        self._connection = connection
+        if self.triggered:
+            connection.abort()
+
+    def trigger(self) -> None:
+        """Give up; harmless when repeated or late."""
+        self.triggered = True
+        if self._connection is not None:
+            self._connection.abort()
+
+    def unbind(self) -> None:
+        """Forget the connection, which may carry another exchange now."""
+        self._connection = None
+
+
 class ConnectionPool:
     """Idle connections to one target; the most recently used goes first."""
 
@@ -172,7 +207,7 @@
         # An IP number needs no resolver, which would cost a switch to a native thread.
         sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            _set_options(sock)
             sock.settimeout(wait_s)
             sock.connect((host, port))
         except OSError as err:
@@ -202,10 +237,25 @@
     def _close_old(self) -> None:
         """Close the oldest connection once it idled too long to be used again."""
         oldest = self._idle[0]
-        if self._clock.monotonic() - oldest.idle_since > IDLE_MAX_S:
+        if self._clock.monotonic() - oldest.idle_since > oldest.idle_max_s:
             self._idle.pop(0).close()
 
+    @property
+    def idle(self) -> int:
+        """Return how many connections are kept."""
+        return len(self._idle)
+
     def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
             self._idle.pop().close()
+
+
+def _set_options(sock: socket.socket) -> None:
+    """Send small writes at once and notice a peer that fell silent."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -7,7 +7,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from clementinepin.helpers.clock import Clock
-from clementinepin.targets._connection import Connection, ConnectionPool
+from clementinepin.targets._connection import Abort, Connection, ConnectionPool
 from clementinepin.targets.exceptions import TargetLostError, TargetProtocolError
 from clementinepin.targets.models import TargetAddress
 
@@ -15,13 +15,15 @@
 DRAIN_TIMEOUT_S: Final = 0.2
 HEADERS_MAX_BYTES: Final = 65_536
 STATUS_FINAL_MIN: Final = 200
+IDLE_SHARE: Final = 0.6  # leaves time for a request to arrive before the target closes
 SKIPPED_HEADERS: Final = frozenset({"host", "content-length", "transfer-encoding", "connection"})
 
 
 class HttpRequest(NamedTuple):
     """A request for a target. ``deadline`` is monotonic seconds.
 
-    ``fresh`` asks for a connection that never carried another request.
+    ``fresh`` asks for a connection that never carried another request; ``host`` replaces the
+    target's own address in the Host header; ``abort`` lets another greenlet give up.
     """
 
     method: str
@@ -30,6 +32,8 @@
     body: bytes = b""
     deadline: float = 0.0
     fresh: bool = False
+    host: str = ""
+    abort: Abort | None = None
 
 
 class _Parser(HTTPResponse):
@@ -148,6 +152,7 @@
             self.close()
             return
         self._connection = None
+        connection.idle_max_s = _read_idle_limit(self.headers, connection.idle_max_s)
         self._pool.release(connection)
 
     def _feed(self) -> int:
@@ -185,6 +190,15 @@
         self.headers = {name.lower(): value for name, value in self.header_lines}
 
 
+def _read_idle_limit(headers: dict[str, str], default_s: float) -> float:
+    """Return how long the connection may rest: part of what the target promises to keep it."""
+    for part in headers.get("keep-alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name == "timeout" and value.isdigit():
+            return int(value) * IDLE_SHARE
+    return default_s
+
+
 class Transport:
     """Sends requests to one target."""
 
@@ -202,6 +216,8 @@
             connection = self._pool.connect(request.deadline)
         else:
             connection = self._pool.acquire(request.deadline)
+        if request.abort is not None:
+            request.abort.bind(connection)
         try:
             connection.write(self._serialize(request), request.deadline)
             connection.limit_reads(request.deadline)
@@ -210,12 +226,17 @@
             connection.close()
             raise
 
+    @property
+    def idle(self) -> int:
+        """Return how many connections are kept."""
+        return self._pool.idle
+
     def close(self) -> None:
         """Close idle connections."""
         self._pool.close()
 
     def _serialize(self, request: HttpRequest) -> bytes:
-        host = f"{self.address.address}:{self.address.port}"
+        host = request.host or f"{self.address.address}:{self.address.port}"
         lines = [f"{request.method} {request.path} HTTP/1.1", f"Host: {host}"]
         for name, value in request.headers:
             if name.lower() not in SKIPPED_HEADERS:
--- a/standins/instance_list/_server.py
+++ b/standins/instance_list/_server.py
@@ -7,7 +7,7 @@
 from gevent.pywsgi import WSGIServer
 
 from clementinepin.helpers.clock import Clock
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 from standins.instance_list._table import LaggingTable
 from standins.web import Request, Response, create_app
 from standins.web import create_server as create_http_server
--- a/standins/instance_list/_table.py
+++ b/standins/instance_list/_table.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 
 from clementinepin.helpers.clock import Clock
-from clementinepin.platform import ListedInstance
-from clementinepin.platform.exceptions import PlatformUnavailableError
+from clementinepin.infrastructure import ListedInstance
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 
 
 class LaggingTable:
--- a/standins/key_value/_gateway.py
+++ b/standins/key_value/_gateway.py
@@ -12,7 +12,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from clementinepin.helpers.clock import Clock
-from clementinepin.platform import KeyValue, WatchEvent
+from clementinepin.infrastructure import KeyValue, WatchEvent
 from standins.key_value._state import KeyValueState
 
 WATCH_POLL_S = 0.02
--- a/standins/key_value/_memory.py
+++ b/standins/key_value/_memory.py
@@ -9,8 +9,8 @@
 import gevent
 
 from clementinepin.helpers.clock import Clock
-from clementinepin.platform import KeyValue, LeaseGrant, WatchEvent
-from clementinepin.platform.exceptions import (
+from clementinepin.infrastructure import KeyValue, LeaseGrant, WatchEvent
+from clementinepin.infrastructure.exceptions import (
     LeaseLostError,
     PlatformUnavailableError,
     ReplyLostError,
--- a/standins/key_value/_state.py
+++ b/standins/key_value/_state.py
@@ -5,7 +5,7 @@
 from bisect import bisect_left, bisect_right, insort
 from typing import NamedTuple
 
-from clementinepin.platform import KeyValue, WatchEvent
+from clementinepin.infrastructure import KeyValue, WatchEvent
 
 HISTORY_MAX_EVENTS = 200_000
 
--- a/tests/batch/test_outage.py
+++ b/tests/batch/test_outage.py
@@ -4,7 +4,7 @@
 
 from clementinepin.batch import _dispatcher
 from clementinepin.exceptions import Outcome
-from clementinepin.platform.exceptions import PlatformUnavailableError
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from clementinepin.storage.exceptions import StorageUnavailableError
 from clementinepin.systems.shard_state import LEASE_S
 from standins.key_value import MemoryKeyValueStore
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -15,7 +15,7 @@
 )
 from clementinepin.core import InstancesChanged
 from clementinepin.exceptions import Outcome
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.systems.exceptions import NoTargetError
 from standins.key_value import MemoryKeyValueStore
 from tests.batch.fakes import (
--- a/tests/claims/test_store.py
+++ b/tests/claims/test_store.py
@@ -9,7 +9,7 @@
 from clementinepin.claims.const import HEAD_MAX_BYTES, PREFIX_CLAIM_LOGS
 from clementinepin.claims.exceptions import ClaimMismatchError, ClaimUnavailableError
 from clementinepin.exceptions import ClementinepinError, OutcomeUnknownError
-from clementinepin.platform.exceptions import PlatformUnavailableError, ReplyLostError
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError, ReplyLostError
 from tests.claims.conftest import Network
 
 ANSWER = StoredOutcome("success", 200, "text/plain", b"booked")
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -36,7 +36,7 @@
 from clementinepin.fleet import ApplyResult, EntryAdvice
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.helpers.metrics import create_metrics
-from clementinepin.platform import ListedInstance
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.scheduling import CallResult, Placement
 from clementinepin.targets import create_engine
 
--- a/tests/fault_matrix/cluster.py
+++ b/tests/fault_matrix/cluster.py
@@ -12,8 +12,8 @@
 from clementinepin.core import InstancesChanged
 from clementinepin.exceptions import ClementinepinError, Outcome
 from clementinepin.helpers.rows import decode_row
-from clementinepin.platform import ListedInstance
-from clementinepin.platform.exceptions import ReplyLostError
+from clementinepin.infrastructure import ListedInstance
+from clementinepin.infrastructure.exceptions import ReplyLostError
 from clementinepin.storage import create_segment_store
 from clementinepin.tables import JobRow, JobState, ShardRow
 from clementinepin.targets import StreamChunk
--- a/tests/fleet/fakes.py
+++ b/tests/fleet/fakes.py
@@ -11,8 +11,8 @@
 from clementinepin.fleet._fleet import FleetComponent
 from clementinepin.helpers.clock import ManualClock
 from clementinepin.helpers.metrics import create_metrics
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.peers import PeerRefusedError, PeerUnavailableError
-from clementinepin.platform import ListedInstance
 from clementinepin.targets import LoadReport, TargetAddress
 from clementinepin.targets.exceptions import OrderRefusedError, TargetNotReachedError
 from standins.instance_list import LaggingTable, MemoryInstanceList
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -11,7 +11,7 @@
     ConfigurationUnknownError,
 )
 from clementinepin.fleet import _revisions as revisions
-from clementinepin.platform.exceptions import PlatformUnavailableError
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from tests.fleet.fakes import FakeFleet, create_files, create_row
 
 
--- a/tests/platform/test_follower.py
+++ b/tests/infrastructure/test_follower.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from clementinepin.helpers.clock import ManualClock
-from clementinepin.platform import RangeFollower
-from clementinepin.platform.exceptions import PlatformUnavailableError, WatchCompactedError
+from clementinepin.infrastructure import RangeFollower
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError, WatchCompactedError
 from standins.key_value import KeyValueState, MemoryKeyValueStore
 
 
@@ -69,7 +69,7 @@
 
 def test_change_while_later_pages_are_read_is_not_missed(monkeypatch):
     """Mutation: watch behind the highest version of all pages; the change is never told."""
-    monkeypatch.setattr("clementinepin.platform._follower.PAGE_ROWS", 2)
+    monkeypatch.setattr("clementinepin.infrastructure._follower.PAGE_ROWS", 2)
     store = DroppingStore(ManualClock())
     for key in "abcd":
         store.put(f"p/{key}", b"old", expected=0)
--- a/tests/platform/test_instance_list.py
+++ b/tests/infrastructure/test_instance_list.py
@@ -7,9 +7,9 @@
 from geventhttpclient import HTTPClient
 
 from clementinepin.helpers.clock import ManualClock
-from clementinepin.platform import ListedInstance
-from clementinepin.platform._instance_list import HttpInstanceList, parse_group
-from clementinepin.platform.exceptions import PlatformUnavailableError
+from clementinepin.infrastructure import ListedInstance
+from clementinepin.infrastructure._instance_list import HttpInstanceList, parse_group
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from standins.instance_list import LaggingTable, create_server
 
 GROUP = {
--- a/tests/platform/test_key_value.py
+++ b/tests/infrastructure/test_key_value.py
@@ -8,8 +8,8 @@
 
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.helpers.metrics import create_metrics
-from clementinepin.platform import create_key_value_store
-from clementinepin.platform.exceptions import (
+from clementinepin.infrastructure import create_key_value_store
+from clementinepin.infrastructure.exceptions import (
     LeaseLostError,
     PlatformUnavailableError,
     ReplyLostError,
--- a/tests/platform/test_limits.py
+++ b/tests/infrastructure/test_limits.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from clementinepin.platform._backoff import BACKOFF_MAX_S, choose_backoff
-from clementinepin.platform._breaker import FAILURES_MAX, OPEN_MAX_S, CircuitBreaker
-from clementinepin.platform._budget import TokenBucket
+from clementinepin.infrastructure._backoff import BACKOFF_MAX_S, choose_backoff
+from clementinepin.infrastructure._breaker import FAILURES_MAX, OPEN_MAX_S, CircuitBreaker
+from clementinepin.infrastructure._budget import TokenBucket
 
 
 @given(
--- a/tests/platform/test_weight_store.py
+++ b/tests/infrastructure/test_weight_store.py
@@ -3,13 +3,13 @@
 import pytest
 
 from clementinepin.helpers.clock import ManualClock
-from clementinepin.platform._weight_store import (
+from clementinepin.infrastructure._weight_store import (
     RETRY_DEFAULT_S,
     RETRY_MAX_S,
     HttpWeightStore,
     parse_retry_after,
 )
-from clementinepin.platform.exceptions import PlatformUnavailableError
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from standins.weight_store import create_server
 
 
--- a/tests/scheduling/fakes.py
+++ b/tests/scheduling/fakes.py
@@ -22,8 +22,8 @@
 from clementinepin.core import Core, InstancesChanged
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.helpers.metrics import create_metrics
+from clementinepin.infrastructure import ListedInstance
 from clementinepin.peers.exceptions import PeerUnavailableError
-from clementinepin.platform import ListedInstance
 from clementinepin.scheduling import CallInfo, create_scheduler
 from clementinepin.targets import LoadReport
 
--- a/tests/standins/test_key_value.py
+++ b/tests/standins/test_key_value.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from clementinepin.platform.exceptions import (
+from clementinepin.infrastructure.exceptions import (
     LeaseLostError,
     PlatformUnavailableError,
     ReplyLostError,
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from clementinepin.exceptions import Outcome
-from clementinepin.platform.exceptions import PlatformUnavailableError
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from clementinepin.storage._budget import INLINE_FLEET_BYTES_PER_DAY
 from clementinepin.storage._repair import ORPHAN_S, RECLAIM_GRACE_S, REPAIR_AFTER_S
 from clementinepin.storage._store import KEEP_S
