Keep batch from engines that no dispatcher watches, and end waits with callers' patience

A false alarm of 'no reply' (80 ms measured from the wrong event) made more go alone. Two owners ran one job after its first owner came back. Change: batch asks a dispatcher or waits; the dispatcher trims what a hello shows beyond the slots and counts runs that only the target reports; waits end with callers' patience; the owner of a job stands in its progress record.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -88,17 +88,25 @@
                 ask = _make_taken(link.name, slot, now)
                 dispatching.adopt_grant(self.table, ask, slot.target_id, now)
             link.send(messages.SlotQueued())
+            for target in self.table.targets.values():
+                self._carry_out(dispatching.trim_overload(target, now))
         elif isinstance(message, messages.AskSlot):
             ask = _make_ask(link.name, message, now)
             actions = dispatching.submit(self.table, ask, now, self._random)
             self._carry_out(actions)
             if not actions:
                 link.send(messages.SlotQueued())
+            for target in self.table.targets.values():
+                self._carry_out(dispatching.trim_overload(target, now))
         elif isinstance(message, messages.EndSlot):
             outcome = dispatching.RunOutcome(message.outcome)
             dispatching.finish(self.table, (link.name, message.number), outcome, now)
             self._serve_queue()
 
+        elif isinstance(message, messages.ReportLoad):
+            key = (link.name, message.number)
+            self._carry_out(dispatching.note_load(self.table, key, message.reported, now))
+
     def _carry_out(self, actions: list[dispatching.Action]) -> None:
         for action in actions:
             name, number = action.key
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -32,7 +32,6 @@
     TargetTimeoutError,
 )
 
-FIRST_EVENT_STALL_S: Final = 1.2  # callers give up a stream after 2 s without an event
 UNREACHED_MAX: Final = 4  # targets tried without a byte written before the caller is told
 REFUSED_RETRY_S: Final = 0.3  # Retry-After behind a target that refused as full
 SERVER_ERROR: Final = 500
@@ -154,11 +153,15 @@
         run_s = estimates.estimate_run(facts.output_tokens_max, facts.length_hint)
         service = choose_service(route, self._random)
         start_by = call.started_at + max(0.0, route.objective_s - estimates.FIRST_EVENT_S)
+        useful_until = call.deadline
+        if route.kind is RouteKind.STREAM and not call.answer_started:
+            patience_s = estimates.estimate_patience(route.objective_s, route.gap_objective_s)
+            useful_until = min(call.deadline, call.started_at + patience_s)
         return SlotRequest(
             service=service,
             is_batch=False,
             on_time_by=start_by,
-            deadline=call.deadline - estimates.FIRST_EVENT_S,
+            deadline=useful_until - estimates.FIRST_EVENT_S,
             run_s=run_s,
             prefix_ids=facts.prefix_ids,
             excluded=frozenset(call.excluded),
@@ -180,6 +183,7 @@
             return RunOutcome.CANCELLED if call.gone else RunOutcome.UNREACHED
         except TargetLostError as err:
             return self._note_lost(call, err)
+        self._slots.report_load(slot, self._wire.read_load(exchange.headers))
         return self._take_answer(connection, call, _Sent(exchange, target))
 
     def _send(self, call: _Call, target: Target) -> HttpExchange:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -152,6 +152,7 @@
         events_before = run.last_event_id
         try:
             exchange = self._send(run, target)
+            self._slots.report_load(slot, self._wire.read_load(exchange.headers))
             return self._take_answer(run, route, exchange)
         except TargetNotReachedError as err:
             self._log_lost(run, target, err)
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -80,7 +80,14 @@
     """Asks of the receiver wait; sent at once and then as a sign of life."""
 
 
-Message = Hello | AskSlot | EndSlot | GrantSlot | RefuseSlot | YieldSlot | SlotQueued
+class ReportLoad(msgspec.Struct, array_like=True, tag=7, frozen=True):
+    """The load that a target reported as it began to answer in this slot."""
+
+    number: int
+    reported: int
+
+
+Message = Hello | AskSlot | EndSlot | GrantSlot | RefuseSlot | YieldSlot | SlotQueued | ReportLoad
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
 
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -15,7 +15,6 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rendezvous import choose_owner
 from clementinepin.infrastructure import KeyValue
-from clementinepin.infrastructure.exceptions import VersionConflictError
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._item_run import ItemRun, ItemRunner
@@ -29,6 +28,7 @@
 ITEMS_AT_ONCE: Final = 24  # asks in the dispatcher's queue an instance; more would only wait there
 LOOK_PERIOD_S: Final = 0.5  # how soon jobs of a lost owner are taken over
 STORE_RETRY_S: Final = 0.3
+TAKE_OVER_S: Final = 1.0  # a killed process is back within this time and goes on itself
 REMOVE_MARGIN_S: Final = 10.0
 
 
@@ -93,6 +93,8 @@
         self._ended: set[str] = set()
         self._finished: set[str] = set()
         self._jobs: dict[str, _Job] = {}
+        self._owners: dict[str, str] = {}
+        self._alive_until: dict[str, float] = {}
         self._room = BoundedSemaphore(ITEMS_AT_ONCE)
         self._greenlets: list[gevent.Greenlet] = []
         self._look = Event()
@@ -153,16 +155,17 @@
                 logger.bind(error=str(err)).info("jobs_not_looked_at")
 
     def _look_at_jobs(self) -> None:
-        alive = {member.name for member in self._fleet.list_job_runners()}
-        alive.add(self._settings.name)
+        alive = self._list_alive()
         for job_id, head in list(self._heads.items()):
             if self.leaving or job_id in self._jobs or job_id in self._finished:
                 continue
             if job_id in self._ended:
                 self._remove_if_old(job_id, head)
                 continue
-            owner = head.owner if head.owner in alive else choose_owner(job_id, alive)
-            if owner == self._settings.name:
+            owner = self._owners.get(job_id, head.owner)
+            chosen = owner if owner in alive else choose_owner(job_id, alive)
+            if chosen == self._settings.name:
+                self._owners.pop(job_id, None)
                 job = _Job(head, records.JobKeys(self._wire.own_prefix, job_id))
                 self._jobs[job_id] = job
                 job.greenlet = gevent.spawn(self._run_job, job_id, job)
@@ -170,6 +173,14 @@
             if job_id in self._heads:
                 self._remove_if_old(job_id, self._heads[job_id])
 
+    def _list_alive(self) -> set[str]:
+        """Return the instances that may own jobs; a lost one counts for a moment longer."""
+        now = self._clock.monotonic()
+        for member in self._fleet.list_job_runners():
+            self._alive_until[member.name] = now + TAKE_OVER_S
+        self._alive_until[self._settings.name] = now + TAKE_OVER_S
+        return {name for name, until in self._alive_until.items() if now < until}
+
     def _run_job(self, job_id: str, job: _Job) -> None:
         try:
             while not job.stopped:
@@ -181,15 +192,26 @@
                 except ClementinepinError as err:
                     logger.bind(request_id=job_id, error=str(err)).info("job_interrupted")
                     gevent.sleep(STORE_RETRY_S)
-            if not self.leaving:
+            if not self.leaving and job_id not in self._owners:
                 self._finished.add(job_id)
         finally:
             self._jobs.pop(job_id, None)
 
     def _load(self, job: _Job) -> None:
+        """Read the progress; take the job over from a lost owner, or leave it to a live one."""
         job.progress, job.version = records.fetch_progress(self._store, job.keys)
+        owner = job.progress.owner
         if job.progress.ended:
             job.stop()
+        elif owner != self._settings.name and owner in self._list_alive():
+            self._owners[job.head.job_id] = owner
+            job.stop()
+        elif owner != self._settings.name:
+            taken = msgspec.structs.replace(job.progress, owner=self._settings.name)
+            change = records.make_progress_change(job.keys, job.version, taken)
+            job.version = self._store.write(change)
+            job.progress = taken
+            logger.bind(request_id=job.head.job_id, lost_owner=owner).info("job_taken_over")
 
     def _run_items(self, job: _Job) -> None:
         """Start a run for each item that is not listed and not running yet."""
@@ -251,15 +273,8 @@
             failures=failures,
         )
         change = records.make_progress_change(job.keys, job.version, changed, texts)
-        try:
-            job.version = self._store.write(change)
-            job.progress = changed
-        except VersionConflictError:
-            logger.bind(request_id=job.head.job_id, version=job.version).info(
-                "job_changed_elsewhere"
-            )
-            self._load(job)
-            return
+        job.version = self._store.write(change)
+        job.progress = changed
         job.done = job.done[len(group) :]
         logger.bind(request_id=job.head.job_id, position=first, count=len(group)).info(
             "results_listed"
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -29,6 +29,7 @@
 HELLO_TIMEOUT_S: Final = 0.5  # a process that stands still accepts connections, but says nothing
 RECONNECT_S: Final = 0.1
 ALONE_RETRY_S: Final = 0.3  # Retry-After when no dispatcher answers and the own share is used up
+ALONE_BATCH_S: Final = 5.0  # a new dispatcher is chosen within the leases' time; batch can wait
 READ_SIZE_BYTES: Final = 65_536
 
 
@@ -80,6 +81,7 @@
         self._link: messages.MessageSender | None = None
         self._dispatcher: Member | None = None
         self._heard_at = 0.0
+        self._linked_at = clock.monotonic()
         self._suspect = False
         self._greenlets: list[gevent.Greenlet] = []
         self._table = DispatchTable()
@@ -109,6 +111,7 @@
         number = next(self._numbers)
         if self._link is None or self._suspect:
             return self._choose_alone(number, request)
+        self._linked_at = self._clock.monotonic()
         waiter = _Waiter(request)
         self._waiters[number] = waiter
         on_waiting(lambda: waiter.result.set(CallerGoneError("the caller left the queue")))
@@ -136,6 +139,15 @@
         if self._link is not None:
             self._send(messages.EndSlot(slot.number, outcome))
 
+    def report_load(self, slot: Slot, load: tuple[int, int, int] | None) -> None:
+        """Pass on the running and waiting requests that a target reported."""
+        if load is None:
+            return
+        reported = load[0] + load[1]
+        key = (self._name, slot.number)
+        dispatching.note_load(self._table, key, reported, self._clock.monotonic())
+        self._send(messages.ReportLoad(slot.number, reported))
+
     def watch_yield(self, slot: Slot, on_yield: Callable[[], None]) -> None:
         """Call ``on_yield`` when the dispatcher wants the slot back."""
         self._yields[slot.number] = on_yield
@@ -151,12 +163,13 @@
 
     def _wait(self, waiter: _Waiter) -> Any:
         """Return the answer, or None when the dispatcher fell silent."""
+        asked_at = self._clock.monotonic()
         with gevent.Timeout(REPLY_TIMEOUT_S, False):
             return waiter.result.get()
-        now = self._clock.monotonic()
-        if now - self._heard_at > REPLY_TIMEOUT_S:
+        if self._heard_at < asked_at:
             self._note_silence("no reply")
             return None
+        now = self._clock.monotonic()
         with gevent.Timeout(max(0.0, waiter.request.deadline - now), False):
             return waiter.result.get()
         return None
@@ -164,12 +177,14 @@
     def _choose_alone(self, number: int, request: SlotRequest) -> Slot:
         """Choose by own counts; each instance keeps to about its share of every target."""
         now = self._clock.monotonic()
+        if request.is_batch and now - self._linked_at < ALONE_BATCH_S:
+            raise OverloadedError("batch waits for a dispatcher", ALONE_RETRY_S)
         ask = self._make_own_ask(number, request, now)
         target = dispatching.choose_target(self._table.targets.values(), ask, now)
         if target is None:
             raise OverloadedError("no free target known", ALONE_RETRY_S)
         share = math.ceil(2 * target.slots / max(1, len(self._fleet.list_entries())))
-        if target.taken >= max(2, share):
+        if target.taken >= (1 if request.is_batch else max(2, share)):
             raise OverloadedError("own share used up", ALONE_RETRY_S)
         self._note_taken(number, request, target.target_id)
         return Slot(number, target.target_id, alone=True)
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -14,6 +14,7 @@
 from clementinepin.tables.dispatch import Ask, DispatchTable, Grant, GrantKey, TargetLoad
 
 PREFIXES_MAX: Final = 512  # prefixes remembered a target; an engine keeps a few hundred
+HIDDEN_S: Final = 0.5  # a report of load is renewed by each answer of the target
 FULL_S: Final = 0.15  # a target that refused as full is asked again after a slot's usual turnover
 AVOID_MIN_S: Final = 0.5  # pause after the first failure in a row, doubled with each
 AVOID_MAX_S: Final = 4.0  # a restarted target comes back within some seconds
@@ -142,10 +143,10 @@
     for target in targets:
         if target.service != ask.service or target.target_id in ask.excluded:
             continue
-        if target.taken >= target.slots or now < target.full_until or now < target.avoid_until:
+        if now < target.full_until or now < target.avoid_until or target.count_free(now) <= 0:
             continue
         score = (
-            target.taken / target.slots,
+            1.0 - target.count_free(now) / target.slots,
             -_count_known_prefixes(target, ask.prefix_ids),
             int(target.data_centre != ask.data_centre),
         )
@@ -175,6 +176,35 @@
     return ends[position] + turns * ask.run_s
 
 
+def note_load(table: DispatchTable, key: GrantKey, reported: int, now: float) -> list[Action]:
+    """Take in how many requests a target reports, running and waiting.
+
+    Load pattern: runs that outlive their callers after a loss of power, and slots given twice
+    while the dispatcher changes. Such a target gets nothing more until the surplus is gone.
+    """
+    grant = table.grants.get(key)
+    target = table.targets.get(grant.target_id) if grant is not None else None
+    if target is None:
+        return []
+    target.hidden = max(0, reported - target.taken)
+    target.hidden_until = now + HIDDEN_S
+    return trim_overload(target, now)
+
+
+def trim_overload(target: TargetLoad, now: float) -> list[Action]:
+    """Ask batch items to yield where more runs than the target has slots."""
+    surplus = target.count_firm() - target.slots
+    if now < target.hidden_until:
+        surplus += target.hidden
+    items = [g for g in target.grants.values() if g.is_batch and not g.yielding and not g.is_firm]
+    items.sort(key=lambda grant: grant.started_at, reverse=True)
+    actions: list[Action] = []
+    for grant in items[: max(0, surplus)]:
+        grant.yielding = True
+        actions.append(YieldAsked(grant.key))
+    return actions
+
+
 def describe_load(table: DispatchTable, service: str) -> tuple[int, int, int]:
     """Return taken slots, all slots, and waiting requests of a service."""
     targets = [t for t in table.targets.values() if t.service == service]
--- a/clementinepin/systems/estimates.py
+++ b/clementinepin/systems/estimates.py
@@ -6,6 +6,9 @@
 
 STEP_S: Final = 0.0039  # a token on a full engine: 3.55 ms and 0.046 ms for each of 8 requests
 FIRST_EVENT_S: Final = 0.06  # sending, prefill and the first step, from calm days
+PATIENCE_MIN_S: Final = 2.0  # callers give up a stream without an event after the longest of
+PATIENCE_OBJECTIVES: Final = 4.0  # this time, so many objectives,
+PATIENCE_GAPS: Final = 8.0  # and so many gaps
 RETURN_SHARE: Final = 0.93  # callers count their time from the first attempt
 OUTPUT_DEFAULT: Final = 200  # tokens assumed where neither a hint nor a bound was sent
 
@@ -21,3 +24,8 @@
 def is_return(time_left_s: float, timeout_s: float) -> bool:
     """Tell by the time left whether a caller was refused before and came back."""
     return time_left_s < timeout_s * RETURN_SHARE
+
+
+def estimate_patience(objective_s: float, gap_objective_s: float) -> float:
+    """Return the seconds after which callers give up a stream that has not begun."""
+    return max(PATIENCE_MIN_S, PATIENCE_OBJECTIVES * objective_s, PATIENCE_GAPS * gap_objective_s)
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -50,6 +50,8 @@
     """What the dispatcher knows of one target.
 
     ``avoid_until`` is set after failures; ``full_until`` after a refusal by the target itself.
+    ``hidden`` counts requests that the target reports beyond the known grants: runs of callers
+    that are lost, or of another dispatcher's. It holds until ``hidden_until``.
     """
 
     def __init__(self, target_id: str, service: str, data_centre: str, slots: int) -> None:
@@ -62,6 +64,8 @@
         self.failures = 0
         self.avoid_until = 0.0
         self.full_until = 0.0
+        self.hidden = 0
+        self.hidden_until = 0.0
         self.prefixes: OrderedDict[str, None] = OrderedDict()
 
     @property
@@ -69,6 +73,11 @@
         """Return slots in use; one that was asked to yield still counts for a moment."""
         return len(self.grants)
 
+    def count_free(self, now: float) -> int:
+        """Return slots that are neither granted nor taken by runs that nobody here knows."""
+        hidden = self.hidden if now < self.hidden_until else 0
+        return self.slots - len(self.grants) - hidden
+
     def count_firm(self) -> int:
         """Return slots that no yielding will free."""
         return sum(1 for grant in self.grants.values() if not grant.yielding)
