List results whose write failed once, and refuse what can't be on time

Change: a write is tried again; requests are judged again after 60 ms and when their objective passes; items yield only where waiting would take long, batch then pauses 0.3 s; at most three slots in ten are held by items that don't yield.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -123,7 +123,7 @@
     def _serve_queue(self) -> None:
         if self.table.waiting:
             now = self._clock.monotonic()
-            self._carry_out(dispatching.serve_queue(self.table, now))
+            self._carry_out(dispatching.serve_queue(self.table, now, self._random))
 
     def _run_ticks(self) -> None:
         while True:
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -237,7 +237,8 @@
     def _list_results(self, job: _Job) -> None:
         """Write results as they come, until all items are listed or the job ends."""
         while not job.stopped and job.progress is not None and job.progress.is_open:
-            job.changed.wait()
+            if not job.done:
+                job.changed.wait()
             if not job.stopped and len(job.done) + len(job.progress.listed) < job.progress.total:
                 gevent.sleep(GROUP_S)
             job.changed.clear()
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -20,6 +20,13 @@
 AVOID_MAX_S: Final = 4.0  # a restarted target comes back within some seconds
 RETURN_MIN_S: Final = 0.1  # a caller needs a new connection to return
 RETURN_MAX_S: Final = 1.6  # callers wait at most a third of their time, 5 s here
+JUDGE_AGAIN_S: Final = (
+    0.06  # a refusal within a quarter of the usual objective leaves time to return
+)
+YIELD_AFTER_S: Final = 0.05  # online slots turn over faster than this on a busy service
+BATCH_HOLD_S: Final = 0.3  # batch starts nothing this long after it had to yield
+OVERRUN_SHARE: Final = 0.25  # of its expected time is still to come for a run that exceeded it
+FIRM_SHARE: Final = 0.3  # of a service's slots may be held by items that don't yield
 FAILURES_TO_AVOID: Final = 2  # one lost answer may be the request's own fault
 
 
@@ -105,7 +112,7 @@
             target.avoid_until = now + min(AVOID_MAX_S, AVOID_MIN_S * 2.0**doublings)
 
 
-def serve_queue(table: DispatchTable, now: float) -> list[Action]:
+def serve_queue(table: DispatchTable, now: float, rng: random.Random) -> list[Action]:
     """Start what waits, in order; turn away what would wait past its use.
 
     Load pattern: a queue that outlives its burst. Order: requests that can still be on time,
@@ -114,9 +121,10 @@
     actions: list[Action] = []
     blocked: set[tuple[str, bool]] = set()
     for ask in sorted(table.waiting.values(), key=lambda a: _rank(a, now)):
-        if now >= ask.deadline:
+        refusal = _judge_again(table, ask, now, rng)
+        if refusal is not None:
             del table.waiting[ask.key]
-            actions.append(TurnedAway(ask.key, RETURN_MIN_S, "waited past its deadline"))
+            actions.append(refusal)
             continue
         kind = (ask.service, ask.is_batch)
         if kind in blocked and not ask.excluded:
@@ -158,7 +166,7 @@
 def predict_start(table: DispatchTable, ask: Ask, now: float) -> float:
     """Return when a slot will be free for the request, behind those that wait before it."""
     ends = sorted(
-        max(now, grant.ends_at)
+        max(grant.ends_at, now + grant.run_s * OVERRUN_SHARE)
         for target in table.targets.values()
         if target.service == ask.service and now >= target.avoid_until
         for grant in target.grants.values()
@@ -172,6 +180,7 @@
     )
     if not ends:
         return float("inf")
+    ahead += sum(t.count_hidden(now) for t in table.targets.values() if t.service == ask.service)
     turns, position = divmod(ahead, len(ends))
     return ends[position] + turns * ask.run_s
 
@@ -220,20 +229,54 @@
 
 
 def _try_start(table: DispatchTable, ask: Ask, now: float) -> list[Action]:
+    if ask.is_batch:
+        if now < table.batch_held_until.get(ask.service, 0.0):
+            return []
+        ask = _limit_firm(table, ask)
     target = choose_target(table.targets.values(), ask, now)
     if target is not None:
         _take_slot(table, target, ask, now)
         return [Granted(ask.key, target.target_id)]
-    if ask.is_batch:
+    if ask.is_batch or not _must_displace(table, ask, now):
         return []
     victim = _choose_victim(table, ask, now)
     if victim is None:
         return []
     victim.yielding = True
+    table.batch_held_until[ask.service] = now + BATCH_HOLD_S
     _take_slot(table, table.targets[victim.target_id], ask, now)
     return [YieldAsked(victim.key), Granted(ask.key, victim.target_id)]
 
 
+def _must_displace(table: DispatchTable, ask: Ask, now: float) -> bool:
+    """Tell whether waiting for the next free slot would take too long.
+
+    Load pattern: a service whose slots turn over every few milliseconds. There a yielded item
+    costs more than the short wait that it would save.
+    """
+    return now - ask.asked_at >= YIELD_AFTER_S or predict_start(table, ask, now) > (
+        now + YIELD_AFTER_S
+    )
+
+
+def _limit_firm(table: DispatchTable, ask: Ask) -> Ask:
+    """Let an item yield after all when enough others don't.
+
+    Load pattern: a backlog that becomes due at once after an outage.
+    """
+    if not ask.is_firm:
+        return ask
+    firm = sum(
+        1
+        for target in table.targets.values()
+        if target.service == ask.service
+        for grant in target.grants.values()
+        if grant.is_firm
+    )
+    slots = describe_load(table, ask.service)[1]
+    return ask if firm < slots * FIRM_SHARE else ask._replace(is_firm=False)
+
+
 def _choose_victim(table: DispatchTable, ask: Ask, now: float) -> Grant | None:
     """Return the batch item that loses least by yielding to the request.
 
@@ -264,6 +307,21 @@
         target.prefixes.popitem(last=False)
 
 
+def _judge_again(
+    table: DispatchTable, ask: Ask, now: float, rng: random.Random
+) -> TurnedAway | None:
+    """Refuse a waiting request whose chance to be on time is gone, while it may still return."""
+    if now >= ask.deadline:
+        return TurnedAway(ask.key, RETURN_MIN_S, "waited past its use")
+    if ask.is_batch or ask.returned:
+        return None
+    if now - ask.asked_at < JUDGE_AGAIN_S:
+        return None
+    if now > ask.on_time_by or now - ask.asked_at < JUDGE_AGAIN_S * 2:
+        return _judge_wait(table, ask, now, rng)
+    return None
+
+
 def _judge_wait(
     table: DispatchTable, ask: Ask, now: float, rng: random.Random
 ) -> TurnedAway | None:
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -34,7 +34,16 @@
 class Grant:
     """A taken slot. ``ends_at`` is an estimate; ``yielding`` says that it was asked to end."""
 
-    __slots__ = ("ends_at", "is_batch", "is_firm", "key", "started_at", "target_id", "yielding")
+    __slots__ = (
+        "ends_at",
+        "is_batch",
+        "is_firm",
+        "key",
+        "run_s",
+        "started_at",
+        "target_id",
+        "yielding",
+    )
 
     def __init__(self, ask: Ask, target_id: str, now: float) -> None:
         self.key = ask.key
@@ -42,6 +51,7 @@
         self.is_batch = ask.is_batch
         self.is_firm = ask.is_firm
         self.started_at = now
+        self.run_s = ask.run_s
         self.ends_at = now + ask.run_s
         self.yielding = False
 
@@ -73,10 +83,13 @@
         """Return slots in use; one that was asked to yield still counts for a moment."""
         return len(self.grants)
 
+    def count_hidden(self, now: float) -> int:
+        """Return slots taken by runs that nobody here knows."""
+        return self.hidden if now < self.hidden_until else 0
+
     def count_free(self, now: float) -> int:
-        """Return slots that are neither granted nor taken by runs that nobody here knows."""
-        hidden = self.hidden if now < self.hidden_until else 0
-        return self.slots - len(self.grants) - hidden
+        """Return slots that are neither granted nor hidden."""
+        return self.slots - len(self.grants) - self.count_hidden(now)
 
     def count_firm(self) -> int:
         """Return slots that no yielding will free."""
@@ -91,3 +104,4 @@
         self.waiting: dict[GrantKey, Ask] = {}
         self.grants: dict[GrantKey, Grant] = {}
         self.returns_at: dict[str, float] = {}
+        self.batch_held_until: dict[str, float] = {}
--- /dev/null
+++ b/tests/serving/test_runner.py
@@ -0,0 +1,176 @@
+"""The runner lists each result once, whatever happens to its writes and to other owners."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from clementinepin.helpers.clock import ManualClock
+from clementinepin.platform import create_wire
+from clementinepin.serving import _job_records as records
+from clementinepin.serving._item_run import ItemRun
+from clementinepin.serving._runner import JobRunner
+from clementinepin.serving.models import ItemState, Member
+from clementinepin.serving.store import Change
+from tests.serving.memory_store import MemoryStore
+from tests.serving.parts import SETTINGS, make_head, make_items
+
+
+class FakeFleet:
+    def __init__(self, *names: str) -> None:
+        self.names = names
+
+    def list_job_runners(self) -> list[Member]:
+        return [Member(n, True, "127.0.0.1", 0, "", "a", "r", False) for n in self.names]
+
+
+class FakeItems:
+    """Completes each item at once with its id as text."""
+
+    def __init__(self) -> None:
+        self.ran: list[str] = []
+
+    def run(self, run: ItemRun) -> None:
+        self.ran.append(run.item.item_id)
+        run.texts.append(f"text of {run.item.item_id}")
+        run.state = ItemState.COMPLETED
+
+
+@pytest.fixture(autouse=True)
+def _quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("GROUP_S", "STORE_RETRY_S", "LOOK_PERIOD_S"):
+        monkeypatch.setattr(f"clementinepin.serving._runner.{name}", 0.001)
+
+
+def start_runner(
+    store: MemoryStore, items: FakeItems, *names: str, clock: ManualClock | None = None
+) -> JobRunner:
+    fleet = FakeFleet(*(names or ("store-1",)))
+    runner = JobRunner(
+        SETTINGS, store, fleet, items, create_wire(), clock or ManualClock()  # type: ignore[arg-type]
+    )
+    runner.start()
+    return runner
+
+
+def submit(store: MemoryStore, count: int, owner: str = "store-1") -> records.JobKeys:
+    keys = records.JobKeys("cp/", "j1")
+    store.apply(records.make_submission(keys, make_head(owner=owner), make_items(count)))
+    return keys
+
+
+def read_listed(store: MemoryStore, keys: records.JobKeys) -> list[str]:
+    progress, _ = records.fetch_progress(store, keys)
+    return [row.item_id for row in progress.listed]
+
+
+def wait_until_closed(store: MemoryStore, keys: records.JobKeys) -> None:
+    with gevent.Timeout(5.0):
+        while records.fetch_progress(store, keys)[0].is_open:
+            gevent.sleep(0.001)
+
+
+@pytest.mark.parametrize("fault", ["unavailable", "lost", "late"])
+def test_results_are_listed_once_when_a_write_fails(fault: str) -> None:
+    store = MemoryStore()
+    keys = submit(store, 5)
+    store.faults.extend([fault, fault])
+    items = FakeItems()
+    start_runner(store, items)
+    wait_until_closed(store, keys)
+    store.do_late_writes()
+    assert sorted(read_listed(store, keys)) == ["i0", "i1", "i2", "i3", "i4"]
+    assert sorted(items.ran) == ["i0", "i1", "i2", "i3", "i4"]
+
+
+def test_positions_hold_the_texts_of_their_items() -> None:
+    store = MemoryStore()
+    keys = submit(store, 3)
+    start_runner(store, FakeItems())
+    wait_until_closed(store, keys)
+    for position, item_id in enumerate(read_listed(store, keys)):
+        row = store.get(keys.text(position))
+        assert row is not None
+        assert row.value.decode() == f"text of {item_id}"
+
+
+def test_an_item_listed_elsewhere_meanwhile_keeps_its_result() -> None:
+    store = MemoryStore()
+    keys = submit(store, 2)
+    _, version = records.fetch_progress(store, keys)
+    store.faults.append("unavailable")
+    start_runner(store, FakeItems())
+    listed = records.ListedItem("i0", ItemState.COMPLETED, 100)
+    other = records.JobProgress("r", "store-1", 2, 100, False, (listed,))
+    store.apply(records.make_progress_change(keys, version, other, {0: "first text"}))
+    wait_until_closed(store, keys)
+    assert read_listed(store, keys) == ["i0", "i1"]
+    row = store.get(keys.text(0))
+    assert row is not None
+    assert row.value == b"first text"
+
+
+def test_a_job_of_a_live_owner_is_left_alone() -> None:
+    store = MemoryStore()
+    submit(store, 2, owner="store-2")
+    items = FakeItems()
+    start_runner(store, items, "store-1", "store-2")
+    gevent.sleep(0.05)
+    assert items.ran == []
+
+
+def test_a_job_of_a_lost_owner_is_taken_over_and_recorded() -> None:
+    store = MemoryStore()
+    keys = submit(store, 2, owner="store-2")
+    items = FakeItems()
+    start_runner(store, items, "store-1")
+    wait_until_closed(store, keys)
+    assert records.fetch_progress(store, keys)[0].owner == "store-1"
+
+
+def test_a_returning_owner_leaves_its_job_to_the_one_that_took_over() -> None:
+    store = MemoryStore()
+    keys = submit(store, 2, owner="store-1")
+    _, version = records.fetch_progress(store, keys)
+    taken = records.JobProgress("r", "store-2", 2, 200, False)
+    store.apply(records.make_progress_change(keys, version, taken))
+    items = FakeItems()
+    start_runner(store, items, "store-1", "store-2")
+    gevent.sleep(0.05)
+    assert items.ran == []
+
+
+def test_an_ended_job_runs_nothing_more() -> None:
+    store = MemoryStore()
+    keys = submit(store, 2)
+    _, version = records.fetch_progress(store, keys)
+    ended = records.JobProgress("r", "store-1", 2, 200, True)
+    store.apply(records.make_progress_change(keys, version, ended))
+    items = FakeItems()
+    start_runner(store, items)
+    gevent.sleep(0.05)
+    assert items.ran == []
+
+
+def test_an_old_job_is_removed_with_all_its_keys() -> None:
+    store = MemoryStore()
+    keys = submit(store, 2)
+    clock = ManualClock()
+    start_runner(store, FakeItems(), clock=clock)
+    wait_until_closed(store, keys)
+    clock.advance(200.0)
+    with gevent.Timeout(5.0):
+        while keys.progress in store.rows:
+            gevent.sleep(0.001)
+    assert not [key for key in store.rows if "j1" in key]
+
+
+def test_a_late_write_of_progress_changes_nothing_behind_a_newer_one() -> None:
+    store = MemoryStore()
+    keys = submit(store, 1)
+    progress, version = records.fetch_progress(store, keys)
+    late = records.make_progress_change(keys, version, progress)
+    store.apply(late)
+    store.late.append(Change(late.expected, {keys.progress: b"broken"}))
+    store.do_late_writes()
+    assert records.fetch_progress(store, keys)[0] == progress
