Read results by one range call and count calls to the store

Change: a result is one value with its text; a page of results is one range call from its position. Counters and latency histograms stand on the metrics address and in a log line each ten seconds.

--- a/clementinepin/platform/_settings.py
+++ b/clementinepin/platform/_settings.py
@@ -54,8 +54,11 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
-def load_instance_settings(path: str) -> InstanceSettings:
-    """Read the settings file; raises SettingsError that names the field at fault."""
+def load_instance_settings(path: str, metrics_port: int = 0) -> InstanceSettings:
+    """Read the settings file; raises SettingsError that names the field at fault.
+
+    Metrics are served on the instance's own address; port 0 serves none.
+    """
     try:
         raw: dict[str, Any] = tomllib.loads(Path(path).read_text(encoding="utf-8"))
         file = msgspec.convert(raw, _File, strict=False)
@@ -64,7 +67,6 @@
     if not file.internal_ports:
         raise SettingsError(f"settings file {path!r}: internal_ports is empty")
     runs_jobs = ROLE_STORE in file.serves
-    # Two roles of one machine share its ports: each takes the port of its position.
     return InstanceSettings(
         name=file.node,
         runs_jobs=runs_jobs,
@@ -75,6 +77,7 @@
         entry_address=_split_address(file.listen.front),
         ready_address=_split_address(file.listen.ready),
         directory_address=_split_address(file.listen.directory),
+        metrics_address=(file.ip, metrics_port) if metrics_port else None,
         store_address=_require_address(file.platform.address, "platform.address"),
         grace_s=file.bounds.grace_period_s,
         directory_ttl_max_s=file.bounds.ttl_max_s,
--- a/clementinepin/platform/_store.py
+++ b/clementinepin/platform/_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Callable
 from typing import Any, Final
 from urllib.parse import quote
 
@@ -65,10 +66,12 @@
 class _Store:
     """The StateStore over HTTP. Nothing is sent a second time here."""
 
-    def __init__(self, address: tuple[str, int], clock: Clock) -> None:
+    def __init__(
+        self, address: tuple[str, int], clock: Clock, count_call: Callable[[str, float], None]
+    ) -> None:
         self._clock = clock
+        self._count_call = count_call
         self._transport = Transport(TargetAddress("store", *address), clock)
-        self.calls = 0
 
     def get(self, key: str) -> KeyValue | None:
         """Return the current value of a key, or None."""
@@ -77,12 +80,16 @@
             return None
         return _make_value(self._decode(status, body, _Row))
 
-    def list_range(self, prefix: str, *, stale: bool = False) -> Page:
+    def list_page(self, prefix: str, after: str) -> list[KeyValue]:
+        """Return the first values under a prefix behind a key, as many as fit in one answer."""
+        return [_make_value(row) for row in self._fetch_page(prefix, after).items]
+
+    def list_range(self, prefix: str) -> Page:
         """Return all values under a prefix and the version from which to watch."""
         rows: list[KeyValue] = []
         after, version = "", -1
         while True:
-            page = self._fetch_page(prefix, after, stale)
+            page = self._fetch_page(prefix, after)
             rows.extend(_make_value(row) for row in page.items)
             version = page.store_revision if version < 0 else version
             if not page.truncated or not page.items:
@@ -143,12 +150,10 @@
         """End a lease and remove its keys; one that has ended is no failure."""
         self._call("DELETE", f"/v1/kv-lease-end/{lease_id}")
 
-    def _fetch_page(self, prefix: str, after: str, stale: bool) -> _Page:
+    def _fetch_page(self, prefix: str, after: str) -> _Page:
         path = f"/v1/kv-range?path_prefix={quote(prefix, safe='')}"
         if after:
             path += f"&after={quote(after, safe='')}"
-        if stale:
-            path += "&allow_stale=1"
         status, body = self._call("GET", path)
         return self._decode(status, body, _Page)
 
@@ -159,9 +164,9 @@
         timeout_s: float = CALL_TIMEOUT_S,
         body: dict[str, Any] | None = None,
     ) -> tuple[int, bytes]:
-        self.calls += 1
         data = b"" if body is None else msgspec.json.encode(body)
-        deadline = self._clock.monotonic() + timeout_s
+        sent_at = self._clock.monotonic()
+        deadline = sent_at + timeout_s
         headers = JSON_HEADERS if data else ()
         try:
             request = HttpRequest(method, path, headers, data, deadline)
@@ -171,6 +176,9 @@
             raise PlatformUnavailableError(f"store: {err}") from err
         except TargetLostError as err:
             raise ReplyLostError(f"store: {err}") from err
+        finally:
+            kind = _name_call(path)
+            self._count_call(kind, self._clock.monotonic() - sent_at)
         if exchange.status in (429, 503):
             raise PlatformUnavailableError(f"store answered {exchange.status}")
         return exchange.status, answer
@@ -185,9 +193,19 @@
             raise ReplyLostError(f"store's answer can't be read: {err}") from err
 
 
-def create_store(address: tuple[str, int], clock: Clock) -> _Store:
-    """Return the client that this process shares."""
-    return _Store(address, clock)
+def create_store(
+    address: tuple[str, int], clock: Clock, count_call: Callable[[str, float], None]
+) -> _Store:
+    """Return the client that this process shares; it tells kind and seconds of each call."""
+    return _Store(address, clock, count_call)
+
+
+def _name_call(path: str) -> str:
+    """Return the kind of a call, with the first part of its prefix."""
+    name, _, query = path.removeprefix("/v1/").partition("?")
+    name = name.partition("/")[0]
+    prefix = query.partition("=")[2].partition("&")[0].partition("%2F")[0]
+    return f"{name}_{prefix}" if prefix else name
 
 
 def _make_value(row: _Row) -> KeyValue:
--- a/clementinepin/serve.py
+++ b/clementinepin/serve.py
@@ -8,6 +8,7 @@
 import sys
 
 import gevent
+from docopt import docopt
 from gevent.event import Event
 from loguru import logger
 
@@ -22,27 +23,48 @@
     load_instance_settings,
 )
 from clementinepin.serving._app import App
+from clementinepin.serving._metrics import ServingMetrics
+from clementinepin.serving.models import InstanceSettings
 
+USAGE = """Run one instance on the users' platform. Its settings file is named by the platform.
+
+Usage:
+  serve [--metrics-port PORT]
+  serve (-h | --help)
+
+Options:
+  --metrics-port PORT  Port of this machine that serves metrics; 0 serves none [default: 0].
+
+Signals: TERM and INT leave and stop; HUP reads the settings again; USR1 writes a state dump
+to standard output. Exit codes: 0 clean stop, 2 wrong usage or settings.
+"""
 EXIT_SETTINGS = 2
 
 
 def main() -> int:
     """Run one instance until it is told to stop."""
+    args = docopt(USAGE)
+    path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         check_loop_backend()
-        settings = load_instance_settings(os.environ.get(SETTINGS_VARIABLE, ""))
+        metrics_port = int(args["--metrics-port"])
+        settings = load_instance_settings(path, metrics_port)
+    except ValueError:
+        sys.stderr.write(f"clementinepin: {args['--metrics-port']!r} is not a port\n")
+        return EXIT_SETTINGS
     except ClementinepinError as err:
         sys.stderr.write(f"clementinepin: {err.code}: {err.message}\n")
         return EXIT_SETTINGS
     configure_event_logs(settings.name)
     clock = create_system_clock()
-    app = App(
-        settings, create_store(settings.store_address, clock), create_wire(), clock, random.Random()
-    )
+    metrics = ServingMetrics()
+    store = create_store(settings.store_address, clock, metrics.count_store_call)
+    app = App(settings, store, create_wire(), clock, random.Random(), metrics)
     told = Event()
     gevent.signal_handler(signal.SIGTERM, told.set)
     gevent.signal_handler(signal.SIGINT, told.set)
-    gevent.signal_handler(signal.SIGHUP, lambda: logger.info("reload_requested"))
+    gevent.signal_handler(signal.SIGHUP, check_settings, path, settings)
+    gevent.signal_handler(signal.SIGUSR1, dump_state, app)
     app.start()
     logger.bind(runs_jobs=settings.runs_jobs, data_centre=settings.data_centre).info("started")
     told.wait()
@@ -52,5 +74,20 @@
     return 0
 
 
+def check_settings(path: str, settings: InstanceSettings) -> None:
+    """Read the settings again; addresses only change with a restart, so a change is reported."""
+    try:
+        changed = load_instance_settings(path)._replace(metrics_address=settings.metrics_address)
+    except ClementinepinError as err:
+        logger.bind(error=err.message).error("settings_unreadable")
+        return
+    logger.bind(changed=changed != settings).info("settings_read_again")
+
+
+def dump_state(app: App) -> None:
+    """Log the state of all parts as one event."""
+    logger.bind(state=app.describe_state()).info("state_dump")
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -16,6 +16,7 @@
 from clementinepin.serving._http import CallerConnection, CallerRequest, CallerServer
 from clementinepin.serving._item_run import ItemRunner
 from clementinepin.serving._jobs import JobDesk
+from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._retirement import Retirement
 from clementinepin.serving._runner import JobRunner
@@ -49,7 +50,9 @@
         wire: Wire,
         clock: Clock,
         rng: random.Random,
+        metrics: ServingMetrics,
     ) -> None:
+        self._metrics = metrics
         self._settings = settings
         self._wire = wire
         self._clock = clock
@@ -57,7 +60,7 @@
         self.fleet = FleetView(settings, store, wire, clock)
         pools = TargetPools(self.fleet, clock)
         self.slots = SlotBroker(settings.name, settings.data_centre, self.fleet, clock, rng)
-        self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng)
+        self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
         self._jobs = JobDesk(store, self.fleet, wire, clock)
         self._dispatcher: Dispatcher | None = None
         self._runner: JobRunner | None = None
@@ -65,7 +68,7 @@
         if settings.runs_jobs:
             address = settings.host, settings.link_port
             self._dispatcher = Dispatcher(address, self.fleet, clock, rng)
-            items = ItemRunner(self.fleet, self.slots, pools, wire, clock)
+            items = ItemRunner(self.fleet, self.slots, pools, wire, clock, metrics)
             self._runner = JobRunner(settings, store, self.fleet, items, wire, clock)
             self._retirement = Retirement(settings, store, wire, clock, self.leave)
         self._servers = self._create_servers()
@@ -82,6 +85,7 @@
             self._retirement.start()
         for server in self._servers:
             server.start()
+        gevent.spawn(self._metrics.run_summaries)
 
     def leave(self) -> None:
         """Take no new callers or jobs; what is here goes on."""
@@ -95,7 +99,7 @@
         deadline = now + self._settings.grace_s - STOP_MARGIN_S
         accepting_until = now + self._settings.grace_s * STOP_ACCEPTING_SHARE
         self.leave()
-        if self._servers:
+        if self._settings.entry_address is not None:
             while self._clock.monotonic() < accepting_until:
                 gevent.sleep(IDLE_CHECK_S)
             for server in self._servers:
@@ -124,6 +128,7 @@
             (settings.entry_address, self._serve_caller),
             (settings.ready_address, self._serve_ready),
             (settings.directory_address, self._serve_directory),
+            (settings.metrics_address, self._serve_metrics),
         )
         return [
             CallerServer(address, handle, self._get_limits, settings.connections_max)
@@ -227,6 +232,12 @@
     def _serve_directory(self, connection: CallerConnection) -> None:
         self._serve_simple(connection, self._answer_directory)
 
+    def _serve_metrics(self, connection: CallerConnection) -> None:
+        self._serve_simple(connection, self._answer_metrics)
+
+    def _answer_metrics(self, connection: CallerConnection, _request: CallerRequest) -> None:
+        connection.answer(200, self._metrics.render(), [("Content-Type", "text/plain")])
+
     def _serve_simple(self, connection: CallerConnection, answer: Any) -> None:
         while True:
             try:
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -12,6 +12,7 @@
 from clementinepin.serving._events import EventCutter
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._http import HOP_HEADERS, CallerConnection, CallerRequest
+from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
 from clementinepin.serving.exceptions import (
@@ -87,7 +88,9 @@
         wire: Wire,
         clock: Clock,
         rng: random.Random,
+        metrics: ServingMetrics,
     ) -> None:
+        self._metrics = metrics
         self._fleet = fleet
         self._slots = slots
         self._pools = pools
@@ -325,6 +328,7 @@
 
     def _log_end(self, call: _Call, outcome: str) -> None:
         took_s = self._clock.monotonic() - call.started_at
+        self._metrics.count_request(outcome, took_s, call.waited_s)
         self._log(call).bind(
             outcome=outcome,
             sends=call.sends,
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -12,6 +12,7 @@
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._events import EventCutter
 from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
@@ -70,8 +71,15 @@
     """Runs items to their end."""
 
     def __init__(
-        self, fleet: FleetView, slots: SlotBroker, pools: TargetPools, wire: Wire, clock: Clock
+        self,
+        fleet: FleetView,
+        slots: SlotBroker,
+        pools: TargetPools,
+        wire: Wire,
+        clock: Clock,
+        metrics: ServingMetrics,
     ) -> None:
+        self._metrics = metrics
         self._fleet = fleet
         self._slots = slots
         self._pools = pools
@@ -111,6 +119,7 @@
             outcome = self._use_slot(run, route, slot)
         finally:
             self._slots.release(slot, outcome)
+            self._metrics.count_item_run(outcome)
         logger.bind(
             request_id=run.item.item_id,
             job=run.head.job_id,
--- a/clementinepin/serving/_job_records.py
+++ b/clementinepin/serving/_job_records.py
@@ -6,7 +6,7 @@
 | ``cp/ends/ID`` | mark of an ended job that runners watch | written once |
 | ``jb/ID/N`` | items with their bodies, in parts | written once |
 | ``js/ID`` | progress: listed items and failed attempts | compare-and-swap |
-| ``jt/ID/N`` | text of the result at position N | written once, with its progress |
+| ``jt/ID/N`` | result at position N, with its text | written once, with its progress |
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 import msgspec
 
 from clementinepin.serving.exceptions import JobNotFoundError
-from clementinepin.serving.models import ItemState, JobItem
+from clementinepin.serving.models import ItemResult, ItemState, JobItem
 from clementinepin.serving.store import Change, StateStore
 
 PART_BYTES: Final = 700_000  # a value may hold a megabyte, as base64 on the way
@@ -25,7 +25,7 @@
 ENDED: Final = "ends/"
 PARTS: Final = "jb/"
 PROGRESS: Final = "js/"
-TEXTS: Final = "jt/"
+RESULTS: Final = "jt/"
 
 
 class JobHead(msgspec.Struct, array_like=True, frozen=True):
@@ -77,6 +77,7 @@
 _encode = msgspec.msgpack.Encoder().encode
 _decode_head = msgspec.msgpack.Decoder(JobHead).decode
 _decode_progress = msgspec.msgpack.Decoder(JobProgress).decode
+_decode_result = msgspec.msgpack.Decoder(ItemResult).decode
 _decode_items = msgspec.msgpack.Decoder(_Items).decode
 
 
@@ -88,11 +89,11 @@
         self.ended = f"{prefix}{ENDED}{job_id}"
         self.parts = f"{PARTS}{job_id}/"
         self.progress = f"{PROGRESS}{job_id}"
-        self.texts = f"{TEXTS}{job_id}/"
+        self.results = f"{RESULTS}{job_id}/"
 
-    def text(self, position: int) -> str:
-        """Return the key of a result's text."""
-        return f"{self.texts}{position:05d}"
+    def result(self, position: int) -> str:
+        """Return the key of a result; keys sort by position."""
+        return f"{self.results}{position:05d}"
 
 
 def make_submission(keys: JobKeys, head: JobHead, items: tuple[JobItem, ...]) -> Change:
@@ -108,11 +109,14 @@
 
 
 def make_progress_change(
-    keys: JobKeys, version: int, progress: JobProgress, texts: dict[int, str] | None = None
+    keys: JobKeys,
+    version: int,
+    progress: JobProgress,
+    results: dict[int, ItemResult] | None = None,
 ) -> Change:
-    """Return the write that replaces the progress and adds the texts of new positions."""
+    """Return the write that replaces the progress and adds the results of new positions."""
     put = {keys.progress: _encode(progress)}
-    put.update({keys.text(i): text.encode() for i, text in (texts or {}).items()})
+    put.update({keys.result(i): _encode(result) for i, result in (results or {}).items()})
     if progress.ended:
         put[keys.ended] = b"1"
     return Change({keys.progress: version}, put)
@@ -120,7 +124,7 @@
 
 def make_removal(keys: JobKeys, version: int, progress: JobProgress, parts: int) -> list[Change]:
     """Return the writes that remove a job: its progress last, so that a cut removal goes on."""
-    rows = [keys.text(i) for i in range(len(progress.listed))]
+    rows = [keys.result(i) for i in range(len(progress.listed))]
     rows += [f"{keys.parts}{i:03d}" for i in range(parts)]
     changes = [Change({}, {}, tuple(rows[i : i + 30])) for i in range(0, len(rows), 30)]
     last = (keys.announced, keys.ended, keys.progress)
@@ -154,6 +158,12 @@
     return _decode_items(data).items
 
 
+def fetch_results(store: StateStore, keys: JobKeys, after: int) -> list[ItemResult]:
+    """Return results from a position on, as many as the store gives at once."""
+    start = keys.result(after - 1) if after else keys.results
+    return [_decode_result(row.value) for row in store.list_page(keys.results, start)]
+
+
 def count_waiting_tokens(rows: Iterable[bytes], route: str) -> int:
     """Return the tokens of unfinished items on a route."""
     progress = (_decode_progress(row) for row in rows)
--- a/clementinepin/serving/_jobs.py
+++ b/clementinepin/serving/_jobs.py
@@ -25,7 +25,7 @@
     OverloadedError,
     TokensExhaustedError,
 )
-from clementinepin.serving.models import ItemResult, ItemState, JobItem, Route
+from clementinepin.serving.models import ItemResult, JobItem, Route
 from clementinepin.serving.store import StateStore
 from clementinepin.serving.wire import JobCall, Wire
 
@@ -103,19 +103,14 @@
         keys = self._make_keys(call.job_id)
         total = self._totals.get(call.job_id)
         results = self._take_cached(call.job_id, call.after)
-        if results and total is not None:
-            return self._wire.make_results(total, call.after, results)
-        if total is not None and call.wait_s > 0 and call.after < total:
-            gevent.sleep(min(READ_HOLD_MAX_S, call.wait_s * READ_HOLD_MAX_S))
-        progress, _ = self._retry(lambda: records.fetch_progress(self._store, keys))
-        self._totals[call.job_id] = progress.total
-        listed = progress.listed[call.after :]
-        if not listed and progress.is_open and total is None and call.wait_s > 0:
-            gevent.sleep(min(READ_HOLD_MAX_S, call.wait_s * READ_HOLD_MAX_S))
+        if total is None:
             progress, _ = self._retry(lambda: records.fetch_progress(self._store, keys))
-            listed = progress.listed[call.after :]
-        results = self._fetch_results(keys, call, listed)
-        return self._wire.make_results(progress.total, call.after, results)
+            total = self._totals[call.job_id] = progress.total
+        elif not results and call.after < total:
+            gevent.sleep(min(READ_HOLD_MAX_S, call.wait_s * READ_HOLD_MAX_S))
+        if not results and call.after < total:
+            results = self._fetch_results(keys, call)
+        return self._wire.make_results(total, call.after, results)
 
     def read_body(self, call: JobCall) -> bytes:
         """Return the body of an item; raises JobNotFoundError."""
@@ -177,32 +172,18 @@
             size += len(result.text)
         return results
 
-    def _fetch_results(
-        self, keys: records.JobKeys, call: JobCall, listed: tuple[records.ListedItem, ...]
-    ) -> list[ItemResult]:
+    def _fetch_results(self, keys: records.JobKeys, call: JobCall) -> list[ItemResult]:
+        found = self._retry(lambda: records.fetch_results(self._store, keys, call.after))
         results: list[ItemResult] = []
         size = 0
-        for position, item in enumerate(listed, call.after):
-            result = self._cache.get(call.job_id, position)
-            if result is None:
-                result = ItemResult(
-                    item.item_id, item.state, self._fetch_text(keys, position, item)
-                )
-                self._cache.put(call.job_id, position, result)
+        for position, result in enumerate(found, call.after):
+            self._cache.put(call.job_id, position, result)
             size += len(result.text)
             if results and size > PAGE_TEXT_BYTES:
                 break
             results.append(result)
         return results
 
-    def _fetch_text(self, keys: records.JobKeys, position: int, item: records.ListedItem) -> str:
-        if item.state is ItemState.DEAD:
-            return ""
-        row = self._retry(lambda: self._store.get(keys.text(position)))
-        if row is None:
-            raise OverloadedError("a result's text is missing", UNAVAILABLE_RETRY_S)
-        return row.value.decode()
-
     def _make_keys(self, job_id: str) -> records.JobKeys:
         quoted = self._wire.quote(job_id)
         if not quoted or len(quoted) > ID_MAX_CHARS:
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -18,7 +18,7 @@
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._item_run import ItemRun, ItemRunner
-from clementinepin.serving.models import InstanceSettings, ItemState
+from clementinepin.serving.models import InstanceSettings, ItemResult, ItemState
 from clementinepin.serving.store import StateStore, StoreFollower
 from clementinepin.serving.wire import Wire
 
@@ -260,8 +260,9 @@
             for run in group
         )
         first = len(progress.listed)
-        texts = {
-            first + i: run.text for i, run in enumerate(group) if run.state is ItemState.COMPLETED
+        results = {
+            first + i: ItemResult(run.item.item_id, run.state or ItemState.DEAD, run.text)
+            for i, run in enumerate(group)
         }
         failures = {run.item.item_id: run.failures for run in job.runs.values() if run.failures}
         changed = records.JobProgress(
@@ -273,7 +274,7 @@
             listed=progress.listed + rows,
             failures=failures,
         )
-        change = records.make_progress_change(job.keys, job.version, changed, texts)
+        change = records.make_progress_change(job.keys, job.version, changed, results)
         job.version = self._store.write(change)
         job.progress = changed
         job.done = job.done[len(group) :]
--- a/clementinepin/serving/models.py
+++ b/clementinepin/serving/models.py
@@ -127,6 +127,7 @@
     entry_address: tuple[str, int] | None
     ready_address: tuple[str, int] | None
     directory_address: tuple[str, int] | None
+    metrics_address: tuple[str, int] | None
     store_address: tuple[str, int]
     grace_s: float
     directory_ttl_max_s: float
--- a/clementinepin/serving/store.py
+++ b/clementinepin/serving/store.py
@@ -44,9 +44,12 @@
     def get(self, key: str) -> KeyValue | None:
         """Return the current value of a key, or None."""
 
-    def list_range(self, prefix: str, *, stale: bool = False) -> Page:
+    def list_range(self, prefix: str) -> Page:
         """Return all values under a prefix."""
 
+    def list_page(self, prefix: str, after: str) -> list[KeyValue]:
+        """Return the first values under a prefix behind a key, as many as fit in one answer."""
+
     def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
         """Wait for changes behind a version and return them with the version to go on from."""
 
--- a/tests/serving/memory_store.py
+++ b/tests/serving/memory_store.py
@@ -39,7 +39,10 @@
         self.reads += 1
         return self.rows.get(key)
 
-    def list_range(self, prefix: str, *, stale: bool = False) -> Page:
+    def list_page(self, prefix: str, after: str) -> list[KeyValue]:
+        return [row for row in self.list_range(prefix).values if row.key > after]
+
+    def list_range(self, prefix: str) -> Page:
         self._check()
         self.reads += 1
         rows = [self.rows[key] for key in sorted(self.rows) if key.startswith(prefix)]
--- a/tests/serving/parts.py
+++ b/tests/serving/parts.py
@@ -15,6 +15,7 @@
     entry_address=None,
     ready_address=None,
     directory_address=None,
+    metrics_address=None,
     store_address=("127.0.0.1", 1),
     grace_s=8.0,
     directory_ttl_max_s=5.0,
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -10,7 +10,7 @@
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._item_run import ItemRun
 from clementinepin.serving._runner import JobRunner
-from clementinepin.serving.models import ItemState, Member
+from clementinepin.serving.models import ItemResult, ItemState, Member
 from clementinepin.serving.store import Change
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS, make_head, make_items
@@ -88,10 +88,10 @@
     keys = submit(store, 3)
     start_runner(store, FakeItems())
     wait_until_closed(store, keys)
-    for position, item_id in enumerate(read_listed(store, keys)):
-        row = store.get(keys.text(position))
-        assert row is not None
-        assert row.value.decode() == f"text of {item_id}"
+    results = records.fetch_results(store, keys, 0)
+    assert [result.item_id for result in results] == read_listed(store, keys)
+    assert all(result.text == f"text of {result.item_id}" for result in results)
+    assert records.fetch_results(store, keys, 2) == results[2:]
 
 
 def test_an_item_listed_elsewhere_meanwhile_keeps_its_result() -> None:
@@ -102,12 +102,11 @@
     start_runner(store, FakeItems())
     listed = records.ListedItem("i0", ItemState.COMPLETED, 100)
     other = records.JobProgress("r", "store-1", 2, 100, False, (listed,))
-    store.apply(records.make_progress_change(keys, version, other, {0: "first text"}))
+    first = ItemResult("i0", ItemState.COMPLETED, "first text")
+    store.apply(records.make_progress_change(keys, version, other, {0: first}))
     wait_until_closed(store, keys)
     assert read_listed(store, keys) == ["i0", "i1"]
-    row = store.get(keys.text(0))
-    assert row is not None
-    assert row.value == b"first text"
+    assert records.fetch_results(store, keys, 0)[0] == first
 
 
 def test_a_job_of_a_live_owner_is_left_alone() -> None:
