Keep a job's owner where all runners see it, and never join answers that are no streams

Instances that lapsed in an outage of the store were taken as lost, and jobs went to and fro. Change: taking a job over rewrites its announcement in the same write; instances lapse with the same grace as targets; headers of a resumable stream wait for its first event, and other answers are never sent again. Header sections above the bound get 431 also when they come at once.

--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -127,8 +127,13 @@
 class MemberView:
     """Instances of ours that registered under a lease."""
 
-    def __init__(self, prefix: str, own_name: str, on_change: Callable[[], None]) -> None:
+    def __init__(
+        self, prefix: str, own_name: str, clock: Clock, on_change: Callable[[], None]
+    ) -> None:
         self._prefix = prefix
+        self._clock = clock
+        self._missing_until: dict[str, float] = {}
+        self.is_store_shaky: Callable[[], bool] = lambda: False
         self._own_key = prefix + own_name
         self._on_change = on_change
         self.rows: dict[str, Member] = {}
@@ -136,8 +141,9 @@
 
     def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
         """Take in the whole range. After an outage, what is missing may only have lapsed."""
-        if not after_outage:
-            self.rows.clear()
+        seen = {row.key.removeprefix(self._prefix) for row in rows}
+        for name in set(self.rows) - seen:
+            self._miss(name, after_outage)
         if all(row.key != self._own_key for row in rows):
             self.own_lost.set()
         for row in rows:
@@ -152,16 +158,38 @@
             name = key.removeprefix(self._prefix)
             if key == self._own_key:
                 self.own_lost.set()
-            elif self.rows.pop(name, None) is not None:
-                logger.bind(member=name, store_version=version).info("instance_gone")
+            else:
+                self._miss(name, self.is_store_shaky())
         self._on_change()
 
+    def prune(self) -> None:
+        """Remove instances whose grace ended."""
+        now = self._clock.monotonic()
+        ended = [name for name, until in self._missing_until.items() if now >= until]
+        for name in ended:
+            del self._missing_until[name]
+            self._remove(name, "lapsed")
+        if ended:
+            self._on_change()
+
+    def _miss(self, name: str, in_outage: bool) -> None:
+        if in_outage:
+            until = self._clock.monotonic() + LAPSE_GRACE_S
+            self._missing_until.setdefault(name, until)
+        else:
+            self._remove(name, "removed")
+
+    def _remove(self, name: str, reason: str) -> None:
+        if self.rows.pop(name, None) is not None:
+            logger.bind(member=name, reason=reason).info("instance_gone")
+
     def _put(self, key: str, value: bytes, version: int) -> None:
         try:
             member = msgspec.msgpack.decode(value, type=Member)
         except msgspec.DecodeError as err:
             logger.bind(key=key, error=str(err)).warning("instance_entry_unreadable")
             return
+        self._missing_until.pop(member.name, None)
         known = self.rows.get(member.name)
         self.rows[member.name] = member
         if known is None:
@@ -187,13 +215,14 @@
         self.leaving = False
         self.configuration = ConfigurationView(wire)
         self.targets = TargetView(wire, clock, self._announce)
-        self.members = MemberView(self._members_prefix, settings.name, self._announce)
+        self.members = MemberView(self._members_prefix, settings.name, clock, self._announce)
         self.followers = {
             "configuration": StoreFollower(store, wire.config_key, self.configuration, clock),
             "targets": StoreFollower(store, wire.targets_prefix, self.targets, clock),
             "members": StoreFollower(store, self._members_prefix, self.members, clock),
         }
         self.targets.is_store_shaky = self.followers["targets"].is_shaky
+        self.members.is_store_shaky = self.followers["members"].is_shaky
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of targets or members."""
@@ -293,3 +322,4 @@
         while True:
             gevent.sleep(PRUNE_PERIOD_S)
             self.targets.prune()
+            self.members.prune()
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -58,6 +58,7 @@
         self.sends = 0
         self.unreached = 0
         self.maybe_run = False
+        self.can_resend = True
         self.excluded: set[str] = set()
         self.answer_started = False
         self.last_event_id = facts.last_event_id
@@ -251,15 +252,10 @@
             exchange.close()
             return self._note_lost(call, TargetProtocolError(f"resuming got {exchange.status}"))
         try:
-            if not call.answer_started:
-                lines = [h for h in exchange.header_lines if h[0].lower() not in HOP_HEADERS]
-                connection.start_answer(exchange.status, lines)
-                call.answer_started = True
-            if call.route.resumable and exchange.status == 200:
+            if call.route.resumable and is_event_stream(exchange):
                 self._pass_events(connection, call, exchange)
             else:
-                while data := exchange.read():
-                    connection.send_data(data)
+                self._pass_body(connection, call, exchange)
             connection.end_answer()
             call.is_complete = True
         except TargetLostError as err:
@@ -271,17 +267,39 @@
         failed = exchange.status >= SERVER_ERROR
         return RunOutcome.BROKEN if failed else RunOutcome.SERVED
 
+    def _start_answer(
+        self, connection: CallerConnection, call: _Call, exchange: HttpExchange
+    ) -> None:
+        """Send the headers of the first target whose answer is passed on."""
+        if not call.answer_started:
+            lines = [h for h in exchange.header_lines if h[0].lower() not in HOP_HEADERS]
+            connection.start_answer(exchange.status, lines)
+            call.answer_started = True
+
+    def _pass_body(self, connection: CallerConnection, call: _Call, exchange: HttpExchange) -> None:
+        """Pass bytes on; what breaks off can't go on with another target's."""
+        if call.answer_started:
+            exchange.close()
+            raise TargetProtocolError("a stream can't go on with an answer that is none")
+        call.can_resend = False
+        self._start_answer(connection, call, exchange)
+        while data := exchange.read():
+            connection.send_data(data)
+
     def _pass_events(
         self, connection: CallerConnection, call: _Call, exchange: HttpExchange
     ) -> None:
+        """Pass whole events on. Headers wait for the first: another target may still answer."""
         cutter = EventCutter()
         while data := exchange.read():
             events = cutter.feed(data)
             if events:
+                self._start_answer(connection, call, exchange)
                 connection.send_data(b"".join(event.raw for event in events))
                 call.last_event_id = max(call.last_event_id, events[-1].event_id)
         if cutter.rest.strip():
             raise TargetProtocolError("the stream ended in the middle of an event")
+        self._start_answer(connection, call, exchange)
 
     def _note_lost(self, call: _Call, err: TargetLostError) -> RunOutcome:
         call.maybe_run = True
@@ -295,7 +313,8 @@
 
     def _may_resend(self, call: _Call) -> bool:
         return (
-            call.route.is_repeatable
+            call.can_resend
+            and call.route.is_repeatable
             and call.sends < call.route.attempts_max
             and self._clock.monotonic() < call.deadline
         )
@@ -355,6 +374,12 @@
     return rng.choices([share.service for share in route.shares], weights)[0]
 
 
+def is_event_stream(exchange: HttpExchange) -> bool:
+    """Tell whether a target answers with events that can be resumed."""
+    kind = exchange.headers.get("content-type", "")
+    return exchange.status == 200 and kind.startswith("text/event-stream")
+
+
 def is_job_route(route: Route) -> bool:
     """Tell whether requests of the route submit jobs."""
     return route.kind is RouteKind.JOB
--- a/clementinepin/serving/_http.py
+++ b/clementinepin/serving/_http.py
@@ -147,7 +147,12 @@
         with gevent.Timeout(self._limits.header_timeout_s):
             while event is h11.NEED_DATA:
                 event = self._receive()
-        return event if isinstance(event, h11.Request) else None
+        if not isinstance(event, h11.Request):
+            return None
+        size = sum(len(name) + len(value) for name, value in event.headers.raw_items())
+        if size + len(event.target) > self._limits.header_max_bytes:
+            raise BadRequestError("the headers are too large", 431)
+        return event
 
     def _read_rest(self, head: h11.Request) -> CallerRequest | None:
         pieces: list[bytes] = []
--- a/clementinepin/serving/_job_records.py
+++ b/clementinepin/serving/_job_records.py
@@ -2,7 +2,7 @@
 
 | key | holds | changed by |
 | --- | --- | --- |
-| ``cp/jobs/ID`` | announcement that runners watch | written once |
+| ``cp/jobs/ID`` | announcement that runners watch | a new owner, with the progress |
 | ``cp/ends/ID`` | mark of an ended job that runners watch | written once |
 | ``jb/ID/N`` | items with their bodies, in parts | written once |
 | ``js/ID`` | progress: listed items and failed attempts | compare-and-swap |
@@ -122,6 +122,13 @@
     return Change({keys.progress: version}, put)
 
 
+def make_take_over(keys: JobKeys, version: int, progress: JobProgress, head: JobHead) -> Change:
+    """Return the write that names a new owner where all runners see it."""
+    return Change(
+        {keys.progress: version}, {keys.progress: _encode(progress), keys.announced: _encode(head)}
+    )
+
+
 def make_removal(keys: JobKeys, version: int, progress: JobProgress, parts: int) -> list[Change]:
     """Return the writes that remove a job: its progress last, so that a cut removal goes on."""
     rows = [keys.result(i) for i in range(len(progress.listed))]
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -45,6 +45,7 @@
         self.runs: dict[str, ItemRun] = {}
         self.greenlet: gevent.Greenlet | None = None
         self.stopped = False
+        self.is_foreign = False
 
     def stop(self) -> None:
         """Give up all runs; nothing is listed any more."""
@@ -93,7 +94,6 @@
         self._ended: set[str] = set()
         self._finished: set[str] = set()
         self._jobs: dict[str, _Job] = {}
-        self._owners: dict[str, str] = {}
         self._alive_until: dict[str, float] = {}
         self._room = BoundedSemaphore(ITEMS_AT_ONCE)
         self._greenlets: list[gevent.Greenlet] = []
@@ -162,10 +162,8 @@
             if job_id in self._ended:
                 self._remove_if_old(job_id, head)
                 continue
-            owner = self._owners.get(job_id, head.owner)
-            chosen = owner if owner in alive else choose_owner(job_id, alive)
+            chosen = head.owner if head.owner in alive else choose_owner(job_id, alive)
             if chosen == self._settings.name:
-                self._owners.pop(job_id, None)
                 job = _Job(head, records.JobKeys(self._wire.own_prefix, job_id))
                 self._jobs[job_id] = job
                 job.greenlet = gevent.spawn(self._run_job, job_id, job)
@@ -192,7 +190,7 @@
                 except ClementinepinError as err:
                     logger.bind(request_id=job_id, error=str(err)).info("job_interrupted")
                     gevent.sleep(STORE_RETRY_S)
-            if not self.leaving and job_id not in self._owners:
+            if not self.leaving and not job.is_foreign:
                 self._finished.add(job_id)
         finally:
             self._jobs.pop(job_id, None)
@@ -204,13 +202,13 @@
         if job.progress.ended:
             job.stop()
         elif owner != self._settings.name and owner in self._list_alive():
-            self._owners[job.head.job_id] = owner
+            job.is_foreign = True
             job.stop()
         elif owner != self._settings.name:
-            taken = msgspec.structs.replace(job.progress, owner=self._settings.name)
-            change = records.make_progress_change(job.keys, job.version, taken)
+            head = msgspec.structs.replace(job.head, owner=self._settings.name)
+            job.progress = msgspec.structs.replace(job.progress, owner=head.owner)
+            change = records.make_take_over(job.keys, job.version, job.progress, head)
             job.version = self._store.write(change)
-            job.progress = taken
             logger.bind(request_id=job.head.job_id, lost_owner=owner).info("job_taken_over")
 
     def _run_items(self, job: _Job) -> None:
--- /dev/null
+++ b/tests/serving/scripted.py
@@ -0,0 +1,87 @@
+"""Targets that follow a script, and a caller, over loopback sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+HEAD = b"HTTP/1.1 200 OK\r\nClementinepin-Server-Signature: %s\r\n"
+EVENTS = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def make_chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def make_event(number: int) -> bytes:
+    return b"id: %d\ndata: e%d\n\n" % (number, number)
+
+
+def make_plain(body: bytes, signature: bytes = b"s1", extra: bytes = b"") -> bytes:
+    return HEAD % signature + extra + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+def make_refusal() -> bytes:
+    return b"HTTP/1.1 503 Busy\r\nClementinepin-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class ScriptedTarget:
+    """Answers each request with the next of its scripts; a script gets socket and request."""
+
+    def __init__(self, *scripts: Callable[[Any, bytes], None] | bytes) -> None:
+        self._scripts = list(scripts)
+        self.requests: list[bytes] = []
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.port = self._server.server_port
+
+    def _serve(self, sock: Any, _peer: Any) -> None:
+        with sock:
+            while True:
+                request = read_message(sock)
+                if not request:
+                    return
+                self.requests.append(request)
+                script = self._scripts.pop(0) if self._scripts else make_refusal()
+                if isinstance(script, bytes):
+                    sock.sendall(script)
+                elif script(sock, request) is False:
+                    return
+
+    def stop(self) -> None:
+        self._server.stop(timeout=0)
+
+
+def read_message(sock: Any) -> bytes:
+    """Read one message with a Content-Length, or none."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = sock.recv(65_536)
+        if not piece:
+            return b""
+        data += piece
+    head, _, body = data.partition(b"\r\n\r\n")
+    size = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            size = int(line.partition(b":")[2])
+    while len(body) < size:
+        body += sock.recv(65_536)
+    return head + b"\r\n\r\n" + body
+
+
+def call(port: int, *headers: str, method: str = "POST", path: str = "/x/1") -> bytes:
+    """Send one request and return all bytes until the connection ends."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: h.example", "Connection: close", *headers]
+    lines.append("Content-Length: 4" if method == "POST" else "Content-Length: 0")
+    body = "body" if method == "POST" else ""
+    with gevent.Timeout(10.0), socket.create_connection(("127.0.0.1", port)) as sock:
+        sock.sendall(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
+        data = b""
+        while piece := sock.recv(65_536):
+            data += piece
+        return data
