--- a/clementinepin/daemon.py
+++ b/clementinepin/daemon.py
@@ -32,6 +32,7 @@
     create_weight_store,
 )
 from clementinepin.peers import create_peer_network
+from clementinepin.platform import create_store
 from clementinepin.scheduling import create_scheduler
 from clementinepin.storage import create_segment_store
 from clementinepin.targets import create_engine
@@ -58,7 +59,9 @@
     metrics = create_metrics(settings.metrics.host, settings.metrics.port, settings.metrics.prefix)
     core = Core(settings, clock, metrics, rng)
     engines = partial(create_engine, clock=clock)
-    key_value = create_key_value_store(settings, clock, metrics, rng)
+    stores = tuple(create_store(split_url(url), clock) for url in settings.platform.key_value)
+    calls_per_s = settings.platform.key_value_calls_per_s
+    key_value = create_key_value_store(stores, calls_per_s, clock, metrics, rng)
     instance_list = create_instance_list(settings, clock)
     weight_store = create_weight_store(settings, clock)
     peers = create_peer_network(core)
@@ -73,6 +76,12 @@
     return core
 
 
+def split_url(url: str) -> tuple[str, int]:
+    """Return host and port of an ``http://HOST:PORT`` address of the settings."""
+    host, _, port = url.removeprefix("http://").rstrip("/").rpartition(":")
+    return host, int(port)
+
+
 def run_core(core: Core) -> None:
     """Run until a signal or an operator's drain, then stop within the drain time."""
     drained = Event()
--- a/clementinepin/infrastructure/_key_value.py
+++ b/clementinepin/infrastructure/_key_value.py
@@ -9,61 +9,60 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
-from typing import TYPE_CHECKING, Any, TypeVar
+import secrets
+from collections.abc import Callable, Iterator
+from operator import methodcaller
+from typing import TypeVar
 
 import gevent
-import msgspec
 from loguru import logger
 
 from clementinepin.const import VALUE_MAX_BYTES
 from clementinepin.exceptions import InvalidInputError
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.metrics import Metrics
-from clementinepin.infrastructure import _messages as messages
 from clementinepin.infrastructure._backoff import choose_backoff
 from clementinepin.infrastructure._breaker import CircuitBreaker
 from clementinepin.infrastructure._budget import TokenBucket
-from clementinepin.infrastructure._transport import Transport
 from clementinepin.infrastructure.exceptions import (
-    LeaseLostError,
     PlatformUnavailableError,
     ReplyLostError,
     VersionConflictError,
     WatchCompactedError,
 )
-from clementinepin.infrastructure.models import KeyValue, KeyValueStore, LeaseGrant, WatchEvent
-
-if TYPE_CHECKING:
-    from clementinepin.config import Settings
+from clementinepin.infrastructure.models import (
+    Change,
+    KeyValue,
+    KeyValueStore,
+    LeaseGrant,
+    StateStore,
+    WatchEvent,
+)
 
 LOG_PREFIX = "platform:"
 CALL_DEADLINE_S = 4.0
 BUDGET_WAIT_MAX_S = 1.0
 BUDGET_BURST_S = 4.0
 BUDGET_BURST_MIN_CALLS = 20.0
-PATH_RANGE = "/v3/kv/range"
-PATH_TXN = "/v3/kv/txn"
-PATH_GRANT = "/v3/lease/grant"
-PATH_KEEP = "/v3/lease/keepalive"
-PATH_REVOKE = "/v3/lease/revoke"
-PATH_WATCH = "/v3/watch"
+OPERATION_ID_BYTES = 8
 T = TypeVar("T")
 
 
 class _KeyValueClient:
-    """The KeyValueStore over HTTP."""
+    """The KeyValueStore over one or more addresses of the store."""
 
     def __init__(
         self,
-        transport: Transport,
+        stores: tuple[StateStore, ...],
         calls_per_s: float,
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
         burst = max(BUDGET_BURST_MIN_CALLS, calls_per_s * BUDGET_BURST_S)
-        self._transport = transport
+        self._stores = stores
+        self._current = 0
+        self._seen_version = 0
         self._clock = clock
         self._metrics = metrics
         self._random = rng
@@ -72,66 +71,57 @@
 
     def get(self, key: str) -> KeyValue | None:
         """Return the value of a key, or None."""
-        body = msgspec.json.encode({"key": messages.encode_text(key)})
-        answer = self._read(PATH_RANGE, body, messages.RangeAnswer)
-        return messages.read_row(answer.kvs[0]) if answer.kvs else None
+        row = self._read("get", lambda store: store.get(key))
+        return None if row is None else _read_row(row)
 
     def list_range(self, prefix: str, *, after: str = "", limit: int = 1000) -> list[KeyValue]:
         """Return values under a prefix in key order, starting behind key ``after``."""
-        body = messages.build_range(prefix, after, limit)
-        answer = self._read(PATH_RANGE, body, messages.RangeAnswer)
-        return [messages.read_row(row) for row in answer.kvs]
+        rows: list[KeyValue] = []
+        while True:
+            page = self._read("list", methodcaller("list_page", prefix, after))
+            if not rows:
+                self._seen_version = max(self._seen_version, page.version)
+            rows.extend(_read_row(row) for row in page.values)
+            if page.is_last or len(rows) >= limit:
+                return rows[:limit]
+            after = page.values[-1].key
 
     def put(self, key: str, value: bytes, *, expected: int | None, lease_id: int = 0) -> int:
         """Write if the version matches and return the new one."""
         if len(value) > VALUE_MAX_BYTES:
             raise InvalidInputError(f"value of {key} exceeds {VALUE_MAX_BYTES} bytes", param=key)
-        operation_id = messages.create_operation_id()
-        change: dict[str, Any] = {"key": messages.encode_text(key), "value": value + operation_id}
-        if lease_id:
-            change["lease"] = str(lease_id)
-        body = messages.build_txn(key, expected, {"request_put": change})
-        answer, lost = self._write(body, repeat=expected is not None)
-        if answer.succeeded:
-            return answer.header.revision
-        current = messages.find_current(answer)
-        if current is not None and current.value.endswith(operation_id):
-            return current.mod_revision
-        raise _lose_race(key, current, lost)
+        operation_id = secrets.token_bytes(OPERATION_ID_BYTES)
+        change = Change(_expect(key, expected), {key: value + operation_id}, lease_id=lease_id)
+        try:
+            version, _ = self._write("put", change, repeat=expected is not None)
+        except _RaceLostError as err:
+            current = err.conflict
+            if current.value is not None and current.value.endswith(operation_id):
+                return current.current
+            raise _explain_race(key, current, err.after_loss) from err
+        return version
 
     def delete(self, key: str, *, expected: int | None) -> None:
         """Delete if the version matches."""
-        change = {"request_delete_range": {"key": messages.encode_text(key)}}
-        answer, lost = self._write(messages.build_txn(key, expected, change), repeat=True)
-        if answer.succeeded:
-            return
-        current = messages.find_current(answer)
-        if current is None and lost:
-            return
-        raise _lose_race(key, current, lost)
+        change = Change(_expect(key, expected), {}, (key,))
+        try:
+            self._write("delete", change, repeat=True)
+        except _RaceLostError as err:
+            if err.conflict.value is None and err.after_loss:
+                return
+            raise _explain_race(key, err.conflict, err.after_loss) from err
 
     def grant_lease(self, ttl_s: float) -> LeaseGrant:
         """Create a lease; one whose reply is lost lapses by itself."""
-        sent_at = self._clock.monotonic()
-        body = msgspec.json.encode({"TTL": str(max(1, round(ttl_s))), "ID": "0"})
-        answer = self._read(PATH_GRANT, body, messages.LeaseAnswer)
-        return LeaseGrant(answer.ID, sent_at + answer.TTL)
+        return self._read("grant", lambda store: store.grant_lease(ttl_s))
 
     def keep_lease(self, lease_id: int) -> LeaseGrant:
         """Extend a lease; raises LeaseLostError once it lapsed."""
-        sent_at = self._clock.monotonic()
-        body = msgspec.json.encode({"ID": str(lease_id)})
-        answer = self._read(PATH_KEEP, body, messages.KeepAnswer).result
-        if answer.TTL <= 0:
-            raise LeaseLostError(str(lease_id))
-        return LeaseGrant(lease_id, sent_at + answer.TTL)
+        return self._read("keep", lambda store: store.keep_lease(lease_id))
 
     def revoke_lease(self, lease_id: int) -> None:
         """End a lease and delete its keys; one that lapsed already is no failure."""
-        try:
-            self._read(PATH_REVOKE, msgspec.json.encode({"ID": str(lease_id)}), dict[str, Any])
-        except LeaseLostError:
-            return
+        self._read("revoke", lambda store: store.revoke_lease(lease_id))
 
     def watch(self, prefix: str, *, after_version: int) -> Iterator[WatchEvent]:
         """Yield changes behind a version until the connection drops.
@@ -139,40 +129,54 @@
         A caller resumes without a gap behind the last version that it saw.
         """
         self._enter("watch")
-        for line in self._transport.stream(PATH_WATCH, messages.build_watch(prefix, after_version)):
-            result = msgspec.json.decode(line, type=messages.WatchLine, strict=False).result
-            if result.canceled:
-                raise WatchCompactedError(prefix, compacted=result.compact_revision)
-            for event in result.events:
+        after = after_version
+        while True:
+            store = self._stores[self._current]
+            try:
+                events, after = store.watch(prefix, after)
+            except WatchCompactedError as err:
+                # A list read from now on shows all changes up to a version seen before.
+                raise WatchCompactedError(prefix, compacted=self._seen_version) from err
+            except ReplyLostError as err:
+                self._move_on()
+                raise PlatformUnavailableError(prefix) from err
+            except PlatformUnavailableError:
+                self._move_on()
+                raise
+            for event in events:
                 yield _read_event(event)
 
-    def _read(self, path: str, body: bytes, answer_type: type[T]) -> T:
+    def _read(self, name: str, call: Callable[[StateStore], T]) -> T:
         """Call until answered; an unanswered read is one that did not happen."""
         try:
-            raw, _ = self._call(path, body, repeat=True, settle=False)
+            answer, _ = self._call(name, call, repeat=True, settle=False)
         except ReplyLostError as err:
-            raise PlatformUnavailableError(path, retry_at=err.retry_at) from err
-        return msgspec.json.decode(raw, type=answer_type, strict=False)
+            raise PlatformUnavailableError(name, retry_at=err.retry_at) from err
+        return answer
 
-    def _write(self, body: bytes, *, repeat: bool) -> tuple[messages.TxnAnswer, bool]:
-        raw, lost = self._call(PATH_TXN, body, repeat=repeat, settle=True)
-        return msgspec.json.decode(raw, type=messages.TxnAnswer, strict=False), lost
+    def _write(self, name: str, change: Change, *, repeat: bool) -> tuple[int, bool]:
+        return self._call(name, lambda store: store.write(change), repeat=repeat, settle=True)
 
-    def _call(self, path: str, body: bytes, *, repeat: bool, settle: bool) -> tuple[bytes, bool]:
+    def _call(
+        self, name: str, call: Callable[[StateStore], T], *, repeat: bool, settle: bool
+    ) -> tuple[T, bool]:
         """Return the answer, and whether a reply was lost before it.
 
         With ``settle`` a lost reply is followed up to the deadline, past an open breaker.
         """
         deadline = self._clock.monotonic() + CALL_DEADLINE_S
-        name = path.rpartition("/")[2]
         self._enter(name)
         attempt = 0
         failure: PlatformUnavailableError | ReplyLostError | None = None
         while True:
             try:
-                answer = self._transport.call(path, body)
+                answer = call(self._stores[self._current])
             except (PlatformUnavailableError, ReplyLostError) as err:
+                self._move_on()
                 failure = _join_failures(failure, err)
+            except VersionConflictError as err:
+                self._breaker.record_success()
+                raise _RaceLostError(err, isinstance(failure, ReplyLostError)) from err
             else:
                 self._breaker.record_success()
                 return answer, isinstance(failure, ReplyLostError)
@@ -185,6 +189,9 @@
                 raise failure
             self._wait_for_attempt(failure, attempt, deadline)
 
+    def _move_on(self) -> None:
+        self._current = (self._current + 1) % len(self._stores)
+
     def _enter(self, name: str) -> None:
         """Pass the breaker and the budget, or refuse with a time to come back."""
         now = self._clock.monotonic()
@@ -223,12 +230,27 @@
 
 
 def create_key_value_store(
-    settings: Settings, clock: Clock, metrics: Metrics, rng: random.Random
+    stores: tuple[StateStore, ...],
+    calls_per_s: float,
+    clock: Clock,
+    metrics: Metrics,
+    rng: random.Random,
 ) -> KeyValueStore:
-    """Return the client that this process shares."""
-    platform = settings.platform
-    transport = Transport(platform.key_value)
-    return _KeyValueClient(transport, platform.key_value_calls_per_s, clock, metrics, rng)
+    """Return the client that this process shares; a failed call moves on to the next store."""
+    return _KeyValueClient(stores, calls_per_s, clock, metrics, rng)
+
+
+class _RaceLostError(Exception):
+    """A conditional write lost; ``after_loss`` says that an earlier reply of it was lost."""
+
+    def __init__(self, conflict: VersionConflictError, after_loss: bool) -> None:
+        super().__init__(str(conflict))
+        self.conflict = conflict
+        self.after_loss = after_loss
+
+
+def _expect(key: str, expected: int | None) -> dict[str, int]:
+    return {} if expected is None else {key: expected}
 
 
 def _join_failures(
@@ -239,8 +261,8 @@
     return earlier if isinstance(earlier, ReplyLostError) else latest
 
 
-def _lose_race(
-    key: str, current: messages.Row | None, lost: bool
+def _explain_race(
+    key: str, conflict: VersionConflictError, lost: bool
 ) -> VersionConflictError | ReplyLostError:
     """Return the failure of a lost race.
 
@@ -248,13 +270,18 @@
     """
     if lost:
         return ReplyLostError(key)
-    if current is None:
-        return VersionConflictError(key, 0, None)
-    value, _ = messages.split_value(current.value)
-    return VersionConflictError(key, current.mod_revision, value)
+    value = None if conflict.value is None else _split_value(conflict.value)
+    return VersionConflictError(key, conflict.current, value)
+
+
+def _split_value(stored: bytes) -> bytes:
+    """Return the caller's value without the operation id behind it."""
+    return stored[:-OPERATION_ID_BYTES]
+
+
+def _read_row(row: KeyValue) -> KeyValue:
+    return row._replace(value=_split_value(row.value))
 
 
-def _read_event(event: messages.Event) -> WatchEvent:
-    row = messages.read_row(event.kv)
-    value = None if event.type == "DELETE" else row.value
-    return WatchEvent(row.key, value, row.version)
+def _read_event(event: WatchEvent) -> WatchEvent:
+    return event if event.value is None else event._replace(value=_split_value(event.value))
--- a/clementinepin/infrastructure/models.py
+++ b/clementinepin/infrastructure/models.py
@@ -64,6 +64,57 @@
         """Yield changes behind a version until the connection drops (PlatformUnavailableError)."""
 
 
+class Change(NamedTuple):
+    """A write that is applied as a whole when each key has its expected version (0: absent)."""
+
+    expected: dict[str, int]
+    put: dict[str, bytes]
+    remove: tuple[str, ...] = ()
+    lease_id: int = 0
+
+
+class Page(NamedTuple):
+    """Values under a prefix in key order; changes behind ``version`` may be watched.
+
+    ``is_last`` is False when more values follow.
+    """
+
+    values: list[KeyValue]
+    version: int
+    is_last: bool = True
+
+
+class StateStore(Protocol):
+    """A linearizable store with versions, leases and watches.
+
+    Every method may raise PlatformUnavailableError (nothing was done) or ReplyLostError.
+    """
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return the current value of a key, or None."""
+
+    def list_range(self, prefix: str) -> Page:
+        """Return all values under a prefix."""
+
+    def list_page(self, prefix: str, after: str) -> Page:
+        """Return the first values under a prefix behind a key, as many as fit in one answer."""
+
+    def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
+        """Wait for changes behind a version and return them with the version to go on from."""
+
+    def write(self, change: Change) -> int:
+        """Apply a change as a whole and return its version."""
+
+    def grant_lease(self, ttl_s: float) -> LeaseGrant:
+        """Create a lease."""
+
+    def keep_lease(self, lease_id: int) -> LeaseGrant:
+        """Extend a lease; raises LeaseLostError once it ended."""
+
+    def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys."""
+
+
 class ListedInstance(NamedTuple):
     """A row of the platform's lagging instance list.
 
--- a/clementinepin/platform/_store.py
+++ b/clementinepin/platform/_store.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from clementinepin.helpers.clock import Clock
-from clementinepin.infrastructure import KeyValue, LeaseGrant, WatchEvent
+from clementinepin.infrastructure import Change, KeyValue, LeaseGrant, Page, WatchEvent
 from clementinepin.infrastructure.exceptions import (
     LeaseLostError,
     PlatformUnavailableError,
@@ -18,7 +18,6 @@
     VersionConflictError,
     WatchCompactedError,
 )
-from clementinepin.serving.store import Change, Page
 from clementinepin.targets import HttpRequest, TargetAddress, Transport
 from clementinepin.targets.exceptions import TargetLostError, TargetNotReachedError
 
@@ -80,21 +79,28 @@
             return None
         return _make_value(self._decode(status, body, _Row))
 
-    def list_page(self, prefix: str, after: str) -> list[KeyValue]:
+    def list_page(self, prefix: str, after: str) -> Page:
         """Return the first values under a prefix behind a key, as many as fit in one answer."""
-        return [_make_value(row) for row in self._fetch_page(prefix, after).items]
+        path = f"/v1/kv-range?path_prefix={quote(prefix, safe='')}"
+        if after:
+            path += f"&after={quote(after, safe='')}"
+        status, body = self._call("GET", path)
+        page = self._decode(status, body, _Page)
+        values = [_make_value(row) for row in page.items]
+        return Page(values, page.store_revision, not (page.truncated and values))
 
     def list_range(self, prefix: str) -> Page:
         """Return all values under a prefix and the version from which to watch."""
         rows: list[KeyValue] = []
         after, version = "", -1
         while True:
-            page = self._fetch_page(prefix, after)
-            rows.extend(_make_value(row) for row in page.items)
-            version = page.store_revision if version < 0 else version
-            if not page.truncated or not page.items:
+            page = self.list_page(prefix, after)
+            rows.extend(page.values)
+            # Pages are no snapshot: what changed while later ones were read is behind the first.
+            version = page.version if version < 0 else version
+            if page.is_last:
                 return Page(rows, version)
-            after = page.items[-1].key
+            after = page.values[-1].key
 
     def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
         """Wait for changes behind a version; raises WatchCompactedError when history is gone."""
@@ -122,10 +128,7 @@
         }
         status, body = self._call("POST", "/v1/kv-txn", body=message)
         if status == 412:
-            lost = self._decode(200, body, _Lost)
-            current = {row.key: row.rev for row in lost.items}
-            key = next((k for k, v in change.expected.items() if current.get(k, 0) != v), "")
-            raise VersionConflictError(key, current.get(key, 0), None)
+            raise _make_conflict(change, self._decode(200, body, _Lost).items)
         if status == 404:
             raise LeaseLostError(str(change.lease_id))
         return self._decode(status, body, _Written).rev
@@ -150,13 +153,6 @@
         """End a lease and remove its keys; one that has ended is no failure."""
         self._call("DELETE", f"/v1/kv-lease-end/{lease_id}")
 
-    def _fetch_page(self, prefix: str, after: str) -> _Page:
-        path = f"/v1/kv-range?path_prefix={quote(prefix, safe='')}"
-        if after:
-            path += f"&after={quote(after, safe='')}"
-        status, body = self._call("GET", path)
-        return self._decode(status, body, _Page)
-
     def _call(
         self,
         method: str,
@@ -194,10 +190,16 @@
 
 
 def create_store(
-    address: tuple[str, int], clock: Clock, count_call: Callable[[str, float], None]
+    address: tuple[str, int],
+    clock: Clock,
+    count_call: Callable[[str, float], None] | None = None,
 ) -> _Store:
     """Return the client that this process shares; it tells kind and seconds of each call."""
-    return _Store(address, clock, count_call)
+    return _Store(address, clock, count_call or _count_nothing)
+
+
+def _count_nothing(_kind: str, _took_s: float) -> None:
+    return
 
 
 def _name_call(path: str) -> str:
@@ -208,6 +210,17 @@
     return f"{name}_{prefix}" if prefix else name
 
 
+def _make_conflict(change: Change, rows: list[_Row]) -> VersionConflictError:
+    """Return the failure that names the first key whose version was another one."""
+    current = {row.key: row for row in rows if row.rev}
+    for key, expected in change.expected.items():
+        row = current.get(key)
+        if (row.rev if row else 0) != expected:
+            value = base64.b64decode(row.value) if row else None
+            return VersionConflictError(key, row.rev if row else 0, value)
+    return VersionConflictError(next(iter(change.expected), ""), 0, None)
+
+
 def _make_value(row: _Row) -> KeyValue:
     return KeyValue(row.key, base64.b64decode(row.value), row.rev)
 
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -10,6 +10,7 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
+from clementinepin.infrastructure import StateStore
 from clementinepin.serving._dispatcher import Dispatcher
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._forward import Forwarder, is_job_route
@@ -29,7 +30,6 @@
     RouteNotFoundError,
 )
 from clementinepin.serving.models import CallerLimits, InstanceSettings, Member, Route
-from clementinepin.serving.store import StateStore
 from clementinepin.serving.wire import Wire
 
 RESOLVE_TTL_S: Final = 2.0  # callers notice a lost instance at their next connection anyway
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -12,10 +12,10 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
-from clementinepin.infrastructure import KeyValue
+from clementinepin.infrastructure import Change, KeyValue, StateStore
 from clementinepin.infrastructure.exceptions import LeaseLostError
 from clementinepin.serving.models import DesiredState, InstanceSettings, Member, Target
-from clementinepin.serving.store import Change, StateStore, StoreFollower
+from clementinepin.serving.store import StoreFollower
 from clementinepin.serving.wire import Wire
 
 LEASE_S: Final = 3.0  # a lost instance leaves the directory within this time
--- a/clementinepin/serving/_job_records.py
+++ b/clementinepin/serving/_job_records.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
+from clementinepin.infrastructure import Change, StateStore
 from clementinepin.serving.exceptions import JobNotFoundError
 from clementinepin.serving.models import ItemResult, ItemState, JobItem
-from clementinepin.serving.store import Change, StateStore
 
 PART_BYTES: Final = 700_000  # a value may hold a megabyte, as base64 on the way
 ANNOUNCED: Final = "jobs/"
@@ -168,7 +168,7 @@
 def fetch_results(store: StateStore, keys: JobKeys, after: int) -> list[ItemResult]:
     """Return results from a position on, as many as the store gives at once."""
     start = keys.result(after - 1) if after else keys.results
-    return [_decode_result(row.value) for row in store.list_page(keys.results, start)]
+    return [_decode_result(row.value) for row in store.list_page(keys.results, start).values]
 
 
 def count_waiting_tokens(rows: Iterable[bytes], route: str) -> int:
--- a/clementinepin/serving/_jobs.py
+++ b/clementinepin/serving/_jobs.py
@@ -11,6 +11,7 @@
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rendezvous import choose_owner
+from clementinepin.infrastructure import StateStore
 from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
     ReplyLostError,
@@ -26,7 +27,6 @@
     TokensExhaustedError,
 )
 from clementinepin.serving.models import ItemResult, JobItem, Route
-from clementinepin.serving.store import StateStore
 from clementinepin.serving.wire import JobCall, Wire
 
 ID_MAX_CHARS: Final = 120  # keys of the store hold 200 bytes with our prefixes
--- a/clementinepin/serving/_retirement.py
+++ b/clementinepin/serving/_retirement.py
@@ -10,9 +10,9 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
-from clementinepin.infrastructure import KeyValue
+from clementinepin.infrastructure import Change, KeyValue, StateStore
 from clementinepin.serving.models import InstanceSettings
-from clementinepin.serving.store import Change, StateStore, StoreFollower
+from clementinepin.serving.store import StoreFollower
 from clementinepin.serving.wire import Wire
 
 HAND_OVER_S: Final = 1.0  # others see the leaving mark within milliseconds
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -14,12 +14,12 @@
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rendezvous import choose_owner
-from clementinepin.infrastructure import KeyValue
+from clementinepin.infrastructure import KeyValue, StateStore
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._item_run import ItemRun, ItemRunner
 from clementinepin.serving.models import InstanceSettings, ItemResult, ItemState
-from clementinepin.serving.store import StateStore, StoreFollower
+from clementinepin.serving.store import StoreFollower
 from clementinepin.serving.wire import Wire
 
 GROUP_S: Final = 0.3  # results of a job that end this close together share a write
--- a/clementinepin/serving/store.py
+++ b/clementinepin/serving/store.py
@@ -1,16 +1,16 @@
-"""What the serving path needs of a store, as a Protocol, and a follower of a key range."""
+"""Follows a key range of the store by list and watch."""
 
 from __future__ import annotations
 
 import random
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Protocol
 
 import gevent
 from loguru import logger
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
-from clementinepin.infrastructure import KeyValue, LeaseGrant, WatchEvent
+from clementinepin.infrastructure import KeyValue, StateStore
 from clementinepin.infrastructure.exceptions import WatchCompactedError
 
 LOG_PREFIX = "serving:"
@@ -19,53 +19,6 @@
 SHAKY_S = 3.0  # removals this soon after a failure may be lapses of the outage
 
 
-class Change(NamedTuple):
-    """A write that is applied as a whole when each key has its expected version (0: absent)."""
-
-    expected: dict[str, int]
-    put: dict[str, bytes]
-    remove: tuple[str, ...] = ()
-    lease_id: int = 0
-
-
-class Page(NamedTuple):
-    """Values under a prefix; changes behind ``version`` may be watched."""
-
-    values: list[KeyValue]
-    version: int
-
-
-class StateStore(Protocol):
-    """A linearizable store with versions, leases and watches.
-
-    Every method may raise PlatformUnavailableError (nothing was done) or ReplyLostError.
-    """
-
-    def get(self, key: str) -> KeyValue | None:
-        """Return the current value of a key, or None."""
-
-    def list_range(self, prefix: str) -> Page:
-        """Return all values under a prefix."""
-
-    def list_page(self, prefix: str, after: str) -> list[KeyValue]:
-        """Return the first values under a prefix behind a key, as many as fit in one answer."""
-
-    def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
-        """Wait for changes behind a version and return them with the version to go on from."""
-
-    def write(self, change: Change) -> int:
-        """Apply a change as a whole and return its version."""
-
-    def grant_lease(self, ttl_s: float) -> LeaseGrant:
-        """Create a lease."""
-
-    def keep_lease(self, lease_id: int) -> LeaseGrant:
-        """Extend a lease; raises LeaseLostError once it ended."""
-
-    def revoke_lease(self, lease_id: int) -> None:
-        """End a lease and remove its keys."""
-
-
 class StoreListener(Protocol):
     """Receives the state of a key range and its changes."""
 
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -6,12 +6,12 @@
 import pytest
 
 from clementinepin.helpers.clock import ManualClock
+from clementinepin.infrastructure import Change
 from clementinepin.platform import create_wire
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._item_run import ItemRun
 from clementinepin.serving._runner import JobRunner
 from clementinepin.serving.models import ItemResult, ItemState, Member
-from clementinepin.serving.store import Change
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS, make_head, make_items
 
