Predict slots by their estimated end, and test the dispatcher's decisions

Cause: every run was assumed to need a quarter of its time more, also one about to end, so items yielded for slots that were free milliseconds later. A service whose only target had refused for a moment counted as full for good.

--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -167,7 +167,7 @@
 def predict_start(table: DispatchTable, ask: Ask, now: float) -> float:
     """Return when a slot will be free for the request, behind those that wait before it."""
     ends = sorted(
-        max(grant.ends_at, now + grant.run_s * OVERRUN_SHARE)
+        grant.ends_at if grant.ends_at > now else now + grant.run_s * OVERRUN_SHARE
         for target in table.targets.values()
         if target.service == ask.service and now >= target.avoid_until
         for grant in target.grants.values()
@@ -180,7 +180,7 @@
         if other.service == ask.service and not other.is_batch and _rank(other, now) < rank
     )
     if not ends:
-        return float("inf")
+        return _find_reopening(table, ask)
     ahead += sum(t.count_hidden(now) for t in table.targets.values() if t.service == ask.service)
     turns, position = divmod(ahead, len(ends))
     return ends[position] + turns * ask.run_s
@@ -215,6 +215,18 @@
     return actions
 
 
+def _find_reopening(table: DispatchTable, ask: Ask) -> float:
+    """Return when the first target that is avoided or full now may be asked again."""
+    return min(
+        (
+            max(t.full_until, t.avoid_until, t.hidden_until)
+            for t in table.targets.values()
+            if t.service == ask.service
+        ),
+        default=float("inf"),
+    )
+
+
 def describe_load(table: DispatchTable, service: str) -> tuple[int, int, int]:
     """Return taken slots, all slots, and waiting requests of a service."""
     targets = [t for t in table.targets.values() if t.service == service]
--- /dev/null
+++ b/tests/systems/test_dispatching.py
@@ -0,0 +1,246 @@
+"""Decisions about slots, one load pattern at a time."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from clementinepin.systems import dispatching
+from clementinepin.systems.dispatching import (
+    BATCH_HOLD_S,
+    FULL_S,
+    HIDDEN_S,
+    JUDGE_AGAIN_S,
+    RETURN_MAX_S,
+    YIELD_AFTER_S,
+    Granted,
+    RunOutcome,
+    TurnedAway,
+    YieldAsked,
+)
+from clementinepin.tables.dispatch import Ask, DispatchTable, TargetLoad
+
+RUN_S = 0.75
+
+
+@pytest.fixture
+def rng():
+    return random.Random(3)
+
+
+def make_table(targets: int = 2, slots: int = 2) -> DispatchTable:
+    table = DispatchTable()
+    for n in range(targets):
+        table.targets[f"t{n}"] = TargetLoad(f"t{n}", "llm", "ab"[n % 2], slots)
+    return table
+
+
+def make_ask(number: int, now: float = 0.0, **changes: object) -> Ask:
+    ask = Ask(("f", number), "llm", False, now, now + 0.24, now + 1.9, RUN_S)
+    return ask._replace(**changes)  # type: ignore[arg-type]
+
+
+def make_item(number: int, now: float = 0.0, **changes: object) -> Ask:
+    item = Ask(("s", number), "llm", True, now, now + 13.0, now + 60.0, 5.0)
+    return item._replace(**changes)  # type: ignore[arg-type]
+
+
+def fill(table: DispatchTable, count: int, rng: random.Random, now: float = 0.0) -> None:
+    for n in range(count):
+        assert dispatching.submit(table, make_ask(1000 + n, now), now, rng)
+
+
+def test_requests_spread_evenly_over_targets(rng):
+    table = make_table(targets=3, slots=4)
+    fill(table, 6, rng)
+    assert [target.taken for target in table.targets.values()] == [2, 2, 2]
+
+
+def test_among_equally_loaded_targets_the_one_that_knows_the_prefix_goes_first(rng):
+    table = make_table(targets=3)
+    table.targets["t2"].prefixes["p1"] = None
+    ask = make_ask(1, prefix_ids=("p1", "own"), data_centre="a")
+    assert dispatching.submit(table, ask, 0.0, rng) == [Granted(ask.key, "t2")]
+
+
+def test_then_the_one_in_its_data_centre_goes_first(rng):
+    ask = make_ask(1, data_centre="b")
+    assert dispatching.submit(make_table(), ask, 0.0, rng) == [Granted(ask.key, "t1")]
+
+
+def test_no_target_gets_more_than_its_slots(rng):
+    table = make_table()
+    fill(table, 4, rng)
+    dispatching.submit(table, make_ask(5, on_time_by=9.0), 0.0, rng)
+    assert all(target.taken == 2 for target in table.targets.values())
+    assert len(table.waiting) == 1
+
+
+def test_a_request_that_can_be_on_time_waits_for_the_next_slot(rng):
+    table = make_table(targets=1, slots=1)
+    fill(table, 1, rng)
+    ask = make_ask(2, 0.7)
+    assert dispatching.submit(table, ask, 0.7, rng) == []
+    dispatching.finish(table, ("f", 1000), RunOutcome.SERVED, 0.75)
+    assert dispatching.serve_queue(table, 0.75, rng) == [Granted(ask.key, "t0")]
+
+
+def test_a_request_that_can_not_be_on_time_is_told_at_once(rng):
+    table = make_table(targets=1, slots=1)
+    fill(table, 1, rng)
+    (action,) = dispatching.submit(table, make_ask(2), 0.0, rng)
+    assert isinstance(action, TurnedAway)
+    assert RUN_S <= action.retry_after_s <= RETURN_MAX_S
+    assert not table.waiting
+
+
+def test_a_caller_who_returned_is_kept_though_late(rng):
+    table = make_table(targets=1, slots=1)
+    fill(table, 1, rng)
+    assert dispatching.submit(table, make_ask(2, returned=True), 0.0, rng) == []
+    assert table.waiting
+
+
+def test_a_refused_wave_returns_spread_over_the_slots_that_come_free(rng):
+    table = make_table(targets=2, slots=4)
+    fill(table, 8, rng)
+    waits = []
+    for n in range(8):
+        (action,) = dispatching.submit(table, make_ask(n), 0.0, rng)
+        assert isinstance(action, TurnedAway)
+        waits.append(action.retry_after_s)
+    assert max(waits) - min(waits) > RUN_S / 2
+    assert len({round(wait, 2) for wait in waits}) >= 7
+
+
+def test_a_wait_that_turns_out_too_long_ends_while_the_caller_can_return(rng):
+    table = make_table(targets=1, slots=1)
+    dispatching.submit(table, make_ask(1, run_s=0.1), 0.0, rng)
+    ask = make_ask(2)
+    assert dispatching.submit(table, ask, 0.0, rng) == []
+    table.grants["f", 1].ends_at = 5.0
+    assert dispatching.serve_queue(table, 0.02, rng) == []
+    (action,) = dispatching.serve_queue(table, JUDGE_AGAIN_S, rng)
+    assert isinstance(action, TurnedAway)
+
+
+def test_nobody_waits_past_the_use_of_it(rng):
+    table = make_table(targets=1, slots=1)
+    fill(table, 1, rng)
+    dispatching.submit(table, make_ask(2, returned=True), 0.0, rng)
+    table.grants["f", 1000].ends_at = 9.0
+    (action,) = dispatching.serve_queue(table, 1.9, rng)
+    assert isinstance(action, TurnedAway)
+    assert not table.waiting
+
+
+def test_returned_callers_go_before_new_ones_and_both_before_batch(rng):
+    table = make_table(targets=1, slots=1)
+    fill(table, 1, rng)
+    table.grants["f", 1000].ends_at = 0.1
+    for ask in (make_item(1), make_ask(2), make_ask(3, returned=True)):
+        assert dispatching.submit(table, ask, 0.0, rng) == []
+    order = []
+    now = 0.05
+    for key in (("f", 1000), ("f", 3), ("f", 2)):
+        dispatching.finish(table, key, RunOutcome.SERVED, now)
+        (action,) = dispatching.serve_queue(table, now, rng)
+        assert isinstance(action, Granted)
+        order.append(action.key)
+    assert order == [("f", 3), ("f", 2), ("s", 1)]
+
+
+def test_a_burst_displaces_the_youngest_batch_item(rng):
+    table = make_table(targets=1, slots=2)
+    dispatching.submit(table, make_item(1), 0.0, rng)
+    dispatching.submit(table, make_item(2), 1.0, rng)
+    ask = make_ask(3, 2.0)
+    actions = dispatching.submit(table, ask, 2.0, rng)
+    assert actions == [YieldAsked(("s", 2)), Granted(ask.key, "t0")]
+
+
+def test_no_item_yields_for_a_slot_that_comes_free_at_once(rng):
+    table = make_table(targets=1, slots=2)
+    dispatching.submit(table, make_item(1), 0.0, rng)
+    dispatching.submit(table, make_ask(2), 0.0, rng)
+    ask = make_ask(3, RUN_S - 0.01)
+    assert dispatching.submit(table, ask, RUN_S - 0.01, rng) == []
+    later = RUN_S - 0.01 + YIELD_AFTER_S
+    assert YieldAsked(("s", 1)) in dispatching.serve_queue(table, later, rng)
+
+
+def test_batch_pauses_behind_a_yield(rng):
+    table = make_table(targets=1, slots=1)
+    dispatching.submit(table, make_item(1), 0.0, rng)
+    dispatching.submit(table, make_ask(2, 1.0), 1.0, rng)
+    dispatching.finish(table, ("s", 1), RunOutcome.CANCELLED, 1.0)
+    dispatching.finish(table, ("f", 2), RunOutcome.SERVED, 1.1)
+    assert dispatching.submit(table, make_item(3, 1.1), 1.1, rng) == []
+    assert dispatching.serve_queue(table, 1.0 + BATCH_HOLD_S, rng) == [Granted(("s", 3), "t0")]
+
+
+def test_items_due_soon_keep_few_slots_only(rng):
+    table = make_table(targets=1, slots=10)
+    for n in range(10):
+        dispatching.submit(table, make_item(n, is_firm=True), 0.0, rng)
+    assert sum(grant.is_firm for grant in table.grants.values()) == 3
+
+
+def test_a_target_that_refused_as_full_gets_nothing_for_a_moment(rng):
+    table = make_table(targets=1)
+    fill(table, 1, rng)
+    dispatching.finish(table, ("f", 1000), RunOutcome.REFUSED, 0.0)
+    ask = make_ask(1, returned=True)
+    assert dispatching.submit(table, ask, 0.0, rng) == []
+    assert dispatching.serve_queue(table, FULL_S, rng) == [Granted(ask.key, "t0")]
+
+
+def test_a_target_that_is_not_reached_is_avoided_longer_each_time(rng):
+    target = TargetLoad("t0", "llm", "a", 2)
+    pauses = []
+    for _ in range(4):
+        dispatching.note_outcome(target, RunOutcome.UNREACHED, 0.0)
+        pauses.append(target.avoid_until)
+    assert pauses == sorted(pauses)
+    assert pauses[0] > 0.0
+    dispatching.note_outcome(target, RunOutcome.SERVED, 0.0)
+    assert target.avoid_until == 0.0
+
+
+def test_one_broken_answer_does_not_put_a_target_aside(rng):
+    target = TargetLoad("t0", "llm", "a", 2)
+    dispatching.note_outcome(target, RunOutcome.BROKEN, 0.0)
+    assert target.avoid_until == 0.0
+    dispatching.note_outcome(target, RunOutcome.BROKEN, 0.0)
+    assert target.avoid_until > 0.0
+
+
+def test_runs_that_only_the_target_knows_take_its_slots(rng):
+    table = make_table(targets=1, slots=2)
+    fill(table, 1, rng)
+    dispatching.note_load(table, ("f", 1000), 2, 0.0)
+    assert dispatching.choose_target(table.targets.values(), make_ask(1), 0.1) is None
+    assert dispatching.choose_target(table.targets.values(), make_ask(1), HIDDEN_S) is not None
+
+
+def test_items_beyond_the_slots_are_asked_to_yield(rng):
+    table = make_table(targets=1, slots=2)
+    for n in range(4):
+        dispatching.adopt_grant(table, make_item(n), "t0", float(n))
+    actions = dispatching.trim_overload(table.targets["t0"], 5.0)
+    assert actions == [YieldAsked(("s", 3)), YieldAsked(("s", 2))]
+    assert dispatching.trim_overload(table.targets["t0"], 5.0) == []
+
+
+def test_a_service_without_targets_refuses_at_once(rng):
+    (action,) = dispatching.submit(DispatchTable(), make_ask(1), 0.0, rng)
+    assert isinstance(action, TurnedAway)
+
+
+def test_a_slot_given_back_twice_changes_nothing(rng):
+    table = make_table(targets=1)
+    fill(table, 1, rng)
+    for _ in range(2):
+        dispatching.finish(table, ("f", 1000), RunOutcome.SERVED, 0.0)
+    assert table.targets["t0"].taken == 0
