Reach the store through another instance while it turns this one away

Ruled out: taking such a machine out of service (it serves streams well). Change: RelayedStore asks an instance that runs jobs; only calls that did nothing, or read, go there. A stopping process leaves its registration to the lease rather than wait for the store. Tests: test_relay.py.

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -19,6 +19,7 @@
 from clementinepin.serving._jobs import JobDesk
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
+from clementinepin.serving._relay import RelayedStore, RelayServer
 from clementinepin.serving._retirement import Retirement
 from clementinepin.serving._runner import JobRunner
 from clementinepin.serving._slots import SlotBroker
@@ -57,7 +58,11 @@
         self._wire = wire
         self._clock = clock
         self._active = 0
+        direct = store
+        relayed = RelayedStore(direct, settings.name, clock, rng)
+        store = relayed
         self.fleet = FleetView(settings, store, wire, clock)
+        relayed.list_helpers = self.fleet.list_job_runners
         pools = TargetPools(self.fleet, clock)
         self.slots = SlotBroker(settings.name, settings.data_centre, self.fleet, clock, rng)
         self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
@@ -67,7 +72,8 @@
         self._retirement: Retirement | None = None
         if settings.runs_jobs:
             address = settings.host, settings.link_port
-            self._dispatcher = Dispatcher(address, self.fleet, clock, rng)
+            relay = RelayServer(direct, clock)
+            self._dispatcher = Dispatcher(address, self.fleet, clock, rng, relay)
             items = ItemRunner(self.fleet, self.slots, pools, wire, clock, metrics)
             self._runner = JobRunner(settings, store, self.fleet, items, wire, clock)
             self._retirement = Retirement(settings, store, wire, clock, self.leave)
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -13,6 +13,7 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._relay import RelayServer
 from clementinepin.serving.models import Target
 from clementinepin.systems import dispatching
 from clementinepin.tables.dispatch import Ask, DispatchTable, TargetLoad
@@ -34,8 +35,14 @@
     """Answers whoever asks; which instance is asked is the askers' choice."""
 
     def __init__(
-        self, address: tuple[str, int], fleet: FleetView, clock: Clock, rng: random.Random
+        self,
+        address: tuple[str, int],
+        fleet: FleetView,
+        clock: Clock,
+        rng: random.Random,
+        relay: RelayServer,
     ) -> None:
+        self._relay = relay
         self._fleet = fleet
         self._clock = clock
         self._random = rng
@@ -105,10 +112,15 @@
             dispatching.finish(self.table, (link.name, message.number), outcome, now)
             self._serve_queue()
 
+        elif isinstance(message, messages.StoreCall):
+            gevent.spawn(self._relay_call, link, message)
         elif isinstance(message, messages.ReportLoad):
             key = (link.name, message.number)
             self._carry_out(dispatching.note_load(self.table, key, message.reported, now))
 
+    def _relay_call(self, link: _Link, call: messages.StoreCall) -> None:
+        link.send(self._relay.answer(call))
+
     def _carry_out(self, actions: list[dispatching.Action]) -> None:
         for action in actions:
             name, number = action.key
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -13,7 +13,7 @@
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
 from clementinepin.infrastructure import Change, KeyValue, StateStore
-from clementinepin.infrastructure.exceptions import LeaseLostError
+from clementinepin.infrastructure.exceptions import LeaseLostError, PlatformUnavailableError
 from clementinepin.serving.models import DesiredState, InstanceSettings, Member, Target
 from clementinepin.serving.store import StoreFollower
 from clementinepin.serving.wire import Wire
@@ -22,6 +22,7 @@
 LEASE_RENEWAL_S: Final = 1.0  # two renewals may fail before the lease ends
 LAPSE_GRACE_S: Final = 2.2  # the platform restores lapsed entries within two seconds
 PRUNE_PERIOD_S: Final = 0.2
+WITHDRAW_S: Final = 0.3  # within the margin that a stopping process has left
 RETRY_S: Final = 0.3  # pause after a failed registration
 
 
@@ -244,8 +245,9 @@
         """End the registration; a failure only leaves it to its lease."""
         gevent.killall(self._greenlets)
         try:
-            if self._lease_id:
-                self._store.revoke_lease(self._lease_id)
+            with gevent.Timeout(WITHDRAW_S, PlatformUnavailableError("too slow")):
+                if self._lease_id:
+                    self._store.revoke_lease(self._lease_id)
         except ClementinepinError as err:
             logger.bind(error=str(err)).info("registration_left_to_lease")
 
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 HEADER: Final = struct.Struct(">I")
-FRAME_MAX_BYTES: Final = 1_000_000  # a hello of a few thousand slots; more is not a peer of ours
+FRAME_MAX_BYTES: Final = 8_000_000  # a job of four megabytes as one change, and its framing
 
 
 class TakenSlot(msgspec.Struct, array_like=True, frozen=True):
@@ -87,7 +87,38 @@
     reported: int
 
 
-Message = Hello | AskSlot | EndSlot | GrantSlot | RefuseSlot | YieldSlot | SlotQueued | ReportLoad
+class StoreCall(msgspec.Struct, array_like=True, tag=8, frozen=True):
+    """A call to the store that the receiver should make. ``change`` is an encoded Change."""
+
+    number: int
+    kind: str
+    key: str = ""
+    after: str = ""
+    change: bytes = b""
+    ttl_s: float = 0.0
+    lease_id: int = 0
+
+
+class StoreReply(msgspec.Struct, array_like=True, tag=9, frozen=True):
+    """The outcome of a StoreCall: the code of a failure or empty, and an encoded body."""
+
+    number: int
+    code: str
+    body: bytes
+
+
+Message = (
+    Hello
+    | AskSlot
+    | EndSlot
+    | GrantSlot
+    | RefuseSlot
+    | YieldSlot
+    | SlotQueued
+    | ReportLoad
+    | StoreCall
+    | StoreReply
+)
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
 
--- /dev/null
+++ b/clementinepin/serving/_relay.py
@@ -0,0 +1,267 @@
+"""Reaches the store through another instance while it turns this one away.
+
+Load pattern: the store refuses, resets or ignores some machines and serves the others. A caller
+who came to such a machine should notice nothing.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+import gevent
+import msgspec
+from gevent import socket
+from gevent.event import AsyncResult
+from loguru import logger
+
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.clock import Clock
+from clementinepin.infrastructure import Change, KeyValue, LeaseGrant, Page, StateStore, WatchEvent
+from clementinepin.infrastructure.exceptions import (
+    LeaseLostError,
+    PlatformUnavailableError,
+    ReplyLostError,
+    VersionConflictError,
+)
+from clementinepin.serving import _messages as messages
+from clementinepin.serving.models import Member
+
+DIRECT_PAUSE_S: Final = 1.0  # the own way to the store is tried again after this time
+CONNECT_TIMEOUT_S: Final = 0.3
+REPLY_TIMEOUT_S: Final = 1.0  # a helper that waits for the store itself is of no help
+HELPERS_MAX: Final = 2  # with more, a call would outlast its caller while the store is down
+READ_SIZE_BYTES: Final = 65_536
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class _Answer(msgspec.Struct, array_like=True):
+    """What a store call gave: exactly one field is set, or none for an empty answer."""
+
+    value: KeyValue | None = None
+    page: Page | None = None
+    version: int = 0
+    lease: tuple[int, float] | None = None
+
+
+_decode_answer = msgspec.msgpack.Decoder(_Answer).decode
+_decode_change = msgspec.msgpack.Decoder(Change).decode
+
+
+class RelayServer:
+    """Carries out store calls of other instances on this instance's own way to the store."""
+
+    def __init__(self, store: StateStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+
+    def answer(self, call: messages.StoreCall) -> messages.StoreReply:
+        """Return the outcome of a call; failures travel as their code."""
+        try:
+            return messages.StoreReply(call.number, "", _encode(self._carry_out(call)))
+        except VersionConflictError as err:
+            body = _encode((err.key, err.current, err.value))
+            return messages.StoreReply(call.number, err.code, body)
+        except ClementinepinError as err:
+            return messages.StoreReply(call.number, err.code, b"")
+
+    def _carry_out(self, call: messages.StoreCall) -> _Answer:
+        store = self._store
+        if call.kind == "get":
+            return _Answer(value=store.get(call.key))
+        if call.kind == "list":
+            return _Answer(page=store.list_page(call.key, call.after))
+        if call.kind == "write":
+            return _Answer(version=store.write(_decode_change(call.change)))
+        if call.kind == "grant":
+            return self._make_lease(store.grant_lease(call.ttl_s))
+        return self._make_lease(store.keep_lease(call.lease_id))
+
+    def _make_lease(self, grant: LeaseGrant) -> _Answer:
+        left_s = grant.deadline - self._clock.monotonic()
+        return _Answer(lease=(grant.lease_id, left_s))
+
+
+class RelayedStore:
+    """The StateStore by the own way, or through a helper while that fails."""
+
+    def __init__(self, direct: StateStore, own_name: str, clock: Clock, rng: random.Random) -> None:
+        self._direct = direct
+        self._own_name = own_name
+        self._clock = clock
+        self._random = rng
+        self._numbers = itertools.count(1)
+        self._direct_after = 0.0
+        self._links: dict[str, _HelperLink] = {}
+        self.list_helpers: Callable[[], list[Member]] = list
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return the current value of a key, or None."""
+        call = messages.StoreCall(0, "get", key=key)
+        return self._run(lambda: self._direct.get(key), call, lambda answer: answer.value)
+
+    def list_page(self, prefix: str, after: str) -> Page:
+        """Return the first values under a prefix behind a key."""
+        call = messages.StoreCall(0, "list", key=prefix, after=after)
+        return self._run(
+            lambda: self._direct.list_page(prefix, after), call, lambda answer: answer.page
+        )
+
+    def list_range(self, prefix: str) -> Page:
+        """Return all values under a prefix."""
+        rows: list[KeyValue] = []
+        version, after = -1, ""
+        while True:
+            page = self.list_page(prefix, after)
+            rows.extend(page.values)
+            # Pages are no snapshot: what changed while later ones were read is behind the first.
+            version = page.version if version < 0 else version
+            if page.is_last:
+                return Page(rows, version)
+            after = page.values[-1].key
+
+    def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
+        """Wait for changes on the own way only; a follower lists again when that fails."""
+        return self._direct.watch(prefix, after)
+
+    def write(self, change: Change) -> int:
+        """Apply a change as a whole and return its version."""
+        call = messages.StoreCall(0, "write", change=_encode(change))
+        return self._run(lambda: self._direct.write(change), call, lambda answer: answer.version)
+
+    def grant_lease(self, ttl_s: float) -> LeaseGrant:
+        """Create a lease."""
+        call = messages.StoreCall(0, "grant", ttl_s=ttl_s)
+        return self._run(lambda: self._direct.grant_lease(ttl_s), call, self._read_lease)
+
+    def keep_lease(self, lease_id: int) -> LeaseGrant:
+        """Extend a lease; raises LeaseLostError once it ended."""
+        call = messages.StoreCall(0, "keep", lease_id=lease_id)
+        return self._run(lambda: self._direct.keep_lease(lease_id), call, self._read_lease)
+
+    def revoke_lease(self, lease_id: int) -> None:
+        """End a lease; one that can't be ended now ends by itself."""
+        self._direct.revoke_lease(lease_id)
+
+    def _run(
+        self, direct: Callable[[], Any], call: messages.StoreCall, read: Callable[[_Answer], Any]
+    ) -> Any:
+        """Try the own way unless it failed a moment ago, then helpers.
+
+        A direct write whose answer was lost is not sent on: its caller decides how to settle it.
+        """
+        failure: ClementinepinError | None = None
+        if self._clock.monotonic() >= self._direct_after:
+            try:
+                return direct()
+            except PlatformUnavailableError as err:
+                failure = err
+            except ReplyLostError as err:
+                failure = err
+            self._note_direct_failure(failure)
+            if call.kind == "write" and isinstance(failure, ReplyLostError):
+                raise failure
+        for helper in self._choose_helpers():
+            try:
+                return read(self._ask(helper, call))
+            except PlatformUnavailableError as err:
+                failure = failure or err
+        raise failure or PlatformUnavailableError("the store and all helpers are out of reach")
+
+    def _note_direct_failure(self, failure: ClementinepinError) -> None:
+        now = self._clock.monotonic()
+        if now - self._direct_after > DIRECT_PAUSE_S:
+            logger.bind(error=str(failure)).info("store_relayed")
+        self._direct_after = now + DIRECT_PAUSE_S
+
+    def _choose_helpers(self) -> list[Member]:
+        helpers = [m for m in self.list_helpers() if m.name != self._own_name]
+        self._random.shuffle(helpers)
+        helpers.sort(key=lambda member: member.name not in self._links)
+        return helpers[:HELPERS_MAX]
+
+    def _ask(self, helper: Member, call: messages.StoreCall) -> _Answer:
+        """Return a helper's answer; raises what the store's client would raise."""
+        number = next(self._numbers)
+        reply = self._connect(helper).ask(msgspec.structs.replace(call, number=number))
+        if reply.code == "":
+            return _decode_answer(reply.body)
+        if reply.code == VersionConflictError.code:
+            key, current, value = msgspec.msgpack.decode(reply.body)
+            raise VersionConflictError(key, current, value)
+        if reply.code == LeaseLostError.code:
+            raise LeaseLostError(str(call.lease_id))
+        if reply.code == ReplyLostError.code:
+            raise ReplyLostError(f"through {helper.name}")
+        raise PlatformUnavailableError(f"{helper.name} can't reach the store: {reply.code}")
+
+    def _connect(self, helper: Member) -> _HelperLink:
+        link = self._links.get(helper.name)
+        if link is None or link.closed:
+            link = _HelperLink(helper, lambda: self._links.pop(helper.name, None))
+            self._links[helper.name] = link
+        return link
+
+    def _read_lease(self, answer: _Answer) -> LeaseGrant:
+        lease_id, left_s = answer.lease or (0, 0.0)
+        return LeaseGrant(lease_id, self._clock.monotonic() + left_s)
+
+
+class _HelperLink:
+    """A kept connection to one helper, shared by all calls."""
+
+    def __init__(self, helper: Member, on_close: Callable[[], Any]) -> None:
+        self._on_close = on_close
+        self._waiting: dict[int, AsyncResult] = {}
+        self.closed = False
+        self._sock = socket.socket()
+        try:
+            self._sock.settimeout(CONNECT_TIMEOUT_S)
+            self._sock.connect((helper.host, helper.link_port))
+            self._sock.settimeout(None)
+        except OSError as err:
+            self._close()
+            raise PlatformUnavailableError(f"{helper.name}: {err}") from err
+        self._sender = messages.MessageSender(self._sock)
+        gevent.spawn(self._read)
+
+    def ask(self, call: messages.StoreCall) -> messages.StoreReply:
+        """Send a call and return its reply; a write without one may have been done."""
+        result: AsyncResult = AsyncResult()
+        self._waiting[call.number] = result
+        self._sender.send(call)
+        try:
+            with gevent.Timeout(REPLY_TIMEOUT_S, False):
+                reply = result.get()
+                if reply is not None:
+                    return reply
+            self._close()
+            if call.kind == "write":
+                raise ReplyLostError("the helper did not answer")
+            raise PlatformUnavailableError("the helper did not answer")
+        finally:
+            self._waiting.pop(call.number, None)
+
+    def _read(self) -> None:
+        reader = messages.FrameReader()
+        try:
+            while data := self._sock.recv(READ_SIZE_BYTES):
+                for message in reader.feed(data):
+                    waiting = self._waiting.get(getattr(message, "number", 0))
+                    if waiting is not None and isinstance(message, messages.StoreReply):
+                        waiting.set(message)
+        except (OSError, ValueError) as err:
+            logger.bind(error=str(err)).info("helper_lost")
+        self._close()
+
+    def _close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._on_close()
+            self._sock.close()
+            for waiting in self._waiting.values():
+                if not waiting.ready():
+                    waiting.set(None)
--- /dev/null
+++ b/tests/serving/test_relay.py
@@ -0,0 +1,112 @@
+"""An instance that the store turns away reaches it through another instance."""
+
+from __future__ import annotations
+
+import random
+
+import gevent
+import pytest
+
+from clementinepin.helpers.clock import create_system_clock
+from clementinepin.infrastructure import Change
+from clementinepin.infrastructure.exceptions import (
+    LeaseLostError,
+    PlatformUnavailableError,
+    ReplyLostError,
+    VersionConflictError,
+)
+from clementinepin.serving._dispatcher import Dispatcher
+from clementinepin.serving._relay import RelayedStore, RelayServer
+from clementinepin.serving.models import Member
+from tests.serving.memory_store import MemoryStore
+from tests.serving.test_slots import FakeFleet, find_port
+
+
+class Pair:
+    """A helper with its own way to a store, and an instance whose own way may be down."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.own_way = MemoryStore()
+        port = find_port()
+        clock = create_system_clock()
+        relay = RelayServer(self.store, clock)
+        fleet = FakeFleet(port, 0)
+        self.helper = Dispatcher(
+            ("127.0.0.1", port), fleet, clock, random.Random(1), relay  # type: ignore[arg-type]
+        )
+        self.helper.start()
+        self.relayed = RelayedStore(self.own_way, "f1", clock, random.Random(1))
+        self.relayed.list_helpers = lambda: [
+            Member("s1", True, "127.0.0.1", port, "", "a", "r", False)
+        ]
+
+
+@pytest.fixture
+def pair():
+    pair = Pair()
+    yield pair
+    pair.helper.stop()
+
+
+def test_the_own_way_is_used_while_it_works(pair):
+    pair.relayed.write(Change({}, {"a": b"1"}))
+    assert "a" in pair.own_way.rows
+    assert not pair.store.rows
+
+
+def test_all_calls_pass_through_a_helper(pair):
+    pair.own_way.down = True
+    version = pair.relayed.write(Change({"a": 0}, {"a": b"1"}))
+    assert pair.relayed.get("a") == ("a", b"1", version)
+    assert pair.relayed.get("b") is None
+    assert [row.key for row in pair.relayed.list_range("a").values] == ["a"]
+    grant = pair.relayed.grant_lease(5.0)
+    assert pair.relayed.keep_lease(grant.lease_id).lease_id == grant.lease_id
+    with pytest.raises(LeaseLostError):
+        pair.relayed.keep_lease(99)
+
+
+def test_a_lost_race_names_the_winner_through_a_helper(pair):
+    pair.own_way.down = True
+    version = pair.relayed.write(Change({"a": 0}, {"a": b"1"}))
+    with pytest.raises(VersionConflictError) as caught:
+        pair.relayed.write(Change({"a": 0}, {"a": b"2"}))
+    assert caught.value.current == version
+
+
+def test_a_write_whose_answer_was_lost_is_not_sent_through_a_helper(pair):
+    pair.own_way.faults.append("late")
+    with pytest.raises(ReplyLostError):
+        pair.relayed.write(Change({}, {"a": b"1"}))
+    assert not pair.store.rows
+
+
+def test_an_unknown_write_at_the_helper_stays_unknown(pair):
+    pair.own_way.down = True
+    pair.store.faults.append("lost")
+    with pytest.raises(ReplyLostError):
+        pair.relayed.write(Change({}, {"a": b"1"}))
+
+
+def test_the_store_down_for_all_is_unavailable(pair):
+    pair.own_way.down = pair.store.down = True
+    with pytest.raises(PlatformUnavailableError):
+        pair.relayed.get("a")
+
+
+def test_no_helper_is_unavailable(pair):
+    pair.own_way.down = True
+    pair.relayed.list_helpers = list
+    with pytest.raises(PlatformUnavailableError):
+        pair.relayed.get("a")
+
+
+def test_a_helper_that_went_away_is_replaced_by_a_new_connection(pair):
+    pair.own_way.down = True
+    pair.relayed.get("a")
+    for link in list(pair.relayed._links.values()):
+        link._sock.close()
+        gevent.sleep(0.01)
+    pair.relayed._links.clear()
+    assert pair.relayed.get("a") is None
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -58,7 +58,7 @@
     port = find_port()
     fleet = FakeFleet(port, targets)
     clock = create_system_clock()
-    dispatcher = Dispatcher(("127.0.0.1", port), fleet, clock, random.Random(1))  # type: ignore[arg-type]
+    dispatcher = Dispatcher(("127.0.0.1", port), fleet, clock, random.Random(1), None)  # type: ignore[arg-type]
     broker = SlotBroker("f1", "a", fleet, clock, random.Random(1))  # type: ignore[arg-type]
     dispatcher.start()
     broker.start()
