--- /dev/null
+++ b/tests/systems/load_model.py
@@ -0,0 +1,313 @@
+"""Engines and callers in virtual time, to replay load patterns against placement policies.
+
+An engine runs ``slots`` requests at once in order of arrival; a step gives each one token and
+takes ``STEP_S`` and ``STEP_SLOT_S`` for each that runs (figures of the users' pages). A caller
+is served on time when the first event comes within ``OBJECTIVE_S`` of its first try, half so
+when it was refused at once and the same holds from its return, and gives up after 2 s.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterator
+from typing import NamedTuple, Protocol
+
+from clementinepin.systems import dispatching, estimates
+from clementinepin.systems.dispatching import RunOutcome
+from clementinepin.tables.dispatch import Ask, DispatchTable, TargetLoad
+
+STEP_S = 0.00355
+STEP_SLOT_S = 0.0000462
+FIRST_EVENT_S = 0.035
+OBJECTIVE_S = 0.3
+PATIENCE_S = 2.0
+LINK_S = 0.002
+TICK_S = 0.02
+
+
+class Work(NamedTuple):
+    """A request; ``tokens`` is its true length, ``hint`` what the caller estimates."""
+
+    number: int
+    entry: int
+    is_batch: bool
+    tokens: int
+    hint: int
+    arrives_at: float
+    returned: bool = False
+
+
+class Run:
+    def __init__(self, work: Work, on_end: Callable[[str], None]) -> None:
+        self.work = work
+        self.left = float(work.tokens)
+        self.on_end = on_end
+
+
+class Engine:
+    """One engine; requests beyond its slots wait in order of arrival."""
+
+    def __init__(self, sim: Simulation, slots: int) -> None:
+        self.sim = sim
+        self.slots = slots
+        self.running: list[Run] = []
+        self.queue: list[Run] = []
+        self.updated_at = 0.0
+        self.version = 0
+        self.tokens_done = 0.0
+
+    def add(self, run: Run) -> None:
+        self.advance()
+        if len(self.running) < self.slots:
+            self.start(run)
+        else:
+            self.queue.append(run)
+        self.plan()
+
+    def start(self, run: Run) -> None:
+        self.running.append(run)
+        self.sim.at(self.sim.now + FIRST_EVENT_S, lambda: self.sim.note_first(run))
+
+    def cancel(self, run: Run) -> float:
+        """Stop a run and return the tokens that are left of it."""
+        self.advance()
+        if run in self.queue:
+            self.queue.remove(run)
+        elif run in self.running:
+            self.running.remove(run)
+            self.fill()
+        self.plan()
+        return run.left
+
+    def advance(self) -> None:
+        if self.running:
+            step_s = STEP_S + STEP_SLOT_S * len(self.running)
+            tokens = (self.sim.now - self.updated_at) / step_s
+            for run in self.running:
+                run.left -= tokens
+                self.tokens_done += tokens
+        self.updated_at = self.sim.now
+
+    def fill(self) -> None:
+        while self.queue and len(self.running) < self.slots:
+            self.start(self.queue.pop(0))
+
+    def plan(self) -> None:
+        self.version += 1
+        version = self.version
+        if self.running:
+            step_s = STEP_S + STEP_SLOT_S * len(self.running)
+            left = max(0.0, min(run.left for run in self.running))
+            self.sim.at(self.sim.now + left * step_s, lambda: self.finish(version))
+
+    def finish(self, version: int) -> None:
+        if version != self.version:
+            return
+        self.advance()
+        done = [run for run in self.running if run.left <= 1e-6]
+        self.running = [run for run in self.running if run.left > 1e-6]
+        self.fill()
+        self.plan()
+        for run in done:
+            run.on_end("served")
+
+
+class Policy(Protocol):
+    """How requests reach engines."""
+
+    def submit(self, sim: Simulation, work: Work) -> None:
+        """Place, queue or refuse a request."""
+
+
+class Simulation:
+    """Virtual time, engines and the tally of what callers got."""
+
+    def __init__(self, engines: int, slots: int, seed: int) -> None:
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.engines = [Engine(self, slots) for _ in range(engines)]
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self.first_at: dict[int, float] = {}
+        self.ends: dict[int, str] = {}
+        self.worth: dict[int, float] = {}
+        self.refused: dict[int, float] = {}
+        self.items_done: dict[int, float] = {}
+
+    def at(self, when: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (when, next(self._order), act))
+
+    def run(self, policy: Policy, works: list[Work], until: float) -> None:
+        for work in works:
+            self.at(work.arrives_at, lambda work=work: policy.submit(self, work))  # type: ignore[misc]
+            if not work.is_batch:
+                self.worth[work.number] = 0.0
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, act = heapq.heappop(self._heap)
+            act()
+
+    def note_first(self, run: Run) -> None:
+        work = run.work
+        if work.is_batch or work.number in self.first_at:
+            return
+        self.first_at[work.number] = self.now
+        wait_s = self.now - work.arrives_at
+        if wait_s > PATIENCE_S:
+            return
+        on_time = wait_s <= OBJECTIVE_S
+        if work.returned:
+            self.worth[work.number] = 0.57 if on_time else 0.15
+        else:
+            self.worth[work.number] = 1.0 if on_time else 0.15
+
+    def refuse(self, policy: Policy, work: Work, retry_after_s: float) -> None:
+        if work.returned:
+            return
+        back = work._replace(arrives_at=self.now + retry_after_s, returned=True)
+        self.at(back.arrives_at, lambda: policy.submit(self, back))
+
+    def get_online_worth(self) -> float:
+        return sum(self.worth.values()) / max(1, len(self.worth))
+
+    def count_items_by(self, due: float) -> int:
+        return sum(1 for ended in self.items_done.values() if ended <= due)
+
+
+class BlindPolicy:
+    """Baseline: each entry picks by its own counts; batch runs a fixed number an engine."""
+
+    def __init__(self, entries: int, *, choose_random: bool = False, items: int = 2) -> None:
+        self.counts = [dict[int, int]() for _ in range(entries)]
+        self.choose_random = choose_random
+        self.items = items
+        self.waiting: list[Work] = []
+        self.batch: dict[int, int] = {}
+
+    def submit(self, sim: Simulation, work: Work) -> None:
+        if work.is_batch:
+            self.waiting.append(work)
+            self.start_items(sim)
+            return
+        counts = self.counts[work.entry]
+        index = min(
+            range(len(sim.engines)),
+            key=lambda n: (0 if self.choose_random else counts.get(n, 0), sim.random.random()),
+        )
+        counts[index] = counts.get(index, 0) + 1
+
+        def end(outcome: str) -> None:
+            counts[index] -= 1
+
+        sim.engines[index].add(Run(work, end))
+
+    def start_items(self, sim: Simulation) -> None:
+        for index, engine in enumerate(sim.engines):
+            while self.waiting and self.batch.get(index, 0) < self.items:
+                self.batch[index] = self.batch.get(index, 0) + 1
+                work = self.waiting.pop(0)
+
+                def end(outcome: str, index: int = index, work: Work = work) -> None:
+                    self.batch[index] -= 1
+                    sim.items_done[work.number] = sim.now
+                    self.start_items(sim)
+
+                engine.add(Run(work, end))
+
+
+class DispatchPolicy:
+    """The dispatcher's decisions, each message a link's delay late."""
+
+    def __init__(self, engines: int, slots: int) -> None:
+        self.table = DispatchTable()
+        self.works: dict[tuple[str, int], Work] = {}
+        self.runs: dict[tuple[str, int], tuple[Run, int]] = {}
+        self.ticking = False
+        for index in range(engines):
+            self.table.targets[str(index)] = TargetLoad(str(index), "llm", "a", slots)
+
+    def submit(self, sim: Simulation, work: Work) -> None:
+        key = ("batch" if work.is_batch else "online", work.number)
+        self.works[key] = work
+        run_s = estimates.estimate_run(0, work.hint)
+        now = sim.now
+        ask = Ask(
+            key,
+            "llm",
+            work.is_batch,
+            now,
+            now + (13.0 if work.is_batch else OBJECTIVE_S - estimates.FIRST_EVENT_S),
+            now + (60.0 if work.is_batch else PATIENCE_S - estimates.FIRST_EVENT_S),
+            run_s,
+            returned=work.returned,
+        )
+        self.carry_out(sim, dispatching.submit(self.table, ask, now, sim.random))
+        self.plan_tick(sim)
+
+    def plan_tick(self, sim: Simulation) -> None:
+        if self.table.waiting and not self.ticking:
+            self.ticking = True
+            sim.at(sim.now + TICK_S, lambda: self.tick(sim))
+
+    def tick(self, sim: Simulation) -> None:
+        self.ticking = False
+        self.serve_queue(sim)
+        self.plan_tick(sim)
+
+    def serve_queue(self, sim: Simulation) -> None:
+        self.carry_out(sim, dispatching.serve_queue(self.table, sim.now, sim.random))
+
+    def carry_out(self, sim: Simulation, actions: list[dispatching.Action]) -> None:
+        for action in actions:
+            work = self.works[action.key]
+            if isinstance(action, dispatching.Granted):
+                index = int(action.target_id)
+                run = Run(work, lambda outcome, key=action.key: self.end(sim, key))  # type: ignore[misc]
+                self.runs[action.key] = run, index
+                sim.at(sim.now + LINK_S, lambda run=run, index=index: sim.engines[index].add(run))  # type: ignore[misc]
+            elif isinstance(action, dispatching.TurnedAway):
+                sim.refuse(self, work, action.retry_after_s)
+            else:
+                sim.at(sim.now + LINK_S, lambda key=action.key: self.give_up_slot(sim, key))  # type: ignore[misc]
+
+    def end(self, sim: Simulation, key: tuple[str, int]) -> None:
+        work = self.works[key]
+        if work.is_batch:
+            sim.items_done[work.number] = sim.now
+        dispatching.finish(self.table, key, RunOutcome.SERVED, sim.now)
+        self.serve_queue(sim)
+
+    def give_up_slot(self, sim: Simulation, key: tuple[str, int]) -> None:
+        if key not in self.table.grants:
+            return
+        run, index = self.runs[key]
+        left = int(sim.engines[index].cancel(run)) + 1
+        dispatching.finish(self.table, key, RunOutcome.CANCELLED, sim.now)
+        self.submit(sim, self.works[key]._replace(tokens=left, hint=max(1, left)))
+
+
+def make_online(
+    rng: random.Random, rate: Callable[[float], float], until: float, first: int = 0
+) -> Iterator[Work]:
+    """Yield searches by a rate that changes with time; hints are right at the median only."""
+    now, number = 0.0, first
+    while now < until:
+        now += rng.expovariate(max(0.01, rate(now)))
+        tokens = int(rng.gauss(185, 45))
+        tokens = min(300, max(50, tokens))
+        hint = max(20, int(tokens * rng.lognormvariate(0.0, 0.5)))
+        yield Work(number, number % 6, False, tokens, hint, now)
+        number += 1
+
+
+def make_items(rng: random.Random, at: float, count: int, first: int = 100_000) -> Iterator[Work]:
+    """Yield items of 182 events of seven tokens that come at one moment."""
+    for number in range(first, first + count):
+        tokens = max(400, int(rng.gauss(1270, 300)))
+        yield Work(number, 0, True, tokens, tokens, at)
+
+
+def make_square(lull: float, peak: float) -> Callable[[float], float]:
+    """Return a rate that is high 2.4 s of each 5.8 s, as the users' days are."""
+    return lambda now: peak if now % 5.8 >= 3.4 else lull
--- /dev/null
+++ b/tests/systems/test_load_patterns.py
@@ -0,0 +1,102 @@
+"""Each decision under the load it is made for, against baselines on the same arrivals."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from clementinepin.tables.dispatch import DispatchTable
+from tests.systems.load_model import (
+    BlindPolicy,
+    DispatchPolicy,
+    Policy,
+    Simulation,
+    Work,
+    make_items,
+    make_online,
+    make_square,
+)
+
+ENGINES = 5
+SLOTS = 8
+SEEDS = (1, 2, 3)
+DUE_S = 18.0
+
+
+def play(policy: Policy, works: list[Work], seed: int, until: float = 60.0) -> Simulation:
+    sim = Simulation(ENGINES, SLOTS, seed)
+    sim.run(policy, works, until)
+    return sim
+
+
+def play_all(works: list[Work], seed: int) -> dict[str, Simulation]:
+    return {
+        "dispatcher": play(DispatchPolicy(ENGINES, SLOTS), works, seed),
+        "own counts": play(BlindPolicy(6), works, seed),
+        "random": play(BlindPolicy(6, choose_random=True), works, seed),
+    }
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_square_bursts_beside_batch(seed: int) -> None:
+    """Online peaks of five times the lull; batch fills the lulls and yields."""
+    rng = random.Random(seed)
+    works = list(make_online(rng, make_square(8.0, 40.0), 40.0))
+    works += [w for at in range(0, 30, 4) for w in make_items(rng, at, 10, 100_000 + at * 100)]
+    sims = play_all(works, seed)
+    online = {name: sim.get_online_worth() for name, sim in sims.items()}
+    assert online["dispatcher"] > 0.97
+    assert online["dispatcher"] > online["own counts"] > online["random"]
+    done = sims["dispatcher"].items_done
+    on_time = sum(1 for w in works if w.is_batch and done.get(w.number, 99) <= w.arrives_at + DUE_S)
+    assert on_time >= 0.9 * sum(w.is_batch for w in works)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_many_jobs_at_once_do_not_delay_callers(seed: int) -> None:
+    """Two hundred items at one moment: five times what the engines hold."""
+    rng = random.Random(seed)
+    works = [*make_online(rng, lambda now: 20.0, 30.0), *make_items(rng, 5.0, 200)]
+    sims = play_all(works, seed)
+    assert sims["dispatcher"].get_online_worth() > 0.98
+    assert sims["dispatcher"].get_online_worth() >= sims["own counts"].get_online_worth()
+    # Batch gets all that is left, where a fixed share leaves slots idle.
+    done = {name: len(sim.items_done) for name, sim in sims.items()}
+    assert done["dispatcher"] > done["own counts"] * 1.3
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_burst_beyond_all_slots(seed: int) -> None:
+    """Four seconds at twice the capacity: who can't be on time returns in the lull behind it."""
+    rng = random.Random(seed)
+    rate = lambda now: 110.0 if 5.0 <= now < 9.0 else 10.0  # noqa: E731
+    works = list(make_online(rng, rate, 20.0))
+    sims = play_all(works, seed)
+    online = {name: sim.get_online_worth() for name, sim in sims.items()}
+    assert online["dispatcher"] > online["own counts"] + 0.1
+    assert online["dispatcher"] > online["random"] + 0.1
+    assert sum(value > 0 for value in sims["dispatcher"].worth.values()) > 0.75 * len(works)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_engines_never_hold_more_than_their_slots_for_long(seed: int) -> None:
+    """Slots are given again only behind a yield, so a queue at an engine stays short."""
+    rng = random.Random(seed)
+    works = [*make_online(rng, make_square(8.0, 60.0), 20.0), *make_items(rng, 1.0, 60)]
+    policy = DispatchPolicy(ENGINES, SLOTS)
+    sim = Simulation(ENGINES, SLOTS, seed)
+    longest = 0
+
+    def look() -> None:
+        nonlocal longest
+        longest = max(longest, *(len(engine.queue) for engine in sim.engines))
+        sim.at(sim.now + 0.01, look)
+
+    sim.at(0.0, look)
+    sim.run(policy, works, 20.0)
+    assert longest <= 3
+
+
+def test_an_empty_table_is_no_target() -> None:
+    assert not DispatchTable().targets
