Pass targets and instances on from the dispatcher, and turn to the next one at once

Change: instances linked to the dispatcher are fed by it and watch nothing but the configuration; only who follows the store directly feeds; no older word replaces a newer one. A dispatcher that does not answer is passed over for two seconds.

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -12,11 +12,13 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.infrastructure import StateStore
 from clementinepin.serving._dispatcher import Dispatcher
+from clementinepin.serving._feed import FeedServer
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._forward import Forwarder, is_job_route
 from clementinepin.serving._http import CallerConnection, CallerRequest, CallerServer
 from clementinepin.serving._item_run import ItemRunner
 from clementinepin.serving._jobs import JobDesk
+from clementinepin.serving._links import InstanceLinks, LinkServer
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._relay import RelayedStore, RelayServer
@@ -59,7 +61,8 @@
         self._clock = clock
         self._active = 0
         direct = store
-        relayed = RelayedStore(direct, settings.name, clock, rng)
+        links = InstanceLinks()
+        relayed = RelayedStore(direct, links, settings.name, clock, rng)
         store = relayed
         self.fleet = FleetView(settings, store, wire, clock)
         relayed.list_helpers = self.fleet.list_job_runners
@@ -67,13 +70,16 @@
         self.slots = SlotBroker(settings.name, settings.data_centre, self.fleet, clock, rng)
         self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
         self._jobs = JobDesk(store, self.fleet, wire, clock)
+        self._link_server: LinkServer | None = None
         self._dispatcher: Dispatcher | None = None
+        self._feed: FeedServer | None = None
         self._runner: JobRunner | None = None
         self._retirement: Retirement | None = None
         if settings.runs_jobs:
-            address = settings.host, settings.link_port
-            relay = RelayServer(direct, clock)
-            self._dispatcher = Dispatcher(address, self.fleet, clock, rng, relay)
+            self._link_server = LinkServer((settings.host, settings.link_port))
+            RelayServer(self._link_server, direct, clock)
+            self._dispatcher = Dispatcher(self._link_server, self.fleet, clock, rng)
+            self._feed = FeedServer(self._link_server, self.fleet.fed_followers)
             items = ItemRunner(self.fleet, self.slots, pools, wire, clock, metrics)
             self._runner = JobRunner(settings, store, self.fleet, items, wire, clock)
             self._retirement = Retirement(settings, store, wire, clock, self.leave)
@@ -81,8 +87,12 @@
 
     def start(self) -> None:
         """Start all parts."""
+        if self._link_server is not None:
+            self._link_server.start()
         if self._dispatcher is not None:
             self._dispatcher.start()
+        if self._feed is not None:
+            self._feed.start()
         self.slots.start()
         self.fleet.start()
         if self._runner is not None:
@@ -116,6 +126,8 @@
         self.slots.stop()
         if self._dispatcher is not None:
             self._dispatcher.stop()
+        if self._link_server is not None:
+            self._link_server.stop()
 
     def describe_state(self) -> dict[str, Any]:
         """Return a JSON-ready dump."""
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -6,120 +6,82 @@
 from typing import Any, Final
 
 import gevent
-from gevent import socket
-from gevent.server import StreamServer
-from loguru import logger
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
-from clementinepin.serving._relay import RelayServer
+from clementinepin.serving._links import Link, LinkServer
 from clementinepin.serving.models import Target
 from clementinepin.systems import dispatching
 from clementinepin.tables.dispatch import Ask, DispatchTable, TargetLoad
 
 TICK_S: Final = 0.02  # how late a change of the queue by time alone may be noticed
 SIGN_OF_LIFE_S: Final = 0.1  # askers give up a silent dispatcher after a few of these
-READ_SIZE_BYTES: Final = 65_536
-
-
-class _Link(messages.MessageSender):
-    """The connection of one asking instance."""
-
-    def __init__(self, sock: Any) -> None:
-        super().__init__(sock)
-        self.name = ""
 
 
 class Dispatcher:
     """Answers whoever asks; which instance is asked is the askers' choice."""
 
     def __init__(
-        self,
-        address: tuple[str, int],
-        fleet: FleetView,
-        clock: Clock,
-        rng: random.Random,
-        relay: RelayServer,
+        self, links: LinkServer, fleet: FleetView, clock: Clock, rng: random.Random
     ) -> None:
-        self._relay = relay
         self._fleet = fleet
         self._clock = clock
         self._random = rng
-        self._links: dict[str, _Link] = {}
-        self._server = StreamServer(address, self._serve)
+        self._links = links.links
         self._signs_due = 0.0
         self._ticker: gevent.Greenlet | None = None
         self.table = DispatchTable()
+        links.handle(messages.Hello, self._greet)
+        links.handle(messages.AskSlot, self._take_ask)
+        links.handle(messages.EndSlot, self._take_end)
+        links.handle(messages.ReportLoad, self._take_load)
+        links.handle_close(self._forget)
 
     def start(self) -> None:
-        """Listen, and follow the targets."""
+        """Follow the targets and the time."""
         self._fleet.subscribe(self._update_targets)
-        self._server.start()
         self._ticker = gevent.spawn(self._run_ticks)
 
     def stop(self) -> None:
-        """Close the listener and all links, so that askers turn to another dispatcher."""
-        self._server.stop(timeout=0)
+        """Decide nothing more."""
         if self._ticker is not None:
             self._ticker.kill()
-        for link in list(self._links.values()):
-            link.close()
 
     def describe_state(self) -> dict[str, Any]:
         """Return slots and queue by service."""
         services = {target.service for target in self.table.targets.values()}
         return {name: dispatching.describe_load(self.table, name) for name in services}
 
-    def _serve(self, sock: Any, _peer: Any) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        link = _Link(sock)
-        reader = messages.FrameReader()
-        try:
-            while data := sock.recv(READ_SIZE_BYTES):
-                for message in reader.feed(data):
-                    self._take_message(link, message)
-        except (OSError, ValueError) as err:
-            logger.bind(member=link.name, error=str(err)).info("slot_link_broke")
-        finally:
-            sock.close()
-            if self._links.get(link.name) is link:
-                del self._links[link.name]
-                self._forget(link.name)
-
-    def _take_message(self, link: _Link, message: Any) -> None:
+    def _greet(self, link: Link, hello: messages.Hello) -> None:
+        """Take over what an instance uses already, and ask back what is too much."""
+        now = self._clock.monotonic()
+        self._forget(link.name)
+        for slot in hello.slots:
+            ask = _make_taken(link.name, slot, now)
+            dispatching.adopt_grant(self.table, ask, slot.target_id, now)
+        link.send(messages.SlotQueued())
+        for target in self.table.targets.values():
+            self._carry_out(dispatching.trim_overload(target, now))
+
+    def _take_ask(self, link: Link, message: messages.AskSlot) -> None:
         now = self._clock.monotonic()
-        if isinstance(message, messages.Hello):
-            link.name = message.name
-            self._forget(link.name)
-            self._links[link.name] = link
-            for slot in message.slots:
-                ask = _make_taken(link.name, slot, now)
-                dispatching.adopt_grant(self.table, ask, slot.target_id, now)
+        ask = _make_ask(link.name, message, now)
+        actions = dispatching.submit(self.table, ask, now, self._random)
+        self._carry_out(actions)
+        if not actions:
             link.send(messages.SlotQueued())
-            for target in self.table.targets.values():
-                self._carry_out(dispatching.trim_overload(target, now))
-        elif isinstance(message, messages.AskSlot):
-            ask = _make_ask(link.name, message, now)
-            actions = dispatching.submit(self.table, ask, now, self._random)
-            self._carry_out(actions)
-            if not actions:
-                link.send(messages.SlotQueued())
-            for target in self.table.targets.values():
-                self._carry_out(dispatching.trim_overload(target, now))
-        elif isinstance(message, messages.EndSlot):
-            outcome = dispatching.RunOutcome(message.outcome)
-            dispatching.finish(self.table, (link.name, message.number), outcome, now)
-            self._serve_queue()
 
-        elif isinstance(message, messages.StoreCall):
-            gevent.spawn(self._relay_call, link, message)
-        elif isinstance(message, messages.ReportLoad):
-            key = (link.name, message.number)
-            self._carry_out(dispatching.note_load(self.table, key, message.reported, now))
+    def _take_end(self, link: Link, message: messages.EndSlot) -> None:
+        now = self._clock.monotonic()
+        outcome = dispatching.RunOutcome(message.outcome)
+        dispatching.finish(self.table, (link.name, message.number), outcome, now)
+        self._serve_queue()
 
-    def _relay_call(self, link: _Link, call: messages.StoreCall) -> None:
-        link.send(self._relay.answer(call))
+    def _take_load(self, link: Link, message: messages.ReportLoad) -> None:
+        now = self._clock.monotonic()
+        key = (link.name, message.number)
+        self._carry_out(dispatching.note_load(self.table, key, message.reported, now))
 
     def _carry_out(self, actions: list[dispatching.Action]) -> None:
         for action in actions:
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -222,6 +222,7 @@
             "targets": StoreFollower(store, wire.targets_prefix, self.targets, clock),
             "members": StoreFollower(store, self._members_prefix, self.members, clock),
         }
+        self.fed_followers = {k: self.followers[k] for k in ("targets", "members")}
         self.targets.is_store_shaky = self.followers["targets"].is_shaky
         self.members.is_store_shaky = self.followers["members"].is_shaky
 
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -107,6 +107,29 @@
     body: bytes
 
 
+class FeedRows(msgspec.Struct, array_like=True, tag=10, frozen=True):
+    """All rows of a key range as ``(key, value, version)``, from the sender's view."""
+
+    name: str
+    rows: list[tuple[str, bytes, int]]
+    version: int
+
+
+class FeedChange(msgspec.Struct, array_like=True, tag=11, frozen=True):
+    """One changed row of a key range; no value means that it is gone."""
+
+    name: str
+    key: str
+    value: bytes | None
+    version: int
+
+
+class FeedBeat(msgspec.Struct, array_like=True, tag=12, frozen=True):
+    """Sign of life; ``fresh`` says that the store vouches for the sender's rows."""
+
+    fresh: bool
+
+
 Message = (
     Hello
     | AskSlot
@@ -118,6 +141,9 @@
     | ReportLoad
     | StoreCall
     | StoreReply
+    | FeedRows
+    | FeedChange
+    | FeedBeat
 )
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
--- a/clementinepin/serving/_relay.py
+++ b/clementinepin/serving/_relay.py
@@ -6,15 +6,12 @@
 
 from __future__ import annotations
 
-import itertools
 import random
 from collections.abc import Callable
 from typing import Any, Final
 
 import gevent
 import msgspec
-from gevent import socket
-from gevent.event import AsyncResult
 from loguru import logger
 
 from clementinepin.exceptions import ClementinepinError
@@ -27,13 +24,12 @@
     VersionConflictError,
 )
 from clementinepin.serving import _messages as messages
+from clementinepin.serving._links import InstanceLinks, Link, LinkServer
 from clementinepin.serving.models import Member
 
 DIRECT_PAUSE_S: Final = 1.0  # the own way to the store is tried again after this time
-CONNECT_TIMEOUT_S: Final = 0.3
 REPLY_TIMEOUT_S: Final = 1.0  # a helper that waits for the store itself is of no help
 HELPERS_MAX: Final = 2  # with more, a call would outlast its caller while the store is down
-READ_SIZE_BYTES: Final = 65_536
 
 _encode = msgspec.msgpack.Encoder().encode
 
@@ -54,9 +50,13 @@
 class RelayServer:
     """Carries out store calls of other instances on this instance's own way to the store."""
 
-    def __init__(self, store: StateStore, clock: Clock) -> None:
+    def __init__(self, links: LinkServer, store: StateStore, clock: Clock) -> None:
         self._store = store
         self._clock = clock
+        links.handle(messages.StoreCall, self._take_call)
+
+    def _take_call(self, link: Link, call: messages.StoreCall) -> None:
+        gevent.spawn(lambda: link.send(self.answer(call)))
 
     def answer(self, call: messages.StoreCall) -> messages.StoreReply:
         """Return the outcome of a call; failures travel as their code."""
@@ -88,14 +88,20 @@
 class RelayedStore:
     """The StateStore by the own way, or through a helper while that fails."""
 
-    def __init__(self, direct: StateStore, own_name: str, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self,
+        direct: StateStore,
+        links: InstanceLinks,
+        own_name: str,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
         self._direct = direct
         self._own_name = own_name
         self._clock = clock
         self._random = rng
-        self._numbers = itertools.count(1)
+        self._links = links
         self._direct_after = 0.0
-        self._links: dict[str, _HelperLink] = {}
         self.list_helpers: Callable[[], list[Member]] = list
 
     def get(self, key: str) -> KeyValue | None:
@@ -180,13 +186,17 @@
     def _choose_helpers(self) -> list[Member]:
         helpers = [m for m in self.list_helpers() if m.name != self._own_name]
         self._random.shuffle(helpers)
-        helpers.sort(key=lambda member: member.name not in self._links)
+        helpers.sort(key=lambda member: not self._links.has_link(member.name))
         return helpers[:HELPERS_MAX]
 
     def _ask(self, helper: Member, call: messages.StoreCall) -> _Answer:
         """Return a helper's answer; raises what the store's client would raise."""
-        number = next(self._numbers)
-        reply = self._connect(helper).ask(msgspec.structs.replace(call, number=number))
+        try:
+            reply = self._links.ask(helper, call, REPLY_TIMEOUT_S)
+        except ReplyLostError as err:
+            if call.kind == "write":
+                raise
+            raise PlatformUnavailableError(str(err)) from err
         if reply.code == "":
             return _decode_answer(reply.body)
         if reply.code == VersionConflictError.code:
@@ -198,70 +208,6 @@
             raise ReplyLostError(f"through {helper.name}")
         raise PlatformUnavailableError(f"{helper.name} can't reach the store: {reply.code}")
 
-    def _connect(self, helper: Member) -> _HelperLink:
-        link = self._links.get(helper.name)
-        if link is None or link.closed:
-            link = _HelperLink(helper, lambda: self._links.pop(helper.name, None))
-            self._links[helper.name] = link
-        return link
-
     def _read_lease(self, answer: _Answer) -> LeaseGrant:
         lease_id, left_s = answer.lease or (0, 0.0)
         return LeaseGrant(lease_id, self._clock.monotonic() + left_s)
-
-
-class _HelperLink:
-    """A kept connection to one helper, shared by all calls."""
-
-    def __init__(self, helper: Member, on_close: Callable[[], Any]) -> None:
-        self._on_close = on_close
-        self._waiting: dict[int, AsyncResult] = {}
-        self.closed = False
-        self._sock = socket.socket()
-        try:
-            self._sock.settimeout(CONNECT_TIMEOUT_S)
-            self._sock.connect((helper.host, helper.link_port))
-            self._sock.settimeout(None)
-        except OSError as err:
-            self._close()
-            raise PlatformUnavailableError(f"{helper.name}: {err}") from err
-        self._sender = messages.MessageSender(self._sock)
-        gevent.spawn(self._read)
-
-    def ask(self, call: messages.StoreCall) -> messages.StoreReply:
-        """Send a call and return its reply; a write without one may have been done."""
-        result: AsyncResult = AsyncResult()
-        self._waiting[call.number] = result
-        self._sender.send(call)
-        try:
-            with gevent.Timeout(REPLY_TIMEOUT_S, False):
-                reply = result.get()
-                if reply is not None:
-                    return reply
-            self._close()
-            if call.kind == "write":
-                raise ReplyLostError("the helper did not answer")
-            raise PlatformUnavailableError("the helper did not answer")
-        finally:
-            self._waiting.pop(call.number, None)
-
-    def _read(self) -> None:
-        reader = messages.FrameReader()
-        try:
-            while data := self._sock.recv(READ_SIZE_BYTES):
-                for message in reader.feed(data):
-                    waiting = self._waiting.get(getattr(message, "number", 0))
-                    if waiting is not None and isinstance(message, messages.StoreReply):
-                        waiting.set(message)
-        except (OSError, ValueError) as err:
-            logger.bind(error=str(err)).info("helper_lost")
-        self._close()
-
-    def _close(self) -> None:
-        if not self.closed:
-            self.closed = True
-            self._on_close()
-            self._sock.close()
-            for waiting in self._waiting.values():
-                if not waiting.ready():
-                    waiting.set(None)
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -16,6 +16,7 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._dispatcher import update_targets
+from clementinepin.serving._feed import FeedClient
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
 from clementinepin.serving.models import Member
@@ -24,10 +25,11 @@
 from clementinepin.tables.dispatch import Ask, DispatchTable
 
 REPLY_TIMEOUT_S: Final = 0.08  # some round trips between data centres plus a busy dispatcher
-SILENCE_MAX_S: Final = 0.35  # three signs of life missed
-CONNECT_TIMEOUT_S: Final = 0.5
-HELLO_TIMEOUT_S: Final = 0.5  # a process that stands still accepts connections, but says nothing
+SILENCE_MAX_S: Final = 0.9  # two beats of the feed missed
+CONNECT_TIMEOUT_S: Final = 0.3
+HELLO_TIMEOUT_S: Final = 0.3  # a process that stands still accepts connections, but says nothing
 RECONNECT_S: Final = 0.1
+UNREACHED_S: Final = 2.0  # a dispatcher that did not answer is passed over; its lease ends at 3 s
 ALONE_RETRY_S: Final = 0.3  # Retry-After when no dispatcher answers and the own share is used up
 ALONE_BATCH_S: Final = 5.0  # a new dispatcher is chosen within the leases' time; batch can wait
 READ_SIZE_BYTES: Final = 65_536
@@ -69,6 +71,8 @@
     def __init__(
         self, name: str, data_centre: str, fleet: FleetView, clock: Clock, rng: random.Random
     ) -> None:
+        self._feed = FeedClient(name, fleet.fed_followers)
+        self._unreached: dict[str, float] = {}
         self._name = name
         self._data_centre = data_centre
         self._fleet = fleet
@@ -242,9 +246,11 @@
             self._drop_link()
 
     def _choose_dispatcher(self) -> Member | None:
-        """Return the oldest instance that runs jobs: joining ones never move the duty."""
+        """Return the oldest instance that runs jobs and answers: joining ones change nothing."""
+        now = self._clock.monotonic()
         runners = self._fleet.list_job_runners()
-        return runners[0] if runners else None
+        reached = [m for m in runners if now >= self._unreached.get(m.name, 0.0)]
+        return next(iter(reached or runners), None)
 
     def _keep_link(self) -> None:
         while True:
@@ -258,7 +264,8 @@
                 logger.bind(dispatcher=chosen.name, error=str(err)).info("dispatcher_lost")
             finally:
                 self._drop_link()
-            gevent.sleep(RECONNECT_S)
+            if chosen == self._choose_dispatcher():
+                self._unreached[chosen.name] = self._clock.monotonic() + UNREACHED_S
 
     def _run_link(self, member: Member) -> None:
         sock = socket.socket()
@@ -267,6 +274,7 @@
             sock.connect((member.host, member.link_port))
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._link, self._dispatcher = messages.MessageSender(sock), member
+            self._feed.open(member.name)
             self._suspect = True
             self._send(messages.Hello(self._name, self._list_taken()))
             reader = messages.FrameReader()
@@ -303,6 +311,8 @@
                 on_yield()
             elif message.number in self._taken or message.number in self._waiters:
                 self._early_yields.add(message.number)
+        elif isinstance(message, (messages.FeedRows, messages.FeedChange, messages.FeedBeat)):
+            self._feed.take(message)
         elif isinstance(message, (messages.GrantSlot, messages.RefuseSlot)):
             waiter = self._waiters.get(message.number)
             if waiter is not None and not waiter.result.ready():
@@ -313,9 +323,12 @@
     def _watch_silence(self) -> None:
         while True:
             gevent.sleep(SILENCE_MAX_S / 3)
-            waiting = bool(self._waiters) and self._link is not None and not self._suspect
-            if waiting and self._clock.monotonic() - self._heard_at > SILENCE_MAX_S:
+            linked = self._link is not None and not self._suspect
+            if linked and self._clock.monotonic() - self._heard_at > SILENCE_MAX_S:
                 self._note_silence("no sign of life")
+            chosen = self._choose_dispatcher()
+            if linked and chosen and self._dispatcher and chosen.name != self._dispatcher.name:
+                self._drop_link()
 
     def _note_silence(self, reason: str) -> None:
         if not self._suspect:
@@ -336,4 +349,5 @@
         if self._link is not None:
             link, self._link = self._link, None
             link.close()
+            self._feed.close()
             self._wake_waiters()
--- a/clementinepin/serving/store.py
+++ b/clementinepin/serving/store.py
@@ -1,9 +1,10 @@
-"""Follows a key range of the store by list and watch."""
+"""Follows a key range of the store by list and watch, or by the words of another instance."""
 
 from __future__ import annotations
 
 import random
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import Any, Final, Protocol
 
 import gevent
 from loguru import logger
@@ -13,10 +14,10 @@
 from clementinepin.infrastructure import KeyValue, StateStore
 from clementinepin.infrastructure.exceptions import WatchCompactedError
 
-LOG_PREFIX = "serving:"
-RETRY_MIN_S = 0.1  # first pause after a failed call of a follower
-RETRY_MAX_S = 1.0  # a returned store is noticed within this time
-SHAKY_S = 3.0  # removals this soon after a failure may be lapses of the outage
+RETRY_MIN_S: Final = 0.1  # first pause after a failed call of a follower
+RETRY_MAX_S: Final = 1.0  # a returned store is noticed within this time
+SHAKY_S: Final = 3.0  # removals this soon after a failure may be lapses of the outage
+FED_CHECK_S: Final = 0.2  # how late the end of a feed may be noticed
 
 
 class StoreListener(Protocol):
@@ -30,7 +31,7 @@
 
 
 class StoreFollower:
-    """Keeps a listener up to date with a key range by list and watch."""
+    """Keeps a listener up to date with a key range; no older word replaces a newer one."""
 
     def __init__(
         self, store: StateStore, prefix: str, listener: StoreListener, clock: Clock
@@ -41,12 +42,19 @@
         self._clock = clock
         self._failures = 0
         self._failed_at = float("-inf")
+        self._fed_until = float("-inf")
+        self._removed: dict[str, int] = {}
+        self._subscribers: list[Callable[[KeyValue, bool], None]] = []
+        self.rows: dict[str, KeyValue] = {}
         self.version = -1
         self.confirmed_at = float("-inf")
 
     def run(self) -> None:
         """Follow until killed."""
         while True:
+            if self.is_fed():
+                gevent.sleep(FED_CHECK_S)
+                continue
             try:
                 self.follow_once()
             except WatchCompactedError:
@@ -61,14 +69,55 @@
         """List the range if its state is unknown, then wait for one answer of the watch."""
         if self.version < 0:
             page = self._store.list_range(self._prefix)
-            self._listener.replace_rows(page.values, after_outage=self._failures > 0)
+            after_outage = self._failures > 0
+            self._merge_rows(page.values, page.version, after_outage=after_outage)
             self.version = page.version
             self._note_success()
         events, version = self._store.watch(self._prefix, self.version)
         self._note_success()
         for event in events:
-            self._listener.apply_change(event.key, event.value, event.version)
-        self.version = version
+            self.take_change(event.key, event.value, event.version)
+        self.version = max(self.version, version)
+
+    def subscribe(self, subscriber: Callable[[KeyValue, bool], None]) -> None:
+        """Call ``subscriber`` with each changed row and whether it is gone."""
+        self._subscribers.append(subscriber)
+
+    def take_rows(self, rows: list[KeyValue], version: int) -> None:
+        """Take in the whole range as another instance holds it."""
+        self._merge_rows(rows, version, after_outage=False)
+        self.version = max(self.version, version)
+
+    def take_change(self, key: str, value: bytes | None, version: int) -> None:
+        """Take in one change unless a newer one is known."""
+        known = self.rows.get(key)
+        if version <= (known.version if known else self._removed.get(key, -1)):
+            return
+        if value is None:
+            self.rows.pop(key, None)
+            self._removed[key] = version
+        else:
+            self.rows[key] = KeyValue(key, value, version)
+        self._listener.apply_change(key, value, version)
+        self.version = max(self.version, version) if self.is_fed() else self.version
+        for subscriber in self._subscribers:
+            subscriber(KeyValue(key, value or b"", version), value is None)
+
+    def trust_feed(self, seconds: float) -> None:
+        """Rely on another instance for some seconds."""
+        self._fed_until = self._clock.monotonic() + seconds
+
+    def limit_trust(self, seconds: float) -> None:
+        """Rely on another instance no longer than some seconds."""
+        self._fed_until = min(self._fed_until, self._clock.monotonic() + seconds)
+
+    def is_fed(self) -> bool:
+        """Tell whether another instance is relied on."""
+        return self._clock.monotonic() < self._fed_until
+
+    def is_direct(self) -> bool:
+        """Tell whether the store itself vouches for what is known."""
+        return not self.is_fed() and self._failures == 0 and self.version >= 0
 
     def is_shaky(self) -> bool:
         """Tell whether the store was out of reach until a moment ago."""
@@ -77,7 +126,24 @@
     def describe_state(self) -> dict[str, Any]:
         """Return what is known of the range's freshness."""
         age_s = self._clock.monotonic() - self.confirmed_at
-        return {"version": self.version, "confirmed_s_ago": round(age_s, 3)}
+        return {"version": self.version, "confirmed_s_ago": round(age_s, 3), "fed": self.is_fed()}
+
+    def _merge_rows(self, rows: list[KeyValue], version: int, *, after_outage: bool) -> None:
+        merged = {row.key: row for row in rows if row.version > self._removed.get(row.key, -1)}
+        for key, known in self.rows.items():
+            listed = merged.get(key)
+            if known.version > (listed.version if listed else version):
+                merged[key] = known
+        gone = [known for key, known in self.rows.items() if key not in merged]
+        changed = [row for key, row in merged.items() if self.rows.get(key) != row]
+        self.rows = merged
+        self._removed = {k: v for k, v in self._removed.items() if v > version}
+        self._listener.replace_rows(list(merged.values()), after_outage=after_outage)
+        for subscriber in self._subscribers:
+            for row in changed:
+                subscriber(row, False)
+            for row in gone:
+                subscriber(row._replace(version=version), True)
 
     def _note_success(self) -> None:
         if self._failures:
--- a/tests/serving/memory_store.py
+++ b/tests/serving/memory_store.py
@@ -93,6 +93,7 @@
 
     def remove(self, key: str) -> None:
         if self.rows.pop(key, None) is not None:
+            self.version += 1
             self.events.append(WatchEvent(key, None, self.version))
             self._changed.set()
 
--- a/tests/serving/test_relay.py
+++ b/tests/serving/test_relay.py
@@ -4,7 +4,6 @@
 
 import random
 
-import gevent
 import pytest
 
 from clementinepin.helpers.clock import create_system_clock
@@ -15,11 +14,11 @@
     ReplyLostError,
     VersionConflictError,
 )
-from clementinepin.serving._dispatcher import Dispatcher
+from clementinepin.serving._links import InstanceLinks, LinkServer
 from clementinepin.serving._relay import RelayedStore, RelayServer
 from clementinepin.serving.models import Member
 from tests.serving.memory_store import MemoryStore
-from tests.serving.test_slots import FakeFleet, find_port
+from tests.serving.test_slots import find_port
 
 
 class Pair:
@@ -30,13 +29,11 @@
         self.own_way = MemoryStore()
         port = find_port()
         clock = create_system_clock()
-        relay = RelayServer(self.store, clock)
-        fleet = FakeFleet(port, 0)
-        self.helper = Dispatcher(
-            ("127.0.0.1", port), fleet, clock, random.Random(1), relay  # type: ignore[arg-type]
-        )
+        self.helper = LinkServer(("127.0.0.1", port))
+        RelayServer(self.helper, self.store, clock)
         self.helper.start()
-        self.relayed = RelayedStore(self.own_way, "f1", clock, random.Random(1))
+        self.links = InstanceLinks()
+        self.relayed = RelayedStore(self.own_way, self.links, "f1", clock, random.Random(1))
         self.relayed.list_helpers = lambda: [
             Member("s1", True, "127.0.0.1", port, "", "a", "r", False)
         ]
@@ -105,8 +102,5 @@
 def test_a_helper_that_went_away_is_replaced_by_a_new_connection(pair):
     pair.own_way.down = True
     pair.relayed.get("a")
-    for link in list(pair.relayed._links.values()):
-        link._sock.close()
-        gevent.sleep(0.01)
-    pair.relayed._links.clear()
+    pair.links.close_all()
     assert pair.relayed.get("a") is None
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 import gevent
 import pytest
@@ -12,9 +13,11 @@
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._dispatcher import Dispatcher
+from clementinepin.serving._links import LinkServer
 from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
 from clementinepin.serving.models import Member, Target
+from clementinepin.serving.store import StoreFollower
 from clementinepin.systems.dispatching import RunOutcome
 
 
@@ -33,6 +36,7 @@
         self.targets = FakeTargets(rows)
         self.members = [Member("d1", True, "127.0.0.1", port, "", "a", "r", False)]
         self.listeners: list[Callable[[], None]] = []
+        self.fed_followers: dict[str, StoreFollower] = {}
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         self.listeners.append(listener)
@@ -54,11 +58,24 @@
         return int(sock.getsockname()[1])
 
 
-def start_pair(targets: int) -> tuple[Dispatcher, SlotBroker]:
+class Pair(NamedTuple):
+    dispatcher: Dispatcher
+    broker: SlotBroker
+    links: LinkServer
+
+    def stop(self) -> None:
+        self.broker.stop()
+        self.dispatcher.stop()
+        self.links.stop()
+
+
+def start_pair(targets: int) -> Pair:
     port = find_port()
     fleet = FakeFleet(port, targets)
     clock = create_system_clock()
-    dispatcher = Dispatcher(("127.0.0.1", port), fleet, clock, random.Random(1), None)  # type: ignore[arg-type]
+    links = LinkServer(("127.0.0.1", port))
+    dispatcher = Dispatcher(links, fleet, clock, random.Random(1))  # type: ignore[arg-type]
+    links.start()
     broker = SlotBroker("f1", "a", fleet, clock, random.Random(1))  # type: ignore[arg-type]
     dispatcher.start()
     broker.start()
@@ -66,7 +83,7 @@
     with gevent.Timeout(5.0):
         while not broker.is_linked:
             gevent.sleep(0.005)
-    return dispatcher, broker
+    return Pair(dispatcher, broker, links)
 
 
 def make_request(clock_s: float, *, is_batch: bool = False, run_s: float = 10.0) -> SlotRequest:
@@ -78,7 +95,8 @@
 
 
 def test_a_slot_is_granted_and_given_back() -> None:
-    dispatcher, broker = start_pair(1)
+    pair = start_pair(1)
+    broker = pair.broker
     now = create_system_clock().monotonic()
     slot = acquire(broker, make_request(now))
     assert slot.target_id == "t0"
@@ -87,22 +105,24 @@
     assert not waiting.ready()
     broker.release(slot, RunOutcome.SERVED)
     assert waiting.get(timeout=2.0).target_id == "t0"
-    dispatcher.stop()
+    pair.stop()
 
 
 def test_a_yield_that_comes_with_its_grant_is_not_lost() -> None:
-    dispatcher, broker = start_pair(1)
+    pair = start_pair(1)
+    broker = pair.broker
     now = create_system_clock().monotonic()
     slot = acquire(broker, make_request(now, is_batch=True))
     broker._take_message(messages.YieldSlot(slot.number))
     yielded: list[int] = []
     broker.watch_yield(slot, lambda: yielded.append(slot.number))
     assert yielded == [slot.number]
-    dispatcher.stop()
+    pair.stop()
 
 
 def test_an_online_request_displaces_a_batch_item() -> None:
-    dispatcher, broker = start_pair(1)
+    pair = start_pair(1)
+    broker = pair.broker
     now = create_system_clock().monotonic()
     item = acquire(broker, make_request(now, is_batch=True))
     yielded = gevent.event.Event()
@@ -110,11 +130,12 @@
     slot = acquire(broker, make_request(now))
     assert slot.target_id == "t0"
     assert yielded.wait(2.0)
-    dispatcher.stop()
+    pair.stop()
 
 
 def test_a_cancelled_wait_ends_at_once_and_leaves_the_queue() -> None:
-    dispatcher, broker = start_pair(1)
+    pair = start_pair(1)
+    dispatcher, broker, _ = pair
     now = create_system_clock().monotonic()
     acquire(broker, make_request(now))
     cancels: list[Callable[[], None]] = []
@@ -126,12 +147,13 @@
     with gevent.Timeout(2.0):
         while dispatcher.table.waiting:
             gevent.sleep(0.005)
-    dispatcher.stop()
+    pair.stop()
 
 
 def test_a_lost_dispatcher_leaves_requests_to_own_choice_and_batch_to_wait() -> None:
-    dispatcher, broker = start_pair(2)
-    dispatcher.stop()
+    pair = start_pair(2)
+    broker = pair.broker
+    pair.links.stop()
     with gevent.Timeout(5.0):
         while broker.is_linked:
             gevent.sleep(0.005)
@@ -142,7 +164,8 @@
 
 
 def test_slots_in_use_are_told_to_a_new_dispatcher() -> None:
-    dispatcher, broker = start_pair(1)
+    pair = start_pair(1)
+    dispatcher, broker, _ = pair
     now = create_system_clock().monotonic()
     acquire(broker, make_request(now))
     dispatcher._forget("f1")
@@ -151,4 +174,4 @@
     with gevent.Timeout(5.0):
         while not dispatcher.table.grants:
             gevent.sleep(0.005)
-    dispatcher.stop()
+    pair.stop()
