Answer reads of jobs by their owners

Change: the owner keeps the results that it listed and answers other instances' reads, holding them until a result comes; it answers only while its registration was renewed 1.5 s ago at most, so no other can own the job. Anything else goes to the store as before; only the store says 404.

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -69,19 +69,22 @@
         pools = TargetPools(self.fleet, clock)
         self.slots = SlotBroker(settings.name, settings.data_centre, self.fleet, clock, rng)
         self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
-        self._jobs = JobDesk(store, self.fleet, wire, clock)
+        self._jobs = JobDesk(store, self.fleet, links, wire, clock)
         self._link_server: LinkServer | None = None
         self._dispatcher: Dispatcher | None = None
         self._feed: FeedServer | None = None
         self._runner: JobRunner | None = None
         self._retirement: Retirement | None = None
         if settings.runs_jobs:
-            self._link_server = LinkServer((settings.host, settings.link_port))
-            RelayServer(self._link_server, direct, clock)
-            self._dispatcher = Dispatcher(self._link_server, self.fleet, clock, rng)
-            self._feed = FeedServer(self._link_server, self.fleet.fed_followers)
+            served = LinkServer((settings.host, settings.link_port))
+            self._link_server = served
+            RelayServer(served, direct, clock)
+            self._dispatcher = Dispatcher(served, self.fleet, clock, rng)
+            self._feed = FeedServer(served, self.fleet.fed_followers)
             items = ItemRunner(self.fleet, self.slots, pools, wire, clock, metrics)
-            self._runner = JobRunner(settings, store, self.fleet, items, wire, clock)
+            self._runner = JobRunner(
+                settings, store, self.fleet, items, wire, clock, self._link_server
+            )
             self._retirement = Retirement(settings, store, wire, clock, self.leave)
         self._servers = self._create_servers()
 
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -23,6 +23,7 @@
 LAPSE_GRACE_S: Final = 2.2  # the platform restores lapsed entries within two seconds
 PRUNE_PERIOD_S: Final = 0.2
 WITHDRAW_S: Final = 0.3  # within the margin that a stopping process has left
+SURE_S: Final = 1.5  # behind a renewal; others take jobs over one second after a lease's end
 RETRY_S: Final = 0.3  # pause after a failed registration
 
 
@@ -211,6 +212,7 @@
         self._greenlets: list[gevent.Greenlet] = []
         self._members_prefix = wire.own_prefix + "nodes/"
         self._lease_id = 0
+        self._sure_until = 0.0
         self._started_ms = int(clock.wall() * 1000)
         self._refresh = Event()
         self.leaving = False
@@ -236,6 +238,10 @@
         self._greenlets.append(gevent.spawn(self._keep_registered))
         self._greenlets.append(gevent.spawn(self._prune))
 
+    def is_surely_registered(self) -> bool:
+        """Tell whether no other instance can have taken this one for lost yet."""
+        return self._clock.monotonic() < self._sure_until
+
     def announce_leaving(self) -> None:
         """Tell all instances that this one takes no new callers."""
         self.leaving = True
@@ -301,9 +307,12 @@
                     lost.clear()
                     self._register()
                 else:
+                    sent_at = self._clock.monotonic()
                     self._store.keep_lease(self._lease_id)
+                    self._sure_until = sent_at + SURE_S
             except LeaseLostError:
                 logger.bind(lease=self._lease_id).warning("registration_lost")
+                self._sure_until = 0.0
                 self._lease_id = 0
                 lost.set()
                 continue
@@ -319,7 +328,9 @@
             self._lease_id = self._store.grant_lease(LEASE_S).lease_id
         value = msgspec.msgpack.encode(self._describe_self())
         key = self._members_prefix + self._settings.name
+        sent_at = self._clock.monotonic()
         self._store.write(Change({}, {key: value}, lease_id=self._lease_id))
+        self._sure_until = sent_at + SURE_S
 
     def _prune(self) -> None:
         while True:
--- /dev/null
+++ b/clementinepin/serving/_job_views.py
@@ -0,0 +1,95 @@
+"""Results of the jobs that this instance owns, so that reading them costs no call to the store."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Final
+
+import gevent
+from gevent.event import Event
+
+from clementinepin.serving import _messages as messages
+from clementinepin.serving._links import Link, LinkServer
+from clementinepin.serving.models import ItemResult
+
+VIEWS_MAX_BYTES: Final = 16_000_000  # about 1,500 results; store machines have 170 MB and more
+PAGE_TEXT_BYTES: Final = 900_000  # a page of results holds a megabyte
+
+
+class JobView:
+    """The listed results of one job; they only grow."""
+
+    def __init__(self, total: int, results: list[ItemResult]) -> None:
+        self.total = total
+        self.results = results
+        self.size = sum(len(result.text) for result in results)
+        self.is_open = len(results) < total
+        self.changed = Event()
+
+    def extend(self, results: list[ItemResult]) -> None:
+        """Add results that are stored."""
+        self.results = self.results + results
+        self.size += sum(len(result.text) for result in results)
+        self.is_open = len(self.results) < self.total
+        self._wake()
+
+    def close(self) -> None:
+        """No more results will come."""
+        self.is_open = False
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = Event()
+
+
+class JobViews:
+    """Answers other instances' reads while this instance is surely the owner."""
+
+    def __init__(
+        self,
+        links: LinkServer,
+        is_sure: Callable[[], bool],
+        find_owner: Callable[[str], str],
+    ) -> None:
+        self._is_sure = is_sure
+        self._find_owner = find_owner
+        self._rows: OrderedDict[str, JobView] = OrderedDict()
+        links.handle(messages.ReadJob, self._take_read)
+
+    def put(self, job_id: str, view: JobView) -> None:
+        """Answer for a job from now on; the oldest make room."""
+        self._rows[job_id] = view
+        while sum(v.size for v in self._rows.values()) > VIEWS_MAX_BYTES and len(self._rows) > 1:
+            self._rows.popitem(last=False)
+
+    def get(self, job_id: str) -> JobView | None:
+        """Return the view of a job."""
+        return self._rows.get(job_id)
+
+    def drop(self, job_id: str) -> None:
+        """Answer no more for a job."""
+        view = self._rows.pop(job_id, None)
+        if view is not None:
+            view.close()
+
+    def answer(self, call: messages.ReadJob) -> messages.JobPage:
+        """Return a page; waits while the job is open and has nothing there."""
+        view = self._rows.get(call.job_id)
+        if view is not None and view.is_open and call.after >= len(view.results):
+            view.changed.wait(call.wait_s)
+        view = self._rows.get(call.job_id)
+        if view is None or not self._is_sure():
+            return messages.JobPage(call.number, False, self._find_owner(call.job_id))
+        rows: list[tuple[str, str, str]] = []
+        size = 0
+        for result in view.results[call.after :]:
+            size += len(result.text)
+            if rows and size > PAGE_TEXT_BYTES:
+                break
+            rows.append((result.item_id, str(result.state), result.text))
+        return messages.JobPage(call.number, True, "", view.total, rows)
+
+    def _take_read(self, link: Link, call: messages.ReadJob) -> None:
+        gevent.spawn(lambda: link.send(self.answer(call)))
--- a/clementinepin/serving/_jobs.py
+++ b/clementinepin/serving/_jobs.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import Final, TypeVar
+from typing import Final, Generic, TypeVar
 
 import gevent
 from loguru import logger
@@ -18,7 +18,9 @@
     VersionConflictError,
 )
 from clementinepin.serving import _job_records as records
+from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._links import InstanceLinks
 from clementinepin.serving.exceptions import (
     BadRequestError,
     DeadlineError,
@@ -26,12 +28,15 @@
     OverloadedError,
     TokensExhaustedError,
 )
-from clementinepin.serving.models import ItemResult, JobItem, Route
+from clementinepin.serving.models import ItemResult, ItemState, JobItem, Route
 from clementinepin.serving.wire import JobCall, Wire
 
 ID_MAX_CHARS: Final = 120  # keys of the store hold 200 bytes with our prefixes
 STORE_RETRY_S: Final = 0.1
-READ_HOLD_MAX_S: Final = 0.8  # a held read looks once more before its caller's wait ends
+READ_HOLD_MAX_S: Final = 0.8  # leaves time to ask the store before its caller's wait ends
+OWNER_TIMEOUT_S: Final = 0.4  # for the way to the owner and back, beyond the hold
+OWNERS_ASKED_MAX: Final = 2  # the one expected, and the one that it names
+JOBS_KNOWN_MAX: Final = 5_000  # jobs of the retention time at several times today's rate
 CALL_TIMEOUT_S: Final = 3.0  # callers wait 4 s for a confirmation
 UNAVAILABLE_RETRY_S: Final = 1.0
 PAGE_TEXT_BYTES: Final = 900_000  # a page of results holds a megabyte
@@ -39,6 +44,24 @@
 T = TypeVar("T")
 
 
+class BoundedDict(Generic[T]):
+    """A mapping that drops its oldest entries."""
+
+    def __init__(self, rows_max: int) -> None:
+        self._rows: OrderedDict[str, T] = OrderedDict()
+        self._rows_max = rows_max
+
+    def get(self, key: str) -> T | None:
+        """Return the value of a key, or None."""
+        return self._rows.get(key)
+
+    def put(self, key: str, value: T) -> None:
+        """Set the value of a key."""
+        self._rows[key] = value
+        if len(self._rows) > self._rows_max:
+            self._rows.popitem(last=False)
+
+
 class _ResultCache:
     """Texts by job and position; results never change."""
 
@@ -62,13 +85,17 @@
 class JobDesk:
     """Serves the callers' calls on jobs at any instance."""
 
-    def __init__(self, store: StateStore, fleet: FleetView, wire: Wire, clock: Clock) -> None:
+    def __init__(
+        self, store: StateStore, fleet: FleetView, links: InstanceLinks, wire: Wire, clock: Clock
+    ) -> None:
         self._store = store
+        self._links = links
         self._fleet = fleet
         self._wire = wire
         self._clock = clock
         self._cache = _ResultCache()
-        self._totals: dict[str, int] = {}
+        self._totals = BoundedDict[int](JOBS_KNOWN_MAX)
+        self._owners = BoundedDict[str](JOBS_KNOWN_MAX)
 
     def submit(self, job_id: str, host: str, route: Route, items: tuple[JobItem, ...]) -> None:
         """Accept a job; returns when it is stored, also when it was before.
@@ -96,22 +123,54 @@
             logger.bind(request_id=job_id, items=len(items), owner=head.owner).info("job_accepted")
         except VersionConflictError:
             logger.bind(request_id=job_id).info("job_known")
-        self._totals[job_id] = len(items)
+        self._totals.put(job_id, len(items))
 
     def read(self, call: JobCall) -> bytes:
         """Return results from a position on; held for a moment while there is none."""
         keys = self._make_keys(call.job_id)
         total = self._totals.get(call.job_id)
         results = self._take_cached(call.job_id, call.after)
-        if total is None:
-            progress, _ = self._retry(lambda: records.fetch_progress(self._store, keys))
-            total = self._totals[call.job_id] = progress.total
-        elif not results and call.after < total:
-            gevent.sleep(min(READ_HOLD_MAX_S, call.wait_s * READ_HOLD_MAX_S))
-        if not results and call.after < total:
+        if total is not None and (results or call.after >= total):
+            return self._wire.make_results(total, call.after, results)
+        page = self._ask_owner(call)
+        if page is not None:
+            total = page.total
+            results = [ItemResult(row[0], ItemState(row[1]), row[2]) for row in page.results]
+            self._remember(call, results)
+        else:
+            if total is None:
+                progress, _ = self._retry(lambda: records.fetch_progress(self._store, keys))
+                total = progress.total
             results = self._fetch_results(keys, call)
+        self._totals.put(call.job_id, total)
         return self._wire.make_results(total, call.after, results)
 
+    def _ask_owner(self, call: JobCall) -> messages.JobPage | None:
+        """Return what the job's owner says, or None when no owner can be asked."""
+        members = {member.name: member for member in self._fleet.list_job_runners()}
+        owner = self._owners.get(call.job_id) or choose_owner(call.job_id, members)
+        hold_s = min(READ_HOLD_MAX_S, call.wait_s * READ_HOLD_MAX_S)
+        for _ in range(OWNERS_ASKED_MAX):
+            if owner is None or owner not in members:
+                return None
+            ask = messages.ReadJob(0, call.job_id, call.after, hold_s)
+            try:
+                page = self._links.ask(members[owner], ask, hold_s + OWNER_TIMEOUT_S)
+            except (PlatformUnavailableError, ReplyLostError) as err:
+                logger.bind(request_id=call.job_id, owner=owner, error=str(err)).info(
+                    "job_owner_silent"
+                )
+                return None
+            if isinstance(page, messages.JobPage) and page.known:
+                self._owners.put(call.job_id, owner)
+                return page
+            owner = page.owner
+        return None
+
+    def _remember(self, call: JobCall, results: list[ItemResult]) -> None:
+        for position, result in enumerate(results, call.after):
+            self._cache.put(call.job_id, position, result)
+
     def read_body(self, call: JobCall) -> bytes:
         """Return the body of an item; raises JobNotFoundError."""
         keys = self._make_keys(call.job_id)
@@ -176,8 +235,8 @@
         found = self._retry(lambda: records.fetch_results(self._store, keys, call.after))
         results: list[ItemResult] = []
         size = 0
-        for position, result in enumerate(found, call.after):
-            self._cache.put(call.job_id, position, result)
+        self._remember(call, found)
+        for result in found:
             size += len(result.text)
             if results and size > PAGE_TEXT_BYTES:
                 break
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -130,6 +130,25 @@
     fresh: bool
 
 
+class ReadJob(msgspec.Struct, array_like=True, tag=13, frozen=True):
+    """Asks a job's owner for results from a position on; it may hold the answer."""
+
+    number: int
+    job_id: str
+    after: int
+    wait_s: float
+
+
+class JobPage(msgspec.Struct, array_like=True, tag=14, frozen=True):
+    """Results as ``(item, state, text)``; ``known`` is False when another instance must say."""
+
+    number: int
+    known: bool
+    owner: str = ""
+    total: int = 0
+    results: list[tuple[str, str, str]] = []
+
+
 Message = (
     Hello
     | AskSlot
@@ -144,6 +163,8 @@
     | FeedRows
     | FeedChange
     | FeedBeat
+    | ReadJob
+    | JobPage
 )
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -18,6 +18,8 @@
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._item_run import ItemRun, ItemRunner
+from clementinepin.serving._job_views import JobView, JobViews
+from clementinepin.serving._links import LinkServer
 from clementinepin.serving.models import InstanceSettings, ItemResult, ItemState
 from clementinepin.serving.store import StoreFollower
 from clementinepin.serving.wire import Wire
@@ -83,7 +85,9 @@
         items: ItemRunner,
         wire: Wire,
         clock: Clock,
+        links: LinkServer,
     ) -> None:
+        self._views = JobViews(links, fleet.is_surely_registered, self._find_owner)
         self._settings = settings
         self._store = store
         self._fleet = fleet
@@ -127,9 +131,12 @@
         if value is None:
             self._heads.pop(job_id, None)
             self._finished.discard(job_id)
+            self._views.drop(job_id)
             return
         try:
             self._heads[job_id] = records.read_head(value)
+            if self._heads[job_id].owner != self._settings.name:
+                self._views.drop(job_id)
         except msgspec.DecodeError as err:
             logger.bind(request_id=job_id, error=str(err)).error("job_unreadable")
             return
@@ -141,6 +148,9 @@
             return
         self._ended.add(job_id)
         job = self._jobs.get(job_id)
+        view = self._views.get(job_id)
+        if view is not None:
+            view.close()
         if job is not None:
             logger.bind(request_id=job_id).info("job_stopped")
             job.stop()
@@ -203,6 +213,7 @@
             job.stop()
         elif owner != self._settings.name and owner in self._list_alive():
             job.is_foreign = True
+            self._views.drop(job.head.job_id)
             job.stop()
         elif owner != self._settings.name:
             head = msgspec.structs.replace(job.head, owner=self._settings.name)
@@ -210,6 +221,28 @@
             change = records.make_take_over(job.keys, job.version, job.progress, head)
             job.version = self._store.write(change)
             logger.bind(request_id=job.head.job_id, lost_owner=owner).info("job_taken_over")
+        if not job.is_foreign:
+            self._show(job)
+
+    def _show(self, job: _Job) -> None:
+        """Answer reads of the job, with what is listed already."""
+        progress = job.progress
+        if progress is None:
+            return
+        results: list[ItemResult] = []
+        while len(results) < len(progress.listed):
+            found = records.fetch_results(self._store, job.keys, len(results))
+            if not found:
+                return
+            results.extend(found)
+        view = JobView(progress.total, results)
+        view.is_open = progress.is_open
+        self._views.put(job.head.job_id, view)
+
+    def _find_owner(self, job_id: str) -> str:
+        """Return the instance that owns a job as far as is known here."""
+        head = self._heads.get(job_id)
+        return head.owner if head is not None and head.owner != self._settings.name else ""
 
     def _run_items(self, job: _Job) -> None:
         """Start a run for each item that is not listed and not running yet."""
@@ -275,6 +308,9 @@
         change = records.make_progress_change(job.keys, job.version, changed, results)
         job.version = self._store.write(change)
         job.progress = changed
+        view = self._views.get(job.head.job_id)
+        if view is not None:
+            view.extend(list(results.values()))
         job.done = job.done[len(group) :]
         logger.bind(request_id=job.head.job_id, position=first, count=len(group)).info(
             "results_listed"
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -10,6 +10,7 @@
 from clementinepin.platform import create_wire
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._item_run import ItemRun
+from clementinepin.serving._links import LinkServer
 from clementinepin.serving._runner import JobRunner
 from clementinepin.serving.models import ItemResult, ItemState, Member
 from tests.serving.memory_store import MemoryStore
@@ -20,6 +21,9 @@
     def __init__(self, *names: str) -> None:
         self.names = names
 
+    def is_surely_registered(self) -> bool:
+        return True
+
     def list_job_runners(self) -> list[Member]:
         return [Member(n, True, "127.0.0.1", 0, "", "a", "r", False) for n in self.names]
 
@@ -51,7 +55,13 @@
 ) -> JobRunner:
     fleet = FakeFleet(*(names or ("store-1",)))
     runner = JobRunner(
-        SETTINGS._replace(name=name), store, fleet, items, create_wire(), clock or ManualClock()  # type: ignore[arg-type]
+        SETTINGS._replace(name=name),
+        store,
+        fleet,  # type: ignore[arg-type]
+        items,  # type: ignore[arg-type]
+        create_wire(),
+        clock or ManualClock(),
+        LinkServer(("127.0.0.1", 0)),
     )
     runner.start()
     return runner
