--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -97,7 +97,7 @@
                 link.send(messages.YieldSlot(number))
 
     def _serve_queue(self) -> None:
-        if self.table.waiting:
+        if self.table.waiting or self.table.items:
             now = self._clock.monotonic()
             self._carry_out(dispatching.serve_queue(self.table, now, self._random))
 
@@ -106,16 +106,16 @@
             gevent.sleep(TICK_S)
             self._serve_queue()
             now = self._clock.monotonic()
-            if self.table.waiting and now >= self._signs_due:
+            if now >= self._signs_due:
                 self._signs_due = now + SIGN_OF_LIFE_S
-                for name in {key[0] for key in self.table.waiting}:
+                for name in {key[0] for key in self.table.list_waiting()}:
                     if name in self._links:
                         self._links[name].send(messages.SlotQueued())
 
     def _forget(self, name: str) -> None:
         """Free what an instance held; one that lives reports it anew."""
         now = self._clock.monotonic()
-        for key in [k for k in (*self.table.grants, *self.table.waiting) if k[0] == name]:
+        for key in [k for k in (*self.table.grants, *self.table.list_waiting()) if k[0] == name]:
             dispatching.finish(self.table, key, dispatching.RunOutcome.CANCELLED, now)
 
     def _update_targets(self) -> None:
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -27,7 +27,7 @@
 GROUP_S: Final = 0.3  # results of a job that end this close together share a write
 RESULTS_PER_WRITE: Final = 28  # the store takes 32 entries a write
 TEXT_BYTES_PER_WRITE: Final = 2_000_000  # keeps a write short on a slow link
-ITEMS_AT_ONCE: Final = 24  # asks in the dispatcher's queue an instance; more would only wait there
+ITEMS_AT_ONCE: Final = 160  # runs and asks an instance; a few instances must fill all slots
 LOOK_PERIOD_S: Final = 0.5  # how soon jobs of a lost owner are taken over
 STORE_RETRY_S: Final = 0.3
 TAKE_OVER_S: Final = 1.0  # a killed process is back within this time and goes on itself
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -11,7 +11,14 @@
 from enum import StrEnum
 from typing import Final, NamedTuple
 
-from clementinepin.tables.dispatch import Ask, DispatchTable, Grant, GrantKey, TargetLoad
+from clementinepin.tables.dispatch import (
+    Ask,
+    BatchQueue,
+    DispatchTable,
+    Grant,
+    GrantKey,
+    TargetLoad,
+)
 
 PREFIXES_MAX: Final = 512  # prefixes remembered a target; an engine keeps a few hundred
 HIDDEN_S: Final = 0.5  # a report of load is renewed by each answer of the target
@@ -74,17 +81,19 @@
     actions = _try_start(table, ask, now)
     if actions:
         return actions
-    if not ask.is_batch:
-        refusal = _judge_wait(table, ask, now, rng)
-        if refusal is not None:
-            return [refusal]
+    if ask.is_batch:
+        table.items.setdefault(ask.service, BatchQueue()).add(ask)
+        return []
+    refusal = _judge_wait(table, ask, now, rng)
+    if refusal is not None:
+        return [refusal]
     table.waiting[ask.key] = ask
     return []
 
 
 def finish(table: DispatchTable, key: GrantKey, outcome: RunOutcome, now: float) -> None:
     """Free a slot, or take a request out of the queue, and note how the target did."""
-    table.waiting.pop(key, None)
+    table.remove_waiting(key)
     grant = table.grants.pop(key, None)
     if grant is None:
         return
@@ -120,24 +129,36 @@
     callers who returned before new ones, then late ones, then batch items by their due time.
     """
     actions: list[Action] = []
-    blocked: set[tuple[str, bool]] = set()
+    blocked: set[str] = set()
     for ask in sorted(table.waiting.values(), key=lambda a: _rank(a, now)):
         refusal = _judge_again(table, ask, now, rng)
         if refusal is not None:
             del table.waiting[ask.key]
             actions.append(refusal)
             continue
-        kind = (ask.service, ask.is_batch)
-        if kind in blocked and not ask.excluded:
+        if ask.service in blocked and not ask.excluded:
             continue
         started = _try_start(table, ask, now)
         if started:
             del table.waiting[ask.key]
             actions.extend(started)
         else:
-            blocked.add(kind)
-            if not ask.is_batch:
-                blocked.add((ask.service, True))
+            blocked.add(ask.service)
+    for service, queue in table.items.items():
+        if service not in blocked:
+            actions.extend(_start_items(table, queue, now))
+    return actions
+
+
+def _start_items(table: DispatchTable, queue: BatchQueue, now: float) -> list[Action]:
+    """Start items in the order in which they are due, as long as slots are free."""
+    actions: list[Action] = []
+    while (ask := queue.get_first()) is not None:
+        started = _try_start(table, ask, now)
+        if not started:
+            break
+        queue.remove(ask.key)
+        actions.extend(started)
     return actions
 
 
@@ -177,7 +198,7 @@
     ahead = sum(
         1
         for other in table.waiting.values()
-        if other.service == ask.service and not other.is_batch and _rank(other, now) < rank
+        if other.service == ask.service and _rank(other, now) < rank
     )
     if not ends:
         return _find_reopening(table, ask)
@@ -231,6 +252,7 @@
     """Return taken slots, all slots, and waiting requests of a service."""
     targets = [t for t in table.targets.values() if t.service == service]
     waiting = sum(1 for ask in table.waiting.values() if ask.service == service)
+    waiting += len(table.items.get(service, ()))
     return sum(t.taken for t in targets), sum(t.slots for t in targets), waiting
 
 
@@ -327,7 +349,7 @@
     """Refuse a waiting request whose chance to be on time is gone, while it may still return."""
     if now >= ask.deadline:
         return TurnedAway(ask.key, RETURN_MIN_S, "waited past its use")
-    if ask.is_batch or ask.returned:
+    if ask.returned:
         return None
     if now - ask.asked_at < JUDGE_AGAIN_S:
         return None
@@ -360,8 +382,6 @@
 
 
 def _rank(ask: Ask, now: float) -> tuple[int, float]:
-    if ask.is_batch:
-        return 3, ask.on_time_by
     if now > ask.on_time_by:
         return 2, ask.deadline
     return (0 if ask.returned else 1), ask.on_time_by
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import OrderedDict
+from collections.abc import Iterator
 from typing import NamedTuple
 
 GrantKey = tuple[str, int]
@@ -96,12 +98,56 @@
         return sum(1 for grant in self.grants.values() if not grant.yielding)
 
 
+class BatchQueue:
+    """Waiting items of one service, due ones first; a backlog may hold thousands."""
+
+    def __init__(self) -> None:
+        self._asks: dict[GrantKey, Ask] = {}
+        self._heap: list[tuple[float, GrantKey]] = []
+
+    def __len__(self) -> int:
+        return len(self._asks)
+
+    def __iter__(self) -> Iterator[GrantKey]:
+        return iter(self._asks)
+
+    def add(self, ask: Ask) -> None:
+        """Put an item into the queue."""
+        self._asks[ask.key] = ask
+        heapq.heappush(self._heap, (ask.on_time_by, ask.key))
+
+    def remove(self, key: GrantKey) -> None:
+        """Take an item out of the queue, wherever it stands."""
+        self._asks.pop(key, None)
+
+    def get_first(self) -> Ask | None:
+        """Return the item that is due first, or None."""
+        while self._heap:
+            due, key = self._heap[0]
+            ask = self._asks.get(key)
+            if ask is not None and ask.on_time_by == due:
+                return ask
+            heapq.heappop(self._heap)
+        return None
+
+
 class DispatchTable:
-    """All rows of one dispatcher."""
+    """All rows of one dispatcher. ``waiting`` holds online requests, ``items`` batch ones."""
 
     def __init__(self) -> None:
         self.targets: dict[str, TargetLoad] = {}
         self.waiting: dict[GrantKey, Ask] = {}
+        self.items: dict[str, BatchQueue] = {}
         self.grants: dict[GrantKey, Grant] = {}
         self.returns_at: dict[str, float] = {}
         self.batch_held_until: dict[str, float] = {}
+
+    def list_waiting(self) -> list[GrantKey]:
+        """Return the keys of all that wait."""
+        return [*self.waiting, *(key for queue in self.items.values() for key in queue)]
+
+    def remove_waiting(self, key: GrantKey) -> None:
+        """Take a request or item out of its queue."""
+        self.waiting.pop(key, None)
+        for queue in self.items.values():
+            queue.remove(key)
