Give a silent target nothing more until it speaks, and leave it where a stream may go on

Change: no first byte after 0.4 s is reported; such a target gets one try a second until it answers. A resumable stream goes on elsewhere after 0.9 s without an event. Ruled out: ending other streams sooner (silence proves nothing about them).

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -36,6 +36,7 @@
         links.handle(messages.AskSlot, self._take_ask)
         links.handle(messages.EndSlot, self._take_end)
         links.handle(messages.ReportLoad, self._take_load)
+        links.handle(messages.ReportSilence, self._take_silence)
         links.handle_close(self._forget)
 
     def start(self) -> None:
@@ -83,6 +84,10 @@
         key = (link.name, message.number)
         self._carry_out(dispatching.note_load(self.table, key, message.reported, now))
 
+    def _take_silence(self, link: Link, message: messages.ReportSilence) -> None:
+        key = (link.name, message.number)
+        dispatching.note_silence(self.table, key, self._clock.monotonic())
+
     def _carry_out(self, actions: list[dispatching.Action]) -> None:
         for action in actions:
             name, number = action.key
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
+import gevent
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
@@ -33,6 +34,7 @@
     TargetTimeoutError,
 )
 
+RESUME_STALL_S: Final = 0.9  # callers give a stream up after a gap of 2 s
 UNREACHED_MAX: Final = 4  # targets tried without a byte written before the caller is told
 REFUSED_RETRY_S: Final = 0.3  # Retry-After behind a target that refused as full
 SERVER_ERROR: Final = 500
@@ -180,6 +182,7 @@
             call.excluded.add(slot.target_id)
             return RunOutcome.CANCELLED
         call.target_id = slot.target_id
+        silence = gevent.spawn_later(estimates.SILENT_S, self._slots.report_silence, slot)
         try:
             exchange = self._send(call, target)
         except TargetNotReachedError as err:
@@ -189,6 +192,8 @@
             return RunOutcome.CANCELLED if call.gone else RunOutcome.UNREACHED
         except TargetLostError as err:
             return self._note_lost(call, err)
+        finally:
+            silence.kill(block=False)
         call.target_load = self._wire.read_load(exchange.headers)
         call.first_byte_at = self._clock.monotonic()
         self._slots.report_load(slot, call.target_load)
@@ -212,7 +217,7 @@
             path=request.path,
             headers=tuple(headers),
             body=request.body,
-            deadline=call.deadline,
+            deadline=self._limit_silence(call),
             host=request.headers.get("host", ""),
             abort=call.abort,
         )
@@ -223,6 +228,12 @@
             call.sends -= 1
             raise
 
+    def _limit_silence(self, call: _Call) -> float:
+        """Return until when a target may say nothing: less where another may go on."""
+        if not (call.route.resumable and call.sends < call.route.attempts_max):
+            return call.deadline
+        return min(call.deadline, self._clock.monotonic() + RESUME_STALL_S)
+
     def _take_answer(self, connection: CallerConnection, call: _Call, sent: _Sent) -> RunOutcome:
         exchange = sent.exchange
         wire = self._wire
@@ -292,6 +303,7 @@
         """Pass whole events on. Headers wait for the first: another target may still answer."""
         cutter = EventCutter()
         while data := exchange.read():
+            exchange.limit_reads(self._limit_silence(call))
             events = cutter.feed(data)
             if events:
                 self._start_answer(connection, call, exchange)
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -162,8 +162,10 @@
         if target is None or run.cancelled:
             return RunOutcome.CANCELLED
         events_before = run.last_event_id
+        silence = gevent.spawn_later(estimates.SILENT_S, self._slots.report_silence, slot)
         try:
             exchange = self._send(run, target)
+            silence.kill(block=False)
             self._slots.report_load(slot, self._wire.read_load(exchange.headers))
             return self._take_answer(run, route, exchange)
         except TargetNotReachedError as err:
@@ -176,6 +178,8 @@
             if run.last_event_id == events_before:
                 run.crashes += 1
             return RunOutcome.BROKEN
+        finally:
+            silence.kill(block=False)
 
     def _send(self, run: ItemRun, target: Target) -> HttpExchange:
         now = self._clock.monotonic()
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -87,6 +87,12 @@
     reported: int
 
 
+class ReportSilence(msgspec.Struct, array_like=True, tag=15, frozen=True):
+    """The target in this slot has not begun to answer for long."""
+
+    number: int
+
+
 class StoreCall(msgspec.Struct, array_like=True, tag=8, frozen=True):
     """A call to the store that the receiver should make. ``change`` is an encoded Change."""
 
@@ -158,6 +164,7 @@
     | YieldSlot
     | SlotQueued
     | ReportLoad
+    | ReportSilence
     | StoreCall
     | StoreReply
     | FeedRows
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -159,6 +159,13 @@
         dispatching.note_load(self._table, key, reported, self._clock.monotonic())
         self._send(messages.ReportLoad(slot.number, reported))
 
+    def report_silence(self, slot: Slot) -> None:
+        """Tell that a target has not begun to answer for long."""
+        logger.bind(target=slot.target_id, number=slot.number).info("target_silent")
+        key = (self._name, slot.number)
+        dispatching.note_silence(self._table, key, self._clock.monotonic())
+        self._send(messages.ReportSilence(slot.number))
+
     def watch_yield(self, slot: Slot, on_yield: Callable[[], None]) -> None:
         """Call ``on_yield`` when the dispatcher wants the slot back."""
         if slot.number in self._early_yields:
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -21,6 +21,7 @@
 )
 
 PREFIXES_MAX: Final = 512  # prefixes remembered a target; an engine keeps a few hundred
+SILENCE_S: Final = 1.0  # a silent target is tried again with one request after this time
 HIDDEN_S: Final = 0.5  # a report of load is renewed by each answer of the target
 FULL_S: Final = 0.15  # a target that refused as full is asked again after a slot's usual turnover
 AVOID_MIN_S: Final = 0.5  # pause after the first failure in a row, doubled with each
@@ -217,11 +218,25 @@
     target = table.targets.get(grant.target_id) if grant is not None else None
     if target is None:
         return []
+    if target.failures == 0:
+        target.avoid_until = min(target.avoid_until, now)
     target.hidden = max(0, reported - target.taken)
     target.hidden_until = now + HIDDEN_S
     return trim_overload(target, now)
 
 
+def note_silence(table: DispatchTable, key: GrantKey, now: float) -> None:
+    """Take in that a target has not begun to answer for long.
+
+    Load pattern: a target that went dark takes requests and answers none; those sent to it end
+    only with their callers' patience. It gets nothing more until it speaks.
+    """
+    grant = table.grants.get(key)
+    target = table.targets.get(grant.target_id) if grant is not None else None
+    if target is not None:
+        target.avoid_until = max(target.avoid_until, now + SILENCE_S)
+
+
 def trim_overload(target: TargetLoad, now: float) -> list[Action]:
     """Ask batch items to yield where more runs than the target has slots."""
     surplus = target.count_firm() - target.slots
--- a/clementinepin/systems/estimates.py
+++ b/clementinepin/systems/estimates.py
@@ -6,6 +6,7 @@
 
 STEP_S: Final = 0.0039  # a token on a full engine: 3.55 ms and 0.046 ms for each of 8 requests
 FIRST_EVENT_S: Final = 0.06  # sending, prefill and the first step, from calm days
+SILENT_S: Final = 0.4  # ten times the usual time to the first event
 PATIENCE_MIN_S: Final = 2.0  # callers give up a stream without an event after the longest of
 PATIENCE_OBJECTIVES: Final = 4.0  # this time, so many objectives,
 PATIENCE_GAPS: Final = 8.0  # and so many gaps
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -120,6 +120,11 @@
         if self._connection is not None:
             self._connection.watch_stalls(deadline)
 
+    def limit_reads(self, deadline: float) -> None:
+        """Move the deadline of the answer."""
+        if self._connection is not None:
+            self._connection.limit_reads(deadline)
+
     def drain(self) -> None:
         """Read to the clean end for a moment, so that the connection can serve again.
 
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -43,6 +43,7 @@
         self.target_ids: list[str] = []
         self.outcomes: list[RunOutcome] = []
         self.refusal: OverloadedError | None = None
+        self.silent: list[str] = []
 
     def acquire(self, request: SlotRequest, on_waiting: Any) -> Slot:
         if self.refusal is not None:
@@ -58,6 +59,9 @@
     def report_load(self, slot: Slot, load: Any) -> None:
         return
 
+    def report_silence(self, slot: Slot) -> None:
+        self.silent.append(slot.target_id)
+
 
 class Harness:
     def __init__(self) -> None:
@@ -278,6 +282,28 @@
     assert get_status(call(harness.port, ID)) == 504
 
 
+def test_a_silent_target_is_reported_before_its_request_ends(harness: Harness) -> None:
+    harness.set_route(resumable=False, timeout_s=0.8)
+    harness.add_target(ScriptedTarget(lambda sock, request: gevent.sleep(5)))
+    call(harness.port, ID)
+    assert harness.slots.silent == ["t0"]
+
+
+def test_a_resumable_stream_leaves_a_target_that_falls_silent(harness: Harness) -> None:
+    harness.set_route(resumable=True)
+
+    def fall_silent(sock: Any, request: bytes) -> bool:
+        sock.sendall(HEAD % b"s1" + EVENTS + make_chunk(make_event(1)))
+        gevent.sleep(5)
+        return False
+
+    harness.add_target(ScriptedTarget(fall_silent))
+    second = harness.add_target(ScriptedTarget(send_events(2, 3)))
+    answer = call(harness.port, ID)
+    assert b"Last-Event-Id: 1" in second.requests[0]
+    assert answer.endswith(b"0\r\n\r\n")
+
+
 def test_a_caller_that_leaves_ends_the_run(harness: Harness) -> None:
     harness.set_route(resumable=False)
     ended = gevent.event.Event()
@@ -339,6 +365,6 @@
 
 
 def test_the_type_of_the_broker_matches_the_fake() -> None:
-    for name in ("acquire", "release", "report_load", "dispatcher_name"):
+    for name in ("acquire", "release", "report_load", "report_silence", "dispatcher_name"):
         assert hasattr(SlotBroker, name)
         assert hasattr(FakeSlots, name)
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -224,6 +224,17 @@
     assert dispatching.choose_target(table.targets.values(), make_ask(1), HIDDEN_S) is not None
 
 
+def test_a_target_that_stays_silent_gets_nothing_more_until_it_speaks(rng):
+    table = make_table(targets=2, slots=4)
+    fill(table, 2, rng)
+    key = next(iter(table.targets["t0"].grants))
+    dispatching.note_silence(table, key, 0.4)
+    actions = [dispatching.submit(table, make_ask(n, 0.4), 0.4, rng)[0] for n in range(3)]
+    assert {action.target_id for action in actions} == {"t1"}
+    dispatching.note_load(table, key, 1, 0.5)
+    assert dispatching.submit(table, make_ask(9, 0.5), 0.5, rng) == [Granted(("f", 9), "t0")]
+
+
 def test_items_beyond_the_slots_are_asked_to_yield(rng):
     table = make_table(targets=1, slots=2)
     for n in range(4):
