Wait for the others before taking jobs over at a start, and prefer kept connections

Change: two seconds' grace at a start; 200 items at once. Among about equally loaded targets one with a kept connection goes first.

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -67,7 +67,7 @@
         self.fleet = FleetView(settings, store, wire, clock)
         relayed.list_helpers = self.fleet.list_job_runners
         pools = TargetPools(self.fleet, clock)
-        self.slots = SlotBroker(settings.name, settings.data_centre, self.fleet, clock, rng)
+        self.slots = SlotBroker(settings.name, settings.data_centre, self.fleet, pools, clock, rng)
         self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
         self._jobs = JobDesk(store, self.fleet, links, wire, clock)
         self._link_server: LinkServer | None = None
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -156,6 +156,7 @@
         excluded=frozenset(message.excluded),
         returned=message.returned,
         is_firm=message.is_firm,
+        warm=frozenset(message.warm),
     )
 
 
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -46,6 +46,7 @@
     excluded: list[str]
     returned: bool
     is_firm: bool
+    warm: list[str] = []
 
 
 class EndSlot(msgspec.Struct, array_like=True, tag=2, frozen=True):
--- a/clementinepin/serving/_pools.py
+++ b/clementinepin/serving/_pools.py
@@ -29,6 +29,10 @@
         self._transports[target.target_id] = target, transport
         return transport
 
+    def list_warm(self) -> list[str]:
+        """Return targets to which an idle connection is kept."""
+        return [name for name, (_, transport) in self._transports.items() if transport.idle]
+
     def _drop_gone(self) -> None:
         for target_id in set(self._transports) - set(self._fleet.targets.rows):
             self._transports.pop(target_id)[1].close()
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -27,10 +27,11 @@
 GROUP_S: Final = 0.3  # results of a job that end this close together share a write
 RESULTS_PER_WRITE: Final = 28  # the store takes 32 entries a write
 TEXT_BYTES_PER_WRITE: Final = 2_000_000  # keeps a write short on a slow link
-ITEMS_AT_ONCE: Final = 160  # runs and asks an instance; a few instances must fill all slots
+ITEMS_AT_ONCE: Final = 200  # runs and asks an instance; a few instances must fill all slots
 LOOK_PERIOD_S: Final = 0.5  # how soon jobs of a lost owner are taken over
 STORE_RETRY_S: Final = 0.3
 TAKE_OVER_S: Final = 1.0  # a killed process is back within this time and goes on itself
+START_GRACE_S: Final = 2.0  # instances that start together have registered by then
 REMOVE_MARGIN_S: Final = 10.0
 
 
@@ -102,6 +103,7 @@
         self._room = BoundedSemaphore(ITEMS_AT_ONCE)
         self._greenlets: list[gevent.Greenlet] = []
         self._look = Event()
+        self._settled_at = 0.0
         self.leaving = False
         prefix = wire.own_prefix
         self._followers = [
@@ -114,6 +116,7 @@
 
     def start(self) -> None:
         """Follow announcements and take jobs over."""
+        self._settled_at = self._clock.monotonic() + START_GRACE_S
         self._greenlets = [gevent.spawn(f.run) for f in self._followers]
         self._greenlets.append(gevent.spawn(self._run_looks))
 
@@ -172,6 +175,8 @@
             if job_id in self._ended:
                 self._remove_if_old(job_id, head)
                 continue
+            if head.owner not in alive and self._clock.monotonic() < self._settled_at:
+                continue
             chosen = head.owner if head.owner in alive else choose_owner(job_id, alive)
             if chosen == self._settings.name:
                 job = _Job(head, records.JobKeys(self._wire.own_prefix, job_id))
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -18,6 +18,7 @@
 from clementinepin.serving._dispatcher import update_targets
 from clementinepin.serving._feed import FeedClient
 from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._pools import TargetPools
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
 from clementinepin.serving.models import Member
 from clementinepin.systems import dispatching
@@ -69,8 +70,15 @@
     """Hands out slots to the requests of this instance."""
 
     def __init__(
-        self, name: str, data_centre: str, fleet: FleetView, clock: Clock, rng: random.Random
+        self,
+        name: str,
+        data_centre: str,
+        fleet: FleetView,
+        pools: TargetPools,
+        clock: Clock,
+        rng: random.Random,
     ) -> None:
+        self._pools = pools
         self._feed = FeedClient(name, fleet.fed_followers)
         self._unreached: dict[str, float] = {}
         self._name = name
@@ -244,6 +252,7 @@
             excluded=list(request.excluded),
             returned=request.returned,
             is_firm=request.is_firm,
+            warm=self._pools.list_warm(),
         )
 
     def _update_targets(self) -> None:
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -22,6 +22,7 @@
 
 PREFIXES_MAX: Final = 512  # prefixes remembered a target; an engine keeps a few hundred
 SILENCE_S: Final = 1.0  # a silent target is tried again with one request after this time
+LOAD_STEPS: Final = 3  # a step of an engine grows by a hundredth with each request that runs
 HIDDEN_S: Final = 0.5  # a report of load is renewed by each answer of the target
 FULL_S: Final = 0.15  # a target that refused as full is asked again after a slot's usual turnover
 AVOID_MIN_S: Final = 0.5  # pause after the first failure in a row, doubled with each
@@ -166,20 +167,24 @@
 def choose_target(targets: Iterable[TargetLoad], ask: Ask, now: float) -> TargetLoad | None:
     """Return the target with a free slot that should run the request, or None.
 
-    Load pattern: even spread over engines whose steps grow with what runs. Among equally loaded
-    ones the one that has read the request's prefix goes first, then one in its data centre.
+    Load pattern: even spread over engines whose steps grow with what runs. Among about equally
+    loaded ones goes first one to which a connection is kept, then one that has read the
+    request's prefix, then one in its data centre.
     """
     best: TargetLoad | None = None
-    best_score: tuple[float, float, int] | None = None
+    best_score: tuple[int, bool, int, float, bool] | None = None
     for target in targets:
         if target.service != ask.service or target.target_id in ask.excluded:
             continue
         if now < target.full_until or now < target.avoid_until or target.count_free(now) <= 0:
             continue
+        load = 1.0 - target.count_free(now) / target.slots
         score = (
-            1.0 - target.count_free(now) / target.slots,
+            int(load * LOAD_STEPS),
+            target.target_id not in ask.warm,
             -_count_known_prefixes(target, ask.prefix_ids),
-            int(target.data_centre != ask.data_centre),
+            load,
+            target.data_centre != ask.data_centre,
         )
         if best_score is None or score < best_score:
             best, best_score = target, score
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -17,6 +17,7 @@
     start at which the first event meets its objective; ``deadline`` the latest useful start.
     ``run_s`` is the expected time in the slot. ``returned`` marks a caller who was refused
     before. ``is_firm`` marks a batch item that would be overdue if it yielded its slot.
+    ``warm`` names targets to which the asking instance keeps a connection.
     """
 
     key: GrantKey
@@ -31,6 +32,7 @@
     excluded: frozenset[str] = frozenset()
     returned: bool = False
     is_firm: bool = False
+    warm: frozenset[str] = frozenset()
 
 
 class Grant:
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -11,7 +11,7 @@
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._item_run import ItemRun
 from clementinepin.serving._links import LinkServer
-from clementinepin.serving._runner import JobRunner
+from clementinepin.serving._runner import START_GRACE_S, JobRunner
 from clementinepin.serving.models import ItemResult, ItemState, Member
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS, make_head, make_items
@@ -52,7 +52,9 @@
     *names: str,
     clock: ManualClock | None = None,
     name: str = "store-1",
+    settled: bool = True,
 ) -> JobRunner:
+    clock = clock or ManualClock()
     fleet = FakeFleet(*(names or ("store-1",)))
     runner = JobRunner(
         SETTINGS._replace(name=name),
@@ -60,10 +62,12 @@
         fleet,  # type: ignore[arg-type]
         items,  # type: ignore[arg-type]
         create_wire(),
-        clock or ManualClock(),
+        clock,
         LinkServer(("127.0.0.1", 0)),
     )
     runner.start()
+    if settled:
+        clock.advance(START_GRACE_S)
     return runner
 
 
@@ -132,6 +136,20 @@
     assert items.ran == []
 
 
+def test_the_first_of_many_that_restart_leaves_the_others_their_jobs() -> None:
+    """Day fresh-4f60 of lakaz-serve-grown: the first of twelve took all 74 jobs."""
+    store = MemoryStore()
+    submit(store, 2, owner="store-2")
+    items = FakeItems()
+    clock = ManualClock()
+    start_runner(store, items, "store-1", clock=clock, settled=False)
+    gevent.sleep(0.05)
+    assert items.ran == []
+    clock.advance(START_GRACE_S)
+    gevent.sleep(0.05)
+    assert sorted(items.ran) == ["i0", "i1"]
+
+
 def test_a_job_of_a_lost_owner_is_taken_over_and_recorded() -> None:
     store = MemoryStore()
     keys = submit(store, 2, owner="store-2")
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -52,6 +52,11 @@
             listener()
 
 
+class FakePools:
+    def list_warm(self) -> list[str]:
+        return []
+
+
 def find_port() -> int:
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
@@ -76,7 +81,7 @@
     links = LinkServer(("127.0.0.1", port))
     dispatcher = Dispatcher(links, fleet, clock, random.Random(1))  # type: ignore[arg-type]
     links.start()
-    broker = SlotBroker("f1", "a", fleet, clock, random.Random(1))  # type: ignore[arg-type]
+    broker = SlotBroker("f1", "a", fleet, FakePools(), clock, random.Random(1))  # type: ignore[arg-type]
     dispatcher.start()
     broker.start()
     fleet.announce()
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -69,6 +69,21 @@
     assert dispatching.submit(make_table(), ask, 0.0, rng) == [Granted(ask.key, "t1")]
 
 
+def test_a_kept_connection_goes_before_a_known_prefix(rng):
+    table = make_table(targets=3)
+    table.targets["t2"].prefixes["p1"] = None
+    ask = make_ask(1, prefix_ids=("p1", "own"), warm=frozenset({"t1"}))
+    assert dispatching.submit(table, ask, 0.0, rng) == [Granted(ask.key, "t1")]
+
+
+def test_a_kept_connection_draws_nobody_to_a_busy_target(rng):
+    table = make_table(targets=2, slots=4)
+    for n in range(3):
+        dispatching.adopt_grant(table, make_ask(n), "t1", 0.0)
+    ask = make_ask(9, warm=frozenset({"t1"}))
+    assert dispatching.submit(table, ask, 0.0, rng) == [Granted(ask.key, "t0")]
+
+
 def test_no_target_gets_more_than_its_slots(rng):
     table = make_table()
     fill(table, 4, rng)
