--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -197,6 +197,7 @@
         self._address = address
         self._clock = clock
         self._idle: list[Connection] = []
+        self.idle_max_s = IDLE_MAX_S
 
     def connect(self, deadline: float) -> Connection:
         """Open a connection; raises TargetNotReachedError."""
@@ -231,6 +232,7 @@
             connection.close()
             return
         connection.rest()
+        connection.idle_max_s = self.idle_max_s
         self._idle.append(connection)
         self._close_old()
 
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -157,7 +157,7 @@
             self.close()
             return
         self._connection = None
-        connection.idle_max_s = _read_idle_limit(self.headers, connection.idle_max_s)
+        self._pool.idle_max_s = _read_idle_limit(self.headers, self._pool.idle_max_s)
         self._pool.release(connection)
 
     def _feed(self) -> int:
