--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -97,7 +97,7 @@
             if isinstance(action, dispatching.Granted):
                 link.send(messages.GrantSlot(number, action.target_id))
             elif isinstance(action, dispatching.TurnedAway):
-                link.send(messages.RefuseSlot(number, action.retry_after_s, action.reason))
+                link.send(messages.RefuseSlot(number, *action[1:]))
             else:
                 link.send(messages.YieldSlot(number))
 
--- a/clementinepin/serving/_feed.py
+++ b/clementinepin/serving/_feed.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 import gevent
+from loguru import logger
 
 from clementinepin.infrastructure import KeyValue
 from clementinepin.serving import _messages as messages
@@ -73,6 +74,7 @@
     def close(self) -> None:
         """The source is lost: its successor has a moment before the store is watched."""
         if self._complete:
+            logger.bind(source=self._source).info("feed_lost")
             for follower in self._followers.values():
                 follower.limit_trust(HAND_OVER_S)
         self._complete.clear()
@@ -86,6 +88,8 @@
             if message.version >= 0:
                 self._followers[message.name].take_rows(rows, message.version)
                 self._complete.add(message.name)
+                facts = logger.bind(source=self._source, range=message.name)
+                facts.bind(version=message.version, rows=len(rows)).info("feed_followed")
         elif isinstance(message, messages.FeedChange):
             follower = self._followers[message.name]
             follower.take_change(message.key, message.value, message.version)
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -147,9 +147,8 @@
         try:
             return self._slots.acquire(request, remember)
         except OverloadedError as err:
-            self._log(call).bind(reason=str(err), retry_after_s=round(err.retry_after_s, 3)).info(
-                "request_turned_away"
-            )
+            facts = self._log(call).bind(reason=str(err), **err.inputs)
+            facts.bind(retry_after_s=round(err.retry_after_s, 3)).info("request_turned_away")
             if call.answer_started or call.maybe_run:
                 raise AnswerLostError("no target is left to go on with") from err
             raise
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -69,6 +69,10 @@
     number: int
     retry_after_s: float
     reason: str
+    taken: int = 0
+    slots: int = 0
+    waiting: int = 0
+    start_in_s: float = 0.0
 
 
 class YieldSlot(msgspec.Struct, array_like=True, tag=5, frozen=True):
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -142,7 +142,13 @@
             self._note_taken(number, request, answer.target_id)
             return Slot(number, answer.target_id, alone=False)
         if isinstance(answer, messages.RefuseSlot):
-            raise OverloadedError(answer.reason, answer.retry_after_s)
+            inputs = {
+                "taken": answer.taken,
+                "slots": answer.slots,
+                "waiting": answer.waiting,
+                "start_in_s": answer.start_in_s,
+            }
+            raise OverloadedError(answer.reason, answer.retry_after_s, inputs)
         self._send(messages.EndSlot(number, RunOutcome.CANCELLED))
         if isinstance(answer, CallerGoneError):
             raise answer
--- a/clementinepin/serving/exceptions.py
+++ b/clementinepin/serving/exceptions.py
@@ -32,13 +32,19 @@
 
 
 class OverloadedError(NotRunError):
-    """No target will have room in time. ``retry_after_s`` says when it is worth asking again."""
+    """No target will have room in time.
+
+    ``retry_after_s`` says when it is worth asking again, ``inputs`` what decided it.
+    """
 
     code = "overloaded"
 
-    def __init__(self, message: str, retry_after_s: float) -> None:
+    def __init__(
+        self, message: str, retry_after_s: float, inputs: dict[str, float] | None = None
+    ) -> None:
         super().__init__(message)
         self.retry_after_s = retry_after_s
+        self.inputs = inputs or {}
 
 
 class TokensExhaustedError(OverloadedError):
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -58,11 +58,19 @@
 
 
 class TurnedAway(NamedTuple):
-    """The request should return after ``retry_after_s``; it was not sent anywhere."""
+    """The request should return after ``retry_after_s``; it was not sent anywhere.
+
+    The other fields are what decided it: slots of the service taken and in all, requests that
+    wait, and the seconds until the first slot that it could have had.
+    """
 
     key: GrantKey
     retry_after_s: float
     reason: str
+    taken: int = 0
+    slots: int = 0
+    waiting: int = 0
+    start_in_s: float = 0.0
 
 
 class YieldAsked(NamedTuple):
@@ -393,12 +401,16 @@
         return None
     if not any(t.service == ask.service for t in table.targets.values()):
         return TurnedAway(ask.key, RETURN_MIN_S * 5, "no target")
-    pace_s = ask.run_s / max(1, describe_load(table, ask.service)[1])
+    taken, slots, waiting = describe_load(table, ask.service)
+    pace_s = ask.run_s / max(1, slots)
     booked = max(start, table.returns_at.get(ask.service, 0.0) + pace_s, now + RETURN_MIN_S)
     booked = min(booked, now + RETURN_MAX_S)
     table.returns_at[ask.service] = booked
     wait_s = min(RETURN_MAX_S, booked - now + rng.uniform(0.0, pace_s))
-    return TurnedAway(ask.key, wait_s, "no slot in time")
+    start_in_s = min(start - now, ask.deadline - now)
+    return TurnedAway(
+        ask.key, wait_s, "no slot in time", taken, slots, waiting, round(start_in_s, 3)
+    )
 
 
 def _rank(ask: Ask, now: float) -> tuple[int, float]:
