--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: the real daemons as processes between stand-ins, faults from outside."""
--- /dev/null
+++ b/soak/_worker.py
@@ -0,0 +1,165 @@
+"""Stand-in of a model engine as the users' platform publishes it, and a record of what it ran."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+from typing import Any, NamedTuple
+
+import gevent
+import msgspec
+from gevent.server import StreamServer
+
+STEP_S = 0.012
+QUEUE_MAX = 8
+READ_SIZE_BYTES = 65_536
+
+
+class Run(NamedTuple):
+    """One run of a request; ``first_event`` is where it began."""
+
+    request_id: str
+    worker: str
+    started_at: float
+    first_event: int
+
+
+class Ledger:
+    """All runs at all workers, in order."""
+
+    def __init__(self) -> None:
+        self.runs: list[Run] = []
+
+    def count(self, request_id: str) -> int:
+        """Return how often a request ran."""
+        return sum(1 for run in self.runs if run.request_id == request_id)
+
+
+def make_text(request_id: str, number: int) -> str:
+    """Return the data of an event: equal for equal requests at any worker."""
+    return hashlib.sha256(f"{request_id}/{number}".encode()).hexdigest()[:16]
+
+
+class Worker:
+    """One engine with a registration in the store."""
+
+    def __init__(self, name: str, service: str, slots: int, ledger: Ledger, clock: Any) -> None:
+        self.name = name
+        self.service = service
+        self.slots = slots
+        self._ledger = ledger
+        self._clock = clock
+        self._running = 0
+        self._queued = 0
+        self._sockets: set[Any] = set()
+        self._signatures = itertools.count(1)
+        self.lose_answers = 0
+        self.cut_events = 0
+        self.draining = False
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.port: int = self._server.server_port
+
+    def describe(self, port: int) -> bytes:
+        """Return the entry in the store, reached at a port."""
+        entry = {
+            "service": self.service,
+            "address": f"127.0.0.1:{port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": self.slots,
+            "state": "draining" if self.draining else "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+        }
+        return msgspec.json.encode(entry)
+
+    def crash(self) -> None:
+        """Break all connections and forget all runs."""
+        for sock in list(self._sockets):
+            sock.close()
+
+    def stop(self) -> None:
+        """End for good."""
+        self._server.stop(timeout=0)
+        self.crash()
+
+    def _serve(self, sock: Any, _peer: Any) -> None:
+        self._sockets.add(sock)
+        try:
+            while (request := _read_request(sock)) is not None:
+                if not self._answer(sock, *request):
+                    return
+        except OSError:
+            return
+        finally:
+            self._sockets.discard(sock)
+            sock.close()
+
+    def _answer(self, sock: Any, headers: dict[str, str], _body: bytes) -> bool:
+        request_id = headers.get("clementinepin-request-id", "")
+        if headers.get("clementinepin-expect-instance") != self.name:
+            sock.sendall(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
+            return True
+        if self._queued >= QUEUE_MAX:
+            refusal = b"HTTP/1.1 503 Full\r\nClementinepin-Not-Executed: 1\r\n"
+            sock.sendall(refusal + b"Content-Length: 0\r\n\r\n")
+            return True
+        self._queued += 1
+        while self._running >= self.slots:
+            gevent.sleep(STEP_S)
+        self._queued -= 1
+        self._running += 1
+        try:
+            return self._run(sock, request_id, headers)
+        finally:
+            self._running -= 1
+
+    def _run(self, sock: Any, request_id: str, headers: dict[str, str]) -> bool:
+        events = int(headers.get("clementinepin-token-count", "0,20").partition(",")[2])
+        first = int(headers.get("last-event-id", "0")) + 1
+        self._ledger.runs.append(Run(request_id, self.name, self._clock(), first))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return False
+        gevent.sleep(STEP_S * 2)
+        load = f"{self._running},{self._queued},{self.slots}"
+        head = (
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+            f"Clementinepin-Request-Id: {request_id}\r\n"
+            f"Clementinepin-Server-Signature: {self.name}.{next(self._signatures)}\r\n"
+            f"Clementinepin-Server-Load: {load}\r\nKeep-Alive: timeout=10\r\n\r\n"
+        )
+        sock.sendall(head.encode())
+        for number in range(first, events + 1):
+            event = f"id: {number}\ndata: {make_text(request_id, number)}\n\n".encode()
+            if self.cut_events:
+                self.cut_events -= 1
+                sock.sendall(_make_chunk(event[: len(event) // 2]))
+                return False
+            sock.sendall(_make_chunk(event))
+            gevent.sleep(STEP_S)
+        sock.sendall(b"0\r\n\r\n")
+        return True
+
+
+def _make_chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def _read_request(sock: Any) -> tuple[dict[str, str], bytes] | None:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = sock.recv(READ_SIZE_BYTES)
+        if not piece:
+            return None
+        data += piece
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")[1:]
+    headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
+    while len(body) < int(headers.get("content-length", "0")):
+        piece = sock.recv(READ_SIZE_BYTES)
+        if not piece:
+            return None
+        body += piece
+    return headers, body
