Refuse a request that crashed three targets, and rank routes by their priority

A request that crashes each target that runs it comes again under other ids at any instance. The dispatcher counts broken answers by a fingerprint of path and body, for a minute or until one is served. Routes of several priorities wait in their order. Run times of requests without token counts are learnt by route. Tests: test_dispatching.py.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -157,6 +157,8 @@
         returned=message.returned,
         is_firm=message.is_firm,
         warm=frozenset(message.warm),
+        priority=message.priority,
+        fingerprint=message.fingerprint,
     )
 
 
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -7,6 +7,7 @@
 from typing import Any, Final, NamedTuple
 
 import gevent
+import xxhash
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
@@ -35,6 +36,7 @@
 )
 
 RESUME_STALL_S: Final = 0.9  # callers give a stream up after a gap of 2 s
+RUN_TIME_WEIGHT: Final = 0.1  # of the newest run in the mean of a route, which follows in ten
 UNREACHED_MAX: Final = 4  # targets tried without a byte written before the caller is told
 REFUSED_RETRY_S: Final = 0.3  # Retry-After behind a target that refused as full
 SERVER_ERROR: Final = 500
@@ -96,6 +98,7 @@
         metrics: ServingMetrics,
     ) -> None:
         self._metrics = metrics
+        self._run_times: dict[str, float] = {}
         self._fleet = fleet
         self._slots = slots
         self._pools = pools
@@ -158,6 +161,8 @@
     def _make_slot_request(self, call: _Call) -> SlotRequest:
         facts, route = call.facts, call.route
         run_s = estimates.estimate_run(facts.output_tokens_max, facts.length_hint)
+        if not facts.output_tokens_max and not facts.length_hint:
+            run_s = self._run_times.get(route.name, run_s)
         service = choose_service(route, self._random)
         start_by = call.started_at + max(0.0, route.objective_s - estimates.FIRST_EVENT_S)
         useful_until = call.deadline
@@ -173,6 +178,8 @@
             prefix_ids=facts.prefix_ids,
             excluded=frozenset(call.excluded),
             returned=call.returned or call.answer_started,
+            priority=route.priority,
+            fingerprint=make_fingerprint(call.request),
         )
 
     def _use_slot(self, connection: CallerConnection, call: _Call, slot: Slot) -> RunOutcome:
@@ -362,6 +369,9 @@
 
     def _log_end(self, call: _Call, outcome: str) -> None:
         took_s = self._clock.monotonic() - call.started_at
+        if outcome == "served":
+            known_s = self._run_times.get(call.route.name, took_s)
+            self._run_times[call.route.name] = known_s + (took_s - known_s) * RUN_TIME_WEIGHT
         self._metrics.count_request(outcome, took_s, call.waited_s)
         self._log(call).bind(
             outcome=outcome,
@@ -375,6 +385,12 @@
         ).info("request_ended")
 
 
+def make_fingerprint(request: CallerRequest) -> str:
+    """Return what is equal for a request that comes again under another id."""
+    digest = xxhash.xxh3_64_hexdigest(request.body)
+    return f"{xxhash.xxh3_64_hexdigest(request.path.encode())}{digest}"
+
+
 def choose_service(route: Route, rng: random.Random) -> str:
     """Return one of the route's services by weight."""
     if len(route.shares) == 1:
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -47,6 +47,8 @@
     returned: bool
     is_firm: bool
     warm: list[str] = []
+    priority: int = 0
+    fingerprint: str = ""
 
 
 class EndSlot(msgspec.Struct, array_like=True, tag=2, frozen=True):
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -48,6 +48,8 @@
     excluded: frozenset[str] = frozenset()
     returned: bool = False
     is_firm: bool = False
+    priority: int = 0
+    fingerprint: str = ""
 
 
 class Slot(NamedTuple):
@@ -242,6 +244,7 @@
             prefix_ids=request.prefix_ids,
             data_centre=self._data_centre,
             excluded=request.excluded,
+            fingerprint=request.fingerprint,
         )
 
     def _make_ask(self, number: int, request: SlotRequest) -> messages.AskSlot:
@@ -259,6 +262,8 @@
             returned=request.returned,
             is_firm=request.is_firm,
             warm=self._pools.list_warm(),
+            priority=request.priority,
+            fingerprint=request.fingerprint,
         )
 
     def _update_targets(self) -> None:
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -37,6 +37,9 @@
 OVERRUN_SHARE: Final = 0.25  # of its expected time is still to come for a run that exceeded it
 YIELDS_AT_ONCE: Final = 3  # slots of one target that may be given again before they are free
 FIRM_SHARE: Final = 0.3  # of a service's slots may be held by items that don't yield
+CRASHES_MAX: Final = 3  # the users allow a request to reach three targets that it crashes
+CRASH_MEMORY_S: Final = 60.0  # callers give such a request up within some tries
+FINGERPRINTS_MAX: Final = 2_000  # broken answers of an hour of trouble; the oldest go first
 FAILURES_TO_AVOID: Final = 2  # one lost answer may be the request's own fault
 
 
@@ -88,6 +91,8 @@
     Load pattern: a burst of several times the lull. A request whose slot would come too late
     for its objective is told at once, while it can still return in time.
     """
+    if _has_crashed_targets(table, ask.fingerprint, now):
+        return [TurnedAway(ask.key, RETURN_MAX_S, "crashed targets")]
     actions = _try_start(table, ask, now)
     if actions:
         return actions
@@ -112,6 +117,27 @@
         return
     target.grants.pop(key, None)
     note_outcome(target, outcome, now)
+    _note_crash(table, grant.fingerprint, outcome, now)
+
+
+def _note_crash(table: DispatchTable, fingerprint: str, outcome: RunOutcome, now: float) -> None:
+    if not fingerprint:
+        return
+    if outcome is RunOutcome.SERVED:
+        table.crashes.pop(fingerprint, None)
+    elif outcome is RunOutcome.BROKEN:
+        table.crashes.setdefault(fingerprint, []).append(now)
+        while len(table.crashes) > FINGERPRINTS_MAX:
+            del table.crashes[next(iter(table.crashes))]
+
+
+def _has_crashed_targets(table: DispatchTable, fingerprint: str, now: float) -> bool:
+    """Tell whether a request has broken enough targets to be kept from all others.
+
+    Load pattern: a request that crashes each target that runs it, sent again by its caller.
+    """
+    recent = [at for at in table.crashes.get(fingerprint, ()) if now - at < CRASH_MEMORY_S]
+    return len(recent) >= CRASHES_MAX
 
 
 def note_outcome(target: TargetLoad, outcome: RunOutcome, now: float) -> None:
@@ -413,10 +439,10 @@
     )
 
 
-def _rank(ask: Ask, now: float) -> tuple[int, float]:
+def _rank(ask: Ask, now: float) -> tuple[int, int, float]:
     if now > ask.on_time_by:
-        return 2, ask.deadline
-    return (0 if ask.returned else 1), ask.on_time_by
+        return 2, ask.priority, ask.deadline
+    return (0 if ask.returned else 1), ask.priority, ask.on_time_by
 
 
 def _count_known_prefixes(target: TargetLoad, prefix_ids: tuple[str, ...]) -> int:
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -17,7 +17,8 @@
     start at which the first event meets its objective; ``deadline`` the latest useful start.
     ``run_s`` is the expected time in the slot. ``returned`` marks a caller who was refused
     before. ``is_firm`` marks a batch item that would be overdue if it yielded its slot.
-    ``warm`` names targets to which the asking instance keeps a connection.
+    ``warm`` names targets to which the asking instance keeps a connection; ``priority`` is the
+    rank of the route, 0 the most urgent; ``fingerprint`` is equal for a request that comes again.
     """
 
     key: GrantKey
@@ -33,6 +34,8 @@
     returned: bool = False
     is_firm: bool = False
     warm: frozenset[str] = frozenset()
+    priority: int = 0
+    fingerprint: str = ""
 
 
 class Grant:
@@ -40,6 +43,7 @@
 
     __slots__ = (
         "ends_at",
+        "fingerprint",
         "is_batch",
         "is_firm",
         "key",
@@ -53,6 +57,7 @@
         self.key = ask.key
         self.target_id = target_id
         self.is_batch = ask.is_batch
+        self.fingerprint = ask.fingerprint
         self.is_firm = ask.is_firm
         self.started_at = now
         self.run_s = ask.run_s
@@ -143,6 +148,7 @@
         self.grants: dict[GrantKey, Grant] = {}
         self.returns_at: dict[str, float] = {}
         self.batch_held_until: dict[str, float] = {}
+        self.crashes: dict[str, list[float]] = {}
 
     def list_waiting(self) -> list[GrantKey]:
         """Return the keys of all that wait."""
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -9,6 +9,8 @@
 from clementinepin.systems import dispatching
 from clementinepin.systems.dispatching import (
     BATCH_HOLD_S,
+    CRASH_MEMORY_S,
+    CRASHES_MAX,
     FULL_S,
     HIDDEN_S,
     JUDGE_AGAIN_S,
@@ -166,6 +168,47 @@
     assert order == [("f", 3), ("f", 2), ("s", 1)]
 
 
+def test_among_equally_late_requests_the_more_urgent_route_goes_first(rng):
+    table = make_table(targets=1, slots=1)
+    fill(table, 1, rng)
+    table.grants["f", 1000].ends_at = 0.1
+    for ask in (make_ask(1, priority=2), make_ask(2, priority=0)):
+        assert dispatching.submit(table, ask, 0.0, rng) == []
+    dispatching.finish(table, ("f", 1000), RunOutcome.SERVED, 0.02)
+    assert dispatching.serve_queue(table, 0.02, rng) == [Granted(("f", 2), "t0")]
+
+
+def test_a_request_that_crashes_targets_is_refused_after_three(rng):
+    """The same request comes again under other ids, at any instance."""
+    table = make_table(targets=6, slots=2)
+    for n in range(CRASHES_MAX):
+        ask = make_ask(n, fingerprint="p")
+        assert isinstance(dispatching.submit(table, ask, 0.0, rng)[0], Granted)
+        dispatching.finish(table, ask.key, RunOutcome.BROKEN, 0.0)
+    (action,) = dispatching.submit(table, make_ask(9, fingerprint="p"), 1.0, rng)
+    assert isinstance(action, TurnedAway)
+    assert isinstance(dispatching.submit(table, make_ask(10), 1.0, rng)[0], Granted)
+
+
+def test_a_crash_is_forgotten_in_time_or_by_a_success(rng):
+    table = make_table(targets=6, slots=4)
+    for n, outcome in enumerate(
+        [RunOutcome.BROKEN] * 2 + [RunOutcome.SERVED] + [RunOutcome.BROKEN]
+    ):
+        ask = make_ask(n, fingerprint="p")
+        dispatching.submit(table, ask, 0.0, rng)
+        dispatching.finish(table, ask.key, outcome, 0.0)
+    assert isinstance(dispatching.submit(table, make_ask(9, fingerprint="p"), 1.0, rng)[0], Granted)
+    table = make_table(targets=6, slots=4)
+    for n in range(CRASHES_MAX):
+        ask = make_ask(n, fingerprint="p")
+        dispatching.submit(table, ask, 0.0, rng)
+        dispatching.finish(table, ask.key, RunOutcome.BROKEN, 0.0)
+    later = CRASH_MEMORY_S + 1.0
+    ask = make_ask(9, later, fingerprint="p")
+    assert isinstance(dispatching.submit(table, ask, later, rng)[0], Granted)
+
+
 def test_a_burst_displaces_the_youngest_batch_item(rng):
     table = make_table(targets=1, slots=2)
     dispatching.submit(table, make_item(1), 0.0, rng)
