--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -355,13 +355,13 @@
     harness.add_target(ScriptedTarget(make_plain(b"first"), make_plain(b"second")))
     message = f"GET /x/1 HTTP/1.1\r\nHost: h.example\r\n{ID}\r\n\r\n".encode()
     with gevent.Timeout(5.0), socket.create_connection(("127.0.0.1", harness.port)) as sock:
-        sock.sendall(message)
-        data = b""
-        while not data.endswith(b"first"):
-            data += sock.recv(65_536)
-        sock.sendall(message)
-        while not data.endswith(b"second"):
-            data += sock.recv(65_536)
+        for end in (b"first", b"second"):
+            sock.sendall(message)
+            data = b""
+            while not data.endswith(end):
+                piece = sock.recv(65_536)
+                assert piece, "the connection was closed"
+                data += piece
 
 
 def test_the_type_of_the_broker_matches_the_fake() -> None:
