--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -187,9 +187,13 @@
 
 
 def _start_items(table: DispatchTable, queue: BatchQueue, now: float) -> list[Action]:
-    """Start items in the order in which they are due, as long as slots are free."""
+    """Start items as long as slots are free.
+
+    Load pattern: a backlog of more than can be in time. Overdue items wait behind those that
+    still can, or all would be late.
+    """
     actions: list[Action] = []
-    while (ask := queue.get_first()) is not None:
+    while (ask := queue.get_first(now)) is not None:
         started = _try_start(table, ask, now)
         if not started:
             break
@@ -369,7 +373,8 @@
 def _choose_victim(table: DispatchTable, ask: Ask, now: float) -> Grant | None:
     """Return the batch item that loses least by yielding to the request.
 
-    Load pattern: an online burst while batch fills the engines. The youngest item goes first.
+    Load pattern: an online burst while batch fills the engines. Overdue items go first, then
+    the youngest.
     """
     candidates = [
         grant
@@ -383,7 +388,7 @@
         for grant in target.grants.values()
         if grant.is_batch and not grant.yielding and not grant.is_firm
     ]
-    return max(candidates, key=lambda grant: grant.started_at, default=None)
+    return max(candidates, key=lambda grant: (grant.due_at < now, grant.started_at), default=None)
 
 
 def _take_slot(table: DispatchTable, target: TargetLoad, ask: Ask, now: float) -> None:
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -39,9 +39,13 @@
 
 
 class Grant:
-    """A taken slot. ``ends_at`` is an estimate; ``yielding`` says that it was asked to end."""
+    """A taken slot. ``ends_at`` is an estimate; ``yielding`` says that it was asked to end.
+
+    ``due_at`` is when the run should have ended at the latest.
+    """
 
     __slots__ = (
+        "due_at",
         "ends_at",
         "fingerprint",
         "is_batch",
@@ -62,6 +66,7 @@
         self.started_at = now
         self.run_s = ask.run_s
         self.ends_at = now + ask.run_s
+        self.due_at = ask.on_time_by + ask.run_s
         self.yielding = False
 
 
@@ -106,11 +111,15 @@
 
 
 class BatchQueue:
-    """Waiting items of one service, due ones first; a backlog may hold thousands."""
+    """Waiting items of one service; a backlog may hold thousands.
+
+    Those that can still be in time go first, by the latest start for that, then overdue ones.
+    """
 
     def __init__(self) -> None:
         self._asks: dict[GrantKey, Ask] = {}
         self._heap: list[tuple[float, GrantKey]] = []
+        self._overdue: list[tuple[float, GrantKey]] = []
 
     def __len__(self) -> int:
         return len(self._asks)
@@ -127,14 +136,20 @@
         """Take an item out of the queue, wherever it stands."""
         self._asks.pop(key, None)
 
-    def get_first(self) -> Ask | None:
-        """Return the item that is due first, or None."""
-        while self._heap:
-            due, key = self._heap[0]
+    def get_first(self, now: float) -> Ask | None:
+        """Return the item that should start next, or None."""
+        while self._heap and self._heap[0][0] < now:
+            heapq.heappush(self._overdue, heapq.heappop(self._heap))
+        return self._peek(self._heap) or self._peek(self._overdue)
+
+    def _peek(self, heap: list[tuple[float, GrantKey]]) -> Ask | None:
+        """Return the first item of a heap that still waits; others are dropped."""
+        while heap:
+            on_time_by, key = heap[0]
             ask = self._asks.get(key)
-            if ask is not None and ask.on_time_by == due:
+            if ask is not None and ask.on_time_by == on_time_by:
                 return ask
-            heapq.heappop(self._heap)
+            heapq.heappop(heap)
         return None
 
 
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -238,6 +238,29 @@
     assert dispatching.serve_queue(table, 1.0 + BATCH_HOLD_S, rng) == [Granted(("s", 3), "t0")]
 
 
+def test_items_that_can_still_be_in_time_go_before_overdue_ones(rng):
+    table = make_table(targets=1, slots=1)
+    fill(table, 1, rng)
+    for number, on_time_by in ((1, -5.0), (2, -1.0), (3, 9.0), (4, 6.0)):
+        dispatching.submit(table, make_item(number, on_time_by=on_time_by), 0.0, rng)
+    order = []
+    key = ("f", 1000)
+    for _ in range(4):
+        dispatching.finish(table, key, RunOutcome.SERVED, 0.0)
+        (action,) = dispatching.serve_queue(table, 0.0, rng)
+        key = action.key
+        order.append(key[1])
+    assert order == [4, 3, 1, 2]
+
+
+def test_an_overdue_item_yields_before_one_that_can_be_in_time(rng):
+    table = make_table(targets=1, slots=2)
+    dispatching.submit(table, make_item(1, on_time_by=-9.0), 0.0, rng)
+    dispatching.submit(table, make_item(2), 1.0, rng)
+    ask = make_ask(3, 2.0)
+    assert YieldAsked(("s", 1)) in dispatching.submit(table, ask, 2.0, rng)
+
+
 def test_items_due_soon_keep_few_slots_only(rng):
     table = make_table(targets=1, slots=10)
     for n in range(10):
--- a/tests/systems/test_load_patterns.py
+++ b/tests/systems/test_load_patterns.py
@@ -79,6 +79,21 @@
     assert sum(value > 0 for value in sims["dispatcher"].worth.values()) > 0.75 * len(works)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_backlog_beyond_what_can_be_in_time(seed: int) -> None:
+    """Twice the items that fit before their due time come at once, and as many four seconds on.
+
+    By due time alone, engines would finish the first wave late and then the second one too.
+    """
+    rng = random.Random(seed)
+    works = list(make_items(rng, 0.0, 200)) + list(make_items(rng, 4.0, 200, 200_000))
+    done = play(DispatchPolicy(ENGINES, SLOTS), works, seed).items_done
+    in_time = sum(1 for w in works if done.get(w.number, 99.0) <= w.arrives_at + DUE_S)
+    slots_time_s = ENGINES * SLOTS * (4.0 + DUE_S)
+    fitting = slots_time_s / (1270 * 0.0039)
+    assert in_time >= 0.85 * fitting
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_engines_never_hold_more_than_their_slots_for_long(seed: int) -> None:
     """Slots are given again only behind a yield, so a queue at an engine stays short."""
