Hold an item back only when the targets that lost it are gone

Change: lost runs raise suspicion; four seconds later the item goes on unless three of its targets are gone or started anew. Tests: test_item_run.py.

--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -30,7 +30,8 @@
 FIRST_ANSWER_S: Final = 4.0  # an item is sent to a free slot; a longer wait is a silent target
 RUN_MAX_S: Final = 30.0  # several times the longest item on an engine at its slowest
 PAUSE_S: Final = 0.2  # before the next ask after a failure
-CRASHES_MAX: Final = 3  # runs lost without an event before an item is held back
+CRASHES_MAX: Final = 3  # targets that an item may crash; runs lost in a row that raise suspicion
+HOLD_S: Final = 4.0  # entries of crashed targets end after three heartbeats, 3.6 s
 FIRM_FACTOR: Final = 1.5  # an item yields no more when this share of its run time is left
 STATUS_OK: Final = 200
 STATUS_NEVER: Final = 422
@@ -44,6 +45,8 @@
         self.head = head
         self.failures = failures
         self.crashes = 0
+        self.held_until = 0.0
+        self.lost_at: set[tuple[str, int]] = set()
         self.texts: list[str] = []
         self.last_event_id = 0
         self.state: ItemState | None = None
@@ -94,13 +97,30 @@
                 self._give_up(run, "its time ended")
                 return
             route = self._find_route(run)
-            if route is None or run.crashes >= CRASHES_MAX:
-                gevent.sleep(PAUSE_S * 5)
+            if route is None or not self._may_run(run):
+                gevent.sleep(HOLD_S)
                 continue
             outcome = self._run_once(run, route)
             if run.state is None and outcome is not RunOutcome.SERVED and not run.cancelled:
                 gevent.sleep(PAUSE_S if outcome is not RunOutcome.CANCELLED else 0.0)
 
+    def _may_run(self, run: ItemRun) -> bool:
+        """Hold an item back that crashes targets; a lost answer alone does not tell a crash.
+
+        Load pattern: grey targets that reset what they run, beside items that crash targets.
+        A target that crashed is gone, or has started anew, a few seconds later.
+        """
+        if run.crashes < CRASHES_MAX:
+            return True
+        if self._clock.monotonic() < run.held_until:
+            return False
+        rows = self._fleet.targets.rows
+        started = {(row.target_id, row.started_at_ms) for row in rows.values()}
+        if len(run.lost_at - started) >= CRASHES_MAX:
+            return False
+        run.crashes = 0
+        return True
+
     def _find_route(self, run: ItemRun) -> Route | None:
         desired = self._fleet.configuration.desired
         if desired is None:
@@ -177,6 +197,8 @@
             self._log_lost(run, target, err)
             if run.last_event_id == events_before:
                 run.crashes += 1
+                run.lost_at.add((target.target_id, target.started_at_ms))
+                run.held_until = self._clock.monotonic() + HOLD_S
             return RunOutcome.BROKEN
         finally:
             silence.kill(block=False)
--- /dev/null
+++ b/tests/serving/test_item_run.py
@@ -0,0 +1,157 @@
+"""One item against targets that refuse, cut, reset and crash."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+import pytest
+
+from clementinepin.helpers.clock import create_system_clock
+from clementinepin.platform import create_wire
+from clementinepin.serving import _item_run
+from clementinepin.serving._item_run import ItemRun, ItemRunner
+from clementinepin.serving._metrics import ServingMetrics
+from clementinepin.serving._pools import TargetPools
+from clementinepin.serving.models import CallerLimits, DesiredState, ItemState, RouteKind, Target
+from tests.serving.parts import make_head, make_items, make_route
+from tests.serving.scripted import ScriptedTarget, make_refusal
+from tests.serving.test_forward import FakeSlots, close_at_once, send_events
+
+FAILED = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+NEVER = b"HTTP/1.1 422 No\r\nContent-Length: 0\r\n\r\n"
+
+
+class Slots(FakeSlots):
+    def watch_yield(self, slot: Any, on_yield: Any) -> None:
+        self.on_yield = on_yield
+
+
+class View:
+    def __init__(self) -> None:
+        self.rows: dict[str, Target] = {}
+        self.desired = DesiredState(
+            1, (make_route(kind=RouteKind.JOB, attempts_max=2),), {}, CallerLimits()
+        )
+
+    def find_usable(self, target_id: str) -> Target | None:
+        return self.rows.get(target_id)
+
+
+class Fleet:
+    def __init__(self) -> None:
+        self.targets = self.configuration = View()
+
+    def subscribe(self, listener: Any) -> None:
+        return
+
+
+class World:
+    def __init__(self, *scripts: Any) -> None:
+        self.fleet = Fleet()
+        self.slots = Slots()
+        self.clock = create_system_clock()
+        self.target = ScriptedTarget(*scripts)
+        self.slots.target_ids.append("t0")
+        self.fleet.targets.rows["t0"] = Target(
+            "t0", "llm", "127.0.0.1", self.target.port, "a", 8, False
+        )
+        pools = TargetPools(self.fleet, self.clock)  # type: ignore[arg-type]
+        self.runner = ItemRunner(
+            self.fleet,  # type: ignore[arg-type]
+            self.slots,  # type: ignore[arg-type]
+            pools,
+            create_wire(),
+            self.clock,
+            ServingMetrics(),
+        )
+        self.run = ItemRun(make_items(1)[0], make_head(now_s=self.clock.wall()), 0)
+
+    def play(self, limit_s: float = 5.0) -> ItemRun:
+        with gevent.Timeout(limit_s):
+            self.runner.run(self.run)
+        return self.run
+
+
+@pytest.fixture(autouse=True)
+def _quick(monkeypatch):
+    monkeypatch.setattr(_item_run, "PAUSE_S", 0.001)
+    monkeypatch.setattr(_item_run, "HOLD_S", 0.01)
+
+
+def test_an_item_runs_to_its_end():
+    run = World(send_events(1, 2)).play()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
+
+
+def test_an_item_goes_on_behind_its_last_event():
+    world = World(send_events(1, 2, end=False, cut=b"id: 3\nda"), send_events(3))
+    assert world.play().text == "e1\ne2\ne3"
+    assert b"Last-Event-Id: 2" in world.target.requests[1]
+
+
+def test_an_event_out_of_order_is_not_taken():
+    world = World(send_events(1, 3), send_events(2))
+    assert world.play().text == "e1\ne2"
+
+
+def test_a_refusal_is_no_failure():
+    run = World(make_refusal(), send_events(1)).play()
+    assert (run.state, run.failures) == (ItemState.COMPLETED, 0)
+
+
+def test_an_item_is_dead_after_its_attempts_failed():
+    world = World(FAILED, FAILED, send_events(1))
+    assert world.play().state is ItemState.DEAD
+    assert len(world.target.requests) == 2
+
+
+def test_an_item_that_can_never_be_done_is_dead_at_once():
+    world = World(NEVER, send_events(1))
+    assert world.play().state is ItemState.DEAD
+    assert len(world.target.requests) == 1
+
+
+def test_answers_lost_by_targets_that_live_on_do_not_hold_an_item_back():
+    """Day grey-targets of kirkvoice-serve: three resets held an item until it was lost."""
+    world = World(close_at_once, close_at_once, close_at_once, close_at_once, send_events(1))
+    assert world.play().state is ItemState.COMPLETED
+
+
+def test_an_item_that_crashed_three_targets_reaches_no_more():
+    world = World()
+    rows = world.fleet.targets.rows
+    crashed = []
+
+    def crash(sock: Any, request: bytes) -> bool:
+        crashed.append(request)
+        old = rows["t0"]
+        rows["t0"] = old._replace(started_at_ms=old.started_at_ms + 1)
+        return False
+
+    world.target._scripts = [crash] * 9
+    playing = gevent.spawn(world.runner.run, world.run)
+    gevent.sleep(0.3)
+    assert len(crashed) == 3
+    world.run.cancel()
+    playing.join(5.0)
+
+
+def test_a_yielded_item_resumes():
+    world = World(lambda sock, request: send_events(1)(sock, request) or gevent.sleep(9))
+
+    def send_slowly(sock: Any, request: bytes) -> bool:
+        send_events(1, end=False)(sock, request)
+        gevent.sleep(0.02)
+        world.slots.on_yield()
+        gevent.sleep(0.05)
+        return False
+
+    world.target._scripts = [send_slowly, send_events(2)]
+    assert world.play().text == "e1\ne2"
+
+
+def test_an_item_whose_time_ended_is_dead():
+    world = World()
+    world.run.head = make_head(now_s=world.clock.wall() - 100.0)
+    assert world.play().state is ItemState.DEAD
