Read all pages in the soak, and give a stand-in's transaction one version

The stand-in gave each key of a transaction its own version, so owners met conflicts that the store never has.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -164,16 +164,24 @@
             ip = self.find_front()
             if ip is None:
                 return set(self.jobs)
-            answer = call(ip, 8161, "GET", f"/v1/lots/{job_id}?after=0", {})
-            if answer.status != 200 or not answer.whole:
-                open_jobs.add(job_id)
-                continue
-            results = msgspec.json.decode(answer.body)["results"]
+            results = self._read_pages(ip, job_id)
             self._check_results(job_id, items, results)
             if len(results) < len(items):
                 open_jobs.add(job_id)
         return open_jobs
 
+    def _read_pages(self, ip: str, job_id: str) -> list[dict[str, Any]]:
+        """Return all results that are listed, page by page from the start."""
+        results: list[dict[str, Any]] = []
+        while True:
+            answer = call(ip, 8161, "GET", f"/v1/lots/{job_id}?after={len(results)}", {})
+            if answer.status != 200 or not answer.whole:
+                return results
+            page = msgspec.json.decode(answer.body)["results"]
+            if not page:
+                return results
+            results.extend(page)
+
     def check_runs(self) -> None:
         """Compare what workers ran with what callers were told."""
         ledger = self._fleet.ledger
--- a/standins/key_value/_gateway.py
+++ b/standins/key_value/_gateway.py
@@ -166,12 +166,8 @@
         for put in puts:
             if put.get("lease") and not self.state.has_lease(put["lease"]):
                 return 404, {}
-        for put in puts:
-            value = base64.b64decode(put["value"])
-            self.state.put(put["key"], value, None, put.get("lease", 0))
-        for key in removals:
-            self.state.delete(key, None)
-        return 200, {"rev": self.state.revision}
+        rows = [(p["key"], base64.b64decode(p["value"]), p.get("lease", 0)) for p in puts]
+        return 200, {"rev": self.state.transact(rows, removals)}
 
     def _watch(self, query: dict[str, str]) -> Answer:
         prefix, after = query.get("path_prefix", ""), int(query["after"])
--- a/standins/key_value/_state.py
+++ b/standins/key_value/_state.py
@@ -57,13 +57,20 @@
         if expected is not None and expected != (current.version if current else 0):
             return PutResult(False, self.revision, current)
         self.revision += 1
-        if current is None:
-            insort(self._keys, key)
-        self._rows[key] = KeyValue(key, value, self.revision)
-        self._attach(key, lease_id)
-        self._record(WatchEvent(key, value, self.revision))
+        self._set(key, value, lease_id)
         return PutResult(True, self.revision, None)
 
+    def transact(self, puts: list[tuple[str, bytes, int]], removals: list[str]) -> int:
+        """Write and delete keys as one change with one version; leases must be alive."""
+        self.revision += 1
+        for key, value, lease_id in puts:
+            self._set(key, value, lease_id)
+        for key in removals:
+            if key in self._rows:
+                self._remove(key)
+                self._record(WatchEvent(key, None, self.revision))
+        return self.revision
+
     def delete(self, key: str, expected: int | None) -> PutResult:
         """Delete if the version matches; deleting what is absent changes nothing."""
         current = self._rows.get(key)
@@ -118,6 +125,13 @@
         first = bisect_right(self._history, after_version, key=lambda event: event.version)
         return [e for e in self._history[first:] if start <= e.key and (end is None or e.key < end)]
 
+    def _set(self, key: str, value: bytes, lease_id: int) -> None:
+        if key not in self._rows:
+            insort(self._keys, key)
+        self._rows[key] = KeyValue(key, value, self.revision)
+        self._attach(key, lease_id)
+        self._record(WatchEvent(key, value, self.revision))
+
     def _attach(self, key: str, lease_id: int) -> None:
         self._detach(key)
         if lease_id:
--- a/tests/standins/test_key_value.py
+++ b/tests/standins/test_key_value.py
@@ -79,3 +79,11 @@
         store.put("w", bytes([n]), expected=None)
     with pytest.raises(WatchCompactedError):
         next(store.watch("w", after_version=1))
+
+
+def test_a_transaction_is_one_version():
+    state = KeyValueState()
+    state.put("a", b"1", None)
+    version = state.transact([("b", b"2", 0), ("c", b"3", 0)], ["a", "z"])
+    assert [row.version for row in state.list_range("", None, 0)] == [version, version]
+    assert [event.version for event in state.list_events("", None, 1)] == [version] * 3
