--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -32,7 +32,7 @@
 RECONNECT_S: Final = 0.1
 UNREACHED_S: Final = 2.0  # a dispatcher that did not answer is passed over; its lease ends at 3 s
 ALONE_RETRY_S: Final = 0.3  # Retry-After when no dispatcher answers and the own share is used up
-ALONE_BATCH_S: Final = 5.0  # a new dispatcher is chosen within the leases' time; batch can wait
+ALONE_BATCH_S: Final = 9.0  # a lost dispatcher's lease ends at 3 s; items are due in 18 s
 READ_SIZE_BYTES: Final = 65_536
 
 
@@ -96,7 +96,7 @@
         self._link: messages.MessageSender | None = None
         self._dispatcher: Member | None = None
         self._heard_at = 0.0
-        self._linked_at = clock.monotonic()
+        self._first_linked_at = clock.monotonic()
         self._suspect = False
         self._greenlets: list[gevent.Greenlet] = []
         self._table = DispatchTable()
@@ -131,7 +131,8 @@
         number = next(self._numbers)
         if self._link is None or self._suspect:
             return self._choose_alone(number, request)
-        self._linked_at = self._clock.monotonic()
+        if request.is_batch:
+            self._hold_batch()
         waiter = _Waiter(request)
         self._waiters[number] = waiter
         on_waiting(lambda: waiter.result.set(CallerGoneError("the caller left the queue")))
@@ -156,6 +157,19 @@
             raise answer
         return self._choose_alone(number, request)
 
+    def _hold_batch(self) -> None:
+        """Let batch wait while another dispatcher than the first registered one is linked.
+
+        Load pattern: runners that are cut from the dispatcher, while entries still reach it. Items
+        under a second one would take slots that the first one gives to callers.
+        """
+        now = self._clock.monotonic()
+        first = next(iter(self._fleet.list_job_runners()), None)
+        if first is None or (self._dispatcher is not None and self._dispatcher.name == first.name):
+            self._first_linked_at = now
+        elif now - self._first_linked_at < ALONE_BATCH_S:
+            raise OverloadedError("batch waits for the first dispatcher", ALONE_RETRY_S)
+
     def release(self, slot: Slot, outcome: RunOutcome) -> None:
         """Give a slot back and tell how its use ended."""
         self._taken.pop(slot.number, None)
@@ -214,7 +228,7 @@
     def _choose_alone(self, number: int, request: SlotRequest) -> Slot:
         """Choose by own counts; each instance keeps to about its share of every target."""
         now = self._clock.monotonic()
-        if request.is_batch and now - self._linked_at < ALONE_BATCH_S:
+        if request.is_batch and now - self._first_linked_at < ALONE_BATCH_S:
             raise OverloadedError("batch waits for a dispatcher", ALONE_RETRY_S)
         ask = self._make_own_ask(number, request, now)
         target = dispatching.choose_target(self._table.targets.values(), ask, now)
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -180,3 +180,17 @@
         while not dispatcher.table.grants:
             gevent.sleep(0.005)
     pair.stop()
+
+
+def test_batch_never_goes_to_a_second_dispatcher_while_the_first_is_registered() -> None:
+    """Day trouble-2 of lakaz-serve: runners cut from the dispatcher, which entries still used."""
+    pair = start_pair(1)
+    broker = pair.broker
+    first = Member("d0", True, "127.0.0.1", find_port(), "", "a", "r", False)
+    broker._fleet.members.insert(0, first)  # type: ignore[attr-defined]
+    broker._unreached["d0"] = create_system_clock().monotonic() + 60.0
+    now = create_system_clock().monotonic()
+    with pytest.raises(OverloadedError):
+        acquire(broker, make_request(now, is_batch=True))
+    assert acquire(broker, make_request(now)).target_id == "t0"
+    pair.stop()
