Free the slots of instances that were cut off

Change: a yield that nobody follows frees its slot after 0.8 s; links end after 1.5 s of silence. Tests: test_dispatching.py.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -109,6 +109,7 @@
     def _run_ticks(self) -> None:
         while True:
             gevent.sleep(TICK_S)
+            dispatching.drop_unfollowed_yields(self.table, self._clock.monotonic())
             self._serve_queue()
             now = self._clock.monotonic()
             if now >= self._signs_due:
--- a/clementinepin/serving/_links.py
+++ b/clementinepin/serving/_links.py
@@ -19,9 +19,16 @@
 
 READ_SIZE_BYTES: Final = 65_536
 CONNECT_TIMEOUT_S: Final = 0.3  # some round trips between data centres
+SILENT_MS: Final = 1500  # as long as others trust a feed without a beat
 M = TypeVar("M")
 
 
+def _set_options(sock: Any) -> None:
+    """Send at once, and end a connection whose other end fell silent; beats are always due."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
+
+
 class Link(messages.MessageSender):
     """The connection of one asking instance; its name stands in its hello."""
 
@@ -63,7 +70,7 @@
             link.send(message)
 
     def _serve(self, sock: Any, _peer: Any) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _set_options(sock)
         link = Link(sock)
         reader = messages.FrameReader()
         try:
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -35,6 +35,7 @@
 YIELD_AFTER_S: Final = 0.05  # online slots turn over faster than this on a busy service
 BATCH_HOLD_S: Final = 0.3  # batch starts nothing this long after it had to yield
 OVERRUN_SHARE: Final = 0.25  # of its expected time is still to come for a run that exceeded it
+YIELD_LOST_S: Final = 0.8  # a runner that hears a yield follows it within a few milliseconds
 YIELDS_AT_ONCE: Final = 3  # slots of one target that may be given again before they are free
 FIRM_SHARE: Final = 0.3  # of a service's slots may be held by items that don't yield
 CRASHES_MAX: Final = 3  # the users allow a request to reach three targets that it crashes
@@ -268,6 +269,17 @@
     return trim_overload(target, now)
 
 
+def drop_unfollowed_yields(table: DispatchTable, now: float) -> None:
+    """Free slots whose holders were asked to yield and did not answer.
+
+    Load pattern: instances that are cut off while they hold slots. Whoever hears a yield ends the
+    run within milliseconds.
+    """
+    for grant in [g for g in table.grants.values() if g.yielding]:
+        if now - grant.yielded_at >= YIELD_LOST_S:
+            finish(table, grant.key, RunOutcome.CANCELLED, now)
+
+
 def note_silence(table: DispatchTable, key: GrantKey, now: float) -> None:
     """Take in that a target has not begun to answer for long.
 
@@ -289,7 +301,7 @@
     items.sort(key=lambda grant: grant.started_at, reverse=True)
     actions: list[Action] = []
     for grant in items[: max(0, surplus)]:
-        grant.yielding = True
+        grant.ask_back(now)
         actions.append(YieldAsked(grant.key))
     return actions
 
@@ -335,7 +347,7 @@
     victim = _choose_victim(table, ask, now)
     if victim is None:
         return []
-    victim.yielding = True
+    victim.ask_back(now)
     table.batch_held_until[ask.service] = now + BATCH_HOLD_S
     _take_slot(table, table.targets[victim.target_id], ask, now)
     return [YieldAsked(victim.key), Granted(ask.key, victim.target_id)]
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -54,6 +54,7 @@
         "run_s",
         "started_at",
         "target_id",
+        "yielded_at",
         "yielding",
     )
 
@@ -68,6 +69,12 @@
         self.ends_at = now + ask.run_s
         self.due_at = ask.on_time_by + ask.run_s
         self.yielding = False
+        self.yielded_at = 0.0
+
+    def ask_back(self, now: float) -> None:
+        """Note that the run was asked to end."""
+        self.yielding = True
+        self.yielded_at = now
 
 
 class TargetLoad:
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -16,6 +16,7 @@
     JUDGE_AGAIN_S,
     RETURN_MAX_S,
     YIELD_AFTER_S,
+    YIELD_LOST_S,
     Granted,
     RunOutcome,
     TurnedAway,
@@ -218,6 +219,18 @@
     assert actions == [YieldAsked(("s", 2)), Granted(ask.key, "t0")]
 
 
+def test_a_yield_that_nobody_follows_frees_the_slot_after_a_while(rng):
+    """Day trouble-2 of lakaz-serve: items of runners that were cut off held slots for seconds."""
+    table = make_table(targets=1, slots=1)
+    dispatching.submit(table, make_item(1), 0.0, rng)
+    dispatching.submit(table, make_ask(2, 1.0), 1.0, rng)
+    assert table.targets["t0"].taken == 2
+    dispatching.drop_unfollowed_yields(table, 1.0 + YIELD_LOST_S - 0.01)
+    assert table.targets["t0"].taken == 2
+    dispatching.drop_unfollowed_yields(table, 1.0 + YIELD_LOST_S)
+    assert list(table.grants) == [("f", 2)]
+
+
 def test_no_item_yields_for_a_slot_that_comes_free_at_once(rng):
     table = make_table(targets=1, slots=2)
     dispatching.submit(table, make_item(1), 0.0, rng)
