--- a/clementinepin/serve.py
+++ b/clementinepin/serve.py
@@ -22,8 +22,7 @@
     create_wire,
     load_instance_settings,
 )
-from clementinepin.serving._app import App
-from clementinepin.serving._metrics import ServingMetrics
+from clementinepin.serving.app import App, create_app, create_serving_metrics
 from clementinepin.serving.models import InstanceSettings
 
 USAGE = """Run one instance on the users' platform. Its settings file is named by the platform.
@@ -57,9 +56,9 @@
         return EXIT_SETTINGS
     configure_event_logs(settings.name)
     clock = create_system_clock()
-    metrics = ServingMetrics()
+    metrics = create_serving_metrics()
     store = create_store(settings.store_address, clock, metrics.count_store_call)
-    app = App(settings, store, create_wire(), clock, random.Random(), metrics)
+    app = create_app(settings, store, create_wire(), clock, random.Random(), metrics)
     told = Event()
     gevent.signal_handler(signal.SIGTERM, told.set)
     gevent.signal_handler(signal.SIGINT, told.set)
--- /dev/null
+++ b/clementinepin/serving/app.py
@@ -0,0 +1,31 @@
+"""Public door of the serving path: builds one instance from its parts."""
+
+from __future__ import annotations
+
+import random
+
+from clementinepin.helpers.clock import Clock
+from clementinepin.infrastructure import StateStore
+from clementinepin.serving._app import App
+from clementinepin.serving._metrics import ServingMetrics
+from clementinepin.serving.models import InstanceSettings
+from clementinepin.serving.wire import Wire
+
+__all__ = ["App", "ServingMetrics", "create_app", "create_serving_metrics"]
+
+
+def create_serving_metrics() -> ServingMetrics:
+    """Return empty counters and histograms."""
+    return ServingMetrics()
+
+
+def create_app(
+    settings: InstanceSettings,
+    store: StateStore,
+    wire: Wire,
+    clock: Clock,
+    rng: random.Random,
+    metrics: ServingMetrics,
+) -> App:
+    """Return one instance, not yet started."""
+    return App(settings, store, wire, clock, rng, metrics)
--- /dev/null
+++ b/tests/serving/test_retirement.py
@@ -0,0 +1,42 @@
+from __future__ import annotations
+
+import gevent
+import msgspec
+
+from clementinepin.helpers.clock import create_system_clock
+from clementinepin.infrastructure import Change
+from clementinepin.platform import create_wire
+from clementinepin.serving import _retirement
+from clementinepin.serving._retirement import Retirement
+from tests.serving.memory_store import MemoryStore
+from tests.serving.parts import SETTINGS
+
+
+def start(store: MemoryStore, left: list[bool]) -> None:
+    clock, wire = create_system_clock(), create_wire()
+    Retirement(SETTINGS, store, wire, clock, lambda: left.append(True)).start()
+    gevent.sleep(0.01)
+
+
+def order(store: MemoryStore, name: str) -> None:
+    store.apply(Change({}, {f"op/retire/{name}": b'{"duration_s":10}'}))
+    gevent.sleep(0.05)
+
+
+def test_an_ordered_instance_leaves_and_reports_that_it_is_empty(monkeypatch):
+    monkeypatch.setattr(_retirement, "HAND_OVER_S", 0.0)
+    monkeypatch.setattr(_retirement, "RETRY_S", 0.001)
+    store, left = MemoryStore(), []
+    start(store, left)
+    store.faults.append("unavailable")
+    order(store, SETTINGS.name)
+    assert left == [True]
+    row = store.rows[f"status/retire/{SETTINGS.name}"]
+    assert msgspec.json.decode(row.value) == {"state": "completed"}
+
+
+def test_an_order_for_another_instance_is_ignored():
+    store, left = MemoryStore(), []
+    start(store, left)
+    order(store, SETTINGS.name + "0")
+    assert left == []
