Take a success as an answer only when it names its request

One that names no request was accepted; targets always name it. Tests: test_forward.py, failing before.

--- a/clementinepin/platform/_wire.py
+++ b/clementinepin/platform/_wire.py
@@ -43,6 +43,7 @@
     "streaming": RouteKind.STREAM,
     "batch": RouteKind.JOB,
 }
+_FAILURES_FROM: Final = 400
 _STATES: Final = {ItemState.COMPLETED: "completed", ItemState.DEAD: "dead_lettered"}
 _JOBS: Final = "/v1/lots/"
 _BODIES: Final = "/v1/items/"
@@ -182,9 +183,10 @@
         """Tell whether a target's answer proves that it did not run the request."""
         return status == 421 or _NOT_EXECUTED in headers
 
-    def is_answer_to(self, request_id: str, headers: dict[str, str]) -> bool:
-        """Tell whether an answer names this request, or none."""
-        return headers.get(_REQUEST_ID, request_id) == request_id
+    def is_answer_to(self, request_id: str, status: int, headers: dict[str, str]) -> bool:
+        """Tell whether an answer names this request; only failures may name none."""
+        named = headers.get(_REQUEST_ID)
+        return named == request_id or (named is None and status >= _FAILURES_FROM)
 
     def has_signature(self, headers: dict[str, str]) -> bool:
         """Tell whether a target signed its answer."""
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -243,7 +243,7 @@
     def _take_answer(self, connection: CallerConnection, call: _Call, sent: _Sent) -> RunOutcome:
         exchange = sent.exchange
         wire = self._wire
-        if not wire.is_answer_to(call.facts.request_id, exchange.headers):
+        if not wire.is_answer_to(call.facts.request_id, exchange.status, exchange.headers):
             exchange.close()
             return self._note_lost(call, TargetProtocolError("answer to another request"))
         if wire.is_refusal(exchange.status, exchange.headers):
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -222,7 +222,7 @@
 
     def _take_answer(self, run: ItemRun, route: Route, exchange: HttpExchange) -> RunOutcome:
         wire = self._wire
-        if not wire.is_answer_to(run.item.item_id, exchange.headers):
+        if not wire.is_answer_to(run.item.item_id, exchange.status, exchange.headers):
             exchange.close()
             raise TargetProtocolError("answer to another request")
         if wire.is_refusal(exchange.status, exchange.headers):
--- a/clementinepin/serving/wire.py
+++ b/clementinepin/serving/wire.py
@@ -47,8 +47,8 @@
     def is_refusal(self, status: int, headers: dict[str, str]) -> bool:
         """Tell whether a target's answer proves that it did not run the request."""
 
-    def is_answer_to(self, request_id: str, headers: dict[str, str]) -> bool:
-        """Tell whether an answer names this request, or none."""
+    def is_answer_to(self, request_id: str, status: int, headers: dict[str, str]) -> bool:
+        """Tell whether an answer names this request; only failures may name none."""
 
     def has_signature(self, headers: dict[str, str]) -> bool:
         """Tell whether a target signed its answer."""
--- a/tests/serving/scripted.py
+++ b/tests/serving/scripted.py
@@ -9,7 +9,9 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-HEAD = b"HTTP/1.1 200 OK\r\nClementinepin-Server-Signature: %s\r\n"
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nClementinepin-Server-Signature: %s\r\n" b"Clementinepin-Request-Id: %s\r\n"
+)
 EVENTS = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -21,8 +23,17 @@
     return b"id: %d\ndata: e%d\n\n" % (number, number)
 
 
-def make_plain(body: bytes, signature: bytes = b"s1", extra: bytes = b"") -> bytes:
-    return HEAD % signature + extra + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+def read_id(request: bytes) -> bytes:
+    """Return the id that a request carries."""
+    for line in request.split(b"\r\n"):
+        if line.lower().startswith(b"clementinepin-request-id:"):
+            return line.partition(b":")[2].strip()
+    return b""
+
+
+def make_plain(body: bytes, signature: bytes = b"s1", request_id: bytes = b"q1") -> bytes:
+    head = HEAD % (signature, request_id)
+    return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
 
 
 def make_refusal() -> bytes:
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -29,6 +29,7 @@
     make_event,
     make_plain,
     make_refusal,
+    read_id,
 )
 
 ID = "Clementinepin-Request-Id: q1"
@@ -120,7 +121,7 @@
 
 def send_events(*numbers: int, end: bool = True, cut: bytes = b"", signature: bytes = b"s1") -> Any:
     def script(sock: Any, request: bytes) -> bool:
-        sock.sendall(HEAD % signature + EVENTS)
+        sock.sendall(HEAD % (signature, read_id(request)) + EVENTS)
         for number in numbers:
             sock.sendall(make_chunk(make_event(number)))
         if cut:
@@ -212,7 +213,7 @@
     harness.set_route(resumable=True)
 
     def cut_body(sock: Any, request: bytes) -> bool:
-        sock.sendall(HEAD % b"s1" + b"Content-Length: 6\r\n\r\n")
+        sock.sendall(HEAD % (b"s1", read_id(request)) + b"Content-Length: 6\r\n\r\n")
         return False
 
     harness.add_target(ScriptedTarget(cut_body))
@@ -229,12 +230,21 @@
 
 def test_an_answer_to_another_request_is_thrown_away(harness: Harness) -> None:
     harness.set_route(kind=RouteKind.IDEMPOTENT)
-    other = make_plain(b"other!", extra=b"Clementinepin-Request-Id: zz\r\n")
+    other = make_plain(b"other!", request_id=b"zz")
     harness.add_target(ScriptedTarget(other))
     harness.add_target(ScriptedTarget(make_plain(b"answer")))
     assert call(harness.port, ID).endswith(b"answer")
 
 
+def test_a_success_that_names_no_request_is_no_answer(harness: Harness) -> None:
+    """Day mix of kirkvoice-serve, seed 70726132774: a late second answer was taken for ours."""
+    harness.set_route(kind=RouteKind.IDEMPOTENT)
+    unnamed = b"HTTP/1.1 200 OK\r\nClementinepin-Server-Signature: s9\r\n"
+    harness.add_target(ScriptedTarget(unnamed + b"Content-Length: 6\r\n\r\nother!"))
+    harness.add_target(ScriptedTarget(make_plain(b"answer")))
+    assert call(harness.port, ID).endswith(b"answer")
+
+
 def test_bytes_behind_an_answer_end_its_connection(harness: Harness) -> None:
     harness.set_route(kind=RouteKind.IDEMPOTENT)
     target = harness.add_target(
@@ -249,7 +259,7 @@
     harness.set_route(kind=RouteKind.IDEMPOTENT, attempts_max=1)
 
     def cut_body(sock: Any, request: bytes) -> bool:
-        sock.sendall(HEAD % b"s1" + b"Content-Length: 6\r\n\r\nans")
+        sock.sendall(HEAD % (b"s1", read_id(request)) + b"Content-Length: 6\r\n\r\nans")
         return False
 
     harness.add_target(ScriptedTarget(cut_body))
@@ -293,7 +303,7 @@
     harness.set_route(resumable=True)
 
     def fall_silent(sock: Any, request: bytes) -> bool:
-        sock.sendall(HEAD % b"s1" + EVENTS + make_chunk(make_event(1)))
+        sock.sendall(HEAD % (b"s1", read_id(request)) + EVENTS + make_chunk(make_event(1)))
         gevent.sleep(5)
         return False
 
