Keep the headers of a second answer from mixing with the first

The parser noted the second but added its headers, so the late answer bore the id of the request and passed the check. Change: status and headers are those of the first final answer. Open: the answer behind a late one is given up with its connection. Tests: test_exchange.py, failing before.

--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -37,11 +37,15 @@
 
 
 class _Parser(HTTPResponse):
-    """Response parser that hands the body over in pieces and notes extra bytes."""
+    """Response parser that hands the body over in pieces and notes extra bytes.
+
+    ``status`` and headers are those of the first final answer, whatever comes behind it.
+    """
 
     def __init__(self, method: str) -> None:
         super().__init__(method=method)
         self.pieces: list[bytes] = []
+        self.status = 0
         self.ended = False
         self.overrun = False
 
@@ -59,9 +63,24 @@
             return
         super()._on_message_begin()
 
+    def _on_header_field(self, string: str) -> None:
+        if not self.overrun:
+            super()._on_header_field(string)
+
+    def _on_header_value(self, string: str) -> None:
+        if not self.overrun:
+            super()._on_header_value(string)
+
+    def _on_headers_complete(self) -> int | bool | None:
+        if self.overrun:
+            return None
+        self.status = self.get_code()
+        return super()._on_headers_complete()
+
     def _on_message_complete(self) -> None:
-        super()._on_message_complete()
-        self.ended = self.get_code() >= STATUS_FINAL_MIN
+        if not self.overrun:
+            super()._on_message_complete()
+            self.ended = self.status >= STATUS_FINAL_MIN
 
     def _on_body(self, buf: bytearray) -> None:
         if not self.overrun:
@@ -185,12 +204,12 @@
     def _read_headers(self) -> None:
         total = 0
         parser = self._parser
-        while not parser.headers_complete or parser.get_code() < STATUS_FINAL_MIN:
+        while not parser.headers_complete or parser.status < STATUS_FINAL_MIN:
             total += self._feed()
             if total > HEADERS_MAX_BYTES and not parser.headers_complete:
                 self.close()
                 raise TargetProtocolError("header section of the answer is too large")
-        self.status = parser.get_code()
+        self.status = parser.status
         self.header_lines = tuple(parser.items())
         self.headers = {name.lower(): value for name, value in self.header_lines}
 
