--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -7,10 +7,10 @@
 from typing import Any, Final, NamedTuple
 
 import gevent
-import xxhash
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
+from clementinepin.serving._call import Call, make_fingerprint
 from clementinepin.serving._events import EventCutter
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._http import HOP_HEADERS, CallerConnection, CallerRequest
@@ -23,11 +23,11 @@
     DeadlineError,
     OverloadedError,
 )
-from clementinepin.serving.models import RequestFacts, Route, RouteKind, Target
+from clementinepin.serving.models import Route, RouteKind, Target
 from clementinepin.serving.wire import Wire
 from clementinepin.systems import estimates
 from clementinepin.systems.dispatching import RunOutcome
-from clementinepin.targets import Abort, HttpExchange, HttpRequest
+from clementinepin.targets import HttpExchange, HttpRequest
 from clementinepin.targets.exceptions import (
     TargetLostError,
     TargetNotReachedError,
@@ -43,42 +43,6 @@
 SUCCESS_BELOW: Final = 300
 
 
-class _Call:
-    """One request on its way. ``sends`` counts targets that were sent bytes of it."""
-
-    def __init__(
-        self, request: CallerRequest, facts: RequestFacts, route: Route, started_at: float
-    ) -> None:
-        self.request = request
-        self.facts = facts
-        self.route = route
-        self.started_at = started_at
-        left_s = route.timeout_s if facts.time_left_s is None else facts.time_left_s
-        self.deadline = started_at + min(left_s, route.timeout_s)
-        self.returned = estimates.is_return(left_s, route.timeout_s)
-        self.abort = Abort()
-        self.cancel_wait: Callable[[], None] = lambda: None
-        self.gone = False
-        self.sends = 0
-        self.unreached = 0
-        self.maybe_run = False
-        self.can_resend = True
-        self.excluded: set[str] = set()
-        self.answer_started = False
-        self.last_event_id = facts.last_event_id
-        self.target_id = ""
-        self.waited_s = 0.0
-        self.target_load: tuple[int, int, int] | None = None
-        self.first_byte_at = started_at
-        self.is_complete = False
-
-    def leave(self) -> None:
-        """The caller is gone: end whatever the request is waiting for."""
-        self.gone = True
-        self.abort.trigger()
-        self.cancel_wait()
-
-
 class _Sent(NamedTuple):
     exchange: HttpExchange
     target: Target
@@ -110,7 +74,7 @@
         self, connection: CallerConnection, request: CallerRequest, route: Route, started_at: float
     ) -> None:
         """Answer the request; raises a typed failure while nothing was answered."""
-        call = _Call(request, self._wire.read_request(request.headers), route, started_at)
+        call = Call(request, self._wire.read_request(request.headers), route, started_at)
         connection.watch_caller(call.leave)
         outcome = "failed"
         try:
@@ -126,7 +90,7 @@
             connection.stop_watching()
             self._log_end(call, outcome)
 
-    def _run_attempts(self, connection: CallerConnection, call: _Call) -> None:
+    def _run_attempts(self, connection: CallerConnection, call: Call) -> None:
         while True:
             slot = self._take_slot(call)
             outcome = RunOutcome.CANCELLED
@@ -140,7 +104,7 @@
                 raise CallerGoneError("the caller closed its connection")
             self._check_next_attempt(connection, call, outcome)
 
-    def _take_slot(self, call: _Call) -> Slot:
+    def _take_slot(self, call: Call) -> Slot:
         request = self._make_slot_request(call)
         asked_at = self._clock.monotonic()
 
@@ -158,7 +122,7 @@
         finally:
             call.waited_s += self._clock.monotonic() - asked_at
 
-    def _make_slot_request(self, call: _Call) -> SlotRequest:
+    def _make_slot_request(self, call: Call) -> SlotRequest:
         facts, route = call.facts, call.route
         run_s = estimates.estimate_run(facts.output_tokens_max, facts.length_hint)
         if not facts.output_tokens_max and not facts.length_hint:
@@ -182,7 +146,7 @@
             fingerprint=make_fingerprint(call.request),
         )
 
-    def _use_slot(self, connection: CallerConnection, call: _Call, slot: Slot) -> RunOutcome:
+    def _use_slot(self, connection: CallerConnection, call: Call, slot: Slot) -> RunOutcome:
         target = self._fleet.targets.find_usable(slot.target_id)
         if target is None or call.gone:
             call.excluded.add(slot.target_id)
@@ -205,7 +169,7 @@
         self._slots.report_load(slot, call.target_load)
         return self._take_answer(connection, call, _Sent(exchange, target))
 
-    def _send(self, call: _Call, target: Target) -> HttpExchange:
+    def _send(self, call: Call, target: Target) -> HttpExchange:
         request = call.request
         now = self._clock.monotonic()
         headers = [
@@ -234,13 +198,13 @@
             call.sends -= 1
             raise
 
-    def _limit_silence(self, call: _Call) -> float:
+    def _limit_silence(self, call: Call) -> float:
         """Return until when a target may say nothing: less where another may go on."""
         if not (call.route.resumable and call.sends < call.route.attempts_max):
             return call.deadline
         return min(call.deadline, self._clock.monotonic() + RESUME_STALL_S)
 
-    def _take_answer(self, connection: CallerConnection, call: _Call, sent: _Sent) -> RunOutcome:
+    def _take_answer(self, connection: CallerConnection, call: Call, sent: _Sent) -> RunOutcome:
         exchange = sent.exchange
         wire = self._wire
         if not wire.is_answer_to(call.facts.request_id, exchange.status, exchange.headers):
@@ -262,7 +226,7 @@
         return self._pass_answer(connection, call, exchange)
 
     def _pass_answer(
-        self, connection: CallerConnection, call: _Call, exchange: HttpExchange
+        self, connection: CallerConnection, call: Call, exchange: HttpExchange
     ) -> RunOutcome:
         """Pass the answer on as it comes; what was begun is resumed or visibly cut."""
         if call.answer_started and exchange.status != 200:
@@ -285,7 +249,7 @@
         return RunOutcome.BROKEN if failed else RunOutcome.SERVED
 
     def _start_answer(
-        self, connection: CallerConnection, call: _Call, exchange: HttpExchange
+        self, connection: CallerConnection, call: Call, exchange: HttpExchange
     ) -> None:
         """Send the headers of the first target whose answer is passed on."""
         if not call.answer_started:
@@ -293,7 +257,7 @@
             connection.start_answer(exchange.status, lines)
             call.answer_started = True
 
-    def _pass_body(self, connection: CallerConnection, call: _Call, exchange: HttpExchange) -> None:
+    def _pass_body(self, connection: CallerConnection, call: Call, exchange: HttpExchange) -> None:
         """Pass bytes on; what breaks off can't go on with another target's."""
         if call.answer_started:
             exchange.close()
@@ -304,7 +268,7 @@
             connection.send_data(data)
 
     def _pass_events(
-        self, connection: CallerConnection, call: _Call, exchange: HttpExchange
+        self, connection: CallerConnection, call: Call, exchange: HttpExchange
     ) -> None:
         """Pass whole events on. Headers wait for the first: another target may still answer."""
         cutter = EventCutter()
@@ -319,7 +283,7 @@
             raise TargetProtocolError("the stream ended in the middle of an event")
         self._start_answer(connection, call, exchange)
 
-    def _note_lost(self, call: _Call, err: TargetLostError) -> RunOutcome:
+    def _note_lost(self, call: Call, err: TargetLostError) -> RunOutcome:
         call.maybe_run = True
         if call.gone:
             return RunOutcome.CANCELLED
@@ -329,7 +293,7 @@
             return RunOutcome.CANCELLED
         return RunOutcome.BROKEN
 
-    def _may_resend(self, call: _Call) -> bool:
+    def _may_resend(self, call: Call) -> bool:
         return (
             call.can_resend
             and call.route.is_repeatable
@@ -338,7 +302,7 @@
         )
 
     def _check_next_attempt(
-        self, connection: CallerConnection, call: _Call, outcome: RunOutcome
+        self, connection: CallerConnection, call: Call, outcome: RunOutcome
     ) -> None:
         """Return when another attempt may follow, else raise what is known."""
         if self._clock.monotonic() >= call.deadline:
@@ -358,7 +322,7 @@
                 raise AnswerLostError("no target could be reached")
             raise OverloadedError("no target could be reached", REFUSED_RETRY_S)
 
-    def _log(self, call: _Call) -> Any:
+    def _log(self, call: Call) -> Any:
         desired = self._fleet.configuration.desired
         return logger.bind(
             request_id=call.facts.request_id,
@@ -367,7 +331,7 @@
             target=call.target_id,
         )
 
-    def _log_end(self, call: _Call, outcome: str) -> None:
+    def _log_end(self, call: Call, outcome: str) -> None:
         took_s = self._clock.monotonic() - call.started_at
         if outcome == "served":
             known_s = self._run_times.get(call.route.name, took_s)
@@ -385,12 +349,6 @@
         ).info("request_ended")
 
 
-def make_fingerprint(request: CallerRequest) -> str:
-    """Return what is equal for a request that comes again under another id."""
-    digest = xxhash.xxh3_64_hexdigest(request.body)
-    return f"{xxhash.xxh3_64_hexdigest(request.path.encode())}{digest}"
-
-
 def choose_service(route: Route, rng: random.Random) -> str:
     """Return one of the route's services by weight."""
     if len(route.shares) == 1:
