List an end that is told as not run though it may be stored

Found by reading JobDesk.end: the mark of a lost reply is forgotten at a conflict, so a store that is away next gets 503. Only a test changes.

--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -7,6 +7,7 @@
 import pytest
 
 from clementinepin.helpers.clock import create_system_clock
+from clementinepin.infrastructure.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.platform import create_wire
 from clementinepin.serving import _job_records as records
 from clementinepin.serving import _jobs
@@ -248,3 +249,17 @@
 def test_a_malformed_job_is_refused_whole(body):
     with pytest.raises(BadRequestError):
         create_wire().read_job(body)
+
+
+def test_an_end_that_may_be_stored_is_never_told_as_not_run(desk, monkeypatch):
+    desk.submit()
+    failures = [ReplyLostError("no answer"), VersionConflictError("js/j1", 9, None)]
+
+    def fail(change):
+        failure = failures.pop(0)
+        desk.store.down = not failures
+        raise failure
+
+    monkeypatch.setattr(desk.store, "write", fail)
+    with pytest.raises(DeadlineError):
+        desk.desk.end(JobCall("end", "j1"))
