Keep an end whose reply was lost from being told as not run after a conflict

Cause: JobDesk.end started a new settlement at each conflict, which forgot that an earlier write had no reply. A conflict shows that the record changed, not that the lost write was not done. Ruled out: clearing the mark at a conflict, as the read after it may fail and leave the end unknown. Change: one settlement covers lost replies and conflicts; once a reply was lost the answer is 504. Conclusion: 503 to an end is sent only where each write was refused.

--- a/clementinepin/serving/_jobs.py
+++ b/clementinepin/serving/_jobs.py
@@ -198,15 +198,8 @@
             )
             self._store.write(records.make_progress_change(keys, version, ended))
 
-        deadline = self._clock.monotonic() + CALL_TIMEOUT_S
-        while True:
-            try:
-                self._settle(try_once)
-                logger.bind(request_id=call.job_id).info("job_ended")
-                return
-            except VersionConflictError as err:
-                if self._clock.monotonic() > deadline:
-                    raise DeadlineError("the job changed too often") from err
+        self._settle(try_once, repeat_conflicts=True)
+        logger.bind(request_id=call.job_id).info("job_ended")
 
     def _check_tokens(self, keys: records.JobKeys, route: Route, tokens: int) -> None:
         """Raise TokensExhaustedError unless the job fits, or is there already."""
@@ -249,10 +242,12 @@
             raise BadRequestError("the job's id is empty or too long")
         return records.JobKeys(self._wire.own_prefix, quoted)
 
-    def _settle(self, write: Callable[[], T]) -> T:
+    def _settle(self, write: Callable[[], T], repeat_conflicts: bool = False) -> T:
         """Repeat a conditional write until its outcome is known.
 
-        Raises OverloadedError when it can't have been done, DeadlineError when it may be.
+        Raises OverloadedError when it can't have been done, DeadlineError when it may be: a
+        conflict does not tell whether an earlier write without a reply was done. It is raised
+        unless ``repeat_conflicts`` says that ``write`` reads the record anew.
         """
         deadline = self._clock.monotonic() + CALL_TIMEOUT_S
         lost = False
@@ -263,10 +258,14 @@
                 lost, failure = True, str(err)
             except PlatformUnavailableError as err:
                 failure = str(err)
+            except VersionConflictError as err:
+                if not repeat_conflicts:
+                    raise
+                failure = str(err)
             if self._clock.monotonic() + STORE_RETRY_S > deadline:
                 if lost:
                     raise DeadlineError(f"unknown whether it is stored: {failure}")
-                raise OverloadedError(f"the store is away: {failure}", UNAVAILABLE_RETRY_S)
+                raise OverloadedError(f"not stored: {failure}", UNAVAILABLE_RETRY_S)
             gevent.sleep(STORE_RETRY_S)
 
     def _retry(self, read: Callable[[], T]) -> T:
