Deliver an answer that comes behind one to another request

Cause: an answer that names another request ended the exchange, so the own answer behind it was withheld and the caller of a request that may not be repeated told that its outcome is unknown. On the way: the last attempt of a resumable stream was given up after 0.9 s, as the send was counted after its bound was computed. Ruled out: waiting behind it where another attempt is left; there the other target is asked at once. Change: the response parser passes over up to two foreign answers of a request that can't be sent again; the connection is closed afterwards. Sends are counted before their bound. Tests: foreign answer cut at six places and with a pause, three in a row, one without its own answer, and a last attempt that begins late; the three on the forwarder failed before.

--- a/clementinepin/platform/_wire.py
+++ b/clementinepin/platform/_wire.py
@@ -188,6 +188,10 @@
         named = headers.get(_REQUEST_ID)
         return named == request_id or (named is None and status >= _FAILURES_FROM)
 
+    def names_other(self, request_id: str, headers: dict[str, str]) -> bool:
+        """Tell whether an answer names another request than this one."""
+        return headers.get(_REQUEST_ID, request_id) != request_id
+
     def has_signature(self, headers: dict[str, str]) -> bool:
         """Tell whether a target signed its answer."""
         return _SIGNATURE in headers
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -182,6 +182,7 @@
             headers = [h for h in headers if h[0].lower() != "last-event-id"]
             headers.append(self._wire.make_resume_header(call.last_event_id))
         call.abort.unbind()
+        call.sends += 1
         message = HttpRequest(
             method=request.method,
             path=request.path,
@@ -190,14 +191,18 @@
             deadline=self._limit_silence(call),
             host=request.headers.get("host", ""),
             abort=call.abort,
+            is_foreign=None if self._may_resend(call) else self._make_foreign_check(call),
         )
-        call.sends += 1
         try:
             return self._pools.get(target).send(message)
         except TargetNotReachedError:
             call.sends -= 1
             raise
 
+    def _make_foreign_check(self, call: Call) -> Callable[[dict[str, str]], bool]:
+        """Return what tells answers to others, behind which the request's only answer may come."""
+        return lambda headers: self._wire.names_other(call.facts.request_id, headers)
+
     def _limit_silence(self, call: Call) -> float:
         """Return until when a target may say nothing: less where another may go on."""
         if not (call.route.resumable and call.sends < call.route.attempts_max):
--- a/clementinepin/serving/wire.py
+++ b/clementinepin/serving/wire.py
@@ -50,6 +50,9 @@
     def is_answer_to(self, request_id: str, status: int, headers: dict[str, str]) -> bool:
         """Tell whether an answer names this request; only failures may name none."""
 
+    def names_other(self, request_id: str, headers: dict[str, str]) -> bool:
+        """Tell whether an answer names another request than this one."""
+
     def has_signature(self, headers: dict[str, str]) -> bool:
         """Tell whether a target signed its answer."""
 
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from geventhttpclient.response import HTTPParseError, HTTPResponse
@@ -15,6 +16,7 @@
 DRAIN_TIMEOUT_S: Final = 0.2
 HEADERS_MAX_BYTES: Final = 65_536
 STATUS_FINAL_MIN: Final = 200
+FOREIGN_ANSWERS_MAX: Final = 2  # more before the own one: the target has lost count of requests
 IDLE_SHARE: Final = 0.6  # leaves time for a request to arrive before the target closes
 SKIPPED_HEADERS: Final = frozenset({"host", "content-length", "transfer-encoding", "connection"})
 
@@ -24,6 +26,9 @@
 
     ``fresh`` asks for a connection that never carried another request; ``host`` replaces the
     target's own address in the Host header; ``abort`` lets another greenlet give up.
+    ``is_foreign`` tells by the lower-cased headers of an answer that it belongs to another
+    request: such answers are passed over, and the own one is awaited behind them. Without it the
+    first answer is taken.
     """
 
     method: str
@@ -34,20 +39,36 @@
     fresh: bool = False
     host: str = ""
     abort: Abort | None = None
+    is_foreign: Callable[[dict[str, str]], bool] | None = None
 
 
 class _Parser(HTTPResponse):
     """Response parser that hands the body over in pieces and notes extra bytes.
 
-    ``status`` and headers are those of the first final answer, whatever comes behind it.
+    ``status`` and headers are those of the first final answer that is not foreign, whatever comes
+    behind it.
     """
 
-    def __init__(self, method: str) -> None:
+    def __init__(
+        self, method: str, is_foreign: Callable[[dict[str, str]], bool] | None = None
+    ) -> None:
         super().__init__(method=method)
+        self._is_foreign = is_foreign
+        self._skips_body = False
         self.pieces: list[bytes] = []
         self.status = 0
         self.ended = False
         self.overrun = False
+        self.foreign_answers = 0
+
+    @property
+    def has_headers(self) -> bool:
+        """Tell whether the headers of the own final answer are complete."""
+        return self.headers_complete and self.status >= STATUS_FINAL_MIN and not self._skips_body
+
+    def list_headers(self) -> dict[str, str]:
+        """Return the headers with lower-cased names."""
+        return {name.lower(): value for name, value in self.items()}
 
     def take_body(self) -> bytes:
         """Return the body bytes parsed since the last call."""
@@ -75,15 +96,24 @@
         if self.overrun:
             return None
         self.status = self.get_code()
-        return super()._on_headers_complete()
+        result = super()._on_headers_complete()
+        if self._is_foreign is not None and self.status >= STATUS_FINAL_MIN:
+            self._skips_body = self._is_foreign(self.list_headers())
+        return result
 
     def _on_message_complete(self) -> None:
-        if not self.overrun:
-            super()._on_message_complete()
+        if self.overrun:
+            return
+        super()._on_message_complete()
+        if self._skips_body:
+            self._skips_body = False
+            self.status = 0
+            self.foreign_answers += 1
+        else:
             self.ended = self.status >= STATUS_FINAL_MIN
 
     def _on_body(self, buf: bytearray) -> None:
-        if not self.overrun:
+        if not self.overrun and not self._skips_body:
             self.pieces.append(bytes(buf))
 
 
@@ -94,13 +124,13 @@
         self,
         pool: ConnectionPool,
         connection: Connection,
-        method: str,
+        request: HttpRequest,
         clock: Clock,
     ) -> None:
         self._pool = pool
         self._clock = clock
         self._connection: Connection | None = connection
-        self._parser = _Parser(method)
+        self._parser = _Parser(request.method, request.is_foreign)
         self._failure: TargetLostError | None = None
         self.status = 0
         self.header_lines: tuple[tuple[str, str], ...] = ()
@@ -172,7 +202,8 @@
         connection = self._connection
         if connection is None:
             return
-        if self._parser.overrun or self._parser.should_close():
+        parser = self._parser
+        if parser.overrun or parser.foreign_answers or parser.should_close():
             self.close()
             return
         self._connection = None
@@ -204,14 +235,20 @@
     def _read_headers(self) -> None:
         total = 0
         parser = self._parser
-        while not parser.headers_complete or parser.status < STATUS_FINAL_MIN:
+        while not parser.has_headers:
+            skipped = parser.foreign_answers
             total += self._feed()
-            if total > HEADERS_MAX_BYTES and not parser.headers_complete:
+            if parser.foreign_answers > FOREIGN_ANSWERS_MAX:
+                self.close()
+                raise TargetProtocolError("only answers to other requests came")
+            if parser.headers_complete or parser.foreign_answers > skipped:
+                total = 0
+            elif total > HEADERS_MAX_BYTES:
                 self.close()
                 raise TargetProtocolError("header section of the answer is too large")
         self.status = parser.status
         self.header_lines = tuple(parser.items())
-        self.headers = {name.lower(): value for name, value in self.header_lines}
+        self.headers = parser.list_headers()
 
 
 def _read_idle_limit(headers: dict[str, str], default_s: float) -> float:
@@ -245,7 +282,7 @@
         try:
             connection.write(self._serialize(request), request.deadline)
             connection.limit_reads(request.deadline)
-            return HttpExchange(self._pool, connection, request.method, self._clock)
+            return HttpExchange(self._pool, connection, request, self._clock)
         except BaseException:
             connection.close()
             raise
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -12,6 +12,7 @@
 
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.platform import create_wire
+from clementinepin.serving import _forward
 from clementinepin.serving._app import App
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
@@ -236,6 +237,28 @@
     assert call(harness.port, ID).endswith(b"answer")
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+def test_the_only_answer_is_delivered_behind_one_to_another_request(
+    harness: Harness, pause_s: float
+) -> None:
+    harness.set_route(resumable=False)
+
+    def answer_late(sock: Any, request: bytes) -> bool:
+        sock.sendall(make_plain(b"other!", signature=b"s9", request_id=b"zz"))
+        gevent.sleep(pause_s)
+        return bool(send_events(1, 2)(sock, request))
+
+    target = harness.add_target(ScriptedTarget(answer_late, send_events(3)))
+    answer = call(harness.port, ID)
+    assert get_status(answer) == 200
+    assert b"Signature: s1" in answer
+    assert b"s9" not in answer
+    assert b"other!" not in answer
+    assert b"data: e1" in answer
+    assert answer.endswith(b"0\r\n\r\n")
+    assert len(target.requests) == 1
+
+
 def test_a_success_that_names_no_request_is_no_answer(harness: Harness) -> None:
     """Day mix of kirkvoice-serve, seed 70726132774: a late second answer was taken for ours."""
     harness.set_route(kind=RouteKind.IDEMPOTENT)
@@ -314,6 +337,20 @@
     assert answer.endswith(b"0\r\n\r\n")
 
 
+def test_the_last_attempt_of_a_resumable_stream_may_begin_late(
+    harness: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_forward, "RESUME_STALL_S", 0.1)
+    harness.set_route(resumable=True, attempts_max=1)
+
+    def begin_late(sock: Any, request: bytes) -> bool:
+        gevent.sleep(0.3)
+        return bool(send_events(1)(sock, request))
+
+    harness.add_target(ScriptedTarget(begin_late))
+    assert b"data: e1" in call(harness.port, ID)
+
+
 def test_a_caller_that_leaves_ends_the_run(harness: Harness) -> None:
     harness.set_route(resumable=False)
     ended = gevent.event.Event()
--- a/tests/targets/test_exchange.py
+++ b/tests/targets/test_exchange.py
@@ -7,7 +7,7 @@
 
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.targets import Abort, HttpRequest, TargetAddress, Transport
-from clementinepin.targets.exceptions import TargetLostError
+from clementinepin.targets.exceptions import TargetLostError, TargetProtocolError
 from tests.serving.scripted import ScriptedTarget, make_plain
 
 SECOND = (
@@ -15,10 +15,17 @@
 )
 
 
-def send(target: ScriptedTarget):
+def send(target: ScriptedTarget, is_foreign=None):
     clock = create_system_clock()
     transport = Transport(TargetAddress("t", "127.0.0.1", target.port), clock)
-    return transport.send(HttpRequest("POST", "/x", body=b"x", deadline=clock.monotonic() + 3.0))
+    deadline = clock.monotonic() + 3.0
+    return transport.send(
+        HttpRequest("POST", "/x", body=b"x", deadline=deadline, is_foreign=is_foreign)
+    )
+
+
+def is_not_q1(headers: dict[str, str]) -> bool:
+    return headers.get("clementinepin-request-id", "q1") != "q1"
 
 
 @pytest.mark.parametrize("cut", [20, 60, 75, 200])
@@ -37,6 +44,43 @@
     target.stop()
 
 
+@pytest.mark.parametrize("cut", [1, 30, 118, 119, 150, 300])
+def test_the_own_answer_is_taken_behind_a_foreign_one(cut):
+    data = make_plain(b"other!", b"s9", b"q0") + make_plain(b"own", b"s1", b"q1")
+
+    def answer_in_parts(sock, request):
+        sock.sendall(data[:cut])
+        gevent.sleep(0.01)
+        sock.sendall(data[cut:])
+
+    target = ScriptedTarget(answer_in_parts)
+    exchange = send(target, is_not_q1)
+    assert exchange.headers["clementinepin-server-signature"] == "s1"
+    assert len(exchange.header_lines) == 3
+    assert exchange.read_all(100) == b"own"
+    target.stop()
+
+
+def test_a_target_that_lost_count_of_requests_is_given_up():
+    target = ScriptedTarget(make_plain(b"other!", b"s9", b"q0") * 3)
+    with pytest.raises(TargetProtocolError):
+        send(target, is_not_q1)
+    target.stop()
+
+
+def test_a_foreign_answer_without_the_own_one_is_a_loss():
+    unframed = b"HTTP/1.1 200 OK\r\nClementinepin-Request-Id: q0\r\n\r\nother"
+
+    def answer_and_close(sock, request):
+        sock.sendall(unframed)
+        return False
+
+    target = ScriptedTarget(answer_and_close)
+    with pytest.raises(TargetLostError):
+        send(target, is_not_q1)
+    target.stop()
+
+
 def test_an_interim_answer_is_passed_over():
     target = ScriptedTarget(b"HTTP/1.1 100 Continue\r\n\r\n" + make_plain(b"whole"))
     exchange = send(target)
