Doubt a dispatcher whose reply is late before giving it up

Cause: a reply later than 80 ms ended the link, and the next instance was asked for two seconds. On links that lose packets each loss did so: 20 changes in 35 s, and two dispatchers gave the same slots away, so that engines queued requests (first events after 250 to 500 ms). Ruled out: a longer wait for the reply, which delays each request while a dispatcher stands still. Change: the link is doubted for 0.25 s more, enough for a lost packet to be sent again; requests choose alone meanwhile and the dispatcher is told of their slots (TookSlot). The link moved to a module of its own. Tests: a late reply keeps the connection and ends with the slot counted (failed before); a silent one is given up; a slot chosen alone makes batch yield.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -34,6 +34,7 @@
         self.table = DispatchTable()
         links.handle(messages.Hello, self._greet)
         links.handle(messages.AskSlot, self._take_ask)
+        links.handle(messages.TookSlot, self._take_own_choice)
         links.handle(messages.EndSlot, self._take_end)
         links.handle(messages.ReportLoad, self._take_load)
         links.handle(messages.ReportSilence, self._take_silence)
@@ -73,6 +74,15 @@
         if not actions:
             link.send(messages.SlotQueued())
 
+    def _take_own_choice(self, link: Link, message: messages.TookSlot) -> None:
+        """Count a slot that was taken without a grant, and ask back what is too much."""
+        now = self._clock.monotonic()
+        ask = _make_taken(link.name, message.slot, now)
+        dispatching.adopt_grant(self.table, ask, message.slot.target_id, now)
+        target = self.table.targets.get(message.slot.target_id)
+        if target is not None:
+            self._carry_out(dispatching.trim_overload(target, now))
+
     def _take_end(self, link: Link, message: messages.EndSlot) -> None:
         now = self._clock.monotonic()
         outcome = dispatching.RunOutcome(message.outcome)
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -100,6 +100,12 @@
     number: int
 
 
+class TookSlot(msgspec.Struct, array_like=True, tag=16, frozen=True):
+    """A slot that the sender took without a grant, while the receiver was silent."""
+
+    slot: TakenSlot
+
+
 class StoreCall(msgspec.Struct, array_like=True, tag=8, frozen=True):
     """A call to the store that the receiver should make. ``change`` is an encoded Change."""
 
@@ -164,6 +170,7 @@
 
 Message = (
     Hello
+    | TookSlot
     | AskSlot
     | EndSlot
     | GrantSlot
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -9,31 +9,24 @@
 from typing import Any, Final, NamedTuple
 
 import gevent
-from gevent import socket
 from gevent.event import AsyncResult
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._dispatcher import update_targets
+from clementinepin.serving._dispatcher_link import DispatcherLink
 from clementinepin.serving._feed import FeedClient
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
-from clementinepin.serving.models import Member
 from clementinepin.systems import dispatching
 from clementinepin.systems.dispatching import RunOutcome
 from clementinepin.tables.dispatch import Ask, DispatchTable
 
 REPLY_TIMEOUT_S: Final = 0.08  # some round trips between data centres plus a busy dispatcher
-SILENCE_MAX_S: Final = 0.9  # two beats of the feed missed
-CONNECT_TIMEOUT_S: Final = 0.3
-HELLO_TIMEOUT_S: Final = 0.3  # a process that stands still accepts connections, but says nothing
-RECONNECT_S: Final = 0.1
-UNREACHED_S: Final = 2.0  # a dispatcher that did not answer is passed over; its lease ends at 3 s
 ALONE_RETRY_S: Final = 0.3  # Retry-After when no dispatcher answers and the own share is used up
 ALONE_BATCH_S: Final = 9.0  # a lost dispatcher's lease ends at 3 s; items are due in 18 s
-READ_SIZE_BYTES: Final = 65_536
 
 
 class SlotRequest(NamedTuple):
@@ -82,7 +75,6 @@
     ) -> None:
         self._pools = pools
         self._feed = FeedClient(name, fleet.fed_followers)
-        self._unreached: dict[str, float] = {}
         self._name = name
         self._data_centre = data_centre
         self._fleet = fleet
@@ -93,33 +85,30 @@
         self._yields: dict[int, Callable[[], None]] = {}
         self._early_yields: set[int] = set()
         self._taken: dict[int, tuple[SlotRequest, str, float]] = {}
-        self._link: messages.MessageSender | None = None
-        self._dispatcher: Member | None = None
-        self._heard_at = 0.0
         self._first_linked_at = clock.monotonic()
-        self._suspect = False
-        self._greenlets: list[gevent.Greenlet] = []
+        self._link = DispatcherLink(fleet, clock, self._make_hello, self._take_message)
+        self._link.on_open = self._feed.open
+        self._link.on_closed = self._note_closed
         self._table = DispatchTable()
 
     def start(self) -> None:
         """Keep a link to the dispatcher."""
         self._fleet.subscribe(self._update_targets)
-        self._greenlets = [gevent.spawn(self._keep_link), gevent.spawn(self._watch_silence)]
+        self._link.start()
 
     def stop(self) -> None:
         """Close the link."""
-        gevent.killall(self._greenlets)
-        self._drop_link()
+        self._link.stop()
 
     @property
     def is_linked(self) -> bool:
         """Tell whether a dispatcher answers."""
-        return self._link is not None and not self._suspect
+        return self._link.is_sure
 
     @property
     def dispatcher_name(self) -> str:
         """Return the instance that is asked now, empty without a link."""
-        return self._dispatcher.name if self._dispatcher and self._link is not None else ""
+        return self._link.dispatcher_name
 
     def acquire(
         self, request: SlotRequest, on_waiting: Callable[[Callable[[], None]], None]
@@ -129,7 +118,7 @@
         ``on_waiting`` is given a function that cancels the wait.
         """
         number = next(self._numbers)
-        if self._link is None or self._suspect:
+        if not self._link.is_sure:
             return self._choose_alone(number, request)
         if request.is_batch:
             self._hold_batch()
@@ -137,7 +126,7 @@
         self._waiters[number] = waiter
         on_waiting(lambda: waiter.result.set(CallerGoneError("the caller left the queue")))
         try:
-            self._send(self._make_ask(number, request))
+            self._link.send(self._make_ask(number, request))
             answer = self._wait(waiter)
         finally:
             self._waiters.pop(number, None)
@@ -152,7 +141,7 @@
                 "start_in_s": answer.start_in_s,
             }
             raise OverloadedError(answer.reason, answer.retry_after_s, inputs)
-        self._send(messages.EndSlot(number, RunOutcome.CANCELLED))
+        self._link.send(messages.EndSlot(number, RunOutcome.CANCELLED))
         if isinstance(answer, CallerGoneError):
             raise answer
         return self._choose_alone(number, request)
@@ -165,7 +154,7 @@
         """
         now = self._clock.monotonic()
         first = next(iter(self._fleet.list_job_runners()), None)
-        if first is None or (self._dispatcher is not None and self._dispatcher.name == first.name):
+        if first is None or self._link.dispatcher_name == first.name:
             self._first_linked_at = now
         elif now - self._first_linked_at < ALONE_BATCH_S:
             raise OverloadedError("batch waits for the first dispatcher", ALONE_RETRY_S)
@@ -177,8 +166,7 @@
         self._early_yields.discard(slot.number)
         key = (self._name, slot.number)
         dispatching.finish(self._table, key, outcome, self._clock.monotonic())
-        if self._link is not None:
-            self._send(messages.EndSlot(slot.number, outcome))
+        self._link.send(messages.EndSlot(slot.number, outcome))
 
     def report_load(self, slot: Slot, load: tuple[int, int, int] | None) -> None:
         """Pass on the running and waiting requests that a target reported."""
@@ -187,14 +175,14 @@
         reported = load[0] + load[1]
         key = (self._name, slot.number)
         dispatching.note_load(self._table, key, reported, self._clock.monotonic())
-        self._send(messages.ReportLoad(slot.number, reported))
+        self._link.send(messages.ReportLoad(slot.number, reported))
 
     def report_silence(self, slot: Slot) -> None:
         """Tell that a target has not begun to answer for long."""
         logger.bind(target=slot.target_id, number=slot.number).info("target_silent")
         key = (self._name, slot.number)
         dispatching.note_silence(self._table, key, self._clock.monotonic())
-        self._send(messages.ReportSilence(slot.number))
+        self._link.send(messages.ReportSilence(slot.number))
 
     def watch_yield(self, slot: Slot, on_yield: Callable[[], None]) -> None:
         """Call ``on_yield`` when the dispatcher wants the slot back."""
@@ -207,7 +195,7 @@
         """Return a JSON-ready dump."""
         return {
             "dispatcher": self.dispatcher_name,
-            "suspect": self._suspect,
+            "dispatcher_answers": self._link.is_sure,
             "waiting": len(self._waiters),
             "taken": len(self._taken),
         }
@@ -217,8 +205,8 @@
         asked_at = self._clock.monotonic()
         with gevent.Timeout(REPLY_TIMEOUT_S, False):
             return waiter.result.get()
-        if self._heard_at < asked_at:
-            self._note_silence("no reply")
+        if self._link.heard_at < asked_at:
+            self._link.doubt("no reply")
             return None
         now = self._clock.monotonic()
         with gevent.Timeout(max(0.0, waiter.request.deadline - now), False):
@@ -238,6 +226,7 @@
         if target.taken >= (1 if request.is_batch else max(2, share)):
             raise OverloadedError("own share used up", ALONE_RETRY_S)
         self._note_taken(number, request, target.target_id)
+        self._link.send(messages.TookSlot(self._describe_taken(number, now)))
         return Slot(number, target.target_id, alone=True)
 
     def _note_taken(self, number: int, request: SlotRequest, target_id: str) -> None:
@@ -282,68 +271,22 @@
 
     def _update_targets(self) -> None:
         update_targets(self._table, self._fleet.targets.rows)
-        chosen = self._choose_dispatcher()
-        if (chosen and chosen.name) != (self._dispatcher and self._dispatcher.name):
-            self._drop_link()
+        self._link.check_choice()
 
-    def _choose_dispatcher(self) -> Member | None:
-        """Return the oldest instance that runs jobs and answers: joining ones change nothing."""
+    def _make_hello(self) -> messages.Hello:
         now = self._clock.monotonic()
-        runners = self._fleet.list_job_runners()
-        reached = [m for m in runners if now >= self._unreached.get(m.name, 0.0)]
-        return next(iter(reached or runners), None)
-
-    def _keep_link(self) -> None:
-        while True:
-            chosen = self._choose_dispatcher()
-            if chosen is None:
-                gevent.sleep(RECONNECT_S)
-                continue
-            try:
-                self._run_link(chosen)
-            except (OSError, ValueError) as err:
-                logger.bind(dispatcher=chosen.name, error=str(err)).info("dispatcher_lost")
-            finally:
-                self._drop_link()
-            if chosen == self._choose_dispatcher():
-                self._unreached[chosen.name] = self._clock.monotonic() + UNREACHED_S
-
-    def _run_link(self, member: Member) -> None:
-        sock = socket.socket()
-        try:
-            sock.settimeout(CONNECT_TIMEOUT_S)
-            sock.connect((member.host, member.link_port))
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._link, self._dispatcher = messages.MessageSender(sock), member
-            self._feed.open(member.name)
-            self._suspect = True
-            self._send(messages.Hello(self._name, self._list_taken()))
-            reader = messages.FrameReader()
-            sock.settimeout(HELLO_TIMEOUT_S)
-            while data := sock.recv(READ_SIZE_BYTES):
-                self._heard_at = self._clock.monotonic()
-                if self._suspect:
-                    self._suspect = False
-                    sock.settimeout(None)
-                    logger.bind(dispatcher=member.name).info("dispatcher_regained")
-                for message in reader.feed(data):
-                    self._take_message(message)
-        finally:
-            sock.close()
-
-    def _list_taken(self) -> list[messages.TakenSlot]:
-        now = self._clock.monotonic()
-        return [
-            messages.TakenSlot(
-                number,
-                request.service,
-                target_id,
-                request.is_batch,
-                request.is_firm,
-                max(0.0, since + request.run_s - now),
-            )
-            for number, (request, target_id, since) in self._taken.items()
-        ]
+        return messages.Hello(self._name, [self._describe_taken(n, now) for n in self._taken])
+
+    def _describe_taken(self, number: int, now: float) -> messages.TakenSlot:
+        request, target_id, since = self._taken[number]
+        return messages.TakenSlot(
+            number,
+            request.service,
+            target_id,
+            request.is_batch,
+            request.is_firm,
+            max(0.0, since + request.run_s - now),
+        )
 
     def _take_message(self, message: Any) -> None:
         if isinstance(message, messages.YieldSlot):
@@ -359,36 +302,10 @@
             if waiter is not None and not waiter.result.ready():
                 waiter.result.set(message)
             elif isinstance(message, messages.GrantSlot) and message.number not in self._taken:
-                self._send(messages.EndSlot(message.number, RunOutcome.CANCELLED))
-
-    def _watch_silence(self) -> None:
-        while True:
-            gevent.sleep(SILENCE_MAX_S / 3)
-            linked = self._link is not None and not self._suspect
-            if linked and self._clock.monotonic() - self._heard_at > SILENCE_MAX_S:
-                self._note_silence("no sign of life")
-            chosen = self._choose_dispatcher()
-            if linked and chosen and self._dispatcher and chosen.name != self._dispatcher.name:
-                self._drop_link()
-
-    def _note_silence(self, reason: str) -> None:
-        if not self._suspect:
-            self._suspect = True
-            logger.bind(dispatcher=self.dispatcher_name, reason=reason).warning("dispatcher_silent")
-            self._drop_link()
-
-    def _wake_waiters(self) -> None:
+                self._link.send(messages.EndSlot(message.number, RunOutcome.CANCELLED))
+
+    def _note_closed(self) -> None:
+        self._feed.close()
         for waiter in list(self._waiters.values()):
             if not waiter.result.ready():
                 waiter.result.set(None)
-
-    def _send(self, message: messages.Message) -> None:
-        if self._link is not None:
-            self._link.send(message)
-
-    def _drop_link(self) -> None:
-        if self._link is not None:
-            link, self._link = self._link, None
-            link.close()
-            self._feed.close()
-            self._wake_waiters()
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -11,9 +11,10 @@
 from gevent import socket
 
 from clementinepin.helpers.clock import create_system_clock
+from clementinepin.serving import _dispatcher_link
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._dispatcher import Dispatcher
-from clementinepin.serving._links import LinkServer
+from clementinepin.serving._links import Link, LinkServer
 from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
 from clementinepin.serving.models import Member, Target
@@ -175,7 +176,7 @@
     acquire(broker, make_request(now))
     dispatcher._forget("f1")
     assert not dispatcher.table.grants
-    broker._drop_link()
+    broker._link.drop()
     with gevent.Timeout(5.0):
         while not dispatcher.table.grants:
             gevent.sleep(0.005)
@@ -188,9 +189,69 @@
     broker = pair.broker
     first = Member("d0", True, "127.0.0.1", find_port(), "", "a", "r", False)
     broker._fleet.members.insert(0, first)  # type: ignore[attr-defined]
-    broker._unreached["d0"] = create_system_clock().monotonic() + 60.0
+    broker._link._unreached["d0"] = create_system_clock().monotonic() + 60.0
     now = create_system_clock().monotonic()
     with pytest.raises(OverloadedError):
         acquire(broker, make_request(now, is_batch=True))
     assert acquire(broker, make_request(now)).target_id == "t0"
     pair.stop()
+
+
+def reply_late(pair: Pair, late_s: float) -> None:
+    """Let the dispatcher take asks late, in the order of all messages, as a lost packet does."""
+
+    def take_late(link: Link, message: messages.AskSlot) -> None:
+        gevent.sleep(late_s)
+        pair.dispatcher._take_ask(link, message)
+
+    pair.links._handlers[messages.AskSlot] = [take_late]
+
+
+def test_a_late_reply_does_not_change_the_dispatcher(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Day lossy of kirkvoice-serve: each lost packet set up a second dispatcher for two seconds.
+
+    Both gave the same slots away, and engines queued what neither knew of.
+    """
+    monkeypatch.setattr(_dispatcher_link, "DOUBT_S", 5.0)
+    pair = start_pair(2)
+    broker = pair.broker
+    reply_late(pair, 0.15)
+    sender = broker._link._sender
+    now = create_system_clock().monotonic()
+    slot = acquire(broker, make_request(now))
+    assert slot.alone
+    with gevent.Timeout(3.0):
+        while not broker.is_linked or not pair.dispatcher.table.grants:
+            gevent.sleep(0.005)
+    assert broker._link._sender is sender
+    held = [grant.target_id for grant in pair.dispatcher.table.grants.values()]
+    assert held == [slot.target_id]
+    pair.stop()
+
+
+def test_a_dispatcher_that_stays_silent_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(_dispatcher_link, "DOUBT_S", 0.02)
+    pair = start_pair(2)
+    broker = pair.broker
+    reply_late(pair, 30.0)
+    sender = broker._link._sender
+    now = create_system_clock().monotonic()
+    waiting = gevent.spawn(acquire, broker, make_request(now))
+    assert waiting.get(timeout=3.0).alone
+    with gevent.Timeout(3.0):
+        while broker._link._sender is sender:
+            gevent.sleep(0.005)
+    pair.stop()
+
+
+def test_a_slot_chosen_alone_makes_batch_yield_at_the_dispatcher() -> None:
+    pair = start_pair(1)
+    broker = pair.broker
+    now = create_system_clock().monotonic()
+    item = acquire(broker, make_request(now, is_batch=True))
+    yielded = gevent.event.Event()
+    broker.watch_yield(item, yielded.set)
+    taken = messages.TakenSlot(99, "llm", "t0", False, False, 1.0)
+    broker._link.send(messages.TookSlot(taken))
+    assert yielded.wait(2.0)
+    pair.stop()
