--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -20,6 +20,7 @@
 from clementinepin.serving._jobs import JobDesk
 from clementinepin.serving._links import InstanceLinks, LinkServer
 from clementinepin.serving._metrics import ServingMetrics
+from clementinepin.serving._own_way import OwnWay
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._relay import RelayedStore, RelayServer
 from clementinepin.serving._retirement import Retirement
@@ -60,9 +61,9 @@
         self._wire = wire
         self._clock = clock
         self._active = 0
-        direct = store
+        own_way = OwnWay(store, wire.own_prefix, rng)
         links = InstanceLinks()
-        relayed = RelayedStore(direct, links, settings.name, clock, rng)
+        relayed = RelayedStore(own_way, links, settings.name, clock, rng)
         store = relayed
         self.fleet = FleetView(settings, store, wire, clock)
         relayed.list_helpers = self.fleet.list_job_runners
@@ -78,7 +79,7 @@
         if settings.runs_jobs:
             served = LinkServer((settings.host, settings.link_port))
             self._link_server = served
-            RelayServer(served, direct, clock)
+            RelayServer(served, own_way, clock)
             self._dispatcher = Dispatcher(served, self.fleet, clock, rng)
             self._feed = FeedServer(served, self.fleet.fed_followers)
             items = ItemRunner(self.fleet, self.slots, pools, wire, clock, metrics)
--- /dev/null
+++ b/clementinepin/serving/_own_way.py
@@ -0,0 +1,96 @@
+"""The way of one instance to the store, closed while it fails."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Final, TypeVar
+
+import gevent
+from loguru import logger
+
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.infrastructure import Change, KeyValue, LeaseGrant, Page, StateStore, WatchEvent
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError, ReplyLostError
+
+PROBE_MIN_S: Final = 0.1  # a single lost answer closes the way for about this time
+PROBE_MAX_S: Final = 0.3  # a returned store is noticed within this time
+PROBE_KEY: Final = "probe"  # never written: one read of an absent key tells that the way works
+T = TypeVar("T")
+
+
+class OwnWay:
+    """The StateStore by the instance's own connection.
+
+    Load pattern: the store is away while many parts of many instances want it. Each call is paid
+    for, refused ones too, and one that hangs delays its caller: after a failure only one probe at
+    a time is made, and all other calls fail at once until it succeeds.
+    """
+
+    def __init__(self, store: StateStore, own_prefix: str, rng: random.Random) -> None:
+        self._store = store
+        self._probe_key = own_prefix + PROBE_KEY
+        self._random = rng
+        self.is_open = True
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return the current value of a key, or None."""
+        return self._call(lambda: self._store.get(key))
+
+    def list_page(self, prefix: str, after: str) -> Page:
+        """Return the first values under a prefix behind a key."""
+        return self._call(lambda: self._store.list_page(prefix, after))
+
+    def list_range(self, prefix: str) -> Page:
+        """Return all values under a prefix."""
+        return self._call(lambda: self._store.list_range(prefix))
+
+    def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
+        """Wait for changes; a watch that is cut does not close the way."""
+        self._check()
+        return self._store.watch(prefix, after)
+
+    def write(self, change: Change) -> int:
+        """Apply a change as a whole and return its version."""
+        return self._call(lambda: self._store.write(change))
+
+    def grant_lease(self, ttl_s: float) -> LeaseGrant:
+        """Create a lease."""
+        return self._call(lambda: self._store.grant_lease(ttl_s))
+
+    def keep_lease(self, lease_id: int) -> LeaseGrant:
+        """Extend a lease; raises LeaseLostError once it ended."""
+        return self._call(lambda: self._store.keep_lease(lease_id))
+
+    def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys."""
+        self._call(lambda: self._store.revoke_lease(lease_id))
+
+    def _check(self) -> None:
+        if not self.is_open:
+            raise PlatformUnavailableError("the own way to the store is closed until a probe works")
+
+    def _call(self, call: Callable[[], T]) -> T:
+        self._check()
+        try:
+            return call()
+        except (PlatformUnavailableError, ReplyLostError) as err:
+            if self.is_open:
+                self.is_open = False
+                logger.bind(error=str(err)).info("own_way_lost")
+                gevent.spawn(self._run_probes)
+            raise
+
+    def _run_probes(self) -> None:
+        pause_s = PROBE_MIN_S
+        probes = 0
+        while not self.is_open:
+            gevent.sleep(pause_s * self._random.uniform(0.8, 1.2))
+            pause_s = min(PROBE_MAX_S, pause_s * 2)
+            probes += 1
+            try:
+                self._store.get(self._probe_key)
+                self.is_open = True
+            except ClementinepinError as err:
+                logger.bind(error=str(err), probes=probes).debug("own_way_probed")
+        logger.bind(probes=probes).info("own_way_regained")
--- a/clementinepin/serving/_relay.py
+++ b/clementinepin/serving/_relay.py
@@ -27,8 +27,8 @@
 from clementinepin.serving._links import InstanceLinks, Link, LinkServer
 from clementinepin.serving.models import Member
 
-DIRECT_PAUSE_S: Final = 1.0  # the own way to the store is tried again after this time
-REPLY_TIMEOUT_S: Final = 1.0  # a helper that waits for the store itself is of no help
+REPLY_TIMEOUT_MIN_S: Final = 0.25  # many times a round trip and a call; a lost helper is silent
+REPLY_TIMEOUT_MAX_S: Final = 1.0  # a helper that waits longer for the store itself is of no help
 HELPERS_MAX: Final = 2  # with more, a call would outlast its caller while the store is down
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -86,34 +86,38 @@
 
 
 class RelayedStore:
-    """The StateStore by the own way, or through a helper while that fails."""
+    """The StateStore by the own way, or through a helper while that fails.
+
+    A helper that does not answer is left after a short time, as it may just have been lost; the
+    next one has twice as long, as the store may be slow for all.
+    """
 
     def __init__(
         self,
-        direct: StateStore,
+        own_way: StateStore,
         links: InstanceLinks,
         own_name: str,
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        self._direct = direct
+        self._own_way = own_way
         self._own_name = own_name
         self._clock = clock
         self._random = rng
         self._links = links
-        self._direct_after = 0.0
+        self._reply_timeout_s = REPLY_TIMEOUT_MIN_S
         self.list_helpers: Callable[[], list[Member]] = list
 
     def get(self, key: str) -> KeyValue | None:
         """Return the current value of a key, or None."""
         call = messages.StoreCall(0, "get", key=key)
-        return self._run(lambda: self._direct.get(key), call, lambda answer: answer.value)
+        return self._run(lambda: self._own_way.get(key), call, lambda answer: answer.value)
 
     def list_page(self, prefix: str, after: str) -> Page:
         """Return the first values under a prefix behind a key."""
         call = messages.StoreCall(0, "list", key=prefix, after=after)
         return self._run(
-            lambda: self._direct.list_page(prefix, after), call, lambda answer: answer.page
+            lambda: self._own_way.list_page(prefix, after), call, lambda answer: answer.page
         )
 
     def list_range(self, prefix: str) -> Page:
@@ -131,57 +135,48 @@
 
     def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
         """Wait for changes on the own way only; a follower lists again when that fails."""
-        return self._direct.watch(prefix, after)
+        return self._own_way.watch(prefix, after)
 
     def write(self, change: Change) -> int:
         """Apply a change as a whole and return its version."""
         call = messages.StoreCall(0, "write", change=_encode(change))
-        return self._run(lambda: self._direct.write(change), call, lambda answer: answer.version)
+        return self._run(lambda: self._own_way.write(change), call, lambda answer: answer.version)
 
     def grant_lease(self, ttl_s: float) -> LeaseGrant:
         """Create a lease."""
         call = messages.StoreCall(0, "grant", ttl_s=ttl_s)
-        return self._run(lambda: self._direct.grant_lease(ttl_s), call, self._read_lease)
+        return self._run(lambda: self._own_way.grant_lease(ttl_s), call, self._read_lease)
 
     def keep_lease(self, lease_id: int) -> LeaseGrant:
         """Extend a lease; raises LeaseLostError once it ended."""
         call = messages.StoreCall(0, "keep", lease_id=lease_id)
-        return self._run(lambda: self._direct.keep_lease(lease_id), call, self._read_lease)
+        return self._run(lambda: self._own_way.keep_lease(lease_id), call, self._read_lease)
 
     def revoke_lease(self, lease_id: int) -> None:
         """End a lease; one that can't be ended now ends by itself."""
-        self._direct.revoke_lease(lease_id)
+        self._own_way.revoke_lease(lease_id)
 
     def _run(
         self, direct: Callable[[], Any], call: messages.StoreCall, read: Callable[[_Answer], Any]
     ) -> Any:
-        """Try the own way unless it failed a moment ago, then helpers.
+        """Try the own way, then helpers.
 
         A direct write whose answer was lost is not sent on: its caller decides how to settle it.
         """
-        failure: ClementinepinError | None = None
-        if self._clock.monotonic() >= self._direct_after:
-            try:
-                return direct()
-            except PlatformUnavailableError as err:
-                failure = err
-            except ReplyLostError as err:
-                failure = err
-            self._note_direct_failure(failure)
-            if call.kind == "write" and isinstance(failure, ReplyLostError):
-                raise failure
+        try:
+            return direct()
+        except PlatformUnavailableError as err:
+            failure: ClementinepinError = err
+        except ReplyLostError as err:
+            if call.kind == "write":
+                raise
+            failure = err
         for helper in self._choose_helpers():
             try:
                 return read(self._ask(helper, call))
             except PlatformUnavailableError as err:
-                failure = failure or err
-        raise failure or PlatformUnavailableError("the store and all helpers are out of reach")
-
-    def _note_direct_failure(self, failure: ClementinepinError) -> None:
-        now = self._clock.monotonic()
-        if now - self._direct_after > DIRECT_PAUSE_S:
-            logger.bind(error=str(failure)).info("store_relayed")
-        self._direct_after = now + DIRECT_PAUSE_S
+                logger.bind(helper=helper.name, call=call.kind, error=str(err)).debug("not_relayed")
+        raise failure
 
     def _choose_helpers(self) -> list[Member]:
         helpers = [m for m in self.list_helpers() if m.name != self._own_name]
@@ -192,8 +187,10 @@
     def _ask(self, helper: Member, call: messages.StoreCall) -> _Answer:
         """Return a helper's answer; raises what the store's client would raise."""
         try:
-            reply = self._links.ask(helper, call, REPLY_TIMEOUT_S)
+            reply = self._links.ask(helper, call, self._reply_timeout_s)
+            self._reply_timeout_s = REPLY_TIMEOUT_MIN_S
         except ReplyLostError as err:
+            self._reply_timeout_s = min(REPLY_TIMEOUT_MAX_S, self._reply_timeout_s * 2)
             if call.kind == "write":
                 raise
             raise PlatformUnavailableError(str(err)) from err
--- a/tests/serving/test_relay.py
+++ b/tests/serving/test_relay.py
@@ -14,6 +14,7 @@
     ReplyLostError,
     VersionConflictError,
 )
+from clementinepin.serving import _relay
 from clementinepin.serving._links import InstanceLinks, LinkServer
 from clementinepin.serving._relay import RelayedStore, RelayServer
 from clementinepin.serving.models import Member
@@ -104,3 +105,25 @@
     pair.relayed.get("a")
     pair.links.close_all()
     assert pair.relayed.get("a") is None
+
+
+def test_a_helper_that_fell_silent_is_left_soon_and_the_next_one_has_longer(pair, monkeypatch):
+    """Day trouble-1 of kirkvoice-serve: jobs of a second waited for a helper that was lost.
+
+    The kept connection to it was preferred, and each call waited a second for its answer.
+    """
+    monkeypatch.setattr(_relay, "REPLY_TIMEOUT_MIN_S", 0.05)
+    pair.own_way.down = True
+    live = pair.relayed.list_helpers()[0]
+    silent = LinkServer(("127.0.0.1", find_port()))
+    silent.start()
+    lost = Member("s0", True, "127.0.0.1", silent._server.server_port, "", "a", "r", False)
+    relayed = RelayedStore(pair.own_way, pair.links, "f1", create_system_clock(), random.Random(1))
+    relayed.list_helpers = lambda: [lost]
+    with pytest.raises(PlatformUnavailableError):
+        relayed.get("a")
+    assert relayed._reply_timeout_s == 0.1
+    relayed.list_helpers = lambda: [live]
+    assert relayed.get("a") is None
+    assert relayed._reply_timeout_s == 0.05
+    silent.stop()
