Take an answer that comes before its request was read whole

Cause: a request was written to its end before the answer was read, so a target that answers early and reads no further held its answer back until the deadline, and a refusal became an unknown end. Ruled out: to stop writing when something can be read; a late foreign answer would then leave the rest of a body unsent, and the target would take the next request for it. Change: what the kernel does not take at once is written beside the reading; a connection whose request is not written whole is never used again.

--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent import socket
+from loguru import logger
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.targets.exceptions import (
@@ -29,8 +30,10 @@
 class Connection:
     """One connection; ``written`` counts the bytes that the kernel took for this request.
 
-    Writes wait with a timeout of their own. Reads share one timer, which ends the connection
-    at the deadline: a timeout for each read would cost more than the read.
+    The first write waits with a timeout of its own. What it leaves of a long request is written
+    while the answer is read: a target may answer before it has read all. Reads share one timer,
+    which ends the connection at the deadline: a timeout for each read would cost more than the
+    read.
     """
 
     def __init__(self, sock: socket.socket, clock: Clock) -> None:
@@ -42,22 +45,42 @@
         self._reads = 0
         self._reads_seen = 0
         self._expired = False
+        self._writer: gevent.Greenlet | None = None
         self.written = 0
         self.carried = 0
         self.idle_max_s = IDLE_MAX_S
         self.idle_since = clock.monotonic()
 
     def write(self, data: bytes, deadline: float) -> None:
-        """Write all; raises TargetNotReachedError only while no byte was written."""
+        """Write, the rest in the background; raises TargetNotReachedError if nothing was."""
         view = memoryview(data)
-        while view:
-            try:
-                self._limit_wait(deadline)
+        try:
+            self._limit_wait(deadline)
+            sent = self._sock.send(view)
+        except OSError as err:
+            raise TargetNotReachedError(f"nothing was written: {err or 'timeout'}") from err
+        self.written += sent
+        if sent < len(view):
+            self._sock.settimeout(None)
+            self._writer = gevent.spawn(self._write_rest, view[sent:])
+
+    @property
+    def is_writing(self) -> bool:
+        """Tell whether a part of the request is still due at the target."""
+        return self._writer is not None
+
+    def _write_rest(self, view: memoryview) -> None:
+        """Write until done or until the connection ends; what that means, its reader finds out."""
+        try:
+            while view:
                 sent = self._sock.send(view)
-            except OSError as err:
-                raise self._judge_write_failure(err) from err
-            self.written += sent
-            view = view[sent:]
+                self.written += sent
+                view = view[sent:]
+            self._writer = None
+        except OSError as err:
+            logger.bind(written=self.written, left=len(view), error=str(err)).debug(
+                "request_not_taken_whole"
+            )
 
     def limit_reads(self, deadline: float) -> None:
         """End the connection at the monotonic deadline unless it is released before."""
@@ -104,6 +127,9 @@
     def close(self) -> None:
         """Close the socket; closing twice is harmless."""
         self._stop_timer()
+        if self._writer is not None:
+            self._writer.kill(block=False)
+            self._writer = None
         self._sock.close()
 
     def abort(self) -> None:
@@ -154,17 +180,10 @@
 
     def _limit_wait(self, deadline: float) -> None:
         wait_s = deadline - self._clock.monotonic()
-        if wait_s <= 0 and self.written == 0:
+        if wait_s <= 0:
             raise TimeoutError
         self._sock.settimeout(max(wait_s, WAIT_MIN_S))
 
-    def _judge_write_failure(self, err: OSError) -> TargetNotReachedError | TargetLostError:
-        if self.written == 0:
-            return TargetNotReachedError(f"nothing was written: {err or 'timeout'}")
-        if isinstance(err, TimeoutError):
-            return TargetTimeoutError("target took the request too slowly")
-        return TargetLostError(f"connection broke after {self.written} bytes: {err}")
-
 
 class Abort:
     """Lets another greenlet give up an exchange at any step of it."""
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -203,7 +203,8 @@
         if connection is None:
             return
         parser = self._parser
-        if parser.overrun or parser.foreign_answers or parser.should_close():
+        spent = parser.overrun or parser.foreign_answers or connection.is_writing
+        if spent or parser.should_close():
             self.close()
             return
         self._connection = None
