Log failures with the id of their request or job

Change: the wire reads the id from the header or the job's path; target_silent names request and dispatcher, job_accepted its store version and time, job_too_large its job and the version read. Tests: a 404, a read and a body of an unknown job log their id; a silent target is reported with the request's id. All failed before.

--- a/clementinepin/platform/_wire.py
+++ b/clementinepin/platform/_wire.py
@@ -157,6 +157,12 @@
             last_event_id=int(_read_number(headers.get(_LAST_EVENT, "")) or 0),
         )
 
+    def read_request_id(self, target: str, headers: dict[str, str]) -> str:
+        """Return the id of a request, or of the job that it asks for; empty if it has none."""
+        path = urlsplit(target).path
+        job_id = path.removeprefix(_JOBS if path.startswith(_JOBS) else _BODIES)
+        return headers.get(_REQUEST_ID) or (job_id if job_id != path else "")
+
     def is_replaced_header(self, name: str) -> bool:
         """Tell whether this lower-cased header is set anew on the way to a target."""
         return name == _DEADLINE or name == _EXPECT.lower()
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -201,9 +201,9 @@
                 lines.append(("Retry-After", f"{err.retry_after_s:.3f}"))
             elif isinstance(err, NotConfiguredError):
                 lines.append(("Retry-After", f"{STARTING_RETRY_S}"))
-            logger.bind(code=err.code, status=err.status, error=str(err), path=request.path).info(
-                "request_failed"
-            )
+            request_id = self._wire.read_request_id(request.path, request.headers)
+            facts = logger.bind(request_id=request_id, path=request.path, code=err.code)
+            facts.bind(status=err.status, error=str(err)).info("request_failed")
             connection.answer(err.status, lines=lines)
         return True
 
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -152,7 +152,9 @@
             call.excluded.add(slot.target_id)
             return RunOutcome.CANCELLED
         call.target_id = slot.target_id
-        silence = gevent.spawn_later(estimates.SILENT_S, self._slots.report_silence, slot)
+        silence = gevent.spawn_later(
+            estimates.SILENT_S, self._slots.report_silence, slot, call.facts.request_id
+        )
         try:
             exchange = self._send(call, target)
         except TargetNotReachedError as err:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -182,7 +182,9 @@
         if target is None or run.cancelled:
             return RunOutcome.CANCELLED
         events_before = run.last_event_id
-        silence = gevent.spawn_later(estimates.SILENT_S, self._slots.report_silence, slot)
+        silence = gevent.spawn_later(
+            estimates.SILENT_S, self._slots.report_silence, slot, run.item.item_id
+        )
         try:
             exchange = self._send(run, target)
             silence.kill(block=False)
--- a/clementinepin/serving/_jobs.py
+++ b/clementinepin/serving/_jobs.py
@@ -117,12 +117,15 @@
         )
         change = records.make_submission(keys, head, items)
         if route.tokens_max:
-            self._check_tokens(keys, route, sum(item.tokens for item in items))
+            self._check_tokens(job_id, keys, route, sum(item.tokens for item in items))
+        asked_at = self._clock.monotonic()
         try:
-            self._settle(lambda: self._store.write(change))
-            logger.bind(request_id=job_id, items=len(items), owner=head.owner).info("job_accepted")
-        except VersionConflictError:
-            logger.bind(request_id=job_id).info("job_known")
+            version = self._settle(lambda: self._store.write(change))
+            facts = logger.bind(request_id=job_id, items=len(items), owner=head.owner)
+            took_ms = round((self._clock.monotonic() - asked_at) * 1000, 1)
+            facts.bind(store_version=version, took_ms=took_ms).info("job_accepted")
+        except VersionConflictError as err:
+            logger.bind(request_id=job_id, store_version=err.current).info("job_known")
         self._totals.put(job_id, len(items))
 
     def read(self, call: JobCall) -> bytes:
@@ -201,16 +204,15 @@
         self._settle(try_once, repeat_conflicts=True)
         logger.bind(request_id=call.job_id).info("job_ended")
 
-    def _check_tokens(self, keys: records.JobKeys, route: Route, tokens: int) -> None:
+    def _check_tokens(self, job_id: str, keys: records.JobKeys, route: Route, tokens: int) -> None:
         """Raise TokensExhaustedError unless the job fits, or is there already."""
         page = self._retry(lambda: self._store.list_range(records.PROGRESS))
         if any(row.key == keys.progress for row in page.values):
             return
         waiting = records.count_waiting_tokens((row.value for row in page.values), route.name)
         if waiting + tokens > route.tokens_max:
-            logger.bind(waiting=waiting, tokens=tokens, bound=route.tokens_max).info(
-                "job_too_large"
-            )
+            facts = logger.bind(request_id=job_id, store_version=page.version, waiting=waiting)
+            facts.bind(tokens=tokens, bound=route.tokens_max).info("job_too_large")
             raise TokensExhaustedError("the job does not fit now", UNAVAILABLE_RETRY_S)
 
     def _take_cached(self, job_id: str, after: int) -> list[ItemResult]:
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -177,9 +177,10 @@
         dispatching.note_load(self._table, key, reported, self._clock.monotonic())
         self._link.send(messages.ReportLoad(slot.number, reported))
 
-    def report_silence(self, slot: Slot) -> None:
-        """Tell that a target has not begun to answer for long."""
-        logger.bind(target=slot.target_id, number=slot.number).info("target_silent")
+    def report_silence(self, slot: Slot, request_id: str) -> None:
+        """Tell that a target has not begun to answer a request for long."""
+        facts = logger.bind(request_id=request_id, target=slot.target_id)
+        facts.bind(dispatcher=self.dispatcher_name).info("target_silent")
         key = (self._name, slot.number)
         dispatching.note_silence(self._table, key, self._clock.monotonic())
         self._link.send(messages.ReportSilence(slot.number))
--- a/clementinepin/serving/wire.py
+++ b/clementinepin/serving/wire.py
@@ -30,6 +30,9 @@
     def read_request(self, headers: dict[str, str]) -> RequestFacts:
         """Return the facts in lower-cased headers; raises BadRequestError without an id."""
 
+    def read_request_id(self, target: str, headers: dict[str, str]) -> str:
+        """Return the id of a request, or of the job that it asks for; empty if it has none."""
+
     def is_replaced_header(self, name: str) -> bool:
         """Tell whether this lower-cased header is set anew on the way to a target."""
 
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -9,6 +9,7 @@
 import gevent
 import pytest
 from gevent import socket
+from loguru import logger
 
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.platform import create_wire
@@ -45,7 +46,7 @@
         self.target_ids: list[str] = []
         self.outcomes: list[RunOutcome] = []
         self.refusal: OverloadedError | None = None
-        self.silent: list[str] = []
+        self.silent: list[tuple[str, str]] = []
 
     def acquire(self, request: SlotRequest, on_waiting: Any) -> Slot:
         if self.refusal is not None:
@@ -61,8 +62,8 @@
     def report_load(self, slot: Slot, load: Any) -> None:
         return
 
-    def report_silence(self, slot: Slot) -> None:
-        self.silent.append(slot.target_id)
+    def report_silence(self, slot: Slot, request_id: str) -> None:
+        self.silent.append((slot.target_id, request_id))
 
 
 class Harness:
@@ -319,7 +320,7 @@
     harness.set_route(resumable=False, timeout_s=0.8)
     harness.add_target(ScriptedTarget(lambda sock, request: gevent.sleep(5)))
     call(harness.port, ID)
-    assert harness.slots.silent == ["t0"]
+    assert harness.slots.silent == [("t0", "q1")]
 
 
 def test_a_resumable_stream_leaves_a_target_that_falls_silent(harness: Harness) -> None:
@@ -389,6 +390,26 @@
     assert get_status(call(harness.port, *headers)) == status
 
 
+@pytest.mark.parametrize(
+    ("path", "headers", "expected"),
+    [
+        ("/elsewhere/1", (ID,), "q1"),
+        ("/v1/lots/job-7?after=0", (), "job-7"),
+        ("/v1/items/job-8?id=i1", (), "job-8"),
+    ],
+)
+def test_each_failure_is_logged_with_the_id_of_its_request_or_job(
+    harness: Harness, path: str, headers: tuple[str, ...], expected: str
+) -> None:
+    harness.set_route()
+    lines: list[Any] = []
+    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
+    assert get_status(call(harness.port, *headers, method="GET", path=path)) == 404
+    logger.remove(sink)
+    failed = [line for line in lines if line["message"] == "request_failed"]
+    assert [line["extra"]["request_id"] for line in failed] == [expected]
+
+
 def test_a_refused_request_is_told_when_to_return(harness: Harness) -> None:
     harness.set_route()
     harness.slots.refusal = OverloadedError("full", 0.75)
