Apply changed settings without a restart where nobody else knows them

Change: grace time, retention, bounds of connections and directory answers and the store's address are in force at a HUP and before a stop, as the file may change without a signal; the log names what needs a restart, which is what other instances and callers know.

--- a/clementinepin/platform/_store.py
+++ b/clementinepin/platform/_store.py
@@ -72,6 +72,12 @@
         self._count_call = count_call
         self._transport = Transport(TargetAddress("store", *address), clock)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Call the store at another address from now on; calls in work end where they began."""
+        if address != (self._transport.address.address, self._transport.address.port):
+            self._transport.close()
+            self._transport = Transport(TargetAddress("store", *address), self._clock)
+
     def get(self, key: str) -> KeyValue | None:
         """Return the current value of a key, or None."""
         status, body = self._call("GET", f"/v1/kv-key?key={quote(key, safe='')}")
--- a/clementinepin/serve.py
+++ b/clementinepin/serve.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 
 import gevent
 from docopt import docopt
@@ -23,7 +24,6 @@
     load_instance_settings,
 )
 from clementinepin.serving.app import App, create_app, create_serving_metrics
-from clementinepin.serving.models import InstanceSettings
 
 USAGE = """Run one instance on the users' platform. Its settings file is named by the platform.
 
@@ -34,8 +34,9 @@
 Options:
   --metrics-port PORT  Port of this machine that serves metrics; 0 serves none [default: 0].
 
-Signals: TERM and INT leave and stop; HUP reads the settings again; USR1 writes a state dump
-to standard output. Exit codes: 0 clean stop, 2 wrong usage or settings.
+Signals: TERM and INT leave and stop; HUP reads the settings again and puts into force
+what needs no restart; USR1 writes a state dump to standard output. Exit codes: 0 clean stop,
+2 wrong usage or settings.
 """
 EXIT_SETTINGS = 2
 
@@ -62,25 +63,34 @@
     told = Event()
     gevent.signal_handler(signal.SIGTERM, told.set)
     gevent.signal_handler(signal.SIGINT, told.set)
-    gevent.signal_handler(signal.SIGHUP, check_settings, path, settings)
+
+    def reload() -> None:
+        reload_settings(path, metrics_port, app, store.move)
+
+    gevent.signal_handler(signal.SIGHUP, reload)
     gevent.signal_handler(signal.SIGUSR1, dump_state, app)
     app.start()
     logger.bind(runs_jobs=settings.runs_jobs, data_centre=settings.data_centre).info("started")
     told.wait()
+    reload()  # the file may have changed without a signal, and says how long a stop may take
     logger.info("stopping")
     app.stop()
     logger.info("stopped")
     return 0
 
 
-def check_settings(path: str, settings: InstanceSettings) -> None:
-    """Read the settings again; addresses only change with a restart, so a change is reported."""
+def reload_settings(
+    path: str, metrics_port: int, app: App, move_store: Callable[[tuple[str, int]], None]
+) -> None:
+    """Read the settings again and put into force what needs no restart."""
     try:
-        changed = load_instance_settings(path)._replace(metrics_address=settings.metrics_address)
+        settings = load_instance_settings(path, metrics_port)
     except ClementinepinError as err:
         logger.bind(error=err.message).error("settings_unreadable")
         return
-    logger.bind(changed=changed != settings).info("settings_read_again")
+    move_store(settings.store_address)
+    left = [name for name in app.apply_settings(settings) if name != "store_address"]
+    logger.bind(needs_restart=left).info("settings_read_again")
 
 
 def dump_state(app: App) -> None:
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -42,6 +42,12 @@
 STARTING_RETRY_S: Final = 0.5
 IDLE_CHECK_S: Final = 0.05
 DEFAULT_LIMITS: Final = CallerLimits()
+LIVE_SETTINGS: Final = (
+    "grace_s",
+    "status_retention_s",
+    "connections_max",
+    "directory_ttl_max_s",
+)
 
 
 class App:
@@ -133,6 +139,20 @@
         if self._link_server is not None:
             self._link_server.stop()
 
+    def apply_settings(self, settings: InstanceSettings) -> list[str]:
+        """Put into force what may change while the instance runs; return the names of the rest.
+
+        Addresses and names are known to other instances and callers: they need a restart.
+        """
+        live = {name: getattr(settings, name) for name in LIVE_SETTINGS}
+        self._settings = self._settings._replace(**live)
+        for server in self._servers:
+            server.connections_max = settings.connections_max
+        if self._runner is not None:
+            self._runner.status_retention_s = settings.status_retention_s
+        pairs = zip(self._settings._asdict().items(), settings, strict=True)
+        return [name for (name, value), wanted in pairs if value != wanted]
+
     def describe_state(self) -> dict[str, Any]:
         """Return a JSON-ready dump."""
         return {
@@ -286,7 +306,8 @@
         if not addresses:
             connection.answer(503, lines=[("Retry-After", f"{STARTING_RETRY_S}")])
             return
-        body = self._wire.make_resolve_answer(addresses, RESOLVE_TTL_S)
+        ttl_s = min(RESOLVE_TTL_S, self._settings.directory_ttl_max_s)
+        body = self._wire.make_resolve_answer(addresses, ttl_s)
         connection.answer(200, body, [("Content-Type", "application/json")])
 
 
--- a/clementinepin/serving/_http.py
+++ b/clementinepin/serving/_http.py
@@ -234,7 +234,7 @@
     ) -> None:
         self._handle = handle
         self._get_limits = get_limits
-        self._connections_max = connections_max
+        self.connections_max = connections_max
         self._server = StreamServer(address, self._serve, backlog=BACKLOG)
         self.connections = 0
 
@@ -247,7 +247,7 @@
         self._server.close()
 
     def _serve(self, sock: Any, _peer: Any) -> None:
-        if self.connections >= self._connections_max:
+        if self.connections >= self.connections_max:
             sock.close()
             return
         self.connections += 1
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -105,6 +105,7 @@
         self._look = Event()
         self._settled_at = 0.0
         self.leaving = False
+        self.status_retention_s = settings.status_retention_s
         prefix = wire.own_prefix
         self._followers = [
             StoreFollower(store, prefix + name, _Announcements(prefix + name, take), clock)
@@ -323,7 +324,7 @@
 
     def _remove_if_old(self, job_id: str, head: records.JobHead) -> None:
         age_s = self._clock.wall() - head.created_ms / 1000
-        if age_s < self._settings.status_retention_s + REMOVE_MARGIN_S:
+        if age_s < self.status_retention_s + REMOVE_MARGIN_S:
             return
         if choose_owner(job_id, [m.name for m in self._fleet.list_job_runners()]) != (
             self._settings.name
