Load in each daemon only what it runs

Cause: the daemon on the platform imported the clients of the instance list and the weight store and the file sets, which it never uses; each start after a loss of power is time without service. Tests: a test lists the parts that the daemon must not load; it failed before.

--- a/clementinepin/daemon.py
+++ b/clementinepin/daemon.py
@@ -26,7 +26,7 @@
 from clementinepin.helpers.logs import configure_logs
 from clementinepin.helpers.loop import check_loop_backend
 from clementinepin.helpers.metrics import create_metrics
-from clementinepin.infrastructure import (
+from clementinepin.infrastructure.clients import (
     create_instance_list,
     create_key_value_store,
     create_weight_store,
--- a/clementinepin/infrastructure/__init__.py
+++ b/clementinepin/infrastructure/__init__.py
@@ -1,11 +1,8 @@
-"""Clients of the platform's services."""
+"""What the product asks of the platform's services; the clients stand in ``clients``."""
 
 from __future__ import annotations
 
 from clementinepin.infrastructure._follower import RangeFollower, RangeListener
-from clementinepin.infrastructure._instance_list import create_instance_list
-from clementinepin.infrastructure._key_value import create_key_value_store
-from clementinepin.infrastructure._weight_store import create_weight_store
 from clementinepin.infrastructure.models import (
     Change,
     InstanceList,
@@ -32,7 +29,4 @@
     "StateStore",
     "WatchEvent",
     "WeightStore",
-    "create_instance_list",
-    "create_key_value_store",
-    "create_weight_store",
 ]
--- a/clementinepin/targets/_bodies.py
+++ b/clementinepin/targets/_bodies.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
-from clementinepin.config import ApplicationSpec
+if TYPE_CHECKING:  # the daemon on the users' platform needs no file sets
+    from clementinepin.config import ApplicationSpec
 
 WHOLE_ONLY_FIELDS: Final = ("logprobs", "tools", "functions", "best_of", "echo")
 
--- a/tests/infrastructure/test_key_value.py
+++ b/tests/infrastructure/test_key_value.py
@@ -8,7 +8,7 @@
 from clementinepin import platform
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.helpers.metrics import create_metrics
-from clementinepin.infrastructure import create_key_value_store
+from clementinepin.infrastructure.clients import create_key_value_store
 from clementinepin.infrastructure.exceptions import (
     LeaseLostError,
     PlatformUnavailableError,
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import re
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -44,3 +46,15 @@
     lines = sum(len(p.read_text().splitlines()) for p in ADAPTER.glob("*.py"))
     product = sum(len(p.read_text().splitlines()) for p in PRODUCT.rglob("*.py"))
     assert lines < product / 10
+
+
+def test_the_daemon_on_the_platform_loads_only_what_it_runs():
+    """Each start after a loss of power is time without service, and memory is paid for."""
+    code = "import sys, clementinepin.serve; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    parts = {
+        name.split(".")[1] for name in done.stdout.split() if name.startswith("clementinepin.")
+    }
+    unused = {"batch", "claims", "config", "entry", "fleet", "peers", "scheduling", "storage"}
+    assert not parts & unused
+    assert "clementinepin.infrastructure.clients" not in done.stdout.split()
