--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -12,7 +12,8 @@
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._links import Link, LinkServer
 from clementinepin.serving.models import Target
-from clementinepin.systems import dispatching
+from clementinepin.systems import dispatching, target_health, waiting
+from clementinepin.systems.dispatch_actions import Action, Granted, RunOutcome, TurnedAway
 from clementinepin.tables.dispatch import Ask, DispatchTable, TargetLoad
 
 TICK_S: Final = 0.02  # how late a change of the queue by time alone may be noticed
@@ -53,7 +54,7 @@
     def describe_state(self) -> dict[str, Any]:
         """Return slots and queue by service."""
         services = {target.service for target in self.table.targets.values()}
-        return {name: dispatching.describe_load(self.table, name) for name in services}
+        return {name: waiting.describe_load(self.table, name) for name in services}
 
     def _greet(self, link: Link, hello: messages.Hello) -> None:
         """Take over what an instance uses already, and ask back what is too much."""
@@ -85,7 +86,7 @@
 
     def _take_end(self, link: Link, message: messages.EndSlot) -> None:
         now = self._clock.monotonic()
-        outcome = dispatching.RunOutcome(message.outcome)
+        outcome = RunOutcome(message.outcome)
         dispatching.finish(self.table, (link.name, message.number), outcome, now)
         self._serve_queue()
 
@@ -96,17 +97,17 @@
 
     def _take_silence(self, link: Link, message: messages.ReportSilence) -> None:
         key = (link.name, message.number)
-        dispatching.note_silence(self.table, key, self._clock.monotonic())
+        target_health.note_silence(self.table, key, self._clock.monotonic())
 
-    def _carry_out(self, actions: list[dispatching.Action]) -> None:
+    def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             name, number = action.key
             link = self._links.get(name)
             if link is None:
                 continue
-            if isinstance(action, dispatching.Granted):
+            if isinstance(action, Granted):
                 link.send(messages.GrantSlot(number, action.target_id))
-            elif isinstance(action, dispatching.TurnedAway):
+            elif isinstance(action, TurnedAway):
                 link.send(messages.RefuseSlot(number, *action[1:]))
             else:
                 link.send(messages.YieldSlot(number))
@@ -132,7 +133,7 @@
         """Free what an instance held; one that lives reports it anew."""
         now = self._clock.monotonic()
         for key in [k for k in (*self.table.grants, *self.table.list_waiting()) if k[0] == name]:
-            dispatching.finish(self.table, key, dispatching.RunOutcome.CANCELLED, now)
+            dispatching.finish(self.table, key, RunOutcome.CANCELLED, now)
 
     def _update_targets(self) -> None:
         update_targets(self.table, self._fleet.targets.rows)
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -26,7 +26,7 @@
 from clementinepin.serving.models import Route, RouteKind, Target
 from clementinepin.serving.wire import Wire
 from clementinepin.systems import estimates
-from clementinepin.systems.dispatching import RunOutcome
+from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.targets import HttpExchange, HttpRequest
 from clementinepin.targets.exceptions import (
     TargetLostError,
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -19,7 +19,7 @@
 from clementinepin.serving.models import ItemState, JobItem, Route, Target
 from clementinepin.serving.wire import Wire
 from clementinepin.systems import estimates
-from clementinepin.systems.dispatching import RunOutcome
+from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.targets import Abort, HttpExchange, HttpRequest
 from clementinepin.targets.exceptions import (
     TargetLostError,
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -20,8 +20,8 @@
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
-from clementinepin.systems import dispatching
-from clementinepin.systems.dispatching import RunOutcome
+from clementinepin.systems import dispatching, target_health
+from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.dispatch import Ask, DispatchTable
 
 REPLY_TIMEOUT_S: Final = 0.08  # some round trips between data centres plus a busy dispatcher
@@ -182,7 +182,7 @@
         facts = logger.bind(request_id=request_id, target=slot.target_id)
         facts.bind(dispatcher=self.dispatcher_name).info("target_silent")
         key = (self._name, slot.number)
-        dispatching.note_silence(self._table, key, self._clock.monotonic())
+        target_health.note_silence(self._table, key, self._clock.monotonic())
         self._link.send(messages.ReportSilence(slot.number))
 
     def watch_yield(self, slot: Slot, on_yield: Callable[[], None]) -> None:
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -19,7 +19,7 @@
 from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
 from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.serving.models import CallerLimits, DesiredState, Route, RouteKind, Target
-from clementinepin.systems.dispatching import RunOutcome
+from clementinepin.systems.dispatch_actions import RunOutcome
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS, make_route
 from tests.serving.scripted import (
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -19,7 +19,7 @@
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
 from clementinepin.serving.models import Member, Target
 from clementinepin.serving.store import StoreFollower
-from clementinepin.systems.dispatching import RunOutcome
+from clementinepin.systems.dispatch_actions import RunOutcome
 
 
 class FakeTargets:
--- a/tests/systems/load_model.py
+++ b/tests/systems/load_model.py
@@ -15,7 +15,7 @@
 from typing import NamedTuple, Protocol
 
 from clementinepin.systems import dispatching, estimates
-from clementinepin.systems.dispatching import RunOutcome
+from clementinepin.systems.dispatch_actions import Action, Granted, RunOutcome, TurnedAway
 from clementinepin.tables.dispatch import Ask, DispatchTable, TargetLoad
 
 STEP_S = 0.00355
@@ -258,15 +258,15 @@
     def serve_queue(self, sim: Simulation) -> None:
         self.carry_out(sim, dispatching.serve_queue(self.table, sim.now, sim.random))
 
-    def carry_out(self, sim: Simulation, actions: list[dispatching.Action]) -> None:
+    def carry_out(self, sim: Simulation, actions: list[Action]) -> None:
         for action in actions:
             work = self.works[action.key]
-            if isinstance(action, dispatching.Granted):
+            if isinstance(action, Granted):
                 index = int(action.target_id)
                 run = Run(work, lambda outcome, key=action.key: self.end(sim, key))  # type: ignore[misc]
                 self.runs[action.key] = run, index
                 sim.at(sim.now + LINK_S, lambda run=run, index=index: sim.engines[index].add(run))  # type: ignore[misc]
-            elif isinstance(action, dispatching.TurnedAway):
+            elif isinstance(action, TurnedAway):
                 sim.refuse(self, work, action.retry_after_s)
             else:
                 sim.at(sim.now + LINK_S, lambda key=action.key: self.give_up_slot(sim, key))  # type: ignore[misc]
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -6,22 +6,16 @@
 
 import pytest
 
-from clementinepin.systems import dispatching
+from clementinepin.systems import dispatching, target_health
+from clementinepin.systems.dispatch_actions import Granted, RunOutcome, TurnedAway, YieldAsked
 from clementinepin.systems.dispatching import (
     BATCH_HOLD_S,
-    CRASH_MEMORY_S,
-    CRASHES_MAX,
-    FULL_S,
     HIDDEN_S,
-    JUDGE_AGAIN_S,
-    RETURN_MAX_S,
     YIELD_AFTER_S,
     YIELD_LOST_S,
-    Granted,
-    RunOutcome,
-    TurnedAway,
-    YieldAsked,
 )
+from clementinepin.systems.target_health import CRASH_MEMORY_S, CRASHES_MAX, FULL_S
+from clementinepin.systems.waiting import JUDGE_AGAIN_S, RETURN_MAX_S
 from clementinepin.tables.dispatch import Ask, DispatchTable, TargetLoad
 
 RUN_S = 0.75
@@ -294,19 +288,19 @@
     target = TargetLoad("t0", "llm", "a", 2)
     pauses = []
     for _ in range(4):
-        dispatching.note_outcome(target, RunOutcome.UNREACHED, 0.0)
+        target_health.note_outcome(target, RunOutcome.UNREACHED, 0.0)
         pauses.append(target.avoid_until)
     assert pauses == sorted(pauses)
     assert pauses[0] > 0.0
-    dispatching.note_outcome(target, RunOutcome.SERVED, 0.0)
+    target_health.note_outcome(target, RunOutcome.SERVED, 0.0)
     assert target.avoid_until == 0.0
 
 
 def test_one_broken_answer_does_not_put_a_target_aside(rng):
     target = TargetLoad("t0", "llm", "a", 2)
-    dispatching.note_outcome(target, RunOutcome.BROKEN, 0.0)
+    target_health.note_outcome(target, RunOutcome.BROKEN, 0.0)
     assert target.avoid_until == 0.0
-    dispatching.note_outcome(target, RunOutcome.BROKEN, 0.0)
+    target_health.note_outcome(target, RunOutcome.BROKEN, 0.0)
     assert target.avoid_until > 0.0
 
 
@@ -322,7 +316,7 @@
     table = make_table(targets=2, slots=4)
     fill(table, 2, rng)
     key = next(iter(table.targets["t0"].grants))
-    dispatching.note_silence(table, key, 0.4)
+    target_health.note_silence(table, key, 0.4)
     actions = [dispatching.submit(table, make_ask(n, 0.4), 0.4, rng)[0] for n in range(3)]
     assert {action.target_id for action in actions} == {"t1"}
     dispatching.note_load(table, key, 1, 0.5)
