Serve new callers before those who returned, and tell these at once when nothing is left

Cause: callers who had been refused once went before new ones. Change: new callers first; who returned waits while the work of new callers over 6 s, a peak and a lull, is below 1.2 of all slots, and is told its final answer at once above that. The order before stays as a baseline (--order returned-first), as do own-counts and random placement (--placement).

--- a/clementinepin/serve.py
+++ b/clementinepin/serve.py
@@ -24,15 +24,21 @@
     load_instance_settings,
 )
 from clementinepin.serving.app import App, create_app, create_serving_metrics
+from clementinepin.serving.models import Placement, Policy
+from clementinepin.tables.dispatch import QueueOrder
 
 USAGE = """Run one instance on the users' platform. Its settings file is named by the platform.
 
 Usage:
-  serve [--metrics-port PORT]
+  serve [--metrics-port PORT] [--placement NAME] [--order NAME]
   serve (-h | --help)
 
 Options:
   --metrics-port PORT  Port of this machine that serves metrics; 0 serves none [default: 0].
+  --placement NAME     Who chooses targets: dispatcher; or own-counts or random, as baselines
+                       [default: dispatcher].
+  --order NAME         Who waits first: new-first; or returned-first, as a baseline
+                       [default: new-first].
 
 Signals: TERM and INT leave and stop; HUP reads the settings again and puts into force
 what needs no restart; USR1 writes a state dump to standard output. Exit codes: 0 clean stop,
@@ -48,9 +54,10 @@
     try:
         check_loop_backend()
         metrics_port = int(args["--metrics-port"])
+        policy = Policy(Placement(args["--placement"]), QueueOrder(args["--order"]))
         settings = load_instance_settings(path, metrics_port)
-    except ValueError:
-        sys.stderr.write(f"clementinepin: {args['--metrics-port']!r} is not a port\n")
+    except ValueError as err:
+        sys.stderr.write(f"clementinepin: {err}\n")
         return EXIT_SETTINGS
     except ClementinepinError as err:
         sys.stderr.write(f"clementinepin: {err.code}: {err.message}\n")
@@ -59,7 +66,7 @@
     clock = create_system_clock()
     metrics = create_serving_metrics()
     store = create_store(settings.store_address, clock, metrics.count_store_call)
-    app = create_app(settings, store, create_wire(), clock, random.Random(), metrics)
+    app = create_app(settings, store, create_wire(), clock, random.Random(), metrics, policy)
     told = Event()
     gevent.signal_handler(signal.SIGTERM, told.set)
     gevent.signal_handler(signal.SIGINT, told.set)
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -33,7 +33,7 @@
     OverloadedError,
     RouteNotFoundError,
 )
-from clementinepin.serving.models import CallerLimits, InstanceSettings, Member, Route
+from clementinepin.serving.models import CallerLimits, InstanceSettings, Member, Policy, Route
 from clementinepin.serving.wire import Wire
 
 RESOLVE_TTL_S: Final = 2.0  # callers notice a lost instance at their next connection anyway
@@ -41,6 +41,7 @@
 STOP_MARGIN_S: Final = 0.5  # left to end the process
 STARTING_RETRY_S: Final = 0.5
 IDLE_CHECK_S: Final = 0.05
+DEFAULT_POLICY: Final = Policy()
 DEFAULT_LIMITS: Final = CallerLimits()
 LIVE_SETTINGS: Final = (
     "grace_s",
@@ -61,6 +62,7 @@
         clock: Clock,
         rng: random.Random,
         metrics: ServingMetrics,
+        policy: Policy = DEFAULT_POLICY,
     ) -> None:
         self._metrics = metrics
         self._settings = settings
@@ -74,7 +76,15 @@
         self.fleet = FleetView(settings, store, wire, clock)
         relayed.list_helpers = self.fleet.list_job_runners
         pools = TargetPools(self.fleet, clock)
-        self.slots = SlotBroker(settings.name, settings.data_centre, self.fleet, pools, clock, rng)
+        self.slots = SlotBroker(
+            settings.name,
+            settings.data_centre,
+            self.fleet,
+            pools,
+            clock,
+            rng,
+            policy.placement,
+        )
         self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
         self._jobs = JobDesk(store, self.fleet, links, wire, clock)
         self._link_server: LinkServer | None = None
@@ -86,7 +96,7 @@
             served = LinkServer((settings.host, settings.link_port))
             self._link_server = served
             RelayServer(served, own_way, clock)
-            self._dispatcher = Dispatcher(served, self.fleet, clock, rng)
+            self._dispatcher = Dispatcher(served, self.fleet, clock, rng, policy.order)
             self._feed = FeedServer(served, self.fleet.fed_followers)
             items = ItemRunner(self.fleet, self.slots, pools, wire, clock, metrics)
             self._runner = JobRunner(
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -14,7 +14,7 @@
 from clementinepin.serving.models import Target
 from clementinepin.systems import dispatching, target_health, waiting
 from clementinepin.systems.dispatch_actions import Action, Granted, RunOutcome, TurnedAway
-from clementinepin.tables.dispatch import Ask, DispatchTable, TargetLoad
+from clementinepin.tables.dispatch import Ask, DispatchTable, QueueOrder, TargetLoad
 
 TICK_S: Final = 0.02  # how late a change of the queue by time alone may be noticed
 SIGN_OF_LIFE_S: Final = 0.1  # askers give up a silent dispatcher after a few of these
@@ -24,7 +24,12 @@
     """Answers whoever asks; which instance is asked is the askers' choice."""
 
     def __init__(
-        self, links: LinkServer, fleet: FleetView, clock: Clock, rng: random.Random
+        self,
+        links: LinkServer,
+        fleet: FleetView,
+        clock: Clock,
+        rng: random.Random,
+        order: QueueOrder = QueueOrder.NEW_FIRST,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
@@ -32,7 +37,7 @@
         self._links = links.links
         self._signs_due = 0.0
         self._ticker: gevent.Greenlet | None = None
-        self.table = DispatchTable()
+        self.table = DispatchTable(order)
         links.handle(messages.Hello, self._greet)
         links.handle(messages.AskSlot, self._take_ask)
         links.handle(messages.TookSlot, self._take_own_choice)
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -75,6 +75,7 @@
     slots: int = 0
     waiting: int = 0
     start_in_s: float = 0.0
+    pressure: float = 0.0
 
 
 class YieldSlot(msgspec.Struct, array_like=True, tag=5, frozen=True):
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -20,6 +20,7 @@
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
+from clementinepin.serving.models import Placement
 from clementinepin.systems import dispatching, target_health
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.dispatch import Ask, DispatchTable
@@ -72,7 +73,9 @@
         pools: TargetPools,
         clock: Clock,
         rng: random.Random,
+        placement: Placement = Placement.DISPATCHER,
     ) -> None:
+        self._placement = placement
         self._pools = pools
         self._feed = FeedClient(name, fleet.fed_followers)
         self._name = name
@@ -94,7 +97,8 @@
     def start(self) -> None:
         """Keep a link to the dispatcher."""
         self._fleet.subscribe(self._update_targets)
-        self._link.start()
+        if self._placement is Placement.DISPATCHER:
+            self._link.start()
 
     def stop(self) -> None:
         """Close the link."""
@@ -139,6 +143,7 @@
                 "slots": answer.slots,
                 "waiting": answer.waiting,
                 "start_in_s": answer.start_in_s,
+                "pressure": answer.pressure,
             }
             raise OverloadedError(answer.reason, answer.retry_after_s, inputs)
         self._link.send(messages.EndSlot(number, RunOutcome.CANCELLED))
@@ -217,10 +222,15 @@
     def _choose_alone(self, number: int, request: SlotRequest) -> Slot:
         """Choose by own counts; each instance keeps to about its share of every target."""
         now = self._clock.monotonic()
-        if request.is_batch and now - self._first_linked_at < ALONE_BATCH_S:
+        waits_for_link = self._placement is Placement.DISPATCHER
+        if request.is_batch and waits_for_link and now - self._first_linked_at < ALONE_BATCH_S:
             raise OverloadedError("batch waits for a dispatcher", ALONE_RETRY_S)
         ask = self._make_own_ask(number, request, now)
-        target = dispatching.choose_target(self._table.targets.values(), ask, now)
+        targets = list(self._table.targets.values())
+        if self._placement is Placement.RANDOM:
+            self._random.shuffle(targets)
+            targets = [t for t in targets if dispatching.choose_target([t], ask, now)][:1]
+        target = dispatching.choose_target(targets, ask, now)
         if target is None:
             raise OverloadedError("no free target known", ALONE_RETRY_S)
         share = math.ceil(2 * target.slots / max(1, len(self._fleet.list_entries())))
--- a/clementinepin/serving/app.py
+++ b/clementinepin/serving/app.py
@@ -8,7 +8,7 @@
 from clementinepin.infrastructure import StateStore
 from clementinepin.serving._app import App
 from clementinepin.serving._metrics import ServingMetrics
-from clementinepin.serving.models import InstanceSettings
+from clementinepin.serving.models import InstanceSettings, Policy
 from clementinepin.serving.wire import Wire
 
 __all__ = ["App", "ServingMetrics", "create_app", "create_serving_metrics"]
@@ -26,6 +26,7 @@
     clock: Clock,
     rng: random.Random,
     metrics: ServingMetrics,
+    policy: Policy,
 ) -> App:
     """Return one instance, not yet started."""
-    return App(settings, store, wire, clock, rng, metrics)
+    return App(settings, store, wire, clock, rng, metrics, policy)
--- a/clementinepin/serving/models.py
+++ b/clementinepin/serving/models.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from clementinepin.tables.dispatch import QueueOrder
+
 
 class RouteKind(StrEnum):
     """What a caller of a route may expect to be repeated."""
@@ -136,6 +138,21 @@
     connections_max: int
 
 
+class Placement(StrEnum):
+    """Who chooses the target of a request; all but the first are baselines to compare with."""
+
+    DISPATCHER = "dispatcher"
+    OWN_COUNTS = "own-counts"
+    RANDOM = "random"
+
+
+class Policy(NamedTuple):
+    """How requests are placed and in which order they wait."""
+
+    placement: Placement = Placement.DISPATCHER
+    order: QueueOrder = QueueOrder.NEW_FIRST
+
+
 class RequestFacts(NamedTuple):
     """What the headers of a request say. ``time_left_s`` is None where the caller sent none."""
 
--- a/clementinepin/systems/dispatch_actions.py
+++ b/clementinepin/systems/dispatch_actions.py
@@ -29,7 +29,8 @@
     """The request should return after ``retry_after_s``; it was not sent anywhere.
 
     The other fields are what decided it: slots of the service taken and in all, requests that
-    wait, and the seconds until the first slot that it could have had.
+    wait, the seconds until the first slot that it could have had, and the work of new callers as
+    a share of all slots.
     """
 
     key: GrantKey
@@ -39,6 +40,7 @@
     slots: int = 0
     waiting: int = 0
     start_in_s: float = 0.0
+    pressure: float = 0.0
 
 
 class YieldAsked(NamedTuple):
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -45,6 +45,8 @@
     """
     if target_health.has_crashed_targets(table, ask.fingerprint, now):
         return [TurnedAway(ask.key, waiting.RETURN_MAX_S, "crashed targets")]
+    if not ask.is_batch and not ask.returned:
+        table.arrivals[ask.service].add(ask.run_s, now)
     actions = _try_start(table, ask, now)
     if actions:
         return actions
@@ -76,11 +78,11 @@
     """Start what waits, in order; turn away what would wait past its use.
 
     Load pattern: a queue that outlives its burst. Order: requests that can still be on time,
-    callers who returned before new ones, then late ones, then batch items by their due time.
+    new callers before those who returned, then late ones, then batch items by their due time.
     """
     actions: list[Action] = []
     blocked: set[str] = set()
-    for ask in sorted(table.waiting.values(), key=lambda a: waiting.rank(a, now)):
+    for ask in sorted(table.waiting.values(), key=lambda a: waiting.rank(table, a, now)):
         refusal = waiting.judge_again(table, ask, now, rng)
         if refusal is not None:
             del table.waiting[ask.key]
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -3,11 +3,21 @@
 from __future__ import annotations
 
 import heapq
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from collections.abc import Iterator
-from typing import NamedTuple
+from enum import StrEnum
+from typing import Final, NamedTuple
 
 GrantKey = tuple[str, int]
+RATE_WINDOW_S: Final = 6.0  # a peak and a lull of the users' traffic
+RATE_BUCKET_S: Final = 0.5  # how coarsely old work leaves the window
+
+
+class QueueOrder(StrEnum):
+    """Which callers go first among those who can still be on time."""
+
+    NEW_FIRST = "new-first"
+    RETURNED_FIRST = "returned-first"
 
 
 class Ask(NamedTuple):
@@ -160,10 +170,34 @@
         return None
 
 
-class DispatchTable:
-    """All rows of one dispatcher. ``waiting`` holds online requests, ``items`` batch ones."""
+class WorkRate:
+    """How much work arrives, in seconds of slots a second, over a window of some seconds."""
 
     def __init__(self) -> None:
+        self._buckets: dict[int, float] = {}
+
+    def add(self, run_s: float, now: float) -> None:
+        """Count the work of one request."""
+        bucket = int(now / RATE_BUCKET_S)
+        if bucket not in self._buckets:
+            oldest = bucket - int(RATE_WINDOW_S / RATE_BUCKET_S)
+            self._buckets = {k: v for k, v in self._buckets.items() if k > oldest}
+        self._buckets[bucket] = self._buckets.get(bucket, 0.0) + run_s
+
+    def get_rate(self, now: float) -> float:
+        """Return the mean over the window; time before the first request counts as idle."""
+        oldest = int(now / RATE_BUCKET_S) - int(RATE_WINDOW_S / RATE_BUCKET_S)
+        return sum(v for k, v in self._buckets.items() if k > oldest) / RATE_WINDOW_S
+
+
+class DispatchTable:
+    """All rows of one dispatcher. ``waiting`` holds online requests, ``items`` batch ones.
+
+    ``arrivals`` is the work of callers who come for the first time, by service.
+    """
+
+    def __init__(self, order: QueueOrder = QueueOrder.NEW_FIRST) -> None:
+        self.order = order
         self.targets: dict[str, TargetLoad] = {}
         self.waiting: dict[GrantKey, Ask] = {}
         self.items: dict[str, BatchQueue] = {}
@@ -171,6 +205,7 @@
         self.returns_at: dict[str, float] = {}
         self.batch_held_until: dict[str, float] = {}
         self.crashes: dict[str, list[float]] = {}
+        self.arrivals: defaultdict[str, WorkRate] = defaultdict(WorkRate)
 
     def list_waiting(self) -> list[GrantKey]:
         """Return the keys of all that wait."""
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -17,7 +17,7 @@
 from clementinepin.serving._links import Link, LinkServer
 from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
-from clementinepin.serving.models import Member, Target
+from clementinepin.serving.models import Member, Placement, Target
 from clementinepin.serving.store import StoreFollower
 from clementinepin.systems.dispatch_actions import RunOutcome
 
@@ -255,3 +255,18 @@
     broker._link.send(messages.TookSlot(taken))
     assert yielded.wait(2.0)
     pair.stop()
+
+
+@pytest.mark.parametrize("placement", [Placement.OWN_COUNTS, Placement.RANDOM])
+def test_a_baseline_places_without_a_dispatcher(placement: Placement) -> None:
+    fleet = FakeFleet(find_port(), 3)
+    clock = create_system_clock()
+    broker = SlotBroker("f1", "a", fleet, FakePools(), clock, random.Random(1), placement)  # type: ignore[arg-type]
+    broker.start()
+    fleet.announce()
+    now = clock.monotonic()
+    taken = {acquire(broker, make_request(now, is_batch=n == 0)).target_id for n in range(3)}
+    assert taken == {"t0", "t1", "t2"}
+    with pytest.raises(OverloadedError):
+        acquire(broker, make_request(now))
+    broker.stop()
--- a/tests/systems/load_model.py
+++ b/tests/systems/load_model.py
@@ -16,7 +16,7 @@
 
 from clementinepin.systems import dispatching, estimates
 from clementinepin.systems.dispatch_actions import Action, Granted, RunOutcome, TurnedAway
-from clementinepin.tables.dispatch import Ask, DispatchTable, TargetLoad
+from clementinepin.tables.dispatch import Ask, DispatchTable, QueueOrder, TargetLoad
 
 STEP_S = 0.00355
 STEP_SLOT_S = 0.0000462
@@ -133,7 +133,7 @@
         self.first_at: dict[int, float] = {}
         self.ends: dict[int, str] = {}
         self.worth: dict[int, float] = {}
-        self.refused: dict[int, float] = {}
+        self.held_in_vain: list[float] = []
         self.items_done: dict[int, float] = {}
 
     def at(self, when: float, act: Callable[[], None]) -> None:
@@ -164,6 +164,7 @@
 
     def refuse(self, policy: Policy, work: Work, retry_after_s: float) -> None:
         if work.returned:
+            self.held_in_vain.append(self.now - work.arrives_at)
             return
         back = work._replace(arrives_at=self.now + retry_after_s, returned=True)
         self.at(back.arrives_at, lambda: policy.submit(self, back))
@@ -219,8 +220,8 @@
 class DispatchPolicy:
     """The dispatcher's decisions, each message a link's delay late."""
 
-    def __init__(self, engines: int, slots: int) -> None:
-        self.table = DispatchTable()
+    def __init__(self, engines: int, slots: int, order: QueueOrder = QueueOrder.NEW_FIRST) -> None:
+        self.table = DispatchTable(order)
         self.works: dict[tuple[str, int], Work] = {}
         self.runs: dict[tuple[str, int], tuple[Run, int]] = {}
         self.ticking = False
--- a/tests/systems/test_load_patterns.py
+++ b/tests/systems/test_load_patterns.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from clementinepin.tables.dispatch import DispatchTable
+from clementinepin.tables.dispatch import DispatchTable, QueueOrder
 from tests.systems.load_model import (
+    OBJECTIVE_S,
     BlindPolicy,
     DispatchPolicy,
     Policy,
@@ -79,6 +80,46 @@
     assert sum(value > 0 for value in sims["dispatcher"].worth.values()) > 0.75 * len(works)
 
 
+def play_orders(works: list[Work], seed: int, engines: int) -> list[Simulation]:
+    """Return the same load under the order of today and under the one before it."""
+    sims = []
+    for order in (QueueOrder.NEW_FIRST, QueueOrder.RETURNED_FIRST):
+        sim = Simulation(engines, SLOTS, seed)
+        sim.run(DispatchPolicy(engines, SLOTS, order), works, 60.0)
+        sims.append(sim)
+    return sims
+
+
+def count_on_time(sim: Simulation) -> int:
+    return sum(1 for worth in sim.worth.values() if worth == 1.0)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_lasting_overload(seed: int) -> None:
+    """Day mix of kirkvoice-serve, seed 529218180980: four of five engines leave for good.
+
+    With those who returned first, nearly everybody is late; who can't be served waits two seconds.
+    """
+    works = list(make_online(random.Random(seed), lambda now: 25.0, 20.0))
+    today, before = play_orders(works, seed, 1)
+    assert count_on_time(today) > 0.3 * len(works) > count_on_time(before)
+    assert today.get_online_worth() > before.get_online_worth() + 0.1
+    in_vain = [held_s for held_s in today.held_in_vain if held_s > OBJECTIVE_S]
+    assert len(in_vain) < 0.1 * len(works)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("engines", [2, 5])
+def test_peaks_beyond_all_slots_with_lulls_between(seed: int, engines: int) -> None:
+    """The users' square traffic at a third above the slots of its peaks: few are never served."""
+    works = list(make_online(random.Random(seed), make_square(engines * 3, engines * 16), 30.0))
+    today, before = play_orders(works, seed, engines)
+    assert count_on_time(today) > count_on_time(before) * 1.2
+    assert today.get_online_worth() > before.get_online_worth()
+    never = sum(1 for worth in today.worth.values() if worth == 0.0)
+    assert never < 0.1 * len(works)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_backlog_beyond_what_can_be_in_time(seed: int) -> None:
     """Twice the items that fit before their due time come at once, and as many four seconds on.
