Let entries reach the store for an entry that is cut off, and refuse at once where nobody can

Other fronts, which it could reach, never relayed. Change: every instance relays calls to the store; job runners are asked first, then entries, and who did not answer in the last two seconds goes last. The waits moved to _settling.py, and the check of tokens shares the deadline of its job.

--- a/clementinepin/infrastructure/exceptions.py
+++ b/clementinepin/infrastructure/exceptions.py
@@ -25,6 +25,12 @@
     status = 503
 
 
+class CutOffError(PlatformUnavailableError):
+    """Neither the service nor any instance that could reach it answers; others may fare better."""
+
+    code = "cut_off"
+
+
 class ReplyLostError(ClementinepinError):
     """The call was sent and its reply lost; the change may have taken effect."""
 
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -70,11 +70,11 @@
         self._clock = clock
         self._active = 0
         own_way = OwnWay(store, wire.own_prefix, rng)
-        links = InstanceLinks()
+        links = InstanceLinks(clock)
         relayed = RelayedStore(own_way, links, settings.name, clock, rng)
         store = relayed
         self.fleet = FleetView(settings, store, wire, clock)
-        relayed.list_helpers = self.fleet.list_job_runners
+        relayed.list_helpers = self.fleet.list_helpers
         pools = TargetPools(self.fleet, clock)
         self.slots = SlotBroker(
             settings.name,
@@ -87,28 +87,24 @@
         )
         self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
         self._jobs = JobDesk(store, self.fleet, links, wire, clock)
-        self._link_server: LinkServer | None = None
+        self._link_server = LinkServer((settings.host, settings.link_port))
+        RelayServer(self._link_server, own_way, clock)
         self._dispatcher: Dispatcher | None = None
         self._feed: FeedServer | None = None
         self._runner: JobRunner | None = None
         self._retirement: Retirement | None = None
         if settings.runs_jobs:
-            served = LinkServer((settings.host, settings.link_port))
-            self._link_server = served
-            RelayServer(served, own_way, clock)
+            served = self._link_server
             self._dispatcher = Dispatcher(served, self.fleet, clock, rng, policy.order)
             self._feed = FeedServer(served, self.fleet.fed_followers)
             items = ItemRunner(self.fleet, self.slots, pools, wire, clock, metrics)
-            self._runner = JobRunner(
-                settings, store, self.fleet, items, wire, clock, self._link_server
-            )
+            self._runner = JobRunner(settings, store, self.fleet, items, wire, clock, served)
             self._retirement = Retirement(settings, store, wire, clock, self.leave)
         self._servers = self._create_servers()
 
     def start(self) -> None:
         """Start all parts."""
-        if self._link_server is not None:
-            self._link_server.start()
+        self._link_server.start()
         if self._dispatcher is not None:
             self._dispatcher.start()
         if self._feed is not None:
@@ -146,8 +142,7 @@
         self.slots.stop()
         if self._dispatcher is not None:
             self._dispatcher.stop()
-        if self._link_server is not None:
-            self._link_server.stop()
+        self._link_server.stop()
 
     def apply_settings(self, settings: InstanceSettings) -> list[str]:
         """Put into force what may change while the instance runs; return the names of the rest.
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -275,6 +275,11 @@
         rows = [m for m in self.members.rows.values() if m.runs_jobs and not m.leaving]
         return sorted(rows, key=lambda member: (member.started_ms, member.name))
 
+    def list_helpers(self) -> list[Member]:
+        """Return instances that may reach the store for this one: job runners, then entries."""
+        runners = self.list_job_runners()
+        return runners + [m for m in self.list_entries() if not m.runs_jobs]
+
     def describe_state(self) -> dict[str, Any]:
         """Return a JSON-ready dump."""
         desired = self.configuration.desired
--- a/clementinepin/serving/_jobs.py
+++ b/clementinepin/serving/_jobs.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from typing import Final, Generic, TypeVar
 
-import gevent
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
@@ -21,24 +20,22 @@
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._links import InstanceLinks
+from clementinepin.serving._settling import UNAVAILABLE_RETRY_S, read_patiently, settle
 from clementinepin.serving.exceptions import (
     BadRequestError,
-    DeadlineError,
     JobNotFoundError,
-    OverloadedError,
     TokensExhaustedError,
 )
 from clementinepin.serving.models import ItemResult, ItemState, JobItem, Route
 from clementinepin.serving.wire import JobCall, Wire
 
 ID_MAX_CHARS: Final = 120  # keys of the store hold 200 bytes with our prefixes
-STORE_RETRY_S: Final = 0.1
 READ_HOLD_MAX_S: Final = 0.8  # leaves time to ask the store before its caller's wait ends
 OWNER_TIMEOUT_S: Final = 0.4  # for the way to the owner and back, beyond the hold
 OWNERS_ASKED_MAX: Final = 2  # the one expected, and the one that it names
 JOBS_KNOWN_MAX: Final = 5_000  # jobs of the retention time at several times today's rate
 CALL_TIMEOUT_S: Final = 3.0  # callers wait 4 s for a confirmation
-UNAVAILABLE_RETRY_S: Final = 1.0
+READ_TIMEOUT_S: Final = 1.0  # readers come again twice a second
 PAGE_TEXT_BYTES: Final = 900_000  # a page of results holds a megabyte
 CACHED_TEXT_BYTES: Final = 6_000_000  # about 500 results; small entry instances have 128 MB
 T = TypeVar("T")
@@ -103,6 +100,8 @@
         Raises TokensExhaustedError and OverloadedError only when nothing of it was stored.
         """
         keys = self._make_keys(job_id)
+        asked_at = self._clock.monotonic()
+        deadline = asked_at + CALL_TIMEOUT_S
         runners = [member.name for member in self._fleet.list_job_runners()]
         now_ms = int(self._clock.wall() * 1000)
         head = records.JobHead(
@@ -117,10 +116,9 @@
         )
         change = records.make_submission(keys, head, items)
         if route.tokens_max:
-            self._check_tokens(job_id, keys, route, sum(item.tokens for item in items))
-        asked_at = self._clock.monotonic()
+            self._check_tokens(job_id, keys, route, sum(item.tokens for item in items), deadline)
         try:
-            version = self._settle(lambda: self._store.write(change))
+            version = settle(lambda: self._store.write(change), deadline, self._clock)
             facts = logger.bind(request_id=job_id, items=len(items), owner=head.owner)
             took_ms = round((self._clock.monotonic() - asked_at) * 1000, 1)
             facts.bind(store_version=version, took_ms=took_ms).info("job_accepted")
@@ -154,7 +152,7 @@
         owner = self._owners.get(call.job_id) or choose_owner(call.job_id, members)
         hold_s = min(READ_HOLD_MAX_S, call.wait_s * READ_HOLD_MAX_S)
         for _ in range(OWNERS_ASKED_MAX):
-            if owner is None or owner not in members:
+            if owner is None or owner not in members or self._links.is_silent(owner):
                 return None
             ask = messages.ReadJob(0, call.job_id, call.after, hold_s)
             try:
@@ -201,12 +199,17 @@
             )
             self._store.write(records.make_progress_change(keys, version, ended))
 
-        self._settle(try_once, repeat_conflicts=True)
+        deadline = self._clock.monotonic() + CALL_TIMEOUT_S
+        settle(try_once, deadline, self._clock, repeat_conflicts=True)
         logger.bind(request_id=call.job_id).info("job_ended")
 
-    def _check_tokens(self, job_id: str, keys: records.JobKeys, route: Route, tokens: int) -> None:
+    def _check_tokens(
+        self, job_id: str, keys: records.JobKeys, route: Route, tokens: int, deadline: float
+    ) -> None:
         """Raise TokensExhaustedError unless the job fits, or is there already."""
-        page = self._retry(lambda: self._store.list_range(records.PROGRESS))
+        page = read_patiently(
+            lambda: self._store.list_range(records.PROGRESS), deadline, self._clock
+        )
         if any(row.key == keys.progress for row in page.values):
             return
         waiting = records.count_waiting_tokens((row.value for row in page.values), route.name)
@@ -244,39 +247,5 @@
             raise BadRequestError("the job's id is empty or too long")
         return records.JobKeys(self._wire.own_prefix, quoted)
 
-    def _settle(self, write: Callable[[], T], repeat_conflicts: bool = False) -> T:
-        """Repeat a conditional write until its outcome is known.
-
-        Raises OverloadedError when it can't have been done, DeadlineError when it may be: a
-        conflict does not tell whether an earlier write without a reply was done. It is raised
-        unless ``repeat_conflicts`` says that ``write`` reads the record anew.
-        """
-        deadline = self._clock.monotonic() + CALL_TIMEOUT_S
-        lost = False
-        while True:
-            try:
-                return write()
-            except ReplyLostError as err:
-                lost, failure = True, str(err)
-            except PlatformUnavailableError as err:
-                failure = str(err)
-            except VersionConflictError as err:
-                if not repeat_conflicts:
-                    raise
-                failure = str(err)
-            if self._clock.monotonic() + STORE_RETRY_S > deadline:
-                if lost:
-                    raise DeadlineError(f"unknown whether it is stored: {failure}")
-                raise OverloadedError(f"not stored: {failure}", UNAVAILABLE_RETRY_S)
-            gevent.sleep(STORE_RETRY_S)
-
     def _retry(self, read: Callable[[], T]) -> T:
-        """Repeat a read for a moment; raises OverloadedError, which promises nothing ran."""
-        deadline = self._clock.monotonic() + CALL_TIMEOUT_S / 3
-        while True:
-            try:
-                return read()
-            except (ReplyLostError, PlatformUnavailableError) as err:
-                if self._clock.monotonic() + STORE_RETRY_S > deadline:
-                    raise OverloadedError(f"store: {err}", UNAVAILABLE_RETRY_S) from err
-            gevent.sleep(STORE_RETRY_S)
+        return read_patiently(read, self._clock.monotonic() + READ_TIMEOUT_S, self._clock)
--- a/clementinepin/serving/_links.py
+++ b/clementinepin/serving/_links.py
@@ -13,12 +13,14 @@
 from gevent.server import StreamServer
 from loguru import logger
 
+from clementinepin.helpers.clock import Clock
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError, ReplyLostError
 from clementinepin.serving import _messages as messages
 from clementinepin.serving.models import Member
 
 READ_SIZE_BYTES: Final = 65_536
 CONNECT_TIMEOUT_S: Final = 0.3  # some round trips between data centres
+SILENT_S: Final = 2.0  # how long others are asked before an instance that did not answer
 SILENT_MS: Final = 1500  # as long as others trust a feed without a beat
 M = TypeVar("M")
 
@@ -97,7 +99,9 @@
 class InstanceLinks:
     """Kept connections to other instances, shared by all that ask them something."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._silent_until: dict[str, float] = {}
         self._links: dict[str, _AskingLink] = {}
         self._numbers = itertools.count(1)
 
@@ -105,16 +109,27 @@
         """Tell whether a connection to the instance stands."""
         return name in self._links
 
+    def is_silent(self, name: str) -> bool:
+        """Tell whether the instance did not answer a moment ago."""
+        return self._clock.monotonic() < self._silent_until.get(name, 0.0)
+
     def ask(self, member: Member, message: Any, timeout_s: float) -> Any:
         """Send a numbered message and return its reply.
 
         Raises PlatformUnavailableError when it was not sent, ReplyLostError without an answer.
         """
-        link = self._links.get(member.name)
-        if link is None:
-            link = _AskingLink(member, lambda: self._links.pop(member.name, None))
-            self._links[member.name] = link
-        return link.ask(msgspec.structs.replace(message, number=next(self._numbers)), timeout_s)
+        try:
+            link = self._links.get(member.name)
+            if link is None:
+                link = _AskingLink(member, lambda: self._links.pop(member.name, None))
+                self._links[member.name] = link
+            numbered = msgspec.structs.replace(message, number=next(self._numbers))
+            reply = link.ask(numbered, timeout_s)
+        except (PlatformUnavailableError, ReplyLostError):
+            self._silent_until[member.name] = self._clock.monotonic() + SILENT_S
+            raise
+        self._silent_until.pop(member.name, None)
+        return reply
 
     def close_all(self) -> None:
         """Close all connections."""
--- a/clementinepin/serving/_relay.py
+++ b/clementinepin/serving/_relay.py
@@ -18,6 +18,7 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.infrastructure import Change, KeyValue, LeaseGrant, Page, StateStore, WatchEvent
 from clementinepin.infrastructure.exceptions import (
+    CutOffError,
     LeaseLostError,
     PlatformUnavailableError,
     ReplyLostError,
@@ -29,7 +30,8 @@
 
 REPLY_TIMEOUT_MIN_S: Final = 0.25  # many times a round trip and a call; a lost helper is silent
 REPLY_TIMEOUT_MAX_S: Final = 1.0  # a helper that waits longer for the store itself is of no help
-HELPERS_MAX: Final = 2  # with more, a call would outlast its caller while the store is down
+CUT_OFF_S: Final = 0.5  # how long calls fail at once after no helper answered
+HELPERS_MAX: Final = 3  # with more, a call would outlast its caller while the store is down
 
 _encode = msgspec.msgpack.Encoder().encode
 
@@ -43,6 +45,10 @@
     lease: tuple[int, float] | None = None
 
 
+class _HelperSilentError(PlatformUnavailableError):
+    """A helper could not be reached or did not answer."""
+
+
 _decode_answer = msgspec.msgpack.Decoder(_Answer).decode
 _decode_change = msgspec.msgpack.Decoder(Change).decode
 
@@ -106,6 +112,7 @@
         self._random = rng
         self._links = links
         self._reply_timeout_s = REPLY_TIMEOUT_MIN_S
+        self._cut_off_until = 0.0
         self.list_helpers: Callable[[], list[Member]] = list
 
     def get(self, key: str) -> KeyValue | None:
@@ -171,18 +178,47 @@
             if call.kind == "write":
                 raise
             failure = err
-        for helper in self._choose_helpers():
+        return self._relay(call, read, failure)
+
+    def _relay(
+        self, call: messages.StoreCall, read: Callable[[_Answer], Any], failure: ClementinepinError
+    ) -> Any:
+        """Ask helpers; while none of them answers either, this instance counts as cut off."""
+        if self._clock.monotonic() < self._cut_off_until:
+            raise CutOffError("no helper answered a moment ago")
+        helpers = self._choose_helpers()
+        silent = 0
+        for helper in helpers:
             try:
                 return read(self._ask(helper, call))
+            except _HelperSilentError as err:
+                silent += 1
+                logger.bind(helper=helper.name, call=call.kind, error=str(err)).debug("not_relayed")
             except PlatformUnavailableError as err:
                 logger.bind(helper=helper.name, call=call.kind, error=str(err)).debug("not_relayed")
+        if helpers and silent == len(helpers):
+            self._cut_off_until = self._clock.monotonic() + CUT_OFF_S
+            logger.bind(helpers=[h.name for h in helpers], error=str(failure)).info("cut_off")
+            raise CutOffError("neither the store nor a helper answers")
         raise failure
 
     def _choose_helpers(self) -> list[Member]:
+        """Return job runners before entries, and among them those with a kept connection.
+
+        Load pattern: an entry that is cut off from all job runners, but not from other entries.
+        """
         helpers = [m for m in self.list_helpers() if m.name != self._own_name]
         self._random.shuffle(helpers)
-        helpers.sort(key=lambda member: not self._links.has_link(member.name))
-        return helpers[:HELPERS_MAX]
+
+        def rank(member: Member) -> tuple[bool, bool, bool]:
+            links = self._links
+            return (
+                links.is_silent(member.name),
+                not member.runs_jobs,
+                not links.has_link(member.name),
+            )
+
+        return sorted(helpers, key=rank)[:HELPERS_MAX]
 
     def _ask(self, helper: Member, call: messages.StoreCall) -> _Answer:
         """Return a helper's answer; raises what the store's client would raise."""
@@ -193,7 +229,9 @@
             self._reply_timeout_s = min(REPLY_TIMEOUT_MAX_S, self._reply_timeout_s * 2)
             if call.kind == "write":
                 raise
-            raise PlatformUnavailableError(str(err)) from err
+            raise _HelperSilentError(str(err)) from err
+        except PlatformUnavailableError as err:
+            raise _HelperSilentError(str(err)) from err
         if reply.code == "":
             return _decode_answer(reply.body)
         if reply.code == VersionConflictError.code:
