Keep what running items produced, so that a loss of all processes costs little of it

Cause: an item's events lived in its runner's memory until the item was done. Change: each instance writes one record a job with the events of its items in work, all jobs in one call at most each two seconds and only after 20 new events. A new owner goes on behind it with Last-Event-Id. Any earlier part of an item's events stays true, so the write needs no condition; one from before a failed run is left out. The record goes with the write that closes the job.

--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -59,6 +59,14 @@
         """Return the data of all events so far."""
         return "\n".join(self.texts)
 
+    def go_on(self, last_event_id: int, texts: list[str]) -> None:
+        """Begin behind the events that a former run produced."""
+        self.last_event_id = last_event_id
+        self.texts = list(texts)
+        logger.bind(request_id=self.item.item_id, job=self.head.job_id, events=last_event_id).info(
+            "item_goes_on"
+        )
+
     def cancel(self) -> None:
         """Stop for good."""
         self.cancelled = True
--- a/clementinepin/serving/_job_records.py
+++ b/clementinepin/serving/_job_records.py
@@ -6,6 +6,7 @@
 | ``cp/ends/ID`` | mark of an ended job that runners watch | written once |
 | ``jb/ID/N`` | items with their bodies, in parts | written once |
 | ``js/ID`` | progress: listed items and failed attempts | compare-and-swap |
+| ``jc/ID`` | what items in work have produced so far | written by the owner, any time |
 | ``jt/ID/N`` | result at position N, with its text | written once, with its progress |
 """
 
@@ -26,6 +27,7 @@
 PARTS: Final = "jb/"
 PROGRESS: Final = "js/"
 RESULTS: Final = "jt/"
+CHECKPOINTS: Final = "jc/"
 
 
 class JobHead(msgspec.Struct, array_like=True, frozen=True):
@@ -90,6 +92,7 @@
         self.parts = f"{PARTS}{job_id}/"
         self.progress = f"{PROGRESS}{job_id}"
         self.results = f"{RESULTS}{job_id}/"
+        self.checkpoint = f"{CHECKPOINTS}{job_id}"
 
     def result(self, position: int) -> str:
         """Return the key of a result; keys sort by position."""
@@ -119,7 +122,8 @@
     put.update({keys.result(i): _encode(result) for i, result in (results or {}).items()})
     if progress.ended:
         put[keys.ended] = b"1"
-    return Change({keys.progress: version}, put)
+    remove = () if progress.is_open else (keys.checkpoint,)
+    return Change({keys.progress: version}, put, remove)
 
 
 def make_take_over(keys: JobKeys, version: int, progress: JobProgress, head: JobHead) -> Change:
@@ -134,7 +138,7 @@
     rows = [keys.result(i) for i in range(len(progress.listed))]
     rows += [f"{keys.parts}{i:03d}" for i in range(parts)]
     changes = [Change({}, {}, tuple(rows[i : i + 30])) for i in range(0, len(rows), 30)]
-    last = (keys.announced, keys.ended, keys.progress)
+    last = (keys.announced, keys.ended, keys.checkpoint, keys.progress)
     return [*changes, Change({keys.progress: version}, {}, last)]
 
 
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -16,6 +16,7 @@
 from clementinepin.helpers.rendezvous import choose_owner
 from clementinepin.infrastructure import KeyValue, StateStore
 from clementinepin.serving import _job_records as records
+from clementinepin.serving._checkpoints import CHECKPOINT_S, CheckpointKeeper, ItemCheckpoint
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._item_run import ItemRun, ItemRunner
 from clementinepin.serving._job_views import JobView, JobViews
@@ -49,6 +50,7 @@
         self.greenlet: gevent.Greenlet | None = None
         self.stopped = False
         self.is_foreign = False
+        self.restored: dict[str, ItemCheckpoint] = {}
 
     def stop(self) -> None:
         """Give up all runs; nothing is listed any more."""
@@ -103,6 +105,7 @@
         self._room = BoundedSemaphore(ITEMS_AT_ONCE)
         self._greenlets: list[gevent.Greenlet] = []
         self._look = Event()
+        self._checkpoints = CheckpointKeeper(store)
         self._settled_at = 0.0
         self.leaving = False
         self.status_retention_s = settings.status_retention_s
@@ -120,6 +123,7 @@
         self._settled_at = self._clock.monotonic() + START_GRACE_S
         self._greenlets = [gevent.spawn(f.run) for f in self._followers]
         self._greenlets.append(gevent.spawn(self._run_looks))
+        self._greenlets.append(gevent.spawn(self._run_checkpoints))
 
     def leave(self) -> None:
         """Stop all work; others take the jobs over once this instance is marked as leaving."""
@@ -168,6 +172,15 @@
             except ClementinepinError as err:
                 logger.bind(error=str(err)).info("jobs_not_looked_at")
 
+    def _run_checkpoints(self) -> None:
+        while True:
+            gevent.sleep(CHECKPOINT_S)
+            jobs = [job for job in self._jobs.values() if not job.stopped and job.progress]
+            self._checkpoints.save(
+                (job.keys.checkpoint, {k: r for k, r in job.runs.items() if r.state is None})
+                for job in jobs
+            )
+
     def _look_at_jobs(self) -> None:
         alive = self._list_alive()
         for job_id, head in list(self._heads.items()):
@@ -210,6 +223,7 @@
                 self._finished.add(job_id)
         finally:
             self._jobs.pop(job_id, None)
+            self._checkpoints.forget(job.keys.checkpoint)
 
     def _load(self, job: _Job) -> None:
         """Read the progress; take the job over from a lost owner, or leave it to a live one."""
@@ -228,8 +242,16 @@
             job.version = self._store.write(change)
             logger.bind(request_id=job.head.job_id, lost_owner=owner).info("job_taken_over")
         if not job.is_foreign:
+            self._restore(job)
             self._show(job)
 
+    def _restore(self, job: _Job) -> None:
+        """Read what a former process produced; a job that has just come has no checkpoint."""
+        age_s = self._clock.wall() - job.head.created_ms / 1000
+        if job.progress is None or not job.progress.is_open or age_s < CHECKPOINT_S:
+            return
+        job.restored = self._checkpoints.restore(job.keys.checkpoint, job.progress.failures)
+
     def _show(self, job: _Job) -> None:
         """Answer reads of the job, with what is listed already."""
         progress = job.progress
@@ -261,6 +283,8 @@
                 continue
             run = ItemRun(item, job.head, progress.failures.get(item.item_id, 0))
             job.runs[item.item_id] = run
+            if (kept := job.restored.get(item.item_id)) is not None:
+                run.go_on(kept.last_event_id, kept.texts)
             gevent.spawn(self._run_item, job, run)
 
     def _run_item(self, job: _Job, run: ItemRun) -> None:
