Try another way for a job whose confirmation stays out

Cause: the store lost the answer of a write, or an instance had been cut from it a moment before, and the job waited 1.5 s for the end of that call; its confirmation is due within 0.4 to 0.5 s. Ruled out: a shorter end of calls, which takes a slow store for one that is away and lets leases end. A submission only creates keys, so a second one meets a conflict and tells that the job is known; what may be stored is never told as not run. Tests: tests/serving/test_hedging.py, with a store that does writes and answers none.

--- a/clementinepin/serving/_jobs.py
+++ b/clementinepin/serving/_jobs.py
@@ -4,13 +4,13 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import Final, Generic, TypeVar
+from typing import Final, Generic, Protocol, TypeVar
 
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rendezvous import choose_owner
-from clementinepin.infrastructure import StateStore
+from clementinepin.infrastructure import Change, Page, StateStore
 from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
     ReplyLostError,
@@ -79,11 +79,21 @@
             self._bytes -= len(self._rows.popitem(last=False)[1].text)
 
 
+class HedgingStore(StateStore, Protocol):
+    """A store that takes another way for a change that only creates keys."""
+
+    def write_hedged(self, change: Change) -> int:
+        """Apply the change once, however many ways are tried, and return its version."""
+
+    def list_hedged(self, prefix: str) -> Page:
+        """Return all values under a prefix."""
+
+
 class JobDesk:
     """Serves the callers' calls on jobs at any instance."""
 
     def __init__(
-        self, store: StateStore, fleet: FleetView, links: InstanceLinks, wire: Wire, clock: Clock
+        self, store: HedgingStore, fleet: FleetView, links: InstanceLinks, wire: Wire, clock: Clock
     ) -> None:
         self._store = store
         self._links = links
@@ -118,7 +128,7 @@
         if route.tokens_max:
             self._check_tokens(job_id, keys, route, sum(item.tokens for item in items), deadline)
         try:
-            version = settle(lambda: self._store.write(change), deadline, self._clock)
+            version = settle(lambda: self._store.write_hedged(change), deadline, self._clock)
             facts = logger.bind(request_id=job_id, items=len(items), owner=head.owner)
             took_ms = round((self._clock.monotonic() - asked_at) * 1000, 1)
             facts.bind(store_version=version, took_ms=took_ms).info("job_accepted")
@@ -208,7 +218,7 @@
     ) -> None:
         """Raise TokensExhaustedError unless the job fits, or is there already."""
         page = read_patiently(
-            lambda: self._store.list_range(records.PROGRESS), deadline, self._clock
+            lambda: self._store.list_hedged(records.PROGRESS), deadline, self._clock
         )
         if any(row.key == keys.progress for row in page.values):
             return
--- a/clementinepin/serving/_relay.py
+++ b/clementinepin/serving/_relay.py
@@ -8,6 +8,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 
 import gevent
@@ -25,6 +26,7 @@
     VersionConflictError,
 )
 from clementinepin.serving import _messages as messages
+from clementinepin.serving._hedging import run_hedged
 from clementinepin.serving._links import InstanceLinks, Link, LinkServer
 from clementinepin.serving.models import Member
 
@@ -129,16 +131,7 @@
 
     def list_range(self, prefix: str) -> Page:
         """Return all values under a prefix."""
-        rows: list[KeyValue] = []
-        version, after = -1, ""
-        while True:
-            page = self.list_page(prefix, after)
-            rows.extend(page.values)
-            # Pages are no snapshot: what changed while later ones were read is behind the first.
-            version = page.version if version < 0 else version
-            if page.is_last:
-                return Page(rows, version)
-            after = page.values[-1].key
+        return _join_pages(lambda after: self.list_page(prefix, after))
 
     def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
         """Wait for changes on the own way only; a follower lists again when that fails."""
@@ -149,6 +142,25 @@
         call = messages.StoreCall(0, "write", change=_encode(change))
         return self._run(lambda: self._own_way.write(change), call, lambda answer: answer.version)
 
+    def write_hedged(self, change: Change) -> int:
+        """Apply a change that only creates keys, by another way when the own one is slow.
+
+        Load pattern: the store loses answers, or an instance is cut from it without notice, while
+        callers wait for a confirmation. A second write of the same keys conflicts with the first.
+        """
+        call = messages.StoreCall(0, "write", change=_encode(change))
+        return int(self._hedge(lambda: self._own_way.write(change), call).version)
+
+    def list_hedged(self, prefix: str) -> Page:
+        """Return all values under a prefix, by another way when the own one is slow."""
+
+        def list_page(after: str) -> Page:
+            call = messages.StoreCall(0, "list", key=prefix, after=after)
+            page = self._hedge(lambda: self._own_way.list_page(prefix, after), call).page
+            return page or Page([], 0)
+
+        return _join_pages(list_page)
+
     def grant_lease(self, ttl_s: float) -> LeaseGrant:
         """Create a lease."""
         call = messages.StoreCall(0, "grant", ttl_s=ttl_s)
@@ -197,11 +209,40 @@
             except PlatformUnavailableError as err:
                 logger.bind(helper=helper.name, call=call.kind, error=str(err)).debug("not_relayed")
         if helpers and silent == len(helpers):
-            self._cut_off_until = self._clock.monotonic() + CUT_OFF_S
-            logger.bind(helpers=[h.name for h in helpers], error=str(failure)).info("cut_off")
-            raise CutOffError("neither the store nor a helper answers")
+            raise self._note_cut_off([h.name for h in helpers], failure)
         raise failure
 
+    def _hedge(self, direct: Callable[[], Any], call: messages.StoreCall) -> _Answer:
+        """Try the own way, and one helper more each time that no answer comes soon."""
+        silent: list[str] = []
+
+        def ask(helper: Member) -> _Answer:
+            try:
+                return self._ask(helper, call)
+            except _HelperSilentError:
+                silent.append(helper.name)
+                raise
+
+        def ask_directly() -> _Answer:
+            result = direct()
+            return _Answer(page=result) if isinstance(result, Page) else _Answer(version=result)
+
+        helpers = [] if self._clock.monotonic() < self._cut_off_until else self._choose_helpers()
+        attempts: list[Callable[[], _Answer]] = [ask_directly]
+        attempts += [partial(ask, helper) for helper in helpers]
+        try:
+            return run_hedged(attempts)
+        except PlatformUnavailableError as err:
+            if len(silent) == len(helpers):
+                raise self._note_cut_off(silent, err) from err
+            raise
+
+    def _note_cut_off(self, helpers: list[str], err: ClementinepinError) -> CutOffError:
+        if helpers:
+            self._cut_off_until = self._clock.monotonic() + CUT_OFF_S
+            logger.bind(helpers=helpers, error=str(err)).info("cut_off")
+        return CutOffError("neither the store nor a helper answers")
+
     def _choose_helpers(self) -> list[Member]:
         """Return job runners before entries, and among them those with a kept connection.
 
@@ -246,3 +287,17 @@
     def _read_lease(self, answer: _Answer) -> LeaseGrant:
         lease_id, left_s = answer.lease or (0, 0.0)
         return LeaseGrant(lease_id, self._clock.monotonic() + left_s)
+
+
+def _join_pages(list_page: Callable[[str], Page]) -> Page:
+    """Return all values of a range that is read page by page."""
+    rows: list[KeyValue] = []
+    version, after = -1, ""
+    while True:
+        page = list_page(after)
+        rows.extend(page.values)
+        # Pages are no snapshot: what changed while later ones were read is behind the first.
+        version = page.version if version < 0 else version
+        if page.is_last:
+            return Page(rows, version)
+        after = page.values[-1].key
--- a/tests/serving/memory_store.py
+++ b/tests/serving/memory_store.py
@@ -72,6 +72,12 @@
             raise ReplyLostError("no answer")
         return version
 
+    def list_hedged(self, prefix: str) -> Page:
+        return self.list_range(prefix)
+
+    def write_hedged(self, change: Change) -> int:
+        return self.write(change)
+
     def apply(self, change: Change) -> int:
         self.writes += 1
         for key, expected in change.expected.items():
--- /dev/null
+++ b/tests/serving/test_hedging.py
@@ -0,0 +1,141 @@
+"""A second way answers while the first stays out, and nothing is done twice."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import gevent
+import pytest
+
+from clementinepin.helpers.clock import create_system_clock
+from clementinepin.infrastructure import Change
+from clementinepin.infrastructure.exceptions import (
+    CutOffError,
+    PlatformUnavailableError,
+    ReplyLostError,
+    VersionConflictError,
+)
+from clementinepin.serving._hedging import run_hedged
+from clementinepin.serving._links import InstanceLinks, LinkServer
+from clementinepin.serving._relay import RelayedStore, RelayServer
+from clementinepin.serving.models import Member
+from tests.serving.memory_store import MemoryStore
+from tests.serving.test_slots import find_port
+
+PAUSE_S = 0.02
+
+
+def answer(value: int) -> Callable[[], int]:
+    return lambda: value
+
+
+def fail(error: Exception) -> Callable[[], int]:
+    def attempt() -> int:
+        raise error
+
+    return attempt
+
+
+def hang() -> int:
+    gevent.sleep(30.0)
+    return 0
+
+
+def test_a_quick_answer_starts_nothing_else() -> None:
+    assert run_hedged([answer(1), fail(AssertionError())], 5.0) == 1
+
+
+def test_a_slow_attempt_is_passed_by_the_next() -> None:
+    with gevent.Timeout(5.0):
+        assert run_hedged([hang, answer(2)], PAUSE_S) == 2
+
+
+def test_the_first_attempt_may_still_answer() -> None:
+    def slow() -> int:
+        gevent.sleep(PAUSE_S * 3)
+        return 1
+
+    with gevent.Timeout(5.0):
+        assert run_hedged([slow, hang, hang], PAUSE_S) == 1
+
+
+def test_a_conflict_ends_the_wait() -> None:
+    with gevent.Timeout(5.0), pytest.raises(VersionConflictError):
+        run_hedged([hang, fail(VersionConflictError("a", 1, None))], PAUSE_S)
+
+
+@pytest.mark.parametrize(
+    ("errors", "expected"),
+    [
+        ((PlatformUnavailableError("x"), ReplyLostError("y")), ReplyLostError),
+        ((ReplyLostError("y"), CutOffError("x")), ReplyLostError),
+        ((PlatformUnavailableError("x"), CutOffError("z")), CutOffError),
+        ((PlatformUnavailableError("x"), PlatformUnavailableError("z")), PlatformUnavailableError),
+    ],
+)
+def test_the_failure_that_promises_least_is_told(
+    errors: tuple[Exception, ...], expected: type[Exception]
+) -> None:
+    with pytest.raises(expected):
+        run_hedged([fail(error) for error in errors], PAUSE_S)
+
+
+class HangingStore(MemoryStore):
+    """Does what it is told and never answers, as a store that loses its answers."""
+
+    def write(self, change: Change) -> int:
+        self.apply(change)
+        gevent.sleep(30.0)
+        raise ReplyLostError("no answer")
+
+
+@pytest.mark.parametrize("does_it", [True, False])
+def test_a_job_is_stored_once_while_the_own_way_is_silent(does_it: bool) -> None:
+    """Day platform-lost of lakaz-serve: a confirmation came 1.5 s late for each lost answer."""
+    store = MemoryStore()
+    own_way = HangingStore()
+    if does_it:
+        own_way.rows, own_way.events = store.rows, store.events
+    port = find_port()
+    clock = create_system_clock()
+    helper = LinkServer(("127.0.0.1", port))
+    RelayServer(helper, store, clock)
+    helper.start()
+    relayed = RelayedStore(own_way, InstanceLinks(clock), "f1", clock, random.Random(1))
+    member = Member("s1", True, "127.0.0.1", port, "", "a", "r", False)
+    relayed.list_helpers = lambda: [member]
+    with gevent.Timeout(5.0):
+        if does_it:
+            with pytest.raises(VersionConflictError):
+                relayed.write_hedged(Change({"a": 0}, {"a": b"1"}))
+        else:
+            relayed.write_hedged(Change({"a": 0}, {"a": b"1"}))
+    assert store.rows["a"].value == b"1"
+    assert len([event for event in store.events if event.key == "a"]) == 1
+    helper.stop()
+
+
+def test_an_entry_is_asked_in_time_where_the_store_and_all_runners_are_silent() -> None:
+    """Day scale-2 of kirkvoice-serve: a job at a front that had just been cut off came late."""
+    store = MemoryStore()
+    port = find_port()
+    clock = create_system_clock()
+    helper = LinkServer(("127.0.0.1", port))
+    RelayServer(helper, store, clock)
+    helper.start()
+    silent = LinkServer(("127.0.0.1", 0))
+    silent.start()
+    relayed = RelayedStore(HangingStore(), InstanceLinks(clock), "f1", clock, random.Random(1))
+    runner = Member("s1", True, "127.0.0.1", silent._server.server_port, "", "a", "r", False)
+    entry = Member("f2", False, "127.0.0.1", port, "", "a", "r", False)
+    relayed.list_helpers = lambda: [runner, entry]
+    asked: list[str] = []
+    ask = relayed._ask
+    relayed._ask = lambda member, call: (asked.append(member.name), ask(member, call))[1]  # type: ignore[method-assign]
+    with gevent.Timeout(5.0):
+        relayed.write_hedged(Change({"a": 0}, {"a": b"1"}))
+        assert [row.key for row in relayed.list_hedged("a").values] == ["a"]
+    assert asked[:2] == ["s1", "f2"]
+    helper.stop()
+    silent.stop()
