--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,7 +17,7 @@
 
 Usage:
   soak [--seeds LIST] [--count N] [--first N] [--seconds S] [--rate R] [--fronts N] [--runners N]
-       [--workers N] [--net N] [--keep FOLDER]
+       [--workers N] [--start S] [--net N] [--keep FOLDER]
 
 Options:
   --seeds LIST     Seeds, separated by commas.
@@ -28,11 +28,11 @@
   --fronts N       Entry instances [default: 3].
   --runners N      Instances that run jobs [default: 2].
   --workers N      Engines [default: 3].
+  --start S        Seconds for all processes to start and find one another [default: 3].
   --net N          Second part of the loopback addresses, one a soak that runs beside others
                    [default: 0].
   --keep FOLDER    Keep logs of seeds that failed here.
 """
-START_S = 3.0
 SETTLE_S = 30.0  # jobs that lost their runs begin again; an owner is replaced within five seconds
 
 
@@ -48,7 +48,7 @@
     )
     callers, faults = Callers(fleet, seed), Faults(fleet, seed)
     try:
-        gevent.sleep(START_S)
+        gevent.sleep(float(args["--start"]))
         until = fleet.now() + float(args["--seconds"])
         sender = gevent.spawn(callers.run, until, float(args["--rate"]))
         trouble = gevent.spawn(faults.run, until, 1.5)
