Save the work of items when an instance leaves, and tell being alone from being cut off

An instance that leaves cancelled its items, and their next owner began at the last checkpoint, up to two seconds back. An instance that knows no other ones refused jobs at once as if it were cut off, though nobody else could serve them. Tests: one for each; both failed before.

--- a/clementinepin/serving/_relay.py
+++ b/clementinepin/serving/_relay.py
@@ -227,20 +227,22 @@
             result = direct()
             return _Answer(page=result) if isinstance(result, Page) else _Answer(version=result)
 
-        helpers = [] if self._clock.monotonic() < self._cut_off_until else self._choose_helpers()
+        is_cut_off = self._clock.monotonic() < self._cut_off_until
+        helpers = [] if is_cut_off else self._choose_helpers()
         attempts: list[Callable[[], _Answer]] = [ask_directly]
         attempts += [partial(ask, helper) for helper in helpers]
         try:
             return run_hedged(attempts)
         except PlatformUnavailableError as err:
-            if len(silent) == len(helpers):
+            if is_cut_off:
+                raise CutOffError("no helper answered a moment ago") from err
+            if helpers and len(silent) == len(helpers):
                 raise self._note_cut_off(silent, err) from err
             raise
 
     def _note_cut_off(self, helpers: list[str], err: ClementinepinError) -> CutOffError:
-        if helpers:
-            self._cut_off_until = self._clock.monotonic() + CUT_OFF_S
-            logger.bind(helpers=helpers, error=str(err)).info("cut_off")
+        self._cut_off_until = self._clock.monotonic() + CUT_OFF_S
+        logger.bind(helpers=helpers, error=str(err)).info("cut_off")
         return CutOffError("neither the store nor a helper answers")
 
     def _choose_helpers(self) -> list[Member]:
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -128,6 +128,7 @@
     def leave(self) -> None:
         """Stop all work; others take the jobs over once this instance is marked as leaving."""
         self.leaving = True
+        gevent.spawn(self._checkpoints.save, self._list_running())
         for job in list(self._jobs.values()):
             job.stop()
 
@@ -175,11 +176,15 @@
     def _run_checkpoints(self) -> None:
         while True:
             gevent.sleep(CHECKPOINT_S)
-            jobs = [job for job in self._jobs.values() if not job.stopped and job.progress]
-            self._checkpoints.save(
-                (job.keys.checkpoint, {k: r for k, r in job.runs.items() if r.state is None})
-                for job in jobs
-            )
+            self._checkpoints.save(self._list_running())
+
+    def _list_running(self) -> list[tuple[str, dict[str, ItemRun]]]:
+        """Return the checkpoint keys of jobs in work with the runs that have not ended."""
+        return [
+            (job.keys.checkpoint, {k: r for k, r in job.runs.items() if r.state is None})
+            for job in self._jobs.values()
+            if not job.stopped and job.progress is not None
+        ]
 
     def _look_at_jobs(self) -> None:
         alive = self._list_alive()
--- a/tests/serving/test_checkpoints.py
+++ b/tests/serving/test_checkpoints.py
@@ -103,6 +103,32 @@
     assert items.began == {"i0": (0, []), "i1": expected}
 
 
+class WaitingItems(FakeItems):
+    """Produces some events and goes on until cancelled."""
+
+    def run(self, run: ItemRun) -> None:
+        run.texts = ["eeee"] * EVENTS_MIN
+        run.last_event_id = EVENTS_MIN
+        while not run.cancelled:
+            gevent.sleep(0.001)
+
+
+def test_an_instance_that_leaves_keeps_what_its_items_produced() -> None:
+    store = MemoryStore()
+    keys = submit(store, 2)
+    runner = start_runner(store, WaitingItems())
+    with gevent.Timeout(5.0):
+        while not runner._list_running() or len(runner._list_running()[0][1]) < 2:
+            gevent.sleep(0.001)
+        gevent.sleep(0.01)
+        runner.leave()
+        while keys.checkpoint not in store.rows:
+            gevent.sleep(0.001)
+    kept = CheckpointKeeper(store).restore(keys.checkpoint, {})
+    assert {row.last_event_id for row in kept.values()} == {EVENTS_MIN}
+    assert set(kept) == {"i0", "i1"}
+
+
 def test_a_job_that_is_done_leaves_no_checkpoint() -> None:
     store = MemoryStore()
     keys = submit(store, 2)
--- a/tests/serving/test_hedging.py
+++ b/tests/serving/test_hedging.py
@@ -139,3 +139,13 @@
     assert asked[:2] == ["s1", "f2"]
     helper.stop()
     silent.stop()
+
+
+def test_an_instance_that_knows_no_others_is_not_cut_off() -> None:
+    store = MemoryStore()
+    store.down = True
+    clock = create_system_clock()
+    relayed = RelayedStore(store, InstanceLinks(clock), "f1", clock, random.Random(1))
+    with pytest.raises(PlatformUnavailableError) as caught:
+        relayed.write_hedged(Change({"a": 0}, {"a": b"1"}))
+    assert not isinstance(caught.value, CutOffError)
