Make the new tests indifferent to a busy machine

What is asserted is the same, and the test of the wait still fails without the check that it guards.

--- a/tests/serving/test_hedging.py
+++ b/tests/serving/test_hedging.py
@@ -16,6 +16,7 @@
     ReplyLostError,
     VersionConflictError,
 )
+from clementinepin.serving import _relay
 from clementinepin.serving._hedging import run_hedged
 from clementinepin.serving._links import InstanceLinks, LinkServer
 from clementinepin.serving._relay import RelayedStore, RelayServer
@@ -26,6 +27,12 @@
 PAUSE_S = 0.02
 
 
+@pytest.fixture(autouse=True)
+def _patient(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Helpers that live answer in any case, however busy the machine is."""
+    monkeypatch.setattr(_relay, "REPLY_TIMEOUT_MIN_S", 5.0)
+
+
 def answer(value: int) -> Callable[[], int]:
     return lambda: value
 
