--- /dev/null
+++ b/tests/systems/dispatch_parts.py
@@ -0,0 +1,32 @@
+"""A dispatcher's table and asks that several tests share."""
+
+from __future__ import annotations
+
+import random
+
+from clementinepin.systems import dispatching
+from clementinepin.tables.dispatch import Ask, DispatchTable, TargetLoad
+
+RUN_S = 0.75
+
+
+def make_table(targets: int = 2, slots: int = 2) -> DispatchTable:
+    table = DispatchTable()
+    for n in range(targets):
+        table.targets[f"t{n}"] = TargetLoad(f"t{n}", "llm", "ab"[n % 2], slots)
+    return table
+
+
+def make_ask(number: int, now: float = 0.0, **changes: object) -> Ask:
+    ask = Ask(("f", number), "llm", False, now, now + 0.24, now + 1.9, RUN_S)
+    return ask._replace(**changes)  # type: ignore[arg-type]
+
+
+def make_item(number: int, now: float = 0.0, **changes: object) -> Ask:
+    item = Ask(("s", number), "llm", True, now, now + 13.0, now + 60.0, 5.0)
+    return item._replace(**changes)  # type: ignore[arg-type]
+
+
+def fill(table: DispatchTable, count: int, rng: random.Random, now: float = 0.0) -> None:
+    for n in range(count):
+        assert dispatching.submit(table, make_ask(1000 + n, now), now, rng)
