End watches that wait when the way to the store closes

Cause: a silent store swallows the watches that are sent until the silence is noticed, and never answers them. Change: each watch runs beside its follower; when a call has failed and the way closes, all watches end with it and are sent anew once a probe works. Test: a watch that is swallowed ends with the first failed call; it hung before.

--- a/clementinepin/serving/_own_way.py
+++ b/clementinepin/serving/_own_way.py
@@ -7,6 +7,7 @@
 from typing import Final, TypeVar
 
 import gevent
+from gevent.event import AsyncResult
 from loguru import logger
 
 from clementinepin.exceptions import ClementinepinError
@@ -37,6 +38,7 @@
         self._closed_until = float("-inf")
         self._probe_key = own_prefix + PROBE_KEY
         self._random = rng
+        self._watches: set[AsyncResult] = set()
         self.is_open = True
 
     def is_shaky(self) -> bool:
@@ -56,9 +58,26 @@
         return self._call(lambda: self._store.list_range(prefix))
 
     def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
-        """Wait for changes; a watch that is cut does not close the way."""
+        """Wait for changes; a watch that is cut does not close the way.
+
+        Load pattern: a silent store swallows watches that are sent until the silence is noticed,
+        and never answers them. All that wait are ended when the way closes.
+        """
         self._check()
-        return self._store.watch(prefix, after)
+        answer: AsyncResult = AsyncResult()
+        call = gevent.spawn(self._run_watch, prefix, after, answer)
+        self._watches.add(answer)
+        try:
+            return answer.get()  # type: ignore[no-any-return]
+        finally:
+            self._watches.discard(answer)
+            call.kill(block=False)
+
+    def _run_watch(self, prefix: str, after: int, answer: AsyncResult) -> None:
+        try:
+            answer.set(self._store.watch(prefix, after))
+        except ClementinepinError as err:
+            answer.set_exception(err)
 
     def write(self, change: Change) -> int:
         """Apply a change as a whole and return its version."""
@@ -86,11 +105,17 @@
             return call()
         except (PlatformUnavailableError, ReplyLostError) as err:
             if self.is_open:
-                self.is_open = False
-                logger.bind(error=str(err)).info("own_way_lost")
-                gevent.spawn(self._run_probes)
+                self._close(err)
             raise
 
+    def _close(self, reason: ClementinepinError) -> None:
+        self.is_open = False
+        logger.bind(error=str(reason), watches=len(self._watches)).info("own_way_lost")
+        for answer in self._watches:
+            if not answer.ready():
+                answer.set_exception(PlatformUnavailableError("the own way to the store closed"))
+        gevent.spawn(self._run_probes)
+
     def _run_probes(self) -> None:
         pause_s = PROBE_MIN_S
         probes = 0
--- a/tests/serving/test_own_way.py
+++ b/tests/serving/test_own_way.py
@@ -95,3 +95,24 @@
     assert way.is_shaky()
     clock.advance(SHAKY_S)
     assert not way.is_shaky()
+
+
+def test_a_watch_that_a_silent_store_swallowed_ends_when_the_way_closes(
+    store: CountingStore,
+) -> None:
+    """Day platform-down of kirkvoice-serve-grown, seed 108127967119: 55 items were left lying.
+
+    Watches sent in a silent second were waited for until 27 s later, and no new job was seen.
+    """
+    way = OwnWay(store, "cp/", create_system_clock(), random.Random(1))
+    watching = gevent.spawn(way.watch, "a", 0)
+    gevent.sleep(0)
+    store.down = True
+    with pytest.raises(PlatformUnavailableError):
+        way.get("b")
+    with gevent.Timeout(5.0), pytest.raises(PlatformUnavailableError):
+        watching.get()
+    store.down = False
+    wait_until_open(way)
+    store.apply(Change({}, {"a": b"1"}))
+    assert [event.key for event in way.watch("a", 0)[0]] == ["a"]
