Let the abort in a test come when the request has arrived

Nothing had been sent, and TargetNotReachedError was true. An abort triggered before the send gives the very same failure. Change: the target triggers the abort when it has the request, and a second test holds what an abort before the write must say. What the first one asserts is the same.

--- a/tests/targets/test_exchange.py
+++ b/tests/targets/test_exchange.py
@@ -7,7 +7,11 @@
 
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.targets import Abort, HttpRequest, TargetAddress, Transport
-from clementinepin.targets.exceptions import TargetLostError, TargetProtocolError
+from clementinepin.targets.exceptions import (
+    TargetLostError,
+    TargetNotReachedError,
+    TargetProtocolError,
+)
 from tests.serving.scripted import ScriptedTarget, make_plain
 
 SECOND = (
@@ -89,11 +93,29 @@
 
 
 def test_an_abort_ends_a_read_at_once():
-    target = ScriptedTarget(lambda sock, request: gevent.sleep(5))
+    """The target itself tells that the request has arrived, so the abort meets the read."""
+    abort = Abort()
+
+    def abort_and_wait(sock, request):
+        abort.trigger()
+        gevent.sleep(5)
+
+    target = ScriptedTarget(abort_and_wait)
     clock = create_system_clock()
     transport = Transport(TargetAddress("t", "127.0.0.1", target.port), clock)
-    abort = Abort()
-    gevent.spawn_later(0.05, abort.trigger)
     with gevent.Timeout(2.0), pytest.raises(TargetLostError):
         transport.send(HttpRequest("GET", "/x", deadline=clock.monotonic() + 4.0, abort=abort))
     target.stop()
+
+
+def test_an_abort_before_the_write_proves_that_nothing_was_sent():
+    """CI of cc8993c: a stalled machine let an abort by a timer come before the write."""
+    abort = Abort()
+    abort.trigger()
+    target = ScriptedTarget(make_plain(b"whole"))
+    clock = create_system_clock()
+    transport = Transport(TargetAddress("t", "127.0.0.1", target.port), clock)
+    with pytest.raises(TargetNotReachedError):
+        transport.send(HttpRequest("GET", "/x", deadline=clock.monotonic() + 4.0, abort=abort))
+    assert not target.requests
+    target.stop()
