End the wait for an attempt or a watch that fails by a defect

Cause: read in the diff. A hedged attempt or a watch runs beside who waits for it, and only failures with a code were passed back: any other one would have been awaited for ever. Change: it is logged with its trace and passed on as a lost reply, as what was done is unknown. Tests: one each; both hung before.

--- a/clementinepin/serving/_hedging.py
+++ b/clementinepin/serving/_hedging.py
@@ -7,6 +7,7 @@
 
 import gevent
 from gevent.queue import Queue
+from loguru import logger
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.infrastructure.exceptions import (
@@ -60,3 +61,7 @@
         outcomes.put((attempt(), None))
     except ClementinepinError as err:
         outcomes.put((None, err))
+    except Exception as err:
+        # Unheard of here, an attempt would be awaited for ever; and what it did is unknown.
+        logger.opt(exception=err).error("attempt_failed")
+        outcomes.put((None, ReplyLostError(f"attempt failed: {err!r}")))
--- a/clementinepin/serving/_own_way.py
+++ b/clementinepin/serving/_own_way.py
@@ -78,6 +78,9 @@
             answer.set(self._store.watch(prefix, after))
         except ClementinepinError as err:
             answer.set_exception(err)
+        except Exception as err:
+            logger.bind(prefix=prefix).opt(exception=err).error("watch_failed")
+            answer.set_exception(ReplyLostError(f"watch failed: {err!r}"))
 
     def write(self, change: Change) -> int:
         """Apply a change as a whole and return its version."""
--- a/tests/serving/test_hedging.py
+++ b/tests/serving/test_hedging.py
@@ -88,6 +88,11 @@
         run_hedged([fail(error) for error in errors], PAUSE_S)
 
 
+def test_an_attempt_with_a_defect_is_unknown_and_awaited_by_nobody() -> None:
+    with gevent.Timeout(5.0), pytest.raises(ReplyLostError):
+        run_hedged([fail(ValueError("a defect"))], PAUSE_S)
+
+
 class HangingStore(MemoryStore):
     """Does what it is told and never answers, as a store that loses its answers."""
 
--- a/tests/serving/test_own_way.py
+++ b/tests/serving/test_own_way.py
@@ -116,3 +116,15 @@
     wait_until_open(way)
     store.apply(Change({}, {"a": b"1"}))
     assert [event.key for event in way.watch("a", 0)[0]] == ["a"]
+
+
+def test_a_watch_that_fails_by_a_defect_ends(
+    store: CountingStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(_prefix: str, _after: int) -> None:
+        raise ValueError("a defect")
+
+    monkeypatch.setattr(store, "watch", fail)
+    way = OwnWay(store, "cp/", create_system_clock(), random.Random(1))
+    with gevent.Timeout(5.0), pytest.raises(ReplyLostError):
+        way.watch("a", 0)
