Give a lost reply of the store a status that promises nothing

Cause: ReplyLostError says that the change may have taken effect, but bore 503, which callers take for a promise that nothing ran. All paths that were found turn it into 504 before, by settling; one that forgot would have lied. Change: its status is 504, and a test holds all failures of unknown outcome to such a status. Test: failed before. Conclusion: no path changes what it answers today.

--- a/clementinepin/infrastructure/exceptions.py
+++ b/clementinepin/infrastructure/exceptions.py
@@ -36,7 +36,7 @@
 
     code = "platform_reply_lost"
     outcome = Outcome.OUTCOME_UNKNOWN
-    status = 503
+    status = 504
 
 
 class LeaseLostError(ClementinepinError):
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from clementinepin.exceptions import Outcome
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.infrastructure.exceptions import (
     CutOffError,
@@ -19,6 +20,7 @@
 from clementinepin.serving._jobs import JobDesk
 from clementinepin.serving._links import InstanceLinks, LinkServer
 from clementinepin.serving.exceptions import (
+    AnswerLostError,
     BadRequestError,
     DeadlineError,
     JobNotFoundError,
@@ -298,3 +300,10 @@
     monkeypatch.setattr(desk.store, "write", fail)
     with pytest.raises(DeadlineError):
         desk.submit()
+
+
+def test_no_failure_of_unknown_outcome_bears_a_status_that_promises_not_run():
+    """429, 503, 408 and 421 promise that the request has not run and never will."""
+    for kind in (ReplyLostError, DeadlineError, AnswerLostError):
+        assert kind("x").outcome is Outcome.OUTCOME_UNKNOWN
+        assert kind("x").status not in (408, 421, 429, 503)
