Log each end of a request with its id, and why an item waits

Cause: read in the diff. Change: a head that was read names its request in request_failed; target_failed tells the status of such a send; item_waits tells a reason once until it changes, as items ask several times a second. Tests: a 413 and a resent 500 are found by their id; both failed before. Conclusion: no decision changed.

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -194,6 +194,7 @@
             try:
                 request = connection.read_request()
             except BadRequestError as err:
+                self._log_failure(connection.head_path, connection.head_headers, err)
                 connection.must_close = True
                 connection.answer(err.status)
                 connection.close()
@@ -227,12 +228,15 @@
                 lines.append(("Retry-After", f"{err.retry_after_s:.3f}"))
             elif isinstance(err, NotConfiguredError):
                 lines.append(("Retry-After", f"{STARTING_RETRY_S}"))
-            request_id = self._wire.read_request_id(request.path, request.headers)
-            facts = logger.bind(request_id=request_id, path=request.path, code=err.code)
-            facts.bind(status=err.status, error=str(err)).info("request_failed")
+            self._log_failure(request.path, request.headers, err)
             connection.answer(err.status, lines=lines)
         return True
 
+    def _log_failure(self, path: str, headers: dict[str, str], err: ClementinepinError) -> None:
+        request_id = self._wire.read_request_id(path, headers)
+        facts = logger.bind(request_id=request_id, path=path, code=err.code)
+        facts.bind(status=err.status, error=str(err)).info("request_failed")
+
     def _dispatch(
         self, connection: CallerConnection, request: CallerRequest, started_at: float
     ) -> None:
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -229,6 +229,7 @@
         if exchange.status >= SERVER_ERROR and self._may_resend(call):
             exchange.drain()
             call.excluded.add(sent.target.target_id)
+            self._log(call).bind(status=exchange.status).info("target_failed")
             return RunOutcome.BROKEN
         return self._pass_answer(connection, call, exchange)
 
--- a/clementinepin/serving/_http.py
+++ b/clementinepin/serving/_http.py
@@ -46,7 +46,11 @@
 
 
 class CallerConnection:
-    """One caller's connection. One greenlet reads requests and writes answers."""
+    """One caller's connection. One greenlet reads requests and writes answers.
+
+    ``head_path`` and ``head_headers`` are those of the last request whose head was read, empty
+    while none was, so that one that is given up in its body can be named.
+    """
 
     def __init__(self, sock: Any, limits: CallerLimits) -> None:
         self._sock = sock
@@ -55,6 +59,8 @@
         self._watcher: Any = None
         self.must_close = False
         self.answered = False
+        self.head_path = ""
+        self.head_headers: dict[str, str] = {}
 
     def read_request(self) -> CallerRequest | None:
         """Return the next request, or None when the connection ended or idled too long.
@@ -64,6 +70,7 @@
         if self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE:
             self._parser.start_next_cycle()
         self.answered = False
+        self.head_path, self.head_headers = "", {}
         try:
             head = self._read_head()
             if head is None:
@@ -155,6 +162,11 @@
         return event
 
     def _read_rest(self, head: h11.Request) -> CallerRequest | None:
+        lines = tuple(
+            (k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers.raw_items()
+        )
+        headers = {name.lower(): value for name, value in lines}
+        self.head_path, self.head_headers = head.target.decode("latin-1"), headers
         pieces: list[bytes] = []
         total = 0
         if self._parser.they_are_waiting_for_100_continue:
@@ -173,14 +185,8 @@
                     break
                 else:
                     return None
-        lines = tuple(
-            (k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers.raw_items()
-        )
-        headers = {name.lower(): value for name, value in lines}
         method = head.method.decode("latin-1")
-        return CallerRequest(
-            method, head.target.decode("latin-1"), headers, lines, b"".join(pieces)
-        )
+        return CallerRequest(method, self.head_path, headers, lines, b"".join(pieces))
 
     def _receive(self) -> Any:
         self._sock.settimeout(None)
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -51,6 +51,7 @@
         self.last_event_id = 0
         self.state: ItemState | None = None
         self.cancelled = False
+        self.wait_reason = ""
         self.abort = Abort()
         self.cancel_wait: Callable[[], None] = lambda: None
 
@@ -106,6 +107,7 @@
                 return
             route = self._find_route(run)
             if route is None or not self._may_run(run):
+                self._note_wait(run, "no route" if route is None else "crashed targets")
                 gevent.sleep(HOLD_S)
                 continue
             outcome = self._run_once(run, route)
@@ -139,8 +141,10 @@
         run.abort = Abort()
         try:
             slot = self._slots.acquire(self._make_slot_request(run, route), self._remember(run))
-        except (OverloadedError, CallerGoneError):
+        except (OverloadedError, CallerGoneError) as err:
+            self._note_wait(run, str(err))
             return RunOutcome.REFUSED
+        run.wait_reason = ""
         outcome = RunOutcome.CANCELLED
         granted_at = self._clock.monotonic()
         self._slots.watch_yield(slot, run.yield_slot)
@@ -273,6 +277,14 @@
         elif run.failures >= route.attempts_max:
             self._give_up(run, f"{run.failures} attempts failed, the last with {status}")
 
+    def _note_wait(self, run: ItemRun, reason: str) -> None:
+        """Log why an item gets no slot, once a reason: it asks again several times a second."""
+        if reason != run.wait_reason:
+            run.wait_reason = reason
+            logger.bind(request_id=run.item.item_id, job=run.head.job_id, reason=reason).info(
+                "item_waits"
+            )
+
     def _give_up(self, run: ItemRun, reason: str) -> None:
         run.texts.clear()
         run.state = ItemState.DEAD
