--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -6,6 +6,7 @@
 
 import gevent
 import pytest
+from loguru import logger
 
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.platform import create_wire
@@ -13,6 +14,7 @@
 from clementinepin.serving._item_run import ItemRun, ItemRunner
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
+from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.serving.models import CallerLimits, DesiredState, ItemState, RouteKind, Target
 from tests.serving.parts import make_head, make_items, make_route
 from tests.serving.scripted import ScriptedTarget, make_refusal
@@ -155,3 +157,22 @@
     world = World()
     world.run.head = make_head(now_s=world.clock.wall() - 100.0)
     assert world.play().state is ItemState.DEAD
+
+
+def test_an_item_that_gets_no_slot_says_why_once():
+    world = World(send_events(1))
+    world.slots.refusal = OverloadedError("batch waits for a dispatcher", 0.1)
+    lines: list[Any] = []
+    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
+    waiting = gevent.spawn(world.play)
+    with gevent.Timeout(5.0):
+        while not lines:
+            gevent.sleep(0.01)
+        gevent.sleep(0.5)
+        world.slots.refusal = None
+        waiting.get()
+    logger.remove(sink)
+    rows = [line["extra"] for line in lines if line["message"] == "item_waits"]
+    assert [(row["request_id"], row["reason"]) for row in rows] == [
+        ("i0", "batch waits for a dispatcher")
+    ]
