Give each soak loopback addresses of its own

Cause: script/test in a fresh clone failed while another run of the tests went on here: both soaks of seed 1 used 127.11.x.y, and all daemons ended with 'Address already in use'. Ruled out: a net drawn from the process id, which may meet another one. Change: a soak holds a listener on the first free 127.N.255.254 while it runs and uses that N. Conclusion: a fault of the soak, not of the product.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -29,14 +30,16 @@
   --runners N      Instances that run jobs [default: 2].
   --workers N      Engines [default: 3].
   --start S        Seconds for all processes to start and find one another [default: 3].
-  --net N          Second part of the loopback addresses, one a soak that runs beside others
-                   [default: 0].
+  --net N          Second part of the loopback addresses; by default the first that no other soak
+                   on this machine uses.
   --keep FOLDER    Keep logs of seeds that failed here.
 """
+NETS = range(1, 250)
+HOLDER_PORT = 7719  # below the ports of the instances
 SETTLE_S = 30.0  # jobs that lost their runs begin again; an owner is replaced within five seconds
 
 
-def play(seed: int, args: dict[str, str], folder: Path) -> list[str]:
+def play(seed: int, args: dict[str, str], folder: Path, net: int) -> list[str]:
     """Play one seed and return the broken promises."""
     fleet = Fleet(
         folder,
@@ -44,7 +47,7 @@
         fronts=int(args["--fronts"]),
         runners=int(args["--runners"]),
         workers=int(args["--workers"]),
-        net=int(args["--net"]),
+        net=net,
     )
     callers, faults = Callers(fleet, seed), Faults(fleet, seed)
     try:
@@ -81,6 +84,19 @@
     return callers.broken
 
 
+def reserve_net(wanted: str | None) -> socket.socket:
+    """Return a listener that keeps the loopback addresses 127.N.x.y for this process."""
+    for net in [int(wanted)] if wanted else NETS:
+        holder = socket.socket()
+        try:
+            holder.bind((f"127.{net}.255.254", HOLDER_PORT))
+            holder.listen()
+            return holder
+        except OSError:
+            holder.close()
+    raise SystemExit("all loopback addresses for a soak are in use")
+
+
 def main() -> int:
     """Play all seeds."""
     args = docopt(USAGE)
@@ -89,10 +105,12 @@
     else:
         first = int(args["--first"])
         seeds = list(range(first, first + int(args["--count"])))
+    reserved = reserve_net(args["--net"])
+    net = int(reserved.getsockname()[0].split(".")[1])
     failed = 0
     for seed in seeds:
         with tempfile.TemporaryDirectory() as folder:
-            broken = play(seed, args, Path(folder))
+            broken = play(seed, args, Path(folder), net)
             for line in broken:
                 print(f"  BROKEN {line}")
             if broken and args["--keep"]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from soak.__main__ import reserve_net
+
 ROOT = Path(__file__).parent.parent
 SEEDS = {1: "the first seed that was played"}
 
@@ -15,6 +17,16 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_promise_is_broken(seed):
     command = [sys.executable, "-m", "soak", "--seeds", str(seed), "--seconds", "6"]
-    command += ["--net", str(10 + seed % 100)]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=150)
     assert done.returncode == 0, done.stdout + done.stderr
+
+
+def test_two_soaks_at_a_time_use_addresses_of_their_own():
+    """A fresh clone's tests ran beside others: all daemons found their addresses in use."""
+    first, second = reserve_net(None), reserve_net(None)
+    taken = first.getsockname()[0].split(".")[1]
+    assert taken != second.getsockname()[0].split(".")[1]
+    with pytest.raises(SystemExit):
+        reserve_net(taken)
+    first.close()
+    second.close()
