--- a/clementinepin/platform/_wire.py
+++ b/clementinepin/platform/_wire.py
@@ -12,13 +12,13 @@
 from clementinepin.serving.exceptions import BadRequestError
 from clementinepin.serving.models import (
     CallerLimits,
-    DesiredState,
     ItemResult,
     ItemState,
     JobItem,
     RequestFacts,
     Route,
     RouteKind,
+    RoutingConfiguration,
     Service,
     ServiceShare,
     Target,
@@ -209,7 +209,7 @@
             return None
         return int(parts[0]), int(parts[1]), int(parts[2])
 
-    def read_desired_state(self, value: bytes) -> DesiredState:
+    def read_configuration(self, value: bytes) -> RoutingConfiguration:
         """Decode the operators' configuration; raises msgspec.DecodeError."""
         config = _decode_config(value)
         services = {
@@ -223,7 +223,7 @@
             config.limits.idle_timeout_ms / 1000,
         )
         routes = tuple(_make_route(route) for route in config.routes)
-        return DesiredState(config.version, routes, services, limits)
+        return RoutingConfiguration(config.version, routes, services, limits)
 
     def read_target(self, key: str, value: bytes) -> Target | None:
         """Decode a target's entry; one that can't be read names no target to use."""
--- a/clementinepin/serve.py
+++ b/clementinepin/serve.py
@@ -1,4 +1,4 @@
-"""The daemon on the users' platform: one program for all machines, told apart by settings."""
+"""The daemon on the users' platform: one program for all instances, told apart by settings."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
   serve (-h | --help)
 
 Options:
-  --metrics-port PORT  Port of this machine that serves metrics; 0 serves none [default: 0].
+  --metrics-port PORT  Port of this instance that serves metrics; 0 serves none [default: 0].
   --placement NAME     Who chooses targets: dispatcher; or own-counts or random, as baselines
                        [default: dispatcher].
   --order NAME         Who waits first: new-first; or returned-first, as a baseline
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -185,8 +185,8 @@
         ]
 
     def _get_limits(self) -> CallerLimits:
-        desired = self.fleet.configuration.desired
-        return desired.limits if desired else DEFAULT_LIMITS
+        configuration = self.fleet.configuration.current
+        return configuration.limits if configuration else DEFAULT_LIMITS
 
     def _serve_caller(self, connection: CallerConnection) -> None:
         """Serve requests of one connection until it ends."""
@@ -240,13 +240,13 @@
     def _dispatch(
         self, connection: CallerConnection, request: CallerRequest, started_at: float
     ) -> None:
-        desired = self.fleet.configuration.desired
-        if desired is None:
+        configuration = self.fleet.configuration.current
+        if configuration is None:
             raise NotConfiguredError("no configuration is known yet")
         if self._answer_job_call(connection, request):
             return
         host = request.headers.get("host", "")
-        route = desired.find_route(host, request.path.partition("?")[0])
+        route = configuration.find_route(host, request.path.partition("?")[0])
         if route is None:
             raise RouteNotFoundError(f"no route for {host}{request.path}")
         if is_job_route(route):
@@ -305,7 +305,7 @@
                 return
 
     def _answer_ready(self, connection: CallerConnection, _request: CallerRequest) -> None:
-        ready = not self.fleet.leaving and self.fleet.configuration.desired is not None
+        ready = not self.fleet.leaving and self.fleet.configuration.current is not None
         connection.answer(200 if ready else 503)
 
     def _answer_directory(self, connection: CallerConnection, request: CallerRequest) -> None:
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -15,7 +15,7 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.infrastructure import Change, KeyValue, StateStore
 from clementinepin.infrastructure.exceptions import LeaseLostError, PlatformUnavailableError
-from clementinepin.serving.models import DesiredState, InstanceSettings, Member, Target
+from clementinepin.serving.models import InstanceSettings, Member, RoutingConfiguration, Target
 from clementinepin.serving.store import StoreFollower
 from clementinepin.serving.wire import Wire
 
@@ -29,11 +29,11 @@
 
 
 class ConfigurationView:
-    """Keeps the newest desired state; an older one never replaces it."""
+    """Keeps the newest configuration; an older one never replaces it."""
 
     def __init__(self, wire: Wire) -> None:
         self._wire = wire
-        self.desired: DesiredState | None = None
+        self.current: RoutingConfiguration | None = None
 
     def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
         """Take in the range, which holds one key of interest."""
@@ -41,18 +41,18 @@
             self.apply_change(row.key, row.value, row.version)
 
     def apply_change(self, key: str, value: bytes | None, version: int) -> None:
-        """Put a newer desired state in force."""
+        """Put a newer configuration in force."""
         if key != self._wire.config_key or value is None:
             return
         try:
-            desired = self._wire.read_desired_state(value)
+            configuration = self._wire.read_configuration(value)
         except msgspec.DecodeError as err:
             logger.bind(store_version=version, error=str(err)).error("configuration_unreadable")
             return
-        if self.desired is None or desired.version > self.desired.version:
-            self.desired = desired
-            facts = logger.bind(version=desired.version, store_version=version)
-            facts.bind(routes=len(desired.routes)).info("configuration_in_force")
+        if self.current is None or configuration.version > self.current.version:
+            self.current = configuration
+            facts = logger.bind(version=configuration.version, store_version=version)
+            facts.bind(routes=len(configuration.routes)).info("configuration_in_force")
 
 
 class TargetView:
@@ -284,9 +284,9 @@
 
     def describe_state(self) -> dict[str, Any]:
         """Return a JSON-ready dump."""
-        desired = self.configuration.desired
+        configuration = self.configuration.current
         return {
-            "configuration_version": desired.version if desired else 0,
+            "configuration_version": configuration.version if configuration else 0,
             "targets": {k: t._asdict() for k, t in self.targets.rows.items()},
             "members": {k: m._asdict() for k, m in self.members.rows.items()},
             "followers": {k: f.describe_state() for k, f in self.followers.items()},
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -331,11 +331,11 @@
             raise OverloadedError("no target could be reached", REFUSED_RETRY_S)
 
     def _log(self, call: Call) -> Any:
-        desired = self._fleet.configuration.desired
+        configuration = self._fleet.configuration.current
         return logger.bind(
             request_id=call.facts.request_id,
             route=call.route.name,
-            configuration=desired.version if desired else 0,
+            configuration=configuration.version if configuration else 0,
             target=call.target_id,
         )
 
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -132,10 +132,10 @@
         return True
 
     def _find_route(self, run: ItemRun) -> Route | None:
-        desired = self._fleet.configuration.desired
-        if desired is None:
+        configuration = self._fleet.configuration.current
+        if configuration is None:
             return None
-        return desired.find_route(run.head.host, run.item.path.partition("?")[0])
+        return configuration.find_route(run.head.host, run.item.path.partition("?")[0])
 
     def _run_once(self, run: ItemRun, route: Route) -> RunOutcome:
         run.abort = Abort()
--- a/clementinepin/serving/_job_views.py
+++ b/clementinepin/serving/_job_views.py
@@ -13,7 +13,7 @@
 from clementinepin.serving._links import Link, LinkServer
 from clementinepin.serving.models import ItemResult
 
-VIEWS_MAX_BYTES: Final = 16_000_000  # about 1,500 results; store machines have 170 MB and more
+VIEWS_MAX_BYTES: Final = 16_000_000  # about 1,500 results; job runners have 170 MB and more
 PAGE_TEXT_BYTES: Final = 900_000  # a page of results holds a megabyte
 
 
--- a/clementinepin/serving/_relay.py
+++ b/clementinepin/serving/_relay.py
@@ -1,7 +1,7 @@
 """Reaches the store through another instance while it turns this one away.
 
-Load pattern: the store refuses, resets or ignores some machines and serves the others. A caller
-who came to such a machine should notice nothing.
+Load pattern: the store refuses, resets or ignores some instances and serves the others. A caller
+who came to such an instance should notice nothing.
 """
 
 from __future__ import annotations
@@ -146,7 +146,7 @@
         """Apply a change that only creates keys, by another way when the own one is slow.
 
         Load pattern: the store loses answers, or an instance is cut from it without notice, while
-        callers wait for a confirmation. A second write of the same keys conflicts with the first.
+        callers wait for an acknowledgement. A second write of the same keys meets a conflict.
         """
         call = messages.StoreCall(0, "write", change=_encode(change))
         return int(self._hedge(lambda: self._own_way.write(change), call).version)
--- a/clementinepin/serving/models.py
+++ b/clementinepin/serving/models.py
@@ -72,7 +72,7 @@
     idle_timeout_s: float = 15.0
 
 
-class DesiredState(NamedTuple):
+class RoutingConfiguration(NamedTuple):
     """The operators' configuration of routes and services as a whole."""
 
     version: int
--- a/clementinepin/serving/wire.py
+++ b/clementinepin/serving/wire.py
@@ -4,7 +4,13 @@
 
 from typing import NamedTuple, Protocol
 
-from clementinepin.serving.models import DesiredState, ItemResult, JobItem, RequestFacts, Target
+from clementinepin.serving.models import (
+    ItemResult,
+    JobItem,
+    RequestFacts,
+    RoutingConfiguration,
+    Target,
+)
 
 
 class JobCall(NamedTuple):
@@ -62,7 +68,7 @@
     def read_load(self, headers: dict[str, str]) -> tuple[int, int, int] | None:
         """Return running and waiting requests and slots that an answer reports."""
 
-    def read_desired_state(self, value: bytes) -> DesiredState:
+    def read_configuration(self, value: bytes) -> RoutingConfiguration:
         """Decode the operators' configuration; raises msgspec.DecodeError."""
 
     def read_target(self, key: str, value: bytes) -> Target | None:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,7 +18,7 @@
 
 Usage:
   soak [--seeds LIST] [--count N] [--first N] [--seconds S] [--rate R] [--fronts N] [--runners N]
-       [--workers N] [--start S] [--net N] [--keep FOLDER]
+       [--targets N] [--start S] [--net N] [--keep FOLDER]
 
 Options:
   --seeds LIST     Seeds, separated by commas.
@@ -28,7 +28,7 @@
   --rate R         Requests a second [default: 12].
   --fronts N       Entry instances [default: 3].
   --runners N      Instances that run jobs [default: 2].
-  --workers N      Engines [default: 3].
+  --targets N      Engines [default: 3].
   --start S        Seconds for all processes to start and find one another [default: 3].
   --net N          Second part of the loopback addresses; by default the first that no other soak
                    on this machine uses.
@@ -46,7 +46,7 @@
         seed,
         fronts=int(args["--fronts"]),
         runners=int(args["--runners"]),
-        workers=int(args["--workers"]),
+        targets=int(args["--targets"]),
         net=net,
     )
     callers, faults = Callers(fleet, seed), Faults(fleet, seed)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -11,7 +11,7 @@
 from gevent import socket
 
 from soak._fleet import HOST, Fleet
-from soak._worker import make_text
+from soak._target import make_text
 
 CALL_TIMEOUT_S = 6.0
 NOT_RUN = (408, 421, 429, 503)
@@ -133,7 +133,7 @@
             f"id: {n}\ndata: {make_text(request_id, n)}\n\n" for n in range(1, events + 1)
         ).encode()
         if answer.status == 200 and answer.whole and answer.body != expected:
-            self.broken.append(f"{request_id}: a whole answer is not the worker's")
+            self.broken.append(f"{request_id}: a whole answer is not the target's")
         if answer.status == 200 and not expected.startswith(answer.body):
             self.broken.append(f"{request_id}: events are missing, doubled or mixed")
 
@@ -183,7 +183,7 @@
             results.extend(page)
 
     def check_runs(self) -> None:
-        """Compare what workers ran with what callers were told."""
+        """Compare what targets ran with what callers were told."""
         ledger = self._fleet.ledger
         counts: dict[str, int] = {}
         for run in ledger.runs:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -33,10 +33,10 @@
             ("store forgets", self._compact),
             ("leases lapse", lambda: self._fleet.gateway.state.lapse_leases()),
             ("cut from the store", self._cut),
-            ("worker crashes", self._crash_worker),
-            ("worker is replaced", self._replace_worker),
-            ("worker is silent", self._silence_worker),
-            ("answers are lost", self._lose_worker_answers),
+            ("target crashes", self._crash_target),
+            ("target is replaced", self._replace_target),
+            ("target is silent", self._silence_target),
+            ("answers are lost", self._lose_target_answers),
             ("events are cut", self._cut_events),
             ("configuration changes", self._configure),
         ]
@@ -121,28 +121,28 @@
         gevent.sleep(self._random.uniform(0.5, 4.0))
         proxy.clear()
 
-    def _choose_worker(self) -> str:
-        return self._random.choice(sorted(self._fleet.workers))
+    def _choose_target(self) -> str:
+        return self._random.choice(sorted(self._fleet.targets))
 
-    def _crash_worker(self) -> None:
-        self._fleet.workers[self._choose_worker()].crash()
+    def _crash_target(self) -> None:
+        self._fleet.targets[self._choose_target()].crash()
 
-    def _replace_worker(self) -> None:
-        name = self._choose_worker()
-        self._fleet.add_worker(f"{name}x")
-        self._fleet.remove_worker(name)
+    def _replace_target(self) -> None:
+        name = self._choose_target()
+        self._fleet.add_target(f"{name}x")
+        self._fleet.remove_target(name)
 
-    def _silence_worker(self) -> None:
-        proxy = self._fleet.proxies[self._choose_worker()]
+    def _silence_target(self) -> None:
+        proxy = self._fleet.proxies[self._choose_target()]
         proxy.mute = proxy.deaf = True
         gevent.sleep(self._random.uniform(0.5, 3.0))
         proxy.clear()
 
-    def _lose_worker_answers(self) -> None:
-        self._fleet.workers[self._choose_worker()].lose_answers += self._random.randint(1, 3)
+    def _lose_target_answers(self) -> None:
+        self._fleet.targets[self._choose_target()].lose_answers += self._random.randint(1, 3)
 
     def _cut_events(self) -> None:
-        self._fleet.workers[self._choose_worker()].cut_events += self._random.randint(1, 3)
+        self._fleet.targets[self._choose_target()].cut_events += self._random.randint(1, 3)
 
     def _configure(self) -> None:
         self._version += self._random.randint(1, 5)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -16,7 +16,7 @@
 
 from clementinepin.helpers.clock import create_system_clock
 from soak._proxy import Proxy
-from soak._worker import Ledger, Worker
+from soak._target import Ledger, Target
 from standins.key_value import create_server
 
 ROOT = Path(__file__).parent.parent
@@ -113,7 +113,7 @@
     """All parts, started in order."""
 
     def __init__(
-        self, folder: Path, seed: int, *, fronts: int, runners: int, workers: int, net: int = 0
+        self, folder: Path, seed: int, *, fronts: int, runners: int, targets: int, net: int = 0
     ) -> None:
         self.random = random.Random(seed)
         self.started_at = time.monotonic()
@@ -121,7 +121,7 @@
         self.store.start()
         self.gateway: Any = self.store.application
         self.ledger = Ledger()
-        self.workers: dict[str, Worker] = {}
+        self.targets: dict[str, Target] = {}
         self.proxies: dict[str, Proxy] = {}
         self._leases: dict[str, int] = {}
         port = self.store.server_port
@@ -134,8 +134,8 @@
             for n in range(runners)
         ]
         self.put_configuration(1)
-        for n in range(workers):
-            self.add_worker(f"w{n}")
+        for n in range(targets):
+            self.add_target(f"w{n}")
         self._beat = gevent.spawn(self._run_beats)
         for instance in self.instances:
             instance.start()
@@ -145,7 +145,7 @@
         return time.monotonic() - self.started_at
 
     def put_configuration(self, version: int) -> None:
-        """Write a desired state as the operator does."""
+        """Write a configuration as the operator does."""
         common = {"host": HOST, "service": SERVICE, "timeout_ms": 5000, "sticky": True}
         stream = {"kind": "streaming", "target_latency_ms": 300, "gap_target_ms": 200}
         routes = [
@@ -174,17 +174,17 @@
         config = {"version": version, "routes": routes, "services": [{"name": SERVICE}]}
         self.gateway.state.put("op/config", msgspec.json.encode(config), None)
 
-    def add_worker(self, name: str) -> None:
+    def add_target(self, name: str) -> None:
         """Start an engine and register it under a lease."""
-        worker = Worker(name, SERVICE, 4, self.ledger, self.now)
-        self.workers[name] = worker
-        self.proxies[name] = Proxy(("127.0.0.1", worker.port))
+        target = Target(name, SERVICE, 4, self.ledger, self.now)
+        self.targets[name] = target
+        self.proxies[name] = Proxy(("127.0.0.1", target.port))
         self._register(name)
 
-    def remove_worker(self, name: str) -> None:
+    def remove_target(self, name: str) -> None:
         """End an engine and its entry."""
         self.gateway.state.revoke_lease(self._leases.pop(name))
-        self.workers.pop(name).stop()
+        self.targets.pop(name).stop()
         self.proxies.pop(name).stop()
 
     def stop(self) -> None:
@@ -194,8 +194,8 @@
             instance.is_running()
             instance.end()
             instance.proxy.stop()
-        for name in list(self.workers):
-            self.remove_worker(name)
+        for name in list(self.targets):
+            self.remove_target(name)
         self.store.stop()
 
     def _register(self, name: str) -> None:
@@ -203,13 +203,13 @@
         lease = state.grant_lease(HEARTBEAT_S * 3, now)
         self._leases[name] = lease
         state.put(
-            f"servers/{name}", self.workers[name].describe(self.proxies[name].port), None, lease
+            f"servers/{name}", self.targets[name].describe(self.proxies[name].port), None, lease
         )
 
     def _run_beats(self) -> None:
         while True:
             gevent.sleep(HEARTBEAT_S)
-            for name in list(self.workers):
+            for name in list(self.targets):
                 state, now = self.gateway.state, self.gateway.clock.monotonic()
                 if (
                     not self.gateway.faults["down"]
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -19,8 +19,8 @@
     ``mute`` what goes to them; ``refusing`` resets new connections.
     """
 
-    def __init__(self, target: tuple[str, int]) -> None:
-        self.target = target
+    def __init__(self, upstream: tuple[str, int]) -> None:
+        self.upstream = upstream
         self.delay_s = 0.0
         self.deaf = False
         self.mute = False
@@ -50,7 +50,7 @@
             sock.close()
             return
         try:
-            other = socket.create_connection(self.target, timeout=2.0)
+            other = socket.create_connection(self.upstream, timeout=2.0)
             other.settimeout(None)
         except OSError:
             sock.close()
--- a/soak/_worker.py
+++ b/soak/_target.py
@@ -19,13 +19,13 @@
     """One run of a request; ``first_event`` is where it began."""
 
     request_id: str
-    worker: str
+    target: str
     started_at: float
     first_event: int
 
 
 class Ledger:
-    """All runs at all workers, in order."""
+    """All runs at all targets, in order."""
 
     def __init__(self) -> None:
         self.runs: list[Run] = []
@@ -36,11 +36,11 @@
 
 
 def make_text(request_id: str, number: int) -> str:
-    """Return the data of an event: equal for equal requests at any worker."""
+    """Return the data of an event: equal for equal requests at any target."""
     return hashlib.sha256(f"{request_id}/{number}".encode()).hexdigest()[:16]
 
 
-class Worker:
+class Target:
     """One engine with a registration in the store."""
 
     def __init__(self, name: str, service: str, slots: int, ledger: Ledger, clock: Any) -> None:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -22,21 +22,21 @@
 
 
 def test_the_desired_state_is_decoded_whole():
-    desired = WIRE.read_desired_state(CONFIG)
-    stream, job = desired.routes
-    assert desired.version == 7
+    configuration = WIRE.read_configuration(CONFIG)
+    stream, job = configuration.routes
+    assert configuration.version == 7
     assert (stream.kind, stream.resumable, stream.attempts_max) == (RouteKind.STREAM, True, 2)
     assert (stream.objective_s, stream.gap_objective_s, stream.priority) == (0.3, 0.2, 1)
     assert (job.kind, job.due_s, job.tokens_max) == (RouteKind.JOB, 18.0, 500)
     assert [share.weight for share in job.shares] == [90, 10]
-    assert desired.limits.body_max_bytes == 200
+    assert configuration.limits.body_max_bytes == 200
 
 
 def test_the_longest_prefix_of_the_host_wins():
-    desired = WIRE.read_desired_state(CONFIG)
-    found = [desired.find_route("h", path) for path in ("/a/x", "/a/b/x", "/z/")]
+    configuration = WIRE.read_configuration(CONFIG)
+    found = [configuration.find_route("h", path) for path in ("/a/x", "/a/b/x", "/z/")]
     assert [route.name if route else None for route in found] == ["a", "b", None]
-    assert desired.find_route("other", "/a/x") is None
+    assert configuration.find_route("other", "/a/x") is None
 
 
 def test_the_facts_of_a_request():
--- a/tests/serving/test_fleet.py
+++ b/tests/serving/test_fleet.py
@@ -95,16 +95,16 @@
     view = ConfigurationView(create_wire())
     view.replace_rows([make_config_row(7)], after_outage=False)
     view.replace_rows([make_config_row(3)], after_outage=True)
-    assert view.desired is not None
-    assert view.desired.version == 7
+    assert view.current is not None
+    assert view.current.version == 7
 
 
 def test_an_unreadable_configuration_keeps_the_last_one() -> None:
     view = ConfigurationView(create_wire())
     view.apply_change(*make_config_row(7))
     view.apply_change("op/config", b"{", 8)
-    assert view.desired is not None
-    assert view.desired.version == 7
+    assert view.current is not None
+    assert view.current.version == 7
 
 
 def test_a_removed_target_is_gone_at_once() -> None:
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -18,7 +18,13 @@
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
 from clementinepin.serving.exceptions import OverloadedError
-from clementinepin.serving.models import CallerLimits, DesiredState, Route, RouteKind, Target
+from clementinepin.serving.models import (
+    CallerLimits,
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    Target,
+)
 from clementinepin.systems.dispatch_actions import RunOutcome
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS, make_route
@@ -92,7 +98,7 @@
 
     def set_route(self, **changes: object) -> Route:
         route = make_route(**changes)
-        self.app.fleet.configuration.desired = DesiredState(1, (route,), {}, CallerLimits())
+        self.app.fleet.configuration.current = RoutingConfiguration(1, (route,), {}, CallerLimits())
         return route
 
     def add_target(self, target: ScriptedTarget) -> ScriptedTarget:
@@ -386,7 +392,7 @@
     harness: Harness, limits: CallerLimits, headers: tuple[str, ...], status: int
 ) -> None:
     route = make_route()
-    harness.app.fleet.configuration.desired = DesiredState(1, (route,), {}, limits)
+    harness.app.fleet.configuration.current = RoutingConfiguration(1, (route,), {}, limits)
     assert get_status(call(harness.port, *headers)) == status
 
 
@@ -412,10 +418,10 @@
 
 def test_a_request_given_up_in_its_body_is_logged_with_its_id(harness: Harness) -> None:
     harness.set_route()
-    desired = harness.app.fleet.configuration.desired
-    assert desired is not None
+    configuration = harness.app.fleet.configuration.current
+    assert configuration is not None
     limits = CallerLimits(body_max_bytes=2)
-    harness.app.fleet.configuration.desired = desired._replace(limits=limits)
+    harness.app.fleet.configuration.current = configuration._replace(limits=limits)
     lines: list[Any] = []
     sink = logger.add(lambda message: lines.append(message.record), level="INFO")
     assert get_status(call(harness.port, ID)) == 413
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -15,7 +15,13 @@
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving.exceptions import OverloadedError
-from clementinepin.serving.models import CallerLimits, DesiredState, ItemState, RouteKind, Target
+from clementinepin.serving.models import (
+    CallerLimits,
+    ItemState,
+    RouteKind,
+    RoutingConfiguration,
+    Target,
+)
 from tests.serving.parts import make_head, make_items, make_route
 from tests.serving.scripted import ScriptedTarget, make_refusal
 from tests.serving.test_forward import FakeSlots, close_at_once, send_events
@@ -32,7 +38,7 @@
 class View:
     def __init__(self) -> None:
         self.rows: dict[str, Target] = {}
-        self.desired = DesiredState(
+        self.current = RoutingConfiguration(
             1, (make_route(kind=RouteKind.JOB, attempts_max=2),), {}, CallerLimits()
         )
 
