Tell outages of the store from an instance that is turned away

The store turned one instance away and served the others. Ruled out: a grace below 2 s, which drops targets that the store restores within two. One LapseGrace serves targets and instances, where the same lines stood twice; after_outage and the followers' own sign of it are gone. The test of the way's shakiness is replaced by these.

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -20,6 +20,7 @@
 from clementinepin.serving._jobs import JobDesk
 from clementinepin.serving._links import InstanceLinks, LinkServer
 from clementinepin.serving._metrics import ServingMetrics
+from clementinepin.serving._outages import StoreOutages
 from clementinepin.serving._own_way import OwnWay
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._relay import RelayedStore, RelayServer
@@ -69,12 +70,12 @@
         self._wire = wire
         self._clock = clock
         self._active = 0
-        own_way = OwnWay(store, wire.own_prefix, clock, rng)
+        outages = StoreOutages(clock)
+        own_way = OwnWay(store, wire.own_prefix, rng)
         links = InstanceLinks(clock)
-        relayed = RelayedStore(own_way, links, settings.name, clock, rng)
+        relayed = RelayedStore(own_way, links, settings.name, clock, rng, outages)
         store = relayed
-        self.fleet = FleetView(settings, store, wire, clock)
-        self.fleet.is_way_shaky = own_way.is_shaky
+        self.fleet = FleetView(settings, store, wire, clock, outages)
         relayed.list_helpers = self.fleet.list_helpers
         pools = TargetPools(self.fleet, clock)
         self.slots = SlotBroker(
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from functools import partial
 from typing import Any, Final
 
 import gevent
@@ -15,13 +14,13 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.infrastructure import Change, KeyValue, StateStore
 from clementinepin.infrastructure.exceptions import LeaseLostError, PlatformUnavailableError
+from clementinepin.serving._outages import LapseGrace, StoreOutages
 from clementinepin.serving.models import InstanceSettings, Member, RoutingConfiguration, Target
 from clementinepin.serving.store import StoreFollower
 from clementinepin.serving.wire import Wire
 
 LEASE_S: Final = 3.0  # a lost instance leaves the directory within this time
 LEASE_RENEWAL_S: Final = 1.0  # two renewals may fail before the lease ends
-LAPSE_GRACE_S: Final = 2.2  # the platform restores lapsed entries within two seconds
 PRUNE_PERIOD_S: Final = 0.2
 WITHDRAW_S: Final = 0.3  # within the margin that a stopping process has left
 SURE_S: Final = 1.5  # behind a renewal; others take jobs over one second after a lease's end
@@ -35,7 +34,7 @@
         self._wire = wire
         self.current: RoutingConfiguration | None = None
 
-    def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
+    def replace_rows(self, rows: list[KeyValue]) -> None:
         """Take in the range, which holds one key of interest."""
         for row in rows:
             self.apply_change(row.key, row.value, row.version)
@@ -58,15 +57,13 @@
 class TargetView:
     """Targets by id. Entries that lapse in an outage of the store stay for a grace time."""
 
-    def __init__(self, wire: Wire, clock: Clock, on_change: Callable[[], None]) -> None:
+    def __init__(self, wire: Wire, outages: StoreOutages, on_change: Callable[[], None]) -> None:
         self._wire = wire
-        self._clock = clock
         self._on_change = on_change
-        self._missing_until: dict[str, float] = {}
+        self._grace = LapseGrace(outages)
         self.rows: dict[str, Target] = {}
-        self.is_store_shaky: Callable[[], bool] = lambda: False
 
-    def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
+    def replace_rows(self, rows: list[KeyValue]) -> None:
         """Take in the whole range."""
         seen = set()
         for row in rows:
@@ -75,13 +72,13 @@
                 seen.add(target.target_id)
                 self._put(target)
         for target_id in set(self.rows) - seen:
-            self._miss(target_id, after_outage or self.is_store_shaky())
+            self._miss(target_id)
         self._on_change()
 
     def apply_change(self, key: str, value: bytes | None, version: int) -> None:
         """Take in one entry, or its removal."""
         if value is None:
-            self._miss(self._wire.read_target_id(key), self.is_store_shaky())
+            self._miss(self._wire.read_target_id(key))
         else:
             target = self._wire.read_target(key, value)
             if target is None:
@@ -96,10 +93,8 @@
 
     def prune(self) -> None:
         """Remove targets whose grace ended."""
-        now = self._clock.monotonic()
-        ended = [target_id for target_id, until in self._missing_until.items() if now >= until]
+        ended = self._grace.take_ended()
         for target_id in ended:
-            del self._missing_until[target_id]
             self._remove(target_id, "lapsed")
         if ended:
             self._on_change()
@@ -110,20 +105,15 @@
         return None if target is None or target.draining else target
 
     def _put(self, target: Target) -> None:
-        self._missing_until.pop(target.target_id, None)
+        self._grace.see(target.target_id)
         known = self.rows.get(target.target_id)
         if known != target:
             self.rows[target.target_id] = target
             facts = logger.bind(target=target.target_id, draining=target.draining)
             facts.bind(address=f"{target.host}:{target.port}").info("target_known")
 
-    def _miss(self, target_id: str, in_outage: bool) -> None:
-        if target_id not in self.rows:
-            return
-        if in_outage:
-            until = self._clock.monotonic() + LAPSE_GRACE_S
-            self._missing_until.setdefault(target_id, until)
-        else:
+    def _miss(self, target_id: str) -> None:
+        if target_id in self.rows and self._grace.miss(target_id):
             self._remove(target_id, "removed")
 
     def _remove(self, target_id: str, reason: str) -> None:
@@ -135,22 +125,20 @@
     """Instances of ours that registered under a lease."""
 
     def __init__(
-        self, prefix: str, own_name: str, clock: Clock, on_change: Callable[[], None]
+        self, prefix: str, own_name: str, outages: StoreOutages, on_change: Callable[[], None]
     ) -> None:
         self._prefix = prefix
-        self._clock = clock
-        self._missing_until: dict[str, float] = {}
-        self.is_store_shaky: Callable[[], bool] = lambda: False
+        self._grace = LapseGrace(outages)
         self._own_key = prefix + own_name
         self._on_change = on_change
         self.rows: dict[str, Member] = {}
         self.own_lost = Event()
 
-    def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
-        """Take in the whole range. After an outage, what is missing may only have lapsed."""
+    def replace_rows(self, rows: list[KeyValue]) -> None:
+        """Take in the whole range."""
         seen = {row.key.removeprefix(self._prefix) for row in rows}
         for name in set(self.rows) - seen:
-            self._miss(name, after_outage or self.is_store_shaky())
+            self._miss(name)
         if all(row.key != self._own_key for row in rows):
             self.own_lost.set()
         for row in rows:
@@ -166,24 +154,19 @@
             if key == self._own_key:
                 self.own_lost.set()
             else:
-                self._miss(name, self.is_store_shaky())
+                self._miss(name)
         self._on_change()
 
     def prune(self) -> None:
         """Remove instances whose grace ended."""
-        now = self._clock.monotonic()
-        ended = [name for name, until in self._missing_until.items() if now >= until]
+        ended = self._grace.take_ended()
         for name in ended:
-            del self._missing_until[name]
             self._remove(name, "lapsed")
         if ended:
             self._on_change()
 
-    def _miss(self, name: str, in_outage: bool) -> None:
-        if in_outage:
-            until = self._clock.monotonic() + LAPSE_GRACE_S
-            self._missing_until.setdefault(name, until)
-        else:
+    def _miss(self, name: str) -> None:
+        if self._grace.miss(name):
             self._remove(name, "removed")
 
     def _remove(self, name: str, reason: str) -> None:
@@ -196,7 +179,7 @@
         except msgspec.DecodeError as err:
             logger.bind(key=key, error=str(err)).warning("instance_entry_unreadable")
             return
-        self._missing_until.pop(member.name, None)
+        self._grace.see(member.name)
         known = self.rows.get(member.name)
         self.rows[member.name] = member
         if known is None:
@@ -207,7 +190,12 @@
     """Follows the store and registers this instance."""
 
     def __init__(
-        self, settings: InstanceSettings, store: StateStore, wire: Wire, clock: Clock
+        self,
+        settings: InstanceSettings,
+        store: StateStore,
+        wire: Wire,
+        clock: Clock,
+        outages: StoreOutages,
     ) -> None:
         self._settings = settings
         self._store = store
@@ -222,8 +210,8 @@
         self._refresh = Event()
         self.leaving = False
         self.configuration = ConfigurationView(wire)
-        self.targets = TargetView(wire, clock, self._announce)
-        self.members = MemberView(self._members_prefix, settings.name, clock, self._announce)
+        self.targets = TargetView(wire, outages, self._announce)
+        self.members = MemberView(self._members_prefix, settings.name, outages, self._announce)
         self.followers = {
             "configuration": StoreFollower(store, wire.config_key, self.configuration, clock),
             "targets": StoreFollower(
@@ -232,9 +220,6 @@
             "members": StoreFollower(store, self._members_prefix, self.members, clock),
         }
         self.fed_followers = {k: self.followers[k] for k in ("targets", "members")}
-        self.is_way_shaky: Callable[[], bool] = lambda: False
-        for name, view in (("targets", self.targets), ("members", self.members)):
-            view.is_store_shaky = partial(self._is_shaky, self.followers[name])
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of targets or members."""
@@ -292,14 +277,6 @@
             "followers": {k: f.describe_state() for k, f in self.followers.items()},
         }
 
-    def _is_shaky(self, follower: StoreFollower) -> bool:
-        """Tell whether removals may be lapses of an outage.
-
-        Load pattern: a store that is silent for seconds while entries lapse. A watch waits all the
-        while and hears of the lapses first, when the store is back; other calls have failed.
-        """
-        return follower.is_shaky() or self.is_way_shaky()
-
     def _announce(self) -> None:
         for listener in self._listeners:
             listener()
--- a/clementinepin/serving/_own_way.py
+++ b/clementinepin/serving/_own_way.py
@@ -11,10 +11,8 @@
 from loguru import logger
 
 from clementinepin.exceptions import ClementinepinError
-from clementinepin.helpers.clock import Clock
 from clementinepin.infrastructure import Change, KeyValue, LeaseGrant, Page, StateStore, WatchEvent
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError, ReplyLostError
-from clementinepin.serving.store import SHAKY_S
 
 PROBE_MIN_S: Final = 0.1  # a single lost answer closes the way for about this time
 PROBE_MAX_S: Final = 0.3  # a returned store is noticed within this time
@@ -30,21 +28,13 @@
     a time is made, and all other calls fail at once until it succeeds.
     """
 
-    def __init__(
-        self, store: StateStore, own_prefix: str, clock: Clock, rng: random.Random
-    ) -> None:
+    def __init__(self, store: StateStore, own_prefix: str, rng: random.Random) -> None:
         self._store = store
-        self._clock = clock
-        self._closed_until = float("-inf")
         self._probe_key = own_prefix + PROBE_KEY
         self._random = rng
         self._watches: set[AsyncResult] = set()
         self.is_open = True
 
-    def is_shaky(self) -> bool:
-        """Tell whether the way is closed, or was until a moment ago."""
-        return not self.is_open or self._clock.monotonic() - self._closed_until < SHAKY_S
-
     def get(self, key: str) -> KeyValue | None:
         """Return the current value of a key, or None."""
         return self._call(lambda: self._store.get(key))
@@ -128,7 +118,6 @@
             probes += 1
             try:
                 self._store.get(self._probe_key)
-                self._closed_until = self._clock.monotonic()
                 self.is_open = True
             except ClementinepinError as err:
                 logger.bind(error=str(err), probes=probes).debug("own_way_probed")
--- a/clementinepin/serving/_relay.py
+++ b/clementinepin/serving/_relay.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from functools import partial
 from typing import Any, Final
 
@@ -28,6 +29,7 @@
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._hedging import run_hedged
 from clementinepin.serving._links import InstanceLinks, Link, LinkServer
+from clementinepin.serving._outages import StoreOutages
 from clementinepin.serving.models import Member
 
 REPLY_TIMEOUT_MIN_S: Final = 0.25  # many times a round trip and a call; a lost helper is silent
@@ -107,7 +109,9 @@
         own_name: str,
         clock: Clock,
         rng: random.Random,
+        outages: StoreOutages,
     ) -> None:
+        self._outages = outages
         self._own_way = own_way
         self._own_name = own_name
         self._clock = clock
@@ -135,7 +139,9 @@
 
     def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
         """Wait for changes on the own way only; a follower lists again when that fails."""
-        return self._own_way.watch(prefix, after)
+        events = self._own_way.watch(prefix, after)
+        self._outages.note_answer()
+        return events
 
     def write(self, change: Change) -> int:
         """Apply a change as a whole and return its version."""
@@ -182,15 +188,31 @@
 
         A direct write whose answer was lost is not sent on: its caller decides how to settle it.
         """
+        with self._watch_outages():
+            try:
+                return direct()
+            except PlatformUnavailableError as err:
+                failure: ClementinepinError = err
+            except ReplyLostError as err:
+                if call.kind == "write":
+                    raise
+                failure = err
+            return self._relay(call, read, failure)
+
+    @contextmanager
+    def _watch_outages(self) -> Iterator[None]:
+        """Note whether the store answered. A lost reply shows neither: the next call will tell."""
         try:
-            return direct()
-        except PlatformUnavailableError as err:
-            failure: ClementinepinError = err
-        except ReplyLostError as err:
-            if call.kind == "write":
-                raise
-            failure = err
-        return self._relay(call, read, failure)
+            yield
+        except PlatformUnavailableError:
+            self._outages.note_failure()
+            raise
+        except ReplyLostError:
+            raise
+        except ClementinepinError:
+            self._outages.note_answer()
+            raise
+        self._outages.note_answer()
 
     def _relay(
         self, call: messages.StoreCall, read: Callable[[_Answer], Any], failure: ClementinepinError
@@ -231,14 +253,15 @@
         helpers = [] if is_cut_off else self._choose_helpers()
         attempts: list[Callable[[], _Answer]] = [ask_directly]
         attempts += [partial(ask, helper) for helper in helpers]
-        try:
-            return run_hedged(attempts)
-        except PlatformUnavailableError as err:
-            if is_cut_off:
-                raise CutOffError("no helper answered a moment ago") from err
-            if helpers and len(silent) == len(helpers):
-                raise self._note_cut_off(silent, err) from err
-            raise
+        with self._watch_outages():
+            try:
+                return run_hedged(attempts)
+            except PlatformUnavailableError as err:
+                if is_cut_off:
+                    raise CutOffError("no helper answered a moment ago") from err
+                if helpers and len(silent) == len(helpers):
+                    raise self._note_cut_off(silent, err) from err
+                raise
 
     def _note_cut_off(self, helpers: list[str], err: ClementinepinError) -> CutOffError:
         self._cut_off_until = self._clock.monotonic() + CUT_OFF_S
--- a/clementinepin/serving/_retirement.py
+++ b/clementinepin/serving/_retirement.py
@@ -42,7 +42,7 @@
         """Follow orders."""
         gevent.spawn(self._follower.run)
 
-    def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
+    def replace_rows(self, rows: list[KeyValue]) -> None:
         """Take in the order, if there is one."""
         for row in rows:
             self.apply_change(row.key, row.value, row.version)
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -67,7 +67,7 @@
         self._prefix = prefix
         self._put = put
 
-    def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
+    def replace_rows(self, rows: list[KeyValue]) -> None:
         """Take in the whole range; what is missing ended or was removed long ago."""
         for row in rows:
             self._put(row.key.removeprefix(self._prefix), row.value)
--- a/clementinepin/serving/store.py
+++ b/clementinepin/serving/store.py
@@ -16,15 +16,14 @@
 
 RETRY_MIN_S: Final = 0.1  # first pause after a failed call of a follower
 RETRY_MAX_S: Final = 1.0  # a returned store is noticed within this time
-SHAKY_S: Final = 3.0  # removals this soon after a failure may be lapses of the outage
 FED_CHECK_S: Final = 0.2  # how late the end of a feed may be noticed
 
 
 class StoreListener(Protocol):
     """Receives the state of a key range and its changes."""
 
-    def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
-        """Take in the whole range. ``after_outage`` says that the store was out of reach."""
+    def replace_rows(self, rows: list[KeyValue]) -> None:
+        """Take in the whole range."""
 
     def apply_change(self, key: str, value: bytes | None, version: int) -> None:
         """Take in one change; None removes the key."""
@@ -50,7 +49,6 @@
         self._listener = listener
         self._clock = clock
         self._failures = 0
-        self._failed_at = float("-inf")
         self._fed_until = float("-inf")
         self._removed: dict[str, int] = {}
         self._subscribers: list[Callable[[KeyValue, bool], None]] = []
@@ -78,8 +76,7 @@
         """List the range if its state is unknown, then wait for one answer of the watch."""
         if self.version < 0:
             page = self._store.list_range(self._prefix)
-            after_outage = self._failures > 0
-            self._merge_rows(page.values, page.version, after_outage=after_outage)
+            self._merge_rows(page.values, page.version)
             self.version = page.version
             self._note_success()
         events, version = self._store.watch(self._prefix, self.version)
@@ -94,7 +91,7 @@
 
     def take_rows(self, rows: list[KeyValue], version: int) -> None:
         """Take in the whole range as another instance holds it."""
-        self._merge_rows(rows, version, after_outage=False)
+        self._merge_rows(rows, version)
         self.version = max(self.version, version)
 
     def take_change(self, key: str, value: bytes | None, version: int) -> None:
@@ -130,16 +127,12 @@
         """Tell whether the store itself vouches for what is known."""
         return not self.is_fed() and self._failures == 0 and self.version >= 0
 
-    def is_shaky(self) -> bool:
-        """Tell whether the store was out of reach until a moment ago."""
-        return self._clock.monotonic() - self._failed_at < SHAKY_S
-
     def describe_state(self) -> dict[str, Any]:
         """Return what is known of the range's freshness."""
         age_s = self._clock.monotonic() - self.confirmed_at
         return {"version": self.version, "confirmed_s_ago": round(age_s, 3), "fed": self.is_fed()}
 
-    def _merge_rows(self, rows: list[KeyValue], version: int, *, after_outage: bool) -> None:
+    def _merge_rows(self, rows: list[KeyValue], version: int) -> None:
         merged = {row.key: row for row in rows if row.version > self._removed.get(row.key, -1)}
         for key, known in self.rows.items():
             listed = merged.get(key)
@@ -149,7 +142,7 @@
         changed = [row for row in merged.values() if self._has_changed(row)]
         self.rows = merged
         self._removed = {k: v for k, v in self._removed.items() if v > version}
-        self._listener.replace_rows(list(merged.values()), after_outage=after_outage)
+        self._listener.replace_rows(list(merged.values()))
         for subscriber in self._subscribers:
             for row in changed:
                 subscriber(row, False)
@@ -168,7 +161,6 @@
 
     def _note_failure(self, err: ClementinepinError) -> None:
         self._failures += 1
-        self._failed_at = self._clock.monotonic()
         if self._failures == 1:
             logger.bind(prefix=self._prefix, error=str(err)).warning("store_lost")
         # What changed meanwhile may include entries that only expired during an outage.
--- a/tests/serving/test_feed.py
+++ b/tests/serving/test_feed.py
@@ -20,7 +20,7 @@
     def __init__(self) -> None:
         self.rows: dict[str, bytes] = {}
 
-    def replace_rows(self, rows: list[KeyValue], *, after_outage: bool) -> None:
+    def replace_rows(self, rows: list[KeyValue]) -> None:
         self.rows = {row.key: row.value for row in rows}
 
     def apply_change(self, key: str, value: bytes | None, version: int) -> None:
--- a/tests/serving/test_hedging.py
+++ b/tests/serving/test_hedging.py
@@ -19,6 +19,7 @@
 from clementinepin.serving import _relay
 from clementinepin.serving._hedging import run_hedged
 from clementinepin.serving._links import InstanceLinks, LinkServer
+from clementinepin.serving._outages import StoreOutages
 from clementinepin.serving._relay import RelayedStore, RelayServer
 from clementinepin.serving.models import Member
 from tests.serving.memory_store import MemoryStore
@@ -114,7 +115,14 @@
     helper = LinkServer(("127.0.0.1", port))
     RelayServer(helper, store, clock)
     helper.start()
-    relayed = RelayedStore(own_way, InstanceLinks(clock), "f1", clock, random.Random(1))
+    relayed = RelayedStore(
+        own_way,
+        InstanceLinks(clock),
+        "f1",
+        clock,
+        random.Random(1),
+        StoreOutages(create_system_clock()),
+    )
     member = Member("s1", True, "127.0.0.1", port, "", "a", "r", False)
     relayed.list_helpers = lambda: [member]
     with gevent.Timeout(5.0):
@@ -138,7 +146,14 @@
     helper.start()
     silent = LinkServer(("127.0.0.1", 0))
     silent.start()
-    relayed = RelayedStore(HangingStore(), InstanceLinks(clock), "f1", clock, random.Random(1))
+    relayed = RelayedStore(
+        HangingStore(),
+        InstanceLinks(clock),
+        "f1",
+        clock,
+        random.Random(1),
+        StoreOutages(create_system_clock()),
+    )
     runner = Member("s1", True, "127.0.0.1", silent._server.server_port, "", "a", "r", False)
     entry = Member("f2", False, "127.0.0.1", port, "", "a", "r", False)
     relayed.list_helpers = lambda: [runner, entry]
@@ -157,7 +172,14 @@
     store = MemoryStore()
     store.down = True
     clock = create_system_clock()
-    relayed = RelayedStore(store, InstanceLinks(clock), "f1", clock, random.Random(1))
+    relayed = RelayedStore(
+        store,
+        InstanceLinks(clock),
+        "f1",
+        clock,
+        random.Random(1),
+        StoreOutages(create_system_clock()),
+    )
     with pytest.raises(PlatformUnavailableError) as caught:
         relayed.write_hedged(Change({"a": 0}, {"a": b"1"}))
     assert not isinstance(caught.value, CutOffError)
--- a/tests/serving/test_own_way.py
+++ b/tests/serving/test_own_way.py
@@ -7,7 +7,6 @@
 import gevent
 import pytest
 
-from clementinepin.helpers.clock import ManualClock, create_system_clock
 from clementinepin.infrastructure import Change
 from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
@@ -16,7 +15,6 @@
 )
 from clementinepin.serving import _own_way
 from clementinepin.serving._own_way import OwnWay
-from clementinepin.serving.store import SHAKY_S
 from tests.serving.memory_store import MemoryStore
 
 
@@ -45,7 +43,7 @@
 
 def test_many_calls_in_an_outage_cost_one_and_the_probes(store: CountingStore) -> None:
     """Day platform-down of kirkvoice-serve: 2,180 priced calls in 16 s of outage."""
-    way = OwnWay(store, "cp/", create_system_clock(), random.Random(1))
+    way = OwnWay(store, "cp/", random.Random(1))
     store.down = True
     for _ in range(500):
         with pytest.raises(PlatformUnavailableError):
@@ -57,7 +55,7 @@
 
 
 def test_a_lost_answer_closes_the_way_until_a_probe_works(store: CountingStore) -> None:
-    way = OwnWay(store, "cp/", create_system_clock(), random.Random(1))
+    way = OwnWay(store, "cp/", random.Random(1))
     store.faults.append("lost")
     with pytest.raises(ReplyLostError):
         way.write(Change({}, {"a": b"1"}))
@@ -68,7 +66,7 @@
 
 
 def test_a_watch_waits_for_no_closed_way_and_closes_none(store: CountingStore) -> None:
-    way = OwnWay(store, "cp/", create_system_clock(), random.Random(1))
+    way = OwnWay(store, "cp/", random.Random(1))
     store.compacted = 5
     with pytest.raises(WatchCompactedError):
         way.watch("a", 1)
@@ -82,21 +80,6 @@
     assert store.calls == calls
 
 
-def test_a_way_stays_shaky_for_a_moment_after_it_opened(store: CountingStore) -> None:
-    clock = ManualClock()
-    way = OwnWay(store, "cp/", clock, random.Random(1))
-    assert not way.is_shaky()
-    store.down = True
-    with pytest.raises(PlatformUnavailableError):
-        way.get("a")
-    assert way.is_shaky()
-    store.down = False
-    wait_until_open(way)
-    assert way.is_shaky()
-    clock.advance(SHAKY_S)
-    assert not way.is_shaky()
-
-
 def test_a_watch_that_a_silent_store_swallowed_ends_when_the_way_closes(
     store: CountingStore,
 ) -> None:
@@ -104,7 +87,7 @@
 
     Watches sent in a silent second were waited for until 27 s later, and no new job was seen.
     """
-    way = OwnWay(store, "cp/", create_system_clock(), random.Random(1))
+    way = OwnWay(store, "cp/", random.Random(1))
     watching = gevent.spawn(way.watch, "a", 0)
     gevent.sleep(0)
     store.down = True
@@ -125,6 +108,6 @@
         raise ValueError("a defect")
 
     monkeypatch.setattr(store, "watch", fail)
-    way = OwnWay(store, "cp/", create_system_clock(), random.Random(1))
+    way = OwnWay(store, "cp/", random.Random(1))
     with gevent.Timeout(5.0), pytest.raises(ReplyLostError):
         way.watch("a", 0)
--- a/tests/serving/test_relay.py
+++ b/tests/serving/test_relay.py
@@ -17,6 +17,7 @@
 )
 from clementinepin.serving import _relay
 from clementinepin.serving._links import InstanceLinks, LinkServer
+from clementinepin.serving._outages import StoreOutages
 from clementinepin.serving._relay import RelayedStore, RelayServer
 from clementinepin.serving.models import Member
 from tests.serving.memory_store import MemoryStore
@@ -35,7 +36,10 @@
         RelayServer(self.helper, self.store, clock)
         self.helper.start()
         self.links = InstanceLinks(create_system_clock())
-        self.relayed = RelayedStore(self.own_way, self.links, "f1", clock, random.Random(1))
+        self.outages = StoreOutages(clock)
+        self.relayed = RelayedStore(
+            self.own_way, self.links, "f1", clock, random.Random(1), self.outages
+        )
         self.relayed.list_helpers = lambda: [
             Member("s1", True, "127.0.0.1", port, "", "a", "r", False)
         ]
@@ -119,7 +123,14 @@
     silent = LinkServer(("127.0.0.1", find_port()))
     silent.start()
     lost = Member("s0", True, "127.0.0.1", silent._server.server_port, "", "a", "r", False)
-    relayed = RelayedStore(pair.own_way, pair.links, "f1", create_system_clock(), random.Random(1))
+    relayed = RelayedStore(
+        pair.own_way,
+        pair.links,
+        "f1",
+        create_system_clock(),
+        random.Random(1),
+        StoreOutages(create_system_clock()),
+    )
     relayed._choose_helpers = lambda: [lost, live]
     waits: list[float] = []
     ask = pair.links.ask
@@ -165,3 +176,16 @@
     pair.links.ask = lambda member, *args: (asked.append(member.name), ask(member, *args))[1]
     assert pair.relayed.get("a") is None
     assert asked == ["f2"]
+
+
+def test_an_instance_that_is_turned_away_sees_no_outage_while_a_helper_answers(pair):
+    """Day trouble-1 of lakaz-serve, seed 2: removals were taken for lapses, and targets kept."""
+    pair.own_way.down = True
+    pair.relayed.get("a")
+    with pytest.raises(VersionConflictError):
+        pair.relayed.write(Change({"a": 5}, {"a": b"1"}))
+    assert not pair.outages.may_be_lapse()
+    pair.store.down = True
+    with pytest.raises(PlatformUnavailableError):
+        pair.relayed.get("a")
+    assert pair.outages.may_be_lapse()
