--- a/clementinepin/serve.py
+++ b/clementinepin/serve.py
@@ -72,6 +72,7 @@
     gevent.signal_handler(signal.SIGINT, told.set)
 
     def reload() -> None:
+        """Read the settings again, at a signal and before a stop."""
         reload_settings(path, metrics_port, app, store.move)
 
     gevent.signal_handler(signal.SIGHUP, reload)
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import gevent
 from loguru import logger
@@ -52,6 +52,15 @@
 )
 
 
+class _JobParts(NamedTuple):
+    """What only an instance that runs jobs has."""
+
+    dispatcher: Dispatcher
+    feed: FeedServer
+    runner: JobRunner
+    retirement: Retirement
+
+
 class App:
     """All parts of one instance."""
 
@@ -74,57 +83,48 @@
         own_way = OwnWay(store, wire.own_prefix, rng)
         links = InstanceLinks(clock)
         relayed = RelayedStore(own_way, links, settings.name, clock, rng, outages)
-        store = relayed
-        self.fleet = FleetView(settings, store, wire, clock, outages)
+        self.fleet = FleetView(settings, relayed, wire, clock, outages)
         relayed.list_helpers = self.fleet.list_helpers
         pools = TargetPools(self.fleet, clock)
         self.slots = SlotBroker(
-            settings.name,
-            settings.data_centre,
-            self.fleet,
-            pools,
-            clock,
-            rng,
-            policy.placement,
+            settings.name, settings.data_centre, self.fleet, pools, clock, rng, policy.placement
         )
         self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
-        self._jobs = JobDesk(store, self.fleet, links, wire, clock)
+        self._jobs = JobDesk(relayed, self.fleet, links, wire, clock)
         self._link_server = LinkServer((settings.host, settings.link_port))
         RelayServer(self._link_server, own_way, clock)
-        self._dispatcher: Dispatcher | None = None
-        self._feed: FeedServer | None = None
-        self._runner: JobRunner | None = None
-        self._retirement: Retirement | None = None
+        self._job_parts: _JobParts | None = None
         if settings.runs_jobs:
             served = self._link_server
-            self._dispatcher = Dispatcher(served, self.fleet, clock, rng, policy.order)
-            self._feed = FeedServer(served, self.fleet.fed_followers)
             items = ItemRunner(self.fleet, self.slots, pools, wire, clock, metrics)
-            self._runner = JobRunner(settings, store, self.fleet, items, wire, clock, served)
-            self._retirement = Retirement(settings, store, wire, clock, self.leave)
+            self._job_parts = _JobParts(
+                Dispatcher(served, self.fleet, clock, rng, policy.order),
+                FeedServer(served, self.fleet.fed_followers),
+                JobRunner(settings, relayed, self.fleet, items, wire, clock, served),
+                Retirement(settings, relayed, wire, clock, self.leave),
+            )
         self._servers = self._create_servers()
 
     def start(self) -> None:
         """Start all parts."""
         self._link_server.start()
-        if self._dispatcher is not None:
-            self._dispatcher.start()
-        if self._feed is not None:
-            self._feed.start()
+        parts = self._job_parts
+        if parts is not None:
+            parts.dispatcher.start()
+            parts.feed.start()
         self.slots.start()
         self.fleet.start()
-        if self._runner is not None:
-            self._runner.start()
-        if self._retirement is not None:
-            self._retirement.start()
+        if parts is not None:
+            parts.runner.start()
+            parts.retirement.start()
         for server in self._servers:
             server.start()
         gevent.spawn(self._metrics.run_summaries)
 
     def leave(self) -> None:
         """Take no new callers or jobs; what is here goes on."""
-        if self._runner is not None:
-            self._runner.leave()
+        if self._job_parts is not None:
+            self._job_parts.runner.leave()
         self.fleet.announce_leaving()
 
     def stop(self) -> None:
@@ -142,8 +142,8 @@
             gevent.sleep(IDLE_CHECK_S)
         self.fleet.withdraw()
         self.slots.stop()
-        if self._dispatcher is not None:
-            self._dispatcher.stop()
+        if self._job_parts is not None:
+            self._job_parts.dispatcher.stop()
         self._link_server.stop()
 
     def apply_settings(self, settings: InstanceSettings) -> list[str]:
@@ -155,20 +155,21 @@
         self._settings = self._settings._replace(**live)
         for server in self._servers:
             server.connections_max = settings.connections_max
-        if self._runner is not None:
-            self._runner.status_retention_s = settings.status_retention_s
+        if self._job_parts is not None:
+            self._job_parts.runner.status_retention_s = settings.status_retention_s
         pairs = zip(self._settings._asdict().items(), settings, strict=True)
         return [name for (name, value), wanted in pairs if value != wanted]
 
     def describe_state(self) -> dict[str, Any]:
         """Return a JSON-ready dump."""
+        parts = self._job_parts
         return {
             "instance": self._settings.name,
             "active": self._active,
             "fleet": self.fleet.describe_state(),
             "slots": self.slots.describe_state(),
-            "dispatcher": self._dispatcher.describe_state() if self._dispatcher else None,
-            "jobs": self._runner.describe_state() if self._runner else None,
+            "dispatcher": parts.dispatcher.describe_state() if parts else None,
+            "jobs": parts.runner.describe_state() if parts else None,
         }
 
     def _create_servers(self) -> list[CallerServer]:
--- a/tests/serving/test_reload.py
+++ b/tests/serving/test_reload.py
@@ -62,8 +62,8 @@
     assert line["extra"]["needs_restart"] == []
     assert moved == [("127.0.0.1", 4321)]
     assert app._settings.grace_s == 20.0
-    assert app._runner is not None
-    assert app._runner.status_retention_s == 30.0
+    assert app._job_parts is not None
+    assert app._job_parts.runner.status_retention_s == 30.0
 
 
 def test_what_others_know_is_named_and_stays(app: App, tmp_path: Path) -> None:
