--- /dev/null
+++ b/tests/serving/harness.py
@@ -0,0 +1,129 @@
+"""One instance with a broker that grants, and targets that follow a script."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from gevent import socket
+
+from clementinepin.helpers.clock import create_system_clock
+from clementinepin.platform import create_wire
+from clementinepin.serving._app import App
+from clementinepin.serving._metrics import ServingMetrics
+from clementinepin.serving._slots import Slot, SlotRequest
+from clementinepin.serving.exceptions import OverloadedError
+from clementinepin.serving.models import (
+    CallerLimits,
+    Route,
+    RoutingConfiguration,
+    Target,
+)
+from clementinepin.systems.dispatch_actions import RunOutcome
+from tests.serving.memory_store import MemoryStore
+from tests.serving.parts import SETTINGS, make_route
+from tests.serving.scripted import (
+    EVENTS,
+    HEAD,
+    ScriptedTarget,
+    make_chunk,
+    make_event,
+    read_id,
+)
+
+ID = "Clementinepin-Request-Id: q1"
+
+
+class FakeSlots:
+    """Grants the targets in their order, but none that is excluded."""
+
+    dispatcher_name = "d"
+
+    def __init__(self) -> None:
+        self.target_ids: list[str] = []
+        self.outcomes: list[RunOutcome] = []
+        self.refusal: OverloadedError | None = None
+        self.silent: list[tuple[str, str]] = []
+
+    def acquire(self, request: SlotRequest, on_waiting: Any) -> Slot:
+        if self.refusal is not None:
+            raise self.refusal
+        for number, target_id in enumerate(self.target_ids):
+            if target_id not in request.excluded:
+                return Slot(number, target_id, alone=False)
+        raise OverloadedError("none left", 0.25)
+
+    def release(self, slot: Slot, outcome: RunOutcome) -> None:
+        self.outcomes.append(outcome)
+
+    def report_load(self, slot: Slot, load: Any) -> None:
+        return
+
+    def report_silence(self, slot: Slot, request_id: str) -> None:
+        self.silent.append((slot.target_id, request_id))
+
+
+class Harness:
+    def __init__(self) -> None:
+        self.slots = FakeSlots()
+        address = ("127.0.0.1", self._find_port())
+        settings = SETTINGS._replace(name="f1", runs_jobs=False, entry_address=address)
+        self.app = App(
+            settings,
+            MemoryStore(),
+            create_wire(),
+            create_system_clock(),
+            random.Random(1),
+            ServingMetrics(),
+        )
+        self.app._forwarder._slots = self.slots  # type: ignore[assignment]
+        self.port = address[1]
+        self._targets: list[ScriptedTarget] = []
+        self.app._servers[0].start()
+
+    @staticmethod
+    def _find_port() -> int:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            return int(sock.getsockname()[1])
+
+    def set_route(self, **changes: object) -> Route:
+        route = make_route(**changes)
+        self.app.fleet.configuration.current = RoutingConfiguration(1, (route,), {}, CallerLimits())
+        return route
+
+    def add_target(self, target: ScriptedTarget) -> ScriptedTarget:
+        target_id = f"t{len(self._targets)}"
+        self._targets.append(target)
+        self.slots.target_ids.append(target_id)
+        self.app.fleet.targets.rows[target_id] = Target(
+            target_id, "llm", "127.0.0.1", target.port, "a", 8, False
+        )
+        return target
+
+    def stop(self) -> None:
+        for target in self._targets:
+            target.stop()
+        self.app._servers[0].stop_accepting()
+
+
+def get_status(answer: bytes) -> int:
+    return int(answer.split(b" ", 2)[1]) if answer else 0
+
+
+def send_events(*numbers: int, end: bool = True, cut: bytes = b"", signature: bytes = b"s1") -> Any:
+    def script(sock: Any, request: bytes) -> bool:
+        sock.sendall(HEAD % (signature, read_id(request)) + EVENTS)
+        for number in numbers:
+            sock.sendall(make_chunk(make_event(number)))
+        if cut:
+            sock.sendall(make_chunk(cut))
+        if end:
+            sock.sendall(b"0\r\n\r\n")
+        return end
+
+    return script
+
+
+def close_at_once(sock: Any, request: bytes) -> bool:
+    return False
--- /dev/null
+++ b/tests/serving/test_failure_logs.py
@@ -0,0 +1,68 @@
+"""Each failed request is found in the logs by its id."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from loguru import logger
+
+from clementinepin.serving.models import (
+    CallerLimits,
+    RouteKind,
+)
+from tests.serving.harness import ID, Harness, get_status
+from tests.serving.scripted import (
+    ScriptedTarget,
+    call,
+    make_plain,
+)
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "expected"),
+    [
+        ("/elsewhere/1", (ID,), "q1"),
+        ("/v1/lots/job-7?after=0", (), "job-7"),
+        ("/v1/items/job-8?id=i1", (), "job-8"),
+    ],
+)
+def test_each_failure_is_logged_with_the_id_of_its_request_or_job(
+    harness: Harness, path: str, headers: tuple[str, ...], expected: str
+) -> None:
+    harness.set_route()
+    lines: list[Any] = []
+    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
+    assert get_status(call(harness.port, *headers, method="GET", path=path)) == 404
+    logger.remove(sink)
+    failed = [line for line in lines if line["message"] == "request_failed"]
+    assert [line["extra"]["request_id"] for line in failed] == [expected]
+
+
+def test_a_request_given_up_in_its_body_is_logged_with_its_id(harness: Harness) -> None:
+    harness.set_route()
+    configuration = harness.app.fleet.configuration.current
+    assert configuration is not None
+    limits = CallerLimits(body_max_bytes=2)
+    harness.app.fleet.configuration.current = configuration._replace(limits=limits)
+    lines: list[Any] = []
+    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
+    assert get_status(call(harness.port, ID)) == 413
+    logger.remove(sink)
+    failed = [line["extra"] for line in lines if line["message"] == "request_failed"]
+    assert [(row["request_id"], row["status"]) for row in failed] == [("q1", 413)]
+
+
+def test_a_failure_behind_which_another_target_is_asked_is_logged(harness: Harness) -> None:
+    harness.set_route(kind=RouteKind.IDEMPOTENT)
+    failed = b"HTTP/1.1 500 No\r\nClementinepin-Server-Signature: s1\r\nContent-Length: 0\r\n\r\n"
+    harness.add_target(ScriptedTarget(failed))
+    harness.add_target(ScriptedTarget(make_plain(b"answer")))
+    lines: list[Any] = []
+    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
+    assert call(harness.port, ID).endswith(b"answer")
+    logger.remove(sink)
+    rows = [line["extra"] for line in lines if line["message"] == "target_failed"]
+    assert [(row["request_id"], row["target"], row["status"]) for row in rows] == [
+        ("q1", "t0", 500)
+    ]
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -2,32 +2,23 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Iterator
 from typing import Any
 
 import gevent
 import pytest
 from gevent import socket
-from loguru import logger
 
-from clementinepin.helpers.clock import create_system_clock
-from clementinepin.platform import create_wire
 from clementinepin.serving import _forward
-from clementinepin.serving._app import App
-from clementinepin.serving._metrics import ServingMetrics
-from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
+from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.serving.models import (
     CallerLimits,
-    Route,
     RouteKind,
     RoutingConfiguration,
-    Target,
 )
 from clementinepin.systems.dispatch_actions import RunOutcome
-from tests.serving.memory_store import MemoryStore
-from tests.serving.parts import SETTINGS, make_route
+from tests.serving.harness import ID, FakeSlots, Harness, close_at_once, get_status, send_events
+from tests.serving.parts import make_route
 from tests.serving.scripted import (
     EVENTS,
     HEAD,
@@ -40,110 +31,6 @@
     read_id,
 )
 
-ID = "Clementinepin-Request-Id: q1"
-
-
-class FakeSlots:
-    """Grants the targets in their order, but none that is excluded."""
-
-    dispatcher_name = "d"
-
-    def __init__(self) -> None:
-        self.target_ids: list[str] = []
-        self.outcomes: list[RunOutcome] = []
-        self.refusal: OverloadedError | None = None
-        self.silent: list[tuple[str, str]] = []
-
-    def acquire(self, request: SlotRequest, on_waiting: Any) -> Slot:
-        if self.refusal is not None:
-            raise self.refusal
-        for number, target_id in enumerate(self.target_ids):
-            if target_id not in request.excluded:
-                return Slot(number, target_id, alone=False)
-        raise OverloadedError("none left", 0.25)
-
-    def release(self, slot: Slot, outcome: RunOutcome) -> None:
-        self.outcomes.append(outcome)
-
-    def report_load(self, slot: Slot, load: Any) -> None:
-        return
-
-    def report_silence(self, slot: Slot, request_id: str) -> None:
-        self.silent.append((slot.target_id, request_id))
-
-
-class Harness:
-    def __init__(self) -> None:
-        self.slots = FakeSlots()
-        address = ("127.0.0.1", self._find_port())
-        settings = SETTINGS._replace(name="f1", runs_jobs=False, entry_address=address)
-        self.app = App(
-            settings,
-            MemoryStore(),
-            create_wire(),
-            create_system_clock(),
-            random.Random(1),
-            ServingMetrics(),
-        )
-        self.app._forwarder._slots = self.slots  # type: ignore[assignment]
-        self.port = address[1]
-        self._targets: list[ScriptedTarget] = []
-        self.app._servers[0].start()
-
-    @staticmethod
-    def _find_port() -> int:
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            return int(sock.getsockname()[1])
-
-    def set_route(self, **changes: object) -> Route:
-        route = make_route(**changes)
-        self.app.fleet.configuration.current = RoutingConfiguration(1, (route,), {}, CallerLimits())
-        return route
-
-    def add_target(self, target: ScriptedTarget) -> ScriptedTarget:
-        target_id = f"t{len(self._targets)}"
-        self._targets.append(target)
-        self.slots.target_ids.append(target_id)
-        self.app.fleet.targets.rows[target_id] = Target(
-            target_id, "llm", "127.0.0.1", target.port, "a", 8, False
-        )
-        return target
-
-    def stop(self) -> None:
-        for target in self._targets:
-            target.stop()
-        self.app._servers[0].stop_accepting()
-
-
-@pytest.fixture
-def harness() -> Iterator[Harness]:
-    harness = Harness()
-    yield harness
-    harness.stop()
-
-
-def get_status(answer: bytes) -> int:
-    return int(answer.split(b" ", 2)[1]) if answer else 0
-
-
-def send_events(*numbers: int, end: bool = True, cut: bytes = b"", signature: bytes = b"s1") -> Any:
-    def script(sock: Any, request: bytes) -> bool:
-        sock.sendall(HEAD % (signature, read_id(request)) + EVENTS)
-        for number in numbers:
-            sock.sendall(make_chunk(make_event(number)))
-        if cut:
-            sock.sendall(make_chunk(cut))
-        if end:
-            sock.sendall(b"0\r\n\r\n")
-        return end
-
-    return script
-
-
-def close_at_once(sock: Any, request: bytes) -> bool:
-    return False
-
 
 def test_a_whole_answer_passes_with_its_signature_and_body(harness: Harness) -> None:
     harness.set_route(kind=RouteKind.IDEMPOTENT)
@@ -396,55 +283,6 @@
     assert get_status(call(harness.port, *headers)) == status
 
 
-@pytest.mark.parametrize(
-    ("path", "headers", "expected"),
-    [
-        ("/elsewhere/1", (ID,), "q1"),
-        ("/v1/lots/job-7?after=0", (), "job-7"),
-        ("/v1/items/job-8?id=i1", (), "job-8"),
-    ],
-)
-def test_each_failure_is_logged_with_the_id_of_its_request_or_job(
-    harness: Harness, path: str, headers: tuple[str, ...], expected: str
-) -> None:
-    harness.set_route()
-    lines: list[Any] = []
-    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
-    assert get_status(call(harness.port, *headers, method="GET", path=path)) == 404
-    logger.remove(sink)
-    failed = [line for line in lines if line["message"] == "request_failed"]
-    assert [line["extra"]["request_id"] for line in failed] == [expected]
-
-
-def test_a_request_given_up_in_its_body_is_logged_with_its_id(harness: Harness) -> None:
-    harness.set_route()
-    configuration = harness.app.fleet.configuration.current
-    assert configuration is not None
-    limits = CallerLimits(body_max_bytes=2)
-    harness.app.fleet.configuration.current = configuration._replace(limits=limits)
-    lines: list[Any] = []
-    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
-    assert get_status(call(harness.port, ID)) == 413
-    logger.remove(sink)
-    failed = [line["extra"] for line in lines if line["message"] == "request_failed"]
-    assert [(row["request_id"], row["status"]) for row in failed] == [("q1", 413)]
-
-
-def test_a_failure_behind_which_another_target_is_asked_is_logged(harness: Harness) -> None:
-    harness.set_route(kind=RouteKind.IDEMPOTENT)
-    failed = b"HTTP/1.1 500 No\r\nClementinepin-Server-Signature: s1\r\nContent-Length: 0\r\n\r\n"
-    harness.add_target(ScriptedTarget(failed))
-    harness.add_target(ScriptedTarget(make_plain(b"answer")))
-    lines: list[Any] = []
-    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
-    assert call(harness.port, ID).endswith(b"answer")
-    logger.remove(sink)
-    rows = [line["extra"] for line in lines if line["message"] == "target_failed"]
-    assert [(row["request_id"], row["target"], row["status"]) for row in rows] == [
-        ("q1", "t0", 500)
-    ]
-
-
 def test_a_refused_request_is_told_when_to_return(harness: Harness) -> None:
     harness.set_route()
     harness.slots.refusal = OverloadedError("full", 0.75)
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -22,9 +22,9 @@
     RoutingConfiguration,
     Target,
 )
+from tests.serving.harness import FakeSlots, close_at_once, send_events
 from tests.serving.parts import make_head, make_items, make_route
 from tests.serving.scripted import ScriptedTarget, make_refusal
-from tests.serving.test_forward import FakeSlots, close_at_once, send_events
 
 FAILED = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
 NEVER = b"HTTP/1.1 422 No\r\nContent-Length: 0\r\n\r\n"
