Let anyone replay what the order of waiting costs and gains

Cause: the figures of the two orders in docs/SCHEDULING.md came from a script outside the repository.

--- /dev/null
+++ b/bench/orders.py
@@ -0,0 +1,71 @@
+"""What callers get under peaks beyond all slots, by who goes first in the queue.
+
+Usage: python -m bench.orders [--short]. Replays the loads of tests/systems/test_load_patterns.py on
+the dispatcher's decisions in virtual time; the same seeds give the same figures.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from clementinepin.tables.dispatch import QueueOrder
+from tests.systems.load_model import DispatchPolicy, Simulation, make_online, make_square
+
+SLOTS = 8
+SEEDS = range(1, 7)
+UNTIL_S = 60.0
+SHARES = {1.0: "on_time", 0.57: "after_return", 0.15: "late", 0.0: "never"}
+
+
+class Load(NamedTuple):
+    """Callers a second as a function of time, on some engines."""
+
+    name: str
+    rate: Callable[[float], float]
+    until: float
+    engines: int
+
+
+LOADS = (
+    Load("4 s at twice the slots", lambda now: 110.0 if 5 <= now < 9 else 10.0, 20.0, 5),
+    Load("square peaks, two engines", make_square(7.0, 36.0), 30.0, 2),
+    Load("square peaks, five engines", make_square(15.0, 75.0), 30.0, 5),
+    Load("lasting 2.5 times the slots", lambda _now: 25.0, 20.0, 1),
+)
+
+
+def replay(load: Load, order: QueueOrder, seeds: range) -> dict[str, Any]:
+    """Return the mean worth and the shares of callers, over all seeds."""
+    worth: list[float] = []
+    held: list[float] = []
+    for seed in seeds:
+        sim = Simulation(load.engines, SLOTS, seed)
+        works = list(make_online(random.Random(seed), load.rate, load.until))
+        sim.run(DispatchPolicy(load.engines, SLOTS, order), works, UNTIL_S)
+        worth.extend(sim.worth.values())
+        held.extend(sim.held_in_vain)
+    counts = Counter(worth)
+    row: dict[str, Any] = {"load": load.name, "order": str(order)}
+    row.update({name: round(counts[value] / len(worth), 3) for value, name in SHARES.items()})
+    row["worth"] = round(sum(worth) / len(worth), 3)
+    row["held_over_1_s"] = round(sum(1 for s in held if s > 1.0) / len(worth), 3)
+    return row
+
+
+def main() -> None:
+    """Print a line a load and order, and all of them as one JSON object."""
+    seeds = SEEDS[:1] if "--short" in sys.argv else SEEDS
+    rows = [replay(load, order, seeds) for load in LOADS for order in QueueOrder]
+    for row in rows:
+        print("  ".join(f"{name} {value}" for name, value in row.items()))
+    print(msgspec.json.encode({"rows": rows}).decode())
+
+
+if __name__ == "__main__":
+    main()
