Treat a refusal for a missing model as knowledge about the target

Cause: a target that refused a call because it had not loaded the model counted as a failed attempt. While one engine of five had the model, each polling call went to targets that lack it and took up to four retries of the service's ten. The next call then got 503 target_refused.

Ruled out: ejection (refusals never counted) and the order of reports (a target without a report is tried only while none has reported the model).

Change: the reason is decoded once, and the result refused_not_loaded is free of charge, is kept at the target by application, and keeps calls away until the target reports the model, or for 1 s if it reports nothing. The call then waits in the queue like one whose targets all reported other models.

--- a/clementinepin/batch/_items.py
+++ b/clementinepin/batch/_items.py
@@ -17,7 +17,13 @@
 from clementinepin.exceptions import ClementinepinError, NotRunError
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.fingerprint import make_fingerprint
-from clementinepin.scheduling import CallInfo, CallResult, Placement, Scheduler
+from clementinepin.scheduling import (
+    CallInfo,
+    CallResult,
+    Placement,
+    Scheduler,
+    classify_refusal,
+)
 from clementinepin.systems.exceptions import RequestCondemnedError
 from clementinepin.targets import (
     Engine,
@@ -149,7 +155,7 @@
         except TargetNotReachedError:
             return _RunEnd(CallResult.NOT_REACHED)
         except TargetRefusedError as err:
-            return _RunEnd(CallResult.REFUSED_LEAVING if err.leaving else CallResult.REFUSED)
+            return _RunEnd(classify_refusal(err))
         except TargetLostError:
             return _RunEnd(CallResult.LOST)
         except TargetRejectedError as err:
--- a/clementinepin/entry/_retry.py
+++ b/clementinepin/entry/_retry.py
@@ -10,7 +10,7 @@
 from clementinepin.entry._context import EntryContext
 from clementinepin.entry.exceptions import AnswerUnknownError
 from clementinepin.exceptions import ClementinepinError, NotRunError, Outcome
-from clementinepin.scheduling import CallInfo, CallResult, Placement
+from clementinepin.scheduling import CallInfo, CallResult, Placement, classify_refusal
 from clementinepin.targets.exceptions import (
     TargetLostError,
     TargetNotReachedError,
@@ -66,7 +66,9 @@
         name = placement.target.name
         logger.info("{} Attempt on {} failed: {}. Retrying.", LOG_PREFIX, name, err.code)
         self._context.core.metrics.incr("entry.retries")
-        self.info = self.info._replace(tried=(*self.info.tried, name))
+        if result is not CallResult.REFUSED_NOT_LOADED:
+            # A target that lacks the model may run the call once it has loaded it.
+            self.info = self.info._replace(tried=(*self.info.tried, name))
         gevent.sleep(max(0.0, retry_at - self._context.core.clock.monotonic()))
 
     def resolve_error(self, err: ClementinepinError) -> ClementinepinError:
@@ -93,7 +95,7 @@
     if isinstance(err, TargetNotReachedError):
         return CallResult.NOT_REACHED
     if isinstance(err, TargetRefusedError):
-        return CallResult.REFUSED_LEAVING if err.leaving else CallResult.REFUSED
+        return classify_refusal(err)
     if isinstance(err, TargetTimeoutError) and started:
         return CallResult.CANCELLED
     if isinstance(err, TargetLostError):
--- a/clementinepin/scheduling/models.py
+++ b/clementinepin/scheduling/models.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, Protocol
+from typing import Final, NamedTuple, Protocol
 
 from gevent.event import Event
 
 from clementinepin.tables import CallInfo, CallResult
 from clementinepin.targets import TargetAddress
+from clementinepin.targets.exceptions import RefusalReason, TargetRefusedError
 
-__all__ = ["CallInfo", "CallResult", "Placement", "Scheduler"]
+__all__ = ["CallInfo", "CallResult", "Placement", "Scheduler", "classify_refusal"]
+
+_REFUSAL_RESULTS: Final = {
+    RefusalReason.FULL: CallResult.REFUSED,
+    RefusalReason.LEAVING: CallResult.REFUSED_LEAVING,
+    RefusalReason.NOT_LOADED: CallResult.REFUSED_NOT_LOADED,
+}
+
+
+def classify_refusal(err: TargetRefusedError) -> CallResult:
+    """Return the result of an attempt that its target refused before admission."""
+    return _REFUSAL_RESULTS[err.reason]
 
 
 class Placement(NamedTuple):
--- a/clementinepin/systems/results.py
+++ b/clementinepin/systems/results.py
@@ -74,6 +74,8 @@
     if result is CallResult.REFUSED_LEAVING:
         tables.targets.update(row.target, refused_until=now + REFUSED_LEAVING_S)
         leaving = row.target
+    if result is CallResult.REFUSED_NOT_LOADED:
+        _record_model_refusal(tables, row, now)
     suspect = _update_suspect(tables, row, result, now, wall)
     return Ending(row, suspect, leaving, ejected)
 
@@ -107,6 +109,13 @@
     return updated.ejections > target.ejections
 
 
+def _record_model_refusal(tables: Tables, row: CallRow, now: float) -> None:
+    target = tables.targets.get(row.target)
+    if target is not None:
+        refusals = {**target.model_refusals, row.call.application: now}
+        tables.targets.update(row.target, model_refusals=refusals)
+
+
 def _update_suspect(
     tables: Tables, row: CallRow, result: CallResult, now: float, wall: float
 ) -> SuspectRow | None:
--- a/clementinepin/systems/retries.py
+++ b/clementinepin/systems/retries.py
@@ -12,8 +12,9 @@
 BACKOFF_BASE_S = 0.02
 BACKOFF_MAX_S = 1.0
 
-_PROVEN_NOT_RUN = (CallResult.NOT_REACHED, CallResult.REFUSED, CallResult.REFUSED_LEAVING)
-_UNCHARGED = (CallResult.REFUSED_LEAVING, CallResult.PREEMPTED)
+# The target's state explains these refusals, and routing avoids the target from then on.
+_UNCHARGED = (CallResult.REFUSED_LEAVING, CallResult.REFUSED_NOT_LOADED)
+_PROVEN_NOT_RUN = (CallResult.NOT_REACHED, CallResult.REFUSED, *_UNCHARGED)
 
 
 def record_first_attempt(retries: RetryTable, service: str) -> None:
@@ -41,7 +42,8 @@
 ) -> float | None:
     """Return the monotonic time of the next attempt, or None if no retry is allowed.
 
-    The retry is charged to the budget, unless the target was leaving or the call was preempted.
+    The retry is charged to the budget, unless the target was leaving or lacked the model, or the
+    call was preempted.
     """
     if not is_safe(call, result):
         return None
--- a/clementinepin/systems/routing.py
+++ b/clementinepin/systems/routing.py
@@ -22,6 +22,7 @@
 REMOTE_DATA_CENTRE_SHARE = 0.02
 SPILL_LOAD_SHARE = 0.75  # from this load on, other targets are preferred, also in other regions
 COMPARED_TARGETS_MAX = 2  # power of two choices
+MODEL_RETRY_S = 1.0  # a target that refused for its missing model may have loaded it by then
 SHARE_WAIT_S = 0.05  # then a call may use the share of this instance in any case
 _ONLINE = Priority.ONLINE.value
 
@@ -48,7 +49,8 @@
 ) -> list[TargetRow]:
     """Return the targets that may run a call now, whether or not they have free slots.
 
-    Targets that have not reported yet count only if no other target serves the application.
+    Targets that have not reported yet count only if no other target serves the application, and
+    targets that lately refused it as not loaded don't count.
     """
     application = find_application(call, view.configuration)
     usable = [
@@ -59,6 +61,7 @@
         and row.closed_until <= now
         and row.name not in call.tried
         and (application is None or allows_place(application, row))
+        and (application is None or not lacks_model(application, row, now))
     ]
     if application is None:
         return usable
@@ -85,6 +88,17 @@
     return application.adapter in {name.split(":")[0] for name in report.adapters}
 
 
+def lacks_model(application: ApplicationSpec, row: TargetRow, now: float) -> bool:
+    """Return whether a refusal shows that a target has not loaded the application's model.
+
+    A later report decides instead; without one, the target is tried again after MODEL_RETRY_S.
+    """
+    refused_at = row.model_refusals.get(application.name)
+    if refused_at is None or (row.report is not None and row.report.reported_at > refused_at):
+        return False
+    return now < refused_at + MODEL_RETRY_S
+
+
 def estimate_others(row: TargetRow, deciders: int, now: float) -> float:
     """Return the estimated number of online calls of other instances at a target.
 
--- a/clementinepin/tables/_calls.py
+++ b/clementinepin/tables/_calls.py
@@ -35,6 +35,7 @@
     NOT_REACHED = "not_reached"
     REFUSED = "refused"
     REFUSED_LEAVING = "refused_leaving"
+    REFUSED_NOT_LOADED = "refused_not_loaded"
     LOST = "lost"
     REJECTED = "rejected"
     CANCELLED = "cancelled"
--- a/clementinepin/tables/_targets.py
+++ b/clementinepin/tables/_targets.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from clementinepin.targets import LoadReport, TargetAddress
@@ -17,6 +18,8 @@
     target's allowance reported it at ``others_at``. ``reported_online`` is the count of own calls
     that the owner knew at that time. ``closed_until`` is set while the target is isolated for a
     suspect. Before ``no_isolation_until`` its owner is not asked again to isolate it.
+    ``model_refusals`` has the last time at which the target refused a call because its model or
+    adapter was not loaded, by application.
     """
 
     name: str
@@ -40,6 +43,7 @@
     closed_until: float = 0.0
     no_isolation_until: float = 0.0
     cached_prefixes: frozenset[str] = frozenset()
+    model_refusals: Mapping[str, float] = MappingProxyType({})
 
     def is_open(self, now: float) -> bool:
         """Return whether the target accepts new work, as far as is known."""
--- a/clementinepin/targets/_engine.py
+++ b/clementinepin/targets/_engine.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote
 
 import msgspec
+from loguru import logger
 
 from clementinepin.const import HEADER_FENCING, HEADER_REQUEST_ID
 from clementinepin.helpers.clock import Clock
@@ -15,6 +16,7 @@
 from clementinepin.targets._metrics import parse_load_report
 from clementinepin.targets.exceptions import (
     OrderRefusedError,
+    RefusalReason,
     ResponseMismatchError,
     TargetLostError,
     TargetProtocolError,
@@ -198,10 +200,18 @@
     exchange.close()
     if exchange.status == REFUSED_STATUS and reason:
         message = f"target refused before admission: {reason}"
-        raise TargetRefusedError(message, leaving=reason == "leaving")
+        raise TargetRefusedError(message, _decode_reason(reason))
     raise TargetRejectedError(exchange.status, body)
 
 
+def _decode_reason(text: str) -> RefusalReason:
+    try:
+        return RefusalReason(text)
+    except ValueError:
+        logger.debug("targets: Unknown reason {!r} of a refusal counts as full.", text)
+        return RefusalReason.FULL
+
+
 def _read_stream(exchange: HttpExchange, request: GenerateRequest) -> Iterator[StreamChunk]:
     decoder = EventDecoder(request.request_id)
     started = False
--- a/clementinepin/targets/exceptions.py
+++ b/clementinepin/targets/exceptions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 from clementinepin.exceptions import ClementinepinError, NotRunError, Outcome, OutcomeUnknownError
 
 
@@ -11,14 +13,22 @@
     code = "target_not_reached"
 
 
+class RefusalReason(StrEnum):
+    """Why a target refused a request before admission; unknown reasons count as FULL."""
+
+    FULL = "full"
+    LEAVING = "leaving"
+    NOT_LOADED = "not_loaded"
+
+
 class TargetRefusedError(NotRunError):
-    """The target refused before admission (leaving, full or model not loaded)."""
+    """The target refused before admission."""
 
     code = "target_refused"
 
-    def __init__(self, message: str = "", *, leaving: bool = False) -> None:
+    def __init__(self, message: str = "", reason: RefusalReason = RefusalReason.FULL) -> None:
         super().__init__(message)
-        self.leaving = leaving
+        self.reason = reason
 
 
 class TargetLostError(OutcomeUnknownError):
--- a/tests/batch/test_items.py
+++ b/tests/batch/test_items.py
@@ -11,6 +11,7 @@
 from clementinepin.systems.exceptions import RequestCondemnedError
 from clementinepin.targets import StreamChunk
 from clementinepin.targets.exceptions import (
+    RefusalReason,
     TargetLostError,
     TargetNotReachedError,
     TargetRefusedError,
@@ -61,7 +62,7 @@
     [
         (TargetNotReachedError(), CallResult.NOT_REACHED, 0),
         (TargetRefusedError(), CallResult.REFUSED, 0),
-        (TargetRefusedError(leaving=True), CallResult.REFUSED_LEAVING, 0),
+        (TargetRefusedError("", RefusalReason.LEAVING), CallResult.REFUSED_LEAVING, 0),
         (TargetLostError(), CallResult.LOST, 1),
         (TargetRejectedError(503, b""), CallResult.REJECTED, 1),
         (TargetRejectedError(429, b""), CallResult.REJECTED, 1),
--- a/tests/targets/test_engine.py
+++ b/tests/targets/test_engine.py
@@ -14,6 +14,7 @@
 from clementinepin.targets._metrics import parse_load_report
 from clementinepin.targets.exceptions import (
     OrderRefusedError,
+    RefusalReason,
     ResponseMismatchError,
     TargetLostError,
     TargetNotReachedError,
@@ -204,12 +205,20 @@
     listener.close()
 
 
-@pytest.mark.parametrize(("reason", "leaving"), [("full", False), ("leaving", True)])
-def test_a_503_with_the_not_admitted_header_is_a_refusal(serve, reason, leaving):
-    target = serve(make_reply(b"{}", "503 No", [("X-Not-Admitted", reason)]))
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [
+        ("full", RefusalReason.FULL),
+        ("leaving", RefusalReason.LEAVING),
+        ("not_loaded", RefusalReason.NOT_LOADED),
+        ("a new reason", RefusalReason.FULL),
+    ],
+)
+def test_a_503_with_the_not_admitted_header_is_a_refusal(serve, text, reason):
+    target = serve(make_reply(b"{}", "503 No", [("X-Not-Admitted", text)]))
     with pytest.raises(TargetRefusedError) as caught:
         list(create_engine_for(target).generate(make_request()))
-    assert caught.value.leaving is leaving
+    assert caught.value.reason is reason
 
 
 @pytest.mark.parametrize("status", ["503 Down", "500 Oops", "400 Bad"])
