--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -9,6 +9,7 @@
 from typing import Any, Final
 
 import gevent
+from loguru import logger
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving import _messages as messages
@@ -17,9 +18,11 @@
 from clementinepin.serving.models import Target
 from clementinepin.systems import dispatching, target_health, waiting
 from clementinepin.systems.dispatch_actions import Action, Granted, Rejected, RunOutcome
+from clementinepin.systems.service_load import list_services, measure_load
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, QueueOrder, TargetLoad
 
 TICK_S: Final = 0.02  # longest delay of queue changes that only the passing of time causes
+LOAD_LOG_PERIOD_S: Final = 0.5  # a peak of callers lasts a few seconds
 KEEP_ALIVE_PERIOD_S: Final = 0.1  # clients drop a dispatcher after several missed keep-alives
 
 
@@ -42,6 +45,7 @@
         self._random = rng
         self._links = links.links
         self._next_keep_alive_at = 0.0
+        self._next_load_log_at = 0.0
         self._ticker: gevent.Greenlet | None = None
         self.table = DispatchTable(order)
         links.handle(messages.Hello, self._handle_hello)
@@ -63,9 +67,12 @@
             self._ticker.kill()
 
     def describe_state(self) -> dict[str, Any]:
-        """Return the taken slots, all slots and waiting requests by service."""
-        services = {target.service for target in self.table.targets.values()}
-        return {name: waiting.describe_load(self.table, name) for name in services}
+        """Return the use of all slots by service."""
+        now = self._clock.monotonic()
+        return {
+            name: measure_load(self.table, name, now)._asdict()
+            for name in list_services(self.table)
+        }
 
     def _handle_hello(self, link: Link, hello: messages.Hello) -> None:
         """Adopt the slots that an instance already uses, and preempt batch on overfull targets."""
@@ -134,12 +141,23 @@
             dispatching.expire_preemptions(self.table, self._clock.monotonic())
             self._serve_queue()
             now = self._clock.monotonic()
+            self._log_load(now)
             if now >= self._next_keep_alive_at:
                 self._next_keep_alive_at = now + KEEP_ALIVE_PERIOD_S
                 for name in {key[0] for key in self.table.list_waiting()}:
                     if name in self._links:
                         self._links[name].send(messages.SlotQueued())
 
+    def _log_load(self, now: float) -> None:
+        """Log how the slots are used, once per LOAD_LOG_PERIOD_S while any is in use."""
+        if now < self._next_load_log_at or not (self.table.grants or self.table.list_waiting()):
+            return
+        self._next_load_log_at = now + LOAD_LOG_PERIOD_S
+        for name in list_services(self.table):
+            pressure = round(waiting.measure_pressure(self.table, name, now), 2)
+            load = measure_load(self.table, name, now)._asdict()
+            logger.bind(service=name, pressure=pressure, **load).info("dispatcher_load")
+
     def _release_all(self, name: str) -> None:
         """Release an instance's slots and requests; its next hello, if any, lists slots in use."""
         now = self._clock.monotonic()
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -254,7 +254,7 @@
         for grant in target.grants.values()
         if grant.is_firm
     )
-    slots = waiting.describe_load(table, request.service)[1]
+    slots = sum(t.slots for t in table.targets.values() if t.service == request.service)
     return (
         request
         if not_preemptible < slots * NOT_PREEMPTIBLE_SHARE_MAX
--- a/clementinepin/systems/waiting.py
+++ b/clementinepin/systems/waiting.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from clementinepin.systems.dispatch_actions import Rejected
+from clementinepin.systems.service_load import measure_load
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, QueueOrder
 
 RETRY_AFTER_MIN_S: Final = 0.1  # the caller needs a new connection to retry
@@ -74,12 +75,19 @@
         return None
     if not any(t.service == request.service for t in table.targets.values()):
         return Rejected(request.key, RETRY_AFTER_MIN_S * 5, "no target")
-    taken, slots, waiting = describe_load(table, request.service)
+    load = measure_load(table, request.service, now)
     retry_after_s = _book_return(table, request, start, now, rng)
     start_in_s = round(min(start - now, request.deadline - now), 3)
     pressure = round(measure_pressure(table, request.service, now), 2)
     return Rejected(
-        request.key, retry_after_s, "no slot in time", taken, slots, waiting, start_in_s, pressure
+        request.key,
+        retry_after_s,
+        "no slot in time",
+        load.taken,
+        load.slots,
+        load.waiting + load.items,
+        start_in_s,
+        pressure,
     )
 
 
@@ -134,14 +142,6 @@
     return min(RETRY_AFTER_MAX_S, return_at - now + rng.uniform(0.0, pace_s))
 
 
-def describe_load(table: DispatchTable, service: str) -> tuple[int, int, int]:
-    """Return the taken slots, all slots and waiting requests of a service."""
-    targets = [t for t in table.targets.values() if t.service == service]
-    waiting = sum(1 for request in table.waiting.values() if request.service == service)
-    waiting += len(table.items.get(service, ()))
-    return sum(t.taken for t in targets), sum(t.slots for t in targets), waiting
-
-
 def _find_reopening(table: DispatchTable, request: PendingRequest) -> float:
     """Return when the first avoided or full target of the service may be used again."""
     return min(
