Give each mechanism of dispatching a switch, and make the load model an experiment tool

Cause: what a mechanism is worth could not be measured without editing the code, and the simulator knew one deployment's figures only. It also gave a preempted item a new due time, and let callers wait for any Retry-After.

--- a/tests/systems/load_model.py
+++ b/bench/load_model.py
@@ -1,9 +1,10 @@
 """Simulates engines and callers in virtual time, to compare placement policies under load.
 
 An engine runs up to ``slots`` requests at once, in order of arrival. A step gives each of them
-one token and takes ``STEP_S`` plus ``STEP_SLOT_S`` per running request (recorded figures). A
-caller is on time if its first event comes within ``OBJECTIVE_S`` of its first attempt. A rejected
-caller gets partial credit if the same holds from its retry. Callers give up after ``PATIENCE_S``.
+one token; it takes longer the more requests run. A caller is on time if its first event comes
+within its objective of its first attempt. A rejected caller gets partial credit if the same holds
+from its retry. Callers wait at most a third of their remaining timeout before they retry, and give
+up after their patience.
 """
 
 from __future__ import annotations
@@ -17,14 +18,33 @@
 from clementinepin.systems import dispatching, estimates
 from clementinepin.systems.dispatch_actions import Action, Granted, Rejected, RunOutcome
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, QueueOrder, TargetLoad
+from clementinepin.tables.mechanisms import Mechanism
 
-STEP_S = 0.00355
-STEP_SLOT_S = 0.0000462
-FIRST_EVENT_S = 0.035
 OBJECTIVE_S = 0.3
-PATIENCE_S = 2.0
 LINK_S = 0.002
 TICK_S = 0.02
+RETRY_WAIT_SHARE = 1 / 3  # of the remaining timeout
+
+
+class Deployment(NamedTuple):
+    """Engines and callers of one deployment. The defaults are recorded figures of one.
+
+    ``step_s`` is the time of a step of an idle engine, ``step_slot_s`` what each running request
+    adds. ``speeds`` are factors of an engine's times, repeated for further engines. ``outages``
+    are (engine, start, end); a lost engine loses its runs.
+    """
+
+    engines: int = 5
+    slots: int = 8
+    step_s: float = 0.00355
+    step_slot_s: float = 0.0000462
+    first_event_s: float = 0.035
+    objective_s: float = OBJECTIVE_S
+    patience_s: float = 2.0
+    timeout_s: float = 5.0
+    due_s: float = 18.0
+    speeds: tuple[float, ...] = (1.0,)
+    outages: tuple[tuple[int, float, float], ...] = ()
 
 
 class Work(NamedTuple):
@@ -37,6 +57,8 @@
     hint: int
     arrives_at: float
     returned: bool = False
+    timeout_at: float = float("inf")
+    due_at: float = 0.0
 
 
 class Run:
@@ -49,9 +71,10 @@
 class Engine:
     """One engine; requests beyond its slots wait in order of arrival."""
 
-    def __init__(self, sim: Simulation, slots: int) -> None:
+    def __init__(self, sim: Simulation, speed: float) -> None:
         self.sim = sim
-        self.slots = slots
+        self.slots = sim.deployment.slots
+        self.speed = speed
         self.running: list[Run] = []
         self.queue: list[Run] = []
         self.updated_at = 0.0
@@ -68,7 +91,24 @@
 
     def start(self, run: Run) -> None:
         self.running.append(run)
-        self.sim.at(self.sim.now + FIRST_EVENT_S, lambda: self.sim.record_first_event(run))
+        first_event_s = self.sim.deployment.first_event_s * self.speed
+        self.sim.at(self.sim.now + first_event_s, lambda: self.record_first_event(run))
+
+    def record_first_event(self, run: Run) -> None:
+        if run in self.running:
+            self.sim.record_first_event(run)
+
+    def lose_all(self) -> None:
+        """End all runs as broken."""
+        self.advance()
+        runs, self.running, self.queue = [*self.running, *self.queue], [], []
+        self.plan()
+        for run in runs:
+            run.on_end("broken")
+
+    def get_step_s(self) -> float:
+        deployment = self.sim.deployment
+        return (deployment.step_s + deployment.step_slot_s * len(self.running)) * self.speed
 
     def cancel(self, run: Run) -> float:
         """Stop a run and return the tokens that it still had to produce."""
@@ -83,8 +123,7 @@
 
     def advance(self) -> None:
         if self.running:
-            step_s = STEP_S + STEP_SLOT_S * len(self.running)
-            tokens = (self.sim.now - self.updated_at) / step_s
+            tokens = (self.sim.now - self.updated_at) / self.get_step_s()
             for run in self.running:
                 run.tokens_left -= tokens
                 self.tokens_done += tokens
@@ -98,9 +137,9 @@
         self.version += 1
         version = self.version
         if self.running:
-            step_s = STEP_S + STEP_SLOT_S * len(self.running)
             tokens_left = max(0.0, min(run.tokens_left for run in self.running))
-            self.sim.at(self.sim.now + tokens_left * step_s, lambda: self.finish(version))
+            ends_at = self.sim.now + tokens_left * self.get_step_s()
+            self.sim.at(ends_at, lambda: self.finish(version))
 
     def finish(self, version: int) -> None:
         if version != self.version:
@@ -120,6 +159,12 @@
     def submit(self, sim: Simulation, work: Work) -> None:
         """Place, queue or reject a request."""
 
+    def lose_engine(self, sim: Simulation, index: int) -> None:
+        """Lose an engine with all its runs."""
+
+    def regain_engine(self, sim: Simulation, index: int) -> None:
+        """Use an engine again."""
+
 
 class Simulation:
     """Virtual time, engines and the results of all callers.
@@ -128,10 +173,12 @@
     ``unserved_waits_s`` has the waits of returning callers that were rejected again.
     """
 
-    def __init__(self, engines: int, slots: int, seed: int) -> None:
+    def __init__(self, deployment: Deployment, seed: int) -> None:
         self.now = 0.0
         self.random = random.Random(seed)
-        self.engines = [Engine(self, slots) for _ in range(engines)]
+        self.deployment = deployment
+        speeds = itertools.cycle(deployment.speeds)
+        self.engines = [Engine(self, next(speeds)) for _ in range(deployment.engines)]
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self.first_at: dict[int, float] = {}
@@ -144,7 +191,14 @@
         heapq.heappush(self._heap, (when, next(self._order), action))
 
     def run(self, policy: Policy, works: list[Work], until: float) -> None:
+        for index, start, end in self.deployment.outages:
+            self.at(start, lambda index=index: policy.lose_engine(self, index))  # type: ignore[misc]
+            self.at(end, lambda index=index: policy.regain_engine(self, index))  # type: ignore[misc]
         for work in works:
+            work = work._replace(
+                timeout_at=work.arrives_at + self.deployment.timeout_s,
+                due_at=work.arrives_at + self.deployment.due_s,
+            )
             self.at(work.arrives_at, lambda work=work: policy.submit(self, work))  # type: ignore[misc]
             if not work.is_batch:
                 self.worth[work.number] = 0.0
@@ -158,9 +212,9 @@
             return
         self.first_at[work.number] = self.now
         wait_s = self.now - work.arrives_at
-        if wait_s > PATIENCE_S:
+        if wait_s > self.deployment.patience_s:
             return
-        on_time = wait_s <= OBJECTIVE_S
+        on_time = wait_s <= self.deployment.objective_s
         if work.returned:
             self.worth[work.number] = 0.57 if on_time else 0.15
         else:
@@ -170,7 +224,8 @@
         if work.returned:
             self.unserved_waits_s.append(self.now - work.arrives_at)
             return
-        back = work._replace(arrives_at=self.now + retry_after_s, returned=True)
+        longest_s = (work.timeout_at - self.now) * RETRY_WAIT_SHARE
+        back = work._replace(arrives_at=self.now + min(retry_after_s, longest_s), returned=True)
         self.at(back.arrives_at, lambda: policy.submit(self, back))
 
     def get_online_worth(self) -> float:
@@ -189,6 +244,15 @@
         self.items = items
         self.waiting: list[Work] = []
         self.batch: dict[int, int] = {}
+        self.lost: set[int] = set()
+
+    def lose_engine(self, sim: Simulation, index: int) -> None:
+        self.lost.add(index)
+        sim.engines[index].lose_all()
+
+    def regain_engine(self, sim: Simulation, index: int) -> None:
+        self.lost.discard(index)
+        self.start_items(sim)
 
     def submit(self, sim: Simulation, work: Work) -> None:
         if work.is_batch:
@@ -197,7 +261,7 @@
             return
         counts = self.counts[work.entry]
         index = min(
-            range(len(sim.engines)),
+            [n for n in range(len(sim.engines)) if n not in self.lost] or [0],
             key=lambda n: (0 if self.choose_random else counts.get(n, 0), sim.random.random()),
         )
         counts[index] = counts.get(index, 0) + 1
@@ -209,13 +273,16 @@
 
     def start_items(self, sim: Simulation) -> None:
         for index, engine in enumerate(sim.engines):
-            while self.waiting and self.batch.get(index, 0) < self.items:
+            while index not in self.lost and self.waiting and self.batch.get(index, 0) < self.items:
                 self.batch[index] = self.batch.get(index, 0) + 1
                 work = self.waiting.pop(0)
 
                 def end(outcome: str, index: int = index, work: Work = work) -> None:
                     self.batch[index] -= 1
-                    sim.items_done[work.number] = sim.now
+                    if outcome == "broken":
+                        self.waiting.append(work)
+                    else:
+                        sim.items_done[work.number] = sim.now
                     self.start_items(sim)
 
                 engine.add(Run(work, end))
@@ -224,26 +291,47 @@
 class DispatchPolicy:
     """The dispatcher under test; each message arrives after ``LINK_S``."""
 
-    def __init__(self, engines: int, slots: int, order: QueueOrder = QueueOrder.NEW_FIRST) -> None:
-        self.table = DispatchTable(order)
+    def __init__(
+        self,
+        deployment: Deployment,
+        order: QueueOrder = QueueOrder.NEW_FIRST,
+        disabled: frozenset[Mechanism] = frozenset(),
+    ) -> None:
+        self.table = DispatchTable(order, disabled)
         self.works: dict[tuple[str, int], Work] = {}
         self.runs: dict[tuple[str, int], tuple[Run, int]] = {}
         self.ticking = False
-        for index in range(engines):
-            self.table.targets[str(index)] = TargetLoad(str(index), "llm", "a", slots)
+        self.deployment = deployment
+        for index in range(deployment.engines):
+            self.add_target(index)
+
+    def add_target(self, index: int) -> None:
+        target = TargetLoad(str(index), "llm", "a", self.deployment.slots)
+        self.table.targets[target.target_id] = target
+
+    def lose_engine(self, sim: Simulation, index: int) -> None:
+        sim.engines[index].lose_all()
+        self.table.targets.pop(str(index), None)
+        self.serve_queue(sim)
+
+    def regain_engine(self, sim: Simulation, index: int) -> None:
+        self.add_target(index)
+        self.serve_queue(sim)
 
     def submit(self, sim: Simulation, work: Work) -> None:
         key = ("batch" if work.is_batch else "online", work.number)
         self.works[key] = work
         run_s = estimates.estimate_run(0, work.hint)
         now = sim.now
+        objective_s = max(0.0, self.deployment.objective_s - estimates.FIRST_EVENT_S)
+        patience_s = self.deployment.patience_s - estimates.FIRST_EVENT_S
         request = PendingRequest(
             key,
             "llm",
             work.is_batch,
             now,
-            now + (13.0 if work.is_batch else OBJECTIVE_S - estimates.FIRST_EVENT_S),
-            now + (60.0 if work.is_batch else PATIENCE_S - estimates.FIRST_EVENT_S),
+            work.due_at - run_s if work.is_batch else now + objective_s,
+            now + (60.0 if work.is_batch else patience_s),
             run_s,
             returned=work.returned,
         )
@@ -268,7 +356,10 @@
             work = self.works[action.key]
             if isinstance(action, Granted):
                 index = int(action.target_id)
-                run = Run(work, lambda outcome, key=action.key: self.end(sim, key))  # type: ignore[misc]
+                run = Run(
+                    work,
+                    lambda outcome, key=action.key: self.end(sim, key, outcome),  # type: ignore[misc]
+                )
                 self.runs[action.key] = run, index
                 sim.at(sim.now + LINK_S, lambda run=run, index=index: sim.engines[index].add(run))  # type: ignore[misc]
             elif isinstance(action, Rejected):
@@ -276,40 +367,65 @@
             else:
                 sim.at(sim.now + LINK_S, lambda key=action.key: self.preempt_run(sim, key))  # type: ignore[misc]
 
-    def end(self, sim: Simulation, key: tuple[str, int]) -> None:
+    def end(self, sim: Simulation, key: tuple[str, int], outcome: str) -> None:
         work = self.works[key]
-        if work.is_batch:
-            sim.items_done[work.number] = sim.now
-        dispatching.finish(self.table, key, RunOutcome.SERVED, sim.now)
+        if outcome == "broken":
+            dispatching.finish(self.table, key, RunOutcome.BROKEN, sim.now)
+            if work.is_batch:
+                self.resume(sim, key)
+        else:
+            if work.is_batch:
+                sim.items_done[work.number] = sim.now
+            dispatching.finish(self.table, key, RunOutcome.SERVED, sim.now)
         self.serve_queue(sim)
 
     def preempt_run(self, sim: Simulation, key: tuple[str, int]) -> None:
         if key not in self.table.grants:
             return
         run, index = self.runs[key]
-        tokens_left = int(sim.engines[index].cancel(run)) + 1
+        sim.engines[index].cancel(run)
         dispatching.finish(self.table, key, RunOutcome.CANCELLED, sim.now)
-        self.submit(sim, self.works[key]._replace(tokens=tokens_left, hint=max(1, tokens_left)))
+        self.resume(sim, key)
+
+    def resume(self, sim: Simulation, key: tuple[str, int]) -> None:
+        """Request a slot for the tokens that an item still lacks."""
+        run, _ = self.runs[key]
+        left = max(1, int(run.tokens_left) + 1)
+        work = self.works[key]
+        hint = max(1, work.hint - work.tokens + left)
+        if not self.table.uses(Mechanism.RUN_REST):
+            hint = work.hint
+        self.submit(sim, work._replace(tokens=left, hint=hint))
 
 
 def make_online(
-    rng: random.Random, rate: Callable[[float], float], until: float, first: int = 0
+    rng: random.Random,
+    rate: Callable[[float], float],
+    until: float,
+    first: int = 0,
+    tokens_mean: float = 185.0,
 ) -> Iterator[Work]:
     """Yield online requests at a rate that changes with time; only the median hint is right."""
     now, number = 0.0, first
     while now < until:
         now += rng.expovariate(max(0.01, rate(now)))
-        tokens = int(rng.gauss(185, 45))
-        tokens = min(300, max(50, tokens))
-        hint = max(20, int(tokens * rng.lognormvariate(0.0, 0.5)))
+        tokens = int(rng.gauss(1.0, 0.243) * tokens_mean)
+        tokens = int(min(1.62 * tokens_mean, max(0.27 * tokens_mean, tokens)))
+        hint = max(int(0.11 * tokens_mean), int(tokens * rng.lognormvariate(0.0, 0.5)))
         yield Work(number, number % 6, False, tokens, hint, now)
         number += 1
 
 
-def make_items(rng: random.Random, at: float, count: int, first: int = 100_000) -> Iterator[Work]:
+def make_items(
+    rng: random.Random,
+    at: float,
+    count: int,
+    first: int = 100_000,
+    tokens_mean: float = 1270.0,
+) -> Iterator[Work]:
     """Yield batch items of 182 events of seven tokens that all arrive at the same time."""
     for number in range(first, first + count):
-        tokens = max(400, int(rng.gauss(1270, 300)))
+        tokens = int(tokens_mean * max(0.315, rng.gauss(1.0, 0.236)))
         yield Work(number, 0, True, tokens, tokens, at)
 
 
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -15,10 +15,9 @@
 
 import msgspec
 
+from bench.load_model import Deployment, DispatchPolicy, Simulation, make_online, make_square
 from clementinepin.tables.dispatch import QueueOrder
-from tests.systems.load_model import DispatchPolicy, Simulation, make_online, make_square
 
-SLOTS = 8
 SEEDS = range(1, 7)
 UNTIL_S = 60.0
 # Names of the outcomes by the worth of the response to its caller.
@@ -47,9 +46,10 @@
     worth: list[float] = []
     held: list[float] = []
     for seed in seeds:
-        sim = Simulation(load.engines, SLOTS, seed)
+        deployment = Deployment(engines=load.engines)
+        sim = Simulation(deployment, seed)
         requests = list(make_online(random.Random(seed), load.rate, load.until))
-        sim.run(DispatchPolicy(load.engines, SLOTS, order), requests, UNTIL_S)
+        sim.run(DispatchPolicy(deployment, order), requests, UNTIL_S)
         worth.extend(sim.worth.values())
         held.extend(sim.unserved_waits_s)
     counts = Counter(worth)
--- a/clementinepin/serve.py
+++ b/clementinepin/serve.py
@@ -26,11 +26,13 @@
 from clementinepin.serving.app import App, create_app, create_serving_metrics
 from clementinepin.serving.models import Placement, Policy
 from clementinepin.tables.dispatch import QueueOrder
+from clementinepin.tables.mechanisms import parse_mechanisms
 
 USAGE = """Run one instance on the users' platform. The platform names its settings file.
 
 Usage:
   serve [--metrics-port PORT] [--placement NAME] [--order NAME]
+        [--without NAMES]
   serve (-h | --help)
 
 Options:
@@ -39,6 +41,8 @@
                        for comparison [default: dispatcher].
   --order NAME         Which waiting requests come first: new-first; returned-first is a baseline
                        for comparison [default: new-first].
+  --without NAMES      Mechanisms to switch off for a measurement, separated by commas
+                       (clementinepin/tables/mechanisms.py) [default: ].
 
 Signals: TERM and INT stop the instance; HUP reloads the settings and applies those that need
 no restart; USR1 writes a state dump to standard output. Exit codes: 0 clean stop,
@@ -54,7 +58,8 @@
     try:
         check_loop_backend()
         metrics_port = int(args["--metrics-port"])
-        policy = Policy(Placement(args["--placement"]), QueueOrder(args["--order"]))
+        disabled = parse_mechanisms(args["--without"] or "")
+        policy = Policy(Placement(args["--placement"]), QueueOrder(args["--order"]), disabled)
         settings = load_instance_settings(path, metrics_port)
     except ValueError as err:
         sys.stderr.write(f"clementinepin: {err}\n")
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -37,7 +37,14 @@
     OverloadedError,
     RouteNotFoundError,
 )
-from clementinepin.serving.models import CallerLimits, InstanceSettings, Member, Policy, Route
+from clementinepin.serving.models import (
+    DEFAULT_POLICY,
+    CallerLimits,
+    InstanceSettings,
+    Member,
+    Policy,
+    Route,
+)
 from clementinepin.serving.wire import Wire
 
 RESOLVE_TTL_S: Final = 2.0  # callers notice a lost instance at their next connection anyway
@@ -45,7 +52,6 @@
 STOP_MARGIN_S: Final = 0.5  # time reserved to end the process
 STARTING_RETRY_S: Final = 0.5
 IDLE_CHECK_S: Final = 0.05
-DEFAULT_POLICY: Final = Policy()
 DEFAULT_LIMITS: Final = CallerLimits()
 LIVE_SETTINGS: Final = (  # may change while the instance runs
     "grace_s",
@@ -85,12 +91,14 @@
         outages = StoreOutages(clock)
         direct_store = DirectStore(store, wire.own_prefix, rng)
         links = InstanceLinks(clock)
-        relayed = RelayedStore(direct_store, links, settings.name, clock, rng, outages)
+        relayed = RelayedStore(
+            direct_store, links, settings.name, clock, rng, outages, policy.disabled
+        )
         self.fleet = FleetView(settings, relayed, wire, clock, outages)
         relayed.list_relays = self.fleet.list_relays
         pools = TargetPools(self.fleet, clock)
         self.slots = SlotBroker(
-            settings.name, settings.data_centre, self.fleet, pools, clock, rng, policy.placement
+            settings.name, settings.data_centre, self.fleet, pools, clock, rng, policy
         )
         self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
         self._jobs = JobService(relayed, self.fleet, links, wire, clock)
@@ -99,11 +107,13 @@
         self._job_parts: _JobParts | None = None
         if settings.runs_jobs:
             link_server = self._link_server
-            items = ItemRunner(self.fleet, self.slots, pools, wire, clock, metrics)
+            items = ItemRunner(self.fleet, self.slots, pools, wire, clock, metrics, policy.disabled)
             self._job_parts = _JobParts(
-                Dispatcher(link_server, self.fleet, clock, rng, policy.order),
+                Dispatcher(link_server, self.fleet, clock, rng, policy),
                 FeedServer(link_server, self.fleet.fed_followers),
-                JobRunner(settings, relayed, self.fleet, items, wire, clock, link_server),
+                JobRunner(
+                    settings, relayed, self.fleet, items, wire, clock, link_server, policy.disabled
+                ),
                 Retirement(settings, relayed, wire, clock, self.leave),
             )
         self._servers = self._create_servers()
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -15,11 +15,11 @@
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._links import Link, LinkServer
-from clementinepin.serving.models import Target
+from clementinepin.serving.models import DEFAULT_POLICY, Policy, Target
 from clementinepin.systems import dispatching, target_health, waiting
 from clementinepin.systems.dispatch_actions import Action, Granted, Rejected, RunOutcome
 from clementinepin.systems.service_load import list_services, measure_load
-from clementinepin.tables.dispatch import DispatchTable, PendingRequest, QueueOrder, TargetLoad
+from clementinepin.tables.dispatch import DispatchTable, PendingRequest, TargetLoad
 
 TICK_S: Final = 0.02  # longest delay of queue changes that only the passing of time causes
 LOAD_LOG_PERIOD_S: Final = 0.5  # a peak of callers lasts a few seconds
@@ -38,7 +38,7 @@
         fleet: FleetView,
         clock: Clock,
         rng: random.Random,
-        order: QueueOrder = QueueOrder.NEW_FIRST,
+        policy: Policy = DEFAULT_POLICY,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
@@ -47,7 +47,7 @@
         self._next_keep_alive_at = 0.0
         self._next_load_log_at = 0.0
         self._ticker: gevent.Greenlet | None = None
-        self.table = DispatchTable(order)
+        self.table = DispatchTable(policy.order, policy.disabled)
         links.handle(messages.Hello, self._handle_hello)
         links.handle(messages.RequestSlot, self._handle_request)
         links.handle(messages.SlotTaken, self._handle_slot_taken)
--- a/clementinepin/serving/_dispatcher_link.py
+++ b/clementinepin/serving/_dispatcher_link.py
@@ -45,7 +45,10 @@
         clock: Clock,
         make_hello: Callable[[], messages.Hello],
         handle_message: Callable[[Any], None],
+        *,
+        suspends: bool = True,
     ) -> None:
+        self._suspect_s = SUSPECT_S if suspends else 0.0
         self._fleet = fleet
         self._clock = clock
         self._make_hello = make_hello
@@ -97,7 +100,7 @@
             return
         self._is_suspected = True
         logger.bind(dispatcher=self.dispatcher_name, reason=reason).warning("dispatcher_silent")
-        gevent.spawn_later(SUSPECT_S, self._drop_if_suspected, self._sender)
+        gevent.spawn_later(self._suspect_s, self._drop_if_suspected, self._sender)
 
     def drop(self) -> None:
         """Close the connection; the background task opens a new one at once."""
--- a/clementinepin/serving/_hedging.py
+++ b/clementinepin/serving/_hedging.py
@@ -21,10 +21,11 @@
 T = TypeVar("T")
 
 
-def run_hedged(attempts: Sequence[Callable[[], T]], pause_s: float = HEDGE_DELAY_S) -> T:
+def run_hedged(attempts: Sequence[Callable[[], T]], pause_s: float | None = HEDGE_DELAY_S) -> T:
     """Return the first result.
 
-    The next attempt starts when one fails, or after ``pause_s`` seconds without an outcome.
+    The next attempt starts when one fails, or after ``pause_s`` seconds without an outcome,
+    never without one if it is None.
     Attempts still running are not stopped and their results are ignored, so running several must
     be harmless. Raises VersionConflictError as soon as an attempt does. If all fail, raises
     ReplyLostError if any may have taken effect, and PlatformUnavailableError only if none did.
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -24,6 +24,7 @@
 from clementinepin.serving.wire import Wire
 from clementinepin.systems import estimates
 from clementinepin.systems.dispatch_actions import RunOutcome
+from clementinepin.tables.mechanisms import Mechanism
 from clementinepin.targets import Abort, HttpExchange, HttpRequest
 from clementinepin.targets.exceptions import (
     TargetLostError,
@@ -38,6 +39,8 @@
 CRASH_HOLD_S: Final = 4.0  # entries of crashed targets expire after three heartbeats, 3.6 s
 # An item that is due within less than this many of its run times is not preemptible.
 NOT_PREEMPTIBLE_FACTOR: Final = 1.5
+GAP_EVENTS_MIN: Final = 5  # fewer events say little about the time between two
+GAP_WEIGHT: Final = 0.2  # of the newest run in a route's mean time between events
 STATUS_OK: Final = 200
 STATUS_UNPROCESSABLE: Final = 422
 
@@ -101,13 +104,16 @@
         wire: Wire,
         clock: Clock,
         metrics: ServingMetrics,
+        disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
+        self._counts_rest = Mechanism.RUN_REST not in disabled
         self._metrics = metrics
         self._fleet = fleet
         self._slots = slots
         self._pools = pools
         self._wire = wire
         self._clock = clock
+        self._event_gaps: dict[str, float] = {}
 
     def run(self, run: ItemRun) -> None:
         """Run the item until it is completed, dead or cancelled."""
@@ -193,7 +199,11 @@
         facts = self._wire.read_request(
             {k.lower(): v for k, v in self._wire.make_item_headers(run.item)}
         )
-        run_s = estimates.estimate_run(facts.output_tokens_max, facts.length_hint)
+        run_s = estimates.estimate_rest(
+            estimates.estimate_run(facts.output_tokens_max, facts.length_hint),
+            run.last_event_id if self._counts_rest else 0,
+            self._event_gaps.get(route.name, 0.0),
+        )
         now = self._clock.monotonic()
         due_in_s = run.head.due_ms / 1000 - self._clock.wall()
         return SlotRequest(
@@ -271,10 +281,23 @@
             exchange.close()
             raise TargetProtocolError("a success status without the target's signature")
         exchange.watch_stalls(self._clock.monotonic() + RUN_MAX_S)
-        self._read_events(run, exchange)
+        started_at, events_before = self._clock.monotonic(), run.last_event_id
+        try:
+            self._read_events(run, exchange)
+        finally:
+            events = run.last_event_id - events_before
+            self._record_event_gap(route, self._clock.monotonic() - started_at, events)
         run.state = ItemState.COMPLETED
         return RunOutcome.SERVED
 
+    def _record_event_gap(self, route: Route, ran_s: float, events: int) -> None:
+        """Update the route's mean time between events, in seconds, with a run that has ended."""
+        if events < GAP_EVENTS_MIN:
+            return
+        gap_s = ran_s / events
+        mean_s = self._event_gaps.get(route.name, gap_s)
+        self._event_gaps[route.name] = mean_s + GAP_WEIGHT * (gap_s - mean_s)
+
     def _read_events(self, run: ItemRun, exchange: HttpExchange) -> None:
         """Append the events of the response to the run.
 
--- a/clementinepin/serving/_relay.py
+++ b/clementinepin/serving/_relay.py
@@ -27,10 +27,11 @@
     VersionConflictError,
 )
 from clementinepin.serving import _messages as messages
-from clementinepin.serving._hedging import run_hedged
+from clementinepin.serving._hedging import HEDGE_DELAY_S, run_hedged
 from clementinepin.serving._links import InstanceLinks, Link, LinkServer
 from clementinepin.serving._outages import StoreOutages
 from clementinepin.serving.models import Member
+from clementinepin.tables.mechanisms import Mechanism
 
 REPLY_TIMEOUT_MIN_S: Final = 0.25  # many round trips and calls; a lost relay sends no error
 REPLY_TIMEOUT_MAX_S: Final = 1.0  # a relay that itself waits longer for the store is of no use
@@ -114,7 +115,9 @@
         clock: Clock,
         rng: random.Random,
         outages: StoreOutages,
+        disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
+        self._hedges = Mechanism.HEDGING not in disabled
         self._outages = outages
         self._direct_store = direct_store
         self._own_name = own_name
@@ -282,7 +285,7 @@
         attempts += [partial(attempt_relay, relay) for relay in relays]
         with self._watch_outages():
             try:
-                return run_hedged(attempts)
+                return run_hedged(attempts, HEDGE_DELAY_S if self._hedges else None)
             except PlatformUnavailableError as err:
                 if is_isolated:
                     raise IsolatedFromStoreError(
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -28,6 +28,7 @@
 from clementinepin.serving.models import InstanceSettings, ItemResult, ItemState
 from clementinepin.serving.store import StoreFollower
 from clementinepin.serving.wire import Wire
+from clementinepin.tables.mechanisms import Mechanism
 
 RESULT_GROUPING_S: Final = 0.3  # results of a job that finish within this time share a write
 RESULTS_PER_WRITE_MAX: Final = 28  # the store accepts 32 entries per write
@@ -103,7 +104,9 @@
         wire: Wire,
         clock: Clock,
         links: LinkServer,
+        disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
+        self._keeps_checkpoints = Mechanism.CHECKPOINTS not in disabled
         self._views = JobViews(links, fleet.is_registration_valid, self._find_owner)
         self._settings = settings
         self._store = store
@@ -145,7 +148,8 @@
         Other instances take the jobs over once this one is marked as leaving.
         """
         self.leaving = True
-        gevent.spawn(self._checkpoints.save, self._list_running())
+        if self._keeps_checkpoints:
+            gevent.spawn(self._checkpoints.save, self._list_running())
         for job in list(self._jobs.values()):
             job.stop()
 
@@ -193,6 +197,8 @@
     def _run_checkpoints(self) -> None:
         while True:
             gevent.sleep(CHECKPOINT_PERIOD_S)
+            if not self._keeps_checkpoints:
+                return
             self._checkpoints.save(self._list_running())
 
     def _list_running(self) -> list[tuple[str, dict[str, ItemRun]]]:
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -24,10 +24,11 @@
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
-from clementinepin.serving.models import Placement
+from clementinepin.serving.models import DEFAULT_POLICY, Placement, Policy
 from clementinepin.systems import dispatching, target_health
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest
+from clementinepin.tables.mechanisms import Mechanism
 
 REPLY_TIMEOUT_S: Final = 0.08  # a few round trips between data centres and a busy dispatcher
 LOCAL_RETRY_S: Final = 0.3  # Retry-After of local decisions, such as when the share is used up
@@ -89,9 +90,9 @@
         pools: TargetPools,
         clock: Clock,
         rng: random.Random,
-        placement: Placement = Placement.DISPATCHER,
+        policy: Policy = DEFAULT_POLICY,
     ) -> None:
-        self._placement = placement
+        self._placement = policy.placement
         self._pools = pools
         self._feed = FeedClient(name, fleet.fed_followers)
         self._name = name
@@ -105,10 +106,13 @@
         self._early_preemptions: set[int] = set()
         self._taken: dict[int, tuple[SlotRequest, str, float]] = {}
         self._first_dispatcher_linked_at = clock.monotonic()
-        self._link = DispatcherLink(fleet, clock, self._make_hello, self._handle_message)
+        suspends = Mechanism.DISPATCHER_SUSPICION not in policy.disabled
+        self._link = DispatcherLink(
+            fleet, clock, self._make_hello, self._handle_message, suspends=suspends
+        )
         self._link.on_open = self._feed.open
         self._link.on_closed = self._handle_close
-        self._table = DispatchTable()
+        self._table = DispatchTable(policy.order, policy.disabled)
 
     def start(self) -> None:
         """Follow the targets and, unless placement is local, connect to the dispatcher."""
@@ -264,8 +268,10 @@
         targets = list(self._table.targets.values())
         if self._placement is Placement.RANDOM:
             self._random.shuffle(targets)
-            targets = [t for t in targets if dispatching.choose_target([t], pending, now)][:1]
-        target = dispatching.choose_target(targets, pending, now)
+            targets = [
+                t for t in targets if dispatching.choose_target(self._table, [t], pending, now)
+            ][:1]
+        target = dispatching.choose_target(self._table, targets, pending, now)
         if target is None:
             raise OverloadedError("no target with a free slot is known", LOCAL_RETRY_S)
         share = math.ceil(2 * target.slots / max(1, len(self._fleet.list_entries())))
--- a/clementinepin/serving/models.py
+++ b/clementinepin/serving/models.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from clementinepin.tables.dispatch import QueueOrder
+from clementinepin.tables.mechanisms import Mechanism
 
 
 class RouteKind(StrEnum):
@@ -148,10 +149,14 @@
 
 
 class Policy(NamedTuple):
-    """How targets are chosen and in which order requests wait."""
+    """How targets are chosen, in which order requests wait, and what an experiment disables."""
 
     placement: Placement = Placement.DISPATCHER
     order: QueueOrder = QueueOrder.NEW_FIRST
+    disabled: frozenset[Mechanism] = frozenset()
+
+
+DEFAULT_POLICY: Final = Policy()
 
 
 class RequestFacts(NamedTuple):
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -26,6 +26,7 @@
     PendingRequest,
     TargetLoad,
 )
+from clementinepin.tables.mechanisms import Mechanism
 
 PREFIXES_MAX: Final = 512  # per target; an engine caches a few hundred
 LOAD_STEPS: Final = 3  # coarse: each running request slows an engine's step by only 1%
@@ -55,7 +56,10 @@
     if actions:
         return actions
     if request.is_batch:
-        table.items.setdefault(request.service, BatchQueue()).add(request)
+        if request.service not in table.items:
+            overdue_last = table.uses(Mechanism.OVERDUE_LAST)
+            table.items[request.service] = BatchQueue(overdue_last=overdue_last)
+        table.items[request.service].add(request)
         return []
     rejection = waiting.check_wait(table, request, now, rng)
     if rejection is not None:
@@ -74,7 +78,7 @@
     if target is None:
         return
     target.grants.pop(key, None)
-    target_health.record_outcome(target, outcome, now)
+    target_health.record_outcome(table, target, outcome, now)
     target_health.record_crash(table, grant.fingerprint, outcome, now)
 
 
@@ -126,7 +130,7 @@
 
 
 def choose_target(
-    targets: Iterable[TargetLoad], request: PendingRequest, now: float
+    table: DispatchTable, targets: Iterable[TargetLoad], request: PendingRequest, now: float
 ) -> TargetLoad | None:
     """Return the target with a free slot that should run the request, or None.
 
@@ -136,6 +140,9 @@
     preferred, then one with an open connection, then one that has cached the request's prefix.
     The data centre does not matter for batch items, as no caller waits for their events.
     """
+    in_data_centre = table.uses(Mechanism.DATA_CENTRE_AFFINITY) and not request.is_batch
+    on_connection = table.uses(Mechanism.CONNECTION_AFFINITY)
+    by_prefix = table.uses(Mechanism.PREFIX_AFFINITY)
     best: TargetLoad | None = None
     best_score: tuple[int, bool, bool, int, float] | None = None
     for target in targets:
@@ -146,9 +153,9 @@
         load = 1.0 - target.count_free(now) / target.slots
         score = (
             int(load * LOAD_STEPS),
-            not request.is_batch and target.data_centre != request.data_centre,
-            target.target_id not in request.warm,
-            -_count_known_prefixes(target, request.prefix_ids),
+            in_data_centre and target.data_centre != request.data_centre,
+            on_connection and target.target_id not in request.warm,
+            -_count_known_prefixes(target, request.prefix_ids) if by_prefix else 0,
             load,
         )
         if best_score is None or score < best_score:
@@ -177,7 +184,7 @@
     """
     grant = table.grants.get(key)
     target = table.targets.get(grant.target_id) if grant is not None else None
-    if target is None:
+    if target is None or not table.uses(Mechanism.UNTRACKED_LOAD):
         return []
     if target.failures == 0:
         # The report shows that a target avoided for its silence responds again.
@@ -211,10 +218,11 @@
 def _try_start(table: DispatchTable, request: PendingRequest, now: float) -> list[Action]:
     """Grant a slot, preempting a batch item if necessary; return no actions if none is possible."""
     if request.is_batch:
-        if now < table.batch_held_until.get(request.service, 0.0):
+        held_until = table.batch_held_until.get(request.service, 0.0)
+        if now < held_until and table.uses(Mechanism.BATCH_HOLD):
             return []
         request = _limit_not_preemptible(table, request)
-    target = choose_target(table.targets.values(), request, now)
+    target = choose_target(table, table.targets.values(), request, now)
     if target is not None:
         _take_slot(table, target, request, now)
         return [Granted(request.key, target.target_id)]
@@ -235,6 +243,10 @@
     Load pattern: a service with a slot that becomes free every few milliseconds. There, the
     preempted item would lose more than the short wait that the request would save.
     """
+    if not table.uses(Mechanism.PREEMPTION):
+        return False
+    if not table.uses(Mechanism.PREEMPTION_DELAY):
+        return True
     return now - request.requested_at >= PREEMPT_AFTER_S or waiting.predict_start(
         table, request, now
     ) > (now + PREEMPT_AFTER_S)
@@ -247,6 +259,8 @@
     """
     if not request.is_firm:
         return request
+    if not table.uses(Mechanism.FIRM_ITEMS):
+        return request._replace(is_firm=False)
     not_preemptible = sum(
         1
         for target in table.targets.values()
@@ -280,7 +294,12 @@
         for grant in target.grants.values()
         if grant.is_batch and not grant.preempting and not grant.is_firm
     ]
-    return max(candidates, key=lambda grant: (grant.due_at < now, grant.started_at), default=None)
+    overdue_first = table.uses(Mechanism.OVERDUE_LAST)
+    return max(
+        candidates,
+        key=lambda grant: (overdue_first and grant.due_at < now, grant.started_at),
+        default=None,
+    )
 
 
 def _take_slot(
--- a/clementinepin/systems/estimates.py
+++ b/clementinepin/systems/estimates.py
@@ -13,6 +13,7 @@
 PATIENCE_GAPS: Final = 8.0  # or this many gap objectives, whichever is longest
 # Callers count their timeout from the first attempt, so that less time left shows a retry.
 RETURN_SHARE: Final = 0.93
+REST_SHARE_MIN: Final = 0.1  # of a run, for one that is longer than its caller estimated
 OUTPUT_TOKENS_DEFAULT: Final = 200  # assumed when the request has neither a length hint nor a bound
 
 
@@ -24,6 +25,18 @@
     return FIRST_EVENT_S + tokens * STEP_S
 
 
+def estimate_rest(run_s: float, events: int, event_gap_s: float) -> float:
+    """Return the seconds in a slot that a run still needs after it has produced ``events``.
+
+    ``run_s`` is the estimate for the whole run, ``event_gap_s`` the usual time between two events.
+
+    Load pattern: items that peaks of callers preempt again and again. Counted as if it had to start
+    over, an item that is nearly done would seem unable to end by its due time.
+    """
+    rest_s = run_s - events * event_gap_s
+    return max(rest_s, run_s * REST_SHARE_MIN) if events else run_s
+
+
 def is_return(time_left_s: float, timeout_s: float) -> bool:
     """Return whether the time left shows that the caller was rejected before and is retrying."""
     return time_left_s < timeout_s * RETURN_SHARE
--- a/clementinepin/systems/waiting.py
+++ b/clementinepin/systems/waiting.py
@@ -8,6 +8,7 @@
 from clementinepin.systems.dispatch_actions import Rejected
 from clementinepin.systems.service_load import measure_load
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, QueueOrder
+from clementinepin.tables.mechanisms import Mechanism
 
 RETRY_AFTER_MIN_S: Final = 0.1  # the caller needs a new connection to retry
 RETRY_AFTER_MAX_S: Final = 1.6  # callers wait at most a third of their timeout of 5 s
@@ -64,6 +65,8 @@
     table: DispatchTable, request: PendingRequest, now: float, rng: random.Random
 ) -> Rejected | None:
     """Return a rejection with a retry time if the request cannot start in time, else None."""
+    if not table.uses(Mechanism.EARLY_REJECTION):
+        return None
     start = predict_start(table, request, now)
     if start <= request.on_time_by:
         return None
@@ -102,7 +105,7 @@
     """
     if now >= request.deadline:
         return Rejected(request.key, RETRY_AFTER_MIN_S, "no slot before the latest useful start")
-    if now - request.requested_at < RECHECK_AFTER_S:
+    if now - request.requested_at < RECHECK_AFTER_S or not table.uses(Mechanism.RECHECK):
         return None
     if request.returned:
         overloaded = is_overloaded(table, request.service, now)
@@ -120,6 +123,8 @@
 
 def is_overloaded(table: DispatchTable, service: str, now: float) -> bool:
     """Return whether more work arrives, averaged over peaks and idle periods, than fits."""
+    if not table.uses(Mechanism.PRESSURE):
+        return False
     return measure_pressure(table, service, now) > PRESSURE_MAX
 
 
@@ -131,6 +136,8 @@
     Load pattern: a wave of rejected callers that would all retry at once. Each rejection books
     the start time after the last one booked. A caller that has already returned once books none.
     """
+    if not table.uses(Mechanism.BOOKED_RETURNS):
+        return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, start - now))
     slots = sum(t.slots for t in table.targets.values() if t.service == request.service)
     pace_s = request.run_s / max(1, slots)
     return_at = max(
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -8,6 +8,8 @@
 from enum import StrEnum
 from typing import Final, NamedTuple
 
+from clementinepin.tables.mechanisms import Mechanism
+
 GrantKey = tuple[str, int]  # the requesting instance and its number for the request
 RATE_WINDOW_S: Final = 6.0  # covers one peak and one idle period of usual traffic
 RATE_BUCKET_S: Final = 0.5  # old work leaves the window in steps of this size
@@ -132,10 +134,12 @@
 class BatchQueue:
     """Waiting batch items of one service; a backlog may hold thousands.
 
-    Items that can still be on time come first, by the latest start for that; overdue ones follow.
+    Items that can still be on time come first, by the latest start for that; overdue ones follow,
+    unless ``overdue_last`` is False.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, overdue_last: bool = True) -> None:
+        self._overdue_last = overdue_last
         self._requests: dict[GrantKey, PendingRequest] = {}
         self._heap: list[tuple[float, GrantKey]] = []
         self._overdue: list[tuple[float, GrantKey]] = []
@@ -157,7 +161,7 @@
 
     def get_first(self, now: float) -> PendingRequest | None:
         """Return the item that should start next, or None."""
-        while self._heap and self._heap[0][0] < now:
+        while self._overdue_last and self._heap and self._heap[0][0] < now:
             heapq.heappush(self._overdue, heapq.heappop(self._heap))
         return self._peek(self._heap) or self._peek(self._overdue)
 
@@ -200,8 +204,13 @@
     batch item starts. ``crashes`` has the times of crashes by request fingerprint.
     """
 
-    def __init__(self, order: QueueOrder = QueueOrder.NEW_FIRST) -> None:
+    def __init__(
+        self,
+        order: QueueOrder = QueueOrder.NEW_FIRST,
+        disabled: frozenset[Mechanism] = frozenset(),
+    ) -> None:
         self.order = order
+        self.disabled = disabled
         self.targets: dict[str, TargetLoad] = {}
         self.waiting: dict[GrantKey, PendingRequest] = {}
         self.items: dict[str, BatchQueue] = {}
@@ -211,6 +220,10 @@
         self.crashes: dict[str, list[float]] = {}
         self.arrivals: defaultdict[str, WorkRate] = defaultdict(WorkRate)
 
+    def uses(self, mechanism: Mechanism) -> bool:
+        """Return whether a mechanism is in use; experiments switch single ones off."""
+        return mechanism not in self.disabled
+
     def list_waiting(self) -> list[GrantKey]:
         """Return the keys of all waiting requests and items."""
         return [*self.waiting, *(key for queue in self.items.values() for key in queue)]
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -22,6 +22,7 @@
     RoutingConfiguration,
     Target,
 )
+from clementinepin.systems import estimates
 from tests.serving.harness import FakeSlots, close_at_once, send_events
 from tests.serving.parts import make_head, make_items, make_route
 from tests.serving.scripted import ScriptedTarget, refuse
@@ -31,6 +32,16 @@
 
 
 class PreemptingSlots(FakeSlots):
+    """Passes preemptions on, and keeps the requests for slots."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests: list[Any] = []
+
+    def acquire(self, request: Any, on_waiting: Any) -> Any:
+        self.requests.append(request)
+        return super().acquire(request, on_waiting)
+
     def watch_preemption(self, slot: Any, on_preempt: Any) -> None:
         self.on_preempt = on_preempt
 
@@ -163,6 +174,24 @@
     assert harness.run_item().text == "e1\ne2"
 
 
+def test_a_resumed_item_asks_for_the_rest_of_its_run_only():
+    """Mutation: request the whole run again: an item that is nearly done seems overdue."""
+    harness = Harness(send_events(1, 2, end=False, cut=b"id: 3\nda"), send_events(3))
+    route = harness.fleet.configuration.current.routes[0]
+    harness.runner._record_event_gap(route, ran_s=2.0, events=10)
+    harness.run_item()
+    first, second = harness.slots.requests
+    assert second.run_s == pytest.approx(first.run_s - 2 * 0.2)
+    assert second.on_time_by > first.on_time_by + 0.3
+
+
+@pytest.mark.parametrize("events", [0, 1, 10, 1000])
+def test_the_rest_of_a_run_is_never_longer_than_the_run_nor_nothing(events):
+    rest_s = estimates.estimate_rest(5.0, events, 0.02)
+    assert 0.0 < rest_s <= 5.0
+    assert estimates.estimate_rest(5.0, events + 1, 0.02) <= rest_s
+
+
 def test_an_expired_item_is_dead():
     harness = Harness()
     harness.run.head = make_head(now_s=harness.clock.wall() - 100.0)
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -17,7 +17,7 @@
 from clementinepin.serving._links import Link, LinkServer
 from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
-from clementinepin.serving.models import Member, Placement, Target
+from clementinepin.serving.models import Member, Placement, Policy, Target
 from clementinepin.serving.store import StoreFollower
 from clementinepin.systems import dispatching
 from clementinepin.systems.dispatch_actions import RunOutcome
@@ -287,7 +287,7 @@
 def test_a_baseline_placement_works_without_a_dispatcher(placement: Placement) -> None:
     fleet = FakeFleet(find_port(), 3)
     clock = create_system_clock()
-    broker = SlotBroker("f1", "a", fleet, FakePools(), clock, random.Random(1), placement)  # type: ignore[arg-type]
+    broker = SlotBroker("f1", "a", fleet, FakePools(), clock, random.Random(1), Policy(placement))  # type: ignore[arg-type]
     broker.start()
     fleet.notify_listeners()
     now = clock.monotonic()
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -23,7 +23,6 @@
 from clementinepin.systems.waiting import RETRY_AFTER_MAX_S
 from clementinepin.tables.dispatch import (
     DispatchTable,
-    TargetLoad,
 )
 from tests.systems.dispatch_parts import RUN_S, fill, make_item, make_request, make_table
 
@@ -230,22 +229,24 @@
 
 
 def test_unreachable_target_is_avoided_longer_each_time(rng):
-    target = TargetLoad("t0", "llm", "a", 2)
+    table = make_table(targets=1, slots=2)
+    target = table.targets["t0"]
     pauses = []
     for _ in range(4):
-        target_health.record_outcome(target, RunOutcome.UNREACHED, 0.0)
+        target_health.record_outcome(table, target, RunOutcome.UNREACHED, 0.0)
         pauses.append(target.avoid_until)
     assert pauses == sorted(pauses)
     assert pauses[0] > 0.0
-    target_health.record_outcome(target, RunOutcome.SERVED, 0.0)
+    target_health.record_outcome(table, target, RunOutcome.SERVED, 0.0)
     assert target.avoid_until == 0.0
 
 
 def test_one_broken_response_does_not_make_a_target_avoided(rng):
-    target = TargetLoad("t0", "llm", "a", 2)
-    target_health.record_outcome(target, RunOutcome.BROKEN, 0.0)
+    table = make_table(targets=1, slots=2)
+    target = table.targets["t0"]
+    target_health.record_outcome(table, target, RunOutcome.BROKEN, 0.0)
     assert target.avoid_until == 0.0
-    target_health.record_outcome(target, RunOutcome.BROKEN, 0.0)
+    target_health.record_outcome(table, target, RunOutcome.BROKEN, 0.0)
     assert target.avoid_until > 0.0
 
 
@@ -253,9 +254,9 @@
     table = make_table(targets=1, slots=2)
     fill(table, 1, rng)
     dispatching.record_load(table, ("f", 1000), 2, 0.0)
-    assert dispatching.choose_target(table.targets.values(), make_request(1), 0.1) is None
+    assert dispatching.choose_target(table, table.targets.values(), make_request(1), 0.1) is None
     assert (
-        dispatching.choose_target(table.targets.values(), make_request(1), UNTRACKED_LOAD_S)
+        dispatching.choose_target(table, table.targets.values(), make_request(1), UNTRACKED_LOAD_S)
         is not None
     )
 
--- a/tests/systems/test_load_patterns.py
+++ b/tests/systems/test_load_patterns.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from clementinepin.tables.dispatch import DispatchTable, QueueOrder
-from tests.systems.load_model import (
+from bench.load_model import (
     OBJECTIVE_S,
     BlindPolicy,
+    Deployment,
     DispatchPolicy,
     Policy,
     Run,
@@ -19,22 +19,23 @@
     make_online,
     make_square,
 )
+from clementinepin.tables.dispatch import DispatchTable, QueueOrder
 
-ENGINES = 5
-SLOTS = 8
+DEPLOYMENT = Deployment()
+ENGINES, SLOTS = DEPLOYMENT.engines, DEPLOYMENT.slots
 SEEDS = (1, 2, 3)
 DUE_S = 18.0
 
 
 def play(policy: Policy, works: list[Work], seed: int, until: float = 60.0) -> Simulation:
-    sim = Simulation(ENGINES, SLOTS, seed)
+    sim = Simulation(DEPLOYMENT, seed)
     sim.run(policy, works, until)
     return sim
 
 
 def play_all(works: list[Work], seed: int) -> dict[str, Simulation]:
     return {
-        "dispatcher": play(DispatchPolicy(ENGINES, SLOTS), works, seed),
+        "dispatcher": play(DispatchPolicy(DEPLOYMENT), works, seed),
         "own counts": play(BlindPolicy(6), works, seed),
         "random": play(BlindPolicy(6, choose_random=True), works, seed),
     }
@@ -85,8 +86,9 @@
     """Return simulations of the same load with new callers first and with returning ones first."""
     sims = []
     for order in (QueueOrder.NEW_FIRST, QueueOrder.RETURNED_FIRST):
-        sim = Simulation(engines, SLOTS, seed)
-        sim.run(DispatchPolicy(engines, SLOTS, order), works, 60.0)
+        deployment = DEPLOYMENT._replace(engines=engines)
+        sim = Simulation(deployment, seed)
+        sim.run(DispatchPolicy(deployment, order), works, 60.0)
         sims.append(sim)
     return sims
 
@@ -130,7 +132,7 @@
     """
     rng = random.Random(seed)
     works = list(make_items(rng, 0.0, 200)) + list(make_items(rng, 4.0, 200, 200_000))
-    done = play(DispatchPolicy(ENGINES, SLOTS), works, seed).items_done
+    done = play(DispatchPolicy(DEPLOYMENT), works, seed).items_done
     on_time = sum(1 for w in works if done.get(w.number, 99.0) <= w.arrives_at + DUE_S)
     slots_time_s = ENGINES * SLOTS * (4.0 + DUE_S)
     fitting = slots_time_s / (1270 * 0.0039)
@@ -142,8 +144,8 @@
     """A taken slot is granted again only after a preemption, so queues at engines stay short."""
     rng = random.Random(seed)
     works = [*make_online(rng, make_square(8.0, 60.0), 20.0), *make_items(rng, 1.0, 60)]
-    policy = DispatchPolicy(ENGINES, SLOTS)
-    sim = Simulation(ENGINES, SLOTS, seed)
+    policy = DispatchPolicy(DEPLOYMENT)
+    sim = Simulation(DEPLOYMENT, seed)
     longest = 0
 
     def sample_queues() -> None:
@@ -164,7 +166,7 @@
 
 @pytest.mark.parametrize("running", RECORDED_RUN_MS)
 def test_engine_model_agrees_with_recorded_runs(running: int) -> None:
-    sim = Simulation(1, SLOTS, 1)
+    sim = Simulation(DEPLOYMENT._replace(engines=1), 1)
     ends: list[float] = []
     for number in range(running):
         work = Work(number, 0, False, round(26.5 * 7), 0, 0.0)
