--- a/bench/_control/rig.py
+++ b/bench/_control/rig.py
@@ -10,8 +10,6 @@
 from pathlib import Path
 from typing import Any, Final
 
-import gevent
-
 from bench._control.farm import MODELS
 from bench._control.sample import Meter, StatsCollector
 from standins.caller import Caller, Response
@@ -150,10 +148,6 @@
         """Return the number of calls that the key-value service has received."""
         return sum(send_json(self._ports.key_value, "GET", "/standin/counts").values())
 
-    def settle(self, seconds: float) -> None:
-        """Wait for a change to take effect before measuring."""
-        gevent.sleep(seconds)
-
     def _make_row(self, name: str, service: str, number: int) -> dict[str, Any]:
         region = REGIONS[number % len(REGIONS)]
         data_centre = f"{region}-{number // len(REGIONS) % DATA_CENTRES_PER_REGION}"
--- a/clementinepin/_cli/client.py
+++ b/clementinepin/_cli/client.py
@@ -16,6 +16,7 @@
     EntryUnreachableError,
     RemoteError,
     ResponseMissingError,
+    ResponseUnreadableError,
     UsageError,
 )
 
@@ -28,6 +29,7 @@
 HTTP_ERRORS: Final = (HTTPException,)
 ERROR_STATUS_MIN: Final = 400
 UNAVAILABLE_STATUS: Final = 503
+BODY_SHOWN_BYTES: Final = 80
 
 
 Body = bytes | Callable[[], Iterator[bytes]]
@@ -49,8 +51,17 @@
     body: bytes
 
     def json(self) -> Any:
-        """Return the JSON body decoded; None for an empty body."""
-        return msgspec.json.decode(self.body or b"null")
+        """Return the JSON body decoded, None for an empty body.
+
+        Raise ResponseUnreadableError if the body is not JSON.
+        """
+        try:
+            return msgspec.json.decode(self.body or b"null")
+        except msgspec.DecodeError as err:
+            start = self.body[:BODY_SHOWN_BYTES].decode("utf-8", "replace")
+            raise ResponseUnreadableError(
+                f"a response with status {self.status} is not JSON: {start!r}"
+            ) from err
 
 
 def parse_entry(text: str) -> Entry:
--- a/clementinepin/_cli/output.py
+++ b/clementinepin/_cli/output.py
@@ -36,13 +36,6 @@
             self._out.write(format_rows(value))
         self._out.flush()
 
-    def print_text(self, text: str) -> None:
-        """Print a line of text; print nothing if JSON was chosen."""
-        if not self._as_json:
-            self.end_progress()
-            self._out.write(text + "\n")
-            self._out.flush()
-
     def print_error(self, code: str, message: str, retry_at: float | None) -> None:
         """Print an error; ``retry_at`` is wall-clock time in seconds."""
         self.end_progress()
--- a/clementinepin/cli.py
+++ b/clementinepin/cli.py
@@ -49,7 +49,13 @@
 from clementinepin import __version__
 from clementinepin._cli import configuration, instances, jobs
 from clementinepin._cli.client import EntryClient, parse_entry
-from clementinepin._cli.exceptions import ExitCode, RemoteError, UsageError, choose_exit_code
+from clementinepin._cli.exceptions import (
+    ExitCode,
+    OutputError,
+    RemoteError,
+    UsageError,
+    choose_exit_code,
+)
 from clementinepin._cli.output import Printer
 from clementinepin.exceptions import ClementinepinError
 
@@ -168,8 +174,11 @@
 
 def _write_results(arguments: Arguments, client: EntryClient) -> None:
     if arguments["--output"]:
-        with Path(arguments["--output"]).open("wb") as file:
-            jobs.write_results(arguments["JOB"], file, client)
+        try:
+            with Path(arguments["--output"]).open("wb") as file:
+                jobs.write_results(arguments["JOB"], file, client)
+        except OSError as err:
+            raise OutputError(f"cannot write to {arguments['--output']}: {err.strerror}") from err
         return
     jobs.write_results(arguments["JOB"], sys.stdout.buffer, client)
     sys.stdout.buffer.flush()
--- a/clementinepin/entry/_calls.py
+++ b/clementinepin/entry/_calls.py
@@ -44,6 +44,7 @@
     vol.Optional("stream"): vol.Any(bool, None),
     vol.Optional("max_tokens"): vol.Any(_TOKENS, None),
     vol.Optional("max_completion_tokens"): vol.Any(_TOKENS, None),
+    vol.Optional("stop"): vol.Any(str, vol.All([str], vol.Length(max=STOP_SEQUENCES_MAX)), None),
     vol.Optional("n"): vol.Any(vol.All(_check_integer, vol.Range(min=1, max=128)), None),
 }
 COMPLETION_SCHEMA: Final = vol.Schema(
--- a/clementinepin/fleet/_instances.py
+++ b/clementinepin/fleet/_instances.py
@@ -33,6 +33,7 @@
         self._peers = peers
         self._table = InstanceTable()
         self._was_live = False
+        self._was_read = False
         peers.register(messages.METHOD_INSTANCES, self._handle_changes)
 
     def list_rows(self) -> tuple[ListedInstance, ...]:
@@ -55,7 +56,7 @@
             self._core.metrics.incr("instances.read_failed")
             logger.debug("{} Could not read the instance list: {}.", LOG_PREFIX, err)
             return
-        is_first = not self._table.rows
+        is_first, self._was_read = not self._was_read, True
         changes = instances.merge_list(self._table, rows, observed_at)
         if not changes:
             return
--- a/clementinepin/peers/_transport.py
+++ b/clementinepin/peers/_transport.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import ssl
+from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple
 
@@ -91,12 +92,15 @@
         self._server_context = server_context
         self._client_context = client_context
         self._server: Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
         self._connections: dict[str, _Connection] = {}
+        self._calls: Counter[str] = Counter()
 
     async def listen(self, address: str, port: int) -> None:
         """Start the server."""
         self._server = Server([self._service], codec=BytesCodec())
         await self._server.start(address, port, ssl=self._server_context)
+        self._sweeper = asyncio.get_running_loop().create_task(self._sweep())
 
     async def send(
         self,
@@ -119,6 +123,7 @@
             timeout=timeout_s,
             metadata=dict(metadata),
         )
+        self._calls[peer] += 1
         try:
             async with request as stream:
                 await stream.send_message(body, end=True)
@@ -128,19 +133,24 @@
         except (TimeoutError, OSError, StreamTerminatedError, ProtocolError) as err:
             self._close_channel(peer)
             raise PeerUnavailableError(f"{peer}: {err}") from err
+        finally:
+            self._calls[peer] -= 1
         return reply or b""
 
-    async def sweep(self) -> None:
-        """Close idle connections periodically; never returns."""
+    async def _sweep(self) -> None:
+        """Close connections without calls periodically; never returns."""
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             idle_before = asyncio.get_running_loop().time() - CHANNEL_IDLE_S
             for peer, connection in list(self._connections.items()):
-                if connection.used_at < idle_before:
+                if connection.used_at < idle_before and not self._calls[peer]:
                     self._close_channel(peer)
+            self._calls = +self._calls
 
     async def close(self) -> None:
         """Close all connections and the server."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
         for peer in list(self._connections):
             self._close_channel(peer)
         if self._server is not None:
--- a/clementinepin/serving/_dispatcher_link.py
+++ b/clementinepin/serving/_dispatcher_link.py
@@ -71,11 +71,6 @@
         gevent.killall(self._greenlets)
         self.drop()
 
-    @property
-    def is_open(self) -> bool:
-        """Return whether there is a connection, suspected or not."""
-        return self._sender is not None
-
     @property
     def is_responsive(self) -> bool:
         """Return whether there is a connection to a dispatcher that is not suspected."""
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -212,7 +212,6 @@
         self._lease_id = 0
         self._registered_until = 0.0
         self._started_ms = int(clock.wall() * 1000)
-        self._refresh = Event()
         self.leaving = False
         self.configuration = ConfigurationView(wire)
         self.targets = TargetView(wire, outages, self._notify_listeners)
@@ -245,7 +244,6 @@
     def announce_leaving(self) -> None:
         """Register this instance as leaving, so that it gets no new callers."""
         self.leaving = True
-        self._refresh.set()
         # Makes the registration task write the entry again, now marked as leaving.
         self.members.own_registration_lost.set()
 
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -255,6 +255,27 @@
     assert output.read_bytes() == b"ab"
 
 
+def test_results_that_cannot_be_written_exit_with_a_message(
+    entry: FakeEntry, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Mutation: let the OSError of the output file pass: the tool ends with a traceback."""
+    output = tmp_path / "missing" / "results"
+    argv = ["job", "results", "job-1", "--output", str(output), "--entry", entry.address]
+    assert run(argv) == ExitCode.NOT_RUN
+    assert str(output) in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("command", [["job", "list"], ["show", "instances"]])
+def test_a_success_without_json_exits_with_a_message(
+    entry: FakeEntry, command: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Mutation: decode without a check: the tool ends with a traceback."""
+    for path in ("/v1/batches", "/ops/instances"):
+        entry.answers[("GET", path)] = lambda _: Response(200, b"<html>Welcome</html>")
+    assert run([*command, "--entry", entry.address]) == ExitCode.OUTCOME_UNKNOWN
+    assert "<html>Welcome" in capsys.readouterr().err
+
+
 def test_truncated_results_exit_with_outcome_unknown(entry: FakeEntry, tmp_path: Path) -> None:
     """Mutation: ignore the HTTP parser's error in EntryClient.stream."""
 
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -275,3 +275,12 @@
         assert router.find(method, path)[1]["a"]
     except (RouteNotFoundError, MethodNotAllowedError):
         return
+
+
+@pytest.mark.parametrize("stop", [["x"] * 17, 5, ["a", 1]])
+def test_invalid_stop_sequences_are_rejected(serve, stop):
+    """Mutation: no limit: an engine would check any number of sequences at each token."""
+    entry = serve(respond_complete)
+    response = entry.call("POST", "/v1/completions", {**COMPLETION, "stop": stop})
+    assert response.status == 400
+    assert "stop" in response.error["message"]
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -163,3 +163,25 @@
     b.register("tree.gather", lambda sender, message: {"answers": 7})
     a.register("count", lambda sender, message: {})
     assert a.gather("count", {}, deadline=_create_deadline()) == {"a": {}}
+
+
+def test_idle_connections_are_closed(start_networks, monkeypatch):
+    """Mutation: never start the sweep: idle connections are closed by their number only."""
+    monkeypatch.setattr("clementinepin.peers._transport.SWEEP_PERIOD_S", 0.01)
+    monkeypatch.setattr("clementinepin.peers._transport.CHANNEL_IDLE_S", 0.0)
+    a, b = start_networks("a", "b")
+    b.register("echo", lambda sender, message: message)
+    a.call("b", "echo", {}, deadline=_create_deadline())
+    deadline = _create_deadline()
+    while a.describe_state()["connections"]:
+        assert time.monotonic() < deadline
+        gevent.sleep(0.01)
+
+
+def test_a_connection_with_a_call_in_progress_is_not_idle(start_networks, monkeypatch):
+    """Mutation: judge by the start of the last call only: a long call is cut."""
+    monkeypatch.setattr("clementinepin.peers._transport.SWEEP_PERIOD_S", 0.005)
+    monkeypatch.setattr("clementinepin.peers._transport.CHANNEL_IDLE_S", 0.0)
+    a, b = start_networks("a", "b")
+    b.register("wait", lambda sender, message: gevent.sleep(0.1) or {"done": True})
+    assert a.call("b", "wait", {}, deadline=_create_deadline()) == {"done": True}
