Correct run estimates by the pace of recent runs

Hypothesis: the estimates assume 3.9 ms a token, one deployment's figure. On slower engines queues seem shorter than they are, on faster ones callers are rejected though a slot would be free in time.

Change: the dispatcher compares observed with estimated times of runs that were served and corrects each request's estimate.

--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -390,7 +390,8 @@
     def resume(self, sim: Simulation, key: tuple[str, int]) -> None:
         """Request a slot for the tokens that an item still lacks."""
         run, _ = self.runs[key]
-        left = max(1, int(run.tokens_left) + 1)
+        reread = int(self.deployment.first_event_s / self.deployment.step_s)
+        left = max(1, int(run.tokens_left) + 1) + reread
         work = self.works[key]
         hint = max(1, work.hint - work.tokens + left)
         if not self.table.uses(Mechanism.RUN_REST):
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -50,6 +50,7 @@
     """
     if target_health.has_crashed_targets(table, request.fingerprint, now):
         return [Rejected(request.key, waiting.RETRY_AFTER_MAX_S, "crashed targets")]
+    request = _correct_estimate(table, request)
     if not request.is_batch and not request.returned:
         table.arrivals[request.service].add(request.run_s, now)
     actions = _try_start(table, request, now)
@@ -68,6 +69,22 @@
     return []
 
 
+def _correct_estimate(table: DispatchTable, request: PendingRequest) -> PendingRequest:
+    """Return the request with its run time corrected by the pace of recent runs.
+
+    Load pattern: engines that are slower than the estimates assume, for good or under a peak. Their
+    queues would be taken for shorter than they are, and items would start too late to end in time.
+    """
+    if not table.uses(Mechanism.PACE):
+        return request
+    pace = table.paces[request.service].factor
+    run_s = request.run_s * pace
+    on_time_by = request.on_time_by
+    if request.is_batch:
+        on_time_by -= run_s - request.run_s
+    return request._replace(run_s=run_s, on_time_by=on_time_by, pace=pace)
+
+
 def finish(table: DispatchTable, key: GrantKey, outcome: RunOutcome, now: float) -> None:
     """Free a slot or remove a request from the queue, and record the outcome at the target."""
     table.remove_waiting(key)
@@ -78,6 +95,9 @@
     if target is None:
         return
     target.grants.pop(key, None)
+    if outcome is RunOutcome.SERVED:
+        observed_s, estimated_s = now - grant.started_at, grant.run_s / grant.pace
+        table.paces[target.service].add(observed_s, estimated_s)
     target_health.record_outcome(table, target, outcome, now)
     target_health.record_crash(table, grant.fingerprint, outcome, now)
 
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -13,6 +13,8 @@
 GrantKey = tuple[str, int]  # the requesting instance and its number for the request
 RATE_WINDOW_S: Final = 6.0  # covers one peak and one idle period of usual traffic
 RATE_BUCKET_S: Final = 0.5  # old work leaves the window in steps of this size
+PACE_DECAY: Final = 0.97  # of the weight of earlier runs with each further one
+PACE_PRIOR_S: Final = 3.0  # slot seconds of runs as estimated, before any was observed
 
 
 class QueueOrder(StrEnum):
@@ -31,7 +33,7 @@
     rejected before. ``is_firm`` marks a batch item that is not preemptible, as it would become
     overdue. ``warm`` names the targets to which the requesting instance has a connection.
     ``priority`` is that of the route, 0 is the most urgent. ``fingerprint`` is the same each time
-    that a request is sent again.
+    that a request is sent again. ``pace`` is the factor by which ``run_s`` was corrected.
     """
 
     key: GrantKey
@@ -49,6 +51,7 @@
     warm: frozenset[str] = frozenset()
     priority: int = 0
     fingerprint: str = ""
+    pace: float = 1.0
 
 
 class Grant:
@@ -65,6 +68,7 @@
         "is_batch",
         "is_firm",
         "key",
+        "pace",
         "preempted_at",
         "preempting",
         "run_s",
@@ -80,6 +84,7 @@
         self.is_firm = request.is_firm
         self.started_at = now
         self.run_s = request.run_s
+        self.pace = request.pace
         self.ends_at = now + request.run_s
         self.due_at = request.on_time_by + request.run_s
         self.preempting = False
@@ -91,6 +96,26 @@
         self.preempted_at = now
 
 
+class Pace:
+    """How long runs take in comparison with their estimates; recent runs weigh more."""
+
+    __slots__ = ("_estimated_s", "_observed_s")
+
+    def __init__(self) -> None:
+        self._observed_s = PACE_PRIOR_S
+        self._estimated_s = PACE_PRIOR_S
+
+    def add(self, observed_s: float, estimated_s: float) -> None:
+        """Add a run that has ended."""
+        self._observed_s = self._observed_s * PACE_DECAY + observed_s
+        self._estimated_s = self._estimated_s * PACE_DECAY + estimated_s
+
+    @property
+    def factor(self) -> float:
+        """Return the factor by which estimates should be multiplied."""
+        return self._observed_s / self._estimated_s
+
+
 class TargetLoad:
     """State of one target as the dispatcher knows it. Times are monotonic seconds.
 
@@ -200,8 +225,8 @@
     """All state of one dispatcher. ``waiting`` holds online requests, ``items`` batch items.
 
     By service, ``arrivals`` is the work that new callers bring, ``latest_return_at`` the last
-    retry time booked for a rejected caller, and ``batch_held_until`` the time before which no
-    batch item starts. ``crashes`` has the times of crashes by request fingerprint.
+    retry time booked for a rejected caller, ``paces`` how long runs take, and
+    ``batch_held_until`` the time before which no batch item starts. ``crashes`` has the times of crashes by request fingerprint.
     """
 
     def __init__(
@@ -219,6 +244,7 @@
         self.batch_held_until: dict[str, float] = {}
         self.crashes: dict[str, list[float]] = {}
         self.arrivals: defaultdict[str, WorkRate] = defaultdict(WorkRate)
+        self.paces: defaultdict[str, Pace] = defaultdict(Pace)
 
     def uses(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is in use; experiments switch single ones off."""
--- a/clementinepin/tables/mechanisms.py
+++ b/clementinepin/tables/mechanisms.py
@@ -27,6 +27,7 @@
     FULL_AVOIDANCE = "full-avoidance"
     UNTRACKED_LOAD = "untracked-load"
     RUN_REST = "run-rest"
+    PACE = "pace"
     DISPATCHER_SUSPICION = "dispatcher-suspicion"
     CHECKPOINTS = "checkpoints"
     HEDGING = "hedging"
