Start items by due time and work left, and drop the hold of batch after a preemption

Hypotheses: items ordered by their latest start end all together, so that a backlog ends late as a whole; a pause of 0.3 s for the whole service's batch after each preemption leaves slots idle behind a peak; items should count as on time while the fastest target can end them.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -204,6 +204,7 @@
         warm=frozenset(message.warm),
         priority=message.priority,
         fingerprint=message.fingerprint,
+        timeout_at=now + (message.timeout_in_s or message.deadline_in_s),
     )
 
 
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -154,6 +154,7 @@
             returned=call.returned or call.response_started,
             priority=route.priority,
             fingerprint=make_fingerprint(call.request),
+            timeout_at=call.deadline,
         )
 
     def _use_slot(self, connection: CallerConnection, call: Call, slot: Slot) -> RunOutcome:
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -57,6 +57,7 @@
     warm: list[str] = []
     priority: int = 0
     fingerprint: str = ""
+    timeout_in_s: float = 0.0
 
 
 class ReleaseSlot(msgspec.Struct, array_like=True, tag=2, frozen=True):
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -41,7 +41,8 @@
     """The requirements of one request for a slot; times are monotonic seconds of this instance.
 
     ``on_time_by`` is the latest start that meets the objective, ``deadline`` the latest useful
-    start, and ``run_s`` the expected time in the slot. ``is_firm`` marks a batch item that is not
+    start, and ``run_s`` the expected time in the slot. The caller gives up at ``timeout_at``, after
+    all retries; 0.0 means at the deadline. ``is_firm`` marks a batch item that is not
     preemptible. ``returned`` marks a caller that was rejected before.
     """
 
@@ -56,6 +57,7 @@
     is_firm: bool = False
     priority: int = 0
     fingerprint: str = ""
+    timeout_at: float = 0.0
 
 
 class Slot(NamedTuple):
@@ -321,6 +323,7 @@
             warm=self._pools.list_warm(),
             priority=request.priority,
             fingerprint=request.fingerprint,
+            timeout_in_s=max(0.0, request.timeout_at - now),
         )
 
     def _update_targets(self) -> None:
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -32,7 +32,6 @@
 LOAD_STEPS: Final = 3  # coarse: each running request slows an engine's step by only 1%
 UNTRACKED_LOAD_S: Final = 0.5  # each response of the target carries a new load report
 PREEMPT_AFTER_S: Final = 0.05  # on a busy service, online slots become free faster
-BATCH_HOLD_S: Final = 0.3  # no batch item starts for this long after a preemption
 PREEMPTION_TIMEOUT_S: Final = 0.8  # a reachable runner stops within a few milliseconds
 PREEMPTIONS_PER_TARGET_MAX: Final = 3  # slots granted again before a preempted item frees them
 NOT_PREEMPTIBLE_SHARE_MAX: Final = 0.3  # of the slots of a service
@@ -74,15 +73,18 @@
 
     Load pattern: engines that are slower than the estimates assume, for good or under a peak. Their
     queues would be taken for shorter than they are, and items would start too late to end in time.
+    An item counts as on time as long as the fastest target can end it by its due time.
     """
     if not table.uses(Mechanism.PACE):
         return request
-    pace = table.paces[request.service].factor
+    if not request.is_batch:
+        pace = table.paces[request.service].factor
+        return request._replace(run_s=request.run_s * pace, pace=pace)
+    paces = [t.pace.factor for t in table.targets.values() if t.service == request.service]
+    pace = min(paces, default=1.0)
+    due_at = request.on_time_by + request.run_s
     run_s = request.run_s * pace
-    on_time_by = request.on_time_by
-    if request.is_batch:
-        on_time_by -= run_s - request.run_s
-    return request._replace(run_s=run_s, on_time_by=on_time_by, pace=pace)
+    return request._replace(run_s=run_s, on_time_by=due_at - run_s, pace=pace)
 
 
 def finish(table: DispatchTable, key: GrantKey, outcome: RunOutcome, now: float) -> None:
@@ -98,6 +100,7 @@
     if outcome is RunOutcome.SERVED:
         observed_s, estimated_s = now - grant.started_at, grant.run_s / grant.pace
         table.paces[target.service].add(observed_s, estimated_s)
+        target.pace.add(observed_s, estimated_s)
     target_health.record_outcome(table, target, outcome, now)
     target_health.record_crash(table, grant.fingerprint, outcome, now)
 
@@ -238,9 +241,6 @@
 def _try_start(table: DispatchTable, request: PendingRequest, now: float) -> list[Action]:
     """Grant a slot, preempting a batch item if necessary; return no actions if none is possible."""
     if request.is_batch:
-        held_until = table.batch_held_until.get(request.service, 0.0)
-        if now < held_until and table.uses(Mechanism.BATCH_HOLD):
-            return []
         request = _limit_not_preemptible(table, request)
     target = choose_target(table, table.targets.values(), request, now)
     if target is not None:
@@ -252,7 +252,6 @@
     if victim is None:
         return []
     victim.request_preemption(now)
-    table.batch_held_until[request.service] = now + BATCH_HOLD_S
     _take_slot(table, table.targets[victim.target_id], request, now)
     return [PreemptionRequested(victim.key), Granted(request.key, victim.target_id)]
 
--- a/clementinepin/systems/waiting.py
+++ b/clementinepin/systems/waiting.py
@@ -11,9 +11,12 @@
 from clementinepin.tables.mechanisms import Mechanism
 
 RETRY_AFTER_MIN_S: Final = 0.1  # the caller needs a new connection to retry
-RETRY_AFTER_MAX_S: Final = 1.6  # callers wait at most a third of their timeout of 5 s
-# A rejection within a quarter of the usual objective leaves the caller time to retry.
-RECHECK_AFTER_S: Final = 0.06
+RETRY_WAIT_SHARE_MAX: Final = 1 / 3  # of their remaining timeout is what callers wait at most
+# Of the time within which a request must start to be on time. Two checks within a quarter of the
+# objective leave a rejected caller time to retry.
+RECHECK_SHARE: Final = 0.25
+LATE_RETRY_SHARE_MIN: Final = 0.6  # of the longest wait, for callers that can't all be booked
+RECENT_RATE_S: Final = 1.0  # long enough for a mean, shorter than most peaks
 PRESSURE_MAX: Final = 1.2  # of all slots; below it, an idle period absorbs the rest of a peak
 OVERRUN_SHARE: Final = 0.25  # of its expected time is assumed to remain for an overdue run
 
@@ -105,16 +108,22 @@
     """
     if now >= request.deadline:
         return Rejected(request.key, RETRY_AFTER_MIN_S, "no slot before the latest useful start")
-    if now - request.requested_at < RECHECK_AFTER_S or not table.uses(Mechanism.RECHECK):
+    recheck_at = request.start_after(RECHECK_SHARE)
+    if now < recheck_at or not table.uses(Mechanism.RECHECK):
         return None
     if request.returned:
         overloaded = is_overloaded(table, request.service, now)
         return check_wait(table, request, now, rng) if overloaded else None
-    if now > request.on_time_by or now - request.requested_at < RECHECK_AFTER_S * 2:
+    if now > request.on_time_by or now < request.start_after(2 * RECHECK_SHARE):
         return check_wait(table, request, now, rng)
     return None
 
 
+def get_longest_retry_wait(request: PendingRequest, now: float) -> float:
+    """Return the seconds after which the caller returns at the latest, whatever it is told."""
+    return max(RETRY_AFTER_MIN_S, (request.timeout_at - now) * RETRY_WAIT_SHARE_MAX)
+
+
 def measure_pressure(table: DispatchTable, service: str, now: float) -> float:
     """Return the work that new callers bring, as a share of all slots of the service."""
     slots = sum(t.slots for t in table.targets.values() if t.service == service)
@@ -134,19 +143,26 @@
     """Return after how many seconds the caller should retry.
 
     Load pattern: a wave of rejected callers that would all retry at once. Each rejection books
-    the start time after the last one booked. A caller that has already returned once books none.
+    the start time after the last one booked, at the rate of the slots that new callers leave free.
+    Booked at the rate of all slots, they would return into the peak that rejected them. Callers
+    beyond the last time at which they would return are spread over the end of that time. A caller
+    that has already returned once books none.
     """
+    longest_s = get_longest_retry_wait(request, now)
     if not table.uses(Mechanism.BOOKED_RETURNS):
-        return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, start - now))
-    slots = sum(t.slots for t in table.targets.values() if t.service == request.service)
-    pace_s = request.run_s / max(1, slots)
+        return min(longest_s, max(RETRY_AFTER_MIN_S, start - now))
+    spare = float(sum(t.slots for t in table.targets.values() if t.service == request.service))
+    if table.uses(Mechanism.SPARE_BOOKING):
+        spare -= table.arrivals[request.service].get_rate(now, RECENT_RATE_S)
+    pace_s = request.run_s / max(1.0, spare)
     return_at = max(
         start, table.latest_return_at.get(request.service, 0.0) + pace_s, now + RETRY_AFTER_MIN_S
     )
-    return_at = min(return_at, now + RETRY_AFTER_MAX_S)
+    if return_at > now + longest_s:
+        return longest_s * rng.uniform(LATE_RETRY_SHARE_MIN, 1.0)
     if not request.returned:
         table.latest_return_at[request.service] = return_at
-    return min(RETRY_AFTER_MAX_S, return_at - now + rng.uniform(0.0, pace_s))
+    return min(longest_s, return_at - now + rng.uniform(0.0, pace_s))
 
 
 def _find_reopening(table: DispatchTable, request: PendingRequest) -> float:
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -137,6 +137,7 @@
         self.untracked = 0
         self.untracked_until = 0.0
         self.prefixes: OrderedDict[str, None] = OrderedDict()
+        self.pace = Pace()
 
     @property
     def taken(self) -> int:
@@ -156,18 +157,22 @@
         return sum(1 for grant in self.grants.values() if not grant.preempting)
 
 
+_QueueEntry = tuple[float, float, GrantKey]  # due time, expected time in the slot, key
+
+
 class BatchQueue:
     """Waiting batch items of one service; a backlog may hold thousands.
 
-    Items that can still be on time come first, by the latest start for that; overdue ones follow,
+    Items that can still be on time come first, by their due time and then by the least work left,
+    so that items of one job end one after the other and not all too late. Overdue ones follow,
     unless ``overdue_last`` is False.
     """
 
     def __init__(self, *, overdue_last: bool = True) -> None:
         self._overdue_last = overdue_last
         self._requests: dict[GrantKey, PendingRequest] = {}
-        self._heap: list[tuple[float, GrantKey]] = []
-        self._overdue: list[tuple[float, GrantKey]] = []
+        self._heap: list[_QueueEntry] = []
+        self._overdue: list[_QueueEntry] = []
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -178,7 +183,7 @@
     def add(self, request: PendingRequest) -> None:
         """Add an item to the queue."""
         self._requests[request.key] = request
-        heapq.heappush(self._heap, (request.on_time_by, request.key))
+        heapq.heappush(self._heap, (request.on_time_by + request.run_s, request.run_s, request.key))
 
     def remove(self, key: GrantKey) -> None:
         """Remove an item from the queue if it is there."""
@@ -186,16 +191,18 @@
 
     def get_first(self, now: float) -> PendingRequest | None:
         """Return the item that should start next, or None."""
-        while self._overdue_last and self._heap and self._heap[0][0] < now:
+        while (first := self._peek(self._heap)) is not None:
+            if first.on_time_by >= now or not self._overdue_last:
+                return first
             heapq.heappush(self._overdue, heapq.heappop(self._heap))
-        return self._peek(self._heap) or self._peek(self._overdue)
+        return self._peek(self._overdue)
 
-    def _peek(self, heap: list[tuple[float, GrantKey]]) -> PendingRequest | None:
+    def _peek(self, heap: list[_QueueEntry]) -> PendingRequest | None:
         """Return the first item of a heap that still waits, or None; drops removed items."""
         while heap:
-            on_time_by, key = heap[0]
+            due_at, _, key = heap[0]
             request = self._requests.get(key)
-            if request is not None and request.on_time_by == on_time_by:
+            if request is not None and request.on_time_by + request.run_s == due_at:
                 return request
             heapq.heappop(heap)
         return None
@@ -225,8 +232,7 @@
     """All state of one dispatcher. ``waiting`` holds online requests, ``items`` batch items.
 
     By service, ``arrivals`` is the work that new callers bring, ``latest_return_at`` the last
-    retry time booked for a rejected caller, ``paces`` how long runs take, and
-    ``batch_held_until`` the time before which no batch item starts. ``crashes`` has the times of crashes by request fingerprint.
+    retry time booked for a rejected caller, and ``paces`` how long runs take. ``crashes`` has the times of crashes by request fingerprint.
     """
 
     def __init__(
@@ -241,7 +247,6 @@
         self.items: dict[str, BatchQueue] = {}
         self.grants: dict[GrantKey, Grant] = {}
         self.latest_return_at: dict[str, float] = {}
-        self.batch_held_until: dict[str, float] = {}
         self.crashes: dict[str, list[float]] = {}
         self.arrivals: defaultdict[str, WorkRate] = defaultdict(WorkRate)
         self.paces: defaultdict[str, Pace] = defaultdict(Pace)
--- a/clementinepin/tables/mechanisms.py
+++ b/clementinepin/tables/mechanisms.py
@@ -16,7 +16,6 @@
     PRESSURE = "pressure"
     PREEMPTION = "preemption"
     PREEMPTION_DELAY = "preemption-delay"
-    BATCH_HOLD = "batch-hold"
     FIRM_ITEMS = "firm-items"
     OVERDUE_LAST = "overdue-last"
     DATA_CENTRE_AFFINITY = "data-centre-affinity"
--- a/tests/systems/dispatch_parts.py
+++ b/tests/systems/dispatch_parts.py
@@ -8,6 +8,7 @@
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, TargetLoad
 
 RUN_S = 0.75
+TIMEOUT_S = 5.0
 
 
 def make_table(targets: int = 2, slots: int = 2) -> DispatchTable:
@@ -19,6 +20,7 @@
 
 def make_request(number: int, now: float = 0.0, **changes: object) -> PendingRequest:
     request = PendingRequest(("f", number), "llm", False, now, now + 0.24, now + 1.9, RUN_S)
+    request = request._replace(timeout_at=now + TIMEOUT_S)
     return request._replace(**changes)  # type: ignore[arg-type]
 
 
