Book retries on the slots that new callers leave free, and derive limits from the request

Cause: in a lasting or repeated peak a rejected caller was told to return at the rate of all slots, though new callers take them first. It came back into the same peak: late, or rejected again.

Changes: - retries are booked at the rate that new callers of the last second leave free; callers beyond the longest time that they would wait are spread over its end. - the longest retry is a third of what is left of the caller's own timeout, which the entry sends; the recheck and the wait before a preemption are shares of the request's objective.

--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -62,6 +62,8 @@
 
 
 class Run:
+    """A request at an engine, with the tokens that it still has to produce."""
+
     def __init__(self, work: Work, on_end: Callable[[str], None]) -> None:
         self.work = work
         self.tokens_left = float(work.tokens)
@@ -82,6 +84,7 @@
         self.tokens_done = 0.0
 
     def add(self, run: Run) -> None:
+        """Start a run, or queue it if all slots are taken."""
         self.advance()
         if len(self.running) < self.slots:
             self.start(run)
@@ -90,11 +93,13 @@
         self.plan()
 
     def start(self, run: Run) -> None:
+        """Start a run in a free slot."""
         self.running.append(run)
         first_event_s = self.sim.deployment.first_event_s * self.speed
         self.sim.at(self.sim.now + first_event_s, lambda: self.record_first_event(run))
 
     def record_first_event(self, run: Run) -> None:
+        """Record the first event unless the run has ended."""
         if run in self.running:
             self.sim.record_first_event(run)
 
@@ -107,6 +112,7 @@
             run.on_end("broken")
 
     def get_step_s(self) -> float:
+        """Return the seconds of a step at the present load."""
         deployment = self.sim.deployment
         return (deployment.step_s + deployment.step_slot_s * len(self.running)) * self.speed
 
@@ -122,6 +128,7 @@
         return run.tokens_left
 
     def advance(self) -> None:
+        """Produce the tokens of the time since the last change."""
         if self.running:
             tokens = (self.sim.now - self.updated_at) / self.get_step_s()
             for run in self.running:
@@ -130,10 +137,12 @@
         self.updated_at = self.sim.now
 
     def fill(self) -> None:
+        """Start queued runs in free slots."""
         while self.queue and len(self.running) < self.slots:
             self.start(self.queue.pop(0))
 
     def plan(self) -> None:
+        """Schedule the end of the run that ends first."""
         self.version += 1
         version = self.version
         if self.running:
@@ -142,6 +151,7 @@
             self.sim.at(ends_at, lambda: self.finish(version))
 
     def finish(self, version: int) -> None:
+        """End the runs that have produced all tokens, unless the plan has changed."""
         if version != self.version:
             return
         self.advance()
@@ -188,9 +198,11 @@
         self.items_done: dict[int, float] = {}
 
     def at(self, when: float, action: Callable[[], None]) -> None:
+        """Schedule an action."""
         heapq.heappush(self._heap, (when, next(self._order), action))
 
     def run(self, policy: Policy, works: list[Work], until: float) -> None:
+        """Play all requests until a time in seconds."""
         for index, start, end in self.deployment.outages:
             self.at(start, lambda index=index: policy.lose_engine(self, index))  # type: ignore[misc]
             self.at(end, lambda index=index: policy.regain_engine(self, index))  # type: ignore[misc]
@@ -207,6 +219,7 @@
             action()
 
     def record_first_event(self, run: Run) -> None:
+        """Credit a caller for its first event."""
         work = run.work
         if work.is_batch or work.number in self.first_at:
             return
@@ -221,6 +234,7 @@
             self.worth[work.number] = 1.0 if on_time else 0.15
 
     def reject(self, policy: Policy, work: Work, retry_after_s: float) -> None:
+        """Reject a request; a new caller retries after the given time."""
         if work.returned:
             self.unserved_waits_s.append(self.now - work.arrives_at)
             return
@@ -229,9 +243,11 @@
         self.at(back.arrives_at, lambda: policy.submit(self, back))
 
     def get_online_worth(self) -> float:
+        """Return the mean credit of a caller."""
         return sum(self.worth.values()) / max(1, len(self.worth))
 
     def count_items_by(self, due: float) -> int:
+        """Return how many items were done by a time."""
         return sum(1 for ended in self.items_done.values() if ended <= due)
 
 
@@ -247,14 +263,17 @@
         self.lost: set[int] = set()
 
     def lose_engine(self, sim: Simulation, index: int) -> None:
+        """Lose an engine with all its runs."""
         self.lost.add(index)
         sim.engines[index].lose_all()
 
     def regain_engine(self, sim: Simulation, index: int) -> None:
+        """Use an engine again."""
         self.lost.discard(index)
         self.start_items(sim)
 
     def submit(self, sim: Simulation, work: Work) -> None:
+        """Place a request by own counts; items wait for their share."""
         if work.is_batch:
             self.waiting.append(work)
             self.start_items(sim)
@@ -266,12 +285,13 @@
         )
         counts[index] = counts.get(index, 0) + 1
 
-        def end(outcome: str) -> None:
+        def end(_outcome: str) -> None:
             counts[index] -= 1
 
         sim.engines[index].add(Run(work, end))
 
     def start_items(self, sim: Simulation) -> None:
+        """Start items up to the fixed number an engine."""
         for index, engine in enumerate(sim.engines):
             while index not in self.lost and self.waiting and self.batch.get(index, 0) < self.items:
                 self.batch[index] = self.batch.get(index, 0) + 1
@@ -306,19 +326,23 @@
             self.add_target(index)
 
     def add_target(self, index: int) -> None:
+        """Add an engine to the table."""
         target = TargetLoad(str(index), "llm", "a", self.deployment.slots)
         self.table.targets[target.target_id] = target
 
     def lose_engine(self, sim: Simulation, index: int) -> None:
+        """Lose an engine with all its runs."""
         sim.engines[index].lose_all()
         self.table.targets.pop(str(index), None)
         self.serve_queue(sim)
 
     def regain_engine(self, sim: Simulation, index: int) -> None:
+        """Use an engine again."""
         self.add_target(index)
         self.serve_queue(sim)
 
     def submit(self, sim: Simulation, work: Work) -> None:
+        """Pass a request to the dispatcher."""
         key = ("batch" if work.is_batch else "online", work.number)
         self.works[key] = work
         run_s = estimates.estimate_run(0, work.hint)
@@ -334,24 +358,29 @@
             now + (60.0 if work.is_batch else patience_s),
             run_s,
             returned=work.returned,
+            timeout_at=work.timeout_at,
         )
         self.carry_out(sim, dispatching.submit(self.table, request, now, sim.random))
         self.plan_tick(sim)
 
     def plan_tick(self, sim: Simulation) -> None:
+        """Schedule the next check of the queue if requests wait."""
         if self.table.waiting and not self.ticking:
             self.ticking = True
             sim.at(sim.now + TICK_S, lambda: self.tick(sim))
 
     def tick(self, sim: Simulation) -> None:
+        """Check the queue."""
         self.ticking = False
         self.serve_queue(sim)
         self.plan_tick(sim)
 
     def serve_queue(self, sim: Simulation) -> None:
+        """Carry out the dispatcher's decisions on the queue."""
         self.carry_out(sim, dispatching.serve_queue(self.table, sim.now, sim.random))
 
     def carry_out(self, sim: Simulation, actions: list[Action]) -> None:
+        """Carry out decisions; each message takes LINK_S."""
         for action in actions:
             work = self.works[action.key]
             if isinstance(action, Granted):
@@ -368,6 +397,7 @@
                 sim.at(sim.now + LINK_S, lambda key=action.key: self.preempt_run(sim, key))  # type: ignore[misc]
 
     def end(self, sim: Simulation, key: tuple[str, int], outcome: str) -> None:
+        """Release the slot of a run that has ended."""
         work = self.works[key]
         if outcome == "broken":
             dispatching.finish(self.table, key, RunOutcome.BROKEN, sim.now)
@@ -380,6 +410,7 @@
         self.serve_queue(sim)
 
     def preempt_run(self, sim: Simulation, key: tuple[str, int]) -> None:
+        """Stop an item and let it resume."""
         if key not in self.table.grants:
             return
         run, index = self.runs[key]
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -31,7 +31,9 @@
 PREFIXES_MAX: Final = 512  # per target; an engine caches a few hundred
 LOAD_STEPS: Final = 3  # coarse: each running request slows an engine's step by only 1%
 UNTRACKED_LOAD_S: Final = 0.5  # each response of the target carries a new load report
-PREEMPT_AFTER_S: Final = 0.05  # on a busy service, online slots become free faster
+# Of the time within which a request must start to be on time. On a busy service, slots of online
+# requests become free faster.
+PREEMPTION_WAIT_SHARE: Final = 0.2
 PREEMPTION_TIMEOUT_S: Final = 0.8  # a reachable runner stops within a few milliseconds
 PREEMPTIONS_PER_TARGET_MAX: Final = 3  # slots granted again before a preempted item frees them
 NOT_PREEMPTIBLE_SHARE_MAX: Final = 0.3  # of the slots of a service
@@ -48,7 +50,8 @@
     its slot too late for its objective is rejected at once, so that it can still retry in time.
     """
     if target_health.has_crashed_targets(table, request.fingerprint, now):
-        return [Rejected(request.key, waiting.RETRY_AFTER_MAX_S, "crashed targets")]
+        retry_after_s = waiting.get_longest_retry_wait(request, now)
+        return [Rejected(request.key, retry_after_s, "crashed targets")]
     request = _correct_estimate(table, request)
     if not request.is_batch and not request.returned:
         table.arrivals[request.service].add(request.run_s, now)
@@ -266,9 +269,11 @@
         return False
     if not table.uses(Mechanism.PREEMPTION_DELAY):
         return True
-    return now - request.requested_at >= PREEMPT_AFTER_S or waiting.predict_start(
-        table, request, now
-    ) > (now + PREEMPT_AFTER_S)
+    preempt_at = request.start_after(PREEMPTION_WAIT_SHARE)
+    if now >= preempt_at:
+        return True
+    longest_s = preempt_at - request.requested_at
+    return waiting.predict_start(table, request, now) > now + longest_s
 
 
 def _limit_not_preemptible(table: DispatchTable, request: PendingRequest) -> PendingRequest:
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -34,6 +34,7 @@
     overdue. ``warm`` names the targets to which the requesting instance has a connection.
     ``priority`` is that of the route, 0 is the most urgent. ``fingerprint`` is the same each time
     that a request is sent again. ``pace`` is the factor by which ``run_s`` was corrected.
+    The caller gives up at ``timeout_at``, after all retries.
     """
 
     key: GrantKey
@@ -52,6 +53,11 @@
     priority: int = 0
     fingerprint: str = ""
     pace: float = 1.0
+    timeout_at: float = float("inf")
+
+    def start_after(self, share: float) -> float:
+        """Return the time at which a share of the time for a start in time has passed."""
+        return self.requested_at + share * max(0.0, self.on_time_by - self.requested_at)
 
 
 class Grant:
@@ -222,17 +228,18 @@
             self._buckets = {k: v for k, v in self._buckets.items() if k > oldest}
         self._buckets[bucket] = self._buckets.get(bucket, 0.0) + run_s
 
-    def get_rate(self, now: float) -> float:
-        """Return the mean rate over the window; time before the first request counts as idle."""
-        oldest = int(now / RATE_BUCKET_S) - int(RATE_WINDOW_S / RATE_BUCKET_S)
-        return sum(v for k, v in self._buckets.items() if k > oldest) / RATE_WINDOW_S
+    def get_rate(self, now: float, window_s: float = RATE_WINDOW_S) -> float:
+        """Return the mean rate over the last ``window_s``; unknown time counts as idle."""
+        oldest = int(now / RATE_BUCKET_S) - int(window_s / RATE_BUCKET_S)
+        return sum(v for k, v in self._buckets.items() if k > oldest) / window_s
 
 
 class DispatchTable:
     """All state of one dispatcher. ``waiting`` holds online requests, ``items`` batch items.
 
     By service, ``arrivals`` is the work that new callers bring, ``latest_return_at`` the last
-    retry time booked for a rejected caller, and ``paces`` how long runs take. ``crashes`` has the times of crashes by request fingerprint.
+    retry time booked for a rejected caller, and ``paces`` how long runs take. ``crashes`` has the
+    times of crashes by request fingerprint.
     """
 
     def __init__(
--- a/clementinepin/tables/mechanisms.py
+++ b/clementinepin/tables/mechanisms.py
@@ -13,6 +13,7 @@
     EARLY_REJECTION = "early-rejection"
     RECHECK = "recheck"
     BOOKED_RETURNS = "booked-returns"
+    SPARE_BOOKING = "spare-booking"
     PRESSURE = "pressure"
     PREEMPTION = "preemption"
     PREEMPTION_DELAY = "preemption-delay"
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -14,16 +14,16 @@
     RunOutcome,
 )
 from clementinepin.systems.dispatching import (
-    PREEMPT_AFTER_S,
     PREEMPTION_TIMEOUT_S,
+    PREEMPTION_WAIT_SHARE,
     UNTRACKED_LOAD_S,
 )
 from clementinepin.systems.target_health import CRASH_MEMORY_S, CRASHES_MAX, FULL_RETRY_S
-from clementinepin.systems.waiting import RETRY_AFTER_MAX_S
+from clementinepin.systems.waiting import RETRY_WAIT_SHARE_MAX
 from clementinepin.tables.dispatch import (
     DispatchTable,
 )
-from tests.systems.dispatch_parts import RUN_S, fill, make_item, make_request, make_table
+from tests.systems.dispatch_parts import RUN_S, TIMEOUT_S, fill, make_item, make_request, make_table
 
 
 @pytest.fixture
@@ -107,7 +107,7 @@
     fill(table, 1, rng)
     (action,) = dispatching.submit(table, make_request(2), 0.0, rng)
     assert isinstance(action, Rejected)
-    assert RUN_S <= action.retry_after_s <= RETRY_AFTER_MAX_S
+    assert RUN_S <= action.retry_after_s <= TIMEOUT_S * RETRY_WAIT_SHARE_MAX
     assert not table.waiting
 
 
@@ -174,7 +174,7 @@
     dispatching.submit(table, make_request(2), 0.0, rng)
     request = make_request(3, RUN_S - 0.01)
     assert dispatching.submit(table, request, RUN_S - 0.01, rng) == []
-    later = RUN_S - 0.01 + PREEMPT_AFTER_S
+    later = request.start_after(PREEMPTION_WAIT_SHARE)
     assert PreemptionRequested(("s", 1)) in dispatching.serve_queue(table, later, rng)
 
 
