Drop abandoned uploads, and keep a copy that is replaced while it is read

- 64 uploads that their senders gave up made an instance refuse all copies for good.
An upload ends when its sender's time for a transfer is over.
- A read that found a damaged copy removed the file even if a good copy had been written meanwhile.
It reads again then, and removes nothing while a write is in progress.

Each has a test that failed before.

--- a/clementinepin/storage/_folder.py
+++ b/clementinepin/storage/_folder.py
@@ -102,24 +102,22 @@
     def read(self, name: str) -> StoredFile:
         """Return an intact copy. Raise SegmentLostError if it is damaged or missing.
 
-        A damaged copy is removed. Its name is added to ``damaged``, so that the copy is replaced
-        from another holder.
+        A damaged copy is removed, unless it is being replaced. Its name is added to ``damaged``, so
+        that the copy is replaced from another holder.
         """
-        try:
-            stored = decode_file(
-                name, self._operations.read(self._build_path(name + SUFFIX_SEGMENT))
-            )
-        except OSError as err:
-            self._forget(name)
-            self._record_damaged(name)
-            raise SegmentLostError(name) from err
-        except SegmentLostError:
-            logger.warning(
-                "{} The copy of segment {} in the data folder is damaged.", LOG_PREFIX, name
-            )
-            self.remove(name)
-            self._record_damaged(name)
-            raise
+        while True:
+            held = self.held.get(name)
+            try:
+                stored = decode_file(
+                    name, self._operations.read(self._build_path(name + SUFFIX_SEGMENT))
+                )
+                break
+            except (OSError, SegmentLostError) as err:
+                if self.held.get(name) is not held and name in self.held:
+                    continue  # replaced while the former copy was read
+                if not self.writing[name]:
+                    self._drop_damaged(name, err)
+                raise SegmentLostError(name) from err
         held = self.held.get(name)
         if held is not None:
             held.holders, held.keep_until = stored.holders, stored.keep_until
@@ -152,6 +150,16 @@
         self.held[name] = held
         self._used_bytes += size_bytes
 
+    def _drop_damaged(self, name: str, err: OSError | SegmentLostError) -> None:
+        if isinstance(err, OSError):
+            self._forget(name)
+        else:
+            logger.warning(
+                "{} The copy of segment {} in the data folder is damaged.", LOG_PREFIX, name
+            )
+            self.remove(name)
+        self._record_damaged(name)
+
     def _record_damaged(self, name: str) -> None:
         if len(self.damaged) < DAMAGED_NAMES_MAX:
             self.damaged.add(name)
--- a/clementinepin/storage/_transfers.py
+++ b/clementinepin/storage/_transfers.py
@@ -45,6 +45,14 @@
     offset: int
 
 
+class _Upload:
+    """The part of a copy that has arrived; its sender gives up before ``expires_at``."""
+
+    def __init__(self) -> None:
+        self.frame = bytearray()
+        self.expires_at = 0.0
+
+
 class SegmentTransfers:
     """Sends copies to and fetches copies from folders, and serves the own folder to peers."""
 
@@ -52,7 +60,7 @@
         self._core = core
         self._peers = peers
         self._folder = folder
-        self._uploads: dict[tuple[str, str], bytearray] = {}
+        self._uploads: dict[tuple[str, str], _Upload] = {}
         peers.register(METHOD_PUT, self._serve_put)
         peers.register(METHOD_GET, self._serve_get)
 
@@ -131,18 +139,21 @@
         """
         if not self._is_own(message["folder_id"]):
             return {"accepted": False}
+        now = self._core.clock.monotonic()
+        self._uploads = {k: u for k, u in self._uploads.items() if now < u.expires_at}
         key = (sender, message["name"])
-        upload = self._uploads.setdefault(key, bytearray())
+        upload = self._uploads.setdefault(key, _Upload())
+        upload.expires_at = now + TRANSFER_TIMEOUT_S
         if message["offset"] == 0:
-            upload.clear()
-        if message["offset"] != len(upload) or len(self._uploads) > UPLOADS_MAX:
+            upload.frame.clear()
+        if message["offset"] != len(upload.frame) or len(self._uploads) > UPLOADS_MAX:
             del self._uploads[key]
             return {"accepted": False}
-        upload += message["data"]
-        if len(upload) < message["size_bytes"]:
+        upload.frame += message["data"]
+        if len(upload.frame) < message["size_bytes"]:
             return {"accepted": True}
         del self._uploads[key]
-        stored = StoredFile(bytes(upload), tuple(message["holders"]), message["keep_until"])
+        stored = StoredFile(bytes(upload.frame), tuple(message["holders"]), message["keep_until"])
         try:
             decompress(message["name"], stored.frame)
             self._put_own(message["name"], stored)
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -9,6 +9,7 @@
 from clementinepin.storage._budget import INLINE_FLEET_BYTES_PER_DAY
 from clementinepin.storage._repair import ORPHAN_MIN_AGE_S, RECLAIM_GRACE_S, REPAIR_AFTER_S
 from clementinepin.storage._store import KEEP_S
+from clementinepin.storage._transfers import TRANSFER_TIMEOUT_S, UPLOADS_MAX
 from clementinepin.storage.exceptions import SegmentLostError, StorageUnavailableError
 from standins.key_value import MemoryKeyValueStore
 from tests.storage.fakes import Cluster
@@ -265,3 +266,35 @@
     key_value.replies_to_lose = 1
     name = cluster.nodes["a"].store.write(BULK)
     assert cluster.nodes["b"].store.read(name) == BULK
+
+
+def test_a_copy_that_is_replaced_while_the_damaged_one_is_read_is_kept(cluster):
+    """Mutation: remove the copy whatever was written meanwhile: the healed copy is lost."""
+    name = cluster.nodes["a"].store.write(BULK)
+    node = cluster.nodes[min(cluster.find_holders(name))]
+    folder, disk = node.store._folder, node.disk
+    intact = folder.read(name)
+    disk.flip_bit(name)
+    read_file = disk.read
+
+    def read_and_heal(path):
+        content = read_file(path)
+        disk.read = read_file
+        folder.put(name, intact)
+        return content
+
+    disk.read = read_and_heal
+    assert folder.read(name).frame == intact.frame
+    assert name in folder.held
+
+
+def test_abandoned_uploads_do_not_block_later_ones(cluster, clock):
+    """Mutation: keep uploads for good: after 64 of them the instance refuses all copies."""
+    transfers = cluster.nodes["b"].store._transfers
+    message = {"folder_id": cluster.nodes["b"].store._folder.folder_id, "offset": 0}
+    message |= {"size_bytes": 10, "holders": (), "keep_until": 0.0, "data": b"x"}
+    for number in range(UPLOADS_MAX):
+        assert transfers._serve_put("a", {**message, "name": str(number)})["accepted"]
+    assert not transfers._serve_put("a", {**message, "name": "next"})["accepted"]
+    clock.advance(TRANSFER_TIMEOUT_S)
+    assert transfers._serve_put("a", {**message, "name": "later"})["accepted"]
