--- a/clementinepin/systems/target_health.py
+++ b/clementinepin/systems/target_health.py
@@ -62,7 +62,9 @@
     if outcome is RunOutcome.SERVED:
         table.crashes.pop(fingerprint, None)
     elif outcome is RunOutcome.BROKEN:
-        table.crashes.setdefault(fingerprint, []).append(now)
+        times = table.crashes.setdefault(fingerprint, [])
+        times.append(now)
+        del times[:-CRASHES_MAX]
         while len(table.crashes) > FINGERPRINTS_MAX:
             del table.crashes[next(iter(table.crashes))]
 
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -6,12 +6,12 @@
 import pytest
 
 from clementinepin.helpers.clock import ManualClock
-from clementinepin.infrastructure import Change
+from clementinepin.infrastructure import Change, KeyValue
 from clementinepin.platform import create_wire
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._item_run import ItemRun
 from clementinepin.serving._links import LinkServer
-from clementinepin.serving._runner import START_GRACE_S, JobRunner
+from clementinepin.serving._runner import START_GRACE_S, JobRunner, _PrefixListener
 from clementinepin.serving.models import ItemResult, ItemState, Member
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS, make_head, make_items
@@ -228,3 +228,20 @@
     store.late.append(Change(late.expected, {keys.progress: b"broken"}))
     store.do_late_writes()
     assert records.fetch_progress(store, keys)[0] == progress
+
+
+def test_rows_that_are_missing_after_a_resync_are_forgotten() -> None:
+    """Mutation: handle the listed rows only: ids of removed jobs stay for as long as the process."""
+    known: dict[str, bytes] = {}
+
+    def handle(name: str, value: bytes | None) -> None:
+        if value is None:
+            known.pop(name, None)
+        else:
+            known[name] = value
+
+    listener = _PrefixListener("p/", handle)
+    for day in range(60):
+        listener.apply_change(f"p/watched-{day}", b"x", day)
+        listener.replace_rows([KeyValue(f"p/{day}", b"x", day)])
+        assert set(known) == {str(day)}
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -123,6 +123,17 @@
     assert isinstance(dispatching.submit(table, make_request(10), 1.0, rng)[0], Granted)
 
 
+def test_crash_records_stay_bounded_over_many_days(rng):
+    """Mutation: keep all crash times of a request that comes again and again."""
+    table = make_table(targets=1, slots=1)
+    for number in range(30 * 24):
+        now = number * 3600.0
+        target_health.record_crash(table, "poison", RunOutcome.BROKEN, now)
+        target_health.record_crash(table, f"other-{number}", RunOutcome.BROKEN, now)
+    assert len(table.crashes["poison"]) <= target_health.CRASHES_MAX
+    assert len(table.crashes) <= target_health.FINGERPRINTS_MAX
+
+
 def test_crash_record_expires_and_is_cleared_by_success(rng):
     table = make_table(targets=6, slots=4)
     for n, outcome in enumerate(
