Soak: find streams cut behind the last chunk's size, and restart ended instances

- The parser took the size of the last chunk for the end of a stream, so that a cut right behind it passed the check of whole answers.
A test cuts a stream at each byte.
- A restart fault skipped an instance that had ended unexpectedly, so the fleet stayed smaller for the rest of the run.
Its end is still reported.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -65,10 +65,10 @@
     if b"transfer-encoding: chunked" in lower_head:
         body, whole = b"", False
         while rest:
-            size, _, rest = rest.partition(b"\r\n")
+            size, line_end, rest = rest.partition(b"\r\n")
             count = int(size or b"0", 16)
-            if count == 0:
-                whole = bool(size)
+            if count == 0 or not line_end:
+                whole = bool(size) and count == 0 and rest.startswith(b"\r\n")
                 break
             if len(rest) < count + 2:
                 body += rest
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -88,11 +88,14 @@
     def _restart_instance(self, instance: Instance, signal_number: signal.Signals) -> None:
         """End an instance with a signal, wait up to 6 s for its end, and start it again.
 
-        Does nothing if another fault is restarting the instance or it ended unexpectedly before.
+        Does nothing if another fault is restarting the instance. One that ended unexpectedly before
+        is only started again.
         """
-        if instance.end_expected:
+        if instance.is_restarting:
             return
-        instance.send(signal_number)
+        instance.is_restarting = True
+        if instance.is_running():
+            instance.send(signal_number)
         for _ in range(60):
             if not instance.is_running():
                 break
@@ -100,6 +103,7 @@
         gevent.sleep(self._random.uniform(0.1, 1.0))
         if not instance.is_running():
             instance.start()
+        instance.is_restarting = False
 
     def _pause_instance(self) -> None:
         instance = self._choose_instance()
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -59,6 +59,7 @@
         self.is_front = is_front
         self.proxy = Proxy(("127.0.0.1", store_port))
         self.end_expected = False
+        self.is_restarting = False
         self._folder = folder
         self._process: subprocess.Popen[bytes] | None = None
         self.unexpected_exit_codes: list[int] = []
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -231,7 +231,7 @@
 
 
 def test_rows_that_are_missing_after_a_resync_are_forgotten() -> None:
-    """Mutation: handle the listed rows only: ids of removed jobs stay for as long as the process."""
+    """Mutation: handle the listed rows only: ids of removed jobs stay for good."""
     known: dict[str, bytes] = {}
 
     def handle(name: str, value: bytes | None) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 import pytest
 
 from soak.__main__ import reserve_net
+from soak._callers import parse_response
 
 ROOT = Path(__file__).parent.parent
 SEEDS = {1: "the first seed"}
@@ -21,6 +22,16 @@
     assert done.returncode == 0, done.stdout + done.stderr
 
 
+STREAM = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
+
+
+@pytest.mark.parametrize("cut", range(1, len(STREAM)))
+def test_a_stream_that_is_cut_anywhere_is_not_whole(cut):
+    """Mutation: take the size of the last chunk for the end: a cut behind it is missed."""
+    assert parse_response(STREAM).whole
+    assert not parse_response(STREAM[:cut]).whole
+
+
 def test_concurrent_soaks_reserve_different_loopback_nets():
     """Guards against two test runs on one machine whose daemons use the same addresses."""
     first, second = reserve_net(None), reserve_net(None)
