--- a/clementinepin/systems/waiting.py
+++ b/clementinepin/systems/waiting.py
@@ -15,7 +15,7 @@
 # Of the time within which a request must start to be on time. Two checks within a quarter of the
 # objective leave a rejected caller time to retry.
 RECHECK_SHARE: Final = 0.25
-LATE_RETRY_SHARE_MIN: Final = 0.6  # of the longest wait, for callers that can't all be booked
+LATE_RETRY_SHARE_MIN: Final = 0.8  # of the longest wait, for callers that can't all be booked
 RECENT_RATE_S: Final = 1.0  # long enough for a mean, shorter than most peaks
 PRESSURE_MAX: Final = 1.2  # of all slots; below it, an idle period absorbs the rest of a peak
 OVERRUN_SHARE: Final = 0.25  # of its expected time is assumed to remain for an overdue run
