--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -269,7 +269,7 @@
         return False
     if not table.uses(Mechanism.PREEMPTION_DELAY):
         return True
-    preempt_at = request.start_after(PREEMPTION_WAIT_SHARE)
+    preempt_at = request.get_time_after_share(PREEMPTION_WAIT_SHARE)
     if now >= preempt_at:
         return True
     longest_s = preempt_at - request.requested_at
--- a/clementinepin/systems/waiting.py
+++ b/clementinepin/systems/waiting.py
@@ -108,13 +108,13 @@
     """
     if now >= request.deadline:
         return Rejected(request.key, RETRY_AFTER_MIN_S, "no slot before the latest useful start")
-    recheck_at = request.start_after(RECHECK_SHARE)
+    recheck_at = request.get_time_after_share(RECHECK_SHARE)
     if now < recheck_at or not table.uses(Mechanism.RECHECK):
         return None
     if request.returned:
         overloaded = is_overloaded(table, request.service, now)
         return check_wait(table, request, now, rng) if overloaded else None
-    if now > request.on_time_by or now < request.start_after(2 * RECHECK_SHARE):
+    if now > request.on_time_by or now < request.get_time_after_share(2 * RECHECK_SHARE):
         return check_wait(table, request, now, rng)
     return None
 
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -55,7 +55,7 @@
     pace: float = 1.0
     timeout_at: float = float("inf")
 
-    def start_after(self, share: float) -> float:
+    def get_time_after_share(self, share: float) -> float:
         """Return the time at which a share of the time for a start in time has passed."""
         return self.requested_at + share * max(0.0, self.on_time_by - self.requested_at)
 
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -185,7 +185,7 @@
     dispatching.submit(table, make_request(2), 0.0, rng)
     request = make_request(3, RUN_S - 0.01)
     assert dispatching.submit(table, request, RUN_S - 0.01, rng) == []
-    later = request.start_after(PREEMPTION_WAIT_SHARE)
+    later = request.get_time_after_share(PREEMPTION_WAIT_SHARE)
     assert PreemptionRequested(("s", 1)) in dispatching.serve_queue(table, later, rng)
 
 
--- a/tests/systems/test_waiting.py
+++ b/tests/systems/test_waiting.py
@@ -68,7 +68,7 @@
     assert dispatching.submit(table, request, 0.0, rng) == []
     table.grants["f", 1].ends_at = 5.0
     assert dispatching.serve_queue(table, 0.02, rng) == []
-    (action,) = dispatching.serve_queue(table, request.start_after(RECHECK_SHARE), rng)
+    (action,) = dispatching.serve_queue(table, request.get_time_after_share(RECHECK_SHARE), rng)
     assert isinstance(action, Rejected)
 
 
