Count limits of texts in bytes

Cause: checkpoints, groups of results, pages and views of jobs compared characters with limits in bytes. Texts of other scripts take up to four bytes a character: a checkpoint of 600,000 characters is larger than a value may be, so the store would reject the write of all jobs of an instance, each time, and a page of results likewise.

--- a/clementinepin/serving/_checkpoints.py
+++ b/clementinepin/serving/_checkpoints.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.texts import count_bytes
 from clementinepin.infrastructure import Change, StateStore
 
 CHECKPOINT_PERIOD_S: Final = 2.0  # between two writes of an instance; bounds the work lost
@@ -57,7 +58,7 @@
     rows: dict[str, ItemCheckpoint] = {}
     size = 0
     for item_id, run in sorted(runs.items(), key=lambda pair: -pair[1].last_event_id):
-        size += sum(len(text) for text in run.texts)
+        size += count_bytes(run.texts)
         if run.last_event_id and size <= VALUE_MAX_BYTES:
             rows[item_id] = ItemCheckpoint(
                 item_id, run.failures, run.last_event_id, list(run.texts)
--- a/clementinepin/serving/_job_views.py
+++ b/clementinepin/serving/_job_views.py
@@ -9,6 +9,7 @@
 import gevent
 from gevent.event import Event
 
+from clementinepin.helpers.texts import count_bytes
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._links import Link, LinkServer
 from clementinepin.serving.models import ItemResult
@@ -20,20 +21,20 @@
 class JobView:
     """The listed results of one job, which are only ever appended to.
 
-    ``size`` is the length of all texts. ``is_open`` says that more results will follow.
+    ``size`` is the length of all texts in bytes. ``is_open`` says that more results will follow.
     """
 
     def __init__(self, total: int, results: list[ItemResult]) -> None:
         self.total = total
         self.results = results
-        self.size = sum(len(result.text) for result in results)
+        self.size = count_bytes(result.text for result in results)
         self.is_open = len(results) < total
         self.changed = Event()
 
     def extend(self, results: list[ItemResult]) -> None:
         """Append stored results and wake waiting readers."""
         self.results = self.results + results
-        self.size += sum(len(result.text) for result in results)
+        self.size += count_bytes(result.text for result in results)
         self.is_open = len(self.results) < self.total
         self._notify_readers()
 
@@ -92,7 +93,7 @@
         rows: list[tuple[str, str, str]] = []
         size = 0
         for result in view.results[call.after :]:
-            size += len(result.text)
+            size += count_bytes([result.text])
             if rows and size > PAGE_TEXT_MAX_BYTES:
                 break
             rows.append((result.item_id, str(result.state), result.text))
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -18,6 +18,7 @@
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rendezvous import choose_owner
+from clementinepin.helpers.texts import count_bytes
 from clementinepin.infrastructure import KeyValue, StateStore
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._checkpoints import CHECKPOINT_PERIOD_S, CheckpointKeeper, ItemCheckpoint
@@ -417,7 +418,7 @@
     group: list[ItemRun] = []
     size = 0
     for run in runs[:RESULTS_PER_WRITE_MAX]:
-        size += len(run.text)
+        size += count_bytes(run.texts)
         if group and size > TEXT_BYTES_PER_WRITE_MAX:
             break
         group.append(run)
