--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -17,6 +17,7 @@
 from clementinepin.exceptions import Outcome
 from clementinepin.infrastructure import ListedInstance
 from clementinepin.systems.exceptions import NoTargetError
+from clementinepin.tables import ShardRow, ShardState, set_bits
 from standins.key_value import MemoryKeyValueStore
 from tests.batch.fakes import (
     ACCOUNT,
@@ -212,3 +213,14 @@
     wait_for(lambda: is_ended(other, job))
     assert [r["custom_id"] for r in read_results(other.batch, job.job_id)] == ["c0", "c1", "c2"]
     other.kill()
+
+
+def test_progress_that_the_closer_writes_reaches_the_active_job(node):
+    """Mutation: don't connect ``on_progress``: estimates use the progress of the last check."""
+    job = submit(node, 40)
+    active = node.batch._active.jobs[job.job_id]
+    row = active.row._replace(shards=2)
+    sealed = ShardRow(1, "i1", 0.0, 30, state=ShardState.COMPLETE, done=set_bits(b"", range(30)))
+    node.batch._closer.record_sealed(row, 0, sealed._replace(failed=2))
+    assert (active.progress.completed, active.progress.failed) == (28, 2)
+    assert active.items_left == 10
