--- a/clementinepin/serving/_dispatcher_link.py
+++ b/clementinepin/serving/_dispatcher_link.py
@@ -45,10 +45,9 @@
         clock: Clock,
         make_hello: Callable[[], messages.Hello],
         handle_message: Callable[[Any], None],
-        *,
-        suspends: bool = True,
+        suspect_s: float = SUSPECT_S,
     ) -> None:
-        self._suspect_s = SUSPECT_S if suspends else 0.0
+        self._suspect_s = suspect_s
         self._fleet = fleet
         self._clock = clock
         self._make_hello = make_hello
@@ -90,7 +89,7 @@
             self._sender.send(message)
 
     def suspect(self, reason: str) -> None:
-        """Suspect the dispatcher; drop it unless it sends something within SUSPECT_S."""
+        """Suspect the dispatcher; drop it unless it sends something within ``suspect_s``."""
         if not self.is_responsive:
             return
         self._is_suspected = True
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -19,7 +19,7 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._dispatcher import update_targets
-from clementinepin.serving._dispatcher_link import DispatcherLink
+from clementinepin.serving._dispatcher_link import SUSPECT_S, DispatcherLink
 from clementinepin.serving._feed import FeedClient
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._pools import TargetPools
@@ -108,10 +108,8 @@
         self._early_preemptions: set[int] = set()
         self._taken: dict[int, tuple[SlotRequest, str, float]] = {}
         self._first_dispatcher_linked_at = clock.monotonic()
-        suspends = Mechanism.DISPATCHER_SUSPICION not in policy.disabled
-        self._link = DispatcherLink(
-            fleet, clock, self._make_hello, self._handle_message, suspends=suspends
-        )
+        suspect_s = SUSPECT_S if Mechanism.DISPATCHER_SUSPICION not in policy.disabled else 0.0
+        self._link = DispatcherLink(fleet, clock, self._make_hello, self._handle_message, suspect_s)
         self._link.on_open = self._feed.open
         self._link.on_closed = self._handle_close
         self._table = DispatchTable(policy.order, policy.disabled)
