--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,13 +12,13 @@
 
 from soak._callers import Callers
 from soak._faults import Faults
-from soak._fleet import Fleet
+from soak._fleet import ROOT, Fleet
 
 USAGE = """Soak the daemons under faults drawn by seeds.
 
 Usage:
   soak [--seeds LIST] [--count N] [--first N] [--seconds S] [--rate R] [--fronts N] [--runners N]
-       [--targets N] [--start S] [--net N] [--keep FOLDER]
+       [--targets N] [--start S] [--net N] [--keep FOLDER] [--beside FOLDER]
 
 Options:
   --seeds LIST     Seeds, separated by commas.
@@ -32,6 +32,8 @@
   --start S        Seconds for all processes to start and find each other [default: 3].
   --net N          Second part of the loopback addresses; by default the first one that no other
                    soak on this machine uses.
+  --beside FOLDER  Checkout of another build, whose daemons run beside those of this one on the same
+                   store; each restart of an instance changes its build.
   --keep FOLDER    Folder that keeps the logs of failed seeds.
 """
 NETS = range(1, 250)
@@ -51,6 +53,7 @@
         runners=int(args["--runners"]),
         targets=int(args["--targets"]),
         net=net,
+        builds=(ROOT, Path(args["--beside"]).resolve()) if args["--beside"] else (ROOT,),
     )
     callers, faults = Callers(fleet, seed), Faults(fleet, seed)
     try:
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import os
 import random
 import signal
@@ -24,6 +25,7 @@
 from standins.key_value import create_server
 
 ROOT = Path(__file__).parent.parent
+Builds = tuple[Path, ...]
 SERVICE = "llm"
 HOST = "soak.example"
 GRACE_PERIOD_S = 4.0
@@ -49,11 +51,17 @@
 
 
 class Instance:
-    """One daemon process with its settings file, log file and proxy to the store."""
+    """One daemon process with its settings file, log file and proxy to the store.
+
+    Each start takes the next of ``builds``, which are checkouts of the project.
+    """
 
     def __init__(
-        self, name: str, ip: str, folder: Path, store_port: int, *, is_front: bool
+        self, name: str, ip: str, folder: Path, store_port: int, builds: Builds, *, is_front: bool
     ) -> None:
+        # Instances begin with different builds, so that both run at any time.
+        first = int(name[-1]) % len(builds)
+        self._builds = itertools.cycle((*builds[first:], *builds[:first]))
         self.name = name
         self.ip = ip
         self.is_front = is_front
@@ -86,7 +94,7 @@
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "clementinepin.serve"],
-                cwd=ROOT,
+                cwd=next(self._builds),
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -120,11 +128,20 @@
     """Starts and stops all parts.
 
     ``fronts`` and ``runners`` are the numbers of entry instances and of job runners, ``targets``
-    that of engines; ``net`` is the second part of the instances' loopback addresses.
+    that of engines; ``net`` is the second part of the instances' loopback addresses. ``builds`` are
+    the checkouts whose daemons run beside each other.
     """
 
     def __init__(
-        self, folder: Path, seed: int, *, fronts: int, runners: int, targets: int, net: int = 0
+        self,
+        folder: Path,
+        seed: int,
+        *,
+        fronts: int,
+        runners: int,
+        targets: int,
+        net: int = 0,
+        builds: Builds = (ROOT,),
     ) -> None:
         self.random = random.Random(seed)
         self.started_at = time.monotonic()
@@ -137,11 +154,11 @@
         self._lease_ids: dict[str, int] = {}
         port = self.store.server_port
         self.instances = [
-            Instance(f"front-{n}", f"127.{net}.1.{n + 1}", folder, port, is_front=True)
+            Instance(f"front-{n}", f"127.{net}.1.{n + 1}", folder, port, builds, is_front=True)
             for n in range(fronts)
         ]
         self.instances += [
-            Instance(f"store-{n}", f"127.{net}.2.{n + 1}", folder, port, is_front=False)
+            Instance(f"store-{n}", f"127.{net}.2.{n + 1}", folder, port, builds, is_front=False)
             for n in range(runners)
         ]
         self.put_configuration(1)
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -71,9 +71,16 @@
     return runner
 
 
-def submit(store: MemoryStore, count: int, owner: str = "store-1") -> records.JobKeys:
-    keys = records.JobKeys("cp/", "j1")
-    store.apply(records.make_submission(keys, make_head(owner=owner), make_items(count)))
+def submit(
+    store: MemoryStore,
+    count: int,
+    owner: str = "store-1",
+    job_id: str = "j1",
+    now_s: float = 1_000_000.0,
+) -> records.JobKeys:
+    keys = records.JobKeys("cp/", job_id)
+    head = make_head(job_id, owner, now_s)
+    store.apply(records.make_submission(keys, head, make_items(count)))
     return keys
 
 
@@ -219,6 +226,21 @@
     assert not [key for key in store.rows if "j1" in key]
 
 
+def test_nothing_is_kept_of_removed_jobs_over_many_days() -> None:
+    """Mutation: keep the ids of finished jobs when their announcement is removed."""
+    store, clock = MemoryStore(), ManualClock()
+    runner = start_runner(store, FakeItems(), clock=clock)
+    for day in range(30):
+        keys = submit(store, 1, job_id=f"j{day}", now_s=clock.wall())
+        wait_until_closed(store, keys)
+        clock.advance(86_400.0)
+        with gevent.Timeout(5.0):
+            while keys.progress in store.rows or f"j{day}" in runner._heads:
+                gevent.sleep(0.001)
+    kept = [*runner._heads, *runner._finished, *runner._ended, *runner._jobs]
+    assert kept == []
+
+
 def test_a_late_write_does_not_replace_newer_progress() -> None:
     store = MemoryStore()
     keys = submit(store, 1)
