--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -19,16 +19,9 @@
 
 import msgspec
 
-from bench.load_model import (
-    BlindPolicy,
-    Deployment,
-    DispatchPolicy,
-    Policy,
-    Simulation,
-    Work,
-    make_items,
-    make_online,
-)
+from bench.load_model import Deployment, Policy, Simulation, Work
+from bench.load_policies import BlindPolicy, DispatchPolicy
+from bench.loads import make_items, make_online
 from clementinepin.tables.dispatch import QueueOrder
 from clementinepin.tables.mechanisms import Mechanism
 
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -15,7 +15,9 @@
 
 import msgspec
 
-from bench.load_model import Deployment, DispatchPolicy, Simulation, make_online, make_square
+from bench.load_model import Deployment, Simulation
+from bench.load_policies import DispatchPolicy
+from bench.loads import make_online, make_square
 from clementinepin.tables.dispatch import QueueOrder
 
 SEEDS = range(1, 7)
--- a/tests/bench/test_experiments.py
+++ b/tests/bench/test_experiments.py
@@ -7,7 +7,8 @@
 import pytest
 
 from bench import ablation, experiment
-from bench.load_model import Deployment, DispatchPolicy, Simulation, Work
+from bench.load_model import Deployment, Simulation, Work
+from bench.load_policies import DispatchPolicy
 from clementinepin.tables.mechanisms import Mechanism
 
 
--- a/tests/systems/test_load_patterns.py
+++ b/tests/systems/test_load_patterns.py
@@ -6,19 +6,9 @@
 
 import pytest
 
-from bench.load_model import (
-    OBJECTIVE_S,
-    BlindPolicy,
-    Deployment,
-    DispatchPolicy,
-    Policy,
-    Run,
-    Simulation,
-    Work,
-    make_items,
-    make_online,
-    make_square,
-)
+from bench.load_model import OBJECTIVE_S, Deployment, Policy, Run, Simulation, Work
+from bench.load_policies import BlindPolicy, DispatchPolicy
+from bench.loads import make_items, make_online, make_square
 from clementinepin.tables.dispatch import DispatchTable, QueueOrder
 from clementinepin.tables.mechanisms import Mechanism
 
