Keep calls of plain services away from targets that refuse as not loaded

Found on reading the change once more: the refusal is free of charge and leaves the target among those that may be chosen, and what keeps calls away was judged for applications only. A target of a plain service that answers so would have got the call every few milliseconds until its deadline.

Change: the record of refusals counts for all calls. The new test fails without it: more than ten sends in place of one a target.

--- a/clementinepin/systems/routing.py
+++ b/clementinepin/systems/routing.py
@@ -61,7 +61,7 @@
         and row.closed_until <= now
         and row.name not in call.tried
         and (application is None or allows_place(application, row))
-        and (application is None or not lacks_model(application, row, now))
+        and not lacks_model(call.application, row, now)
     ]
     if application is None:
         return usable
@@ -88,12 +88,13 @@
     return application.adapter in {name.split(":")[0] for name in report.adapters}
 
 
-def lacks_model(application: ApplicationSpec, row: TargetRow, now: float) -> bool:
+def lacks_model(application: str, row: TargetRow, now: float) -> bool:
     """Return whether a refusal shows that a target has not loaded the application's model.
 
+    ``application`` is empty for plain services, whose targets may refuse in the same way.
     A later report decides instead; without one, the target is tried again after MODEL_RETRY_S.
     """
-    refused_at = row.model_refusals.get(application.name)
+    refused_at = row.model_refusals.get(application)
     if refused_at is None or (row.report is not None and row.report.reported_at > refused_at):
         return False
     return now < refused_at + MODEL_RETRY_S
--- a/tests/systems/test_model_refusals.py
+++ b/tests/systems/test_model_refusals.py
@@ -7,7 +7,7 @@
 from clementinepin.scheduling import CallResult
 from clementinepin.systems.actions import Grant
 from clementinepin.systems.routing import MODEL_RETRY_S
-from tests.scheduling.fakes import SERVICE, build_call, build_report
+from tests.scheduling.fakes import SERVICE, build_call, build_report, build_target
 from tests.systems.harness import START, build_decider
 
 TARGETS = ("t1", "t2", "t3", "t4", "t5")
@@ -24,13 +24,13 @@
     return decider
 
 
-def run_call(decider, name, now, loaded=(), result=CallResult.REFUSED_NOT_LOADED):
+def run_call(decider, name, now, loaded=(), result=CallResult.REFUSED_NOT_LOADED, **changes):
     """Run a call from its admission to its end, as the entry does.
 
     Targets that are not in ``loaded`` refuse it with ``result``. Return the names of the targets
     that it was sent to, and whether it failed for lack of a retry.
     """
-    call = build_call(name)
+    call = build_call(name, **changes)
     waiting = decider.submit(call, now, now)
     sent = []
     while grants := [a for a in decider.tick(now, now) if isinstance(a, Grant)]:
@@ -107,3 +107,12 @@
     again, _ = run_call(decider, "next", START + POLL_S, loaded=("t2",))
     assert sent[-1] == "t2"
     assert again == ["t2"]
+
+
+def test_plain_service_that_refuses_as_not_loaded_is_not_called_again_at_once():
+    """Mutation: judge calls with an application only: the call is sent again until its deadline."""
+    decider = build_unreported_decider()
+    decider.set_targets([build_target(name, service="plain") for name in TARGETS])
+    sent, denied = run_call(decider, "first", START, service="plain", application="")
+    assert sorted(sent) == list(TARGETS)
+    assert not denied
