Learn the pace from runs that succeeded, and expect a new target to be like the others

Found on reading the change once more: - a failed item counts as served at its target. Targets that fail part of their requests at once would have seemed the fastest, and items take the pace of the fastest target: all of them would count as on time. Only complete responses with a success status count now. - a target without runs was expected to have a pace of 1.0. On engines four times slower than the estimates, one new target made late items count as on time. It is expected to be as the service.

item_run_ended says whether the run was preempted; "cancelled" alone did not tell it from an end by the caller.

--- a/bench/load_policies.py
+++ b/bench/load_policies.py
@@ -169,7 +169,7 @@
         else:
             if work.is_batch:
                 sim.items_done[work.number] = sim.now
-            dispatching.finish(self.table, key, RunOutcome.SERVED, sim.now)
+            dispatching.finish(self.table, key, RunOutcome.SERVED, sim.now, succeeded=True)
         self.serve_queue(sim)
 
     def preempt_run(self, sim: Simulation, key: tuple[str, int]) -> None:
--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -18,7 +18,8 @@
     ``sends`` counts the targets that were sent bytes of it, ``unreached`` those that were not
     reached. ``maybe_run`` is set once a target may have run it. ``can_resend`` is cleared once a
     part of a response was sent that no other target can continue. ``gone`` says that the caller
-    closed its connection. ``returned`` marks a caller that was rejected before.
+    closed its connection. ``returned`` marks a caller that was rejected before. ``has_succeeded``
+    is set with ``is_complete`` if the response has a success status.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         self.target_load: tuple[int, int, int] | None = None
         self.first_byte_at = started_at
         self.is_complete = False
+        self.has_succeeded = False
 
     def record_caller_gone(self) -> None:
         """Record that the caller is gone, and end the wait for a slot or a target."""
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -105,7 +105,8 @@
     def _handle_release(self, link: Link, message: messages.ReleaseSlot) -> None:
         now = self._clock.monotonic()
         outcome = RunOutcome(message.outcome)
-        dispatching.finish(self.table, (link.name, message.number), outcome, now)
+        key = (link.name, message.number)
+        dispatching.finish(self.table, key, outcome, now, succeeded=message.succeeded)
         self._serve_queue()
 
     def _handle_load(self, link: Link, message: messages.ReportLoad) -> None:
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -107,7 +107,7 @@
             try:
                 outcome = self._use_slot(connection, call, slot)
             finally:
-                self._slots.release(slot, outcome)
+                self._slots.release(slot, outcome, succeeded=call.has_succeeded)
             if call.is_complete:
                 return
             if call.gone:
@@ -274,6 +274,7 @@
                 self._forward_body(connection, call, exchange)
             connection.end_response()
             call.is_complete = True
+            call.has_succeeded = exchange.status < STATUS_SUCCESS_BELOW
         except TargetLostError as err:
             return self._record_target_lost(call, err)
         except OSError:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -51,7 +51,8 @@
     ``state`` is None until the item is completed or dead, and stays None if it is cancelled.
     ``crashes`` counts runs in a row that lost their target without a new event. ``lost_at`` holds
     the id and start time (Unix ms) of targets lost in this way. The item is not sent again before
-    ``held_until`` (monotonic seconds) once it has CRASHES_MAX crashes.
+    ``held_until`` (monotonic seconds) once it has CRASHES_MAX crashes. ``preempted`` says that the
+    dispatcher asked the latest run to free its slot.
     """
 
     def __init__(self, item: JobItem, head: records.JobHead, failures: int) -> None:
@@ -66,6 +67,7 @@
         self.state: ItemState | None = None
         self.cancelled = False
         self.wait_reason = ""
+        self.preempted = False
         self.abort = Abort()
         self.cancel_wait: Callable[[], None] = lambda: None
 
@@ -90,6 +92,7 @@
 
     def preempt(self) -> None:
         """Abort the request to the target; the item resumes later after its last event."""
+        self.preempted = True
         self.abort.trigger()
 
 
@@ -158,6 +161,7 @@
     def _run_once(self, run: ItemRun, route: Route) -> RunOutcome:
         """Acquire a slot, run the item on it once and return how that ended."""
         run.abort = Abort()
+        run.preempted = False
         try:
             slot = self._slots.acquire(
                 self._make_slot_request(run, route), self._make_cancel_setter(run)
@@ -172,13 +176,15 @@
         try:
             outcome = self._use_slot(run, route, slot)
         finally:
-            self._slots.release(slot, outcome)
+            succeeded = run.state is ItemState.COMPLETED
+            self._slots.release(slot, outcome, succeeded=succeeded)
             self._metrics.count_item_run(outcome)
         logger.bind(
             request_id=run.item.item_id,
             job=run.head.job_id,
             target=slot.target_id,
             outcome=str(outcome),
+            preempted=run.preempted,
             events=run.last_event_id,
             ran_ms=round((self._clock.monotonic() - granted_at) * 1000, 1),
             failures=run.failures,
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -61,10 +61,14 @@
 
 
 class ReleaseSlot(msgspec.Struct, array_like=True, tag=2, frozen=True):
-    """Releases a slot or withdraws a request for one."""
+    """Releases a slot or withdraws a request for one.
+
+    ``succeeded`` is True after a complete response with a success status.
+    """
 
     number: int
     outcome: str
+    succeeded: bool = False
 
 
 class GrantSlot(msgspec.Struct, array_like=True, tag=3, frozen=True):
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -197,14 +197,18 @@
         self._first_dispatcher_linked_at = self._clock.monotonic()
         return True
 
-    def release(self, slot: Slot, outcome: RunOutcome) -> None:
-        """Release a slot and report to the dispatcher how its use ended."""
+    def release(self, slot: Slot, outcome: RunOutcome, *, succeeded: bool = False) -> None:
+        """Release a slot and report to the dispatcher how its use ended.
+
+        ``succeeded`` is True after a complete response with a success status.
+        """
         self._taken.pop(slot.number, None)
         self._preemption_handlers.pop(slot.number, None)
         self._early_preemptions.discard(slot.number)
         key = (self._name, slot.number)
-        dispatching.finish(self._table, key, outcome, self._clock.monotonic())
-        self._link.send(messages.ReleaseSlot(slot.number, outcome))
+        now = self._clock.monotonic()
+        dispatching.finish(self._table, key, outcome, now, succeeded=succeeded)
+        self._link.send(messages.ReleaseSlot(slot.number, outcome, succeeded))
 
     def report_load(self, slot: Slot, load: tuple[int, int, int] | None) -> None:
         """Report a target's own count of running and waiting requests; None reports nothing.
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -80,18 +80,34 @@
     """
     if not table.uses(Mechanism.PACE):
         return request
+    mean_pace = table.paces[request.service].estimate_factor(1.0)
     if not request.is_batch:
-        pace = table.paces[request.service].factor
-        return request._replace(run_s=request.run_s * pace, pace=pace)
-    paces = [t.pace.factor for t in table.targets.values() if t.service == request.service]
-    pace = min(paces, default=1.0)
+        return request._replace(run_s=request.run_s * mean_pace, pace=mean_pace)
+    pace = min(
+        (
+            target.pace.estimate_factor(mean_pace)
+            for target in table.targets.values()
+            if target.service == request.service
+        ),
+        default=mean_pace,
+    )
     due_at = request.on_time_by + request.run_s
     run_s = request.run_s * pace
     return request._replace(run_s=run_s, on_time_by=due_at - run_s, pace=pace)
 
 
-def finish(table: DispatchTable, key: GrantKey, outcome: RunOutcome, now: float) -> None:
-    """Free a slot or remove a request from the queue, and record the outcome at the target."""
+def finish(
+    table: DispatchTable,
+    key: GrantKey,
+    outcome: RunOutcome,
+    now: float,
+    *,
+    succeeded: bool = False,
+) -> None:
+    """Free a slot or remove a request from the queue, and record the outcome at the target.
+
+    Only runs that succeeded count for the pace: a failure tells nothing of how long others take.
+    """
     table.remove_waiting(key)
     grant = table.grants.pop(key, None)
     if grant is None:
@@ -100,7 +116,7 @@
     if target is None:
         return
     target.grants.pop(key, None)
-    if outcome is RunOutcome.SERVED:
+    if succeeded:
         observed_s, estimated_s = now - grant.started_at, grant.run_s / grant.pace
         table.paces[target.service].add(observed_s, estimated_s)
         target.pace.add(observed_s, estimated_s)
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -14,7 +14,7 @@
 RATE_WINDOW_S: Final = 6.0  # covers one peak and one idle period of usual traffic
 RATE_BUCKET_S: Final = 0.5  # old work leaves the window in steps of this size
 PACE_DECAY: Final = 0.97  # of the weight of earlier runs with each further one
-PACE_PRIOR_S: Final = 3.0  # slot seconds of runs as estimated, before any was observed
+PACE_PRIOR_S: Final = 3.0  # weight of the expected pace, in slot seconds of runs
 
 
 class QueueOrder(StrEnum):
@@ -108,18 +108,21 @@
     __slots__ = ("_estimated_s", "_observed_s")
 
     def __init__(self) -> None:
-        self._observed_s = PACE_PRIOR_S
-        self._estimated_s = PACE_PRIOR_S
+        self._observed_s = 0.0
+        self._estimated_s = 0.0
 
     def add(self, observed_s: float, estimated_s: float) -> None:
         """Add a run that has ended."""
         self._observed_s = self._observed_s * PACE_DECAY + observed_s
         self._estimated_s = self._estimated_s * PACE_DECAY + estimated_s
 
-    @property
-    def factor(self) -> float:
-        """Return the factor by which estimates should be multiplied."""
-        return self._observed_s / self._estimated_s
+    def estimate_factor(self, expected: float) -> float:
+        """Return the factor by which estimates should be multiplied.
+
+        ``expected`` is the factor that is assumed before any run; it loses weight with each.
+        """
+        observed_s = self._observed_s + PACE_PRIOR_S * expected
+        return observed_s / (self._estimated_s + PACE_PRIOR_S)
 
 
 class TargetLoad:
--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -42,6 +42,7 @@
     def __init__(self) -> None:
         self.target_ids: list[str] = []
         self.outcomes: list[RunOutcome] = []
+        self.successes: list[bool] = []
         self.rejection: OverloadedError | None = None
         self.silent: list[tuple[str, str]] = []
 
@@ -53,8 +54,9 @@
                 return Slot(number, target_id, alone=False)
         raise OverloadedError("all targets are excluded", 0.25)
 
-    def release(self, slot: Slot, outcome: RunOutcome) -> None:
+    def release(self, slot: Slot, outcome: RunOutcome, *, succeeded: bool = False) -> None:
         self.outcomes.append(outcome)
+        self.successes.append(succeeded)
 
     def report_load(self, slot: Slot, load: Any) -> None:
         return
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -23,6 +23,7 @@
     Target,
 )
 from clementinepin.systems import estimates
+from clementinepin.systems.dispatch_actions import RunOutcome
 from tests.serving.harness import FakeSlots, close_at_once, send_events
 from tests.serving.parts import make_head, make_items, make_route
 from tests.serving.scripted import ScriptedTarget, refuse
@@ -215,3 +216,11 @@
     assert [(row["request_id"], row["reason"]) for row in rows] == [
         ("i0", "batch waits for a dispatcher")
     ]
+
+
+def test_only_a_completed_item_reports_success():
+    """Mutation: report success for any response: failures that come fast shorten all estimates."""
+    harness = Harness(FAILED, send_events(1))
+    harness.run_item()
+    assert harness.slots.outcomes == [RunOutcome.SERVED, RunOutcome.SERVED]
+    assert harness.slots.successes == [False, True]
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -223,11 +223,31 @@
     for number in range(60):
         dispatching.submit(table, make_request(number, now), now, rng)
         now += 3.0 * RUN_S
-        dispatching.finish(table, ("f", number), RunOutcome.SERVED, now)
+        dispatching.finish(table, ("f", number), RunOutcome.SERVED, now, succeeded=True)
     dispatching.submit(table, make_request(100, now), now, rng)
     assert table.grants["f", 100].ends_at - now == pytest.approx(3.0 * RUN_S, rel=0.1)
 
 
+def test_failures_do_not_change_the_pace(rng):
+    """Mutation: count every response: targets that fail at once make all runs seem short."""
+    table = make_table(targets=1, slots=1)
+    for number in range(60):
+        dispatching.submit(table, make_request(number), 0.0, rng)
+        dispatching.finish(table, ("f", number), RunOutcome.SERVED, 0.001)
+    dispatching.submit(table, make_request(100), 1.0, rng)
+    assert table.grants["f", 100].run_s == RUN_S
+
+
+def test_a_new_target_is_expected_to_be_as_fast_as_the_others(rng):
+    """Mutation: expect a pace of 1.0: one new target makes items count as on time that are not."""
+    table = make_table(targets=2, slots=1)
+    for _ in range(300):
+        table.paces["llm"].add(4.0, 1.0)
+        table.targets["t0"].pace.add(4.0, 1.0)
+    dispatching.submit(table, make_item(1, run_s=5.0), 0.0, rng)
+    assert table.grants["s", 1].run_s == pytest.approx(20.0, rel=0.1)
+
+
 def test_an_item_is_on_time_as_long_as_the_fastest_target_can_end_it(rng):
     """Mutation: use the mean pace of all targets: one slow target makes all items overdue."""
     table = make_table(targets=2, slots=1)
@@ -236,7 +256,7 @@
             target.pace.add(pace, 1.0)
             table.paces["llm"].add(pace, 1.0)
     fill(table, 2, rng)
-    dispatching.submit(table, make_item(1, on_time_by=1.0), 0.0, rng)
+    dispatching.submit(table, make_item(1, on_time_by=2.0), 0.0, rng)
     dispatching.submit(table, make_item(2, on_time_by=-1.0, run_s=0.1), 0.0, rng)
     dispatching.finish(table, ("f", 1000), RunOutcome.CANCELLED, 0.5)
     assert dispatching.serve_queue(table, 0.5, rng) == [Granted(("s", 1), "t0")]
