Take the windows of arrival rates from the requests, and log what chose a retry time

Two windows stood for one deployment: 6 s, "a peak and an idle period of usual traffic", and 1 s, "shorter than most peaks". An overload lasts if it outlasts callers, so its window is three times their mean patience; the slots that new callers take at present are the work of one mean run time.

request_rejected has "spare", the slots by which its retry time was booked. A retry at the product's own interface names the request and the target's reason. An output file that can't be written is a usage error (exit 2): there is no time to try again at.

--- a/clementinepin/_cli/exceptions.py
+++ b/clementinepin/_cli/exceptions.py
@@ -54,13 +54,6 @@
     code = "reply_missing"
 
 
-class OutputError(ClementinepinError):
-    """The file for the output can't be written; nothing else was changed."""
-
-    code = "output"
-    outcome = Outcome.NOT_RUN
-
-
 class ResponseUnreadableError(OutcomeUnknownError):
     """A success status came with a body that is not JSON, as of a server that is no entry."""
 
--- a/clementinepin/cli.py
+++ b/clementinepin/cli.py
@@ -51,7 +51,6 @@
 from clementinepin._cli.client import EntryClient, parse_entry
 from clementinepin._cli.exceptions import (
     ExitCode,
-    OutputError,
     RemoteError,
     UsageError,
     choose_exit_code,
@@ -178,7 +177,8 @@
             with Path(arguments["--output"]).open("wb") as file:
                 jobs.write_results(arguments["JOB"], file, client)
         except OSError as err:
-            raise OutputError(f"cannot write to {arguments['--output']}: {err.strerror}") from err
+            text = f"cannot write to {arguments['--output']}: {err.strerror}"
+            raise UsageError(text, param="--output") from err
         return
     jobs.write_results(arguments["JOB"], sys.stdout.buffer, client)
     sys.stdout.buffer.flush()
--- a/clementinepin/entry/_retry.py
+++ b/clementinepin/entry/_retry.py
@@ -64,7 +64,14 @@
         if retry_at is None or retry_at >= self.info.deadline:
             raise self.resolve_error(err)
         name = placement.target.name
-        logger.info("{} Attempt on {} failed: {}. Retrying.", LOG_PREFIX, name, err.code)
+        logger.info(
+            "{} Request {}: the attempt on {} failed with {} ({}). Retrying.",
+            LOG_PREFIX,
+            self.info.request_id,
+            name,
+            err.code,
+            err.message,
+        )
         self._context.core.metrics.incr("entry.retries")
         if result is not CallResult.REFUSED_NOT_LOADED:
             # A target that lacks the model may run the call once it has loaded it.
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -89,6 +89,7 @@
     waiting: int = 0
     start_in_s: float = 0.0
     pressure: float = 0.0
+    spare: float = 0.0
 
 
 class PreemptSlot(msgspec.Struct, array_like=True, tag=5, frozen=True):
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -165,6 +165,7 @@
                 "waiting": reply.waiting,
                 "start_in_s": reply.start_in_s,
                 "pressure": reply.pressure,
+                "spare": reply.spare,
             }
             raise OverloadedError(reply.reason, reply.retry_after_s, inputs)
         self._link.send(messages.ReleaseSlot(number, RunOutcome.CANCELLED))
--- a/clementinepin/systems/dispatch_actions.py
+++ b/clementinepin/systems/dispatch_actions.py
@@ -29,8 +29,9 @@
     """The request was not sent anywhere; its caller may retry after ``retry_after_s``.
 
     The other fields are the figures behind the decision: ``taken`` of ``slots`` of the service
-    are in use, ``waiting`` requests are queued, a slot would be free in ``start_in_s``, and
-    ``pressure`` is the work of new callers as a share of all slots.
+    are in use, ``waiting`` requests are queued, and a slot would be free in ``start_in_s``.
+    ``pressure`` is the work of new callers as a share of all slots, and ``spare`` the slots that
+    they leave free at present, by which the retry time was chosen.
     """
 
     key: GrantKey
@@ -41,6 +42,7 @@
     waiting: int = 0
     start_in_s: float = 0.0
     pressure: float = 0.0
+    spare: float = 0.0
 
 
 class PreemptionRequested(NamedTuple):
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -54,7 +54,8 @@
         return [Rejected(request.key, retry_after_s, "crashed targets")]
     request = _correct_estimate(table, request)
     if not request.is_batch and not request.returned:
-        table.arrivals[request.service].add(request.run_s, now)
+        patience_s = request.deadline - request.requested_at
+        table.arrivals[request.service].add(request.run_s, patience_s, now)
     actions = _try_start(table, request, now)
     if actions:
         return actions
--- a/clementinepin/systems/waiting.py
+++ b/clementinepin/systems/waiting.py
@@ -12,11 +12,10 @@
 
 RETRY_AFTER_MIN_S: Final = 0.1  # the caller needs a new connection to retry
 RETRY_WAIT_SHARE_MAX: Final = 1 / 3  # of their remaining timeout is what callers wait at most
-# Of the time within which a request must start to be on time. Two checks within a quarter of the
-# objective leave a rejected caller time to retry.
+# Of the time within which a request must start to be on time. It is checked again between once and
+# twice this share, so that a rejected caller can still retry in time.
 RECHECK_SHARE: Final = 0.25
 LATE_RETRY_SHARE_MIN: Final = 0.8  # of the longest wait, for callers that can't all be booked
-RECENT_RATE_S: Final = 1.0  # long enough for a mean, shorter than most peaks
 PRESSURE_MAX: Final = 1.2  # of all slots; below it, an idle period absorbs the rest of a peak
 OVERRUN_SHARE: Final = 0.25  # of its expected time is assumed to remain for an overdue run
 
@@ -94,6 +93,7 @@
         load.waiting + load.items,
         start_in_s,
         pressure,
+        round(count_spare(table, request.service, now), 1),
     )
 
 
@@ -127,7 +127,15 @@
 def measure_pressure(table: DispatchTable, service: str, now: float) -> float:
     """Return the work that new callers bring, as a share of all slots of the service."""
     slots = sum(t.slots for t in table.targets.values() if t.service == service)
-    return table.arrivals[service].get_rate(now) / max(1, slots)
+    return table.arrivals[service].get_lasting_rate(now) / max(1, slots)
+
+
+def count_spare(table: DispatchTable, service: str, now: float) -> float:
+    """Return the slots that new callers leave free at present; negative in a peak beyond them."""
+    slots = sum(t.slots for t in table.targets.values() if t.service == service)
+    if not table.uses(Mechanism.SPARE_BOOKING):
+        return float(slots)
+    return slots - table.arrivals[service].get_recent_rate(now)
 
 
 def is_overloaded(table: DispatchTable, service: str, now: float) -> bool:
@@ -151,10 +159,7 @@
     longest_s = get_longest_retry_wait(request, now)
     if not table.uses(Mechanism.BOOKED_RETURNS):
         return min(longest_s, max(RETRY_AFTER_MIN_S, start - now))
-    spare = float(sum(t.slots for t in table.targets.values() if t.service == request.service))
-    if table.uses(Mechanism.SPARE_BOOKING):
-        spare -= table.arrivals[request.service].get_rate(now, RECENT_RATE_S)
-    pace_s = request.run_s / max(1.0, spare)
+    pace_s = request.run_s / max(1.0, count_spare(table, request.service, now))
     return_at = max(
         start, table.latest_return_at.get(request.service, 0.0) + pace_s, now + RETRY_AFTER_MIN_S
     )
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -11,8 +11,9 @@
 from clementinepin.tables.mechanisms import Mechanism
 
 GrantKey = tuple[str, int]  # the requesting instance and its number for the request
-RATE_WINDOW_S: Final = 6.0  # covers one peak and one idle period of usual traffic
-RATE_BUCKET_S: Final = 0.5  # old work leaves the window in steps of this size
+RATE_BUCKET_S: Final = 0.25  # old work leaves a window in steps of this size
+LASTING_PATIENCES: Final = 3  # an overload of this many times callers' patience is a lasting one
+MEAN_WEIGHT: Final = 0.05  # of the newest request in a mean
 PACE_DECAY: Final = 0.97  # of the weight of earlier runs with each further one
 PACE_PRIOR_S: Final = 3.0  # weight of the expected pace, in slot seconds of runs
 
@@ -218,23 +219,51 @@
 
 
 class WorkRate:
-    """Arrival rate of work over ``RATE_WINDOW_S``, in slot seconds per second."""
+    """Arrival rate of work, in slot seconds per second, and the times of those who bring it.
+
+    ``run_s`` is the mean expected time in a slot, ``patience_s`` the mean time for which a request
+    is useful to its caller. Both follow the newest requests, and set the windows of the rates.
+    """
 
     def __init__(self) -> None:
+        self.run_s = 0.0
+        self.patience_s = 0.0
         self._buckets: dict[int, float] = {}
 
-    def add(self, run_s: float, now: float) -> None:
-        """Add the work of one request, ``run_s`` in slot seconds."""
+    def add(self, run_s: float, patience_s: float, now: float) -> None:
+        """Add the work of one request."""
+        weight = MEAN_WEIGHT if self._buckets else 1.0
+        self.run_s += weight * (run_s - self.run_s)
+        self.patience_s += weight * (patience_s - self.patience_s)
         bucket = int(now / RATE_BUCKET_S)
         if bucket not in self._buckets:
-            oldest = bucket - int(RATE_WINDOW_S / RATE_BUCKET_S)
-            self._buckets = {k: v for k, v in self._buckets.items() if k > oldest}
+            oldest = bucket - _count_buckets(max(self.lasting_window_s, self.run_s))
+            self._buckets = {k: v for k, v in self._buckets.items() if k >= oldest}
         self._buckets[bucket] = self._buckets.get(bucket, 0.0) + run_s
 
-    def get_rate(self, now: float, window_s: float = RATE_WINDOW_S) -> float:
-        """Return the mean rate over the last ``window_s``; unknown time counts as idle."""
-        oldest = int(now / RATE_BUCKET_S) - int(window_s / RATE_BUCKET_S)
-        return sum(v for k, v in self._buckets.items() if k > oldest) / window_s
+    @property
+    def lasting_window_s(self) -> float:
+        """Return the time after which callers who came before have given up, several times over."""
+        return LASTING_PATIENCES * self.patience_s
+
+    def get_lasting_rate(self, now: float) -> float:
+        """Return the mean rate over ``lasting_window_s``, peaks and idle periods together."""
+        return self._get_rate(now, self.lasting_window_s)
+
+    def get_recent_rate(self, now: float) -> float:
+        """Return the mean rate over a run time: the slots that the arrivals of late take."""
+        return self._get_rate(now, self.run_s)
+
+    def _get_rate(self, now: float, window_s: float) -> float:
+        """Return the mean rate over a window of whole buckets and the current one so far."""
+        current = int(now / RATE_BUCKET_S)
+        count = _count_buckets(window_s)
+        work = sum(v for k, v in self._buckets.items() if k >= current - count)
+        return work / (now - (current - count) * RATE_BUCKET_S)
+
+
+def _count_buckets(window_s: float) -> int:
+    return max(1, round(window_s / RATE_BUCKET_S))
 
 
 class DispatchTable:
