Log what marks the end of a target's response

request_ended and item_run_ended said 'served' alike for a body with a length, in chunks, or one that only ends with its connection. Both lines now have framing, and request_ended the last event that was passed on.

--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -19,7 +19,8 @@
     reached. ``maybe_run`` is set once a target may have run it. ``can_resend`` is cleared once a
     part of a response was sent that no other target can continue. ``gone`` says that the caller
     closed its connection. ``returned`` marks a caller that was rejected before. ``has_succeeded``
-    is set with ``is_complete`` if the response has a success status.
+    is set with ``is_complete`` if the response has a success status. ``framing`` says what marks the
+    end of the newest response's body, empty if there was no response.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         self.waited_s = 0.0
         self.target_load: tuple[int, int, int] | None = None
         self.first_byte_at = started_at
+        self.framing = ""
         self.is_complete = False
         self.has_succeeded = False
 
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -175,6 +175,7 @@
             return self._record_target_lost(call, err)
         call.target_load = self._wire.read_load(exchange.headers)
         call.first_byte_at = self._clock.monotonic()
+        call.framing = exchange.framing
         self._slots.report_load(slot, call.target_load)
         return self._handle_response(connection, call, _Sent(exchange, target))
 
@@ -391,6 +392,8 @@
             took_ms=round(took_s * 1000, 1),
             first_byte_ms=round((call.first_byte_at - call.started_at) * 1000, 1),
             target_load=call.target_load,
+            framing=call.framing,
+            last_event=call.last_event_id,
             dispatcher=self._slots.dispatcher_name,
         ).info("request_ended")
 
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -52,7 +52,8 @@
     ``crashes`` counts runs in a row that lost their target without a new event. ``lost_at`` holds
     the id and start time (Unix ms) of targets lost in this way. The item is not sent again before
     ``held_until`` (monotonic seconds) once it has CRASHES_MAX crashes. ``preempted`` says that the
-    dispatcher asked the latest run to free its slot.
+    dispatcher asked the latest run to free its slot. ``framing`` says what marks the end of the
+    newest response's body.
     """
 
     def __init__(self, item: JobItem, head: records.JobHead, failures: int) -> None:
@@ -68,6 +69,7 @@
         self.cancelled = False
         self.wait_reason = ""
         self.preempted = False
+        self.framing = ""
         self.abort = Abort()
         self.cancel_wait: Callable[[], None] = lambda: None
 
@@ -162,6 +164,7 @@
         """Acquire a slot, run the item on it once and return how that ended."""
         run.abort = Abort()
         run.preempted = False
+        run.framing = ""
         try:
             slot = self._slots.acquire(
                 self._make_slot_request(run, route), self._make_cancel_setter(run)
@@ -188,6 +191,7 @@
             events=run.last_event_id,
             ran_ms=round((self._clock.monotonic() - granted_at) * 1000, 1),
             failures=run.failures,
+            framing=run.framing,
             alone=slot.alone,
             dispatcher=self._slots.dispatcher_name,
         ).info("item_run_ended")
@@ -268,6 +272,7 @@
         A failed status is also SERVED: the target responded, and the item counts the failure.
         """
         wire = self._wire
+        run.framing = exchange.framing
         if not wire.is_response_to(run.item.item_id, exchange.status, exchange.headers):
             exchange.close()
             raise TargetProtocolError("the response belongs to another request")
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Final, NamedTuple
 
 from geventhttpclient.response import HTTPParseError, HTTPResponse
@@ -18,9 +19,22 @@
 STATUS_FINAL_MIN: Final = 200
 MISMATCHED_RESPONSES_MAX: Final = 2  # a target that sends more has lost track of its requests
 KEEP_ALIVE_SHARE: Final = 0.6  # a request must arrive before the target closes the connection
+BODYLESS_STATUSES: Final = frozenset({204, 304})
 SKIPPED_HEADERS: Final = frozenset({"host", "content-length", "transfer-encoding", "connection"})
 
 
+class BodyFraming(StrEnum):
+    """What marks the end of a response's body.
+
+    Only a length and chunks prove that the body is complete: a target that fails may end its
+    connection in the same way as one that has sent everything.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+
+
 class HttpRequest(NamedTuple):
     """A request to a target. ``deadline`` is in monotonic seconds.
 
@@ -189,6 +203,15 @@
         except TargetLostError:
             self.close()
 
+    @property
+    def framing(self) -> BodyFraming:
+        """Return what marks the end of the body."""
+        if "chunked" in self.headers.get("transfer-encoding", "").lower():
+            return BodyFraming.CHUNKED
+        if "content-length" in self.headers or self.status in BODYLESS_STATUSES:
+            return BodyFraming.LENGTH
+        return BodyFraming.CONNECTION
+
     @property
     def ended(self) -> bool:
         """Return whether the whole response was received."""
--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -29,6 +29,7 @@
 from tests.serving.scripted import (
     EVENTS,
     HEAD,
+    UNFRAMED_EVENTS,
     ScriptedTarget,
     make_chunk,
     make_event,
@@ -125,21 +126,30 @@
     return int(response.split(b" ", 2)[1]) if response else 0
 
 
-def send_events(*numbers: int, end: bool = True, cut: bytes = b"", signature: bytes = b"s1") -> Any:
+def send_events(
+    *numbers: int,
+    end: bool = True,
+    cut: bytes = b"",
+    signature: bytes = b"s1",
+    framed: bool = True,
+) -> Any:
     """Return a script that sends a stream of events.
 
-    ``cut`` is the incomplete event at the end. Without ``end`` the stream breaks off.
+    ``cut`` is the incomplete event at the end. Without ``end`` the stream breaks off. Without
+    ``framed`` it has no chunks, and its end is that of the connection in any case.
     """
 
     def script(sock: Any, request: bytes) -> bool:
-        sock.sendall(HEAD % (signature, read_id(request)) + EVENTS)
+        head = HEAD % (signature, read_id(request))
+        frame = make_chunk if framed else bytes
+        sock.sendall(head + (EVENTS if framed else UNFRAMED_EVENTS))
         for number in numbers:
-            sock.sendall(make_chunk(make_event(number)))
+            sock.sendall(frame(make_event(number)))
         if cut:
-            sock.sendall(make_chunk(cut))
-        if end:
+            sock.sendall(frame(cut))
+        if end and framed:
             sock.sendall(b"0\r\n\r\n")
-        return end
+        return end and framed
 
     return script
 
--- a/tests/serving/scripted.py
+++ b/tests/serving/scripted.py
@@ -13,6 +13,7 @@
     b"HTTP/1.1 200 OK\r\nClementinepin-Server-Signature: %s\r\n" b"Clementinepin-Request-Id: %s\r\n"
 )
 EVENTS = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+UNFRAMED_EVENTS = b"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 
 
 def make_chunk(data: bytes) -> bytes:
--- a/tests/serving/test_failure_logs.py
+++ b/tests/serving/test_failure_logs.py
@@ -11,7 +11,7 @@
     CallerLimits,
     RouteKind,
 )
-from tests.serving.harness import ID, Harness, get_status
+from tests.serving.harness import ID, Harness, get_status, send_events
 from tests.serving.scripted import (
     ScriptedTarget,
     call,
@@ -70,3 +70,23 @@
     assert [(row["request_id"], row["target"], row["status"]) for row in rows] == [
         ("q1", "t0", 500)
     ]
+
+
+def test_the_end_of_a_request_says_what_marked_the_end_of_the_targets_body(
+    harness: Harness,
+) -> None:
+    harness.set_route()
+    harness.add_target(
+        ScriptedTarget(send_events(1, 2), make_plain(b""), send_events(1, framed=False))
+    )
+    lines: list[Any] = []
+    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
+    for _ in range(3):
+        call(harness.port, ID)
+    logger.remove(sink)
+    rows = [line["extra"] for line in lines if line["message"] == "request_ended"]
+    assert [(row["framing"], row["last_event"]) for row in rows] == [
+        ("chunked", 0),
+        ("length", 0),
+        ("connection", 0),
+    ]
