End a stream as complete only behind a whole event

Such a target ends an answer without length or chunks with its connection; the parser takes this for the end of the message, and the entry passed it on in chunks with a proper end. Only resumable streams were checked for an end within an event.

All event streams go through one reader now: whole events are passed on, and a stream that ends within one is broken off, whatever its framing. Events may end with carriage returns, as the reader no longer passes raw bytes.

--- a/clementinepin/serving/_events.py
+++ b/clementinepin/serving/_events.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final, NamedTuple
 
 EVENT_MAX_BYTES: Final = 1_000_000  # events of the engines are smaller than 1 kB
-EVENT_END: Final = b"\n\n"
+EVENT_END: Final = re.compile(rb"(\r\n\r\n|\n\n)")
 
 
 class StreamEvent(NamedTuple):
@@ -25,10 +26,12 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that the data completes. Raises ValueError if one is too large."""
         data = self._incomplete + data if self._incomplete else data
-        *complete, self._incomplete = data.split(EVENT_END)
+        # Each event is followed by the blank line that ended it.
+        *complete, self._incomplete = EVENT_END.split(data)
         if len(self._incomplete) > EVENT_MAX_BYTES:
             raise ValueError(f"incomplete event of {len(self._incomplete)} bytes is too large")
-        return [_read_event(raw) for raw in complete]
+        pairs = zip(complete[::2], complete[1::2], strict=True)
+        return [_read_event(raw, end) for raw, end in pairs]
 
     @property
     def incomplete(self) -> bytes:
@@ -36,7 +39,7 @@
         return self._incomplete
 
 
-def _read_event(raw: bytes) -> StreamEvent:
+def _read_event(raw: bytes, end: bytes) -> StreamEvent:
     event_id = 0
     texts: list[str] = []
     for line in raw.replace(b"\r\n", b"\n").split(b"\n"):
@@ -46,4 +49,4 @@
             event_id = int(value)
         elif name == b"data":
             texts.append(value.decode("utf-8", "replace"))
-    return StreamEvent(raw + EVENT_END, event_id, "\n".join(texts))
+    return StreamEvent(raw + end, event_id, "\n".join(texts))
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -266,7 +266,7 @@
                 call, TargetProtocolError(f"resuming the stream got status {exchange.status}")
             )
         try:
-            if call.route.resumable and is_event_stream(exchange):
+            if is_event_stream(exchange):
                 self._forward_events(connection, call, exchange)
             else:
                 self._forward_body(connection, call, exchange)
@@ -313,13 +313,16 @@
         """Send complete events on.
 
         The headers are sent with the first event: until then another target may still respond.
-        Raises TargetProtocolError if the stream ends within an event.
+        Raises TargetProtocolError if the stream ends within an event: it was broken off, whatever
+        its framing says.
         """
         splitter = EventSplitter()
         while data := exchange.read():
-            exchange.set_read_deadline(self._get_read_deadline(call))
+            if call.route.resumable:
+                exchange.set_read_deadline(self._get_read_deadline(call))
             events = splitter.feed(data)
             if events:
+                call.can_resend = call.can_resend and call.route.resumable
                 self._start_response(connection, call, exchange)
                 connection.send_data(b"".join(event.raw for event in events))
                 call.last_event_id = max(call.last_event_id, events[-1].event_id)
--- a/tests/serving/test_failure_logs.py
+++ b/tests/serving/test_failure_logs.py
@@ -86,7 +86,7 @@
     logger.remove(sink)
     rows = [line["extra"] for line in lines if line["message"] == "request_ended"]
     assert [(row["framing"], row["last_event"]) for row in rows] == [
-        ("chunked", 0),
+        ("chunked", 2),
         ("length", 0),
-        ("connection", 0),
+        ("connection", 1),
     ]
--- a/tests/serving/test_unframed_responses.py
+++ b/tests/serving/test_unframed_responses.py
@@ -20,3 +20,12 @@
     assert get_status(response) == 200
     assert b"data: e2" in response
     assert not response.endswith(b"0\r\n\r\n")
+
+
+def test_events_that_end_with_carriage_returns_are_passed_on_as_they_arrive(
+    harness: Harness,
+) -> None:
+    harness.set_route()
+    event = b"id: 1\r\ndata: e1\r\n\r\n"
+    harness.add_target(ScriptedTarget(send_events(cut=event + b"id: 2\r\nda")))
+    assert event in call(harness.port, ID)
