Take no shutdown of our own for the end of a body

Preempting an item, or a caller that leaves, shuts the connection to the target down. If the reader was not waiting at that moment, its next read got an end of file, which ends a body that has neither a length nor chunks: an item would have been listed as completed with a part of its text. The connection remembers that it was aborted and its reader fails. The new test failed before.

--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -19,8 +19,8 @@
     reached. ``maybe_run`` is set once a target may have run it. ``can_resend`` is cleared once a
     part of a response was sent that no other target can continue. ``gone`` says that the caller
     closed its connection. ``returned`` marks a caller that was rejected before. ``has_succeeded``
-    is set with ``is_complete`` if the response has a success status. ``framing`` says what marks the
-    end of the newest response's body, empty if there was no response.
+    is set with ``is_complete`` if the response has a success status. ``framing`` says what marks
+    the end of the newest response's body, empty if there was no response.
     """
 
     def __init__(
--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -49,6 +49,7 @@
         self._reads = 0
         self._reads_seen = 0
         self._expired = False
+        self._aborted = False
         self._writer: gevent.Greenlet | None = None
         self.written = 0
         self.exchange_count = 0
@@ -109,6 +110,7 @@
         """Return at most ``size`` bytes, none at the end of the connection.
 
         Raises TargetTimeoutError after the deadline or a stall, TargetLostError on other failures.
+        An end of file behind ``abort`` says nothing about the target and is such a failure.
         """
         try:
             data = self._sock.recv(size)
@@ -118,6 +120,8 @@
             raise TargetLostError(f"connection failed: {err}") from err
         if not data:
             self._raise_if_expired()
+            if self._aborted:
+                raise TargetLostError("the exchange was aborted")
         return data
 
     def is_reusable(self) -> bool:
@@ -146,7 +150,8 @@
         self._sock.close()
 
     def abort(self) -> None:
-        """Shut the connection down from another greenlet; the reader sees an end of file."""
+        """Shut the connection down from another greenlet, so that its reader fails."""
+        self._aborted = True
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/tests/targets/test_exchange.py
+++ b/tests/targets/test_exchange.py
@@ -109,6 +109,26 @@
     target.stop()
 
 
+def test_an_abort_between_two_reads_is_not_the_end_of_a_body_without_framing():
+    """A preemption that came with a piece of the body made the item look complete."""
+    abort = Abort()
+
+    def send_piece(sock, request):
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\npiece")
+        gevent.sleep(5)
+
+    target = ScriptedTarget(send_piece)
+    clock = create_system_clock()
+    transport = Transport(TargetAddress("t", "127.0.0.1", target.port), clock)
+    request = HttpRequest("GET", "/x", deadline=clock.monotonic() + 4.0, abort=abort)
+    exchange = transport.send(request)
+    assert exchange.read() == b"piece"
+    abort.trigger()
+    with gevent.Timeout(2.0), pytest.raises(TargetLostError):
+        exchange.read()
+    target.stop()
+
+
 def test_an_abort_before_the_write_raises_not_reached():
     """CI of cc8993c: on a stalled machine, an abort by a timer came before the write."""
     abort = Abort()
