Break a response off whose end is that of its target

Where a body ends with its connection, a new connection is opened in place of the closed one, which the pool needs anyway. A target that refuses it has crashed, and its response is passed on as broken off. A target that leaves refuses too, but it serves on until its last response has ended. Other failures to connect prove nothing.

--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -21,6 +21,7 @@
 from clementinepin.targets.models import TargetAddress
 
 CONNECT_TIMEOUT_S: Final = 1.0
+REPLACE_TIMEOUT_S: Final = 0.25  # the end of a whole response waits for it
 IDLE_MAX_S: Final = 2.0
 IDLE_CONNECTIONS_MAX: Final = 64
 TIMEOUT_MIN_S: Final = 0.001
@@ -273,6 +274,21 @@
         self._idle.append(connection)
         self._close_expired()
 
+    def replace(self) -> None:
+        """Open an idle connection in place of one that the target closed to end a response.
+
+        Raises TargetLostError if the target refuses it: then it has crashed, and its response may
+        be incomplete. Other failures prove nothing and are only logged.
+        """
+        try:
+            connection = self.connect(self._clock.monotonic() + REPLACE_TIMEOUT_S)
+        except TargetNotReachedError as err:
+            if isinstance(err.__cause__, ConnectionRefusedError):
+                raise TargetLostError("target crashed at the end of its response") from err
+            logger.bind(target=self._address.name, error=str(err)).info("target_not_reached")
+            return
+        self.release(connection)
+
     def _close_expired(self) -> None:
         """Close the oldest connection if it was idle too long to be reused."""
         oldest = self._idle[0]
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -258,9 +258,12 @@
         except TargetLostError:
             self.close()
             raise
-        if not data and not self._parser.ended:
+        if not data:
             self.close()
-            raise TargetLostError("target closed the connection before the end of its response")
+            if not self._parser.ended:
+                raise TargetLostError("target closed the connection before the end of its response")
+            # The end of the connection is that of the body, unless the target crashed.
+            self._pool.replace()
         return len(data)
 
     def _read_headers(self) -> None:
--- a/tests/serving/scripted.py
+++ b/tests/serving/scripted.py
@@ -56,11 +56,13 @@
     def __init__(self, *scripts: Callable[[Any, bytes], None] | bytes) -> None:
         self._scripts = list(scripts)
         self.requests: list[bytes] = []
+        self.connections = 0
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
         self.port = self._server.server_port
 
     def _serve(self, sock: Any, _peer: Any) -> None:
+        self.connections += 1
         with sock:
             while True:
                 request = read_message(sock)
--- a/tests/serving/test_unframed_responses.py
+++ b/tests/serving/test_unframed_responses.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import gevent
 import pytest
 
 from clementinepin.serving.models import RouteKind
@@ -29,3 +32,33 @@
     event = b"id: 1\r\ndata: e1\r\n\r\n"
     harness.add_target(ScriptedTarget(send_events(cut=event + b"id: 2\r\nda")))
     assert event in call(harness.port, ID)
+
+
+def test_a_stream_of_a_target_that_crashes_behind_an_event_never_looks_complete(
+    harness: Harness,
+) -> None:
+    """Guards against incident inc1: ten of twelve short streams had been cut behind an event."""
+    harness.set_route(attempts_max=1)
+
+    def crash(sock: Any, request: bytes) -> bool:
+        send_events(1, 2, framed=False)(sock, request)
+        gevent.sleep(0.02)
+        target.stop()
+        return False
+
+    target = harness.add_target(ScriptedTarget(crash))
+    response = call(harness.port, ID)
+    assert b"data: e2" in response
+    assert not response.endswith(b"0\r\n\r\n")
+
+
+def test_a_whole_stream_without_framing_is_complete_and_its_connection_replaced(
+    harness: Harness,
+) -> None:
+    harness.set_route(attempts_max=1)
+    target = harness.add_target(
+        ScriptedTarget(send_events(1, 2, framed=False), send_events(3)),
+    )
+    assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+    assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+    assert (len(target.requests), target.connections) == (2, 2)
