Check the end of a resumable stream that only its connection marks

A target that breaks a stream without length or chunks off behind an event, and lives on, leaves no trace: its connection ends as behind a whole stream. An item was listed as completed with such a part of its text, and a caller's stream that could have gone on was ended as complete. Callers' streams are checked within the route's attempts; if no target can check one, it is complete, as the protocol says.

--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -20,7 +20,8 @@
     part of a response was sent that no other target can continue. ``gone`` says that the caller
     closed its connection. ``returned`` marks a caller that was rejected before. ``has_succeeded``
     is set with ``is_complete`` if the response has a success status. ``framing`` says what marks
-    the end of the newest response's body, empty if there was no response.
+    the end of the newest response's body, empty if there was no response. ``awaits_end`` is set while
+    another run is to show that no event follows the last one.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         self.target_load: tuple[int, int, int] | None = None
         self.first_byte_at = started_at
         self.framing = ""
+        self.awaits_end = False
         self.is_complete = False
         self.has_succeeded = False
 
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -30,7 +30,7 @@
 from clementinepin.serving.wire import Wire
 from clementinepin.systems import estimates
 from clementinepin.systems.dispatch_actions import RunOutcome
-from clementinepin.targets import HttpExchange, HttpRequest
+from clementinepin.targets import BodyFraming, HttpExchange, HttpRequest
 from clementinepin.targets.exceptions import (
     TargetLostError,
     TargetNotReachedError,
@@ -101,6 +101,19 @@
             self._log_end(call, outcome)
 
     def _run_attempts(self, connection: CallerConnection, call: Call) -> None:
+        """Send the request to targets until its response is complete.
+
+        A response that only awaits the check of its end is complete if no target can check it.
+        """
+        try:
+            self._attempt_until_complete(connection, call)
+        except AnswerLostError as err:
+            if not call.awaits_end or call.gone:
+                raise
+            self._log(call).bind(reason=str(err)).info("stream_end_unchecked")
+            self._complete(connection, call)
+
+    def _attempt_until_complete(self, connection: CallerConnection, call: Call) -> None:
         while True:
             slot = self._acquire_slot(call)
             outcome = RunOutcome.CANCELLED
@@ -268,11 +281,12 @@
         try:
             if is_event_stream(exchange):
                 self._forward_events(connection, call, exchange)
+                if self._must_check_end(call, exchange):
+                    return RunOutcome.SERVED
             else:
                 self._forward_body(connection, call, exchange)
-            connection.end_response()
-            call.is_complete = True
             call.has_succeeded = exchange.status < STATUS_SUCCESS_BELOW
+            self._complete(connection, call)
         except TargetLostError as err:
             return self._record_target_lost(call, err)
         except OSError:
@@ -282,6 +296,21 @@
         failed = exchange.status >= STATUS_SERVER_ERROR_MIN
         return RunOutcome.BROKEN if failed else RunOutcome.SERVED
 
+    def _must_check_end(self, call: Call, exchange: HttpExchange) -> bool:
+        """Return whether another run should show that no event follows the last one.
+
+        The end of a connection doesn't prove the end of a stream. A run that is resumed behind the
+        last event and brings none does.
+        """
+        unproven = call.awaits_end and exchange.framing is BodyFraming.CONNECTION
+        call.awaits_end = unproven and self._may_resend(call)
+        return call.awaits_end
+
+    def _complete(self, connection: CallerConnection, call: Call) -> None:
+        """End the response as complete."""
+        connection.end_response()
+        call.is_complete = True
+
     def _start_response(
         self, connection: CallerConnection, call: Call, exchange: HttpExchange
     ) -> None:
@@ -317,17 +346,21 @@
         its framing says.
         """
         splitter = EventSplitter()
+        brought_events = False
         while data := exchange.read():
             if call.route.resumable:
                 exchange.set_read_deadline(self._get_read_deadline(call))
             events = splitter.feed(data)
             if events:
+                brought_events = True
+                call.awaits_end = False
                 call.can_resend = call.can_resend and call.route.resumable
                 self._start_response(connection, call, exchange)
                 connection.send_data(b"".join(event.raw for event in events))
                 call.last_event_id = max(call.last_event_id, events[-1].event_id)
         if splitter.incomplete.strip():
             raise TargetProtocolError("the stream ended within an event")
+        call.awaits_end = brought_events
         self._start_response(connection, call, exchange)
 
     def _record_target_lost(self, call: Call, err: TargetLostError) -> RunOutcome:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -25,7 +25,7 @@
 from clementinepin.systems import estimates
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.mechanisms import Mechanism
-from clementinepin.targets import Abort, HttpExchange, HttpRequest
+from clementinepin.targets import Abort, BodyFraming, HttpExchange, HttpRequest
 from clementinepin.targets.exceptions import (
     TargetLostError,
     TargetNotReachedError,
@@ -53,7 +53,8 @@
     the id and start time (Unix ms) of targets lost in this way. The item is not sent again before
     ``held_until`` (monotonic seconds) once it has CRASHES_MAX crashes. ``preempted`` says that the
     dispatcher asked the latest run to free its slot. ``framing`` says what marks the end of the
-    newest response's body.
+    newest response's body. ``awaits_end`` is set while another run is to show that no event follows
+    the last one.
     """
 
     def __init__(self, item: JobItem, head: records.JobHead, failures: int) -> None:
@@ -70,6 +71,7 @@
         self.wait_reason = ""
         self.preempted = False
         self.framing = ""
+        self.awaits_end = False
         self.abort = Abort()
         self.cancel_wait: Callable[[], None] = lambda: None
 
@@ -293,7 +295,11 @@
         finally:
             events = run.last_event_id - events_before
             self._record_event_gap(route, self._clock.monotonic() - started_at, events)
-        run.state = ItemState.COMPLETED
+        # The end of a connection doesn't prove the end of a stream; a run that is resumed behind the
+        # last event and brings none does.
+        run.awaits_end = events > 0 and exchange.framing is BodyFraming.CONNECTION
+        if not run.awaits_end:
+            run.state = ItemState.COMPLETED
         return RunOutcome.SERVED
 
     def _record_event_gap(self, route: Route, ran_s: float, events: int) -> None:
@@ -324,7 +330,13 @@
             raise TargetProtocolError("the stream ended within an event")
 
     def _record_failed_status(self, run: ItemRun, route: Route, status: int) -> None:
-        """Count a failed attempt, drop its events, mark the item dead if it may not run again."""
+        """Count a failed attempt, drop its events, mark the item dead if it may not run again.
+
+        An item that only awaits the check of its end is completed: its target has no more events.
+        """
+        if run.awaits_end:
+            run.state = ItemState.COMPLETED
+            return
         run.failures += 1
         run.texts.clear()
         run.last_event_id = 0
--- a/clementinepin/targets/__init__.py
+++ b/clementinepin/targets/__init__.py
@@ -9,7 +9,7 @@
 )
 from clementinepin.targets._connection import Abort
 from clementinepin.targets._engine import create_engine
-from clementinepin.targets._exchange import HttpExchange, HttpRequest, Transport
+from clementinepin.targets._exchange import BodyFraming, HttpExchange, HttpRequest, Transport
 from clementinepin.targets._plain import (
     PlainRequest,
     PlainResponse,
@@ -27,6 +27,7 @@
 
 __all__ = [
     "Abort",
+    "BodyFraming",
     "CacheEvent",
     "Engine",
     "GenerateRequest",
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -175,6 +175,20 @@
     assert harness.run_item().text == "e1\ne2"
 
 
+@pytest.mark.parametrize("rest", [(), (2, 3)])
+def test_an_item_without_framing_is_complete_once_no_event_follows(rest):
+    """A target that broke such a stream off behind an event made the item look complete."""
+    harness = Harness(send_events(1, framed=False), send_events(*rest))
+    assert harness.run_item().text == "\n".join(f"e{n}" for n in (1, *rest))
+    assert b"Last-Event-Id: 1" in harness.target.requests[1]
+
+
+def test_a_target_that_fails_to_resume_behind_the_last_event_does_not_undo_an_item():
+    harness = Harness(send_events(1, framed=False), FAILED)
+    run = harness.run_item()
+    assert (run.state, run.text, run.failures) == (ItemState.COMPLETED, "e1", 0)
+
+
 def test_a_resumed_item_asks_for_the_rest_of_its_run_only():
     """Mutation: request the whole run again: an item that is nearly done seems overdue."""
     harness = Harness(send_events(1, 2, end=False, cut=b"id: 3\nda"), send_events(3))
--- a/tests/serving/test_unframed_responses.py
+++ b/tests/serving/test_unframed_responses.py
@@ -8,7 +8,7 @@
 import pytest
 
 from clementinepin.serving.models import RouteKind
-from tests.serving.harness import ID, Harness, get_status, send_events
+from tests.serving.harness import ID, Harness, close_at_once, get_status, send_events
 from tests.serving.scripted import ScriptedTarget, call
 
 
@@ -62,3 +62,21 @@
     assert call(harness.port, ID).endswith(b"0\r\n\r\n")
     assert call(harness.port, ID).endswith(b"0\r\n\r\n")
     assert (len(target.requests), target.connections) == (2, 2)
+
+
+@pytest.mark.parametrize("rest", [(), (3, 4)])
+def test_a_resumable_stream_is_complete_once_no_event_follows(
+    harness: Harness, rest: tuple[int, ...]
+) -> None:
+    harness.set_route(resumable=True, attempts_max=2)
+    target = harness.add_target(ScriptedTarget(send_events(1, 2, framed=False), send_events(*rest)))
+    response = call(harness.port, ID)
+    assert [n for n in (1, 2, 3, 4) if b"data: e%d\n" % n in response] == [1, 2, *rest]
+    assert response.endswith(b"0\r\n\r\n")
+    assert b"Last-Event-Id: 2" in target.requests[1]
+
+
+def test_a_stream_whose_end_no_target_can_check_is_complete(harness: Harness) -> None:
+    harness.set_route(resumable=True, attempts_max=2)
+    harness.add_target(ScriptedTarget(send_events(1, 2, framed=False), close_at_once))
+    assert call(harness.port, ID).endswith(b"0\r\n\r\n")
