Join a resumed stream only with the event that follows

A caller's stream that broke off was joined with whatever the next target sent: one that starts from the beginning, or that skips an event, gave a stream with an event twice or missing. Items of jobs were checked, callers' streams were not, and a stream whose events have no ids was begun again in the middle of its answer. The new test failed before.

--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -14,7 +14,7 @@
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving._call import Call, make_fingerprint
-from clementinepin.serving._events import EventSplitter
+from clementinepin.serving._events import EventSplitter, StreamEvent
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._http import HOP_HEADERS, CallerConnection, CallerRequest
 from clementinepin.serving._metrics import ServingMetrics
@@ -346,12 +346,15 @@
         its framing says.
         """
         splitter = EventSplitter()
+        joins = call.response_started
         brought_events = False
         while data := exchange.read():
             if call.route.resumable:
                 exchange.set_read_deadline(self._get_read_deadline(call))
             events = splitter.feed(data)
             if events:
+                if joins and not brought_events:
+                    _check_joint(call, events[0])
                 brought_events = True
                 call.awaits_end = False
                 call.can_resend = call.can_resend and call.route.resumable
@@ -379,6 +382,7 @@
         return (
             call.can_resend
             and call.route.is_repeatable
+            and (call.last_event_id > 0 or not call.response_started)
             and call.sends < call.route.attempts_max
             and self._clock.monotonic() < call.deadline
         )
@@ -444,6 +448,14 @@
     return rng.choices([share.service for share in route.shares], weights)[0]
 
 
+def _check_joint(call: Call, event: StreamEvent) -> None:
+    """Raise TargetProtocolError unless the first event of a resumed run follows the last one."""
+    if event.event_id != call.last_event_id + 1:
+        raise TargetProtocolError(
+            f"the stream was resumed with event {event.event_id} behind {call.last_event_id}"
+        )
+
+
 def is_event_stream(exchange: HttpExchange) -> bool:
     """Return whether the response is a server-sent event stream with status 200."""
     kind = exchange.headers.get("content-type", "")
--- a/tests/serving/test_unframed_responses.py
+++ b/tests/serving/test_unframed_responses.py
@@ -80,3 +80,14 @@
     harness.set_route(resumable=True, attempts_max=2)
     harness.add_target(ScriptedTarget(send_events(1, 2, framed=False), close_at_once))
     assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+
+
+def test_a_resumed_stream_never_repeats_or_skips_an_event(harness: Harness) -> None:
+    harness.set_route(resumable=True, attempts_max=2)
+    for first in (1, 4):
+        harness.slots.target_ids.clear()
+        harness.add_target(ScriptedTarget(send_events(1, 2, end=False)))
+        harness.add_target(ScriptedTarget(send_events(first)))
+        response = call(harness.port, ID)
+        assert response.count(b"data: ") == 2
+        assert not response.endswith(b"0\r\n\r\n")
