--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -20,8 +20,8 @@
     part of a response was sent that no other target can continue. ``gone`` says that the caller
     closed its connection. ``returned`` marks a caller that was rejected before. ``has_succeeded``
     is set with ``is_complete`` if the response has a success status. ``framing`` says what marks
-    the end of the newest response's body, empty if there was no response. ``awaits_end`` is set while
-    another run is to show that no event follows the last one.
+    the end of the newest response's body, empty if there was no response. ``awaits_end`` is set
+    while another run is to show that no event follows the last one.
     """
 
     def __init__(
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -295,8 +295,8 @@
         finally:
             events = run.last_event_id - events_before
             self._record_event_gap(route, self._clock.monotonic() - started_at, events)
-        # The end of a connection doesn't prove the end of a stream; a run that is resumed behind the
-        # last event and brings none does.
+        # The end of a connection doesn't prove the end of a stream; a run that is resumed behind
+        # the last event and brings none does.
         run.awaits_end = events > 0 and exchange.framing is BodyFraming.CONNECTION
         if not run.awaits_end:
             run.state = ItemState.COMPLETED
