Log the software version of targets and the resumption of streams

Targets now have the software version of their entry, which an entry must state, and all lines of a request name it; stream_resumed tells after which event a stream goes on, request_ended what a caller resumes.

--- a/clementinepin/platform/_wire.py
+++ b/clementinepin/platform/_wire.py
@@ -37,6 +37,7 @@
 _NOT_EXECUTED_HEADER: Final = _HEADER_PREFIX + "not-executed"
 _LOAD_HEADER: Final = _HEADER_PREFIX + "server-load"
 _LAST_EVENT_HEADER: Final = "last-event-id"
+_RESUMES_HEADER: Final = "resumes"
 _ROUTE_KINDS: Final = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -113,6 +114,7 @@
     service: str
     address: str
     zone: str
+    version: str
     state: str
     slots: int
     born: int = 0
@@ -165,6 +167,7 @@
             length_hint=int(_parse_number(headers.get(_LENGTH_HINT_HEADER, "")) or 0),
             prefix_ids=tuple(part.partition(":")[0].strip() for part in prefix.split(",") if part),
             last_event_id=int(_parse_number(headers.get(_LAST_EVENT_HEADER, "")) or 0),
+            resumes=headers.get(_RESUMES_HEADER, ""),
         )
 
     def read_request_id(self, target: str, headers: dict[str, str]) -> str:
@@ -262,6 +265,7 @@
                 entry.slots,
                 entry.state == "draining",
                 entry.born,
+                entry.version,
             )
         except (msgspec.DecodeError, ValueError):
             return None
--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -21,7 +21,8 @@
     closed its connection. ``returned`` marks a caller that was rejected before. ``has_succeeded``
     is set with ``is_complete`` if the response has a success status. ``framing`` says what marks
     the end of the newest response's body, empty if there was no response. ``awaits_end`` is set
-    while another run is to show that no event follows the last one.
+    while another run is to show that no event follows the last one. ``target_version`` is the
+    software version of the newest target.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self.response_started = False
         self.last_event_id = facts.last_event_id
         self.target_id = ""
+        self.target_version = ""
         self.waited_s = 0.0
         self.target_load: tuple[int, int, int] | None = None
         self.first_byte_at = started_at
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -112,7 +112,9 @@
         if current != target:
             self.rows[target.target_id] = target
             log = logger.bind(target=target.target_id, draining=target.draining)
-            log.bind(address=f"{target.host}:{target.port}").info("target_known")
+            log.bind(
+                address=f"{target.host}:{target.port}", software_version=target.software_version
+            ).info("target_known")
 
     def _handle_missing(self, target_id: str) -> None:
         if target_id in self.rows and self._grace.record_missing(target_id):
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -176,6 +176,9 @@
             call.excluded.add(slot.target_id)
             return RunOutcome.CANCELLED
         call.target_id = slot.target_id
+        call.target_version = target.software_version
+        if call.response_started:
+            self._log(call).bind(last_event=call.last_event_id).info("stream_resumed")
         try:
             with self._slots.watch_silence(slot, call.facts.request_id):
                 exchange = self._send(call, target)
@@ -416,6 +419,7 @@
             route=call.route.name,
             configuration=configuration.version if configuration else 0,
             target=call.target_id,
+            software_version=call.target_version,
         )
 
     def _log_end(self, call: Call, outcome: str) -> None:
@@ -434,6 +438,8 @@
             target_load=call.target_load,
             framing=call.framing,
             last_event=call.last_event_id,
+            resumes=call.facts.resumes,
+            resumed_after=call.facts.last_event_id,
             dispatcher=self._slots.dispatcher_name,
         ).info("request_ended")
 
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -54,7 +54,7 @@
     ``held_until`` (monotonic seconds) once it has CRASHES_MAX crashes. ``preempted`` says that the
     dispatcher asked the latest run to free its slot. ``framing`` says what marks the end of the
     newest response's body. ``awaits_end`` is set while another run is to show that no event follows
-    the last one.
+    the last one. ``target_version`` is the software version of the newest target.
     """
 
     def __init__(self, item: JobItem, head: records.JobHead, failures: int) -> None:
@@ -71,6 +71,7 @@
         self.wait_reason = ""
         self.preempted = False
         self.framing = ""
+        self.target_version = ""
         self.awaits_end = False
         self.abort = Abort()
         self.cancel_wait: Callable[[], None] = lambda: None
@@ -194,6 +195,7 @@
             ran_ms=round((self._clock.monotonic() - granted_at) * 1000, 1),
             failures=run.failures,
             framing=run.framing,
+            software_version=run.target_version,
             alone=slot.alone,
             dispatcher=self._slots.dispatcher_name,
         ).info("item_run_ended")
@@ -233,6 +235,7 @@
         if target is None or run.cancelled:
             return RunOutcome.CANCELLED
         events_before = run.last_event_id
+        run.target_version = target.software_version
         try:
             with self._slots.watch_silence(slot, run.item.item_id):
                 exchange = self._send(run, target)
--- a/clementinepin/serving/models.py
+++ b/clementinepin/serving/models.py
@@ -89,7 +89,11 @@
 
 
 class Target(NamedTuple):
-    """A target as it registered itself. ``started_at_ms`` differs between restarts of an id."""
+    """A target as it registered itself.
+
+    ``started_at_ms`` differs between restarts of an id. ``software_version`` is that of the target's
+    software: what two of them generate doesn't fit together in one stream.
+    """
 
     target_id: str
     service: str
@@ -99,6 +103,7 @@
     slots: int
     draining: bool
     started_at_ms: int = 0
+    software_version: str = ""
 
 
 class Member(NamedTuple):
@@ -160,7 +165,11 @@
 
 
 class RequestFacts(NamedTuple):
-    """Data from a request's headers. ``time_left_s`` is None if the caller sent no deadline."""
+    """Data from a request's headers. ``time_left_s`` is None if the caller sent no deadline.
+
+    A caller that resumes a stream after ``last_event_id`` names in ``resumes`` the request that
+    brought the first event; both are empty for a new stream.
+    """
 
     request_id: str
     time_left_s: float | None
@@ -169,6 +178,7 @@
     length_hint: int
     prefix_ids: tuple[str, ...]
     last_event_id: int
+    resumes: str = ""
 
 
 class JobItem(NamedTuple):
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -47,8 +47,10 @@
             "clementinepin-prompt-prefix": "aa:200,bb:50",
             "clementinepin-deadline-ms": "4200",
             "last-event-id": "3",
+            "resumes": "q0",
         }
     )
+    assert facts.resumes == "q0"
     assert (facts.prompt_tokens, facts.output_tokens_max, facts.last_event_id) == (450, 80, 3)
     assert (facts.prefix_ids, facts.time_left_s) == (("aa", "bb"), 4.2)
 
