Reproduce streams of two software versions, by tests that fail

A resumable stream that breaks off, one that its caller takes up in a new request, and an item all go on at a target of another software version.

--- a/clementinepin/serving/models.py
+++ b/clementinepin/serving/models.py
@@ -91,8 +91,8 @@
 class Target(NamedTuple):
     """A target as it registered itself.
 
-    ``started_at_ms`` differs between restarts of an id. ``software_version`` is that of the target's
-    software: what two of them generate doesn't fit together in one stream.
+    ``started_at_ms`` differs between restarts of an id. Events that two targets of a different
+    ``software_version`` generate don't fit together in one stream.
     """
 
     target_id: str
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -189,6 +189,23 @@
     assert (run.state, run.text, run.failures) == (ItemState.COMPLETED, "e1", 0)
 
 
+def test_an_item_whose_software_version_is_gone_begins_again():
+    """Events of two software versions were joined in one text, as in incident second1."""
+    harness = Harness()
+    rows = harness.fleet.targets.rows
+    rows["t0"] = rows["t0"]._replace(software_version="v1")
+
+    def release(sock: Any, request: bytes) -> bool:
+        send_events(1, 2, end=False)(sock, request)
+        gevent.sleep(0.02)
+        rows["t0"] = rows["t0"]._replace(software_version="v2")
+        return False
+
+    harness.target._scripts = [release, send_events(1, 2, 3)]
+    assert harness.run_item().text == "e1\ne2\ne3"
+    assert b"Last-Event-Id" not in harness.target.requests[1]
+
+
 def test_a_resumed_item_asks_for_the_rest_of_its_run_only():
     """Mutation: request the whole run again: an item that is nearly done seems overdue."""
     harness = Harness(send_events(1, 2, end=False, cut=b"id: 3\nda"), send_events(3))
--- /dev/null
+++ b/tests/serving/test_stream_versions.py
@@ -0,0 +1,51 @@
+"""Tests that a stream never joins events of two software versions of its service."""
+
+from __future__ import annotations
+
+import pytest
+
+from clementinepin.serving._dispatcher import update_targets
+from tests.serving.harness import ID, Harness, get_status, send_events
+from tests.serving.scripted import ScriptedTarget, call
+
+
+@pytest.fixture
+def versions(harness: Harness) -> Harness:
+    """Return the harness with the slot broker of its instance, which decides locally."""
+    harness.app._forwarder._slots = harness.app.slots
+    harness.set_route(resumable=True, attempts_max=2)
+    return harness
+
+
+def add_target(harness: Harness, version: str, *scripts: object) -> ScriptedTarget:
+    target = harness.add_target(ScriptedTarget(*scripts))  # type: ignore[arg-type]
+    rows = harness.app.fleet.targets.rows
+    target_id = harness.slots.target_ids[-1]
+    rows[target_id] = rows[target_id]._replace(software_version=version)
+    update_targets(harness.app.slots._table, rows)
+    return target
+
+
+def test_a_stream_that_breaks_off_is_resumed_at_its_software_version(versions: Harness) -> None:
+    """Guards against incident second1: streams went on at another build."""
+    add_target(versions, "v1", send_events(1, 2, end=False))
+    other = add_target(versions, "v2", send_events(3))
+    same = add_target(versions, "v1", send_events(3))
+    response = call(versions.port, ID)
+    assert response.endswith(b"0\r\n\r\n")
+    assert (len(other.requests), len(same.requests)) == (0, 1)
+
+
+def test_a_stream_that_its_caller_resumes_goes_on_at_its_software_version(
+    versions: Harness,
+) -> None:
+    versions.set_route(resumable=True, attempts_max=1)
+    add_target(versions, "v2", send_events(1, 2, end=False))
+    assert b"data: e2" in call(versions.port, ID)
+    rows = versions.app.fleet.targets.rows
+    del rows["t0"]
+    other = add_target(versions, "v1", send_events(3))
+    same = add_target(versions, "v2", send_events(3))
+    headers = ("Clementinepin-Request-Id: q2", "Resumes: q1", "Last-Event-Id: 2")
+    assert get_status(call(versions.port, *headers)) == 200
+    assert (len(other.requests), len(same.requests)) == (0, 1)
