Resume streams and items only at the software version that began them

What two versions generate doesn't fit together, and targets don't check it. A target's version was not read from its entry; a stream that broke off, one that its caller took up in a new request, an item behind a preemption, a broken run or another runner's checkpoint all went on at any target of the service.

A request for a slot now says which version it needs, and no target of another one is granted or preempted for it. The version of a stream that its caller resumes is known from its first request: the dispatcher keeps it for as long as the caller may come back, and each instance hands its part to a new dispatcher. If nobody knows it, it is known all the same where the service has had one version only; else the request is rejected at once, as it is where all targets of its version are gone. A request bound to a version holds no other up in the queue. Items begin again when their version is gone; checkpoints record it, and those without one are left out.

--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from clementinepin.serving._http import CallerRequest
-from clementinepin.serving.models import RequestFacts, Route
+from clementinepin.serving.models import RequestFacts, Route, Target
 from clementinepin.systems import estimates
 from clementinepin.targets import Abort
 
@@ -22,7 +22,7 @@
     is set with ``is_complete`` if the response has a success status. ``framing`` says what marks
     the end of the newest response's body, empty if there was no response. ``awaits_end`` is set
     while another run is to show that no event follows the last one. ``target_version`` is the
-    software version of the newest target.
+    software version of the newest target, ``software_version`` the one whose events were passed on.
     """
 
     def __init__(
@@ -47,6 +47,7 @@
         self.last_event_id = facts.last_event_id
         self.target_id = ""
         self.target_version = ""
+        self.software_version = ""
         self.waited_s = 0.0
         self.target_load: tuple[int, int, int] | None = None
         self.first_byte_at = started_at
@@ -55,6 +56,10 @@
         self.is_complete = False
         self.has_succeeded = False
 
+    def fits(self, target: Target) -> bool:
+        """Return whether a target has the software version of the events passed on, if any."""
+        return self.software_version in ("", target.software_version)
+
     def record_caller_gone(self) -> None:
         """Record that the caller is gone, and end the wait for a slot or a target."""
         self.gone = True
--- a/clementinepin/serving/_checkpoints.py
+++ b/clementinepin/serving/_checkpoints.py
@@ -24,12 +24,16 @@
 
 
 class ItemCheckpoint(msgspec.Struct, array_like=True, frozen=True):
-    """An item's events up to ``last_event_id``; ``failures`` counts its failed runs before."""
+    """An item's events up to ``last_event_id``; ``failures`` counts its failed runs before.
+
+    ``software_version`` is that of the target that generated them, empty if it was not recorded.
+    """
 
     item_id: str
     failures: int
     last_event_id: int
     texts: list[str]
+    software_version: str = ""
 
 
 class JobCheckpoint(msgspec.Struct, array_like=True, frozen=True):
@@ -44,6 +48,7 @@
     failures: int
     last_event_id: int
     texts: list[str]
+    software_version: str
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -61,7 +66,7 @@
         size += count_bytes(run.texts)
         if run.last_event_id and size <= VALUE_MAX_BYTES:
             rows[item_id] = ItemCheckpoint(
-                item_id, run.failures, run.last_event_id, list(run.texts)
+                item_id, run.failures, run.last_event_id, list(run.texts), run.software_version
             )
     return rows
 
@@ -109,8 +114,8 @@
     def restore(self, key: str, failures: Mapping[str, int]) -> dict[str, ItemCheckpoint]:
         """Return the checkpoints of a job by item id.
 
-        A checkpoint whose count of failed runs differs from ``failures`` is left out. An
-        unreadable record is logged and counts as empty.
+        A checkpoint whose count of failed runs differs from ``failures``, or without a software
+        version, is left out. An unreadable record is logged and counts as empty.
         """
         row = self._store.get(key)
         if row is None:
@@ -120,4 +125,8 @@
         except msgspec.DecodeError as err:
             logger.bind(key=key, error=str(err)).error("checkpoint_unreadable")
             return {}
-        return {r.item_id: r for r in items if r.failures == failures.get(r.item_id, 0)}
+        return {
+            row.item_id: row
+            for row in items
+            if row.software_version and row.failures == failures.get(row.item_id, 0)
+        }
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -16,7 +16,7 @@
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._links import Link, LinkServer
 from clementinepin.serving.models import DEFAULT_POLICY, Policy, Target
-from clementinepin.systems import dispatching, target_health, waiting
+from clementinepin.systems import dispatching, stream_versions, target_health, waiting
 from clementinepin.systems.dispatch_actions import Action, Granted, Rejected, RunOutcome
 from clementinepin.systems.service_load import list_services, measure_load
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, TargetLoad
@@ -78,6 +78,8 @@
         """Adopt the slots that an instance already uses, and preempt batch on overfull targets."""
         now = self._clock.monotonic()
         self._release_all(link.name)
+        for stream in hello.streams:
+            self._record_stream(stream)
         for slot in hello.slots:
             adopted = _make_adopted_request(link.name, slot, now)
             dispatching.adopt_grant(self.table, adopted, slot.target_id, now)
@@ -96,6 +98,8 @@
     def _handle_slot_taken(self, link: Link, message: messages.SlotTaken) -> None:
         """Adopt a slot taken by a local decision, and preempt batch if its target is overfull."""
         now = self._clock.monotonic()
+        if message.stream is not None:
+            self._record_stream(message.stream)
         adopted = _make_adopted_request(link.name, message.slot, now)
         dispatching.adopt_grant(self.table, adopted, message.slot.target_id, now)
         target = self.table.targets.get(message.slot.target_id)
@@ -109,6 +113,12 @@
         dispatching.finish(self.table, key, outcome, now, succeeded=message.succeeded)
         self._serve_queue()
 
+    def _record_stream(self, stream: messages.StreamVersion) -> None:
+        now = self._clock.monotonic()
+        stream_versions.record_stream(
+            self.table, stream.stream_id, stream.software_version, now + stream.ttl_s, now
+        )
+
     def _handle_load(self, link: Link, message: messages.ReportLoad) -> None:
         now = self._clock.monotonic()
         key = (link.name, message.number)
@@ -166,25 +176,32 @@
             dispatching.finish(self.table, key, RunOutcome.CANCELLED, now)
 
     def _update_targets(self) -> None:
-        update_targets(self.table, self._fleet.targets.rows)
+        update_targets(self.table, self._fleet.targets.rows, self._clock.monotonic())
         self._serve_queue()
 
 
-def update_targets(table: DispatchTable, rows: dict[str, Target]) -> None:
+def update_targets(table: DispatchTable, rows: dict[str, Target], now: float) -> None:
     """Update the table to the targets that are not draining.
 
-    Grants on removed targets are dropped. A restarted target (another ``started_at_ms``) starts
-    with an empty load.
+    Grants on removed targets are dropped. A restarted target (another ``started_at_ms`` or software
+    version) starts with an empty load.
     """
+    versions = [(row.service, row.software_version) for row in rows.values()]
+    stream_versions.record_versions(table, versions, now)
     usable = {k: row for k, row in rows.items() if not row.draining}
     for target_id in set(table.targets) - set(usable):
         for key in table.targets.pop(target_id).grants:
             table.grants.pop(key, None)
     for target_id, row in usable.items():
         current = table.targets.get(target_id)
-        if current is None or current.started_at_ms != row.started_at_ms:
+        if (
+            current is None
+            or current.started_at_ms != row.started_at_ms
+            or current.software_version != row.software_version
+        ):
             load = TargetLoad(target_id, row.service, row.data_centre, row.slots)
             load.started_at_ms = row.started_at_ms
+            load.software_version = row.software_version
             table.targets[target_id] = load
 
 
@@ -206,6 +223,10 @@
         priority=message.priority,
         fingerprint=message.fingerprint,
         timeout_at=now + (message.timeout_in_s or message.deadline_in_s),
+        software_version=message.software_version,
+        stream_id=message.stream_id,
+        stream_until=now + message.stream_ttl_s,
+        is_resumption=message.is_resumption,
     )
 
 
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -8,7 +8,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, TypedDict
 
 from loguru import logger
 
@@ -47,6 +47,15 @@
 STATUS_SUCCESS_BELOW: Final = 300
 
 
+class _StreamFields(TypedDict, total=False):
+    """The fields of a ``SlotRequest`` that describe a resumable stream."""
+
+    software_version: str
+    stream_id: str
+    stream_until: float
+    is_resumption: bool
+
+
 class _Sent(NamedTuple):
     """A request that was sent to a target."""
 
@@ -168,11 +177,26 @@
             priority=route.priority,
             fingerprint=make_fingerprint(call.request),
             timeout_at=call.deadline,
+            **self._describe_stream(call),
         )
 
+    def _describe_stream(self, call: Call) -> _StreamFields:
+        """Return the fields of a slot request by which a stream keeps its software version."""
+        facts, route = call.facts, call.route
+        if not route.resumable:
+            return {}
+        is_resumption = facts.last_event_id > 0
+        time_left_s = route.timeout_s if facts.time_left_s is None else facts.time_left_s
+        return {
+            "software_version": call.software_version,
+            "stream_id": facts.resumes if is_resumption else facts.request_id,
+            "stream_until": call.started_at + time_left_s,
+            "is_resumption": is_resumption,
+        }
+
     def _use_slot(self, connection: CallerConnection, call: Call, slot: Slot) -> RunOutcome:
         target = self._fleet.targets.find_usable(slot.target_id)
-        if target is None or call.gone:
+        if target is None or call.gone or not call.fits(target):
             call.excluded.add(slot.target_id)
             return RunOutcome.CANCELLED
         call.target_id = slot.target_id
@@ -360,6 +384,7 @@
                     _check_joint(call, events[0])
                 brought_events = True
                 call.awaits_end = False
+                call.software_version = call.target_version
                 call.can_resend = call.can_resend and call.route.resumable
                 self._start_response(connection, call, exchange)
                 connection.send_data(b"".join(event.raw for event in events))
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -54,7 +54,8 @@
     ``held_until`` (monotonic seconds) once it has CRASHES_MAX crashes. ``preempted`` says that the
     dispatcher asked the latest run to free its slot. ``framing`` says what marks the end of the
     newest response's body. ``awaits_end`` is set while another run is to show that no event follows
-    the last one. ``target_version`` is the software version of the newest target.
+    the last one. ``target_version`` is the software version of the newest target,
+    ``software_version`` the one of the events so far.
     """
 
     def __init__(self, item: JobItem, head: records.JobHead, failures: int) -> None:
@@ -72,6 +73,7 @@
         self.preempted = False
         self.framing = ""
         self.target_version = ""
+        self.software_version = ""
         self.awaits_end = False
         self.abort = Abort()
         self.cancel_wait: Callable[[], None] = lambda: None
@@ -81,8 +83,16 @@
         """Return the data of all events so far, one event per line."""
         return "\n".join(self.texts)
 
-    def resume_from(self, last_event_id: int, texts: list[str]) -> None:
-        """Start after the events that an earlier run produced."""
+    def begin_again(self) -> None:
+        """Drop all events, so that the next run starts from the beginning."""
+        self.texts.clear()
+        self.last_event_id = 0
+        self.software_version = ""
+        self.awaits_end = False
+
+    def resume_from(self, last_event_id: int, texts: list[str], software_version: str) -> None:
+        """Start after the events that an earlier run produced at a software version."""
+        self.software_version = software_version
         self.last_event_id = last_event_id
         self.texts = list(texts)
         logger.bind(request_id=self.item.item_id, job=self.head.job_id, events=last_event_id).info(
@@ -135,6 +145,9 @@
                 self._log_wait(run, "no route" if route is None else "crashed targets")
                 gevent.sleep(CRASH_HOLD_S)
                 continue
+            self._check_version(run, route)
+            if run.state is not None:
+                return
             outcome = self._run_once(run, route)
             if run.state is None and outcome is not RunOutcome.SERVED and not run.cancelled:
                 gevent.sleep(RETRY_PAUSE_S if outcome is not RunOutcome.CANCELLED else 0.0)
@@ -157,6 +170,30 @@
         run.crashes = 0
         return True
 
+    def _check_version(self, run: ItemRun, route: Route) -> None:
+        """Begin an item again if all targets of its events' software version are gone.
+
+        An item that only awaited the check of its end is completed.
+        """
+        service = route.shares[0].service
+        versions = {
+            target.software_version
+            for target in self._fleet.targets.rows.values()
+            if target.service == service and not target.draining
+        }
+        if not run.software_version or not versions or run.software_version in versions:
+            return
+        if run.awaits_end:
+            run.state = ItemState.COMPLETED
+            return
+        logger.bind(
+            request_id=run.item.item_id,
+            job=run.head.job_id,
+            software_version=run.software_version,
+            events=run.last_event_id,
+        ).info("item_begun_again")
+        run.begin_again()
+
     def _find_route(self, run: ItemRun) -> Route | None:
         configuration = self._fleet.configuration.current
         if configuration is None:
@@ -228,12 +265,15 @@
             run_s=run_s,
             prefix_ids=facts.prefix_ids,
             is_firm=0 < due_in_s < run_s * NOT_PREEMPTIBLE_FACTOR,
+            software_version=run.software_version,
         )
 
     def _use_slot(self, run: ItemRun, route: Route, slot: Slot) -> RunOutcome:
         target = self._fleet.targets.find_usable(slot.target_id)
         if target is None or run.cancelled:
             return RunOutcome.CANCELLED
+        if run.software_version not in ("", target.software_version):
+            return RunOutcome.CANCELLED
         events_before = run.last_event_id
         run.target_version = target.software_version
         try:
@@ -328,6 +368,7 @@
                     )
                 run.texts.append(event.text)
                 run.last_event_id = event.event_id
+                run.software_version = run.target_version
                 run.crashes = 0
         if splitter.incomplete.strip():
             raise TargetProtocolError("the stream ended within an event")
@@ -341,8 +382,7 @@
             run.state = ItemState.COMPLETED
             return
         run.failures += 1
-        run.texts.clear()
-        run.last_event_id = 0
+        run.begin_again()
         if status == STATUS_UNPROCESSABLE:
             self._mark_dead(run, "the target can never process the item")
         elif run.failures >= route.attempts_max:
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -29,11 +29,20 @@
     run_s: float
 
 
+class StreamVersion(msgspec.Struct, array_like=True, frozen=True):
+    """The software version at which a stream began; its caller may resume it for ``ttl_s``."""
+
+    stream_id: str
+    software_version: str
+    ttl_s: float
+
+
 class Hello(msgspec.Struct, array_like=True, tag=0, frozen=True):
-    """First message of a client: its instance name and the slots that it uses."""
+    """First message of a client: its instance name, the slots that it uses and its streams."""
 
     name: str
     slots: list[SlotInUse]
+    streams: list[StreamVersion] = []
 
 
 class RequestSlot(msgspec.Struct, array_like=True, tag=1, frozen=True):
@@ -58,6 +67,10 @@
     priority: int = 0
     fingerprint: str = ""
     timeout_in_s: float = 0.0
+    software_version: str = ""
+    stream_id: str = ""
+    stream_ttl_s: float = 0.0
+    is_resumption: bool = False
 
 
 class ReleaseSlot(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -116,9 +129,13 @@
 
 
 class SlotTaken(msgspec.Struct, array_like=True, tag=16, frozen=True):
-    """A slot that the sender took by a local decision, without a grant of the receiver."""
+    """A slot that the sender took by a local decision, without a grant of the receiver.
+
+    ``stream`` is the stream that it begins or resumes there, if its caller may resume it.
+    """
 
     slot: SlotInUse
+    stream: StreamVersion | None = None
 
 
 class StoreCall(msgspec.Struct, array_like=True, tag=8, frozen=True):
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -328,7 +328,9 @@
             run = ItemRun(item, job.head, progress.failures.get(item.item_id, 0))
             job.runs[item.item_id] = run
             if (checkpoint := job.restored.get(item.item_id)) is not None:
-                run.resume_from(checkpoint.last_event_id, checkpoint.texts)
+                run.resume_from(
+                    checkpoint.last_event_id, checkpoint.texts, checkpoint.software_version
+                )
             gevent.spawn(self._run_item, job, run)
 
     def _run_item(self, job: _OwnedJob, run: ItemRun) -> None:
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -26,7 +26,7 @@
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
 from clementinepin.serving.models import DEFAULT_POLICY, Placement, Policy
-from clementinepin.systems import dispatching, estimates, target_health
+from clementinepin.systems import dispatching, estimates, stream_versions, target_health
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest
 from clementinepin.tables.mechanisms import Mechanism
@@ -44,7 +44,8 @@
     ``on_time_by`` is the latest start that meets the objective, ``deadline`` the latest useful
     start, and ``run_s`` the expected time in the slot. The caller gives up at ``timeout_at``, after
     all retries; 0.0 means at the deadline. ``is_firm`` marks a batch item that is not
-    preemptible. ``returned`` marks a caller that was rejected before.
+    preemptible. ``returned`` marks a caller that was rejected before. The last four fields are
+    those of ``PendingRequest``.
     """
 
     service: str
@@ -59,6 +60,10 @@
     priority: int = 0
     fingerprint: str = ""
     timeout_at: float = 0.0
+    software_version: str = ""
+    stream_id: str = ""
+    stream_until: float = 0.0
+    is_resumption: bool = False
 
 
 class Slot(NamedTuple):
@@ -145,6 +150,7 @@
         request is rejected and CallerGoneError if the wait is cancelled.
         """
         number = next(self._numbers)
+        request = self._add_known_version(request)
         if not self._link.is_responsive:
             return self._decide_locally(number, request)
         if request.is_batch:
@@ -177,6 +183,14 @@
             raise OverloadedError("no slot before the latest useful start", LOCAL_RETRY_S)
         return self._decide_locally(number, request)
 
+    def _add_known_version(self, request: SlotRequest) -> SlotRequest:
+        """Return the request with the software version of its stream if this instance knows it."""
+        if not request.is_resumption or request.software_version:
+            return request
+        now = self._clock.monotonic()
+        version = stream_versions.find_stream_version(self._table, request.stream_id, now)
+        return request._replace(software_version=version or "")
+
     def _hold_batch(self) -> None:
         """Raise OverloadedError while the linked dispatcher is not the first registered one.
 
@@ -293,6 +307,10 @@
         ):
             raise OverloadedError("batch waits for a dispatcher", LOCAL_RETRY_S)
         pending = self._make_local_request(number, request, now)
+        version = stream_versions.find_required_version(self._table, pending, now)
+        if version is None:
+            raise OverloadedError("unknown software version", LOCAL_RETRY_S)
+        pending = pending._replace(software_version=version)
         targets = list(self._table.targets.values())
         if self._placement is Placement.RANDOM:
             self._random.shuffle(targets)
@@ -308,7 +326,8 @@
                 "this instance's share of slots on the target is used up", LOCAL_RETRY_S
             )
         self._record_taken(number, request, target.target_id)
-        self._link.send(messages.SlotTaken(self._describe_taken(number, now)))
+        stream = self._describe_stream(request.stream_id, now)
+        self._link.send(messages.SlotTaken(self._describe_taken(number, now), stream))
         return Slot(number, target.target_id, alone=True)
 
     def _record_taken(self, number: int, request: SlotRequest, target_id: str) -> None:
@@ -330,6 +349,10 @@
             data_centre=self._data_centre,
             excluded=request.excluded,
             fingerprint=request.fingerprint,
+            software_version=request.software_version,
+            stream_id=request.stream_id,
+            stream_until=request.stream_until,
+            is_resumption=request.is_resumption,
         )
 
     def _make_request_message(self, number: int, request: SlotRequest) -> messages.RequestSlot:
@@ -350,15 +373,31 @@
             priority=request.priority,
             fingerprint=request.fingerprint,
             timeout_in_s=max(0.0, request.timeout_at - now),
+            software_version=request.software_version,
+            stream_id=request.stream_id,
+            stream_ttl_s=max(0.0, request.stream_until - now),
+            is_resumption=request.is_resumption,
         )
 
     def _update_targets(self) -> None:
-        update_targets(self._table, self._fleet.targets.rows)
+        update_targets(self._table, self._fleet.targets.rows, self._clock.monotonic())
         self._link.recheck_dispatcher()
 
     def _make_hello(self) -> messages.Hello:
         now = self._clock.monotonic()
-        return messages.Hello(self._name, [self._describe_taken(n, now) for n in self._taken])
+        streams = [self._describe_stream(name, now) for name in self._table.streams.begun]
+        return messages.Hello(
+            self._name,
+            [self._describe_taken(number, now) for number in self._taken],
+            [stream for stream in streams if stream is not None],
+        )
+
+    def _describe_stream(self, stream_id: str, now: float) -> messages.StreamVersion | None:
+        """Return what a dispatcher should know about a stream; None if it can't be resumed."""
+        stream = self._table.streams.begun.get(stream_id)
+        if stream is None or stream.expires_at <= now:
+            return None
+        return messages.StreamVersion(stream_id, stream.software_version, stream.expires_at - now)
 
     def _describe_taken(self, number: int, now: float) -> messages.SlotInUse:
         request, target_id, since = self._taken[number]
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from clementinepin.systems import target_health, waiting
+from clementinepin.systems import stream_versions, target_health, waiting
 from clementinepin.systems.dispatch_actions import (
     Action,
     Granted,
@@ -52,6 +52,13 @@
     if target_health.has_crashed_targets(table, request.fingerprint, now):
         retry_after_s = waiting.get_longest_retry_wait(request, now)
         return [Rejected(request.key, retry_after_s, "crashed targets")]
+    version = stream_versions.find_required_version(table, request, now)
+    if version is None:
+        retry_after_s = waiting.get_longest_retry_wait(request, now)
+        return [Rejected(request.key, retry_after_s, "unknown software version")]
+    request = request._replace(software_version=version)
+    if (rejection := _check_version(table, request, now)) is not None:
+        return [rejection]
     request = _correct_estimate(table, request)
     if not request.is_batch and not request.returned:
         patience_s = request.deadline - request.requested_at
@@ -72,6 +79,19 @@
     return []
 
 
+def _check_version(table: DispatchTable, request: PendingRequest, now: float) -> Rejected | None:
+    """Return a rejection if only other software versions than the required one are left, else None.
+
+    A target that crashed may come back, but not surely at the same version.
+    """
+    if stream_versions.has_target(table, request):
+        return None
+    if not any(target.service == request.service for target in table.targets.values()):
+        return None
+    retry_after_s = waiting.get_longest_retry_wait(request, now)
+    return Rejected(request.key, retry_after_s, "no target of the software version")
+
+
 def _correct_estimate(table: DispatchTable, request: PendingRequest) -> PendingRequest:
     """Return the request with its run time corrected by the pace of recent runs.
 
@@ -137,7 +157,9 @@
     for request in sorted(
         table.waiting.values(), key=lambda r: waiting.rank_request(table, r, now)
     ):
-        rejection = waiting.recheck_wait(table, request, now, rng)
+        rejection = _check_version(table, request, now) or waiting.recheck_wait(
+            table, request, now, rng
+        )
         if rejection is not None:
             del table.waiting[request.key]
             actions.append(rejection)
@@ -148,7 +170,7 @@
         if started:
             del table.waiting[request.key]
             actions.extend(started)
-        else:
+        elif not request.software_version:
             blocked.add(request.service)
     for service, queue in table.items.items():
         if service not in blocked:
@@ -160,15 +182,24 @@
     """Start batch items while slots are free.
 
     Load pattern: a backlog with more items than can finish on time. Overdue items wait behind
-    items that can still finish on time; otherwise all items would be late.
+    items that can still finish on time; otherwise all items would be late. An item that can only
+    be resumed at targets of its software version holds no other item up.
     """
     actions: list[Action] = []
+    held: list[PendingRequest] = []
     while (request := queue.get_first(now)) is not None:
         started = _try_start(table, request, now)
-        if not started:
+        if not started and not request.software_version:
             break
         queue.remove(request.key)
-        actions.extend(started)
+        if started:
+            actions.extend(started)
+        elif (rejection := _check_version(table, request, now)) is not None:
+            actions.append(rejection)
+        else:
+            held.append(request)
+    for request in held:
+        queue.add(request)
     return actions
 
 
@@ -189,7 +220,7 @@
     best: TargetLoad | None = None
     best_score: tuple[int, bool, bool, int, float] | None = None
     for target in targets:
-        if target.service != request.service or target.target_id in request.excluded:
+        if target.target_id in request.excluded or not stream_versions.can_run(target, request):
             continue
         if now < target.full_until or now < target.avoid_until or target.count_free(now) <= 0:
             continue
@@ -326,7 +357,7 @@
     candidates = [
         grant
         for target in table.targets.values()
-        if target.service == request.service
+        if stream_versions.can_run(target, request)
         and target.target_id not in request.excluded
         and now >= target.full_until
         and now >= target.avoid_until
@@ -348,6 +379,9 @@
 ) -> None:
     grant = Grant(request, target.target_id, now)
     table.grants[request.key] = grant
+    stream_versions.record_stream(
+        table, request.stream_id, target.software_version, request.stream_until, now
+    )
     target.grants[request.key] = grant
     for prefix_id in request.prefix_ids[:-1]:
         target.prefixes[prefix_id] = None
--- /dev/null
+++ b/clementinepin/systems/stream_versions.py
@@ -0,0 +1,82 @@
+"""Decides at which software version of a service a stream may go on.
+
+What two versions generate doesn't fit together, and targets don't check it.
+
+Load pattern: a release, with targets of several versions side by side, while targets and instances
+fail and their streams are resumed by whoever reaches the next target.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+from clementinepin.tables.dispatch import DispatchTable, PendingRequest, TargetLoad
+from clementinepin.tables.streams import BegunStream
+
+VERSION_MEMORY_S: Final = 60.0  # several times as long as callers keep trying
+STREAMS_MAX: Final = 100_000  # about 10 MB; the streams that began first are dropped
+
+
+def record_versions(table: DispatchTable, versions: Iterable[tuple[str, str]], now: float) -> None:
+    """Record the pairs of service and software version of all registered targets."""
+    present: dict[str, set[str]] = {}
+    for service, version in versions:
+        present.setdefault(service, set()).add(version)
+    streams = table.streams
+    for service, former in streams.present.items():
+        for version in former - present.get(service, set()):
+            streams.gone_at[service][version] = now
+    streams.present = present
+
+
+def record_stream(
+    table: DispatchTable, stream_id: str, software_version: str, expires_at: float, now: float
+) -> None:
+    """Record at which version a stream begins or goes on; without an id there is none."""
+    if not stream_id or expires_at <= now:
+        return
+    begun = table.streams.begun
+    begun.pop(stream_id, None)
+    begun[stream_id] = BegunStream(software_version, expires_at)
+    while begun and (len(begun) > STREAMS_MAX or next(iter(begun.values())).expires_at <= now):
+        del begun[next(iter(begun))]
+
+
+def find_stream_version(table: DispatchTable, stream_id: str, now: float) -> str | None:
+    """Return the version at which a stream began, or None if it is not recorded."""
+    stream = table.streams.begun.get(stream_id)
+    return stream.software_version if stream is not None and now < stream.expires_at else None
+
+
+def find_required_version(table: DispatchTable, request: PendingRequest, now: float) -> str | None:
+    """Return the version at which a request must run, empty for any, or None if it is unknown.
+
+    The version of a stream that is not recorded is known if its service has had only one.
+    """
+    if request.software_version or not request.is_resumption:
+        return request.software_version
+    recorded = find_stream_version(table, request.stream_id, now)
+    if recorded is not None:
+        return recorded
+    streams = table.streams
+    recent = {
+        version
+        for version, gone_at in streams.gone_at[request.service].items()
+        if now - gone_at < VERSION_MEMORY_S
+    }
+    versions = recent | streams.present.get(request.service, set())
+    return versions.pop() if len(versions) == 1 else None
+
+
+def can_run(target: TargetLoad, request: PendingRequest) -> bool:
+    """Return whether a target has the service and the software version that a request needs."""
+    return target.service == request.service and request.software_version in (
+        "",
+        target.software_version,
+    )
+
+
+def has_target(table: DispatchTable, request: PendingRequest) -> bool:
+    """Return whether any target may run the request, now or later."""
+    return any(can_run(target, request) for target in table.targets.values())
--- a/clementinepin/systems/waiting.py
+++ b/clementinepin/systems/waiting.py
@@ -7,6 +7,7 @@
 
 from clementinepin.systems.dispatch_actions import Rejected
 from clementinepin.systems.service_load import measure_load
+from clementinepin.systems.stream_versions import can_run, has_target
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, QueueOrder
 from clementinepin.tables.mechanisms import Mechanism
 
@@ -44,7 +45,7 @@
     ends = sorted(
         grant.ends_at if grant.ends_at > now else now + grant.run_s * OVERRUN_SHARE
         for target in table.targets.values()
-        if target.service == request.service and now >= target.avoid_until
+        if can_run(target, request) and now >= target.avoid_until
         for grant in target.grants.values()
         if not grant.preempting
     )
@@ -56,9 +57,7 @@
     )
     if not ends:
         return _find_reopening(table, request)
-    ahead += sum(
-        t.count_untracked(now) for t in table.targets.values() if t.service == request.service
-    )
+    ahead += sum(t.count_untracked(now) for t in table.targets.values() if can_run(t, request))
     rounds, position = divmod(ahead, len(ends))
     return ends[position] + rounds * request.run_s
 
@@ -78,7 +77,7 @@
         and not is_overloaded(table, request.service, now)
     ):
         return None
-    if not any(t.service == request.service for t in table.targets.values()):
+    if not has_target(table, request):
         return Rejected(request.key, RETRY_AFTER_MIN_S * 5, "no target")
     load = measure_load(table, request.service, now)
     retry_after_s = _book_return(table, request, start, now, rng)
@@ -176,7 +175,7 @@
         (
             max(t.full_until, t.avoid_until, t.untracked_until)
             for t in table.targets.values()
-            if t.service == request.service
+            if can_run(t, request)
         ),
         default=float("inf"),
     )
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -9,6 +9,7 @@
 from typing import Final, NamedTuple
 
 from clementinepin.tables.mechanisms import Mechanism
+from clementinepin.tables.streams import StreamTable
 
 GrantKey = tuple[str, int]  # the requesting instance and its number for the request
 RATE_BUCKET_S: Final = 0.25  # old work leaves a window in steps of this size
@@ -35,7 +36,9 @@
     overdue. ``warm`` names the targets to which the requesting instance has a connection.
     ``priority`` is that of the route, 0 is the most urgent. ``fingerprint`` is the same each time
     that a request is sent again. ``pace`` is the factor by which ``run_s`` was corrected.
-    The caller gives up at ``timeout_at``, after all retries.
+    The caller gives up at ``timeout_at``, after all retries. With ``software_version`` only targets
+    of that version may run it. ``stream_id`` is the request that began the stream, which its caller
+    may resume until ``stream_until``; ``is_resumption`` says that the caller does so now.
     """
 
     key: GrantKey
@@ -55,6 +58,10 @@
     fingerprint: str = ""
     pace: float = 1.0
     timeout_at: float = float("inf")
+    software_version: str = ""
+    stream_id: str = ""
+    stream_until: float = 0.0
+    is_resumption: bool = False
 
     def get_time_after_share(self, share: float) -> float:
         """Return the time at which a share of the time for a start in time has passed."""
@@ -140,6 +147,7 @@
         self.data_centre = data_centre
         self.slots = slots
         self.started_at_ms = 0
+        self.software_version = ""
         self.grants: dict[GrantKey, Grant] = {}
         self.failures = 0
         self.avoid_until = 0.0
@@ -271,7 +279,7 @@
 
     By service, ``arrivals`` is the work that new callers bring, ``latest_return_at`` the last
     retry time booked for a rejected caller, and ``paces`` how long runs take. ``crashes`` has the
-    times of crashes by request fingerprint.
+    times of crashes by request fingerprint. ``streams`` has the software versions of streams.
     """
 
     def __init__(
@@ -289,6 +297,7 @@
         self.crashes: dict[str, list[float]] = {}
         self.arrivals: defaultdict[str, WorkRate] = defaultdict(WorkRate)
         self.paces: defaultdict[str, Pace] = defaultdict(Pace)
+        self.streams = StreamTable()
 
     def uses(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is in use; experiments switch single ones off."""
--- /dev/null
+++ b/clementinepin/tables/streams.py
@@ -0,0 +1,27 @@
+"""Software versions of the streams that callers may resume, and of each service's targets."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import NamedTuple
+
+
+class BegunStream(NamedTuple):
+    """A stream that a target was granted to; ``expires_at`` is in monotonic seconds."""
+
+    software_version: str
+    expires_at: float
+
+
+class StreamTable:
+    """What is known about streams and software versions.
+
+    ``begun`` has the streams by the id of the request that began them, oldest grant first.
+    ``present`` has the versions of a service's registered targets. ``gone_at`` has when the last
+    target of a version went (monotonic seconds), by service and version.
+    """
+
+    def __init__(self) -> None:
+        self.begun: dict[str, BegunStream] = {}
+        self.present: dict[str, set[str]] = {}
+        self.gone_at: defaultdict[str, dict[str, float]] = defaultdict(dict)
--- a/tests/serving/test_checkpoints.py
+++ b/tests/serving/test_checkpoints.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import gevent
+import msgspec
 import pytest
 
 from clementinepin.helpers.clock import ManualClock
+from clementinepin.infrastructure import Change
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._checkpoints import (
     CHECKPOINT_PERIOD_S,
@@ -26,6 +28,7 @@
     run = ItemRun(make_items(1)[0], make_head(), failures)
     run.last_event_id = events
     run.texts = ["e" * event_bytes] * events
+    run.software_version = "v1"
     return run
 
 
@@ -74,8 +77,10 @@
     def __init__(self) -> None:
         super().__init__()
         self.started: dict[str, tuple[int, list[str]]] = {}
+        self.versions: dict[str, str] = {}
 
     def run(self, run: ItemRun) -> None:
+        self.versions[run.item.item_id] = run.software_version
         self.started[run.item.item_id] = run.last_event_id, list(run.texts)
         super().run(run)
 
@@ -102,6 +107,15 @@
     start_runner(store, items, clock=clock)
     wait_until_closed(store, keys)
     assert items.started == {"i0": (0, []), "i1": expected}
+    assert items.versions == {"i0": "", "i1": "" if failures else "v1"}
+
+
+def test_a_checkpoint_without_a_software_version_is_left_out() -> None:
+    """Releases before December 2026 recorded none; what follows would not fit its events."""
+    store = MemoryStore()
+    record = [[["i1", 0, 2, ["e1", "e2"]]]]
+    store.write(Change({}, {KEYS.checkpoint: msgspec.msgpack.encode(record)}))
+    assert CheckpointKeeper(store).restore(KEYS.checkpoint, {}) == {}
 
 
 class WaitingItems(FakeItems):
@@ -110,6 +124,7 @@
     def run(self, run: ItemRun) -> None:
         run.texts = ["eeee"] * NEW_EVENTS_MIN
         run.last_event_id = NEW_EVENTS_MIN
+        run.software_version = "v1"
         while not run.cancelled:
             gevent.sleep(0.001)
 
--- a/tests/serving/test_stream_versions.py
+++ b/tests/serving/test_stream_versions.py
@@ -22,7 +22,7 @@
     rows = harness.app.fleet.targets.rows
     target_id = harness.slots.target_ids[-1]
     rows[target_id] = rows[target_id]._replace(software_version=version)
-    update_targets(harness.app.slots._table, rows)
+    update_targets(harness.app.slots._table, rows, 0.0)
     return target
 
 
--- /dev/null
+++ b/tests/systems/test_stream_versions.py
@@ -0,0 +1,160 @@
+"""Tests of the software version at which streams and items go on, in a release under faults."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from clementinepin.systems import dispatching, stream_versions
+from clementinepin.systems.dispatch_actions import (
+    Granted,
+    PreemptionRequested,
+    Rejected,
+    RunOutcome,
+)
+from clementinepin.systems.stream_versions import STREAMS_MAX, VERSION_MEMORY_S
+from clementinepin.tables.dispatch import DispatchTable, PendingRequest
+from tests.systems.dispatch_parts import fill, make_item, make_request, make_table
+
+
+@pytest.fixture
+def rng() -> random.Random:
+    return random.Random(3)
+
+
+def make_release(*versions: str, slots: int = 2) -> DispatchTable:
+    """Return a table with one target of each version, ``t0`` first."""
+    table = make_table(targets=len(versions), slots=slots)
+    for target, version in zip(table.targets.values(), versions, strict=True):
+        target.software_version = version
+    record(table, *versions, now=0.0)
+    return table
+
+
+def record(table: DispatchTable, *versions: str, now: float) -> None:
+    stream_versions.record_versions(table, [("llm", version) for version in versions], now)
+
+
+def begin(table: DispatchTable, stream_id: str, now: float, rng: random.Random) -> str:
+    """Grant a new stream and return the software version of its target."""
+    request = make_request(1, now, stream_id=stream_id, stream_until=now + 5.0)
+    (granted,) = dispatching.submit(table, request, now, rng)
+    assert isinstance(granted, Granted)
+    dispatching.finish(table, granted.key, RunOutcome.CANCELLED, now)
+    return table.targets[granted.target_id].software_version
+
+
+def resume(stream_id: str, number: int = 2, now: float = 1.0) -> PendingRequest:
+    return make_request(number, now, stream_id=stream_id, is_resumption=True)
+
+
+def test_a_resumed_stream_waits_for_its_version_and_takes_no_other(rng: random.Random) -> None:
+    table = make_release("v1", "v2", slots=1)
+    version = begin(table, "q1", 0.0, rng)
+    (own,) = [t for t in table.targets.values() if t.software_version == version]
+    dispatching.adopt_grant(table, make_request(5, 1.0), own.target_id, 1.0)
+    stream = resume("q1")._replace(on_time_by=9.0, deadline=9.0)
+    assert dispatching.submit(table, stream, 1.0, rng) == []
+    assert dispatching.serve_queue(table, 1.1, rng) == []
+    dispatching.finish(table, ("f", 5), RunOutcome.SERVED, 1.2)
+    assert dispatching.serve_queue(table, 1.2, rng) == [Granted(stream.key, own.target_id)]
+
+
+@pytest.mark.parametrize("versions", [("v1", "v2", "v2", "v2"), ("v2", "v2", "v2", "v1")])
+def test_streams_of_a_release_go_on_where_they_began(
+    rng: random.Random, versions: tuple[str, ...]
+) -> None:
+    """Mutation: ignore the version when choosing a target: most streams change it."""
+    table = make_release(*versions, slots=8)
+    for n in range(12):
+        version = begin(table, f"q{n}", 0.1 * n, rng)
+        (action,) = dispatching.submit(table, resume(f"q{n}", 100 + n, 0.1 * n), 0.1 * n, rng)
+        assert isinstance(action, Granted)
+        assert table.targets[action.target_id].software_version == version
+
+
+def test_a_preemption_for_a_stream_is_at_its_version(rng: random.Random) -> None:
+    table = make_release("v1", "v2", slots=1)
+    for n in range(2):
+        assert dispatching.submit(table, make_item(n), 0.0, rng)
+    stream_versions.record_stream(table, "q1", "v2", 5.0, 0.0)
+    actions = dispatching.submit(table, resume("q1"), 1.0, rng)
+    assert [type(a) for a in actions] == [PreemptionRequested, Granted]
+    assert table.targets[actions[1].target_id].software_version == "v2"  # type: ignore[union-attr]
+
+
+def test_the_version_of_an_unknown_stream_is_the_only_one_there_was(rng: random.Random) -> None:
+    table = make_release("v1", "v1")
+    (action,) = dispatching.submit(table, resume("q9"), 1.0, rng)
+    assert isinstance(action, Granted)
+    record(table, "v1", "v2", now=2.0)
+    (rejected,) = dispatching.submit(table, resume("q9"), 3.0, rng)
+    assert isinstance(rejected, Rejected)
+    record(table, "v1", now=4.0)
+    (rejected,) = dispatching.submit(table, resume("q9"), 4.0 + VERSION_MEMORY_S / 2, rng)
+    assert isinstance(rejected, Rejected)
+    now = 5.0 + VERSION_MEMORY_S
+    (action,) = dispatching.submit(table, resume("q9", 3, now), now, rng)
+    assert isinstance(action, Granted)
+
+
+def test_a_stream_whose_version_is_gone_is_rejected_at_once(rng: random.Random) -> None:
+    table = make_release("v2", "v2")
+    stream_versions.record_stream(table, "q1", "v1", 5.0, 0.0)
+    (rejected,) = dispatching.submit(table, resume("q1"), 1.0, rng)
+    assert isinstance(rejected, Rejected)
+    assert rejected.reason == "no target of the software version"
+
+
+def test_a_waiting_stream_is_rejected_once_its_version_is_gone(rng: random.Random) -> None:
+    table = make_release("v1", "v2", slots=1)
+    fill(table, 2, rng)
+    waiting = make_request(9, 0.0, software_version="v1", on_time_by=4.0, deadline=4.5)
+    assert dispatching.submit(table, waiting, 0.0, rng) == []
+    del table.targets["t0"]
+    (rejected,) = dispatching.serve_queue(table, 0.1, rng)
+    assert isinstance(rejected, Rejected)
+
+
+def test_a_request_bound_to_a_version_holds_no_other_up(rng: random.Random) -> None:
+    """Mutation: block the service behind it: the free slot of the other version stays empty."""
+    table = make_release("v1", "v2", slots=1)
+    fill(table, 2, rng)
+    bound = make_request(8, 0.0, software_version="v1", on_time_by=3.0, deadline=4.0)
+    other = make_request(9, 0.0, on_time_by=3.5, deadline=4.0)
+    assert dispatching.submit(table, bound, 0.0, rng) == []
+    assert dispatching.submit(table, other, 0.0, rng) == []
+    for key, grant in list(table.grants.items()):
+        if grant.target_id == "t1":
+            dispatching.finish(table, key, RunOutcome.SERVED, 0.1)
+    assert dispatching.serve_queue(table, 0.1, rng) == [Granted(other.key, "t1")]
+
+
+def test_an_item_bound_to_a_version_holds_no_other_item_up(rng: random.Random) -> None:
+    table = make_release("v1", "v2", slots=1)
+    for n in range(2):
+        assert dispatching.submit(table, make_item(n), 0.0, rng)
+    bound = make_item(8, on_time_by=1.0, software_version="v1")
+    other = make_item(9, on_time_by=2.0)
+    for item in (bound, other):
+        assert dispatching.submit(table, item, 0.0, rng) == []
+    for key, grant in list(table.grants.items()):
+        if grant.target_id == "t1":
+            dispatching.finish(table, key, RunOutcome.SERVED, 0.1)
+    assert dispatching.serve_queue(table, 0.1, rng) == [Granted(other.key, "t1")]
+    assert list(table.items["llm"]) == [bound.key]
+    del table.targets["t0"]
+    (rejected,) = dispatching.serve_queue(table, 0.2, rng)
+    assert isinstance(rejected, Rejected)
+
+
+def test_recorded_streams_expire_and_are_bounded() -> None:
+    table = make_release("v1")
+    for n in range(STREAMS_MAX + 10):
+        stream_versions.record_stream(table, f"q{n}", "v1", 5.0, 0.0)
+    assert len(table.streams.begun) == STREAMS_MAX
+    assert stream_versions.find_stream_version(table, f"q{STREAMS_MAX}", 1.0) == "v1"
+    assert stream_versions.find_stream_version(table, f"q{STREAMS_MAX}", 6.0) is None
+    stream_versions.record_stream(table, "new", "v1", 12.0, 7.0)
+    assert list(table.streams.begun) == ["new"]
