Run an item until it ends, whatever crashed under it

Reported from a system like ours: in a burst of crashes several targets died under the same sound item, and it was never placed again although targets had room. It could happen here: an item that lost three targets in a row, none of which ran on under its id and start time, was held back until its job ended, and nothing cleared the set. Items are never what crashes targets, so the check is gone. A run that lost its target is repeated behind a pause that doubles with each loss in a row, up to 1.6 s.

--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -35,8 +35,8 @@
 FIRST_RESPONSE_TIMEOUT_S: Final = 4.0  # a slot is free, so a longer wait means a stalled target
 RUN_MAX_S: Final = 30.0  # several times the longest item on the slowest engine
 RETRY_PAUSE_S: Final = 0.2  # between a failure and the next slot request
-CRASHES_MAX: Final = 3  # targets that an item may crash; as many lost runs in a row start the check
-CRASH_HOLD_S: Final = 4.0  # entries of crashed targets expire after three heartbeats, 3.6 s
+RETRY_PAUSE_MAX_S: Final = 1.6
+ROUTE_PAUSE_S: Final = 4.0  # a route that is missing comes back with a configuration, if at all
 # An item that is due within less than this many of its run times is not preemptible.
 NOT_PREEMPTIBLE_FACTOR: Final = 1.5
 GAP_EVENTS_MIN: Final = 5  # fewer events say little about the time between two
@@ -49,12 +49,10 @@
     """State of one item across its runs.
 
     ``state`` is None until the item is completed or dead, and stays None if it is cancelled.
-    ``crashes`` counts runs in a row that lost their target without a new event. ``lost_at`` holds
-    the id and start time (Unix ms) of targets lost in this way. The item is not sent again before
-    ``held_until`` (monotonic seconds) once it has CRASHES_MAX crashes. ``preempted`` says that the
-    dispatcher asked the latest run to free its slot. ``framing`` says what marks the end of the
-    newest response's body. ``awaits_end`` is set while another run is to show that no event follows
-    the last one. ``target_version`` is the software version of the newest target,
+    ``losses`` counts runs in a row that lost their target without a new event. ``preempted`` says
+    that the dispatcher asked the latest run to free its slot. ``framing`` says what marks the end of
+    the newest response's body. ``awaits_end`` is set while another run is to show that no event
+    follows the last one. ``target_version`` is the software version of the newest target,
     ``software_version`` the one of the events so far.
     """
 
@@ -62,9 +60,7 @@
         self.item = item
         self.head = head
         self.failures = failures
-        self.crashes = 0
-        self.held_until = 0.0
-        self.lost_at: set[tuple[str, int]] = set()
+        self.losses = 0
         self.texts: list[str] = []
         self.last_event_id = 0
         self.state: ItemState | None = None
@@ -141,34 +137,17 @@
                 self._mark_dead(run, "the item expired")
                 return
             route = self._find_route(run)
-            if route is None or not self._may_run(run):
-                self._log_wait(run, "no route" if route is None else "crashed targets")
-                gevent.sleep(CRASH_HOLD_S)
+            if route is None:
+                self._log_wait(run, "no route")
+                gevent.sleep(ROUTE_PAUSE_S)
                 continue
             self._check_version(run, route)
             if run.state is not None:
                 return
             outcome = self._run_once(run, route)
             if run.state is None and outcome is not RunOutcome.SERVED and not run.cancelled:
-                gevent.sleep(RETRY_PAUSE_S if outcome is not RunOutcome.CANCELLED else 0.0)
-
-    def _may_run(self, run: ItemRun) -> bool:
-        """Return whether the item may run; an item that seems to crash targets is held back.
-
-        Load pattern: partially failing targets reset their connections while other items crash
-        targets. A lost response alone doesn't prove a crash. A crashed target is gone or has
-        restarted a few seconds later.
-        """
-        if run.crashes < CRASHES_MAX:
-            return True
-        if self._clock.monotonic() < run.held_until:
-            return False
-        rows = self._fleet.targets.rows
-        running = {(row.target_id, row.started_at_ms) for row in rows.values()}
-        if len(run.lost_at - running) >= CRASHES_MAX:
-            return False
-        run.crashes = 0
-        return True
+                is_cancelled = outcome is RunOutcome.CANCELLED
+                gevent.sleep(0.0 if is_cancelled else get_retry_pause(run.losses))
 
     def _check_version(self, run: ItemRun, route: Route) -> None:
         """Begin an item again if all targets of its events' software version are gone.
@@ -289,9 +268,7 @@
                 return RunOutcome.CANCELLED
             self._log_target_lost(run, target, err)
             if run.last_event_id == events_before:
-                run.crashes += 1
-                run.lost_at.add((target.target_id, target.started_at_ms))
-                run.held_until = self._clock.monotonic() + CRASH_HOLD_S
+                run.losses += 1
             return RunOutcome.BROKEN
 
     def _send(self, run: ItemRun, target: Target) -> HttpExchange:
@@ -369,7 +346,7 @@
                 run.texts.append(event.text)
                 run.last_event_id = event.event_id
                 run.software_version = run.target_version
-                run.crashes = 0
+                run.losses = 0
         if splitter.incomplete.strip():
             raise TargetProtocolError("the stream ended within an event")
 
@@ -409,5 +386,14 @@
             job=run.head.job_id,
             target=target.target_id,
             error=str(err),
-            crashes=run.crashes,
+            losses=run.losses,
         ).info("item_target_lost")
+
+
+def get_retry_pause(losses: int) -> float:
+    """Return the seconds to wait behind a failed run, by the losses in a row before the next one.
+
+    Load pattern: a burst of crashes. Items are never what crashes targets, so each is sent until it
+    ends, but not as fast as targets come back.
+    """
+    return min(RETRY_PAUSE_MAX_S, RETRY_PAUSE_S * 2.0 ** min(losses, 20))
