Owe items of the product's own jobs until they end, too

Items have no fingerprint for the quarantine now, and only runs that a target rejected count as attempts.

--- a/clementinepin/batch/_items.py
+++ b/clementinepin/batch/_items.py
@@ -16,7 +16,6 @@
 from clementinepin.const import Priority
 from clementinepin.exceptions import ClementinepinError, NotRunError
 from clementinepin.helpers.clock import Clock
-from clementinepin.helpers.fingerprint import make_fingerprint
 from clementinepin.scheduling import (
     CallInfo,
     CallResult,
@@ -24,7 +23,6 @@
     Scheduler,
     classify_refusal,
 )
-from clementinepin.systems.exceptions import RequestCondemnedError
 from clementinepin.targets import (
     Engine,
     GenerateRequest,
@@ -50,7 +48,6 @@
 STATUS_SERVER_ERROR = 500
 CODE_ATTEMPTS = "attempts_exhausted"
 CODE_MODEL = "model_not_found"
-CODES_FINAL = frozenset({RequestCondemnedError.code})
 CreateEngine = Callable[[TargetAddress], Engine]
 
 
@@ -58,7 +55,8 @@
     """A claimed item without a result: its request and the output generated so far.
 
     ``not_before`` is monotonic seconds, ``due_at`` wall-clock seconds. ``attempts`` counts runs
-    whose target was lost or rejected them with an error that may be temporary.
+    that the target rejected with an error that may be temporary. A lost target doesn't count, as it may
+    crash under any item.
     """
 
     def __init__(
@@ -115,7 +113,7 @@
         """
         if work.attempts >= ATTEMPTS_MAX:
             return fail_item(
-                work, CODE_ATTEMPTS, f"{work.attempts} attempts were lost or rejected by the target"
+                work, CODE_ATTEMPTS, f"{work.attempts} attempts were rejected by the target"
             )
         call = build_call(work, account, configuration, self._clock.monotonic())
         if call is None:
@@ -123,7 +121,8 @@
         try:
             placement = self._scheduler.acquire(call)
         except NotRunError as err:
-            return self._handle_no_slot(work, err)
+            self._postpone(work, err)
+            return None
         on_placed()
         run_end = self._run_placed(work, call, placement, configuration)
         return self._handle_run_end(work, call, run_end)
@@ -200,7 +199,7 @@
             return _succeed(work)
         if run_end.rejection is not None and is_final_rejection(run_end.rejection.target_status):
             return _reject(work, run_end.rejection)
-        if run_end.result in (CallResult.LOST, CallResult.REJECTED):
+        if run_end.result is CallResult.REJECTED:
             work.attempts += 1
         if run_end.result not in (CallResult.PREEMPTED, CallResult.CANCELLED):
             scheduler_retry_at = self._scheduler.allow_retry(call, run_end.result)
@@ -218,15 +217,12 @@
         work.not_before = self._clock.monotonic() + MODEL_PAUSE_S
         return None
 
-    def _handle_no_slot(self, work: ItemWork, err: NotRunError) -> ItemResult | None:
-        """Fail an item that the scheduler will never accept; postpone any other item."""
-        if err.code in CODES_FINAL:
-            return fail_item(work, err.code, err.message)
+    def _postpone(self, work: ItemWork, err: NotRunError) -> None:
+        """Set the time of the next run of an item that got no slot."""
         pause_s = NO_SLOT_PAUSE_S
         if err.retry_at is not None:
             pause_s = max(0.0, err.retry_at - self._clock.wall())
         work.not_before = self._clock.monotonic() + min(pause_s, NO_SLOT_PAUSE_MAX_S)
-        return None
 
 
 def close_stream(stream: Iterator[StreamChunk]) -> None:
@@ -253,7 +249,7 @@
         application=application.name,
         priority=Priority.BATCH,
         deadline=now + service.request_timeout_s,
-        fingerprint=make_fingerprint(service.name, body),
+        fingerprint="",  # items are never what crashes targets
         tokens_max=tokens_max if isinstance(tokens_max, int) else 0,
     )
 
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -50,8 +50,8 @@
 
     ``state`` is None until the item is completed or dead, and stays None if it is cancelled.
     ``losses`` counts runs in a row that lost their target without a new event. ``preempted`` says
-    that the dispatcher asked the latest run to free its slot. ``framing`` says what marks the end of
-    the newest response's body. ``awaits_end`` is set while another run is to show that no event
+    that the dispatcher asked the latest run to free its slot. ``framing`` says what marks the end
+    of the newest response's body. ``awaits_end`` is set while another run is to show that no event
     follows the last one. ``target_version`` is the software version of the newest target,
     ``software_version`` the one of the events so far.
     """
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -107,6 +107,7 @@
     def __init__(self, slots=8):
         self.slots = slots
         self.placements = {}
+        self.calls = []
         self.results = []
         self.rejection = None
         self._ticket = 0
@@ -114,6 +115,7 @@
     def acquire(self, call):
         if self.rejection is not None:
             raise self.rejection
+        self.calls.append(call)
         self._ticket += 1
         placement = Placement(self._ticket, TargetAddress("t1", "127.0.0.1", 1), Event())
         self.placements[self._ticket] = placement
