Give targets up that send bytes without end

Bytes that are no answer may come without end, in a head or a body, until the caller closes. Where they brought no data, an exchange read on until its deadline: interim responses and the body of a response to another request, trailers (kept in memory) and chunk extensions. An event without end raised an error that nobody handled: the caller's connection ended without an answer, and the greenlet of an item ended, so that the item never ran again. Events without end filled an item's text until its run timed out.

All are bounded now and count as a lost target: a resumable stream goes on elsewhere, an item is run again, from the beginning if its text was too large for a result. The splitter looks at each byte once.

--- a/clementinepin/batch/_items.py
+++ b/clementinepin/batch/_items.py
@@ -55,8 +55,8 @@
     """A claimed item without a result: its request and the output generated so far.
 
     ``not_before`` is monotonic seconds, ``due_at`` wall-clock seconds. ``attempts`` counts runs
-    that the target rejected with an error that may be temporary. A lost target doesn't count, as it may
-    crash under any item.
+    that the target rejected with an error that may be temporary. A lost target doesn't count,
+    as it may crash under any item.
     """
 
     def __init__(
--- a/clementinepin/serving/_events.py
+++ b/clementinepin/serving/_events.py
@@ -5,8 +5,11 @@
 import re
 from typing import Final, NamedTuple
 
-EVENT_MAX_BYTES: Final = 1_000_000  # events of the engines are smaller than 1 kB
+from clementinepin.targets.exceptions import TargetProtocolError
+
+EVENT_MAX_BYTES: Final = 262_144  # events of the engines are smaller than 1 kB
 EVENT_END: Final = re.compile(rb"(\r\n\r\n|\n\n)")
+EVENT_END_MAX_BYTES: Final = 4  # of the longest match
 
 
 class StreamEvent(NamedTuple):
@@ -18,25 +21,46 @@
 
 
 class EventSplitter:
-    """Splits a byte stream into complete events; a partial one is kept until it is complete."""
+    """Splits a byte stream into complete events; a partial one is kept until it is complete.
+
+    ``_tail`` holds the last bytes of the partial event, which may begin the end of the event.
+    """
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._pieces: list[bytes] = []
+        self._size = 0
+        self._tail = b""
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events that the data completes. Raises ValueError if one is too large."""
-        data = self._incomplete + data if self._incomplete else data
+        """Return the events that the data completes.
+
+        Raises TargetProtocolError if an event is too large.
+        """
+        searched = self._tail + data
+        if EVENT_END.search(searched) is None:
+            self._keep(data)
+            self._tail = searched[1 - EVENT_END_MAX_BYTES :]
+            return []
         # Each event is followed by the blank line that ended it.
-        *complete, self._incomplete = EVENT_END.split(data)
-        if len(self._incomplete) > EVENT_MAX_BYTES:
-            raise ValueError(f"incomplete event of {len(self._incomplete)} bytes is too large")
+        *complete, incomplete = EVENT_END.split(self.incomplete + data)
+        self._pieces, self._size = [], 0
+        self._keep(incomplete)
+        self._tail = incomplete[1 - EVENT_END_MAX_BYTES :]
         pairs = zip(complete[::2], complete[1::2], strict=True)
         return [_read_event(raw, end) for raw, end in pairs]
 
     @property
     def incomplete(self) -> bytes:
         """Return the bytes of the incomplete event at the end."""
-        return self._incomplete
+        return b"".join(self._pieces)
+
+    def _keep(self, data: bytes) -> None:
+        """Add bytes to the incomplete event."""
+        self._size += len(data)
+        if self._size > EVENT_MAX_BYTES:
+            raise TargetProtocolError(f"an event is larger than {EVENT_MAX_BYTES} bytes")
+        if data:
+            self._pieces.append(data)
 
 
 def _read_event(raw: bytes, end: bytes) -> StreamEvent:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.texts import count_bytes
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._events import EventSplitter
 from clementinepin.serving._fleet import FleetView
@@ -33,6 +34,7 @@
 )
 
 FIRST_RESPONSE_TIMEOUT_S: Final = 4.0  # a slot is free, so a longer wait means a stalled target
+TEXT_MAX_BYTES: Final = 700_000  # in base64 it fits into a value of the store, 1 MiB
 RUN_MAX_S: Final = 30.0  # several times the longest item on the slowest engine
 RETRY_PAUSE_S: Final = 0.2  # between a failure and the next slot request
 RETRY_PAUSE_MAX_S: Final = 1.6
@@ -333,9 +335,11 @@
     def _read_events(self, run: ItemRun, exchange: HttpExchange) -> None:
         """Append the events of the response to the run.
 
-        Raises TargetProtocolError if an event is out of order or the stream ends within one.
+        Raises TargetProtocolError if an event is out of order or the stream ends within one, or if
+        the text gets too large; then the item begins again.
         """
         splitter = EventSplitter()
+        size = count_bytes(run.texts)
         while data := exchange.read():
             for event in splitter.feed(data):
                 if event.event_id != run.last_event_id + 1:
@@ -343,6 +347,11 @@
                     raise TargetProtocolError(
                         f"event {event.event_id} received, {run.last_event_id + 1} expected"
                     )
+                size += len(event.raw)
+                if size > TEXT_MAX_BYTES:
+                    exchange.close()
+                    run.begin_again()
+                    raise TargetProtocolError(f"text is larger than {TEXT_MAX_BYTES} bytes")
                 run.texts.append(event.text)
                 run.last_event_id = event.event_id
                 run.software_version = run.target_version
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -16,6 +16,8 @@
 READ_SIZE_BYTES: Final = 65_536
 DRAIN_TIMEOUT_S: Final = 0.2
 HEADERS_MAX_BYTES: Final = 65_536
+SKIPPED_MAX_BYTES: Final = 2_000_000  # of interim responses and those to other requests
+UNFORWARDED_MAX_BYTES: Final = 131_072  # of framing and trailers in a row; two full reads
 STATUS_FINAL_MIN: Final = 200
 MISMATCHED_RESPONSES_MAX: Final = 2  # a target that sends more has lost track of its requests
 KEEP_ALIVE_SHARE: Final = 0.6  # a request must arrive before the target closes the connection
@@ -158,13 +160,19 @@
         Raises TargetLostError if the response is cut short.
         """
         parser = self._parser
+        unforwarded = 0
         while not parser.pieces:
+            if unforwarded > UNFORWARDED_MAX_BYTES:
+                self.close()
+                raise TargetProtocolError(
+                    f"{unforwarded} bytes of the response's body brought no data"
+                )
             if self._failure is not None:
                 raise self._failure
             if parser.ended:
                 self._release_connection()
                 return b""
-            self._feed()
+            unforwarded += self._feed()
         return parser.take_body()
 
     def read_all(self, size_max: int) -> bytes:
@@ -269,13 +277,19 @@
     def _read_headers(self) -> None:
         """Read until the headers of the matching final response are complete."""
         total = 0
+        skipped_total = 0
         parser = self._parser
         while not parser.has_headers:
             skipped = parser.mismatched_responses
-            total += self._feed()
+            size = self._feed()
+            total += size
+            skipped_total += size
             if parser.mismatched_responses > MISMATCHED_RESPONSES_MAX:
                 self.close()
                 raise TargetProtocolError("target sent only responses to other requests")
+            if skipped_total > SKIPPED_MAX_BYTES:
+                self.close()
+                raise TargetProtocolError(f"no matching response within {SKIPPED_MAX_BYTES} bytes")
             # The limit is for one header section, without the bodies of skipped responses.
             if parser.headers_complete or parser.mismatched_responses > skipped:
                 total = 0
--- /dev/null
+++ b/tests/serving/test_endless_responses.py
@@ -0,0 +1,70 @@
+"""Tests of targets that send events without end to callers and to items of jobs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+import pytest
+
+from clementinepin.serving import _item_run
+from clementinepin.serving.models import ItemState
+from tests.serving import test_item_run
+from tests.serving.harness import ID, Harness, send_events
+from tests.serving.scripted import (
+    EVENTS,
+    HEAD,
+    ScriptedTarget,
+    call,
+    make_chunk,
+    make_event,
+    read_id,
+)
+
+
+def send_event_without_end(sock: Any, request: bytes) -> bool:
+    """Send one whole event and the beginning of one that never ends, until the caller closes."""
+    sock.sendall(HEAD % (b"s1", read_id(request)) + EVENTS + make_chunk(make_event(1)))
+    sock.sendall(make_chunk(b"id: 2\ndata: "))
+    try:
+        while True:
+            sock.sendall(make_chunk(b"a" * 8192))
+            gevent.sleep(0)
+    except OSError:
+        return False
+
+
+def send_events_without_end(sock: Any, request: bytes) -> bool:
+    """Send whole events until the caller closes."""
+    sock.sendall(HEAD % (b"s1", read_id(request)) + EVENTS)
+    number = 0
+    try:
+        while True:
+            number += 1
+            sock.sendall(make_chunk(make_event(number)))
+            gevent.sleep(0)
+    except OSError:
+        return False
+
+
+def test_a_stream_with_an_event_without_end_goes_on_elsewhere(harness: Harness) -> None:
+    harness.set_route(resumable=True, attempts_max=2)
+    harness.add_target(ScriptedTarget(send_event_without_end))
+    harness.add_target(ScriptedTarget(send_events(2, 3)))
+    response = call(harness.port, ID)
+    assert [n for n in (1, 2, 3) if b"data: e%d\n" % n in response] == [1, 2, 3]
+    assert response.endswith(b"0\r\n\r\n")
+
+
+def test_an_item_with_an_event_without_end_is_run_again() -> None:
+    """The item's greenlet ended with the error, and the item never ran again."""
+    harness = test_item_run.Harness(send_event_without_end, send_events(2))
+    assert harness.run_item().text == "e1\ne2"
+
+
+def test_an_item_with_events_without_end_begins_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(_item_run, "TEXT_MAX_BYTES", 2000)
+    harness = test_item_run.Harness(send_events_without_end, send_events(1, 2))
+    run = harness.run_item()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
+    assert b"Last-Event-Id" not in harness.target.requests[1]
