Bound the streams of the product's own engines

An engine that sends whole events without end, or blank ones, kept a stream open until its deadline and filled the text of an item. A stream is given up behind the size of the largest whole response. The new test failed before.

--- a/clementinepin/targets/_engine.py
+++ b/clementinepin/targets/_engine.py
@@ -215,7 +215,11 @@
 def _read_stream(exchange: HttpExchange, request: GenerateRequest) -> Iterator[StreamChunk]:
     decoder = EventDecoder(request.request_id)
     started = False
+    size = 0
     while data := exchange.read():
+        size += len(data)
+        if size > RESPONSE_MAX_BYTES:
+            raise TargetProtocolError(f"stream is larger than {RESPONSE_MAX_BYTES} bytes")
         if not started:
             # The limit for the first token no longer applies; from now on stalls are detected.
             started = True
--- a/tests/serving/test_events.py
+++ b/tests/serving/test_events.py
@@ -35,6 +35,7 @@
 @pytest.mark.parametrize("size", [1000, EVENT_MAX_BYTES + 1])
 def test_an_event_without_end_is_given_up(size: int) -> None:
     splitter = EventSplitter()
+    for _ in range(EVENT_MAX_BYTES // size):
+        assert splitter.feed(b"a" * size) == []
     with pytest.raises(TargetProtocolError):
-        for _ in range(EVENT_MAX_BYTES // size + 1):
-            splitter.feed(b"a" * size)
+        splitter.feed(b"a" * size)
--- a/tests/targets/test_engine.py
+++ b/tests/targets/test_engine.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from clementinepin.helpers.clock import create_system_clock
-from clementinepin.targets import GenerateRequest, TargetAddress, create_engine
+from clementinepin.targets import GenerateRequest, TargetAddress, _engine, create_engine
 from clementinepin.targets._events import EventDecoder
 from clementinepin.targets._metrics import parse_load_report
 from clementinepin.targets.exceptions import (
@@ -241,6 +241,20 @@
         list(create_engine_for(whole).generate(make_request(whole=True)))
 
 
+def test_a_stream_without_end_is_given_up(serve, monkeypatch):
+    monkeypatch.setattr(_engine, "RESPONSE_MAX_BYTES", 20_000)
+
+    def send_without_end(_request):
+        yield STREAM_HEAD
+        while True:
+            yield chunk(make_event(ID, "a" * 100))
+
+    target = serve(send_without_end)
+    with gevent.Timeout(20.0), pytest.raises(TargetProtocolError):
+        read_text(create_engine_for(target).generate(make_request(wait_s=2.0)))
+    assert target.closed_by_peer.wait(5)
+
+
 def test_closing_the_iterator_closes_the_connection(serve):
     target = serve(STREAM_HEAD, chunk(make_event(ID, "one ")), HANG)
     chunks = create_engine_for(target).generate(make_request())
