--- a/tests/serving/test_events.py
+++ b/tests/serving/test_events.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -26,7 +28,7 @@
     splitter = EventSplitter()
     events = []
     borders = [0, *sorted(min(cut, len(stream)) for cut in cuts), len(stream)]
-    for start, stop in zip(borders, borders[1:], strict=False):
+    for start, stop in itertools.pairwise(borders):
         events += splitter.feed(stream[start:stop])
     assert [(e.event_id, e.text) for e in events] == [(n, t) for n, (t, _) in enumerate(rows, 1)]
     assert b"".join(e.raw for e in events) + splitter.incomplete == stream
