Soak software versions, resumptions, answers without framing and bytes without end

Engines of another version join and replace others, answers end with their connection, bytes come without end, a crashed engine refuses connections, and callers break and resume streams; a stream must hold the events of one version, also over its caller's tries. Beside another build the new faults are left out, as it may not bear them.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -85,6 +85,7 @@
         fleet.stop()
     print(
         f"seed {seed}: {len(callers.jobs)} jobs, statuses {dict(sorted(callers.statuses.items()))}"
+        f", of resumptions {dict(sorted(callers.resumed.items()))}"
     )
     if callers.broken:
         print("\n".join(f"  {line}" for line in faults.log))
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -1,6 +1,7 @@
 """Callers of the soak, and checks of the guarantees that the system gives them.
 
-A request is answered with exactly the target's events or visibly incomplete, a request on route
+A request is answered with exactly the target's events or visibly incomplete, a stream holds the
+events of one software version also over its caller's resumptions, a request on route
 ``once`` runs at most once, a rejected request doesn't run, and an accepted job lists one result for
 each item at a position that never changes.
 """
@@ -15,10 +16,12 @@
 import msgspec
 from gevent import socket
 
-from soak._fleet import HOST, Fleet
+from soak._fleet import HOST, VERSIONS, Fleet
 from soak._target import make_text
 
 CALL_TIMEOUT_S = 6.0
+RESUMPTIONS_MAX = 2
+BREAKING_SHARE = 0.3  # of resumable streams
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # these guarantee that the request did not run
 
 
@@ -31,9 +34,19 @@
 
 
 def call(
-    ip: str, port: int, method: str, path: str, headers: dict[str, str], body: bytes = b""
+    ip: str,
+    port: int,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes = b"",
+    *,
+    events_max: int = 0,
 ) -> Response:
-    """Send one request on a new connection; return the response, incomplete after an error."""
+    """Send one request on a new connection; return the response, incomplete after an error.
+
+    With ``events_max`` the connection breaks at the caller behind that many events.
+    """
     lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", "Connection: close"]
     lines += [f"{k}: {v}" for k, v in headers.items()]
     lines.append(f"Content-Length: {len(body)}")
@@ -46,6 +59,8 @@
                 sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
                 while piece := sock.recv(65_536):
                     data += piece
+                    if events_max and data.count(b"\n\n") >= events_max:
+                        break
     except OSError:
         return parse_response(data)
     return parse_response(data)
@@ -91,6 +106,7 @@
         self._id_count = 0
         self.broken: list[str] = []
         self.statuses: dict[int, int] = {}
+        self.resumed: dict[int, int] = {}
         self.rejected_ids: list[str] = []
         self.once_ids: list[str] = []
         self.jobs: dict[str, list[str]] = {}
@@ -132,19 +148,53 @@
             "Clementinepin-Token-Count": f"50,{events}",
             "Clementinepin-Deadline-Ms": "5000",
         }
-        response = call(ip, 8161, "POST", f"/{route}/x", headers, b"prompt")
-        self.statuses[response.status] = self.statuses.get(response.status, 0) + 1
+        breaks = route == "again" and self._random.random() < BREAKING_SHARE
+        events_max = self._random.randint(1, events) if breaks else 0
+        response = self._call_stream(ip, route, headers, events_max)
         if route == "once":
             self.once_ids.append(request_id)
+        body, whole = response.body, response.whole
+        for _ in range(RESUMPTIONS_MAX):
+            last_event = body.count(b"\n\n")
+            ip = self.resolve_front()
+            if route != "again" or response.status != 200 or whole or not last_event or ip is None:
+                break
+            body = body[: body.rindex(b"\n\n") + 2]
+            resumption = {
+                "Clementinepin-Request-Id": self._make_id("s"),
+                "Resumes": request_id,
+                "Last-Event-Id": str(last_event),
+            }
+            resumed = self._call_stream(ip, route, headers | resumption)
+            self.resumed[resumed.status] = self.resumed.get(resumed.status, 0) + 1
+            if resumed.status == 200:
+                body, whole = body + resumed.body, resumed.whole
+        if response.status == 200:
+            self._check_stream(request_id, events, body, whole)
+
+    def _call_stream(
+        self, ip: str, route: str, headers: dict[str, str], events_max: int = 0
+    ) -> Response:
+        path = f"/{route}/x"
+        response = call(ip, 8161, "POST", path, headers, b"prompt", events_max=events_max)
+        self.statuses[response.status] = self.statuses.get(response.status, 0) + 1
         if response.status in NOT_RUN_STATUSES:
-            self.rejected_ids.append(request_id)
-        expected = "".join(
-            f"id: {n}\ndata: {make_text(request_id, n)}\n\n" for n in range(1, events + 1)
-        ).encode()
-        if response.status == 200 and response.whole and response.body != expected:
-            self.broken.append(f"{request_id}: complete response differs from the target's events")
-        if response.status == 200 and not expected.startswith(response.body):
-            self.broken.append(f"{request_id}: events are missing, doubled or from another request")
+            self.rejected_ids.append(headers["Clementinepin-Request-Id"])
+        return response
+
+    def _check_stream(self, stream_id: str, events: int, body: bytes, whole: bool) -> None:
+        """Check that a stream holds the events of one software version, all if it is whole."""
+        possible = [
+            "".join(
+                f"id: {n}\ndata: {make_text(stream_id, n, version)}\n\n"
+                for n in range(1, events + 1)
+            ).encode()
+            for version in VERSIONS
+        ]
+        if whole and body not in possible:
+            self.broken.append(f"{stream_id}: complete response differs from the target's events")
+        if not any(expected.startswith(body) for expected in possible):
+            self.broken.append(f"{stream_id}: events are missing, doubled or of another version")
 
     def send_job(self) -> None:
         """Submit a job, up to four times until it is accepted, as callers do after a failure."""
@@ -217,8 +267,11 @@
             first_seen = self.results_by_position.setdefault((job_id, position), result)
             if first_seen != result:
                 self.broken.append(f"{job_id}: result at position {position} changed")
-            expected_text = "\n".join(make_text(result["id"], n) for n in range(1, 31))
-            if result["state"] != "completed" or result["text"] != expected_text:
+            possible = [
+                "\n".join(make_text(result["id"], n, version) for n in range(1, 31))
+                for version in VERSIONS
+            ]
+            if result["state"] != "completed" or result["text"] not in possible:
                 self.broken.append(f"{job_id}: result of {result['id']} is incomplete or wrong")
 
     def _make_item(self, item_id: str) -> dict[str, Any]:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -13,7 +13,7 @@
 
 import gevent
 
-from soak._fleet import Fleet, Instance
+from soak._fleet import VERSIONS, Fleet, Instance
 
 
 class Faults:
@@ -44,6 +44,13 @@
             ("target events cut", self._cut_events),
             ("configuration changes", self._change_configuration),
         ]
+        if not fleet.has_two_builds:
+            # The former build may not bear these.
+            self._kinds += [
+                ("target is replaced by another version", self._release_target),
+                ("target responses without framing", self._drop_framing),
+                ("target responses without end", self._send_without_end),
+            ]
         self._version = 1
 
     def run(self, until: float, pause_s: float) -> None:
@@ -142,11 +149,35 @@
         return self._random.choice(sorted(self._fleet.targets))
 
     def _crash_target(self) -> None:
-        self._fleet.targets[self._choose_target()].crash()
+        """End all runs of an engine, which refuses connections until it is back."""
+        name = self._choose_target()
+        target, proxy = self._fleet.targets[name], self._fleet.proxies[name]
+        proxy.close_port()
+        target.crash()
+        gevent.sleep(self._random.uniform(0.2, 1.0))
+        if name in self._fleet.proxies:
+            proxy.open_port()
+
+    def _release_target(self) -> None:
+        """Add an engine of another version, then remove one."""
+        name = self._choose_target()
+        version = self._random.choice(VERSIONS)
+        self._fleet.add_target(f"{name}{version}", version)
+        gevent.sleep(self._random.uniform(0.0, 2.0))
+        if name in self._fleet.targets:
+            self._fleet.remove_target(name)
+
+    def _drop_framing(self) -> None:
+        target = self._fleet.targets[self._choose_target()]
+        target.responses_without_framing += self._random.randint(5, 20)
+
+    def _send_without_end(self) -> None:
+        target = self._fleet.targets[self._choose_target()]
+        target.responses_without_end += self._random.randint(1, 2)
 
     def _replace_target(self) -> None:
         name = self._choose_target()
-        self._fleet.add_target(f"{name}x")
+        self._fleet.add_target(f"{name}x", self._fleet.targets[name].version)
         self._fleet.remove_target(name)
 
     def _block_target(self) -> None:
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -30,6 +30,7 @@
 HOST = "soak.example"
 GRACE_PERIOD_S = 4.0
 HEARTBEAT_INTERVAL_S = 0.4
+VERSIONS = ("v1", "v2", "v3")  # of the engines' software
 
 SETTINGS_TEMPLATE = """node = "{name}"
 role = "{role}"
@@ -144,6 +145,7 @@
         builds: Builds = (ROOT,),
     ) -> None:
         self.random = random.Random(seed)
+        self.has_two_builds = len(builds) > 1
         self.started_at = time.monotonic()
         self.store = create_server("127.0.0.1", 0, create_system_clock())
         self.store.start()
@@ -202,9 +204,9 @@
         config = {"version": version, "routes": routes, "services": [{"name": SERVICE}]}
         self.gateway.state.put("op/config", msgspec.json.encode(config), None)
 
-    def add_target(self, name: str) -> None:
+    def add_target(self, name: str, version: str = VERSIONS[0]) -> None:
         """Start an engine behind a proxy and register it in the store under a lease."""
-        target = Target(name, SERVICE, 4, self.run_log, self.now)
+        target = Target(name, SERVICE, 4, self.run_log, self.now, version)
         self.targets[name] = target
         self.proxies[name] = Proxy(("127.0.0.1", target.port))
         self._register(name)
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -26,9 +26,19 @@
         self.hold_replies = False
         self.refusing = False
         self._connections: set[tuple[Any, Any]] = set()
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.port = 0
+        self._server: StreamServer
+        self.open_port()
+
+    def open_port(self) -> None:
+        """Listen on the port, on a free one for the first time."""
+        self._server = StreamServer(("127.0.0.1", self.port), self._serve)
         self._server.start()
-        self.port: int = self._server.server_port
+        self.port = self._server.server_port
+
+    def close_port(self) -> None:
+        """Refuse new connections; open ones stay."""
+        self._server.close()
 
     def reset_connections(self) -> None:
         """Close all connections on both sides."""
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -35,20 +35,29 @@
         return sum(1 for run in self.runs if run.request_id == request_id)
 
 
-def make_text(request_id: str, number: int) -> str:
-    """Return the data of an event; it depends on the request id and the event number alone."""
-    return hashlib.sha256(f"{request_id}/{number}".encode()).hexdigest()[:16]
+def make_text(stream_id: str, number: int, version: str) -> str:
+    """Return the data of an event, which depends on the arguments alone.
+
+    ``stream_id`` is the id of the request that began the stream, ``version`` that of the engine's
+    software.
+    """
+    return hashlib.sha256(f"{stream_id}/{number}/{version}".encode()).hexdigest()[:16]
 
 
 class Target:
     """One engine with ``slots`` concurrent runs and a bounded queue.
 
     ``responses_to_lose`` counts runs whose connection closes before the response,
-    ``events_to_cut`` runs that stop in the middle of an event.
+    ``events_to_cut`` runs that stop in the middle of an event, ``responses_without_framing`` those
+    that end with their connection, and ``responses_without_end`` those that send bytes until the
+    caller closes.
     """
 
-    def __init__(self, name: str, service: str, slots: int, run_log: RunLog, clock: Any) -> None:
+    def __init__(
+        self, name: str, service: str, slots: int, run_log: RunLog, clock: Any, version: str
+    ) -> None:
         self.name = name
+        self.version = version
         self.service = service
         self.slots = slots
         self._run_log = run_log
@@ -59,6 +68,8 @@
         self._signatures = itertools.count(1)
         self.responses_to_lose = 0
         self.events_to_cut = 0
+        self.responses_without_framing = 0
+        self.responses_without_end = 0
         self.draining = False
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
@@ -70,7 +81,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{port}",
             "zone": "a",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": "draining" if self.draining else "ready",
             "cold_remaining_ms": 0,
@@ -123,29 +134,48 @@
     def _run(self, sock: Any, request_id: str, headers: dict[str, str]) -> bool:
         events = int(headers.get("clementinepin-token-count", "0,20").partition(",")[2])
         first = int(headers.get("last-event-id", "0")) + 1
+        stream_id = headers.get("resumes", request_id)
         self._run_log.runs.append(Run(request_id, self.name, self._clock(), first))
         if self.responses_to_lose:
             self.responses_to_lose -= 1
             return False
         gevent.sleep(STEP_S * 2)
+        framed = not self.responses_without_framing
+        self.responses_without_framing -= not framed
+        encode = _encode_chunk if framed else bytes
+        framing = "Transfer-Encoding: chunked" if framed else "Connection: close"
         load = f"{self._running},{self._queued},{self.slots}"
         head = (
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+            f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n"
             f"Clementinepin-Request-Id: {request_id}\r\n"
             f"Clementinepin-Server-Signature: {self.name}.{next(self._signatures)}\r\n"
             f"Clementinepin-Server-Load: {load}\r\nKeep-Alive: timeout=10\r\n\r\n"
         )
+        if self.responses_without_end:
+            self.responses_without_end -= 1
+            return self._send_without_end(sock, head.encode())
         sock.sendall(head.encode())
         for number in range(first, events + 1):
-            event = f"id: {number}\ndata: {make_text(request_id, number)}\n\n".encode()
+            event = f"id: {number}\ndata: {make_text(stream_id, number, self.version)}\n\n".encode()
             if self.events_to_cut:
                 self.events_to_cut -= 1
-                sock.sendall(_encode_chunk(event[: len(event) // 2]))
+                sock.sendall(encode(event[: len(event) // 2]))
                 return False
-            sock.sendall(_encode_chunk(event))
+            sock.sendall(encode(event))
             gevent.sleep(STEP_S)
-        sock.sendall(b"0\r\n\r\n")
-        return True
+        if framed:
+            sock.sendall(b"0\r\n\r\n")
+        return framed
+
+    def _send_without_end(self, sock: Any, head: bytes) -> bool:
+        """Send header lines, then trailers or an event, without end; in turn by the runs so far."""
+        kind = len(self._run_log.runs) % 3
+        start = (head[:-2], head + b"0\r\n", head + _encode_chunk(b"data: "))[kind]
+        piece = (b"X-A: b\r\n" * 50, b"X-A: b\r\n" * 50, _encode_chunk(b"a" * 400))[kind]
+        sock.sendall(start)
+        while True:
+            sock.sendall(piece)
+            gevent.sleep(0)
 
 
 def _encode_chunk(data: bytes) -> bytes:
