--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -48,7 +48,6 @@
             # The former build may not bear these.
             self._kinds += [
                 ("target is replaced by another version", self._release_target),
-                ("target responses without framing", self._drop_framing),
                 ("target responses without end", self._send_without_end),
             ]
         self._version = 1
@@ -167,10 +166,6 @@
         if name in self._fleet.targets:
             self._fleet.remove_target(name)
 
-    def _drop_framing(self) -> None:
-        target = self._fleet.targets[self._choose_target()]
-        target.responses_without_framing += self._random.randint(5, 20)
-
     def _send_without_end(self) -> None:
         target = self._fleet.targets[self._choose_target()]
         target.responses_without_end += self._random.randint(1, 2)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -30,6 +30,7 @@
 HOST = "soak.example"
 GRACE_PERIOD_S = 4.0
 HEARTBEAT_INTERVAL_S = 0.4
+UNFRAMED_PERIOD = 3  # each third response of an engine ends with its connection
 VERSIONS = ("v1", "v2", "v3")  # of the engines' software
 
 SETTINGS_TEMPLATE = """node = "{name}"
@@ -165,7 +166,7 @@
         ]
         self.put_configuration(1)
         for n in range(targets):
-            self.add_target(f"w{n}")
+            self.add_target(f"w{n}", VERSIONS[0 if self.has_two_builds else n % 2])
         self._heartbeat = gevent.spawn(self._run_heartbeats)
         for instance in self.instances:
             instance.start()
@@ -207,6 +208,7 @@
     def add_target(self, name: str, version: str = VERSIONS[0]) -> None:
         """Start an engine behind a proxy and register it in the store under a lease."""
         target = Target(name, SERVICE, 4, self.run_log, self.now, version)
+        target.unframed_period = 0 if self.has_two_builds else UNFRAMED_PERIOD
         self.targets[name] = target
         self.proxies[name] = Proxy(("127.0.0.1", target.port))
         self._register(name)
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -48,9 +48,9 @@
     """One engine with ``slots`` concurrent runs and a bounded queue.
 
     ``responses_to_lose`` counts runs whose connection closes before the response,
-    ``events_to_cut`` runs that stop in the middle of an event, ``responses_without_framing`` those
-    that end with their connection, and ``responses_without_end`` those that send bytes until the
-    caller closes.
+    ``events_to_cut`` runs that stop in the middle of an event, and ``responses_without_end`` those
+    that send bytes until the caller closes. Each ``unframed_period``-th response ends with its
+    connection, none if it is 0.
     """
 
     def __init__(
@@ -68,7 +68,7 @@
         self._signatures = itertools.count(1)
         self.responses_to_lose = 0
         self.events_to_cut = 0
-        self.responses_without_framing = 0
+        self.unframed_period = 0
         self.responses_without_end = 0
         self.draining = False
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
@@ -140,15 +140,15 @@
             self.responses_to_lose -= 1
             return False
         gevent.sleep(STEP_S * 2)
-        framed = not self.responses_without_framing
-        self.responses_without_framing -= not framed
+        signature = next(self._signatures)
+        framed = not self.unframed_period or signature % self.unframed_period > 0
         encode = _encode_chunk if framed else bytes
         framing = "Transfer-Encoding: chunked" if framed else "Connection: close"
         load = f"{self._running},{self._queued},{self.slots}"
         head = (
             f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n"
             f"Clementinepin-Request-Id: {request_id}\r\n"
-            f"Clementinepin-Server-Signature: {self.name}.{next(self._signatures)}\r\n"
+            f"Clementinepin-Server-Signature: {self.name}.{signature}\r\n"
             f"Clementinepin-Server-Load: {load}\r\nKeep-Alive: timeout=10\r\n\r\n"
         )
         if self.responses_without_end:
