Try items bound to a version only while a slot is free

With all slots taken, each item that had begun was tried in each pass of the queue, fifty times a second and more: after a peak that preempts all items this is the whole backlog.

--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -189,7 +189,7 @@
     held: list[PendingRequest] = []
     while (request := queue.get_first(now)) is not None:
         started = _try_start(table, request, now)
-        if not started and not request.software_version:
+        if not started and not (request.software_version and _has_free_slot(table, request, now)):
             break
         queue.remove(request.key)
         if started:
@@ -203,6 +203,12 @@
     return actions
 
 
+def _has_free_slot(table: DispatchTable, request: PendingRequest, now: float) -> bool:
+    """Return whether any target of the request's service has a free slot, at any version."""
+    unbound = request._replace(software_version="")
+    return choose_target(table, table.targets.values(), unbound, now) is not None
+
+
 def choose_target(
     table: DispatchTable, targets: Iterable[TargetLoad], request: PendingRequest, now: float
 ) -> TargetLoad | None:
