Pause an item while its dispatcher and its runner know different versions

A slot at a target of another version than the item's was handed back and asked for again at once, 1,800 times in 0.2 s in the new test, for as long as the two saw a target's entry differently. Only a preempted item asks again at once now.

--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -148,8 +148,7 @@
                 return
             outcome = self._run_once(run, route)
             if run.state is None and outcome is not RunOutcome.SERVED and not run.cancelled:
-                is_cancelled = outcome is RunOutcome.CANCELLED
-                gevent.sleep(0.0 if is_cancelled else get_retry_pause(run.losses))
+                gevent.sleep(0.0 if run.preempted else get_retry_pause(run.losses))
 
     def _check_version(self, run: ItemRun, route: Route) -> None:
         """Begin an item again if all targets of its events' software version are gone.
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -210,6 +210,23 @@
     assert b"Last-Event-Id" not in harness.target.requests[1]
 
 
+def test_an_item_pauses_while_its_dispatcher_knows_another_version(monkeypatch):
+    """The dispatcher may know of a changed entry before the runner does, or after."""
+    monkeypatch.setattr(_item_run, "RETRY_PAUSE_S", 0.02)
+    harness = Harness(send_events(1, 2, end=False), send_events(3))
+    rows = harness.fleet.targets.rows
+    rows["t0"] = rows["t0"]._replace(software_version="v1")
+    rows["t1"] = rows["t0"]._replace(target_id="t1", software_version="v1")
+    running = gevent.spawn(harness.run_item)
+    while harness.run.last_event_id < 2:
+        gevent.sleep(0.001)
+    rows["t0"] = rows["t0"]._replace(software_version="v2")
+    gevent.sleep(0.2)
+    assert 2 <= len(harness.slots.requests) <= 15
+    rows["t0"] = rows["t0"]._replace(software_version="v1")
+    assert running.get().text == "e1\ne2\ne3"
+
+
 def test_a_resumed_item_asks_for_the_rest_of_its_run_only():
     """Mutation: request the whole run again: an item that is nearly done seems overdue."""
     harness = Harness(send_events(1, 2, end=False, cut=b"id: 3\nda"), send_events(3))
