Reset the connection of an old caller whose response breaks off

A caller with HTTP/1.0 knows no chunks: to it, the end of the connection is that of the response, and a stream that broke off looked complete. The connection of such a response is reset. The new test failed before.

--- a/clementinepin/serving/_http.py
+++ b/clementinepin/serving/_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 from collections.abc import Callable, Iterable
 from typing import Any, Final, NamedTuple
 
@@ -20,6 +21,7 @@
 # How long unread bytes are discarded before a close: closing with unread bytes sends a reset,
 # which could destroy the response.
 LINGER_S: Final = 1.0
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 BACKLOG: Final = 1024
 REASONS: Final = {200: b"OK", 202: b"Accepted", 429: b"Too Many Requests"}
 HOP_HEADERS: Final = frozenset(
@@ -64,6 +66,7 @@
         self._watcher: Any = None
         self.must_close = False
         self.answered = False
+        self._ends_with_connection = False
         self.head_path = ""
         self.head_headers: dict[str, str] = {}
 
@@ -106,6 +109,8 @@
             headers.append(("Connection", "close"))
         event = h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
         self.answered = True
+        has_length = any(name.lower() == "content-length" for name, _ in headers)
+        self._ends_with_connection = not has_length and self._parser.their_http_version < b"1.1"
         self._send(self._parser.send(event))
 
     def send_data(self, data: bytes) -> None:
@@ -141,10 +146,15 @@
         )
 
     def close(self, *, abruptly: bool = False) -> None:
-        """Close the connection; ``abruptly`` at once, so that the response is cut visibly."""
+        """Close the connection; ``abruptly`` at once, so that the response is cut visibly.
+
+        To a caller that knows no chunks, only a reset shows that.
+        """
         self.stop_watching()
         if not abruptly:
             self._linger()
+        elif self._ends_with_connection:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._sock.close()
 
     def _read_head(self) -> h11.Request | None:
