Reset an old caller's connection in the product's own interface, too

A long answer of a plain service that broke off ended with a normal close, which is a whole response to a caller with HTTP/1.0. The new test failed before.

--- a/clementinepin/entry/_server.py
+++ b/clementinepin/entry/_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ssl
+import struct
 from http.client import HTTPException
 from typing import Any, Final, Protocol
 
@@ -33,6 +34,7 @@
 # Bounds on the time and the bytes that are read and discarded before a connection is closed.
 LINGER_S: Final = 1.0
 LINGER_MAX_BYTES: Final = 8_000_000
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 READ_SIZE_BYTES: Final = 65_536
 
 
@@ -134,6 +136,9 @@
             logger.opt(exception=v).warning("{} Response aborted.", LOG_PREFIX)
         if not self.headers_sent:
             self._send_error_response_if_possible(500)
+        elif not self.response_use_chunked and self.provided_content_length is None:
+            # To a caller that knows no chunks, only a reset shows that the response broke off.
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
     def _sendall(self, data: bytes | bytearray) -> None:
         """Send all data, with one call if the kernel accepts all of it, as it does for an event."""
--- a/clementinepin/serving/_http.py
+++ b/clementinepin/serving/_http.py
@@ -110,7 +110,7 @@
         event = h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
         self.answered = True
         has_length = any(name.lower() == "content-length" for name, _ in headers)
-        self._ends_with_connection = not has_length and self._parser.their_http_version < b"1.1"
+        self._ends_with_connection = not has_length and self._parser.their_http_version == b"1.0"
         self._send(self._parser.send(event))
 
     def send_data(self, data: bytes) -> None:
--- a/tests/entry/test_services.py
+++ b/tests/entry/test_services.py
@@ -6,8 +6,8 @@
 
 from clementinepin.entry._calls import is_idempotent
 from clementinepin.scheduling import CallResult
-from tests.entry.fakes import make_configuration
-from tests.targets.scripted import CUT, RESET, make_reply
+from tests.entry.fakes import KEY, make_configuration
+from tests.targets.scripted import CUT, LAST_CHUNK, RESET, chunk, make_reply
 
 REFUSED = make_reply(b"", "503 No", [("X-Not-Admitted", "leaving")])
 DESK = make_configuration().services["desk"]
@@ -85,6 +85,19 @@
     assert entry.scheduler.results == {1: CallResult.LOST}
 
 
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_truncated_response_resets_the_connection_of_an_old_caller(serve, whole):
+    """To a caller with HTTP/1.0, the end of the connection is that of the response."""
+    stream = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(b"x" * 900_000)
+    entry = serve(lambda _: [stream, *([LAST_CHUNK] if whole else [CUT])])
+    head = f"GET /services/desk/report HTTP/1.0\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n\r\n"
+    if whole:
+        assert entry.send(head.encode()).endswith(b"x" * 9)
+    else:
+        with pytest.raises(ConnectionResetError):
+            entry.send(head.encode())
+
+
 def test_headers_that_change_the_call_reach_no_target(serve):
     entry = serve(respond_with(b"x"))
     headers = {"X-HTTP-Method-Override": "POST", "X-Other": "kept"}
