--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
 
 import xxhash
 
@@ -11,6 +12,9 @@
 from clementinepin.systems import estimates
 from clementinepin.targets import Abort
 
+# Of callers' patience: time is left for another target's first event before they abandon a stream.
+RESUME_STALL_SHARE: Final = 0.45
+
 
 class Call:
     """One request that is being forwarded. Times are monotonic seconds.
@@ -60,6 +64,26 @@
         """Return whether a target has the software version of the events passed on, if any."""
         return self.software_version in ("", target.software_version)
 
+    def may_resend(self, now: float) -> bool:
+        """Return whether the request may be sent again after a target may have run it."""
+        return (
+            self.can_resend
+            and self.route.is_repeatable
+            and (self.last_event_id > 0 or not self.response_started)
+            and self.sends < self.route.attempts_max
+            and now < self.deadline
+        )
+
+    def get_read_deadline(self, now: float) -> float:
+        """Return the time, in monotonic seconds, until which a target may send nothing.
+
+        It may be earlier than the request's deadline if another target could resume the stream.
+        """
+        if not (self.route.resumable and self.sends < self.route.attempts_max):
+            return self.deadline
+        patience_s = estimates.estimate_patience(self.route.objective_s, self.route.gap_objective_s)
+        return min(self.deadline, now + patience_s * RESUME_STALL_SHARE)
+
     def record_caller_gone(self) -> None:
         """Record that the caller is gone, and end the wait for a slot or a target."""
         self.gone = True
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -14,11 +14,11 @@
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving._call import Call, make_fingerprint
-from clementinepin.serving._events import EventSplitter, StreamEvent
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._http import HOP_HEADERS, CallerConnection, CallerRequest
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
+from clementinepin.serving._responses import ResponseForwarder
 from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
 from clementinepin.serving.exceptions import (
     AnswerLostError,
@@ -30,7 +30,7 @@
 from clementinepin.serving.wire import Wire
 from clementinepin.systems import estimates
 from clementinepin.systems.dispatch_actions import RunOutcome
-from clementinepin.targets import BodyFraming, HttpExchange, HttpRequest
+from clementinepin.targets import HttpExchange, HttpRequest
 from clementinepin.targets.exceptions import (
     TargetLostError,
     TargetNotReachedError,
@@ -38,8 +38,6 @@
     TargetTimeoutError,
 )
 
-# Of callers' patience: time is left for another target's first event before they abandon a stream.
-RESUME_STALL_SHARE: Final = 0.45
 RUN_TIME_WEIGHT: Final = 0.1  # of the newest run in a route's mean, which adapts in ten runs
 UNREACHED_MAX: Final = 4  # targets that could not be reached before the request fails
 REFUSED_RETRY_S: Final = 0.3  # Retry-After if the targets refused or could not be reached
@@ -120,7 +118,7 @@
             if not call.awaits_end or call.gone:
                 raise
             self._log(call).bind(reason=str(err)).info("stream_end_unchecked")
-            self._complete(connection, call)
+            ResponseForwarder(connection, call, self._clock).complete()
 
     def _attempt_until_complete(self, connection: CallerConnection, call: Call) -> None:
         while True:
@@ -238,10 +236,14 @@
             path=request.path,
             headers=tuple(headers),
             body=request.body,
-            deadline=self._get_read_deadline(call),
+            deadline=call.get_read_deadline(self._clock.monotonic()),
             host=request.headers.get("host", ""),
             abort=call.abort,
-            is_mismatched=None if self._may_resend(call) else self._make_mismatch_check(call),
+            is_mismatched=(
+                None
+                if call.may_resend(self._clock.monotonic())
+                else self._make_mismatch_check(call)
+            ),
         )
         try:
             return self._pools.get(target).send(message)
@@ -256,16 +258,6 @@
         """
         return lambda headers: self._wire.names_other_request(call.facts.request_id, headers)
 
-    def _get_read_deadline(self, call: Call) -> float:
-        """Return the time, in monotonic seconds, until which a target may send nothing.
-
-        It may be earlier than the request's deadline if another target could resume the stream.
-        """
-        if not (call.route.resumable and call.sends < call.route.attempts_max):
-            return call.deadline
-        patience_s = estimates.estimate_patience(call.route.objective_s, call.route.gap_objective_s)
-        return min(call.deadline, self._clock.monotonic() + patience_s * RESUME_STALL_SHARE)
-
     def _handle_response(self, connection: CallerConnection, call: Call, sent: _Sent) -> RunOutcome:
         exchange = sent.exchange
         wire = self._wire
@@ -285,7 +277,7 @@
                 call, TargetProtocolError("a success status without the target's signature")
             )
         call.maybe_run = True
-        if exchange.status >= STATUS_SERVER_ERROR_MIN and self._may_resend(call):
+        if exchange.status >= STATUS_SERVER_ERROR_MIN and call.may_resend(self._clock.monotonic()):
             exchange.drain()
             call.excluded.add(sent.target.target_id)
             self._log(call).bind(status=exchange.status).info("target_failed")
@@ -306,14 +298,8 @@
                 call, TargetProtocolError(f"resuming the stream got status {exchange.status}")
             )
         try:
-            if is_event_stream(exchange):
-                self._forward_events(connection, call, exchange)
-                if self._must_check_end(call, exchange):
-                    return RunOutcome.SERVED
-            else:
-                self._forward_body(connection, call, exchange)
-            call.has_succeeded = exchange.status < STATUS_SUCCESS_BELOW
-            self._complete(connection, call)
+            if ResponseForwarder(connection, call, self._clock).forward(exchange):
+                call.has_succeeded = exchange.status < STATUS_SUCCESS_BELOW
         except TargetLostError as err:
             exchange.close()
             return self._record_target_lost(call, err)
@@ -324,77 +310,6 @@
         failed = exchange.status >= STATUS_SERVER_ERROR_MIN
         return RunOutcome.BROKEN if failed else RunOutcome.SERVED
 
-    def _must_check_end(self, call: Call, exchange: HttpExchange) -> bool:
-        """Return whether another run should show that no event follows the last one.
-
-        The end of a connection doesn't prove the end of a stream. A run that is resumed behind the
-        last event and brings none does.
-        """
-        unproven = call.awaits_end and exchange.framing is BodyFraming.CONNECTION
-        call.awaits_end = unproven and self._may_resend(call)
-        return call.awaits_end
-
-    def _complete(self, connection: CallerConnection, call: Call) -> None:
-        """End the response as complete."""
-        connection.end_response()
-        call.is_complete = True
-
-    def _start_response(
-        self, connection: CallerConnection, call: Call, exchange: HttpExchange
-    ) -> None:
-        """Send the status and headers unless an earlier attempt already did."""
-        if not call.response_started:
-            header_lines = [h for h in exchange.header_lines if h[0].lower() not in HOP_HEADERS]
-            connection.start_response(exchange.status, header_lines)
-            call.response_started = True
-
-    def _forward_body(
-        self, connection: CallerConnection, call: Call, exchange: HttpExchange
-    ) -> None:
-        """Send body bytes on.
-
-        Clears ``call.can_resend``, as another target can't continue a body that breaks off. Raises
-        TargetProtocolError if part of an event stream was already sent.
-        """
-        if call.response_started:
-            exchange.close()
-            raise TargetProtocolError("the response to a resumed stream is not an event stream")
-        call.can_resend = False
-        self._start_response(connection, call, exchange)
-        while data := exchange.read():
-            connection.send_data(data)
-
-    def _forward_events(
-        self, connection: CallerConnection, call: Call, exchange: HttpExchange
-    ) -> None:
-        """Send complete events on.
-
-        The headers are sent with the first event: until then another target may still respond.
-        Raises TargetProtocolError if the stream ends within an event: it was broken off, whatever
-        its framing says.
-        """
-        splitter = EventSplitter()
-        joins = call.response_started
-        brought_events = False
-        while data := exchange.read():
-            if call.route.resumable:
-                exchange.set_read_deadline(self._get_read_deadline(call))
-            events = splitter.feed(data)
-            if events:
-                if joins and not brought_events:
-                    _check_joint(call, events[0])
-                brought_events = True
-                call.awaits_end = False
-                call.software_version = call.target_version
-                call.can_resend = call.can_resend and call.route.resumable
-                self._start_response(connection, call, exchange)
-                connection.send_data(b"".join(event.raw for event in events))
-                call.last_event_id = max(call.last_event_id, events[-1].event_id)
-        if splitter.incomplete.strip():
-            raise TargetProtocolError("the stream ended within an event")
-        call.awaits_end = brought_events
-        self._start_response(connection, call, exchange)
-
     def _record_target_lost(self, call: Call, err: TargetLostError) -> RunOutcome:
         """Record that a target may have run the request and its response was lost."""
         call.maybe_run = True
@@ -406,16 +321,6 @@
             return RunOutcome.CANCELLED
         return RunOutcome.BROKEN
 
-    def _may_resend(self, call: Call) -> bool:
-        """Return whether the request may be sent again after a target may have run it."""
-        return (
-            call.can_resend
-            and call.route.is_repeatable
-            and (call.last_event_id > 0 or not call.response_started)
-            and call.sends < call.route.attempts_max
-            and self._clock.monotonic() < call.deadline
-        )
-
     def _check_retry(self, connection: CallerConnection, call: Call, outcome: RunOutcome) -> None:
         """Return if another attempt may follow, else raise the error that describes the outcome.
 
@@ -426,7 +331,7 @@
                 raise AnswerLostError("the deadline passed during the response")
             raise DeadlineError("the deadline passed before the response")
         if outcome is RunOutcome.BROKEN:
-            if not self._may_resend(call):
+            if not call.may_resend(self._clock.monotonic()):
                 raise AnswerLostError("the target's response was lost")
             return
         if outcome is RunOutcome.REFUSED and call.sends >= call.route.attempts_max:
@@ -480,20 +385,6 @@
     return rng.choices([share.service for share in route.shares], weights)[0]
 
 
-def _check_joint(call: Call, event: StreamEvent) -> None:
-    """Raise TargetProtocolError unless the first event of a resumed run follows the last one."""
-    if event.event_id != call.last_event_id + 1:
-        raise TargetProtocolError(
-            f"the stream was resumed with event {event.event_id} behind {call.last_event_id}"
-        )
-
-
-def is_event_stream(exchange: HttpExchange) -> bool:
-    """Return whether the response is a server-sent event stream with status 200."""
-    kind = exchange.headers.get("content-type", "")
-    return exchange.status == 200 and kind.startswith("text/event-stream")
-
-
 def is_job_route(route: Route) -> bool:
     """Return whether requests of the route submit jobs."""
     return route.kind is RouteKind.JOB
--- /dev/null
+++ b/clementinepin/serving/_responses.py
@@ -0,0 +1,119 @@
+"""Sends a target's response on to the caller, and decides whether it is complete.
+
+The end of a connection proves nothing: a response is complete behind its length or last chunk. An
+event stream must also end behind a whole event.
+"""
+
+from __future__ import annotations
+
+from clementinepin.helpers.clock import Clock
+from clementinepin.serving._call import Call
+from clementinepin.serving._events import EventSplitter, StreamEvent
+from clementinepin.serving._http import HOP_HEADERS, CallerConnection
+from clementinepin.targets import BodyFraming, HttpExchange
+from clementinepin.targets.exceptions import TargetProtocolError
+
+
+class ResponseForwarder:
+    """Sends the responses of the targets of one request to its caller, as they arrive."""
+
+    def __init__(self, connection: CallerConnection, call: Call, clock: Clock) -> None:
+        self._connection = connection
+        self._call = call
+        self._clock = clock
+
+    def forward(self, exchange: HttpExchange) -> bool:
+        """Send a response on; return whether it is complete.
+
+        If not, another run of the resumable stream is to show that no event follows the last one.
+        Raises TargetLostError if the response breaks off, and OSError if the caller is gone.
+        """
+        if is_event_stream(exchange):
+            self._forward_events(exchange)
+            if self._must_check_end(exchange):
+                return False
+        else:
+            self._forward_body(exchange)
+        self.complete()
+        return True
+
+    def complete(self) -> None:
+        """End the response as complete."""
+        self._connection.end_response()
+        self._call.is_complete = True
+
+    def _start(self, exchange: HttpExchange) -> None:
+        """Send the status and headers unless an earlier attempt already did."""
+        if not self._call.response_started:
+            header_lines = [h for h in exchange.header_lines if h[0].lower() not in HOP_HEADERS]
+            self._connection.start_response(exchange.status, header_lines)
+            self._call.response_started = True
+
+    def _forward_body(self, exchange: HttpExchange) -> None:
+        """Send body bytes on.
+
+        Clears ``call.can_resend``, as another target can't continue a body that breaks off. Raises
+        TargetProtocolError if part of an event stream was already sent.
+        """
+        if self._call.response_started:
+            raise TargetProtocolError("the response to a resumed stream is not an event stream")
+        self._call.can_resend = False
+        self._start(exchange)
+        while data := exchange.read():
+            self._connection.send_data(data)
+
+    def _forward_events(self, exchange: HttpExchange) -> None:
+        """Send complete events on.
+
+        The headers are sent with the first event: until then another target may still respond.
+        Raises TargetProtocolError if the stream ends within an event: it was broken off, whatever
+        its framing says.
+        """
+        call = self._call
+        splitter = EventSplitter()
+        is_resumed = call.response_started
+        brought_events = False
+        while data := exchange.read():
+            if call.route.resumable:
+                exchange.set_read_deadline(call.get_read_deadline(self._clock.monotonic()))
+            events = splitter.feed(data)
+            if not events:
+                continue
+            if is_resumed and not brought_events:
+                _check_joint(call, events[0])
+            brought_events = True
+            call.awaits_end = False
+            call.software_version = call.target_version
+            call.can_resend = call.can_resend and call.route.resumable
+            self._start(exchange)
+            self._connection.send_data(b"".join(event.raw for event in events))
+            call.last_event_id = max(call.last_event_id, events[-1].event_id)
+        if splitter.incomplete.strip():
+            raise TargetProtocolError("the stream ended within an event")
+        call.awaits_end = brought_events
+        self._start(exchange)
+
+    def _must_check_end(self, exchange: HttpExchange) -> bool:
+        """Return whether another run should show that no event follows the last one.
+
+        The end of a connection doesn't prove the end of a stream. A run that is resumed behind the
+        last event and brings none does.
+        """
+        call = self._call
+        unproven = call.awaits_end and exchange.framing is BodyFraming.CONNECTION
+        call.awaits_end = unproven and call.may_resend(self._clock.monotonic())
+        return call.awaits_end
+
+
+def is_event_stream(exchange: HttpExchange) -> bool:
+    """Return whether the response is a server-sent event stream with status 200."""
+    kind = exchange.headers.get("content-type", "")
+    return exchange.status == 200 and kind.startswith("text/event-stream")
+
+
+def _check_joint(call: Call, event: StreamEvent) -> None:
+    """Raise TargetProtocolError unless the first event of a resumed run follows the last one."""
+    if event.event_id != call.last_event_id + 1:
+        raise TargetProtocolError(
+            f"the stream was resumed with event {event.event_id} behind {call.last_event_id}"
+        )
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -8,7 +8,7 @@
 import pytest
 from gevent import socket
 
-from clementinepin.serving import _forward
+from clementinepin.serving import _call
 from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.serving.models import (
@@ -241,7 +241,7 @@
 def test_the_last_attempt_of_a_resumable_stream_may_start_late(
     harness: Harness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(_forward, "RESUME_STALL_SHARE", 0.05)
+    monkeypatch.setattr(_call, "RESUME_STALL_SHARE", 0.05)
     harness.set_route(resumable=True, attempts_max=1)
 
     def start_late(sock: Any, request: bytes) -> bool:
