--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -14,14 +14,14 @@
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.texts import count_bytes
-from clementinepin.serving import _job_records as records
 from clementinepin.serving._events import EventSplitter
 from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
-from clementinepin.serving.models import ItemState, JobItem, Route, Target
+from clementinepin.serving.models import ItemState, Route, Target
 from clementinepin.serving.wire import Wire
 from clementinepin.systems import estimates
 from clementinepin.systems.dispatch_actions import RunOutcome
@@ -47,68 +47,6 @@
 STATUS_UNPROCESSABLE: Final = 422
 
 
-class ItemRun:
-    """State of one item across its runs.
-
-    ``state`` is None until the item is completed or dead, and stays None if it is cancelled.
-    ``losses`` counts runs in a row that lost their target without a new event. ``preempted`` says
-    that the dispatcher asked the latest run to free its slot. ``framing`` says what marks the end
-    of the newest response's body. ``awaits_end`` is set while another run is to show that no event
-    follows the last one. ``target_version`` is the software version of the newest target,
-    ``software_version`` the one of the events so far.
-    """
-
-    def __init__(self, item: JobItem, head: records.JobHead, failures: int) -> None:
-        self.item = item
-        self.head = head
-        self.failures = failures
-        self.losses = 0
-        self.texts: list[str] = []
-        self.last_event_id = 0
-        self.state: ItemState | None = None
-        self.cancelled = False
-        self.wait_reason = ""
-        self.preempted = False
-        self.framing = ""
-        self.target_version = ""
-        self.software_version = ""
-        self.awaits_end = False
-        self.abort = Abort()
-        self.cancel_wait: Callable[[], None] = lambda: None
-
-    @property
-    def text(self) -> str:
-        """Return the data of all events so far, one event per line."""
-        return "\n".join(self.texts)
-
-    def begin_again(self) -> None:
-        """Drop all events, so that the next run starts from the beginning."""
-        self.texts.clear()
-        self.last_event_id = 0
-        self.software_version = ""
-        self.awaits_end = False
-
-    def resume_from(self, last_event_id: int, texts: list[str], software_version: str) -> None:
-        """Start after the events that an earlier run produced at a software version."""
-        self.software_version = software_version
-        self.last_event_id = last_event_id
-        self.texts = list(texts)
-        logger.bind(request_id=self.item.item_id, job=self.head.job_id, events=last_event_id).info(
-            "item_resumed"
-        )
-
-    def cancel(self) -> None:
-        """Stop the run and any wait for a slot for good."""
-        self.cancelled = True
-        self.abort.trigger()
-        self.cancel_wait()
-
-    def preempt(self) -> None:
-        """Abort the request to the target; the item resumes later after its last event."""
-        self.preempted = True
-        self.abort.trigger()
-
-
 class ItemRunner:
     """Runs items until they are completed, dead or cancelled."""
 
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -23,7 +23,8 @@
 from clementinepin.serving import _job_records as records
 from clementinepin.serving._checkpoints import CHECKPOINT_PERIOD_S, CheckpointKeeper, ItemCheckpoint
 from clementinepin.serving._fleet import FleetView
-from clementinepin.serving._item_run import ItemRun, ItemRunner
+from clementinepin.serving._item_run import ItemRunner
+from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._job_views import JobView, JobViews
 from clementinepin.serving._links import LinkServer
 from clementinepin.serving.models import InstanceSettings, ItemResult, ItemState
--- a/tests/serving/test_checkpoints.py
+++ b/tests/serving/test_checkpoints.py
@@ -16,7 +16,7 @@
     CheckpointKeeper,
     collect_checkpoints,
 )
-from clementinepin.serving._item_run import ItemRun
+from clementinepin.serving._item_state import ItemRun
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import make_head, make_items
 from tests.serving.test_runner import FakeItems, start_runner, submit, wait_until_closed
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -11,7 +11,8 @@
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.platform import create_wire
 from clementinepin.serving import _item_run
-from clementinepin.serving._item_run import ItemRun, ItemRunner
+from clementinepin.serving._item_run import ItemRunner
+from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving.exceptions import OverloadedError
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -9,7 +9,7 @@
 from clementinepin.infrastructure import Change, KeyValue
 from clementinepin.platform import create_wire
 from clementinepin.serving import _job_records as records
-from clementinepin.serving._item_run import ItemRun
+from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._links import LinkServer
 from clementinepin.serving._runner import START_GRACE_S, JobRunner, _PrefixListener
 from clementinepin.serving.models import ItemResult, ItemState, Member
--- a/tests/serving/test_text_sizes.py
+++ b/tests/serving/test_text_sizes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from clementinepin.serving._checkpoints import VALUE_MAX_BYTES, collect_checkpoints
-from clementinepin.serving._item_run import ItemRun
+from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._job_views import PAGE_TEXT_MAX_BYTES, JobView, JobViews
 from clementinepin.serving._messages import ReadJob
 from clementinepin.serving._runner import TEXT_BYTES_PER_WRITE_MAX, choose_write_group
