Accept the end of an item that no target can check

If targets answered a resumption behind the last event from the beginning, an item without framing would have been checked again and again until it expired. Behind three lost checks its end is accepted, as a caller's is. The new test failed before.

--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -38,6 +38,7 @@
 RUN_MAX_S: Final = 30.0  # several times the longest item on the slowest engine
 RETRY_PAUSE_S: Final = 0.2  # between a failure and the next slot request
 RETRY_PAUSE_MAX_S: Final = 1.6
+END_CHECKS_MAX: Final = 3  # lost runs behind which an end that no target can check is accepted
 ROUTE_PAUSE_S: Final = 4.0  # a route that is missing comes back with a configuration, if at all
 # An item that is due within less than this many of its run times is not preemptible.
 NOT_PREEMPTIBLE_FACTOR: Final = 1.5
@@ -102,6 +103,7 @@
         if not run.software_version or not versions or run.software_version in versions:
             return
         if run.awaits_end:
+            self._log_end_unchecked(run)
             run.state = ItemState.COMPLETED
             return
         logger.bind(
@@ -208,6 +210,9 @@
             self._log_target_lost(run, target, err)
             if run.last_event_id == events_before:
                 run.losses += 1
+            if run.awaits_end and run.losses >= END_CHECKS_MAX:
+                self._log_end_unchecked(run)
+                run.state = ItemState.COMPLETED
             return RunOutcome.BROKEN
 
     def _send(self, run: ItemRun, target: Target) -> HttpExchange:
@@ -318,6 +323,11 @@
                 "item_waiting"
             )
 
+    def _log_end_unchecked(self, run: ItemRun) -> None:
+        logger.bind(
+            request_id=run.item.item_id, job=run.head.job_id, events=run.last_event_id
+        ).info("item_end_unchecked")
+
     def _mark_dead(self, run: ItemRun, reason: str) -> None:
         run.texts.clear()
         run.state = ItemState.DEAD
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -194,6 +194,14 @@
     assert (run.state, run.text, run.failures) == (ItemState.COMPLETED, "e1", 0)
 
 
+def test_an_item_whose_end_no_target_can_check_is_complete():
+    """Targets that begin from the start behind the last event must not hold it up for good."""
+    harness = Harness(send_events(1, 2, framed=False), *[send_events(1, 2)] * 9)
+    run = harness.run_item()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
+    assert len(harness.target.requests) == 1 + _item_run.END_CHECKS_MAX
+
+
 def test_an_item_whose_software_version_is_gone_begins_again():
     """Events of two software versions were joined in one text, as in incident second1."""
     harness = Harness()
