Take no version for the only one while changes of targets don't arrive

An entry or dispatcher that is cut off from the store in a release still has callers, and knows targets of the former version only. A stream that began elsewhere at the new one would have been resumed there at the former, as the only version known. Found by reading the rule against 'in touch or not'; no play has shown it. Such a stream is rejected; recorded ones go on. The new tests failed before.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -90,6 +90,7 @@
     def _handle_request(self, link: Link, message: messages.RequestSlot) -> None:
         now = self._clock.monotonic()
         pending = _make_pending_request(link.name, message, now)
+        self.table.streams.is_current = self._fleet.follows_targets()
         actions = dispatching.submit(self.table, pending, now, self._random)
         self._send_actions(actions)
         if not actions:
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -261,6 +261,11 @@
         except ClementinepinError as err:
             logger.bind(error=str(err)).info("registration_left_to_expire")
 
+    def follows_targets(self) -> bool:
+        """Return whether changes of the targets arrive, from the store or another instance."""
+        follower = self.followers["targets"]
+        return follower.is_fed() or follower.is_direct()
+
     def list_entries(self) -> list[Member]:
         """Return the instances that serve callers and are not leaving, this one included."""
         own = self._describe_self()
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -307,6 +307,7 @@
         ):
             raise OverloadedError("batch waits for a dispatcher", LOCAL_RETRY_S)
         pending = self._make_local_request(number, request, now)
+        self._table.streams.is_current = self._fleet.follows_targets()
         version = stream_versions.find_required_version(self._table, pending, now)
         if version is None:
             raise OverloadedError("unknown software version", LOCAL_RETRY_S)
--- a/clementinepin/systems/stream_versions.py
+++ b/clementinepin/systems/stream_versions.py
@@ -53,6 +53,9 @@
     """Return the version at which a request must run, empty for any, or None if it is unknown.
 
     The version of a stream that is not recorded is known if its service has had only one.
+
+    Load pattern: an instance that is cut off from the store during a release still has callers, and
+    knows of the former version only.
     """
     if request.software_version or not request.is_resumption:
         return request.software_version
@@ -60,6 +63,8 @@
     if recorded is not None:
         return recorded
     streams = table.streams
+    if not streams.is_current:
+        return None
     recent = {
         version
         for version, gone_at in streams.gone_at[request.service].items()
--- a/tests/serving/test_fleet.py
+++ b/tests/serving/test_fleet.py
@@ -6,6 +6,7 @@
 
 from clementinepin.helpers.clock import ManualClock
 from clementinepin.infrastructure import KeyValue
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from clementinepin.platform import create_wire
 from clementinepin.serving._fleet import (
     ConfigurationView,
@@ -208,3 +209,15 @@
     view.targets.replace_rows([make_target_row("t1", 1)])
     view.targets.apply_change("servers/t1", None, 2)
     assert not view.targets.rows
+
+
+def test_targets_are_followed_from_the_store_or_a_feed_only() -> None:
+    view = create_view()
+    follower = view.followers["targets"]
+    assert not view.follows_targets()
+    follower.receive_rows([], 3)
+    assert view.follows_targets()
+    follower._record_failure(PlatformUnavailableError("cut off"))
+    assert not view.follows_targets()
+    follower.trust_feed_for(5.0)
+    assert view.follows_targets()
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -38,6 +38,7 @@
             f"t{n}": Target(f"t{n}", "llm", "127.0.0.1", 1, "a", 1, False) for n in range(targets)
         }
         self.targets = FakeTargets(rows)
+        self.is_current = True
         self.members = [Member("d1", True, "127.0.0.1", port, "", "a", "r", False)]
         self.listeners: list[Callable[[], None]] = []
         self.fed_followers: dict[str, StoreFollower] = {}
@@ -48,6 +49,9 @@
     def list_job_runners(self) -> list[Member]:
         return self.members
 
+    def follows_targets(self) -> bool:
+        return self.is_current
+
     def list_entries(self) -> list[Member]:
         return []
 
@@ -393,6 +397,8 @@
     for row, version in zip(list(fleet.targets.rows.values()), versions, strict=True):
         fleet.targets.rows[row.target_id] = row._replace(software_version=version)
     fleet.notify_listeners()  # type: ignore[attr-defined]
+    for table in (pair.dispatcher.table, pair.broker._table):
+        table.streams.gone_at.clear()
 
 
 def test_a_stream_that_another_entry_began_goes_on_at_its_version() -> None:
@@ -430,3 +436,20 @@
         while not pair.dispatcher.table.streams.begun:
             gevent.sleep(0.005)
     assert pair.dispatcher.table.streams.begun["q1"].software_version == "v1"
+
+
+@pytest.mark.parametrize("is_linked", [True, False])
+def test_an_unknown_stream_is_rejected_while_changes_of_targets_do_not_arrive(
+    is_linked: bool,
+) -> None:
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v1")
+    if not is_linked:
+        pair.broker._link.stop()
+    stream = make_stream(pair, "q9", is_resumption=True)
+    pair.broker.release(acquire(pair.broker, stream), RunOutcome.CANCELLED)
+    pair.broker._fleet.is_current = False  # type: ignore[attr-defined]
+    pair.broker._table.streams.begun.clear()
+    pair.dispatcher.table.streams.begun.clear()
+    with pytest.raises(OverloadedError, match="unknown software version"):
+        acquire(pair.broker, stream)
--- a/tests/systems/test_stream_versions.py
+++ b/tests/systems/test_stream_versions.py
@@ -100,6 +100,19 @@
     assert isinstance(action, Granted)
 
 
+def test_an_instance_that_follows_no_targets_knows_only_recorded_streams(
+    rng: random.Random,
+) -> None:
+    """An entry cut off in a release resumed streams of the new version at the former one."""
+    table = make_release("v1", "v1")
+    stream_versions.record_stream(table, "q1", "v1", 5.0, 0.0)
+    table.streams.is_current = False
+    (rejected,) = dispatching.submit(table, resume("q9"), 1.0, rng)
+    assert isinstance(rejected, Rejected)
+    (granted,) = dispatching.submit(table, resume("q1"), 1.0, rng)
+    assert isinstance(granted, Granted)
+
+
 def test_a_stream_whose_version_is_gone_is_rejected_at_once(rng: random.Random) -> None:
     table = make_release("v2", "v2")
     stream_versions.record_stream(table, "q1", "v1", 5.0, 0.0)
