--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -38,7 +38,7 @@
 RUN_MAX_S: Final = 30.0  # several times the longest item on the slowest engine
 RETRY_PAUSE_S: Final = 0.2  # between a failure and the next slot request
 RETRY_PAUSE_MAX_S: Final = 1.6
-END_CHECKS_MAX: Final = 3  # lost runs behind which an end that no target can check is accepted
+END_CHECKS_MAX: Final = 3  # lost runs after which an end that no target can check is accepted
 ROUTE_PAUSE_S: Final = 4.0  # a route that is missing comes back with a configuration, if at all
 # An item that is due within less than this many of its run times is not preemptible.
 NOT_PREEMPTIBLE_FACTOR: Final = 1.5
@@ -260,7 +260,7 @@
             exchange.close()
             events = run.last_event_id - events_before
             self._record_event_gap(route, self._clock.monotonic() - started_at, events)
-        # The end of a connection doesn't prove the end of a stream; a run that is resumed behind
+        # The end of a connection doesn't prove the end of a stream; a run that is resumed after
         # the last event and brings none does.
         run.awaits_end = events > 0 and exchange.framing is BodyFraming.CONNECTION
         if not run.awaits_end:
@@ -346,7 +346,7 @@
 
 
 def get_retry_pause(losses: int) -> float:
-    """Return the seconds to wait behind a failed run, by the losses in a row before the next one.
+    """Return the seconds to wait after a failed run, by the losses in a row before the next one.
 
     Load pattern: a burst of crashes. Items are never what crashes targets, so each is sent until it
     ends, but not as fast as targets come back.
--- a/clementinepin/serving/_responses.py
+++ b/clementinepin/serving/_responses.py
@@ -1,7 +1,7 @@
 """Sends a target's response on to the caller, and decides whether it is complete.
 
-The end of a connection proves nothing: a response is complete behind its length or last chunk. An
-event stream must also end behind a whole event.
+The end of a connection proves nothing: a response is complete after its length or last chunk. An
+event stream must also end after a whole event.
 """
 
 from __future__ import annotations
@@ -96,7 +96,7 @@
     def _must_check_end(self, exchange: HttpExchange) -> bool:
         """Return whether another run should show that no event follows the last one.
 
-        The end of a connection doesn't prove the end of a stream. A run that is resumed behind the
+        The end of a connection doesn't prove the end of a stream. A run that is resumed after the
         last event and brings none does.
         """
         call = self._call
@@ -115,5 +115,5 @@
     """Raise TargetProtocolError unless the first event of a resumed run follows the last one."""
     if event.event_id != call.last_event_id + 1:
         raise TargetProtocolError(
-            f"the stream was resumed with event {event.event_id} behind {call.last_event_id}"
+            f"the stream was resumed with event {event.event_id} after {call.last_event_id}"
         )
--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -111,7 +111,7 @@
         """Return at most ``size`` bytes, none at the end of the connection.
 
         Raises TargetTimeoutError after the deadline or a stall, TargetLostError on other failures.
-        An end of file behind ``abort`` says nothing about the target and is such a failure.
+        An end of file after ``abort`` says nothing about the target and is such a failure.
         """
         try:
             data = self._sock.recv(size)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -45,7 +45,7 @@
 ) -> Response:
     """Send one request on a new connection; return the response, incomplete after an error.
 
-    With ``events_max`` the connection breaks at the caller behind that many events.
+    With ``events_max`` the connection breaks at the caller after that many events.
     """
     lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", "Connection: close"]
     lines += [f"{k}: {v}" for k, v in headers.items()]
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -159,7 +159,7 @@
     assert (run.state, run.text, run.failures) == (ItemState.COMPLETED, "e1", 0)
 
 
-def test_the_pause_behind_losses_in_a_row_grows_and_is_bounded():
+def test_the_pause_after_losses_in_a_row_grows_and_is_bounded():
     pauses = [_item_run.get_retry_pause(losses) for losses in (0, 1, 2, 3, 50)]
     assert pauses == sorted(pauses)
     assert pauses[0] > 0.0
@@ -182,20 +182,20 @@
 
 @pytest.mark.parametrize("rest", [(), (2, 3)])
 def test_an_item_without_framing_is_complete_once_no_event_follows(rest):
-    """A target that broke such a stream off behind an event made the item look complete."""
+    """A target that broke such a stream off after an event made the item look complete."""
     harness = Harness(send_events(1, framed=False), send_events(*rest))
     assert harness.run_item().text == "\n".join(f"e{n}" for n in (1, *rest))
     assert b"Last-Event-Id: 1" in harness.target.requests[1]
 
 
-def test_a_target_that_fails_to_resume_behind_the_last_event_does_not_undo_an_item():
+def test_a_target_that_fails_to_resume_after_the_last_event_does_not_undo_an_item():
     harness = Harness(send_events(1, framed=False), FAILED)
     run = harness.run_item()
     assert (run.state, run.text, run.failures) == (ItemState.COMPLETED, "e1", 0)
 
 
 def test_an_item_whose_end_no_target_can_check_is_complete():
-    """Targets that begin from the start behind the last event must not hold it up for good."""
+    """Targets that begin from the start after the last event must not hold it up for good."""
     harness = Harness(send_events(1, 2, framed=False), *[send_events(1, 2)] * 9)
     run = harness.run_item()
     assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
--- a/tests/serving/test_unframed_responses.py
+++ b/tests/serving/test_unframed_responses.py
@@ -34,10 +34,10 @@
     assert event in call(harness.port, ID)
 
 
-def test_a_stream_of_a_target_that_crashes_behind_an_event_never_looks_complete(
+def test_a_stream_of_a_target_that_crashes_after_an_event_never_looks_complete(
     harness: Harness,
 ) -> None:
-    """Guards against incident inc1: ten of twelve short streams had been cut behind an event."""
+    """Guards against incident inc1: ten of twelve short streams had been cut after an event."""
     harness.set_route(attempts_max=1)
 
     def crash(sock: Any, request: bytes) -> bool:
