Forget the software versions of past releases

The times at which versions went were kept for good, one entry a release. Only those of the last minute decide anything; the others are dropped as the next one is added. What is decided stays the same. The new test failed before.

--- a/clementinepin/systems/stream_versions.py
+++ b/clementinepin/systems/stream_versions.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, TargetLoad
-from clementinepin.tables.streams import BegunStream
+from clementinepin.tables.streams import BegunStream, StreamTable
 
 VERSION_MEMORY_S: Final = 60.0  # several times as long as callers keep trying
 STREAMS_MAX: Final = 100_000  # about 25 MB; the streams that were granted first are dropped
@@ -25,8 +25,11 @@
         present.setdefault(service, set()).add(version)
     streams = table.streams
     for service, former in streams.present.items():
-        for version in former - present.get(service, set()):
-            streams.gone_at[service][version] = now
+        gone = former - present.get(service, set())
+        if gone:
+            streams.gone_at[service] = _list_recent(streams, service, now) | dict.fromkeys(
+                gone, now
+            )
     streams.present = present
 
 
@@ -65,15 +68,17 @@
     streams = table.streams
     if not streams.is_current:
         return None
-    recent = {
-        version
-        for version, gone_at in streams.gone_at[request.service].items()
-        if now - gone_at < VERSION_MEMORY_S
-    }
-    versions = recent | streams.present.get(request.service, set())
+    versions = set(_list_recent(streams, request.service, now))
+    versions |= streams.present.get(request.service, set())
     return versions.pop() if len(versions) == 1 else None
 
 
+def _list_recent(streams: StreamTable, service: str, now: float) -> dict[str, float]:
+    """Return the versions whose last target went within ``VERSION_MEMORY_S``, and when it did."""
+    rows = streams.gone_at[service].items()
+    return {version: at for version, at in rows if now - at < VERSION_MEMORY_S}
+
+
 def can_run(target: TargetLoad, request: PendingRequest) -> bool:
     """Return whether a target has the service and the software version that a request needs."""
     return target.service == request.service and request.software_version in (
--- a/tests/systems/test_stream_versions.py
+++ b/tests/systems/test_stream_versions.py
@@ -194,3 +194,10 @@
     assert stream_versions.find_stream_version(table, f"q{STREAMS_MAX}", 6.0) is None
     stream_versions.record_stream(table, "new", "v1", 12.0, 7.0)
     assert list(table.streams.begun) == ["new"]
+
+
+def test_versions_of_many_releases_are_forgotten() -> None:
+    table = make_release("v0")
+    for n in range(1, 500):
+        record(table, f"v{n}", now=n * VERSION_MEMORY_S)
+    assert len(table.streams.gone_at["llm"]) <= 2
