Parse the fields of an event only where they are read

Callers' streams need the ids at the ends of a piece and no text, but each event was parsed whole: 11% more processor time on front machines (docs/PLATFORM.md). Found by reading the change. What is passed on, joined and listed stays the same; the splitter's property test and all tests of the serving path pass. The processor time was not measured again at this commit.

--- a/clementinepin/serving/_events.py
+++ b/clementinepin/serving/_events.py
@@ -13,11 +13,29 @@
 
 
 class StreamEvent(NamedTuple):
-    """One complete event. ``event_id`` is 0 if it has no numeric id; ``text`` is its data."""
+    """One complete event as received, with the blank line that ended it.
+
+    Its fields are parsed when they are read: only the ids at the ends of a piece matter to callers'
+    streams.
+    """
 
     raw: bytes
-    event_id: int
-    text: str
+
+    @property
+    def event_id(self) -> int:
+        """Return the last numeric id, 0 if there is none."""
+        ids = [value for value in self._list_values(b"id") if value.isdigit()]
+        return int(ids[-1]) if ids else 0
+
+    @property
+    def text(self) -> str:
+        """Return the data, its lines separated by line feeds."""
+        return "\n".join(value.decode("utf-8", "replace") for value in self._list_values(b"data"))
+
+    def _list_values(self, field: bytes) -> list[bytes]:
+        lines = self.raw.replace(b"\r\n", b"\n").split(b"\n")
+        parts = (line.partition(b":") for line in lines)
+        return [value.removeprefix(b" ") for name, _, value in parts if name == field]
 
 
 class EventSplitter:
@@ -47,7 +65,7 @@
         self._keep(incomplete)
         self._tail = incomplete[1 - EVENT_END_MAX_BYTES :]
         pairs = zip(complete[::2], complete[1::2], strict=True)
-        return [_read_event(raw, end) for raw, end in pairs]
+        return [StreamEvent(raw + end) for raw, end in pairs]
 
     @property
     def incomplete(self) -> bytes:
@@ -61,16 +79,3 @@
             raise TargetProtocolError(f"an event is larger than {EVENT_MAX_BYTES} bytes")
         if data:
             self._pieces.append(data)
-
-
-def _read_event(raw: bytes, end: bytes) -> StreamEvent:
-    event_id = 0
-    texts: list[str] = []
-    for line in raw.replace(b"\r\n", b"\n").split(b"\n"):
-        name, _, value = line.partition(b":")
-        value = value.removeprefix(b" ")
-        if name == b"id" and value.isdigit():
-            event_id = int(value)
-        elif name == b"data":
-            texts.append(value.decode("utf-8", "replace"))
-    return StreamEvent(raw + end, event_id, "\n".join(texts))
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -285,16 +285,17 @@
         size = count_bytes(run.texts)
         while data := exchange.read():
             for event in splitter.feed(data):
-                if event.event_id != run.last_event_id + 1:
+                event_id = event.event_id
+                if event_id != run.last_event_id + 1:
                     raise TargetProtocolError(
-                        f"event {event.event_id} received, {run.last_event_id + 1} expected"
+                        f"event {event_id} received, {run.last_event_id + 1} expected"
                     )
                 size += len(event.raw)
                 if size > TEXT_MAX_BYTES:
                     run.begin_again()
                     raise TargetProtocolError(f"text is larger than {TEXT_MAX_BYTES} bytes")
                 run.texts.append(event.text)
-                run.last_event_id = event.event_id
+                run.last_event_id = event_id
                 run.software_version = run.target_version
                 run.losses = 0
         if splitter.incomplete.strip():
