Put the conversions of slot requests into one module

A request for a slot was described in four places, half of them in the broker and half in the dispatcher; each new field of the versions of streams had to be added to all. They stand beside each other now, and the tests of versions have a file of their own. No behaviour changes; the tests pass with changed imports.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -15,11 +15,12 @@
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._links import Link, LinkServer
+from clementinepin.serving._slot_requests import make_adopted_request, make_pending_request
 from clementinepin.serving.models import DEFAULT_POLICY, Policy, Target
 from clementinepin.systems import dispatching, stream_versions, target_health, waiting
 from clementinepin.systems.dispatch_actions import Action, Granted, Rejected, RunOutcome
 from clementinepin.systems.service_load import list_services, measure_load
-from clementinepin.tables.dispatch import DispatchTable, PendingRequest, TargetLoad
+from clementinepin.tables.dispatch import DispatchTable, TargetLoad
 
 TICK_S: Final = 0.02  # longest delay of queue changes that only the passing of time causes
 LOAD_LOG_PERIOD_S: Final = 0.5  # a peak of callers lasts a few seconds
@@ -81,7 +82,7 @@
         for stream in hello.streams:
             self._record_stream(stream)
         for slot in hello.slots:
-            adopted = _make_adopted_request(link.name, slot, now)
+            adopted = make_adopted_request(link.name, slot, now)
             dispatching.adopt_grant(self.table, adopted, slot.target_id, now)
         link.send(messages.SlotQueued())  # first data for the client: proves that this one responds
         for target in self.table.targets.values():
@@ -89,7 +90,7 @@
 
     def _handle_request(self, link: Link, message: messages.RequestSlot) -> None:
         now = self._clock.monotonic()
-        pending = _make_pending_request(link.name, message, now)
+        pending = make_pending_request(link.name, message, now)
         self.table.streams.is_current = self._fleet.follows_targets()
         actions = dispatching.submit(self.table, pending, now, self._random)
         self._send_actions(actions)
@@ -101,7 +102,7 @@
         now = self._clock.monotonic()
         if message.stream is not None:
             self._record_stream(message.stream)
-        adopted = _make_adopted_request(link.name, message.slot, now)
+        adopted = make_adopted_request(link.name, message.slot, now)
         dispatching.adopt_grant(self.table, adopted, message.slot.target_id, now)
         target = self.table.targets.get(message.slot.target_id)
         if target is not None:
@@ -204,41 +205,3 @@
             load.started_at_ms = row.started_at_ms
             load.software_version = row.software_version
             table.targets[target_id] = load
-
-
-def _make_pending_request(name: str, message: messages.RequestSlot, now: float) -> PendingRequest:
-    return PendingRequest(
-        key=(name, message.number),
-        service=message.service,
-        is_batch=message.is_batch,
-        requested_at=now,
-        on_time_by=now + message.on_time_in_s,
-        deadline=now + message.deadline_in_s,
-        run_s=message.run_s,
-        prefix_ids=tuple(message.prefix_ids),
-        data_centre=message.data_centre,
-        excluded=frozenset(message.excluded),
-        returned=message.returned,
-        is_firm=message.is_firm,
-        warm=frozenset(message.warm),
-        priority=message.priority,
-        fingerprint=message.fingerprint,
-        timeout_at=now + (message.timeout_in_s or message.deadline_in_s),
-        software_version=message.software_version,
-        stream_id=message.stream_id,
-        stream_until=now + message.stream_ttl_s,
-        is_resumption=message.is_resumption,
-    )
-
-
-def _make_adopted_request(name: str, slot: messages.SlotInUse, now: float) -> PendingRequest:
-    return PendingRequest(
-        key=(name, slot.number),
-        service=slot.service,
-        is_batch=slot.is_batch,
-        requested_at=now,
-        on_time_by=now,
-        deadline=now,
-        run_s=slot.run_s,
-        is_firm=slot.is_firm,
-    )
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -19,7 +19,8 @@
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._responses import ResponseForwarder
-from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
+from clementinepin.serving._slot_requests import Slot, SlotRequest
+from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving.exceptions import (
     AnswerLostError,
     CallerGoneError,
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -19,7 +19,8 @@
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
-from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
+from clementinepin.serving._slot_requests import Slot, SlotRequest
+from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
 from clementinepin.serving.models import ItemState, Route, Target
 from clementinepin.serving.wire import Wire
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 import gevent
 from gevent.event import AsyncResult
@@ -24,11 +24,18 @@
 from clementinepin.serving._feed import FeedClient
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._pools import TargetPools
+from clementinepin.serving._slot_requests import (
+    Slot,
+    SlotRequest,
+    describe_slot,
+    make_local_request,
+    make_request_message,
+)
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
 from clementinepin.serving.models import DEFAULT_POLICY, Placement, Policy
 from clementinepin.systems import dispatching, estimates, stream_versions, target_health
 from clementinepin.systems.dispatch_actions import RunOutcome
-from clementinepin.tables.dispatch import DispatchTable, PendingRequest
+from clementinepin.tables.dispatch import DispatchTable
 from clementinepin.tables.mechanisms import Mechanism
 
 REPLY_TIMEOUT_S: Final = 0.08  # a few round trips between data centres and a busy dispatcher
@@ -38,42 +45,6 @@
 LOCAL_BATCH_AFTER_S: Final = 9.0
 
 
-class SlotRequest(NamedTuple):
-    """The requirements of one request for a slot; times are monotonic seconds of this instance.
-
-    ``on_time_by`` is the latest start that meets the objective, ``deadline`` the latest useful
-    start, and ``run_s`` the expected time in the slot. The caller gives up at ``timeout_at``, after
-    all retries; 0.0 means at the deadline. ``is_firm`` marks a batch item that is not
-    preemptible. ``returned`` marks a caller that was rejected before. The last four fields are
-    those of ``PendingRequest``.
-    """
-
-    service: str
-    is_batch: bool
-    on_time_by: float
-    deadline: float
-    run_s: float
-    prefix_ids: tuple[str, ...] = ()
-    excluded: frozenset[str] = frozenset()
-    returned: bool = False
-    is_firm: bool = False
-    priority: int = 0
-    fingerprint: str = ""
-    timeout_at: float = 0.0
-    software_version: str = ""
-    stream_id: str = ""
-    stream_until: float = 0.0
-    is_resumption: bool = False
-
-
-class Slot(NamedTuple):
-    """A granted slot. ``alone`` marks a local decision, made without the dispatcher."""
-
-    number: int
-    target_id: str
-    alone: bool
-
-
 class _Waiter:
     """A request for a slot that has no grant or rejection yet."""
 
@@ -159,7 +130,15 @@
         self._waiters[number] = waiter
         on_waiting(lambda: waiter.result.set(CallerGoneError("the caller left the queue")))
         try:
-            self._link.send(self._make_request_message(number, request))
+            self._link.send(
+                make_request_message(
+                    self._data_centre,
+                    number,
+                    request,
+                    self._pools.list_warm(),
+                    self._clock.monotonic(),
+                )
+            )
             reply = self._wait_for_reply(waiter)
         finally:
             self._waiters.pop(number, None)
@@ -306,7 +285,7 @@
             and now - self._first_dispatcher_linked_at < LOCAL_BATCH_AFTER_S
         ):
             raise OverloadedError("batch waits for a dispatcher", LOCAL_RETRY_S)
-        pending = self._make_local_request(number, request, now)
+        pending = make_local_request(self._name, self._data_centre, number, request, now)
         self._table.streams.is_current = self._fleet.follows_targets()
         version = stream_versions.find_required_version(self._table, pending, now)
         if version is None:
@@ -328,58 +307,17 @@
             )
         self._record_taken(number, request, target.target_id)
         stream = self._describe_stream(request.stream_id, now)
-        self._link.send(messages.SlotTaken(self._describe_taken(number, now), stream))
+        self._link.send(
+            messages.SlotTaken(describe_slot(number, *self._taken[number], now), stream)
+        )
         return Slot(number, target.target_id, alone=True)
 
     def _record_taken(self, number: int, request: SlotRequest, target_id: str) -> None:
         now = self._clock.monotonic()
         self._taken[number] = (request, target_id, now)
-        pending = self._make_local_request(number, request, now)
+        pending = make_local_request(self._name, self._data_centre, number, request, now)
         dispatching.adopt_grant(self._table, pending, target_id, now)
 
-    def _make_local_request(self, number: int, request: SlotRequest, now: float) -> PendingRequest:
-        return PendingRequest(
-            key=(self._name, number),
-            service=request.service,
-            is_batch=request.is_batch,
-            requested_at=now,
-            on_time_by=request.on_time_by,
-            deadline=request.deadline,
-            run_s=request.run_s,
-            prefix_ids=request.prefix_ids,
-            data_centre=self._data_centre,
-            excluded=request.excluded,
-            fingerprint=request.fingerprint,
-            software_version=request.software_version,
-            stream_id=request.stream_id,
-            stream_until=request.stream_until,
-            is_resumption=request.is_resumption,
-        )
-
-    def _make_request_message(self, number: int, request: SlotRequest) -> messages.RequestSlot:
-        now = self._clock.monotonic()
-        return messages.RequestSlot(
-            number=number,
-            service=request.service,
-            is_batch=request.is_batch,
-            on_time_in_s=request.on_time_by - now,
-            deadline_in_s=request.deadline - now,
-            run_s=request.run_s,
-            prefix_ids=list(request.prefix_ids),
-            data_centre=self._data_centre,
-            excluded=list(request.excluded),
-            returned=request.returned,
-            is_firm=request.is_firm,
-            warm=self._pools.list_warm(),
-            priority=request.priority,
-            fingerprint=request.fingerprint,
-            timeout_in_s=max(0.0, request.timeout_at - now),
-            software_version=request.software_version,
-            stream_id=request.stream_id,
-            stream_ttl_s=max(0.0, request.stream_until - now),
-            is_resumption=request.is_resumption,
-        )
-
     def _update_targets(self) -> None:
         update_targets(self._table, self._fleet.targets.rows, self._clock.monotonic())
         self._link.recheck_dispatcher()
@@ -389,7 +327,7 @@
         streams = [self._describe_stream(name, now) for name in self._table.streams.begun]
         return messages.Hello(
             self._name,
-            [self._describe_taken(number, now) for number in self._taken],
+            [describe_slot(number, *self._taken[number], now) for number in self._taken],
             [stream for stream in streams if stream is not None],
         )
 
@@ -400,17 +338,6 @@
             return None
         return messages.StreamVersion(stream_id, stream.software_version, stream.expires_at - now)
 
-    def _describe_taken(self, number: int, now: float) -> messages.SlotInUse:
-        request, target_id, since = self._taken[number]
-        return messages.SlotInUse(
-            number,
-            request.service,
-            target_id,
-            request.is_batch,
-            request.is_firm,
-            max(0.0, since + request.run_s - now),
-        )
-
     def _handle_message(self, message: Any) -> None:
         self._record_first_dispatcher()
         if isinstance(message, messages.PreemptSlot):
--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -14,7 +14,7 @@
 from clementinepin.platform import create_wire
 from clementinepin.serving._app import App
 from clementinepin.serving._metrics import ServingMetrics
-from clementinepin.serving._slots import Slot, SlotRequest
+from clementinepin.serving._slot_requests import Slot, SlotRequest
 from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.serving.models import (
     CallerLimits,
--- /dev/null
+++ b/tests/serving/test_slot_versions.py
@@ -0,0 +1,85 @@
+"""Tests of the software versions of streams between instances and their dispatcher."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import gevent
+import pytest
+
+from clementinepin.serving._slot_requests import SlotRequest
+from clementinepin.serving._slots import SlotBroker
+from clementinepin.serving.exceptions import OverloadedError
+from clementinepin.systems.dispatch_actions import RunOutcome
+from tests.serving.test_slots import FakePools, Pair, acquire, make_request, start_pair
+
+
+def make_stream(pair: Pair, stream_id: str, **changes: Any) -> SlotRequest:
+    now = pair.broker._clock.monotonic()
+    stream = make_request(now)._replace(stream_id=stream_id, stream_until=now + 5.0)
+    return stream._replace(**changes)
+
+
+def set_versions(pair: Pair, *versions: str) -> None:
+    """Make the targets, one of each version, free again."""
+    fleet = pair.broker._fleet
+    for row, version in zip(list(fleet.targets.rows.values()), versions, strict=True):
+        fleet.targets.rows[row.target_id] = row._replace(software_version=version)
+    fleet.notify_listeners()  # type: ignore[attr-defined]
+    for table in (pair.dispatcher.table, pair.broker._table):
+        table.streams.gone_at.clear()
+
+
+def test_a_stream_that_another_entry_began_goes_on_at_its_version() -> None:
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    other = SlotBroker(
+        "f2", "a", pair.broker._fleet, FakePools(), pair.broker._clock, random.Random(1)  # type: ignore[arg-type]
+    )
+    other.start()
+    with gevent.Timeout(5.0):
+        while not other.is_linked:
+            gevent.sleep(0.005)
+    slots = [acquire(pair.broker, make_stream(pair, stream_id)) for stream_id in ("q1", "q2")]
+    for slot in slots:
+        pair.broker.release(slot, RunOutcome.CANCELLED)
+    gevent.sleep(0.05)
+    for slot, stream_id in zip(slots, ("q1", "q2"), strict=True):
+        resumed = acquire(other, make_stream(pair, stream_id, is_resumption=True))
+        assert resumed.target_id == slot.target_id
+        other.release(resumed, RunOutcome.CANCELLED)
+    with pytest.raises(OverloadedError, match="unknown software version"):
+        acquire(other, make_stream(pair, "", is_resumption=True))
+
+
+def test_a_new_dispatcher_learns_the_versions_of_streams() -> None:
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    pair.broker.release(acquire(pair.broker, make_stream(pair, "q1")), RunOutcome.CANCELLED)
+    hello = pair.broker._make_hello()
+    assert [(s.stream_id, s.software_version) for s in hello.streams] == [("q1", "v1")]
+    assert 4.0 < hello.streams[0].ttl_s <= 5.0
+    pair.dispatcher.table.streams.begun.clear()
+    pair.broker._link.send(hello)
+    with gevent.Timeout(5.0):
+        while not pair.dispatcher.table.streams.begun:
+            gevent.sleep(0.005)
+    assert pair.dispatcher.table.streams.begun["q1"].software_version == "v1"
+
+
+@pytest.mark.parametrize("is_linked", [True, False])
+def test_an_unknown_stream_is_rejected_while_changes_of_targets_do_not_arrive(
+    is_linked: bool,
+) -> None:
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v1")
+    if not is_linked:
+        pair.broker._link.stop()
+    stream = make_stream(pair, "q9", is_resumption=True)
+    pair.broker.release(acquire(pair.broker, stream), RunOutcome.CANCELLED)
+    pair.broker._fleet.is_current = False  # type: ignore[attr-defined]
+    pair.broker._table.streams.begun.clear()
+    pair.dispatcher.table.streams.begun.clear()
+    with pytest.raises(OverloadedError, match="unknown software version"):
+        acquire(pair.broker, stream)
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -16,7 +16,8 @@
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._dispatcher import Dispatcher
 from clementinepin.serving._links import Link, LinkServer
-from clementinepin.serving._slots import Slot, SlotBroker, SlotRequest
+from clementinepin.serving._slot_requests import Slot, SlotRequest
+from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
 from clementinepin.serving.models import Member, Placement, Policy, Target
 from clementinepin.serving.store import StoreFollower
@@ -383,73 +384,3 @@
     pair.stop()
     first, *_ = [line["extra"] for line in lines if line["message"] == "dispatcher_load"]
     assert (first["service"], first["slots"], first["batch"], first["online"]) == ("llm", 2, 1, 0)
-
-
-def make_stream(pair: Pair, stream_id: str, **changes: Any) -> SlotRequest:
-    now = pair.broker._clock.monotonic()
-    stream = make_request(now)._replace(stream_id=stream_id, stream_until=now + 5.0)
-    return stream._replace(**changes)
-
-
-def set_versions(pair: Pair, *versions: str) -> None:
-    """Make the targets, one of each version, free again."""
-    fleet = pair.broker._fleet
-    for row, version in zip(list(fleet.targets.rows.values()), versions, strict=True):
-        fleet.targets.rows[row.target_id] = row._replace(software_version=version)
-    fleet.notify_listeners()  # type: ignore[attr-defined]
-    for table in (pair.dispatcher.table, pair.broker._table):
-        table.streams.gone_at.clear()
-
-
-def test_a_stream_that_another_entry_began_goes_on_at_its_version() -> None:
-    pair = start_pair(targets=2)
-    set_versions(pair, "v1", "v2")
-    other = SlotBroker(
-        "f2", "a", pair.broker._fleet, FakePools(), pair.broker._clock, random.Random(1)  # type: ignore[arg-type]
-    )
-    other.start()
-    with gevent.Timeout(5.0):
-        while not other.is_linked:
-            gevent.sleep(0.005)
-    slots = [acquire(pair.broker, make_stream(pair, stream_id)) for stream_id in ("q1", "q2")]
-    for slot in slots:
-        pair.broker.release(slot, RunOutcome.CANCELLED)
-    gevent.sleep(0.05)
-    for slot, stream_id in zip(slots, ("q1", "q2"), strict=True):
-        resumed = acquire(other, make_stream(pair, stream_id, is_resumption=True))
-        assert resumed.target_id == slot.target_id
-        other.release(resumed, RunOutcome.CANCELLED)
-    with pytest.raises(OverloadedError, match="unknown software version"):
-        acquire(other, make_stream(pair, "", is_resumption=True))
-
-
-def test_a_new_dispatcher_learns_the_versions_of_streams() -> None:
-    pair = start_pair(targets=2)
-    set_versions(pair, "v1", "v2")
-    pair.broker.release(acquire(pair.broker, make_stream(pair, "q1")), RunOutcome.CANCELLED)
-    hello = pair.broker._make_hello()
-    assert [(s.stream_id, s.software_version) for s in hello.streams] == [("q1", "v1")]
-    assert 4.0 < hello.streams[0].ttl_s <= 5.0
-    pair.dispatcher.table.streams.begun.clear()
-    pair.broker._link.send(hello)
-    with gevent.Timeout(5.0):
-        while not pair.dispatcher.table.streams.begun:
-            gevent.sleep(0.005)
-    assert pair.dispatcher.table.streams.begun["q1"].software_version == "v1"
-
-
-@pytest.mark.parametrize("is_linked", [True, False])
-def test_an_unknown_stream_is_rejected_while_changes_of_targets_do_not_arrive(
-    is_linked: bool,
-) -> None:
-    pair = start_pair(targets=2)
-    set_versions(pair, "v1", "v1")
-    if not is_linked:
-        pair.broker._link.stop()
-    stream = make_stream(pair, "q9", is_resumption=True)
-    pair.broker.release(acquire(pair.broker, stream), RunOutcome.CANCELLED)
-    pair.broker._fleet.is_current = False  # type: ignore[attr-defined]
-    pair.broker._table.streams.begun.clear()
-    pair.dispatcher.table.streams.begun.clear()
-    with pytest.raises(OverloadedError, match="unknown software version"):
-        acquire(pair.broker, stream)
