--- a/tests/serving/test_failure_logs.py
+++ b/tests/serving/test_failure_logs.py
@@ -90,3 +90,21 @@
         ("length", 0),
         ("connection", 1),
     ]
+
+
+def test_the_log_tells_who_resumed_a_stream_and_at_which_version(harness: Harness) -> None:
+    harness.set_route(resumable=True, attempts_max=2)
+    harness.add_target(ScriptedTarget(send_events(3, end=False)))
+    harness.add_target(ScriptedTarget(send_events(4)))
+    rows = harness.app.fleet.targets.rows
+    for target_id, row in list(rows.items()):
+        rows[target_id] = row._replace(software_version="v1")
+    lines: list[Any] = []
+    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
+    call(harness.port, "Clementinepin-Request-Id: q2", "Resumes: q1", "Last-Event-Id: 2")
+    logger.remove(sink)
+    found = {line["message"]: line["extra"] for line in lines}
+    resumed, ended = found["stream_resumed"], found["request_ended"]
+    assert (resumed["request_id"], resumed["target"], resumed["last_event"]) == ("q2", "t1", 3)
+    assert (ended["resumes"], ended["resumed_after"], ended["last_event"]) == ("q1", 2, 4)
+    assert resumed["software_version"] == ended["software_version"] == "v1"
