Grant a slot for a target at the software version that was decided for

The entry resumed a caller's stream at whatever version it believed the granted target to have; only the dispatcher knew which one was required. A target that came back under its id at another version, known to the one and not yet to the other, would have got the stream. The grant names the version now, and a target counts as usable only while it has it; this replaces the two checks that callers' streams and items had of their own. The new tests fail without it.

--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from clementinepin.serving._http import CallerRequest
-from clementinepin.serving.models import RequestFacts, Route, Target
+from clementinepin.serving.models import RequestFacts, Route
 from clementinepin.systems import estimates
 from clementinepin.targets import Abort
 
@@ -60,10 +60,6 @@
         self.is_complete = False
         self.has_succeeded = False
 
-    def fits(self, target: Target) -> bool:
-        """Return whether a target has the software version of the events passed on, if any."""
-        return self.software_version in ("", target.software_version)
-
     def may_resend(self, now: float) -> bool:
         """Return whether the request may be sent again after a target may have run it."""
         return (
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -137,7 +137,8 @@
             if link is None:
                 continue
             if isinstance(action, Granted):
-                link.send(messages.GrantSlot(number, action.target_id))
+                version = self.table.targets[action.target_id].software_version
+                link.send(messages.GrantSlot(number, action.target_id, version))
             elif isinstance(action, Rejected):
                 link.send(messages.RejectSlot(number, *action[1:]))
             else:
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -101,10 +101,15 @@
         if ended:
             self._on_change()
 
-    def find_usable(self, target_id: str) -> Target | None:
-        """Return the target if it may get new requests, else None."""
+    def find_usable(self, target_id: str, software_version: str) -> Target | None:
+        """Return the target if it may get new requests and has the version, else None.
+
+        An empty ``software_version`` allows any.
+        """
         target = self.rows.get(target_id)
-        return None if target is None or target.draining else target
+        if target is None or target.draining:
+            return None
+        return target if software_version in ("", target.software_version) else None
 
     def _put(self, target: Target) -> None:
         self._grace.record_present(target.target_id)
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -194,8 +194,9 @@
         }
 
     def _use_slot(self, connection: CallerConnection, call: Call, slot: Slot) -> RunOutcome:
-        target = self._fleet.targets.find_usable(slot.target_id)
-        if target is None or call.gone or not call.fits(target):
+        version = call.software_version or slot.software_version
+        target = self._fleet.targets.find_usable(slot.target_id, version)
+        if target is None or call.gone:
             call.excluded.add(slot.target_id)
             return RunOutcome.CANCELLED
         call.target_id = slot.target_id
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -190,11 +190,10 @@
         )
 
     def _use_slot(self, run: ItemRun, route: Route, slot: Slot) -> RunOutcome:
-        target = self._fleet.targets.find_usable(slot.target_id)
+        version = run.software_version or slot.software_version
+        target = self._fleet.targets.find_usable(slot.target_id, version)
         if target is None or run.cancelled:
             return RunOutcome.CANCELLED
-        if run.software_version not in ("", target.software_version):
-            return RunOutcome.CANCELLED
         events_before = run.last_event_id
         run.target_version = target.software_version
         try:
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -85,10 +85,11 @@
 
 
 class GrantSlot(msgspec.Struct, array_like=True, tag=3, frozen=True):
-    """Grants a slot: the request may be sent to this target."""
+    """Grants a slot: the request may be sent to this target while it has the software version."""
 
     number: int
     target_id: str
+    software_version: str = ""
 
 
 class RejectSlot(msgspec.Struct, array_like=True, tag=4, frozen=True):
--- a/clementinepin/serving/_slot_requests.py
+++ b/clementinepin/serving/_slot_requests.py
@@ -40,11 +40,15 @@
 
 
 class Slot(NamedTuple):
-    """A granted slot. ``alone`` marks a local decision, made without the dispatcher."""
+    """A granted slot. ``alone`` marks a local decision, made without the dispatcher.
+
+    It is granted for the target at ``software_version``; empty is any, from an older dispatcher.
+    """
 
     number: int
     target_id: str
     alone: bool
+    software_version: str = ""
 
 
 def make_request_message(
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -144,7 +144,7 @@
             self._waiters.pop(number, None)
         if isinstance(reply, messages.GrantSlot):
             self._record_taken(number, request, reply.target_id)
-            return Slot(number, reply.target_id, alone=False)
+            return Slot(number, reply.target_id, False, reply.software_version)
         if isinstance(reply, messages.RejectSlot):
             inputs = {
                 "taken": reply.taken,
@@ -310,7 +310,7 @@
         self._link.send(
             messages.SlotTaken(describe_slot(number, *self._taken[number], now), stream)
         )
-        return Slot(number, target.target_id, alone=True)
+        return Slot(number, target.target_id, True, target.software_version)
 
     def _record_taken(self, number: int, request: SlotRequest, target_id: str) -> None:
         now = self._clock.monotonic()
--- a/tests/serving/test_fleet.py
+++ b/tests/serving/test_fleet.py
@@ -113,7 +113,14 @@
     view = TargetView(create_wire(), StoreOutages(ManualClock()), lambda: None)
     view.replace_rows([make_target_row("t1", 1)])
     view.apply_change("servers/t1", None, 2)
-    assert view.find_usable("t1") is None
+    assert view.find_usable("t1", "") is None
+
+
+def test_a_target_is_usable_at_its_software_version_only() -> None:
+    view = TargetView(create_wire(), StoreOutages(ManualClock()), lambda: None)
+    view.replace_rows([make_target_row("t1", 1)])
+    found = [view.find_usable("t1", version) is not None for version in ("", "v1", "v2")]
+    assert found == [True, True, False]
 
 
 def test_a_draining_target_is_known_but_not_usable() -> None:
@@ -121,7 +128,7 @@
     view.apply_change(*make_target_row("t1", 1))
     view.apply_change(*make_target_row("t1", 2, "draining"))
     assert "t1" in view.rows
-    assert view.find_usable("t1") is None
+    assert view.find_usable("t1", "") is None
 
 
 def test_targets_that_expired_in_an_outage_stay_for_the_grace_time() -> None:
@@ -132,12 +139,12 @@
     outages.record_failure()
     outages.record_reply()
     view.replace_rows([])
-    assert view.find_usable("t1") is not None
+    assert view.find_usable("t1", "") is not None
     view.apply_change(*make_target_row("t2", 3))
     clock.advance(EXPIRY_GRACE_S)
     view.prune()
-    assert view.find_usable("t1") is None
-    assert view.find_usable("t2") is not None
+    assert view.find_usable("t1", "") is None
+    assert view.find_usable("t2", "") is not None
 
 
 def test_a_malformed_entry_is_ignored() -> None:
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -55,8 +55,9 @@
             1, (make_route(kind=RouteKind.JOB, attempts_max=2),), {}, CallerLimits()
         )
 
-    def find_usable(self, target_id: str) -> Target | None:
-        return self.rows.get(target_id)
+    def find_usable(self, target_id: str, software_version: str) -> Target | None:
+        row = self.rows.get(target_id)
+        return row if row and software_version in ("", row.software_version) else None
 
 
 class FakeFleet:
--- a/tests/serving/test_slot_versions.py
+++ b/tests/serving/test_slot_versions.py
@@ -83,3 +83,14 @@
     pair.dispatcher.table.streams.begun.clear()
     with pytest.raises(OverloadedError, match="unknown software version"):
         acquire(pair.broker, stream)
+
+
+def test_a_grant_names_the_version_that_it_was_decided_for() -> None:
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    slots = [acquire(pair.broker, make_stream(pair, stream_id)) for stream_id in ("q1", "q2")]
+    assert [slot.software_version for slot in slots] == ["v1", "v2"]
+    pair.broker._link.stop()
+    for slot in slots:
+        pair.broker.release(slot, RunOutcome.CANCELLED)
+    assert acquire(pair.broker, make_stream(pair, "q3")).software_version == "v1"
--- a/tests/serving/test_stream_versions.py
+++ b/tests/serving/test_stream_versions.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from clementinepin.serving._dispatcher import update_targets
+from clementinepin.serving._slot_requests import Slot
+from clementinepin.systems import stream_versions
 from tests.serving.harness import ID, Harness, get_status, send_events
 from tests.serving.scripted import ScriptedTarget, call
 
@@ -49,3 +53,23 @@
     headers = ("Clementinepin-Request-Id: q2", "Resumes: q1", "Last-Event-Id: 2")
     assert get_status(call(versions.port, *headers)) == 200
     assert (len(other.requests), len(same.requests)) == (0, 1)
+
+
+def test_a_target_that_changed_its_version_behind_a_grant_gets_no_resumption(
+    versions: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The dispatcher had decided for v1 at a target whose new entry it did not know yet."""
+    changed = add_target(versions, "v2", send_events(3))
+    same = add_target(versions, "v1", send_events(3))
+    acquire = versions.app.slots.acquire
+
+    def grant_as_v1(request: Any, on_waiting: Any) -> Slot:
+        if "t0" in request.excluded:
+            return acquire(request, on_waiting)
+        return acquire(request, on_waiting)._replace(target_id="t0", software_version="v1")
+
+    monkeypatch.setattr(versions.app.slots, "acquire", grant_as_v1)
+    headers = ("Clementinepin-Request-Id: q2", "Resumes: q1", "Last-Event-Id: 2")
+    stream_versions.record_stream(versions.app.slots._table, "q1", "v1", 1e9, 0.0)
+    assert get_status(call(versions.port, *headers)) == 200
+    assert (len(changed.requests), len(same.requests)) == (0, 1)
