--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -8,18 +8,19 @@
 
 import random
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple, TypedDict
+from typing import Any, Final, NamedTuple
 
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
-from clementinepin.serving._call import Call, make_fingerprint
+from clementinepin.serving._call import Call
+from clementinepin.serving._call_requests import choose_service, make_slot_request
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._http import HOP_HEADERS, CallerConnection, CallerRequest
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._responses import ResponseForwarder
-from clementinepin.serving._slot_requests import Slot, SlotRequest
+from clementinepin.serving._slot_requests import Slot
 from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving.exceptions import (
     AnswerLostError,
@@ -29,7 +30,6 @@
 )
 from clementinepin.serving.models import Route, RouteKind, Target
 from clementinepin.serving.wire import Wire
-from clementinepin.systems import estimates
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.targets import HttpExchange, HttpRequest
 from clementinepin.targets.exceptions import (
@@ -46,15 +46,6 @@
 STATUS_SUCCESS_BELOW: Final = 300
 
 
-class _StreamFields(TypedDict, total=False):
-    """The fields of a ``SlotRequest`` that describe a resumable stream."""
-
-    software_version: str
-    stream_id: str
-    stream_until: float
-    is_resumption: bool
-
-
 class _Sent(NamedTuple):
     """A request that was sent to a target."""
 
@@ -136,7 +127,8 @@
             self._check_retry(connection, call, outcome)
 
     def _acquire_slot(self, call: Call) -> Slot:
-        request = self._make_slot_request(call)
+        service = choose_service(call.route, self._random)
+        request = make_slot_request(call, service, self._run_times.get(call.route.name))
         requested_at = self._clock.monotonic()
 
         def set_cancel_wait(cancel: Callable[[], None]) -> None:
@@ -153,46 +145,6 @@
         finally:
             call.waited_s += self._clock.monotonic() - requested_at
 
-    def _make_slot_request(self, call: Call) -> SlotRequest:
-        facts, route = call.facts, call.route
-        run_s = estimates.estimate_run(facts.output_tokens_max, facts.length_hint)
-        if not facts.output_tokens_max and not facts.length_hint:
-            run_s = self._run_times.get(route.name, run_s)
-        service = choose_service(route, self._random)
-        start_by = call.started_at + max(0.0, route.objective_s - estimates.FIRST_EVENT_S)
-        useful_until = call.deadline
-        if route.kind is RouteKind.STREAM and not call.response_started:
-            patience_s = estimates.estimate_patience(route.objective_s, route.gap_objective_s)
-            useful_until = min(call.deadline, call.started_at + patience_s)
-        return SlotRequest(
-            service=service,
-            is_batch=False,
-            on_time_by=start_by,
-            deadline=useful_until - estimates.FIRST_EVENT_LATE_S,
-            run_s=run_s,
-            prefix_ids=facts.prefix_ids,
-            excluded=frozenset(call.excluded),
-            returned=call.returned or call.response_started,
-            priority=route.priority,
-            fingerprint=make_fingerprint(call.request),
-            timeout_at=call.deadline,
-            **self._describe_stream(call),
-        )
-
-    def _describe_stream(self, call: Call) -> _StreamFields:
-        """Return the fields of a slot request by which a stream keeps its software version."""
-        facts, route = call.facts, call.route
-        if not route.resumable:
-            return {}
-        is_resumption = facts.last_event_id > 0
-        time_left_s = route.timeout_s if facts.time_left_s is None else facts.time_left_s
-        return {
-            "software_version": call.software_version,
-            "stream_id": facts.resumes if is_resumption else facts.request_id,
-            "stream_until": call.started_at + time_left_s,
-            "is_resumption": is_resumption,
-        }
-
     def _use_slot(self, connection: CallerConnection, call: Call, slot: Slot) -> RunOutcome:
         version = call.software_version or slot.software_version
         target = self._fleet.targets.find_usable(slot.target_id, version)
@@ -377,16 +329,6 @@
         ).info("request_ended")
 
 
-def choose_service(route: Route, rng: random.Random) -> str:
-    """Return one of the route's services, at random by weight; the first if all weights are 0."""
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    weights = [share.weight for share in route.shares]
-    if not any(weights):
-        return route.shares[0].service
-    return rng.choices([share.service for share in route.shares], weights)[0]
-
-
 def is_job_route(route: Route) -> bool:
     """Return whether requests of the route submit jobs."""
     return route.kind is RouteKind.JOB
