Log the prompt parts of lost requests, and what is counted against a request that broke off

Lines of a request name the parts that it may share, and how many events a lost run had brought; the dispatcher says for each run that broke off who reported it and what it counts. No decision changes.

--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -27,6 +27,7 @@
     the end of the newest response's body, empty if there was no response. ``awaits_end`` is set
     while another run is to show that no event follows the last one. ``target_version`` is the
     software version of the newest target, ``software_version`` the one whose events were passed on.
+    ``resumed_at_event_id`` is the last event before the newest run.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         self.excluded: set[str] = set()
         self.response_started = False
         self.last_event_id = facts.last_event_id
+        self.resumed_at_event_id = facts.last_event_id
         self.target_id = ""
         self.target_version = ""
         self.software_version = ""
@@ -70,6 +72,11 @@
             and now < self.deadline
         )
 
+    @property
+    def run_events(self) -> int:
+        """Return how many events the newest run has brought."""
+        return self.last_event_id - self.resumed_at_event_id
+
     def get_read_deadline(self, now: float) -> float:
         """Return the time, in monotonic seconds, until which a target may send nothing.
 
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -112,7 +112,14 @@
         now = self._clock.monotonic()
         outcome = RunOutcome(message.outcome)
         key = (link.name, message.number)
+        grant = self.table.grants.get(key)
         dispatching.finish(self.table, key, outcome, now, succeeded=message.succeeded)
+        if grant is not None and outcome is RunOutcome.BROKEN:
+            log = logger.bind(
+                member=link.name, target=grant.target_id, ran_s=round(now - grant.started_at, 3)
+            )
+            crashes = self.table.crashes.get(grant.fingerprint, ())
+            log.bind(fingerprint=grant.fingerprint, crashes=len(crashes)).info("run_broke")
         self._serve_queue()
 
     def _record_stream(self, stream: messages.StreamVersion) -> None:
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -152,6 +152,7 @@
             call.excluded.add(slot.target_id)
             return RunOutcome.CANCELLED
         call.target_id = slot.target_id
+        call.resumed_at_event_id = call.last_event_id
         call.target_version = target.software_version
         if call.response_started:
             self._log(call).bind(last_event=call.last_event_id).info("stream_resumed")
@@ -270,7 +271,8 @@
         if call.gone:
             return RunOutcome.CANCELLED
         call.excluded.add(call.target_id)
-        self._log(call).bind(error=f"{err.code}: {err}").info("target_lost")
+        log = self._log(call).bind(error=f"{err.code}: {err}", run_events=call.run_events)
+        log.info("target_lost")
         if isinstance(err, TargetTimeoutError) and self._clock.monotonic() >= call.deadline:
             return RunOutcome.CANCELLED
         return RunOutcome.BROKEN
@@ -305,6 +307,7 @@
             configuration=configuration.version if configuration else 0,
             target=call.target_id,
             software_version=call.target_version,
+            prompt_parts=call.facts.prefix_ids[:-1],
         )
 
     def _log_end(self, call: Call, outcome: str) -> None:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -171,6 +171,7 @@
         facts = self._wire.read_request(
             {k.lower(): v for k, v in self._wire.make_item_headers(run.item)}
         )
+        run.prefix_ids = facts.prefix_ids
         run_s = estimates.estimate_rest(
             estimates.estimate_run(facts.output_tokens_max, facts.length_hint),
             run.last_event_id if self._counts_rest else 0,
@@ -194,7 +195,7 @@
         target = self._fleet.targets.find_usable(slot.target_id, version)
         if target is None or run.cancelled:
             return RunOutcome.CANCELLED
-        events_before = run.last_event_id
+        run.resumed_at_event_id = run.last_event_id
         run.target_version = target.software_version
         try:
             with self._slots.watch_silence(slot, run.item.item_id):
@@ -208,7 +209,7 @@
             if run.abort.triggered:
                 return RunOutcome.CANCELLED
             self._log_target_lost(run, target, err)
-            if run.last_event_id == events_before:
+            if run.last_event_id == run.resumed_at_event_id:
                 run.losses += 1
             if run.awaits_end and run.losses >= END_CHECKS_MAX:
                 self._log_end_unchecked(run)
@@ -343,6 +344,8 @@
             target=target.target_id,
             error=str(err),
             losses=run.losses,
+            run_events=run.run_events,
+            prompt_parts=run.prefix_ids[:-1],
         ).info("item_target_lost")
 
 
--- a/clementinepin/serving/_item_state.py
+++ b/clementinepin/serving/_item_state.py
@@ -19,7 +19,8 @@
     that the dispatcher asked the latest run to free its slot. ``framing`` says what marks the end
     of the newest response's body. ``awaits_end`` is set while another run is to show that no event
     follows the last one. ``target_version`` is the software version of the newest target,
-    ``software_version`` the one of the events so far.
+    ``software_version`` the one of the events so far. ``resumed_at_event_id`` is the last event
+    before the newest run, and ``prefix_ids`` are the parts of the item's prompt.
     """
 
     def __init__(self, item: JobItem, head: records.JobHead, failures: int) -> None:
@@ -29,6 +30,8 @@
         self.losses = 0
         self.texts: list[str] = []
         self.last_event_id = 0
+        self.resumed_at_event_id = 0
+        self.prefix_ids: tuple[str, ...] = ()
         self.state: ItemState | None = None
         self.cancelled = False
         self.wait_reason = ""
@@ -45,6 +48,11 @@
         """Return the data of all events so far, one event per line."""
         return "\n".join(self.texts)
 
+    @property
+    def run_events(self) -> int:
+        """Return how many events the newest run has brought; 0 if it had to begin again."""
+        return max(0, self.last_event_id - self.resumed_at_event_id)
+
     def begin_again(self) -> None:
         """Drop all events, so that the next run starts from the beginning."""
         self.texts.clear()
--- a/tests/serving/test_failure_logs.py
+++ b/tests/serving/test_failure_logs.py
@@ -108,3 +108,17 @@
     assert (resumed["request_id"], resumed["target"], resumed["last_event"]) == ("q2", "t1", 3)
     assert (ended["resumes"], ended["resumed_after"], ended["last_event"]) == ("q1", 2, 4)
     assert resumed["software_version"] == ended["software_version"] == "v1"
+
+
+def test_the_log_of_a_lost_target_names_prompt_parts_and_events_of_the_run(
+    harness: Harness,
+) -> None:
+    """Crashes under requests that share a part of their prompts could not be told from others."""
+    harness.set_route()
+    harness.add_target(ScriptedTarget(send_events(1, 2, end=False)))
+    lines: list[Any] = []
+    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
+    call(harness.port, ID, "Clementinepin-Prompt-Prefix: a1:100,b2:90,c3:250")
+    logger.remove(sink)
+    (row,) = [line["extra"] for line in lines if line["message"] == "target_lost"]
+    assert (row["prompt_parts"], row["run_events"]) == (("a1", "b2"), 2)
