Hold requests back by what crashes of targets have in common, not by request alone

The class of fault: what crashes targets was counted under too narrow an identity. A crash now counts against all that its requests may share, their prompt parts and their digest, and a success clears these. What three crashes have in common is a cause; a request is rejected if it has all of the traits that can't be told apart. One request tries again after 2 s, the next ones after a minute and more, so that a wrong belief ends.

Items are counted and held back by their prompt parts too, never by themselves; they stay owed.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -17,7 +17,13 @@
 from clementinepin.serving._links import Link, LinkServer
 from clementinepin.serving._slot_requests import make_adopted_request, make_pending_request
 from clementinepin.serving.models import DEFAULT_POLICY, Policy, Target
-from clementinepin.systems import dispatching, stream_versions, target_health, waiting
+from clementinepin.systems import (
+    crash_causes,
+    dispatching,
+    stream_versions,
+    target_health,
+    waiting,
+)
 from clementinepin.systems.dispatch_actions import Action, Granted, Rejected, RunOutcome
 from clementinepin.systems.service_load import list_services, measure_load
 from clementinepin.tables.dispatch import DispatchTable, TargetLoad
@@ -113,13 +119,14 @@
         outcome = RunOutcome(message.outcome)
         key = (link.name, message.number)
         grant = self.table.grants.get(key)
-        dispatching.finish(self.table, key, outcome, now, succeeded=message.succeeded)
+        dispatching.finish(
+            self.table, key, outcome, now, succeeded=message.succeeded, events=message.events
+        )
         if grant is not None and outcome is RunOutcome.BROKEN:
             log = logger.bind(
                 member=link.name, target=grant.target_id, ran_s=round(now - grant.started_at, 3)
             )
-            crashes = self.table.crashes.get(grant.fingerprint, ())
-            log.bind(fingerprint=grant.fingerprint, crashes=len(crashes)).info("run_broke")
+            log.bind(traits=sorted(grant.traits), events=message.events).info("run_broke")
         self._serve_queue()
 
     def _record_stream(self, stream: messages.StreamVersion) -> None:
@@ -163,6 +170,7 @@
             self._serve_queue()
             now = self._clock.monotonic()
             self._log_load(now)
+            self._log_causes(now)
             if now >= self._next_keep_alive_at:
                 self._next_keep_alive_at = now + KEEP_ALIVE_PERIOD_S
                 for name in {key[0] for key in self.table.list_waiting()}:
@@ -179,6 +187,13 @@
             load = measure_load(self.table, name, now)._asdict()
             logger.bind(service=name, pressure=pressure, **load).info("dispatcher_load")
 
+    def _log_causes(self, now: float) -> None:
+        """Log what is now taken for a cause of crashes, and what no longer is."""
+        crash_causes.expire(self.table.crashes, now)
+        for change in crash_causes.take_changes(self.table.crashes):
+            log = logger.bind(service=change.service, traits=sorted(change.traits))
+            log.warning("crash_cause_known" if change.is_known else "crash_cause_cleared")
+
     def _release_all(self, name: str) -> None:
         """Release an instance's slots and requests; its next hello, if any, lists slots in use."""
         now = self._clock.monotonic()
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -119,7 +119,9 @@
             try:
                 outcome = self._use_slot(connection, call, slot)
             finally:
-                self._slots.release(slot, outcome, succeeded=call.has_succeeded)
+                self._slots.release(
+                    slot, outcome, succeeded=call.has_succeeded, events=call.run_events
+                )
             if call.is_complete:
                 return
             if call.gone:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -88,7 +88,8 @@
                 return
             outcome = self._run_once(run, route)
             if run.state is None and outcome is not RunOutcome.SERVED and not run.cancelled:
-                gevent.sleep(0.0 if run.preempted else get_retry_pause(run.losses))
+                pause_s = max(run.retry_after_s, get_retry_pause(run.losses))
+                gevent.sleep(0.0 if run.preempted else pause_s)
 
     def _check_version(self, run: ItemRun, route: Route) -> None:
         """Begin an item again if all targets of its events' software version are gone.
@@ -125,6 +126,7 @@
         """Acquire a slot, run the item on it once and return how that ended."""
         run.abort = Abort()
         run.preempted = False
+        run.retry_after_s = 0.0
         run.framing = ""
         try:
             slot = self._slots.acquire(
@@ -132,6 +134,8 @@
             )
         except (OverloadedError, CallerGoneError) as err:
             self._log_wait(run, str(err))
+            if isinstance(err, OverloadedError):
+                run.retry_after_s = min(err.retry_after_s, RETRY_PAUSE_MAX_S)
             return RunOutcome.REFUSED
         run.wait_reason = ""
         outcome = RunOutcome.CANCELLED
@@ -141,7 +145,7 @@
             outcome = self._use_slot(run, route, slot)
         finally:
             succeeded = run.state is ItemState.COMPLETED
-            self._slots.release(slot, outcome, succeeded=succeeded)
+            self._slots.release(slot, outcome, succeeded=succeeded, events=run.run_events)
             self._metrics.count_item_run(outcome)
         logger.bind(
             request_id=run.item.item_id,
--- a/clementinepin/serving/_item_state.py
+++ b/clementinepin/serving/_item_state.py
@@ -15,7 +15,8 @@
     """State of one item across its runs.
 
     ``state`` is None until the item is completed or dead, and stays None if it is cancelled.
-    ``losses`` counts runs in a row that lost their target without a new event. ``preempted`` says
+    ``losses`` counts runs in a row that lost their target without a new event. ``retry_after_s``
+    is how long the dispatcher that rejected the newest run wants it to wait. ``preempted`` says
     that the dispatcher asked the latest run to free its slot. ``framing`` says what marks the end
     of the newest response's body. ``awaits_end`` is set while another run is to show that no event
     follows the last one. ``target_version`` is the software version of the newest target,
@@ -28,6 +29,7 @@
         self.head = head
         self.failures = failures
         self.losses = 0
+        self.retry_after_s = 0.0
         self.texts: list[str] = []
         self.last_event_id = 0
         self.resumed_at_event_id = 0
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -19,7 +19,10 @@
 
 
 class SlotInUse(msgspec.Struct, array_like=True, frozen=True):
-    """A slot in use; ``run_s`` is the rest of its expected run time in seconds."""
+    """A slot in use; ``run_s`` is the rest of its expected run time in seconds.
+
+    ``prefix_ids`` and ``fingerprint`` are those of its request.
+    """
 
     number: int
     service: str
@@ -27,6 +30,8 @@
     is_batch: bool
     is_firm: bool
     run_s: float
+    prefix_ids: list[str] = []
+    fingerprint: str = ""
 
 
 class StreamVersion(msgspec.Struct, array_like=True, frozen=True):
@@ -76,12 +81,14 @@
 class ReleaseSlot(msgspec.Struct, array_like=True, tag=2, frozen=True):
     """Releases a slot or withdraws a request for one.
 
-    ``succeeded`` is True after a complete response with a success status.
+    ``succeeded`` is True after a complete response with a success status. ``events`` is how many
+    events the run has brought.
     """
 
     number: int
     outcome: str
     succeeded: bool = False
+    events: int = 0
 
 
 class GrantSlot(msgspec.Struct, array_like=True, tag=3, frozen=True):
--- a/clementinepin/serving/_slot_requests.py
+++ b/clementinepin/serving/_slot_requests.py
@@ -112,6 +112,8 @@
         request.is_batch,
         request.is_firm,
         max(0.0, since + request.run_s - now),
+        list(request.prefix_ids),
+        request.fingerprint,
     )
 
 
@@ -151,5 +153,7 @@
         on_time_by=now,
         deadline=now,
         run_s=slot.run_s,
+        prefix_ids=tuple(slot.prefix_ids),
         is_firm=slot.is_firm,
+        fingerprint=slot.fingerprint,
     )
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -193,18 +193,21 @@
         self._first_dispatcher_linked_at = self._clock.monotonic()
         return True
 
-    def release(self, slot: Slot, outcome: RunOutcome, *, succeeded: bool = False) -> None:
+    def release(
+        self, slot: Slot, outcome: RunOutcome, *, succeeded: bool = False, events: int = 0
+    ) -> None:
         """Release a slot and report to the dispatcher how its use ended.
 
-        ``succeeded`` is True after a complete response with a success status.
+        ``succeeded`` is True after a complete response with a success status. ``events`` is how
+        many events the run has brought.
         """
         self._taken.pop(slot.number, None)
         self._preemption_handlers.pop(slot.number, None)
         self._early_preemptions.discard(slot.number)
         key = (self._name, slot.number)
         now = self._clock.monotonic()
-        dispatching.finish(self._table, key, outcome, now, succeeded=succeeded)
-        self._link.send(messages.ReleaseSlot(slot.number, outcome, succeeded))
+        dispatching.finish(self._table, key, outcome, now, succeeded=succeeded, events=events)
+        self._link.send(messages.ReleaseSlot(slot.number, outcome, succeeded, events))
 
     def report_load(self, slot: Slot, load: tuple[int, int, int] | None) -> None:
         """Report a target's own count of running and waiting requests; None reports nothing.
--- /dev/null
+++ b/clementinepin/systems/crash_causes.py
@@ -0,0 +1,223 @@
+"""Finds out which requests crash targets, and holds them back.
+
+Load pattern: requests that crash each target that begins to write their responses. They come at any
+instance, each with another id, path and body, and have one part of their prompts in common. Sound
+requests share all their other parts, and run on the targets that crash.
+
+A crash was caused by something that its requests have and that no request has which succeeded
+since. What several crashes have in common is taken for the cause, in its narrowest form: a request
+is held back only if it has all of the traits that can't be told apart yet.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from clementinepin.tables.crashes import (
+    CauseChange,
+    Crash,
+    CrashCause,
+    CrashTable,
+    ServiceCrashes,
+)
+
+CRASHES_MAX: Final = 3  # the users accept that one request crashes up to three targets
+NEW_CRASHES_MIN: Final = 2  # before a cause is widened, as one crash may have another cause
+SAME_CRASH_S: Final = 0.1  # instances report the runs of one crash within a few milliseconds
+EVENTS_TO_CLEAR: Final = 5  # a run that brought more was written for some time
+CRASH_MEMORY_S: Final = 600.0
+CRASHES_KEPT_MAX: Final = 64  # per service
+RUNS_PER_CRASH_MAX: Final = 128  # a full target runs tens of requests
+TRAITS_MAX: Final = 64  # of one request; usual ones have a few
+CAUSES_MAX: Final = 256  # per service; the ones that were met longest ago are dropped
+CAUSE_TTL_S: Final = 3_600.0  # after the last request that has the traits
+TRIAL_GAP_S: Final = 2.0  # a wrong belief should end before callers give up
+TRIAL_GAP_FACTOR: Final = 30.0  # each trial may crash another target
+
+
+def record_crash(
+    table: CrashTable, service: str, traits: frozenset[str], events: int, at: float
+) -> None:
+    """Record that a target broke off a run that had brought this many events.
+
+    Reports at about the same time belong to one crash.
+    """
+    if not traits:
+        return
+    crashes = table.services[service].crashes
+    crash = next((c for c in reversed(crashes) if abs(c.at - at) < SAME_CRASH_S), None)
+    if crash is None:
+        crash = Crash(at)
+        crashes.append(crash)
+        crashes.sort(key=lambda other: other.at)
+        crashes[:] = [c for c in crashes if at - c.at < CRASH_MEMORY_S][-CRASHES_KEPT_MAX:]
+    runs = crash.writing if events >= EVENTS_TO_CLEAR else crash.silent
+    if len(runs) < RUNS_PER_CRASH_MAX and len(traits) <= TRAITS_MAX:
+        runs.append(traits)
+
+
+def record_success(table: CrashTable, service: str, traits: frozenset[str], now: float) -> None:
+    """Clear the traits of a request that succeeded: a target has written its whole response."""
+    row = table.services.get(service)
+    if row is None:
+        return
+    for crash in row.crashes:
+        crash.clear(traits)
+    for cause in [cause for cause in row.causes.values() if cause.traits & traits]:
+        if remaining := cause.traits - traits:
+            _add_cause(table, service, remaining, now)
+        else:
+            _remove_cause(table, service, cause.traits)
+
+
+def find_cause(
+    table: CrashTable, service: str, traits: frozenset[str], now: float
+) -> CrashCause | None:
+    """Return a known cause of crashes that a request with these traits has, or None."""
+    row = table.services.get(service)
+    if row is None:
+        return None
+    _settle_crashes(table, service, row, now)
+    for cause in row.causes.values():
+        if cause.traits <= traits:
+            cause.last_met_at = now
+            return cause
+    return None
+
+
+def may_run(table: CrashTable, service: str, traits: frozenset[str], now: float) -> bool:
+    """Return whether a request may run: it has no known cause, or is a trial that is due.
+
+    A trial must tell something of the cause alone. A request with other traits that may have
+    crashed targets is none: it would be the next crash of a part that is blamed wrongly.
+    """
+    cause = find_cause(table, service, traits, now)
+    if cause is None:
+        return True
+    if now < cause.trial_at:
+        return False
+    others = traits - cause.traits
+    return not any(others & crash.get_candidates() for crash in table.services[service].crashes)
+
+
+def record_start(table: CrashTable, service: str, traits: frozenset[str], now: float) -> None:
+    """Record that a request starts; if it has a known cause, the next trial is later.
+
+    A wrong belief ends with the first trial that succeeds, and a target that was mended is used
+    again.
+    """
+    cause = find_cause(table, service, traits, now)
+    if cause is not None:
+        cause.trial_gap_s *= TRIAL_GAP_FACTOR
+        cause.trial_at = now + cause.trial_gap_s
+
+
+def merge_causes(
+    table: CrashTable, service: str, causes: Iterable[frozenset[str]], now: float
+) -> None:
+    """Add causes that another instance knows."""
+    for traits in causes:
+        _add_cause(table, service, traits, now)
+
+
+def take_changes(table: CrashTable) -> list[CauseChange]:
+    """Return the changes of causes since the last call."""
+    changes = list(table.changes)
+    table.changes.clear()
+    return changes
+
+
+def expire(table: CrashTable, now: float) -> None:
+    """Forget causes that no request has met for ``CAUSE_TTL_S``."""
+    for service, row in table.services.items():
+        for cause in list(row.causes.values()):
+            if now - cause.last_met_at >= CAUSE_TTL_S:
+                _remove_cause(table, service, cause.traits)
+
+
+def _settle_crashes(table: CrashTable, service: str, row: ServiceCrashes, now: float) -> None:
+    """Look for causes once all instances have reported a crash."""
+    settled = False
+    for crash in row.crashes:
+        if not crash.is_settled and now - crash.at >= SAME_CRASH_S:
+            crash.is_settled = settled = True
+    while settled and (traits := _find_new_cause(row)):
+        _add_cause(table, service, traits, now)
+
+
+def _find_new_cause(row: ServiceCrashes) -> frozenset[str]:
+    """Return the traits that enough crashes have in common, the most specific first, or none.
+
+    A crash that a known cause explains counts only for wider forms of that cause: a sound part that
+    comes with several crashing ones would be blamed otherwise.
+    """
+    unexplained: list[Crash] = []
+    explained: list[tuple[frozenset[str], Crash]] = []
+    for crash in row.crashes:
+        candidates = crash.get_candidates()
+        causes = [traits for traits in row.causes if traits <= candidates]
+        if causes:
+            explained.append((frozenset().union(*causes), crash))
+        elif crash.is_settled and candidates:
+            unexplained.append(crash)
+    counts = Counter(trait for crash in unexplained for trait in crash.get_candidates())
+    found: list[_Finding] = []
+    for trait, count in counts.items():
+        related = [crash for traits, crash in explained if trait in traits]
+        if count >= NEW_CRASHES_MIN and count + len(related) >= CRASHES_MAX:
+            related += [crash for crash in unexplained if trait in crash.get_candidates()]
+            found.append(_describe_common(trait, related))
+    return max(found).get_traits() if found else frozenset()
+
+
+class _Finding(NamedTuple):
+    """What crashes have in common; the greatest one is the most specific, then the most frequent.
+
+    ``traits`` is sorted.
+    """
+
+    size: int
+    crashes: int
+    runs: int
+    traits: tuple[str, ...]
+
+    def get_traits(self) -> frozenset[str]:
+        """Return the traits as a set."""
+        return frozenset(self.traits)
+
+
+def _describe_common(trait: str, crashes: list[Crash]) -> _Finding:
+    """Return what the crashes with a trait have in common.
+
+    If no request has all of that, as several crashes at once were taken for one, it is what the
+    runs with the trait have in common.
+    """
+    runs = [run for crash in crashes for run in crash.list_suspects() if trait in run]
+    common = frozenset.intersection(*(crash.get_candidates() for crash in crashes))
+    if not any(common <= run for run in runs):
+        common = frozenset.intersection(*runs)
+    return _Finding(len(common), len(crashes), len(runs), tuple(sorted(common)))
+
+
+def _add_cause(table: CrashTable, service: str, traits: frozenset[str], now: float) -> None:
+    """Add a cause, instead of those that have more traits; the time of its trial stays."""
+    causes = table.services[service].causes
+    if any(known <= traits for known in causes):
+        return
+    cause = CrashCause(traits, now, TRIAL_GAP_S)
+    for known in [known for known in causes.values() if traits < known.traits]:
+        cause.trial_at = max(cause.trial_at, known.trial_at)
+        cause.trial_gap_s = max(cause.trial_gap_s, known.trial_gap_s)
+        _remove_cause(table, service, known.traits)
+    causes[traits] = cause
+    table.changes.append(CauseChange(service, traits, True))
+    while len(causes) > CAUSES_MAX:
+        oldest = min(causes.values(), key=lambda cause: cause.last_met_at)
+        _remove_cause(table, service, oldest.traits)
+
+
+def _remove_cause(table: CrashTable, service: str, traits: frozenset[str]) -> None:
+    del table.services[service].causes[traits]
+    table.changes.append(CauseChange(service, traits, False))
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -9,7 +9,7 @@
 import random
 from typing import Final
 
-from clementinepin.systems import stream_versions, target_health, waiting
+from clementinepin.systems import crash_causes, stream_versions, target_health, waiting
 from clementinepin.systems.dispatch_actions import (
     Action,
     Granted,
@@ -34,6 +34,7 @@
 # requests become free faster.
 PREEMPTION_WAIT_SHARE: Final = 0.2
 PREEMPTION_TIMEOUT_S: Final = 0.8  # a reachable runner stops within a few milliseconds
+CRASHED_TARGETS: Final = "crashed targets"  # the reason of a rejection
 NOT_PREEMPTIBLE_SHARE_MAX: Final = 0.3  # of the slots of a service
 
 
@@ -47,9 +48,8 @@
     Load pattern: a burst of several times the load of the idle period. A request that would get
     its slot too late for its objective is rejected at once, so that it can still retry in time.
     """
-    if target_health.has_crashed_targets(table, request.fingerprint, now):
-        retry_after_s = waiting.get_longest_retry_wait(request, now)
-        return [Rejected(request.key, retry_after_s, "crashed targets")]
+    if (rejection := _check_cause(table, request, now)) is not None:
+        return [rejection]
     version = stream_versions.find_required_version(table, request, now)
     if version is None:
         retry_after_s = waiting.get_longest_retry_wait(request, now)
@@ -77,6 +77,13 @@
     return []
 
 
+def _check_cause(table: DispatchTable, request: PendingRequest, now: float) -> Rejected | None:
+    """Return a rejection if the request is known to crash targets, else None."""
+    if crash_causes.may_run(table.crashes, request.service, request.traits, now):
+        return None
+    return Rejected(request.key, waiting.get_longest_retry_wait(request, now), CRASHED_TARGETS)
+
+
 def _check_version(table: DispatchTable, request: PendingRequest, now: float) -> Rejected | None:
     """Return a rejection if only other software versions than the required one are left, else None.
 
@@ -122,15 +129,21 @@
     now: float,
     *,
     succeeded: bool = False,
+    events: int = 0,
 ) -> None:
     """Free a slot or remove a request from the queue, and record the outcome at the target.
 
-    Only runs that succeeded count for the pace: a failure tells nothing of how long others take.
+    ``events`` is how many events the run has brought. Only runs that succeeded count for the pace:
+    a failure tells nothing of how long others take.
     """
     table.remove_waiting(key)
     grant = table.grants.pop(key, None)
     if grant is None:
         return
+    if outcome is RunOutcome.BROKEN:
+        crash_causes.record_crash(table.crashes, grant.service, grant.traits, events, now)
+    elif succeeded:
+        crash_causes.record_success(table.crashes, grant.service, grant.traits, now)
     target = table.targets.get(grant.target_id)
     if target is None:
         return
@@ -140,7 +153,6 @@
         table.paces[target.service].add(observed_s, estimated_s)
         target.pace.add(observed_s, estimated_s)
     target_health.record_outcome(table, target, outcome, now)
-    target_health.record_crash(table, grant.fingerprint, outcome, now)
 
 
 def serve_queue(table: DispatchTable, now: float, rng: random.Random) -> list[Action]:
@@ -155,8 +167,10 @@
     for request in sorted(
         table.waiting.values(), key=lambda r: waiting.rank_request(table, r, now)
     ):
-        rejection = _check_version(table, request, now) or waiting.recheck_wait(
-            table, request, now, rng
+        rejection = (
+            _check_cause(table, request, now)
+            or _check_version(table, request, now)
+            or waiting.recheck_wait(table, request, now, rng)
         )
         if rejection is not None:
             del table.waiting[request.key]
@@ -186,6 +200,10 @@
     actions: list[Action] = []
     held: list[PendingRequest] = []
     while (request := queue.get_first(now)) is not None:
+        if (rejection := _check_cause(table, request, now)) is not None:
+            queue.remove(request.key)
+            actions.append(rejection)
+            continue
         started = _try_start(table, request, now)
         if not started and not (request.software_version and has_free_slot(table, request, now)):
             break
@@ -315,6 +333,7 @@
 def _take_slot(
     table: DispatchTable, target: TargetLoad, request: PendingRequest, now: float
 ) -> None:
+    crash_causes.record_start(table.crashes, request.service, request.traits, now)
     grant = Grant(request, target.target_id, now)
     table.grants[request.key] = grant
     stream_versions.record_stream(
--- a/clementinepin/systems/target_health.py
+++ b/clementinepin/systems/target_health.py
@@ -1,4 +1,4 @@
-"""Tracks failing, full and unresponsive targets, and requests that crash targets.
+"""Tracks failing, full and unresponsive targets.
 
 Only the results of real requests count, as a health check may be wrong either way.
 """
@@ -15,9 +15,6 @@
 FULL_RETRY_S: Final = 0.15  # about the time in which a full target frees a slot
 AVOID_MIN_S: Final = 0.5  # after FAILURES_TO_AVOID failures in a row; doubled with each further one
 AVOID_MAX_S: Final = 4.0  # a restarted target is back within some seconds
-CRASHES_MAX: Final = 3  # the users accept that one request crashes up to three targets
-CRASH_MEMORY_S: Final = 60.0  # callers give up such a request after some tries
-FINGERPRINTS_MAX: Final = 2_000  # about an hour of broken responses; the oldest are dropped
 FAILURES_TO_AVOID: Final = 2  # the request may have caused a single failure
 
 
@@ -53,26 +50,3 @@
     target = table.targets.get(grant.target_id) if grant is not None else None
     if target is not None:
         target.avoid_until = max(target.avoid_until, now + SILENCE_RETRY_S)
-
-
-def record_crash(table: DispatchTable, fingerprint: str, outcome: RunOutcome, now: float) -> None:
-    """Record that a request crashed a target; a served request clears its record."""
-    if not fingerprint:
-        return
-    if outcome is RunOutcome.SERVED:
-        table.crashes.pop(fingerprint, None)
-    elif outcome is RunOutcome.BROKEN:
-        times = table.crashes.setdefault(fingerprint, [])
-        times.append(now)
-        del times[:-CRASHES_MAX]
-        while len(table.crashes) > FINGERPRINTS_MAX:
-            del table.crashes[next(iter(table.crashes))]
-
-
-def has_crashed_targets(table: DispatchTable, fingerprint: str, now: float) -> bool:
-    """Return whether a request has crashed ``CRASHES_MAX`` targets within ``CRASH_MEMORY_S``.
-
-    Load pattern: a request that crashes every target and that its caller sends again and again.
-    """
-    recent = [at for at in table.crashes.get(fingerprint, ()) if now - at < CRASH_MEMORY_S]
-    return len(recent) >= CRASHES_MAX
--- /dev/null
+++ b/clementinepin/tables/crashes.py
@@ -0,0 +1,81 @@
+"""Crashes of targets, and what the requests under which they happened have in common."""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from typing import Final, NamedTuple
+
+CHANGES_MAX: Final = 1_024  # between two calls of those who pass them on
+
+
+class Crash:
+    """One crash of a target, with the traits of each run that it ended. Times are monotonic.
+
+    A trait is something that requests may share: a part of their prompts or the digest by which a
+    request is known when it is sent again. ``silent`` has the runs that had brought no or few
+    events, ``writing`` the others. Traits of requests that succeed later are removed.
+    """
+
+    __slots__ = ("at", "is_settled", "silent", "writing")
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.silent: list[frozenset[str]] = []
+        self.writing: list[frozenset[str]] = []
+        self.is_settled = False
+
+    def list_suspects(self) -> list[frozenset[str]]:
+        """Return the runs that may have caused the crash.
+
+        One that was being written when its target crashed is none beside one that had only begun.
+        """
+        return self.silent or self.writing
+
+    def get_candidates(self) -> frozenset[str]:
+        """Return the traits that may have caused the crash."""
+        return frozenset().union(*self.list_suspects())
+
+    def clear(self, traits: frozenset[str]) -> None:
+        """Remove traits that can't have caused the crash."""
+        self.silent = [run - traits for run in self.silent]
+        self.writing = [run - traits for run in self.writing]
+
+
+class CrashCause:
+    """Traits that crash targets when one request has all of them. Times are monotonic seconds.
+
+    A single request tries again at ``trial_at``, ``trial_gap_s`` after the one before.
+    ``last_met_at`` is when a request that has the traits came last.
+    """
+
+    __slots__ = ("last_met_at", "traits", "trial_at", "trial_gap_s")
+
+    def __init__(self, traits: frozenset[str], now: float, trial_gap_s: float) -> None:
+        self.traits = traits
+        self.trial_at = now + trial_gap_s
+        self.trial_gap_s = trial_gap_s
+        self.last_met_at = now
+
+
+class CauseChange(NamedTuple):
+    """A cause that became known, or that is no longer believed."""
+
+    service: str
+    traits: frozenset[str]
+    is_known: bool
+
+
+class ServiceCrashes:
+    """The last crashes of one service's targets, oldest first, and their causes by traits."""
+
+    def __init__(self) -> None:
+        self.crashes: list[Crash] = []
+        self.causes: dict[frozenset[str], CrashCause] = {}
+
+
+class CrashTable:
+    """Crashes by service; ``changes`` has the changes of causes that were not yet passed on."""
+
+    def __init__(self) -> None:
+        self.services: defaultdict[str, ServiceCrashes] = defaultdict(ServiceCrashes)
+        self.changes: deque[CauseChange] = deque(maxlen=CHANGES_MAX)
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 from typing import Final, NamedTuple
 
+from clementinepin.tables.crashes import CrashTable
 from clementinepin.tables.mechanisms import Mechanism
 from clementinepin.tables.streams import StreamTable
 
@@ -63,6 +64,11 @@
     stream_until: float = 0.0
     is_resumption: bool = False
 
+    @property
+    def traits(self) -> frozenset[str]:
+        """Return what the request may share with others; its last prompt part is its own."""
+        return frozenset((*self.prefix_ids[:-1], self.fingerprint)) - {""}
+
     def get_time_after_share(self, share: float) -> float:
         """Return the time at which a share of the time for a start in time has passed."""
         return self.requested_at + share * max(0.0, self.on_time_by - self.requested_at)
@@ -78,7 +84,6 @@
     __slots__ = (
         "due_at",
         "ends_at",
-        "fingerprint",
         "is_batch",
         "is_firm",
         "key",
@@ -86,15 +91,18 @@
         "preempted_at",
         "preempting",
         "run_s",
+        "service",
         "started_at",
         "target_id",
+        "traits",
     )
 
     def __init__(self, request: PendingRequest, target_id: str, now: float) -> None:
         self.key = request.key
         self.target_id = target_id
         self.is_batch = request.is_batch
-        self.fingerprint = request.fingerprint
+        self.service = request.service
+        self.traits = request.traits
         self.is_firm = request.is_firm
         self.started_at = now
         self.run_s = request.run_s
@@ -278,8 +286,8 @@
     """All state of one dispatcher. ``waiting`` holds online requests, ``items`` batch items.
 
     By service, ``arrivals`` is the work that new callers bring, ``latest_return_at`` the last
-    retry time booked for a rejected caller, and ``paces`` how long runs take. ``crashes`` has the
-    times of crashes by request fingerprint. ``streams`` has the software versions of streams.
+    retry time booked for a rejected caller, and ``paces`` how long runs take. ``crashes`` has what
+    crashes targets. ``streams`` has the software versions of streams.
     """
 
     def __init__(
@@ -294,7 +302,7 @@
         self.items: dict[str, BatchQueue] = {}
         self.grants: dict[GrantKey, Grant] = {}
         self.latest_return_at: dict[str, float] = {}
-        self.crashes: dict[str, list[float]] = {}
+        self.crashes = CrashTable()
         self.arrivals: defaultdict[str, WorkRate] = defaultdict(WorkRate)
         self.paces: defaultdict[str, Pace] = defaultdict(Pace)
         self.streams = StreamTable()
--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -59,7 +59,9 @@
                 return Slot(number, target_id, alone=False)
         raise OverloadedError("all targets are excluded", 0.25)
 
-    def release(self, slot: Slot, outcome: RunOutcome, *, succeeded: bool = False) -> None:
+    def release(
+        self, slot: Slot, outcome: RunOutcome, *, succeeded: bool = False, events: int = 0
+    ) -> None:
         self.outcomes.append(outcome)
         self.successes.append(succeeded)
 
--- a/tests/systems/crash_load.py
+++ b/tests/systems/crash_load.py
@@ -39,7 +39,10 @@
 
 
 class CrashLoad:
-    """Plays a load in virtual time; ``table`` may be replaced, as by another dispatcher."""
+    """Plays a load in virtual time; ``table`` may be replaced, as by another dispatcher.
+
+    With ``crashing_trait`` all requests that have it crash their targets.
+    """
 
     def __init__(self, load: Load, seed: int, targets: int = 9) -> None:
         self._load = load
@@ -51,6 +54,7 @@
         for number in range(targets):
             self._start_target(f"t{number}")
         self.tally = Tally([], [], [], [])
+        self.crashing_trait = ""
 
     def play(self, start: float, end: float) -> Tally:
         """Play the seconds from ``start`` to ``end``."""
@@ -91,6 +95,8 @@
             fingerprint=f"fingerprint{number}",
         )
         action = next(iter(dispatching.submit(self.table, request, now, self._random)), None)
+        if self.crashing_trait:
+            kind = "crashing" if self.crashing_trait in request.traits else "sound"
         if isinstance(action, Rejected) and kind == "sound":
             self.tally.sound_rejections.append((now, first))
         if not isinstance(action, Granted):
@@ -128,4 +134,4 @@
 
 def break_run(table: DispatchTable, key: GrantKey, now: float, events: int) -> None:
     """Report that the target of a run broke it off after this many events."""
-    dispatching.finish(table, key, RunOutcome.BROKEN, now)
+    dispatching.finish(table, key, RunOutcome.BROKEN, now, events=events)
--- a/tests/systems/test_crash_causes.py
+++ b/tests/systems/test_crash_causes.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
-from tests.systems.crash_load import CrashLoad, Load, Tally
+from clementinepin.systems import crash_causes, dispatching
+from clementinepin.systems.dispatch_actions import Granted, Rejected, RunOutcome
+from clementinepin.tables.crashes import CrashTable
+from tests.systems.crash_load import CrashLoad, Load, Tally, break_run
+from tests.systems.dispatch_parts import make_item, make_request, make_table
 
 CONTACT_S = 3.0  # within which the users expect that a crash is known everywhere
 CRASHES_TO_KNOW = 5
@@ -42,3 +48,119 @@
         assert measure_served_share(tally, known_at + 2 * CONTACT_S) > 0.9, seed
         for part in range(crashing_first_parts):
             assert measure_served_share(tally, known_at + 2 * CONTACT_S, f"a{part}") > 0.5, seed
+
+
+@pytest.mark.parametrize("crashing_first_parts", [1, 40])
+def test_two_crashing_parts_at_once_are_told_apart(crashing_first_parts: int) -> None:
+    load = Load(crashing_parts=("bad", "worse"), crashing_first_parts=crashing_first_parts)
+    for seed in range(5):
+        tally = CrashLoad(load, seed).play(0.0, 60.0)
+        assert count_sent_later(tally) <= 2 * SENT_LATER_MAX, seed
+        assert measure_served_share(tally, 20.0, "a0") > 0.5, seed
+
+
+def test_a_crashing_first_part_is_found_too() -> None:
+    load = Load(crashing_first_parts=1, first_parts=40, second_parts=400)
+    for seed in range(5):
+        play = CrashLoad(load, seed)
+        play.crashing_trait = "a0"
+        tally = play.play(0.0, 60.0)
+        assert count_sent_later(tally) <= SENT_LATER_MAX, seed
+        sound = [at for at, part in tally.sound_rejections if part != "a0" and at > 10.0]
+        assert not sound, seed
+
+
+def test_sound_requests_on_targets_that_crash_for_other_reasons_go_on() -> None:
+    """Items share few parts, so that three targets that crash together run the same ones."""
+    table = make_table(targets=9, slots=8)
+    rng = random.Random(1)
+    numbers = iter(range(10_000))
+    for crash in range(30):
+        now = crash * 1.0
+        items = [make_item(next(numbers), now, prefix_ids=("x", "own")) for _ in range(12)]
+        for item in items:
+            assert isinstance(dispatching.submit(table, item, now, rng)[0], Granted)
+        lost = items[0:3] if crash % 3 else items
+        for item in lost:
+            break_run(table, item.key, now + 0.3, 40)
+        for item in set(items) - set(lost):
+            dispatching.finish(table, item.key, RunOutcome.SERVED, now + 0.9, succeeded=True)
+
+
+def record_crashes(table: CrashTable, *crashes: set[str], events: int = 0) -> float:
+    """Record crashes of one run each, a second apart, and return the time after the last one."""
+    for number, traits in enumerate(crashes):
+        crash_causes.record_crash(table, "llm", frozenset(traits), events, float(number))
+    return float(len(crashes))
+
+
+def has_cause(table: CrashTable, now: float, *traits: str) -> bool:
+    return crash_causes.find_cause(table, "llm", frozenset(traits), now) is not None
+
+
+def test_traits_that_can_not_be_told_apart_hold_only_requests_with_all_of_them() -> None:
+    table = CrashTable()
+    now = record_crashes(table, {"a", "bad", "f1"}, {"a", "bad", "f2"}, {"a", "bad", "f3"})
+    assert has_cause(table, now, "a", "bad", "f4")
+    assert not has_cause(table, now, "a", "b", "f5")
+    assert not has_cause(table, now, "c", "bad", "f6")
+    crash_causes.record_success(table, "llm", frozenset({"a", "b", "f5"}), now)
+    assert has_cause(table, now, "c", "bad", "f6")
+    assert not has_cause(table, now, "a", "b", "f5")
+
+
+def test_a_run_that_was_being_written_is_not_blamed_for_a_crash_beside_one_that_had_begun() -> None:
+    table = CrashTable()
+    for number in range(3):
+        at = float(number)
+        crash_causes.record_crash(table, "llm", frozenset({"a", "b"}), 20, at)
+        crash_causes.record_crash(table, "llm", frozenset({"c", "bad"}), 0, at + 0.001)
+    assert has_cause(table, 3.0, "c", "bad")
+    assert not has_cause(table, 3.0, "a", "b")
+
+
+def test_a_cause_counts_for_its_service_only() -> None:
+    table = CrashTable()
+    now = record_crashes(table, {"bad"}, {"bad"}, {"bad"})
+    assert crash_causes.find_cause(table, "other", frozenset({"bad"}), now) is None
+
+
+def test_a_request_that_waits_is_rejected_once_its_part_is_known() -> None:
+    table = make_table(targets=1, slots=1)
+    rng = random.Random(1)
+    assert dispatching.submit(table, make_request(1), 0.0, rng)
+    parts = ("a", "bad", "own")
+    waiting = make_request(2, 0.0, prefix_ids=parts, on_time_by=9.0, deadline=9.0)
+    assert not dispatching.submit(table, waiting, 0.0, rng)
+    item = make_item(3, 0.0, prefix_ids=parts)
+    assert not dispatching.submit(table, item, 0.0, rng)
+    for number in range(3):
+        at = 0.2 * number
+        crash_causes.record_crash(table.crashes, "llm", frozenset({"a", "bad"}), 0, at)
+    actions = dispatching.serve_queue(table, 0.6, rng)
+    assert [(type(action), action.key) for action in actions] == [
+        (Rejected, waiting.key),
+        (Rejected, item.key),
+    ]
+
+
+def test_a_trial_is_not_spent_on_a_request_with_another_suspected_part() -> None:
+    """A sound part that was blamed would never be cleared: its trials would go to crashing ones."""
+    table = CrashTable()
+    now = record_crashes(table, {"a", "b1"}, {"a", "b2"}, {"a", "b3"})
+    assert has_cause(table, now, "a", "b1")
+    later = now + crash_causes.TRIAL_GAP_S
+    assert not crash_causes.may_run(table, "llm", frozenset({"a", "b1"}), later)
+    assert crash_causes.may_run(table, "llm", frozenset({"a", "b4"}), later)
+    crash_causes.record_start(table, "llm", frozenset({"a", "b4"}), later)
+    assert not crash_causes.may_run(table, "llm", frozenset({"a", "b5"}), later)
+    crash_causes.record_success(table, "llm", frozenset({"a", "b4"}), later + 1.0)
+    assert crash_causes.may_run(table, "llm", frozenset({"a", "b5"}), later + 1.0)
+
+
+def test_a_cause_that_no_request_meets_any_more_is_forgotten() -> None:
+    table = CrashTable()
+    now = record_crashes(table, {"bad"}, {"bad"}, {"bad"})
+    assert has_cause(table, now, "bad")
+    crash_causes.expire(table, now + crash_causes.CAUSE_TTL_S)
+    assert not table.services["llm"].causes
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from clementinepin.systems import dispatching, target_health
+from clementinepin.systems import crash_causes, dispatching, target_health
+from clementinepin.systems.crash_causes import CAUSES_MAX, CRASHES_KEPT_MAX, CRASHES_MAX
 from clementinepin.systems.dispatch_actions import (
     Granted,
     PreemptionRequested,
@@ -18,7 +19,7 @@
     PREEMPTION_WAIT_SHARE,
     UNTRACKED_LOAD_S,
 )
-from clementinepin.systems.target_health import CRASH_MEMORY_S, CRASHES_MAX, FULL_RETRY_S
+from clementinepin.systems.target_health import FULL_RETRY_S
 from clementinepin.systems.waiting import RETRY_WAIT_SHARE_MAX
 from clementinepin.tables.dispatch import (
     DispatchTable,
@@ -111,48 +112,55 @@
     assert not table.waiting
 
 
+def crash_targets(table, rng, count, now=0.0, **changes):
+    """Send a request this many times, a second apart, to targets that crash under it."""
+    for n in range(count):
+        request = make_request(n, now + n, **changes)
+        assert isinstance(dispatching.submit(table, request, now + n, rng)[0], Granted)
+        dispatching.finish(table, request.key, RunOutcome.BROKEN, now + n)
+
+
 def test_request_is_rejected_after_it_crashed_three_targets(rng):
     """The same request may be sent again with other ids, to any instance."""
     table = make_table(targets=6, slots=2)
-    for n in range(CRASHES_MAX):
-        request = make_request(n, fingerprint="p")
-        assert isinstance(dispatching.submit(table, request, 0.0, rng)[0], Granted)
-        dispatching.finish(table, request.key, RunOutcome.BROKEN, 0.0)
-    (action,) = dispatching.submit(table, make_request(9, fingerprint="p"), 1.0, rng)
+    crash_targets(table, rng, CRASHES_MAX, fingerprint="p")
+    (action,) = dispatching.submit(table, make_request(9, 3.0, fingerprint="p"), 3.0, rng)
     assert isinstance(action, Rejected)
-    assert isinstance(dispatching.submit(table, make_request(10), 1.0, rng)[0], Granted)
+    assert isinstance(dispatching.submit(table, make_request(10, 3.0), 3.0, rng)[0], Granted)
 
 
 def test_crash_records_stay_bounded_over_many_days(rng):
-    """Mutation: keep all crash times of a request that comes again and again."""
+    """Mutation: keep all crashes of a request that comes again and again, or all causes."""
     table = make_table(targets=1, slots=1)
     for number in range(30 * 24):
-        now = number * 3600.0
-        target_health.record_crash(table, "poison", RunOutcome.BROKEN, now)
-        target_health.record_crash(table, f"other-{number}", RunOutcome.BROKEN, now)
-    assert len(table.crashes["poison"]) <= target_health.CRASHES_MAX
-    assert len(table.crashes) <= target_health.FINGERPRINTS_MAX
+        for n in range(CRASHES_MAX):
+            now = number * 3600.0 + n
+            for name in ("poison", f"other-{number}"):
+                crash_causes.record_crash(table.crashes, "llm", frozenset({name}), 0, now)
+        crash_causes.find_cause(table.crashes, "llm", frozenset({"poison"}), now + 1.0)
+    row = table.crashes.services["llm"]
+    assert len(row.crashes) <= CRASHES_KEPT_MAX
+    assert len(row.causes) <= CAUSES_MAX
 
 
-def test_crash_record_expires_and_is_cleared_by_success(rng):
+def test_a_crash_record_is_cleared_by_success_and_tried_again_by_one_request(rng):
     table = make_table(targets=6, slots=4)
-    for n, outcome in enumerate(
-        [RunOutcome.BROKEN] * 2 + [RunOutcome.SERVED] + [RunOutcome.BROKEN]
-    ):
-        request = make_request(n, fingerprint="p")
-        dispatching.submit(table, request, 0.0, rng)
-        dispatching.finish(table, request.key, outcome, 0.0)
-    assert isinstance(
-        dispatching.submit(table, make_request(9, fingerprint="p"), 1.0, rng)[0], Granted
-    )
+    crash_targets(table, rng, 2, fingerprint="p")
+    request = make_request(5, 2.0, fingerprint="p")
+    dispatching.submit(table, request, 2.0, rng)
+    dispatching.finish(table, request.key, RunOutcome.SERVED, 2.5, succeeded=True)
+    crash_targets(table, rng, 1, 3.0, fingerprint="p")
+    request = make_request(9, 4.0, fingerprint="p")
+    assert isinstance(dispatching.submit(table, request, 4.0, rng)[0], Granted)
     table = make_table(targets=6, slots=4)
-    for n in range(CRASHES_MAX):
-        request = make_request(n, fingerprint="p")
-        dispatching.submit(table, request, 0.0, rng)
-        dispatching.finish(table, request.key, RunOutcome.BROKEN, 0.0)
-    later = CRASH_MEMORY_S + 1.0
-    request = make_request(9, later, fingerprint="p")
-    assert isinstance(dispatching.submit(table, request, later, rng)[0], Granted)
+    crash_targets(table, rng, CRASHES_MAX, fingerprint="p")
+    later = 62.0
+    first, second = (make_request(n, later, fingerprint="p") for n in (20, 21))
+    dispatching.submit(table, make_request(19, 3.0, fingerprint="p"), 3.0, rng)
+    assert isinstance(dispatching.submit(table, first, later, rng)[0], Granted)
+    assert isinstance(dispatching.submit(table, second, later, rng)[0], Rejected)
+    dispatching.finish(table, first.key, RunOutcome.SERVED, later + 1.0, succeeded=True)
+    assert isinstance(dispatching.submit(table, second, later + 1.0, rng)[0], Granted)
 
 
 def test_burst_preempts_youngest_batch_item(rng):
