Count crashes also for slots without a dispatcher, and tell a new one of those before it

Found by looking for the same class elsewhere: what crashed targets was known to the dispatcher alone. An instance that decided by itself did not ask, and sent on; a dispatcher that took over began at zero. Two of the new tests fail without the change: an instance without a dispatcher sends the fourth request, and the next dispatcher grants it.

An instance that decides alone now asks its own record, without trials. It names the runs that were broken off in its hello, and requests of slots in use with their prompt parts, so that runs which a dispatcher did not grant count too. A run that is reported twice counts once.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -15,7 +15,11 @@
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._links import Link, LinkServer
-from clementinepin.serving._slot_requests import make_adopted_request, make_pending_request
+from clementinepin.serving._slot_requests import (
+    make_adopted_request,
+    make_broken_run,
+    make_pending_request,
+)
 from clementinepin.serving.models import DEFAULT_POLICY, Policy, Target
 from clementinepin.systems import (
     crash_causes,
@@ -87,6 +91,9 @@
         self._release_all(link.name)
         for stream in hello.streams:
             self._record_stream(stream)
+        for run in hello.broken_runs:
+            broken_run = make_broken_run(link.name, run)
+            crash_causes.record_crash(self.table.crashes, broken_run, now - run.age_s)
         for slot in hello.slots:
             adopted = make_adopted_request(link.name, slot, now)
             dispatching.adopt_grant(self.table, adopted, slot.target_id, now)
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -42,12 +42,29 @@
     ttl_s: float
 
 
+class BrokenRun(msgspec.Struct, array_like=True, frozen=True):
+    """A run of the sender that its target broke off ``age_s`` ago, after ``events`` events.
+
+    ``number`` is that of its slot.
+    """
+
+    number: int
+    service: str
+    traits: list[str]
+    events: int
+    age_s: float
+
+
 class Hello(msgspec.Struct, array_like=True, tag=0, frozen=True):
-    """First message of a client: its instance name, the slots that it uses and its streams."""
+    """First message of a client: its instance name, the slots that it uses and its streams.
+
+    ``broken_runs`` are its last runs that their targets broke off.
+    """
 
     name: str
     slots: list[SlotInUse]
     streams: list[StreamVersion] = []
+    broken_runs: list[BrokenRun] = []
 
 
 class RequestSlot(msgspec.Struct, array_like=True, tag=1, frozen=True):
--- a/clementinepin/serving/_slot_requests.py
+++ b/clementinepin/serving/_slot_requests.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from clementinepin.serving import _messages as messages
+from clementinepin.tables.crashes import BrokenRun
 from clementinepin.tables.dispatch import PendingRequest
 
 
@@ -94,6 +95,7 @@
         data_centre=data_centre,
         excluded=request.excluded,
         fingerprint=request.fingerprint,
+        timeout_at=request.timeout_at or request.deadline,
         software_version=request.software_version,
         stream_id=request.stream_id,
         stream_until=request.stream_until,
@@ -117,6 +119,18 @@
     )
 
 
+def describe_broken_run(run: BrokenRun, at: float, now: float) -> messages.BrokenRun:
+    """Return what a dispatcher should know about a run that was broken off at ``at``."""
+    return messages.BrokenRun(
+        run.key[1], run.service, sorted(run.traits), run.events, max(0.0, now - at)
+    )
+
+
+def make_broken_run(name: str, run: messages.BrokenRun) -> BrokenRun:
+    """Return the run of a message."""
+    return BrokenRun((name, run.number), run.service, frozenset(run.traits), run.events)
+
+
 def make_pending_request(name: str, message: messages.RequestSlot, now: float) -> PendingRequest:
     """Return the request of a message, by the clock of the receiver."""
     return PendingRequest(
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -9,6 +9,7 @@
 import itertools
 import math
 import random
+from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any, Final
@@ -27,18 +28,28 @@
 from clementinepin.serving._slot_requests import (
     Slot,
     SlotRequest,
+    describe_broken_run,
     describe_slot,
     make_local_request,
     make_request_message,
 )
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
 from clementinepin.serving.models import DEFAULT_POLICY, Placement, Policy
-from clementinepin.systems import dispatching, estimates, stream_versions, target_health
+from clementinepin.systems import (
+    crash_causes,
+    dispatching,
+    estimates,
+    stream_versions,
+    target_health,
+    waiting,
+)
 from clementinepin.systems.dispatch_actions import RunOutcome
-from clementinepin.tables.dispatch import DispatchTable
+from clementinepin.tables.crashes import BrokenRun
+from clementinepin.tables.dispatch import DispatchTable, make_traits
 from clementinepin.tables.mechanisms import Mechanism
 
 REPLY_TIMEOUT_S: Final = 0.08  # a few round trips between data centres and a busy dispatcher
+BROKEN_RUNS_MAX: Final = 64  # reported to a new dispatcher
 LOCAL_RETRY_S: Final = 0.3  # Retry-After of local decisions, such as when the share is used up
 # Batch starts without the dispatcher only after this time: a lost dispatcher's lease ends after
 # 3 s, and items are due within 18 s.
@@ -59,6 +70,7 @@
     ``_table`` counts the slots that this instance uses, so that it can decide locally. ``_taken``
     maps a slot's number to its request, its target and when it was taken (monotonic seconds).
     ``_early_preemptions`` holds slots that were preempted before a handler was set.
+    ``_broken_runs`` has the last runs that their targets broke off, and when they ended.
     """
 
     def __init__(
@@ -84,6 +96,7 @@
         self._preemption_handlers: dict[int, Callable[[], None]] = {}
         self._early_preemptions: set[int] = set()
         self._taken: dict[int, tuple[SlotRequest, str, float]] = {}
+        self._broken_runs: deque[tuple[BrokenRun, float]] = deque(maxlen=BROKEN_RUNS_MAX)
         self._response_times = estimates.ResponseTimes()
         self._first_dispatcher_linked_at = clock.monotonic()
         suspect_s = SUSPECT_S if Mechanism.DISPATCHER_SUSPICION not in policy.disabled else 0.0
@@ -201,12 +214,15 @@
         ``succeeded`` is True after a complete response with a success status. ``events`` is how
         many events the run has brought.
         """
-        self._taken.pop(slot.number, None)
+        taken = self._taken.pop(slot.number, None)
         self._preemption_handlers.pop(slot.number, None)
         self._early_preemptions.discard(slot.number)
         key = (self._name, slot.number)
         now = self._clock.monotonic()
         dispatching.finish(self._table, key, outcome, now, succeeded=succeeded, events=events)
+        if taken is not None and outcome is RunOutcome.BROKEN:
+            traits = make_traits(taken[0].prefix_ids, taken[0].fingerprint)
+            self._broken_runs.append((BrokenRun(key, taken[0].service, traits, events), now))
         self._link.send(messages.ReleaseSlot(slot.number, outcome, succeeded, events))
 
     def report_load(self, slot: Slot, load: tuple[int, int, int] | None) -> None:
@@ -289,6 +305,9 @@
         ):
             raise OverloadedError("batch waits for a dispatcher", LOCAL_RETRY_S)
         pending = make_local_request(self._name, self._data_centre, number, request, now)
+        if crash_causes.find_cause(self._table.crashes, request.service, pending.traits, now):
+            retry_after_s = waiting.get_longest_retry_wait(pending, now)
+            raise OverloadedError(dispatching.CRASHED_TARGETS, retry_after_s)
         self._table.streams.is_current = self._fleet.follows_targets()
         version = stream_versions.find_required_version(self._table, pending, now)
         if version is None:
@@ -332,6 +351,7 @@
             self._name,
             [describe_slot(number, *self._taken[number], now) for number in self._taken],
             [stream for stream in streams if stream is not None],
+            [describe_broken_run(run, at, now) for run, at in self._broken_runs],
         )
 
     def _describe_stream(self, stream_id: str, now: float) -> messages.StreamVersion | None:
--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -16,6 +16,7 @@
 from typing import Final, NamedTuple
 
 from clementinepin.tables.crashes import (
+    BrokenRun,
     CauseChange,
     Crash,
     CrashCause,
@@ -29,6 +30,8 @@
 EVENTS_TO_CLEAR: Final = 5  # a run that brought more was written for some time
 CRASH_MEMORY_S: Final = 600.0
 CRASHES_KEPT_MAX: Final = 64  # per service
+SAME_RUN_S: Final = 2.0  # an instance that starts again uses its numbers again
+REPORTED_MAX: Final = 1_024
 RUNS_PER_CRASH_MAX: Final = 128  # a full target runs tens of requests
 TRAITS_MAX: Final = 64  # of one request; usual ones have a few
 CAUSES_MAX: Final = 256  # per service; the ones that were met longest ago are dropped
@@ -37,25 +40,30 @@
 TRIAL_GAP_FACTOR: Final = 30.0  # each trial may crash another target
 
 
-def record_crash(
-    table: CrashTable, service: str, traits: frozenset[str], events: int, at: float
-) -> None:
-    """Record that a target broke off a run that had brought this many events.
+def record_crash(table: CrashTable, run: BrokenRun, at: float) -> None:
+    """Record that a target broke off a run; one that was reported before counts once.
 
     Reports at about the same time belong to one crash.
     """
-    if not traits:
+    if not run.traits:
+        return
+    row = table.services[run.service]
+    if abs(at - row.reported.pop(run.key, float("-inf"))) < SAME_RUN_S:
+        row.reported[run.key] = at
         return
-    crashes = table.services[service].crashes
+    row.reported[run.key] = at
+    while len(row.reported) > REPORTED_MAX:
+        row.reported.popitem(last=False)
+    crashes = row.crashes
     crash = next((c for c in reversed(crashes) if abs(c.at - at) < SAME_CRASH_S), None)
     if crash is None:
         crash = Crash(at)
         crashes.append(crash)
         crashes.sort(key=lambda other: other.at)
         crashes[:] = [c for c in crashes if at - c.at < CRASH_MEMORY_S][-CRASHES_KEPT_MAX:]
-    runs = crash.writing if events >= EVENTS_TO_CLEAR else crash.silent
-    if len(runs) < RUNS_PER_CRASH_MAX and len(traits) <= TRAITS_MAX:
-        runs.append(traits)
+    runs = crash.writing if run.events >= EVENTS_TO_CLEAR else crash.silent
+    if len(runs) < RUNS_PER_CRASH_MAX and len(run.traits) <= TRAITS_MAX:
+        runs.append(run.traits)
 
 
 def record_success(table: CrashTable, service: str, traits: frozenset[str], now: float) -> None:
@@ -80,11 +88,7 @@
     if row is None:
         return None
     _settle_crashes(table, service, row, now)
-    for cause in row.causes.values():
-        if cause.traits <= traits:
-            cause.last_met_at = now
-            return cause
-    return None
+    return _get_cause(row, traits, now)
 
 
 def may_run(table: CrashTable, service: str, traits: frozenset[str], now: float) -> bool:
@@ -108,7 +112,8 @@
     A wrong belief ends with the first trial that succeeds, and a target that was mended is used
     again.
     """
-    cause = find_cause(table, service, traits, now)
+    row = table.services.get(service)
+    cause = _get_cause(row, traits, now) if row is not None else None
     if cause is not None:
         cause.trial_gap_s *= TRIAL_GAP_FACTOR
         cause.trial_at = now + cause.trial_gap_s
@@ -137,6 +142,14 @@
                 _remove_cause(table, service, cause.traits)
 
 
+def _get_cause(row: ServiceCrashes, traits: frozenset[str], now: float) -> CrashCause | None:
+    for cause in row.causes.values():
+        if cause.traits <= traits:
+            cause.last_met_at = now
+            return cause
+    return None
+
+
 def _settle_crashes(table: CrashTable, service: str, row: ServiceCrashes, now: float) -> None:
     """Look for causes once all instances have reported a crash."""
     settled = False
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -18,6 +18,7 @@
     RunOutcome,
 )
 from clementinepin.systems.target_choice import choose_target, choose_victim, has_free_slot
+from clementinepin.tables.crashes import BrokenRun
 from clementinepin.tables.dispatch import (
     BatchQueue,
     DispatchTable,
@@ -141,7 +142,8 @@
     if grant is None:
         return
     if outcome is RunOutcome.BROKEN:
-        crash_causes.record_crash(table.crashes, grant.service, grant.traits, events, now)
+        run = BrokenRun(key, grant.service, grant.traits, events)
+        crash_causes.record_crash(table.crashes, run, now)
     elif succeeded:
         crash_causes.record_success(table.crashes, grant.service, grant.traits, now)
     target = table.targets.get(grant.target_id)
--- a/clementinepin/tables/crashes.py
+++ b/clementinepin/tables/crashes.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import OrderedDict, defaultdict, deque
 from typing import Final, NamedTuple
 
+RunKey = tuple[str, int]  # the instance that sent the request, and its number for the slot
 CHANGES_MAX: Final = 1_024  # between two calls of those who pass them on
 
 
+class BrokenRun(NamedTuple):
+    """A run that its target broke off, after ``events`` events."""
+
+    key: RunKey
+    service: str
+    traits: frozenset[str]
+    events: int
+
+
 class Crash:
     """One crash of a target, with the traits of each run that it ended. Times are monotonic.
 
@@ -66,9 +76,13 @@
 
 
 class ServiceCrashes:
-    """The last crashes of one service's targets, oldest first, and their causes by traits."""
+    """The last crashes of one service's targets, oldest first, and their causes by traits.
+
+    ``reported`` has when the last runs ended that were reported as broken off.
+    """
 
     def __init__(self) -> None:
+        self.reported: OrderedDict[RunKey, float] = OrderedDict()
         self.crashes: list[Crash] = []
         self.causes: dict[frozenset[str], CrashCause] = {}
 
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -4,7 +4,7 @@
 
 import heapq
 from collections import OrderedDict, defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from enum import StrEnum
 from typing import Final, NamedTuple
 
@@ -66,14 +66,19 @@
 
     @property
     def traits(self) -> frozenset[str]:
-        """Return what the request may share with others; its last prompt part is its own."""
-        return frozenset((*self.prefix_ids[:-1], self.fingerprint)) - {""}
+        """Return what the request may share with others."""
+        return make_traits(self.prefix_ids, self.fingerprint)
 
     def get_time_after_share(self, share: float) -> float:
         """Return the time at which a share of the time for a start in time has passed."""
         return self.requested_at + share * max(0.0, self.on_time_by - self.requested_at)
 
 
+def make_traits(prefix_ids: Sequence[str], fingerprint: str) -> frozenset[str]:
+    """Return what a request may share with others; the last part of its prompt is its own."""
+    return frozenset((*prefix_ids[:-1], fingerprint)) - {""}
+
+
 class Grant:
     """A granted slot. Times are monotonic seconds.
 
--- /dev/null
+++ b/tests/serving/test_crash_reports.py
@@ -0,0 +1,92 @@
+"""Tests of what instances and their dispatcher tell each other about crashes of targets."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from clementinepin.serving._slot_requests import SlotRequest
+from clementinepin.serving.exceptions import OverloadedError
+from clementinepin.systems.crash_causes import CRASHES_MAX, SAME_CRASH_S
+from clementinepin.systems.dispatch_actions import RunOutcome
+from clementinepin.tables.crashes import CrashTable
+from tests.serving.test_slots import Pair, ShiftedClock, acquire, make_request, start_pair
+
+
+def make_crashing_request(pair: Pair, number: int, *, is_batch: bool = False) -> SlotRequest:
+    """Return a request that shares the part ``bad`` with the others, and nothing else."""
+    request = make_request(pair.broker._clock.monotonic(), is_batch=is_batch)
+    parts = (f"a{number}", "bad", f"own{number}")
+    return request._replace(prefix_ids=parts, fingerprint=f"f{number}")
+
+
+def crash_targets(pair: Pair, clock: ShiftedClock, count: int = CRASHES_MAX) -> None:
+    for number in range(count):
+        slot = acquire(pair.broker, make_crashing_request(pair, number))
+        pair.broker.release(slot, RunOutcome.BROKEN)
+        if pair.broker.is_linked:
+            wait_for_crashes(pair.dispatcher.table.crashes, number + 1)
+        clock.shift_s += 2 * SAME_CRASH_S
+
+
+def wait_for_crashes(table: CrashTable, count: int = CRASHES_MAX) -> None:
+    with gevent.Timeout(5.0):
+        while len(table.services["llm"].crashes) < count:
+            gevent.sleep(0.005)
+
+
+def lose_dispatcher(pair: Pair) -> None:
+    pair.links.stop()
+    pair.broker._link.stop()
+    assert not pair.broker.is_linked
+
+
+@pytest.mark.parametrize("is_batch", [False, True])
+def test_the_dispatcher_rejects_callers_and_items_with_a_crashing_part(is_batch: bool) -> None:
+    clock = ShiftedClock()
+    pair = start_pair(4, clock)
+    crash_targets(pair, clock)
+    with pytest.raises(OverloadedError, match="crashed targets"):
+        acquire(pair.broker, make_crashing_request(pair, 9, is_batch=is_batch))
+    pair.stop()
+
+
+def test_crashes_under_slots_taken_without_a_dispatcher_count_too() -> None:
+    """Each instance that decided alone began to count again, and sent three more."""
+    clock = ShiftedClock()
+    pair = start_pair(4, clock)
+    lose_dispatcher(pair)
+    crash_targets(pair, clock)
+    with pytest.raises(OverloadedError, match="crashed targets"):
+        acquire(pair.broker, make_crashing_request(pair, 9))
+    pair.stop()
+
+
+def test_a_new_dispatcher_hears_of_the_crashes_before_it() -> None:
+    clock = ShiftedClock()
+    pair = start_pair(4, clock)
+    crash_targets(pair, clock)
+    pair.dispatcher.table.crashes = CrashTable()
+    pair.broker._link.drop()
+    wait_for_crashes(pair.dispatcher.table.crashes)
+    with gevent.Timeout(5.0):
+        while not pair.broker.is_linked:
+            gevent.sleep(0.005)
+    with pytest.raises(OverloadedError, match="crashed targets"):
+        acquire(pair.broker, make_crashing_request(pair, 9))
+    pair.stop()
+
+
+def test_a_slot_taken_without_a_dispatcher_counts_at_the_one_that_comes() -> None:
+    """The dispatcher didn't know the requests of slots that it had not granted."""
+    clock = ShiftedClock()
+    pair = start_pair(4, clock)
+    slot = acquire(pair.broker, make_crashing_request(pair, 1))
+    pair.dispatcher._release_all("f1")
+    pair.broker._link.drop()
+    with gevent.Timeout(5.0):
+        while not pair.dispatcher.table.grants:
+            gevent.sleep(0.005)
+    pair.broker.release(slot, RunOutcome.BROKEN)
+    wait_for_crashes(pair.dispatcher.table.crashes, 1)
+    pair.stop()
--- a/tests/systems/test_crash_causes.py
+++ b/tests/systems/test_crash_causes.py
@@ -8,7 +8,7 @@
 
 from clementinepin.systems import crash_causes, dispatching
 from clementinepin.systems.dispatch_actions import Granted, Rejected, RunOutcome
-from clementinepin.tables.crashes import CrashTable
+from clementinepin.tables.crashes import BrokenRun, CrashTable
 from tests.systems.crash_load import CrashLoad, Load, Tally, break_run
 from tests.systems.dispatch_parts import make_item, make_request, make_table
 
@@ -90,10 +90,17 @@
 def record_crashes(table: CrashTable, *crashes: set[str], events: int = 0) -> float:
     """Record crashes of one run each, a second apart, and return the time after the last one."""
     for number, traits in enumerate(crashes):
-        crash_causes.record_crash(table, "llm", frozenset(traits), events, float(number))
+        record_run(table, number, float(number), traits, events)
     return float(len(crashes))
 
 
+def record_run(
+    table: CrashTable, number: int, at: float, traits: set[str], events: int = 0
+) -> None:
+    run = BrokenRun(("f", number), "llm", frozenset(traits), events)
+    crash_causes.record_crash(table, run, at)
+
+
 def has_cause(table: CrashTable, now: float, *traits: str) -> bool:
     return crash_causes.find_cause(table, "llm", frozenset(traits), now) is not None
 
@@ -113,8 +120,8 @@
     table = CrashTable()
     for number in range(3):
         at = float(number)
-        crash_causes.record_crash(table, "llm", frozenset({"a", "b"}), 20, at)
-        crash_causes.record_crash(table, "llm", frozenset({"c", "bad"}), 0, at + 0.001)
+        record_run(table, 2 * number, at, {"a", "b"}, 20)
+        record_run(table, 2 * number + 1, at + 0.001, {"c", "bad"})
     assert has_cause(table, 3.0, "c", "bad")
     assert not has_cause(table, 3.0, "a", "b")
 
@@ -135,8 +142,7 @@
     item = make_item(3, 0.0, prefix_ids=parts)
     assert not dispatching.submit(table, item, 0.0, rng)
     for number in range(3):
-        at = 0.2 * number
-        crash_causes.record_crash(table.crashes, "llm", frozenset({"a", "bad"}), 0, at)
+        record_run(table.crashes, number, 0.2 * number, {"a", "bad"})
     actions = dispatching.serve_queue(table, 0.6, rng)
     assert [(type(action), action.key) for action in actions] == [
         (Rejected, waiting.key),
@@ -164,3 +170,14 @@
     assert has_cause(table, now, "bad")
     crash_causes.expire(table, now + crash_causes.CAUSE_TTL_S)
     assert not table.services["llm"].causes
+
+
+def test_a_run_that_is_reported_twice_counts_once() -> None:
+    """A new dispatcher may hear of one run from its instance and from the store."""
+    table = CrashTable()
+    for at in (0.0, 0.5, 1.0):
+        record_run(table, 1, at, {"bad"})
+    assert not has_cause(table, 2.0, "bad")
+    for number in (2, 3):
+        record_run(table, number, 2.0 + number, {"bad"})
+    assert has_cause(table, 6.0, "bad")
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -7,7 +7,12 @@
 import pytest
 
 from clementinepin.systems import crash_causes, dispatching, target_health
-from clementinepin.systems.crash_causes import CAUSES_MAX, CRASHES_KEPT_MAX, CRASHES_MAX
+from clementinepin.systems.crash_causes import (
+    CAUSES_MAX,
+    CRASHES_KEPT_MAX,
+    CRASHES_MAX,
+    REPORTED_MAX,
+)
 from clementinepin.systems.dispatch_actions import (
     Granted,
     PreemptionRequested,
@@ -21,6 +26,7 @@
 )
 from clementinepin.systems.target_health import FULL_RETRY_S
 from clementinepin.systems.waiting import RETRY_WAIT_SHARE_MAX
+from clementinepin.tables.crashes import BrokenRun
 from clementinepin.tables.dispatch import (
     DispatchTable,
 )
@@ -136,11 +142,13 @@
         for n in range(CRASHES_MAX):
             now = number * 3600.0 + n
             for name in ("poison", f"other-{number}"):
-                crash_causes.record_crash(table.crashes, "llm", frozenset({name}), 0, now)
+                run = BrokenRun(("f", 3 * number + n), "llm", frozenset({name}), 0)
+                crash_causes.record_crash(table.crashes, run, now)
         crash_causes.find_cause(table.crashes, "llm", frozenset({"poison"}), now + 1.0)
     row = table.crashes.services["llm"]
     assert len(row.crashes) <= CRASHES_KEPT_MAX
     assert len(row.causes) <= CAUSES_MAX
+    assert len(row.reported) <= REPORTED_MAX
 
 
 def test_a_crash_record_is_cleared_by_success_and_tried_again_by_one_request(rng):
