Keep what crashes targets in the store, for instances that start or decide alone

Found by looking for the same class elsewhere, and by no play: what instances had learned was lost when all of them stopped, and those without a dispatcher counted each for themselves, though the limit is the fleet's: six that decide alone could have crashed three targets each.

A cause that is found is written to the store, and removed when it is refuted. A run that breaks off while no dispatcher hears of it is written too, under a lease of as long as crashes are remembered. All instances follow these records; a cause that another one found is tried again after a minute at the earliest, and never without a dispatcher. The dispatcher's own table does not wait for the store. Costs: one watch per instance, and one write per cause.

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -14,6 +14,7 @@
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
 from clementinepin.infrastructure import StateStore
+from clementinepin.serving._crash_records import CrashRecords
 from clementinepin.serving._direct_store import DirectStore
 from clementinepin.serving._dispatcher import Dispatcher
 from clementinepin.serving._feed import FeedServer
@@ -100,6 +101,10 @@
         self.slots = SlotBroker(
             settings.name, settings.data_centre, self.fleet, pools, clock, rng, policy
         )
+        self._crash_records = CrashRecords(relayed, wire.own_prefix, settings.name, clock)
+        self._crash_records.add_table(self.slots.crashes)
+        self.slots.on_broken_alone = self._crash_records.record_run
+        self.slots.on_causes_found = self._crash_records.record_changes
         self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
         self._jobs = JobService(relayed, self.fleet, links, wire, clock)
         self._link_server = LinkServer((settings.host, settings.link_port))
@@ -116,6 +121,9 @@
                 ),
                 Retirement(settings, relayed, wire, clock, self.leave),
             )
+            dispatcher = self._job_parts.dispatcher
+            dispatcher.on_causes_changed = self._crash_records.record_changes
+            self._crash_records.add_table(dispatcher.table.crashes)
         self._servers = self._create_servers()
 
     def start(self) -> None:
@@ -127,6 +135,7 @@
             parts.feed.start()
         self.slots.start()
         self.fleet.start()
+        self._crash_records.start()
         if parts is not None:
             parts.runner.start()
             parts.retirement.start()
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any, Final
 
 import gevent
@@ -30,6 +31,7 @@
 )
 from clementinepin.systems.dispatch_actions import Action, Granted, Rejected, RunOutcome
 from clementinepin.systems.service_load import list_services, measure_load
+from clementinepin.tables.crashes import CauseChange
 from clementinepin.tables.dispatch import DispatchTable, TargetLoad
 
 TICK_S: Final = 0.02  # longest delay of queue changes that only the passing of time causes
@@ -58,6 +60,7 @@
         self._next_keep_alive_at = 0.0
         self._next_load_log_at = 0.0
         self._ticker: gevent.Greenlet | None = None
+        self.on_causes_changed: Callable[[list[CauseChange]], None] = lambda _changes: None
         self.table = DispatchTable(policy.order, policy.disabled)
         links.handle(messages.Hello, self._handle_hello)
         links.handle(messages.RequestSlot, self._handle_request)
@@ -177,7 +180,7 @@
             self._serve_queue()
             now = self._clock.monotonic()
             self._log_load(now)
-            self._log_causes(now)
+            self._report_causes(now)
             if now >= self._next_keep_alive_at:
                 self._next_keep_alive_at = now + KEEP_ALIVE_PERIOD_S
                 for name in {key[0] for key in self.table.list_waiting()}:
@@ -194,10 +197,13 @@
             load = measure_load(self.table, name, now)._asdict()
             logger.bind(service=name, pressure=pressure, **load).info("dispatcher_load")
 
-    def _log_causes(self, now: float) -> None:
-        """Log what is now taken for a cause of crashes, and what no longer is."""
-        crash_causes.expire(self.table.crashes, now)
-        for change in crash_causes.take_changes(self.table.crashes):
+    def _report_causes(self, now: float) -> None:
+        """Log and pass on what is now taken for a cause of crashes, and what no longer is."""
+        if self._links:  # without any, no request of a live cause comes here
+            crash_causes.expire(self.table.crashes, now)
+        changes = crash_causes.take_changes(self.table.crashes)
+        self.on_causes_changed(changes)
+        for change in changes:
             log = logger.bind(service=change.service, traits=sorted(change.traits))
             log.warning("crash_cause_known" if change.is_known else "crash_cause_cleared")
 
--- a/clementinepin/serving/_slot_requests.py
+++ b/clementinepin/serving/_slot_requests.py
@@ -9,7 +9,7 @@
 
 from clementinepin.serving import _messages as messages
 from clementinepin.tables.crashes import BrokenRun
-from clementinepin.tables.dispatch import PendingRequest
+from clementinepin.tables.dispatch import PendingRequest, make_traits
 
 
 class SlotRequest(NamedTuple):
@@ -39,6 +39,11 @@
     stream_until: float = 0.0
     is_resumption: bool = False
 
+    @property
+    def traits(self) -> frozenset[str]:
+        """Return what the request may share with others."""
+        return make_traits(self.prefix_ids, self.fingerprint)
+
 
 class Slot(NamedTuple):
     """A granted slot. ``alone`` marks a local decision, made without the dispatcher.
@@ -131,6 +136,18 @@
     return BrokenRun((name, run.number), run.service, frozenset(run.traits), run.events)
 
 
+def list_inputs(reply: messages.RejectSlot) -> dict[str, float]:
+    """Return the figures behind a rejection, for the log."""
+    return {
+        "taken": reply.taken,
+        "slots": reply.slots,
+        "waiting": reply.waiting,
+        "start_in_s": reply.start_in_s,
+        "pressure": reply.pressure,
+        "spare": reply.spare,
+    }
+
+
 def make_pending_request(name: str, message: messages.RequestSlot, now: float) -> PendingRequest:
     """Return the request of a message, by the clock of the receiver."""
     return PendingRequest(
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -30,6 +30,7 @@
     SlotRequest,
     describe_broken_run,
     describe_slot,
+    list_inputs,
     make_local_request,
     make_request_message,
 )
@@ -44,8 +45,8 @@
     waiting,
 )
 from clementinepin.systems.dispatch_actions import RunOutcome
-from clementinepin.tables.crashes import BrokenRun
-from clementinepin.tables.dispatch import DispatchTable, make_traits
+from clementinepin.tables.crashes import BrokenRun, CauseChange, CrashTable
+from clementinepin.tables.dispatch import DispatchTable
 from clementinepin.tables.mechanisms import Mechanism
 
 REPLY_TIMEOUT_S: Final = 0.08  # a few round trips between data centres and a busy dispatcher
@@ -71,6 +72,8 @@
     maps a slot's number to its request, its target and when it was taken (monotonic seconds).
     ``_early_preemptions`` holds slots that were preempted before a handler was set.
     ``_broken_runs`` has the last runs that their targets broke off, and when they ended.
+    ``on_broken_alone`` gets those that no dispatcher hears of, ``on_causes_found`` what this
+    instance found or refuted while it decided without one.
     """
 
     def __init__(
@@ -96,6 +99,8 @@
         self._preemption_handlers: dict[int, Callable[[], None]] = {}
         self._early_preemptions: set[int] = set()
         self._taken: dict[int, tuple[SlotRequest, str, float]] = {}
+        self.on_broken_alone: Callable[[BrokenRun], None] = lambda _run: None
+        self.on_causes_found: Callable[[list[CauseChange]], None] = lambda _changes: None
         self._broken_runs: deque[tuple[BrokenRun, float]] = deque(maxlen=BROKEN_RUNS_MAX)
         self._response_times = estimates.ResponseTimes()
         self._first_dispatcher_linked_at = clock.monotonic()
@@ -115,6 +120,11 @@
         """Close the connection to the dispatcher."""
         self._link.stop()
 
+    @property
+    def crashes(self) -> CrashTable:
+        """Return the crashes by which this instance decides without a dispatcher."""
+        return self._table.crashes
+
     @property
     def is_linked(self) -> bool:
         """Return whether a dispatcher is connected and responsive."""
@@ -159,15 +169,7 @@
             self._record_taken(number, request, reply.target_id)
             return Slot(number, reply.target_id, False, reply.software_version)
         if isinstance(reply, messages.RejectSlot):
-            inputs = {
-                "taken": reply.taken,
-                "slots": reply.slots,
-                "waiting": reply.waiting,
-                "start_in_s": reply.start_in_s,
-                "pressure": reply.pressure,
-                "spare": reply.spare,
-            }
-            raise OverloadedError(reply.reason, reply.retry_after_s, inputs)
+            raise OverloadedError(reply.reason, reply.retry_after_s, list_inputs(reply))
         self._link.send(messages.ReleaseSlot(number, RunOutcome.CANCELLED))
         if isinstance(reply, CallerGoneError):
             raise reply
@@ -214,17 +216,21 @@
         ``succeeded`` is True after a complete response with a success status. ``events`` is how
         many events the run has brought.
         """
-        taken = self._taken.pop(slot.number, None)
+        request, _, _ = self._taken.pop(slot.number, (None, "", 0.0))
         self._preemption_handlers.pop(slot.number, None)
         self._early_preemptions.discard(slot.number)
         key = (self._name, slot.number)
         now = self._clock.monotonic()
         dispatching.finish(self._table, key, outcome, now, succeeded=succeeded, events=events)
-        if taken is not None and outcome is RunOutcome.BROKEN:
-            traits = make_traits(taken[0].prefix_ids, taken[0].fingerprint)
-            self._broken_runs.append((BrokenRun(key, taken[0].service, traits, events), now))
+        if request is not None and outcome is RunOutcome.BROKEN:
+            self._record_broken(BrokenRun(key, request.service, request.traits, events), now)
         self._link.send(messages.ReleaseSlot(slot.number, outcome, succeeded, events))
 
+    def _record_broken(self, run: BrokenRun, now: float) -> None:
+        self._broken_runs.append((run, now))
+        if not self._link.is_responsive:
+            self.on_broken_alone(run)
+
     def report_load(self, slot: Slot, load: tuple[int, int, int] | None) -> None:
         """Report a target's own count of running and waiting requests; None reports nothing.
 
@@ -305,7 +311,9 @@
         ):
             raise OverloadedError("batch waits for a dispatcher", LOCAL_RETRY_S)
         pending = make_local_request(self._name, self._data_centre, number, request, now)
-        if crash_causes.find_cause(self._table.crashes, request.service, pending.traits, now):
+        cause = crash_causes.find_cause(self.crashes, request.service, pending.traits, now)
+        self.on_causes_found(crash_causes.take_changes(self.crashes))
+        if cause is not None:
             retry_after_s = waiting.get_longest_retry_wait(pending, now)
             raise OverloadedError(dispatching.CRASHED_TARGETS, retry_after_s)
         self._table.streams.is_current = self._fleet.follows_targets()
--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 from clementinepin.tables.crashes import (
@@ -30,7 +29,7 @@
 EVENTS_TO_CLEAR: Final = 5  # a run that brought more was written for some time
 CRASH_MEMORY_S: Final = 600.0
 CRASHES_KEPT_MAX: Final = 64  # per service
-SAME_RUN_S: Final = 2.0  # an instance that starts again uses its numbers again
+SAME_RUN_S: Final = 5.0  # an instance that starts again uses its numbers again
 REPORTED_MAX: Final = 1_024
 RUNS_PER_CRASH_MAX: Final = 128  # a full target runs tens of requests
 TRAITS_MAX: Final = 64  # of one request; usual ones have a few
@@ -119,12 +118,16 @@
         cause.trial_at = now + cause.trial_gap_s
 
 
-def merge_causes(
-    table: CrashTable, service: str, causes: Iterable[frozenset[str]], now: float
-) -> None:
-    """Add causes that another instance knows."""
-    for traits in causes:
-        _add_cause(table, service, traits, now)
+def merge_cause(table: CrashTable, service: str, traits: frozenset[str], now: float) -> None:
+    """Add a cause that another instance found; that one has tried it again already."""
+    gap_s = TRIAL_GAP_S * TRIAL_GAP_FACTOR
+    _add_cause(table, service, traits, now, gap_s, is_own=False)
+
+
+def drop_cause(table: CrashTable, service: str, traits: frozenset[str]) -> None:
+    """Remove a cause that another instance no longer believes."""
+    if traits in table.services[service].causes:
+        _remove_cause(table, service, traits, is_own=False)
 
 
 def take_changes(table: CrashTable) -> list[CauseChange]:
@@ -214,23 +217,35 @@
     return _Finding(len(common), len(crashes), len(runs), tuple(sorted(common)))
 
 
-def _add_cause(table: CrashTable, service: str, traits: frozenset[str], now: float) -> None:
+def _add_cause(
+    table: CrashTable,
+    service: str,
+    traits: frozenset[str],
+    now: float,
+    gap_s: float = TRIAL_GAP_S,
+    *,
+    is_own: bool = True,
+) -> None:
     """Add a cause, instead of those that have more traits; the time of its trial stays."""
     causes = table.services[service].causes
     if any(known <= traits for known in causes):
         return
-    cause = CrashCause(traits, now, TRIAL_GAP_S)
+    cause = CrashCause(traits, now, gap_s)
     for known in [known for known in causes.values() if traits < known.traits]:
         cause.trial_at = max(cause.trial_at, known.trial_at)
         cause.trial_gap_s = max(cause.trial_gap_s, known.trial_gap_s)
-        _remove_cause(table, service, known.traits)
+        _remove_cause(table, service, known.traits, is_own=is_own)
     causes[traits] = cause
-    table.changes.append(CauseChange(service, traits, True))
+    if is_own:
+        table.changes.append(CauseChange(service, traits, True))
     while len(causes) > CAUSES_MAX:
         oldest = min(causes.values(), key=lambda cause: cause.last_met_at)
         _remove_cause(table, service, oldest.traits)
 
 
-def _remove_cause(table: CrashTable, service: str, traits: frozenset[str]) -> None:
+def _remove_cause(
+    table: CrashTable, service: str, traits: frozenset[str], *, is_own: bool = True
+) -> None:
     del table.services[service].causes[traits]
-    table.changes.append(CauseChange(service, traits, False))
+    if is_own:
+        table.changes.append(CauseChange(service, traits, False))
--- a/clementinepin/tables/crashes.py
+++ b/clementinepin/tables/crashes.py
@@ -68,7 +68,7 @@
 
 
 class CauseChange(NamedTuple):
-    """A cause that became known, or that is no longer believed."""
+    """A cause that was found here, or that is no longer believed here."""
 
     service: str
     traits: frozenset[str]
