Count crashes by shared prompt parts on the product's own interface too

The same class of fault: the quarantine knows a request by the digest of its whole body. Calls that share one message which crashes engines were each another suspect, and cost two targets each. Calls now name digests of the messages that they may share, items too; lost calls and the successes that clear a suspected part are told to all instances, and one that starts asks for what is known. A call with a crashing part is rejected, an item waits; one instance alone, by rendezvous hashing, tries again. Former versions ignore the new method and field.

Three tests failed before: the fourth call was granted at each instance, an item too, and at an instance that had started later.

--- a/clementinepin/batch/_items.py
+++ b/clementinepin/batch/_items.py
@@ -16,6 +16,7 @@
 from clementinepin.const import Priority
 from clementinepin.exceptions import ClementinepinError, NotRunError
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.fingerprint import list_prompt_parts
 from clementinepin.scheduling import (
     CallInfo,
     CallResult,
@@ -250,6 +251,7 @@
         priority=Priority.BATCH,
         deadline=now + service.request_timeout_s,
         fingerprint="",  # items are never what crashes targets
+        parts=list_prompt_parts(body),
         tokens_max=tokens_max if isinstance(tokens_max, int) else 0,
     )
 
--- a/clementinepin/entry/_calls.py
+++ b/clementinepin/entry/_calls.py
@@ -15,14 +15,13 @@
 from clementinepin.entry._resume import ResumePoint
 from clementinepin.entry.exceptions import ApplicationNotFoundError
 from clementinepin.exceptions import InvalidInputError
-from clementinepin.helpers.fingerprint import make_fingerprint
+from clementinepin.helpers.fingerprint import SHARED_CHARS, list_prompt_parts, make_fingerprint
 from clementinepin.scheduling import CallInfo
 from clementinepin.targets import is_streamable_body, make_engine_body
 
 HEADER_IDEMPOTENT: Final = "X-Idempotent"
 # A target may decode a path more than once, so rules apply to the path decoded this often.
 DECODINGS_MAX: Final = 3
-PREFIX_CHARS: Final = 256
 TOKENS_LIMIT: Final = 1_000_000
 STOP_SEQUENCES_MAX: Final = 16
 
@@ -128,6 +127,7 @@
         deadline=deadline,
         fingerprint=make_fingerprint(service.name, body),
         prefix_hash=make_prefix_hash(body),
+        parts=list_prompt_parts(body),
         tokens_max=body.get("max_completion_tokens") or body.get("max_tokens") or 0,
         idempotent=idempotent,
     )
@@ -143,7 +143,7 @@
 
 
 def make_prefix_hash(body: dict[str, Any]) -> str:
-    """Return the hash of the first PREFIX_CHARS of the prompt, empty if there is no prompt.
+    """Return the hash of the first SHARED_CHARS of the prompt, empty if there is no prompt.
 
     Engines identify cached prefixes by this hash.
     """
@@ -155,7 +155,7 @@
         prompt = prompt if isinstance(prompt, str) else "\n".join(prompt)
     if not prompt:
         return ""
-    return xxhash.xxh3_64_hexdigest(prompt[:PREFIX_CHARS].encode())
+    return xxhash.xxh3_64_hexdigest(prompt[:SHARED_CHARS].encode())
 
 
 def normalize_path(path: str) -> str:
--- a/clementinepin/scheduling/_decider.py
+++ b/clementinepin/scheduling/_decider.py
@@ -11,7 +11,7 @@
 
 from clementinepin.const import InstanceState
 from clementinepin.infrastructure import ListedInstance
-from clementinepin.systems import demand, quarantine, retries
+from clementinepin.systems import crash_causes, demand, quarantine, retries
 from clementinepin.systems.actions import Action, Grant, Preempt
 from clementinepin.systems.admission import admit_call
 from clementinepin.systems.allowance import AllowancePolicy, update_allowances
@@ -189,6 +189,7 @@
         """Remove expired demand reports and suspects, and accounts idle for ACCOUNT_IDLE_S."""
         self.tables.demand.expire(now, frozenset(self.view.live))
         self.tables.suspects.expire(wall)
+        crash_causes.expire(self.tables.crashes, now)
         self.tables.accounts.expire(now - ACCOUNT_IDLE_S)
 
     def _create_placer(self) -> Placer:
--- a/clementinepin/scheduling/_messages.py
+++ b/clementinepin/scheduling/_messages.py
@@ -6,15 +6,17 @@
 
 from __future__ import annotations
 
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
 from clementinepin.tables import Loss, SuspectRow
+from clementinepin.tables.crashes import BrokenRun
 
 METHOD_DEMAND = "scheduling.burst"
 METHOD_CLOSE = "scheduling.close"
 METHOD_LEAVING = "scheduling.leaving"
 METHOD_SUSPECT = "quarantine.suspect"
 METHOD_LIST_SUSPECTS = "quarantine.list"
+METHOD_CRASHES = "quarantine.crashes"
 METHOD_ISOLATE = "quarantine.isolate"
 METHOD_RELEASE = "quarantine.release"
 
@@ -82,10 +84,36 @@
     expires_at: float
 
 
+class PartsMessage(TypedDict):
+    """Parts of prompts at a service."""
+
+    service: str
+    parts: list[str]
+
+
 class SuspectsMessage(TypedDict):
-    """Rows of the suspect table."""
+    """Rows of the suspect table, and for an instance that starts the parts that crash targets."""
 
     suspects: list[SuspectMessage]
+    causes: NotRequired[list[PartsMessage]]
+
+
+class BrokenRunMessage(TypedDict):
+    """A call that its target broke off ``age_s`` seconds ago, after ``tokens`` tokens."""
+
+    member: str
+    ticket: int
+    service: str
+    parts: list[str]
+    tokens: int
+    age_s: float
+
+
+class CrashesMessage(TypedDict):
+    """What an instance saw: calls that broke off, and parts of calls that succeeded."""
+
+    broken: list[BrokenRunMessage]
+    cleared: list[PartsMessage]
 
 
 def encode_suspect(row: SuspectRow) -> SuspectMessage:
@@ -108,3 +136,21 @@
         cleared_at=message["cleared_at"],
         expires_at=message["expires_at"],
     )
+
+
+def encode_broken_run(run: BrokenRun) -> BrokenRunMessage:
+    """Return the message for a run that has just been broken off."""
+    return BrokenRunMessage(
+        member=run.key[0],
+        ticket=run.key[1],
+        service=run.service,
+        parts=sorted(run.traits),
+        tokens=run.events,
+        age_s=0.0,
+    )
+
+
+def decode_broken_run(message: BrokenRunMessage) -> BrokenRun:
+    """Return the run in a message."""
+    key = (message["member"], message["ticket"])
+    return BrokenRun(key, message["service"], frozenset(message["parts"]), message["tokens"])
--- a/clementinepin/scheduling/_messenger.py
+++ b/clementinepin/scheduling/_messenger.py
@@ -14,10 +14,10 @@
 from clementinepin.peers.exceptions import PeerUnavailableError
 from clementinepin.scheduling import _messages as messages
 from clementinepin.scheduling._decider import Decider
-from clementinepin.systems import isolation, quarantine
+from clementinepin.systems import crash_causes, isolation, quarantine
 from clementinepin.systems.actions import ReportDemand
 from clementinepin.systems.demand import DEMAND_TTL_S, forget_reported
-from clementinepin.systems.results import REFUSED_LEAVING_S
+from clementinepin.systems.results import REFUSED_LEAVING_S, Ending
 from clementinepin.tables import DemandRow, SuspectRow
 
 LOG_PREFIX = "scheduling:"
@@ -48,6 +48,7 @@
         peers.register(messages.METHOD_LEAVING, self._receive_leaving)
         peers.register(messages.METHOD_SUSPECT, self._receive_suspects)
         peers.register(messages.METHOD_LIST_SUSPECTS, self._receive_list_suspects)
+        peers.register(messages.METHOD_CRASHES, self._receive_crashes)
         peers.register(messages.METHOD_ISOLATE, self._receive_isolate)
         peers.register(messages.METHOD_RELEASE, self._receive_release)
 
@@ -67,6 +68,18 @@
         message = messages.SuspectsMessage(suspects=[messages.encode_suspect(row)])
         self._broadcast(messages.METHOD_SUSPECT, message, BROADCAST_TIMEOUT_S)
 
+    def broadcast_crashes(self, ending: Ending) -> None:
+        """Send to all live instances what a finished call tells of parts that crash targets."""
+        broken = [messages.encode_broken_run(ending.broken)] if ending.broken else []
+        cleared = (
+            [messages.PartsMessage(service=ending.row.call.service, parts=sorted(ending.cleared))]
+            if ending.cleared
+            else []
+        )
+        if broken or cleared:
+            message = messages.CrashesMessage(broken=broken, cleared=cleared)
+            gevent.spawn(self._broadcast, messages.METHOD_CRASHES, message, BROADCAST_TIMEOUT_S)
+
     def broadcast_leaving(self, target: str) -> None:
         """Send to all live instances that a target refused a call because it is leaving."""
         message = messages.LeavingMessage(target=target)
@@ -213,6 +226,11 @@
         for item in message["suspects"]:
             row = messages.decode_suspect(item)
             quarantine.merge_suspect(self._decider.tables.suspects, row, wall)
+        now = self._core.clock.monotonic()
+        for cause in message.get("causes", ()):
+            crash_causes.merge_cause(
+                self._decider.tables.crashes, cause["service"], frozenset(cause["parts"]), now
+            )
         self._run_systems()
         return {}
 
@@ -220,7 +238,24 @@
         self, sender: str, message: dict[str, Any]
     ) -> messages.SuspectsMessage:
         rows = self._decider.tables.suspects
-        return messages.SuspectsMessage(suspects=[messages.encode_suspect(row) for row in rows])
+        causes = [
+            messages.PartsMessage(service=service, parts=sorted(traits))
+            for service, crashes in self._decider.tables.crashes.services.items()
+            for traits in crashes.causes
+        ]
+        suspects = [messages.encode_suspect(row) for row in rows]
+        return messages.SuspectsMessage(suspects=suspects, causes=causes)
+
+    def _receive_crashes(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+        now = self._core.clock.monotonic()
+        crashes = self._decider.tables.crashes
+        for item in message["broken"]:
+            run = messages.decode_broken_run(item)
+            crash_causes.record_crash(crashes, run, now - item["age_s"])
+        for item in message["cleared"]:
+            crash_causes.record_success(crashes, item["service"], frozenset(item["parts"]), now)
+        self._run_systems()
+        return {}
 
     def _receive_isolate(self, sender: str, message: dict[str, Any]) -> messages.IsolateReply:
         """Close an owned target for a suspect at all instances and wait until it is drained."""
--- a/clementinepin/scheduling/_scheduler.py
+++ b/clementinepin/scheduling/_scheduler.py
@@ -17,6 +17,7 @@
 from clementinepin.scheduling._messenger import SchedulerMessenger
 from clementinepin.scheduling._reports import ReportPoller
 from clementinepin.scheduling.models import CallInfo, CallResult, Placement
+from clementinepin.systems import crash_causes
 from clementinepin.systems.actions import Action, Grant, Isolate, Preempt, Refuse, ReportDemand
 from clementinepin.systems.allowance import create_policy
 from clementinepin.systems.exceptions import SchedulerStoppedError
@@ -135,6 +136,7 @@
         if ending.ejected is not None:
             self._core.metrics.incr("scheduling.ejected")
             logger.warning("{} Target {} is ejected.", LOG_PREFIX, ending.ejected)
+        self._messenger.broadcast_crashes(ending)
         self._run_systems()
         self._broadcast_suspect(ending)
 
@@ -162,11 +164,18 @@
         self._refresh_view()
         clock = self._core.clock
         self._decider.expire(clock.monotonic(), clock.wall())
+        self._log_causes()
         if not self._suspects_fetched:
             self._suspects_fetched = self._messenger.fetch_suspects()
         self._core.metrics.gauge("scheduling.online_waiting", len(self._decider.tables.online))
         self._core.metrics.gauge("scheduling.batch_waiting", len(self._decider.tables.batch))
 
+    def _log_causes(self) -> None:
+        for change in crash_causes.take_changes(self._decider.tables.crashes):
+            state = "crash targets" if change.is_known else "crash no targets any more"
+            parts = sorted(change.traits)
+            logger.warning("{} Prompt parts {} {}.", LOG_PREFIX, parts, state)
+
     def _refresh_view(self) -> None:
         """Update the view if the live instances or the configuration changed."""
         current = self._decider.view
--- a/clementinepin/systems/admission.py
+++ b/clementinepin/systems/admission.py
@@ -36,6 +36,8 @@
     find_application(call, view.configuration)
     if quarantine.is_condemned(tables.suspects, call.fingerprint, wall):
         raise RequestCondemnedError(call.request_id)
+    if is_online(call) and quarantine.is_held_back(tables, view, call, now):
+        raise RequestCondemnedError(call.request_id)
     spec = view.configuration.accounts.get(call.account) if view.configuration else None
     if is_online(call):
         _check_queue(tables, view, call, queue_max, now)
--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -65,11 +65,15 @@
         runs.append(run.traits)
 
 
-def record_success(table: CrashTable, service: str, traits: frozenset[str], now: float) -> None:
-    """Clear the traits of a request that succeeded: a target has written its whole response."""
+def record_success(table: CrashTable, service: str, traits: frozenset[str], now: float) -> bool:
+    """Clear the traits of a request that succeeded: a target has written its whole response.
+
+    Return whether any of them was suspected.
+    """
     row = table.services.get(service)
     if row is None:
-        return
+        return False
+    suspected = any(traits & crash.get_candidates() for crash in row.crashes)
     for crash in row.crashes:
         crash.clear(traits)
     for cause in [cause for cause in row.causes.values() if cause.traits & traits]:
@@ -77,6 +81,8 @@
             _add_cause(table, service, remaining, now)
         else:
             _remove_cause(table, service, cause.traits)
+        suspected = True
+    return suspected
 
 
 def find_cause(
--- a/clementinepin/systems/placement.py
+++ b/clementinepin/systems/placement.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from clementinepin.exceptions import NotRunError
-from clementinepin.systems import quarantine
+from clementinepin.systems import crash_causes, quarantine
 from clementinepin.systems.actions import Action, Grant, Isolate, Refuse
 from clementinepin.systems.allowance import AllowancePolicy
 from clementinepin.systems.exceptions import (
@@ -75,7 +75,8 @@
         actions: list[Action] = []
         for row in order_waiting(rows):
             action = self._check_call(row, now, wall)
-            if action is None and not self._must_isolate(row, wall):
+            held_back = quarantine.is_held_back(self._tables, self._view, row.call, now)
+            if action is None and not held_back and not self._must_isolate(row, wall):
                 action = self._place_batch_call(row, free, now)
             if action is not None:
                 actions.append(action)
@@ -96,6 +97,8 @@
         queue = self._tables.online if is_online(row.call) else self._tables.batch
         queue.pop(row.waiting_id)
         record_start(self._tables, row)
+        traits = frozenset(row.call.parts)
+        crash_causes.record_start(self._tables.crashes, row.call.service, traits, now)
         ticket = next(self._tickets)
         self._tables.calls.put(CallRow(ticket, row.call, target, now, alone=alone))
         if is_online(row.call):
@@ -116,6 +119,8 @@
         call = row.call
         if quarantine.is_condemned(suspects, call.fingerprint, wall):
             return self._refuse(row, RequestCondemnedError(call.request_id))
+        if is_online(call) and quarantine.is_held_back(self._tables, self._view, call, now):
+            return self._refuse(row, RequestCondemnedError(call.request_id))
         if call.deadline <= now:
             return self._refuse(row, DeadlineUnreachableError(retry_at=now + NO_TARGET_RETRY_S))
         try:
--- a/clementinepin/systems/quarantine.py
+++ b/clementinepin/systems/quarantine.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from clementinepin.tables import Loss, SuspectRow, SuspectTable
+from clementinepin.helpers.rendezvous import choose_owner
+from clementinepin.systems import crash_causes
+from clementinepin.tables import CallInfo, Loss, SuspectRow, SuspectTable, Tables, View
 
 LOSSES_TO_CONDEMN = 2
 LOSSES_KEPT_MAX = 4
@@ -64,6 +66,23 @@
     return row is not None and row.expires_at > wall and row.condemned
 
 
+def is_held_back(tables: Tables, view: View, call: CallInfo, now: float) -> bool:
+    """Return whether a call has what crashes targets in common with others.
+
+    One instance alone decides when such a call tries again.
+
+    Load pattern: calls that crash targets by a part of their prompts that they share, at all
+    instances.
+    """
+    traits = frozenset(call.parts)
+    cause = crash_causes.find_cause(tables.crashes, call.service, traits, now) if traits else None
+    if cause is None:
+        return False
+    if choose_owner("/".join(sorted(cause.traits)), view.live) != view.instance:
+        return True
+    return not crash_causes.may_run(tables.crashes, call.service, traits, now)
+
+
 def _join(left: SuspectRow, right: SuspectRow) -> SuspectRow:
     """Return the union of two rows of one request, with each loss once and the newest kept."""
     losses: list[Loss] = []
--- a/clementinepin/systems/results.py
+++ b/clementinepin/systems/results.py
@@ -4,11 +4,12 @@
 
 from typing import NamedTuple
 
-from clementinepin.systems import quarantine
+from clementinepin.systems import crash_causes, quarantine
 from clementinepin.systems.ejection import FAILURES_TO_EJECT, apply_result
 from clementinepin.systems.limits import estimate_tokens, refund_tokens
 from clementinepin.systems.routing import is_online
 from clementinepin.tables import CallResult, CallRow, SuspectRow, Tables, View
+from clementinepin.tables.crashes import BrokenRun
 
 AVERAGE_WEIGHT = 0.2
 REFUSED_LEAVING_S = 30.0  # a target that refused a call as it is leaving gets none for this time
@@ -18,13 +19,17 @@
     """A finished call and the consequences of its end.
 
     ``suspect`` is a row to send to peers, ``leaving`` the name of a leaving target to report to
-    them. ``ejected`` names the target if this call's failure ejected it.
+    them. ``ejected`` names the target if this call's failure ejected it. ``broken`` is the call's
+    run if its target was lost, and ``cleared`` its parts if they were suspected and it succeeded;
+    peers must hear of both.
     """
 
     row: CallRow
     suspect: SuspectRow | None
     leaving: str | None
     ejected: str | None
+    broken: BrokenRun | None = None
+    cleared: frozenset[str] = frozenset()
 
 
 def record_first_token(tables: Tables, ticket: int, now: float) -> None:
@@ -77,7 +82,8 @@
     if result is CallResult.REFUSED_NOT_LOADED:
         _record_model_refusal(tables, row, now)
     suspect = _update_suspect(tables, row, result, now, wall)
-    return Ending(row, suspect, leaving, ejected)
+    broken, cleared = _update_crashes(tables, view, row, result, now)
+    return Ending(row, suspect, leaving, ejected, broken, cleared)
 
 
 def _release_slot(tables: Tables, view: View, row: CallRow, result: CallResult, now: float) -> None:
@@ -116,6 +122,22 @@
         tables.targets.update(row.target, model_refusals=refusals)
 
 
+def _update_crashes(
+    tables: Tables, view: View, row: CallRow, result: CallResult, now: float
+) -> tuple[BrokenRun | None, frozenset[str]]:
+    """Record what the end of a call tells of its prompt's parts; return what peers must hear."""
+    traits = frozenset(row.call.parts)
+    if result is CallResult.LOST and now < row.call.deadline and traits:
+        run = BrokenRun((view.instance, row.ticket), row.call.service, traits, row.tokens)
+        crash_causes.record_crash(tables.crashes, run, now)
+        return run, frozenset()
+    if result is CallResult.SUCCESS and crash_causes.record_success(
+        tables.crashes, row.call.service, traits, now
+    ):
+        return None, traits
+    return None, frozenset()
+
+
 def _update_suspect(
     tables: Tables, row: CallRow, result: CallResult, now: float, wall: float
 ) -> SuspectRow | None:
--- a/clementinepin/tables/_calls.py
+++ b/clementinepin/tables/_calls.py
@@ -11,8 +11,8 @@
     """Properties of one request that decisions depend on.
 
     ``deadline`` is monotonic seconds. ``fingerprint`` covers service and body. ``application`` is
-    empty for plain services, ``prefix_hash`` without a prompt. ``tried`` lists the targets that
-    must not be chosen again.
+    empty for plain services, ``prefix_hash`` without a prompt. ``parts`` are digests of the parts
+    of the prompt that others may share. ``tried`` lists the targets that must not be chosen again.
     """
 
     request_id: str
@@ -26,6 +26,7 @@
     tokens_max: int = 0
     idempotent: bool = True
     tried: tuple[str, ...] = ()
+    parts: tuple[str, ...] = ()
 
 
 class CallResult(StrEnum):
--- a/clementinepin/tables/_view.py
+++ b/clementinepin/tables/_view.py
@@ -11,6 +11,7 @@
 from clementinepin.tables._owners import OwnerTable
 from clementinepin.tables._suspects import SuspectTable
 from clementinepin.tables._targets import TargetTable
+from clementinepin.tables.crashes import CrashTable
 
 if TYPE_CHECKING:
     from clementinepin.config import Configuration
@@ -46,6 +47,7 @@
         self.measures = MeasureTable()
         self.retries = RetryTable()
         self.suspects = SuspectTable(SUSPECTS_MAX)
+        self.crashes = CrashTable()
         self.owners = OwnerTable()
         self.owned: frozenset[str] = frozenset()
         self.followed: dict[str, tuple[str, ...]] = {}
--- a/tests/scheduling/test_poison.py
+++ b/tests/scheduling/test_poison.py
@@ -10,6 +10,7 @@
 from clementinepin.exceptions import NotRunError
 from clementinepin.scheduling import CallResult
 from clementinepin.scheduling._messages import METHOD_ISOLATE
+from clementinepin.systems.crash_causes import CRASHES_MAX, SAME_CRASH_S
 from clementinepin.systems.exceptions import RequestCondemnedError
 from clementinepin.systems.isolation import ISOLATION_MAX_S
 from tests.scheduling.fakes import build_call, build_configuration, build_fleet
@@ -113,3 +114,55 @@
         fleet["e1"]._run_systems()
     assert len(set(requested)) == 2
     assert waiting.get().target.name == requested[1]
+
+
+def crash_by_part(fleet, count):
+    """Send calls that share one part of their prompts; each crashes its target."""
+    for number in range(count):
+        scheduler = fleet[INSTANCES[number % len(INSTANCES)]]
+        call = build_call(f"c{number}", parts=(f"a{number}", "bad"))
+        placement = scheduler.acquire(call)
+        scheduler.finish(placement.ticket, CallResult.LOST)
+        gevent.sleep(2 * SAME_CRASH_S)
+
+
+def test_calls_that_share_a_crashing_part_are_rejected_at_any_instance():
+    """Each such call counted for itself, so that all of them crashed targets, two each."""
+    fleet = build_fleet(INSTANCES, TARGETS, build_configuration(slots=12))
+    crash_by_part(fleet, CRASHES_MAX)
+    for name in INSTANCES:
+        with pytest.raises(RequestCondemnedError):
+            fleet[name].acquire(build_call("next", parts=("a9", "bad")))
+        sound = fleet[name].acquire(build_call("sound", parts=("a0", "good")))
+        fleet[name].finish(sound.ticket, CallResult.SUCCESS)
+
+
+def test_an_item_with_a_crashing_part_waits_and_is_not_rejected():
+    fleet = build_fleet(INSTANCES[:1], TARGETS, build_configuration(slots=12))
+    scheduler = fleet[INSTANCES[0]]
+    for number in range(CRASHES_MAX):
+        placement = scheduler.acquire(build_call(f"c{number}", parts=(f"a{number}", "bad")))
+        scheduler.finish(placement.ticket, CallResult.LOST)
+        gevent.sleep(2 * SAME_CRASH_S)
+    item = build_call("item", priority="batch", fingerprint="", parts=("bad",))
+    waiting = gevent.spawn(scheduler.acquire, item)
+    for _ in range(5):
+        gevent.sleep(0.01)
+        scheduler._run_systems()
+    assert not waiting.ready()
+    waiting.kill()
+
+
+def test_an_instance_that_starts_learns_which_parts_crash_targets():
+    fleet = build_fleet(INSTANCES[:2], TARGETS, build_configuration(slots=12))
+    first, second = fleet.values()
+    for number in range(CRASHES_MAX):
+        placement = first.acquire(build_call(f"c{number}", parts=(f"a{number}", "bad")))
+        first.finish(placement.ticket, CallResult.LOST)
+        gevent.sleep(2 * SAME_CRASH_S)
+    with pytest.raises(RequestCondemnedError):
+        first.acquire(build_call("next", parts=("a9", "bad")))
+    second._decider.tables.crashes.services.clear()
+    assert second._messenger.fetch_suspects()
+    with pytest.raises(RequestCondemnedError):
+        second.acquire(build_call("next", parts=("a9", "bad")))
