Read the limits that targets name, and log their changes

No log told whether a target had named a limit, and which one. The dispatcher hears of it with the load report and logs each change; nothing is decided by it yet. The report's new field is optional: former versions ignore it.

--- a/clementinepin/platform/_wire.py
+++ b/clementinepin/platform/_wire.py
@@ -36,6 +36,7 @@
 _SIGNATURE_HEADER: Final = _HEADER_PREFIX + "server-signature"
 _NOT_EXECUTED_HEADER: Final = _HEADER_PREFIX + "not-executed"
 _LOAD_HEADER: Final = _HEADER_PREFIX + "server-load"
+_LIMIT_HEADER: Final = "server-limit"
 _LAST_EVENT_HEADER: Final = "last-event-id"
 _RESUMES_HEADER: Final = "resumes"
 _ROUTE_KINDS: Final = {
@@ -233,6 +234,11 @@
             return None
         return int(parts[0]), int(parts[1]), int(parts[2])
 
+    def read_limit(self, headers: dict[str, str]) -> float | None:
+        """Return the requests a second that a target takes at present, or None without a limit."""
+        limit = _parse_number(headers.get(_LIMIT_HEADER, ""))
+        return limit if limit is not None and 0.0 <= limit < float("inf") else None
+
     def read_configuration(self, value: bytes) -> RoutingConfiguration:
         """Decode the operators' configuration. Raises msgspec.DecodeError if it is invalid."""
         config = _decode_config(value)
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -27,6 +27,7 @@
     dispatching,
     stream_versions,
     target_health,
+    target_limits,
     waiting,
 )
 from clementinepin.systems.dispatch_actions import Action, Granted, Rejected, RunOutcome
@@ -148,6 +149,9 @@
     def _handle_load(self, link: Link, message: messages.ReportLoad) -> None:
         now = self._clock.monotonic()
         key = (link.name, message.number)
+        if target_limits.record_limit(self.table, key, message.limit_per_s, now):
+            log = logger.bind(target=self.table.grants[key].target_id, member=link.name)
+            log.bind(limit_per_s=message.limit_per_s).info("target_limit_changed")
         self._send_actions(dispatching.record_load(self.table, key, message.reported, now))
 
     def _handle_silence(self, link: Link, message: messages.ReportSilence) -> None:
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -171,7 +171,8 @@
         call.target_load = self._wire.read_load(exchange.headers)
         call.first_byte_at = self._clock.monotonic()
         call.framing = exchange.framing
-        self._slots.report_load(slot, call.target_load)
+        limit_per_s = self._wire.read_limit(exchange.headers)
+        self._slots.report_load(slot, call.target_load, limit_per_s)
         return self._handle_response(connection, call, _Sent(exchange, target))
 
     def _send(self, call: Call, target: Target) -> HttpExchange:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -204,7 +204,8 @@
         try:
             with self._slots.watch_silence(slot, run.item.item_id):
                 exchange = self._send(run, target)
-            self._slots.report_load(slot, self._wire.read_load(exchange.headers))
+            load = self._wire.read_load(exchange.headers)
+            self._slots.report_load(slot, load, self._wire.read_limit(exchange.headers))
             return self._handle_response(run, route, exchange)
         except TargetNotReachedError as err:
             self._log_target_lost(run, target, err)
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -141,10 +141,15 @@
 
 
 class ReportLoad(msgspec.Struct, array_like=True, tag=7, frozen=True):
-    """The number of requests that the target of this slot reported with its response headers."""
+    """What the target of this slot reported with its response headers.
+
+    ``reported`` is its number of requests, -1 if it was not named. ``limit_per_s`` is how many a
+    second it takes, None if it named no limit.
+    """
 
     number: int
     reported: int
+    limit_per_s: float | None = None
 
 
 class ReportSilence(msgspec.Struct, array_like=True, tag=15, frozen=True):
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -42,6 +42,7 @@
     estimates,
     stream_versions,
     target_health,
+    target_limits,
     waiting,
 )
 from clementinepin.systems.dispatch_actions import RunOutcome
@@ -231,17 +232,21 @@
         if not self._link.is_responsive:
             self.on_broken_alone(run)
 
-    def report_load(self, slot: Slot, load: tuple[int, int, int] | None) -> None:
-        """Report a target's own count of running and waiting requests; None reports nothing.
+    def report_load(
+        self, slot: Slot, load: tuple[int, int, int] | None, limit_per_s: float | None
+    ) -> None:
+        """Report a target's own count of running and waiting requests, and the limit that it names.
 
-        ``load`` is (running, waiting, slots) from the response headers.
+        ``load`` is (running, waiting, slots) from the response headers; both are None if missing.
         """
-        if load is None:
-            return
-        reported = load[0] + load[1]
         key = (self._name, slot.number)
-        dispatching.record_load(self._table, key, reported, self._clock.monotonic())
-        self._link.send(messages.ReportLoad(slot.number, reported))
+        now = self._clock.monotonic()
+        changed = target_limits.record_limit(self._table, key, limit_per_s, now)
+        if load is None and limit_per_s is None and not changed:
+            return
+        reported = -1 if load is None else load[0] + load[1]
+        dispatching.record_load(self._table, key, reported, now)
+        self._link.send(messages.ReportLoad(slot.number, reported, limit_per_s))
 
     @contextmanager
     def watch_silence(self, slot: Slot, request_id: str) -> Iterator[None]:
--- a/clementinepin/serving/wire.py
+++ b/clementinepin/serving/wire.py
@@ -71,6 +71,9 @@
     def read_load(self, headers: dict[str, str]) -> tuple[int, int, int] | None:
         """Return (running, waiting, slots) from a response's headers, or None without them."""
 
+    def read_limit(self, headers: dict[str, str]) -> float | None:
+        """Return the requests a second that a target takes from all instances, None for any."""
+
     def read_configuration(self, value: bytes) -> RoutingConfiguration:
         """Decode the operators' configuration. Raises msgspec.DecodeError if it is invalid."""
 
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -233,7 +233,7 @@
 
 
 def record_load(table: DispatchTable, key: GrantKey, reported: int, now: float) -> list[Action]:
-    """Record how many requests a target reports as running or waiting.
+    """Record how many requests a target reports as running or waiting, -1 for none.
 
     Return preemptions if the target has more requests than slots.
 
@@ -242,7 +242,7 @@
     """
     grant = table.grants.get(key)
     target = table.targets.get(grant.target_id) if grant is not None else None
-    if target is None or not table.uses(Mechanism.UNTRACKED_LOAD):
+    if target is None or reported < 0 or not table.uses(Mechanism.UNTRACKED_LOAD):
         return []
     if target.failures == 0:
         # The report shows that a target avoided for its silence responds again.
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -11,6 +11,7 @@
 from clementinepin.tables.crashes import CrashTable
 from clementinepin.tables.mechanisms import Mechanism
 from clementinepin.tables.streams import StreamTable
+from clementinepin.tables.target_limits import TargetLimit
 
 GrantKey = tuple[str, int]  # the requesting instance and its number for the request
 RATE_BUCKET_S: Final = 0.25  # old work leaves a window in steps of this size
@@ -152,6 +153,7 @@
     ``avoid_until`` is set after failures, ``full_until`` after the target refused a request.
     ``untracked`` counts requests that the target reports beyond the known grants: runs whose
     callers are lost, or that another dispatcher granted. It is valid until ``untracked_until``.
+    ``limit`` is the one that the target names.
     """
 
     def __init__(self, target_id: str, service: str, data_centre: str, slots: int) -> None:
@@ -167,6 +169,7 @@
         self.full_until = 0.0
         self.untracked = 0
         self.untracked_until = 0.0
+        self.limit: TargetLimit | None = None
         self.prefixes: OrderedDict[str, None] = OrderedDict()
         self.pace = Pace()
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -109,6 +109,15 @@
     assert WIRE.read_load({"clementinepin-server-load": value}) is None
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [("2.5", 2.5), ("0", 0.0), ("", None), ("-1", None), ("nan", None), ("inf", None), ("x", None)],
+)
+def test_a_limit_is_a_number_of_requests_a_second(value: str, expected: float | None) -> None:
+    assert WIRE.read_limit({"server-limit": value}) == expected
+    assert WIRE.read_limit({}) is None
+
+
 def test_a_retirement_key_contains_its_instance():
     assert WIRE.read_retirement("op/retire/store-1") == "store-1"
     key, value = WIRE.make_retirement("store-1", done=True)
--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -65,7 +65,7 @@
         self.outcomes.append(outcome)
         self.successes.append(succeeded)
 
-    def report_load(self, slot: Slot, load: Any) -> None:
+    def report_load(self, slot: Slot, load: Any, limit_per_s: float | None) -> None:
         return
 
     @contextmanager
