Keep the limits that targets name, from all instances together

The class of fault: an instance's own count, where the promise is the fleet's. The dispatcher counts all starts at a target, those of items, of repeated requests and of slots taken without it too. A limit begins without unused starts, at most two of them add up, and an item leaves one to the next caller. It ends with the first response without one to a request that started after it was named. The slots that a limit leaves unusable are not counted on: a caller beyond is rejected at once. Grants name the limit, and hellos tell it to the next dispatcher. Instances that decide alone share a limit among four of them, chosen by rendezvous hashing, and begin without unused starts. New fields are optional: former versions ignore them.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -98,6 +98,9 @@
         for run in hello.broken_runs:
             broken_run = make_broken_run(link.name, run)
             crash_causes.record_crash(self.table.crashes, broken_run, now - run.age_s)
+        for target_id, limit_per_s in hello.limits_per_s.items():
+            if target_id in self.table.targets:
+                target_limits.name_limit(self.table.targets[target_id], limit_per_s, now)
         for slot in hello.slots:
             adopted = make_adopted_request(link.name, slot, now)
             dispatching.adopt_grant(self.table, adopted, slot.target_id, now)
@@ -165,8 +168,12 @@
             if link is None:
                 continue
             if isinstance(action, Granted):
-                version = self.table.targets[action.target_id].software_version
-                link.send(messages.GrantSlot(number, action.target_id, version))
+                target = self.table.targets[action.target_id]
+                limit_per_s = target.limit.per_s if target.limit is not None else None
+                grant = messages.GrantSlot(
+                    number, target.target_id, target.software_version, limit_per_s
+                )
+                link.send(grant)
             elif isinstance(action, Rejected):
                 link.send(messages.RejectSlot(number, *action[1:]))
             else:
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -58,13 +58,15 @@
 class Hello(msgspec.Struct, array_like=True, tag=0, frozen=True):
     """First message of a client: its instance name, the slots that it uses and its streams.
 
-    ``broken_runs`` are its last runs that their targets broke off.
+    ``broken_runs`` are its last runs that their targets broke off, ``limits_per_s`` the limits of
+    targets that it knows, by target id.
     """
 
     name: str
     slots: list[SlotInUse]
     streams: list[StreamVersion] = []
     broken_runs: list[BrokenRun] = []
+    limits_per_s: dict[str, float] = {}
 
 
 class RequestSlot(msgspec.Struct, array_like=True, tag=1, frozen=True):
@@ -109,11 +111,15 @@
 
 
 class GrantSlot(msgspec.Struct, array_like=True, tag=3, frozen=True):
-    """Grants a slot: the request may be sent to this target while it has the software version."""
+    """Grants a slot: the request may be sent to this target while it has the software version.
+
+    ``limit_per_s`` is the limit that the target names, None if it names none.
+    """
 
     number: int
     target_id: str
     software_version: str = ""
+    limit_per_s: float | None = None
 
 
 class RejectSlot(msgspec.Struct, array_like=True, tag=4, frozen=True):
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import itertools
-import math
 import random
 from collections import deque
 from collections.abc import Callable, Iterator
@@ -24,6 +23,7 @@
 from clementinepin.serving._dispatcher_link import SUSPECT_S, DispatcherLink
 from clementinepin.serving._feed import FeedClient
 from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._local_choice import LOCAL_RETRY_S, choose_alone
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._slot_requests import (
     Slot,
@@ -43,7 +43,6 @@
     stream_versions,
     target_health,
     target_limits,
-    waiting,
 )
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.crashes import BrokenRun, CauseChange, CrashTable
@@ -52,7 +51,6 @@
 
 REPLY_TIMEOUT_S: Final = 0.08  # a few round trips between data centres and a busy dispatcher
 BROKEN_RUNS_MAX: Final = 64  # reported to a new dispatcher
-LOCAL_RETRY_S: Final = 0.3  # Retry-After of local decisions, such as when the share is used up
 # Batch starts without the dispatcher only after this time: a lost dispatcher's lease ends after
 # 3 s, and items are due within 18 s.
 LOCAL_BATCH_AFTER_S: Final = 9.0
@@ -102,6 +100,7 @@
         self._taken: dict[int, tuple[SlotRequest, str, float]] = {}
         self.on_broken_alone: Callable[[BrokenRun], None] = lambda _run: None
         self.on_causes_found: Callable[[list[CauseChange]], None] = lambda _changes: None
+        self._decides_alone = False
         self._broken_runs: deque[tuple[BrokenRun, float]] = deque(maxlen=BROKEN_RUNS_MAX)
         self._response_times = estimates.ResponseTimes()
         self._first_dispatcher_linked_at = clock.monotonic()
@@ -150,6 +149,7 @@
             return self._decide_locally(number, request)
         if request.is_batch:
             self._hold_batch()
+        self._decides_alone = False
         waiter = _Waiter(request)
         self._waiters[number] = waiter
         on_waiting(lambda: waiter.result.set(CallerGoneError("the caller left the queue")))
@@ -167,7 +167,7 @@
         finally:
             self._waiters.pop(number, None)
         if isinstance(reply, messages.GrantSlot):
-            self._record_taken(number, request, reply.target_id)
+            self._record_taken(number, request, reply.target_id, reply.limit_per_s)
             return Slot(number, reply.target_id, False, reply.software_version)
         if isinstance(reply, messages.RejectSlot):
             raise OverloadedError(reply.reason, reply.retry_after_s, list_inputs(reply))
@@ -303,43 +303,28 @@
     def _decide_locally(self, number: int, request: SlotRequest) -> Slot:
         """Return a slot chosen by this instance's own counts.
 
-        Online requests use at most twice an equal share of a target's slots (at least two), batch
-        items one slot. Raises OverloadedError if no target qualifies, and for batch items within
+        Raises OverloadedError if no target qualifies, and for batch items within
         LOCAL_BATCH_AFTER_S without the first dispatcher.
         """
         now = self._clock.monotonic()
-        uses_dispatcher = self._placement is Placement.DISPATCHER
         if (
             request.is_batch
-            and uses_dispatcher
+            and self._placement is Placement.DISPATCHER
             and now - self._first_dispatcher_linked_at < LOCAL_BATCH_AFTER_S
         ):
             raise OverloadedError("batch waits for a dispatcher", LOCAL_RETRY_S)
         pending = make_local_request(self._name, self._data_centre, number, request, now)
-        cause = crash_causes.find_cause(self.crashes, request.service, pending.traits, now)
-        self.on_causes_found(crash_causes.take_changes(self.crashes))
-        if cause is not None:
-            retry_after_s = waiting.get_longest_retry_wait(pending, now)
-            raise OverloadedError(dispatching.CRASHED_TARGETS, retry_after_s)
         self._table.streams.is_current = self._fleet.follows_targets()
-        version = stream_versions.find_required_version(self._table, pending, now)
-        if version is None:
-            raise OverloadedError("unknown software version", LOCAL_RETRY_S)
-        pending = pending._replace(software_version=version)
-        targets = list(self._table.targets.values())
-        if self._placement is Placement.RANDOM:
-            self._random.shuffle(targets)
-            targets = [
-                t for t in targets if dispatching.choose_target(self._table, [t], pending, now)
-            ][:1]
-        target = dispatching.choose_target(self._table, targets, pending, now)
-        if target is None:
-            raise OverloadedError("no target with a free slot is known", LOCAL_RETRY_S)
-        share = math.ceil(2 * target.slots / max(1, len(self._fleet.list_entries())))
-        if target.taken >= (1 if request.is_batch else max(2, share)):
-            raise OverloadedError(
-                "this instance's share of slots on the target is used up", LOCAL_RETRY_S
+        entries, runners = self._fleet.list_entries(), self._fleet.list_job_runners()
+        begins, self._decides_alone = not self._decides_alone, True
+        names = [member.name for member in (*entries, *runners)]
+        target_limits.share_limits(self._table, self._name, names, now, begins=begins)
+        try:
+            target = choose_alone(
+                self._table, pending, len(entries), now, self._placement, self._random
             )
+        finally:
+            self.on_causes_found(crash_causes.take_changes(self.crashes))
         self._record_taken(number, request, target.target_id)
         stream = self._describe_stream(request.stream_id, now)
         self._link.send(
@@ -347,8 +332,12 @@
         )
         return Slot(number, target.target_id, True, target.software_version)
 
-    def _record_taken(self, number: int, request: SlotRequest, target_id: str) -> None:
+    def _record_taken(
+        self, number: int, request: SlotRequest, target_id: str, limit_per_s: float | None = None
+    ) -> None:
         now = self._clock.monotonic()
+        if limit_per_s is not None and target_id in self._table.targets:
+            target_limits.name_limit(self._table.targets[target_id], limit_per_s, now)
         self._taken[number] = (request, target_id, now)
         pending = make_local_request(self._name, self._data_centre, number, request, now)
         dispatching.adopt_grant(self._table, pending, target_id, now)
@@ -365,6 +354,7 @@
             [describe_slot(number, *self._taken[number], now) for number in self._taken],
             [stream for stream in streams if stream is not None],
             [describe_broken_run(run, at, now) for run, at in self._broken_runs],
+            target_limits.list_limits(self._table),
         )
 
     def _describe_stream(self, stream_id: str, now: float) -> messages.StreamVersion | None:
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -9,7 +9,13 @@
 import random
 from typing import Final
 
-from clementinepin.systems import crash_causes, stream_versions, target_health, waiting
+from clementinepin.systems import (
+    crash_causes,
+    stream_versions,
+    target_health,
+    target_limits,
+    waiting,
+)
 from clementinepin.systems.dispatch_actions import (
     Action,
     Granted,
@@ -336,6 +342,7 @@
     table: DispatchTable, target: TargetLoad, request: PendingRequest, now: float
 ) -> None:
     crash_causes.record_start(table.crashes, request.service, request.traits, now)
+    target_limits.record_start(target, now)
     grant = Grant(request, target.target_id, now)
     table.grants[request.key] = grant
     stream_versions.record_stream(
--- a/clementinepin/systems/service_load.py
+++ b/clementinepin/systems/service_load.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from clementinepin.systems import target_limits
 from clementinepin.tables.dispatch import DispatchTable
 
 
@@ -34,6 +35,13 @@
     return sorted({target.service for target in table.targets.values()})
 
 
+def count_usable_slots(table: DispatchTable, service: str) -> float:
+    """Return the slots of a service that callers can use within the limits of its targets."""
+    run_s = table.arrivals[service].run_s
+    targets = [target for target in table.targets.values() if target.service == service]
+    return sum(target_limits.count_usable_slots(target, run_s) for target in targets)
+
+
 def measure_load(table: DispatchTable, service: str, now: float) -> ServiceLoad:
     """Return the use of a service's slots at ``now`` (monotonic seconds)."""
     targets = [t for t in table.targets.values() if t.service == service]
--- a/clementinepin/systems/target_choice.py
+++ b/clementinepin/systems/target_choice.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from clementinepin.systems import stream_versions
+from clementinepin.systems import stream_versions, target_limits
 from clementinepin.tables.dispatch import DispatchTable, Grant, PendingRequest, TargetLoad
 from clementinepin.tables.mechanisms import Mechanism
 
@@ -34,6 +34,8 @@
             continue
         if now < target.full_until or now < target.avoid_until or target.count_free(now) <= 0:
             continue
+        if not target_limits.may_start(target, now, is_batch=request.is_batch):
+            continue
         load = 1.0 - target.count_free(now) / target.slots
         score = (
             int(load * LOAD_STEPS),
@@ -66,6 +68,7 @@
         and target.target_id not in request.excluded
         and now >= target.full_until
         and now >= target.avoid_until
+        and target_limits.may_start(target, now)
         and target.count_not_preempting() <= target.slots
         and target.taken < target.slots + PREEMPTIONS_PER_TARGET_MAX
         for grant in target.grants.values()
--- a/clementinepin/systems/waiting.py
+++ b/clementinepin/systems/waiting.py
@@ -5,8 +5,9 @@
 import random
 from typing import Final
 
+from clementinepin.systems import target_limits
 from clementinepin.systems.dispatch_actions import Rejected
-from clementinepin.systems.service_load import measure_load
+from clementinepin.systems.service_load import count_usable_slots, measure_load
 from clementinepin.systems.stream_versions import can_run, has_target
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, QueueOrder
 from clementinepin.tables.mechanisms import Mechanism
@@ -42,13 +43,17 @@
 
     The time is in monotonic seconds, infinity if the service has no targets.
     """
-    ends = sorted(
+    usable = [t for t in table.targets.values() if can_run(t, request) and now >= t.avoid_until]
+    ends = [
         grant.ends_at if grant.ends_at > now else now + grant.run_s * OVERRUN_SHARE
-        for target in table.targets.values()
-        if can_run(target, request) and now >= target.avoid_until
+        for target in usable
+        if target.limit is None
         for grant in target.grants.values()
         if not grant.preempting
-    )
+    ]
+    for target in usable:
+        ends += target_limits.list_starts(target, request.run_s, now)
+    ends.sort()
     own_rank = rank_request(table, request, now)
     ahead = sum(
         1
@@ -125,15 +130,15 @@
 
 def measure_pressure(table: DispatchTable, service: str, now: float) -> float:
     """Return the work that new callers bring, as a share of all slots of the service."""
-    slots = sum(t.slots for t in table.targets.values() if t.service == service)
-    return table.arrivals[service].get_lasting_rate(now) / max(1, slots)
+    slots = count_usable_slots(table, service)
+    return table.arrivals[service].get_lasting_rate(now) / max(1.0, slots)
 
 
 def count_spare(table: DispatchTable, service: str, now: float) -> float:
     """Return the slots that new callers leave free at present; negative in a peak beyond them."""
-    slots = sum(t.slots for t in table.targets.values() if t.service == service)
+    slots = count_usable_slots(table, service)
     if not table.uses(Mechanism.SPARE_BOOKING):
-        return float(slots)
+        return slots
     return slots - table.arrivals[service].get_recent_rate(now)
 
 
--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -50,6 +50,7 @@
         self.successes: list[bool] = []
         self.rejection: OverloadedError | None = None
         self.silent: list[tuple[str, str]] = []
+        self.limits_per_s: list[float | None] = []
 
     def acquire(self, request: SlotRequest, on_waiting: Any) -> Slot:
         if self.rejection is not None:
@@ -66,7 +67,7 @@
         self.successes.append(succeeded)
 
     def report_load(self, slot: Slot, load: Any, limit_per_s: float | None) -> None:
-        return
+        self.limits_per_s.append(limit_per_s)
 
     @contextmanager
     def watch_silence(self, slot: Slot, request_id: str) -> Iterator[None]:
--- a/tests/systems/test_target_limits.py
+++ b/tests/systems/test_target_limits.py
@@ -10,7 +10,7 @@
 import pytest
 
 from clementinepin.systems import dispatching, target_limits
-from clementinepin.systems.dispatch_actions import Action, Granted, RunOutcome
+from clementinepin.systems.dispatch_actions import Action, Granted, Rejected, RunOutcome
 from clementinepin.tables.dispatch import DispatchTable, GrantKey
 from tests.systems.dispatch_parts import make_item, make_request, make_table
 
@@ -88,3 +88,69 @@
         for target_id in limits:
             allowed = LIMIT_SHARE * limit_per_s * WINDOW_S + ALLOWANCE
             assert load.count_most(target_id) <= allowed, (seed, target_id)
+
+
+def name_limit(table: DispatchTable, per_s: float, now: float) -> None:
+    for target in table.targets.values():
+        target_limits.name_limit(target, per_s, now)
+
+
+def test_a_limit_ends_with_the_first_later_response_without_one() -> None:
+    """Mutation: end it with any such response: one that was on its way ends a limit at once."""
+    table, rng = make_table(targets=1, slots=8), random.Random(1)
+    early, later = make_request(1, 0.0), make_request(2, 1.0)
+    dispatching.submit(table, early, 0.0, rng)
+    assert target_limits.record_limit(table, early.key, 2.0, 0.5)
+    dispatching.submit(table, later, 1.0, rng)
+    assert not target_limits.record_limit(table, early.key, None, 1.1)
+    assert table.targets["t0"].limit is not None
+    assert target_limits.record_limit(table, later.key, None, 1.2)
+    assert table.targets["t0"].limit is None
+
+
+def test_a_caller_beyond_the_limits_is_rejected_at_once_with_a_time_to_return() -> None:
+    """Mutation: count the slots of limited targets as free: callers wait in vain."""
+    table, rng = make_table(targets=2, slots=8), random.Random(1)
+    name_limit(table, 1.0, 0.0)
+    actions = [
+        dispatching.submit(table, make_request(number, 3.0), 3.0, rng) for number in range(10)
+    ]
+    assert sum(isinstance(row[0], Granted) for row in actions) == 4
+    rejected = [row[0] for row in actions[4:]]
+    assert all(isinstance(action, Rejected) and action.retry_after_s > 0.1 for action in rejected)
+
+
+def test_an_item_leaves_a_start_of_a_limited_target_to_callers() -> None:
+    table, rng = make_table(targets=1, slots=8), random.Random(1)
+    name_limit(table, 1.0, 0.0)
+    assert dispatching.submit(table, make_item(1, 1.5), 1.5, rng) == []
+    caller = make_request(2, 1.5)
+    assert dispatching.submit(table, caller, 1.5, rng) == [Granted(caller.key, "t0")]
+
+
+def test_a_target_without_a_limit_takes_what_the_others_may_not() -> None:
+    table, rng = make_table(targets=2, slots=8), random.Random(1)
+    target_limits.name_limit(table.targets["t0"], 0.5, 0.0)
+    for number in range(8):
+        (action,) = dispatching.submit(table, make_request(number, 0.1), 0.1, rng)
+        assert isinstance(action, Granted)
+        assert action.target_id == "t1"
+
+
+def test_instances_that_decide_alone_keep_a_limit_together() -> None:
+    """Each of them counted for itself, so that the target got the limit from every one."""
+    names = [f"f{n}" for n in range(60)]
+    tables = {name: make_table(targets=1, slots=8) for name in names}
+    starts: list[float] = []
+    for table in tables.values():
+        name_limit(table, 2.0, 0.0)
+    for tick in range(400):
+        now = 10.0 + tick * 0.02
+        for name, table in tables.items():
+            target_limits.share_limits(table, name, names, now, begins=tick == 0)
+            target = table.targets["t0"]
+            if target_limits.may_start(target, now):
+                target_limits.record_start(target, now)
+                starts.append(now)
+    most = max(sum(at <= other < at + WINDOW_S for other in starts) for at in starts)
+    assert 0 < most <= LIMIT_SHARE * 2.0 * WINDOW_S + ALLOWANCE
