Soak prompt parts that crash engines, and engines that name limits

Engines crash under a part that callers share, and name limits for some seconds. When the faults have ended, a new crashing part may run three times more after its fifth crash, sound streams beside it are served, and engines that all name a limit get no more in 4 s than the rule allows.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 from docopt import docopt
 
 from soak._callers import Callers
+from soak._calm import check_crashing_part, check_limits
 from soak._faults import Faults
 from soak._fleet import ROOT, Fleet
 
@@ -73,6 +74,9 @@
         while unfinished_jobs and fleet.now() < deadline:
             gevent.sleep(0.5)
             unfinished_jobs = callers.read_jobs()
+        if not fleet.has_two_builds:
+            check_crashing_part(fleet, callers, float(args["--rate"]))
+            check_limits(fleet, callers, float(args["--rate"]))
         callers.broken += [f"{job}: some items are not listed" for job in sorted(unfinished_jobs)]
         callers.check_runs()
         for instance in fleet.instances:
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -22,6 +22,9 @@
 CALL_TIMEOUT_S = 6.0
 RESUMPTIONS_MAX = 2
 BREAKING_SHARE = 0.3  # of resumable streams
+CRASHING_SHARE = 0.15  # of streams, while there are parts that crash engines
+FIRST_PARTS = 3
+SECOND_PARTS = 10
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # these guarantee that the request did not run
 
 
@@ -147,6 +150,7 @@
             "Clementinepin-Request-Id": request_id,
             "Clementinepin-Token-Count": f"50,{events}",
             "Clementinepin-Deadline-Ms": "5000",
+            "Clementinepin-Prompt-Prefix": self._make_prompt(request_id),
         }
         breaks = route == "again" and self._random.random() < BREAKING_SHARE
         events_max = self._random.randint(1, events) if breaks else 0
@@ -172,6 +176,14 @@
         if response.status == 200:
             self._check_stream(request_id, events, body, whole)
 
+    def _make_prompt(self, request_id: str) -> str:
+        """Return the parts of a prompt; a share of them has one that crashes engines."""
+        crashing = sorted(self._fleet.crashing_parts)
+        second = f"b{self._random.randrange(SECOND_PARTS)}"
+        if crashing and self._random.random() < CRASHING_SHARE:
+            second = self._random.choice(crashing)
+        return f"a{self._random.randrange(FIRST_PARTS)}:20,{second}:20,{request_id}:10"
+
     def _call_stream(
         self, ip: str, route: str, headers: dict[str, str], events_max: int = 0
     ) -> Response:
--- /dev/null
+++ b/soak/_calm.py
@@ -0,0 +1,57 @@
+"""Checks of guarantees that hold some seconds after the last fault of an instance.
+
+A part of prompts that crashes engines reaches them a few times only, while sound requests with the
+same first part are served, and engines get no more requests than the limit that they name.
+"""
+
+from __future__ import annotations
+
+import gevent
+
+from soak._callers import Callers
+from soak._fleet import Fleet
+
+CONTACT_S = 3.0  # until a crash or a limit is known everywhere
+CRASHES_TO_KNOW = 5
+SENT_LATER_MAX = 3
+PHASE_S = 8.0
+SERVED_SHARE_MIN = 0.5  # of sound streams, while crashing ones still come
+LIMIT_PER_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_SHARE = 1.5  # of the limit, and LIMIT_ALLOWANCE requests, are allowed in a window
+LIMIT_ALLOWANCE = 5
+
+
+def check_crashing_part(fleet: Fleet, callers: Callers, rate: float) -> None:
+    """Send requests, a share of which has a new crashing part; count how many of these run."""
+    fleet.crashing_parts.clear()
+    fleet.crashing_parts.add("worst")
+    gevent.sleep(CONTACT_S)
+    callers.run(fleet.now() + PHASE_S, rate)
+    runs = [run.started_at for run in fleet.run_log.runs if "worst" in run.parts]
+    if len(runs) >= CRASHES_TO_KNOW:
+        known_at = runs[CRASHES_TO_KNOW - 1] + CONTACT_S
+        sent_later = sum(at > known_at for at in runs)
+        if sent_later > SENT_LATER_MAX:
+            callers.broken.append(f"a part that crashed 5 engines reached {sent_later} more")
+    before = dict(callers.statuses)
+    fleet.crashing_parts.clear()
+    callers.run(fleet.now() + CONTACT_S, rate)
+    counts = {status: n - before.get(status, 0) for status, n in callers.statuses.items()}
+    if counts.get(200, 0) < SERVED_SHARE_MIN * sum(counts.values()):
+        callers.broken.append(f"sound streams beside a crashing part ended with {counts}")
+
+
+def check_limits(fleet: Fleet, callers: Callers, rate: float) -> None:
+    """Let all engines name a limit; count the runs that each gets in a window."""
+    limited_at = fleet.now()
+    for target in fleet.targets.values():
+        target.limit_per_s = LIMIT_PER_S
+    callers.run(limited_at + CONTACT_S + PHASE_S, rate)
+    for name, target in fleet.targets.items():
+        target.limit_per_s = None
+        runs = [run.started_at for run in fleet.run_log.runs if run.target == name]
+        late = [at for at in runs if at > limited_at + CONTACT_S]
+        most = max((sum(at <= b < at + LIMIT_WINDOW_S for b in late) for at in late), default=0)
+        if most > LIMIT_SHARE * LIMIT_PER_S * LIMIT_WINDOW_S + LIMIT_ALLOWANCE:
+            callers.broken.append(f"{name} got {most} requests beside a limit of {LIMIT_PER_S}")
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -49,6 +49,8 @@
             self._kinds += [
                 ("target is replaced by another version", self._release_target),
                 ("target responses without end", self._send_without_end),
+                ("a prompt part crashes targets", self._add_crashing_part),
+                ("target names a limit", self._limit_target),
             ]
         self._version = 1
 
@@ -148,14 +150,16 @@
         return self._random.choice(sorted(self._fleet.targets))
 
     def _crash_target(self) -> None:
-        """End all runs of an engine, which refuses connections until it is back."""
-        name = self._choose_target()
-        target, proxy = self._fleet.targets[name], self._fleet.proxies[name]
-        proxy.close_port()
-        target.crash()
-        gevent.sleep(self._random.uniform(0.2, 1.0))
-        if name in self._fleet.proxies:
-            proxy.open_port()
+        self._fleet.crash_target(self._choose_target(), self._random.uniform(0.2, 1.0))
+
+    def _add_crashing_part(self) -> None:
+        self._fleet.crashing_parts.add(f"bad{len(self._fleet.crashing_parts)}")
+
+    def _limit_target(self) -> None:
+        target = self._fleet.targets[self._choose_target()]
+        target.limit_per_s = self._random.uniform(0.0, 6.0)
+        gevent.sleep(self._random.uniform(1.0, 5.0))
+        target.limit_per_s = None
 
     def _release_target(self) -> None:
         """Add an engine of another version, then remove one."""
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -30,6 +30,7 @@
 HOST = "soak.example"
 GRACE_PERIOD_S = 4.0
 HEARTBEAT_INTERVAL_S = 0.4
+CRASH_S = 0.5  # until an engine that a request crashed is back
 UNFRAMED_PERIOD = 3  # each third response of an engine ends with its connection
 VERSIONS = ("v1", "v2", "v3")  # of the engines' software
 
@@ -131,7 +132,8 @@
 
     ``fronts`` and ``runners`` are the numbers of entry instances and of job runners, ``targets``
     that of engines; ``net`` is the second part of the instances' loopback addresses. ``builds`` are
-    the checkouts whose daemons run beside each other.
+    the checkouts whose daemons run beside each other. Prompts with one of ``crashing_parts`` crash
+    the engine that writes a response to them.
     """
 
     def __init__(
@@ -153,6 +155,7 @@
         self.gateway: Any = self.store.application
         self.run_log = RunLog()
         self.targets: dict[str, Target] = {}
+        self.crashing_parts: set[str] = set()
         self.proxies: dict[str, Proxy] = {}
         self._lease_ids: dict[str, int] = {}
         port = self.store.server_port
@@ -209,10 +212,23 @@
         """Start an engine behind a proxy and register it in the store under a lease."""
         target = Target(name, SERVICE, 4, self.run_log, self.now, version)
         target.unframed_period = 0 if self.has_two_builds else UNFRAMED_PERIOD
+        target.crashing_parts = self.crashing_parts
+        target.on_crash = lambda name: gevent.spawn(self.crash_target, name, CRASH_S)
         self.targets[name] = target
         self.proxies[name] = Proxy(("127.0.0.1", target.port))
         self._register(name)
 
+    def crash_target(self, name: str, down_s: float) -> None:
+        """End all runs of an engine, which refuses connections until it is back."""
+        target, proxy = self.targets.get(name), self.proxies.get(name)
+        if target is None or proxy is None:
+            return
+        proxy.close_port()
+        target.crash()
+        gevent.sleep(down_s)
+        if name in self.proxies:
+            proxy.open_port()
+
     def remove_target(self, name: str) -> None:
         """Delete an engine's entry from the store and stop the engine and its proxy."""
         self.gateway.state.revoke_lease(self._lease_ids.pop(name))
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import itertools
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import gevent
@@ -16,12 +17,16 @@
 
 
 class Run(NamedTuple):
-    """One run of a request; ``first_event`` is the number of the first event that it sends."""
+    """One run of a request; ``first_event`` is the number of the first event that it sends.
+
+    ``parts`` are those of its prompt that others may share.
+    """
 
     request_id: str
     target: str
     started_at: float
     first_event: int
+    parts: tuple[str, ...]
 
 
 class RunLog:
@@ -50,7 +55,8 @@
     ``responses_to_lose`` counts runs whose connection closes before the response,
     ``events_to_cut`` runs that stop in the middle of an event, and ``responses_without_end`` those
     that send bytes until the caller closes. Each ``unframed_period``-th response ends with its
-    connection, none if it is 0.
+    connection, none if it is 0. Responses name ``limit_per_s`` as the limit of the engine. A run
+    whose prompt has one of ``crashing_parts`` calls ``on_crash`` once its response has begun.
     """
 
     def __init__(
@@ -70,6 +76,9 @@
         self.events_to_cut = 0
         self.unframed_period = 0
         self.responses_without_end = 0
+        self.limit_per_s: float | None = None
+        self.crashing_parts: set[str] = set()
+        self.on_crash: Callable[[str], None] = lambda _name: None
         self.draining = False
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
@@ -135,7 +144,9 @@
         events = int(headers.get("clementinepin-token-count", "0,20").partition(",")[2])
         first = int(headers.get("last-event-id", "0")) + 1
         stream_id = headers.get("resumes", request_id)
-        self._run_log.runs.append(Run(request_id, self.name, self._clock(), first))
+        prompt = headers.get("clementinepin-prompt-prefix", "")
+        parts = tuple(part.partition(":")[0] for part in prompt.split(","))[:-1]
+        self._run_log.runs.append(Run(request_id, self.name, self._clock(), first, parts))
         if self.responses_to_lose:
             self.responses_to_lose -= 1
             return False
@@ -149,12 +160,18 @@
             f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n"
             f"Clementinepin-Request-Id: {request_id}\r\n"
             f"Clementinepin-Server-Signature: {self.name}.{signature}\r\n"
-            f"Clementinepin-Server-Load: {load}\r\nKeep-Alive: timeout=10\r\n\r\n"
+            f"Clementinepin-Server-Load: {load}\r\nKeep-Alive: timeout=10\r\n"
         )
+        if self.limit_per_s is not None:
+            head += f"Server-Limit: {self.limit_per_s}\r\n"
+        head += "\r\n"
         if self.responses_without_end:
             self.responses_without_end -= 1
             return self._send_without_end(sock, head.encode())
         sock.sendall(head.encode())
+        if self.crashing_parts.intersection(parts):
+            self.on_crash(self.name)
+            return False
         for number in range(first, events + 1):
             event = f"id: {number}\ndata: {make_text(stream_id, number, self.version)}\n\n".encode()
             if self.events_to_cut:
