--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -107,6 +107,7 @@
         self._fleet = fleet
         self._random = random.Random(seed)
         self._id_count = 0
+        self.crashing_share = CRASHING_SHARE
         self.broken: list[str] = []
         self.statuses: dict[int, int] = {}
         self.resumed: dict[int, int] = {}
@@ -180,7 +181,7 @@
         """Return the parts of a prompt; a share of them has one that crashes engines."""
         crashing = sorted(self._fleet.crashing_parts)
         second = f"b{self._random.randrange(SECOND_PARTS)}"
-        if crashing and self._random.random() < CRASHING_SHARE:
+        if crashing and self._random.random() < self.crashing_share:
             second = self._random.choice(crashing)
         return f"a{self._random.randrange(FIRST_PARTS)}:20,{second}:20,{request_id}:10"
 
--- a/soak/_calm.py
+++ b/soak/_calm.py
@@ -15,6 +15,7 @@
 CRASHES_TO_KNOW = 5
 SENT_LATER_MAX = 3
 PHASE_S = 8.0
+CRASHING_SHARE = 0.5  # of streams, so that many more than the allowed ones come
 SERVED_SHARE_MIN = 0.5  # of sound streams, while crashing ones still come
 LIMIT_PER_S = 3.0
 LIMIT_WINDOW_S = 4.0
@@ -27,6 +28,7 @@
     fleet.crashing_parts.clear()
     fleet.crashing_parts.add("worst")
     gevent.sleep(CONTACT_S)
+    callers.crashing_share = CRASHING_SHARE
     callers.run(fleet.now() + PHASE_S, rate)
     runs = [run.started_at for run in fleet.run_log.runs if "worst" in run.parts]
     if len(runs) >= CRASHES_TO_KNOW:
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -213,7 +213,7 @@
         target = Target(name, SERVICE, 4, self.run_log, self.now, version)
         target.unframed_period = 0 if self.has_two_builds else UNFRAMED_PERIOD
         target.crashing_parts = self.crashing_parts
-        target.on_crash = lambda name: gevent.spawn(self.crash_target, name, CRASH_S)
+        target.on_crash = lambda name: self.crash_target(name, CRASH_S)
         self.targets[name] = target
         self.proxies[name] = Proxy(("127.0.0.1", target.port))
         self._register(name)
@@ -225,9 +225,11 @@
             return
         proxy.close_port()
         target.crash()
-        gevent.sleep(down_s)
-        if name in self.proxies:
-            proxy.open_port()
+        gevent.spawn_later(down_s, self._open_port, name)
+
+    def _open_port(self, name: str) -> None:
+        if name in self.proxies and not self.proxies[name].is_open:
+            self.proxies[name].open_port()
 
     def remove_target(self, name: str) -> None:
         """Delete an engine's entry from the store and stop the engine and its proxy."""
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -30,6 +30,11 @@
         self._server: StreamServer
         self.open_port()
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the port is open."""
+        return bool(self._server.started)
+
     def open_port(self) -> None:
         """Listen on the port, on a free one for the first time."""
         self._server = StreamServer(("127.0.0.1", self.port), self._serve)
