--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -158,9 +158,9 @@
     def stop(self) -> None:
         """Leave the fleet and stop all parts within the grace time.
 
-        Callers that still arrive are served for a share of it. Then the listeners close, requests on
-        open connections are rejected, and the parts stop when no request is active or STOP_MARGIN_S
-        before the end of the grace time.
+        Callers that still arrive are served for a share of it. Then the listeners close, and open
+        connections get rejections. The parts stop when no request is active, or STOP_MARGIN_S before
+        the end of the grace time.
         """
         now = self._clock.monotonic()
         deadline = now + self._settings.grace_s - STOP_MARGIN_S
