Leave the first trial of a crash cause to the dispatcher that saw the crashes

Found by replaying dispatchers that take over in turn: each heard of the same old crashes, found the cause for itself and let a request try again 2 s later. A cause of crashes that are older than that time is tried again after a minute, as one that another instance found. The new tests failed before.

--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -165,8 +165,13 @@
     for crash in row.crashes:
         if not crash.is_settled and now - crash.at >= SAME_CRASH_S:
             crash.is_settled = settled = True
-    while settled and (traits := _find_new_cause(row)):
-        _add_cause(table, service, traits, now)
+    if not settled:
+        return
+    # Whoever found the cause of older crashes has tried it already.
+    is_new = any(now - crash.at < TRIAL_GAP_S for crash in row.crashes if crash.is_settled)
+    gap_s = TRIAL_GAP_S if is_new else TRIAL_GAP_S * TRIAL_GAP_FACTOR
+    while traits := _find_new_cause(row):
+        _add_cause(table, service, traits, now, gap_s)
 
 
 def _find_new_cause(row: ServiceCrashes) -> frozenset[str]:
--- a/tests/systems/crash_load.py
+++ b/tests/systems/crash_load.py
@@ -7,8 +7,9 @@
 import random
 from typing import Final, NamedTuple
 
-from clementinepin.systems import dispatching
+from clementinepin.systems import crash_causes, dispatching
 from clementinepin.systems.dispatch_actions import Granted, Rejected, RunOutcome
+from clementinepin.tables.crashes import BrokenRun
 from clementinepin.tables.dispatch import DispatchTable, GrantKey, PendingRequest, TargetLoad
 from tests.systems.dispatch_parts import make_request
 
@@ -39,9 +40,10 @@
 
 
 class CrashLoad:
-    """Plays a load in virtual time; ``table`` may be replaced, as by another dispatcher.
+    """Plays a load in virtual time.
 
-    With ``crashing_trait`` all requests that have it crash their targets.
+    With ``crashing_trait`` all requests that have it crash their targets. Another dispatcher takes
+    over each ``dispatcher_change_s`` seconds, and hears of slots in use and of broken runs.
     """
 
     def __init__(self, load: Load, seed: int, targets: int = 9) -> None:
@@ -55,6 +57,8 @@
             self._start_target(f"t{number}")
         self.tally = Tally([], [], [], [])
         self.crashing_trait = ""
+        self.dispatcher_change_s = 0.0
+        self._broken: list[tuple[BrokenRun, float]] = []
 
     def play(self, start: float, end: float) -> Tally:
         """Play the seconds from ``start`` to ``end``."""
@@ -63,6 +67,11 @@
             now = start
             while rate and (now := now + self._random.expovariate(rate)) < end:
                 self._push(now, kind, ("", 0))
+        change_at = start
+        while (
+            self.dispatcher_change_s and (change_at := change_at + self.dispatcher_change_s) < end
+        ):
+            self._push(change_at, "change", ("", 0))
         while self._events and self._events[0][0] < end:
             now, _, kind, key = heapq.heappop(self._events)
             if kind in ("sound", "crashing"):
@@ -71,6 +80,8 @@
                 self._end(key, now)
             elif kind == "crash":
                 self._crash(key, now)
+            elif kind == "change":
+                self._change_dispatcher(now)
             else:
                 self._start_target(key[0])
         return self.tally
@@ -81,6 +92,16 @@
     def _start_target(self, target_id: str) -> None:
         self.table.targets[target_id] = TargetLoad(target_id, "llm", "a", 8)
 
+    def _change_dispatcher(self, now: float) -> None:
+        former, self.table = self.table, DispatchTable()
+        for target_id in former.targets:
+            self._start_target(target_id)
+        for run, at in self._broken:
+            crash_causes.record_crash(self.table.crashes, run, at)
+        for grant in former.grants.values():
+            request = self._requests[grant.key]
+            dispatching.adopt_grant(self.table, request, grant.target_id, now)
+
     def _submit(self, kind: str, now: float) -> None:
         load, number = self._load, next(self._numbers)
         first = f"a{self._random.randrange(load.first_parts)}"
@@ -127,6 +148,8 @@
             ran_s = now - other.started_at
             events = max(0, int((ran_s - FIRST_EVENT_AFTER_S) / EVENT_GAP_S))
             events = 0 if other.key == key else events
+            run = BrokenRun(other.key, other.service, other.traits, events)
+            self._broken.append((run, now + 0.0005 * number))
             break_run(self.table, other.key, now + 0.0005 * number, events)
         self.table.targets.pop(grant.target_id, None)
         self._push(now + RESTART_S, "start", (grant.target_id, 0))
--- a/tests/systems/test_crash_causes.py
+++ b/tests/systems/test_crash_causes.py
@@ -59,6 +59,18 @@
         assert measure_served_share(tally, 20.0, "a0") > 0.5, seed
 
 
+@pytest.mark.parametrize("dispatcher_change_s", [2.5, 7.0])
+def test_dispatchers_that_take_over_in_turn_do_not_each_begin_again(
+    dispatcher_change_s: float,
+) -> None:
+    for seed in range(5):
+        load = CrashLoad(Load(), seed)
+        load.dispatcher_change_s = dispatcher_change_s
+        tally = load.play(0.0, 60.0)
+        assert count_sent_later(tally) <= SENT_LATER_MAX, seed
+        assert measure_served_share(tally, 20.0) > 0.9, seed
+
+
 def test_a_crashing_first_part_is_found_too() -> None:
     load = Load(crashing_first_parts=1, first_parts=40, second_parts=400)
     for seed in range(5):
@@ -181,3 +193,15 @@
     for number in (2, 3):
         record_run(table, number, 2.0 + number, {"bad"})
     assert has_cause(table, 6.0, "bad")
+
+
+def test_a_dispatcher_that_hears_of_old_crashes_does_not_begin_with_a_trial() -> None:
+    """Each of several dispatchers in turn would crash another target by its own first trial."""
+    table = CrashTable()
+    now = record_crashes(table, {"bad"}, {"bad"}, {"bad"}) + crash_causes.TRIAL_GAP_S
+    assert has_cause(table, now, "bad")
+    traits = frozenset({"bad"})
+    soon = now + 2 * crash_causes.TRIAL_GAP_S
+    assert not crash_causes.may_run(table, "llm", traits, soon)
+    later = now + crash_causes.TRIAL_GAP_S * crash_causes.TRIAL_GAP_FACTOR
+    assert crash_causes.may_run(table, "llm", traits, later)
