Count a broken run once, however late its record comes

Found by reading the change again; no play has shown it. A record that was written after an outage of the store came as a crash of that moment, beside the one that the instance itself or its hello had reported. Two crashes would have counted as three. The time of the run is taken from the record now. The new test failed before.

--- a/clementinepin/serving/_crash_records.py
+++ b/clementinepin/serving/_crash_records.py
@@ -96,23 +96,22 @@
         present = {row.key for row in rows}
         for key in set(self._known) - present:
             self.apply_change(key, None, 0)
-        wall = self._clock.wall()
         for row in rows:
-            record = self._read(row.key, row.value)
-            age_s = wall - record.ended_ms / 1000 if isinstance(record, RunRecord) else 0.0
-            self._apply(row.key, record, max(0.0, age_s))
+            self._apply(row.key, self._read(row.key, row.value))
 
     def apply_change(self, key: str, value: bytes | None, version: int) -> None:
         """Merge one record, or drop the cause that was removed."""
         if value is not None:
-            self._apply(key, self._read(key, value), 0.0)
+            self._apply(key, self._read(key, value))
         elif (known := self._known.pop(key, None)) is not None:
             for table in self._tables:
                 crash_causes.drop_cause(table, known.service, frozenset(known.traits))
 
-    def _apply(self, key: str, record: CauseRecord | RunRecord | None, age_s: float) -> None:
+    def _apply(self, key: str, record: CauseRecord | RunRecord | None) -> None:
         now = self._clock.monotonic()
         if isinstance(record, RunRecord):
+            # A record may come late, and its run may be known from another message by then.
+            age_s = max(0.0, self._clock.wall() - record.ended_ms / 1000)
             run = BrokenRun(
                 (record.member, record.number),
                 record.service,
--- a/tests/serving/test_crash_records.py
+++ b/tests/serving/test_crash_records.py
@@ -84,6 +84,26 @@
         assert not instance.has_cause("a1", "b")
 
 
+def test_a_run_whose_record_comes_late_counts_once(store: MemoryStore) -> None:
+    """Rows that are written after an outage came as new crashes of the same runs."""
+    instance, other = Instance(store, "f1"), Instance(store, "f2")
+    gevent.sleep(0.05)
+    store.faults.append("unavailable")
+    now = other.clock.monotonic()
+    run = BrokenRun(("f1", 1), "llm", frozenset({"bad"}), 0)
+    for table in (instance.table, other.table):
+        crash_causes.record_crash(table, run, now - 60.0)
+    key, value = "cp/crashes/run-f1-1-1", _crash_records._encode(
+        _crash_records.RunRecord(
+            "f1", 1, "llm", ["bad"], 0, int((other.clock.wall() - 60.0) * 1000)
+        )
+    )
+    for number in range(3):
+        other.records.apply_change(key, value, number)
+        gevent.sleep(CRASHES_GAP_S)
+    assert len(other.table.services["llm"].crashes) == 1
+
+
 def test_a_refuted_cause_is_dropped_everywhere(store: MemoryStore) -> None:
     first, second = Instance(store, "f1"), Instance(store, "f2")
     first.find_cause("bad")
