Take runs that a new dispatcher adopts for no new starts at limited targets

A dispatcher that took over charged all runs in progress to the limit of their target, which then got nothing for seconds.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -103,7 +103,7 @@
                 target_limits.name_limit(self.table.targets[target_id], limit_per_s, now)
         for slot in hello.slots:
             adopted = make_adopted_request(link.name, slot, now)
-            dispatching.adopt_grant(self.table, adopted, slot.target_id, now)
+            dispatching.adopt_grant(self.table, adopted, slot.target_id, now, starts_now=False)
         link.send(messages.SlotQueued())  # first data for the client: proves that this one responds
         for target in self.table.targets.values():
             self._send_actions(dispatching.preempt_surplus(target, now))
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -272,11 +272,18 @@
     return actions
 
 
-def adopt_grant(table: DispatchTable, request: PendingRequest, target_id: str, now: float) -> None:
-    """Record a slot that an instance reports as already in use."""
+def adopt_grant(
+    table: DispatchTable,
+    request: PendingRequest,
+    target_id: str,
+    now: float,
+    *,
+    starts_now: bool = True,
+) -> None:
+    """Record a slot that an instance reports as in use, by a run that starts now or did before."""
     target = table.targets.get(target_id)
     if target is not None:
-        _take_slot(table, target, request, now)
+        _take_slot(table, target, request, now, starts_now=starts_now)
 
 
 def _try_start(table: DispatchTable, request: PendingRequest, now: float) -> list[Action]:
@@ -339,10 +346,16 @@
 
 
 def _take_slot(
-    table: DispatchTable, target: TargetLoad, request: PendingRequest, now: float
+    table: DispatchTable,
+    target: TargetLoad,
+    request: PendingRequest,
+    now: float,
+    *,
+    starts_now: bool = True,
 ) -> None:
-    crash_causes.record_start(table.crashes, request.service, request.traits, now)
-    target_limits.record_start(target, now)
+    if starts_now:
+        crash_causes.record_start(table.crashes, request.service, request.traits, now)
+        target_limits.record_start(target, now)
     grant = Grant(request, target.target_id, now)
     table.grants[request.key] = grant
     stream_versions.record_stream(
--- a/tests/serving/test_limit_reports.py
+++ b/tests/serving/test_limit_reports.py
@@ -64,6 +64,26 @@
     pair.stop()
 
 
+def test_runs_that_a_new_dispatcher_adopts_are_no_new_starts() -> None:
+    """Mutation: count them: a limited target gets nothing until they are made up for."""
+    clock = ShiftedClock()
+    pair = start_pair(2, clock)
+    use_slot(pair, 2.0)
+    wait_for_limit(pair.dispatcher.table, 2.0)
+    clock.shift_s += 2.0
+    for _ in range(2):
+        acquire(pair.broker, make_request(clock.monotonic()))
+    pair.dispatcher._release_all("f1")
+    pair.dispatcher.table.targets["t0"].limit = None
+    pair.broker._link.drop()
+    wait_for_limit(pair.dispatcher.table, 2.0)
+    limit = pair.dispatcher.table.targets["t0"].limit
+    assert limit is not None
+    assert len(pair.dispatcher.table.grants) == 2
+    assert limit.starts == 0.0
+    pair.stop()
+
+
 def test_without_a_dispatcher_a_limit_is_kept_from_the_first_decision_on() -> None:
     clock = ShiftedClock()
     pair = start_pair(1, clock)
