--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -63,6 +63,7 @@
     runs = crash.writing if run.events >= EVENTS_TO_CLEAR else crash.silent
     if len(runs) < RUNS_PER_CRASH_MAX and len(run.traits) <= TRAITS_MAX:
         runs.append(run.traits)
+    row.suspected = frozenset().union(*(t for c in crashes for t in (*c.silent, *c.writing)))
 
 
 def record_success(table: CrashTable, service: str, traits: frozenset[str], now: float) -> bool:
@@ -73,16 +74,19 @@
     row = table.services.get(service)
     if row is None:
         return False
-    suspected = any(traits & crash.get_candidates() for crash in row.crashes)
+    refuted = [cause for cause in row.causes.values() if cause.traits & traits]
+    was_suspected = bool(refuted) or not traits.isdisjoint(row.suspected)
+    if not was_suspected:
+        return False
+    row.suspected -= traits
     for crash in row.crashes:
         crash.clear(traits)
-    for cause in [cause for cause in row.causes.values() if cause.traits & traits]:
+    for cause in refuted:
         if remaining := cause.traits - traits:
             _add_cause(table, service, remaining, now)
         else:
             _remove_cause(table, service, cause.traits)
-        suspected = True
-    return suspected
+    return True
 
 
 def find_cause(
