--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -103,10 +103,6 @@
         self.slots = SlotBroker(
             settings.name, settings.data_centre, self.fleet, pools, clock, rng, policy
         )
-        self._crash_records = CrashRecords(relayed, wire.own_prefix, settings.name, clock)
-        self._crash_records.add_table(self.slots.crashes)
-        self.slots.on_broken_alone = self._crash_records.record_run
-        self.slots.on_causes_found = self._crash_records.record_changes
         self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
         self._jobs = JobService(relayed, self.fleet, links, wire, clock)
         self._link_server = LinkServer((settings.host, settings.link_port))
@@ -123,9 +119,8 @@
                 ),
                 Retirement(settings, relayed, wire, clock, self.leave),
             )
-            dispatcher = self._job_parts.dispatcher
-            dispatcher.on_causes_changed = self._crash_records.record_changes
-            self._crash_records.add_table(dispatcher.table.crashes)
+        self._crash_records = CrashRecords(relayed, wire.own_prefix, settings.name, clock)
+        self._connect_crash_records()
         self._servers = self._create_servers()
 
     def start(self) -> None:
@@ -206,6 +201,16 @@
             "jobs": parts.runner.describe_state() if parts else None,
         }
 
+    def _connect_crash_records(self) -> None:
+        records = self._crash_records
+        records.add_table(self.slots.crashes)
+        self.slots.on_broken_alone = records.record_run
+        self.slots.on_causes_found = records.record_changes
+        if self._job_parts is not None:
+            dispatcher = self._job_parts.dispatcher
+            records.add_table(dispatcher.table.crashes)
+            dispatcher.on_causes_changed = records.record_changes
+
     def _create_servers(self) -> list[CallerServer]:
         settings = self._settings
         roles = (
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -69,15 +69,10 @@
                 instance.is_running()
         gevent.joinall([sender, injector])
         faults.end_all()
-        deadline = fleet.now() + SETTLE_S
-        unfinished_jobs = callers.read_jobs()
-        while unfinished_jobs and fleet.now() < deadline:
-            gevent.sleep(0.5)
-            unfinished_jobs = callers.read_jobs()
+        await_jobs(fleet, callers)
         if not fleet.has_two_builds:
             check_crashing_part(fleet, callers, float(args["--rate"]))
             check_limits(fleet, callers, float(args["--rate"]))
-        callers.broken += [f"{job}: some items are not listed" for job in sorted(unfinished_jobs)]
         callers.check_runs()
         for instance in fleet.instances:
             instance.is_running()
@@ -96,6 +91,16 @@
     return callers.broken
 
 
+def await_jobs(fleet: Fleet, callers: Callers) -> None:
+    """Wait up to ``SETTLE_S`` until all jobs list all their items; record those that don't."""
+    deadline = fleet.now() + SETTLE_S
+    unfinished_jobs = callers.read_jobs()
+    while unfinished_jobs and fleet.now() < deadline:
+        gevent.sleep(0.5)
+        unfinished_jobs = callers.read_jobs()
+    callers.broken += [f"{job}: some items are not listed" for job in sorted(unfinished_jobs)]
+
+
 def reserve_net(requested_net: str | None) -> socket.socket:
     """Return a listener that reserves the loopback addresses 127.N.x.y for this process.
 
