--- a/clementinepin/scheduling/_describe.py
+++ b/clementinepin/scheduling/_describe.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from clementinepin.scheduling._decider import Decider
+from clementinepin.systems import crash_causes
 from clementinepin.tables import AccountRow, TargetRow
 
 ACCOUNTS_SHOWN_MAX = 100
@@ -35,6 +36,7 @@
             }
             for row in tables.suspects
         ],
+        "crash_causes": crash_causes.describe_causes(tables.crashes),
     }
 
 
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -283,6 +283,8 @@
             "dispatcher_answers": self._link.is_responsive,
             "waiting": len(self._waiters),
             "taken": len(self._taken),
+            "limits_per_s": target_limits.list_limits(self._table),
+            "crash_causes": crash_causes.describe_causes(self.crashes),
         }
 
     def _wait_for_reply(self, waiter: _Waiter) -> Any:
--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -140,6 +140,15 @@
         _remove_cause(table, service, traits, is_own=False)
 
 
+def describe_causes(table: CrashTable) -> dict[str, list[list[str]]]:
+    """Return the traits of all known causes by service, as JSON-compatible values."""
+    return {
+        service: [sorted(traits) for traits in row.causes]
+        for service, row in table.services.items()
+        if row.causes
+    }
+
+
 def take_changes(table: CrashTable) -> list[CauseChange]:
     """Return the changes of causes since the last call."""
     changes = list(table.changes)
--- a/tests/serving/test_crash_reports.py
+++ b/tests/serving/test_crash_reports.py
@@ -7,6 +7,7 @@
 
 from clementinepin.serving._slot_requests import SlotRequest
 from clementinepin.serving.exceptions import OverloadedError
+from clementinepin.systems import target_limits
 from clementinepin.systems.crash_causes import CRASHES_MAX, SAME_CRASH_S
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.crashes import CrashTable
@@ -62,6 +63,20 @@
     pair.stop()
 
 
+def test_the_state_dump_names_limits_and_causes_of_crashes() -> None:
+    clock = ShiftedClock()
+    pair = start_pair(4, clock)
+    lose_dispatcher(pair)
+    crash_targets(pair, clock)
+    with pytest.raises(OverloadedError, match="crashed targets"):
+        acquire(pair.broker, make_crashing_request(pair, 9))
+    target_limits.name_limit(pair.broker._table.targets["t0"], 2.5, 0.0)
+    state = pair.broker.describe_state()
+    assert state["crash_causes"] == {"llm": [["bad"]]}
+    assert state["limits_per_s"] == {"t0": 2.5}
+    pair.stop()
+
+
 def test_a_new_dispatcher_hears_of_the_crashes_before_it() -> None:
     clock = ShiftedClock()
     pair = start_pair(4, clock)
