--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -119,7 +119,7 @@
                 ),
                 Retirement(settings, relayed, wire, clock, self.leave),
             )
-        self._crash_records = CrashRecords(relayed, wire.own_prefix, settings.name, clock)
+        self._crash_records = CrashRecords(relayed, wire.own_prefix, clock)
         self._connect_crash_records()
         self._servers = self._create_servers()
 
--- a/clementinepin/serving/_crash_records.py
+++ b/clementinepin/serving/_crash_records.py
@@ -57,10 +57,10 @@
     that were read.
     """
 
-    def __init__(self, store: StateStore, own_prefix: str, name: str, clock: Clock) -> None:
+    def __init__(self, store: StateStore, own_prefix: str, clock: Clock) -> None:
         self._store = store
         self._prefix = own_prefix + "crashes/"
-        self._name = name
+        self._run_prefix = self._prefix + "run-"
         self._clock = clock
         self._pending: dict[str, bytes | None] = {}
         self._changed = Event()
@@ -92,7 +92,7 @@
         record = RunRecord(
             member, number, run.target_id, run.service, sorted(run.traits), run.events, ended_ms
         )
-        self._put(f"{self._prefix}run-{member}-{number}-{ended_ms}", _encode(record))
+        self._put(f"{self._run_prefix}{member}-{number}-{ended_ms}", _encode(record))
 
     def replace_rows(self, rows: list[KeyValue]) -> None:
         """Merge the records of the whole range, and drop the causes that are gone."""
@@ -169,8 +169,9 @@
     def _write_group(self) -> None:
         """Write the first pending rows that belong into one call: causes, or leased runs."""
         first = next(iter(self._pending))
-        is_run = "/run-" in first
-        keys = [key for key in self._pending if ("/run-" in key) == is_run][:ROWS_PER_WRITE_MAX]
+        is_run = first.startswith(self._run_prefix)
+        keys = [key for key in self._pending if key.startswith(self._run_prefix) == is_run]
+        keys = keys[:ROWS_PER_WRITE_MAX]
         rows = {key: self._pending[key] for key in keys}
         lease_id = self._grant_lease() if is_run else 0
         put = {key: value for key, value in rows.items() if value is not None}
--- a/tests/serving/test_crash_records.py
+++ b/tests/serving/test_crash_records.py
@@ -24,7 +24,7 @@
         self.name = name
         self.clock = create_system_clock()
         self.table = CrashTable()
-        self.records = CrashRecords(store, "cp/", name, self.clock)
+        self.records = CrashRecords(store, "cp/", self.clock)
         self.records.add_table(self.table)
         self.records.start()
 
