Blame no part of items for crashes of targets

An item waits only while requests of callers with its part crash targets.

Both new tests failed before: the fourth item was rejected; the own interface recorded lost items.

--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -147,7 +147,8 @@
     grant = table.grants.pop(key, None)
     if grant is None:
         return
-    if outcome is RunOutcome.BROKEN:
+    if outcome is RunOutcome.BROKEN and not grant.is_batch:
+        # Items are never what crashes targets by themselves.
         run = BrokenRun(key, grant.target_id, grant.service, grant.traits, events)
         crash_causes.record_crash(table.crashes, run, now)
     elif succeeded:
--- a/clementinepin/systems/results.py
+++ b/clementinepin/systems/results.py
@@ -127,7 +127,8 @@
 ) -> tuple[BrokenRun | None, frozenset[str]]:
     """Record what the end of a call tells of its prompt's parts; return what peers must hear."""
     traits = frozenset(row.call.parts)
-    if result is CallResult.LOST and now < row.call.deadline and traits:
+    is_caller = is_online(row.call)  # items are never what crashes targets by themselves
+    if result is CallResult.LOST and is_caller and now < row.call.deadline and traits:
         key = (view.instance, row.ticket)
         run = BrokenRun(key, row.target, row.call.service, traits, row.tokens)
         crash_causes.record_crash(tables.crashes, run, now)
--- a/tests/scheduling/test_poison.py
+++ b/tests/scheduling/test_poison.py
@@ -166,3 +166,14 @@
     assert second._messenger.fetch_suspects()
     with pytest.raises(RequestCondemnedError):
         second.acquire(build_call("next", parts=("a9", "bad")))
+
+
+def test_items_under_which_targets_crash_blame_no_part():
+    fleet = build_fleet(INSTANCES[:1], TARGETS, build_configuration(slots=12))
+    scheduler = fleet[INSTANCES[0]]
+    info = build_call("item", priority="batch", fingerprint="", parts=("job",))
+    for _ in range(CRASHES_MAX + 1):
+        row = scheduler._decider.submit(info, 0.0, 0.0)
+        grant = scheduler._decider._create_placer().grant(row, "t0", 0.0)
+        scheduler._decider.finish(grant.ticket, CallResult.LOST, 1.0, 1.0)
+    assert not scheduler._decider.tables.crashes.services
--- a/tests/systems/test_crash_causes.py
+++ b/tests/systems/test_crash_causes.py
@@ -226,3 +226,24 @@
     for number in range(4):
         record_run(table, number, 0.001 * number, {"job"}, 40, f"t{number}")
     assert not has_cause(table, 1.0, "job")
+
+
+def test_items_under_which_targets_crash_are_not_held_back() -> None:
+    """Items of one job were held back behind three crashes, and 20 were left lying.
+
+    Day hunt-b979-7 of kirkvoice-serve-grown.
+    """
+    table = make_table(targets=9, slots=8)
+    rng = random.Random(1)
+    for number in range(6):
+        item = make_item(number, float(number), prefix_ids=("x", "own"))
+        assert isinstance(dispatching.submit(table, item, float(number), rng)[0], Granted)
+        break_run(table, item.key, number + 0.1, 0)
+
+
+def test_an_item_waits_while_callers_with_its_part_crash_targets() -> None:
+    table = make_table(targets=9, slots=8)
+    rng = random.Random(1)
+    now = record_crashes(table.crashes, {"a", "bad"}, {"b", "bad"}, {"c", "bad"})
+    item = make_item(1, now, prefix_ids=("bad", "own"))
+    assert isinstance(dispatching.submit(table, item, now, rng)[0], Rejected)
