--- a/tests/systems/crash_load.py
+++ b/bench/crash_load.py
@@ -11,8 +11,13 @@
 from clementinepin.systems.dispatch_actions import Granted, Rejected, RunOutcome
 from clementinepin.tables.crashes import BrokenRun
 from clementinepin.tables.dispatch import DispatchTable, GrantKey, PendingRequest, TargetLoad
-from tests.systems.dispatch_parts import make_request
 
+CONTACT_S: Final = 3.0  # within which the users expect that a crash is known everywhere
+CRASHES_TO_KNOW: Final = 5
+SENT_LATER_MAX: Final = 3
+RUN_S: Final = 0.75
+START_IN_TIME_S: Final = 0.24
+PATIENCE_S: Final = 1.9
 CRASH_AFTER_S: Final = 0.1  # from the grant
 EVENT_GAP_S: Final = 0.03
 FIRST_EVENT_AFTER_S: Final = 0.06
@@ -109,9 +114,14 @@
         if kind == "crashing":
             first = f"a{self._random.randrange(load.crashing_first_parts)}"
             second = self._random.choice(load.crashing_parts)
-        request = make_request(
-            number,
-            now,
+        request = PendingRequest(
+            key=("f", number),
+            service="llm",
+            is_batch=False,
+            requested_at=now,
+            on_time_by=now + START_IN_TIME_S,
+            deadline=now + PATIENCE_S,
+            run_s=RUN_S,
             prefix_ids=(first, second, f"own{number}"),
             fingerprint=f"fingerprint{number}",
         )
@@ -158,3 +168,21 @@
 def break_run(table: DispatchTable, key: GrantKey, now: float, events: int) -> None:
     """Report that the target of a run broke it off after this many events."""
     dispatching.finish(table, key, RunOutcome.BROKEN, now, events=events)
+
+
+def count_sent_later(tally: Tally) -> int:
+    """Return how many crashing requests were sent although five targets had crashed under them."""
+    if len(tally.crashes) < CRASHES_TO_KNOW:
+        return 0
+    known_at = tally.crashes[CRASHES_TO_KNOW - 1] + CONTACT_S
+    return sum(at > known_at for at in tally.crashing_grants)
+
+
+def measure_served_share(tally: Tally, since: float, first_part: str = "") -> float:
+    """Return the share of sound requests that began at the first attempt, by their first part."""
+
+    def count(rows: list[tuple[float, str]]) -> int:
+        return sum(at > since and part.startswith(first_part) for at, part in rows)
+
+    begun, rejected = count(tally.sound_grants), count(tally.sound_rejections)
+    return begun / max(1, begun + rejected)
--- a/tests/systems/test_crash_causes.py
+++ b/tests/systems/test_crash_causes.py
@@ -6,34 +6,21 @@
 
 import pytest
 
+from bench.crash_load import (
+    CONTACT_S,
+    CRASHES_TO_KNOW,
+    SENT_LATER_MAX,
+    CrashLoad,
+    Load,
+    break_run,
+    count_sent_later,
+    measure_served_share,
+)
 from clementinepin.systems import crash_causes, dispatching
 from clementinepin.systems.dispatch_actions import Granted, Rejected, RunOutcome
 from clementinepin.tables.crashes import BrokenRun, CrashTable
-from tests.systems.crash_load import CrashLoad, Load, Tally, break_run
 from tests.systems.dispatch_parts import make_item, make_request, make_table
 
-CONTACT_S = 3.0  # within which the users expect that a crash is known everywhere
-CRASHES_TO_KNOW = 5
-SENT_LATER_MAX = 3
-
-
-def count_sent_later(tally: Tally) -> int:
-    """Return how many crashing requests were sent although five targets had crashed under them."""
-    if len(tally.crashes) < CRASHES_TO_KNOW:
-        return 0
-    known_at = tally.crashes[CRASHES_TO_KNOW - 1] + CONTACT_S
-    return sum(at > known_at for at in tally.crashing_grants)
-
-
-def measure_served_share(tally: Tally, since: float, first_part: str = "") -> float:
-    """Return the share of sound requests that began at the first attempt, by their first part."""
-
-    def count(rows: list[tuple[float, str]]) -> int:
-        return sum(at > since and part.startswith(first_part) for at, part in rows)
-
-    begun, rejected = count(tally.sound_grants), count(tally.sound_rejections)
-    return begun / max(1, begun + rejected)
-
 
 @pytest.mark.parametrize("crashing_first_parts", [1, 3, 40])
 def test_requests_that_share_a_crashing_prompt_part_are_not_sent_on(
