Blame no part that succeeded lately beside one that never did

The first part that the first crashing requests shared was blamed together with the crashing one, as all targets were down and nothing could clear it; requests with other first parts crashed more targets. The dispatcher now remembers which traits succeeded in the last minute: these are left out of a cause if others remain, and only they need two more crashes to widen one. The new test failed before.

--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -24,7 +24,7 @@
 )
 
 CRASHES_MAX: Final = 3  # the users accept that one request crashes up to three targets
-NEW_CRASHES_MIN: Final = 2  # before a cause is widened, as one crash may have another cause
+NEW_CRASHES_MIN: Final = 2  # that widen a cause by a part that succeeded lately
 SAME_CRASH_S: Final = 0.1  # instances report the runs of one crash within a few milliseconds
 EVENTS_TO_CLEAR: Final = 5  # a run that brought more was written for some time
 CRASH_MEMORY_S: Final = 600.0
@@ -32,6 +32,8 @@
 SAME_RUN_S: Final = 5.0  # an instance that starts again uses its numbers again
 REPORTED_MAX: Final = 1_024
 RUNS_PER_CRASH_MAX: Final = 128  # a full target runs tens of requests
+SOUND_MAX: Final = 10_000  # per service; a few hundred parts are in use, and digests of requests
+SOUND_MEMORY_S: Final = 60.0  # a part may begin to crash targets that it did not crash before
 TRAITS_MAX: Final = 64  # of one request; usual ones have a few
 CAUSES_MAX: Final = 256  # per service; the ones that were met longest ago are dropped
 CAUSE_TTL_S: Final = 3_600.0  # after the last request that has the traits
@@ -71,9 +73,12 @@
 
     Return whether any of them was suspected.
     """
-    row = table.services.get(service)
-    if row is None:
-        return False
+    row = table.services[service]
+    for trait in traits:
+        row.sound[trait] = now
+        row.sound.move_to_end(trait)
+    while len(row.sound) > SOUND_MAX:
+        row.sound.popitem(last=False)
     refuted = [cause for cause in row.causes.values() if cause.traits & traits]
     was_suspected = bool(refuted) or not traits.isdisjoint(row.suspected)
     if not was_suspected:
@@ -187,11 +192,11 @@
     # Whoever found the cause of older crashes has tried it already.
     is_new = any(now - crash.at < TRIAL_GAP_S for crash in row.crashes if crash.is_settled)
     gap_s = TRIAL_GAP_S if is_new else TRIAL_GAP_S * TRIAL_GAP_FACTOR
-    while traits := _find_new_cause(row):
-        _add_cause(table, service, traits, now, gap_s)
+    while traits := _find_new_cause(row, now):
+        _add_cause(table, service, _drop_sound(row, traits, now), now, gap_s)
 
 
-def _find_new_cause(row: ServiceCrashes) -> frozenset[str]:
+def _find_new_cause(row: ServiceCrashes, now: float) -> frozenset[str]:
     """Return the traits that enough crashes have in common, the most specific first, or none.
 
     A crash that a known cause explains counts only for wider forms of that cause: a sound part that
@@ -210,7 +215,8 @@
     found: list[_Finding] = []
     for trait, count in counts.items():
         related = [crash for traits, crash in explained if trait in traits]
-        if count >= NEW_CRASHES_MIN and count + len(related) >= CRASHES_MAX:
+        needed = NEW_CRASHES_MIN if _was_sound(row, trait, now) else 1
+        if count >= needed and count + len(related) >= CRASHES_MAX:
             related += [crash for crash in unexplained if trait in crash.get_candidates()]
             found.append(_describe_common(trait, related))
     return max(found).get_traits() if found else frozenset()
@@ -227,6 +233,20 @@
     )
 
 
+def _was_sound(row: ServiceCrashes, trait: str, now: float) -> bool:
+    return now - row.sound.get(trait, float("-inf")) < SOUND_MEMORY_S
+
+
+def _drop_sound(row: ServiceCrashes, traits: frozenset[str], now: float) -> frozenset[str]:
+    """Return the traits without those that succeeded shortly before, unless that leaves none.
+
+    Load pattern: all targets are down, so that no request can clear the sound part that the first
+    crashing requests share.
+    """
+    doubtful = frozenset(trait for trait in traits if not _was_sound(row, trait, now))
+    return doubtful or traits
+
+
 class _Finding(NamedTuple):
     """What crashes have in common; the greatest one is the most specific, then the most frequent.
 
--- a/clementinepin/tables/crashes.py
+++ b/clementinepin/tables/crashes.py
@@ -81,13 +81,15 @@
     """The last crashes of one service's targets, oldest first, and their causes by traits.
 
     ``reported`` has when the last runs ended that were reported as broken off. ``suspected`` has
-    the traits of all runs that crashes ended, without those cleared since.
+    the traits of all runs that crashes ended, without those cleared since. ``sound`` has when
+    requests with a trait succeeded last, the oldest first.
     """
 
     def __init__(self) -> None:
         self.reported: OrderedDict[RunKey, float] = OrderedDict()
         self.crashes: list[Crash] = []
         self.suspected: frozenset[str] = frozenset()
+        self.sound: OrderedDict[str, float] = OrderedDict()
         self.causes: dict[frozenset[str], CrashCause] = {}
 
 
--- a/tests/systems/test_crash_causes.py
+++ b/tests/systems/test_crash_causes.py
@@ -234,3 +234,38 @@
     now = record_crashes(table.crashes, {"a", "bad"}, {"b", "bad"}, {"c", "bad"})
     item = make_item(1, now, prefix_ids=("bad", "own"))
     assert isinstance(dispatching.submit(table, item, now, rng)[0], Rejected)
+
+
+def test_a_part_that_no_request_succeeded_with_is_found_by_one_crash_more() -> None:
+    """Soak, seed 3045: the first part was blamed together with it, while all targets were down."""
+    table = CrashTable()
+    crash_causes.record_success(table, "llm", frozenset({"a0", "b", "f"}), -1.0)
+    now = record_crashes(table, {"a0", "bad", "f1"}, {"a0", "bad", "f1"}, {"a0", "bad", "f1"})
+    assert has_cause(table, now, "a0", "bad", "f1")
+    record_run(table, 9, now, {"a2", "bad", "f2"})
+    assert has_cause(table, now + 1.0, "a1", "bad", "f3")
+    assert not has_cause(table, now + 1.0, "a0", "b", "f4")
+
+
+def test_the_memory_of_traits_that_succeeded_is_bounded() -> None:
+    """Mutation: keep the digests of all requests."""
+    table = CrashTable()
+    for number in range(2 * crash_causes.SOUND_MAX):
+        crash_causes.record_success(table, "llm", frozenset({f"f{number}"}), 1.0)
+    assert len(table.services["llm"].sound) == crash_causes.SOUND_MAX
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_the_search_for_causes_ends_whatever_crashed(seed: int) -> None:
+    """A trial looped without end: a crash counted as unexplained by the cause found from it."""
+    rng = random.Random(seed)
+    table = CrashTable()
+    for number in range(60):
+        now = number * 0.2
+        traits = set(rng.sample("abcdef", rng.randint(1, 4)))
+        if rng.random() < 0.3:
+            crash_causes.record_success(table, "llm", frozenset(traits), now)
+        else:
+            events = rng.choice((0, 20))
+            record_run(table, number, now, traits, events, f"t{rng.randrange(3)}")
+        has_cause(table, now + 0.15, *traits)
