Refute a stored crash cause by what has succeeded since it was found

While two dispatchers serve, one may write a cause that the other clears; its record came back and held a sound part back until the next trial, up to a minute. Records name when their cause was found; what succeeded later is left out, and a cause of which nothing remains is removed. The new test failed before.

--- a/clementinepin/scheduling/_messenger.py
+++ b/clementinepin/scheduling/_messenger.py
@@ -229,7 +229,7 @@
         now = self._core.clock.monotonic()
         for cause in message.get("causes", ()):
             crash_causes.merge_cause(
-                self._decider.tables.crashes, cause["service"], frozenset(cause["parts"]), now
+                self._decider.tables.crashes, cause["service"], frozenset(cause["parts"]), now, now
             )
         self._run_systems()
         return {}
--- a/clementinepin/serving/_crash_records.py
+++ b/clementinepin/serving/_crash_records.py
@@ -28,10 +28,14 @@
 
 
 class CauseRecord(msgspec.Struct, array_like=True, tag="cause", frozen=True):
-    """Traits that crash targets when one request to the service has all of them."""
+    """Traits that crash targets when one request to the service has all of them.
+
+    They were found at ``found_ms`` (Unix time).
+    """
 
     service: str
     traits: list[str]
+    found_ms: int
 
 
 class RunRecord(msgspec.Struct, array_like=True, tag="run", frozen=True):
@@ -82,8 +86,10 @@
     def record_changes(self, changes: list[CauseChange]) -> None:
         """Write the causes that became known, and remove those no longer believed."""
         for change in changes:
-            record = CauseRecord(change.service, sorted(change.traits))
-            self._put(self._make_cause_key(record), _encode(record) if change.is_known else None)
+            traits, found_ms = sorted(change.traits), int(self._clock.wall() * 1000)
+            value = _encode(CauseRecord(change.service, traits, found_ms))
+            key = self._make_cause_key(change.service, traits)
+            self._put(key, value if change.is_known else None)
 
     def record_run(self, run: BrokenRun) -> None:
         """Write a run that was broken off, so that it counts at all instances."""
@@ -129,9 +135,10 @@
                 log = logger.bind(service=record.service, traits=record.traits)
                 log.info("crash_cause_received")
             self._known[key] = record
+            found_at = now - max(0.0, self._clock.wall() - record.found_ms / 1000)
             for table in self._tables:
                 traits = frozenset(record.traits)
-                crash_causes.merge_cause(table, record.service, traits, now)
+                crash_causes.merge_cause(table, record.service, traits, found_at, now)
 
     def _read(self, key: str, value: bytes) -> CauseRecord | RunRecord | None:
         try:
@@ -140,8 +147,9 @@
             logger.bind(key=key, error=str(err)).error("crash_record_unreadable")
             return None
 
-    def _make_cause_key(self, record: CauseRecord) -> str:
-        return f"{self._prefix}cause-{xxhash.xxh3_64_hexdigest(_encode(record))}"
+    def _make_cause_key(self, service: str, traits: list[str]) -> str:
+        digest = xxhash.xxh3_64_hexdigest("/".join((service, *traits)).encode())
+        return f"{self._prefix}cause-{digest}"
 
     def _put(self, key: str, value: bytes | None) -> None:
         self._pending.pop(key, None)
--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -133,8 +133,19 @@
         cause.trial_at = now + cause.trial_gap_s
 
 
-def merge_cause(table: CrashTable, service: str, traits: frozenset[str], now: float) -> None:
-    """Add a cause that another instance found; that one has tried it again already."""
+def merge_cause(
+    table: CrashTable, service: str, traits: frozenset[str], found_at: float, now: float
+) -> None:
+    """Add a cause that another instance found, without what has succeeded here since.
+
+    The other instance has tried it again already. A cause of which nothing remains is refuted.
+    """
+    sound = table.services[service].sound
+    refuted = frozenset(t for t in traits if sound.get(t, float("-inf")) > found_at)
+    if refuted == traits:
+        table.changes.append(CauseChange(service, traits, False))
+        return
+    traits -= refuted
     gap_s = TRIAL_GAP_S * TRIAL_GAP_FACTOR
     _add_cause(table, service, traits, now, gap_s, is_own=False)
 
--- a/tests/serving/test_crash_records.py
+++ b/tests/serving/test_crash_records.py
@@ -84,6 +84,20 @@
         assert not instance.has_cause("a1", "b")
 
 
+def test_a_record_that_a_later_success_refutes_holds_nothing_back(store: MemoryStore) -> None:
+    """While two dispatchers serve, one may write what the other has cleared meanwhile."""
+    first, second = Instance(store, "f1"), Instance(store, "f2")
+    first.find_cause("bad")
+    wait_until(lambda: second.has_cause("bad"))
+    row = next(iter(store.rows.values()))
+    later = second.clock.monotonic() + 1.0
+    crash_causes.record_success(second.table, "llm", frozenset({"bad"}), later)
+    assert not second.has_cause("bad")
+    wait_until(lambda: not store.rows)
+    second.records.apply_change(row.key, row.value, row.version + 9)
+    assert not second.has_cause("bad")
+
+
 def test_a_run_whose_record_comes_late_counts_once(store: MemoryStore) -> None:
     """Rows that are written after an outage came as new crashes of the same runs."""
     instance, other = Instance(store, "f1"), Instance(store, "f2")
