--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -74,12 +74,7 @@
             check_crashing_part(fleet, callers, float(args["--rate"]))
             check_limits(fleet, callers, float(args["--rate"]))
         callers.check_runs()
-        for instance in fleet.instances:
-            instance.is_running()
-            callers.broken += [
-                f"{instance.name}: ended unexpectedly with exit code {c}"
-                for c in instance.unexpected_exit_codes
-            ]
+        callers.broken += list_unexpected_ends(fleet)
     finally:
         fleet.stop()
     print(
@@ -91,6 +86,17 @@
     return callers.broken
 
 
+def list_unexpected_ends(fleet: Fleet) -> list[str]:
+    """Return a line for each daemon that ended by itself."""
+    for instance in fleet.instances:
+        instance.is_running()
+    return [
+        f"{instance.name}: ended unexpectedly with exit code {code}"
+        for instance in fleet.instances
+        for code in instance.unexpected_exit_codes
+    ]
+
+
 def await_jobs(fleet: Fleet, callers: Callers) -> None:
     """Wait up to ``SETTLE_S`` until all jobs list all their items; record those that don't."""
     deadline = fleet.now() + SETTLE_S
