--- a/bench/crashes.py
+++ b/bench/crashes.py
@@ -1,7 +1,7 @@
 """Measure what the causes of crashes cost a dispatcher.
 
 Usage: python -m bench.crashes [--short]. The last line is one JSON object: memory of the crashes
-that are remembered, and time a request for a slot and a success, while they are.
+and successes that are remembered, and time a request for a slot and a success, while they are.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 import msgspec
 
 from clementinepin.systems import crash_causes
-from clementinepin.systems.crash_causes import CRASHES_KEPT_MAX
+from clementinepin.systems.crash_causes import CRASHES_KEPT_MAX, SOUND_MAX
 from clementinepin.tables.crashes import BrokenRun, CrashTable
 
 SERVICE = "llm"
@@ -49,9 +49,11 @@
 
 
 def measure_crashes(requests: int) -> dict[str, Any]:
-    """Return the figures with as many crashes as are remembered for a service."""
+    """Return the figures with as many crashes and successes as are remembered for a service."""
     tracemalloc.start()
     table = fill_table(CRASHES_KEPT_MAX)
+    for number in range(SOUND_MAX):
+        crash_causes.record_success(table, SERVICE, frozenset({f"digest-{number:026}"}), 0.0)
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     now = CRASHES_KEPT_MAX + 1.0
