--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, Final
 
 import gevent
@@ -33,7 +34,7 @@
 from clementinepin.systems.dispatch_actions import Action, Granted, Rejected, RunOutcome
 from clementinepin.systems.service_load import list_services, measure_load
 from clementinepin.tables.crashes import CauseChange
-from clementinepin.tables.dispatch import DispatchTable, TargetLoad
+from clementinepin.tables.dispatch import DispatchTable, GrantKey, TargetLoad
 
 TICK_S: Final = 0.02  # longest delay of queue changes that only the passing of time causes
 LOAD_LOG_PERIOD_S: Final = 0.5  # a peak of callers lasts a few seconds
@@ -133,9 +134,10 @@
         outcome = RunOutcome(message.outcome)
         key = (link.name, message.number)
         grant = self.table.grants.get(key)
-        dispatching.finish(
-            self.table, key, outcome, now, succeeded=message.succeeded, events=message.events
-        )
+        with self._log_avoidance(key, outcome):
+            dispatching.finish(
+                self.table, key, outcome, now, succeeded=message.succeeded, events=message.events
+            )
         if grant is not None and outcome is RunOutcome.BROKEN:
             log = logger.bind(
                 member=link.name, target=grant.target_id, ran_s=round(now - grant.started_at, 3)
@@ -159,7 +161,20 @@
 
     def _handle_silence(self, link: Link, message: messages.ReportSilence) -> None:
         key = (link.name, message.number)
-        target_health.record_silence(self.table, key, self._clock.monotonic())
+        with self._log_avoidance(key, "silent"):
+            target_health.record_silence(self.table, key, self._clock.monotonic())
+
+    @contextmanager
+    def _log_avoidance(self, key: GrantKey, reason: str) -> Iterator[None]:
+        """Log if the block, which handles an instance's report, makes a target avoided."""
+        grant = self.table.grants.get(key)
+        target = self.table.targets.get(grant.target_id) if grant is not None else None
+        avoided_until = target.avoid_until if target is not None else 0.0
+        yield
+        if target is not None and target.avoid_until > avoided_until:
+            for_s = round(target.avoid_until - self._clock.monotonic(), 3)
+            log = logger.bind(target=target.target_id, member=key[0], reason=reason)
+            log.bind(for_s=for_s).info("target_avoided")
 
     def _send_actions(self, actions: list[Action]) -> None:
         for action in actions:
