--- a/tests/serving/test_cut_off_instances.py
+++ b/tests/serving/test_cut_off_instances.py
@@ -5,12 +5,13 @@
 import random
 from collections.abc import Iterator
 
+import pytest
 
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.platform import create_wire
 from clementinepin.serving._app import App
 from clementinepin.serving._metrics import ServingMetrics
-from clementinepin.serving.models import Member, RouteKind, Target
+from clementinepin.serving.models import Member, RouteKind
 from clementinepin.systems.dispatch_actions import RunOutcome
 from tests.serving.cut_links import CutLink, Manner
 from tests.serving.harness import ID, Harness, get_status, send_events
