Send requests through other instances where the own links to targets fail

What callers saw: an instance that had lost its links to all targets (they hung, or refused new connections) tried one target after the other, 1 s each, and answered with 503 or not at all.

Cause: reaching a target was something that each instance did alone, although all others could do it for it.

Ruled out: to send callers elsewhere by the directory only (callers keep addresses for 2 to 15 s, and all entries of a data centre may be cut off), and to pass whole requests on (the entry would lose slots, deadlines and resumption, and two instances would decide on repeats).

Change: a connection that is refused, or does not open within 0.1 s, is opened through another instance at the same time; the first one wins. Tunnels carry bytes in frames and say how the target ended its connection, so that a lost relay is never taken for a complete response. A relay knows the target by its id only, and uses its own links. Lost links are tried again each second. The keep-alive probe count is gone: a set user timeout decides.

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -31,6 +31,7 @@
 from clementinepin.serving._retirement import Retirement
 from clementinepin.serving._runner import JobRunner
 from clementinepin.serving._slots import SlotBroker
+from clementinepin.serving._tunnels import TunnelClient, TunnelServer
 from clementinepin.serving.exceptions import (
     BadRequestError,
     CallerGoneError,
@@ -99,7 +100,8 @@
         )
         self.fleet = FleetView(settings, relayed, wire, clock, outages)
         relayed.list_relays = self.fleet.list_relays
-        pools = TargetPools(self.fleet, clock)
+        pools = TargetPools(self.fleet, clock, TunnelClient(self.fleet, settings.name, clock, rng))
+        self._pools = pools
         self.slots = SlotBroker(
             settings.name, settings.data_centre, self.fleet, pools, clock, rng, policy
         )
@@ -107,6 +109,7 @@
         self._jobs = JobService(relayed, self.fleet, links, wire, clock)
         self._link_server = LinkServer((settings.host, settings.link_port))
         RelayServer(self._link_server, direct_store, clock)
+        self._tunnels = TunnelServer(self._link_server, self.fleet, clock)
         self._job_parts: _JobParts | None = None
         if settings.runs_jobs:
             link_server = self._link_server
@@ -149,6 +152,7 @@
         if self._job_parts is not None:
             self._job_parts.runner.leave()
         self.fleet.announce_leaving()
+        self._tunnels.leave()
 
     def stop(self) -> None:
         """Leave the fleet and stop all parts within the grace time.
@@ -167,7 +171,7 @@
                 gevent.sleep(IDLE_CHECK_S)
             for server in self._servers:
                 server.stop_accepting()
-        while self._active and self._clock.monotonic() < deadline:
+        while self._count_active() and self._clock.monotonic() < deadline:
             gevent.sleep(IDLE_CHECK_S)
         self.fleet.withdraw()
         self.slots.stop()
@@ -175,6 +179,10 @@
             self._job_parts.dispatcher.stop()
         self._link_server.stop()
 
+    def _count_active(self) -> int:
+        """Return the requests in progress, those that other instances send through this one too."""
+        return self._active + self._tunnels.open_count
+
     def apply_settings(self, settings: InstanceSettings) -> list[str]:
         """Apply the settings that may change at run time; return the names of others that changed.
 
@@ -197,6 +205,7 @@
             "active": self._active,
             "fleet": self.fleet.describe_state(),
             "slots": self.slots.describe_state(),
+            "links": {**self._pools.describe_state(), "tunnels": self._tunnels.open_count},
             "dispatcher": parts.dispatcher.describe_state() if parts else None,
             "jobs": parts.runner.describe_state() if parts else None,
         }
--- a/clementinepin/serving/_links.py
+++ b/clementinepin/serving/_links.py
@@ -25,11 +25,8 @@
 M = TypeVar("M")
 
 
-def _set_options(sock: Any) -> None:
-    """Disable Nagle's algorithm, and close a connection whose peer stops acknowledging data.
-
-    Heartbeats make sure that there is always data to acknowledge.
-    """
+def set_options(sock: Any) -> None:
+    """Disable Nagle's algorithm, and close a connection whose peer stops acknowledging data."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, PEER_TIMEOUT_MS)
 
@@ -51,6 +48,7 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self._handlers: dict[type, list[Callable[[Link, Any], None]]] = {}
         self._close_handlers: list[Callable[[str], None]] = []
+        self._takeovers: dict[type, Callable[[Any, messages.FrameReader, Any], None]] = {}
         self._server = StreamServer(address, self._serve)
         self.links: dict[str, Link] = {}
 
@@ -58,6 +56,15 @@
         """Call ``handler`` for each message of the type; handlers run in order of registration."""
         self._handlers.setdefault(kind, []).append(handler)
 
+    def take_over(
+        self, kind: type[M], handler: Callable[[Any, messages.FrameReader, M], None]
+    ) -> None:
+        """Leave a connection to ``handler(sock, reader, message)`` once it brings such a message.
+
+        The connection is closed when the handler returns.
+        """
+        self._takeovers[kind] = handler
+
     def handle_close(self, handler: Callable[[str], None]) -> None:
         """Call ``handler`` with the name of each instance whose connection ended."""
         self._close_handlers.append(handler)
@@ -78,12 +85,16 @@
             link.send(message)
 
     def _serve(self, sock: Any, _peer: Any) -> None:
-        _set_options(sock)
+        set_options(sock)
         link = Link(sock)
         reader = messages.FrameReader()
         try:
             while data := sock.recv(READ_SIZE_BYTES):
                 for message in reader.feed(data):
+                    take_over = self._takeovers.get(type(message))
+                    if take_over is not None:
+                        take_over(sock, reader, message)
+                        return
                     self._handle_message(link, message)
         except (OSError, ValueError) as err:
             logger.bind(member=link.name, error=str(err)).info("link_broke")
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -1,6 +1,7 @@
 """Messages between instances, and their encoding as length-prefixed MessagePack frames.
 
-They cover slots, load reports, relayed store calls, the feed of store rows and job results.
+They cover slots, load reports, relayed store calls, the feed of store rows, job results and tunnels
+to targets.
 Structs are encoded as arrays: their tags, fields and the order of fields are the wire format.
 """
 
@@ -241,6 +242,36 @@
     results: list[tuple[str, str, str]] = []
 
 
+class OpenTunnel(msgspec.Struct, array_like=True, tag=17, frozen=True):
+    """Asks the receiver to connect this connection to a target, within ``timeout_s``."""
+
+    target_id: str
+    timeout_s: float
+
+
+class TunnelOpened(msgspec.Struct, array_like=True, tag=18, frozen=True):
+    """Whether the target was connected: ``failure`` says why not, and is empty otherwise."""
+
+    failure: str = ""
+    refused: bool = False
+
+
+class TunnelData(msgspec.Struct, array_like=True, tag=19, frozen=True):
+    """Bytes to or from the target."""
+
+    data: bytes
+
+
+class TunnelEnded(msgspec.Struct, array_like=True, tag=20, frozen=True):
+    """The target closed its connection; ``broken`` says that it was reset or failed."""
+
+    broken: bool
+
+
+class TunnelLeaving(msgspec.Struct, array_like=True, tag=21, frozen=True):
+    """The sender stops soon: the tunnel must carry no other request."""
+
+
 Message = (
     Hello
     | SlotTaken
@@ -259,6 +290,11 @@
     | FeedHeartbeat
     | ReadJob
     | JobPage
+    | OpenTunnel
+    | TunnelOpened
+    | TunnelData
+    | TunnelEnded
+    | TunnelLeaving
 )
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
--- a/clementinepin/serving/_pools.py
+++ b/clementinepin/serving/_pools.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving.models import Target
-from clementinepin.targets import TargetAddress, Transport
+from clementinepin.targets import TargetAddress, Transport, create_dialer
+from clementinepin.targets.exceptions import TargetLostError
+from clementinepin.targets.models import Relays
 
 
 class TargetPools:
     """Transports by target id; those of removed or restarted targets are closed."""
 
-    def __init__(self, fleet: FleetView, clock: Clock) -> None:
+    def __init__(self, fleet: FleetView, clock: Clock, relays: Relays | None = None) -> None:
         self._fleet = fleet
         self._clock = clock
+        self._dialer = create_dialer(clock, relays)
         self._transports: dict[str, tuple[Target, Transport]] = {}
         fleet.subscribe(self._close_removed)
 
@@ -25,7 +30,7 @@
         if current is not None:
             current[1].close()
         address = TargetAddress(target.target_id, target.host, target.port)
-        transport = Transport(address, self._clock)
+        transport = Transport(address, self._clock, self._dialer)
         self._transports[target.target_id] = target, transport
         return transport
 
@@ -33,6 +38,23 @@
         """Return the ids of targets with an idle open connection."""
         return [name for name, (_, transport) in self._transports.items() if transport.idle]
 
+    def is_link_lost(self, target_id: str, err: TargetLostError) -> bool:
+        """Return whether a request was lost on the way to a target, not by the target.
+
+        May wait for a check of the link.
+        """
+        current = self._transports.get(target_id)
+        return current is not None and current[1].is_link_lost(err)
+
+    def check_link(self, target_id: str) -> bool:
+        """Return whether only other instances reach a target; may wait for a check."""
+        current = self._transports.get(target_id)
+        return current is not None and current[1].check_link()
+
+    def describe_state(self) -> dict[str, Any]:
+        """Return the targets that only other instances reach, as JSON-compatible values."""
+        return {"relayed": self._dialer.list_relayed()}
+
     def _close_removed(self) -> None:
         for target_id in set(self._transports) - set(self._fleet.targets.rows):
             self._transports.pop(target_id)[1].close()
--- /dev/null
+++ b/clementinepin/serving/_tunnels.py
@@ -0,0 +1,302 @@
+"""Tunnels to targets through other instances, for an instance whose own links to them fail.
+
+The bytes of a connection to a target travel in frames, and its end is a message of its own: an
+instance that is lost ends its connections as a target ends a response without framing.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Any, Final
+
+import gevent
+from gevent import socket
+from gevent.queue import Queue
+from loguru import logger
+
+from clementinepin.helpers.clock import Clock
+from clementinepin.serving import _messages as messages
+from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._links import CONNECT_TIMEOUT_S, LinkServer, set_options
+from clementinepin.serving.models import Member
+from clementinepin.targets import TargetAddress, connect_directly
+from clementinepin.targets.exceptions import RelayLostError, TargetNotReachedError
+
+READ_SIZE_BYTES: Final = 65_536
+RELAYS_MAX: Final = 3  # two of them may be cut off as well
+HEDGE_DELAY_S: Final = 0.1
+UNABLE_S: Final = 2.0  # how long an instance that did not reach a target ranks behind others
+KEEPALIVE_S: Final = 1
+
+
+class TunnelServer:
+    """Connects other instances to targets by this instance's own links."""
+
+    def __init__(self, links: LinkServer, fleet: FleetView, clock: Clock) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._leaving = False
+        self._tunnels: set[Any] = set()
+        links.take_over(messages.OpenTunnel, self._serve)
+
+    @property
+    def open_count(self) -> int:
+        """Return the number of open tunnels."""
+        return len(self._tunnels)
+
+    def leave(self) -> None:
+        """Open no more tunnels, and let the users of open ones close them after their requests."""
+        self._leaving = True
+        for sock in list(self._tunnels):
+            gevent.spawn(_send_leaving, sock)
+
+    def _serve(self, sock: Any, reader: messages.FrameReader, request: messages.OpenTunnel) -> None:
+        """Connect to the target and pass bytes on until one side closes its connection."""
+        try:
+            target_sock = self._connect(request)
+        except TargetNotReachedError as err:
+            log = logger.bind(target=request.target_id, error=str(err))
+            log.info("tunnel_refused")
+            sock.sendall(messages.pack_message(messages.TunnelOpened(err.message, err.refused)))
+            return
+        set_tunnel_options(sock)
+        self._tunnels.add(sock)
+        backward = None
+        try:
+            sock.sendall(messages.pack_message(messages.TunnelOpened()))
+            backward = gevent.spawn(_send_responses, target_sock, sock)
+            _send_requests(sock, reader, target_sock)
+        finally:
+            self._tunnels.discard(sock)
+            target_sock.close()
+            if backward is not None:
+                backward.kill(block=False)
+
+    def _connect(self, request: messages.OpenTunnel) -> Any:
+        """Return a connected socket. Raises TargetNotReachedError."""
+        target = self._fleet.targets.find_usable(request.target_id, "")
+        if target is None or self._leaving:
+            reason = "this instance is leaving" if self._leaving else "no such target is known here"
+            raise TargetNotReachedError(reason)
+        address = TargetAddress(target.target_id, target.host, target.port)
+        deadline = self._clock.monotonic() + request.timeout_s
+        sock = connect_directly(address, deadline, self._clock)
+        sock.settimeout(None)
+        return sock
+
+
+def _send_requests(sock: Any, reader: messages.FrameReader, target_sock: Any) -> None:
+    """Pass bytes on to the target until the other instance closes the tunnel."""
+    while data := sock.recv(READ_SIZE_BYTES):
+        for message in reader.feed(data):
+            if isinstance(message, messages.TunnelData):
+                target_sock.sendall(message.data)
+
+
+def _send_responses(target_sock: Any, sock: Any) -> None:
+    """Pass the target's bytes on, and how they end."""
+    broken = False
+    try:
+        while data := target_sock.recv(READ_SIZE_BYTES):
+            sock.sendall(messages.pack_message(messages.TunnelData(data)))
+    except OSError as err:
+        logger.bind(error=str(err)).info("tunnel_target_broke")
+        broken = True
+    try:
+        sock.sendall(messages.pack_message(messages.TunnelEnded(broken)))
+    except OSError as err:
+        logger.bind(error=str(err)).info("tunnel_broke")
+
+
+def _send_leaving(sock: Any) -> None:
+    try:
+        sock.sendall(messages.pack_message(messages.TunnelLeaving()))
+    except OSError as err:
+        logger.bind(error=str(err)).info("tunnel_broke")
+
+
+def set_tunnel_options(sock: Any) -> None:
+    """Detect an instance that stops responding, also while no bytes are on their way."""
+    set_options(sock)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+
+
+class TunnelChannel:
+    """The near end of a tunnel, with the methods of a socket that connections use.
+
+    After the relay announced that it leaves, the channel has something to read, so that it is not
+    used for another request.
+    """
+
+    def __init__(self, sock: Any, reader: messages.FrameReader) -> None:
+        self._sock = sock
+        self._reader = reader
+        self._received = bytearray()
+        self._end: messages.TunnelEnded | None = None
+        self._is_leaving = False
+
+    def send(self, data: memoryview) -> int:
+        """Send a first part of the data; a frame that was not sent whole is never passed on."""
+        piece = bytes(data[:READ_SIZE_BYTES])
+        self._sock.sendall(messages.pack_message(messages.TunnelData(piece)))
+        return len(piece)
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        """Return bytes of the target, none at the end of its connection.
+
+        Raises ConnectionResetError if that broke, and RelayLostError if the tunnel did.
+        """
+        if flags & socket.MSG_PEEK:
+            return self._peek()
+        while not self._received:
+            if self._end is not None:
+                if self._end.broken:
+                    raise ConnectionResetError("the target's connection broke")
+                return b""
+            self._receive()
+        data = bytes(self._received[:size])
+        del self._received[:size]
+        return data
+
+    def settimeout(self, timeout_s: float | None) -> None:
+        """Limit the time of each later call."""
+        self._sock.settimeout(timeout_s)
+
+    def shutdown(self, how: int) -> None:
+        """End the tunnel, so that a reader in another greenlet wakes up."""
+        self._sock.shutdown(how)
+
+    def close(self) -> None:
+        """Close the tunnel; the relay then closes its connection to the target."""
+        self._sock.close()
+
+    def _peek(self) -> bytes:
+        """Return something if the channel can't carry another request, else raise OSError."""
+        if self._received or self._end is not None or self._is_leaving:
+            return b"-"
+        return bytes(self._sock.recv(1, socket.MSG_PEEK))
+
+    def _receive(self) -> None:
+        data = self._sock.recv(READ_SIZE_BYTES)
+        if not data:
+            raise RelayLostError("the relay closed the tunnel")
+        try:
+            received = self._reader.feed(data)
+        except ValueError as err:
+            raise RelayLostError(f"the relay sent an invalid frame: {err}") from err
+        for message in received:
+            if isinstance(message, messages.TunnelData):
+                self._received += message.data
+            elif isinstance(message, messages.TunnelEnded):
+                self._end = message
+            elif isinstance(message, messages.TunnelLeaving):
+                self._is_leaving = True
+
+
+class TunnelClient:
+    """Opens tunnels through other instances; implements ``Relays``."""
+
+    def __init__(self, fleet: FleetView, own_name: str, clock: Clock, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._own_name = own_name
+        self._clock = clock
+        self._random = rng
+        self._unable_until: dict[str, float] = {}
+
+    def open(self, target: TargetAddress, deadline: float) -> tuple[TunnelChannel, str]:
+        """Return a tunnel to the target and the name of its relay.
+
+        Another relay is asked when one fails, or after HEDGE_DELAY_S. Raises TargetNotReachedError.
+        """
+        outcomes: Queue = Queue()
+        remaining = self._choose_relays()
+        unable: list[str] = []
+        running, refused, failure = 0, False, "no other instance is known"
+        while remaining or running:
+            if remaining:
+                relay = remaining.pop(0)
+                gevent.spawn(_put_outcome, outcomes, relay, partial(self._ask, target, deadline))
+                running += 1
+            with gevent.Timeout(HEDGE_DELAY_S if remaining else None, False):
+                relay, channel, err = outcomes.get()
+                running -= 1
+                if channel is not None:
+                    self._mark_unable(unable)
+                    gevent.spawn(_close_others, outcomes, running)
+                    return channel, relay.name
+                unable.append(relay.name)
+                refused = refused or err.refused
+                failure = f"{relay.name}: {err.message}"
+        raise TargetNotReachedError(f"no relay reaches {target.name}: {failure}", refused=refused)
+
+    def _ask(self, target: TargetAddress, deadline: float, relay: Member) -> TunnelChannel:
+        """Return a tunnel through one relay. Raises TargetNotReachedError."""
+        sock = socket.socket()
+        try:
+            timeout_s = max(0.0, deadline - self._clock.monotonic())
+            sock.settimeout(min(CONNECT_TIMEOUT_S, timeout_s))
+            sock.connect((relay.host, relay.link_port))
+            set_tunnel_options(sock)
+            sock.settimeout(timeout_s)
+            sock.sendall(messages.pack_message(messages.OpenTunnel(target.name, timeout_s)))
+            reader = messages.FrameReader()
+            replies: list[Any] = []
+            while not replies:
+                data = sock.recv(READ_SIZE_BYTES)
+                if not data:
+                    raise RelayLostError("closed without a reply")
+                replies = reader.feed(data)
+        except (OSError, ValueError) as err:
+            sock.close()
+            raise TargetNotReachedError(str(err)) from err
+        reply = replies[0]
+        if not isinstance(reply, messages.TunnelOpened) or reply.failure:
+            sock.close()
+            failure = getattr(reply, "failure", f"unexpected reply {reply!r}")
+            raise TargetNotReachedError(failure, refused=getattr(reply, "refused", False))
+        sock.settimeout(None)
+        return TunnelChannel(sock, reader)
+
+    def _choose_relays(self) -> list[Member]:
+        """Return up to RELAYS_MAX relays, the best first.
+
+        Job runners come first: links are mostly lost by entries, and by a whole data centre of
+        them. The rest is chosen at random, so that the load is shared.
+        """
+        now = self._clock.monotonic()
+        relays = [m for m in self._fleet.list_relays() if m.name != self._own_name]
+        self._random.shuffle(relays)
+
+        def rank(member: Member) -> tuple[bool, bool]:
+            return now < self._unable_until.get(member.name, 0.0), not member.runs_jobs
+
+        return sorted(relays, key=rank)[:RELAYS_MAX]
+
+    def _mark_unable(self, names: list[str]) -> None:
+        """Rank relays behind others that failed to reach a target which another one reached."""
+        now = self._clock.monotonic()
+        self._unable_until = {n: at for n, at in self._unable_until.items() if at > now}
+        self._unable_until.update(dict.fromkeys(names, now + UNABLE_S))
+
+
+def _put_outcome(outcomes: Queue, relay: Member, ask: Callable[[Member], TunnelChannel]) -> None:
+    """Put the relay with its channel or its error into the queue."""
+    try:
+        outcomes.put((relay, ask(relay), None))
+    except TargetNotReachedError as err:
+        outcomes.put((relay, None, err))
+    except Exception as err:
+        logger.opt(exception=err).error("tunnel_failed")
+        outcomes.put((relay, None, TargetNotReachedError(f"attempt failed: {err!r}")))
+
+
+def _close_others(outcomes: Queue, running: int) -> None:
+    """Close the tunnels that open after another one was chosen."""
+    for _ in range(running):
+        _, channel, _ = outcomes.get()
+        if channel is not None:
+            channel.close()
--- /dev/null
+++ b/clementinepin/systems/reach.py
@@ -0,0 +1,76 @@
+"""Decides whether an instance uses its own link to a target or another instance's.
+
+A link that fails says nothing about its target, which others may reach. A target is taken for
+unreachable only if another instance did not reach it either.
+
+Load pattern: an instance loses its links to most or all targets for seconds, at once or in turn,
+while callers go on to send it requests. Its links hang, are reset, or refuse new connections.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from clementinepin.tables.reach import ReachTable
+
+FIRST_PROBE_S: Final = 0.25  # a single lost packet is found out soon
+PROBE_PERIOD_S: Final = 1.0
+UNREACHED_S: Final = 0.2  # other instances aren't asked again for a target that nobody reached
+CHECKED_S: Final = 0.2  # requests that are silent at the same time share a check of their link
+
+
+def is_relayed(table: ReachTable, target: str) -> bool:
+    """Return whether only other instances reach the target."""
+    return target in table.probe_at
+
+
+def may_ask_relays(table: ReachTable, target: str, now: float) -> bool:
+    """Return whether other instances should be asked for a target whose own link fails."""
+    return now >= table.unreached_until.get(target, 0.0)
+
+
+def must_check(table: ReachTable, target: str, now: float) -> bool:
+    """Return whether a request that stays silent or broke off calls for a check of its link."""
+    return not is_relayed(table, target) and now >= table.checked_until.get(target, 0.0)
+
+
+def record_direct(table: ReachTable, target: str, now: float) -> bool:
+    """Record that the own link works; return whether that is news.
+
+    The other links are tried again at once, as links mostly fail and recover together.
+    """
+    table.checked_until[target] = now + CHECKED_S
+    table.unreached_until.pop(target, None)
+    if table.probe_at.pop(target, None) is None:
+        return False
+    for other in table.probe_at:
+        table.probe_at[other] = now
+    return True
+
+
+def record_relayed(table: ReachTable, target: str, now: float) -> bool:
+    """Record that only another instance reached the target; return whether that is news."""
+    table.unreached_until.pop(target, None)
+    if is_relayed(table, target):
+        return False
+    table.probe_at[target] = now + FIRST_PROBE_S
+    return True
+
+
+def record_unreached(table: ReachTable, target: str, now: float) -> None:
+    """Record that neither this instance nor another one reached the target."""
+    table.unreached_until[target] = now + UNREACHED_S
+
+
+def take_due_probes(table: ReachTable, now: float) -> list[str]:
+    """Return the targets whose own link should be tried now; the next try is a period later."""
+    due = [target for target, at in table.probe_at.items() if now >= at]
+    for target in due:
+        table.probe_at[target] = now + PROBE_PERIOD_S
+    return due
+
+
+def forget(table: ReachTable, target: str) -> None:
+    """Drop a target that is gone."""
+    for rows in (table.probe_at, table.unreached_until, table.checked_until):
+        rows.pop(target, None)
--- a/clementinepin/targets/__init__.py
+++ b/clementinepin/targets/__init__.py
@@ -8,6 +8,7 @@
     make_engine_model,
 )
 from clementinepin.targets._connection import Abort
+from clementinepin.targets._dialing import RelayingDialer, connect_directly, create_dialer
 from clementinepin.targets._engine import create_engine
 from clementinepin.targets._exchange import BodyFraming, HttpExchange, HttpRequest, Transport
 from clementinepin.targets._plain import (
@@ -18,9 +19,11 @@
 )
 from clementinepin.targets.models import (
     CacheEvent,
+    Channel,
     Engine,
     GenerateRequest,
     LoadReport,
+    Relays,
     StreamChunk,
     TargetAddress,
 )
@@ -29,6 +32,7 @@
     "Abort",
     "BodyFraming",
     "CacheEvent",
+    "Channel",
     "Engine",
     "GenerateRequest",
     "HttpExchange",
@@ -37,9 +41,13 @@
     "PlainRequest",
     "PlainResponse",
     "PlainService",
+    "RelayingDialer",
+    "Relays",
     "StreamChunk",
     "TargetAddress",
     "Transport",
+    "connect_directly",
+    "create_dialer",
     "create_engine",
     "create_plain_service",
     "is_streamable_body",
--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import gevent
 from gevent import socket
@@ -14,36 +14,41 @@
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.targets.exceptions import (
+    RelayLostError,
+    TargetLinkLostError,
     TargetLostError,
     TargetNotReachedError,
     TargetTimeoutError,
 )
-from clementinepin.targets.models import TargetAddress
+from clementinepin.targets.models import Channel, TargetAddress
 
-CONNECT_TIMEOUT_S: Final = 1.0
 REPLACE_TIMEOUT_S: Final = 0.25  # the end of a whole response waits for it
 IDLE_MAX_S: Final = 2.0
 IDLE_CONNECTIONS_MAX: Final = 64
 TIMEOUT_MIN_S: Final = 0.001
-KEEPALIVE_IDLE_S: Final = 2  # a peer that stops responding is detected within 4 s
+KEEPALIVE_IDLE_S: Final = 2
 KEEPALIVE_INTERVAL_S: Final = 1
-KEEPALIVE_PROBES: Final = 2
-USER_TIMEOUT_MS: Final = 3000  # detects unacknowledged data in about the same time
+# Ends connections with unacknowledged data. It also decides when keep-alive probes give up, for
+# which a number of probes would have no effect.
+USER_TIMEOUT_MS: Final = 3000
 STALL_CHECK_S: Final = 2.5
 
 
 class Connection:
     """One connection; ``written`` counts the bytes that the kernel accepted for this request.
 
+    ``relay`` names the instance through which it goes, empty for a direct connection.
+
     The first write has its own timeout. The rest of a long request is written in the background
     while the response is read, because a target may respond before it has read the whole request.
     All reads share one timer that shuts the connection down at the deadline: a timeout for each
     read would cost more than the read itself.
     """
 
-    def __init__(self, sock: socket.socket, clock: Clock) -> None:
+    def __init__(self, sock: Channel, clock: Clock, relay: str = "") -> None:
         self._sock = sock
         self._clock = clock
+        self.relay = relay
         self._timer: Any = None
         self._deadline = 0.0
         self._watches_stalls = False
@@ -118,13 +123,19 @@
             self._reads += 1
         except OSError as err:
             self._raise_if_expired()
-            raise TargetLostError(f"connection failed: {err}") from err
+            is_link = isinstance(err, RelayLostError) and not self._aborted
+            kind = TargetLinkLostError if is_link else TargetLostError
+            raise self._describe_path(kind(f"connection failed: {err}")) from err
         if not data:
             self._raise_if_expired()
             if self._aborted:
-                raise TargetLostError("the exchange was aborted")
+                raise self._describe_path(TargetLostError("the exchange was aborted"))
         return data
 
+    def _describe_path(self, err: TargetLostError) -> TargetLostError:
+        err.relay = self.relay
+        return err
+
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another request.
 
@@ -167,7 +178,8 @@
 
     def _raise_if_expired(self) -> None:
         if self._expired:
-            raise TargetTimeoutError("target did not complete its response in time")
+            message = "target did not complete its response in time"
+            raise self._describe_path(TargetTimeoutError(message))
 
     def _start_timer(self) -> None:
         wait_s = max(self._deadline - self._clock.monotonic(), TIMEOUT_MIN_S)
@@ -228,37 +240,48 @@
         self._connection = None
 
 
+class Dialer(Protocol):
+    """Opens connections to targets."""
+
+    def dial(self, address: TargetAddress, deadline: float) -> Connection:
+        """Return a new connection. Raises TargetNotReachedError if none opens in time."""
+
+    def may_use(self, address: TargetAddress, connection: Connection) -> bool:
+        """Return whether an idle connection still goes the right way."""
+
+    def check_link(self, address: TargetAddress) -> bool:
+        """Return whether only other instances reach the target; find out if that is not known."""
+
+    def list_relayed(self) -> list[str]:
+        """Return the names of the targets that only other instances reach."""
+
+    def add(self, pool: ConnectionPool) -> None:
+        """Look after the idle connections of a pool until it is removed."""
+
+    def remove(self, pool: ConnectionPool) -> None:
+        """Forget a pool, and what is known of its target."""
+
+
 class ConnectionPool:
     """Idle connections to one target; the most recently used one is reused first."""
 
-    def __init__(self, address: TargetAddress, clock: Clock) -> None:
-        self._address = address
+    def __init__(self, address: TargetAddress, clock: Clock, dialer: Dialer) -> None:
+        self.address = address
         self._clock = clock
+        self._dialer = dialer
         self._idle: list[Connection] = []
         self.idle_max_s = IDLE_MAX_S
+        dialer.add(self)
 
     def connect(self, deadline: float) -> Connection:
         """Open a connection. Raises TargetNotReachedError if that fails before the deadline."""
-        wait_s = min(deadline - self._clock.monotonic(), CONNECT_TIMEOUT_S)
-        if wait_s <= 0:
-            raise TargetNotReachedError("deadline passed before the connection was opened")
-        host, port = self._address.address, self._address.port
-        # Targets have IP addresses. The resolver would cost a switch to a native thread.
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
-        try:
-            _set_options(sock)
-            sock.settimeout(wait_s)
-            sock.connect((host, port))
-        except OSError as err:
-            sock.close()
-            raise TargetNotReachedError(f"can't connect to {self._address.name}: {err}") from err
-        return Connection(sock, self._clock)
+        return self._dialer.dial(self.address, deadline)
 
     def acquire(self, deadline: float) -> Connection:
         """Return an idle connection that is still open, or a new one."""
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_reusable():
+            if self._dialer.may_use(self.address, connection) and connection.is_reusable():
                 connection.written = 0
                 return connection
             connection.close()
@@ -283,12 +306,26 @@
         try:
             connection = self.connect(self._clock.monotonic() + REPLACE_TIMEOUT_S)
         except TargetNotReachedError as err:
-            if isinstance(err.__cause__, ConnectionRefusedError):
+            if err.refused:
                 raise TargetLostError("target crashed at the end of its response") from err
-            logger.bind(target=self._address.name, error=str(err)).info("connection_not_replaced")
+            logger.bind(target=self.address.name, error=str(err)).info("connection_not_replaced")
             return
         self.release(connection)
 
+    def sweep(self) -> None:
+        """Close the idle connections that must not be used any more."""
+        kept = []
+        for connection in self._idle:
+            if self._dialer.may_use(self.address, connection) and connection.is_reusable():
+                kept.append(connection)
+            else:
+                connection.close()
+        self._idle = kept
+
+    def check_link(self) -> bool:
+        """Return whether only other instances reach the target."""
+        return self._dialer.check_link(self.address)
+
     def _close_expired(self) -> None:
         """Close the oldest connection if it was idle too long to be reused."""
         oldest = self._idle[0]
@@ -302,15 +339,15 @@
 
     def close(self) -> None:
         """Close all idle connections."""
+        self._dialer.remove(self)
         while self._idle:
             self._idle.pop().close()
 
 
-def _set_options(sock: socket.socket) -> None:
+def set_options(sock: socket.socket) -> None:
     """Disable Nagle's algorithm and detect a peer that stops responding."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -9,8 +9,14 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from clementinepin.helpers.clock import Clock
-from clementinepin.targets._connection import Abort, Connection, ConnectionPool
-from clementinepin.targets.exceptions import TargetLostError, TargetProtocolError
+from clementinepin.targets._connection import Abort, Connection, ConnectionPool, Dialer
+from clementinepin.targets._dialing import DirectDialer
+from clementinepin.targets.exceptions import (
+    TargetLinkLostError,
+    TargetLostError,
+    TargetNotReachedError,
+    TargetProtocolError,
+)
 from clementinepin.targets.models import TargetAddress
 
 READ_SIZE_BYTES: Final = 65_536
@@ -135,7 +141,10 @@
 
 
 class HttpExchange:
-    """A sent request whose response is read in pieces."""
+    """A sent request whose response is read in pieces.
+
+    ``relay`` names the instance through which it goes, empty if it goes to the target directly.
+    """
 
     def __init__(
         self,
@@ -147,6 +156,7 @@
         self._pool = pool
         self._clock = clock
         self._connection: Connection | None = connection
+        self.relay = connection.relay
         self._parser = _Parser(request.method, request.is_mismatched)
         self._failure: TargetLostError | None = None
         self.status = 0
@@ -318,10 +328,10 @@
 class Transport:
     """Sends requests to one target."""
 
-    def __init__(self, address: TargetAddress, clock: Clock) -> None:
+    def __init__(self, address: TargetAddress, clock: Clock, dialer: Dialer | None = None) -> None:
         self.address = address
         self._clock = clock
-        self._pool = ConnectionPool(address, clock)
+        self._pool = ConnectionPool(address, clock, dialer or DirectDialer(clock))
 
     def send(self, request: HttpRequest) -> HttpExchange:
         """Send the request once on one connection, without retries.
@@ -329,20 +339,56 @@
         Returns after the headers of the response arrived. Raises TargetNotReachedError only if
         no byte was written, else TargetLostError.
         """
-        if request.fresh:
-            connection = self._pool.connect(request.deadline)
-        else:
-            connection = self._pool.acquire(request.deadline)
-        if request.abort is not None:
-            request.abort.bind(connection)
+        connection = self._start(request)
         try:
-            connection.write(self._serialize(request), request.deadline)
             connection.set_read_deadline(request.deadline)
             return HttpExchange(self._pool, connection, request, self._clock)
         except BaseException:
             connection.close()
             raise
 
+    def _start(self, request: HttpRequest) -> Connection:
+        """Return a connection on which the first bytes of the request were written.
+
+        An idle connection that turns out to be closed is replaced by a new one.
+        """
+        is_fresh = request.fresh
+        while True:
+            pool = self._pool
+            connection = (
+                pool.connect(request.deadline) if is_fresh else pool.acquire(request.deadline)
+            )
+            if request.abort is not None:
+                request.abort.bind(connection)
+            try:
+                connection.write(self._serialize(request), request.deadline)
+                return connection
+            except TargetNotReachedError:
+                connection.close()
+                is_aborted = request.abort is not None and request.abort.triggered
+                if not connection.exchange_count or is_aborted:
+                    raise
+                is_fresh = True
+            except BaseException:
+                connection.close()
+                raise
+
+    def is_link_lost(self, err: TargetLostError) -> bool:
+        """Return whether a request was lost on the way to the target, not by the target.
+
+        May wait for a check of the link. A broken response proves nothing about the target if only
+        other instances reach it.
+        """
+        if isinstance(err, TargetLinkLostError):
+            return True
+        if isinstance(err, TargetProtocolError) or err.relay:
+            return False
+        return self._pool.check_link()
+
+    def check_link(self) -> bool:
+        """Return whether only other instances reach the target; may wait for a check."""
+        return self._pool.check_link()
+
     @property
     def idle(self) -> int:
         """Return the number of idle connections in the pool."""
--- a/clementinepin/targets/exceptions.py
+++ b/clementinepin/targets/exceptions.py
@@ -8,10 +8,21 @@
 
 
 class TargetNotReachedError(NotRunError):
-    """No byte of the request was written to the target."""
+    """No byte of the request was written to the target.
+
+    ``refused`` says that the target's address refused a connection.
+    """
 
     code = "target_not_reached"
 
+    def __init__(self, message: str = "", *, refused: bool = False) -> None:
+        super().__init__(message)
+        self.refused = refused
+
+
+class RelayLostError(ConnectionError):
+    """A tunnel failed between this instance and the one that reaches the target."""
+
 
 class RefusalReason(StrEnum):
     """Why a target refused a request before admission; unknown reasons count as FULL."""
@@ -32,9 +43,19 @@
 
 
 class TargetLostError(OutcomeUnknownError):
-    """The connection failed or timed out after a part of the request was written."""
+    """The connection failed or timed out after a part of the request was written.
+
+    ``relay`` names the instance through which the connection went, empty for a direct one.
+    """
 
     code = "target_lost"
+    relay = ""
+
+
+class TargetLinkLostError(TargetLostError):
+    """The way to the target failed, which says nothing about the target."""
+
+    code = "target_link_lost"
 
 
 class TargetTimeoutError(TargetLostError):
--- a/clementinepin/targets/models.py
+++ b/clementinepin/targets/models.py
@@ -14,6 +14,40 @@
     port: int
 
 
+class Channel(Protocol):
+    """A stream of bytes to a target: a socket, or a tunnel through another instance.
+
+    The methods are those of a socket. ``recv`` raises RelayLostError if the tunnel fails on the way
+    to the target's end of it.
+    """
+
+    def send(self, data: memoryview) -> int:
+        """Write a first part of the data and return its size."""
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        """Return at most ``size`` bytes, none at the end that the target gave the stream."""
+
+    def settimeout(self, timeout_s: float | None) -> None:
+        """Limit the time of each later call; None waits without limit, 0 not at all."""
+
+    def shutdown(self, how: int) -> None:
+        """End the stream, so that a reader in another greenlet wakes up."""
+
+    def close(self) -> None:
+        """Close the stream, so that the target stops its work."""
+
+
+class Relays(Protocol):
+    """Other instances that may reach targets which this one doesn't reach."""
+
+    def open(self, target: TargetAddress, deadline: float) -> tuple[Channel, str]:
+        """Return a channel to the target through another instance, and the instance's name.
+
+        Raises TargetNotReachedError if none was opened before the monotonic deadline. ``refused``
+        is then set if the target refused all that came through.
+        """
+
+
 class GenerateRequest(NamedTuple):
     """One generation. ``body`` is the caller's JSON and ``path`` the engine's resource.
 
--- a/tests/serving/test_cut_off_instances.py
+++ b/tests/serving/test_cut_off_instances.py
@@ -4,8 +4,13 @@
 
 import random
 from collections.abc import Iterator
+from typing import Any
 
+import gevent
 import pytest
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
 
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.platform import create_wire
@@ -14,46 +19,67 @@
 from clementinepin.serving.models import Member, RouteKind
 from clementinepin.systems.dispatch_actions import RunOutcome
 from tests.serving.cut_links import CutLink, Manner
-from tests.serving.harness import ID, Harness, get_status, send_events
+from tests.serving.harness import ID, Harness, close_at_once, get_status, send_events
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS
-from tests.serving.scripted import ScriptedTarget, call, make_plain
+from tests.serving.scripted import (
+    EVENTS,
+    HEAD,
+    UNFRAMED_EVENTS,
+    ScriptedTarget,
+    call,
+    make_chunk,
+    make_event,
+    make_plain,
+    read_id,
+)
+
+PAUSE_S = 1.3  # longer than any connection may take to open
 
 
 class CutOffHarness(Harness):
-    """An entry whose links to targets are cut, beside a job runner that reaches them."""
+    """An entry whose links to targets are cut, beside job runners that reach them."""
 
     def __init__(self) -> None:
         super().__init__()
-        port = self._find_port()
-        settings = SETTINGS._replace(name="helper", link_port=port)
-        self.helper = App(
-            settings,
+        self.helpers: list[App] = []
+        self._links: list[CutLink] = []
+        self.add_helper()
+
+    def add_helper(self) -> App:
+        name, port = f"helper-{len(self.helpers)}", self._find_port()
+        helper = App(
+            SETTINGS._replace(name=name, link_port=port),
             MemoryStore(),
             create_wire(),
             create_system_clock(),
             random.Random(2),
             ServingMetrics(),
         )
-        self.helper._link_server.start()
-        member = Member("helper", True, "127.0.0.1", port, "", "a", "r", False)
-        self.app.fleet.members.rows["helper"] = member
-        self._links: list[CutLink] = []
+        helper._link_server.start()
+        self.helpers.append(helper)
+        member = Member(name, True, "127.0.0.1", port, "", "a", "r", False)
+        self.app.fleet.members.rows[name] = member
+        return helper
 
-    def add_cut_target(self, target: ScriptedTarget, manner: Manner) -> ScriptedTarget:
-        """Add a target that only the job runner reaches."""
+    def add_cut_target(
+        self, target: ScriptedTarget, manner: Manner, helper: App | None = None
+    ) -> ScriptedTarget:
+        """Add a target that only ``helper``, by default the first one, reaches."""
         self.add_target(target)
         target_id = self.slots.target_ids[-1]
         link = CutLink(manner)
         self._links.append(link)
         row = self.app.fleet.targets.rows[target_id]
-        self.helper.fleet.targets.rows[target_id] = row
-        self.app.fleet.targets.rows[target_id] = row._replace(port=link.port)
+        for app in (self.app, *self.helpers):
+            app.fleet.targets.rows[target_id] = row._replace(port=link.port)
+        (helper or self.helpers[0]).fleet.targets.rows[target_id] = row
         return target
 
     def stop(self) -> None:
         super().stop()
-        self.helper._link_server.stop()
+        for helper in self.helpers:
+            helper._link_server.stop()
         for link in self._links:
             link.stop()
 
@@ -90,3 +116,146 @@
     body = b"x" * 300_000
     cut_off.add_cut_target(ScriptedTarget(make_plain(body)), manner)
     assert call(cut_off.port, ID).endswith(body)
+
+
+def test_a_slow_stream_through_another_instance_is_not_cut(cut_off: CutOffHarness) -> None:
+    """Mutation: leave the time limit of the connection on its socket: the stream is cut."""
+
+    def send_slowly(sock: Any, request: bytes) -> bool:
+        sock.sendall(HEAD % (b"s1", read_id(request)) + EVENTS + make_chunk(make_event(1)))
+        gevent.sleep(PAUSE_S)
+        sock.sendall(make_chunk(make_event(2)) + b"0\r\n\r\n")
+        return True
+
+    cut_off.set_route(resumable=False, attempts_max=1)
+    cut_off.add_cut_target(ScriptedTarget(send_slowly), Manner.REFUSE)
+    assert call(cut_off.port, ID).endswith(b"data: e2\n\n\r\n0\r\n\r\n")
+
+
+def test_a_relay_that_is_cut_off_as_well_is_replaced_by_another(cut_off: CutOffHarness) -> None:
+    cut_off.set_route(resumable=False, attempts_max=1)
+    last = cut_off.add_helper()
+    cut_off.add_cut_target(ScriptedTarget(send_events(1), send_events(1)), Manner.HANG, last)
+    for _ in range(2):
+        assert get_status(call(cut_off.port, ID)) == 200
+
+
+def test_a_request_that_broke_off_in_a_tunnel_is_not_sent_again(cut_off: CutOffHarness) -> None:
+    cut_off.set_route(resumable=False, attempts_max=1)
+    target = cut_off.add_cut_target(ScriptedTarget(close_at_once), Manner.REFUSE)
+    assert get_status(call(cut_off.port, ID)) == 502
+    assert len(target.requests) == 1
+
+
+@pytest.mark.parametrize("broken", [False, True])
+def test_a_response_without_framing_is_complete_only_if_its_target_ends_it(
+    cut_off: CutOffHarness, broken: bool
+) -> None:
+    """Guards against the end of a lost relay's connection being taken for that of the response."""
+
+    def send_unframed(sock: Any, request: bytes) -> bool:
+        sock.sendall(HEAD % (b"s1", read_id(request)) + UNFRAMED_EVENTS + make_event(1))
+        if broken:
+            gevent.sleep(0.1)
+            cut_off.helpers[0]._link_server.stop()
+            for sock in list(cut_off.helpers[0]._tunnels._tunnels):
+                sock.close()
+        return False
+
+    cut_off.set_route(resumable=False, attempts_max=1)
+    cut_off.add_cut_target(ScriptedTarget(send_unframed), Manner.REFUSE)
+    response = call(cut_off.port, ID)
+    assert b"data: e1" in response
+    assert response.endswith(b"0\r\n\r\n") is not broken
+
+
+def test_a_caller_that_leaves_ends_its_run_through_another_instance(
+    cut_off: CutOffHarness,
+) -> None:
+    ended = Event()
+
+    def send_until_closed(sock: Any, request: bytes) -> bool:
+        sock.sendall(HEAD % (b"s1", read_id(request)) + EVENTS + make_chunk(make_event(1)))
+        assert sock.recv(1) == b""
+        ended.set()
+        return False
+
+    cut_off.set_route(resumable=False, attempts_max=1)
+    cut_off.add_cut_target(ScriptedTarget(send_until_closed), Manner.HANG)
+    with socket.create_connection(("127.0.0.1", cut_off.port)) as sock:
+        head = f"POST /x/1 HTTP/1.1\r\nHost: h.example\r\n{ID}\r\nContent-Length: 0\r\n\r\n"
+        sock.sendall(head.encode())
+        with gevent.Timeout(5.0):
+            while b"data: e1" not in sock.recv(65_536):
+                continue
+    assert ended.wait(5.0)
+
+
+def test_a_tunnel_through_a_leaving_instance_carries_no_further_request(
+    cut_off: CutOffHarness,
+) -> None:
+    """Guards against a planned stop of the relay that cuts requests which were just accepted."""
+    cut_off.set_route(resumable=False, attempts_max=1)
+    target = cut_off.add_cut_target(
+        ScriptedTarget(*(send_events(1, 2) for _ in range(3))), Manner.REFUSE
+    )
+    leaving = cut_off.helpers[0]
+    assert get_status(call(cut_off.port, ID)) == 200
+    other = cut_off.add_helper()
+    other.fleet.targets.rows.update(leaving.fleet.targets.rows)
+    assert leaving._tunnels.open_count == 1
+    leaving._tunnels.leave()
+    assert get_status(call(cut_off.port, ID)) == 200
+    assert other._tunnels.open_count == 1
+    with gevent.Timeout(5.0):
+        while leaving._tunnels.open_count:
+            gevent.sleep(0.02)
+    assert target.connections == 2
+
+
+def test_the_own_links_are_used_again_once_they_work(cut_off: CutOffHarness) -> None:
+    cut_off.set_route(resumable=False, attempts_max=1)
+    target = cut_off.add_cut_target(
+        ScriptedTarget(*(send_events(1) for _ in range(3))), Manner.REFUSE
+    )
+    assert get_status(call(cut_off.port, ID)) == 200
+    link = cut_off._links[0]
+    link.stop()
+    healed = StreamServer(("127.0.0.1", link.port), lambda sock, _: forward(sock, target.port))
+    healed.start()
+    with gevent.Timeout(5.0):
+        while cut_off.app._pools.describe_state()["relayed"]:
+            gevent.sleep(0.02)
+        while cut_off.helpers[0]._tunnels.open_count:
+            gevent.sleep(0.02)
+    assert get_status(call(cut_off.port, ID)) == 200
+    assert cut_off.helpers[0]._tunnels.open_count == 0
+    healed.stop(timeout=0)
+
+
+@pytest.mark.parametrize("manner", Manner)
+def test_a_request_is_rejected_at_once_if_nobody_reaches_a_target(
+    cut_off: CutOffHarness, manner: Manner
+) -> None:
+    cut_off.set_route(resumable=False, attempts_max=1, timeout_s=30.0)
+    target = cut_off.add_cut_target(ScriptedTarget(), manner)
+    target.stop()
+    with gevent.Timeout(5.0):
+        response = call(cut_off.port, ID)
+    assert get_status(response) == 503
+    assert b"Retry-After: " in response
+    assert cut_off.slots.outcomes == [RunOutcome.UNREACHED]
+
+
+def forward(sock: Any, port: int) -> None:
+    """Pass bytes between a connection and a port, until both sides have closed."""
+    with socket.create_connection(("127.0.0.1", port)) as upstream:
+        back = gevent.spawn(copy_bytes, upstream, sock)
+        copy_bytes(sock, upstream)
+        back.join(1.0)
+
+
+def copy_bytes(source: Any, sink: Any) -> None:
+    while data := source.recv(65_536):
+        sink.sendall(data)
+    sink.shutdown(socket.SHUT_WR)
--- /dev/null
+++ b/tests/systems/test_reach.py
@@ -0,0 +1,76 @@
+"""Replays of links that fail, against the decisions of which way a request goes."""
+
+from __future__ import annotations
+
+from clementinepin.systems import reach
+from clementinepin.tables.reach import ReachTable
+
+TARGETS = [f"t{n}" for n in range(5)]
+
+
+def test_an_instance_that_loses_all_links_uses_others_until_its_own_work_again() -> None:
+    """Load pattern: all links hang from 4 s to 16 s; each target is used each 0.1 s."""
+    table = ReachTable()
+    lost, relayed_late, probes = 0, 0, 0
+    restored_at = 0.0
+    for step in range(200):
+        now = step * 0.1
+        is_cut = 4.0 <= now < 16.0
+        for target in reach.take_due_probes(table, now):
+            probes += 1
+            if not is_cut and reach.record_direct(table, target, now):
+                restored_at = max(restored_at, now)
+        for target in TARGETS:
+            if reach.is_relayed(table, target):
+                relayed_late += now > 16.0 + 2 * reach.PROBE_PERIOD_S
+            elif is_cut:
+                lost += 1
+                assert reach.record_relayed(table, target, now)
+            else:
+                reach.record_direct(table, target, now)
+    assert (lost, relayed_late) == (len(TARGETS), 0)
+    assert probes <= len(TARGETS) * 14
+    assert 16.0 <= restored_at <= 17.1
+
+
+def test_a_target_that_nobody_reaches_is_not_taken_for_a_lost_link() -> None:
+    """Load pattern: one target crashes; requests for it come ten times in 0.1 s."""
+    table = ReachTable()
+    asked = 0
+    for step in range(10):
+        now = 1.0 + step * 0.01
+        if reach.may_ask_relays(table, "t0", now):
+            asked += 1
+            reach.record_unreached(table, "t0", now)
+    assert asked == 1
+    assert not reach.is_relayed(table, "t0")
+    assert reach.may_ask_relays(table, "t0", 1.0 + 2 * reach.UNREACHED_S)
+
+
+def test_silent_requests_of_one_target_share_a_check_of_its_link() -> None:
+    table = ReachTable()
+    assert reach.must_check(table, "t0", 1.0)
+    reach.record_direct(table, "t0", 1.0)
+    assert not reach.must_check(table, "t0", 1.1)
+    assert reach.must_check(table, "t0", 1.0 + 2 * reach.CHECKED_S)
+    reach.record_relayed(table, "t0", 2.0)
+    assert not reach.must_check(table, "t0", 9.0)
+
+
+def test_one_link_that_works_again_lets_the_others_be_tried_at_once() -> None:
+    table = ReachTable()
+    for target in TARGETS:
+        reach.record_relayed(table, target, 1.0)
+    assert len(reach.take_due_probes(table, 2.0)) == len(TARGETS)
+    assert reach.take_due_probes(table, 2.1) == []
+    reach.record_direct(table, "t0", 2.1)
+    assert reach.take_due_probes(table, 2.1) == TARGETS[1:]
+
+
+def test_nothing_is_kept_of_a_target_that_is_gone() -> None:
+    table = ReachTable()
+    reach.record_relayed(table, "t0", 1.0)
+    reach.record_unreached(table, "t0", 1.0)
+    reach.record_direct(table, "t0", 1.0)
+    reach.forget(table, "t0")
+    assert [*table.probe_at, *table.unreached_until, *table.checked_until] == []
