Count nothing against targets that only the own link to them lost

What callers saw: those of instances that were not cut off waited or were rejected while two others were cut off. The class is the one of the crash counts turned round: what one instance sees of a target alone was taken for the target's state.

Change: a silent or broken run makes its instance check the link by a new connection, raced through another instance. If only the other one gets through, the slot is freed without a verdict; a repeatable request is sent again at once. Runs that a target breaks off inside a tunnel still count against it. The end of an unframed response is checked through others too.

--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -27,7 +27,9 @@
     the end of the newest response's body, empty if there was no response. ``awaits_end`` is set
     while another run is to show that no event follows the last one. ``target_version`` is the
     software version of the newest target, ``software_version`` the one whose events were passed on.
-    ``resumed_at_event_id`` is the last event before the newest run.
+    ``resumed_at_event_id`` is the last event before the newest run. ``relay`` is the instance
+    through which the newest response came, empty for the own link. ``link_lost`` says that the
+    newest run was lost on the way to its target.
     """
 
     def __init__(
@@ -58,6 +60,8 @@
         self.target_load: tuple[int, int, int] | None = None
         self.first_byte_at = started_at
         self.framing = ""
+        self.relay = ""
+        self.link_lost = False
         self.awaits_end = False
         self.is_complete = False
         self.has_succeeded = False
@@ -87,6 +91,12 @@
         patience_s = estimates.estimate_patience(self.route.objective_s, self.route.gap_objective_s)
         return min(self.deadline, now + patience_s * RESUME_STALL_SHARE)
 
+    def renew_abort(self) -> None:
+        """Prepare the next attempt, which an abort of the last one must not end."""
+        if not self.gone:
+            self.abort.unbind()
+            self.abort = Abort()
+
     def record_caller_gone(self) -> None:
         """Record that the caller is gone, and end the wait for a slot or a target."""
         self.gone = True
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -119,8 +119,9 @@
             try:
                 outcome = self._use_slot(connection, call, slot)
             finally:
+                reported = RunOutcome.CANCELLED if call.link_lost else outcome
                 self._slots.release(
-                    slot, outcome, succeeded=call.has_succeeded, events=call.run_events
+                    slot, reported, succeeded=call.has_succeeded, events=call.run_events
                 )
             if call.is_complete:
                 return
@@ -154,12 +155,15 @@
             call.excluded.add(slot.target_id)
             return RunOutcome.CANCELLED
         call.target_id = slot.target_id
+        call.link_lost = False
         call.resumed_at_event_id = call.last_event_id
         call.target_version = target.software_version
         if call.response_started:
             self._log(call).bind(last_event=call.last_event_id).info("stream_resumed")
         try:
-            with self._slots.watch_silence(slot, call.facts.request_id):
+            with self._slots.watch_silence(
+                slot, call.facts.request_id, lambda: self._leave_lost_link(call)
+            ):
                 exchange = self._send(call, target)
         except TargetNotReachedError as err:
             call.unreached += 1
@@ -168,6 +172,7 @@
             return RunOutcome.CANCELLED if call.gone else RunOutcome.UNREACHED
         except TargetLostError as err:
             return self._record_target_lost(call, err)
+        call.relay = exchange.relay
         call.target_load = self._wire.read_load(exchange.headers)
         call.first_byte_at = self._clock.monotonic()
         call.framing = exchange.framing
@@ -175,6 +180,11 @@
         self._slots.report_load(slot, call.target_load, limit_per_s)
         return self._handle_response(connection, call, _Sent(exchange, target))
 
+    def _leave_lost_link(self, call: Call) -> None:
+        """Abort an attempt whose response can't come, if the request may be sent another way."""
+        if call.may_resend(self._clock.monotonic()):
+            call.abort.trigger()
+
     def _send(self, call: Call, target: Target) -> HttpExchange:
         request = call.request
         now = self._clock.monotonic()
@@ -187,7 +197,7 @@
         if call.last_event_id and call.response_started:
             headers = [h for h in headers if h[0].lower() != "last-event-id"]
             headers.append(self._wire.make_resume_header(call.last_event_id))
-        call.abort.unbind()
+        call.renew_abort()
         call.sends += 1
         message = HttpRequest(
             method=request.method,
@@ -274,8 +284,10 @@
         if call.gone:
             return RunOutcome.CANCELLED
         call.excluded.add(call.target_id)
+        if self._clock.monotonic() < call.deadline:
+            call.link_lost = self._pools.is_link_lost(call.target_id, err)
         log = self._log(call).bind(error=f"{err.code}: {err}", run_events=call.run_events)
-        log.info("target_lost")
+        log.bind(link_lost=call.link_lost, relay=err.relay).info("target_lost")
         if isinstance(err, TargetTimeoutError) and self._clock.monotonic() >= call.deadline:
             return RunOutcome.CANCELLED
         return RunOutcome.BROKEN
@@ -319,6 +331,8 @@
             mean_s = self._run_times.get(call.route.name, took_s)
             self._run_times[call.route.name] = mean_s + (took_s - mean_s) * RUN_TIME_WEIGHT
         self._metrics.count_request(outcome, took_s, call.waited_s)
+        if call.relay:
+            self._metrics.count_relayed("request")
         self._log(call).bind(
             outcome=outcome,
             sends=call.sends,
@@ -328,6 +342,7 @@
             first_byte_ms=round((call.first_byte_at - call.started_at) * 1000, 1),
             target_load=call.target_load,
             framing=call.framing,
+            relay=call.relay,
             last_event=call.last_event_id,
             resumes=call.facts.resumes,
             resumed_after=call.facts.last_event_id,
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -202,8 +202,10 @@
         run.resumed_at_event_id = run.last_event_id
         run.target_version = target.software_version
         try:
-            with self._slots.watch_silence(slot, run.item.item_id):
+            with self._slots.watch_silence(slot, run.item.item_id, run.abort.trigger):
                 exchange = self._send(run, target)
+            if exchange.relay:
+                self._metrics.count_relayed("item")
             load = self._wire.read_load(exchange.headers)
             self._slots.report_load(slot, load, self._wire.read_limit(exchange.headers))
             return self._handle_response(run, route, exchange)
@@ -214,6 +216,8 @@
             if run.abort.triggered:
                 return RunOutcome.CANCELLED
             self._log_target_lost(run, target, err)
+            if self._pools.is_link_lost(target.target_id, err):
+                return RunOutcome.CANCELLED
             if run.last_event_id == run.resumed_at_event_id:
                 run.losses += 1
             if run.awaits_end and run.losses >= END_CHECKS_MAX:
--- a/clementinepin/serving/_metrics.py
+++ b/clementinepin/serving/_metrics.py
@@ -18,6 +18,7 @@
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
         self._requests = self._make_counter("requests_total", "Requests by outcome", "outcome")
+        self._relayed = self._make_counter("relayed_total", "Runs through others by kind", "kind")
         self._store_calls = self._make_counter("store_calls_total", "Calls by kind", "kind")
         self._items = self._make_counter("item_runs_total", "Runs of items by outcome", "outcome")
         self._request_s = self._make_histogram("request_seconds", "Whole time of a request")
@@ -37,6 +38,11 @@
         self._items.labels(outcome).inc()
         self._count(f"item_{outcome}")
 
+    def count_relayed(self, kind: str) -> None:
+        """Count a request or the run of an item whose target only another instance reached."""
+        self._relayed.labels(kind).inc()
+        self._count(f"relayed_{kind}")
+
     def count_store_call(self, kind: str, took_s: float) -> None:
         """Count a store call and its time in seconds."""
         self._store_calls.labels(kind).inc()
--- a/clementinepin/serving/_pools.py
+++ b/clementinepin/serving/_pools.py
@@ -46,10 +46,10 @@
         current = self._transports.get(target_id)
         return current is not None and current[1].is_link_lost(err)
 
-    def check_link(self, target_id: str) -> bool:
-        """Return whether only other instances reach a target; may wait for a check."""
+    def is_link_silent(self, target_id: str) -> bool:
+        """Return whether a silence of a target is one of the own link; may wait for a check."""
         current = self._transports.get(target_id)
-        return current is not None and current[1].check_link()
+        return current is not None and current[1].is_link_silent()
 
     def describe_state(self) -> dict[str, Any]:
         """Return the targets that only other instances reach, as JSON-compatible values."""
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -250,20 +250,34 @@
         self._link.send(messages.ReportLoad(slot.number, reported, limit_per_s))
 
     @contextmanager
-    def watch_silence(self, slot: Slot, request_id: str) -> Iterator[None]:
-        """Report the slot's target if the block, which waits for its response, takes long."""
+    def watch_silence(
+        self, slot: Slot, request_id: str, on_link_lost: Callable[[], None]
+    ) -> Iterator[None]:
+        """Report the slot's target if the block, which waits for its response, takes long.
+
+        If the own link to the target is lost, ``on_link_lost`` is called instead: the target may
+        serve all others.
+        """
         service = self._taken[slot.number][0].service
         sent_at = self._clock.monotonic()
         silent_after_s = self._response_times.get_silent_after_s(service)
-        timer = gevent.spawn_later(silent_after_s, self._report_silence, slot, request_id)
+        timer = gevent.spawn_later(
+            silent_after_s, self._report_silence, slot, request_id, on_link_lost
+        )
         try:
             yield
             self._response_times.record(service, self._clock.monotonic() - sent_at)
         finally:
             timer.kill(block=False)
 
-    def _report_silence(self, slot: Slot, request_id: str) -> None:
+    def _report_silence(
+        self, slot: Slot, request_id: str, on_link_lost: Callable[[], None]
+    ) -> None:
         log = logger.bind(request_id=request_id, target=slot.target_id)
+        if self._pools.is_link_silent(slot.target_id):
+            log.info("target_link_silent")
+            on_link_lost()
+            return
         log.bind(dispatcher=self.dispatcher_name).info("target_silent")
         key = (self._name, slot.number)
         target_health.record_silence(self._table, key, self._clock.monotonic())
--- a/clementinepin/systems/reach.py
+++ b/clementinepin/systems/reach.py
@@ -16,7 +16,7 @@
 FIRST_PROBE_S: Final = 0.25  # a single lost packet is found out soon
 PROBE_PERIOD_S: Final = 1.0
 UNREACHED_S: Final = 0.2  # other instances aren't asked again for a target that nobody reached
-CHECKED_S: Final = 0.2  # requests that are silent at the same time share a check of their link
+SILENCE_S: Final = 0.2  # a link that worked within this time is not what makes a request silent
 
 
 def is_relayed(table: ReachTable, target: str) -> bool:
@@ -29,9 +29,10 @@
     return now >= table.unreached_until.get(target, 0.0)
 
 
-def must_check(table: ReachTable, target: str, now: float) -> bool:
-    """Return whether a request that stays silent or broke off calls for a check of its link."""
-    return not is_relayed(table, target) and now >= table.checked_until.get(target, 0.0)
+def must_check(table: ReachTable, target: str, since: float) -> bool:
+    """Return whether the link is to be checked: it is not known to have worked ``since`` then."""
+    never = float("-inf")
+    return not is_relayed(table, target) and table.direct_at.get(target, never) < since
 
 
 def record_direct(table: ReachTable, target: str, now: float) -> bool:
@@ -39,7 +40,7 @@
 
     The other links are tried again at once, as links mostly fail and recover together.
     """
-    table.checked_until[target] = now + CHECKED_S
+    table.direct_at[target] = now
     table.unreached_until.pop(target, None)
     if table.probe_at.pop(target, None) is None:
         return False
@@ -72,5 +73,5 @@
 
 def forget(table: ReachTable, target: str) -> None:
     """Drop a target that is gone."""
-    for rows in (table.probe_at, table.unreached_until, table.checked_until):
+    for rows in (table.probe_at, table.unreached_until, table.direct_at):
         rows.pop(target, None)
--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -125,17 +125,13 @@
             self._raise_if_expired()
             is_link = isinstance(err, RelayLostError) and not self._aborted
             kind = TargetLinkLostError if is_link else TargetLostError
-            raise self._describe_path(kind(f"connection failed: {err}")) from err
+            raise kind(f"connection failed: {err}") from err
         if not data:
             self._raise_if_expired()
             if self._aborted:
-                raise self._describe_path(TargetLostError("the exchange was aborted"))
+                raise TargetLostError("the exchange was aborted")
         return data
 
-    def _describe_path(self, err: TargetLostError) -> TargetLostError:
-        err.relay = self.relay
-        return err
-
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another request.
 
@@ -178,8 +174,7 @@
 
     def _raise_if_expired(self) -> None:
         if self._expired:
-            message = "target did not complete its response in time"
-            raise self._describe_path(TargetTimeoutError(message))
+            raise TargetTimeoutError("target did not complete its response in time")
 
     def _start_timer(self) -> None:
         wait_s = max(self._deadline - self._clock.monotonic(), TIMEOUT_MIN_S)
@@ -249,8 +244,11 @@
     def may_use(self, address: TargetAddress, connection: Connection) -> bool:
         """Return whether an idle connection still goes the right way."""
 
-    def check_link(self, address: TargetAddress) -> bool:
-        """Return whether only other instances reach the target; find out if that is not known."""
+    def check_link(self, address: TargetAddress, since: float) -> bool:
+        """Return whether only other instances reach the target.
+
+        Waits for a check unless the own link worked ``since`` then, in monotonic seconds.
+        """
 
     def list_relayed(self) -> list[str]:
         """Return the names of the targets that only other instances reach."""
@@ -322,9 +320,12 @@
                 connection.close()
         self._idle = kept
 
-    def check_link(self) -> bool:
-        """Return whether only other instances reach the target."""
-        return self._dialer.check_link(self.address)
+    def check_link(self, since: float) -> bool:
+        """Return whether only other instances reach the target.
+
+        Waits for a check unless the own link worked ``since`` then, in monotonic seconds.
+        """
+        return self._dialer.check_link(self.address, since)
 
     def _close_expired(self) -> None:
         """Close the oldest connection if it was idle too long to be reused."""
--- a/clementinepin/targets/_dialing.py
+++ b/clementinepin/targets/_dialing.py
@@ -92,7 +92,7 @@
         """Return True: all connections go the only way."""
         return True
 
-    def check_link(self, address: TargetAddress) -> bool:
+    def check_link(self, address: TargetAddress, since: float) -> bool:
         """Return False: there are no other instances."""
         return False
 
@@ -157,9 +157,12 @@
             return reach.is_relayed(self._table, address.name)
         return address.name not in self._hung
 
-    def check_link(self, address: TargetAddress) -> bool:
-        """Return whether only other instances reach the target; find out if that is not known."""
-        if reach.must_check(self._table, address.name, self._clock.monotonic()):
+    def check_link(self, address: TargetAddress, since: float) -> bool:
+        """Return whether only other instances reach the target.
+
+        Waits for a check unless the own link worked ``since`` then, in monotonic seconds.
+        """
+        if reach.must_check(self._table, address.name, since):
             check = self._checks.get(address.name)
             if check is None:
                 check = self._checks[address.name] = gevent.spawn(self._check, address)
@@ -229,7 +232,7 @@
             self._looks = gevent.spawn(self._run_looks)
         for pool in list(self._pools.values()):
             if pool.idle and pool.address != address:
-                gevent.spawn(self.check_link, pool.address)
+                gevent.spawn(self.check_link, pool.address, now)
 
     def _use_loser(self, address: TargetAddress, outcomes: Queue, attempt: _DirectAttempt) -> None:
         """Close what opened too late; a direct connection shows that the own link works."""
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -9,6 +9,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from clementinepin.helpers.clock import Clock
+from clementinepin.systems.reach import SILENCE_S
 from clementinepin.targets._connection import Abort, Connection, ConnectionPool, Dialer
 from clementinepin.targets._dialing import DirectDialer
 from clementinepin.targets.exceptions import (
@@ -259,6 +260,13 @@
 
     def _feed(self) -> int:
         """Parse the bytes of one read and return their number. Raises TargetLostError."""
+        try:
+            return self._parse_read()
+        except TargetLostError as err:
+            err.relay = self.relay
+            raise
+
+    def _parse_read(self) -> int:
         if self._connection is None:
             raise TargetLostError("the exchange is already closed")
         try:
@@ -383,11 +391,11 @@
             return True
         if isinstance(err, TargetProtocolError) or err.relay:
             return False
-        return self._pool.check_link()
+        return self._pool.check_link(self._clock.monotonic())
 
-    def check_link(self) -> bool:
-        """Return whether only other instances reach the target; may wait for a check."""
-        return self._pool.check_link()
+    def is_link_silent(self) -> bool:
+        """Return whether a silence of the target is one of the own link; may wait for a check."""
+        return self._pool.check_link(self._clock.monotonic() - SILENCE_S)
 
     @property
     def idle(self) -> int:
--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any
 
@@ -51,6 +51,7 @@
         self.rejection: OverloadedError | None = None
         self.silent: list[tuple[str, str]] = []
         self.limits_per_s: list[float | None] = []
+        self.is_link_silent: Callable[[str], bool] = lambda _target_id: False
 
     def acquire(self, request: SlotRequest, on_waiting: Any) -> Slot:
         if self.rejection is not None:
@@ -70,9 +71,16 @@
         self.limits_per_s.append(limit_per_s)
 
     @contextmanager
-    def watch_silence(self, slot: Slot, request_id: str) -> Iterator[None]:
-        silent = (slot.target_id, request_id)
-        timer = gevent.spawn_later(estimates.SILENT_MIN_S, self.silent.append, silent)
+    def watch_silence(
+        self, slot: Slot, request_id: str, on_link_lost: Callable[[], None]
+    ) -> Iterator[None]:
+        def report() -> None:
+            if self.is_link_silent(slot.target_id):
+                on_link_lost()
+            else:
+                self.silent.append((slot.target_id, request_id))
+
+        timer = gevent.spawn_later(estimates.SILENT_MIN_S, report)
         try:
             yield
         finally:
@@ -95,6 +103,7 @@
             ServingMetrics(),
         )
         self.app._forwarder._slots = self.slots  # type: ignore[assignment]
+        self.slots.is_link_silent = self.app._pools.is_link_silent
         self.port = address[1]
         self._targets: list[ScriptedTarget] = []
         self.app._servers[0].start()
--- a/tests/serving/test_cut_off_instances.py
+++ b/tests/serving/test_cut_off_instances.py
@@ -18,7 +18,7 @@
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving.models import Member, RouteKind
 from clementinepin.systems.dispatch_actions import RunOutcome
-from tests.serving.cut_links import CutLink, Manner
+from tests.serving.cut_links import CutLink, Effect, Link, Manner
 from tests.serving.harness import ID, Harness, close_at_once, get_status, send_events
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS
@@ -43,7 +43,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.helpers: list[App] = []
-        self._links: list[CutLink] = []
+        self._links: list[CutLink | Link] = []
         self.add_helper()
 
     def add_helper(self) -> App:
@@ -76,6 +76,18 @@
         (helper or self.helpers[0]).fleet.targets.rows[target_id] = row
         return target
 
+    def add_linked_target(self, target: ScriptedTarget, effect: Effect) -> Link:
+        """Add a target that all instances reach; return the entry's link to it."""
+        self.add_target(target)
+        target_id = self.slots.target_ids[-1]
+        link = Link(target.port, effect)
+        self._links.append(link)
+        row = self.app.fleet.targets.rows[target_id]
+        self.app.fleet.targets.rows[target_id] = row._replace(port=link.port)
+        for helper in self.helpers:
+            helper.fleet.targets.rows[target_id] = row
+        return link
+
     def stop(self) -> None:
         super().stop()
         for helper in self.helpers:
@@ -247,6 +259,80 @@
     assert cut_off.slots.outcomes == [RunOutcome.UNREACHED]
 
 
+@pytest.mark.parametrize("resumable", [True, False])
+def test_a_run_that_a_lost_link_breaks_off_is_not_blamed_on_its_target(
+    cut_off: CutOffHarness, resumable: bool
+) -> None:
+    """Guards against sound targets, and parts of prompts, being avoided by all instances."""
+    links: list[Link] = []
+
+    def send_until_cut(sock: Any, request: bytes) -> bool:
+        sock.sendall(HEAD % (b"s1", read_id(request)) + EVENTS + make_chunk(make_event(1)))
+        gevent.sleep(0.1)
+        links[0].cut(Manner.REFUSE)
+        return sock.recv(1) != b""
+
+    cut_off.set_route(resumable=resumable, attempts_max=2)
+    first = ScriptedTarget(send_until_cut)
+    links.append(cut_off.add_linked_target(first, Effect.RESET))
+    cut_off.add_cut_target(ScriptedTarget(send_events(2)), Manner.REFUSE)
+    response = call(cut_off.port, ID)
+    assert len(first.requests) == 1
+    assert response.endswith(b"0\r\n\r\n") is resumable
+    served = [RunOutcome.SERVED] if resumable else []
+    assert cut_off.slots.outcomes == [RunOutcome.CANCELLED, *served]
+
+
+def test_a_run_that_its_target_breaks_off_is_still_blamed_on_it(cut_off: CutOffHarness) -> None:
+    cut_off.set_route(resumable=False, attempts_max=1)
+    cut_off.add_linked_target(ScriptedTarget(close_at_once), Effect.RESET)
+    assert get_status(call(cut_off.port, ID)) == 502
+    assert cut_off.slots.outcomes == [RunOutcome.BROKEN]
+
+
+def test_a_run_that_its_target_breaks_off_in_a_tunnel_is_still_blamed_on_it(
+    cut_off: CutOffHarness,
+) -> None:
+    cut_off.set_route(resumable=False, attempts_max=1)
+    cut_off.add_cut_target(ScriptedTarget(close_at_once), Manner.REFUSE)
+    assert get_status(call(cut_off.port, ID)) == 502
+    assert cut_off.slots.outcomes == [RunOutcome.BROKEN]
+
+
+def test_a_repeatable_request_on_a_link_that_hangs_is_sent_again_at_once(
+    cut_off: CutOffHarness,
+) -> None:
+    """Guards against waiting for a target until the deadline when only the link to it hangs."""
+    cut_off.set_route(kind=RouteKind.IDEMPOTENT, attempts_max=2, timeout_s=60.0)
+    target = ScriptedTarget(make_plain(b"first"), make_plain(b"second"))
+    link = cut_off.add_linked_target(target, Effect.HANG)
+    assert call(cut_off.port, ID).endswith(b"first")
+    link.cut(Manner.HANG)
+    cut_off.add_cut_target(ScriptedTarget(make_plain(b"other")), Manner.HANG)
+    with gevent.Timeout(10.0):
+        assert call(cut_off.port, ID).endswith(b"other")
+    assert cut_off.slots.outcomes == [RunOutcome.SERVED, RunOutcome.CANCELLED, RunOutcome.SERVED]
+    assert cut_off.slots.silent == []
+
+
+def test_the_end_of_an_unframed_response_is_checked_through_another_instance(
+    cut_off: CutOffHarness,
+) -> None:
+    """Guards against a refused link being taken for a target that crashed at the end."""
+    links: list[Link] = []
+
+    def cut_then_send(sock: Any, request: bytes) -> bool:
+        links[0].cut(Manner.REFUSE)
+        sock.sendall(HEAD % (b"s1", read_id(request)) + UNFRAMED_EVENTS + make_event(1))
+        return False
+
+    cut_off.set_route(resumable=False, attempts_max=1)
+    links.append(cut_off.add_linked_target(ScriptedTarget(cut_then_send), Effect.NONE))
+    response = call(cut_off.port, ID)
+    assert b"data: e1" in response
+    assert response.endswith(b"0\r\n\r\n")
+
+
 def forward(sock: Any, port: int) -> None:
     """Pass bytes between a connection and a port, until both sides have closed."""
     with socket.create_connection(("127.0.0.1", port)) as upstream:
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -294,3 +294,14 @@
     harness.run_item()
     assert harness.slots.outcomes == [RunOutcome.SERVED, RunOutcome.SERVED]
     assert harness.slots.successes == [False, True]
+
+
+def test_an_item_whose_link_is_lost_is_not_counted_against_its_target(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness = Harness(send_events(1, end=False, cut=b"id: 2\nda"), send_events(2))
+    monkeypatch.setattr(harness.runner._pools, "is_link_lost", lambda _target, _err: True)
+    run = harness.run_item()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
+    assert harness.slots.outcomes == [RunOutcome.CANCELLED, RunOutcome.SERVED]
+    assert run.losses == 0
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -9,6 +9,7 @@
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 from loguru import logger
 
 from clementinepin.helpers.clock import create_system_clock
@@ -62,9 +63,15 @@
 
 
 class FakePools:
+    def __init__(self) -> None:
+        self.lost_links: set[str] = set()
+
     def list_warm(self) -> list[str]:
         return []
 
+    def is_link_silent(self, target_id: str) -> bool:
+        return target_id in self.lost_links
+
 
 def find_port() -> int:
     with socket.socket() as sock:
@@ -348,16 +355,33 @@
     pair = start_pair(1)
     target = pair.dispatcher.table.targets["t0"]
     slot = acquire(pair.broker, make_request(create_system_clock().monotonic()))
-    with pair.broker.watch_silence(slot, "q1"):
+    with pair.broker.watch_silence(slot, "q1", lambda: None):
         pass
     gevent.sleep(0.05)
     assert target.avoid_until == 0.0
-    with gevent.Timeout(5.0), pair.broker.watch_silence(slot, "q1"):
+    with gevent.Timeout(5.0), pair.broker.watch_silence(slot, "q1", lambda: None):
         while not target.avoid_until:
             gevent.sleep(0.005)
     pair.stop()
 
 
+def test_a_silent_link_is_not_reported_as_a_silent_target(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against one cut-off instance that makes all others avoid sound targets."""
+    monkeypatch.setattr(_slots.estimates, "SILENT_MIN_S", 0.02)
+    pair = start_pair(1)
+    target = pair.dispatcher.table.targets["t0"]
+    slot = acquire(pair.broker, make_request(create_system_clock().monotonic()))
+    pair.broker._pools.lost_links.add("t0")
+    lost = Event()
+    with pair.broker.watch_silence(slot, "q1", lost.set):
+        assert lost.wait(5.0)
+    gevent.sleep(0.05)
+    assert target.avoid_until == 0.0
+    pair.stop()
+
+
 def test_no_retry_time_is_beyond_the_callers_return() -> None:
     """Mutation: don't send the caller's timeout: nobody keeps the retry times."""
     pair = start_pair(1)
--- a/tests/systems/test_reach.py
+++ b/tests/systems/test_reach.py
@@ -47,12 +47,12 @@
     assert reach.may_ask_relays(table, "t0", 1.0 + 2 * reach.UNREACHED_S)
 
 
-def test_silent_requests_of_one_target_share_a_check_of_its_link() -> None:
+def test_a_link_is_checked_unless_it_worked_since() -> None:
     table = ReachTable()
     assert reach.must_check(table, "t0", 1.0)
     reach.record_direct(table, "t0", 1.0)
-    assert not reach.must_check(table, "t0", 1.1)
-    assert reach.must_check(table, "t0", 1.0 + 2 * reach.CHECKED_S)
+    assert not reach.must_check(table, "t0", 1.0)
+    assert reach.must_check(table, "t0", 1.1)
     reach.record_relayed(table, "t0", 2.0)
     assert not reach.must_check(table, "t0", 9.0)
 
@@ -73,4 +73,4 @@
     reach.record_unreached(table, "t0", 1.0)
     reach.record_direct(table, "t0", 1.0)
     reach.forget(table, "t0")
-    assert [*table.probe_at, *table.unreached_until, *table.checked_until] == []
+    assert [*table.probe_at, *table.unreached_until, *table.direct_at] == []
