Choose relays in the targets package, and forget lost links that nobody uses

The product's own interface needs the same choice. A link to a target that was removed while it was lost was tried each second for ever (test).

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -48,6 +48,7 @@
     Route,
 )
 from clementinepin.serving.wire import Wire
+from clementinepin.targets import HedgedRelays
 
 RESOLVE_TTL_S: Final = 2.0  # callers notice a lost instance at their next connection anyway
 STOP_ACCEPTING_SHARE: Final = 0.78  # of the grace time; the longest usual stream fits in the rest
@@ -100,7 +101,9 @@
         )
         self.fleet = FleetView(settings, relayed, wire, clock, outages)
         relayed.list_relays = self.fleet.list_relays
-        pools = TargetPools(self.fleet, clock, TunnelClient(self.fleet, settings.name, clock, rng))
+        tunnels = TunnelClient(self.fleet, settings.name, clock)
+        relays = HedgedRelays(tunnels.list_relays, tunnels.open, clock, rng)
+        pools = TargetPools(self.fleet, clock, relays)
         self._pools = pools
         self.slots = SlotBroker(
             settings.name, settings.data_centre, self.fleet, pools, clock, rng, policy
--- a/clementinepin/serving/_tunnels.py
+++ b/clementinepin/serving/_tunnels.py
@@ -6,28 +6,20 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
-from functools import partial
 from typing import Any, Final
 
 import gevent
 from gevent import socket
-from gevent.queue import Queue
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._links import CONNECT_TIMEOUT_S, LinkServer, set_options
-from clementinepin.serving.models import Member
-from clementinepin.targets import TargetAddress, connect_directly
+from clementinepin.targets import Relay, TargetAddress, connect_directly
 from clementinepin.targets.exceptions import RelayLostError, TargetNotReachedError
 
 READ_SIZE_BYTES: Final = 65_536
-RELAYS_MAX: Final = 3  # two of them may be cut off as well
-HEDGE_DELAY_S: Final = 0.1
-UNABLE_S: Final = 2.0  # how long an instance that did not reach a target ranks behind others
 KEEPALIVE_S: Final = 1
 
 
@@ -198,43 +190,27 @@
 
 
 class TunnelClient:
-    """Opens tunnels through other instances; implements ``Relays``."""
+    """Opens tunnels through other instances."""
 
-    def __init__(self, fleet: FleetView, own_name: str, clock: Clock, rng: random.Random) -> None:
+    def __init__(self, fleet: FleetView, own_name: str, clock: Clock) -> None:
         self._fleet = fleet
         self._own_name = own_name
         self._clock = clock
-        self._random = rng
-        self._unable_until: dict[str, float] = {}
 
-    def open(self, target: TargetAddress, deadline: float) -> tuple[TunnelChannel, str]:
-        """Return a tunnel to the target and the name of its relay.
+    def list_relays(self) -> list[Relay]:
+        """Return the other instances.
 
-        Another relay is asked when one fails, or after HEDGE_DELAY_S. Raises TargetNotReachedError.
+        Job runners are asked first: links are mostly lost by entries, and by a whole data centre
+        of them.
         """
-        outcomes: Queue = Queue()
-        remaining = self._choose_relays()
-        unable: list[str] = []
-        running, refused, failure = 0, False, "no other instance is known"
-        while remaining or running:
-            if remaining:
-                relay = remaining.pop(0)
-                gevent.spawn(_put_outcome, outcomes, relay, partial(self._ask, target, deadline))
-                running += 1
-            with gevent.Timeout(HEDGE_DELAY_S if remaining else None, False):
-                relay, channel, err = outcomes.get()
-                running -= 1
-                if channel is not None:
-                    self._mark_unable(unable)
-                    gevent.spawn(_close_others, outcomes, running)
-                    return channel, relay.name
-                unable.append(relay.name)
-                refused = refused or err.refused
-                failure = f"{relay.name}: {err.message}"
-        raise TargetNotReachedError(f"no relay reaches {target.name}: {failure}", refused=refused)
-
-    def _ask(self, target: TargetAddress, deadline: float, relay: Member) -> TunnelChannel:
-        """Return a tunnel through one relay. Raises TargetNotReachedError."""
+        members = self._fleet.list_relays()
+        return [Relay(m.name, not m.runs_jobs) for m in members if m.name != self._own_name]
+
+    def open(self, name: str, target: TargetAddress, deadline: float) -> TunnelChannel:
+        """Return a tunnel through one instance. Raises TargetNotReachedError."""
+        relay = self._fleet.members.rows.get(name)
+        if relay is None:
+            raise TargetNotReachedError(f"instance {name!r} is gone")
         sock = socket.socket()
         try:
             timeout_s = max(0.0, deadline - self._clock.monotonic())
@@ -244,59 +220,24 @@
             sock.settimeout(timeout_s)
             sock.sendall(messages.pack_message(messages.OpenTunnel(target.name, timeout_s)))
             reader = messages.FrameReader()
-            replies: list[Any] = []
-            while not replies:
-                data = sock.recv(READ_SIZE_BYTES)
-                if not data:
-                    raise RelayLostError("closed without a reply")
-                replies = reader.feed(data)
+            reply = _read_reply(sock, reader)
         except (OSError, ValueError) as err:
             sock.close()
             raise TargetNotReachedError(str(err)) from err
-        reply = replies[0]
-        if not isinstance(reply, messages.TunnelOpened) or reply.failure:
+        if reply.failure:
             sock.close()
-            failure = getattr(reply, "failure", f"unexpected reply {reply!r}")
-            raise TargetNotReachedError(failure, refused=getattr(reply, "refused", False))
+            raise TargetNotReachedError(reply.failure, refused=reply.refused)
         sock.settimeout(None)
         return TunnelChannel(sock, reader)
 
-    def _choose_relays(self) -> list[Member]:
-        """Return up to RELAYS_MAX relays, the best first.
 
-        Job runners come first: links are mostly lost by entries, and by a whole data centre of
-        them. The rest is chosen at random, so that the load is shared.
-        """
-        now = self._clock.monotonic()
-        relays = [m for m in self._fleet.list_relays() if m.name != self._own_name]
-        self._random.shuffle(relays)
-
-        def rank(member: Member) -> tuple[bool, bool]:
-            return now < self._unable_until.get(member.name, 0.0), not member.runs_jobs
-
-        return sorted(relays, key=rank)[:RELAYS_MAX]
-
-    def _mark_unable(self, names: list[str]) -> None:
-        """Rank relays behind others that failed to reach a target which another one reached."""
-        now = self._clock.monotonic()
-        self._unable_until = {n: at for n, at in self._unable_until.items() if at > now}
-        self._unable_until.update(dict.fromkeys(names, now + UNABLE_S))
-
-
-def _put_outcome(outcomes: Queue, relay: Member, ask: Callable[[Member], TunnelChannel]) -> None:
-    """Put the relay with its channel or its error into the queue."""
-    try:
-        outcomes.put((relay, ask(relay), None))
-    except TargetNotReachedError as err:
-        outcomes.put((relay, None, err))
-    except Exception as err:
-        logger.opt(exception=err).error("tunnel_failed")
-        outcomes.put((relay, None, TargetNotReachedError(f"attempt failed: {err!r}")))
-
-
-def _close_others(outcomes: Queue, running: int) -> None:
-    """Close the tunnels that open after another one was chosen."""
-    for _ in range(running):
-        _, channel, _ = outcomes.get()
-        if channel is not None:
-            channel.close()
+def _read_reply(sock: Any, reader: messages.FrameReader) -> messages.TunnelOpened:
+    """Return the relay's reply. Raises OSError or ValueError if there is none."""
+    while True:
+        data = sock.recv(READ_SIZE_BYTES)
+        if not data:
+            raise RelayLostError("closed without a reply")
+        for reply in reader.feed(data):
+            if not isinstance(reply, messages.TunnelOpened):
+                raise ValueError(f"unexpected reply {reply!r}")
+            return reply
--- a/clementinepin/systems/reach.py
+++ b/clementinepin/systems/reach.py
@@ -15,10 +15,18 @@
 
 FIRST_PROBE_S: Final = 0.25  # a single lost packet is found out soon
 PROBE_PERIOD_S: Final = 1.0
+UNUSED_S: Final = 60.0  # then what is known of a link is dropped
+TARGETS_MAX: Final = 4_096
 UNREACHED_S: Final = 0.2  # other instances aren't asked again for a target that nobody reached
 SILENCE_S: Final = 0.2  # a link that worked within this time is not what makes a request silent
 
 
+def record_use(table: ReachTable, target: str, now: float) -> None:
+    """Record that a connection to a target is wanted; only such links are tried again."""
+    if is_relayed(table, target):
+        table.used_at[target] = now
+
+
 def is_relayed(table: ReachTable, target: str) -> bool:
     """Return whether only other instances reach the target."""
     return target in table.probe_at
@@ -40,8 +48,11 @@
 
     The other links are tried again at once, as links mostly fail and recover together.
     """
+    if len(table.direct_at) >= TARGETS_MAX:
+        table.direct_at.clear()
     table.direct_at[target] = now
     table.unreached_until.pop(target, None)
+    table.used_at.pop(target, None)
     if table.probe_at.pop(target, None) is None:
         return False
     for other in table.probe_at:
@@ -55,16 +66,21 @@
     if is_relayed(table, target):
         return False
     table.probe_at[target] = now + FIRST_PROBE_S
+    table.used_at[target] = now
     return True
 
 
 def record_unreached(table: ReachTable, target: str, now: float) -> None:
     """Record that neither this instance nor another one reached the target."""
+    if len(table.unreached_until) >= TARGETS_MAX:
+        table.unreached_until.clear()
     table.unreached_until[target] = now + UNREACHED_S
 
 
 def take_due_probes(table: ReachTable, now: float) -> list[str]:
     """Return the targets whose own link should be tried now; the next try is a period later."""
+    for target in [t for t in table.probe_at if now - table.used_at[t] >= UNUSED_S]:
+        forget(table, target)
     due = [target for target, at in table.probe_at.items() if now >= at]
     for target in due:
         table.probe_at[target] = now + PROBE_PERIOD_S
@@ -73,5 +89,5 @@
 
 def forget(table: ReachTable, target: str) -> None:
     """Drop a target that is gone."""
-    for rows in (table.probe_at, table.unreached_until, table.direct_at):
+    for rows in (table.probe_at, table.used_at, table.unreached_until, table.direct_at):
         rows.pop(target, None)
--- a/clementinepin/tables/reach.py
+++ b/clementinepin/tables/reach.py
@@ -7,11 +7,12 @@
     """What an instance knows of its links to targets, by target name. Times are monotonic seconds.
 
     ``probe_at`` has the targets that only other instances reach, and when the own link is tried
-    again. ``unreached_until`` has targets that nobody reached of late, ``direct_at`` when the own
-    link worked last.
+    again; ``used_at`` when a connection to them was wanted last. ``unreached_until`` has targets
+    that nobody reached of late, ``direct_at`` when the own link worked last.
     """
 
     def __init__(self) -> None:
         self.probe_at: dict[str, float] = {}
+        self.used_at: dict[str, float] = {}
         self.unreached_until: dict[str, float] = {}
         self.direct_at: dict[str, float] = {}
--- a/clementinepin/targets/__init__.py
+++ b/clementinepin/targets/__init__.py
@@ -17,6 +17,7 @@
     PlainService,
     create_plain_service,
 )
+from clementinepin.targets._relays import HedgedRelays, Relay
 from clementinepin.targets.models import (
     CacheEvent,
     Channel,
@@ -35,12 +36,14 @@
     "Channel",
     "Engine",
     "GenerateRequest",
+    "HedgedRelays",
     "HttpExchange",
     "HttpRequest",
     "LoadReport",
     "PlainRequest",
     "PlainResponse",
     "PlainService",
+    "Relay",
     "RelayingDialer",
     "Relays",
     "StreamChunk",
--- a/clementinepin/targets/_dialing.py
+++ b/clementinepin/targets/_dialing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import weakref
 from collections.abc import Callable
 from functools import partial
 from typing import Final
@@ -118,7 +119,7 @@
         self._clock = clock
         self._relays = relays
         self._table = ReachTable()
-        self._pools: dict[str, ConnectionPool] = {}
+        self._pools: weakref.WeakSet[ConnectionPool] = weakref.WeakSet()
         self._checks: dict[str, gevent.Greenlet] = {}
         self._hung: set[str] = set()
         self._looks: gevent.Greenlet | None = None
@@ -134,6 +135,7 @@
         """
         now = self._clock.monotonic()
         deadline = min(deadline, now + CONNECT_TIMEOUT_S)
+        reach.record_use(self._table, address.name, now)
         if reach.is_relayed(self._table, address.name):
             try:
                 return self._dial_relayed(address, deadline)
@@ -171,13 +173,13 @@
 
     def add(self, pool: ConnectionPool) -> None:
         """Look after the idle connections of a pool until it is removed."""
-        self._pools[pool.address.name] = pool
+        self._pools.add(pool)
 
     def remove(self, pool: ConnectionPool) -> None:
         """Forget a pool, and what is known of its target."""
+        self._pools.discard(pool)
         name = pool.address.name
-        if self._pools.get(name) is pool:
-            del self._pools[name]
+        if all(other.address.name != name for other in self._pools):
             self._hung.discard(name)
             reach.forget(self._table, name)
 
@@ -230,9 +232,8 @@
         log.warning("target_link_lost")
         if self._looks is None or self._looks.dead:
             self._looks = gevent.spawn(self._run_looks)
-        for pool in list(self._pools.values()):
-            if pool.idle and pool.address != address:
-                gevent.spawn(self.check_link, pool.address, now)
+        for other in {pool.address for pool in self._pools if pool.idle} - {address}:
+            gevent.spawn(self.check_link, other, now)
 
     def _use_loser(self, address: TargetAddress, outcomes: Queue, attempt: _DirectAttempt) -> None:
         """Close what opened too late; a direct connection shows that the own link works."""
@@ -262,8 +263,8 @@
             self._checks.pop(address.name, None)
 
     def _keep(self, address: TargetAddress, connection: Connection) -> None:
-        pool = self._pools.get(address.name)
-        if pool is None or pool.address != address:
+        pool = next((pool for pool in self._pools if pool.address == address), None)
+        if pool is None:
             connection.close()
         else:
             pool.release(connection)
@@ -272,14 +273,15 @@
         """Try lost links again, and close idle connections that are of no use any more."""
         while self._table.probe_at:
             gevent.sleep(LOOK_PERIOD_S)
-            for name in reach.take_due_probes(self._table, self._clock.monotonic()):
-                if name in self._pools:
-                    gevent.spawn(self._probe, self._pools[name].address)
+            due = reach.take_due_probes(self._table, self._clock.monotonic())
+            for address in {pool.address for pool in self._pools}:
+                if address.name in due:
+                    gevent.spawn(self._probe, address)
             self._sweep()
         self._sweep()
 
     def _sweep(self) -> None:
-        for pool in list(self._pools.values()):
+        for pool in list(self._pools):
             pool.sweep()
 
     def _probe(self, address: TargetAddress) -> None:
--- a/tests/systems/test_reach.py
+++ b/tests/systems/test_reach.py
@@ -21,6 +21,7 @@
             if not is_cut and reach.record_direct(table, target, now):
                 restored_at = max(restored_at, now)
         for target in TARGETS:
+            reach.record_use(table, target, now)
             if reach.is_relayed(table, target):
                 relayed_late += now > 16.0 + 2 * reach.PROBE_PERIOD_S
             elif is_cut:
@@ -73,4 +74,15 @@
     reach.record_unreached(table, "t0", 1.0)
     reach.record_direct(table, "t0", 1.0)
     reach.forget(table, "t0")
-    assert [*table.probe_at, *table.unreached_until, *table.direct_at] == []
+    assert not any(vars(table).values())
+
+
+def test_a_link_that_nobody_uses_is_not_tried_for_ever() -> None:
+    """Load pattern: a target is removed while its link is lost, and its address is never used."""
+    table = ReachTable()
+    reach.record_relayed(table, "t0", 1.0)
+    reach.record_relayed(table, "t1", 1.0)
+    reach.record_use(table, "t1", 50.0)
+    assert reach.take_due_probes(table, 1.0 + reach.UNUSED_S) == ["t1"]
+    assert reach.take_due_probes(table, 50.0 + reach.UNUSED_S) == []
+    assert not any(vars(table).values())
