Reach targets through peers on the product's own interface

Change: component tunnels serves connections to listed targets for authenticated peers, and opens them through peers for all clients of engines and plain services. A run that only the own link lost is no loss of its target, so that its request is no suspect.

--- a/clementinepin/batch/_items.py
+++ b/clementinepin/batch/_items.py
@@ -33,6 +33,7 @@
     make_engine_body,
 )
 from clementinepin.targets.exceptions import (
+    TargetLinkLostError,
     TargetLostError,
     TargetNotReachedError,
     TargetRefusedError,
@@ -156,6 +157,9 @@
             return _RunEnd(CallResult.NOT_REACHED)
         except TargetRefusedError as err:
             return _RunEnd(classify_refusal(err))
+        except TargetLinkLostError:
+            work.not_before = self._clock.monotonic() + RETRY_PAUSE_S
+            return _RunEnd(CallResult.CANCELLED)
         except TargetLostError:
             return _RunEnd(CallResult.LOST)
         except TargetRejectedError as err:
--- a/clementinepin/daemon.py
+++ b/clementinepin/daemon.py
@@ -36,6 +36,7 @@
 from clementinepin.scheduling import create_scheduler
 from clementinepin.storage import create_segment_store
 from clementinepin.targets import create_engine
+from clementinepin.tunnels import create_tunnels
 
 USAGE = """Run one instance of the serving system.
 
@@ -58,20 +59,23 @@
     rng = random.Random()
     metrics = create_metrics(settings.metrics.host, settings.metrics.port, settings.metrics.prefix)
     core = Core(settings, clock, metrics, rng)
-    engine_factory = partial(create_engine, clock=clock)
     stores = tuple(create_store(split_url(url), clock) for url in settings.platform.key_value)
     calls_per_s = settings.platform.key_value_calls_per_s
     key_value = create_key_value_store(stores, calls_per_s, clock, metrics, rng)
     instance_list = create_instance_list(settings, clock)
     weight_store = create_weight_store(settings, clock)
     peers = create_peer_network(core)
+    tunnels = create_tunnels(core, peers)
+    engine_factory = partial(create_engine, clock=clock, dialer=tunnels.dialer)
     segments = create_segment_store(core, key_value, peers)
     fleet = create_fleet(core, key_value, peers, instance_list, weight_store, engine_factory)
     scheduler = create_scheduler(core, peers, engine_factory)
     claims = create_claim_store(core, key_value, peers)
     batch = create_batch(core, key_value, segments, scheduler, engine_factory)
-    entry = create_entry(core, scheduler, batch, claims, fleet, peers, engine_factory)
-    for component in (peers, segments, scheduler, fleet, claims, batch, entry):
+    entry = create_entry(
+        core, scheduler, batch, claims, fleet, peers, engine_factory, tunnels.dialer
+    )
+    for component in (peers, tunnels, segments, scheduler, fleet, claims, batch, entry):
         core.register(cast("Component", component))
     return core
 
--- a/clementinepin/entry/_component.py
+++ b/clementinepin/entry/_component.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 
 import gevent
@@ -21,7 +22,7 @@
 from clementinepin.fleet import Fleet
 from clementinepin.peers import PeerNetwork
 from clementinepin.scheduling import Scheduler
-from clementinepin.targets import Engine, TargetAddress, create_plain_service
+from clementinepin.targets import Dialer, Engine, TargetAddress, create_plain_service
 
 LOG_PREFIX: Final = "entry:"
 STOP_POLL_S: Final = 0.05
@@ -115,6 +116,7 @@
     fleet: Fleet,
     peers: PeerNetwork,
     create_engine: Callable[[TargetAddress], Engine],
+    dialer: Dialer | None = None,
 ) -> Entry:
     """Return the entry component."""
     context = EntryContext(
@@ -123,7 +125,9 @@
         batch=batch,
         claims=claims,
         fleet=fleet,
-        targets=TargetClients(core.clock, create_engine, create_plain_service),
+        targets=TargetClients(
+            core.clock, create_engine, partial(create_plain_service, dialer=dialer)
+        ),
         signer=ResumeSigner(core.settings.security.peer_secret),
         background=BackgroundCalls(),
     )
--- a/clementinepin/entry/_retry.py
+++ b/clementinepin/entry/_retry.py
@@ -12,6 +12,7 @@
 from clementinepin.exceptions import ClementinepinError, NotRunError, Outcome
 from clementinepin.scheduling import CallInfo, CallResult, Placement, classify_refusal
 from clementinepin.targets.exceptions import (
+    TargetLinkLostError,
     TargetLostError,
     TargetNotReachedError,
     TargetRefusedError,
@@ -95,8 +96,10 @@
     """Return the result of a failed attempt to report for its target.
 
     A deadline that passes during a response and a late first token don't count against the
-    target, because the request may be a long one.
+    target, because the request may be a long one. Nor does a loss on the way to it.
     """
+    if isinstance(err, TargetLinkLostError):
+        return CallResult.CANCELLED
     if isinstance(err, TargetStalledError):
         return CallResult.LOST if started else CallResult.CANCELLED
     if isinstance(err, TargetNotReachedError):
--- a/clementinepin/targets/__init__.py
+++ b/clementinepin/targets/__init__.py
@@ -7,7 +7,7 @@
     make_engine_body,
     make_engine_model,
 )
-from clementinepin.targets._connection import Abort
+from clementinepin.targets._connection import Abort, Dialer
 from clementinepin.targets._dialing import RelayingDialer, connect_directly, create_dialer
 from clementinepin.targets._engine import create_engine
 from clementinepin.targets._exchange import BodyFraming, HttpExchange, HttpRequest, Transport
@@ -34,6 +34,7 @@
     "BodyFraming",
     "CacheEvent",
     "Channel",
+    "Dialer",
     "Engine",
     "GenerateRequest",
     "HedgedRelays",
--- a/clementinepin/targets/_engine.py
+++ b/clementinepin/targets/_engine.py
@@ -11,6 +11,7 @@
 
 from clementinepin.const import HEADER_FENCING, HEADER_REQUEST_ID
 from clementinepin.helpers.clock import Clock
+from clementinepin.targets._connection import Dialer
 from clementinepin.targets._events import EventDecoder, make_event_ids
 from clementinepin.targets._exchange import HttpExchange, HttpRequest, Transport
 from clementinepin.targets._metrics import parse_load_report
@@ -18,6 +19,7 @@
     OrderRefusedError,
     RefusalReason,
     ResponseMismatchError,
+    TargetLinkLostError,
     TargetLostError,
     TargetProtocolError,
     TargetRefusedError,
@@ -55,8 +57,8 @@
 class HttpEngine:
     """Client for an engine that serves the completions protocol."""
 
-    def __init__(self, address: TargetAddress, clock: Clock) -> None:
-        self._transport = Transport(address, clock)
+    def __init__(self, address: TargetAddress, clock: Clock, dialer: Dialer | None = None) -> None:
+        self._transport = Transport(address, clock, dialer)
         self._clock = clock
 
     def generate(self, request: GenerateRequest) -> Iterator[StreamChunk]:
@@ -74,10 +76,14 @@
                 yield from _read_stream(exchange, request)
             finally:
                 exchange.close()
-        except TargetTimeoutError as err:
+        except TargetLostError as err:
             if self._clock.monotonic() >= request.deadline:
                 raise
-            raise TargetStalledError("target stopped sending before the deadline") from err
+            if self._transport.is_link_lost(err):
+                raise TargetLinkLostError(f"the link failed: {err.message}") from err
+            if isinstance(err, TargetTimeoutError):
+                raise TargetStalledError("target stopped sending before the deadline") from err
+            raise
 
     def cancel(self, request_id: str) -> None:
         """Cancel a generation. The engine ignores unknown ids."""
@@ -182,9 +188,9 @@
     stored: bool
 
 
-def create_engine(address: TargetAddress, clock: Clock) -> HttpEngine:
-    """Return the client for one engine."""
-    return HttpEngine(address, clock)
+def create_engine(address: TargetAddress, clock: Clock, dialer: Dialer | None = None) -> HttpEngine:
+    """Return the client for one engine; without ``dialer`` it uses the own links only."""
+    return HttpEngine(address, clock, dialer)
 
 
 def raise_for_status(exchange: HttpExchange) -> NoReturn:
