--- a/clementinepin/systems/reach.py
+++ b/clementinepin/systems/reach.py
@@ -32,6 +32,19 @@
     return target in table.probe_at
 
 
+def may_use_idle(table: ReachTable, target: str, *, relayed: bool) -> bool:
+    """Return whether an idle connection goes the right way, and is not likely to be dead.
+
+    Direct connections may live on while new ones are refused, but not behind a link that hangs.
+    Once one link hangs, the others are in doubt until they are known to work.
+    """
+    if relayed:
+        return is_relayed(table, target)
+    if target in table.hung:
+        return False
+    return table.direct_at.get(target, table.doubted_at) >= table.doubted_at
+
+
 def may_ask_relays(table: ReachTable, target: str, now: float) -> bool:
     """Return whether other instances should be asked for a target whose own link fails."""
     return now >= table.unreached_until.get(target, 0.0)
@@ -53,6 +66,7 @@
     table.direct_at[target] = now
     table.unreached_until.pop(target, None)
     table.used_at.pop(target, None)
+    table.hung.discard(target)
     if table.probe_at.pop(target, None) is None:
         return False
     for other in table.probe_at:
@@ -60,9 +74,15 @@
     return True
 
 
-def record_relayed(table: ReachTable, target: str, now: float) -> bool:
-    """Record that only another instance reached the target; return whether that is news."""
+def record_relayed(table: ReachTable, target: str, now: float, *, hangs: bool) -> bool:
+    """Record that only another instance reached the target; return whether that is news.
+
+    ``hangs`` says that the own link gave no answer, else it refused the connection.
+    """
     table.unreached_until.pop(target, None)
+    if hangs and target not in table.hung:
+        table.hung.add(target)
+        table.doubted_at = now
     if is_relayed(table, target):
         return False
     table.probe_at[target] = now + FIRST_PROBE_S
@@ -91,3 +111,4 @@
     """Drop a target that is gone."""
     for rows in (table.probe_at, table.used_at, table.unreached_until, table.direct_at):
         rows.pop(target, None)
+    table.hung.discard(target)
--- a/clementinepin/targets/_dialing.py
+++ b/clementinepin/targets/_dialing.py
@@ -121,7 +121,6 @@
         self._table = ReachTable()
         self._pools: weakref.WeakSet[ConnectionPool] = weakref.WeakSet()
         self._checks: dict[str, gevent.Greenlet] = {}
-        self._hung: set[str] = set()
         self._looks: gevent.Greenlet | None = None
 
     def list_relayed(self) -> list[str]:
@@ -151,13 +150,8 @@
         return Connection(sock, self._clock)
 
     def may_use(self, address: TargetAddress, connection: Connection) -> bool:
-        """Return whether an idle connection still goes the right way.
-
-        Direct connections may live on while new ones are refused, but not behind a link that hangs.
-        """
-        if connection.relay:
-            return reach.is_relayed(self._table, address.name)
-        return address.name not in self._hung
+        """Return whether an idle connection still goes the right way."""
+        return reach.may_use_idle(self._table, address.name, relayed=bool(connection.relay))
 
     def check_link(self, address: TargetAddress, since: float) -> bool:
         """Return whether only other instances reach the target.
@@ -180,7 +174,6 @@
         self._pools.discard(pool)
         name = pool.address.name
         if all(other.address.name != name for other in self._pools):
-            self._hung.discard(name)
             reach.forget(self._table, name)
 
     def _dial_relayed(self, address: TargetAddress, deadline: float) -> Connection:
@@ -224,9 +217,7 @@
             self._record_direct(address)
             return
         now = self._clock.monotonic()
-        if hangs:
-            self._hung.add(address.name)
-        if not reach.record_relayed(self._table, address.name, now):
+        if not reach.record_relayed(self._table, address.name, now, hangs=hangs):
             return
         log = logger.bind(target=address.name, relay=connection.relay, hangs=hangs)
         log.warning("target_link_lost")
@@ -247,7 +238,6 @@
             self._keep(address, connection)
 
     def _record_direct(self, address: TargetAddress) -> None:
-        self._hung.discard(address.name)
         if reach.record_direct(self._table, address.name, self._clock.monotonic()):
             logger.bind(target=address.name).warning("target_link_restored")
 
