Draw cut links between instances and targets in the soak

Links can't be cut for one process from outside, so soak/_daemon.py runs a daemon whose connections to listed ports fail as a file says: new ones are refused or hang, open ones hang, are reset or live on. The fault is drawn beside the others, in series too, and a phase behind the faults compares how many callers cut-off entries and others serve, by the bound of the rule. A run in which nobody is served fails.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,7 @@
 from docopt import docopt
 
 from soak._callers import Callers
-from soak._calm import check_crashing_part, check_limits
+from soak._calm import check_crashing_part, check_cut_links, check_limits
 from soak._faults import Faults
 from soak._fleet import ROOT, Fleet
 
@@ -73,7 +73,10 @@
         if not fleet.has_two_builds:
             check_crashing_part(fleet, callers, float(args["--rate"]))
             check_limits(fleet, callers, float(args["--rate"]))
+            check_cut_links(fleet, callers, float(args["--rate"]))
         callers.check_runs()
+        if not callers.statuses.get(200):
+            callers.broken.append("no caller was served")
         callers.broken += list_unexpected_ends(fleet)
     finally:
         fleet.stop()
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -36,6 +36,14 @@
     whole: bool
 
 
+class Try(NamedTuple):
+    """One request to an entry, sent at ``sent_at`` by the fleet's clock."""
+
+    sent_at: float
+    ip: str
+    is_served: bool
+
+
 def call(
     ip: str,
     port: int,
@@ -110,6 +118,7 @@
         self.crashing_share = CRASHING_SHARE
         self.broken: list[str] = []
         self.statuses: dict[int, int] = {}
+        self.tries: list[Try] = []
         self.resumed: dict[int, int] = {}
         self.rejected_ids: list[str] = []
         self.once_ids: list[str] = []
@@ -188,10 +197,12 @@
     def _call_stream(
         self, ip: str, route: str, headers: dict[str, str], events_max: int = 0
     ) -> Response:
-        path = f"/{route}/x"
+        path, sent_at = f"/{route}/x", self._fleet.now()
         body = headers["Clementinepin-Prompt-Prefix"].encode()
         response = call(ip, 8161, "POST", path, headers, body, events_max=events_max)
         self.statuses[response.status] = self.statuses.get(response.status, 0) + 1
+        is_served = response.status == 200 and (response.whole or events_max > 0)
+        self.tries.append(Try(sent_at, ip, is_served))
         if response.status in NOT_RUN_STATUSES:
             self.rejected_ids.append(headers["Clementinepin-Request-Id"])
         return response
--- a/soak/_calm.py
+++ b/soak/_calm.py
@@ -1,7 +1,8 @@
 """Checks of guarantees that hold some seconds after the last fault of an instance.
 
 A part of prompts that crashes engines reaches them a few times only, while sound requests with the
-same first part are served, and engines get no more requests than the limit that they name.
+same first part are served, and engines get no more requests than the limit that they name. Callers
+of an instance that is cut off from all engines are served as others are.
 """
 
 from __future__ import annotations
@@ -21,6 +22,9 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_SHARE = 1.5  # of the limit, and LIMIT_ALLOWANCE requests, are allowed in a window
 LIMIT_ALLOWANCE = 5
+CUT_SERVED_SHARE_MIN = 2 / 3  # of the share that the other instances serve
+CUT_FAILED_ALLOWANCE = 10  # and one in CUT_FAILED_EACH of all first tries
+CUT_FAILED_EACH = 50
 
 
 def check_crashing_part(fleet: Fleet, callers: Callers, rate: float) -> None:
@@ -57,3 +61,30 @@
         most = max((sum(at <= b < at + LIMIT_WINDOW_S for b in late) for at in late), default=0)
         if most > LIMIT_SHARE * LIMIT_PER_S * LIMIT_WINDOW_S + LIMIT_ALLOWANCE:
             callers.broken.append(f"{name} got {most} requests beside a limit of {LIMIT_PER_S}")
+
+
+def check_cut_links(fleet: Fleet, callers: Callers, rate: float) -> None:
+    """Cut all links to engines of most entries; compare how many callers they and others serve."""
+    fronts = [instance for instance in fleet.instances if instance.is_front]
+    cut = fronts[1:]
+    ports = [proxy.port for proxy in fleet.proxies.values()]
+    cut_at = fleet.now()
+    new, opened = fleet.random.choice((("hang", "hang"), ("refuse", "none"), ("refuse", "reset")))
+    for instance in cut:
+        instance.cut_links(ports, new, opened)
+    callers.run(cut_at + CONTACT_S + PHASE_S, rate)
+    for instance in cut:
+        instance.cut_links([], "", "")
+    tries = [t for t in callers.tries if t.sent_at > cut_at + CONTACT_S]
+    cut_ips = {instance.ip for instance in cut}
+    near = [t.is_served for t in tries if t.ip in cut_ips]
+    far = [t.is_served for t in tries if t.ip not in cut_ips]
+    failed = len(near) - sum(near)
+    share = sum(near) / max(1, len(near))
+    other_share = sum(far) / max(1, len(far))
+    allowed = CUT_FAILED_ALLOWANCE + len(tries) / CUT_FAILED_EACH
+    if share < CUT_SERVED_SHARE_MIN * other_share and failed > allowed:
+        callers.broken.append(
+            f"cut-off entries ({new}, {opened}) served {sum(near)} of {len(near)} tries, "
+            f"others {sum(far)} of {len(far)}"
+        )
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -51,6 +51,7 @@
                 ("target responses without end", self._send_without_end),
                 ("a prompt part crashes targets", self._add_crashing_part),
                 ("target names a limit", self._limit_target),
+                ("links to targets are cut", self._cut_links),
             ]
         self._version = 1
 
@@ -72,6 +73,7 @@
             self._fleet.gateway.faults[fault] = type(value)()
         for instance in self._fleet.instances:
             instance.proxy.clear()
+            instance.cut_links([], "", "")
             instance.send(signal.SIGCONT)
             if not instance.is_running():
                 instance.start()
@@ -161,6 +163,20 @@
         gevent.sleep(self._random.uniform(1.0, 5.0))
         target.limit_per_s = None
 
+    def _cut_links(self) -> None:
+        """Cut the links of some instances to some or all targets, in one way or two in series."""
+        instances = [i for i in self._fleet.instances if self._random.random() < 0.5]
+        share = self._random.choice((0.3, 1.0))
+        ports = [p.port for p in self._fleet.proxies.values() if self._random.random() < share]
+        for _ in range(self._random.randint(1, 2)):
+            new = self._random.choice(("hang", "refuse"))
+            opened = self._random.choice(("hang", "reset", "none"))
+            for instance in instances:
+                instance.cut_links(ports, new, opened)
+            gevent.sleep(self._random.uniform(0.5, 4.0))
+        for instance in instances:
+            instance.cut_links([], "", "")
+
     def _release_target(self) -> None:
         """Add an engine of another version, then remove one."""
         name = self._choose_target()
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -25,6 +25,7 @@
 from standins.key_value import create_server
 
 ROOT = Path(__file__).parent.parent
+DAEMON = Path(__file__).parent / "_daemon.py"
 Builds = tuple[Path, ...]
 SERVICE = "llm"
 HOST = "soak.example"
@@ -89,20 +90,36 @@
         )
         self._settings_path = folder / f"{name}.toml"
         self._settings_path.write_text(settings_text)
+        self._links_path = folder / f"{name}-links.json"
 
     def start(self) -> None:
         """Start the process; all starts append to the same log file."""
         self.end_expected = False
-        environment = {**os.environ, "CLEMENTINEPIN_BOOT": str(self._settings_path)}
+        build = next(self._builds)
+        environment = {
+            **os.environ,
+            "CLEMENTINEPIN_BOOT": str(self._settings_path),
+            "PYTHONPATH": str(build),
+        }
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "clementinepin.serve"],
-                cwd=next(self._builds),
+                [sys.executable, str(DAEMON), str(self._links_path)],
+                cwd=build,
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
 
+    def cut_links(self, ports: list[int], new: str, opened: str) -> None:
+        """Cut the links of this process to ports; new connections refuse or hang.
+
+        ``opened`` is what happens to open ones: reset, hang or none. No ports end all cuts.
+        """
+        row = {"ports": ports, "new": new, "open": opened}
+        written = self._links_path.with_suffix(".new")
+        written.write_bytes(msgspec.json.encode(row))
+        written.replace(self._links_path)
+
     def send(self, signal_number: signal.Signals) -> None:
         """Send a signal to a running process; after KILL or TERM its end counts as expected."""
         self.end_expected = self.end_expected or signal_number in (signal.SIGKILL, signal.SIGTERM)
