Send no new requests to targets that say in a response that they leave

What callers saw: targets that say so went on getting their full share until they ended. Cause: the header was not read.

Change: the head of each response is read, of callers' requests and items alike. Instances tell the dispatcher with the load of a response, it tells all others, and hellos tell a new one; earlier releases are sent nothing new. A status 421 is another target's response and says nothing. Tunnels to such a target carry no further request.

--- a/clementinepin/platform/_wire.py
+++ b/clementinepin/platform/_wire.py
@@ -8,6 +8,7 @@
 from urllib.parse import parse_qs, quote, urlsplit
 
 import msgspec
+from loguru import logger
 
 from clementinepin.serving.exceptions import BadRequestError
 from clementinepin.serving.models import (
@@ -37,6 +38,8 @@
 _NOT_EXECUTED_HEADER: Final = _HEADER_PREFIX + "not-executed"
 _LOAD_HEADER: Final = _HEADER_PREFIX + "server-load"
 _LIMIT_HEADER: Final = "server-limit"
+_LEAVING_HEADER: Final = "server-leaving"
+_LEAVING = "1"
 _LAST_EVENT_HEADER: Final = "last-event-id"
 _RESUMES_HEADER: Final = "resumes"
 _ROUTE_KINDS: Final = {
@@ -239,6 +242,20 @@
         limit = _parse_number(headers.get(_LIMIT_HEADER, ""))
         return limit if limit is not None and 0.0 <= limit < float("inf") else None
 
+    def says_leaving(self, status: int, headers: dict[str, str]) -> bool:
+        """Return whether the target that responds says that it leaves.
+
+        A response with status 421 is that of another target at the same address.
+        """
+        value = headers.get(_LEAVING_HEADER)
+        if value is None or status == 421:
+            return False
+        if value.strip() != _LEAVING:
+            log = logger.bind(request_id=headers.get(_REQUEST_ID_HEADER, ""), value=value)
+            log.warning("leaving_value_ignored")
+            return False
+        return True
+
     def read_configuration(self, value: bytes) -> RoutingConfiguration:
         """Decode the operators' configuration. Raises msgspec.DecodeError if it is invalid."""
         config = _decode_config(value)
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -99,7 +99,7 @@
         relayed = RelayedStore(
             direct_store, links, settings.name, clock, rng, outages, policy.disabled
         )
-        self.fleet = FleetView(settings, relayed, wire, clock, outages)
+        self.fleet = FleetView(settings, relayed, wire, clock, outages, metrics)
         relayed.list_relays = self.fleet.list_relays
         tunnels = TunnelClient(self.fleet, settings.name, clock)
         relays = HedgedRelays(tunnels.list_relays, tunnels.open, clock, rng)
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -35,6 +35,7 @@
 from clementinepin.systems.service_load import list_services, measure_load
 from clementinepin.tables.crashes import CauseChange
 from clementinepin.tables.dispatch import DispatchTable, GrantKey, TargetLoad
+from clementinepin.tables.leaving import TargetStart
 
 TICK_S: Final = 0.02  # longest delay of queue changes that only the passing of time causes
 LOAD_LOG_PERIOD_S: Final = 0.5  # a peak of callers lasts a few seconds
@@ -71,6 +72,8 @@
         links.handle(messages.ReportLoad, self._handle_load)
         links.handle(messages.ReportSilence, self._handle_silence)
         links.handle_close(self._release_all)
+        self._reads_leaving: set[str] = set()
+        fleet.targets.leaving_listeners.append(self._send_leaving)
 
     def start(self) -> None:
         """Follow the targets and start the periodic queue checks."""
@@ -105,10 +108,28 @@
         for slot in hello.slots:
             adopted = make_adopted_request(link.name, slot, now)
             dispatching.adopt_grant(self.table, adopted, slot.target_id, now, starts_now=False)
+        self._exchange_leaving(link, hello)
         link.send(messages.SlotQueued())  # first data for the client: proves that this one responds
         for target in self.table.targets.values():
             self._send_actions(dispatching.preempt_surplus(target, now))
 
+    def _exchange_leaving(self, link: Link, hello: messages.Hello) -> None:
+        """Learn which targets leave, and tell the instance of those that it doesn't know."""
+        if hello.leaving is None:
+            self._reads_leaving.discard(link.name)
+            return
+        self._reads_leaving.add(link.name)
+        targets = self._fleet.targets
+        for start in set(targets.list_leaving()).difference(hello.leaving):
+            link.send(messages.TargetLeaving(*start))
+        for start in hello.leaving:
+            targets.record_leaving(start, member=link.name)
+
+    def _send_leaving(self, start: TargetStart) -> None:
+        """Tell all instances that a target leaves."""
+        for name in self._reads_leaving & self._links.keys():
+            self._links[name].send(messages.TargetLeaving(*start))
+
     def _handle_request(self, link: Link, message: messages.RequestSlot) -> None:
         now = self._clock.monotonic()
         pending = make_pending_request(link.name, message, now)
@@ -154,6 +175,10 @@
     def _handle_load(self, link: Link, message: messages.ReportLoad) -> None:
         now = self._clock.monotonic()
         key = (link.name, message.number)
+        grant = self.table.grants.get(key)
+        if message.leaving_started_at_ms is not None and grant is not None:
+            start = TargetStart(grant.target_id, message.leaving_started_at_ms)
+            self._fleet.targets.record_leaving(start, member=link.name)
         if target_limits.record_limit(self.table, key, message.limit_per_s, now):
             log = logger.bind(target=self.table.grants[key].target_id, member=link.name)
             log.bind(limit_per_s=message.limit_per_s).info("target_limit_changed")
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -14,10 +14,13 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.infrastructure import Change, KeyValue, StateStore
 from clementinepin.infrastructure.exceptions import LeaseLostError, PlatformUnavailableError
+from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._outages import ExpiryGrace, StoreOutages
 from clementinepin.serving.models import InstanceSettings, Member, RoutingConfiguration, Target
 from clementinepin.serving.store import StoreFollower
 from clementinepin.serving.wire import Wire
+from clementinepin.systems import leaving
+from clementinepin.tables.leaving import LeavingTable, TargetStart
 
 LEASE_S: Final = 3.0  # a lost instance disappears from the directory within this time
 LEASE_RENEWAL_S: Final = 1.0  # two renewals may fail before the lease ends
@@ -57,11 +60,25 @@
 
 
 class TargetView:
-    """Targets by id. Entries that expire in an outage of the store stay for a grace time."""
+    """Targets by id. Entries that expire in an outage of the store stay for a grace time.
 
-    def __init__(self, wire: Wire, outages: StoreOutages, on_change: Callable[[], None]) -> None:
+    A target that said in a response that it leaves is draining here, whatever its entry says.
+    """
+
+    def __init__(
+        self,
+        wire: Wire,
+        outages: StoreOutages,
+        clock: Clock,
+        on_change: Callable[[], None],
+        metrics: ServingMetrics | None = None,
+    ) -> None:
         self._wire = wire
+        self._clock = clock
         self._on_change = on_change
+        self._metrics = metrics
+        self._leaving = LeavingTable()
+        self.leaving_listeners: list[Callable[[TargetStart], None]] = []
         self._grace = ExpiryGrace(outages)
         self.rows: dict[str, Target] = {}
 
@@ -100,6 +117,34 @@
             self._remove(target_id, "lapsed")
         if ended:
             self._on_change()
+        for start in leaving.take_ended(self._leaving, self._clock.monotonic()):
+            _log_leaving_ended(start, "gone")
+
+    def record_leaving(self, start: TargetStart, **source: str) -> None:
+        """Give a target no new requests, as it said that it leaves.
+
+        ``source`` says who heard it, for the log. A late word about an earlier start is ignored.
+        """
+        current = self.rows.get(start.target_id)
+        if current is not None and start.started_at_ms < current.started_at_ms:
+            return
+        if not leaving.record_leaving(self._leaving, start):
+            return
+        log = logger.bind(target=start.target_id, started_at_ms=start.started_at_ms, **source)
+        log.info("target_leaving")
+        if self._metrics is not None:
+            self._metrics.count_leaving_target()
+        if current is None:
+            leaving.record_gone(self._leaving, start.target_id, self._clock.monotonic())
+        elif current.start == start:
+            self.rows[start.target_id] = current._replace(draining=True)
+            self._on_change()
+        for listener in self.leaving_listeners:
+            listener(start)
+
+    def list_leaving(self) -> list[TargetStart]:
+        """Return the starts of targets that said that they leave."""
+        return list(self._leaving.gone_at)
 
     def find_usable(self, target_id: str, software_version: str) -> Target | None:
         """Return the target if it may get new requests and has the version, else None.
@@ -113,6 +158,10 @@
 
     def _put(self, target: Target) -> None:
         self._grace.record_present(target.target_id)
+        for start in leaving.record_entry(self._leaving, target.start):
+            _log_leaving_ended(start, "started again")
+        if leaving.is_leaving(self._leaving, target.start):
+            target = target._replace(draining=True)
         current = self.rows.get(target.target_id)
         if current != target:
             self.rows[target.target_id] = target
@@ -127,9 +176,15 @@
 
     def _remove(self, target_id: str, reason: str) -> None:
         if self.rows.pop(target_id, None) is not None:
+            leaving.record_gone(self._leaving, target_id, self._clock.monotonic())
             logger.bind(target=target_id, reason=reason).info("target_gone")
 
 
+def _log_leaving_ended(start: TargetStart, reason: str) -> None:
+    log = logger.bind(target=start.target_id, started_at_ms=start.started_at_ms, reason=reason)
+    log.info("target_leaving_ended")
+
+
 class MemberView:
     """Instances of the fleet by name, as registered under their leases.
 
@@ -208,6 +263,7 @@
         wire: Wire,
         clock: Clock,
         outages: StoreOutages,
+        metrics: ServingMetrics | None = None,
     ) -> None:
         self._settings = settings
         self._store = store
@@ -221,7 +277,7 @@
         self._started_ms = int(clock.wall() * 1000)
         self.leaving = False
         self.configuration = ConfigurationView(wire)
-        self.targets = TargetView(wire, outages, self._notify_listeners)
+        self.targets = TargetView(wire, outages, clock, self._notify_listeners, metrics)
         self.members = MemberView(
             self._members_prefix, settings.name, outages, self._notify_listeners
         )
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -177,7 +177,11 @@
         call.first_byte_at = self._clock.monotonic()
         call.framing = exchange.framing
         limit_per_s = self._wire.read_limit(exchange.headers)
-        self._slots.report_load(slot, call.target_load, limit_per_s)
+        leaves = self._wire.says_leaving(exchange.status, exchange.headers)
+        if leaves:
+            self._fleet.targets.record_leaving(target.start, request_id=call.facts.request_id)
+        started_at_ms = target.started_at_ms if leaves else None
+        self._slots.report_load(slot, call.target_load, limit_per_s, started_at_ms)
         return self._handle_response(connection, call, _Sent(exchange, target))
 
     def _leave_lost_link(self, call: Call) -> None:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -206,8 +206,7 @@
                 exchange = self._send(run, target)
             if exchange.relay:
                 self._metrics.count_relayed("item")
-            load = self._wire.read_load(exchange.headers)
-            self._slots.report_load(slot, load, self._wire.read_limit(exchange.headers))
+            self._report_response(run, slot, target, exchange)
             return self._handle_response(run, route, exchange)
         except TargetNotReachedError as err:
             self._log_target_lost(run, target, err)
@@ -225,6 +224,18 @@
                 run.state = ItemState.COMPLETED
             return RunOutcome.BROKEN
 
+    def _report_response(
+        self, run: ItemRun, slot: Slot, target: Target, exchange: HttpExchange
+    ) -> None:
+        """Pass on what the head of a response says about its target."""
+        headers = exchange.headers
+        started_at_ms = None
+        if self._wire.says_leaving(exchange.status, headers):
+            started_at_ms = target.started_at_ms
+            self._fleet.targets.record_leaving(target.start, request_id=run.item.item_id)
+        load, limit_per_s = self._wire.read_load(headers), self._wire.read_limit(headers)
+        self._slots.report_load(slot, load, limit_per_s, started_at_ms)
+
     def _send(self, run: ItemRun, target: Target) -> HttpExchange:
         now = self._clock.monotonic()
         headers = self._wire.make_item_headers(run.item)
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -15,6 +15,8 @@
 from gevent import socket
 from loguru import logger
 
+from clementinepin.tables.leaving import TargetStart
+
 HEADER: Final = struct.Struct(">I")
 FRAME_MAX_BYTES: Final = 8_000_000  # a job of 4 MB as one change, with its framing
 
@@ -61,7 +63,8 @@
     """First message of a client: its instance name, the slots that it uses and its streams.
 
     ``broken_runs`` are its last runs that their targets broke off, ``limits_per_s`` the limits of
-    targets that it knows, by target id.
+    targets that it knows, by target id. ``leaving`` has ids and starts of targets that said that
+    they leave; None from an instance of an earlier release, which can't read TargetLeaving.
     """
 
     name: str
@@ -69,6 +72,7 @@
     streams: list[StreamVersion] = []
     broken_runs: list[BrokenRun] = []
     limits_per_s: dict[str, float] = {}
+    leaving: list[TargetStart] | None = None
 
 
 class RequestSlot(msgspec.Struct, array_like=True, tag=1, frozen=True):
@@ -152,12 +156,14 @@
     """What the target of this slot reported with its response headers.
 
     ``reported`` is its number of requests, -1 if it was not named. ``limit_per_s`` is how many a
-    second it takes, None if it named no limit.
+    second it takes, None if it named no limit. ``leaving_started_at_ms`` is the start of the target
+    if it said that it leaves.
     """
 
     number: int
     reported: int
     limit_per_s: float | None = None
+    leaving_started_at_ms: int | None = None
 
 
 class ReportSilence(msgspec.Struct, array_like=True, tag=15, frozen=True):
@@ -242,6 +248,13 @@
     results: list[tuple[str, str, str]] = []
 
 
+class TargetLeaving(msgspec.Struct, array_like=True, tag=22, frozen=True):
+    """A start of a target said that it leaves, so that it must get no new requests."""
+
+    target_id: str
+    started_at_ms: int
+
+
 class OpenTunnel(msgspec.Struct, array_like=True, tag=17, frozen=True):
     """Asks the receiver to connect this connection to a target, within ``timeout_s``."""
 
@@ -290,6 +303,7 @@
     | FeedHeartbeat
     | ReadJob
     | JobPage
+    | TargetLeaving
     | OpenTunnel
     | TunnelOpened
     | TunnelData
--- a/clementinepin/serving/_metrics.py
+++ b/clementinepin/serving/_metrics.py
@@ -19,6 +19,8 @@
         self._registry = CollectorRegistry()
         self._requests = self._make_counter("requests_total", "Requests by outcome", "outcome")
         self._relayed = self._make_counter("relayed_total", "Runs through others by kind", "kind")
+        name = "leaving_targets_total"
+        self._leaving = self._make_counter(name, "Targets that said that they leave")
         self._store_calls = self._make_counter("store_calls_total", "Calls by kind", "kind")
         self._items = self._make_counter("item_runs_total", "Runs of items by outcome", "outcome")
         self._request_s = self._make_histogram("request_seconds", "Whole time of a request")
@@ -43,6 +45,11 @@
         self._relayed.labels(kind).inc()
         self._count(f"relayed_{kind}")
 
+    def count_leaving_target(self) -> None:
+        """Count a target that said in a response that it leaves."""
+        self._leaving.inc()
+        self._count("leaving_targets")
+
     def count_store_call(self, kind: str, took_s: float) -> None:
         """Count a store call and its time in seconds."""
         self._store_calls.labels(kind).inc()
@@ -62,8 +69,8 @@
     def _count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
 
-    def _make_counter(self, name: str, text: str, label: str) -> Any:
-        return Counter(f"clementinepin_{name}", text, [label], registry=self._registry)
+    def _make_counter(self, name: str, text: str, *labels: str) -> Any:
+        return Counter(f"clementinepin_{name}", text, labels, registry=self._registry)
 
     def _make_histogram(self, name: str, text: str) -> Any:
         full = f"clementinepin_{name}"
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -47,6 +47,7 @@
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.crashes import BrokenRun, CauseChange, CrashTable
 from clementinepin.tables.dispatch import DispatchTable
+from clementinepin.tables.leaving import TargetStart
 from clementinepin.tables.mechanisms import Mechanism
 
 REPLY_TIMEOUT_S: Final = 0.08  # a few round trips between data centres and a busy dispatcher
@@ -234,20 +235,28 @@
             self.on_broken_alone(run)
 
     def report_load(
-        self, slot: Slot, load: tuple[int, int, int] | None, limit_per_s: float | None
+        self,
+        slot: Slot,
+        load: tuple[int, int, int] | None,
+        limit_per_s: float | None,
+        leaving_started_at_ms: int | None = None,
     ) -> None:
-        """Report a target's own count of running and waiting requests, and the limit that it names.
+        """Report what a target says of itself in the head of a response.
 
-        ``load`` is (running, waiting, slots) from the response headers; both are None if missing.
+        ``load`` is (running, waiting, slots) and ``limit_per_s`` the limit that it names; both are
+        None if missing. ``leaving_started_at_ms`` is its start if it says that it leaves.
         """
         key = (self._name, slot.number)
         now = self._clock.monotonic()
         changed = target_limits.record_limit(self._table, key, limit_per_s, now)
-        if load is None and limit_per_s is None and not changed:
+        says_nothing = load is None and limit_per_s is None and leaving_started_at_ms is None
+        if says_nothing and not changed:
             return
         reported = -1 if load is None else load[0] + load[1]
         dispatching.record_load(self._table, key, reported, now)
-        self._link.send(messages.ReportLoad(slot.number, reported, limit_per_s))
+        self._link.send(
+            messages.ReportLoad(slot.number, reported, limit_per_s, leaving_started_at_ms)
+        )
 
     @contextmanager
     def watch_silence(
@@ -372,6 +381,7 @@
             [stream for stream in streams if stream is not None],
             [describe_broken_run(run, at, now) for run, at in self._broken_runs],
             target_limits.list_limits(self._table),
+            list(self._fleet.targets.list_leaving()),
         )
 
     def _describe_stream(self, stream_id: str, now: float) -> messages.StreamVersion | None:
@@ -392,6 +402,9 @@
                 self._early_preemptions.add(message.number)
         elif isinstance(message, (messages.FeedRows, messages.FeedChange, messages.FeedHeartbeat)):
             self._feed.receive(message)
+        elif isinstance(message, messages.TargetLeaving):
+            start = TargetStart(message.target_id, message.started_at_ms)
+            self._fleet.targets.record_leaving(start, member=self.dispatcher_name)
         elif isinstance(message, (messages.GrantSlot, messages.RejectSlot)):
             waiter = self._waiters.get(message.number)
             if waiter is not None and not waiter.result.ready():
--- a/clementinepin/serving/_tunnels.py
+++ b/clementinepin/serving/_tunnels.py
@@ -16,6 +16,7 @@
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._links import CONNECT_TIMEOUT_S, LinkServer, set_options
+from clementinepin.tables.leaving import TargetStart
 from clementinepin.targets import Relay, TargetAddress, connect_directly
 from clementinepin.targets.exceptions import RelayLostError, TargetNotReachedError
 
@@ -30,8 +31,9 @@
         self._fleet = fleet
         self._clock = clock
         self._leaving = False
-        self._tunnels: set[Any] = set()
+        self._tunnels: dict[Any, str] = {}
         links.take_over(messages.OpenTunnel, self._serve)
+        fleet.targets.leaving_listeners.append(self._leave_target)
 
     @property
     def open_count(self) -> int:
@@ -44,6 +46,12 @@
         for sock in list(self._tunnels):
             gevent.spawn(_send_leaving, sock)
 
+    def _leave_target(self, start: TargetStart) -> None:
+        """Let the users of tunnels to a target that leaves close them after their requests."""
+        for sock, target_id in list(self._tunnels.items()):
+            if target_id == start.target_id:
+                gevent.spawn(_send_leaving, sock)
+
     def _serve(self, sock: Any, reader: messages.FrameReader, request: messages.OpenTunnel) -> None:
         """Connect to the target and pass bytes on until one side closes its connection."""
         try:
@@ -54,14 +62,14 @@
             sock.sendall(messages.pack_message(messages.TunnelOpened(err.message, err.refused)))
             return
         set_tunnel_options(sock)
-        self._tunnels.add(sock)
+        self._tunnels[sock] = request.target_id
         backward = None
         try:
             sock.sendall(messages.pack_message(messages.TunnelOpened()))
             backward = gevent.spawn(_send_responses, target_sock, sock)
             _send_requests(sock, reader, target_sock)
         finally:
-            self._tunnels.discard(sock)
+            del self._tunnels[sock]
             target_sock.close()
             if backward is not None:
                 backward.kill(block=False)
--- a/clementinepin/serving/models.py
+++ b/clementinepin/serving/models.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple
 
 from clementinepin.tables.dispatch import QueueOrder
+from clementinepin.tables.leaving import TargetStart
 from clementinepin.tables.mechanisms import Mechanism
 
 
@@ -105,6 +106,11 @@
     started_at_ms: int = 0
     software_version: str = ""
 
+    @property
+    def start(self) -> TargetStart:
+        """Return what tells this start of the target from others."""
+        return TargetStart(self.target_id, self.started_at_ms)
+
 
 class Member(NamedTuple):
     """A registered instance of the fleet. ``link_port`` accepts connections of other instances.
--- a/clementinepin/serving/wire.py
+++ b/clementinepin/serving/wire.py
@@ -74,6 +74,9 @@
     def read_limit(self, headers: dict[str, str]) -> float | None:
         """Return the requests a second that a target takes from all instances, None for any."""
 
+    def says_leaving(self, status: int, headers: dict[str, str]) -> bool:
+        """Return whether the target that sent a response says that it leaves."""
+
     def read_configuration(self, value: bytes) -> RoutingConfiguration:
         """Decode the operators' configuration. Raises msgspec.DecodeError if it is invalid."""
 
--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -67,7 +67,13 @@
         self.outcomes.append(outcome)
         self.successes.append(succeeded)
 
-    def report_load(self, slot: Slot, load: Any, limit_per_s: float | None) -> None:
+    def report_load(
+        self,
+        slot: Slot,
+        load: Any,
+        limit_per_s: float | None,
+        leaving_started_at_ms: int | None = None,
+    ) -> None:
         self.limits_per_s.append(limit_per_s)
 
     @contextmanager
--- a/tests/serving/test_fleet.py
+++ b/tests/serving/test_fleet.py
@@ -110,21 +110,21 @@
 
 
 def test_a_removed_target_is_unusable_at_once() -> None:
-    view = TargetView(create_wire(), StoreOutages(ManualClock()), lambda: None)
+    view = TargetView(create_wire(), StoreOutages(ManualClock()), ManualClock(), lambda: None)
     view.replace_rows([make_target_row("t1", 1)])
     view.apply_change("servers/t1", None, 2)
     assert view.find_usable("t1", "") is None
 
 
 def test_a_target_is_usable_at_its_software_version_only() -> None:
-    view = TargetView(create_wire(), StoreOutages(ManualClock()), lambda: None)
+    view = TargetView(create_wire(), StoreOutages(ManualClock()), ManualClock(), lambda: None)
     view.replace_rows([make_target_row("t1", 1)])
     found = [view.find_usable("t1", version) is not None for version in ("", "v1", "v2")]
     assert found == [True, True, False]
 
 
 def test_a_draining_target_is_known_but_not_usable() -> None:
-    view = TargetView(create_wire(), StoreOutages(ManualClock()), lambda: None)
+    view = TargetView(create_wire(), StoreOutages(ManualClock()), ManualClock(), lambda: None)
     view.apply_change(*make_target_row("t1", 1))
     view.apply_change(*make_target_row("t1", 2, "draining"))
     assert "t1" in view.rows
@@ -134,7 +134,7 @@
 def test_targets_that_expired_in_an_outage_stay_for_the_grace_time() -> None:
     clock = ManualClock()
     outages = StoreOutages(clock)
-    view = TargetView(create_wire(), outages, lambda: None)
+    view = TargetView(create_wire(), outages, ManualClock(), lambda: None)
     view.replace_rows([make_target_row("t1", 1), make_target_row("t2", 1)])
     outages.record_failure()
     outages.record_reply()
@@ -148,7 +148,7 @@
 
 
 def test_a_malformed_entry_is_ignored() -> None:
-    view = TargetView(create_wire(), StoreOutages(ManualClock()), lambda: None)
+    view = TargetView(create_wire(), StoreOutages(ManualClock()), ManualClock(), lambda: None)
     for value in (b"\xff", b"[]", b'{"service":"llm"}', b'{"service":1,"address":"x"}'):
         view.apply_change("servers/t1", value, 1)
     assert not view.rows
@@ -199,7 +199,7 @@
     """
     clock = ManualClock()
     outages = StoreOutages(clock)
-    view = TargetView(create_wire(), outages, lambda: None)
+    view = TargetView(create_wire(), outages, ManualClock(), lambda: None)
     view.replace_rows([make_target_row("t1", 1), make_target_row("t2", 1)])
     outages.record_failure()
     outages.record_reply()
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -25,11 +25,23 @@
 from clementinepin.systems import dispatching
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.dispatch import PendingRequest
+from clementinepin.tables.leaving import TargetStart
 
 
 class FakeTargets:
     def __init__(self, rows: dict[str, Target]) -> None:
         self.rows = rows
+        self.leaving: list[TargetStart] = []
+        self.leaving_listeners: list[Callable[[TargetStart], None]] = []
+
+    def list_leaving(self) -> list[TargetStart]:
+        return self.leaving
+
+    def record_leaving(self, start: TargetStart, **_source: str) -> None:
+        if start not in self.leaving:
+            self.leaving.append(start)
+            for listener in self.leaving_listeners:
+                listener(start)
 
 
 class FakeFleet:
