Draw engines that say they leave, and planned stops under kept connections, in the soak

A third of the engines says that it leaves and goes on answering; what they get later is counted. An entry, a job runner and an engine are stopped at the same moment under callers that keep their connections until the process is gone: a request that was read and gets no complete response is a broken promise.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,13 @@
 from docopt import docopt
 
 from soak._callers import Callers
-from soak._calm import check_crashing_part, check_cut_links, check_limits
+from soak._calm import (
+    check_crashing_part,
+    check_cut_links,
+    check_leaving,
+    check_limits,
+    check_planned_stop,
+)
 from soak._faults import Faults
 from soak._fleet import ROOT, Fleet
 
@@ -74,6 +80,8 @@
             check_crashing_part(fleet, callers, float(args["--rate"]))
             check_limits(fleet, callers, float(args["--rate"]))
             check_cut_links(fleet, callers, float(args["--rate"]))
+            check_leaving(fleet, callers, float(args["--rate"]))
+            check_planned_stop(fleet, callers)
         callers.check_runs()
         if not callers.statuses.get(200):
             callers.broken.append("no caller was served")
--- a/soak/_calm.py
+++ b/soak/_calm.py
@@ -2,15 +2,20 @@
 
 A part of prompts that crashes engines reaches them a few times only, while sound requests with the
 same first part are served, and engines get no more requests than the limit that they name. Callers
-of an instance that is cut off from all engines are served as others are.
+of an instance that is cut off from all engines are served as others are. Engines that say that they
+leave get no further requests. A planned stop of an entry, a job runner and an engine at the same
+moment cuts no request off.
 """
 
 from __future__ import annotations
 
+import signal
+
 import gevent
 
 from soak._callers import Callers
-from soak._fleet import Fleet
+from soak._fleet import GRACE_PERIOD_S, Fleet
+from soak._kept import KeptCaller, list_broken
 
 CONTACT_S = 3.0  # until a crash or a limit is known everywhere
 CRASHES_TO_KNOW = 5
@@ -22,6 +27,10 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_SHARE = 1.5  # of the limit, and LIMIT_ALLOWANCE requests, are allowed in a window
 LIMIT_ALLOWANCE = 5
+DRAIN_TIMEOUT_S = 2.0
+STOP_AFTER_S = 1.0
+KEPT_CALLERS = 4  # for each entry
+LEAVING_SHARE = 1 / 3  # of all engines
 CUT_SERVED_SHARE_MIN = 2 / 3  # of the share that the other instances serve
 CUT_FAILED_ALLOWANCE = 10  # and one in CUT_FAILED_EACH of all first tries
 CUT_FAILED_EACH = 50
@@ -88,3 +97,55 @@
             f"cut-off entries ({new}, {opened}) served {sum(near)} of {len(near)} tries, "
             f"others {sum(far)} of {len(far)}"
         )
+
+
+def check_leaving(fleet: Fleet, callers: Callers, rate: float) -> None:
+    """Let a third of the engines say that they leave, and go on; count what they get later."""
+    names = sorted(fleet.targets)
+    names = names[: max(1, round(len(names) * LEAVING_SHARE))]
+    engines = [fleet.targets[name] for name in names]
+    for engine in engines:
+        engine.says_leaving = True
+    callers.run(fleet.now() + CONTACT_S + PHASE_S, rate)
+    for engine in engines:
+        told_at = engine.leaving_told_at
+        if told_at is None:
+            continue
+        # Each instance hears of it at the latest with its own first response, which follows the
+        # others' at once where they tell each other.
+        late_after = told_at + CONTACT_S + DRAIN_TIMEOUT_S
+        late = [
+            r for r in fleet.run_log.runs if r.target == engine.name and r.started_at > late_after
+        ]
+        if late:
+            callers.broken.append(f"{engine.name} got {len(late)} requests after it said it leaves")
+
+
+def check_planned_stop(fleet: Fleet, callers: Callers) -> None:
+    """Stop an entry, a job runner and an engine at once, under callers that keep connections."""
+    fleet.add_target("planned")
+    fronts = [instance for instance in fleet.instances if instance.is_front]
+    runners = [instance for instance in fleet.instances if not instance.is_front]
+    stopped = [fronts[-1], runners[-1]]
+    kept = [
+        KeptCaller(fleet, instance.ip, f"{instance.name}k{number}")
+        for instance in fronts
+        for number in range(KEPT_CALLERS)
+    ]
+    until = fleet.now() + STOP_AFTER_S + GRACE_PERIOD_S + CONTACT_S
+    running = [gevent.spawn(caller.run, until) for caller in kept]
+    gevent.sleep(STOP_AFTER_S)
+    fleet.drain_target("planned")
+    for instance in stopped:
+        instance.send(signal.SIGTERM)
+    gevent.sleep(DRAIN_TIMEOUT_S + 1.0)
+    fleet.remove_target("planned")
+    gevent.joinall(running)
+    for instance in stopped:
+        if instance.is_running():
+            callers.broken.append(f"{instance.name} still runs after its grace period")
+            instance.end()
+        instance.start()
+    callers.broken += list_broken(fleet, kept)
+    if not any(caller.served for caller in kept):
+        callers.broken.append("no caller that keeps its connection was served")
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -52,6 +52,7 @@
                 ("a prompt part crashes targets", self._add_crashing_part),
                 ("target names a limit", self._limit_target),
                 ("links to targets are cut", self._cut_links),
+                ("target says it leaves", self._let_target_leave),
             ]
         self._version = 1
 
@@ -186,6 +187,15 @@
         if name in self._fleet.targets:
             self._fleet.remove_target(name)
 
+    def _let_target_leave(self) -> None:
+        """Add an engine, let another one say that it leaves and go on, then remove that one."""
+        name = self._choose_target()
+        self._fleet.add_target(f"{name}l", self._fleet.targets[name].version)
+        self._fleet.targets[name].says_leaving = True
+        gevent.sleep(self._random.uniform(1.0, 5.0))
+        if name in self._fleet.targets:
+            self._fleet.remove_target(name)
+
     def _send_without_end(self) -> None:
         target = self._fleet.targets[self._choose_target()]
         target.responses_without_end += self._random.randint(1, 2)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -248,6 +248,11 @@
         if name in self.proxies and not self.proxies[name].is_open:
             self.proxies[name].open_port()
 
+    def drain_target(self, name: str) -> None:
+        """Let an engine report that it drains, and say so in its responses."""
+        self.targets[name].says_leaving = self.targets[name].draining = True
+        self._register(name)
+
     def remove_target(self, name: str) -> None:
         """Delete an engine's entry from the store and stop the engine and its proxy."""
         self.gateway.state.revoke_lease(self._lease_ids.pop(name))
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -55,8 +55,10 @@
     ``responses_to_lose`` counts runs whose connection closes before the response,
     ``events_to_cut`` runs that stop in the middle of an event, and ``responses_without_end`` those
     that send bytes until the caller closes. Each ``unframed_period``-th response ends with its
-    connection, none if it is 0. Responses name ``limit_per_s`` as the limit of the engine. A run
-    whose prompt has one of ``crashing_parts`` calls ``on_crash`` once its response has begun.
+    connection, none if it is 0. Responses name ``limit_per_s`` as the limit of the engine, and say
+    that it leaves if it ``says_leaving``, refusals too; ``leaving_told_at`` is when the first one
+    did. A run whose prompt has one of ``crashing_parts`` calls ``on_crash`` once its response has
+    begun.
     """
 
     def __init__(
@@ -80,6 +82,8 @@
         self.crashing_parts: set[str] = set()
         self.on_crash: Callable[[str], None] = lambda _name: None
         self.draining = False
+        self.says_leaving = False
+        self.leaving_told_at: float | None = None
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
         self.port: int = self._server.server_port
@@ -127,8 +131,9 @@
             sock.sendall(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
             return True
         if self._queued >= QUEUE_MAX_REQUESTS:
-            refusal = b"HTTP/1.1 503 Full\r\nClementinepin-Not-Executed: 1\r\n"
-            sock.sendall(refusal + b"Content-Length: 0\r\n\r\n")
+            refusal = "HTTP/1.1 503 Full\r\nClementinepin-Not-Executed: 1\r\n"
+            refusal += f"{self._name_leaving()}Content-Length: 0\r\n\r\n"
+            sock.sendall(refusal.encode())
             return True
         self._queued += 1
         while self._running >= self.slots:
@@ -140,6 +145,14 @@
         finally:
             self._running -= 1
 
+    def _name_leaving(self) -> str:
+        """Return the header line that says that this engine leaves, empty if it doesn't."""
+        if not self.says_leaving:
+            return ""
+        if self.leaving_told_at is None:
+            self.leaving_told_at = self._clock()
+        return "Server-Leaving: 1\r\n"
+
     def _run(self, sock: Any, request_id: str, headers: dict[str, str]) -> bool:
         events = int(headers.get("clementinepin-token-count", "0,20").partition(",")[2])
         first = int(headers.get("last-event-id", "0")) + 1
@@ -161,6 +174,7 @@
             f"Clementinepin-Request-Id: {request_id}\r\n"
             f"Clementinepin-Server-Signature: {self.name}.{signature}\r\n"
             f"Clementinepin-Server-Load: {load}\r\nKeep-Alive: timeout=10\r\n"
+            f"{self._name_leaving()}"
         )
         if self.limit_per_s is not None:
             head += f"Server-Limit: {self.limit_per_s}\r\n"
