Count whole events only against the stall of a resumable stream

What callers saw: a stalled stream whose target sent a byte now and then lasted until its deadline, although another target could have gone on. Cause: each piece of data renewed the time that a target may send nothing. The test failed before (60 s).

--- a/clementinepin/serving/_responses.py
+++ b/clementinepin/serving/_responses.py
@@ -74,11 +74,11 @@
         is_resumed = call.response_started
         brought_events = False
         while data := exchange.read():
-            if call.route.resumable:
-                exchange.set_read_deadline(call.get_read_deadline(self._clock.monotonic()))
             events = splitter.feed(data)
             if not events:
                 continue
+            if call.route.resumable:
+                exchange.set_read_deadline(call.get_read_deadline(self._clock.monotonic()))
             if is_resumed and not brought_events:
                 _check_joint(call, events[0])
             brought_events = True
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import Any
 
 import gevent
@@ -335,3 +336,24 @@
     harness.add_target(ScriptedTarget(UNNAMED_REFUSAL))
     harness.add_target(ScriptedTarget(make_plain(b"answer")))
     assert call(harness.port, ID).endswith(b"answer")
+
+
+def test_a_stream_that_only_drips_bytes_is_resumed_elsewhere(
+    harness: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stalled stream that lasts until its deadline, a byte at a time."""
+    monkeypatch.setattr(_call, "RESUME_STALL_SHARE", 0.1)
+
+    def drip(sock: Any, request: bytes) -> bool:
+        sock.sendall(HEAD % (b"s1", read_id(request)) + EVENTS + make_chunk(make_event(1)))
+        with contextlib.suppress(OSError):
+            for _ in range(400):
+                sock.sendall(make_chunk(b":"))
+                gevent.sleep(0.02)
+        return False
+
+    harness.set_route(resumable=True, attempts_max=2, timeout_s=60.0)
+    harness.add_target(ScriptedTarget(drip))
+    harness.add_target(ScriptedTarget(send_events(2)))
+    with gevent.Timeout(5.0):
+        assert call(harness.port, ID).endswith(b"0\r\n\r\n")
