--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -357,3 +357,21 @@
     harness.add_target(ScriptedTarget(send_events(2)))
     with gevent.Timeout(5.0):
         assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+
+
+def test_a_stream_whose_target_falls_silent_for_a_while_is_not_run_elsewhere(
+    harness: Harness,
+) -> None:
+    """Guards against the running work of a sound target being started again elsewhere."""
+
+    def pause(sock: Any, request: bytes) -> bool:
+        sock.sendall(HEAD % (b"s1", read_id(request)) + EVENTS + make_chunk(make_event(1)))
+        gevent.sleep(2.2)
+        sock.sendall(make_chunk(make_event(2)) + b"0\r\n\r\n")
+        return True
+
+    harness.set_route(resumable=True, attempts_max=2, gap_objective_s=0.5, timeout_s=60.0)
+    harness.add_target(ScriptedTarget(pause))
+    other = harness.add_target(ScriptedTarget(send_events(2)))
+    assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+    assert other.requests == []
