Blame no target for an attempt that was given up before it was written

Cause: a request whose link was found to be lost while its connection opened was reported as not reached, and its target avoided by all.

--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -169,7 +169,7 @@
             call.unreached += 1
             call.excluded.add(slot.target_id)
             self._log(call).bind(error=str(err)).info("target_not_reached")
-            return RunOutcome.CANCELLED if call.gone else RunOutcome.UNREACHED
+            return RunOutcome.CANCELLED if call.abort.triggered else RunOutcome.UNREACHED
         except TargetLostError as err:
             return self._record_target_lost(call, err)
         call.relay = exchange.relay
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -18,6 +18,8 @@
     RoutingConfiguration,
 )
 from clementinepin.systems.dispatch_actions import RunOutcome
+from clementinepin.targets import HttpRequest
+from clementinepin.targets.exceptions import TargetNotReachedError
 from tests.serving.harness import ID, FakeSlots, Harness, close_at_once, get_status, send_events
 from tests.serving.parts import make_route
 from tests.serving.scripted import (
@@ -375,3 +377,21 @@
     other = harness.add_target(ScriptedTarget(send_events(2)))
     assert call(harness.port, ID).endswith(b"0\r\n\r\n")
     assert other.requests == []
+
+
+def test_an_attempt_that_is_given_up_before_it_was_written_is_not_blamed_on_its_target(
+    harness: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a link that is found to be lost while a connection opens."""
+
+    class LostTransport:
+        def send(self, message: HttpRequest) -> None:
+            assert message.abort is not None
+            message.abort.trigger()
+            raise TargetNotReachedError("nothing was written")
+
+    harness.set_route(kind=RouteKind.IDEMPOTENT, attempts_max=2)
+    harness.add_target(ScriptedTarget())
+    monkeypatch.setattr(harness.app._pools, "get", lambda _target: LostTransport())
+    assert get_status(call(harness.port, ID)) == 503
+    assert harness.slots.outcomes == [RunOutcome.CANCELLED]
