--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -12,8 +12,8 @@
 from clementinepin.systems import estimates
 from clementinepin.targets import Abort
 
-# Of callers' patience: a sound target may fall silent for a second or so and go on. Time is left for
-# another target's first event before callers abandon a stream.
+# Of callers' patience: a sound target may fall silent for a second or so and go on. Time is left
+# for another target's first event before callers abandon a stream.
 RESUME_STALL_SHARE: Final = 0.7
 
 
--- a/tests/serving/test_cut_off_instances.py
+++ b/tests/serving/test_cut_off_instances.py
@@ -15,13 +15,15 @@
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.platform import create_wire
 from clementinepin.serving._app import App
+from clementinepin.serving._item_run import ItemRunner
+from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._metrics import ServingMetrics
-from clementinepin.serving.models import Member, RouteKind
+from clementinepin.serving.models import ItemState, Member, RouteKind
 from clementinepin.systems.dispatch_actions import RunOutcome
 from tests.serving.cut_links import CutLink, Effect, Link, Manner
 from tests.serving.harness import ID, Harness, close_at_once, get_status, send_events
 from tests.serving.memory_store import MemoryStore
-from tests.serving.parts import SETTINGS
+from tests.serving.parts import SETTINGS, make_head, make_items
 from tests.serving.scripted import (
     EVENTS,
     HEAD,
@@ -333,6 +335,45 @@
     assert response.endswith(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize("manner", Manner)
+def test_an_item_runs_through_another_instance(cut_off: CutOffHarness, manner: Manner) -> None:
+    app, clock = cut_off.app, create_system_clock()
+    cut_off.set_route(kind=RouteKind.JOB, attempts_max=2)
+    target = cut_off.add_cut_target(
+        ScriptedTarget(send_events(1, 2, end=False, cut=b"id: 3\nda"), send_events(3)), manner
+    )
+    cut_off.slots.watch_preemption = lambda _slot, _on_preempt: None  # type: ignore[attr-defined]
+    runner = ItemRunner(
+        app.fleet, cut_off.slots, app._pools, create_wire(), clock, ServingMetrics()  # type: ignore[arg-type]
+    )
+    run = ItemRun(make_items(1)[0], make_head(now_s=clock.wall()), 0)
+    with gevent.Timeout(10.0):
+        runner.run(run)
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2\ne3")
+    assert len(target.requests) == 2
+
+
+def test_a_late_second_response_in_a_tunnel_reaches_no_other_caller(
+    cut_off: CutOffHarness,
+) -> None:
+    def send_twice(sock: Any, request: bytes) -> bool:
+        sock.sendall(make_plain(b"first"))
+        gevent.spawn_later(0.05, sock.sendall, make_plain(b"again"))
+        return True
+
+    cut_off.set_route(kind=RouteKind.NON_IDEMPOTENT, attempts_max=1)
+    answer = make_plain(b"second", request_id=b"q2")
+
+    def wait_and_answer(sock: Any, request: bytes) -> bytes:
+        gevent.sleep(0.2)
+        sock.sendall(answer)
+        return b""
+
+    cut_off.add_cut_target(ScriptedTarget(send_twice, wait_and_answer, answer), Manner.REFUSE)
+    assert call(cut_off.port, ID).endswith(b"first")
+    assert call(cut_off.port, "Clementinepin-Request-Id: q2").endswith(b"second")
+
+
 def forward(sock: Any, port: int) -> None:
     """Pass bytes between a connection and a port, until both sides have closed."""
     with socket.create_connection(("127.0.0.1", port)) as upstream:
