--- a/clementinepin/targets/__init__.py
+++ b/clementinepin/targets/__init__.py
@@ -10,7 +10,7 @@
 from clementinepin.targets._connection import Abort, Dialer
 from clementinepin.targets._dialing import RelayingDialer, connect_directly, create_dialer
 from clementinepin.targets._engine import create_engine
-from clementinepin.targets._exchange import BodyFraming, HttpExchange, HttpRequest, Transport
+from clementinepin.targets._exchange import BodyFraming, HttpExchange, HttpRequest
 from clementinepin.targets._plain import (
     PlainRequest,
     PlainResponse,
@@ -18,6 +18,7 @@
     create_plain_service,
 )
 from clementinepin.targets._relays import HedgedRelays, Relay
+from clementinepin.targets._transport import Transport
 from clementinepin.targets.models import (
     CacheEvent,
     Channel,
--- a/clementinepin/targets/_engine.py
+++ b/clementinepin/targets/_engine.py
@@ -13,8 +13,9 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.targets._connection import Dialer
 from clementinepin.targets._events import EventDecoder, make_event_ids
-from clementinepin.targets._exchange import HttpExchange, HttpRequest, Transport
+from clementinepin.targets._exchange import HttpExchange, HttpRequest
 from clementinepin.targets._metrics import parse_load_report
+from clementinepin.targets._transport import Transport
 from clementinepin.targets.exceptions import (
     OrderRefusedError,
     RefusalReason,
--- a/clementinepin/targets/_plain.py
+++ b/clementinepin/targets/_plain.py
@@ -9,7 +9,8 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.targets._connection import Dialer
 from clementinepin.targets._engine import HEADER_NOT_ADMITTED, REFUSED_STATUS, raise_for_status
-from clementinepin.targets._exchange import HttpExchange, HttpRequest, Transport
+from clementinepin.targets._exchange import HttpExchange, HttpRequest
+from clementinepin.targets._transport import Transport
 from clementinepin.targets.exceptions import TargetLinkLostError, TargetLostError
 from clementinepin.targets.models import TargetAddress
 
--- a/tests/serving/test_fleet.py
+++ b/tests/serving/test_fleet.py
@@ -12,9 +12,9 @@
     ConfigurationView,
     FleetView,
     MemberView,
-    TargetView,
 )
 from clementinepin.serving._outages import EXPIRY_GRACE_S, StoreOutages
+from clementinepin.serving._target_view import TargetView
 from clementinepin.serving.models import Member
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS
--- a/tests/serving/test_leaving_targets.py
+++ b/tests/serving/test_leaving_targets.py
@@ -15,9 +15,9 @@
 from clementinepin.helpers.clock import ManualClock
 from clementinepin.platform import create_wire
 from clementinepin.serving import _messages as messages
-from clementinepin.serving._fleet import TargetView
 from clementinepin.serving._outages import StoreOutages
 from clementinepin.serving._slots import SlotBroker
+from clementinepin.serving._target_view import TargetView
 from clementinepin.serving.models import RouteKind
 from clementinepin.systems import leaving
 from clementinepin.tables.leaving import LeavingTable, TargetStart
