Pause before an instance connects to a dispatcher that it skips

Cause: a dispatcher that can't be reached is skipped for 2 s; if all of them are, the first one is tried at once again, and a refusal takes no time: 5,094 attempts in 0.5 s, with the whole processor.

--- a/clementinepin/serving/_dispatcher_link.py
+++ b/clementinepin/serving/_dispatcher_link.py
@@ -129,6 +129,8 @@
             if chosen is None:
                 gevent.sleep(RECONNECT_S)
                 continue
+            if self._clock.monotonic() < self._skipped_until.get(chosen.name, 0.0):
+                gevent.sleep(RECONNECT_S)  # all are skipped; they may refuse at once
             try:
                 self._run_connection(chosen)
             except (OSError, ValueError) as err:
--- a/soak/_calm.py
+++ b/soak/_calm.py
@@ -29,6 +29,7 @@
 LIMIT_ALLOWANCE = 5
 DRAIN_TIMEOUT_S = 2.0
 STOP_AFTER_S = 1.0
+ABORT_S = 0.5
 KEPT_CALLERS = 4  # for each entry
 LEAVING_SHARE = 1 / 3  # of all engines
 CUT_SERVED_SHARE_MIN = 2 / 3  # of the share that the other instances serve
@@ -144,6 +145,8 @@
     for instance in stopped:
         if instance.is_running():
             callers.broken.append(f"{instance.name} still runs after its grace period")
+            instance.send(signal.SIGABRT)
+            gevent.sleep(ABORT_S)
             instance.end()
         instance.start()
     callers.broken += list_broken(fleet, kept)
--- a/soak/_daemon.py
+++ b/soak/_daemon.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import errno
+import faulthandler
 import json
 import sys
 from pathlib import Path
@@ -127,7 +128,8 @@
 
 
 def main() -> int:
-    """Install the faults and run the daemon."""
+    """Install the faults and run the daemon. SIGABRT logs where all its threads are."""
+    faulthandler.enable()
     FaultySocket.faults = LinkFaults(Path(sys.argv[1]))
     socket.socket = FaultySocket  # type: ignore[misc]
     gevent.spawn(FaultySocket.faults.run)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -24,6 +24,7 @@
 from soak._target import RunLog, Target
 from standins.key_value import create_server
 
+ENDING_SIGNALS = (signal.SIGKILL, signal.SIGTERM, signal.SIGABRT)
 ROOT = Path(__file__).parent.parent
 DAEMON = Path(__file__).parent / "_daemon.py"
 Builds = tuple[Path, ...]
@@ -121,8 +122,8 @@
         written.replace(self._links_path)
 
     def send(self, signal_number: signal.Signals) -> None:
-        """Send a signal to a running process; after KILL or TERM its end counts as expected."""
-        self.end_expected = self.end_expected or signal_number in (signal.SIGKILL, signal.SIGTERM)
+        """Send a signal to a running process; after one that ends it, its end counts as expected."""
+        self.end_expected = self.end_expected or signal_number in ENDING_SIGNALS
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(signal_number)
 
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -420,3 +420,17 @@
     pair.stop()
     first, *_ = [line["extra"] for line in lines if line["message"] == "dispatcher_load"]
     assert (first["service"], first["slots"], first["batch"], first["online"]) == ("llm", 2, 1, 0)
+
+
+def test_an_instance_does_not_spin_while_all_job_runners_refuse_connections() -> None:
+    """Guards against entries that answer nobody: they tried to connect in an endless loop."""
+    lines: list[Any] = []
+    sink = logger.add(lambda message: lines.append(message.record), level="INFO")
+    fleet = FakeFleet(find_port(), 1)
+    broker = SlotBroker("f1", "a", fleet, FakePools(), ShiftedClock(), random.Random(1))  # type: ignore[arg-type]
+    broker.start()
+    gevent.sleep(0.5)
+    broker.stop()
+    logger.remove(sink)
+    tries = [line for line in lines if line["message"] == "dispatcher_lost"]
+    assert 1 <= len(tries) <= 10
