--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -122,7 +122,7 @@
         written.replace(self._links_path)
 
     def send(self, signal_number: signal.Signals) -> None:
-        """Send a signal to a running process; after one that ends it, its end counts as expected."""
+        """Send a signal to a running process; after one of ENDING_SIGNALS its end is expected."""
         self.end_expected = self.end_expected or signal_number in ENDING_SIGNALS
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(signal_number)
--- a/tests/systems/test_crash_causes.py
+++ b/tests/systems/test_crash_causes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 
 import pytest
@@ -269,3 +270,27 @@
             events = rng.choice((0, 20))
             record_run(table, number, now, traits, events, f"t{rng.randrange(3)}")
         has_cause(table, now + 0.15, *traits)
+
+
+def test_a_known_cause_explains_no_crash_under_which_no_single_run_had_it() -> None:
+    """Guards against requests with a crashing part that go on because others run beside them.
+
+    Load pattern: the first three crashes share a first part as well, and sound requests with
+    that first part run beside each later crash (soak seed 4200).
+    """
+    table = CrashTable()
+    number = itertools.count()
+
+    def crash(at: float, *runs: tuple[str, ...]) -> None:
+        for traits in runs:
+            run = BrokenRun(("e1", next(number)), f"t{at}", "llm", frozenset(traits), 0)
+            crash_causes.record_crash(table, run, at)
+
+    for at in (1.0, 2.0, 3.0):
+        crash(at, ("a0", "worst"))
+    crash_causes.find_cause(table, "llm", frozenset({"a0", "worst"}), 4.0)
+    assert frozenset({"a0", "worst"}) in table.services["llm"].causes
+    for at in (5.0, 6.0):
+        crash(at, ("a2", "worst"), ("a0", f"b{at}"))
+    assert crash_causes.find_cause(table, "llm", frozenset({"a1", "worst"}), 7.0) is not None
+    assert crash_causes.find_cause(table, "llm", frozenset({"a0", "b9"}), 7.0) is None
