Blame a target for crashes behind a link that only refuses new connections

Cause: once a link was known to be lost, each run that broke off by an open connection was put down to the link, so that crashes of targets by such an instance were not counted. Now it asks whether another instance still reaches the target.

--- a/clementinepin/systems/reach.py
+++ b/clementinepin/systems/reach.py
@@ -51,9 +51,17 @@
 
 
 def must_check(table: ReachTable, target: str, since: float) -> bool:
-    """Return whether the link is to be checked: it is not known to have worked ``since`` then."""
+    """Return whether the link is to be checked: it is not known to have worked ``since`` then.
+
+    Open connections on a link that only refuses new ones are as good as on any other.
+    """
     never = float("-inf")
-    return not is_relayed(table, target) and table.direct_at.get(target, never) < since
+    return target not in table.hung and table.direct_at.get(target, never) < since
+
+
+def is_link_cut(table: ReachTable, target: str, now: float) -> bool:
+    """Return whether only other instances reach the target, and one of them did so lately."""
+    return is_relayed(table, target) and may_ask_relays(table, target, now)
 
 
 def record_direct(table: ReachTable, target: str, now: float) -> bool:
--- a/clementinepin/targets/_dialing.py
+++ b/clementinepin/targets/_dialing.py
@@ -164,7 +164,7 @@
             if check is None:
                 check = self._checks[address.name] = gevent.spawn(self._check, address)
             check.join()
-        return reach.is_relayed(self._table, address.name)
+        return reach.is_link_cut(self._table, address.name, self._clock.monotonic())
 
     def add(self, pool: ConnectionPool) -> None:
         """Look after the idle connections of a pool until it is removed."""
--- a/tests/serving/test_cut_off_instances.py
+++ b/tests/serving/test_cut_off_instances.py
@@ -19,7 +19,9 @@
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving.models import ItemState, Member, RouteKind
+from clementinepin.systems import reach
 from clementinepin.systems.dispatch_actions import RunOutcome
+from clementinepin.targets._connection import Connection
 from tests.serving.cut_links import CutLink, Effect, Link, Manner
 from tests.serving.harness import ID, Harness, close_at_once, get_status, send_events
 from tests.serving.memory_store import MemoryStore
@@ -301,6 +303,31 @@
     assert cut_off.slots.outcomes == [RunOutcome.BROKEN]
 
 
+def test_a_crash_behind_a_link_that_refuses_new_connections_is_blamed_on_its_target(
+    cut_off: CutOffHarness,
+) -> None:
+    """Mutation: blame the link whenever it is lost: crashes by open connections are not counted."""
+    links: list[Link] = []
+
+    def crash(sock: Any, request: bytes) -> bool:
+        links[0].cut(Manner.REFUSE)
+        target._server.close()
+        return False
+
+    cut_off.set_route(resumable=False, attempts_max=1)
+    target = ScriptedTarget(crash)
+    links.append(cut_off.add_linked_target(target, Effect.NONE))
+    name = cut_off.slots.target_ids[0]
+    dialer = cut_off.app._pools._dialer
+    reach.record_relayed(dialer._table, name, 0.0, hangs=False)  # type: ignore[attr-defined]
+    dialer._table.probe_at[name] = float("inf")  # type: ignore[attr-defined]
+    cut_off.app._pools.get(cut_off.app.fleet.targets.rows[name])._pool.release(
+        Connection(socket.create_connection(("127.0.0.1", links[0].port)), cut_off.app._clock)
+    )
+    assert get_status(call(cut_off.port, ID)) == 502
+    assert cut_off.slots.outcomes == [RunOutcome.BROKEN]
+
+
 def test_a_repeatable_request_on_a_link_that_hangs_is_sent_again_at_once(
     cut_off: CutOffHarness,
 ) -> None:
--- a/tests/systems/test_reach.py
+++ b/tests/systems/test_reach.py
@@ -59,8 +59,13 @@
     reach.record_direct(table, "t0", 1.0)
     assert not reach.must_check(table, "t0", 1.0)
     assert reach.must_check(table, "t0", 1.1)
-    reach.record_relayed(table, "t0", 2.0, hangs=True)
+    reach.record_relayed(table, "t0", 2.0, hangs=False)
+    assert reach.must_check(table, "t0", 9.0)
+    reach.record_relayed(table, "t0", 3.0, hangs=True)
     assert not reach.must_check(table, "t0", 9.0)
+    assert reach.is_link_cut(table, "t0", 9.0)
+    reach.record_unreached(table, "t0", 9.0)
+    assert not reach.is_link_cut(table, "t0", 9.0)
 
 
 def test_one_link_that_works_again_lets_the_others_be_tried_at_once() -> None:
