Write one message after the other to a tunnel, and bear with readers that are slow

What callers would see: a response through an instance that leaves was garbled, if its caller read slowly: the announcement was written into the middle of a frame. The same response was cut by the kernel after 1.5 s, the time after which instances give up others that don't take their data; tunnels wait 15 s.

Found by reading the diff. The test failed before; with a time of 1.5 s it fails on the second fault alone.

--- a/clementinepin/serving/_tunnels.py
+++ b/clementinepin/serving/_tunnels.py
@@ -10,6 +10,7 @@
 
 import gevent
 from gevent import socket
+from gevent.lock import BoundedSemaphore
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
@@ -22,6 +23,46 @@
 
 READ_SIZE_BYTES: Final = 65_536
 KEEPALIVE_S: Final = 1
+NEAR_TIMEOUT_MS: Final = 3_000  # as on connections to targets
+# A caller that reads slowly holds up the bytes on their way to it, and is no lost instance.
+FAR_TIMEOUT_MS: Final = 15_000
+
+
+class _Tunnel:
+    """The far end of a tunnel. Its messages are written one after the other."""
+
+    def __init__(self, sock: Any, target_id: str) -> None:
+        self.target_id = target_id
+        self._sock = sock
+        self._write_lock = BoundedSemaphore(1)
+
+    def send(self, message: messages.Message) -> None:
+        """Send a message. Raises OSError if the other instance is gone."""
+        with self._write_lock:
+            self._sock.sendall(messages.pack_message(message))
+
+    def announce_leaving(self) -> None:
+        """Let the user close the tunnel after its request."""
+        try:
+            self.send(messages.TunnelLeaving())
+        except OSError as err:
+            logger.bind(error=str(err)).info("tunnel_broke")
+
+    def send_responses(self, target_sock: Any) -> None:
+        """Pass the target's bytes on, and how they end."""
+        try:
+            while (data := _read_target(target_sock)) is not None:
+                if not data:
+                    self.send(messages.TunnelEnded(broken=False))
+                    return
+                self.send(messages.TunnelData(data))
+            self.send(messages.TunnelEnded(broken=True))
+        except OSError as err:
+            logger.bind(error=str(err)).info("tunnel_broke")
+
+    def close(self) -> None:
+        """Close the tunnel."""
+        self._sock.close()
 
 
 class TunnelServer:
@@ -31,7 +72,7 @@
         self._fleet = fleet
         self._clock = clock
         self._leaving = False
-        self._tunnels: dict[Any, str] = {}
+        self._tunnels: set[_Tunnel] = set()
         links.take_over(messages.OpenTunnel, self._serve)
         fleet.targets.leaving_listeners.append(self._leave_target)
 
@@ -43,14 +84,14 @@
     def leave(self) -> None:
         """Open no more tunnels, and let the users of open ones close them after their requests."""
         self._leaving = True
-        for sock in list(self._tunnels):
-            gevent.spawn(_send_leaving, sock)
+        for tunnel in list(self._tunnels):
+            gevent.spawn(tunnel.announce_leaving)
 
     def _leave_target(self, start: TargetStart) -> None:
         """Let the users of tunnels to a target that leaves close them after their requests."""
-        for sock, target_id in list(self._tunnels.items()):
-            if target_id == start.target_id:
-                gevent.spawn(_send_leaving, sock)
+        for tunnel in list(self._tunnels):
+            if tunnel.target_id == start.target_id:
+                gevent.spawn(tunnel.announce_leaving)
 
     def _serve(self, sock: Any, reader: messages.FrameReader, request: messages.OpenTunnel) -> None:
         """Connect to the target and pass bytes on until one side closes its connection."""
@@ -61,15 +102,16 @@
             log.info("tunnel_refused")
             sock.sendall(messages.pack_message(messages.TunnelOpened(err.message, err.refused)))
             return
-        set_tunnel_options(sock)
-        self._tunnels[sock] = request.target_id
+        set_tunnel_options(sock, FAR_TIMEOUT_MS)
+        tunnel = _Tunnel(sock, request.target_id)
+        self._tunnels.add(tunnel)
         backward = None
         try:
-            sock.sendall(messages.pack_message(messages.TunnelOpened()))
-            backward = gevent.spawn(_send_responses, target_sock, sock)
+            tunnel.send(messages.TunnelOpened())
+            backward = gevent.spawn(tunnel.send_responses, target_sock)
             _send_requests(sock, reader, target_sock)
         finally:
-            del self._tunnels[sock]
+            self._tunnels.discard(tunnel)
             target_sock.close()
             if backward is not None:
                 backward.kill(block=False)
@@ -95,31 +137,19 @@
                 target_sock.sendall(message.data)
 
 
-def _send_responses(target_sock: Any, sock: Any) -> None:
-    """Pass the target's bytes on, and how they end."""
-    broken = False
+def _read_target(target_sock: Any) -> bytes | None:
+    """Return bytes of a target, none at the end of its connection, and None if that broke."""
     try:
-        while data := target_sock.recv(READ_SIZE_BYTES):
-            sock.sendall(messages.pack_message(messages.TunnelData(data)))
+        return bytes(target_sock.recv(READ_SIZE_BYTES))
     except OSError as err:
         logger.bind(error=str(err)).info("tunnel_target_broke")
-        broken = True
-    try:
-        sock.sendall(messages.pack_message(messages.TunnelEnded(broken)))
-    except OSError as err:
-        logger.bind(error=str(err)).info("tunnel_broke")
-
-
-def _send_leaving(sock: Any) -> None:
-    try:
-        sock.sendall(messages.pack_message(messages.TunnelLeaving()))
-    except OSError as err:
-        logger.bind(error=str(err)).info("tunnel_broke")
+        return None
 
 
-def set_tunnel_options(sock: Any) -> None:
+def set_tunnel_options(sock: Any, timeout_ms: int) -> None:
     """Detect an instance that stops responding, also while no bytes are on their way."""
     set_options(sock)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
@@ -224,7 +254,7 @@
             timeout_s = max(0.0, deadline - self._clock.monotonic())
             sock.settimeout(min(CONNECT_TIMEOUT_S, timeout_s))
             sock.connect((relay.host, relay.link_port))
-            set_tunnel_options(sock)
+            set_tunnel_options(sock, NEAR_TIMEOUT_MS)
             sock.settimeout(timeout_s)
             sock.sendall(messages.pack_message(messages.OpenTunnel(target.name, timeout_s)))
             reader = messages.FrameReader()
--- a/tests/serving/test_cut_off_instances.py
+++ b/tests/serving/test_cut_off_instances.py
@@ -38,6 +38,7 @@
     read_id,
 )
 
+SLOW_READER_S = 4.0  # longer than instances wait for others that don't take their data
 PAUSE_S = 1.3  # longer than any connection may take to open
 
 
@@ -174,8 +175,8 @@
         if broken:
             gevent.sleep(0.1)
             cut_off.helpers[0]._link_server.stop()
-            for sock in list(cut_off.helpers[0]._tunnels._tunnels):
-                sock.close()
+            for tunnel in list(cut_off.helpers[0]._tunnels._tunnels):
+                tunnel.close()
         return False
 
     cut_off.set_route(resumable=False, attempts_max=1)
@@ -229,6 +230,26 @@
     assert target.connections == 2
 
 
+def test_a_leaving_instance_does_not_garble_a_response_that_its_reader_takes_slowly(
+    cut_off: CutOffHarness,
+) -> None:
+    """Guards against two messages that are written to one tunnel at the same time."""
+    body = b"x" * 12_000_000
+    cut_off.set_route(kind=RouteKind.NON_IDEMPOTENT, attempts_max=1, timeout_s=30.0)
+    cut_off.add_cut_target(ScriptedTarget(make_plain(body)), Manner.REFUSE)
+    head = f"GET /x/1 HTTP/1.1\r\nHost: h.example\r\n{ID}\r\nConnection: close\r\n\r\n"
+    with socket.create_connection(("127.0.0.1", cut_off.port)) as sock:
+        sock.sendall(head.encode())
+        gevent.sleep(0.3)
+        cut_off.helpers[0]._tunnels.leave()
+        gevent.sleep(SLOW_READER_S)
+        data = bytearray()
+        with gevent.Timeout(20.0):
+            while piece := sock.recv(1_000_000):
+                data += piece
+    assert data.endswith(b"\r\n\r\n" + body)
+
+
 def test_the_own_links_are_used_again_once_they_work(cut_off: CutOffHarness) -> None:
     cut_off.set_route(resumable=False, attempts_max=1)
     target = cut_off.add_cut_target(
