--- a/tests/serving/test_leaving_targets.py
+++ b/tests/serving/test_leaving_targets.py
@@ -15,11 +15,14 @@
 from clementinepin.helpers.clock import ManualClock
 from clementinepin.platform import create_wire
 from clementinepin.serving import _messages as messages
+from clementinepin.serving._dispatcher import update_targets
 from clementinepin.serving._outages import StoreOutages
 from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving._target_view import TargetView
 from clementinepin.serving.models import RouteKind
-from clementinepin.systems import leaving
+from clementinepin.systems import dispatching, leaving
+from clementinepin.systems.dispatch_actions import Granted, Rejected
+from clementinepin.tables.dispatch import DispatchTable
 from clementinepin.tables.leaving import LeavingTable, TargetStart
 from tests.serving.harness import ID, Harness, get_status, send_events
 from tests.serving.scripted import (
@@ -39,6 +42,8 @@
     make_request,
     start_pair,
 )
+from tests.systems.dispatch_parts import make_item
+from tests.systems.dispatch_parts import make_request as make_call
 
 LEAVING = b"Server-Leaving: 1\r\n"
 
@@ -246,3 +251,24 @@
         received = messages.FrameReader().feed(sock.recv(65_536))
     assert not [m for m in received if isinstance(m, messages.TargetLeaving)]
     pair.stop()
+
+
+def test_callers_are_rejected_at_once_and_items_wait_if_all_targets_leave() -> None:
+    view = make_view(ManualClock(), [])
+    table = DispatchTable()
+    view.apply_change(*make_row(5))
+    update_targets(table, view.rows, 0.0)
+    item = make_item(1, 0.0)
+    running = dispatching.submit(table, item, 0.0, random.Random(1))
+    assert [type(action) for action in running] == [Granted]
+    view.record_leaving(TargetStart("t0", 5))
+    update_targets(table, view.rows, 1.0)
+    rejected = dispatching.submit(table, make_call(2, 1.0), 1.0, random.Random(1))
+    assert [type(action) for action in rejected] == [Rejected]
+    assert rejected[0].retry_after_s > 0.0  # type: ignore[union-attr]
+    waiting = make_item(3, 1.0)
+    assert dispatching.submit(table, waiting, 1.0, random.Random(1)) == []
+    view.apply_change(*make_row(6))
+    update_targets(table, view.rows, 2.0)
+    started = dispatching.serve_queue(table, 2.0, random.Random(1))
+    assert started == [Granted(waiting.key, "t0")]
