Report targets that are silent behind a tunnel, and leave their slow responses alone

Cause: while an own link was known to be lost, each response that took longer than usual was put down to it, also one that came through another instance: repeatable requests were aborted and run again elsewhere, and a silent target was not reported.

--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -184,10 +184,16 @@
         self._slots.report_load(slot, call.target_load, limit_per_s, started_at_ms)
         return self._handle_response(connection, call, _Sent(exchange, target))
 
-    def _leave_lost_link(self, call: Call) -> None:
-        """Abort an attempt whose response can't come, if the request may be sent another way."""
+    def _leave_lost_link(self, call: Call) -> bool:
+        """Abort an attempt whose response can't come, if the request may be sent another way.
+
+        Return False if the attempt does not go by the own link.
+        """
+        if call.abort.relay:
+            return False
         if call.may_resend(self._clock.monotonic()):
             call.abort.trigger()
+        return True
 
     def _send(self, call: Call, target: Target) -> HttpExchange:
         request = call.request
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -202,7 +202,7 @@
         run.resumed_at_event_id = run.last_event_id
         run.target_version = target.software_version
         try:
-            with self._slots.watch_silence(slot, run.item.item_id, run.abort.trigger):
+            with self._slots.watch_silence(slot, run.item.item_id, run.leave_lost_link):
                 exchange = self._send(run, target)
             if exchange.relay:
                 self._metrics.count_relayed("item")
--- a/clementinepin/serving/_item_state.py
+++ b/clementinepin/serving/_item_state.py
@@ -77,6 +77,13 @@
         self.abort.trigger()
         self.cancel_wait()
 
+    def leave_lost_link(self) -> bool:
+        """Abort a request whose response can't come; False if it does not go by the own link."""
+        if self.abort.relay:
+            return False
+        self.abort.trigger()
+        return True
+
     def preempt(self) -> None:
         """Abort the request to the target; the item resumes later after its last event."""
         self.preempted = True
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -260,12 +260,12 @@
 
     @contextmanager
     def watch_silence(
-        self, slot: Slot, request_id: str, on_link_lost: Callable[[], None]
+        self, slot: Slot, request_id: str, on_link_lost: Callable[[], bool]
     ) -> Iterator[None]:
         """Report the slot's target if the block, which waits for its response, takes long.
 
         If the own link to the target is lost, ``on_link_lost`` is called instead: the target may
-        serve all others.
+        serve all others. It returns whether the response was to come by that link.
         """
         service = self._taken[slot.number][0].service
         sent_at = self._clock.monotonic()
@@ -280,12 +280,11 @@
             timer.kill(block=False)
 
     def _report_silence(
-        self, slot: Slot, request_id: str, on_link_lost: Callable[[], None]
+        self, slot: Slot, request_id: str, on_link_lost: Callable[[], bool]
     ) -> None:
         log = logger.bind(request_id=request_id, target=slot.target_id)
-        if self._pools.is_link_silent(slot.target_id):
+        if self._pools.is_link_silent(slot.target_id) and on_link_lost():
             log.info("target_link_silent")
-            on_link_lost()
             return
         log.bind(dispatcher=self.dispatcher_name).info("target_silent")
         key = (self._name, slot.number)
--- a/clementinepin/targets/_connection.py
+++ b/clementinepin/targets/_connection.py
@@ -218,6 +218,11 @@
         self.triggered = False
         self._connection: Connection | None = None
 
+    @property
+    def relay(self) -> str:
+        """Return the instance through which the exchange goes, empty for the own link."""
+        return self._connection.relay if self._connection is not None else ""
+
     def bind(self, connection: Connection) -> None:
         """Set the connection that carries the exchange; shut it down if already triggered."""
         self._connection = connection
--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -78,12 +78,10 @@
 
     @contextmanager
     def watch_silence(
-        self, slot: Slot, request_id: str, on_link_lost: Callable[[], None]
+        self, slot: Slot, request_id: str, on_link_lost: Callable[[], bool]
     ) -> Iterator[None]:
         def report() -> None:
-            if self.is_link_silent(slot.target_id):
-                on_link_lost()
-            else:
+            if not (self.is_link_silent(slot.target_id) and on_link_lost()):
                 self.silent.append((slot.target_id, request_id))
 
         timer = gevent.spawn_later(estimates.SILENT_MIN_S, report)
--- a/tests/serving/test_cut_off_instances.py
+++ b/tests/serving/test_cut_off_instances.py
@@ -19,7 +19,7 @@
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving.models import ItemState, Member, RouteKind
-from clementinepin.systems import reach
+from clementinepin.systems import estimates, reach
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.targets._connection import Connection
 from tests.serving.cut_links import CutLink, Effect, Link, Manner
@@ -365,6 +365,22 @@
     assert cut_off.slots.silent == []
 
 
+def test_a_slow_response_in_a_tunnel_is_not_taken_for_a_lost_link(cut_off: CutOffHarness) -> None:
+    """Guards against work that runs again elsewhere because its own link was lost before."""
+
+    def answer_late(sock: Any, request: bytes) -> bool:
+        gevent.sleep(2 * estimates.SILENT_MIN_S)
+        sock.sendall(make_plain(b"late"))
+        return True
+
+    cut_off.set_route(kind=RouteKind.IDEMPOTENT, attempts_max=2, timeout_s=60.0)
+    cut_off.add_cut_target(ScriptedTarget(answer_late), Manner.HANG)
+    other = cut_off.add_cut_target(ScriptedTarget(make_plain(b"other")), Manner.HANG)
+    assert call(cut_off.port, ID).endswith(b"late")
+    assert other.requests == []
+    assert cut_off.slots.silent == [("t0", "q1")]
+
+
 def test_the_end_of_an_unframed_response_is_checked_through_another_instance(
     cut_off: CutOffHarness,
 ) -> None:
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -367,11 +367,11 @@
     pair = start_pair(1)
     target = pair.dispatcher.table.targets["t0"]
     slot = acquire(pair.broker, make_request(create_system_clock().monotonic()))
-    with pair.broker.watch_silence(slot, "q1", lambda: None):
+    with pair.broker.watch_silence(slot, "q1", lambda: True):
         pass
     gevent.sleep(0.05)
     assert target.avoid_until == 0.0
-    with gevent.Timeout(5.0), pair.broker.watch_silence(slot, "q1", lambda: None):
+    with gevent.Timeout(5.0), pair.broker.watch_silence(slot, "q1", lambda: True):
         while not target.avoid_until:
             gevent.sleep(0.005)
     pair.stop()
@@ -387,7 +387,7 @@
     slot = acquire(pair.broker, make_request(create_system_clock().monotonic()))
     pair.broker._pools.lost_links.add("t0")
     lost = Event()
-    with pair.broker.watch_silence(slot, "q1", lost.set):
+    with pair.broker.watch_silence(slot, "q1", lambda: lost.set() or True):
         assert lost.wait(5.0)
     gevent.sleep(0.05)
     assert target.avoid_until == 0.0
