Keep the proof that a target refused connections when the own link hangs

Cause: the check of an unframed end asks relays first; their refusals were forgotten when the own link, tried behind them, only hung. The test failed before.

--- a/clementinepin/targets/_dialing.py
+++ b/clementinepin/targets/_dialing.py
@@ -136,16 +136,19 @@
         now = self._clock.monotonic()
         deadline = min(deadline, now + HEDGE_DELAY_S + RACE_TIMEOUT_S)
         reach.record_use(self._table, address.name, now)
+        refused = False
         if reach.is_relayed(self._table, address.name):
             try:
                 return self._dial_relayed(address, deadline)
             except TargetNotReachedError as err:
                 reach.record_unreached(self._table, address.name, self._clock.monotonic())
+                refused = err.refused
                 logger.bind(target=address.name, error=str(err)).info("relays_failed")
         attempt = _DirectAttempt(address, self._clock)
         try:
             sock = attempt.wait(min(deadline, now + HEDGE_DELAY_S))
         except TargetNotReachedError as err:
+            err.refused = err.refused or refused
             return self._race(address, attempt, err, deadline)
         self._record_direct(address)
         return Connection(sock, self._clock)
--- a/tests/serving/test_cut_off_instances.py
+++ b/tests/serving/test_cut_off_instances.py
@@ -381,6 +381,24 @@
     assert cut_off.slots.silent == [("t0", "q1")]
 
 
+@pytest.mark.parametrize("manner", Manner)
+def test_a_target_that_crashes_at_the_end_of_its_response_in_a_tunnel_is_found_out(
+    cut_off: CutOffHarness, manner: Manner
+) -> None:
+    """Guards against a broken answer that looks complete: soak seed 4300, request s00115."""
+
+    def crash(sock: Any, request: bytes) -> bool:
+        sock.sendall(HEAD % (b"s1", read_id(request)) + UNFRAMED_EVENTS + make_event(1))
+        target._server.close()
+        return False
+
+    cut_off.set_route(resumable=False, attempts_max=1)
+    target = cut_off.add_cut_target(ScriptedTarget(crash), manner)
+    response = call(cut_off.port, ID)
+    assert b"data: e1" in response
+    assert not response.endswith(b"0\r\n\r\n")
+
+
 def test_the_end_of_an_unframed_response_is_checked_through_another_instance(
     cut_off: CutOffHarness,
 ) -> None:
