--- a/clementinepin/targets/_dialing.py
+++ b/clementinepin/targets/_dialing.py
@@ -24,7 +24,7 @@
 RACE_TIMEOUT_S: Final = 0.5  # two instances that don't get through by then won't soon
 CHECK_TIMEOUT_S: Final = 0.4  # a check delays the next attempt of a request that was lost
 PROBE_TIMEOUT_S: Final = 0.25
-LOOK_PERIOD_S: Final = 0.1
+SWEEP_PERIOD_S: Final = 0.1  # relays that leave wait for their users to close idle tunnels
 
 
 class _DirectAttempt:
@@ -122,7 +122,7 @@
         self._table = ReachTable()
         self._pools: weakref.WeakSet[ConnectionPool] = weakref.WeakSet()
         self._checks: dict[str, gevent.Greenlet] = {}
-        self._looks: gevent.Greenlet | None = None
+        self._link_keeper: gevent.Greenlet | None = None
 
     def list_relayed(self) -> list[str]:
         """Return the names of the targets that only other instances reach."""
@@ -225,8 +225,8 @@
             return
         log = logger.bind(target=address.name, relay=connection.relay, hangs=hangs)
         log.warning("target_link_lost")
-        if self._looks is None or self._looks.dead:
-            self._looks = gevent.spawn(self._run_looks)
+        if self._link_keeper is None or self._link_keeper.dead:
+            self._link_keeper = gevent.spawn(self._keep_links)
         for other in {pool.address for pool in self._pools if pool.idle} - {address}:
             gevent.spawn(self.check_link, other, now)
 
@@ -263,10 +263,10 @@
         else:
             pool.release(connection)
 
-    def _run_looks(self) -> None:
+    def _keep_links(self) -> None:
         """Try lost links again, and close idle connections that are of no use any more."""
         while self._table.probe_at:
-            gevent.sleep(LOOK_PERIOD_S)
+            gevent.sleep(SWEEP_PERIOD_S)
             due = reach.take_due_probes(self._table, self._clock.monotonic())
             for address in {pool.address for pool in self._pools}:
                 if address.name in due:
