Report concurrent attempts to reach a target in one way

Two functions of the same shape put the outcomes of attempts into a queue, one for links and one for relays. No change of behaviour: tests of cut-off instances, tunnels and targets pass as before (107).

--- a/clementinepin/targets/_dialing.py
+++ b/clementinepin/targets/_dialing.py
@@ -15,6 +15,7 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.systems import reach
 from clementinepin.tables.reach import ReachTable
+from clementinepin.targets._attempts import start_attempt
 from clementinepin.targets._connection import Connection, ConnectionPool, Dialer, set_options
 from clementinepin.targets.exceptions import TargetNotReachedError
 from clementinepin.targets.models import Relays, TargetAddress
@@ -200,16 +201,16 @@
         if reach.may_ask_relays(self._table, address.name, self._clock.monotonic()):
             waits.append(partial(self._dial_relayed, address, deadline))
         for wait in waits:
-            gevent.spawn(_put_outcome, wait, outcomes)
+            start_attempt(outcomes, address.name, wait)
         for left in reversed(range(len(waits))):
-            connection, err = outcomes.get()
-            if connection is not None:
-                self._record_winner(address, connection, hangs=attempt.is_pending)
+            outcome = outcomes.get()
+            if outcome.failure is None:
+                self._record_winner(address, outcome.result, hangs=attempt.is_pending)
                 if left:
                     gevent.spawn(self._use_loser, address, outcomes, attempt)
-                return connection  # type: ignore[no-any-return]
-            refused = refused or err.refused
-            failure = err
+                return outcome.result  # type: ignore[no-any-return]
+            failure = outcome.failure
+            refused = refused or failure.refused
         attempt.close()
         reach.record_unreached(self._table, address.name, self._clock.monotonic())
         raise TargetNotReachedError(failure.message, refused=refused) from failure
@@ -232,7 +233,7 @@
 
     def _use_loser(self, address: TargetAddress, outcomes: Queue, attempt: _DirectAttempt) -> None:
         """Close what opened too late; a direct connection shows that the own link works."""
-        connection, _ = outcomes.get()
+        connection = outcomes.get().result
         if connection is None:
             attempt.close()
         elif connection.relay:
@@ -289,17 +290,6 @@
         self._keep(address, Connection(sock, self._clock))
 
 
-def _put_outcome(wait: Callable[[], Connection], outcomes: Queue) -> None:
-    """Put the connection or the error of an attempt into the queue."""
-    try:
-        outcomes.put((wait(), None))
-    except TargetNotReachedError as err:
-        outcomes.put((None, err))
-    except Exception as err:
-        logger.opt(exception=err).error("connection_attempt_failed")
-        outcomes.put((None, TargetNotReachedError(f"attempt failed: {err!r}")))
-
-
 def create_dialer(clock: Clock, relays: Relays | None = None) -> Dialer:
     """Return what opens connections; without ``relays`` by the own links only."""
     return DirectDialer(clock) if relays is None else RelayingDialer(clock, relays)
--- a/clementinepin/targets/_relays.py
+++ b/clementinepin/targets/_relays.py
@@ -9,9 +9,9 @@
 
 import gevent
 from gevent.queue import Queue
-from loguru import logger
 
 from clementinepin.helpers.clock import Clock
+from clementinepin.targets._attempts import start_attempt
 from clementinepin.targets.exceptions import TargetNotReachedError
 from clementinepin.targets.models import Channel, TargetAddress
 
@@ -59,20 +59,18 @@
         while remaining or running:
             if remaining:
                 name = remaining.pop(0)
-                gevent.spawn(
-                    _put_outcome, outcomes, name, partial(self._ask, name, target, deadline)
-                )
+                start_attempt(outcomes, name, partial(self._ask, name, target, deadline))
                 running += 1
             with gevent.Timeout(HEDGE_DELAY_S if remaining else None, False):
-                name, channel, err = outcomes.get()
+                outcome = outcomes.get()
                 running -= 1
-                if channel is not None:
+                if outcome.failure is None:
                     self._mark_unable(unable)
                     gevent.spawn(_close_others, outcomes, running)
-                    return channel, name
-                unable.append(name)
-                refused = refused or err.refused
-                failure = f"{name}: {err.message}"
+                    return outcome.result, outcome.name
+                unable.append(outcome.name)
+                refused = refused or outcome.failure.refused
+                failure = f"{outcome.name}: {outcome.failure.message}"
         raise TargetNotReachedError(f"no relay reaches {target.name}: {failure}", refused=refused)
 
     def _choose(self) -> list[str]:
@@ -90,20 +88,9 @@
         self._unable_until.update(dict.fromkeys(names, now + UNABLE_S))
 
 
-def _put_outcome(outcomes: Queue, name: str, ask: Callable[[], Channel]) -> None:
-    """Put the relay with its channel or its error into the queue."""
-    try:
-        outcomes.put((name, ask(), None))
-    except TargetNotReachedError as err:
-        outcomes.put((name, None, err))
-    except Exception as err:
-        logger.opt(exception=err).error("tunnel_failed")
-        outcomes.put((name, None, TargetNotReachedError(f"attempt failed: {err!r}")))
-
-
 def _close_others(outcomes: Queue, running: int) -> None:
     """Close the channels that open after another one was chosen."""
     for _ in range(running):
-        _, channel, _ = outcomes.get()
+        channel = outcomes.get().result
         if channel is not None:
             channel.close()
