--- a/tests/serving/test_cut_off_instances.py
+++ b/tests/serving/test_cut_off_instances.py
@@ -125,6 +125,34 @@
     assert cut_off.slots.outcomes == [RunOutcome.SERVED] * 5
 
 
+@pytest.mark.parametrize("has_dispatcher", [True, False])
+@pytest.mark.parametrize("manner", Manner)
+def test_a_cut_off_instance_serves_with_and_without_a_dispatcher(
+    cut_off: CutOffHarness, manner: Manner, has_dispatcher: bool
+) -> None:
+    """Mutation: report what the own link lost: the dispatcher avoids the target for all."""
+    cut_off.set_route(resumable=False, attempts_max=1)
+    target = cut_off.add_cut_target(ScriptedTarget(*(send_events(1, 2) for _ in range(3))), manner)
+    broker, helper = cut_off.app.slots, cut_off.helpers[0]
+    cut_off.app._forwarder._slots = broker
+    dispatcher = helper._job_parts.dispatcher  # type: ignore[union-attr]
+    broker._update_targets()
+    if has_dispatcher:
+        dispatcher.start()
+        dispatcher._update_targets()
+        broker.start()
+        with gevent.Timeout(5.0):
+            while not broker.is_linked:
+                gevent.sleep(0.01)
+    for _ in range(3):
+        assert get_status(call(cut_off.port, ID)) == 200
+    assert len(target.requests) == 3
+    for table in (dispatcher.table, broker._table):
+        assert all(row.avoid_until == 0.0 for row in table.targets.values())
+    broker.stop()
+    dispatcher.stop()
+
+
 @pytest.mark.parametrize("manner", Manner)
 def test_a_whole_response_comes_through_another_instance(
     cut_off: CutOffHarness, manner: Manner
--- a/tests/serving/test_leaving_targets.py
+++ b/tests/serving/test_leaving_targets.py
@@ -12,10 +12,13 @@
 from gevent import socket
 from gevent.event import Event
 
-from clementinepin.helpers.clock import ManualClock
+from clementinepin.helpers.clock import ManualClock, create_system_clock
 from clementinepin.platform import create_wire
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._dispatcher import update_targets
+from clementinepin.serving._item_run import ItemRunner
+from clementinepin.serving._item_state import ItemRun
+from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._outages import StoreOutages
 from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving._target_view import TargetView
@@ -25,6 +28,7 @@
 from clementinepin.tables.dispatch import DispatchTable
 from clementinepin.tables.leaving import LeavingTable, TargetStart
 from tests.serving.harness import ID, Harness, get_status, send_events
+from tests.serving.parts import make_head, make_items
 from tests.serving.scripted import (
     EVENTS,
     HEAD,
@@ -105,6 +109,42 @@
     assert len(other.requests) == 3
 
 
+def test_a_resumed_run_that_says_its_target_leaves_is_heard_too(harness: Harness) -> None:
+    harness.set_route(resumable=True, attempts_max=2)
+    harness.add_target(ScriptedTarget(send_events(1, end=False, cut=b"id: 2\nda")))
+    resumed = harness.add_target(ScriptedTarget(say_leaving(send_events(2))))
+    assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+    assert [start.target_id for start in harness.app.fleet.targets.list_leaving()] == ["t1"]
+    assert len(resumed.requests) == 1
+
+
+@pytest.mark.parametrize("kind", ["stream", "refusal", "failure"])
+def test_a_target_that_tells_an_item_that_it_leaves_gets_no_further_item(
+    harness: Harness, kind: str
+) -> None:
+    """Mutation: read the header for callers only: items go on being sent there."""
+    app, clock = harness.app, create_system_clock()
+    harness.set_route(kind=RouteKind.JOB, attempts_max=5)
+    harness.slots.watch_preemption = lambda _slot, _on_preempt: None  # type: ignore[attr-defined]
+    leaving_target = harness.add_target(ScriptedTarget(say_leaving(RESPONSES[kind])))
+    runner = ItemRunner(
+        app.fleet,
+        harness.slots,  # type: ignore[arg-type]
+        app._pools,
+        create_wire(),
+        clock,
+        ServingMetrics(),
+    )
+    for item in make_items(2):
+        run = ItemRun(item, make_head(now_s=clock.wall()), 0)
+        running = gevent.spawn(runner.run, run)
+        running.join(0.3)
+        run.cancel()
+        running.join(2.0)
+    assert len(leaving_target.requests) == 1
+    assert len(app.fleet.targets.list_leaving()) == 1
+
+
 def test_a_leaving_target_ends_what_it_runs(harness: Harness) -> None:
     """A stream goes on at the target that says so in the middle of other responses."""
     begun, told = Event(), Event()
