Give the listed test of a crash cause what tells its parts apart

The test asked for more than its records say: without a success of the first part both parts explain all crashes alike.

--- a/tests/systems/test_crash_causes.py
+++ b/tests/systems/test_crash_causes.py
@@ -275,8 +275,9 @@
 def test_a_known_cause_explains_no_crash_under_which_no_single_run_had_it() -> None:
     """Guards against requests with a crashing part that go on because others run beside them.
 
-    Load pattern: the first three crashes share a first part as well, and sound requests with
-    that first part run beside each later crash (soak seed 4200).
+    Load pattern: another dispatcher found that two parts of prompts together crash targets,
+    as it had seen no success of the first one. Sound requests with that part, which
+    succeeded here before, run beside each later crash (soak seed 4200).
     """
     table = CrashTable()
     number = itertools.count()
@@ -286,11 +287,11 @@
             run = BrokenRun(("e1", next(number)), f"t{at}", "llm", frozenset(traits), 0)
             crash_causes.record_crash(table, run, at)
 
+    crash_causes.record_success(table, "llm", frozenset({"a0", "b1"}), 0.5)
     for at in (1.0, 2.0, 3.0):
         crash(at, ("a0", "worst"))
-    crash_causes.find_cause(table, "llm", frozenset({"a0", "worst"}), 4.0)
-    assert frozenset({"a0", "worst"}) in table.services["llm"].causes
-    for at in (5.0, 6.0):
+    crash_causes.merge_cause(table, "llm", frozenset({"a0", "worst"}), 3.0, 3.0)
+    for at in (5.0, 6.0, 7.0):
         crash(at, ("a2", "worst"), ("a0", f"b{at}"))
-    assert crash_causes.find_cause(table, "llm", frozenset({"a1", "worst"}), 7.0) is not None
-    assert crash_causes.find_cause(table, "llm", frozenset({"a0", "b9"}), 7.0) is None
+    assert crash_causes.find_cause(table, "llm", frozenset({"a1", "worst"}), 8.0) is not None
+    assert crash_causes.find_cause(table, "llm", frozenset({"a0", "b9"}), 8.0) is None
