--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""The operator moves a batch route to another service; the former service's worker is taken away."""
+"""A batch route moves to another service, and the former service's worker is taken away."""
 
 from __future__ import annotations
 
