--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,66 +1,57 @@
-"""A worker truncates a few of its answers, which end with their connection."""
+"""A machine is stopped by SIGTERM while callers still use the answer of the directory."""
 
 from __future__ import annotations
 
-import hashlib
+import signal
+import time
 from pathlib import Path
-from typing import Any
+from typing import NamedTuple
 
 import gevent
 
 from review.common.fleet import (
     EXIT_BROKEN,
     EXIT_HELD,
+    GRACE_PERIOD_S,
     Fleet,
     NotRunError,
-    make_items,
     make_stream_headers,
-    read_all_results,
     run_case,
-    submit,
 )
-from review.common.http import call
-from review.common.worker import make_data, make_text
+from review.common.http import Answer, call
 
 SERVICE = "homily-lm"
-EVENTS = 26
-WORKERS = 5
-FAULTY = 3  # of 5 workers: the largest share of faulty workers on the sites is 0.6
-CUT_SHARE = 0.03  # of a faulty worker's answers: the largest share on the sites
-JOBS, ITEMS = 20, 20
-STREAMS = 400
-COMMON = {
+EVENTS = 42  # the longest stream of the sheet's requests
+EVENT_S = 0.045  # the sheet allows pauses of 200 ms
+BUDGET_S = 5.0
+KEEP_FACTOR = 3  # some clients keep an answer of the directory three times as long
+CLIENTS = 8
+PAUSE_S = 0.3
+EXCUSED_UNTIL_S = 3.0  # after SIGTERM: requests sent until then may be cut late in the grace time
+ROUTE = {
+    "name": "sermon-search",
     "host": "nony24.example",
-    "service": SERVICE,
-    "gap_target_ms": 200,
-    "resumable": True,
-    "sticky": True,
-}
-STREAM_ROUTE = {
-    "name": "reading-tag",
     "path_prefix": "/lohu930/",
     "kind": "streaming",
+    "service": SERVICE,
     "timeout_ms": 5000,
     "target_latency_ms": 300,
-    "max_attempts": 2,
+    "gap_target_ms": 200,
+    "max_attempts": 1,
+    "resumable": False,
+    "sticky": True,
     "priority": 0,
-    **COMMON,
-}
-JOB_ROUTE = {
-    "name": "weekly-bundle",
-    "path_prefix": "/pule252/",
-    "kind": "batch",
-    "timeout_ms": 15000,
-    "target_latency_ms": 500,
-    "run_target_ms": 18000,
-    "retention_s": 60,
-    "max_attempts": 3,
-    "max_count": 2_100_000,
-    "priority": 2,
-    **COMMON,
 }
 
 
+class Attempt(NamedTuple):
+    """One attempt of a client."""
+
+    request_id: str
+    address: str
+    answer: Answer
+
+
 def play(case: Path) -> int:
     """Run the case and return its exit code."""
     fleet = Fleet(case, fronts=2, stores=2)
@@ -70,86 +61,87 @@
         fleet.stop()
 
 
-def make_choice(fleet: Fleet, name: str) -> Any:
-    """Return the choice of answers that a worker truncates right after the head."""
-    answers = 0
-
-    def choose_cut(request_id: str) -> int | None:
-        nonlocal answers
-        answers += 1
-        digest = hashlib.sha256(f"{name}/{request_id}/{answers}".encode()).digest()
-        if int.from_bytes(digest[:4], "big") / 2**32 >= CUT_SHARE:
-            return None
-        fleet.record(f"worker {name} truncates its answer to {request_id} after the head")
-        return 0
-
-    return choose_cut
-
-
 def check(fleet: Fleet) -> int:
-    """Play the case and judge what clients have seen."""
-    fleet.put_configuration(1, [STREAM_ROUTE, JOB_ROUTE], [SERVICE])
-    for n in range(WORKERS):
-        worker = fleet.add_worker(f"w{n}", SERVICE, event_s=0.02, unframed=True)
-        if fleet.trouble and n < FAULTY:
-            worker.choose_cut = make_choice(fleet, worker.name)
+    """Play the case and judge what clients and workers have seen."""
+    fleet.put_configuration(1, [ROUTE], [SERVICE])
+    for n in range(9):
+        fleet.add_worker(f"w{n}", SERVICE, event_s=EVENT_S)
     fleet.start()
-    fronts = [m.address("front") for m in fleet.fronts]
-    jobs = {}
-    for n in range(JOBS):
-        job_id = f"7c41{n:04x}9b52d6a3"
-        jobs[job_id] = make_items(f"e5b2{n:04x}", ITEMS, "/pule252/", EVENTS)
-        status = submit(fronts[n % 2], "/pule252/7c41e0", job_id, jobs[job_id]).status
-        fleet.record(f"sent job {job_id}: status {status}")
-        if status != 202:
-            raise NotRunError("a job was not accepted")
-    wrong_streams = run_streams(fleet, fronts)
-    for _ in range(60):
-        listed = sum(len(read_all_results(fronts, job_id)[1]) for job_id in jobs)
-        if listed == JOBS * ITEMS:
-            break
-        gevent.sleep(0.5)
-    fleet.record(f"{listed} of {JOBS * ITEMS} items listed")
-    wrong_items = judge_items(fleet, fronts, jobs)
-    fleet.record(f"{wrong_streams} wrong streams, {wrong_items} wrong items")
-    return EXIT_BROKEN if wrong_streams or wrong_items else EXIT_HELD
-
-
-def run_streams(fleet: Fleet, fronts: list[str]) -> int:
-    """Send streams at a steady rate; return how many ended as complete before their last event."""
-    wrong: list[str] = []
-
-    def send(n: int) -> None:
-        request_id = f"9c41{n:04x}5a35f68a"
-        headers = make_stream_headers(request_id, EVENTS)
-        answer = call(fronts[n % 2], "POST", "/lohu930/2f", headers, b"x" * 1500, timeout_s=5.0)
-        expected = [(i, make_data(request_id, i, "v1")) for i in range(1, EVENTS + 1)]
-        is_wrong = answer.complete and answer.status == 200 and answer.events != expected
-        fleet.record(
-            f"stream {request_id}: status {answer.status}, {len(answer.events)} events,"
-            f" complete {answer.complete} {answer.error} {'WRONG' if is_wrong else ''}"
-        )
-        if is_wrong:
-            wrong.append(request_id)
-
+    attempts: list[Attempt] = []
+    leaving = fleet.fronts[0]
+    addresses, ttl_s = fleet.resolve(leaving)
+    if len(addresses) != 2:
+        raise NotRunError(f"the directory names {addresses}")
+    asked_at = time.monotonic()
+    fleet.record(f"directory of {leaving.name}: {len(addresses)} addresses, ttl_s {ttl_s}")
+    use_until = asked_at + KEEP_FACTOR * ttl_s
+    clients = [
+        gevent.spawn(run_client, fleet, n, addresses, use_until, attempts) for n in range(CLIENTS)
+    ]
+    stopped_at = time.monotonic()
+    if fleet.trouble:
+        leaving.send(signal.SIGTERM)
+        fleet.record(f"SIGTERM to {leaving.name}")
+    gevent.joinall(clients)
+    gevent.sleep(GRACE_PERIOD_S + 1.0 - (time.monotonic() - stopped_at))
+    fleet.record(f"{leaving.name}: process ended {leaving.process.poll() is not None}")
+    at_leaving = [a for a in attempts if a.address == leaving.address("front")]
+    return judge(fleet, at_leaving, stopped_at)
+
+
+def run_client(
+    fleet: Fleet, number: int, addresses: list[str], use_until: float, attempts: list[Attempt]
+) -> None:
+    """Send a request on a new connection now and then, while the directory's answer is kept."""
+    gevent.sleep(number * PAUSE_S / CLIENTS)
     calls = []
-    for n in range(STREAMS):
-        calls.append(gevent.spawn(send, n))
-        gevent.sleep(0.05)
+    n = 0
+    while time.monotonic() < use_until:
+        request_id = f"{number:04x}{n:04x}9b52d6a3"
+        calls.append(
+            gevent.spawn(send, fleet, request_id, fleet.random.choice(addresses), attempts)
+        )
+        n += 1
+        gevent.sleep(PAUSE_S)
     gevent.joinall(calls)
-    return len(wrong)
-
-
-def judge_items(fleet: Fleet, fronts: list[str], jobs: dict[str, list[dict[str, Any]]]) -> int:
-    """Return how many items are listed as completed with a text that is not their whole output."""
-    wrong = 0
-    for job_id in jobs:
-        for row in read_all_results(fronts, job_id)[1]:
-            if row["state"] == "completed" and row["text"] != make_text(row["id"], EVENTS, "v1"):
-                wrong += 1
-                events = len(row["text"].split("\n")) if row["text"] else 0
-                fleet.record(f"item {row['id']} of {job_id} WRONG: {events} of {EVENTS} events")
-    return wrong
+
+
+def send(fleet: Fleet, request_id: str, address: str, attempts: list[Attempt]) -> None:
+    """Send one request and keep what came."""
+    headers = make_stream_headers(request_id, EVENTS)
+    fleet.record(f"sent {request_id} to {address}")
+    answer = call(address, "POST", "/lohu930/2f", headers, b"x" * 1500, timeout_s=BUDGET_S)
+    attempts.append(Attempt(request_id, address, answer))
+    fleet.record(
+        f"answered {request_id}: status {answer.status}, {len(answer.events)} events,"
+        f" complete {answer.complete} {answer.error}"
+    )
+
+
+def judge(fleet: Fleet, attempts: list[Attempt], stopped_at: float) -> int:
+    """Return 1 if a request that was passed on to a worker got no complete answer."""
+    ran = {run.request_id: run for run in fleet.log.runs}
+    lost = 0
+    for attempt in attempts:
+        answer = attempt.answer
+        sent_s = answer.sent_at - stopped_at
+        if answer.complete or attempt.request_id not in ran or sent_s > GRACE_PERIOD_S + 1:
+            continue
+        took_s = answer.ended_at - answer.sent_at
+        is_excused = took_s >= BUDGET_S - 0.1 or sent_s <= EXCUSED_UNTIL_S
+        lost += not is_excused
+        fleet.record(
+            f"cut {attempt.request_id}: sent {sent_s:.2f} s after SIGTERM, passed on to"
+            f" {ran[attempt.request_id].worker}, cut after {took_s:.2f} s with"
+            f" {len(answer.events)} of {EVENTS} events, excused {is_excused}"
+        )
+    whole = sum(a.answer.complete and a.answer.status == 200 for a in attempts)
+    fleet.record(
+        f"{len(attempts)} requests at the stopped machine, {whole} whole streams, {lost} lost"
+    )
+    if not whole:
+        raise NotRunError("no stream was served")
+    return EXIT_BROKEN if lost else EXIT_HELD
 
 
 if __name__ == "__main__":
