--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -221,7 +221,7 @@
         """Start all processes and wait until callers may come, as long as the pages say."""
         for machine in self.machines:
             machine.start()
-        self.wait_ready(15.0)
+        self.wait_ready(30.0)
         gevent.sleep(4.0)
 
     def wait_ready(self, limit_s: float) -> None:
@@ -344,7 +344,8 @@
 
 
 def run_case(case: Path, play: Callable[[Path], int]) -> None:
-    """Run a case and exit with its code; 2 if it could not run."""
+    """Run a case and exit with its code, 2 if it could not run; SIGTERM ends all of it."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     try:
         code = play(case)
     except NotRunError as err:
