--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -145,7 +145,7 @@
         self.workers: dict[str, Worker] = {}
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._record = (case / "record.txt").open("w")
-        net = choose_net()
+        net, self._net_lock = take_net()
         self._worker_host = f"127.{net}.3.1"
         self.store = create_server(f"127.{net}.0.1", 0, create_system_clock())
         self.store.start()
@@ -253,6 +253,7 @@
         for worker in self.workers.values():
             worker.stop()
         self.store.stop(timeout=0)
+        self._net_lock.close()
         self._record.close()
         if folder := os.environ.get("REVIEW_LOGS"):
             shutil.copytree(self._folder, folder, dirs_exist_ok=True)
@@ -265,17 +266,23 @@
                 self.register(worker)
 
 
-def choose_net() -> int:
-    """Return the second part of loopback addresses on which all ports are free."""
+def take_net() -> tuple[int, socket.socket]:
+    """Return the second part of loopback addresses on which all ports are free.
+
+    The socket keeps other cases from taking the same addresses as long as it is open.
+    """
     for net in random.sample(range(16, 250), 50):
+        lock = socket.socket()
         try:
+            lock.bind((f"127.{net}.9.9", PORTS["front"]))
             for last in ("1.1", "2.1"):
                 for port in (*PORTS.values(), 7720, 9464):
                     with socket.socket() as sock:
                         sock.bind((f"127.{net}.{last}", port))
         except OSError:
+            lock.close()
             continue
-        return net
+        return net, lock
     raise NotRunError("no free loopback addresses")
 
 
