--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -254,11 +254,22 @@
             worker.stop()
         self.store.stop(timeout=0)
         self._net_lock.close()
+        self._record_runs()
         self._record.close()
         if folder := os.environ.get("REVIEW_LOGS"):
             shutil.copytree(self._folder, folder, dirs_exist_ok=True)
         shutil.rmtree(self._folder, ignore_errors=True)
 
+    def _record_runs(self) -> None:
+        """Write down what ran at the workers, and how each run ended."""
+        for run in self.log.runs:
+            self._record.write(
+                f"{run.started_at - self.started_at:8.3f} run {run.request_id} at {run.worker},"
+                f" version {run.version}, from event {run.first_event}\n"
+            )
+        for request_id, worker, last, outcome in self.log.ends:
+            self._record.write(f"         run {request_id} at {worker}: {outcome}, last {last}\n")
+
     def _run_heartbeats(self) -> None:
         while True:
             gevent.sleep(HEARTBEAT_S)
