--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -50,8 +50,9 @@
     """One worker. It serves a request at a time on a connection and ``slots`` requests at once.
 
     ``event_s`` is the time between two events. ``unframed`` answers have neither a length nor
-    chunks and end with their connection. ``choose_cut`` returns after how many events an answer is
-    truncated, None for a whole one; a truncated connection is closed without a reset.
+    chunks and end with their connection. ``choose_cut`` gets a request's id and how many events its
+    answer is to bring, and returns after how many of them it is truncated, None for a whole one; a
+    truncated connection is closed without a reset.
     """
 
     def __init__(
@@ -72,7 +73,7 @@
         self.slots = slots
         self.event_s = event_s
         self.unframed = unframed
-        self.choose_cut: Callable[[str], int | None] = lambda _request_id: None
+        self.choose_cut: Callable[[str, int], int | None] = lambda _request_id, _events: None
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.sequence = 0
@@ -171,7 +172,7 @@
             f"Clementinepin-Server-Load: {self._running},{self._waiting},{self.slots}\r\n"
             "Keep-Alive: timeout=10\r\n\r\n"
         )
-        cut = self.choose_cut(request_id)
+        cut = self.choose_cut(request_id, events - first + 1)
         number = first - 1
         outcome = "broken"
         try:
