Reject requests that may outlast a stopping instance

Cause: App.stop accepted requests for 0.78 of the grace time, whatever time they need; the rest, 1.26 s, is shorter than a sound stream may last. Ruled out from the record: an early end of the process (all were cut at its deadline) and targets that slow down.

Change: while an instance stops, a request is accepted if its caller gives up before the end or if 1.5 times the longest recent run of its route and a silence of the target fit in; a request that waits for a slot must get it early enough. The drain of the product's own interface uses the same estimate.

--- a/clementinepin/entry/_app.py
+++ b/clementinepin/entry/_app.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -78,8 +78,20 @@
         if route.access is not Access.OPEN:
             self._authenticator.authorize(request, route.access)
             if not request.is_operator:
-                self._gate.check()
-        return route.handler(request)
+                self._gate.check(route.pattern)
+        started_at = self._core.clock.monotonic()
+        response = route.handler(request)
+        if isinstance(response.body, bytes):
+            self._gate.record_run(route.pattern, started_at)
+            return response
+        return response._replace(body=self._record_end(response.body, route.pattern, started_at))
+
+    def _record_end(
+        self, pieces: Iterator[bytes], pattern: str, started_at: float
+    ) -> Iterator[bytes]:
+        """Yield the pieces of a body, and record the run when all are sent."""
+        yield from pieces
+        self._gate.record_run(pattern, started_at)
 
 
 def _get_phrase(status: int) -> str:
--- a/clementinepin/entry/_drain.py
+++ b/clementinepin/entry/_drain.py
@@ -8,20 +8,34 @@
 from clementinepin.core import Core, DrainStarted
 from clementinepin.entry.exceptions import InstanceLeavingError
 from clementinepin.fleet import Fleet
+from clementinepin.systems.run_times import RunTimes, find_latest_start
 
 
 class DrainGate:
-    """Rejects new requests of callers from ``refuse_at`` on, in monotonic seconds."""
+    """Rejects new requests of callers from ``refuse_at`` on, in monotonic seconds.
+
+    Before, it rejects those that may not be complete by ``finish_by``, when the instance stops.
+    """
 
     def __init__(self, core: Core, fleet: Fleet) -> None:
         self._core = core
         self._fleet = fleet
         self.refuse_at: float | None = None
+        self.finish_by = float("inf")
+        self._run_times = RunTimes()
         core.subscribe(DrainStarted, self._schedule_rejection)
 
-    def check(self) -> None:
-        """Raise InstanceLeavingError with the addresses of other entries from ``refuse_at`` on."""
-        if self.refuse_at is None or self._core.clock.monotonic() < self.refuse_at:
+    def record_run(self, resource: str, started_at: float) -> None:
+        """Record that a request of a resource, which started at ``started_at``, is complete."""
+        self._run_times.record(resource, self._core.clock.monotonic() - started_at, 0)
+
+    def check(self, resource: str) -> None:
+        """Raise InstanceLeavingError with the addresses of other entries if it is too late."""
+        if self.refuse_at is None:
+            return
+        now = self._core.clock.monotonic()
+        longest_s = self._run_times.estimate_longest(resource, 0) or 0.0
+        if now < min(self.refuse_at, find_latest_start(self.finish_by, float("inf"), longest_s)):
             return
         own = self._core.settings.instance.name
         other_addresses = [
@@ -35,3 +49,4 @@
     def _schedule_rejection(self, event: DrainStarted) -> None:
         advised_until = self._core.clock.monotonic() + self._core.settings.limits.advice_s
         self.refuse_at = min(advised_until, event.deadline)
+        self.finish_by = event.deadline
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -51,10 +51,9 @@
 from clementinepin.targets import HedgedRelays
 
 RESOLVE_TTL_S: Final = 2.0  # callers notice a lost instance at their next connection anyway
-STOP_ACCEPTING_SHARE: Final = 0.78  # of the grace time; the longest usual stream fits in the rest
+STOP_ACCEPTING_SHARE: Final = 0.78  # of the grace time; callers know other addresses by then
 STOP_MARGIN_S: Final = 0.5  # time reserved to end the process
 STARTING_RETRY_S: Final = 0.5
-STOPPED_RETRY_S: Final = 0.1  # other instances serve meanwhile
 IDLE_CHECK_S: Final = 0.05
 DEFAULT_LIMITS: Final = CallerLimits()
 LIVE_SETTINGS: Final = (  # may change while the instance runs
@@ -92,7 +91,6 @@
         self._wire = wire
         self._clock = clock
         self._active = 0
-        self._forward_until = float("inf")
         outages = StoreOutages(clock)
         direct_store = DirectStore(store, wire.own_prefix, rng)
         links = InstanceLinks(clock)
@@ -160,14 +158,14 @@
     def stop(self) -> None:
         """Leave the fleet and stop all parts within the grace time.
 
-        Callers that still arrive are served for a share of it. Then the listeners close, and open
-        connections get rejections. The parts stop when no request is active, or STOP_MARGIN_S
-        before the end of the grace time.
+        Callers that still arrive are served as long as their responses end before this instance,
+        and rejected from then on. The listeners close after a share of the grace time. The parts
+        stop when no request is active, or STOP_MARGIN_S before the end of the grace time.
         """
         now = self._clock.monotonic()
         deadline = now + self._settings.grace_s - STOP_MARGIN_S
         accept_until = now + self._settings.grace_s * STOP_ACCEPTING_SHARE
-        self._forward_until = accept_until
+        self._forwarder.finish_by = deadline
         self.leave()
         if self._settings.entry_address is not None:
             while self._clock.monotonic() < accept_until:
@@ -305,8 +303,6 @@
         if is_job_route(route):
             self._submit_job(connection, request, route)
             return
-        if started_at >= self._forward_until:
-            raise OverloadedError("this instance ends before the response would", STOPPED_RETRY_S)
         self._forwarder.serve(connection, request, route, started_at)
 
     def _submit_job(
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -31,6 +31,7 @@
 from clementinepin.serving.models import Route, RouteKind, Target
 from clementinepin.serving.wire import Wire
 from clementinepin.systems.dispatch_actions import RunOutcome
+from clementinepin.systems.run_times import RunTimes, find_latest_start
 from clementinepin.targets import HttpExchange, HttpRequest
 from clementinepin.targets.exceptions import (
     TargetLostError,
@@ -39,9 +40,9 @@
     TargetTimeoutError,
 )
 
-RUN_TIME_WEIGHT: Final = 0.1  # of the newest run in a route's mean, which adapts in ten runs
 UNREACHED_MAX: Final = 4  # targets that could not be reached before the request fails
 REFUSED_RETRY_S: Final = 0.3  # Retry-After if the targets refused or could not be reached
+STOPPED_RETRY_S: Final = 0.1  # other instances serve meanwhile
 STATUS_SERVER_ERROR_MIN: Final = 500
 STATUS_SUCCESS_BELOW: Final = 300
 
@@ -54,7 +55,11 @@
 
 
 class Forwarder:
-    """Serves requests of the routes that lead to targets."""
+    """Serves requests of the routes that lead to targets.
+
+    ``finish_by`` is when the instance stops, in monotonic seconds; requests that may not be
+    complete by then are rejected.
+    """
 
     def __init__(
         self,
@@ -67,7 +72,8 @@
         metrics: ServingMetrics,
     ) -> None:
         self._metrics = metrics
-        self._run_times: dict[str, float] = {}
+        self._run_times = RunTimes()
+        self.finish_by = float("inf")
         self._fleet = fleet
         self._slots = slots
         self._pools = pools
@@ -87,6 +93,7 @@
         connection.watch_caller(call.record_caller_gone)
         outcome = "failed"
         try:
+            self._check_finish(call)
             self._run_attempts(connection, call)
             outcome = "served" if call.is_complete else "cut"
         except CallerGoneError:
@@ -99,6 +106,20 @@
             connection.stop_watching()
             self._log_end(call, outcome)
 
+    def _find_latest_start(self, call: Call) -> float:
+        """Return the latest time at which a call may start so that it ends before the instance."""
+        longest_s = self._run_times.estimate_longest(call.route.name, call.facts.output_tokens_max)
+        return find_latest_start(self.finish_by, call.deadline, longest_s)
+
+    def _check_finish(self, call: Call) -> None:
+        """Raise OverloadedError if the instance may stop before the call is complete."""
+        now = self._clock.monotonic()
+        if now > self._find_latest_start(call):
+            raise OverloadedError(
+                f"this instance ends in {self.finish_by - now:.3f} s, maybe before the response",
+                STOPPED_RETRY_S,
+            )
+
     def _run_attempts(self, connection: CallerConnection, call: Call) -> None:
         """Send the request to targets until its response is complete.
 
@@ -131,7 +152,10 @@
 
     def _acquire_slot(self, call: Call) -> Slot:
         service = choose_service(call.route, self._random)
-        request = make_slot_request(call, service, self._run_times.get(call.route.name))
+        request = make_slot_request(call, service, self._run_times.get_mean(call.route.name))
+        if not (call.response_started or call.maybe_run):
+            start_by = min(request.deadline, self._find_latest_start(call))
+            request = request._replace(deadline=start_by)
         requested_at = self._clock.monotonic()
 
         def set_cancel_wait(cancel: Callable[[], None]) -> None:
@@ -338,8 +362,7 @@
     def _log_end(self, call: Call, outcome: str) -> None:
         took_s = self._clock.monotonic() - call.started_at
         if outcome == "served":
-            mean_s = self._run_times.get(call.route.name, took_s)
-            self._run_times[call.route.name] = mean_s + (took_s - mean_s) * RUN_TIME_WEIGHT
+            self._run_times.record(call.route.name, took_s, call.facts.output_tokens_max)
         self._metrics.count_request(outcome, took_s, call.waited_s)
         if call.relay:
             self._metrics.count_relayed("request")
--- a/tests/entry/test_resources.py
+++ b/tests/entry/test_resources.py
@@ -224,6 +224,21 @@
     assert entry.call("GET", "/ops/state", key=OPERATOR_KEY).json["draining"] is True
 
 
+def test_a_draining_instance_rejects_what_may_outlast_it(serve):
+    """Guards against requests that are accepted late in a drain and cut at its end (review/3)."""
+    entry = serve(respond_complete, limits={"advice_s": 58.0, "drain_s": 60.0})
+    gate = entry.entry._gate
+    assert entry.call("POST", "/v1/completions", COMPLETION).status == 200
+    gate.record_run("/v1/completions", entry.core.clock.monotonic() - 8.0)
+    entry.call("POST", "/ops/drain", key=OPERATOR_KEY)
+    entry.clock.advance(45.0)
+    assert entry.call("POST", "/v1/completions", COMPLETION).status == 200
+    entry.clock.advance(5.0)
+    rejected = entry.call("POST", "/v1/completions", COMPLETION)
+    assert rejected.error["code"] == "instance_leaving"
+    assert rejected.error["outcome"] == "not_run"
+
+
 def test_stop_waits_for_requests_in_flight(serve):
     """Mutation: ``stop`` does not wait for active requests: the slot is not freed yet."""
 
--- a/tests/serving/test_shutdown.py
+++ b/tests/serving/test_shutdown.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import gevent
+import pytest
 from gevent import socket
 
+from clementinepin.serving._slot_requests import Slot, SlotRequest
+from clementinepin.serving.exceptions import OverloadedError
+from clementinepin.serving.models import RouteKind
 from tests.serving.harness import ID, Harness
 from tests.serving.scripted import ScriptedTarget, make_plain
 from tests.serving.test_slots import ShiftedClock
@@ -49,3 +53,61 @@
         with gevent.Timeout(5.0):
             assert sock.recv(65_536).startswith(b"HTTP/1.1 200")
     stopping.kill()
+
+
+def serve_late(harness: Harness, share: float) -> bytes:
+    """Return the response to a request sent on an open connection after a share of the grace."""
+    clock = ShiftedClock()
+    harness.app._clock = harness.app._forwarder._clock = clock
+    with socket.create_connection(("127.0.0.1", harness.port)) as sock:
+        stopping = gevent.spawn(harness.app.stop)
+        gevent.sleep(0)
+        clock.shift_s += harness.app._settings.grace_s * share
+        sock.sendall(REQUEST)
+        with gevent.Timeout(5.0):
+            response = sock.recv(65_536)
+    stopping.kill()
+    return response
+
+
+@pytest.mark.parametrize("kind", [RouteKind.STREAM, RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT])
+def test_a_request_that_may_outlast_a_stopping_instance_is_rejected(
+    harness: Harness, kind: RouteKind
+) -> None:
+    """Guards against requests accepted 5.6 s after SIGTERM that are cut at 7.5 s (review/3)."""
+    harness.set_route(kind=kind)
+    target = harness.add_target(ScriptedTarget(make_plain(b"answer")))
+    response = serve_late(harness, 0.7)
+    assert response.startswith(b"HTTP/1.1 503")
+    assert b"Retry-After: 0.1" in response
+    assert not target.requests
+
+
+def test_a_short_request_is_served_while_it_ends_before_its_stopping_instance(
+    harness: Harness,
+) -> None:
+    harness.set_route()
+    harness.add_target(ScriptedTarget(make_plain(b"answer")))
+    harness.app._forwarder._run_times.record("r", 0.2, 0)
+    assert serve_late(harness, 0.6).startswith(b"HTTP/1.1 200")
+
+
+def test_a_request_that_waits_for_a_slot_starts_only_if_it_ends_before_its_instance(
+    harness: Harness,
+) -> None:
+    """Guards against a queue from which requests start too late to end (review/3)."""
+    harness.set_route()
+    harness.slots.rejection = OverloadedError("no slot", 0.25)
+    harness.app._forwarder._run_times.record("r", 1.0, 0)
+    asked: list[float] = []
+    acquire = harness.slots.acquire
+
+    def record_deadline(request: SlotRequest, on_waiting: object) -> Slot:
+        asked.append(request.deadline)
+        return acquire(request, on_waiting)
+
+    harness.slots.acquire = record_deadline  # type: ignore[method-assign]
+    assert serve_late(harness, 0.4).startswith(b"HTTP/1.1 503")
+    finish_by = harness.app._forwarder.finish_by
+    assert asked
+    assert asked[0] <= finish_by - 1.0
