Keep the software versions of targets in the store for instances that start

Cause: a stream that nobody remembers counted as one of the only known version, and an instance that has just started knew only the targets registered now. Ruled out from the record: entries that are read late (the list had no v1) and a survivor that forgot (there was none).

Change: one instance records in the store which versions each service has or had in the last minute, and since when the record is complete. An instance reads it at its start; until then, and without a record at any but the fleet's first start, versions are unknown and such streams are rejected as not run.

Evidence: with the merge and the check of completeness taken out, six tests of test_version_records.py and test_stream_versions.py fail.

--- a/clementinepin/platform/_settings.py
+++ b/clementinepin/platform/_settings.py
@@ -48,6 +48,7 @@
     platform: _Platform
     internal_ports: list[int]
     region: str = ""
+    bootstrap: bool = False
     serves: list[str] = []
     listen: _Listen = msgspec.field(default_factory=_Listen)
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -84,6 +85,7 @@
         settle_s=file.bounds.settle_timeout_ms / 1000,
         status_retention_s=file.bounds.status_retention_s,
         connections_max=max(64, file.limits.max_fds - RESERVED_DESCRIPTORS),
+        is_first_start=file.bootstrap,
     )
 
 
--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -32,6 +32,7 @@
 from clementinepin.serving._runner import JobRunner
 from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving._tunnels import TunnelClient, TunnelServer
+from clementinepin.serving._version_records import VersionRecords
 from clementinepin.serving.exceptions import (
     BadRequestError,
     CallerGoneError,
@@ -61,6 +62,7 @@
     "status_retention_s",
     "connections_max",
     "directory_ttl_max_s",
+    "is_first_start",
 )
 
 
@@ -125,6 +127,12 @@
             )
         self._crash_records = CrashRecords(relayed, wire.own_prefix, clock)
         self._connect_crash_records()
+        self._version_records = VersionRecords(
+            relayed, wire.own_prefix, self.fleet, clock, settings.name
+        )
+        self._version_records.add_table(self.slots.streams)
+        if self._job_parts is not None:
+            self._version_records.add_table(self._job_parts.dispatcher.table.streams)
         self._servers = self._create_servers()
 
     def start(self) -> None:
@@ -137,6 +145,7 @@
         self.slots.start()
         self.fleet.start()
         self._crash_records.start()
+        self._version_records.start(is_first_start=self._settings.is_first_start)
         if parts is not None:
             parts.runner.start()
             parts.retirement.start()
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -49,6 +49,7 @@
 from clementinepin.tables.dispatch import DispatchTable
 from clementinepin.tables.leaving import TargetStart
 from clementinepin.tables.mechanisms import Mechanism
+from clementinepin.tables.streams import StreamTable
 
 REPLY_TIMEOUT_S: Final = 0.08  # a few round trips between data centres and a busy dispatcher
 BROKEN_RUNS_MAX: Final = 64  # reported to a new dispatcher
@@ -126,6 +127,11 @@
         """Return the crashes by which this instance decides without a dispatcher."""
         return self._table.crashes
 
+    @property
+    def streams(self) -> StreamTable:
+        """Return the streams and software versions by which this instance decides."""
+        return self._table.streams
+
     @property
     def is_linked(self) -> bool:
         """Return whether a dispatcher is connected and responsive."""
--- /dev/null
+++ b/clementinepin/serving/_version_records.py
@@ -0,0 +1,132 @@
+"""Record in the store of the software versions that targets have had.
+
+Load pattern: all instances stop at once while a release ends. Callers resume streams of a version
+whose last target went meanwhile, and only the other version is left for new instances to see.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import gevent
+import msgspec
+from gevent.event import Event
+from loguru import logger
+
+from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.clock import Clock
+from clementinepin.infrastructure import Change, KeyValue, StateStore
+from clementinepin.serving._fleet import FleetView
+from clementinepin.systems import stream_versions
+from clementinepin.tables.streams import StreamTable
+
+CHECK_PERIOD_S: Final = 0.5  # until another instance takes the writing over
+RETRY_S: Final = 0.5
+
+
+class VersionRecord(msgspec.Struct, array_like=True, frozen=True):
+    """The software versions of each service that are registered or went a short time ago.
+
+    No other version was there since ``complete_since_ms`` (Unix time).
+    """
+
+    complete_since_ms: int
+    versions: dict[str, list[str]]
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(VersionRecord).decode
+
+
+class VersionRecords:
+    """Reads the record when this instance starts, and keeps it up to date.
+
+    One instance writes: the first of those that may relay to the store. ``is_first_start`` says
+    that the whole fleet starts for the first time, so that no version can be unknown.
+    """
+
+    def __init__(
+        self, store: StateStore, own_prefix: str, fleet: FleetView, clock: Clock, name: str
+    ) -> None:
+        self._store = store
+        self._key = own_prefix + "versions"
+        self._fleet = fleet
+        self._clock = clock
+        self._name = name
+        self._tables: list[StreamTable] = []
+        self._changed = Event()
+        self._row: KeyValue | None = None
+        self._complete_since_ms: int | None = None
+
+    def add_table(self, streams: StreamTable) -> None:
+        """Tell a table of the versions in the record; until it is read, they are unknown."""
+        streams.complete_since = float("inf")
+        self._tables.append(streams)
+
+    def start(self, *, is_first_start: bool) -> None:
+        """Read the record and keep it up to date in the background."""
+        self._fleet.subscribe(self._changed.set)
+        gevent.spawn(self._run, is_first_start)
+
+    def _run(self, is_first_start: bool) -> None:
+        while True:
+            try:
+                if self._row is None:
+                    self._read(is_first_start)
+                if self._is_writer():
+                    self._write()
+            except ClementinepinError as err:
+                logger.bind(error=str(err)).info("version_record_not_written")
+                self._row = None
+                gevent.sleep(RETRY_S)
+            self._changed.wait(CHECK_PERIOD_S)
+            self._changed.clear()
+
+    def _is_writer(self) -> bool:
+        first = next(iter(self._fleet.list_relays()), None)
+        return first is not None and first.name == self._name and self._fleet.follows_targets()
+
+    def _read(self, is_first_start: bool) -> None:
+        """Merge the record into the tables.
+
+        Without one, the versions before now are unknown, but for the first start of the fleet.
+        """
+        row = self._store.get(self._key)
+        record = self._decode(row) if row is not None else None
+        now, wall = self._clock.monotonic(), self._clock.wall()
+        if record is None and self._complete_since_ms is None:
+            self._complete_since_ms = 0 if is_first_start else int(wall * 1000)
+        known_ms = [ms for ms in (self._complete_since_ms,) if ms is not None]
+        if record is not None:
+            known_ms.append(record.complete_since_ms)
+        self._complete_since_ms = min(known_ms)
+        complete_since = now - max(0.0, wall - self._complete_since_ms / 1000)
+        versions = record.versions if record is not None else {}
+        for streams in self._tables:
+            stream_versions.merge_versions(streams, versions, complete_since, now)
+        self._row = row or KeyValue(self._key, b"", 0)
+        log = logger.bind(versions=versions, complete_since_ms=self._complete_since_ms)
+        log.bind(store_version=self._row.version).info("version_record_read")
+
+    def _decode(self, row: KeyValue) -> VersionRecord | None:
+        try:
+            return _decode(row.value)
+        except msgspec.DecodeError as err:
+            logger.bind(key=row.key, error=str(err)).error("version_record_unreadable")
+            return None
+
+    def _write(self) -> None:
+        """Write the versions that this instance knows, unless the record has them already."""
+        now = self._clock.monotonic()
+        versions: dict[str, set[str]] = {}
+        for streams in self._tables:
+            for service, known in stream_versions.list_versions(streams, now).items():
+                versions.setdefault(service, set()).update(known)
+        rows = {service: sorted(known) for service, known in sorted(versions.items()) if known}
+        value = _encode(VersionRecord(self._complete_since_ms or 0, rows))
+        row = self._row
+        if row is None or value == row.value:
+            return
+        version = self._store.write(Change({self._key: row.version}, {self._key: value}))
+        self._row = KeyValue(self._key, value, version)
+        logger.bind(versions=rows, store_version=version).info("version_record_written")
--- a/clementinepin/serving/models.py
+++ b/clementinepin/serving/models.py
@@ -131,7 +131,10 @@
 
 
 class InstanceSettings(NamedTuple):
-    """The settings file of one instance. Addresses are ``(host, port)``."""
+    """The settings file of one instance. Addresses are ``(host, port)``.
+
+    ``is_first_start`` says that the whole fleet starts for the first time.
+    """
 
     name: str
     runs_jobs: bool
@@ -149,6 +152,7 @@
     settle_s: float
     status_retention_s: float
     connections_max: int
+    is_first_start: bool = False
 
 
 class Placement(StrEnum):
--- a/clementinepin/systems/stream_versions.py
+++ b/clementinepin/systems/stream_versions.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, TargetLoad
@@ -58,7 +58,7 @@
     The version of a stream that is not recorded is known if its service has had only one.
 
     Load pattern: an instance that is cut off from the store during a release still has callers, and
-    knows of the former version only.
+    knows of the former version only. One that has just started sees the later version only.
     """
     if request.software_version or not request.is_resumption:
         return request.software_version
@@ -66,13 +66,35 @@
     if recorded is not None:
         return recorded
     streams = table.streams
-    if not streams.is_current:
+    if not streams.is_current or now - streams.complete_since < VERSION_MEMORY_S:
         return None
-    versions = set(_list_recent(streams, request.service, now))
-    versions |= streams.present.get(request.service, set())
+    versions = list_versions(streams, now).get(request.service, set())
     return versions.pop() if len(versions) == 1 else None
 
 
+def list_versions(streams: StreamTable, now: float) -> dict[str, set[str]]:
+    """Return the versions of each service that are registered or went a short time ago."""
+    services = streams.present.keys() | streams.gone_at.keys()
+    return {
+        service: set(_list_recent(streams, service, now)) | streams.present.get(service, set())
+        for service in services
+    }
+
+
+def merge_versions(
+    streams: StreamTable, versions: Mapping[str, Iterable[str]], complete_since: float, now: float
+) -> None:
+    """Merge versions that others have seen, all of those since ``complete_since``.
+
+    Those that are not registered may have gone at any time until now.
+    """
+    streams.complete_since = min(streams.complete_since, complete_since)
+    for service, seen in versions.items():
+        for version in set(seen) - streams.present.get(service, set()):
+            if version not in _list_recent(streams, service, now):
+                streams.gone_at[service][version] = now
+
+
 def _list_recent(streams: StreamTable, service: str, now: float) -> dict[str, float]:
     """Return the versions whose last target went within ``VERSION_MEMORY_S``, and when it did."""
     rows = streams.gone_at[service].items()
--- a/tests/systems/test_stream_versions.py
+++ b/tests/systems/test_stream_versions.py
@@ -201,3 +201,70 @@
     for n in range(1, 500):
         record(table, f"v{n}", now=n * VERSION_MEMORY_S)
     assert len(table.streams.gone_at["llm"]) <= 2
+
+
+def test_a_new_instance_resumes_no_stream_of_a_version_that_went_before_it_started(
+    rng: random.Random,
+) -> None:
+    """Guards against streams of two versions after a kill of all processes (review/5)."""
+    table = make_release("v2", "v2")
+    stream_versions.merge_versions(table.streams, {"llm": ["v1", "v2"]}, float("-inf"), 1.0)
+    (rejected,) = dispatching.submit(table, resume("q9"), 1.5, rng)
+    assert isinstance(rejected, Rejected)
+    now = 2.0 + VERSION_MEMORY_S
+    (action,) = dispatching.submit(table, resume("q9", 3, now), now, rng)
+    assert isinstance(action, Granted)
+
+
+def test_a_new_instance_resumes_streams_of_the_only_version_there_was(rng: random.Random) -> None:
+    table = make_release("v1", "v1")
+    stream_versions.merge_versions(table.streams, {"llm": ["v1"]}, float("-inf"), 1.0)
+    (action,) = dispatching.submit(table, resume("q9"), 1.5, rng)
+    assert isinstance(action, Granted)
+
+
+def test_without_knowledge_of_former_versions_only_recorded_streams_go_on(
+    rng: random.Random,
+) -> None:
+    table = make_release("v2", "v2")
+    table.streams.complete_since = 0.5
+    (rejected,) = dispatching.submit(table, resume("q9"), 1.0, rng)
+    assert isinstance(rejected, Rejected)
+    stream_versions.record_stream(table, "q1", "v2", 5.0, 1.0)
+    (granted,) = dispatching.submit(table, resume("q1"), 1.0, rng)
+    assert isinstance(granted, Granted)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_restarts_in_a_release_join_no_versions(seed: int) -> None:
+    """Replays a release in which all instances restart, with callers that resume (review/5)."""
+    draw = random.Random(seed)
+    begun: dict[str, str] = {}
+    recorded: set[str] = set()
+    versions = ["v1"] * 4
+    table = make_release(*versions)
+    joined = resumed = 0
+    for step in range(200):
+        now = step * 0.1
+        if draw.random() < 0.1:
+            versions[draw.randrange(4)] = draw.choice(["v1", "v2", "v3"])
+            for target, version in zip(table.targets.values(), versions, strict=True):
+                target.software_version = version
+            record(table, *versions, now=now)
+        recorded = stream_versions.list_versions(table.streams, now)["llm"]
+        if draw.random() < 0.05:
+            table = make_release(*versions)
+            stream_versions.merge_versions(table.streams, {"llm": recorded}, -1e9, now)
+        if draw.random() < 0.5:
+            begun[f"q{step}"] = begin(table, f"q{step}", now, draw)
+        if begun and draw.random() < 0.5:
+            stream_id = draw.choice(list(begun)[-5:])
+            request = resume(stream_id, 1_000 + step, now)
+            for action in dispatching.submit(table, request, now, draw):
+                if isinstance(action, Granted):
+                    resumed += 1
+                    version = table.targets[action.target_id].software_version
+                    joined += version != begun[stream_id]
+                    dispatching.finish(table, action.key, RunOutcome.CANCELLED, now)
+    assert joined == 0
+    assert resumed
