Let items that can't run hold no place from items of other services

Cause: an instance runs at most 200 items at once, and items that waited for their route held these places until they expired. So did items of a service without targets. Ruled out from the log: the dispatcher's queue (no requests came) and jobs without an owner (they were started).

Change: places are counted by service, and an item without a route holds none.

--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable
 from typing import Final
 
 import gevent
+from gevent.lock import BoundedSemaphore
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
@@ -34,6 +36,9 @@
     TargetProtocolError,
 )
 
+# Items of a service running or waiting for a slot on an instance. A few instances must fill all
+# slots.
+CONCURRENT_ITEMS_MAX: Final = 200
 FIRST_RESPONSE_TIMEOUT_S: Final = 4.0  # a slot is free, so a longer wait means a stalled target
 TEXT_MAX_BYTES: Final = 700_000  # in base64 it fits into a value of the store, 1 MiB
 RUN_MAX_S: Final = 30.0  # several times the longest item on the slowest engine
@@ -50,7 +55,11 @@
 
 
 class ItemRunner:
-    """Runs items until they are completed, dead or cancelled."""
+    """Runs items until they are completed, dead or cancelled.
+
+    ``_places`` bounds the items of each service that run or wait for a slot. An item holds a place
+    of the service to which its route leads, and none while it has no route.
+    """
 
     def __init__(
         self,
@@ -70,19 +79,43 @@
         self._wire = wire
         self._clock = clock
         self._event_gaps: dict[str, float] = {}
+        self._places: defaultdict[str, BoundedSemaphore] = defaultdict(
+            lambda: BoundedSemaphore(CONCURRENT_ITEMS_MAX)
+        )
 
     def run(self, run: ItemRun) -> None:
-        """Run the item until it is completed, dead or cancelled."""
+        """Run the item until it is completed, dead or cancelled.
+
+        Load pattern: the operators remove a route, or all targets of a service are lost, with
+        hundreds of items waiting. Items of other services run meanwhile.
+        """
         while run.state is None and not run.cancelled:
-            now_ms = self._clock.wall() * 1000
-            if now_ms >= run.head.expires_ms:
-                self._mark_dead(run, "the item expired")
-                return
             route = self._find_route(run)
             if route is None:
-                self._log_wait(run, "no route")
-                gevent.sleep(ROUTE_PAUSE_S)
+                self._wait_for_route(run)
                 continue
+            service = route.shares[0].service
+            with self._places[service]:
+                self._run_at(run, service)
+
+    def _wait_for_route(self, run: ItemRun) -> None:
+        if not self._give_up_expired(run):
+            self._log_wait(run, "no route")
+            gevent.sleep(ROUTE_PAUSE_S)
+
+    def _give_up_expired(self, run: ItemRun) -> bool:
+        """Mark the item dead if it has expired, and return whether it has."""
+        if self._clock.wall() * 1000 < run.head.expires_ms:
+            return False
+        self._mark_dead(run, "the item expired")
+        return True
+
+    def _run_at(self, run: ItemRun, service: str) -> None:
+        """Run the item until it is done or cancelled, or its route leads elsewhere or nowhere."""
+        while run.state is None and not run.cancelled:
+            route = self._find_route(run)
+            if route is None or route.shares[0].service != service or self._give_up_expired(run):
+                return
             self._check_version(run, route)
             if run.state is not None:
                 return
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -12,7 +12,6 @@
 import gevent
 import msgspec
 from gevent.event import Event
-from gevent.lock import BoundedSemaphore
 from loguru import logger
 
 from clementinepin.exceptions import ClementinepinError
@@ -35,8 +34,6 @@
 RESULT_GROUPING_S: Final = 0.3  # results of a job that finish within this time share a write
 RESULTS_PER_WRITE_MAX: Final = 28  # the store accepts 32 entries per write
 TEXT_BYTES_PER_WRITE_MAX: Final = 2_000_000  # keeps a write short on a slow link
-# Items running or waiting for a slot on an instance. A few instances must fill all slots.
-CONCURRENT_ITEMS_MAX: Final = 200
 JOB_CHECK_PERIOD_S: Final = 0.5  # limits how soon jobs of a lost owner are taken over
 STORE_RETRY_S: Final = 0.3
 TAKEOVER_DELAY_S: Final = 1.0  # a killed process restarts within this time and resumes its own jobs
@@ -128,7 +125,6 @@
         self._finished: set[str] = set()
         self._jobs: dict[str, _OwnedJob] = {}
         self._alive_until: dict[str, float] = {}
-        self._item_semaphore = BoundedSemaphore(CONCURRENT_ITEMS_MAX)
         self._greenlets: list[gevent.Greenlet] = []
         self._check_requested = Event()
         self._checkpoints = CheckpointKeeper(store)
@@ -335,10 +331,9 @@
             gevent.spawn(self._run_item, job, run)
 
     def _run_item(self, job: _OwnedJob, run: ItemRun) -> None:
-        """Run one item, at most CONCURRENT_ITEMS_MAX at a time; queue its result to be listed."""
-        with self._item_semaphore:
-            if not job.stopped:
-                self._items.run(run)
+        """Run one item and queue its result to be listed."""
+        if not job.stopped:
+            self._items.run(run)
         if run.state is not None:
             job.unlisted.append(run)
             job.changed.set()
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -267,3 +267,23 @@
         listener.apply_change(f"p/watched-{day}", b"x", day)
         listener.replace_rows([KeyValue(f"p/{day}", b"x", day)])
         assert set(known) == {str(day)}
+
+
+class PartlyStuckItems(FakeItems):
+    """Completes the items of one job only."""
+
+    def run(self, run: ItemRun) -> None:
+        if run.head.job_id == "j2":
+            super().run(run)
+        else:
+            gevent.sleep(3600.0)
+
+
+def test_a_job_whose_items_wait_keeps_no_place_from_other_jobs() -> None:
+    """Guards against 200 items of a removed route that stop all other jobs (review/2)."""
+    store = MemoryStore()
+    submit(store, 200)
+    start_runner(store, PartlyStuckItems())
+    gevent.sleep(0.05)
+    keys = submit(store, 2, job_id="j2")
+    wait_until_closed(store, keys)
