Answer reads from the store while the owner's memory may lack results

Cause: the owner of a job serves reads from memory. If the reply to a write of results is late or lost, the store has more; if the job is ended meanwhile, memory stays short for good. A former owner that has registered again serves what it knew until it hears of the takeover. Ruled out: the caches of entries, which only add results.

Change: no answer at the end of the view while a write is under way or its outcome unknown; views of unfinished jobs are dropped when the registration may have been lost, and served again after a check of the store.

--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -147,6 +147,7 @@
         self._members_prefix = wire.own_prefix + "nodes/"
         self._lease_id = 0
         self._registered_until = 0.0
+        self.registration_listeners: list[Callable[[], None]] = []
         self._started_ms = int(clock.wall() * 1000)
         self.leaving = False
         self.configuration = ConfigurationView(wire)
@@ -253,6 +254,8 @@
             try:
                 if lost.is_set():
                     lost.clear()
+                    if not self.is_registration_valid():
+                        self._handle_registration_lost()
                     self._register()
                 else:
                     sent_at = self._clock.monotonic()
@@ -260,7 +263,7 @@
                     self._registered_until = sent_at + REGISTRATION_VALID_S
             except LeaseLostError:
                 logger.bind(lease=self._lease_id).warning("registration_lost")
-                self._registered_until = 0.0
+                self._handle_registration_lost()
                 self._lease_id = 0
                 lost.set()
                 continue
@@ -271,6 +274,12 @@
                 continue
             lost.wait(LEASE_RENEWAL_S)
 
+    def _handle_registration_lost(self) -> None:
+        """Tell the listeners that others may have taken over what this instance owns."""
+        self._registered_until = 0.0
+        for listener in self.registration_listeners:
+            listener()
+
     def _register(self) -> None:
         if not self._lease_id:
             self._lease_id = self._store.grant_lease(LEASE_S).lease_id
--- a/clementinepin/serving/_job_views.py
+++ b/clementinepin/serving/_job_views.py
@@ -22,6 +22,8 @@
     """The listed results of one job, which are only ever appended to.
 
     ``size`` is the length of all texts in bytes. ``is_open`` says that more results will follow.
+    ``is_writing`` is set while the store may have more results than the view: from the start of a
+    write until its outcome is known.
     """
 
     def __init__(self, total: int, results: list[ItemResult]) -> None:
@@ -29,6 +31,7 @@
         self.results = results
         self.size = count_bytes(result.text for result in results)
         self.is_open = len(results) < total
+        self.is_writing = False
         self.changed = Event()
 
     def extend(self, results: list[ItemResult]) -> None:
@@ -36,6 +39,7 @@
         self.results = self.results + results
         self.size += count_bytes(result.text for result in results)
         self.is_open = len(self.results) < self.total
+        self.is_writing = False
         self._notify_readers()
 
     def close(self) -> None:
@@ -78,11 +82,17 @@
         if view is not None:
             view.close()
 
+    def drop_incomplete(self) -> None:
+        """Stop serving reads of the jobs to which another instance may add results."""
+        for job_id in [k for k, view in self._rows.items() if len(view.results) < view.total]:
+            self.drop(job_id)
+
     def answer(self, call: messages.ReadJob) -> messages.JobPage:
         """Return a page of results from position ``call.after`` on.
 
         Waits up to ``call.wait_s`` seconds while the job is open and has none. If this instance may
-        not be the owner, the page only names the likely owner.
+        not be the owner, the page only names the likely owner. It names none while the store may
+        have a result at the position, which readers of the store may have seen.
         """
         view = self._rows.get(call.job_id)
         if view is not None and view.is_open and call.after >= len(view.results):
@@ -90,6 +100,8 @@
         view = self._rows.get(call.job_id)
         if view is None or not self._is_owner_certain():
             return messages.JobPage(call.number, False, self._find_owner(call.job_id))
+        if view.is_writing and call.after >= len(view.results):
+            return messages.JobPage(call.number, False, "")
         rows: list[tuple[str, str, str]] = []
         size = 0
         for result in view.results[call.after :]:
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -46,7 +46,8 @@
 
     ``unlisted`` holds finished runs whose results are not listed yet, and ``changed`` is set when
     one is added or the job is stopped. ``version`` is the store's version of ``progress``.
-    ``is_owned_elsewhere`` is set when another live instance owns the job.
+    ``is_owned_elsewhere`` is set when another live instance owns the job, ``must_confirm`` while
+    that is possible because this instance's registration was lost.
     """
 
     def __init__(self, head: records.JobHead, keys: records.JobKeys) -> None:
@@ -60,6 +61,7 @@
         self.greenlet: gevent.Greenlet | None = None
         self.stopped = False
         self.is_owned_elsewhere = False
+        self.must_confirm = False
         self.restored: dict[str, ItemCheckpoint] = {}
 
     def stop(self) -> None:
@@ -114,6 +116,7 @@
     ) -> None:
         self._keeps_checkpoints = Mechanism.CHECKPOINTS not in disabled
         self._views = JobViews(links, fleet.is_registration_valid, self._find_owner)
+        fleet.registration_listeners.append(self._handle_registration_lost)
         self._settings = settings
         self._store = store
         self._fleet = fleet
@@ -196,6 +199,7 @@
             self._check_requested.clear()
             try:
                 self._check_jobs()
+                self._confirm_jobs()
             except ClementinepinError as err:
                 logger.bind(error=str(err)).info("jobs_check_failed")
 
@@ -234,6 +238,22 @@
             if job_id in self._heads:
                 self._remove_if_old(job_id, self._heads[job_id])
 
+    def _handle_registration_lost(self) -> None:
+        """Serve no reads from memory until it is certain that no other instance took the job."""
+        self._views.drop_incomplete()
+        for job in self._jobs.values():
+            job.must_confirm = True
+
+    def _confirm_jobs(self) -> None:
+        """Serve reads of jobs from memory again whose records are as this instance wrote them."""
+        if not self._fleet.is_registration_valid():
+            return
+        for job in [job for job in self._jobs.values() if job.must_confirm and job.progress]:
+            _, version = records.fetch_progress(self._store, job.keys)
+            job.must_confirm = False
+            if version == job.version and self._fleet.is_registration_valid() and not job.stopped:
+                self._publish_view(job)
+
     def _list_alive(self) -> set[str]:
         """Return the names of instances that may own jobs.
 
@@ -385,9 +405,11 @@
             failures=failures,
         )
         change = records.make_progress_change(job.keys, job.version, changed, results)
+        view = self._views.get(job.head.job_id)
+        if view is not None:
+            view.is_writing = True
         job.version = self._store.write(change)
         job.progress = changed
-        view = self._views.get(job.head.job_id)
         if view is not None:
             view.extend(list(results.values()))
         job.unlisted = job.unlisted[len(group) :]
--- a/tests/serving/test_fleet.py
+++ b/tests/serving/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gevent
 import msgspec
 
 from clementinepin.helpers.clock import ManualClock
@@ -228,3 +229,23 @@
     assert not view.follows_targets()
     follower.trust_feed_for(5.0)
     assert view.follows_targets()
+
+
+def test_listeners_hear_that_the_registration_may_have_been_lost() -> None:
+    """Mutation: tell nobody: a former owner serves its views of jobs that others took."""
+    clock, store = ManualClock(), MemoryStore()
+    view = FleetView(SETTINGS, store, create_wire(), clock, StoreOutages(clock))
+    lost: list[bool] = []
+    keeper = gevent.spawn(view._keep_registered)
+    gevent.sleep(0.01)
+    assert view.is_registration_valid()
+    view.registration_listeners.append(lambda: lost.append(view.is_registration_valid()))
+    view.members.own_registration_lost.set()
+    gevent.sleep(0.01)
+    assert lost == []
+    store.leases.clear()
+    view.members.own_registration_lost.set()
+    gevent.sleep(0.01)
+    assert lost == [False, False]
+    assert view.is_registration_valid()
+    keeper.kill()
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import gevent
 import pytest
+from gevent.event import AsyncResult
 
 from clementinepin.helpers.clock import ManualClock
 from clementinepin.infrastructure import Change, KeyValue
+from clementinepin.infrastructure.exceptions import ReplyLostError
 from clementinepin.platform import create_wire
 from clementinepin.serving import _job_records as records
+from clementinepin.serving import _messages as messages
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._links import LinkServer
 from clementinepin.serving._runner import START_GRACE_S, JobRunner, _PrefixListener
@@ -20,9 +25,16 @@
 class FakeFleet:
     def __init__(self, *names: str) -> None:
         self.names = names
+        self.registration_listeners: list[Callable[[], None]] = []
+        self.is_registered = True
 
     def is_registration_valid(self) -> bool:
-        return True
+        return self.is_registered
+
+    def lose_registration(self) -> None:
+        self.is_registered = False
+        for listener in self.registration_listeners:
+            listener()
 
     def list_job_runners(self) -> list[Member]:
         return [Member(n, True, "127.0.0.1", 0, "", "a", "r", False) for n in self.names]
@@ -89,6 +101,12 @@
     return [row.item_id for row in progress.listed]
 
 
+def wait_until(condition: Callable[[], bool]) -> None:
+    with gevent.Timeout(5.0):
+        while not condition():
+            gevent.sleep(0.001)
+
+
 def wait_until_closed(store: MemoryStore, keys: records.JobKeys) -> None:
     with gevent.Timeout(5.0):
         while records.fetch_progress(store, keys)[0].is_open:
@@ -287,3 +305,89 @@
     gevent.sleep(0.05)
     keys = submit(store, 2, job_id="j2")
     wait_until_closed(store, keys)
+
+
+def read_from_owner(runner: JobRunner, after: int = 0) -> messages.JobPage:
+    return runner._views.answer(messages.ReadJob(1, "j1", after, 0.0))
+
+
+class SlowStore(MemoryStore):
+    """Applies writes at once; their replies come when the test lets them, or never."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.holds = False
+        self.held: list[AsyncResult] = []
+
+    def write(self, change: Change) -> int:
+        version = super().write(change)
+        if self.holds:
+            reply: AsyncResult = AsyncResult()
+            self.held.append(reply)
+            reply.get()
+        return version
+
+
+def test_a_job_that_is_ended_while_a_write_is_lost_is_read_from_the_store() -> None:
+    """Guards against results that were read and then missing for good (day hushed)."""
+    store = SlowStore()
+    runner = start_runner(store, FakeItems())
+    store.holds = True
+    keys = submit(store, 2)
+    wait_until(lambda: bool(store.held))
+    assert len(read_listed(store, keys)) == 2
+    runner._handle_end_mark("j1", b"1")
+    store.held[0].set_exception(ReplyLostError("no reply"))
+    gevent.sleep(0.05)
+    assert not read_from_owner(runner).known
+
+
+def test_a_result_whose_write_is_under_way_is_read_from_the_store() -> None:
+    """Guards against a reader that misses what another one has read from the store."""
+    store = SlowStore()
+    runner = start_runner(store, FakeItems())
+    store.holds = True
+    submit(store, 2)
+    wait_until(lambda: bool(store.held))
+    assert not read_from_owner(runner).known
+    store.held[0].set(None)
+    wait_until(lambda: read_from_owner(runner).known)
+    assert len(read_from_owner(runner).results) == 2
+
+
+class HalfStuckItems(FakeItems):
+    """Completes the first item only."""
+
+    def run(self, run: ItemRun) -> None:
+        if run.item.item_id == "i0":
+            super().run(run)
+        else:
+            gevent.sleep(3600.0)
+
+
+def test_a_job_is_not_read_from_an_owner_that_may_have_lost_it() -> None:
+    """Guards against a former owner that registers again and serves what it knew."""
+    store = MemoryStore()
+    runner = start_runner(store, HalfStuckItems())
+    keys = submit(store, 2)
+    wait_until(lambda: len(read_from_owner(runner).results) == 1)
+    fleet = runner._fleet
+    fleet.lose_registration()  # type: ignore[attr-defined]
+    progress, version = records.fetch_progress(store, keys)
+    taken = records.JobProgress("r", "store-2", 2, 0, False, progress.listed)
+    store.apply(records.make_progress_change(keys, version, taken))
+    fleet.is_registered = True  # type: ignore[attr-defined]
+    gevent.sleep(0.05)
+    assert not read_from_owner(runner, 1).known
+
+
+def test_an_owner_that_registered_again_serves_its_jobs_after_a_check() -> None:
+    store = MemoryStore()
+    runner = start_runner(store, HalfStuckItems())
+    submit(store, 2)
+    wait_until(lambda: len(read_from_owner(runner).results) == 1)
+    fleet = runner._fleet
+    fleet.lose_registration()  # type: ignore[attr-defined]
+    assert not read_from_owner(runner).known
+    fleet.is_registered = True  # type: ignore[attr-defined]
+    wait_until(lambda: read_from_owner(runner).known)
