Use the connection of a refusal for no other request

Reported by another operator: a target wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran.

Cause here: an item's refusal on a kept connection with the same id was taken for the answer to its next run, while the target ran it; on the product's own interface a refusal names no request, so any on a reused connection was believed. Held before: calls of the platform's interface, whose refusals must name their request.

Change: the connection of a refusal is closed.

--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -269,7 +269,7 @@
                 call, TargetProtocolError("the response belongs to another request")
             )
         if wire.is_refusal(exchange.status, exchange.headers):
-            exchange.drain()
+            exchange.close()  # the target may write the refusal once more, to a later request
             call.excluded.add(sent.target.target_id)
             self._log(call).bind(status=exchange.status).info("target_refused")
             return RunOutcome.REFUSED
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -297,7 +297,7 @@
             exchange.close()
             raise TargetProtocolError("the response belongs to another request")
         if wire.is_refusal(exchange.status, exchange.headers):
-            exchange.drain()
+            exchange.close()  # the target may write the refusal once more, to a later request
             return RunOutcome.REFUSED
         if exchange.status != STATUS_OK:
             exchange.drain()
--- a/clementinepin/targets/_engine.py
+++ b/clementinepin/targets/_engine.py
@@ -197,17 +197,19 @@
 def raise_for_status(exchange: HttpExchange) -> NoReturn:
     """Close the exchange and raise the error that its status stands for.
 
-    Raises TargetRefusedError if the target refused before admission, else TargetRejectedError.
+    Raises TargetRefusedError if the target refused before admission, else TargetRejectedError. The
+    connection of a refusal carries no other request, as the target may write the refusal once more.
     """
     reason = exchange.headers.get(HEADER_NOT_ADMITTED, "")
+    if exchange.status == REFUSED_STATUS and reason:
+        exchange.close()
+        message = f"target refused before admission: {reason}"
+        raise TargetRefusedError(message, _decode_reason(reason))
     try:
         body = exchange.read_all(ERROR_MAX_BYTES)
     except TargetLostError:
         body = b""
     exchange.close()
-    if exchange.status == REFUSED_STATUS and reason:
-        message = f"target refused before admission: {reason}"
-        raise TargetRefusedError(message, _decode_reason(reason))
     raise TargetRejectedError(exchange.status, body)
 
 
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -395,3 +395,29 @@
     monkeypatch.setattr(harness.app._pools, "get", lambda _target: LostTransport())
     assert get_status(call(harness.port, ID)) == 503
     assert harness.slots.outcomes == [RunOutcome.CANCELLED]
+
+
+@pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.IDEMPOTENT])
+def test_a_refusal_of_an_earlier_request_is_not_one_of_the_next(
+    harness: Harness, kind: RouteKind
+) -> None:
+    """Guards against "not run" for a request that a target runs, and against a second run."""
+    harness.set_route(kind=kind, attempts_max=1)
+    earlier = UNNAMED_REFUSAL.replace(b"503 Busy\r\n", b"503 Busy\r\n" + ID.encode() + b"\r\n")
+
+    def write_refusal_first(sock: Any, request: bytes) -> None:
+        sock.sendall(earlier + make_plain(b"answer", request_id=read_id(request)))
+
+    target = harness.add_target(ScriptedTarget(make_plain(b"first"), write_refusal_first))
+    assert call(harness.port, ID).endswith(b"first")
+    assert call(harness.port, "Clementinepin-Request-Id: q2").endswith(b"answer")
+    assert target.connections == 1
+
+
+def test_the_connection_of_a_refusal_carries_no_other_request(harness: Harness) -> None:
+    """Guards against an earlier refusal that is written once more to a later request."""
+    harness.set_route(kind=RouteKind.IDEMPOTENT, attempts_max=1)
+    target = harness.add_target(ScriptedTarget(refuse, make_plain(b"answer")))
+    assert get_status(call(harness.port, ID)) == 503
+    assert call(harness.port, ID).endswith(b"answer")
+    assert target.connections == 2
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -371,3 +371,11 @@
     assert all(run.state is None for run in waiting)
     for run in waiting:
         run.cancel()
+
+
+def test_the_connection_of_a_refusal_carries_no_other_run():
+    """Guards against an earlier refusal that is written once more while the item runs."""
+    harness = Harness(refuse, send_events(1))
+    harness.run_item()
+    assert harness.run.state is ItemState.COMPLETED
+    assert harness.target.connections == 2
--- a/tests/targets/test_engine.py
+++ b/tests/targets/test_engine.py
@@ -9,7 +9,14 @@
 from hypothesis import strategies as st
 
 from clementinepin.helpers.clock import create_system_clock
-from clementinepin.targets import GenerateRequest, TargetAddress, _engine, create_engine
+from clementinepin.targets import (
+    GenerateRequest,
+    PlainRequest,
+    TargetAddress,
+    _engine,
+    create_engine,
+    create_plain_service,
+)
 from clementinepin.targets._events import EventDecoder
 from clementinepin.targets._metrics import parse_load_report
 from clementinepin.targets.exceptions import (
@@ -221,6 +228,35 @@
     assert caught.value.reason is reason
 
 
+REFUSAL = make_reply(b"{}", "503 No", [("X-Not-Admitted", "full")])
+
+
+def test_a_refusal_written_once_more_reaches_no_later_request(serve):
+    """Guards against "not run" for a request that the engine runs."""
+    replies = [[REFUSAL, HANG], [make_reply(b'{"id": "cmpl-r1"}')]]
+    target = serve(lambda _request: replies.pop(0))
+    engine = create_engine_for(target)
+    request = make_request(whole=True, idempotent=True)
+    with pytest.raises(TargetRefusedError):
+        list(engine.generate(request))
+    (response,) = engine.generate(request)
+    assert response.data == b'{"id": "cmpl-r1"}'
+    assert target.connections == 2
+
+
+def test_a_refusal_written_once_more_reaches_no_later_call(serve):
+    """Guards against "not run" for a call that a plain service runs."""
+    replies = [[REFUSAL, HANG], [make_reply(b"two")]]
+    target = serve(lambda _request: replies.pop(0))
+    service = create_plain_service(target.address, create_system_clock())
+    deadline = create_system_clock().monotonic() + 5.0
+    request = PlainRequest("GET", "/", (), b"", deadline, idempotent=True)
+    with pytest.raises(TargetRefusedError):
+        service.call(request)
+    assert b"".join(service.call(request).body) == b"two"
+    assert target.connections == 2
+
+
 @pytest.mark.parametrize("status", ["503 Down", "500 Oops", "400 Bad"])
 def test_other_error_statuses_are_rejections_with_their_body(serve, status):
     """Mutation: treat any 503 as refused: a call that failed while running counts as not run."""
