Pass on nothing but events in a stream, and end none on a failed check

Reported by another operator: behind a stream's start, the error of the next target reached callers, or the stream ended as if it were complete.

Held before: error responses of the next target.

Change: an event of a stream has an id above the last one or holds comments only. A resumable stream whose end can't be checked is cut for its caller to resume, an item begins again. An engine's event has only the fields of events.

Evidence: tests of test_unframed_responses.py, test_item_run.py and test_engine.py failed before.

--- a/clementinepin/serving/_events.py
+++ b/clementinepin/serving/_events.py
@@ -10,6 +10,8 @@
 EVENT_MAX_BYTES: Final = 262_144  # events of the engines are smaller than 1 kB
 EVENT_END: Final = re.compile(rb"(\r\n\r\n|\n\n)")
 EVENT_END_MAX_BYTES: Final = 4  # of the longest match
+ID_LINE: Final = re.compile(rb"^id: ?([0-9]+)\r?$", re.MULTILINE)
+COMMENT: Final = re.compile(rb"(?::[^\n]*\n|\r?\n)+")
 
 
 class StreamEvent(NamedTuple):
@@ -24,9 +26,14 @@
     @property
     def event_id(self) -> int:
         """Return the last numeric id, 0 if there is none."""
-        ids = [value for value in self._list_values(b"id") if value.isdigit()]
+        ids = ID_LINE.findall(self.raw)
         return int(ids[-1]) if ids else 0
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether there are only comments, which have no id and may come at any time."""
+        return COMMENT.fullmatch(self.raw) is not None
+
     @property
     def text(self) -> str:
         """Return the data, its lines separated by line feeds."""
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -121,19 +121,7 @@
             )
 
     def _run_attempts(self, connection: CallerConnection, call: Call) -> None:
-        """Send the request to targets until its response is complete.
-
-        A response that only awaits the check of its end is complete if no target can check it.
-        """
-        try:
-            self._attempt_until_complete(connection, call)
-        except AnswerLostError as err:
-            if not call.awaits_end or call.gone:
-                raise
-            self._log(call).bind(reason=str(err)).info("stream_end_unchecked")
-            ResponseForwarder(connection, call, self._clock).complete()
-
-    def _attempt_until_complete(self, connection: CallerConnection, call: Call) -> None:
+        """Send the request to targets until its response is complete."""
         while True:
             slot = self._acquire_slot(call)
             outcome = RunOutcome.CANCELLED
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -44,7 +44,7 @@
 RUN_MAX_S: Final = 30.0  # several times the longest item on the slowest engine
 RETRY_PAUSE_S: Final = 0.2  # between a failure and the next slot request
 RETRY_PAUSE_MAX_S: Final = 1.6
-END_CHECKS_MAX: Final = 3  # lost runs after which an end that no target can check is accepted
+END_CHECKS_MAX: Final = 3  # lost runs in a row that check an end, after which the item begins again
 ROUTE_PAUSE_S: Final = 4.0  # a route that is missing comes back with a configuration, if at all
 # An item that is due within less than this many of its run times is not preemptible.
 NOT_PREEMPTIBLE_FACTOR: Final = 1.5
@@ -117,18 +117,13 @@
             if route is None or route.shares[0].service != service or self._give_up_expired(run):
                 return
             self._check_version(run, route)
-            if run.state is not None:
-                return
             outcome = self._run_once(run, route)
             if run.state is None and outcome is not RunOutcome.SERVED and not run.cancelled:
                 pause_s = max(run.retry_after_s, get_retry_pause(run.losses))
                 gevent.sleep(0.0 if run.preempted else pause_s)
 
     def _check_version(self, run: ItemRun, route: Route) -> None:
-        """Begin an item again if all targets of its events' software version are gone.
-
-        An item that only awaited the check of its end is completed.
-        """
+        """Begin an item again if all targets of its events' software version are gone."""
         service = route.shares[0].service
         versions = {
             target.software_version
@@ -137,10 +132,6 @@
         }
         if not run.software_version or not versions or run.software_version in versions:
             return
-        if run.awaits_end:
-            self._log_end_unchecked(run)
-            run.state = ItemState.COMPLETED
-            return
         logger.bind(
             request_id=run.item.item_id,
             job=run.head.job_id,
@@ -254,7 +245,7 @@
                 run.losses += 1
             if run.awaits_end and run.losses >= END_CHECKS_MAX:
                 self._log_end_unchecked(run)
-                run.state = ItemState.COMPLETED
+                run.begin_again()
             return RunOutcome.BROKEN
 
     def _report_response(
@@ -358,13 +349,11 @@
     def _record_failed_status(self, run: ItemRun, route: Route, status: int) -> None:
         """Count a failed attempt, drop its events, mark the item dead if it may not run again.
 
-        An item that only awaits the check of its end is completed: its target has no more events.
+        An item that only awaits the check of its end keeps its events.
         """
-        if run.awaits_end:
-            run.state = ItemState.COMPLETED
-            return
         run.failures += 1
-        run.begin_again()
+        if not run.awaits_end:
+            run.begin_again()
         if status == STATUS_UNPROCESSABLE:
             self._mark_dead(run, "the target can never process the item")
         elif run.failures >= route.attempts_max:
--- a/clementinepin/serving/_responses.py
+++ b/clementinepin/serving/_responses.py
@@ -6,13 +6,18 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving._call import Call
 from clementinepin.serving._events import EventSplitter, StreamEvent
 from clementinepin.serving._http import HOP_HEADERS, CallerConnection
+from clementinepin.serving.models import RouteKind
 from clementinepin.targets import BodyFraming, HttpExchange
 from clementinepin.targets.exceptions import TargetProtocolError
 
+SHOWN_MAX_BYTES: Final = 60  # of what can't be an event, in a log line
+
 
 class ResponseForwarder:
     """Sends the responses of the targets of one request to its caller, as they arrive."""
@@ -26,7 +31,8 @@
         """Send a response on; return whether it is complete.
 
         If not, another run of the resumable stream is to show that no event follows the last one.
-        Raises TargetLostError if the response breaks off, and OSError if the caller is gone.
+        Raises TargetLostError if the response breaks off or no run is left to show that, and
+        OSError if the caller is gone.
         """
         if is_event_stream(exchange):
             self._forward_events(exchange)
@@ -81,13 +87,20 @@
                 exchange.set_read_deadline(call.get_read_deadline(self._clock.monotonic()))
             if is_resumed and not brought_events:
                 _check_joint(call, events[0])
-            brought_events = True
-            call.awaits_end = False
-            call.software_version = call.target_version
-            call.can_resend = call.can_resend and call.route.resumable
-            self._start(exchange)
-            self._connection.send_data(b"".join(event.raw for event in events))
-            call.last_event_id = max(call.last_event_id, events[-1].event_id)
+            sound = events[: count_sound(call, events, is_first=not brought_events)]
+            if sound:
+                brought_events = True
+                call.awaits_end = False
+                call.software_version = call.target_version
+                call.can_resend = call.can_resend and call.route.resumable
+                self._start(exchange)
+                self._connection.send_data(b"".join(event.raw for event in sound))
+                call.last_event_id = max(call.last_event_id, sound[-1].event_id)
+            if len(sound) < len(events):
+                raise TargetProtocolError(
+                    f"{events[len(sound)].raw[:SHOWN_MAX_BYTES]!r} came in the place of the event"
+                    f" after {call.last_event_id}"
+                )
         if splitter.incomplete.strip():
             raise TargetProtocolError("the stream ended within an event")
         call.awaits_end = brought_events
@@ -97,11 +110,15 @@
         """Return whether another run should show that no event follows the last one.
 
         The end of a connection doesn't prove the end of a stream. A run that is resumed after the
-        last event and brings none does.
+        last event and brings none does. If none may follow, the stream counts as broken off, so
+        that its caller can resume it; one that can't be resumed is taken for complete. Raises
+        TargetProtocolError.
         """
         call = self._call
         unproven = call.awaits_end and exchange.framing is BodyFraming.CONNECTION
-        call.awaits_end = unproven and call.may_resend(self._clock.monotonic())
+        call.awaits_end = unproven and call.route.resumable
+        if call.awaits_end and not call.may_resend(self._clock.monotonic()):
+            raise TargetProtocolError(f"the end after event {call.last_event_id} can't be checked")
         return call.awaits_end
 
 
@@ -111,6 +128,23 @@
     return exchange.status == 200 and kind.startswith("text/event-stream")
 
 
+def count_sound(call: Call, events: list[StreamEvent], *, is_first: bool) -> int:
+    """Return how many events at the start of a piece of a response belong to its stream.
+
+    The ids of a stream increase. What has none may be a message that the target wrote into the
+    body, such as an error.
+    """
+    if call.route.kind is not RouteKind.STREAM:
+        return len(events)
+    last = 0 if is_first and not call.route.resumable else call.last_event_id
+    for count, event in enumerate(events):
+        event_id = event.event_id
+        if event_id <= last and not event.is_comment:
+            return count
+        last = max(last, event_id)
+    return len(events)
+
+
 def _check_joint(call: Call, event: StreamEvent) -> None:
     """Raise TargetProtocolError unless the first event of a resumed run follows the last one."""
     if event.event_id != call.last_event_id + 1:
--- a/clementinepin/targets/_events.py
+++ b/clementinepin/targets/_events.py
@@ -16,6 +16,8 @@
 EVENT_MAX_BYTES: Final = 1_000_000
 EVENT_END: Final = b"\n\n"
 DATA_PREFIX: Final = b"data:"
+FIELDS: Final = frozenset({b"", b"event", b"id", b"retry"})  # besides data; empty in comments
+SHOWN_MAX_BYTES: Final = 60
 DONE_DATA: Final = b"[DONE]"
 ENGINE_ERROR_STATUS: Final = 500
 
@@ -122,10 +124,19 @@
 
 
 def _extract_data(event: bytes) -> bytes | None:
-    """Return the data of an event, or None for comments and events without data."""
+    """Return the data of an event, or None for comments and events without data.
+
+    Raises TargetProtocolError if it has a line of another kind: the target may have written
+    another message, such as an error, into the body.
+    """
     if event.startswith(DATA_PREFIX) and b"\n" not in event:
         return event[len(DATA_PREFIX) :].strip()
-    lines = [line for line in event.split(b"\n") if line.startswith(DATA_PREFIX)]
+    lines = []
+    for line in event.split(b"\n"):
+        if line.startswith(DATA_PREFIX):
+            lines.append(line)
+        elif line.partition(b":")[0] not in FIELDS:
+            raise TargetProtocolError(f"{line[:SHOWN_MAX_BYTES]!r} is not a line of an event")
     if not lines:
         return None
     return b"\n".join(line[len(DATA_PREFIX) :].strip() for line in lines)
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -191,18 +191,42 @@
     assert b"Last-Event-Id: 1" in harness.target.requests[1]
 
 
-def test_a_target_that_fails_to_resume_after_the_last_event_does_not_undo_an_item():
-    harness = Harness(send_events(1, framed=False), FAILED)
+@pytest.mark.parametrize("rest", [(), (2,)])
+def test_a_target_that_fails_to_resume_after_the_last_event_proves_nothing(rest):
+    """Guards against half an item that is listed as completed as the next target fails."""
+    harness = Harness(send_events(1, framed=False), FAILED, send_events(*rest))
     run = harness.run_item()
-    assert (run.state, run.text, run.failures) == (ItemState.COMPLETED, "e1", 0)
+    text = "\n".join(f"e{n}" for n in (1, *rest))
+    assert (run.state, run.text, run.failures) == (ItemState.COMPLETED, text, 1)
+    assert b"Last-Event-Id: 1" in harness.target.requests[2]
+
+
+def test_an_item_whose_end_is_never_checked_is_dead_after_all_its_attempts_failed():
+    harness = Harness(send_events(1, framed=False), FAILED, FAILED, send_events(2))
+    assert harness.run_item().state is ItemState.DEAD
+    assert len(harness.target.requests) == 3
 
 
-def test_an_item_whose_end_no_target_can_check_is_complete():
+def test_an_item_whose_end_no_target_can_check_begins_again():
     """Targets that begin from the start after the last event must not hold it up for good."""
-    harness = Harness(send_events(1, 2, framed=False), *[send_events(1, 2)] * 9)
+    harness = Harness(send_events(1, 2, framed=False), *[send_events(1, 2, 3)] * 9)
+    run = harness.run_item()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2\ne3")
+    assert len(harness.target.requests) == 1 + _item_run.END_CHECKS_MAX + 1
+
+
+def test_an_item_whose_end_is_to_be_checked_begins_again_when_its_version_is_gone():
+    harness = Harness()
+    rows = harness.fleet.targets.rows
+    rows["t0"] = rows["t0"]._replace(software_version="v1")
+
+    def release(sock: Any, request: bytes) -> bool:
+        rows["t0"] = rows["t0"]._replace(software_version="v2")
+        return send_events(1, framed=False)(sock, request)
+
+    harness.target._scripts = [release, send_events(1, 2)]
     run = harness.run_item()
     assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
-    assert len(harness.target.requests) == 1 + _item_run.END_CHECKS_MAX
 
 
 def test_an_item_whose_software_version_is_gone_begins_again():
--- a/tests/serving/test_unframed_responses.py
+++ b/tests/serving/test_unframed_responses.py
@@ -9,7 +9,9 @@
 
 from clementinepin.serving.models import RouteKind
 from tests.serving.harness import ID, Harness, close_at_once, get_status, send_events
-from tests.serving.scripted import ScriptedTarget, call
+from tests.serving.scripted import UNNAMED_REFUSAL, ScriptedTarget, call, make_plain
+
+FAILED = b"HTTP/1.1 500 No\r\nContent-Length: 4\r\n\r\noops"
 
 
 @pytest.mark.parametrize("resumable", [False, True])
@@ -76,10 +78,95 @@
     assert b"Last-Event-Id: 2" in target.requests[1]
 
 
-def test_a_stream_whose_end_no_target_can_check_is_complete(harness: Harness) -> None:
+@pytest.mark.parametrize(
+    "check", [close_at_once, FAILED, UNNAMED_REFUSAL], ids=["closed", "failed", "refused"]
+)
+def test_a_stream_whose_end_no_target_can_check_is_left_to_its_caller(
+    harness: Harness, check: Any
+) -> None:
+    """Guards against a broken stream that looks complete as the next target fails.
+
+    The caller resumes it after its last event and learns whether more follow.
+    """
     harness.set_route(resumable=True, attempts_max=2)
-    harness.add_target(ScriptedTarget(send_events(1, 2, framed=False), close_at_once))
-    assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+    target = harness.add_target(
+        ScriptedTarget(send_events(1, 2, framed=False), check, send_events(3))
+    )
+    response = call(harness.port, ID)
+    assert response.count(b"data: ") == 2
+    assert not response.endswith(b"0\r\n\r\n")
+    headers = ("Clementinepin-Request-Id: q2", "Resumes: q1", "Last-Event-Id: 2")
+    assert call(harness.port, *headers).endswith(b"0\r\n\r\n")
+    assert len(target.requests) == 3
+
+
+ERROR_HEAD = b"HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\noops"
+
+
+@pytest.mark.parametrize("framed", [False, True])
+@pytest.mark.parametrize(
+    "error", [ERROR_HEAD, b'{"error": "oops"}\n\n', b"oops\n\n"], ids=["head", "json", "text"]
+)
+def test_an_error_in_the_body_of_a_stream_never_reaches_its_caller(
+    harness: Harness, error: bytes, framed: bool
+) -> None:
+    """Guards against an error's text, or its whole head, in the middle of a stream."""
+    harness.set_route(resumable=True, attempts_max=2)
+    harness.add_target(ScriptedTarget(send_events(1, 2, cut=error, framed=framed)))
+    second = harness.add_target(ScriptedTarget(send_events(3)))
+    response = call(harness.port, ID)
+    assert b"oops" not in response.lower()
+    assert [n for n in (1, 2, 3) if b"data: e%d\n" % n in response] == [1, 2, 3]
+    assert response.endswith(b"0\r\n\r\n")
+    assert b"Last-Event-Id: 2" in second.requests[0]
+
+
+@pytest.mark.parametrize("framed", [False, True])
+@pytest.mark.parametrize("error", [ERROR_HEAD, b"oops\n\n"], ids=["head", "text"])
+def test_a_stream_that_may_not_be_resumed_ends_visibly_before_an_error_in_its_body(
+    harness: Harness, error: bytes, framed: bool
+) -> None:
+    harness.set_route(resumable=False, attempts_max=1)
+    harness.add_target(ScriptedTarget(send_events(1, 2, cut=error, framed=framed)))
+    response = call(harness.port, ID)
+    assert b"oops" not in response.lower()
+    assert b"data: e2" in response
+    assert not response.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        FAILED,
+        FAILED.replace(b"500", b"404"),
+        make_plain(b"oops"),
+        make_plain(b"oops").replace(b"200 OK", b"204 OK"),
+    ],
+    ids=["500", "404", "200", "204"],
+)
+@pytest.mark.parametrize("framed", [False, True])
+def test_an_error_of_the_next_target_never_reaches_the_caller_of_a_broken_stream(
+    harness: Harness, error: bytes, framed: bool
+) -> None:
+    """Guards against an error's text in a stream, and one that ends as if it were complete."""
+    harness.set_route(resumable=True, attempts_max=2)
+    broken = send_events(1, 2, end=False, cut=b"id: 3\nda", framed=framed)
+    harness.add_target(ScriptedTarget(broken))
+    harness.add_target(ScriptedTarget(error))
+    response = call(harness.port, ID)
+    assert b"oops" not in response
+    assert response.count(b"HTTP/1.1") == 1
+    assert response.count(b"data: ") == 2
+    assert not response.endswith(b"0\r\n\r\n")
+
+
+def test_a_comment_between_events_reaches_the_caller(harness: Harness) -> None:
+    harness.set_route(resumable=True)
+    comment = b": waiting\n\n"
+    harness.add_target(ScriptedTarget(send_events(1, cut=comment)))
+    response = call(harness.port, ID)
+    assert comment in response
+    assert response.endswith(b"0\r\n\r\n")
 
 
 def test_a_resumed_stream_never_repeats_or_skips_an_event(harness: Harness) -> None:
--- a/tests/targets/test_engine.py
+++ b/tests/targets/test_engine.py
@@ -228,6 +228,26 @@
     assert caught.value.reason is reason
 
 
+@pytest.mark.parametrize(
+    "error", [b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops", b"oops\n\n"]
+)
+def test_an_error_in_the_body_of_a_stream_is_no_part_of_it(serve, error):
+    """Guards against an error's text, or its whole head, in the middle of a stream."""
+    head = STREAM_HEAD.replace(b"Transfer-Encoding: chunked", b"Connection: close")
+    target = serve(head + make_event(ID, "one "), error, CUT)
+    chunks = []
+    with pytest.raises(TargetProtocolError):
+        chunks.extend(create_engine_for(target).generate(make_request()))
+    assert b"oops" not in b"".join(c.data for c in chunks).lower()
+
+
+def test_fields_and_comments_beside_the_data_belong_to_an_event(serve):
+    event = b": waiting\n\nevent: token\nid: 1\nretry: 5\n" + make_event(ID, "one")
+    stream = event + make_event(ID, " two", "stop") + b"data: [DONE]\n\n"
+    target = serve(STREAM_HEAD, chunk(stream), LAST_CHUNK)
+    assert read_text(create_engine_for(target).generate(make_request())) == "one two"
+
+
 REFUSAL = make_reply(b"{}", "503 No", [("X-Not-Admitted", "full")])
 
 
