Ask for a second run where a response without framing ends before an event

Cause: the end of a connection was checked by another run only if the run had brought events; one that brought none counted as the proof of the end.

Change: only a second run that is to go on at the same place and brings nothing proves the end. A stream that can't be run again and has no event fails.

--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -305,9 +305,10 @@
             exchange.close()
             events = run.last_event_id - events_before
             self._record_event_gap(route, self._clock.monotonic() - started_at, events)
-        # The end of a connection doesn't prove the end of a stream; a run that is resumed after
-        # the last event and brings none does.
-        run.awaits_end = events > 0 and exchange.framing is BodyFraming.CONNECTION
+        # The end of a connection doesn't prove the end of a stream, not even of one without events;
+        # a second run that is to go on after the last event and brings none does.
+        is_proven = exchange.framing is not BodyFraming.CONNECTION
+        run.awaits_end = not is_proven and not (run.awaits_end and events == 0)
         if not run.awaits_end:
             run.state = ItemState.COMPLETED
         return RunOutcome.SERVED
@@ -342,6 +343,7 @@
                 run.texts.append(event.text)
                 run.last_event_id = event_id
                 run.software_version = run.target_version
+                run.awaits_end = False
                 run.losses = 0
         if splitter.incomplete.strip():
             raise TargetProtocolError("the stream ended within an event")
--- a/clementinepin/serving/_responses.py
+++ b/clementinepin/serving/_responses.py
@@ -36,7 +36,7 @@
         """
         if is_event_stream(exchange):
             self._forward_events(exchange)
-            if self._must_check_end(exchange):
+            if self._call.awaits_end:
                 return False
         else:
             self._forward_body(exchange)
@@ -103,23 +103,27 @@
                 )
         if splitter.incomplete.strip():
             raise TargetProtocolError("the stream ended within an event")
-        call.awaits_end = brought_events
-        self._start(exchange)
+        self._record_end(exchange, brought_events=brought_events)
 
-    def _must_check_end(self, exchange: HttpExchange) -> bool:
-        """Return whether another run should show that no event follows the last one.
+    def _record_end(self, exchange: HttpExchange, *, brought_events: bool) -> None:
+        """Decide whether another run must show that no event follows the last one.
 
-        The end of a connection doesn't prove the end of a stream. A run that is resumed after the
+        The end of a connection doesn't prove the end of a stream, not even of one without events:
+        a target may fail behind the head of its response. A second run that is to go on after the
         last event and brings none does. If none may follow, the stream counts as broken off, so
-        that its caller can resume it; one that can't be resumed is taken for complete. Raises
-        TargetProtocolError.
+        that its caller can resume it; one with events that can't be resumed is taken for complete.
+        Raises TargetProtocolError.
         """
         call = self._call
-        unproven = call.awaits_end and exchange.framing is BodyFraming.CONNECTION
-        call.awaits_end = unproven and call.route.resumable
+        is_proven = exchange.framing is not BodyFraming.CONNECTION
+        is_proven = is_proven or (call.awaits_end and not brought_events)
+        if not is_proven and not call.route.resumable and not brought_events:
+            raise TargetProtocolError("the stream ended before its first event")
+        call.awaits_end = not is_proven and call.route.resumable
         if call.awaits_end and not call.may_resend(self._clock.monotonic()):
             raise TargetProtocolError(f"the end after event {call.last_event_id} can't be checked")
-        return call.awaits_end
+        if not call.awaits_end:
+            self._start(exchange)
 
 
 def is_event_stream(exchange: HttpExchange) -> bool:
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -403,3 +403,25 @@
     harness.run_item()
     assert harness.run.state is ItemState.COMPLETED
     assert harness.target.connections == 2
+
+
+@pytest.mark.parametrize("before", [(), (1,)])
+def test_an_item_whose_run_is_truncated_behind_its_head_goes_on(before):
+    """Guards against empty and partial texts that are listed as completed (review/1)."""
+    cut = [send_events(*before, end=False, cut=b"id: 2\nda")] if before else []
+    rest = [n for n in (1, 2) if n not in before]
+    harness = Harness(*cut, send_events(framed=False), send_events(*rest))
+    run = harness.run_item()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
+
+
+def test_an_item_that_goes_on_after_a_check_of_its_end_is_checked_anew():
+    unframed = [send_events(1, framed=False), send_events(2, end=False, cut=b"id: 3\nda")]
+    harness = Harness(*unframed, send_events(framed=False), send_events(3))
+    assert harness.run_item().text == "e1\ne2\ne3"
+
+
+def test_an_item_without_events_is_complete_after_a_second_run():
+    harness = Harness(send_events(framed=False), send_events(framed=False))
+    run = harness.run_item()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "")
--- a/tests/serving/test_unframed_responses.py
+++ b/tests/serving/test_unframed_responses.py
@@ -178,3 +178,51 @@
         response = call(harness.port, ID)
         assert response.count(b"data: ") == 2
         assert not response.endswith(b"0\r\n\r\n")
+
+
+def test_a_stream_resumed_behind_a_truncated_run_goes_on(harness: Harness) -> None:
+    """Guards against a run truncated behind its head that counts as the end (review/1)."""
+    harness.set_route(resumable=True, attempts_max=3)
+    harness.add_target(ScriptedTarget(send_events(1, 2, end=False, cut=b"id: 3\nda")))
+    harness.add_target(ScriptedTarget(send_events(framed=False), send_events(3)))
+    response = call(harness.port, ID)
+    assert [n for n in (1, 2, 3) if b"data: e%d\n" % n in response] == [1, 2, 3]
+    assert response.endswith(b"0\r\n\r\n")
+
+
+def test_a_stream_without_events_is_complete_after_a_second_run(harness: Harness) -> None:
+    harness.set_route(resumable=True, attempts_max=2)
+    harness.add_target(ScriptedTarget(send_events(framed=False), send_events(framed=False)))
+    assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+
+
+def test_a_stream_truncated_behind_its_head_is_run_again(harness: Harness) -> None:
+    """Guards against streams that are complete without an event (review/1)."""
+    harness.set_route(resumable=True, attempts_max=2)
+    truncated = send_events(framed=False, signature=b"s1")
+    harness.add_target(ScriptedTarget(truncated, send_events(1, 2, signature=b"s2")))
+    response = call(harness.port, ID)
+    assert response.count(b"data: ") == 2
+    assert b"Signature: s2" in response
+    assert b"Signature: s1" not in response
+    assert response.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize(("resumable", "attempts"), [(False, 1), (True, 1)])
+def test_a_stream_truncated_behind_its_head_never_looks_complete(
+    harness: Harness, resumable: bool, attempts: int
+) -> None:
+    harness.set_route(resumable=resumable, attempts_max=attempts)
+    harness.add_target(ScriptedTarget(send_events(framed=False)))
+    assert get_status(call(harness.port, ID)) == 502
+
+
+def test_a_resumed_stream_truncated_behind_its_head_is_left_to_its_caller(
+    harness: Harness,
+) -> None:
+    harness.set_route(resumable=True, attempts_max=2)
+    harness.add_target(ScriptedTarget(send_events(1, 2, end=False)))
+    harness.add_target(ScriptedTarget(send_events(framed=False)))
+    response = call(harness.port, ID)
+    assert response.count(b"data: ") == 2
+    assert not response.endswith(b"0\r\n\r\n")
