End the waits of items for a service that their route has left

Cause: a request for a slot names the service of the route when the wait began and waits until the item expires. Ruled out from the logs: instances with the former configuration and a lack of slots.

Change: a new configuration ends such waits, a grant for a former service is given back, and items without a route ask as soon as it is back.

--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -32,11 +32,15 @@
 
 
 class ConfigurationView:
-    """Holds the newest configuration; an older one never replaces it."""
+    """Holds the newest configuration; an older one never replaces it.
+
+    ``listeners`` are called after each change.
+    """
 
     def __init__(self, wire: Wire) -> None:
         self._wire = wire
         self.current: RoutingConfiguration | None = None
+        self.listeners: list[Callable[[], None]] = []
 
     def replace_rows(self, rows: list[KeyValue]) -> None:
         """Apply all rows of the range; only the configuration's key matters."""
@@ -56,6 +60,8 @@
             self.current = configuration
             log = logger.bind(version=configuration.version, store_version=version)
             log.bind(routes=len(configuration.routes)).info("configuration_in_force")
+            for listener in self.listeners:
+                listener()
 
 
 class MemberView:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 import gevent
+from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 from loguru import logger
 
@@ -58,7 +59,8 @@
     """Runs items until they are completed, dead or cancelled.
 
     ``_places`` bounds the items of each service that run or wait for a slot. An item holds a place
-    of the service to which its route leads, and none while it has no route.
+    of the service to which its route leads, and none while it has no route. ``_waiting`` has the
+    items that wait for a slot, with the service for whose slots they wait.
     """
 
     def __init__(
@@ -82,6 +84,9 @@
         self._places: defaultdict[str, BoundedSemaphore] = defaultdict(
             lambda: BoundedSemaphore(CONCURRENT_ITEMS_MAX)
         )
+        self._waiting: dict[ItemRun, str] = {}
+        self._routes_changed = Event()
+        fleet.configuration.listeners.append(self._handle_configuration)
 
     def run(self, run: ItemRun) -> None:
         """Run the item until it is completed, dead or cancelled.
@@ -98,10 +103,27 @@
             with self._places[service]:
                 self._run_at(run, service)
 
+    def _handle_configuration(self) -> None:
+        """End the waits for slots of services that their items' routes have left.
+
+        Load pattern: the operators move a route and then take the targets of its former service
+        away, while items wait for their slots.
+        """
+        self._routes_changed.set()
+        self._routes_changed = Event()
+        for run, service in list(self._waiting.items()):
+            if not self._leads_to(run, service):
+                run.cancel_wait()
+
+    def _leads_to(self, run: ItemRun, service: str) -> bool:
+        """Return whether the item's route leads to a service."""
+        route = self._find_route(run)
+        return route is not None and route.shares[0].service == service
+
     def _wait_for_route(self, run: ItemRun) -> None:
         if not self._give_up_expired(run):
             self._log_wait(run, "no route")
-            gevent.sleep(ROUTE_PAUSE_S)
+            self._routes_changed.wait(ROUTE_PAUSE_S)
 
     def _give_up_expired(self, run: ItemRun) -> bool:
         """Mark the item dead if it has expired, and return whether it has."""
@@ -114,7 +136,7 @@
         """Run the item until it is done or cancelled, or its route leads elsewhere or nowhere."""
         while run.state is None and not run.cancelled:
             route = self._find_route(run)
-            if route is None or route.shares[0].service != service or self._give_up_expired(run):
+            if route is None or not self._leads_to(run, service) or self._give_up_expired(run):
                 return
             self._check_version(run, route)
             outcome = self._run_once(run, route)
@@ -152,15 +174,17 @@
         run.preempted = False
         run.retry_after_s = 0.0
         run.framing = ""
+        request = self._make_slot_request(run, route)
+        self._waiting[run] = request.service
         try:
-            slot = self._slots.acquire(
-                self._make_slot_request(run, route), self._make_cancel_setter(run)
-            )
+            slot = self._slots.acquire(request, self._make_cancel_setter(run))
         except (OverloadedError, CallerGoneError) as err:
             self._log_wait(run, str(err))
             if isinstance(err, OverloadedError):
                 run.retry_after_s = min(err.retry_after_s, RETRY_PAUSE_MAX_S)
             return RunOutcome.REFUSED
+        finally:
+            self._waiting.pop(run, None)
         run.wait_reason = ""
         outcome = RunOutcome.CANCELLED
         granted_at = self._clock.monotonic()
@@ -221,7 +245,7 @@
     def _use_slot(self, run: ItemRun, route: Route, slot: Slot) -> RunOutcome:
         version = run.software_version or slot.software_version
         target = self._fleet.targets.find_usable(slot.target_id, version)
-        if target is None or run.cancelled:
+        if target is None or run.cancelled or not self._leads_to(run, route.shares[0].service):
             return RunOutcome.CANCELLED
         run.resumed_at_event_id = run.last_event_id
         run.target_version = target.software_version
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -53,6 +54,7 @@
 class FakeView:
     def __init__(self) -> None:
         self.rows: dict[str, Target] = {}
+        self.listeners: list[Callable[[], None]] = []
         self.current = RoutingConfiguration(
             1, (make_route(kind=RouteKind.JOB, attempts_max=2),), {}, CallerLimits()
         )
@@ -361,6 +363,8 @@
     )
     version = harness.fleet.configuration.current.version + 1
     harness.fleet.configuration.current = RoutingConfiguration(version, routes, {}, CallerLimits())
+    for listener in harness.fleet.configuration.listeners:
+        listener()
 
 
 def start_items(harness: Harness, count: int, path: str) -> list[ItemRun]:
@@ -425,3 +429,44 @@
     harness = Harness(send_events(framed=False), send_events(framed=False))
     run = harness.run_item()
     assert (run.state, run.text) == (ItemState.COMPLETED, "")
+
+
+def test_items_that_wait_for_a_slot_follow_their_route_to_its_service():
+    """Guards against items that wait for a service that their route has left (review/4)."""
+    harness = Harness(*[send_events(1) for _ in range(3)])
+    harness.runner._slots = PathSlots("llm")
+    harness.runner._slots.target_ids.append("t0")
+    set_routes(harness, x="former")
+    waiting = start_items(harness, 3, "/x/1")
+    gevent.sleep(0.02)
+    assert {run.state for run in waiting} == {None}
+    set_routes(harness, x="llm")
+    wait_until_completed(waiting)
+
+
+def test_an_item_whose_route_moved_during_its_wait_uses_no_slot_of_the_former_service():
+    harness = Harness(send_events(1), send_events(2))
+    acquire = harness.slots.acquire
+    asked: list[str] = []
+
+    def move_route(request: Any, on_waiting: Any) -> Any:
+        slot = acquire(request, on_waiting)
+        asked.append(request.service)
+        if len(asked) == 1:
+            set_routes(harness, x="other")
+        return slot
+
+    harness.slots.acquire = move_route
+    harness.run_item()
+    assert asked == ["llm", "other"]
+    assert len(harness.target.requests) == 1
+
+
+def test_items_of_a_removed_route_run_as_soon_as_it_is_back(monkeypatch):
+    monkeypatch.setattr(_item_run, "ROUTE_PAUSE_S", 3600.0)
+    harness = Harness(send_events(1))
+    set_routes(harness)
+    waiting = start_items(harness, 1, "/x/1")
+    gevent.sleep(0.02)
+    set_routes(harness, x="llm")
+    wait_until_completed(waiting)
