--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,9 +1,12 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import subprocess
 import sys
+import time
+from pathlib import Path
 
 import pytest
 
@@ -74,3 +77,42 @@
     assert "no-such" in result.stderr
     assert "firm-items" in result.stderr
     assert "Traceback" not in result.stderr
+
+
+SERVING_SETTINGS = """
+node = "store-1"
+serves = ["store"]
+ip = "127.0.0.1"
+zone = "a"
+internal_ports = [0]
+[platform]
+address = "127.0.0.1:1"
+"""
+
+
+def has_loaded(pid, library):
+    """Return whether a process has begun to load a library."""
+    return library in Path(f"/proc/{pid}/maps").read_text()
+
+
+def test_a_reload_while_the_serving_daemon_starts_does_not_end_it(tmp_path):
+    """Guards against a SIGHUP that ends the process before its handler is set."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SERVING_SETTINGS)
+    with subprocess.Popen(
+        [sys.executable, "-m", "clementinepin.serve"],
+        env={**os.environ, "CLEMENTINEPIN_BOOT": str(path)},
+        stdout=subprocess.PIPE,
+    ) as process:
+        while not has_loaded(process.pid, "gevent"):
+            time.sleep(0.001)
+        events = []
+        while "settings_reloaded" not in events:
+            process.send_signal(signal.SIGHUP)
+            line = process.stdout.readline()
+            assert line, f"the process ended with {process.wait()}"
+            events.append(json.loads(line)["event"])
+        process.terminate()
+        process.stdout.read()
+        assert process.wait(STOP_WAIT_S) == 0
+    assert "started" in events
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -12,7 +12,7 @@
 ROOT = Path(__file__).parent.parent
 PRODUCT = ROOT / "clementinepin"
 ADAPTER = PRODUCT / "platform"
-DAEMONS = {PRODUCT / "serve.py", PRODUCT / "daemon.py"}
+DAEMONS = {PRODUCT / "_serving_daemon.py", PRODUCT / "daemon.py"}
 WIRE_NAMES = (
     r"Clementinepin-[A-Z]",
     r"/v1/(kv-|lots|items|resolve|ready|report)",
