Read numbers and headers of responses without raising on odd bytes

Seen by the review: digits such as superscript two in Server-Load or Keep-Alive raised ValueError, and header values with spaces at their end or bytes beyond ASCII closed the caller's connection without a response. Found on related paths: numbers of thousands of digits, infinite numbers in a request's token count, and event ids of thousands of digits.

Cause: str.isdigit accepts what int refuses, float accepts infinities, int refuses long texts, and h11 takes str values as ASCII without spaces around.

Change: numbers are matched by their ASCII digits with a bound, infinite ones count as missing, and header values are stripped and sent as ISO 8859-1.

Evidence: ten tests of test_wire.py, test_exchange.py, test_events.py and test_forward.py failed before.

--- a/clementinepin/platform/_wire.py
+++ b/clementinepin/platform/_wire.py
@@ -4,6 +4,8 @@
 
 import base64
 import binascii
+import math
+import re
 from typing import Final
 from urllib.parse import parse_qs, quote, urlsplit
 
@@ -37,6 +39,8 @@
 _SIGNATURE_HEADER: Final = _HEADER_PREFIX + "server-signature"
 _NOT_EXECUTED_HEADER: Final = _HEADER_PREFIX + "not-executed"
 _LOAD_HEADER: Final = _HEADER_PREFIX + "server-load"
+_COUNT: Final = r"\s*([0-9]{1,9})\s*"
+_LOAD: Final = re.compile(f"{_COUNT},{_COUNT},{_COUNT}")
 _LIMIT_HEADER: Final = "server-limit"
 _LEAVING_HEADER: Final = "server-leaving"
 _LEAVING: Final = "1"
@@ -232,15 +236,13 @@
 
         Returns None if the header is missing or malformed.
         """
-        parts = headers.get(_LOAD_HEADER, "").split(",")
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-            return None
-        return int(parts[0]), int(parts[1]), int(parts[2])
+        match = _LOAD.fullmatch(headers.get(_LOAD_HEADER, ""))
+        return (int(match[1]), int(match[2]), int(match[3])) if match is not None else None
 
     def read_limit(self, headers: dict[str, str]) -> float | None:
         """Return the requests a second that a target takes at present, or None without a limit."""
         limit = _parse_number(headers.get(_LIMIT_HEADER, ""))
-        return limit if limit is not None and 0.0 <= limit < float("inf") else None
+        return limit if limit is not None and limit >= 0.0 else None
 
     def says_leaving(self, status: int, headers: dict[str, str]) -> bool:
         """Return whether the target that responds says that it leaves.
@@ -385,10 +387,12 @@
 
 
 def _parse_number(text: str) -> float | None:
+    """Return a number, None if the text is none or stands for no finite one."""
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
 
 
 def _make_route(route: _Route) -> Route:
--- a/clementinepin/serving/_events.py
+++ b/clementinepin/serving/_events.py
@@ -10,7 +10,7 @@
 EVENT_MAX_BYTES: Final = 262_144  # events of the engines are smaller than 1 kB
 EVENT_END: Final = re.compile(rb"(\r\n\r\n|\n\n)")
 EVENT_END_MAX_BYTES: Final = 4  # of the longest match
-ID_LINE: Final = re.compile(rb"^id: ?([0-9]+)\r?$", re.MULTILINE)
+ID_LINE: Final = re.compile(rb"^id: ?([0-9]{1,18})\r?$", re.MULTILINE)
 COMMENT: Final = re.compile(rb"(?::[^\n]*\n|\r?\n)+")
 
 
--- a/clementinepin/serving/_http.py
+++ b/clementinepin/serving/_http.py
@@ -103,13 +103,19 @@
             self._watcher = None
 
     def start_response(self, status: int, header_lines: Iterable[tuple[str, str]]) -> None:
-        """Send the status and headers of a response."""
-        headers = [(name, value) for name, value in header_lines]
+        """Send the status and headers of a response.
+
+        Values may have spaces around them and bytes beyond ASCII, decoded as ISO 8859-1.
+        """
+        headers = [
+            (name.encode("ascii"), value.strip(" \t").encode("latin-1"))
+            for name, value in header_lines
+        ]
         if self.must_close:
-            headers.append(("Connection", "close"))
+            headers.append((b"Connection", b"close"))
         event = h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
         self.answered = True
-        has_length = any(name.lower() == "content-length" for name, _ in headers)
+        has_length = any(name.lower() == b"content-length" for name, _ in headers)
         self._ends_with_connection = not has_length and self._parser.their_http_version == b"1.0"
         self._send(self._parser.send(event))
 
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from enum import StrEnum
 from typing import Final, NamedTuple
@@ -23,6 +24,7 @@
 STATUS_FINAL_MIN: Final = 200
 MISMATCHED_RESPONSES_MAX: Final = 2  # a target that sends more has lost track of its requests
 KEEP_ALIVE_SHARE: Final = 0.6  # a request must arrive before the target closes the connection
+KEEP_ALIVE_TIMEOUT: Final = re.compile("timeout=([0-9]{1,9})")
 BODYLESS_STATUSES: Final = frozenset({204, 304})
 
 
@@ -321,7 +323,7 @@
     This is KEEP_ALIVE_SHARE of the timeout in the target's Keep-Alive header, else the default.
     """
     for part in headers.get("keep-alive", "").split(","):
-        name, _, value = part.strip().partition("=")
-        if name == "timeout" and value.isdigit():
-            return int(value) * KEEP_ALIVE_SHARE
+        match = KEEP_ALIVE_TIMEOUT.fullmatch(part.strip())
+        if match is not None:
+            return int(match[1]) * KEEP_ALIVE_SHARE
     return default_s
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -104,7 +104,9 @@
     assert WIRE.make_item_headers(item) == [("A", "b"), ("Clementinepin-Request-Id", "i")]
 
 
-@pytest.mark.parametrize("value", ["", "1,2", "a,b,c", "1,2,3,4"])
+@pytest.mark.parametrize(
+    "value", ["", "1,2", "a,b,c", "1,2,3,4", "\u00b2,0,8", "1,0," + "9" * 5000, "-1,0,8"]
+)
 def test_a_malformed_load_header_returns_none(value):
     assert WIRE.read_load({"clementinepin-server-load": value}) is None
 
@@ -122,3 +124,16 @@
     assert WIRE.read_retirement("op/retire/store-1") == "store-1"
     key, value = WIRE.make_retirement("store-1", done=True)
     assert (key, msgspec.json.decode(value)) == ("status/retire/store-1", {"state": "completed"})
+
+
+@pytest.mark.parametrize("value", ["inf,1", "nan,1", "1e999,1", "\u00b2,x"])
+def test_a_number_of_tokens_that_is_none_counts_as_unknown(value: str) -> None:
+    """Guards against a request that ends its connection without a response."""
+    facts = WIRE.read_request(
+        {
+            "clementinepin-request-id": "q1",
+            "clementinepin-token-count": value,
+            "last-event-id": "inf",
+        }
+    )
+    assert (facts.prompt_tokens, facts.last_event_id) == (0, 0)
--- a/tests/serving/test_events.py
+++ b/tests/serving/test_events.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from clementinepin.serving._events import EVENT_MAX_BYTES, EventSplitter
+from clementinepin.serving._events import EVENT_MAX_BYTES, EventSplitter, StreamEvent
 from clementinepin.targets.exceptions import TargetProtocolError
 
 ENDS = st.sampled_from(["\n", "\r\n"])
@@ -41,3 +41,8 @@
         assert splitter.feed(b"a" * size) == []
     with pytest.raises(TargetProtocolError):
         splitter.feed(b"a" * size)
+
+
+def test_an_id_of_too_many_digits_counts_as_none() -> None:
+    """Guards against a stream that ends without a reason."""
+    assert StreamEvent(b"id: " + b"9" * 5000 + b"\n\n").event_id == 0
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -421,3 +421,13 @@
     assert get_status(call(harness.port, ID)) == 503
     assert call(harness.port, ID).endswith(b"answer")
     assert target.connections == 2
+
+
+def test_headers_with_spaces_and_bytes_beyond_ascii_reach_the_caller(harness: Harness) -> None:
+    """Guards against a connection that is closed without a response."""
+    harness.set_route(kind=RouteKind.IDEMPOTENT)
+    plain = make_plain(b"answer").replace(b"\r\n\r\n", b"\r\nX-A: caf\xe9 \t\r\nX-B:\r\n\r\n", 1)
+    harness.add_target(ScriptedTarget(plain))
+    response = call(harness.port, ID)
+    assert b"X-A: caf\xe9\r\n" in response
+    assert response.endswith(b"answer")
--- a/tests/targets/test_exchange.py
+++ b/tests/targets/test_exchange.py
@@ -7,6 +7,7 @@
 
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.targets import Abort, HttpRequest, TargetAddress, Transport
+from clementinepin.targets._exchange import KEEP_ALIVE_SHARE, _parse_idle_limit
 from clementinepin.targets.exceptions import (
     TargetLostError,
     TargetNotReachedError,
@@ -140,3 +141,18 @@
         transport.send(HttpRequest("GET", "/x", deadline=clock.monotonic() + 4.0, abort=abort))
     assert not target.requests
     target.stop()
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ("timeout=10", 10 * KEEP_ALIVE_SHARE),
+        ("max=5, timeout=10", 10 * KEEP_ALIVE_SHARE),
+        ("timeout=\u00b2", 2.0),
+        ("timeout=" + "9" * 5000, 2.0),
+        ("", 2.0),
+    ],
+)
+def test_an_idle_limit_that_is_no_number_changes_nothing(value, expected):
+    """Guards against an item whose run ends without a result."""
+    assert _parse_idle_limit({"keep-alive": value}, 2.0) == expected
