Draw silent targets, releases before a kill and spoiled responses in the soak

New kinds: sound targets that fall silent as the configuration changes, all targets of a version that leave right before a kill of all instances or all entries, refusals that are written once more, errors in the body of a stream and responses truncated behind their head. Callers resume a broken stream up to five times, as killed instances are back after a second.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -20,7 +20,8 @@
 from soak._target import make_text
 
 CALL_TIMEOUT_S = 6.0
-RESUMPTIONS_MAX = 2
+RESUMPTIONS_MAX = 5
+RESUMPTION_PAUSE_S = 0.4  # after one that failed; killed instances are back after a second
 BREAKING_SHARE = 0.3  # of resumable streams
 CRASHING_SHARE = 0.15  # of streams, while there are parts that crash engines
 FIRST_PARTS = 3
@@ -171,8 +172,11 @@
         for _ in range(RESUMPTIONS_MAX):
             last_event = body.count(b"\n\n")
             ip = self.resolve_front()
-            if route != "again" or response.status != 200 or whole or not last_event or ip is None:
+            if route != "again" or response.status != 200 or whole or not last_event:
                 break
+            if ip is None:
+                gevent.sleep(RESUMPTION_PAUSE_S)
+                continue
             body = body[: body.rindex(b"\n\n") + 2]
             resumption = {
                 "Clementinepin-Request-Id": self._make_id("s"),
@@ -183,6 +187,8 @@
             self.resumed[resumed.status] = self.resumed.get(resumed.status, 0) + 1
             if resumed.status == 200:
                 body, whole = body + resumed.body, resumed.whole
+            else:
+                gevent.sleep(RESUMPTION_PAUSE_S)
         if response.status == 200:
             self._check_stream(request_id, events, body, whole)
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -53,6 +53,11 @@
                 ("target names a limit", self._limit_target),
                 ("links to targets are cut", self._cut_links),
                 ("target says it leaves", self._let_target_leave),
+                ("targets fall silent", self._silence_targets),
+                ("a version leaves, then a kill", self._kill_behind_a_release),
+                ("target repeats a refusal", lambda: self._spoil("refusals_to_repeat")),
+                ("target writes errors", lambda: self._spoil("errors_to_write")),
+                ("target truncates heads", lambda: self._spoil("heads_to_truncate")),
             ]
         self._version = 1
 
@@ -196,6 +201,37 @@
         if name in self._fleet.targets:
             self._fleet.remove_target(name)
 
+    def _silence_targets(self) -> None:
+        """Let some or all sound engines fall silent for a second as the configuration changes."""
+        share = self._random.choice((0.5, 1.0))
+        targets = [t for t in self._fleet.targets.values() if self._random.random() < share]
+        self._change_configuration()
+        for target in targets:
+            target.speaks.clear()
+        gevent.sleep(self._random.uniform(0.8, 1.3))
+        for target in targets:
+            target.speaks.set()
+
+    def _kill_behind_a_release(self) -> None:
+        """Replace all engines of a version by others, and kill all instances, or all entries."""
+        former, later = self._random.sample(VERSIONS, 2)
+        names = [n for n, target in self._fleet.targets.items() if target.version == former]
+        only_fronts = self._random.random() < 0.5
+        for name in names:
+            self._fleet.add_target(f"{name}k", later)
+        gevent.sleep(self._random.uniform(0.5, 1.5))
+        for name in names:
+            if name in self._fleet.targets:
+                self._fleet.remove_target(name)
+        gevent.sleep(self._random.uniform(0.0, 0.3))
+        killed = [i for i in self._fleet.instances if i.is_front or not only_fronts]
+        gevent.joinall([gevent.spawn(self._restart_instance, i, signal.SIGKILL) for i in killed])
+
+    def _spoil(self, fault: str) -> None:
+        """Add to the responses that an engine spoils in one way."""
+        target = self._fleet.targets[self._choose_target()]
+        setattr(target, fault, getattr(target, fault) + self._random.randint(1, 3))
+
     def _send_without_end(self) -> None:
         target = self._fleet.targets[self._choose_target()]
         target.responses_without_end += self._random.randint(1, 2)
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -9,11 +9,15 @@
 
 import gevent
 import msgspec
+from gevent.event import Event
 from gevent.server import StreamServer
 
 STEP_S = 0.012
 QUEUE_MAX_REQUESTS = 8
 READ_SIZE_BYTES = 65_536
+ERROR_RESPONSE = (
+    b"HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\noops\n\n"
+)
 
 
 class Run(NamedTuple):
@@ -58,7 +62,10 @@
     connection, none if it is 0. Responses name ``limit_per_s`` as the limit of the engine, and say
     that it leaves if it ``says_leaving``, refusals too; ``leaving_told_at`` is when the first one
     did. A run whose prompt has one of ``crashing_parts`` calls ``on_crash`` once its response has
-    begun.
+    begun. Nothing is sent or accepted while ``speaks`` is cleared. ``refusals_to_repeat`` counts
+    requests that are refused, with the refusal written once more a little later. It has
+    ``errors_to_write`` runs that write another response into their body, and ``heads_to_truncate``
+    runs that end their connection behind the head of their response.
     """
 
     def __init__(
@@ -78,6 +85,11 @@
         self.events_to_cut = 0
         self.unframed_period = 0
         self.responses_without_end = 0
+        self.speaks = Event()
+        self.speaks.set()
+        self.refusals_to_repeat = 0
+        self.errors_to_write = 0
+        self.heads_to_truncate = 0
         self.limit_per_s: float | None = None
         self.crashing_parts: set[str] = set()
         self.on_crash: Callable[[str], None] = lambda _name: None
@@ -116,6 +128,7 @@
         self._sockets.add(sock)
         try:
             while (request := _read_request(sock)) is not None:
+                self.speaks.wait()
                 if not self._handle_request(sock, *request):
                     return
         except OSError:
@@ -130,6 +143,10 @@
         if headers.get("clementinepin-expect-instance") != self.name:
             sock.sendall(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
             return True
+        if self.refusals_to_repeat:
+            self.refusals_to_repeat -= 1
+            _refuse_twice(sock, request_id)
+            return True
         if self._queued >= QUEUE_MAX_REQUESTS:
             refusal = "HTTP/1.1 503 Full\r\nClementinepin-Not-Executed: 1\r\n"
             refusal += f"{self._name_leaving()}Content-Length: 0\r\n\r\n"
@@ -182,12 +199,21 @@
         if self.responses_without_end:
             self.responses_without_end -= 1
             return self._send_without_end(sock, head.encode())
+        self.speaks.wait()
         sock.sendall(head.encode())
+        if self.heads_to_truncate:
+            self.heads_to_truncate -= 1
+            return False
         if self.crashing_parts.intersection(parts):
             self.on_crash(self.name)
             return False
         for number in range(first, events + 1):
             event = f"id: {number}\ndata: {make_text(stream_id, number, self.version)}\n\n".encode()
+            self.speaks.wait()
+            if self.errors_to_write and number > first:
+                self.errors_to_write -= 1
+                sock.sendall(encode(ERROR_RESPONSE))
+                return False
             if self.events_to_cut:
                 self.events_to_cut -= 1
                 sock.sendall(encode(event[: len(event) // 2]))
@@ -209,6 +235,21 @@
             gevent.sleep(0)
 
 
+def _refuse_twice(sock: Any, request_id: str) -> None:
+    """Refuse a request, and write the refusal once more when another request may be under way."""
+    refusal = "HTTP/1.1 503 Full\r\nClementinepin-Not-Executed: 1\r\n"
+    refusal += f"Clementinepin-Request-Id: {request_id}\r\nContent-Length: 0\r\n\r\n"
+    sock.sendall(refusal.encode())
+    gevent.spawn_later(STEP_S * 2, _write_again, sock, refusal.encode())
+
+
+def _write_again(sock: Any, data: bytes) -> None:
+    try:
+        sock.sendall(data)
+    except OSError:
+        return  # the caller has closed the connection
+
+
 def _encode_chunk(data: bytes) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data)
 
