Put no request down to a stop whose deadline has passed

Found on a second reading: a request that arrives with no time left was rejected with "this instance ends in inf s", as the latest start of a request that ends in time was its deadline. Any start will do for it now; what follows rejects it.

--- a/clementinepin/systems/run_times.py
+++ b/clementinepin/systems/run_times.py
@@ -54,13 +54,14 @@
 def find_latest_start(finish_by: float, ends_by: float, longest_s: float | None) -> float:
     """Return the latest start, in monotonic seconds, of a request that ends before ``finish_by``.
 
-    ``ends_by`` is when its caller gives up, ``longest_s`` an estimate of its run, None if unknown.
+    ``ends_by`` is when its caller gives up; if that is before, any start will do. ``longest_s`` is
+    an estimate of its run, None if unknown.
 
     Load pattern: callers still use the address of an instance that was told to stop. Whatever it
     accepts late in its grace period is cut at the end of it.
     """
     if ends_by <= finish_by:
-        return ends_by
+        return float("inf")
     if longest_s is None:
         return float("-inf")
     return finish_by - longest_s * LONGEST_FACTOR - SILENCE_S
--- a/tests/serving/test_shutdown.py
+++ b/tests/serving/test_shutdown.py
@@ -5,12 +5,13 @@
 import gevent
 import pytest
 from gevent import socket
+from loguru import logger
 
 from clementinepin.serving._slot_requests import Slot, SlotRequest
 from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.serving.models import RouteKind
 from tests.serving.harness import ID, Harness
-from tests.serving.scripted import ScriptedTarget, make_plain
+from tests.serving.scripted import ScriptedTarget, call, make_plain
 from tests.serving.test_slots import ShiftedClock
 
 REQUEST = f"POST /x/1 HTTP/1.1\r\nHost: h.example\r\n{ID}\r\nContent-Length: 0\r\n\r\n".encode()
@@ -111,3 +112,13 @@
     finish_by = harness.app._forwarder.finish_by
     assert asked
     assert asked[0] <= finish_by - 1.0
+
+
+def test_a_request_whose_deadline_has_passed_is_not_put_down_to_a_stop(harness: Harness) -> None:
+    harness.set_route()
+    harness.add_target(ScriptedTarget(make_plain(b"answer")))
+    lines: list[str] = []
+    sink = logger.add(lambda message: lines.append(str(message.record["extra"])), level="INFO")
+    call(harness.port, ID, "Clementinepin-Deadline-Ms: 0")
+    logger.remove(sink)
+    assert not any("this instance ends" in line for line in lines)
