Extend the view of a job that was replaced during a write

Found on a second reading: an owner that registers again while a write of results is under way could publish a new view, and the write's results went to the former one, so that readers missed them for good.

Change: the job knows that a write is under way, and its results go to the view that is served when the write is done.

Evidence: test_a_view_that_is_replaced_during_a_write_gets_its_results failed before.

--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -47,7 +47,8 @@
     ``unlisted`` holds finished runs whose results are not listed yet, and ``changed`` is set when
     one is added or the job is stopped. ``version`` is the store's version of ``progress``.
     ``is_owned_elsewhere`` is set when another live instance owns the job, ``must_confirm`` while
-    that is possible because this instance's registration was lost.
+    that is possible because this instance's registration was lost. ``is_writing`` is set from the
+    start of a write of results until its outcome is known.
     """
 
     def __init__(self, head: records.JobHead, keys: records.JobKeys) -> None:
@@ -62,6 +63,7 @@
         self.stopped = False
         self.is_owned_elsewhere = False
         self.must_confirm = False
+        self.is_writing = False
         self.restored: dict[str, ItemCheckpoint] = {}
 
     def stop(self) -> None:
@@ -289,6 +291,7 @@
         Stops the job if it has ended or if the recorded owner is alive.
         """
         job.progress, job.version = records.fetch_progress(self._store, job.keys)
+        job.is_writing = False
         owner = job.progress.owner
         if job.progress.ended:
             job.stop()
@@ -326,6 +329,7 @@
             results.extend(page)
         view = JobView(progress.total, results)
         view.is_open = progress.is_open
+        view.is_writing = job.is_writing
         self._views.put(job.head.job_id, view)
 
     def _find_owner(self, job_id: str) -> str:
@@ -405,12 +409,14 @@
             failures=failures,
         )
         change = records.make_progress_change(job.keys, job.version, changed, results)
-        view = self._views.get(job.head.job_id)
-        if view is not None:
+        job.is_writing = True
+        if (view := self._views.get(job.head.job_id)) is not None:
             view.is_writing = True
         job.version = self._store.write(change)
+        job.is_writing = False
         job.progress = changed
-        if view is not None:
+        # The view may have been replaced during the write.
+        if (view := self._views.get(job.head.job_id)) is not None:
             view.extend(list(results.values()))
         job.unlisted = job.unlisted[len(group) :]
         logger.bind(request_id=job.head.job_id, position=first, count=len(group)).info(
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -391,3 +391,21 @@
     assert not read_from_owner(runner).known
     fleet.is_registered = True  # type: ignore[attr-defined]
     wait_until(lambda: read_from_owner(runner).known)
+
+
+def test_a_view_that_is_replaced_during_a_write_gets_its_results() -> None:
+    """Guards against an owner that registers again during a write and then serves too few."""
+    store = SlowStore()
+    runner = start_runner(store, HalfStuckItems())
+    store.holds = True
+    keys = submit(store, 2)
+    wait_until(lambda: bool(store.held))
+    job = runner._jobs["j1"]
+    runner._fleet.lose_registration()  # type: ignore[attr-defined]
+    assert runner._views.get("j1") is None
+    runner._publish_view(job)  # as if it was confirmed before the store applied the write
+    assert not read_from_owner(runner).known
+    runner._fleet.is_registered = True  # type: ignore[attr-defined]
+    store.held[0].set(store.rows[keys.progress].version)
+    wait_until(lambda: read_from_owner(runner).known)
+    assert len(read_from_owner(runner).results) == 1
