Scale run estimates by the highest output limit of a route's runs

Found on a second reading: the longest run may be a short request that waited for a slot; scaled by its output limit, all longer requests seemed to outlast a stopping instance and were rejected sooner than necessary.

Evidence: test_a_short_request_that_waited_long_does_not_stretch_all_others failed before.

--- a/clementinepin/systems/run_times.py
+++ b/clementinepin/systems/run_times.py
@@ -11,7 +11,7 @@
 
 
 class _RouteTimes(NamedTuple):
-    """Run times of one route in seconds; ``tokens`` is the output limit of the longest run."""
+    """Run times of one route in seconds; ``tokens`` is the highest output limit of its runs."""
 
     mean_s: float
     longest_s: float
@@ -29,11 +29,9 @@
         former = self._routes.get(route, _RouteTimes(took_s, took_s, tokens))
         mean_s = former.mean_s + MEAN_WEIGHT * (took_s - former.mean_s)
         longest_s = former.longest_s + LONGEST_WEIGHT * (took_s - former.longest_s)
-        if took_s >= former.longest_s:
-            longest_s, tokens = took_s, max(tokens, 1)
-        else:
-            tokens = former.tokens
-        self._routes[route] = _RouteTimes(mean_s, longest_s, tokens)
+        self._routes[route] = _RouteTimes(
+            mean_s, max(took_s, longest_s), max(tokens, former.tokens)
+        )
 
     def get_mean(self, route: str) -> float | None:
         """Return the mean seconds of a route's recent runs, None if there were none."""
@@ -43,12 +41,12 @@
     def estimate_longest(self, route: str, tokens: int) -> float | None:
         """Return the seconds that a request takes at most by the route's recent runs.
 
-        None if there were none. A request that may generate more than the longest run takes longer.
+        None if there were none. A request that may generate more than any of them takes longer.
         """
         times = self._routes.get(route)
         if times is None:
             return None
-        return times.longest_s * max(1.0, tokens / max(times.tokens, 1))
+        return times.longest_s * max(1.0, tokens / times.tokens if times.tokens else 1.0)
 
 
 def find_latest_start(finish_by: float, ends_by: float, longest_s: float | None) -> float:
--- a/tests/systems/test_run_times.py
+++ b/tests/systems/test_run_times.py
@@ -48,3 +48,12 @@
             accepted += 1
             assert now + rng.uniform(0.4, 1.9) <= finish_by
     assert accepted > 60
+
+
+def test_a_short_request_that_waited_long_does_not_stretch_all_others() -> None:
+    times = RunTimes()
+    times.record("r", 0.4, 40)
+    times.record("r", 1.0, 4)
+    assert times.estimate_longest("r", 40) == 1.0
+    times.record("s", 1.0, 0)
+    assert times.estimate_longest("s", 40) == 1.0
