--- a/tests/serving/test_stream_versions.py
+++ b/tests/serving/test_stream_versions.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from clementinepin.serving import _call
 from clementinepin.serving._dispatcher import update_targets
 from clementinepin.serving._slot_requests import Slot
 from clementinepin.systems import stream_versions
@@ -73,3 +74,21 @@
     stream_versions.record_stream(versions.app.slots._table, "q1", "v1", 1e9, 0.0)
     assert get_status(call(versions.port, *headers)) == 200
     assert (len(changed.requests), len(same.requests)) == (0, 1)
+
+
+def test_a_stream_whose_target_falls_silent_goes_on_at_its_version(
+    versions: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against streams of two versions while sound targets fall silent (day hushed)."""
+    monkeypatch.setattr(_call, "RESUME_STALL_SHARE", 0.1)
+
+    def fall_silent(sock: Any, request: bytes) -> bool:
+        send_events(1, 2, end=False)(sock, request)
+        return bool(sock.recv(1))
+
+    add_target(versions, "v1", fall_silent)
+    other = add_target(versions, "v2", send_events(3))
+    same = add_target(versions, "v1", send_events(3))
+    response = call(versions.port, ID)
+    assert response.endswith(b"0\r\n\r\n")
+    assert (len(other.requests), len(same.requests)) == (0, 1)
