Make no view of a job that lists a result twice or lacks one for good

Change: a view holds the results of the progress only, and is made again if the progress changed meanwhile.

Evidence: test_a_view_that_is_published_during_a_write_lists_each_result_once and test_a_view_lacks_nothing_of_a_write_that_is_completed_while_it_is_made failed before.

--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -317,17 +317,26 @@
         job.restored = self._checkpoints.restore(job.keys.checkpoint, job.progress.failures)
 
     def _publish_view(self, job: _OwnedJob) -> None:
-        """Serve reads of the job from memory, starting with the results listed so far."""
+        """Serve reads of the job from memory, starting with the results listed so far.
+
+        Does nothing if a write of results is completed meanwhile; then the job is to be confirmed
+        again. The store may already have the results of a write that is under way, which are added
+        to the view once the write is done.
+        """
         progress = job.progress
         if progress is None:
             return
+        count = len(progress.listed)
         results: list[ItemResult] = []
-        while len(results) < len(progress.listed):
+        while len(results) < count:
             page = records.fetch_results(self._store, job.keys, len(results))
             if not page:
                 return
             results.extend(page)
-        view = JobView(progress.total, results)
+        if job.progress is not progress:
+            job.must_confirm = True
+            return
+        view = JobView(progress.total, results[:count])
         view.is_open = progress.is_open
         view.is_writing = job.is_writing
         self._views.put(job.head.job_id, view)
--- a/tests/serving/test_runner.py
+++ b/tests/serving/test_runner.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 import gevent
 import pytest
 from gevent.event import AsyncResult
 
 from clementinepin.helpers.clock import ManualClock
-from clementinepin.infrastructure import Change, KeyValue
+from clementinepin.infrastructure import Change, KeyValue, Page
 from clementinepin.infrastructure.exceptions import ReplyLostError
 from clementinepin.platform import create_wire
 from clementinepin.serving import _job_records as records
@@ -409,3 +410,54 @@
     store.held[0].set(store.rows[keys.progress].version)
     wait_until(lambda: read_from_owner(runner).known)
     assert len(read_from_owner(runner).results) == 1
+
+
+def complete_item(job: Any, item_id: str) -> None:
+    (run,) = [run for run in job.runs.values() if run.item.item_id == item_id]
+    run.state = ItemState.COMPLETED
+    job.unlisted.append(run)
+
+
+def test_a_view_that_is_published_during_a_write_lists_each_result_once() -> None:
+    """Guards against an item at two positions: the store had the results before the reply came.
+
+    lakaz-serve, deploy/days/platform-down-choices.toml --vary --seed 49098999211
+    """
+    store = SlowStore()
+    runner = start_runner(store, HalfStuckItems())
+    keys = submit(store, 3)
+    wait_until(lambda: len(read_from_owner(runner).results) == 1)
+    job = runner._jobs["j1"]
+    store.holds = True
+    complete_item(job, "i1")
+    job.changed.set()
+    wait_until(lambda: bool(store.held))
+    runner._fleet.lose_registration()  # type: ignore[attr-defined]
+    runner._publish_view(job)  # as if it was confirmed before the store applied the write
+    runner._fleet.is_registered = True  # type: ignore[attr-defined]
+    store.held[0].set(store.rows[keys.progress].version)
+    wait_until(lambda: not job.is_writing and len(read_from_owner(runner).results) > 1)
+    assert [row[0] for row in read_from_owner(runner).results] == ["i0", "i1"]
+
+
+def test_a_view_lacks_nothing_of_a_write_that_is_completed_while_it_is_made() -> None:
+    """Guards against an owner that serves the results before a write for good."""
+    store = MemoryStore()
+    runner = start_runner(store, HalfStuckItems())
+    submit(store, 3)
+    wait_until(lambda: len(read_from_owner(runner).results) == 1)
+    job = runner._jobs["j1"]
+    runner._fleet.lose_registration()  # type: ignore[attr-defined]
+    list_page = store.list_page
+
+    def complete_write(prefix: str, after: str) -> Page:
+        page = list_page(prefix, after)
+        store.list_page = list_page  # type: ignore[method-assign]
+        complete_item(job, "i1")
+        runner._write_results(job)
+        return page
+
+    store.list_page = complete_write  # type: ignore[method-assign]
+    runner._fleet.is_registered = True  # type: ignore[attr-defined]
+    wait_until(lambda: read_from_owner(runner).known)
+    assert [row[0] for row in read_from_owner(runner).results] == ["i0", "i1"]
