--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -130,9 +130,7 @@
         self._version_records = VersionRecords(
             relayed, wire.own_prefix, self.fleet, clock, settings.name
         )
-        self._version_records.add_table(self.slots.streams)
-        if self._job_parts is not None:
-            self._version_records.add_table(self._job_parts.dispatcher.table.streams)
+        self._connect_version_records()
         self._servers = self._create_servers()
 
     def start(self) -> None:
@@ -230,6 +228,11 @@
             records.add_table(dispatcher.table.crashes)
             dispatcher.on_causes_changed = records.record_changes
 
+    def _connect_version_records(self) -> None:
+        self._version_records.add_table(self.slots.streams)
+        if self._job_parts is not None:
+            self._version_records.add_table(self._job_parts.dispatcher.table.streams)
+
     def _create_servers(self) -> list[CallerServer]:
         settings = self._settings
         roles = (
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -417,6 +417,20 @@
             listed=progress.listed + rows,
             failures=failures,
         )
+        self._store_progress(job, changed, results)
+        job.unlisted = job.unlisted[len(group) :]
+        logger.bind(request_id=job.head.job_id, position=first, count=len(group)).info(
+            "results_listed"
+        )
+
+    def _store_progress(
+        self, job: _OwnedJob, changed: records.JobProgress, results: dict[int, ItemResult]
+    ) -> None:
+        """Write the progress and new results, by position, and add them to the job's view.
+
+        Until the outcome is known, the view answers no read at its end. It may be replaced during
+        the write.
+        """
         change = records.make_progress_change(job.keys, job.version, changed, results)
         job.is_writing = True
         if (view := self._views.get(job.head.job_id)) is not None:
@@ -424,13 +438,8 @@
         job.version = self._store.write(change)
         job.is_writing = False
         job.progress = changed
-        # The view may have been replaced during the write.
         if (view := self._views.get(job.head.job_id)) is not None:
             view.extend(list(results.values()))
-        job.unlisted = job.unlisted[len(group) :]
-        logger.bind(request_id=job.head.job_id, position=first, count=len(group)).info(
-            "results_listed"
-        )
 
     def _remove_if_old(self, job_id: str, head: records.JobHead) -> None:
         """Remove a job past its retention time if this instance is chosen to do so."""
