--- a/clementinepin/serving/_version_records.py
+++ b/clementinepin/serving/_version_records.py
@@ -94,18 +94,19 @@
         row = self._store.get(self._key)
         record = self._decode(row) if row is not None else None
         now, wall = self._clock.monotonic(), self._clock.wall()
-        if record is None and self._complete_since_ms is None:
-            self._complete_since_ms = 0 if is_first_start else int(wall * 1000)
-        known_ms = [ms for ms in (self._complete_since_ms,) if ms is not None]
         if record is not None:
-            known_ms.append(record.complete_since_ms)
-        self._complete_since_ms = min(known_ms)
-        complete_since = now - max(0.0, wall - self._complete_since_ms / 1000)
+            since_ms = record.complete_since_ms
+        else:
+            since_ms = 0 if is_first_start else int(wall * 1000)
+        if self._complete_since_ms is not None:
+            since_ms = min(since_ms, self._complete_since_ms)
+        self._complete_since_ms = since_ms
+        complete_since = now - max(0.0, wall - since_ms / 1000)
         versions = record.versions if record is not None else {}
         for streams in self._tables:
             stream_versions.merge_versions(streams, versions, complete_since, now)
         self._row = row or KeyValue(self._key, b"", 0)
-        log = logger.bind(versions=versions, complete_since_ms=self._complete_since_ms)
+        log = logger.bind(versions=versions, complete_since_ms=since_ms)
         log.bind(store_version=self._row.version).info("version_record_read")
 
     def _decode(self, row: KeyValue) -> VersionRecord | None:
