--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -133,7 +133,10 @@
 
 
 class FleetView:
-    """Follows configuration, targets and instances in the store, and registers this instance."""
+    """Follows configuration, targets and instances in the store, and registers this instance.
+
+    ``registration_listeners`` are called when others may have taken this instance for lost.
+    """
 
     def __init__(
         self,
