Let the target of a test respond once its silence was reported

Its log has a gap of 0.75 s, in which the process stood still, so that the timer of the report (0.4 s) and the request's time-out (0.8 s) were due in the same turn of the loop and the time-out came first.

The test was wrong to race two timers. Now the target responds only after the report, which is as strict: without a report before the end the test fails.

--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -220,9 +220,16 @@
 
 
 def test_a_silent_target_is_reported_before_its_request_ends(harness: Harness) -> None:
-    harness.set_route(resumable=False, timeout_s=0.8)
-    harness.add_target(ScriptedTarget(lambda sock, request: gevent.sleep(5)))
-    call(harness.port, ID)
+    harness.set_route(resumable=False)
+
+    def respond_once_reported(sock: Any, request: bytes) -> None:
+        with gevent.Timeout(4.0):
+            while not harness.slots.silent:
+                gevent.sleep(0.01)
+        sock.sendall(make_plain(b"answer"))
+
+    harness.add_target(ScriptedTarget(respond_once_reported))
+    assert call(harness.port, ID).endswith(b"answer")
     assert harness.slots.silent == [("t0", "q1")]
 
 
