Estimate the longest run of a request by its first event and its events

Found on a second reading: the longest run of a route fades within some hundred short ones, so that a stopping instance accepted a rare long stream too late, and cut it at its end.

Change: the time to the first event and between two events are kept, and a request is estimated by the events that it may bring.

--- a/clementinepin/entry/_drain.py
+++ b/clementinepin/entry/_drain.py
@@ -27,14 +27,14 @@
 
     def record_run(self, resource: str, started_at: float) -> None:
         """Record that a request of a resource, which started at ``started_at``, is complete."""
-        self._run_times.record(resource, self._core.clock.monotonic() - started_at, 0)
+        self._run_times.record(resource, self._core.clock.monotonic() - started_at)
 
     def check(self, resource: str) -> None:
         """Raise InstanceLeavingError with the addresses of other entries if it is too late."""
         if self.refuse_at is None:
             return
         now = self._core.clock.monotonic()
-        longest_s = self._run_times.estimate_longest(resource, 0) or 0.0
+        longest_s = self._run_times.estimate_longest(resource) or 0.0
         if now < min(self.refuse_at, find_latest_start(self.finish_by, float("inf"), longest_s)):
             return
         own = self._core.settings.instance.name
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -350,7 +350,9 @@
     def _log_end(self, call: Call, outcome: str) -> None:
         took_s = self._clock.monotonic() - call.started_at
         if outcome == "served":
-            self._run_times.record(call.route.name, took_s, call.facts.output_tokens_max)
+            first_s = call.first_byte_at - call.started_at
+            events = call.last_event_id - call.facts.last_event_id
+            self._run_times.record(call.route.name, took_s, first_s, events)
         self._metrics.count_request(outcome, took_s, call.waited_s)
         if call.relay:
             self._metrics.count_relayed("request")
--- a/clementinepin/systems/run_times.py
+++ b/clementinepin/systems/run_times.py
@@ -5,17 +5,22 @@
 from typing import Final, NamedTuple
 
 MEAN_WEIGHT: Final = 0.1  # of the newest run in a route's mean, which adapts in ten runs
-LONGEST_WEIGHT: Final = 0.02  # of a shorter newest run in a route's longest one
+LONGEST_WEIGHT: Final = 0.02  # of a shorter newest time in the longest one
 LONGEST_FACTOR: Final = 1.5  # for targets that turn slow
 SILENCE_S: Final = 1.4  # a sound target may fall silent for a second or so and go on
 
 
 class _RouteTimes(NamedTuple):
-    """Run times of one route in seconds; ``tokens`` is the highest output limit of its runs."""
+    """Run times of one route in seconds.
+
+    ``mean_s`` is the mean of whole runs. The others are the longest of recent runs, which fade
+    slowly: a whole run, its time to the first event, and its time between two events.
+    """
 
     mean_s: float
     longest_s: float
-    tokens: int
+    first_s: float
+    gap_s: float
 
 
 class RunTimes:
@@ -24,13 +29,18 @@
     def __init__(self) -> None:
         self._routes: dict[str, _RouteTimes] = {}
 
-    def record(self, route: str, took_s: float, tokens: int) -> None:
-        """Record a run that took ``took_s`` and might generate ``tokens``, 0 if unknown."""
-        former = self._routes.get(route, _RouteTimes(took_s, took_s, tokens))
-        mean_s = former.mean_s + MEAN_WEIGHT * (took_s - former.mean_s)
-        longest_s = former.longest_s + LONGEST_WEIGHT * (took_s - former.longest_s)
+    def record(self, route: str, took_s: float, first_s: float = 0.0, events: int = 0) -> None:
+        """Record a run that took ``took_s``.
+
+        An event stream also has the time to its first event, ``first_s``, and its events.
+        """
+        gap_s = (took_s - first_s) / events if events else 0.0
+        former = self._routes.get(route, _RouteTimes(took_s, took_s, first_s, gap_s))
         self._routes[route] = _RouteTimes(
-            mean_s, max(took_s, longest_s), max(tokens, former.tokens)
+            former.mean_s + MEAN_WEIGHT * (took_s - former.mean_s),
+            _fade(former.longest_s, took_s),
+            _fade(former.first_s, first_s),
+            _fade(former.gap_s, gap_s),
         )
 
     def get_mean(self, route: str) -> float | None:
@@ -38,15 +48,23 @@
         times = self._routes.get(route)
         return times.mean_s if times is not None else None
 
-    def estimate_longest(self, route: str, tokens: int) -> float | None:
+    def estimate_longest(self, route: str, events_max: int = 0) -> float | None:
         """Return the seconds that a request takes at most by the route's recent runs.
 
-        None if there were none. A request that may generate more than any of them takes longer.
+        None if there were none. A stream with more events than any of them takes longer.
+        ``events_max`` is 0 if it is unknown.
         """
         times = self._routes.get(route)
         if times is None:
             return None
-        return times.longest_s * max(1.0, tokens / times.tokens if times.tokens else 1.0)
+        if not events_max or not times.gap_s:
+            return times.longest_s
+        return times.first_s + events_max * times.gap_s
+
+
+def _fade(longest_s: float, newest_s: float) -> float:
+    """Return the longest time after a newer one: at once if it is longer, else a little less."""
+    return max(newest_s, longest_s + LONGEST_WEIGHT * (newest_s - longest_s))
 
 
 def find_latest_start(finish_by: float, ends_by: float, longest_s: float | None) -> float:
--- a/tests/serving/test_shutdown.py
+++ b/tests/serving/test_shutdown.py
@@ -89,7 +89,7 @@
 ) -> None:
     harness.set_route()
     harness.add_target(ScriptedTarget(make_plain(b"answer")))
-    harness.app._forwarder._run_times.record("r", 0.2, 0)
+    harness.app._forwarder._run_times.record("r", 0.2)
     assert serve_late(harness, 0.6).startswith(b"HTTP/1.1 200")
 
 
@@ -99,7 +99,7 @@
     """Guards against a queue from which requests start too late to end (review/3)."""
     harness.set_route()
     harness.slots.rejection = OverloadedError("no slot", 0.25)
-    harness.app._forwarder._run_times.record("r", 1.0, 0)
+    harness.app._forwarder._run_times.record("r", 1.0)
     asked: list[float] = []
     acquire = harness.slots.acquire
 
