Reload the settings in the signal's own handler again

Found on a second reading: one greenlet made all reloads, so that an unexpected error in one would have ended them all. Now only a SIGHUP that comes before the instance is made is remembered, and carried out once it is started.

--- a/clementinepin/_serving_daemon.py
+++ b/clementinepin/_serving_daemon.py
@@ -57,7 +57,7 @@
     path = os.environ.get(SETTINGS_VARIABLE, "")
     # Handled from before the settings are read, so that no change of them is missed.
     reload_requested = Event()
-    gevent.signal_handler(signal.SIGHUP, reload_requested.set)
+    early_reload = gevent.signal_handler(signal.SIGHUP, reload_requested.set)
     try:
         check_loop_backend()
         metrics_port = int(args["--metrics-port"])
@@ -83,10 +83,13 @@
         """Read the settings again, on SIGHUP and before a stop."""
         reload_settings(path, metrics_port, app, store.move)
 
+    gevent.signal_handler(signal.SIGHUP, reload)
+    early_reload.cancel()
     gevent.signal_handler(signal.SIGUSR1, dump_state, app)
     app.start()
     logger.bind(runs_jobs=settings.runs_jobs, data_centre=settings.data_centre).info("started")
-    gevent.spawn(run_reloads, reload_requested, reload)
+    if reload_requested.is_set():
+        reload()
     stop_requested.wait()
     reload()  # the file limits how long a stop takes and may have changed without a signal
     logger.info("stopping")
@@ -95,14 +98,6 @@
     return 0
 
 
-def run_reloads(requested: Event, reload: Callable[[], None]) -> None:
-    """Call ``reload`` for each request, until killed."""
-    while True:
-        requested.wait()
-        requested.clear()
-        reload()
-
-
 def reload_settings(
     path: str, metrics_port: int, app: App, move_store: Callable[[tuple[str, int]], None]
 ) -> None:
