Name in the log why an item gives up its wait or its slot when its route moves

Found on a second reading: an item whose route had left its service was logged as if its caller had left, and one that gave a slot back had no reason at all.

Evidence: the test of the moved route asks for the reason, which failed before.

--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -113,6 +113,7 @@
         self._routes_changed = Event()
         for run, service in list(self._waiting.items()):
             if not self._leads_to(run, service):
+                self._log_wait(run, f"its route has left service {service!r}")
                 run.cancel_wait()
 
     def _leads_to(self, run: ItemRun, service: str) -> bool:
@@ -245,7 +246,11 @@
     def _use_slot(self, run: ItemRun, route: Route, slot: Slot) -> RunOutcome:
         version = run.software_version or slot.software_version
         target = self._fleet.targets.find_usable(slot.target_id, version)
-        if target is None or run.cancelled or not self._leads_to(run, route.shares[0].service):
+        service = route.shares[0].service
+        if not self._leads_to(run, service):
+            self._log_wait(run, f"its route has left service {service!r}")
+            return RunOutcome.CANCELLED
+        if target is None or run.cancelled:
             return RunOutcome.CANCELLED
         run.resumed_at_event_id = run.last_event_id
         run.target_version = target.software_version
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -159,7 +159,7 @@
         self._decides_alone = False
         waiter = _Waiter(request)
         self._waiters[number] = waiter
-        on_waiting(lambda: waiter.result.set(CallerGoneError("the caller left the queue")))
+        on_waiting(lambda: waiter.result.set(CallerGoneError("the wait for a slot was cancelled")))
         try:
             self._link.send(
                 make_request_message(
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -440,8 +440,12 @@
     waiting = start_items(harness, 3, "/x/1")
     gevent.sleep(0.02)
     assert {run.state for run in waiting} == {None}
+    reasons: list[str] = []
+    sink = logger.add(lambda m: reasons.append(m.record["extra"].get("reason", "")), level="INFO")
     set_routes(harness, x="llm")
+    logger.remove(sink)
     wait_until_completed(waiting)
+    assert reasons == ["its route has left service 'former'"] * 3
 
 
 def test_an_item_whose_route_moved_during_its_wait_uses_no_slot_of_the_former_service():
