Doubt the registration of an instance whose machine was suspended

Found on a second reading: the monotonic clock stands still while a machine is suspended, so that for up to 1.5 s after it woke an instance served jobs from memory that others might have taken over.

Change: the registration is valid only if the wall clock agrees. A step of the wall clock costs reads of the store until the next renewal.

Evidence: test_a_registration_is_not_valid_after_the_machine_was_suspended failed before.

--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -156,6 +156,7 @@
         self._members_prefix = wire.own_prefix + "nodes/"
         self._lease_id = 0
         self._registered_until = 0.0
+        self._registered_until_wall = 0.0
         self.registration_listeners: list[Callable[[], None]] = []
         self._started_ms = int(clock.wall() * 1000)
         self.leaving = False
@@ -184,8 +185,14 @@
         self._greenlets.append(gevent.spawn(self._prune))
 
     def is_registration_valid(self) -> bool:
-        """Return whether it is certain that no other instance considers this one lost."""
-        return self._clock.monotonic() < self._registered_until
+        """Return whether it is certain that no other instance considers this one lost.
+
+        The monotonic clock stands still while the machine is suspended, the wall clock does not.
+        """
+        return (
+            self._clock.monotonic() < self._registered_until
+            and self._clock.wall() < self._registered_until_wall
+        )
 
     def announce_leaving(self) -> None:
         """Register this instance as leaving, so that it gets no new callers."""
@@ -267,9 +274,9 @@
                         self._handle_registration_lost()
                     self._register()
                 else:
-                    sent_at = self._clock.monotonic()
+                    sent_at, sent_wall = self._clock.monotonic(), self._clock.wall()
                     self._store.keep_lease(self._lease_id)
-                    self._registered_until = sent_at + REGISTRATION_VALID_S
+                    self._record_registered(sent_at, sent_wall)
             except LeaseLostError:
                 logger.bind(lease=self._lease_id).warning("registration_lost")
                 self._handle_registration_lost()
@@ -294,9 +301,14 @@
             self._lease_id = self._store.grant_lease(LEASE_S).lease_id
         value = msgspec.msgpack.encode(self._describe_self())
         key = self._members_prefix + self._settings.name
-        sent_at = self._clock.monotonic()
+        sent_at, sent_wall = self._clock.monotonic(), self._clock.wall()
         self._store.write(Change({}, {key: value}, lease_id=self._lease_id))
+        self._record_registered(sent_at, sent_wall)
+
+    def _record_registered(self, sent_at: float, sent_wall: float) -> None:
+        """Record that the store confirmed the registration by a call that was sent at a time."""
         self._registered_until = sent_at + REGISTRATION_VALID_S
+        self._registered_until_wall = sent_wall + REGISTRATION_VALID_S
 
     def _prune(self) -> None:
         while True:
--- a/tests/serving/test_fleet.py
+++ b/tests/serving/test_fleet.py
@@ -249,3 +249,26 @@
     assert lost == [False, False]
     assert view.is_registration_valid()
     keeper.kill()
+
+
+class SuspendedClock(ManualClock):
+    """A clock whose monotonic time stands still while the machine is suspended."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.suspended_s = 0.0
+
+    def wall(self) -> float:
+        return self.now + self.suspended_s
+
+
+def test_a_registration_is_not_valid_after_the_machine_was_suspended() -> None:
+    """Guards against a former owner that wakes and serves its jobs from memory."""
+    clock = SuspendedClock()
+    view = FleetView(SETTINGS, MemoryStore(), create_wire(), clock, StoreOutages(clock))
+    keeper = gevent.spawn(view._keep_registered)
+    gevent.sleep(0.01)
+    assert view.is_registration_valid()
+    clock.suspended_s = 5.0
+    assert not view.is_registration_valid()
+    keeper.kill()
