--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -6,19 +6,17 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Callable
 from typing import Final
 
 import gevent
-from gevent.event import Event
-from gevent.lock import BoundedSemaphore
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.texts import count_bytes
 from clementinepin.serving._events import EventSplitter
 from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._item_routes import ItemRoutes, get_service
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
@@ -37,9 +35,6 @@
     TargetProtocolError,
 )
 
-# Items of a service running or waiting for a slot on an instance. A few instances must fill all
-# slots.
-CONCURRENT_ITEMS_MAX: Final = 200
 FIRST_RESPONSE_TIMEOUT_S: Final = 4.0  # a slot is free, so a longer wait means a stalled target
 TEXT_MAX_BYTES: Final = 700_000  # in base64 it fits into a value of the store, 1 MiB
 RUN_MAX_S: Final = 30.0  # several times the longest item on the slowest engine
@@ -58,9 +53,7 @@
 class ItemRunner:
     """Runs items until they are completed, dead or cancelled.
 
-    ``_places`` bounds the items of each service that run or wait for a slot. An item holds a place
-    of the service to which its route leads, and none while it has no route. ``_waiting`` has the
-    items that wait for a slot, with the service for whose slots they wait.
+    An item holds a place of the service to which its route leads, and none while it has no route.
     """
 
     def __init__(
@@ -81,12 +74,7 @@
         self._wire = wire
         self._clock = clock
         self._event_gaps: dict[str, float] = {}
-        self._places: defaultdict[str, BoundedSemaphore] = defaultdict(
-            lambda: BoundedSemaphore(CONCURRENT_ITEMS_MAX)
-        )
-        self._waiting: dict[ItemRun, str] = {}
-        self._routes_changed = Event()
-        fleet.configuration.listeners.append(self._handle_configuration)
+        self._routes = ItemRoutes(fleet.configuration, self._leave_service)
 
     def run(self, run: ItemRun) -> None:
         """Run the item until it is completed, dead or cancelled.
@@ -95,36 +83,27 @@
         hundreds of items waiting. Items of other services run meanwhile.
         """
         while run.state is None and not run.cancelled:
-            route = self._find_route(run)
+            route = self._routes.find_route(run)
             if route is None:
                 self._wait_for_route(run)
                 continue
-            service = route.shares[0].service
-            with self._places[service]:
+            service = get_service(route)
+            with self._routes.take_place(service):
                 self._run_at(run, service)
 
-    def _handle_configuration(self) -> None:
-        """End the waits for slots of services that their items' routes have left.
+    def _leave_service(self, run: ItemRun, service: str) -> None:
+        """End an item's wait for a slot of a service that its route has left.
 
         Load pattern: the operators move a route and then take the targets of its former service
         away, while items wait for their slots.
         """
-        self._routes_changed.set()
-        self._routes_changed = Event()
-        for run, service in list(self._waiting.items()):
-            if not self._leads_to(run, service):
-                self._log_wait(run, f"its route has left service {service!r}")
-                run.cancel_wait()
-
-    def _leads_to(self, run: ItemRun, service: str) -> bool:
-        """Return whether the item's route leads to a service."""
-        route = self._find_route(run)
-        return route is not None and route.shares[0].service == service
+        self._log_wait(run, f"its route has left service {service!r}")
+        run.cancel_wait()
 
     def _wait_for_route(self, run: ItemRun) -> None:
         if not self._give_up_expired(run):
             self._log_wait(run, "no route")
-            self._routes_changed.wait(ROUTE_PAUSE_S)
+            self._routes.wait_for_change(ROUTE_PAUSE_S)
 
     def _give_up_expired(self, run: ItemRun) -> bool:
         """Mark the item dead if it has expired, and return whether it has."""
@@ -136,8 +115,8 @@
     def _run_at(self, run: ItemRun, service: str) -> None:
         """Run the item until it is done or cancelled, or its route leads elsewhere or nowhere."""
         while run.state is None and not run.cancelled:
-            route = self._find_route(run)
-            if route is None or not self._leads_to(run, service) or self._give_up_expired(run):
+            route = self._routes.find_route(run)
+            if route is None or get_service(route) != service or self._give_up_expired(run):
                 return
             self._check_version(run, route)
             outcome = self._run_once(run, route)
@@ -147,7 +126,7 @@
 
     def _check_version(self, run: ItemRun, route: Route) -> None:
         """Begin an item again if all targets of its events' software version are gone."""
-        service = route.shares[0].service
+        service = get_service(route)
         versions = {
             target.software_version
             for target in self._fleet.targets.rows.values()
@@ -163,12 +142,6 @@
         ).info("item_begun_again")
         run.begin_again()
 
-    def _find_route(self, run: ItemRun) -> Route | None:
-        configuration = self._fleet.configuration.current
-        if configuration is None:
-            return None
-        return configuration.find_route(run.head.host, run.item.path.partition("?")[0])
-
     def _run_once(self, run: ItemRun, route: Route) -> RunOutcome:
         """Acquire a slot, run the item on it once and return how that ended."""
         run.abort = Abort()
@@ -176,16 +149,14 @@
         run.retry_after_s = 0.0
         run.framing = ""
         request = self._make_slot_request(run, route)
-        self._waiting[run] = request.service
         try:
-            slot = self._slots.acquire(request, self._make_cancel_setter(run))
+            with self._routes.watch(run, request.service):
+                slot = self._slots.acquire(request, self._make_cancel_setter(run))
         except (OverloadedError, CallerGoneError) as err:
             self._log_wait(run, str(err))
             if isinstance(err, OverloadedError):
                 run.retry_after_s = min(err.retry_after_s, RETRY_PAUSE_MAX_S)
             return RunOutcome.REFUSED
-        finally:
-            self._waiting.pop(run, None)
         run.wait_reason = ""
         outcome = RunOutcome.CANCELLED
         granted_at = self._clock.monotonic()
@@ -233,7 +204,7 @@
         now = self._clock.monotonic()
         due_in_s = run.head.due_ms / 1000 - self._clock.wall()
         return SlotRequest(
-            service=route.shares[0].service,
+            service=get_service(route),
             is_batch=True,
             on_time_by=now + due_in_s - run_s,
             deadline=now + max(0.0, run.head.expires_ms / 1000 - self._clock.wall()),
@@ -246,8 +217,8 @@
     def _use_slot(self, run: ItemRun, route: Route, slot: Slot) -> RunOutcome:
         version = run.software_version or slot.software_version
         target = self._fleet.targets.find_usable(slot.target_id, version)
-        service = route.shares[0].service
-        if not self._leads_to(run, service):
+        service = get_service(route)
+        if not self._routes.leads_to(run, service):
             self._log_wait(run, f"its route has left service {service!r}")
             return RunOutcome.CANCELLED
         if target is None or run.cancelled:
