--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any, Final
 
 import gevent
@@ -17,23 +16,21 @@
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rendezvous import choose_owner
-from clementinepin.helpers.texts import count_bytes
-from clementinepin.infrastructure import KeyValue, StateStore
+from clementinepin.infrastructure import StateStore
 from clementinepin.serving import _job_records as records
-from clementinepin.serving._checkpoints import CHECKPOINT_PERIOD_S, CheckpointKeeper, ItemCheckpoint
+from clementinepin.serving._checkpoints import CHECKPOINT_PERIOD_S, CheckpointKeeper
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._item_run import ItemRunner
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._job_views import JobView, JobViews
 from clementinepin.serving._links import LinkServer
+from clementinepin.serving._owned_job import OwnedJob, choose_write_group
 from clementinepin.serving.models import InstanceSettings, ItemResult, ItemState
-from clementinepin.serving.store import StoreFollower
+from clementinepin.serving.store import PrefixListener, StoreFollower
 from clementinepin.serving.wire import Wire
 from clementinepin.tables.mechanisms import Mechanism
 
 RESULT_GROUPING_S: Final = 0.3  # results of a job that finish within this time share a write
-RESULTS_PER_WRITE_MAX: Final = 28  # the store accepts 32 entries per write
-TEXT_BYTES_PER_WRITE_MAX: Final = 2_000_000  # keeps a write short on a slow link
 JOB_CHECK_PERIOD_S: Final = 0.5  # limits how soon jobs of a lost owner are taken over
 STORE_RETRY_S: Final = 0.3
 TAKEOVER_DELAY_S: Final = 1.0  # a killed process restarts within this time and resumes its own jobs
@@ -41,63 +38,6 @@
 REMOVAL_MARGIN_S: Final = 10.0
 
 
-class _OwnedJob:
-    """A job that this instance runs.
-
-    ``unlisted`` holds finished runs whose results are not listed yet, and ``changed`` is set when
-    one is added or the job is stopped. ``version`` is the store's version of ``progress``.
-    ``is_owned_elsewhere`` is set when another live instance owns the job, ``must_confirm`` while
-    that is possible because this instance's registration was lost. ``is_writing`` is set from the
-    start of a write of results until its outcome is known.
-    """
-
-    def __init__(self, head: records.JobHead, keys: records.JobKeys) -> None:
-        self.head = head
-        self.keys = keys
-        self.progress: records.JobProgress | None = None
-        self.version = 0
-        self.unlisted: list[ItemRun] = []
-        self.changed = Event()
-        self.runs: dict[str, ItemRun] = {}
-        self.greenlet: gevent.Greenlet | None = None
-        self.stopped = False
-        self.is_owned_elsewhere = False
-        self.must_confirm = False
-        self.is_writing = False
-        self.restored: dict[str, ItemCheckpoint] = {}
-
-    def stop(self) -> None:
-        """Cancel all runs; no further results are listed."""
-        self.stopped = True
-        for run in self.runs.values():
-            run.cancel()
-        self.changed.set()
-
-
-class _PrefixListener:
-    """Passes each row under a key prefix to a handler, by the key without the prefix."""
-
-    def __init__(self, prefix: str, handle_value: Callable[[str, bytes | None], None]) -> None:
-        self._prefix = prefix
-        self._handle_value = handle_value
-        self._known: set[str] = set()
-
-    def replace_rows(self, rows: list[KeyValue]) -> None:
-        """Handle all rows, and as removed those that were known and are missing now."""
-        for key in self._known - {row.key for row in rows}:
-            self.apply_change(key, None, 0)
-        for row in rows:
-            self.apply_change(row.key, row.value, row.version)
-
-    def apply_change(self, key: str, value: bytes | None, version: int) -> None:
-        """Handle one changed or removed row."""
-        if value is None:
-            self._known.discard(key)
-        else:
-            self._known.add(key)
-        self._handle_value(key.removeprefix(self._prefix), value)
-
-
 class JobRunner:
     """Runs the jobs that this instance owns, takes over those of lost owners and lists results.
 
@@ -128,7 +68,7 @@
         self._heads: dict[str, records.JobHead] = {}
         self._ended: set[str] = set()
         self._finished: set[str] = set()
-        self._jobs: dict[str, _OwnedJob] = {}
+        self._jobs: dict[str, OwnedJob] = {}
         self._alive_until: dict[str, float] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._check_requested = Event()
@@ -138,7 +78,7 @@
         self.status_retention_s = settings.status_retention_s
         prefix = wire.own_prefix
         self._followers = [
-            StoreFollower(store, prefix + name, _PrefixListener(prefix + name, handle), clock)
+            StoreFollower(store, prefix + name, PrefixListener(prefix + name, handle), clock)
             for name, handle in (
                 (records.ANNOUNCEMENTS_PREFIX, self._handle_announcement),
                 (records.END_MARKS_PREFIX, self._handle_end_mark),
@@ -233,7 +173,7 @@
                 continue
             owner = head.owner if head.owner in alive else choose_owner(job_id, alive)
             if owner == self._settings.name:
-                job = _OwnedJob(head, records.JobKeys(self._wire.own_prefix, job_id))
+                job = OwnedJob(head, records.JobKeys(self._wire.own_prefix, job_id))
                 self._jobs[job_id] = job
                 job.greenlet = gevent.spawn(self._run_job, job_id, job)
         for job_id in list(self._finished):
@@ -267,7 +207,7 @@
         self._alive_until[self._settings.name] = now + TAKEOVER_DELAY_S
         return {name for name, until in self._alive_until.items() if now < until}
 
-    def _run_job(self, job_id: str, job: _OwnedJob) -> None:
+    def _run_job(self, job_id: str, job: OwnedJob) -> None:
         """Run a job until it is finished or stopped; start again after an error."""
         try:
             while not job.stopped:
@@ -285,7 +225,7 @@
             self._jobs.pop(job_id, None)
             self._checkpoints.forget(job.keys.checkpoint)
 
-    def _load(self, job: _OwnedJob) -> None:
+    def _load(self, job: OwnedJob) -> None:
         """Read the job's progress and make this instance its owner if the recorded one is lost.
 
         Stops the job if it has ended or if the recorded owner is alive.
@@ -309,14 +249,14 @@
             self._restore(job)
             self._publish_view(job)
 
-    def _restore(self, job: _OwnedJob) -> None:
+    def _restore(self, job: OwnedJob) -> None:
         """Read the checkpoint of an earlier process; a job younger than the period has none."""
         age_s = self._clock.wall() - job.head.created_ms / 1000
         if job.progress is None or not job.progress.is_open or age_s < CHECKPOINT_PERIOD_S:
             return
         job.restored = self._checkpoints.restore(job.keys.checkpoint, job.progress.failures)
 
-    def _publish_view(self, job: _OwnedJob) -> None:
+    def _publish_view(self, job: OwnedJob) -> None:
         """Serve reads of the job from memory, starting with the results listed so far.
 
         Does nothing if a write of results is completed meanwhile; then the job is to be confirmed
@@ -346,7 +286,7 @@
         head = self._heads.get(job_id)
         return head.owner if head is not None and head.owner != self._settings.name else ""
 
-    def _run_items(self, job: _OwnedJob) -> None:
+    def _run_items(self, job: OwnedJob) -> None:
         """Start a run for each item that has neither a listed result nor a run."""
         progress = job.progress
         if progress is None or job.stopped or not progress.is_open:
@@ -363,7 +303,7 @@
                 )
             gevent.spawn(self._run_item, job, run)
 
-    def _run_item(self, job: _OwnedJob, run: ItemRun) -> None:
+    def _run_item(self, job: OwnedJob, run: ItemRun) -> None:
         """Run one item and queue its result to be listed."""
         if not job.stopped:
             self._items.run(run)
@@ -371,7 +311,7 @@
             job.unlisted.append(run)
             job.changed.set()
 
-    def _list_results(self, job: _OwnedJob) -> None:
+    def _list_results(self, job: OwnedJob) -> None:
         """Write results as runs finish, until all items are listed or the job is stopped."""
         while not job.stopped and job.progress is not None and job.progress.is_open:
             if not job.unlisted:
@@ -385,7 +325,7 @@
             while job.unlisted and not job.stopped:
                 self._write_results(job)
 
-    def _write_results(self, job: _OwnedJob) -> None:
+    def _write_results(self, job: OwnedJob) -> None:
         """Append a group of results in one conditional write.
 
         Raises VersionConflictError if another owner changed the progress meanwhile.
@@ -424,7 +364,7 @@
         )
 
     def _store_progress(
-        self, job: _OwnedJob, changed: records.JobProgress, results: dict[int, ItemResult]
+        self, job: OwnedJob, changed: records.JobProgress, results: dict[int, ItemResult]
     ) -> None:
         """Write the progress and new results, by position, and add them to the job's view.
 
@@ -455,15 +395,3 @@
         for change in records.make_removal(keys, version, progress, head.parts):
             self._store.write(change)
         logger.bind(request_id=job_id, age_s=round(age_s)).info("job_removed")
-
-
-def choose_write_group(runs: list[ItemRun]) -> list[ItemRun]:
-    """Return the leading runs whose results fit into one write, at least one if there is any."""
-    group: list[ItemRun] = []
-    size = 0
-    for run in runs[:RESULTS_PER_WRITE_MAX]:
-        size += count_bytes(run.texts)
-        if group and size > TEXT_BYTES_PER_WRITE_MAX:
-            break
-        group.append(run)
-    return group
--- a/clementinepin/serving/store.py
+++ b/clementinepin/serving/store.py
@@ -172,3 +172,27 @@
         # entries that only expired during an outage.
         if self._failures > 1:
             self.version = -1
+
+
+class PrefixListener:
+    """Passes each row under a key prefix to a handler, by the key without the prefix."""
+
+    def __init__(self, prefix: str, handle_value: Callable[[str, bytes | None], None]) -> None:
+        self._prefix = prefix
+        self._handle_value = handle_value
+        self._known: set[str] = set()
+
+    def replace_rows(self, rows: list[KeyValue]) -> None:
+        """Handle all rows, and as removed those that were known and are missing now."""
+        for key in self._known - {row.key for row in rows}:
+            self.apply_change(key, None, 0)
+        for row in rows:
+            self.apply_change(row.key, row.value, row.version)
+
+    def apply_change(self, key: str, value: bytes | None, version: int) -> None:
+        """Handle one changed or removed row."""
+        if value is None:
+            self._known.discard(key)
+        else:
+            self._known.add(key)
+        self._handle_value(key.removeprefix(self._prefix), value)
--- a/tests/serving/test_item_routes.py
+++ b/tests/serving/test_item_routes.py
@@ -98,8 +98,9 @@
     harness.runner._slots.target_ids.append("t0")
     set_routes(harness, x="former")
     waiting = start_items(harness, 3, "/x/1")
-    gevent.sleep(0.02)
-    assert {run.state for run in waiting} == {None}
+    with gevent.Timeout(5.0):
+        while len(harness.runner._routes._waiting) < 3:
+            gevent.sleep(0.01)
     reasons: list[str] = []
     sink = logger.add(lambda m: reasons.append(m.record["extra"].get("reason", "")), level="INFO")
     set_routes(harness, x="llm")
--- /dev/null
+++ b/tests/serving/test_owner_reads.py
@@ -0,0 +1,186 @@
+"""Reads of a job's results from its owner, during writes and after a lost registration."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+import pytest
+from gevent.event import AsyncResult
+
+from clementinepin.infrastructure import Change, Page
+from clementinepin.infrastructure.exceptions import ReplyLostError
+from clementinepin.serving import _job_records as records
+from clementinepin.serving import _messages as messages
+from clementinepin.serving._item_state import ItemRun
+from clementinepin.serving._runner import JobRunner
+from clementinepin.serving.models import ItemState
+from tests.serving.memory_store import MemoryStore
+from tests.serving.test_runner import (
+    FakeItems,
+    read_listed,
+    start_runner,
+    submit,
+    wait_until,
+)
+
+
+@pytest.fixture(autouse=True)
+def _short_periods(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("RESULT_GROUPING_S", "STORE_RETRY_S", "JOB_CHECK_PERIOD_S"):
+        monkeypatch.setattr(f"clementinepin.serving._runner.{name}", 0.001)
+
+
+def read_from_owner(runner: JobRunner, after: int = 0) -> messages.JobPage:
+    return runner._views.answer(messages.ReadJob(1, "j1", after, 0.0))
+
+
+class SlowStore(MemoryStore):
+    """Applies writes at once; their replies come when the test lets them, or never."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.holds = False
+        self.held: list[AsyncResult] = []
+
+    def write(self, change: Change) -> int:
+        version = super().write(change)
+        if self.holds:
+            reply: AsyncResult = AsyncResult()
+            self.held.append(reply)
+            reply.get()
+        return version
+
+
+def test_a_job_that_is_ended_while_a_write_is_lost_is_read_from_the_store() -> None:
+    """Guards against results that were read and then missing for good (day hushed)."""
+    store = SlowStore()
+    runner = start_runner(store, FakeItems())
+    store.holds = True
+    keys = submit(store, 2)
+    wait_until(lambda: bool(store.held))
+    assert len(read_listed(store, keys)) == 2
+    runner._handle_end_mark("j1", b"1")
+    store.held[0].set_exception(ReplyLostError("no reply"))
+    gevent.sleep(0.05)
+    assert not read_from_owner(runner).known
+
+
+def test_a_result_whose_write_is_under_way_is_read_from_the_store() -> None:
+    """Guards against a reader that misses what another one has read from the store."""
+    store = SlowStore()
+    runner = start_runner(store, FakeItems())
+    store.holds = True
+    submit(store, 2)
+    wait_until(lambda: bool(store.held))
+    assert not read_from_owner(runner).known
+    store.held[0].set(None)
+    wait_until(lambda: read_from_owner(runner).known)
+    assert len(read_from_owner(runner).results) == 2
+
+
+class HalfStuckItems(FakeItems):
+    """Completes the first item only."""
+
+    def run(self, run: ItemRun) -> None:
+        if run.item.item_id == "i0":
+            super().run(run)
+        else:
+            gevent.sleep(3600.0)
+
+
+def test_a_job_is_not_read_from_an_owner_that_may_have_lost_it() -> None:
+    """Guards against a former owner that registers again and serves what it knew."""
+    store = MemoryStore()
+    runner = start_runner(store, HalfStuckItems())
+    keys = submit(store, 2)
+    wait_until(lambda: len(read_from_owner(runner).results) == 1)
+    fleet = runner._fleet
+    fleet.lose_registration()  # type: ignore[attr-defined]
+    progress, version = records.fetch_progress(store, keys)
+    taken = records.JobProgress("r", "store-2", 2, 0, False, progress.listed)
+    store.apply(records.make_progress_change(keys, version, taken))
+    fleet.is_registered = True  # type: ignore[attr-defined]
+    gevent.sleep(0.05)
+    assert not read_from_owner(runner, 1).known
+
+
+def test_an_owner_that_registered_again_serves_its_jobs_after_a_check() -> None:
+    store = MemoryStore()
+    runner = start_runner(store, HalfStuckItems())
+    submit(store, 2)
+    wait_until(lambda: len(read_from_owner(runner).results) == 1)
+    fleet = runner._fleet
+    fleet.lose_registration()  # type: ignore[attr-defined]
+    assert not read_from_owner(runner).known
+    fleet.is_registered = True  # type: ignore[attr-defined]
+    wait_until(lambda: read_from_owner(runner).known)
+
+
+def test_a_view_that_is_replaced_during_a_write_gets_its_results() -> None:
+    """Guards against an owner that registers again during a write and then serves too few."""
+    store = SlowStore()
+    runner = start_runner(store, HalfStuckItems())
+    store.holds = True
+    keys = submit(store, 2)
+    wait_until(lambda: bool(store.held))
+    job = runner._jobs["j1"]
+    runner._fleet.lose_registration()  # type: ignore[attr-defined]
+    assert runner._views.get("j1") is None
+    runner._publish_view(job)  # as if it was confirmed before the store applied the write
+    assert not read_from_owner(runner).known
+    runner._fleet.is_registered = True  # type: ignore[attr-defined]
+    store.held[0].set(store.rows[keys.progress].version)
+    wait_until(lambda: read_from_owner(runner).known)
+    assert len(read_from_owner(runner).results) == 1
+
+
+def complete_item(job: Any, item_id: str) -> None:
+    (run,) = [run for run in job.runs.values() if run.item.item_id == item_id]
+    run.state = ItemState.COMPLETED
+    job.unlisted.append(run)
+
+
+def test_a_view_that_is_published_during_a_write_lists_each_result_once() -> None:
+    """Guards against an item at two positions: the store had the results before the reply came.
+
+    lakaz-serve, deploy/days/platform-down-choices.toml --vary --seed 49098999211
+    """
+    store = SlowStore()
+    runner = start_runner(store, HalfStuckItems())
+    keys = submit(store, 3)
+    wait_until(lambda: len(read_from_owner(runner).results) == 1)
+    job = runner._jobs["j1"]
+    store.holds = True
+    complete_item(job, "i1")
+    job.changed.set()
+    wait_until(lambda: bool(store.held))
+    runner._fleet.lose_registration()  # type: ignore[attr-defined]
+    runner._publish_view(job)  # as if it was confirmed before the store applied the write
+    runner._fleet.is_registered = True  # type: ignore[attr-defined]
+    store.held[0].set(store.rows[keys.progress].version)
+    wait_until(lambda: not job.is_writing and len(read_from_owner(runner).results) > 1)
+    assert [row[0] for row in read_from_owner(runner).results] == ["i0", "i1"]
+
+
+def test_a_view_lacks_nothing_of_a_write_that_is_completed_while_it_is_made() -> None:
+    """Guards against an owner that serves the results before a write for good."""
+    store = MemoryStore()
+    runner = start_runner(store, HalfStuckItems())
+    submit(store, 3)
+    wait_until(lambda: len(read_from_owner(runner).results) == 1)
+    job = runner._jobs["j1"]
+    runner._fleet.lose_registration()  # type: ignore[attr-defined]
+    list_page = store.list_page
+
+    def complete_write(prefix: str, after: str) -> Page:
+        page = list_page(prefix, after)
+        store.list_page = list_page  # type: ignore[method-assign]
+        complete_item(job, "i1")
+        runner._write_results(job)
+        return page
+
+    store.list_page = complete_write  # type: ignore[method-assign]
+    runner._fleet.is_registered = True  # type: ignore[attr-defined]
+    wait_until(lambda: read_from_owner(runner).known)
+    assert [row[0] for row in read_from_owner(runner).results] == ["i0", "i1"]
--- a/tests/serving/test_text_sizes.py
+++ b/tests/serving/test_text_sizes.py
@@ -6,7 +6,7 @@
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._job_views import PAGE_TEXT_MAX_BYTES, JobView, JobViews
 from clementinepin.serving._messages import ReadJob
-from clementinepin.serving._runner import TEXT_BYTES_PER_WRITE_MAX, choose_write_group
+from clementinepin.serving._owned_job import TEXT_BYTES_PER_WRITE_MAX, choose_write_group
 from clementinepin.serving.models import ItemResult, ItemState
 from tests.serving.parts import make_head, make_items
 
