--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,7 +25,8 @@
 
 Usage:
   soak [--seeds LIST] [--count N] [--first N] [--seconds S] [--rate R] [--fronts N] [--runners N]
-       [--targets N] [--start S] [--net N] [--keep FOLDER] [--beside FOLDER]
+       [--targets N] [--start S] [--net N] [--keep FOLDER] [--beside FOLDER] [--build FOLDER]
+       [--kinds WORDS]
 
 Options:
   --seeds LIST     Seeds, separated by commas.
@@ -41,6 +42,9 @@
                    soak on this machine uses.
   --beside FOLDER  Checkout of another build, whose daemons run beside those of this one on the same
                    store; each restart of an instance changes its build.
+  --build FOLDER   Checkout of another build, whose daemons run in place of those of this one.
+  --kinds WORDS    Words, separated by commas: only faults whose name has one of them are injected,
+                   and the checks that follow the faults are left out.
   --keep FOLDER    Folder that keeps the logs of failed seeds.
 """
 NETS = range(1, 250)
@@ -60,9 +64,10 @@
         runners=int(args["--runners"]),
         targets=int(args["--targets"]),
         net=net,
-        builds=(ROOT, Path(args["--beside"]).resolve()) if args["--beside"] else (ROOT,),
+        builds=choose_builds(args),
     )
-    callers, faults = Callers(fleet, seed), Faults(fleet, seed)
+    kinds = args["--kinds"].split(",") if args["--kinds"] else []
+    callers, faults = Callers(fleet, seed), Faults(fleet, seed, kinds)
     try:
         gevent.sleep(float(args["--start"]))
         until = fleet.now() + float(args["--seconds"])
@@ -76,12 +81,8 @@
         gevent.joinall([sender, injector])
         faults.end_all()
         await_jobs(fleet, callers)
-        if not fleet.has_two_builds:
-            check_crashing_part(fleet, callers, float(args["--rate"]))
-            check_limits(fleet, callers, float(args["--rate"]))
-            check_cut_links(fleet, callers, float(args["--rate"]))
-            check_leaving(fleet, callers, float(args["--rate"]))
-            check_planned_stop(fleet, callers)
+        if not (fleet.has_two_builds or kinds):
+            check_calm(fleet, callers, float(args["--rate"]))
         callers.check_runs()
         if not callers.statuses.get(200):
             callers.broken.append("no caller was served")
@@ -97,6 +98,21 @@
     return callers.broken
 
 
+def choose_builds(args: dict[str, str]) -> tuple[Path, ...]:
+    """Return the checkouts whose daemons run beside each other."""
+    build = Path(args["--build"]).resolve() if args["--build"] else ROOT
+    return (build, Path(args["--beside"]).resolve()) if args["--beside"] else (build,)
+
+
+def check_calm(fleet: Fleet, callers: Callers, rate: float) -> None:
+    """Check the guarantees that need a fleet without other faults."""
+    check_crashing_part(fleet, callers, rate)
+    check_limits(fleet, callers, rate)
+    check_cut_links(fleet, callers, rate)
+    check_leaving(fleet, callers, rate)
+    check_planned_stop(fleet, callers)
+
+
 def list_unexpected_ends(fleet: Fleet) -> list[str]:
     """Return a line for each daemon that ended by itself."""
     for instance in fleet.instances:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -8,7 +8,7 @@
 
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import gevent
@@ -17,9 +17,12 @@
 
 
 class Faults:
-    """Injects faults; ``log`` has a line with the time in seconds and the kind of each."""
+    """Injects faults; ``log`` has a line with the time in seconds and the kind of each.
 
-    def __init__(self, fleet: Fleet, seed: int) -> None:
+    With ``words`` only kinds whose name has one of them are injected.
+    """
+
+    def __init__(self, fleet: Fleet, seed: int, words: Collection[str] = ()) -> None:
         self._fleet = fleet
         self._random = random.Random(seed)
         self.log: list[str] = []
@@ -59,6 +62,8 @@
                 ("target writes errors", lambda: self._spoil("errors_to_write")),
                 ("target truncates heads", lambda: self._spoil("heads_to_truncate")),
             ]
+        if words:
+            self._kinds = [k for k in self._kinds if any(word in k[0] for word in words)]
         self._version = 1
 
     def run(self, until: float, pause_s: float) -> None:
