--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -225,12 +225,14 @@
         for name in names:
             self._fleet.add_target(f"{name}k", later)
         gevent.sleep(self._random.uniform(0.5, 1.5))
+        names = [name for name in names if name in self._fleet.targets]
         for name in names:
-            if name in self._fleet.targets:
-                self._fleet.remove_target(name)
-        gevent.sleep(self._random.uniform(0.0, 0.3))
+            self._fleet.unregister_target(name)
+        gevent.sleep(self._random.uniform(0.0, 0.2))
         killed = [i for i in self._fleet.instances if i.is_front or not only_fronts]
         gevent.joinall([gevent.spawn(self._restart_instance, i, signal.SIGKILL) for i in killed])
+        for name in names:
+            self._fleet.remove_target(name)
 
     def _spoil(self, fault: str) -> None:
         """Add to the responses that an engine spoils in one way."""
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -176,6 +176,7 @@
         self.crashing_parts: set[str] = set()
         self.proxies: dict[str, Proxy] = {}
         self._lease_ids: dict[str, int] = {}
+        self._unregistered: set[str] = set()
         port = self.store.server_port
         self.instances = [
             Instance(f"front-{n}", f"127.{net}.1.{n + 1}", folder, port, builds, is_front=True)
@@ -254,9 +255,15 @@
         self.targets[name].says_leaving = self.targets[name].draining = True
         self._register(name)
 
+    def unregister_target(self, name: str) -> None:
+        """Delete an engine's entry from the store; the engine serves on."""
+        self.gateway.state.revoke_lease(self._lease_ids.pop(name))
+        self._unregistered.add(name)
+
     def remove_target(self, name: str) -> None:
         """Delete an engine's entry from the store and stop the engine and its proxy."""
-        self.gateway.state.revoke_lease(self._lease_ids.pop(name))
+        if name not in self._unregistered:
+            self.unregister_target(name)
         self.targets.pop(name).stop()
         self.proxies.pop(name).stop()
 
@@ -283,7 +290,7 @@
         """Renew the engines' leases while the store is up; register engines with expired leases."""
         while True:
             gevent.sleep(HEARTBEAT_INTERVAL_S)
-            for name in list(self.targets):
+            for name in self.targets.keys() - self._unregistered:
                 state, now = self.gateway.state, self.gateway.clock.monotonic()
                 if (
                     not self.gateway.faults["down"]
