--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -232,7 +232,8 @@
         killed = [i for i in self._fleet.instances if i.is_front or not only_fronts]
         gevent.joinall([gevent.spawn(self._restart_instance, i, signal.SIGKILL) for i in killed])
         for name in names:
-            self._fleet.remove_target(name)
+            if name in self._fleet.targets:
+                self._fleet.remove_target(name)
 
     def _spoil(self, fault: str) -> None:
         """Add to the responses that an engine spoils in one way."""
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -257,13 +257,13 @@
 
     def unregister_target(self, name: str) -> None:
         """Delete an engine's entry from the store; the engine serves on."""
-        self.gateway.state.revoke_lease(self._lease_ids.pop(name))
-        self._unregistered.add(name)
+        if name not in self._unregistered:
+            self._unregistered.add(name)
+            self.gateway.state.revoke_lease(self._lease_ids.pop(name))
 
     def remove_target(self, name: str) -> None:
         """Delete an engine's entry from the store and stop the engine and its proxy."""
-        if name not in self._unregistered:
-            self.unregister_target(name)
+        self.unregister_target(name)
         self.targets.pop(name).stop()
         self.proxies.pop(name).stop()
 
