Confirm a job only if its registration was not lost meanwhile

Found on a second reading: a registration that was lost once more while the store was asked about a job was overlooked, so that a view of before a takeover could be served; and a job whose own write was under way then was never served from memory again.

--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -191,10 +191,23 @@
         if not self._fleet.is_registration_valid():
             return
         for job in [job for job in self._jobs.values() if job.must_confirm and job.progress]:
+            self._confirm(job)
+
+    def _confirm(self, job: OwnedJob) -> None:
+        """Serve a job from memory unless another instance may have taken it over.
+
+        A registration that is lost once more meanwhile sets ``must_confirm`` again.
+        """
+        job.must_confirm = False
+        try:
             _, version = records.fetch_progress(self._store, job.keys)
-            job.must_confirm = False
-            if version == job.version and self._fleet.is_registration_valid() and not job.stopped:
+            if version == job.version and not job.stopped:
                 self._publish_view(job)
+        except ClementinepinError:
+            job.must_confirm = True
+            raise
+        # The store may be ahead by a write of this instance whose reply has not come yet.
+        job.must_confirm = job.must_confirm or (version != job.version and job.is_writing)
 
     def _list_alive(self) -> set[str]:
         """Return the names of instances that may own jobs.
@@ -230,6 +243,7 @@
 
         Stops the job if it has ended or if the recorded owner is alive.
         """
+        job.must_confirm = False
         job.progress, job.version = records.fetch_progress(self._store, job.keys)
         job.is_writing = False
         owner = job.progress.owner
@@ -259,9 +273,9 @@
     def _publish_view(self, job: OwnedJob) -> None:
         """Serve reads of the job from memory, starting with the results listed so far.
 
-        Does nothing if a write of results is completed meanwhile; then the job is to be confirmed
-        again. The store may already have the results of a write that is under way, which are added
-        to the view once the write is done.
+        Does nothing if a write of results is completed or the registration is lost meanwhile; then
+        the job is to be confirmed again. The store may already have the results of a write that is
+        under way, which are added to the view once the write is done.
         """
         progress = job.progress
         if progress is None:
@@ -275,6 +289,7 @@
             results.extend(page)
         if job.progress is not progress:
             job.must_confirm = True
+        if job.must_confirm:
             return
         view = JobView(progress.total, results[:count])
         view.is_open = progress.is_open
--- a/tests/serving/test_owner_reads.py
+++ b/tests/serving/test_owner_reads.py
@@ -184,3 +184,48 @@
     runner._fleet.is_registered = True  # type: ignore[attr-defined]
     wait_until(lambda: read_from_owner(runner).known)
     assert [row[0] for row in read_from_owner(runner).results] == ["i0", "i1"]
+
+
+def test_a_registration_that_is_lost_while_a_job_is_confirmed_is_not_overlooked() -> None:
+    """Guards against a view that was made before another instance took the job over."""
+    store = MemoryStore()
+    runner = start_runner(store, HalfStuckItems())
+    keys = submit(store, 2)
+    wait_until(lambda: len(read_from_owner(runner).results) == 1)
+    fleet = runner._fleet
+    fleet.lose_registration()  # type: ignore[attr-defined]
+    list_page = store.list_page
+
+    def lose_once_more(prefix: str, after: str) -> Page:
+        store.list_page = list_page  # type: ignore[method-assign]
+        fleet.lose_registration()  # type: ignore[attr-defined]
+        progress, version = records.fetch_progress(store, keys)
+        taken = records.JobProgress("r", "store-2", 2, 0, False, progress.listed)
+        store.apply(records.make_progress_change(keys, version, taken))
+        fleet.is_registered = True  # type: ignore[attr-defined]
+        return list_page(prefix, after)
+
+    store.list_page = lose_once_more  # type: ignore[method-assign]
+    fleet.is_registered = True  # type: ignore[attr-defined]
+    wait_until(lambda: store.list_page == list_page)
+    gevent.sleep(0.05)
+    assert not read_from_owner(runner, 1).known
+
+
+def test_an_owner_whose_write_is_under_way_confirms_its_job_once_it_is_done() -> None:
+    """Guards against a job that is read from the store from then on."""
+    store = SlowStore()
+    runner = start_runner(store, HalfStuckItems())
+    keys = submit(store, 3)
+    wait_until(lambda: len(read_from_owner(runner).results) == 1)
+    store.holds = True
+    job = runner._jobs["j1"]
+    complete_item(job, "i1")
+    job.changed.set()
+    wait_until(lambda: bool(store.held))
+    runner._fleet.lose_registration()  # type: ignore[attr-defined]
+    runner._fleet.is_registered = True  # type: ignore[attr-defined]
+    gevent.sleep(0.05)
+    store.held[0].set(store.rows[keys.progress].version)
+    wait_until(lambda: read_from_owner(runner).known)
+    assert len(read_from_owner(runner).results) == 2
