--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -17,6 +17,7 @@
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._links import Link, LinkServer
+from clementinepin.serving._resumption_logs import log_resumption
 from clementinepin.serving._slot_requests import (
     make_adopted_request,
     make_broken_run,
@@ -133,7 +134,8 @@
     def _handle_request(self, link: Link, message: messages.RequestSlot) -> None:
         now = self._clock.monotonic()
         pending = make_pending_request(link.name, message, now)
-        self.table.streams.is_current = self._fleet.follows_targets()
+        self.table.streams.is_current = is_current = self._fleet.follows_targets()
+        log_resumption(self.table, pending, now, is_current=is_current)
         actions = dispatching.submit(self.table, pending, now, self._random)
         self._send_actions(actions)
         if not actions:
--- a/clementinepin/serving/_local_choice.py
+++ b/clementinepin/serving/_local_choice.py
@@ -32,7 +32,7 @@
     if crash_causes.find_cause(table.crashes, request.service, request.traits, now) is not None:
         retry_after_s = waiting.get_longest_retry_wait(request, now)
         raise OverloadedError(dispatching.CRASHED_TARGETS, retry_after_s)
-    version = stream_versions.find_required_version(table, request, now)
+    version, _ = stream_versions.find_required_version(table, request, now)
     if version is None:
         raise OverloadedError("unknown software version", LOCAL_RETRY_S)
     request = request._replace(software_version=version)
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -25,6 +25,7 @@
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._local_choice import LOCAL_RETRY_S, choose_alone
 from clementinepin.serving._pools import TargetPools
+from clementinepin.serving._resumption_logs import log_resumption
 from clementinepin.serving._slot_requests import (
     Slot,
     SlotRequest,
@@ -345,7 +346,8 @@
         ):
             raise OverloadedError("batch waits for a dispatcher", LOCAL_RETRY_S)
         pending = make_local_request(self._name, self._data_centre, number, request, now)
-        self._table.streams.is_current = self._fleet.follows_targets()
+        self._table.streams.is_current = is_current = self._fleet.follows_targets()
+        log_resumption(self._table, pending, now, is_current=is_current)
         entries, runners = self._fleet.list_entries(), self._fleet.list_job_runners()
         begins, self._decides_alone = not self._decides_alone, True
         names = [member.name for member in (*entries, *runners)]
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -57,7 +57,7 @@
     """
     if (rejection := _check_cause(table, request, now)) is not None:
         return [rejection]
-    version = stream_versions.find_required_version(table, request, now)
+    version, _ = stream_versions.find_required_version(table, request, now)
     if version is None:
         retry_after_s = waiting.get_longest_retry_wait(request, now)
         return [Rejected(request.key, retry_after_s, "unknown software version")]
--- a/clementinepin/systems/stream_versions.py
+++ b/clementinepin/systems/stream_versions.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from typing import Final
+from enum import StrEnum
+from typing import Final, NamedTuple
 
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, TargetLoad
 from clementinepin.tables.streams import BegunStream, StreamTable
@@ -18,6 +19,23 @@
 STREAMS_MAX: Final = 100_000  # about 25 MB; the streams that were granted first are dropped
 
 
+class VersionSource(StrEnum):
+    """By what it is known at which version a request must run."""
+
+    UNBOUND = "unbound"
+    GIVEN = "given"
+    RECORDED = "recorded"
+    ONLY_VERSION = "only version"
+    UNKNOWN = "unknown"
+
+
+class RequiredVersion(NamedTuple):
+    """The version at which a request must run, empty for any, or None if it is unknown."""
+
+    version: str | None
+    source: VersionSource
+
+
 def record_versions(table: DispatchTable, versions: Iterable[tuple[str, str]], now: float) -> None:
     """Record the pairs of service and software version of all registered targets."""
     present: dict[str, set[str]] = {}
@@ -52,24 +70,30 @@
     return stream.software_version if stream is not None and now < stream.expires_at else None
 
 
-def find_required_version(table: DispatchTable, request: PendingRequest, now: float) -> str | None:
-    """Return the version at which a request must run, empty for any, or None if it is unknown.
+def find_required_version(
+    table: DispatchTable, request: PendingRequest, now: float
+) -> RequiredVersion:
+    """Return the version at which a request must run.
 
     The version of a stream that is not recorded is known if its service has had only one.
 
     Load pattern: an instance that is cut off from the store during a release still has callers, and
     knows of the former version only. One that has just started sees the later version only.
     """
-    if request.software_version or not request.is_resumption:
-        return request.software_version
+    if request.software_version:
+        return RequiredVersion(request.software_version, VersionSource.GIVEN)
+    if not request.is_resumption:
+        return RequiredVersion("", VersionSource.UNBOUND)
     recorded = find_stream_version(table, request.stream_id, now)
     if recorded is not None:
-        return recorded
+        return RequiredVersion(recorded, VersionSource.RECORDED)
     streams = table.streams
     if not streams.is_current or now - streams.complete_since < VERSION_MEMORY_S:
-        return None
+        return RequiredVersion(None, VersionSource.UNKNOWN)
     versions = list_versions(streams, now).get(request.service, set())
-    return versions.pop() if len(versions) == 1 else None
+    if len(versions) != 1:
+        return RequiredVersion(None, VersionSource.UNKNOWN)
+    return RequiredVersion(versions.pop(), VersionSource.ONLY_VERSION)
 
 
 def list_versions(streams: StreamTable, now: float) -> dict[str, set[str]]:
--- a/tests/serving/test_version_records.py
+++ b/tests/serving/test_version_records.py
@@ -63,7 +63,7 @@
         """Return the version at which a stream that nobody remembers goes on."""
         now = self.clock.monotonic()
         request = make_request(1, now, stream_id="q9", is_resumption=True)
-        return stream_versions.find_required_version(self.table, request, now)
+        return stream_versions.find_required_version(self.table, request, now).version
 
 
 def wait_until(condition: Callable[[], bool]) -> None:
