Take ports of tests' servers from where no client's connection is given one

Beside other tests and soaks, three tests failed with 'address already in use': a port that was found free by binding port 0 may be given to a client's connection before the test listens there. The ports are now from below the system's range for clients. What the tests check is unchanged.

--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -5,12 +5,12 @@
 from pathlib import Path
 
 import pytest
-from gevent import socket
 from gevent.pywsgi import WSGIServer
 
 from clementinepin._cli.exceptions import ExitCode
 from clementinepin.cli import run
 from standins.web import Request, Response, StreamCutError, create_app, create_server
+from tests.ports import find_port
 
 ROOT = Path(__file__).parents[2]
 KIRKVOICE = str(ROOT / "examples" / "kirkvoice")
@@ -71,9 +71,7 @@
 
 
 def pick_closed_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return f"127.0.0.1:{find_port()}"
 
 
 @pytest.mark.parametrize(
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import random
-import socket
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -22,12 +21,7 @@
 from clementinepin.peers import PeerNetwork, create_peer_network
 from clementinepin.peers._membership import create_own_row
 from clementinepin.systems.membership import merge_listed
-
-
-def find_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+from tests.ports import find_port
 
 
 def create_settings(name: str, *, port: int, secret: str = "s" * 16) -> Settings:
--- a/tests/peers/test_tls.py
+++ b/tests/peers/test_tls.py
@@ -17,7 +17,8 @@
 from clementinepin.peers import PeerUnavailableError, create_peer_network
 from clementinepin.peers._membership import create_own_row
 from clementinepin.systems.membership import merge_listed
-from tests.peers.conftest import create_settings, find_port
+from tests.peers.conftest import create_settings
+from tests.ports import find_port
 
 
 def _write_pair(folder: Path, name: str) -> tuple[str, str]:
--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import gevent
-from gevent import socket
 
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.platform import create_wire
@@ -24,6 +23,7 @@
 )
 from clementinepin.systems import estimates
 from clementinepin.systems.dispatch_actions import RunOutcome
+from tests.ports import find_port
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS, make_route
 from tests.serving.scripted import (
@@ -96,7 +96,7 @@
 
     def __init__(self) -> None:
         self.slots = FakeSlots()
-        address = ("127.0.0.1", self._find_port())
+        address = ("127.0.0.1", find_port())
         settings = SETTINGS._replace(name="f1", runs_jobs=False, entry_address=address)
         self.app = App(
             settings,
@@ -112,12 +112,6 @@
         self._targets: list[ScriptedTarget] = []
         self.app._servers[0].start()
 
-    @staticmethod
-    def _find_port() -> int:
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            return int(sock.getsockname()[1])
-
     def set_route(self, **changes: object) -> Route:
         route = make_route(**changes)
         self.app.fleet.configuration.current = RoutingConfiguration(1, (route,), {}, CallerLimits())
--- a/tests/serving/test_cut_off_instances.py
+++ b/tests/serving/test_cut_off_instances.py
@@ -22,6 +22,7 @@
 from clementinepin.systems import estimates, reach
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.targets._connection import Connection
+from tests.ports import find_port
 from tests.serving.cut_links import CutLink, Effect, Link, Manner
 from tests.serving.harness import ID, Harness, close_at_once, get_status, send_events
 from tests.serving.memory_store import MemoryStore
@@ -52,7 +53,7 @@
         self.add_helper()
 
     def add_helper(self) -> App:
-        name, port = f"helper-{len(self.helpers)}", self._find_port()
+        name, port = f"helper-{len(self.helpers)}", find_port()
         helper = App(
             SETTINGS._replace(name=name, link_port=port),
             MemoryStore(),
--- a/tests/serving/test_hedging.py
+++ b/tests/serving/test_hedging.py
@@ -22,8 +22,8 @@
 from clementinepin.serving._outages import StoreOutages
 from clementinepin.serving._relay import RelayedStore, RelayServer
 from clementinepin.serving.models import Member
+from tests.ports import find_port
 from tests.serving.memory_store import MemoryStore
-from tests.serving.test_slots import find_port
 
 PAUSE_S = 0.02
 
--- a/tests/serving/test_jobs.py
+++ b/tests/serving/test_jobs.py
@@ -29,9 +29,9 @@
 )
 from clementinepin.serving.models import ItemResult, ItemState, Member, RouteKind
 from clementinepin.serving.wire import JobCall
+from tests.ports import find_port
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import make_items, make_route
-from tests.serving.test_slots import find_port
 
 ROUTE = make_route(kind=RouteKind.JOB, tokens_max=1000)
 RESULT = ItemResult("i0", ItemState.COMPLETED, "text 0")
--- a/tests/serving/test_reload.py
+++ b/tests/serving/test_reload.py
@@ -15,10 +15,10 @@
 from clementinepin.serving._app import App
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving.models import InstanceSettings
+from tests.ports import find_port
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS
 from tests.serving.scripted import ScriptedTarget
-from tests.serving.test_slots import find_port
 
 FILE = """
 node = "{name}"
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -8,7 +8,6 @@
 
 import gevent
 import pytest
-from gevent import socket
 from gevent.event import Event
 from loguru import logger
 
@@ -26,6 +25,7 @@
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.dispatch import PendingRequest
 from clementinepin.tables.leaving import TargetStart
+from tests.ports import find_port
 
 
 class FakeTargets:
@@ -85,12 +85,6 @@
         return target_id in self.lost_links
 
 
-def find_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 class Pair(NamedTuple):
     dispatcher: Dispatcher
     broker: SlotBroker
