--- a/tests/serving/cut_links.py
+++ b/tests/serving/cut_links.py
@@ -10,6 +10,8 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from tests.ports import find_port
+
 BACKLOG_FILLED_S = 0.1  # a connection that takes longer on loopback is held up by a full backlog
 
 
@@ -34,7 +36,7 @@
     def __init__(self, manner: Manner, port: int = 0) -> None:
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(("127.0.0.1", port))
+        self._listener.bind(("127.0.0.1", port or find_port()))
         self.port: int = self._listener.getsockname()[1]
         self._fillers: list[socket.socket] = []
         if manner is Manner.HANG:
@@ -65,7 +67,7 @@
         self._is_cut = False
         self._sockets: list[Any] = []
         self._cut_link: CutLink | None = None
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server = StreamServer(("127.0.0.1", find_port()), self._serve)
         self._server.start()
         self.port: int = self._server.server_port
 
--- a/tests/serving/scripted.py
+++ b/tests/serving/scripted.py
@@ -9,6 +9,8 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from tests.ports import find_port
+
 HEAD = (
     b"HTTP/1.1 200 OK\r\nClementinepin-Server-Signature: %s\r\n" b"Clementinepin-Request-Id: %s\r\n"
 )
@@ -57,7 +59,7 @@
         self._scripts = list(scripts)
         self.requests: list[bytes] = []
         self.connections = 0
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server = StreamServer(("127.0.0.1", find_port()), self._serve)
         self._server.start()
         self.port = self._server.server_port
 
