Resume a stream by the only version there is only behind a confirmed view

Cause: a stream that nobody remembers goes on at the only version that its service has had. The instance's view of the targets counted as current while the feed of another instance was trusted, while a watch had not failed yet, and at once behind a suspension of the process. A version that joined meanwhile is missing in it. Fleets younger than VERSION_MEMORY_S reject all such streams, which hid the fault.

Change: the versions count as known only up to the last reading of the targets and of the version record. A resumption that arrived later waits for another one, at the dispatcher and at an instance that decides alone; all that wait at the same time share it. A view that knows two versions can't tell, and costs no reading. An instance without a dispatcher waits for one if only that may know the version, and one that was suspended reconnects to the dispatcher that it had.

Why it works: a stream that is resumed began on a target whose entry was in the store before the resumption arrived; a reading that begins later shows it, or the record does if it went meanwhile.

Ruled out: rejecting for a while behind a disruption, as the instance can't tell that there was one and most of the streams can go on.

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -32,6 +32,7 @@
 from clementinepin.serving._runner import JobRunner
 from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving._tunnels import TunnelClient, TunnelServer
+from clementinepin.serving._version_checks import VersionChecks
 from clementinepin.serving._version_records import VersionRecords
 from clementinepin.serving.exceptions import (
     BadRequestError,
@@ -130,7 +131,8 @@
         self._version_records = VersionRecords(
             relayed, wire.own_prefix, self.fleet, clock, settings.name
         )
-        self._connect_version_records()
+        self._version_checks = VersionChecks(self.fleet, self._version_records, clock)
+        self._connect_versions()
         self._servers = self._create_servers()
 
     def start(self) -> None:
@@ -228,10 +230,16 @@
             records.add_table(dispatcher.table.crashes)
             dispatcher.on_causes_changed = records.record_changes
 
-    def _connect_version_records(self) -> None:
-        self._version_records.add_table(self.slots.streams)
+    def _connect_versions(self) -> None:
+        self.slots.confirm_versions = self._version_checks.confirm
+        tables = [self.slots.streams]
         if self._job_parts is not None:
-            self._version_records.add_table(self._job_parts.dispatcher.table.streams)
+            dispatcher = self._job_parts.dispatcher
+            dispatcher.confirm_versions = self._version_checks.confirm
+            tables.append(dispatcher.table.streams)
+        for streams in tables:
+            self._version_records.add_table(streams)
+            self._version_checks.add_table(streams)
 
     def _create_servers(self) -> list[CallerServer]:
         settings = self._settings
--- a/clementinepin/serving/_call_requests.py
+++ b/clementinepin/serving/_call_requests.py
@@ -18,6 +18,7 @@
     stream_id: str
     stream_until: float
     is_resumption: bool
+    resumed_at: float
 
 
 def make_slot_request(call: Call, service: str, mean_run_s: float | None) -> SlotRequest:
@@ -63,6 +64,7 @@
         "stream_id": facts.resumes if is_resumption else facts.request_id,
         "stream_until": call.started_at + time_left_s,
         "is_resumption": is_resumption,
+        "resumed_at": call.started_at,
     }
 
 
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -35,7 +35,7 @@
 from clementinepin.systems.dispatch_actions import Action, Granted, Rejected, RunOutcome
 from clementinepin.systems.service_load import list_services, measure_load
 from clementinepin.tables.crashes import CauseChange
-from clementinepin.tables.dispatch import DispatchTable, GrantKey, TargetLoad
+from clementinepin.tables.dispatch import DispatchTable, GrantKey, PendingRequest, TargetLoad
 from clementinepin.tables.leaving import TargetStart
 
 TICK_S: Final = 0.02  # longest delay of queue changes that only the passing of time causes
@@ -46,7 +46,9 @@
 class Dispatcher:
     """Grants, queues, rejects and preempts slots for all linked instances.
 
-    Every job runner has one. The clients choose which of them they use.
+    Every job runner has one. The clients choose which of them they use. ``confirm_versions`` makes
+    sure that the software versions of all targets are known; ``_unconfirmed`` has the requests that
+    wait for it.
     """
 
     def __init__(
@@ -65,7 +67,9 @@
         self._next_load_log_at = 0.0
         self._ticker: gevent.Greenlet | None = None
         self.on_causes_changed: Callable[[list[CauseChange]], None] = lambda _changes: None
+        self.confirm_versions: Callable[[], None] = lambda: None
         self.table = DispatchTable(policy.order, policy.disabled)
+        self._unconfirmed: set[GrantKey] = set()
         links.handle(messages.Hello, self._handle_hello)
         links.handle(messages.RequestSlot, self._handle_request)
         links.handle(messages.SlotTaken, self._handle_slot_taken)
@@ -134,8 +138,23 @@
     def _handle_request(self, link: Link, message: messages.RequestSlot) -> None:
         now = self._clock.monotonic()
         pending = make_pending_request(link.name, message, now)
-        self.table.streams.is_current = is_current = self._fleet.follows_targets()
-        log_resumption(self.table, pending, now, is_current=is_current)
+        if stream_versions.needs_confirmation(self.table, pending, now):
+            self._unconfirmed.add(pending.key)
+            gevent.spawn(self._submit_confirmed, link, pending)
+            link.send(messages.SlotQueued())
+        else:
+            self._submit(link, pending)
+
+    def _submit_confirmed(self, link: Link, pending: PendingRequest) -> None:
+        """Submit a request once all versions are known, unless it was withdrawn meanwhile."""
+        self.confirm_versions()
+        if pending.key in self._unconfirmed:
+            self._unconfirmed.discard(pending.key)
+            self._submit(link, pending)
+
+    def _submit(self, link: Link, pending: PendingRequest) -> None:
+        now = self._clock.monotonic()
+        log_resumption(self.table, pending, now)
         actions = dispatching.submit(self.table, pending, now, self._random)
         self._send_actions(actions)
         if not actions:
@@ -156,6 +175,7 @@
         now = self._clock.monotonic()
         outcome = RunOutcome(message.outcome)
         key = (link.name, message.number)
+        self._unconfirmed.discard(key)
         grant = self.table.grants.get(key)
         with self._log_avoidance(key, outcome):
             dispatching.finish(
@@ -263,6 +283,7 @@
     def _release_all(self, name: str) -> None:
         """Release an instance's slots and requests; its next hello, if any, lists slots in use."""
         now = self._clock.monotonic()
+        self._unconfirmed -= {key for key in self._unconfirmed if key[0] == name}
         for key in [k for k in (*self.table.grants, *self.table.list_waiting()) if k[0] == name]:
             dispatching.finish(self.table, key, RunOutcome.CANCELLED, now)
 
--- a/clementinepin/serving/_dispatcher_link.py
+++ b/clementinepin/serving/_dispatcher_link.py
@@ -10,6 +10,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
@@ -26,6 +27,10 @@
 RECONNECT_S: Final = 0.1
 # How long a dispatcher that did not respond is skipped; the lease of a lost one ends after 3 s.
 SKIP_UNREACHED_S: Final = 2.0
+SILENCE_CHECK_S: Final = SILENCE_MAX_S / 3
+STALLED_S: Final = 0.4  # a process whose checks are later than this was suspended
+STALL_MEMORY_S: Final = 0.5  # until the end of a connection that was lost meanwhile is read
+STALLED_RECONNECT_S: Final = 0.02
 READ_SIZE_BYTES: Final = 65_536
 
 
@@ -56,6 +61,9 @@
         self._sender: messages.MessageSender | None = None
         self._greenlets: list[gevent.Greenlet] = []
         self._is_suspected = False
+        self._responsive = Event()
+        self._checked_at = clock.monotonic()
+        self._stalled_at = float("-inf")
         self.dispatcher: Member | None = None
         self.last_received_at = 0.0
         self.on_open: Callable[[str], None] = lambda _name: None
@@ -80,6 +88,10 @@
         """Return the name of the connected dispatcher, empty without a connection."""
         return self.dispatcher.name if self.dispatcher and self._sender is not None else ""
 
+    def wait_responsive(self, timeout_s: float) -> bool:
+        """Wait until a dispatcher is connected and responsive; return whether one is."""
+        return bool(self._responsive.wait(timeout_s))
+
     def send(self, message: messages.Message) -> None:
         """Send to the dispatcher, or discard the message if there is no connection.
 
@@ -93,6 +105,7 @@
         if not self.is_responsive:
             return
         self._is_suspected = True
+        self._responsive.clear()
         logger.bind(dispatcher=self.dispatcher_name, reason=reason).warning("dispatcher_silent")
         gevent.spawn_later(self._suspect_s, self._drop_if_suspected, self._sender)
 
@@ -100,6 +113,7 @@
         """Close the connection; the background task opens a new one at once."""
         if self._sender is not None:
             sender, self._sender = self._sender, None
+            self._responsive.clear()
             sender.close()
             self.on_closed()
 
@@ -137,8 +151,11 @@
                 logger.bind(dispatcher=chosen.name, error=str(err)).info("dispatcher_lost")
             finally:
                 self.drop()
-            # The choice is the same, so the connection was lost, not switched: skip it for a while.
-            if chosen == self._choose_dispatcher():
+            # The choice is the same, so the connection was lost, not switched: skip it for a while,
+            # unless it was lost by a suspension of this process.
+            if self._has_stalled():
+                gevent.sleep(STALLED_RECONNECT_S)
+            elif chosen == self._choose_dispatcher():
                 self._skipped_until[chosen.name] = self._clock.monotonic() + SKIP_UNREACHED_S
 
     def _run_connection(self, member: Member) -> None:
@@ -157,6 +174,7 @@
                 self.last_received_at = self._clock.monotonic()
                 if self._is_suspected:
                     self._is_suspected = False
+                    self._responsive.set()
                     sock.settimeout(None)
                     logger.bind(dispatcher=member.name).info("dispatcher_regained")
                 for message in reader.feed(data):
@@ -167,12 +185,20 @@
     def _watch_silence(self) -> None:
         """Drop a dispatcher that sent nothing for SILENCE_MAX_S, or that is no longer chosen."""
         while True:
-            gevent.sleep(SILENCE_MAX_S / 3)
-            if (
-                self.is_responsive
-                and self._clock.monotonic() - self.last_received_at > SILENCE_MAX_S
-            ):
+            gevent.sleep(SILENCE_CHECK_S)
+            # Behind a suspension of this process, what the dispatcher sent meanwhile is read first.
+            has_stalled, now = self._has_stalled(), self._clock.monotonic()
+            self._checked_at = now
+            is_silent = now - self.last_received_at > SILENCE_MAX_S and not has_stalled
+            if self.is_responsive and is_silent:
                 self.suspect("no data received")
                 self.drop()
             if self.is_responsive:
                 self.recheck_dispatcher()
+
+    def _has_stalled(self) -> bool:
+        """Return whether this process has just been suspended."""
+        now = self._clock.monotonic()
+        if now - self._checked_at > SILENCE_CHECK_S + STALLED_S:
+            self._stalled_at = now
+        return now - self._stalled_at < STALL_MEMORY_S
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -12,13 +12,13 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
-from clementinepin.infrastructure import Change, KeyValue, StateStore
+from clementinepin.infrastructure import Change, KeyValue
 from clementinepin.infrastructure.exceptions import LeaseLostError, PlatformUnavailableError
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._outages import ExpiryGrace, StoreOutages
 from clementinepin.serving._target_view import TargetView
 from clementinepin.serving.models import InstanceSettings, Member, RoutingConfiguration
-from clementinepin.serving.store import StoreFollower
+from clementinepin.serving.store import HedgingStore, StoreFollower
 from clementinepin.serving.wire import Wire
 
 LEASE_S: Final = 3.0  # a lost instance disappears from the directory within this time
@@ -141,7 +141,7 @@
     def __init__(
         self,
         settings: InstanceSettings,
-        store: StateStore,
+        store: HedgingStore,
         wire: Wire,
         clock: Clock,
         outages: StoreOutages,
@@ -217,6 +217,14 @@
         follower = self.followers["targets"]
         return follower.is_fed() or follower.is_direct()
 
+    def read_targets(self) -> None:
+        """Read all targets from the store, which an instance that is out of step may not know.
+
+        Raises PlatformUnavailableError or ReplyLostError.
+        """
+        page = self._store.list_hedged(self._wire.targets_prefix)
+        self.followers["targets"].receive_rows(page.values, page.version)
+
     def list_entries(self) -> list[Member]:
         """Return the instances that serve callers and are not leaving, this one included."""
         own = self._describe_self()
--- a/clementinepin/serving/_jobs.py
+++ b/clementinepin/serving/_jobs.py
@@ -7,13 +7,12 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import Final, Generic, Protocol, TypeVar
+from typing import Final, Generic, TypeVar
 
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rendezvous import choose_owner
-from clementinepin.infrastructure import Change, Page, StateStore
 from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
     ReplyLostError,
@@ -34,6 +33,7 @@
     TokensExhaustedError,
 )
 from clementinepin.serving.models import ItemResult, ItemState, JobItem, Route
+from clementinepin.serving.store import HedgingStore
 from clementinepin.serving.wire import JobCall, Wire
 
 ID_MAX_CHARS: Final = 120  # store keys hold 200 bytes, prefixes included
@@ -86,19 +86,6 @@
             self._bytes -= len(self._rows.popitem(last=False)[1].text)
 
 
-class HedgingStore(StateStore, Protocol):
-    """A store that can send a request over a second path when the first is slow.
-
-    Of changes, only those that create keys are hedged.
-    """
-
-    def write_hedged(self, change: Change) -> int:
-        """Apply the change once, however many paths are tried, and return its version."""
-
-    def list_hedged(self, prefix: str) -> Page:
-        """Return all values under a prefix."""
-
-
 class JobService:
     """Serves callers' operations on jobs."""
 
--- a/clementinepin/serving/_slot_requests.py
+++ b/clementinepin/serving/_slot_requests.py
@@ -18,7 +18,7 @@
     ``on_time_by`` is the latest start that meets the objective, ``deadline`` the latest useful
     start, and ``run_s`` the expected time in the slot. The caller gives up at ``timeout_at``, after
     all retries; 0.0 means at the deadline. ``is_firm`` marks a batch item that is not
-    preemptible. ``returned`` marks a caller that was rejected before. The last four fields are
+    preemptible. ``returned`` marks a caller that was rejected before. The last five fields are
     those of ``PendingRequest``.
     """
 
@@ -38,6 +38,7 @@
     stream_id: str = ""
     stream_until: float = 0.0
     is_resumption: bool = False
+    resumed_at: float = float("inf")
 
     @property
     def traits(self) -> frozenset[str]:
@@ -105,6 +106,7 @@
         stream_id=request.stream_id,
         stream_until=request.stream_until,
         is_resumption=request.is_resumption,
+        resumed_at=request.resumed_at,
     )
 
 
@@ -171,6 +173,7 @@
         stream_id=message.stream_id,
         stream_until=now + message.stream_ttl_s,
         is_resumption=message.is_resumption,
+        resumed_at=now,
     )
 
 
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -24,6 +24,7 @@
 from clementinepin.serving._feed import FeedClient
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._local_choice import LOCAL_RETRY_S, choose_alone
+from clementinepin.serving._own_streams import OwnStreams
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._resumption_logs import log_resumption
 from clementinepin.serving._slot_requests import (
@@ -54,6 +55,8 @@
 
 REPLY_TIMEOUT_S: Final = 0.08  # a few round trips between data centres and a busy dispatcher
 BROKEN_RUNS_MAX: Final = 64  # reported to a new dispatcher
+# A process that was suspended, or whose dispatcher is lost, is connected again within this time.
+DISPATCHER_WAIT_S: Final = 0.6
 # Batch starts without the dispatcher only after this time: a lost dispatcher's lease ends after
 # 3 s, and items are due within 18 s.
 LOCAL_BATCH_AFTER_S: Final = 9.0
@@ -74,6 +77,7 @@
     maps a slot's number to its request, its target and when it was taken (monotonic seconds).
     ``_early_preemptions`` holds slots that were preempted before a handler was set.
     ``_broken_runs`` has the last runs that their targets broke off, and when they ended.
+    ``confirm_versions`` makes sure that this instance knows the software versions of all targets.
     ``on_broken_alone`` gets those that no dispatcher hears of, ``on_causes_found`` what this
     instance found or refuted while it decided without one.
     """
@@ -101,6 +105,7 @@
         self._preemption_handlers: dict[int, Callable[[], None]] = {}
         self._early_preemptions: set[int] = set()
         self._taken: dict[int, tuple[SlotRequest, str, float]] = {}
+        self.confirm_versions: Callable[[], None] = lambda: None
         self.on_broken_alone: Callable[[BrokenRun], None] = lambda _run: None
         self.on_causes_found: Callable[[list[CauseChange]], None] = lambda _changes: None
         self._decides_alone = False
@@ -112,6 +117,7 @@
         self._link.on_open = self._feed.open
         self._link.on_closed = self._handle_close
         self._table = DispatchTable(policy.order, policy.disabled)
+        self._own_streams = OwnStreams(self._table, clock)
 
     def start(self) -> None:
         """Follow the targets and, unless placement is local, connect to the dispatcher."""
@@ -151,13 +157,22 @@
         ``on_waiting`` receives a function that cancels the wait. Raises OverloadedError if the
         request is rejected and CallerGoneError if the wait is cancelled.
         """
-        number = next(self._numbers)
-        request = self._add_known_version(request)
+        request = self._own_streams.bind(request)
+        slot = self._ask_dispatcher(request, on_waiting)
+        if slot is None and self._await_dispatcher(request):
+            slot = self._ask_dispatcher(request, on_waiting)
+        return slot if slot is not None else self._decide_locally(request)
+
+    def _ask_dispatcher(
+        self, request: SlotRequest, on_waiting: Callable[[Callable[[], None]], None]
+    ) -> Slot | None:
+        """Return the slot that the dispatcher grants, or None if none is responsive."""
         if not self._link.is_responsive:
-            return self._decide_locally(number, request)
+            return None
         if request.is_batch:
             self._hold_batch()
         self._decides_alone = False
+        number = next(self._numbers)
         waiter = _Waiter(request)
         self._waiters[number] = waiter
         on_waiting(lambda: waiter.result.set(CallerGoneError("the wait for a slot was cancelled")))
@@ -184,15 +199,24 @@
             raise reply
         if self._clock.monotonic() >= request.deadline:
             raise OverloadedError("no slot before the latest useful start", LOCAL_RETRY_S)
-        return self._decide_locally(number, request)
+        return None
+
+    def _await_dispatcher(self, request: SlotRequest) -> bool:
+        """Wait for a dispatcher if only one can know the version of a resumed stream.
 
-    def _add_known_version(self, request: SlotRequest) -> SlotRequest:
-        """Return the request with the software version of its stream if this instance knows it."""
-        if not request.is_resumption or request.software_version:
-            return request
+        Return whether one is responsive then. Load pattern: an instance that was suspended in a
+        release is connected to no dispatcher for a moment, and gets callers at once.
+        """
+        if self._placement is not Placement.DISPATCHER or not request.is_resumption:
+            return False
         now = self._clock.monotonic()
-        version = stream_versions.find_stream_version(self._table, request.stream_id, now)
-        return request._replace(software_version=version or "")
+        pending = make_local_request(self._name, self._data_centre, 0, request, now)
+        if stream_versions.needs_confirmation(self._table, pending, now):
+            self.confirm_versions()
+        if stream_versions.find_required_version(self._table, pending, now).version is not None:
+            return False
+        wait_s = min(DISPATCHER_WAIT_S, request.deadline - self._clock.monotonic())
+        return self._link.wait_responsive(max(0.0, wait_s))
 
     def _hold_batch(self) -> None:
         """Raise OverloadedError while the linked dispatcher is not the first registered one.
@@ -332,12 +356,13 @@
             return waiter.result.get()
         return None
 
-    def _decide_locally(self, number: int, request: SlotRequest) -> Slot:
+    def _decide_locally(self, request: SlotRequest) -> Slot:
         """Return a slot chosen by this instance's own counts.
 
         Raises OverloadedError if no target qualifies, and for batch items within
         LOCAL_BATCH_AFTER_S without the first dispatcher.
         """
+        number = next(self._numbers)
         now = self._clock.monotonic()
         if (
             request.is_batch
@@ -346,8 +371,7 @@
         ):
             raise OverloadedError("batch waits for a dispatcher", LOCAL_RETRY_S)
         pending = make_local_request(self._name, self._data_centre, number, request, now)
-        self._table.streams.is_current = is_current = self._fleet.follows_targets()
-        log_resumption(self._table, pending, now, is_current=is_current)
+        log_resumption(self._table, pending, now)
         entries, runners = self._fleet.list_entries(), self._fleet.list_job_runners()
         begins, self._decides_alone = not self._decides_alone, True
         names = [member.name for member in (*entries, *runners)]
@@ -359,7 +383,7 @@
         finally:
             self.on_causes_found(crash_causes.take_changes(self.crashes))
         self._record_taken(number, request, target.target_id)
-        stream = self._describe_stream(request.stream_id, now)
+        stream = self._own_streams.describe(request.stream_id)
         self._link.send(
             messages.SlotTaken(describe_slot(number, *self._taken[number], now), stream)
         )
@@ -381,23 +405,15 @@
 
     def _make_hello(self) -> messages.Hello:
         now = self._clock.monotonic()
-        streams = [self._describe_stream(name, now) for name in self._table.streams.begun]
         return messages.Hello(
             self._name,
             [describe_slot(number, *self._taken[number], now) for number in self._taken],
-            [stream for stream in streams if stream is not None],
+            self._own_streams.describe_all(),
             [describe_broken_run(run, at, now) for run, at in self._broken_runs],
             target_limits.list_limits(self._table),
             list(self._fleet.targets.list_leaving()),
         )
 
-    def _describe_stream(self, stream_id: str, now: float) -> messages.StreamVersion | None:
-        """Return what a dispatcher should know about a stream; None if it can't be resumed."""
-        stream = self._table.streams.begun.get(stream_id)
-        if stream is None or stream.expires_at <= now:
-            return None
-        return messages.StreamVersion(stream_id, stream.software_version, stream.expires_at - now)
-
     def _handle_message(self, message: Any) -> None:
         self._record_first_dispatcher()
         if isinstance(message, messages.PreemptSlot):
--- a/clementinepin/serving/_version_records.py
+++ b/clementinepin/serving/_version_records.py
@@ -15,8 +15,9 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
-from clementinepin.infrastructure import Change, KeyValue, StateStore
+from clementinepin.infrastructure import Change, KeyValue
 from clementinepin.serving._fleet import FleetView
+from clementinepin.serving.store import HedgingStore
 from clementinepin.systems import stream_versions
 from clementinepin.tables.streams import StreamTable
 
@@ -46,7 +47,7 @@
     """
 
     def __init__(
-        self, store: StateStore, own_prefix: str, fleet: FleetView, clock: Clock, name: str
+        self, store: HedgingStore, own_prefix: str, fleet: FleetView, clock: Clock, name: str
     ) -> None:
         self._store = store
         self._key = own_prefix + "versions"
@@ -68,6 +69,16 @@
         self._fleet.subscribe(self._changed.set)
         gevent.spawn(self._run, is_first_start)
 
+    def read_again(self) -> None:
+        """Merge the versions that other instances have recorded since the last reading.
+
+        Raises PlatformUnavailableError or ReplyLostError.
+        """
+        for row in self._store.list_hedged(self._key).values:
+            record = self._decode(row) if row.key == self._key else None
+            if record is not None and self._complete_since_ms is not None:
+                self._merge(record.versions, record.complete_since_ms)
+
     def _run(self, is_first_start: bool) -> None:
         while True:
             try:
@@ -93,21 +104,26 @@
         """
         row = self._store.get(self._key)
         record = self._decode(row) if row is not None else None
-        now, wall = self._clock.monotonic(), self._clock.wall()
         if record is not None:
             since_ms = record.complete_since_ms
         else:
-            since_ms = 0 if is_first_start else int(wall * 1000)
+            since_ms = 0 if is_first_start else int(self._clock.wall() * 1000)
+        versions = record.versions if record is not None else {}
+        since_ms = self._merge(versions, since_ms)
+        self._row = row or KeyValue(self._key, b"", 0)
+        log = logger.bind(versions=versions, complete_since_ms=since_ms)
+        log.bind(store_version=self._row.version).info("version_record_read")
+
+    def _merge(self, versions: dict[str, list[str]], since_ms: int) -> int:
+        """Merge the versions of a record; return since when they are complete (Unix ms)."""
         if self._complete_since_ms is not None:
             since_ms = min(since_ms, self._complete_since_ms)
         self._complete_since_ms = since_ms
-        complete_since = now - max(0.0, wall - since_ms / 1000)
-        versions = record.versions if record is not None else {}
+        now = self._clock.monotonic()
+        complete_since = now - max(0.0, self._clock.wall() - since_ms / 1000)
         for streams in self._tables:
             stream_versions.merge_versions(streams, versions, complete_since, now)
-        self._row = row or KeyValue(self._key, b"", 0)
-        log = logger.bind(versions=versions, complete_since_ms=since_ms)
-        log.bind(store_version=self._row.version).info("version_record_read")
+        return since_ms
 
     def _decode(self, row: KeyValue) -> VersionRecord | None:
         try:
--- a/clementinepin/serving/store.py
+++ b/clementinepin/serving/store.py
@@ -11,7 +11,7 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
-from clementinepin.infrastructure import KeyValue, StateStore
+from clementinepin.infrastructure import Change, KeyValue, Page, StateStore
 from clementinepin.infrastructure.exceptions import WatchCompactedError
 
 RETRY_MIN_S: Final = 0.1  # first pause after a failed call of a follower
@@ -19,6 +19,19 @@
 FED_CHECK_S: Final = 0.2  # longest delay until the end of a feed is noticed
 
 
+class HedgingStore(StateStore, Protocol):
+    """A store that can send a request over a second path when the first is slow.
+
+    Of changes, only those that create keys are hedged.
+    """
+
+    def write_hedged(self, change: Change) -> int:
+        """Apply the change once, however many paths are tried, and return its version."""
+
+    def list_hedged(self, prefix: str) -> Page:
+        """Return all values under a prefix."""
+
+
 class StoreListener(Protocol):
     """Receives the state of a key range and its changes."""
 
--- a/clementinepin/systems/stream_versions.py
+++ b/clementinepin/systems/stream_versions.py
@@ -64,10 +64,16 @@
         del begun[next(iter(begun))]
 
 
+def find_stream(table: DispatchTable, stream_id: str, now: float) -> BegunStream | None:
+    """Return the record of a stream, or None without a valid one."""
+    stream = table.streams.begun.get(stream_id)
+    return stream if stream is not None and now < stream.expires_at else None
+
+
 def find_stream_version(table: DispatchTable, stream_id: str, now: float) -> str | None:
     """Return the version at which a stream began, or None if it is not recorded."""
-    stream = table.streams.begun.get(stream_id)
-    return stream.software_version if stream is not None and now < stream.expires_at else None
+    stream = find_stream(table, stream_id, now)
+    return stream.software_version if stream is not None else None
 
 
 def find_required_version(
@@ -75,9 +81,10 @@
 ) -> RequiredVersion:
     """Return the version at which a request must run.
 
-    The version of a stream that is not recorded is known if its service has had only one.
+    The version of a stream that is not recorded is known if its service has had only one until the
+    stream was resumed.
 
-    Load pattern: an instance that is cut off from the store during a release still has callers, and
+    Load pattern: an instance that is suspended or cut off during a release still has callers, and
     knows of the former version only. One that has just started sees the later version only.
     """
     if request.software_version:
@@ -87,13 +94,28 @@
     recorded = find_stream_version(table, request.stream_id, now)
     if recorded is not None:
         return RequiredVersion(recorded, VersionSource.RECORDED)
-    streams = table.streams
-    if not streams.is_current or now - streams.complete_since < VERSION_MEMORY_S:
+    only_version = _find_only_version(table, request, now)
+    if only_version is None or table.streams.confirmed_at < request.resumed_at:
         return RequiredVersion(None, VersionSource.UNKNOWN)
+    return RequiredVersion(only_version, VersionSource.ONLY_VERSION)
+
+
+def needs_confirmation(table: DispatchTable, request: PendingRequest, now: float) -> bool:
+    """Return whether the version of a request is known if the versions are confirmed now."""
+    return (
+        table.streams.confirmed_at < request.resumed_at
+        and find_required_version(table, request, now).source is VersionSource.UNKNOWN
+        and _find_only_version(table, request, now) is not None
+    )
+
+
+def _find_only_version(table: DispatchTable, request: PendingRequest, now: float) -> str | None:
+    """Return the only version that a request's service has had, None if there may be others."""
+    streams = table.streams
+    if now - streams.complete_since < VERSION_MEMORY_S:
+        return None
     versions = list_versions(streams, now).get(request.service, set())
-    if len(versions) != 1:
-        return RequiredVersion(None, VersionSource.UNKNOWN)
-    return RequiredVersion(versions.pop(), VersionSource.ONLY_VERSION)
+    return versions.pop() if len(versions) == 1 else None
 
 
 def list_versions(streams: StreamTable, now: float) -> dict[str, set[str]]:
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -40,7 +40,8 @@
     that a request is sent again. ``pace`` is the factor by which ``run_s`` was corrected.
     The caller gives up at ``timeout_at``, after all retries. With ``software_version`` only targets
     of that version may run it. ``stream_id`` is the request that began the stream, which its caller
-    may resume until ``stream_until``; ``is_resumption`` says that the caller does so now.
+    may resume until ``stream_until``; ``is_resumption`` says that the caller does so, with a
+    request that arrived at ``resumed_at``.
     """
 
     key: GrantKey
@@ -64,6 +65,7 @@
     stream_id: str = ""
     stream_until: float = 0.0
     is_resumption: bool = False
+    resumed_at: float = float("inf")
 
     @property
     def traits(self) -> frozenset[str]:
--- a/clementinepin/tables/streams.py
+++ b/clementinepin/tables/streams.py
@@ -18,14 +18,14 @@
 
     ``begun`` has the streams by the id of the request that began them, oldest grant first.
     ``present`` has the versions of a service's registered targets. ``gone_at`` has when the last
-    target of a version went (monotonic seconds), by service and version. ``is_current`` says that
-    changes of the registered targets arrive. No version other than these was there since
-    ``complete_since`` (monotonic seconds).
+    target of a version went (monotonic seconds), by service and version. All versions that were
+    registered before ``confirmed_at`` are known, and no other one was there since
+    ``complete_since`` (both in monotonic seconds).
     """
 
     def __init__(self) -> None:
         self.begun: OrderedDict[str, BegunStream] = OrderedDict()
         self.present: dict[str, set[str]] = {}
-        self.is_current = True
+        self.confirmed_at = float("inf")
         self.complete_since = float("-inf")
         self.gone_at: defaultdict[str, dict[str, float]] = defaultdict(dict)
--- a/tests/serving/test_slot_versions.py
+++ b/tests/serving/test_slot_versions.py
@@ -78,7 +78,8 @@
         pair.broker._link.stop()
     stream = make_stream(pair, "q9", is_resumption=True)
     pair.broker.release(acquire(pair.broker, stream), RunOutcome.CANCELLED)
-    pair.broker._fleet.is_current = False  # type: ignore[attr-defined]
+    for table in (pair.broker._table, pair.dispatcher.table):
+        table.streams.confirmed_at = 0.0
     pair.broker._table.streams.begun.clear()
     pair.dispatcher.table.streams.begun.clear()
     with pytest.raises(OverloadedError, match="unknown software version"):
--- a/tests/systems/test_stream_versions.py
+++ b/tests/systems/test_stream_versions.py
@@ -106,7 +106,7 @@
     """An entry cut off in a release resumed streams of the new version at the former one."""
     table = make_release("v1", "v1")
     stream_versions.record_stream(table, "q1", "v1", 5.0, 0.0)
-    table.streams.is_current = False
+    table.streams.confirmed_at = 0.5
     (rejected,) = dispatching.submit(table, resume("q9"), 1.0, rng)
     assert isinstance(rejected, Rejected)
     (granted,) = dispatching.submit(table, resume("q1"), 1.0, rng)
@@ -268,3 +268,26 @@
                     dispatching.finish(table, action.key, RunOutcome.CANCELLED, now)
     assert joined == 0
     assert resumed
+
+
+def test_a_view_older_than_the_resumption_tells_no_version(rng: random.Random) -> None:
+    """Guards against streams that an instance out of step resumed at the former version."""
+    table = make_release("v1", "v1")
+    table.streams.confirmed_at = 2.0
+    early, late = (resume("q9", n, 3.0)._replace(resumed_at=float(n)) for n in (1, 3))
+    assert not stream_versions.needs_confirmation(table, early, 3.0)
+    assert stream_versions.needs_confirmation(table, late, 3.0)
+    (rejected,) = dispatching.submit(table, late, 3.0, rng)
+    assert isinstance(rejected, Rejected)
+    table.streams.confirmed_at = 3.0
+    (granted,) = dispatching.submit(table, late, 3.0, rng)
+    assert isinstance(granted, Granted)
+
+
+def test_no_view_is_confirmed_for_streams_whose_version_that_can_not_tell() -> None:
+    """Mutation: confirm for all: each resumption in a release costs calls of the store."""
+    table = make_release("v1", "v2")
+    table.streams.confirmed_at = 0.0
+    stream_versions.record_stream(table, "q1", "v1", 5.0, 0.0)
+    for request in (resume("q9"), resume("q1"), make_request(3, 1.0, stream_id="q2")):
+        assert not stream_versions.needs_confirmation(table, request._replace(resumed_at=1.0), 1.0)
