Begin a stream at the version that a lost dispatcher was told

Callers could get a stream of two software versions (ORDER) when the connection of an instance to its dispatcher was lost behind a grant and the target failed before the first event: the instance went on by itself at a target of another version, and the dispatcher, which nobody corrected, had the stream resumed at the version of its grant when it was taken up through another instance.

Cause: a grant was recorded as the version at which the stream begins, though it may begin at a later attempt, or the grant may not have arrived.

Change: an instance that can't correct what a dispatcher was told keeps to that version for the stream's next attempts. A dispatcher whose connection to an instance ends forgets the streams whose targets did not begin to respond; the next hello of the instance tells them again. Responses of targets that tell no load are reported too, for streams.

Each half has a test that fails without it (streams began at the other version; the dispatcher kept what it had granted).

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -284,6 +284,7 @@
         """Release an instance's slots and requests; its next hello, if any, lists slots in use."""
         now = self._clock.monotonic()
         self._unconfirmed -= {key for key in self._unconfirmed if key[0] == name}
+        dispatching.forget_streams_in_doubt(self.table, name)
         for key in [k for k in (*self.table.grants, *self.table.list_waiting()) if k[0] == name]:
             dispatching.finish(self.table, key, RunOutcome.CANCELLED, now)
 
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -157,7 +157,7 @@
         ``on_waiting`` receives a function that cancels the wait. Raises OverloadedError if the
         request is rejected and CallerGoneError if the wait is cancelled.
         """
-        request = self._own_streams.bind(request)
+        request = self._own_streams.bind(request, is_linked=self._link.is_responsive)
         slot = self._ask_dispatcher(request, on_waiting)
         if slot is None and self._await_dispatcher(request):
             slot = self._ask_dispatcher(request, on_waiting)
@@ -191,6 +191,7 @@
             self._waiters.pop(number, None)
         if isinstance(reply, messages.GrantSlot):
             self._record_taken(number, request, reply.target_id, reply.limit_per_s)
+            self._own_streams.record_told(request)
             return Slot(number, reply.target_id, False, reply.software_version)
         if isinstance(reply, messages.RejectSlot):
             raise OverloadedError(reply.reason, reply.retry_after_s, list_inputs(reply))
@@ -281,8 +282,8 @@
         now = self._clock.monotonic()
         changed = target_limits.record_limit(self._table, key, limit_per_s, now)
         says_nothing = load is None and limit_per_s is None and leaving_started_at_ms is None
-        if says_nothing and not changed:
-            return
+        if says_nothing and not changed and not self._taken[slot.number][0].stream_id:
+            return  # of a stream the dispatcher must know that it may have begun
         reported = -1 if load is None else load[0] + load[1]
         dispatching.record_load(self._table, key, reported, now)
         self._link.send(
@@ -387,6 +388,7 @@
         self._link.send(
             messages.SlotTaken(describe_slot(number, *self._taken[number], now), stream)
         )
+        self._own_streams.record_told(request)
         return Slot(number, target.target_id, True, target.software_version)
 
     def _record_taken(
@@ -438,6 +440,7 @@
 
     def _handle_close(self) -> None:
         self._feed.close()
+        self._own_streams.record_connection_lost()
         for waiter in list(self._waiters.values()):
             if not waiter.result.ready():
                 waiter.result.set(None)
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -164,6 +164,17 @@
     target_health.record_outcome(table, target, outcome, now)
 
 
+def forget_streams_in_doubt(table: DispatchTable, instance: str) -> None:
+    """Forget the versions of an instance's granted streams whose targets did not respond yet.
+
+    Load pattern: the connection to an instance is lost behind a grant, which it may never have got.
+    It goes on by itself, maybe at a target of another version.
+    """
+    for key, grant in table.grants.items():
+        if key[0] == instance and grant.new_stream_id and not grant.has_response:
+            stream_versions.forget_stream(table, grant.new_stream_id)
+
+
 def serve_queue(table: DispatchTable, now: float, rng: random.Random) -> list[Action]:
     """Start waiting requests in order, and reject those that would start too late.
 
@@ -248,6 +259,8 @@
     the dispatcher role moves. Such a target gets no new requests until the surplus is gone.
     """
     grant = table.grants.get(key)
+    if grant is not None:
+        grant.has_response = True
     target = table.targets.get(grant.target_id) if grant is not None else None
     if target is None or reported < 0 or not table.uses(Mechanism.UNTRACKED_LOAD):
         return []
--- a/clementinepin/systems/stream_versions.py
+++ b/clementinepin/systems/stream_versions.py
@@ -64,6 +64,18 @@
         del begun[next(iter(begun))]
 
 
+def record_told(table: DispatchTable, stream_id: str, connection: int, now: float) -> None:
+    """Record by which connection a dispatcher knows of a stream that is recorded."""
+    stream = find_stream(table, stream_id, now)
+    if stream is not None:
+        table.streams.begun[stream_id] = stream._replace(told_by=connection)
+
+
+def forget_stream(table: DispatchTable, stream_id: str) -> None:
+    """Forget at which version a stream was to begin, as it may have begun at another one."""
+    table.streams.begun.pop(stream_id, None)
+
+
 def find_stream(table: DispatchTable, stream_id: str, now: float) -> BegunStream | None:
     """Return the record of a stream, or None without a valid one."""
     stream = table.streams.begun.get(stream_id)
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -86,15 +86,19 @@
     """A granted slot. Times are monotonic seconds.
 
     ``ends_at`` is an estimate. ``due_at`` is the latest end at which the run is on time.
-    ``preempting`` is True once the run was asked to stop, at ``preempted_at``.
+    ``preempting`` is True once the run was asked to stop, at ``preempted_at``. ``new_stream_id`` is
+    the stream that the run is to begin, empty for others; ``has_response`` says that the target
+    has begun to respond.
     """
 
     __slots__ = (
         "due_at",
         "ends_at",
+        "has_response",
         "is_batch",
         "is_firm",
         "key",
+        "new_stream_id",
         "pace",
         "preempted_at",
         "preempting",
@@ -119,6 +123,8 @@
         self.due_at = request.on_time_by + request.run_s
         self.preempting = False
         self.preempted_at = 0.0
+        self.new_stream_id = "" if request.is_resumption else request.stream_id
+        self.has_response = False
 
     def request_preemption(self, now: float) -> None:
         """Record that the run was asked to stop."""
--- a/clementinepin/tables/streams.py
+++ b/clementinepin/tables/streams.py
@@ -7,10 +7,14 @@
 
 
 class BegunStream(NamedTuple):
-    """A stream that a target was granted to; ``expires_at`` is in monotonic seconds."""
+    """A stream that a target was granted to; ``expires_at`` is in monotonic seconds.
+
+    ``told_by`` is the connection by which a dispatcher knows of it, 0 if none does.
+    """
 
     software_version: str
     expires_at: float
+    told_by: int = 0
 
 
 class StreamTable:
--- a/tests/serving/test_version_checks.py
+++ b/tests/serving/test_version_checks.py
@@ -15,6 +15,7 @@
 from clementinepin.serving._version_records import VersionRecord, VersionRecords, _encode
 from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.systems import stream_versions
+from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.dispatch import DispatchTable
 from clementinepin.tables.streams import StreamTable
 from tests.serving.harness import Harness, get_status, send_events
@@ -191,3 +192,32 @@
     pair.broker._link.drop()
     assert not pair.broker.is_linked
     assert acquire(pair.broker, stream).software_version == "v2"
+
+
+def test_a_stream_begins_at_the_version_that_a_lost_dispatcher_was_told() -> None:
+    """Guards against streams that other callers' instances resume at a version that was granted.
+
+    The target of the grant failed before the first event, and the connection was lost then.
+    """
+    pair = start_pair(targets=3)
+    set_versions(pair, "v1", "v2", "v1")
+    slot = acquire(pair.broker, make_stream(pair, "q1"))
+    granted = slot.software_version
+    pair.broker.release(slot, RunOutcome.BROKEN)
+    pair.broker._link.stop()
+    again = make_stream(pair, "q1", excluded=frozenset({slot.target_id}))
+    assert acquire(pair.broker, again).software_version == granted
+    with pytest.raises(OverloadedError):
+        acquire(pair.broker, again._replace(excluded=frozenset({"t0", "t2"})))
+
+
+def test_a_dispatcher_forgets_a_stream_whose_grant_may_not_have_arrived() -> None:
+    pair = start_pair(targets=2)
+    slots = [acquire(pair.broker, make_stream(pair, stream_id)) for stream_id in ("q1", "q2")]
+    pair.broker.report_load(slots[0], None, None)
+    gevent.sleep(0.05)
+    pair.broker._link.stop()
+    with gevent.Timeout(5.0):
+        while pair.dispatcher.table.grants:
+            gevent.sleep(0.005)
+    assert set(pair.dispatcher.table.streams.begun) == {"q1"}
--- a/tests/systems/test_stream_versions.py
+++ b/tests/systems/test_stream_versions.py
@@ -291,3 +291,18 @@
     stream_versions.record_stream(table, "q1", "v1", 5.0, 0.0)
     for request in (resume("q9"), resume("q1"), make_request(3, 1.0, stream_id="q2")):
         assert not stream_versions.needs_confirmation(table, request._replace(resumed_at=1.0), 1.0)
+
+
+def test_a_stream_whose_grant_may_not_have_arrived_has_no_known_version(
+    rng: random.Random,
+) -> None:
+    """Its instance lost the connection, went on by itself and began at the other version."""
+    table = make_release("v1", "v2", slots=2)
+    for n in range(2):
+        request = make_request(n, 0.0, stream_id=f"q{n}", stream_until=5.0)
+        assert dispatching.submit(table, request, 0.0, rng)
+    dispatching.record_load(table, ("f", 0), -1, 0.1)
+    dispatching.forget_streams_in_doubt(table, "other")
+    assert set(table.streams.begun) == {"q0", "q1"}
+    dispatching.forget_streams_in_doubt(table, "f")
+    assert set(table.streams.begun) == {"q0"}
