Let an instance be out of step in a release in the soak

The soak could not show it: without `bootstrap` a fleet younger than a minute rejects each stream that it does not remember, its service had two versions from the start, and a link between two instances could not be cut for one of them.

All first starts say `bootstrap = true`. Links to other instances are cut in both directions inside the daemon. The new kind runs a release of a service of its own while an entry, or a job runner, is stopped or cut off; callers begin streams through other entries and resume them at that instance. The check is the existing one, that a stream holds the events of one version. A calm check counts 32 resumptions at the instance 3 s behind its disruption: at least half as many go on as new streams begin.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,8 @@
 )
 from soak._faults import Faults
 from soak._fleet import ROOT, Fleet
+from soak._releases import NAME as RELEASE_NAME
+from soak._releases import Releases
 
 USAGE = """Soak the daemons under faults drawn by seeds.
 
@@ -67,7 +69,9 @@
         builds=choose_builds(args),
     )
     kinds = args["--kinds"].split(",") if args["--kinds"] else []
-    callers, faults = Callers(fleet, seed), Faults(fleet, seed, kinds)
+    callers = Callers(fleet, seed)
+    releases = Releases(fleet, callers, seed)
+    faults = Faults(fleet, releases, seed, kinds)
     try:
         gevent.sleep(float(args["--start"]))
         until = fleet.now() + float(args["--seconds"])
@@ -83,6 +87,8 @@
         await_jobs(fleet, callers)
         if not (fleet.has_two_builds or kinds):
             check_calm(fleet, callers, float(args["--rate"]))
+        if not fleet.has_two_builds and (not kinds or any(word in RELEASE_NAME for word in kinds)):
+            releases.check_calm_streams()
         callers.check_runs()
         if not callers.statuses.get(200):
             callers.broken.append("no caller was served")
@@ -93,6 +99,7 @@
         f"seed {seed}: {len(callers.jobs)} jobs, statuses {dict(sorted(callers.statuses.items()))}"
         f", of resumptions {dict(sorted(callers.resumed.items()))}"
     )
+    print("".join(f"  {line}\n" for line in releases.describe_outcomes()), end="")
     if callers.broken:
         print("\n".join(f"  {line}" for line in faults.log))
     return callers.broken
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -155,7 +155,7 @@
         ip = self.resolve_front()
         if ip is None:
             return
-        request_id = self._make_id("s")
+        request_id = self.make_id("s")
         events = self._random.randint(3, 40)
         headers = {
             "Clementinepin-Request-Id": request_id,
@@ -165,7 +165,7 @@
         }
         breaks = route == "again" and self._random.random() < BREAKING_SHARE
         events_max = self._random.randint(1, events) if breaks else 0
-        response = self._call_stream(ip, route, headers, events_max)
+        response = self.call_stream(ip, route, headers, events_max)
         if route == "once":
             self.once_ids.append(request_id)
         body, whole = response.body, response.whole
@@ -179,18 +179,18 @@
                 continue
             body = body[: body.rindex(b"\n\n") + 2]
             resumption = {
-                "Clementinepin-Request-Id": self._make_id("s"),
+                "Clementinepin-Request-Id": self.make_id("s"),
                 "Resumes": request_id,
                 "Last-Event-Id": str(last_event),
             }
-            resumed = self._call_stream(ip, route, headers | resumption)
+            resumed = self.call_stream(ip, route, headers | resumption)
             self.resumed[resumed.status] = self.resumed.get(resumed.status, 0) + 1
             if resumed.status == 200:
                 body, whole = body + resumed.body, resumed.whole
             else:
                 gevent.sleep(RESUMPTION_PAUSE_S)
         if response.status == 200:
-            self._check_stream(request_id, events, body, whole)
+            self.check_stream(request_id, events, body, whole)
 
     def _make_prompt(self, request_id: str) -> str:
         """Return the parts of a prompt; a share of them has one that crashes engines."""
@@ -200,9 +200,10 @@
             second = self._random.choice(crashing)
         return f"a{self._random.randrange(FIRST_PARTS)}:20,{second}:20,{request_id}:10"
 
-    def _call_stream(
+    def call_stream(
         self, ip: str, route: str, headers: dict[str, str], events_max: int = 0
     ) -> Response:
+        """Send a request on a route to an entry, and record how it ended."""
         path, sent_at = f"/{route}/x", self._fleet.now()
         body = headers["Clementinepin-Prompt-Prefix"].encode()
         response = call(ip, 8161, "POST", path, headers, body, events_max=events_max)
@@ -213,7 +214,7 @@
             self.rejected_ids.append(headers["Clementinepin-Request-Id"])
         return response
 
-    def _check_stream(self, stream_id: str, events: int, body: bytes, whole: bool) -> None:
+    def check_stream(self, stream_id: str, events: int, body: bytes, whole: bool) -> None:
         """Check that a stream holds the events of one software version, all if it is whole."""
         possible = [
             "".join(
@@ -229,8 +230,8 @@
 
     def send_job(self) -> None:
         """Submit a job, up to four times until it is accepted, as callers do after a failure."""
-        job_id = self._make_id("j")
-        items = [self._make_id("i") for _ in range(self._random.randint(1, 8))]
+        job_id = self.make_id("j")
+        items = [self.make_id("i") for _ in range(self._random.randint(1, 8))]
         body = msgspec.json.encode({"items": [self._make_item(item) for item in items]})
         statuses = []
         for _ in range(4):
@@ -314,6 +315,7 @@
             "tokens": 80,
         }
 
-    def _make_id(self, prefix: str) -> str:
+    def make_id(self, prefix: str) -> str:
+        """Return an id that no request has."""
         self._id_count += 1
         return f"{prefix}{self._id_count:05d}"
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -13,7 +13,9 @@
 
 import gevent
 
-from soak._fleet import VERSIONS, Fleet, Instance
+from soak._fleet import SERVICE, VERSIONS, Fleet, Instance
+from soak._releases import NAME as RELEASE_NAME
+from soak._releases import Releases
 
 
 class Faults:
@@ -22,7 +24,9 @@
     With ``words`` only kinds whose name has one of them are injected.
     """
 
-    def __init__(self, fleet: Fleet, seed: int, words: Collection[str] = ()) -> None:
+    def __init__(
+        self, fleet: Fleet, releases: Releases, seed: int, words: Collection[str] = ()
+    ) -> None:
         self._fleet = fleet
         self._random = random.Random(seed)
         self.log: list[str] = []
@@ -61,6 +65,7 @@
                 ("target repeats a refusal", lambda: self._spoil("refusals_to_repeat")),
                 ("target writes errors", lambda: self._spoil("errors_to_write")),
                 ("target truncates heads", lambda: self._spoil("heads_to_truncate")),
+                (RELEASE_NAME, releases.inject),
             ]
         if words:
             self._kinds = [k for k in self._kinds if any(word in k[0] for word in words)]
@@ -79,12 +84,13 @@
 
     def end_all(self) -> None:
         """Wait for the active faults, clear the others and start instances that are down."""
-        gevent.joinall(self._active, timeout=12)
+        gevent.joinall(self._active, timeout=15)
         for fault, value in self._fleet.gateway.faults.items():
             self._fleet.gateway.faults[fault] = type(value)()
         for instance in self._fleet.instances:
             instance.proxy.clear()
             instance.cut_links([], "", "")
+            instance.cut_off([], "", "")
             instance.send(signal.SIGCONT)
             if not instance.is_running():
                 instance.start()
@@ -160,7 +166,11 @@
         proxy.clear()
 
     def _choose_target(self) -> str:
-        return self._random.choice(sorted(self._fleet.targets))
+        return self._random.choice(sorted(self._list_targets()))
+
+    def _list_targets(self) -> list[str]:
+        """Return the engines that don't belong to a release."""
+        return [name for name, t in self._fleet.targets.items() if t.service == SERVICE]
 
     def _crash_target(self) -> None:
         self._fleet.crash_target(self._choose_target(), self._random.uniform(0.2, 1.0))
@@ -220,7 +230,7 @@
     def _kill_behind_a_release(self) -> None:
         """Replace all engines of a version by others, and kill all instances, or all entries."""
         former, later = self._random.sample(VERSIONS, 2)
-        names = [n for n, target in self._fleet.targets.items() if target.version == former]
+        names = [n for n in self._list_targets() if self._fleet.targets[n].version == former]
         only_fronts = self._random.random() < 0.5
         for name in names:
             self._fleet.add_target(f"{name}k", later)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import itertools
 import os
 import random
@@ -24,6 +25,7 @@
 from soak._target import RunLog, Target
 from standins.key_value import create_server
 
+INTERNAL_PORTS = (7720, 7735)
 ENDING_SIGNALS = (signal.SIGKILL, signal.SIGTERM, signal.SIGABRT)
 ROOT = Path(__file__).parent.parent
 DAEMON = Path(__file__).parent / "_daemon.py"
@@ -32,9 +34,11 @@
 HOST = "soak.example"
 GRACE_PERIOD_S = 4.0
 HEARTBEAT_INTERVAL_S = 0.4
+SLOTS = 4  # of an engine
 CRASH_S = 0.5  # until an engine that a request crashed is back
 UNFRAMED_PERIOD = 3  # each third response of an engine ends with its connection
 VERSIONS = ("v1", "v2", "v3")  # of the engines' software
+RELEASED_SERVICES = tuple(f"released{n}" for n in range(6))  # each with a resumable route
 
 SETTINGS_TEMPLATE = """node = "{name}"
 role = "{role}"
@@ -42,7 +46,8 @@
 ip = "{ip}"
 zone = "{zone}"
 region = "r"
-internal_ports = [7720, 7735]
+internal_ports = [{internal_ports[0]}, {internal_ports[1]}]
+bootstrap = {bootstrap}
 [listen]
 {listen}
 [limits]
@@ -58,7 +63,8 @@
 class Instance:
     """One daemon process with its settings file, log file and proxy to the store.
 
-    Each start takes the next of ``builds``, which are checkouts of the project.
+    Each start takes the next of ``builds``, which are checkouts of the project. The first one is
+    the first start of the whole fleet.
     """
 
     def __init__(
@@ -79,8 +85,10 @@
         names = ("front", "ready", "directory")
         ports = dict(zip(names, (8161, 8167, 8164), strict=True))
         listen = "\n".join(f'{k} = "{ip}:{v}"' for k, v in ports.items()) if is_front else ""
-        settings_text = SETTINGS_TEMPLATE.format(
+        self._settings = functools.partial(
+            SETTINGS_TEMPLATE.format,
             name=name,
+            internal_ports=INTERNAL_PORTS,
             role="front" if is_front else "store",
             serves='["front", "directory"]' if is_front else '["store"]',
             ip=ip,
@@ -90,12 +98,14 @@
             store=self.proxy.port,
         )
         self._settings_path = folder / f"{name}.toml"
-        self._settings_path.write_text(settings_text)
         self._links_path = folder / f"{name}-links.json"
+        self._cuts: dict[str, dict[str, Any]] = {}
 
     def start(self) -> None:
         """Start the process; all starts append to the same log file."""
         self.end_expected = False
+        is_first = self._process is None
+        self._settings_path.write_text(self._settings(bootstrap=str(is_first).lower()))
         build = next(self._builds)
         environment = {
             **os.environ,
@@ -112,13 +122,27 @@
             )
 
     def cut_links(self, ports: list[int], new: str, opened: str) -> None:
-        """Cut the links of this process to ports; new connections refuse or hang.
+        """Cut the links of this process to the ports of targets; new connections refuse or hang.
 
         ``opened`` is what happens to open ones: reset, hang or none. No ports end all cuts.
         """
-        row = {"ports": ports, "new": new, "open": opened}
+        self._write_cut("targets", ["127.0.0.1"], ports, new, opened)
+
+    def cut_off(self, hosts: list[str], new: str, opened: str) -> None:
+        """Cut the links with the instances at ``hosts``, in both directions; none end the cut."""
+        ports = list(range(INTERNAL_PORTS[0], INTERNAL_PORTS[1] + 1)) if hosts else []
+        self._write_cut("instances", hosts, ports, new, opened)
+
+    def _write_cut(
+        self, kind: str, hosts: list[str], ports: list[int], new: str, opened: str
+    ) -> None:
+        """Write the cuts of all kinds; the one of ``kind`` replaces its former one."""
+        row = {"hosts": hosts, "ports": ports, "new": new, "open": opened}
+        self._cuts[kind] = row | {"accepted": kind == "instances"}
         written = self._links_path.with_suffix(".new")
-        written.write_bytes(msgspec.json.encode(row))
+        written.write_bytes(
+            msgspec.json.encode([row for row in self._cuts.values() if row["ports"]])
+        )
         written.replace(self._links_path)
 
     def send(self, signal_number: signal.Signals) -> None:
@@ -211,6 +235,18 @@
                 **stream,
                 **common,
             },
+            *(
+                {
+                    "name": service,
+                    "path_prefix": f"/{service}/",
+                    "max_attempts": 3,
+                    "resumable": True,
+                    **stream,
+                    **common,
+                    "service": service,
+                }
+                for service in RELEASED_SERVICES
+            ),
             {
                 "name": "jobs",
                 "path_prefix": "/jobs/",
@@ -224,12 +260,16 @@
                 **common,
             },
         ]
-        config = {"version": version, "routes": routes, "services": [{"name": SERVICE}]}
+        services = [{"name": service} for service in (SERVICE, *RELEASED_SERVICES)]
+        config = {"version": version, "routes": routes, "services": services}
         self.gateway.state.put("op/config", msgspec.json.encode(config), None)
 
-    def add_target(self, name: str, version: str = VERSIONS[0]) -> None:
+    def add_target(
+        self, name: str, version: str = VERSIONS[0], service: str = SERVICE, slots: int = SLOTS
+    ) -> None:
         """Start an engine behind a proxy and register it in the store under a lease."""
-        target = Target(name, SERVICE, 4, self.run_log, self.now, version)
+        self._unregistered.discard(name)
+        target = Target(name, service, slots, self.run_log, self.now, version)
         target.unframed_period = 0 if self.has_two_builds else UNFRAMED_PERIOD
         target.crashing_parts = self.crashing_parts
         target.on_crash = lambda name: self.crash_target(name, CRASH_S)
