Go back to the dispatcher that an instance had before it was cut off

Callers who resumed streams at an instance just behind its cut from the others were rejected for up to two seconds more, though most streams could go on: the instance connected to another job runner, which doesn't know what was granted to the streams of the other instances, as the one that it had before was still skipped for not having responded. A dispatcher that responded again could even be left, as its own skip had not run out.

A dispatcher that responds is skipped no more. If none responded for a while, the instance itself was cut off, and what it thought of the others is void. Requests wait for the connection only shortly behind its loss; later they are rejected at once.

The new test fails without the change: the instance stays with the other job runner.

--- a/clementinepin/serving/_dispatcher_link.py
+++ b/clementinepin/serving/_dispatcher_link.py
@@ -30,6 +30,8 @@
 SILENCE_CHECK_S: Final = SILENCE_MAX_S / 3
 STALLED_S: Final = 0.4  # a process whose checks are later than this was suspended
 STALL_MEMORY_S: Final = 0.5  # until the end of a connection that was lost meanwhile is read
+# A process that was suspended, or whose dispatcher is lost, is connected again within this time.
+RECONNECTED_S: Final = 0.6
 STALLED_RECONNECT_S: Final = 0.02
 READ_SIZE_BYTES: Final = 65_536
 
@@ -64,6 +66,7 @@
         self._responsive = Event()
         self._checked_at = clock.monotonic()
         self._stalled_at = float("-inf")
+        self._lost_at = float("-inf")
         self.dispatcher: Member | None = None
         self.last_received_at = 0.0
         self.on_open: Callable[[str], None] = lambda _name: None
@@ -88,9 +91,14 @@
         """Return the name of the connected dispatcher, empty without a connection."""
         return self.dispatcher.name if self.dispatcher and self._sender is not None else ""
 
-    def wait_responsive(self, timeout_s: float) -> bool:
-        """Wait until a dispatcher is connected and responsive; return whether one is."""
-        return bool(self._responsive.wait(timeout_s))
+    def await_reconnection(self, deadline: float) -> bool:
+        """Wait until a dispatcher is responsive; return whether one is.
+
+        If the connection was lost longer than RECONNECTED_S ago, none can be expected soon.
+        """
+        wait_until = min(deadline, self._lost_at + RECONNECTED_S)
+        wait_s = max(0.0, wait_until - self._clock.monotonic())
+        return self.is_responsive or bool(self._responsive.wait(wait_s))
 
     def send(self, message: messages.Message) -> None:
         """Send to the dispatcher, or discard the message if there is no connection.
@@ -105,7 +113,7 @@
         if not self.is_responsive:
             return
         self._is_suspected = True
-        self._responsive.clear()
+        self._record_lost()
         logger.bind(dispatcher=self.dispatcher_name, reason=reason).warning("dispatcher_silent")
         gevent.spawn_later(self._suspect_s, self._drop_if_suspected, self._sender)
 
@@ -113,7 +121,7 @@
         """Close the connection; the background task opens a new one at once."""
         if self._sender is not None:
             sender, self._sender = self._sender, None
-            self._responsive.clear()
+            self._record_lost()
             sender.close()
             self.on_closed()
 
@@ -173,15 +181,32 @@
             while data := sock.recv(READ_SIZE_BYTES):
                 self.last_received_at = self._clock.monotonic()
                 if self._is_suspected:
-                    self._is_suspected = False
-                    self._responsive.set()
                     sock.settimeout(None)
-                    logger.bind(dispatcher=member.name).info("dispatcher_regained")
+                    self._record_regained(member)
                 for message in reader.feed(data):
                     self._handle_message(message)
         finally:
             sock.close()
 
+    def _record_lost(self) -> None:
+        if self._responsive.is_set():
+            self._responsive.clear()
+            self._lost_at = self._clock.monotonic()
+
+    def _record_regained(self, member: Member) -> None:
+        """Record that a dispatcher responds.
+
+        If none did for a while, this instance was cut off itself: the one that it had before is
+        well, and only that one knows the streams of the other instances.
+        """
+        self._is_suspected = False
+        self._responsive.set()
+        self._skipped_until.pop(member.name, None)
+        logger.bind(dispatcher=member.name).info("dispatcher_regained")
+        if self._skipped_until and self._clock.monotonic() - self._lost_at > RECONNECTED_S:
+            self._skipped_until.clear()
+            gevent.spawn(self.recheck_dispatcher)
+
     def _watch_silence(self) -> None:
         """Drop a dispatcher that sent nothing for SILENCE_MAX_S, or that is no longer chosen."""
         while True:
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -55,8 +55,6 @@
 
 REPLY_TIMEOUT_S: Final = 0.08  # a few round trips between data centres and a busy dispatcher
 BROKEN_RUNS_MAX: Final = 64  # reported to a new dispatcher
-# A process that was suspended, or whose dispatcher is lost, is connected again within this time.
-DISPATCHER_WAIT_S: Final = 0.6
 # Batch starts without the dispatcher only after this time: a lost dispatcher's lease ends after
 # 3 s, and items are due within 18 s.
 LOCAL_BATCH_AFTER_S: Final = 9.0
@@ -216,8 +214,7 @@
             self.confirm_versions()
         if stream_versions.find_required_version(self._table, pending, now).version is not None:
             return False
-        wait_s = min(DISPATCHER_WAIT_S, request.deadline - self._clock.monotonic())
-        return self._link.wait_responsive(max(0.0, wait_s))
+        return self._link.await_reconnection(request.deadline)
 
     def _hold_batch(self) -> None:
         """Raise OverloadedError while the linked dispatcher is not the first registered one.
--- a/tests/serving/test_version_checks.py
+++ b/tests/serving/test_version_checks.py
@@ -221,3 +221,26 @@
         while pair.dispatcher.table.grants:
             gevent.sleep(0.005)
     assert set(pair.dispatcher.table.streams.begun) == {"q1"}
+
+
+@pytest.mark.parametrize(("lost_s", "name"), [(5.0, "d1"), (0.1, "d2")])
+def test_an_instance_that_was_cut_off_goes_back_to_the_dispatcher_that_it_had(
+    lost_s: float, name: str
+) -> None:
+    """Another dispatcher rejects streams that it doesn't know. Mutation: keep skipping the first."""
+    pair, other = start_pair(targets=1), start_pair(targets=1)
+    (first,), (second,) = pair.broker._fleet.members, other.broker._fleet.members
+    pair.broker._fleet.members.append(second._replace(name="d2", started_ms=1))
+    link = pair.broker._link
+    now = pair.broker._clock.monotonic()
+    link.drop()
+    link._skipped_until[first.name] = now + 60.0
+    link._lost_at = now - lost_s
+    seen: list[str] = []
+    link.on_open = seen.append
+    with gevent.Timeout(5.0):
+        while not seen or not link.is_responsive:
+            gevent.sleep(0.005)
+    gevent.sleep(0.1)
+    assert seen[0] == "d2"
+    assert link.dispatcher_name == name
