--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -19,6 +19,7 @@
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving import _messages as messages
+from clementinepin.serving._batch_hold import BatchHold
 from clementinepin.serving._dispatcher import update_targets
 from clementinepin.serving._dispatcher_link import SUSPECT_S, DispatcherLink
 from clementinepin.serving._feed import FeedClient
@@ -55,9 +56,6 @@
 
 REPLY_TIMEOUT_S: Final = 0.08  # a few round trips between data centres and a busy dispatcher
 BROKEN_RUNS_MAX: Final = 64  # reported to a new dispatcher
-# Batch starts without the dispatcher only after this time: a lost dispatcher's lease ends after
-# 3 s, and items are due within 18 s.
-LOCAL_BATCH_AFTER_S: Final = 9.0
 
 
 class _Waiter:
@@ -109,9 +107,9 @@
         self._decides_alone = False
         self._broken_runs: deque[tuple[BrokenRun, float]] = deque(maxlen=BROKEN_RUNS_MAX)
         self._response_times = estimates.ResponseTimes()
-        self._first_dispatcher_linked_at = clock.monotonic()
         suspect_s = SUSPECT_S if Mechanism.DISPATCHER_SUSPICION not in policy.disabled else 0.0
         self._link = DispatcherLink(fleet, clock, self._make_hello, self._handle_message, suspect_s)
+        self._batch_hold = BatchHold(fleet, self._link, clock)
         self._link.on_open = self._feed.open
         self._link.on_closed = self._handle_close
         self._table = DispatchTable(policy.order, policy.disabled)
@@ -168,7 +166,7 @@
         if not self._link.is_responsive:
             return None
         if request.is_batch:
-            self._hold_batch()
+            self._batch_hold.check_linked()
         self._decides_alone = False
         number = next(self._numbers)
         waiter = _Waiter(request)
@@ -201,12 +199,14 @@
         return None
 
     def _await_dispatcher(self, request: SlotRequest) -> bool:
-        """Wait for a dispatcher if only one can know the version of a resumed stream.
+        """Make sure that the version of a resumed stream is known, or wait for who may know it.
 
-        Return whether one is responsive then. Load pattern: an instance that was suspended in a
-        release is connected to no dispatcher for a moment, and gets callers at once.
+        Return whether a dispatcher is responsive then and must be asked.
+
+        Load pattern: an instance that was suspended in a release is connected to no dispatcher for
+        a moment, and gets callers at once.
         """
-        if self._placement is not Placement.DISPATCHER or not request.is_resumption:
+        if not request.is_resumption:
             return False
         now = self._clock.monotonic()
         pending = make_local_request(self._name, self._data_centre, 0, request, now)
@@ -214,30 +214,9 @@
             self.confirm_versions()
         if stream_versions.find_required_version(self._table, pending, now).version is not None:
             return False
-        return self._link.await_reconnection(request.deadline)
-
-    def _hold_batch(self) -> None:
-        """Raise OverloadedError while the linked dispatcher is not the first registered one.
-
-        Load pattern: job runners lose the connection to the dispatcher while entries still reach
-        it. Batch items under a second dispatcher would take slots that the first one grants to
-        callers. After LOCAL_BATCH_AFTER_S batch uses the linked dispatcher all the same.
-        """
-        if self._record_first_dispatcher():
-            return
-        if self._clock.monotonic() - self._first_dispatcher_linked_at < LOCAL_BATCH_AFTER_S:
-            raise OverloadedError("batch waits for the first dispatcher", LOCAL_RETRY_S)
-
-    def _record_first_dispatcher(self) -> bool:
-        """Return whether the linked dispatcher is the first registered one, and record the time.
-
-        Called at each message, as items that run for long send no requests meanwhile.
-        """
-        first = next(iter(self._fleet.list_job_runners()), None)
-        if first is not None and self._link.dispatcher_name != first.name:
+        if self._placement is not Placement.DISPATCHER:
             return False
-        self._first_dispatcher_linked_at = self._clock.monotonic()
-        return True
+        return self._link.await_reconnection(request.deadline)
 
     def release(
         self, slot: Slot, outcome: RunOutcome, *, succeeded: bool = False, events: int = 0
@@ -357,17 +336,13 @@
     def _decide_locally(self, request: SlotRequest) -> Slot:
         """Return a slot chosen by this instance's own counts.
 
-        Raises OverloadedError if no target qualifies, and for batch items within
-        LOCAL_BATCH_AFTER_S without the first dispatcher.
+        Raises OverloadedError if no target qualifies, and for batch items that must wait for a
+        dispatcher.
         """
         number = next(self._numbers)
         now = self._clock.monotonic()
-        if (
-            request.is_batch
-            and self._placement is Placement.DISPATCHER
-            and now - self._first_dispatcher_linked_at < LOCAL_BATCH_AFTER_S
-        ):
-            raise OverloadedError("batch waits for a dispatcher", LOCAL_RETRY_S)
+        if request.is_batch and self._placement is Placement.DISPATCHER:
+            self._batch_hold.check_alone()
         pending = make_local_request(self._name, self._data_centre, number, request, now)
         log_resumption(self._table, pending, now)
         entries, runners = self._fleet.list_entries(), self._fleet.list_job_runners()
@@ -414,7 +389,7 @@
         )
 
     def _handle_message(self, message: Any) -> None:
-        self._record_first_dispatcher()
+        self._batch_hold.record_link()
         if isinstance(message, messages.PreemptSlot):
             on_preempt = self._preemption_handlers.pop(message.number, None)
             if on_preempt is not None:
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from clementinepin.helpers.clock import create_system_clock
-from clementinepin.serving import _dispatcher_link, _slots
+from clementinepin.serving import _batch_hold, _dispatcher_link, _slots
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._dispatcher import Dispatcher
 from clementinepin.serving._links import Link, LinkServer
@@ -325,8 +325,8 @@
     pair = start_pair(1, clock)
     broker = pair.broker
     slot = acquire(broker, make_request(clock.monotonic(), is_batch=True))
-    shifted_at = clock.monotonic() + 2 * _slots.LOCAL_BATCH_AFTER_S
-    clock.shift_s += 2 * _slots.LOCAL_BATCH_AFTER_S
+    shifted_at = clock.monotonic() + 2 * _batch_hold.LOCAL_BATCH_AFTER_S
+    clock.shift_s += 2 * _batch_hold.LOCAL_BATCH_AFTER_S
     with gevent.Timeout(5.0):
         while not broker.is_linked or broker._link.last_received_at < shifted_at:
             gevent.sleep(0.005)
--- a/tests/serving/test_version_checks.py
+++ b/tests/serving/test_version_checks.py
@@ -227,7 +227,7 @@
 def test_an_instance_that_was_cut_off_goes_back_to_the_dispatcher_that_it_had(
     lost_s: float, name: str
 ) -> None:
-    """Another dispatcher rejects streams that it doesn't know. Mutation: keep skipping the first."""
+    """Another one rejects streams that it doesn't know. Mutation: keep skipping the first."""
     pair, other = start_pair(targets=1), start_pair(targets=1)
     (first,), (second,) = pair.broker._fleet.members, other.broker._fleet.members
     pair.broker._fleet.members.append(second._replace(name="d2", started_ms=1))
