Keep following a key range whatever a row or the store raises

RangeFollower.run ended its greenlet on any error but a ClementinepinError, so one row that its listener could not decode (batch's index of active jobs) ended the following of the range until the process started again: no new job was seen by that instance.

A row that the listener can't handle is now logged with key and reason, both bounded, and skipped; the rows after it are reported. Any other error is logged and followed by the same pause as a dropped watch. Both tests failed before with the listener's RecursionError and the store's OverflowError out of the follower.

--- a/clementinepin/infrastructure/_follower.py
+++ b/clementinepin/infrastructure/_follower.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.decoding import REASON_MAX_CHARS
 from clementinepin.infrastructure._backoff import choose_backoff
 from clementinepin.infrastructure.exceptions import WatchCompactedError
 from clementinepin.infrastructure.models import KeyValueStore
@@ -16,6 +17,7 @@
 LOG_PREFIX = "platform:"
 PAGE_ROWS = 1000
 DROP_PAUSE_MAX_S = 5.0
+KEY_MAX_CHARS = 200
 
 
 class RangeListener(Protocol):
@@ -31,6 +33,8 @@
 class RangeFollower:
     """Keeps a listener up to date with the rows under a prefix.
 
+    A row that the listener can't handle is logged and skipped.
+
     After a drop the watch continues after the last version that was received. After a compaction
     the range is listed again, and rows that are no longer listed are removed.
     """
@@ -61,6 +65,9 @@
                 self._watch_after = None
             except ClementinepinError as err:
                 logger.debug("{} Watch on {} dropped: {}.", LOG_PREFIX, self._prefix, err.code)
+            except Exception as err:
+                # The range is followed for the life of the process.
+                logger.opt(exception=err).error("{} Watch on {} failed.", LOG_PREFIX, self._prefix)
             self._drops += 1
             pause_s = choose_backoff(self._drops, self._random)
             gevent.sleep(min(DROP_PAUSE_MAX_S, pause_s * min(self._drops, 10)))
@@ -105,8 +112,19 @@
 
     def _put(self, key: str, value: bytes, version: int) -> None:
         self._keys.add(key)
-        self._listener.put_row(key, value, version)
+        try:
+            self._listener.put_row(key, value, version)
+        except Exception as err:
+            self._log_skipped(key, err)
 
     def _remove(self, key: str) -> None:
         self._keys.discard(key)
-        self._listener.remove_row(key)
+        try:
+            self._listener.remove_row(key)
+        except Exception as err:
+            self._log_skipped(key, err)
+
+    def _log_skipped(self, key: str, err: Exception) -> None:
+        """Log a change that the listener could not handle; the next ones are not affected."""
+        reason = f"{type(err).__name__}: {err}"[:REASON_MAX_CHARS]
+        logger.warning("{} Skipped the row {}: {}.", LOG_PREFIX, key[:KEY_MAX_CHARS], reason)
--- a/tests/infrastructure/test_follower.py
+++ b/tests/infrastructure/test_follower.py
@@ -2,6 +2,7 @@
 
 import random
 
+import gevent
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -100,3 +101,59 @@
     follower = RangeFollower(store, "p/", Table(), random.Random(1))
     with pytest.raises(PlatformUnavailableError):
         follower.follow_once()
+
+
+class PickyTable(Table):
+    """A table whose decoder fails on one row, as for a row that another writer left."""
+
+    def put_row(self, key, value, version):
+        if value == b"odd":
+            raise RecursionError("nested too deeply")
+        super().put_row(key, value, version)
+
+    def remove_row(self, key):
+        if key == "p/odd":
+            raise KeyError(key)
+        super().remove_row(key)
+
+
+# A row that its listener could not decode ended the greenlet that follows the range.
+def test_odd_row_does_not_end_the_following_of_a_range():
+    store = DroppingStore(ManualClock())
+    for key, value in (("p/a", b"1"), ("p/odd", b"odd"), ("p/z", b"1")):
+        store.put(key, value, expected=0)
+    table = PickyTable()
+    follower = RangeFollower(store, "p/", table, random.Random(1))
+    follow(follower)
+    assert table.rows == {"p/a": b"1", "p/z": b"1"}
+    store.put("p/odd2", b"odd", expected=0)
+    store.delete("p/odd", expected=None)
+    store.put("p/b", b"2", expected=0)
+    follow(follower)
+    assert table.rows == {"p/a": b"1", "p/b": b"2", "p/z": b"1"}
+
+
+# An error of any type in the listing or the watch ended the greenlet for good.
+def test_unexpected_error_of_the_store_does_not_end_the_following(monkeypatch):
+    store = DroppingStore(ManualClock())
+    store.put("p/a", b"1", expected=0)
+    table = Table()
+    follower = RangeFollower(store, "p/", table, random.Random(1))
+    list_rows, calls, pauses = follower.list_rows, [], []
+
+    def fail_once():
+        calls.append(1)
+        if len(calls) == 1:
+            raise OverflowError("number too large")
+        return list_rows()
+
+    def sleep(pause_s):
+        pauses.append(pause_s)
+        if len(pauses) == 3:
+            raise gevent.GreenletExit
+
+    follower.list_rows = fail_once
+    monkeypatch.setattr("clementinepin.infrastructure._follower.gevent.sleep", sleep)
+    with pytest.raises(gevent.GreenletExit):
+        follower.run()
+    assert table.rows == {"p/a": b"1"}
