Read the instance list whatever one of its rows holds

A row nested too deeply raised RecursionError out of the decoder of the whole list, which neither the reader nor its greenlet caught: the instance stopped following the list for the life of the process. A row with an empty or unprintable address was taken and failed later in a socket; a peer's change with a port out of range or a malformed row made the other changes of its message void.

A peer's observation at an infinite time, which no later one could replace, is skipped as well. The loop that reads the list logs any error and continues.

--- a/clementinepin/fleet/_instances.py
+++ b/clementinepin/fleet/_instances.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 import gevent
 import msgspec
 from loguru import logger
 
-from clementinepin.config import ConfigurationPartError
 from clementinepin.const import InstanceState
 from clementinepin.core import InstancesChanged
 from clementinepin.fleet import _messages as messages
-from clementinepin.infrastructure import InstanceList, ListedInstance
+from clementinepin.helpers.decoding import guard_decoder
+from clementinepin.infrastructure import InstanceList, ListedInstance, is_reachable
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from clementinepin.peers import PeerNetwork
 from clementinepin.systems import instances
@@ -22,6 +23,7 @@
     from clementinepin.core import Core
 
 LOG_PREFIX = "instances:"
+NAME_SHOWN_CHARS = 63
 
 
 class InstanceService:
@@ -43,7 +45,11 @@
     def run(self) -> None:
         """Read the list periodically until the greenlet is killed."""
         while True:
-            self.read()
+            try:
+                self.read()
+            except Exception as err:
+                # The list is read for the life of the process.
+                logger.opt(exception=err).error("{} Reading the list failed.", LOG_PREFIX)
             rows = len(self._table.rows)
             gevent.sleep(instances.choose_read_period(rows, self._core.random))
 
@@ -69,7 +75,13 @@
 
     def _handle_changes(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
         message = messages.read_message(raw, messages.InstancesMessage)
-        changes = {change["name"]: _unpack_change(change) for change in message["changes"]}
+        changes = {}
+        for change in message["changes"]:
+            try:
+                changes[change["name"]] = _unpack_change(change)
+            except msgspec.DecodeError as err:
+                name = change["name"][:NAME_SHOWN_CHARS]
+                logger.warning("{} Skipped {!r} of {}: {}.", LOG_PREFIX, name, sender, err)
         applied = instances.merge_changes(self._table, changes)
         if applied:
             self._publish(applied)
@@ -102,12 +114,14 @@
     return messages.InstanceChange(name=name, row=row, observed_at=change.observed_at)
 
 
+@guard_decoder
 def _unpack_change(change: messages.InstanceChange) -> ObservedRow:
+    if not math.isfinite(change["observed_at"]):
+        raise ValueError(f"observed at {change['observed_at']}")
     if change["row"] is None:
         return ObservedRow(None, change["observed_at"])
-    try:
-        # A newer release may append fields; they are ignored.
-        row = msgspec.convert(change["row"][: len(ListedInstance._fields)], ListedInstance)
-    except msgspec.ValidationError as err:
-        raise ConfigurationPartError(f"row of the instance list can't be decoded: {err}") from err
+    # A newer release may append fields; they are ignored.
+    row = msgspec.convert(change["row"][: len(ListedInstance._fields)], ListedInstance)
+    if not is_reachable(row):
+        raise ValueError(f"its address is {row.address!r}:{row.port}")
     return ObservedRow(row, change["observed_at"])
--- a/clementinepin/helpers/decoding.py
+++ b/clementinepin/helpers/decoding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import re
 from collections.abc import Callable
 from typing import Any, Final, ParamSpec, TypeVar
 
@@ -19,6 +20,9 @@
 # LookupError for values of another shape.
 _UNDOCUMENTED: Final = (ArithmeticError, LookupError, RecursionError, TypeError, ValueError)
 
+# A string, which may lack its end, or a character that opens, closes or separates.
+_JSON_TOKEN: Final = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+(?:"|\Z)|[\[\]{},]', re.DOTALL)
+
 
 def guard_decoder(decode: Callable[P, T]) -> Callable[P, T]:
     """Return ``decode`` with all its errors about input as ``msgspec.DecodeError``.
@@ -48,3 +52,32 @@
 def make_msgpack_decoder(kind: type[T] | Any = Any) -> Callable[[bytes], T]:
     """Return a decoder of MessagePack, which raises no other error than ``msgspec.DecodeError``."""
     return guard_decoder(msgspec.msgpack.Decoder(kind).decode)
+
+
+def split_json_array(data: bytes) -> list[bytes]:
+    """Return the elements of a JSON array, undecoded, whatever their nesting.
+
+    Slower than a decoder; for an array that a decoder refuses for the nesting of one element.
+    Raises ``msgspec.DecodeError`` if the brackets don't match.
+    """
+    elements: list[bytes] = []
+    depth = start = end = 0
+    for token in _JSON_TOKEN.finditer(data):
+        mark = token[0]
+        if depth == 1 and mark in (b",", b"]"):
+            elements.append(data[start : token.start()].strip())
+            start = token.end()
+        if mark in (b"[", b"{"):
+            depth += 1
+            if depth == 1:
+                if mark == b"{" or data[: token.start()].strip():
+                    break
+                start = token.end()
+        elif mark in (b"]", b"}"):
+            depth -= 1
+            end = token.end()
+        if depth <= 0:
+            break
+    if depth or not end or data[end:].strip():
+        raise msgspec.DecodeError("the JSON is not an array")
+    return [] if elements == [b""] else elements
--- a/clementinepin/infrastructure/__init__.py
+++ b/clementinepin/infrastructure/__init__.py
@@ -14,6 +14,7 @@
     StateStore,
     WatchEvent,
     WeightStore,
+    is_reachable,
 )
 
 __all__ = [
@@ -29,4 +30,5 @@
     "StateStore",
     "WatchEvent",
     "WeightStore",
+    "is_reachable",
 ]
--- a/clementinepin/infrastructure/models.py
+++ b/clementinepin/infrastructure/models.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import NamedTuple, Protocol
+from typing import Final, NamedTuple, Protocol
+
+PORT_MAX: Final = 65_535
 
 
 class KeyValue(NamedTuple):
@@ -142,6 +144,16 @@
     state: str
 
 
+def is_reachable(row: ListedInstance) -> bool:
+    """Return whether the name, address and ports of a row, which another process wrote, are valid.
+
+    Sockets raise other errors than OSError for an invalid address or port.
+    """
+    is_printable = row.name.isprintable() and row.address.isprintable()
+    has_ports = 0 < row.port <= PORT_MAX and 0 <= row.peer_port <= PORT_MAX
+    return bool(row.name and row.address) and is_printable and has_ports
+
+
 class InstanceList(Protocol):
     """The platform's list of live and leaving instances."""
 
--- a/tests/helpers/test_decoding.py
+++ b/tests/helpers/test_decoding.py
@@ -14,6 +14,7 @@
     guard_decoder,
     make_json_decoder,
     make_msgpack_decoder,
+    split_json_array,
 )
 
 DEPTH = 100_000
@@ -98,3 +99,34 @@
 def _decode_any(decode, data):
     with contextlib.suppress(msgspec.DecodeError):
         decode(data)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    rows=st.lists(
+        st.recursive(
+            st.none() | st.integers() | st.text(max_size=6),
+            lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=3), inner),
+            max_leaves=6,
+        )
+    )
+)
+def test_split_array_gives_the_elements(rows):
+    data = msgspec.json.encode(rows)
+    assert [msgspec.json.decode(row) for row in split_json_array(data)] == rows
+
+
+def test_split_array_gives_the_elements_beside_a_deeply_nested_one():
+    deep = b"[" * DEPTH + b"]" * DEPTH
+    assert split_json_array(b' [ {"a": "]\\"["} ,' + deep + b", 2 ] ") == [
+        b'{"a": "]\\"["}',
+        deep,
+        b"2",
+    ]
+
+
+@settings(derandomize=True, max_examples=300)
+@given(data=st.binary(max_size=30) | st.text('[]{},"\\a 1', max_size=30).map(str.encode))
+def test_split_array_gives_elements_or_a_decode_error(data):
+    with contextlib.suppress(msgspec.DecodeError):
+        assert all(isinstance(element, bytes) for element in split_json_array(data))
