Import the clients of targets first without a circle

Importing clementinepin.targets before clementinepin.tables failed, as the tables import it again for two names of its models: a test file of the targets could not be collected on its own. The tables import these names from the module that defines them. Importing clementinepin.systems.reach first still fails, for its circle with the same package.

--- a/clementinepin/tables/_targets.py
+++ b/clementinepin/tables/_targets.py
@@ -6,7 +6,7 @@
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
-from clementinepin.targets import LoadReport, TargetAddress
+from clementinepin.targets.models import LoadReport, TargetAddress
 
 
 class TargetRow(NamedTuple):
