Take odd bytes and addresses of targets for what they are

A target's load report with "inf" or "NaN" raised OverflowError or ValueError out of the parser; the steward's round over all engines of the service ended with it. An event or response nested too deeply raised RecursionError instead of the protocol error that its callers catch: the caller got an internal error, and the poll of the target ended with a traceback. An address with a port out of range or a NUL raised OverflowError, ValueError or UnicodeError from the socket instead of TargetNotReachedError, and so did the lack of descriptors (OSError while the socket was made, outside the guard).

--- a/clementinepin/targets/_dialing.py
+++ b/clementinepin/targets/_dialing.py
@@ -34,9 +34,7 @@
     def __init__(self, address: TargetAddress, clock: Clock) -> None:
         self._address = address
         self._clock = clock
-        host = address.address
-        # Targets have IP addresses. The resolver would cost a switch to a native thread.
-        self._sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+        self._sock: socket.socket | None = None
         self.is_pending = True
 
     def wait(self, deadline: float) -> socket.socket:
@@ -48,23 +46,34 @@
         try:
             if wait_s <= 0:
                 raise TimeoutError("the deadline has passed")
-            set_options(self._sock)
-            self._sock.settimeout(wait_s)
-            self._sock.connect((self._address.address, self._address.port))
+            sock = self._connect(wait_s)
         except TimeoutError as err:
             raise self._make_error(err) from err
-        except OSError as err:
+        except (OSError, OverflowError, ValueError) as err:
+            # A socket raises OverflowError for a port out of range and ValueError for a name with
+            # a NUL or that can't be encoded.
             self.close()
             raise self._make_error(err) from err
         self.is_pending = False
-        return self._sock
+        return sock
 
     def close(self) -> None:
         """Give the attempt up."""
         self.is_pending = False
-        self._sock.close()
+        if self._sock is not None:
+            self._sock.close()
+
+    def _connect(self, wait_s: float) -> socket.socket:
+        host, port = self._address.address, self._address.port
+        if self._sock is None:
+            # Targets have IP addresses. The resolver would cost a switch to a native thread.
+            self._sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+        set_options(self._sock)
+        self._sock.settimeout(wait_s)
+        self._sock.connect((host, port))
+        return self._sock
 
-    def _make_error(self, err: OSError) -> TargetNotReachedError:
+    def _make_error(self, err: Exception) -> TargetNotReachedError:
         refused = isinstance(err, ConnectionRefusedError)
         return TargetNotReachedError(
             f"can't connect to {self._address.name}: {err}", refused=refused
--- a/clementinepin/targets/_engine.py
+++ b/clementinepin/targets/_engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any, Final, NoReturn
 from urllib.parse import quote
 
@@ -11,6 +11,7 @@
 
 from clementinepin.const import HEADER_FENCING, HEADER_REQUEST_ID
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.decoding import make_json_decoder
 from clementinepin.targets._connection import Dialer
 from clementinepin.targets._events import EventDecoder, make_event_ids
 from clementinepin.targets._exchange import HttpExchange, HttpRequest
@@ -55,6 +56,18 @@
     id: str = ""
 
 
+class _CacheEventRow(msgspec.Struct):
+    sequence: int
+    prefix_hash: str
+    stored: bool
+
+
+_decode_response_id: Callable[[bytes], _ResponseId] = make_json_decoder(_ResponseId)
+_decode_cache_events: Callable[[bytes], list[_CacheEventRow]] = make_json_decoder(
+    list[_CacheEventRow]
+)
+
+
 class HttpEngine:
     """Client for an engine that serves the completions protocol."""
 
@@ -100,7 +113,7 @@
         """Return the cache events after a sequence number; they may be late or have gaps."""
         data = self._call("GET", f"/cache_events?after={after_sequence}", REPORT_TIMEOUT_S)
         try:
-            rows = msgspec.json.decode(data, type=list[_CacheEventRow])
+            rows = _decode_cache_events(data)
         except msgspec.DecodeError as err:
             raise TargetProtocolError(f"cache events can't be parsed: {err}") from err
         return [CacheEvent(row.sequence, row.prefix_hash, row.stored) for row in rows]
@@ -183,12 +196,6 @@
             exchange.close()
 
 
-class _CacheEventRow(msgspec.Struct):
-    sequence: int
-    prefix_hash: str
-    stored: bool
-
-
 def create_engine(address: TargetAddress, clock: Clock, dialer: Dialer | None = None) -> HttpEngine:
     """Return the client for one engine; without ``dialer`` it uses the own links only."""
     return HttpEngine(address, clock, dialer)
@@ -250,7 +257,7 @@
 def _read_whole(exchange: HttpExchange, request_id: str) -> StreamChunk:
     data = exchange.read_all(RESPONSE_MAX_BYTES)
     try:
-        response = msgspec.json.decode(data, type=_ResponseId)
+        response = _decode_response_id(data)
     except msgspec.DecodeError as err:
         raise TargetProtocolError(f"response can't be parsed: {err}") from err
     if response.id not in make_event_ids(request_id):
--- a/clementinepin/targets/_events.py
+++ b/clementinepin/targets/_events.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, Final
 
 import msgspec
 
+from clementinepin.helpers.decoding import make_json_decoder
 from clementinepin.targets.exceptions import (
     ResponseMismatchError,
     TargetProtocolError,
@@ -39,7 +41,7 @@
     usage: msgspec.Raw | None = None
 
 
-_decode_event = msgspec.json.Decoder(_Event).decode
+_decode_event: Callable[[bytes], _Event] = make_json_decoder(_Event)
 
 
 def make_event_ids(request_id: str) -> frozenset[str]:
--- a/clementinepin/targets/_metrics.py
+++ b/clementinepin/targets/_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from typing import Final
 
@@ -25,9 +26,8 @@
         match = SAMPLE_PATTERN.match(line)
         if match is None:
             continue
-        try:
-            value = float(match["value"])
-        except ValueError:
+        value = _parse_value(match["value"])
+        if value is None:
             continue
         labels = dict(LABEL_PATTERN.findall(match["labels"] or ""))
         name = match["name"]
@@ -49,6 +49,15 @@
     )
 
 
+def _parse_value(text: str) -> float | None:
+    """Return a finite number, or None; infinity and NaN can't be counts."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) else None
+
+
 def _format_loaded(labels: dict[str, str]) -> str:
     name, version = labels.get("name", ""), labels.get("version", "")
     return f"{name}:{version}" if version else name
