Answer claims in time whatever a partition's head or a peer holds

A head or log that could not be decoded ended the greenlet that commits the partition with the decoder's error. Its claims then waited without end: callers got no answer, and each claim of a peer held one of the greenlets that handle messages. A peer's row of other types was committed as it was and made the head unreadable for all instances. A reply of an owner without a known decision raised KeyError or ValueError; that ended the settlement of a call that had run, so its outcome was lost.

Any error of a commit is logged, once for each reason, and the commit is tried again until the operations expire with ClaimUnavailableError, before which nothing is sent. An unreadable head is never overwritten: it may hold claims of calls that ran. Rows and replies of peers are checked against their types; an odd row is refused, and an odd reply is asked for again like a lost one.

--- a/clementinepin/claims/_partition.py
+++ b/clementinepin/claims/_partition.py
@@ -12,6 +12,7 @@
 
 import gevent
 from gevent.event import AsyncResult
+from loguru import logger
 
 from clementinepin.claims._record import (
     ClaimRow,
@@ -31,12 +32,14 @@
     GROUP_COMMIT_INTERVAL_S,
     GROUP_COMMIT_RETRY_S,
     HEAD_MAX_BYTES,
+    LOG_PREFIX,
     PREFIX_CLAIM_LOGS,
     RETENTION_S,
 )
 from clementinepin.claims.exceptions import ClaimUnavailableError
 from clementinepin.const import PREFIX_CLAIMS
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.decoding import REASON_MAX_CHARS
 from clementinepin.infrastructure import KeyValueStore
 from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
@@ -84,6 +87,7 @@
         self._rows: dict[str, ClaimRow] = {}
         self._logs: dict[str, tuple[ClaimRow, ...]] = {}
         self._pending: list[_Pending] = []
+        self._failure = ""
         self._commit_greenlet: gevent.Greenlet | None = None
 
     def __len__(self) -> int:
@@ -119,10 +123,25 @@
                 if not isinstance(err, VersionConflictError):
                     gevent.sleep(GROUP_COMMIT_RETRY_S)
                 continue
+            except Exception as err:
+                # The operations that wait must be committed or expire, and nothing that can't be
+                # read is overwritten.
+                self._needs_reload = True
+                self._log_failure(err)
+                gevent.sleep(GROUP_COMMIT_RETRY_S)
+                continue
+            self._failure = ""
             del self._pending[: len(group)]
             for pending, result in zip(group, results, strict=True):
                 pending.result.set(result)
 
+    def _log_failure(self, err: Exception) -> None:
+        """Log why the partition's rows can't be used, once for each reason."""
+        reason = f"{type(err).__name__}: {err}"[:REASON_MAX_CHARS]
+        if reason != self._failure:
+            self._failure = reason
+            logger.error("{} No commit of {}: {}.", LOG_PREFIX, self._head_key, reason)
+
     def _fail_expired(self) -> None:
         now = self._clock.monotonic()
         expired = [p for p in self._pending if p.deadline <= now]
--- a/clementinepin/claims/_record.py
+++ b/clementinepin/claims/_record.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -11,6 +11,7 @@
 
 from clementinepin.claims.const import PARTITIONS_COUNT, RETENTION_S
 from clementinepin.exceptions import Outcome
+from clementinepin.helpers.decoding import make_msgpack_decoder
 
 
 class ClaimRow(NamedTuple):
@@ -115,14 +116,18 @@
     return merged
 
 
+_decode_head: Callable[[bytes], Head] = make_msgpack_decoder(Head)
+_decode_rows: Callable[[bytes], tuple[ClaimRow, ...]] = make_msgpack_decoder(tuple[ClaimRow, ...])
+
+
 def encode_head(head: Head) -> bytes:
     """Return the stored form of a head."""
     return msgspec.msgpack.encode(head)
 
 
 def decode_head(data: bytes) -> Head:
-    """Return the head from its stored form."""
-    return msgspec.msgpack.decode(data, type=Head)
+    """Return the head from its stored form. Raise msgspec.DecodeError if that is not possible."""
+    return _decode_head(data)
 
 
 def encode_rows(rows: tuple[ClaimRow, ...]) -> bytes:
@@ -131,5 +136,5 @@
 
 
 def decode_rows(data: bytes) -> tuple[ClaimRow, ...]:
-    """Return the rows of a log from its stored form."""
-    return msgspec.msgpack.decode(data, type=tuple[ClaimRow, ...])
+    """Return the rows of a log. Raise msgspec.DecodeError if they can't be decoded."""
+    return _decode_rows(data)
--- a/clementinepin/claims/_store.py
+++ b/clementinepin/claims/_store.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any, NotRequired, TypedDict
 
 import gevent
+import msgspec
 from gevent.pool import Group
 from loguru import logger
 
@@ -39,11 +41,12 @@
 from clementinepin.claims.models import Claim, StoredOutcome
 from clementinepin.core import Core
 from clementinepin.exceptions import ClementinepinError, Outcome, OutcomeUnknownError
+from clementinepin.helpers.decoding import guard_decoder
 from clementinepin.helpers.rendezvous import choose_owner
 from clementinepin.infrastructure import KeyValueStore
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from clementinepin.peers import PeerNetwork
-from clementinepin.peers.exceptions import PeerUnavailableError
+from clementinepin.peers.exceptions import PeerMessageInvalidError, PeerUnavailableError
 
 
 class RowMessage(TypedDict):
@@ -62,6 +65,20 @@
     body_key: NotRequired[str]
 
 
+class ReplyMessage(TypedDict):
+    """The decision on an operation, and the outcome in the key's row."""
+
+    decision: Decision
+    outcome: str
+    status: int
+    content_type: str
+    body: NotRequired[bytes]
+    body_key: NotRequired[str]
+
+
+_convert = guard_decoder(msgspec.convert)
+
+
 class ClaimComponent:
     """Handles claims of this instance's callers and serves the partitions that it owns."""
 
@@ -108,7 +125,7 @@
             # The claim may still be committed later. The call will not run, so free the key.
             self._release_key(row)
             raise
-        decision = Decision(reply["decision"])
+        decision = reply["decision"]
         if decision is Decision.MISMATCH:
             raise ClaimMismatchError("the idempotency key was used for a different request")
         if decision is Decision.GRANTED:
@@ -168,7 +185,7 @@
         self._key_value.put(key, row.body, expected=None, lease_id=self._get_lease())
         return row._replace(body=b"", body_key=key)
 
-    def _read_outcome(self, reply: dict[str, Any]) -> StoredOutcome:
+    def _read_outcome(self, reply: ReplyMessage) -> StoredOutcome:
         body = reply.get("body", b"")
         if reply.get("body_key"):
             body = self._read_body(reply["body_key"])
@@ -192,7 +209,7 @@
 
     def _call_owner_until(
         self, method: str, row: ClaimRow, wait_until: float, deadline: float
-    ) -> dict[str, Any]:
+    ) -> ReplyMessage:
         """Call the partition's owner until it replies with a decision other than RUNNING.
 
         At the deadline, raise OutcomeUnknownError if a reply said that the call is running, else
@@ -216,24 +233,32 @@
 
     def _call_owner(
         self, method: str, message: dict[str, Any], deadline: float
-    ) -> dict[str, Any] | None:
-        """Call the partition's owner once; return None if it can't be reached or can't commit."""
+    ) -> ReplyMessage | None:
+        """Call the partition's owner once.
+
+        Return None if it can't be reached, can't commit or its reply can't be read.
+        """
         partition = choose_partition(message["digest"])
         owner = choose_owner(f"claims/{partition}", self._peers.list_live())
         try:
             if owner in (None, self._instance):
                 handler = self._handle_claim if method == METHOD_CLAIM else self._handle_settle
-                return handler(self._instance, message)
-            call_deadline = min(deadline, self._clock.monotonic() + 2 * JOIN_LONG_POLL_S)
-            return self._peers.call(owner, method, message, deadline=call_deadline)
+                reply = handler(self._instance, message)
+            else:
+                call_deadline = min(deadline, self._clock.monotonic() + 2 * JOIN_LONG_POLL_S)
+                reply = self._peers.call(owner, method, message, deadline=call_deadline)
+            return _convert(reply, ReplyMessage)  # type: ignore[no-any-return]
         except (PeerUnavailableError, ClaimUnavailableError):
             return None
+        except msgspec.DecodeError as err:
+            logger.warning("{} Reply of {} can't be read: {}.", LOG_PREFIX, owner, err)
+            return None
 
     def _handle_claim(self, _sender: str, message: dict[str, Any]) -> dict[str, Any]:
-        row = parse_row(message)
+        row, wait_until = parse_row(message), message["wait_until"]
         partition = self._get_partition(choose_partition(row.digest))
         now = self._clock.monotonic()
-        remaining_s = message["wait_until"] - self._clock.wall()
+        remaining_s = wait_until - self._clock.wall()
         reply_by = now + min(JOIN_LONG_POLL_S, max(0.0, remaining_s))
         while True:
             result = partition.submit(row, settles=False, deadline=reply_by)
@@ -267,8 +292,25 @@
 
 
 def parse_row(message: dict[str, Any]) -> ClaimRow:
-    """Return the row in a peer's message. Unknown fields are ignored."""
-    return ClaimRow(**{k: v for k, v in message.items() if k in ClaimRow._fields})
+    """Return the row in a peer's message. Unknown fields are ignored.
+
+    Raise PeerMessageInvalidError if it is odd: committed, it would make the partition unreadable.
+    """
+    try:
+        return _read_row(message)
+    except msgspec.DecodeError as err:
+        raise PeerMessageInvalidError(f"claim can't be decoded: {err}") from err
+
+
+@guard_decoder
+def _read_row(message: dict[str, Any]) -> ClaimRow:
+    fields = msgspec.convert(message, RowMessage)
+    values: dict[str, Any] = {k: v for k, v in fields.items() if k in ClaimRow._fields}
+    row = ClaimRow(**values)
+    choose_partition(row.digest)
+    if not math.isfinite(row.run_until):
+        raise ValueError(f"the run ends at {row.run_until}")
+    return row
 
 
 def make_reply(result: OperationResult) -> dict[str, Any]:
