Run the other jobs whatever a stored row of batch holds

One entry of the index of active jobs that could not be decoded ended the greenlet that follows it. One that could, but made no sense (no shards, a plan that does not exist, no record), ended each step that claims shards before it came to the other jobs, on every instance, or stopped the queue of sealed shards for good, so that no job ended any more. A shard record or a key of another form did the same to the job's results, progress and cancellation; a progress record to the queue; a job or file record to retention, and by it to the check that ends cancelled jobs; a job record to the list of its account, whose owner got an internal error.

Steps go on with the next job or record after any error but an outage of the platform, with a log line that names the job and the reason. Progress that can't be decoded is counted anew, which is what a hint is for. Results are never silently left out: reading those of a job with a record that can't be decoded raises row_unreadable.

Open: a job with a shard record that can't be decoded does not complete; its owner can cancel it.

--- a/clementinepin/batch/_active.py
+++ b/clementinepin/batch/_active.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable, Collection
 
-from clementinepin.batch._codec import PREFIX_ACTIVE
-from clementinepin.helpers.rows import decode_row
+from clementinepin.batch._codec import PREFIX_ACTIVE, key_active
+from clementinepin.helpers.rows import RowUnreadableError, decode_row
 from clementinepin.tables import JobRow, JobState, PlanRow, ProgressRow
 
 
@@ -62,6 +62,8 @@
     def put_row(self, key: str, value: bytes, version: int) -> None:
         """Handle a new or changed index entry."""
         row = decode_row(value, JobRow)
+        if key_active(row.job_id) != key or row.shards <= 0:
+            raise RowUnreadableError(f"{row.job_id} has {row.shards} shards")
         self.add_or_update(row)
 
     def remove_row(self, key: str) -> None:
--- a/clementinepin/batch/_claimer.py
+++ b/clementinepin/batch/_claimer.py
@@ -12,12 +12,12 @@
 from clementinepin.batch._jobs import JobStore
 from clementinepin.batch._keeper import ShardKeeper
 from clementinepin.batch._lines import parse_line
+from clementinepin.batch._loops import UNAVAILABLE_ERRORS, log_failed_job
 from clementinepin.batch._owned import OwnedShard
 from clementinepin.batch._shards import ShardStore, StoredShard
 from clementinepin.core import Core
-from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.rendezvous import score_pair
-from clementinepin.helpers.rows import decode_row
+from clementinepin.helpers.rows import RowUnreadableError, decode_row
 from clementinepin.storage import SegmentStore
 from clementinepin.systems.shard_order import AccountUse, JobCandidate, choose_shard, order_jobs
 from clementinepin.systems.shard_state import is_exhausted, list_undone
@@ -31,6 +31,7 @@
 PROBES_MAX = 4
 PROGRESS_MAX_AGE_S = 15.0
 CLAIM_PAUSE_S = 5.0
+FAILURE_PAUSE_S = 30.0
 
 
 class ShardClaimer:
@@ -96,10 +97,21 @@
         ]
         for candidate in order_jobs(candidates, self.use, now):
             job = self._active.jobs.get(candidate.job_id)
-            if job is not None and self._claim_from(job, now):
+            if job is not None and self._try_claim_from(job, now):
                 return True
         return False
 
+    def _try_claim_from(self, job: ActiveJob, now: float) -> bool:
+        """Claim from a job; only an outage of the platform keeps the step from other jobs."""
+        try:
+            return self._claim_from(job, now)
+        except UNAVAILABLE_ERRORS:
+            raise
+        except Exception as err:
+            log_failed_job("claim", job.row.job_id, err)
+            job.claim_at = now + FAILURE_PAUSE_S
+            return False
+
     def _claim_from(self, job: ActiveJob, now: float) -> bool:
         """Try to claim one of a few shards of a job, and return whether that succeeded."""
         row = job.row
@@ -131,14 +143,19 @@
     def _probe(self, job: ActiveJob, plan: PlanRow, shard: int, now: float) -> bool:
         """Try to claim one shard, and return whether that succeeded."""
         row = job.row
-        result = self._shards.claim(
-            row.job_id,
-            shard,
-            items=plan.shards[shard].items,
-            owner=self.owner,
-            now=now,
-            live=self._list_live(),
-        )
+        try:
+            result = self._shards.claim(
+                row.job_id,
+                shard,
+                items=plan.shards[shard].items,
+                owner=self.owner,
+                now=now,
+                live=self._list_live(),
+            )
+        except RowUnreadableError as err:
+            log_failed_job("claim", row.job_id, err)
+            job.record_holder(shard, now + FAILURE_PAUSE_S, "")
+            return False
         if result.stored is None:
             if result.decision.sealed:
                 self._record_missed_seal(job, shard)
@@ -167,7 +184,7 @@
                 owned.cancelled = True
                 return
             self._fill(owned, plan.shards[shard].segment)
-        except ClementinepinError:
+        except Exception:
             owned.leaving = True
             raise
         logger.debug("{} Claimed shard {} of {}.", LOG_PREFIX, shard, job.job_id)
--- a/clementinepin/batch/_closer.py
+++ b/clementinepin/batch/_closer.py
@@ -9,9 +9,10 @@
 from clementinepin.batch._active import ActiveJob
 from clementinepin.batch._codec import key_progress
 from clementinepin.batch._jobs import JobStore
+from clementinepin.batch._loops import UNAVAILABLE_ERRORS, log_failed_job
 from clementinepin.batch._shards import ShardLostError, ShardStore, create_operation
-from clementinepin.exceptions import ClementinepinError
-from clementinepin.helpers.rows import decode_row, encode_row
+from clementinepin.batch.exceptions import JobNotFoundError
+from clementinepin.helpers.rows import encode_row, read_row
 from clementinepin.infrastructure import KeyValueStore
 from clementinepin.infrastructure.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.systems.shard_state import seal_cancelled
@@ -58,7 +59,7 @@
     def load_progress(self, job_id: str) -> ProgressRow:
         """Return a job's recorded progress, all zero if there is no record."""
         stored = self._key_value.get(key_progress(job_id))
-        return decode_row(stored.value, ProgressRow) if stored else ProgressRow()
+        return _read_progress(key_progress(job_id), stored.value if stored else None)
 
     def end_if_complete(self, job: JobRow, progress: ProgressRow) -> bool:
         """End a job if all its shards are sealed, and return whether they are."""
@@ -75,7 +76,7 @@
         after the claim.
         """
         completed = failed = 0
-        for page in self._shards.list_pages(job.job_id):
+        for page in self._shards.list_pages(job.job_id, skip_unreadable=True):
             for shard, stored in page.items():
                 row = self._seal(job, shard, stored.row, stored.version)
                 failed += row.failed
@@ -104,16 +105,29 @@
         return None if self.end_if_complete(job, active.progress) else job
 
     def _flush_all(self) -> None:
-        while self._unrecorded:
-            job, shard, row = self._unrecorded[0]
-            try:
-                progress = self._add(job, shard, row)
-                self.on_progress(job.job_id, progress)
-                self.end_if_complete(job, progress)
-            except ClementinepinError as err:
-                logger.debug("{} Progress update postponed: {}.", LOG_PREFIX, err.code)
-                return
-            del self._unrecorded[0]
+        """Record the pending shards; only an outage of the platform keeps one from the next."""
+        failed: list[tuple[JobRow, int, ShardRow]] = []
+        try:
+            while self._unrecorded:
+                try:
+                    self._record(*self._unrecorded[0])
+                except UNAVAILABLE_ERRORS as err:
+                    logger.debug("{} Progress update postponed: {}.", LOG_PREFIX, err.code)
+                    return
+                except Exception as err:
+                    log_failed_job("record", self._unrecorded[0][0].job_id, err)
+                    failed.append(self._unrecorded[0])
+                del self._unrecorded[0]
+        finally:
+            self._unrecorded += failed
+
+    def _record(self, job: JobRow, shard: int, row: ShardRow) -> None:
+        progress = self._add(job, shard, row)
+        self.on_progress(job.job_id, progress)
+        try:
+            self.end_if_complete(job, progress)
+        except JobNotFoundError:
+            logger.debug("{} {} has no record, its index is an orphan.", LOG_PREFIX, job.job_id)
 
     def _seal(self, job: JobRow, shard: int, row: ShardRow, version: int) -> ShardRow:
         """Seal one shard, retrying after each concurrent write, and return its final row."""
@@ -136,7 +150,7 @@
         key = key_progress(job.job_id)
         version, value = self._last_written.get(job.job_id, (0, None))
         while True:
-            progress = decode_row(value, ProgressRow) if value is not None else ProgressRow()
+            progress = _read_progress(key, value)
             if has_bit(progress.sealed, shard):
                 return progress
             desired = ProgressRow(
@@ -155,3 +169,12 @@
             else:
                 self._last_written[job.job_id] = (version, data)
                 return desired
+
+
+def _read_progress(key: str, value: bytes | None) -> ProgressRow:
+    """Return a progress record, all zero without one that can be decoded.
+
+    Claimers add sealed shards that it lacks.
+    """
+    row = read_row(key, value, ProgressRow) if value is not None else None
+    return ProgressRow() if row is None else row
--- a/clementinepin/batch/_jobs.py
+++ b/clementinepin/batch/_jobs.py
@@ -7,7 +7,7 @@
 from clementinepin.batch._codec import digest_text, key_active, key_job, name_job
 from clementinepin.batch.exceptions import InvalidBatchError, JobConflictError, JobNotFoundError
 from clementinepin.helpers.clock import Clock
-from clementinepin.helpers.rows import decode_row, encode_row
+from clementinepin.helpers.rows import decode_row, encode_row, read_row
 from clementinepin.infrastructure import KeyValueStore
 from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
@@ -73,14 +73,18 @@
         return stored
 
     def list_account(self, account: str, limit: int, after: str = "") -> list[JobRow]:
-        """Return an account's newest jobs, at most ``limit``; only those older than ``after``."""
+        """Return an account's newest jobs, at most ``limit``; only those older than ``after``.
+
+        Records that can't be decoded are left out.
+        """
         bound = _rank_by_age(self.load(account, after).row) if after else None
         rows: list[JobRow] = []
         prefix, last_key = key_job(account, ""), ""
         while True:
             page = self._key_value.list_range(prefix, after=last_key, limit=PAGE_ROWS)
-            decoded_rows = [decode_row(stored.value, JobRow) for stored in page]
-            rows.extend(row for row in decoded_rows if bound is None or _rank_by_age(row) < bound)
+            found = (read_row(stored.key, stored.value, JobRow) for stored in page)
+            readable = [row for row in found if row is not None]
+            rows.extend(row for row in readable if bound is None or _rank_by_age(row) < bound)
             rows.sort(key=_rank_by_age, reverse=True)
             del rows[limit:]
             if len(page) < PAGE_ROWS:
--- a/clementinepin/batch/_loops.py
+++ b/clementinepin/batch/_loops.py
@@ -9,11 +9,23 @@
 from loguru import logger
 
 from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.decoding import REASON_MAX_CHARS
 from clementinepin.helpers.metrics import Metrics
+from clementinepin.helpers.rows import KEY_MAX_CHARS
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError, ReplyLostError
 
 LOG_PREFIX = "batch:"
 STEP_PAUSE_MIN_S = 0.005
 IDLE_PERIOD_S = 1.0
+# Errors that are not due to the job for which they were raised.
+UNAVAILABLE_ERRORS = (PlatformUnavailableError, ReplyLostError)
+
+
+def log_failed_job(step: str, job_id: str, err: Exception) -> None:
+    """Log that a step failed for one job; it goes on with the others."""
+    reason = f"{type(err).__name__}: {err}"[:REASON_MAX_CHARS]
+    name = job_id[:KEY_MAX_CHARS]
+    logger.warning("{} Step {} failed for {}: {}.", LOG_PREFIX, step, name, reason)
 
 
 class StepLoop:
--- a/clementinepin/batch/_retention.py
+++ b/clementinepin/batch/_retention.py
@@ -7,14 +7,17 @@
 
 from collections.abc import Callable
 
+from loguru import logger
+
 from clementinepin.batch._codec import key_progress, prefix_shards
 from clementinepin.const import PREFIX_FILES, PREFIX_JOBS
 from clementinepin.helpers.clock import Clock
-from clementinepin.helpers.rows import decode_row
+from clementinepin.helpers.rows import KEY_MAX_CHARS, RowUnreadableError, decode_row
 from clementinepin.infrastructure import KeyValue, KeyValueStore
 from clementinepin.infrastructure.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.tables import FileRecord, JobRow
 
+LOG_PREFIX = "batch:"
 PAGE_ROWS = 100
 PAGE_PERIOD_S = 30.0
 PASS_PERIOD_S = 3_600.0
@@ -54,6 +57,8 @@
                 sweep(stored)
             except (VersionConflictError, ReplyLostError):
                 continue
+            except RowUnreadableError as err:
+                logger.warning("{} Kept {}: {}.", LOG_PREFIX, stored.key[:KEY_MAX_CHARS], err)
 
     def _sweep_job(self, stored: KeyValue) -> None:
         """Delete an expired ended job: its shards and progress first, its record last."""
--- a/clementinepin/batch/_service.py
+++ b/clementinepin/batch/_service.py
@@ -15,7 +15,7 @@
 from clementinepin.batch._items import CreateEngine, ItemRunner
 from clementinepin.batch._jobs import JobStore
 from clementinepin.batch._keeper import ShardKeeper
-from clementinepin.batch._loops import StepLoop
+from clementinepin.batch._loops import UNAVAILABLE_ERRORS, StepLoop, log_failed_job
 from clementinepin.batch._results import stream_results
 from clementinepin.batch._retention import RecordRetention
 from clementinepin.batch._shards import ShardStore
@@ -242,7 +242,7 @@
     def _count_progress(self, job_id: str) -> ProgressRow:
         """Return the committed results by the records of all shards, sealed or not."""
         done = failed = 0
-        for page in self._shards.list_pages(job_id):
+        for page in self._shards.list_pages(job_id, skip_unreadable=True):
             done += sum(count_bits(stored.row.done) for stored in page.values())
             failed += sum(stored.row.failed for stored in page.values())
         return ProgressRow(completed=done - failed, failed=failed)
@@ -265,9 +265,18 @@
                 self._keeper.cancel(job.row.job_id)
             if self._is_check_due(job, now):
                 job.check_at = now + JOB_CHECK_PERIOD_S * self._core.random.uniform(0.5, 1.5)
-                current = self._closer.check(job, now, ORPHAN_AGE_S)
-                if current is not None:
-                    self._active.add_or_update(current)
+                self._check_job(job, now)
+
+    def _check_job(self, job: ActiveJob, now: float) -> None:
+        """Check one job; only an outage of the platform keeps the others from being checked."""
+        try:
+            current = self._closer.check(job, now, ORPHAN_AGE_S)
+            if current is not None:
+                self._active.add_or_update(current)
+        except UNAVAILABLE_ERRORS:
+            raise
+        except Exception as err:
+            log_failed_job("check", job.row.job_id, err)
 
     def _is_check_due(self, job: ActiveJob, now: float) -> bool:
         if not self._is_role_owner(job.row.job_id):
--- a/clementinepin/batch/_shards.py
+++ b/clementinepin/batch/_shards.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+import re
 import secrets
 from collections.abc import Collection, Iterator
 from typing import NamedTuple
 
+from loguru import logger
+
 from clementinepin.batch._codec import key_shard, prefix_shards
 from clementinepin.exceptions import ClementinepinError
-from clementinepin.helpers.rows import decode_row, encode_row
+from clementinepin.helpers.rows import KEY_MAX_CHARS, decode_row, encode_row, read_row
 from clementinepin.infrastructure import KeyValueStore
 from clementinepin.infrastructure.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.systems.shard_state import ClaimDecision, SwapOutcome, claim_shard, resolve_swap
 from clementinepin.tables import ShardRow
 
+LOG_PREFIX = "batch:"
 PAGE_ROWS = 64
+SHARD_NAME = re.compile(r"[0-9]{6,9}")
 CLAIM_TRIES_MAX = 3
 
 
@@ -107,17 +112,30 @@
             return None
         return StoredShard(decode_row(stored.value, ShardRow), stored.version)
 
-    def list_pages(self, job_id: str) -> Iterator[dict[int, StoredShard]]:
-        """Yield the existing records by shard number, a page at a time, in order."""
+    def list_pages(
+        self, job_id: str, *, skip_unreadable: bool = False
+    ) -> Iterator[dict[int, StoredShard]]:
+        """Yield the existing records by shard number, a page at a time, in order.
+
+        A record that can't be decoded raises RowUnreadableError or is left out.
+        """
         prefix, after = prefix_shards(job_id), ""
         while True:
             page = self._key_value.list_range(prefix, after=after, limit=PAGE_ROWS)
-            yield {
-                int(stored.key.removeprefix(prefix)): StoredShard(
-                    decode_row(stored.value, ShardRow), stored.version
+            shards = {}
+            for stored in page:
+                name = stored.key.removeprefix(prefix)
+                if not SHARD_NAME.fullmatch(name):
+                    logger.warning("{} {} is no shard.", LOG_PREFIX, stored.key[:KEY_MAX_CHARS])
+                    continue
+                row = (
+                    read_row(stored.key, stored.value, ShardRow)
+                    if skip_unreadable
+                    else decode_row(stored.value, ShardRow)
                 )
-                for stored in page
-            }
+                if row is not None:
+                    shards[int(name)] = StoredShard(row, stored.version)
+            yield shards
             if len(page) < PAGE_ROWS:
                 return
             after = page[-1].key
