Reject bodies by their nesting, not by the depth of the stack

A body was decoded and encoded once as a check, but how deep an encoder gets depends on the depth of the stack at its call.

Values that are encoded again may be nested at most 100 levels now; deeper ones get 400 invalid_json with "not run", as those beyond the decoder's own limit did before.

--- a/clementinepin/entry/_http.py
+++ b/clementinepin/entry/_http.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Final, NamedTuple
 
 import gevent
@@ -20,6 +20,7 @@
     JsonInvalidError,
 )
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.decoding import check_nesting, make_json_decoder
 
 JSON_TYPE: Final = "application/json"
 EVENTS_TYPE: Final = "text/event-stream"
@@ -177,13 +178,16 @@
         self.environ["clementinepin.close"] = True
 
 
+_decode_json: Callable[[bytes], Any] = make_json_decoder()
+
+
 def decode_object(data: bytes) -> dict[str, Any]:
     """Return a JSON object; raise JsonInvalidError for any other data."""
     try:
-        value = msgspec.json.decode(data)
-        # The body is encoded again for the target, so it is rejected if that is not possible.
-        msgspec.json.encode(value)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as err:
+        value = _decode_json(data)
+        # The body is encoded again for the target.
+        check_nesting(value)
+    except msgspec.DecodeError as err:
         raise JsonInvalidError(f"the body is not valid JSON: {err}") from err
     if not isinstance(value, dict):
         raise JsonInvalidError("the body must be a JSON object")
--- a/clementinepin/helpers/decoding.py
+++ b/clementinepin/helpers/decoding.py
@@ -15,6 +15,8 @@
 # Parsers quote their input, which may be large.
 REASON_MAX_CHARS: Final = 200
 
+NESTING_MAX: Final = 100
+
 # What parsers raise beside their own errors: RecursionError for deep nesting, OverflowError for
 # large numbers, ValueError for text (UnicodeError and binascii.Error included), TypeError and
 # LookupError for values of another shape.
@@ -54,6 +56,25 @@
     return guard_decoder(msgspec.msgpack.Decoder(kind).decode)
 
 
+def check_nesting(value: Any) -> None:
+    """Raise ``msgspec.DecodeError`` for a decoded value nested deeper than NESTING_MAX.
+
+    How deep an encoder gets depends on the depth of the stack at which it is called, so a value
+    that is to be encoded again later must stay well below that.
+    """
+    level = [value] if isinstance(value, dict | list) else []
+    for _ in range(NESTING_MAX):
+        level = [
+            child
+            for parent in level
+            for child in (parent.values() if isinstance(parent, dict) else parent)
+            if isinstance(child, dict | list)
+        ]
+        if not level:
+            return
+    raise msgspec.DecodeError(f"values are nested deeper than {NESTING_MAX} levels")
+
+
 def split_json_array(data: bytes) -> list[bytes]:
     """Return the elements of a JSON array, undecoded, whatever their nesting.
 
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -284,3 +284,26 @@
     response = entry.call("POST", "/v1/completions", {**COMPLETION, "stop": stop})
     assert response.status == 400
     assert "stop" in response.error["message"]
+
+
+# The check of a body passed at depths at which the same encoder failed further down the stack,
+# which the caller saw as an internal error after its call had got a slot.
+@pytest.mark.parametrize("path", ["completions", "chat/completions"])
+def test_nesting_of_any_depth_is_served_or_rejected_as_invalid(serve, path):
+    entry = serve(respond_complete)
+    statuses = []
+    for depth in (20, 500, *range(920, 940), 2_000):
+        nested = "[" * depth + "]" * depth
+        messages = f'[{{"role": "user", "content": {nested}}}, {{"role": "user"}}]'
+        content = (
+            f'"messages": {messages}' if "chat" in path else f'"prompt": "x", "tools": {nested}'
+        )
+        body = f'{{"model": "assist", "stream": true, {content}}}'.encode()
+        response = entry.call("POST", f"/v1/{path}", body)
+        statuses.append(response.status)
+        if response.status != 200:
+            assert (response.status, response.error["code"]) == (400, "invalid_json")
+            assert response.error["outcome"] == "not_run"
+    assert statuses[0] == 200
+    assert statuses[-1] == 400
+    assert_serves(entry)
--- a/tests/helpers/test_decoding.py
+++ b/tests/helpers/test_decoding.py
@@ -10,7 +10,9 @@
 from hypothesis import strategies as st
 
 from clementinepin.helpers.decoding import (
+    NESTING_MAX,
     REASON_MAX_CHARS,
+    check_nesting,
     guard_decoder,
     make_json_decoder,
     make_msgpack_decoder,
@@ -130,3 +132,13 @@
 def test_split_array_gives_elements_or_a_decode_error(data):
     with contextlib.suppress(msgspec.DecodeError):
         assert all(isinstance(element, bytes) for element in split_json_array(data))
+
+
+@pytest.mark.parametrize(("open_", "close"), [(b"[", b"]"), (b'{"a":', b"1}")])
+def test_nesting_is_limited(open_, close):
+    decode = make_json_decoder()
+    check_nesting(decode(open_ * NESTING_MAX + close[:-1] + close[-1:] * NESTING_MAX))
+    deep = decode(open_ * (NESTING_MAX + 1) + close[:-1] + close[-1:] * (NESTING_MAX + 1))
+    with pytest.raises(msgspec.DecodeError):
+        check_nesting(deep)
+    check_nesting("text")
