Fail an item alone for an odd line or an odd answer

An upload with a line nested too deeply got an internal error; lines nested nearly as deep were accepted and raised RecursionError when their shard was claimed or their request was encoded. A line that could not be read back made its shard be claimed and released again without end. A target's error body nested too deeply ended the greenlet of its item with RecursionError, after which the item ran again at once, and so on without end; so did any other unexpected error. A token limit of 400 digits raised OverflowError in the estimates. A whole response or a usage with line breaks between its tokens was copied as it was, and split its line of the job's results; bytes that are no UTF-8 made the file of results unreadable as text.

An item that fails in an unexpected way counts an attempt and waits. Token limits are bounded.

--- a/clementinepin/batch/_claimer.py
+++ b/clementinepin/batch/_claimer.py
@@ -8,13 +8,14 @@
 
 from clementinepin.batch._active import ActiveJob, ActiveJobs
 from clementinepin.batch._closer import JobCloser
-from clementinepin.batch._items import CODE_ATTEMPTS, ItemWork, fail_item
+from clementinepin.batch._items import CODE_ATTEMPTS, CODE_LINE, ItemWork, fail_item
 from clementinepin.batch._jobs import JobStore
 from clementinepin.batch._keeper import ShardKeeper
-from clementinepin.batch._lines import parse_line
+from clementinepin.batch._lines import InputLine, parse_line, read_model
 from clementinepin.batch._loops import UNAVAILABLE_ERRORS, log_failed_job
 from clementinepin.batch._owned import OwnedShard
 from clementinepin.batch._shards import ShardStore, StoredShard
+from clementinepin.batch.exceptions import InvalidLineError
 from clementinepin.core import Core
 from clementinepin.helpers.rendezvous import score_pair
 from clementinepin.helpers.rows import RowUnreadableError, decode_row
@@ -192,22 +193,24 @@
     def _fill(self, owned: OwnedShard, segment: str) -> None:
         """Load the items without a result.
 
-        They fail at once if too many claims in a row ended without a commit.
+        An item fails at once if its line can't be read; all do if too many claims in a row ended
+        without a commit.
         """
         row = owned.stored.row
         lines = self._segments.read(segment).split(b"\n")
         attempts = dict(row.attempts)
+        if row.items > len(lines):
+            raise RowUnreadableError(f"{row.items} items in a segment of {len(lines)} lines")
         for index in list_undone(row):
-            line = parse_line(lines[index], index + 1)
+            line, code, reason = _read_item(lines[index], index + 1)
+            if is_exhausted(row):
+                code = CODE_ATTEMPTS
+                reason = "too many instances in a row lost this shard without a result"
             request_id = f"{owned.job.job_id}-{owned.shard}-{index}-{row.epoch}"
             failed_attempts = attempts.get(index, 0)
             work = ItemWork(index, request_id, line, failed_attempts, owned.job.due_at)
-            if is_exhausted(row):
-                result = fail_item(
-                    work,
-                    CODE_ATTEMPTS,
-                    "too many instances in a row lost this shard without a result",
-                )
+            if code:
+                result = fail_item(work, code, reason)
                 owned.hold_result(work, result, self._core.clock.monotonic())
             else:
                 owned.waiting.append(work)
@@ -216,3 +219,16 @@
         if job.plan is None:
             job.plan = decode_row(self._segments.read(job.row.plan), PlanRow)
         return job.plan
+
+
+def _read_item(line: bytes, number: int) -> tuple[InputLine, str, str]:
+    """Return an item, with code and reason of its failure if its line can't be read.
+
+    Lines are checked on upload, but another release may have had other checks.
+    """
+    try:
+        item = parse_line(line, number)
+        read_model(item, number)
+    except InvalidLineError as err:
+        return InputLine("", "", "", {}), CODE_LINE, err.message
+    return item, "", ""
--- a/clementinepin/batch/_dispatcher.py
+++ b/clementinepin/batch/_dispatcher.py
@@ -134,6 +134,11 @@
         except ClementinepinError as err:
             work.not_before = self._core.clock.monotonic() + FAILURE_PAUSE_S
             logger.warning("{} Item postponed: {}.", LOG_PREFIX, err.code)
+        except Exception as err:
+            # An item that fails in the same way each time must not run without end.
+            work.attempts += 1
+            work.not_before = self._core.clock.monotonic() + FAILURE_PAUSE_S
+            logger.opt(exception=err).error("{} Item {} failed.", LOG_PREFIX, work.request_id)
         finally:
             self.running -= 1
             if result is None:
--- a/clementinepin/batch/_items.py
+++ b/clementinepin/batch/_items.py
@@ -16,6 +16,7 @@
 from clementinepin.const import Priority
 from clementinepin.exceptions import ClementinepinError, NotRunError
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.decoding import check_nesting, make_json_decoder
 from clementinepin.helpers.fingerprint import list_prompt_parts
 from clementinepin.scheduling import (
     CallInfo,
@@ -50,9 +51,14 @@
 STATUS_SERVER_ERROR = 500
 CODE_ATTEMPTS = "attempts_exhausted"
 CODE_MODEL = "model_not_found"
+TOKENS_MAX = 1_000_000
+CODE_LINE = "invalid_line"
 CreateEngine = Callable[[TargetAddress], Engine]
 
 
+_decode_json: Callable[[bytes], Any] = make_json_decoder()
+
+
 class ItemWork:
     """A claimed item without a result: its request and the output generated so far.
 
@@ -256,7 +262,7 @@
         deadline=now + service.request_timeout_s,
         fingerprint="",  # items are never what crashes targets
         parts=list_prompt_parts(body),
-        tokens_max=tokens_max if isinstance(tokens_max, int) else 0,
+        tokens_max=min(max(0, tokens_max), TOKENS_MAX) if isinstance(tokens_max, int) else 0,
     )
 
 
@@ -303,7 +309,8 @@
 
 def _reject(work: ItemWork, rejection: TargetRejectedError) -> ItemResult:
     try:
-        body = msgspec.json.decode(rejection.body)
+        body = _decode_json(rejection.body)
+        check_nesting(body)
     except msgspec.DecodeError:
         body = {"error": {"message": rejection.body.decode(errors="replace")}}
     line = build_result(work.request_id, work.line.custom_id, rejection.target_status, body)
--- a/clementinepin/batch/_lines.py
+++ b/clementinepin/batch/_lines.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import msgspec
 
 from clementinepin.batch.exceptions import InvalidLineError
+from clementinepin.helpers.decoding import check_nesting, make_json_decoder
 
 LINE_MAX_BYTES = 1_000_000
 CUSTOM_ID_MAX_CHARS = 512
@@ -23,6 +24,9 @@
     body: dict[str, Any]
 
 
+_decode_line: Callable[[bytes], InputLine] = make_json_decoder(InputLine)
+
+
 def split_lines(chunks: Iterable[bytes]) -> Iterator[bytes]:
     """Yield lines without their line breaks, in bounded memory; skip an empty last line.
 
@@ -44,8 +48,9 @@
 def parse_line(line: bytes, number: int) -> InputLine:
     """Return the item of a line. Raise InvalidLineError if it is malformed."""
     try:
-        item = msgspec.json.decode(line, type=InputLine)
-    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        item = _decode_line(line)
+        check_nesting(item.body)
+    except msgspec.DecodeError as err:
         raise InvalidLineError(number, str(err)) from err
     _check_item(item, number)
     return item
--- a/clementinepin/batch/_results.py
+++ b/clementinepin/batch/_results.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import msgspec
@@ -10,13 +10,18 @@
 from clementinepin.batch._codec import ResultLine
 from clementinepin.batch._lines import ENDPOINTS
 from clementinepin.batch._shards import ShardStore
+from clementinepin.helpers.decoding import make_msgpack_decoder
 from clementinepin.storage import SegmentStore
+from clementinepin.storage.exceptions import SegmentLostError
 from clementinepin.tables import ShardRow
 
 STATUS_OK = 200
 LINES_PER_CHUNK = 64
 
 
+_decode_results: Callable[[bytes], list[ResultLine]] = make_msgpack_decoder(list[ResultLine])
+
+
 def build_response(
     request_id: str,
     endpoint: str,
@@ -64,8 +69,8 @@
 
 
 def decode_results(data: bytes) -> list[ResultLine]:
-    """Return the results in a segment."""
-    return msgspec.msgpack.decode(data, type=list[ResultLine])
+    """Return the results in a segment. Raise msgspec.DecodeError if it has none."""
+    return _decode_results(data)
 
 
 def stream_results(job_id: str, shards: ShardStore, segments: SegmentStore) -> Iterator[bytes]:
@@ -82,7 +87,10 @@
     """Return a shard's committed results in item order."""
     results: list[ResultLine] = []
     for commit in row.commits:
-        results.extend(decode_results(segments.read(commit.segment)))
+        try:
+            results.extend(decode_results(segments.read(commit.segment)))
+        except msgspec.DecodeError as err:
+            raise SegmentLostError(f"{commit.segment}: {err}") from err
     return sorted(results)
 
 
@@ -93,4 +101,7 @@
         "response": response,
         "error": error,
     }
-    return msgspec.json.encode(line)
+    # What a target sent as JSON is passed on as it is: it may have line breaks between its tokens,
+    # and bytes that are no UTF-8.
+    encoded = msgspec.json.encode(line).replace(b"\n", b" ").replace(b"\r", b" ")
+    return encoded.decode("utf-8", "replace").encode()
