Store and read the other segments whatever one of them holds

One row of the directory of data folders that could not be decoded kept all instances from copying segments to folders; a segment record did so to the pages of reclaim, and, as the first of the damaged names, to the healing of all other copies. A frame whose header claims a huge size raised MemoryError, as the decompressor reserves that size whatever its limit. A peer's chunk of another shape raised KeyError or TypeError, which kept the reader from the intact copies; a copy with other metadata was accepted and could not be read again, where it raised msgspec's errors instead of being dropped as damaged.

Rows are read one by one, and odd ones are logged and left out. Chunks and copies of peers are checked against their types, and files with other metadata are lost like those with another checksum.

--- a/clementinepin/storage/_codec.py
+++ b/clementinepin/storage/_codec.py
@@ -7,12 +7,15 @@
 
 import hashlib
 import struct
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
 import xxhash
 import zstandard
 
+from clementinepin.helpers.compression import decompress_frame
+from clementinepin.helpers.decoding import make_msgpack_decoder
 from clementinepin.storage.exceptions import SegmentLostError
 
 DIGEST_BYTES = 20
@@ -22,6 +25,11 @@
 FILE_HEADER = struct.Struct(">4sQI")
 
 
+_decode_metadata: Callable[[bytes], tuple[tuple[str, ...], float]] = make_msgpack_decoder(
+    tuple[tuple[str, ...], float]
+)
+
+
 class StoredFile(NamedTuple):
     """Content of a segment file.
 
@@ -50,8 +58,8 @@
     Raise SegmentLostError if it can't be decompressed or its digest differs from the name.
     """
     try:
-        data = zstandard.ZstdDecompressor().decompress(frame, max_output_size=SEGMENT_MAX_BYTES)
-    except zstandard.ZstdError as err:
+        data = decompress_frame(frame, SEGMENT_MAX_BYTES)
+    except msgspec.DecodeError as err:
         raise SegmentLostError(name) from err
     if name_segment(data) != name:
         raise SegmentLostError(name)
@@ -71,7 +79,7 @@
 def decode_file(name: str, content: bytes) -> StoredFile:
     """Return the content of an encoded file; ``name`` is the segment's, for the error.
 
-    Raise SegmentLostError if the file is truncated or its checksum differs.
+    Raise SegmentLostError if the file is truncated, its checksum differs or it has other metadata.
     """
     if len(content) < FILE_HEADER.size:
         raise SegmentLostError(name)
@@ -79,7 +87,8 @@
     payload = content[FILE_HEADER.size :]
     if magic != FILE_MAGIC or xxhash.xxh3_64_intdigest(payload) != checksum:
         raise SegmentLostError(name)
-    holders, keep_until = msgspec.msgpack.decode(
-        payload[:metadata_bytes], type=tuple[tuple[str, ...], float]
-    )
+    try:
+        holders, keep_until = _decode_metadata(payload[:metadata_bytes])
+    except msgspec.DecodeError as err:
+        raise SegmentLostError(name) from err
     return StoredFile(payload[metadata_bytes:], holders, keep_until)
--- a/clementinepin/storage/_directory.py
+++ b/clementinepin/storage/_directory.py
@@ -7,7 +7,7 @@
 
 from clementinepin.core import Core
 from clementinepin.exceptions import ClementinepinError
-from clementinepin.helpers.rows import decode_row, encode_row
+from clementinepin.helpers.rows import encode_row, read_row
 from clementinepin.infrastructure import KeyValueStore
 from clementinepin.peers import PeerNetwork
 from clementinepin.tables import HolderRow
@@ -69,9 +69,10 @@
                 self._rows.pop(stale.folder_id, None)
 
     def refresh(self) -> None:
-        """Read the list from the key-value service."""
+        """Read the list from the key-value service; rows that can't be decoded are left out."""
         stored = self._key_value.list_range(PREFIX_HOLDERS, limit=HOLDERS_MAX)
-        rows = [decode_row(kv.value, HolderRow) for kv in stored]
+        found = (read_row(kv.key, kv.value, HolderRow) for kv in stored)
+        rows = [row for row in found if row is not None]
         self._rows = {row.folder_id: row for row in rows}
         pause_s = REFRESH_PERIOD_S if rows else REFRESH_EMPTY_PERIOD_S
         jitter = self._core.random.uniform(0.75, 1.25)
--- a/clementinepin/storage/_records.py
+++ b/clementinepin/storage/_records.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from clementinepin.const import PREFIX_SEGMENTS
-from clementinepin.helpers.rows import decode_row, encode_row
+from clementinepin.helpers.rows import decode_row, encode_row, read_row
 from clementinepin.infrastructure import KeyValueStore
 from clementinepin.infrastructure.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.tables import SegmentRow
@@ -82,16 +82,20 @@
             return False
         return True
 
-    def list_page(self, after: str, limit: int) -> list[tuple[str, StoredRecord]]:
-        """Return at most ``limit`` records by segment name, in order, from after ``after``."""
+    def list_page(self, after: str, limit: int) -> list[tuple[str, StoredRecord | None]]:
+        """Return at most ``limit`` records by segment name, in order, from after ``after``.
+
+        A record that can't be decoded is None.
+        """
         cursor = PREFIX_SEGMENTS + after if after else ""
         page = self._key_value.list_range(PREFIX_SEGMENTS, after=cursor, limit=limit)
+        rows = [(kv, read_row(kv.key, kv.value, SegmentRow)) for kv in page]
         return [
             (
                 kv.key.removeprefix(PREFIX_SEGMENTS),
-                StoredRecord(decode_row(kv.value, SegmentRow), kv.version),
+                None if row is None else StoredRecord(row, kv.version),
             )
-            for kv in page
+            for kv, row in rows
         ]
 
 
--- a/clementinepin/storage/_repair.py
+++ b/clementinepin/storage/_repair.py
@@ -12,6 +12,7 @@
 from clementinepin.core import Core
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.rendezvous import choose_owner
+from clementinepin.helpers.rows import RowUnreadableError
 from clementinepin.peers import PeerNetwork
 from clementinepin.storage._codec import StoredFile
 from clementinepin.storage._directory import HolderDirectory
@@ -180,7 +181,10 @@
     def _heal_damaged(self, folder: SegmentFolder) -> None:
         for name in sorted(folder.damaged)[:HEALS_PER_STEP]:
             if name not in folder.held:
-                self._heal(folder, name)
+                try:
+                    self._heal(folder, name)
+                except RowUnreadableError as err:
+                    logger.warning("{} Segment {} was not healed: {}.", LOG_PREFIX, name, err)
             folder.damaged.discard(name)
 
     def _heal(self, folder: SegmentFolder, name: str) -> None:
@@ -223,7 +227,8 @@
             return
         page = self._records.list_page(self._reclaim_after, RECLAIM_PAGE_ROWS)
         for name, record in page:
-            self._reclaim(name, record)
+            if record is not None:
+                self._reclaim(name, record)
         if len(page) < RECLAIM_PAGE_ROWS:
             self._reclaim_after = ""
             self._next_reclaim_at = now + RECLAIM_PAUSE_S
--- a/clementinepin/storage/_store.py
+++ b/clementinepin/storage/_store.py
@@ -16,6 +16,7 @@
 from clementinepin.core import Core, spawn_loop
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.rendezvous import rank_owners
+from clementinepin.helpers.rows import RowUnreadableError
 from clementinepin.infrastructure import KeyValueStore
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError, ReplyLostError
 from clementinepin.peers import PeerNetwork
@@ -114,6 +115,8 @@
         """
         try:
             record = self._records.load(name)
+        except RowUnreadableError as err:
+            raise SegmentLostError(f"{name}: {err}") from err
         except PlatformUnavailableError as err:
             return self._read_by_rank(name, err)
         if record is None:
--- a/clementinepin/storage/_transfers.py
+++ b/clementinepin/storage/_transfers.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import Any, TypedDict
+from typing import Any, NotRequired, TypedDict
 
 import gevent
+import msgspec
+from loguru import logger
 
 from clementinepin.core import Core
 from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.decoding import guard_decoder
 from clementinepin.peers import PeerNetwork
-from clementinepin.storage._codec import StoredFile, decompress
+from clementinepin.storage._codec import SEGMENT_MAX_BYTES, StoredFile, decompress
 from clementinepin.storage._folder import SegmentFolder
 from clementinepin.storage.exceptions import SegmentLostError, StorageUnavailableError
 from clementinepin.tables import HolderRow
 
+LOG_PREFIX = "storage:"
 METHOD_PUT = "storage.put"
 METHOD_GET = "storage.get"
 CHUNK_BYTES = 1_000_000
@@ -32,7 +36,7 @@
     folder_id: str
     offset: int
     size_bytes: int
-    holders: Sequence[str]
+    holders: tuple[str, ...]
     keep_until: float
     data: bytes
 
@@ -45,6 +49,17 @@
     offset: int
 
 
+class GetReply(TypedDict):
+    """A chunk of a copy; ``size_bytes`` is the size of the whole frame."""
+
+    found: bool
+    data: NotRequired[bytes]
+    size_bytes: NotRequired[int]
+
+
+_convert = guard_decoder(msgspec.convert)
+
+
 class _Upload:
     """The part of a copy that has arrived; its sender gives up before ``expires_at``."""
 
@@ -117,11 +132,18 @@
                 "offset": len(frame),
             }
             reply = self._peers.call(row.instance, METHOD_GET, message, deadline=deadline)
-            if not reply.get("found") or not reply["data"]:
+            try:
+                chunk = _convert(reply, GetReply)
+            except msgspec.DecodeError as err:
+                raise SegmentLostError(f"{name}: {row.instance} sent {err}") from err
+            data = chunk.get("data", b"")
+            if not chunk["found"] or not data:
                 raise SegmentLostError(name)
-            frame += reply["data"]
-            if len(frame) >= reply["size_bytes"]:
+            frame += data
+            if len(frame) >= chunk.get("size_bytes", 0):
                 return bytes(frame)
+            if len(frame) > SEGMENT_MAX_BYTES:
+                raise SegmentLostError(f"{name}: {row.instance} sent more than a segment")
 
     def _try_send(self, row: HolderRow, name: str, stored: StoredFile) -> bool:
         try:
@@ -131,12 +153,17 @@
             return False
         return True
 
-    def _serve_put(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+    def _serve_put(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
         """Accept a chunk for the own folder; the last chunk stores the copy.
 
         A chunk for an earlier folder of this instance is refused, because that folder is gone
         with its other copies.
         """
+        try:
+            message = _convert(raw, PutMessage)
+        except msgspec.DecodeError as err:
+            logger.warning("{} Refused a copy of {}: {}.", LOG_PREFIX, sender, err)
+            return {"accepted": False}
         if not self._is_own(message["folder_id"]):
             return {"accepted": False}
         now = self._core.clock.monotonic()
@@ -153,7 +180,7 @@
         if len(upload.frame) < message["size_bytes"]:
             return {"accepted": True}
         del self._uploads[key]
-        stored = StoredFile(bytes(upload.frame), tuple(message["holders"]), message["keep_until"])
+        stored = StoredFile(bytes(upload.frame), message["holders"], message["keep_until"])
         try:
             decompress(message["name"], stored.frame)
             self._put_own(message["name"], stored)
