Refuse odd configuration files and parts as what they are

A file with tables nested too deeply or a number of 5,000 digits raised RecursionError or ValueError out of the TOML parser: the operator got an internal error, and the daemon and the command-line tool a traceback. A stored or received part that claims a huge size, is nested too deeply, or has other fields raised MemoryError, RecursionError, TypeError or AttributeError instead of the error that those who learn revisions catch.

--- a/clementinepin/config/_codec.py
+++ b/clementinepin/config/_codec.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable, Mapping
-from typing import Any, NamedTuple
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, NamedTuple, TypedDict
 
 import msgspec
 import xxhash
@@ -17,6 +17,8 @@
 from clementinepin.config._schema import SCHEMAS, TABLES, build_row
 from clementinepin.config.exceptions import ConfigurationPartError
 from clementinepin.config.models import Configuration
+from clementinepin.helpers.compression import decompress_frame
+from clementinepin.helpers.decoding import guard_decoder, make_msgpack_decoder
 
 ROWS_PER_BUCKET = 100
 PART_MAX_BYTES = 8_000_000
@@ -24,6 +26,14 @@
 _ZSTD_LEVEL = 3
 
 
+class _Bucket(TypedDict):
+    table: str
+    rows: dict[str, dict[str, Any]]
+
+
+_decode_bucket: Callable[[bytes], _Bucket] = make_msgpack_decoder(_Bucket)
+
+
 class Part(NamedTuple):
     """Decoded rows of one part by name; empty if this release does not know the table."""
 
@@ -55,10 +65,19 @@
 def decode_part(digest: str, data: bytes) -> Part:
     """Return the rows of one part; raise ConfigurationPartError if it is damaged."""
     check_part(digest, data)
-    table, entries = _decode_bucket(digest, data)
+    try:
+        return _decode_rows(data)
+    except msgspec.DecodeError as err:
+        raise ConfigurationPartError(f"part {digest} cannot be decoded: {err}") from err
+
+
+@guard_decoder
+def _decode_rows(data: bytes) -> Part:
+    bucket = _decode_bucket(decompress_frame(data, PART_MAX_BYTES))
+    table = bucket["table"]
     if table not in SCHEMAS:
         return Part(table, {})
-    return Part(table, {name: build_row(table, name, row) for name, row in entries.items()})
+    return Part(table, {name: build_row(table, name, row) for name, row in bucket["rows"].items()})
 
 
 def merge_parts(revision: int, parts: Mapping[str, Part]) -> Configuration:
@@ -98,12 +117,3 @@
     if "non_idempotent" in values:
         values["non_idempotent"] = [rule._asdict() for rule in values["non_idempotent"]]
     return values
-
-
-def _decode_bucket(digest: str, data: bytes) -> tuple[str, dict[str, Any]]:
-    try:
-        packed = zstandard.ZstdDecompressor().decompress(data, max_output_size=PART_MAX_BYTES)
-        bucket = msgspec.msgpack.decode(packed)
-        return bucket["table"], bucket["rows"]
-    except (zstandard.ZstdError, msgspec.DecodeError, KeyError, TypeError) as err:
-        raise ConfigurationPartError(f"part {digest} cannot be decoded") from err
--- a/clementinepin/config/_files.py
+++ b/clementinepin/config/_files.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Mapping
 from typing import Any
 
+import msgspec
 import voluptuous as vol
 
 from clementinepin.config import _validators as val
 from clementinepin.config._codec import digest_parts, encode_parts
 from clementinepin.config._references import find_reference_issues
 from clementinepin.config._schema import FILES_VERSION, SCHEMAS, TABLES, build_row
+from clementinepin.config._toml import parse_toml
 from clementinepin.config.exceptions import ConfigurationInvalidError, ConfigurationIssue
 from clementinepin.config.models import Configuration
 
@@ -49,11 +50,9 @@
             self.add_issue(file, "", "", f"a file name that ends in {_SUFFIX}")
             return None
         try:
-            return tomllib.loads(content.decode("utf-8"))
-        except UnicodeDecodeError as err:
-            self.add_issue(file, "", "", f"UTF-8 text, but byte {err.start} is invalid")
-        except tomllib.TOMLDecodeError as err:
-            self.add_issue(file, "", "", f"valid TOML: {err}")
+            return parse_toml(content)
+        except msgspec.DecodeError as err:
+            self.add_issue(file, "", "", str(err))
         return None
 
     def _add_tables(self, file: str, table: str, entries: Any) -> None:
--- a/clementinepin/config/_settings.py
+++ b/clementinepin/config/_settings.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import voluptuous as vol
 
 from clementinepin.config import _validators as val
 from clementinepin.config._migrations import SETTINGS_VERSION, migrate_settings
+from clementinepin.config._toml import parse_toml
 from clementinepin.config.exceptions import ConfigurationIssue, SettingsInvalidError
 from clementinepin.config.models import (
     InstanceSettings,
@@ -130,13 +131,11 @@
 
 def _read_document(path: Path) -> dict[str, Any]:
     try:
-        return tomllib.loads(path.read_bytes().decode("utf-8"))
+        return parse_toml(path.read_bytes())
     except OSError as err:
         expected = f"a readable file: {err.strerror}"
-    except UnicodeDecodeError as err:
-        expected = f"UTF-8 text, but byte {err.start} is invalid"
-    except tomllib.TOMLDecodeError as err:
-        expected = f"valid TOML: {err}"
+    except msgspec.DecodeError as err:
+        expected = str(err)
     raise SettingsInvalidError([ConfigurationIssue(str(path), "", "", expected)])
 
 
