Accept and learn revisions whatever lies beside them in the store

An entry after the last revision that could not be decoded, or that was no revision at all, was taken for the newest: from then on no file set was accepted and no revision learned from the store, on any instance. One at the key of the next revision made an operator's request fail with an error that means "not run", although an earlier attempt of the write, whose reply was lost, may have been accepted. A steward's name that is no UTF-8, and a peer's odd revision number, made the lists for operators internal errors.

Rows that are no revisions are logged and skipped, and only a manifest under its own key counts. A winner that can't be read leaves the outcome unknown. The collector stops, with a log line, while a revision can't be decoded: its parts are unknown, so none may be deleted.

--- a/clementinepin/fleet/_collector.py
+++ b/clementinepin/fleet/_collector.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from clementinepin.config import ConfigurationPartError
 from clementinepin.fleet._messages import decode_manifest
 from clementinepin.fleet._revisions import PAGE_ROWS, PREFIX_PARTS, PREFIX_REVISIONS
 from clementinepin.helpers.rendezvous import choose_owner
@@ -50,6 +51,9 @@
             self._collect()
         except (PlatformUnavailableError, ReplyLostError) as err:
             logger.debug("{} Collection of old revisions stopped: {}.", LOG_PREFIX, err)
+        except ConfigurationPartError as err:
+            # The parts of a revision that can't be decoded are unknown, so none may be deleted.
+            logger.warning("{} Collection of old revisions stopped: {}.", LOG_PREFIX, err)
 
     def _collect(self) -> None:
         # Parts are listed before revisions. A writer that adds a stored part to a new revision
--- a/clementinepin/fleet/_configuration.py
+++ b/clementinepin/fleet/_configuration.py
@@ -125,7 +125,8 @@
         """Return the revision in force by instance name, for the instances that replied."""
         deadline = self._core.clock.monotonic() + REVISIONS_TIMEOUT_S
         replies = self._peers.gather(messages.METHOD_IN_FORCE, {}, deadline=deadline)
-        return {name: int(reply.get("revision", 0)) for name, reply in replies.items()}
+        revisions = {name: reply.get("revision", 0) for name, reply in replies.items()}
+        return {name: rev for name, rev in revisions.items() if isinstance(rev, int)}
 
     def learn(self, manifest: Manifest, fetched_parts: Mapping[str, bytes], source: str) -> bool:
         """Put a newer revision in force if all its parts are present; return whether it will be.
--- a/clementinepin/fleet/_leases.py
+++ b/clementinepin/fleet/_leases.py
@@ -91,7 +91,10 @@
     def list_holders(self) -> dict[str, str]:
         """Return the steward's instance name by service; raises PlatformUnavailableError."""
         rows = self._key_value.list_range(PREFIX_STEWARDS, limit=HOLDERS_MAX)
-        return {row.key.removeprefix(PREFIX_STEWARDS): row.value.decode() for row in rows}
+        return {
+            row.key.removeprefix(PREFIX_STEWARDS): row.value.decode("utf-8", "replace")
+            for row in rows
+        }
 
     def _mark_first_steward(self, service: str) -> bool:
         """Create the mark that the service has had a steward, and return whether it was absent.
--- a/clementinepin/fleet/_messages.py
+++ b/clementinepin/fleet/_messages.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, TypedDict
 
 import msgspec
 
 from clementinepin.config import ConfigurationPartError
+from clementinepin.helpers.decoding import guard_decoder, make_msgpack_decoder
 
 METHOD_ANNOUNCE = "configuration.announce"
 METHOD_FETCH = "configuration.fetch"
@@ -97,6 +99,10 @@
     changes: list[InstanceChange]
 
 
+_decode_manifest: Callable[[bytes], Manifest] = make_msgpack_decoder(Manifest)
+_convert = guard_decoder(msgspec.convert)
+
+
 def encode_manifest(manifest: Manifest) -> bytes:
     """Return the stored form of a manifest."""
     return msgspec.msgpack.encode(manifest)
@@ -105,7 +111,7 @@
 def decode_manifest(data: bytes) -> Manifest:
     """Return a stored manifest. Raise ConfigurationPartError if it can't be decoded."""
     try:
-        return msgspec.msgpack.decode(data, type=Manifest)
+        return _decode_manifest(data)
     except msgspec.DecodeError as err:
         raise ConfigurationPartError(f"manifest can't be decoded: {err}") from err
 
@@ -116,6 +122,6 @@
     Raise ConfigurationPartError if it does not match.
     """
     try:
-        return msgspec.convert(message, message_type)
-    except msgspec.ValidationError as err:
+        return _convert(message, message_type)
+    except msgspec.DecodeError as err:
         raise ConfigurationPartError(f"peer message can't be decoded: {err}") from err
--- a/clementinepin/fleet/_revisions.py
+++ b/clementinepin/fleet/_revisions.py
@@ -10,7 +10,9 @@
 from collections.abc import Iterable, Mapping
 
 import gevent
+from loguru import logger
 
+from clementinepin.config import ConfigurationPartError
 from clementinepin.const import PREFIX_CONFIG
 from clementinepin.fleet._messages import Manifest, decode_manifest, encode_manifest
 from clementinepin.fleet.exceptions import (
@@ -19,13 +21,15 @@
     ConfigurationUnknownError,
 )
 from clementinepin.helpers.clock import Clock
-from clementinepin.infrastructure import KeyValueStore
+from clementinepin.helpers.rows import KEY_MAX_CHARS
+from clementinepin.infrastructure import KeyValue, KeyValueStore
 from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
     ReplyLostError,
     VersionConflictError,
 )
 
+LOG_PREFIX = "configuration:"
 PREFIX_REVISIONS = PREFIX_CONFIG + "revisions/"
 PREFIX_PARTS = PREFIX_CONFIG + "parts/"
 REVISION_DIGITS = 20
@@ -51,17 +55,17 @@
     def read_newest(self, known_newest: Manifest | None) -> Manifest | None:
         """Return the newest manifest, which is ``known_newest`` if no later revision exists.
 
-        Raise PlatformUnavailableError, or ConfigurationPartError if it can't be decoded.
+        Rows that are no revisions are skipped. Raise PlatformUnavailableError.
         """
         newest = known_newest
         after = format_revision_key(known_newest["revision"]) if known_newest else ""
         while True:
             rows = self._key_value.list_range(PREFIX_REVISIONS, after=after, limit=PAGE_ROWS)
-            if rows:
-                newest = decode_manifest(rows[-1].value)
-                after = rows[-1].key
+            found = (_read_manifest(row) for row in reversed(rows))
+            newest = next((manifest for manifest in found if manifest is not None), newest)
             if len(rows) < PAGE_ROWS:
                 return newest
+            after = rows[-1].key
 
     def read_parts(self, digests: Iterable[str]) -> dict[str, bytes]:
         """Return the stored parts by digest; missing ones are left out."""
@@ -140,7 +144,11 @@
         """Raise the conflict unless the stored revision is this writer's own."""
         if conflict.value is None:
             raise ConfigurationUnknownError(f"key {conflict.key} was deleted during the write")
-        winner = decode_manifest(conflict.value)
+        try:
+            winner = decode_manifest(conflict.value)
+        except ConfigurationPartError as err:
+            # An earlier attempt, whose reply was lost, may have been accepted and overwritten.
+            raise ConfigurationUnknownError(f"{conflict.key} can't be read: {err}") from err
         if winner["operation_id"] != manifest["operation_id"]:
             raise create_conflict(winner)
 
@@ -150,6 +158,19 @@
         )
 
 
+def _read_manifest(row: KeyValue) -> Manifest | None:
+    """Return the manifest in a row, or None if the row is no revision, which is logged."""
+    try:
+        manifest = decode_manifest(row.value)
+    except ConfigurationPartError as err:
+        logger.warning("{} Skipped {}: {}.", LOG_PREFIX, row.key[:KEY_MAX_CHARS], err)
+        return None
+    if format_revision_key(manifest["revision"]) != row.key:
+        logger.warning("{} Skipped {}, which is no revision.", LOG_PREFIX, row.key[:KEY_MAX_CHARS])
+        return None
+    return manifest
+
+
 def create_conflict(winner: Manifest) -> ConfigurationConflictError:
     """Return the error that names the file set which was accepted first."""
     return ConfigurationConflictError(
