--- a/clementinepin/batch/_claimer.py
+++ b/clementinepin/batch/_claimer.py
@@ -8,16 +8,17 @@
 
 from clementinepin.batch._active import ActiveJob, ActiveJobs
 from clementinepin.batch._closer import JobCloser
-from clementinepin.batch._items import CODE_ATTEMPTS, ItemWork, fail_item
+from clementinepin.batch._items import CODE_ATTEMPTS, CODE_LINE, ItemWork, fail_item
 from clementinepin.batch._jobs import JobStore
 from clementinepin.batch._keeper import ShardKeeper
-from clementinepin.batch._lines import parse_line
+from clementinepin.batch._lines import InputLine, parse_line, read_model
+from clementinepin.batch._loops import UNAVAILABLE_ERRORS, log_failed_job
 from clementinepin.batch._owned import OwnedShard
 from clementinepin.batch._shards import ShardStore, StoredShard
+from clementinepin.batch.exceptions import InvalidLineError
 from clementinepin.core import Core
-from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.rendezvous import score_pair
-from clementinepin.helpers.rows import decode_row
+from clementinepin.helpers.rows import RowUnreadableError, decode_row
 from clementinepin.storage import SegmentStore
 from clementinepin.systems.shard_order import AccountUse, JobCandidate, choose_shard, order_jobs
 from clementinepin.systems.shard_state import is_exhausted, list_undone
@@ -31,6 +32,7 @@
 PROBES_MAX = 4
 PROGRESS_MAX_AGE_S = 15.0
 CLAIM_PAUSE_S = 5.0
+FAILURE_PAUSE_S = 30.0
 
 
 class ShardClaimer:
@@ -96,10 +98,21 @@
         ]
         for candidate in order_jobs(candidates, self.use, now):
             job = self._active.jobs.get(candidate.job_id)
-            if job is not None and self._claim_from(job, now):
+            if job is not None and self._try_claim_from(job, now):
                 return True
         return False
 
+    def _try_claim_from(self, job: ActiveJob, now: float) -> bool:
+        """Claim from a job; only an outage of the platform keeps the step from other jobs."""
+        try:
+            return self._claim_from(job, now)
+        except UNAVAILABLE_ERRORS:
+            raise
+        except Exception as err:
+            log_failed_job("claim", job.row.job_id, err)
+            job.claim_at = now + FAILURE_PAUSE_S
+            return False
+
     def _claim_from(self, job: ActiveJob, now: float) -> bool:
         """Try to claim one of a few shards of a job, and return whether that succeeded."""
         row = job.row
@@ -131,14 +144,19 @@
     def _probe(self, job: ActiveJob, plan: PlanRow, shard: int, now: float) -> bool:
         """Try to claim one shard, and return whether that succeeded."""
         row = job.row
-        result = self._shards.claim(
-            row.job_id,
-            shard,
-            items=plan.shards[shard].items,
-            owner=self.owner,
-            now=now,
-            live=self._list_live(),
-        )
+        try:
+            result = self._shards.claim(
+                row.job_id,
+                shard,
+                items=plan.shards[shard].items,
+                owner=self.owner,
+                now=now,
+                live=self._list_live(),
+            )
+        except RowUnreadableError as err:
+            log_failed_job("claim", row.job_id, err)
+            job.record_holder(shard, now + FAILURE_PAUSE_S, "")
+            return False
         if result.stored is None:
             if result.decision.sealed:
                 self._record_missed_seal(job, shard)
@@ -167,7 +185,7 @@
                 owned.cancelled = True
                 return
             self._fill(owned, plan.shards[shard].segment)
-        except ClementinepinError:
+        except Exception:
             owned.leaving = True
             raise
         logger.debug("{} Claimed shard {} of {}.", LOG_PREFIX, shard, job.job_id)
@@ -175,22 +193,24 @@
     def _fill(self, owned: OwnedShard, segment: str) -> None:
         """Load the items without a result.
 
-        They fail at once if too many claims in a row ended without a commit.
+        An item fails at once if its line can't be read; all do if too many claims in a row ended
+        without a commit.
         """
         row = owned.stored.row
         lines = self._segments.read(segment).split(b"\n")
         attempts = dict(row.attempts)
+        if row.items > len(lines):
+            raise RowUnreadableError(f"{row.items} items in a segment of {len(lines)} lines")
         for index in list_undone(row):
-            line = parse_line(lines[index], index + 1)
+            line, code, reason = _read_item(lines[index], index + 1)
+            if is_exhausted(row):
+                code = CODE_ATTEMPTS
+                reason = "too many instances in a row lost this shard without a result"
             request_id = f"{owned.job.job_id}-{owned.shard}-{index}-{row.epoch}"
             failed_attempts = attempts.get(index, 0)
             work = ItemWork(index, request_id, line, failed_attempts, owned.job.due_at)
-            if is_exhausted(row):
-                result = fail_item(
-                    work,
-                    CODE_ATTEMPTS,
-                    "too many instances in a row lost this shard without a result",
-                )
+            if code:
+                result = fail_item(work, code, reason)
                 owned.hold_result(work, result, self._core.clock.monotonic())
             else:
                 owned.waiting.append(work)
@@ -199,3 +219,16 @@
         if job.plan is None:
             job.plan = decode_row(self._segments.read(job.row.plan), PlanRow)
         return job.plan
+
+
+def _read_item(line: bytes, number: int) -> tuple[InputLine, str, str]:
+    """Return an item, with code and reason of its failure if its line can't be read.
+
+    Lines are checked on upload, but another release may have had other checks.
+    """
+    try:
+        item = parse_line(line, number)
+        read_model(item, number)
+    except InvalidLineError as err:
+        return InputLine("", "", "", {}), CODE_LINE, err.message
+    return item, "", ""
