--- /dev/null
+++ b/tests/helpers/test_decoding.py
@@ -0,0 +1,100 @@
+from __future__ import annotations
+
+import base64
+import contextlib
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from clementinepin.helpers.decoding import (
+    REASON_MAX_CHARS,
+    guard_decoder,
+    make_json_decoder,
+    make_msgpack_decoder,
+)
+
+DEPTH = 100_000
+
+
+class Row(msgspec.Struct):
+    name: str = ""
+    port: int = 0
+    extra: dict[str, Any] = {}
+    raw: msgspec.Raw = msgspec.Raw()
+
+
+KINDS = [Any, Row, list[msgspec.Raw], dict[str, Any]]
+ODD_JSON = [b"[" * DEPTH, b'{"extra":' * DEPTH, b"9" * 5000, b'{"port":1e999}', b'"\\ud800"', b""]
+ODD_MSGPACK = [b"\x91" * DEPTH, b"\x81\xa1a" * DEPTH, b"\xdd\xff\xff\xff\xff", b"\xa2\xff\xff", b""]
+
+
+# Nesting too deep for the parser ended what called it: RecursionError is no error of msgspec.
+@pytest.mark.parametrize(
+    ("make", "data"),
+    [(make_json_decoder, b"[" * DEPTH), (make_msgpack_decoder, b"\x91" * DEPTH)],
+)
+def test_deep_nesting_is_a_decode_error_with_its_cause(make, data):
+    with pytest.raises(msgspec.DecodeError) as caught:
+        make()(data)
+    assert isinstance(caught.value.__cause__, RecursionError)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_odd_input_gives_a_value_or_a_decode_error(kind):
+    for make, inputs in [(make_json_decoder, ODD_JSON), (make_msgpack_decoder, ODD_MSGPACK)]:
+        for data in inputs:
+            _decode_any(make(kind), data)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(data=st.binary(max_size=60))
+def test_any_bytes_give_a_value_or_a_decode_error(data):
+    for kind in KINDS:
+        _decode_any(make_json_decoder(kind), data)
+        _decode_any(make_msgpack_decoder(kind), data)
+
+
+@pytest.mark.parametrize(
+    "decode",
+    [
+        lambda: int("9" * 5000),
+        lambda: int("\u00b2"),
+        lambda: int(float("inf")),
+        lambda: base64.b64decode("a"),
+        lambda: b"\xff".decode(),
+        lambda: {}["port"],
+        lambda: bytes("x"),
+    ],
+)
+def test_errors_of_other_parsers_are_decode_errors(decode):
+    with pytest.raises(msgspec.DecodeError) as caught:
+        guard_decoder(decode)()
+    assert caught.value.__cause__ is not None
+
+
+def test_reasons_are_bounded():
+    with pytest.raises(msgspec.DecodeError) as caught:
+        guard_decoder(int)("x" * 100_000)
+    assert len(str(caught.value)) <= REASON_MAX_CHARS
+
+
+def test_errors_of_msgspec_pass_as_they_are():
+    with pytest.raises(msgspec.ValidationError, match=r"\$\.port"):
+        make_json_decoder(Row)(b'{"port": "x"}')
+
+
+def test_numbers_in_text_are_read_unless_strict():
+    assert make_json_decoder(Row, strict=False)(b'{"port": "80"}').port == 80
+
+
+def test_values_are_returned():
+    assert make_json_decoder(dict[str, int])(b'{"a": 1}') == {"a": 1}
+    assert make_msgpack_decoder(dict[str, int])(b"\x81\xa1a\x01") == {"a": 1}
+
+
+def _decode_any(decode, data):
+    with contextlib.suppress(msgspec.DecodeError):
+        decode(data)
