Follow the targets behind an odd entry of another writer

Behind an entry of 5,000 nested lists or 3,000 nested objects no instance learned of a later change of the targets until it was restarted: msgspec raises RecursionError, which is no DecodeError, nobody caught it, and gevent ended the greenlet that follows the store. An odd entry in the place of a good one left its target in use for ever. Ports, hosts, starts and names were not checked: a start beyond 64 bits can't be written into a message, a name of a megabyte went into records, a host name cost a look-up.

An entry that names no target ends the use of the target it named, without the grace time of entries that expired, and is logged once with its key until it can be read again. Row, listener and subscriber are contained apart, so that one can't stop the others. The feed leaves out the longest values if its rows don't fit into one message, which would drop the link to the dispatcher for good.

--- a/clementinepin/platform/_wire.py
+++ b/clementinepin/platform/_wire.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import base64
-import binascii
-import math
 import re
 from typing import Final
-from urllib.parse import parse_qs, quote, urlsplit
+from urllib.parse import quote
 
 import msgspec
 from loguru import logger
 
+from clementinepin.platform import _formats as formats
 from clementinepin.serving.exceptions import BadRequestError
 from clementinepin.serving.models import (
     CallerLimits,
@@ -62,89 +60,6 @@
 RESULTS_MAX_BYTES: Final = 1_000_000  # the platform's limit for one page
 
 
-class _Share(msgspec.Struct):
-    service: str
-    weight: float = 0.0
-
-
-class _Route(msgspec.Struct):
-    """A route of the operators' configuration.
-
-    ``max_count`` limits the waiting tokens. ``run_target_ms`` is the time within which a job's
-    results are due.
-    """
-
-    name: str
-    host: str
-    path_prefix: str
-    kind: str
-    timeout_ms: float = 5000.0
-    target_latency_ms: float = 0.0
-    gap_target_ms: float = 0.0
-    run_target_ms: float = 0.0
-    retention_s: float = 0.0
-    priority: int = 0
-    max_attempts: int = 1
-    max_count: int = 0
-    resumable: bool = False
-    service: str = ""
-    traffic_split: list[_Share] = []
-
-
-class _Engine(msgspec.Struct):
-    slots: int = 0
-
-
-class _Service(msgspec.Struct):
-    name: str
-    health_path: str = "/health"
-    max_connections: int = 64
-    engine: _Engine = msgspec.field(default_factory=_Engine)
-
-
-class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15_000.0
-
-
-class _Config(msgspec.Struct):
-    version: int
-    routes: list[_Route]
-    services: list[_Service] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
-
-
-class _Server(msgspec.Struct):
-    """A target's own entry. Its ``sequence`` only shows that it is alive and is not decoded."""
-
-    service: str
-    address: str
-    zone: str
-    version: str
-    state: str
-    slots: int
-    born: int = 0
-
-
-class _Item(msgspec.Struct):
-    id: str
-    path: str
-    body: str
-    headers: dict[str, str] = {}
-    tokens: int = 0
-
-
-class _Lot(msgspec.Struct):
-    items: list[_Item]
-
-
-_decode_config = msgspec.json.Decoder(_Config, strict=False).decode
-_decode_server = msgspec.json.Decoder(_Server).decode
-_decode_lot = msgspec.json.Decoder(_Lot).decode
-
-
 class PlatformWire:
     """Converts the platform's messages. It has no state."""
 
@@ -166,21 +81,21 @@
             raise BadRequestError(f"the request has no {_REQUEST_ID_HEADER} header")
         prompt, _, output = headers.get(_TOKENS_HEADER, "").partition(",")
         prefix = headers.get(_PROMPT_PREFIX_HEADER, "")
-        time_left_ms = _parse_number(headers.get(_DEADLINE_HEADER, ""))
+        time_left_ms = formats.parse_number(headers.get(_DEADLINE_HEADER, ""))
         return RequestFacts(
             request_id=request_id,
             time_left_s=None if time_left_ms is None else time_left_ms / 1000,
-            prompt_tokens=int(_parse_number(prompt) or 0),
-            output_tokens_max=int(_parse_number(output) or 0),
-            length_hint=int(_parse_number(headers.get(_LENGTH_HINT_HEADER, "")) or 0),
+            prompt_tokens=int(formats.parse_number(prompt) or 0),
+            output_tokens_max=int(formats.parse_number(output) or 0),
+            length_hint=int(formats.parse_number(headers.get(_LENGTH_HINT_HEADER, "")) or 0),
             prefix_ids=tuple(part.partition(":")[0].strip() for part in prefix.split(",") if part),
-            last_event_id=int(_parse_number(headers.get(_LAST_EVENT_HEADER, "")) or 0),
+            last_event_id=int(formats.parse_number(headers.get(_LAST_EVENT_HEADER, "")) or 0),
             resumes=headers.get(_RESUMES_HEADER, ""),
         )
 
     def read_request_id(self, target: str, headers: dict[str, str]) -> str:
         """Return the id of a request, or of the job in its path, or an empty string."""
-        path = urlsplit(target).path
+        path, _ = formats.split_target(target)
         job_id = path.removeprefix(_JOBS_PATH if path.startswith(_JOBS_PATH) else _BODIES_PATH)
         return headers.get(_REQUEST_ID_HEADER) or (job_id if job_id != path else "")
 
@@ -241,7 +156,7 @@
 
     def read_limit(self, headers: dict[str, str]) -> float | None:
         """Return the requests a second that a target takes at present, or None without a limit."""
-        limit = _parse_number(headers.get(_LIMIT_HEADER, ""))
+        limit = formats.parse_number(headers.get(_LIMIT_HEADER, ""))
         return limit if limit is not None and limit >= 0.0 else None
 
     def says_leaving(self, status: int, headers: dict[str, str]) -> bool:
@@ -253,14 +168,17 @@
         if value is None or status == 421:
             return False
         if value.strip() != _LEAVING:
-            log = logger.bind(request_id=headers.get(_REQUEST_ID_HEADER, ""), value=value)
+            log = logger.bind(
+                request_id=headers.get(_REQUEST_ID_HEADER, ""),
+                value=value[: formats.TEXT_MAX_CHARS],
+            )
             log.warning("leaving_value_ignored")
             return False
         return True
 
     def read_configuration(self, value: bytes) -> RoutingConfiguration:
         """Decode the operators' configuration. Raises msgspec.DecodeError if it is invalid."""
-        config = _decode_config(value)
+        config = formats.decode_configuration(value)
         services = {
             s.name: Service(s.name, s.health_path, s.max_connections, s.engine.slots)
             for s in config.services
@@ -277,23 +195,25 @@
     def read_target(self, key: str, value: bytes) -> Target | None:
         """Return the target in an entry, or None if the entry is invalid or not to be used."""
         try:
-            entry = _decode_server(value)
-            host, _, port = entry.address.rpartition(":")
-            if entry.state not in ("ready", "draining") or not host or entry.slots <= 0:
-                return None
-            return Target(
-                self.read_target_id(key),
-                entry.service,
-                host,
-                int(port),
-                entry.zone,
-                entry.slots,
-                entry.state == "draining",
-                entry.born,
-                entry.version,
-            )
-        except (msgspec.DecodeError, ValueError):
+            entry = formats.decode_entry(value)
+            host, port = formats.read_address(entry.address)
+        except msgspec.DecodeError:
+            return None
+        target_id = self.read_target_id(key)
+        is_target = key.startswith(self.targets_prefix) and formats.TARGET_ID.fullmatch(target_id)
+        if not is_target or entry.state not in ("ready", "draining"):
             return None
+        return Target(
+            target_id,
+            entry.service,
+            host,
+            port,
+            entry.zone,
+            entry.slots,
+            entry.state == "draining",
+            entry.born,
+            entry.version,
+        )
 
     def read_target_id(self, key: str) -> str:
         """Return the target id in the key of an entry."""
@@ -301,7 +221,7 @@
 
     def read_resolve(self, target: str) -> tuple[str, str, str]:
         """Return the host name, region and data centre in a resolve request."""
-        query = parse_qs(urlsplit(target).query)
+        _, query = formats.split_target(target)
         return (
             query.get("name", [""])[0],
             query.get("region", [""])[0],
@@ -317,20 +237,19 @@
 
         Raises BadRequestError if the position is not a number of at least 0.
         """
-        parts = urlsplit(target)
-        query = parse_qs(parts.query)
-        if parts.path.startswith(_JOBS_PATH):
-            job_id = parts.path.removeprefix(_JOBS_PATH)
+        path, query = formats.split_target(target)
+        if path.startswith(_JOBS_PATH):
+            job_id = path.removeprefix(_JOBS_PATH)
             if method == "DELETE":
                 return JobCall("end", job_id)
             if method == "GET":
-                after = _parse_number(query.get("after", ["0"])[0])
+                after = formats.parse_number(query.get("after", ["0"])[0])
                 if after is None or after < 0:
                     raise BadRequestError("after must be a position of at least 0")
-                wait_s = (_parse_number(headers.get(_WAIT_HEADER, "")) or 0) / 1000
+                wait_s = (formats.parse_number(headers.get(_WAIT_HEADER, "")) or 0) / 1000
                 return JobCall("read", job_id, after=int(after), wait_s=wait_s)
-        if parts.path.startswith(_BODIES_PATH) and method == "GET":
-            job_id = parts.path.removeprefix(_BODIES_PATH)
+        if path.startswith(_BODIES_PATH) and method == "GET":
+            job_id = path.removeprefix(_BODIES_PATH)
             return JobCall("body", job_id, item_id=query.get("id", [""])[0])
         return None
 
@@ -341,18 +260,8 @@
         items is not between 1 and ITEMS_MAX.
         """
         try:
-            lot = _decode_lot(body)
-            items = tuple(
-                JobItem(
-                    item.id,
-                    item.path,
-                    tuple(item.headers.items()),
-                    base64.b64decode(item.body, validate=True),
-                    item.tokens,
-                )
-                for item in lot.items
-            )
-        except (msgspec.DecodeError, binascii.Error, ValueError) as err:
+            items = tuple(formats.make_item(item) for item in formats.decode_lot(body).items)
+        except msgspec.DecodeError as err:
             raise BadRequestError(f"the job can't be parsed: {err}") from err
         if not items or len(items) > ITEMS_MAX:
             raise BadRequestError(f"a job must have 1 to {ITEMS_MAX} items, not {len(items)}")
@@ -386,16 +295,7 @@
     return PlatformWire()
 
 
-def _parse_number(text: str) -> float | None:
-    """Return a number, None if the text is none or stands for no finite one."""
-    try:
-        number = float(text)
-    except ValueError:
-        return None
-    return number if math.isfinite(number) else None
-
-
-def _make_route(route: _Route) -> Route:
+def _make_route(route: formats.RouteRow) -> Route:
     shares = tuple(ServiceShare(s.service, s.weight) for s in route.traffic_split)
     return Route(
         name=route.name,
--- a/clementinepin/serving/_feed.py
+++ b/clementinepin/serving/_feed.py
@@ -12,6 +12,7 @@
 import gevent
 from loguru import logger
 
+from clementinepin.helpers.containment import keep_running
 from clementinepin.infrastructure import KeyValue
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._links import Link, LinkServer
@@ -19,6 +20,7 @@
 
 HEARTBEAT_PERIOD_S: Final = 0.4
 FEED_TRUST_S: Final = 1.3  # three missed heartbeats; leaves time to react to a leaving target
+ROWS_MAX_BYTES: Final = messages.FRAME_MAX_BYTES // 2  # of the values in one message
 HAND_OVER_S: Final = 0.6  # time to find the next dispatcher before watching the store directly
 
 
@@ -34,11 +36,11 @@
 
     def start(self) -> None:
         """Send heartbeats periodically."""
-        gevent.spawn(self._run_heartbeats)
+        gevent.spawn(keep_running, "feed_heartbeats", self._run_heartbeats)
 
     def _handle_hello(self, link: Link, _hello: messages.Hello) -> None:
         for name, follower in self._followers.items():
-            rows = [(row.key, row.value, row.version) for row in follower.rows.values()]
+            rows = fit_rows(list(follower.rows.values()))
             link.send(messages.FeedRows(name, rows, follower.version))
         link.send(self._make_heartbeat())
 
@@ -88,6 +90,9 @@
         """Apply one message; ignore it if this instance is the source itself."""
         if self._source == self._own_name:
             return
+        if not isinstance(message, messages.FeedHeartbeat) and message.name not in self._followers:
+            logger.bind(source=self._source, range=message.name[:80]).debug("feed_range_unknown")
+            return
         if isinstance(message, messages.FeedRows):
             rows = [KeyValue(*row) for row in message.rows]
             if message.version >= 0:
@@ -101,3 +106,19 @@
         elif message.fresh and len(self._complete_ranges) == len(self._followers):
             for follower in self._followers.values():
                 follower.trust_feed_for(FEED_TRUST_S)
+
+
+def fit_rows(rows: list[KeyValue]) -> list[tuple[str, bytes, int]]:
+    """Return the rows of a message; the longest values are left empty if they don't fit into one.
+
+    Entries of targets and instances are short. Long ones come from other writers, and no reader
+    takes an empty one for an entry either.
+    """
+    size = sum(len(row.value) for row in rows)
+    emptied = set()
+    for row in sorted(rows, key=lambda row: -len(row.value)):
+        if size <= ROWS_MAX_BYTES:
+            break
+        size -= len(row.value)
+        emptied.add(row.key)
+    return [(r.key, b"" if r.key in emptied else r.value, r.version) for r in rows]
--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -12,6 +12,8 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.containment import contain_failure, keep_running
+from clementinepin.helpers.decoding import make_msgpack_decoder
 from clementinepin.infrastructure import Change, KeyValue, StateStore
 from clementinepin.infrastructure.exceptions import LeaseLostError, PlatformUnavailableError
 from clementinepin.serving._metrics import ServingMetrics
@@ -29,6 +31,17 @@
 # second after a lease's end.
 REGISTRATION_VALID_S: Final = 1.5
 RETRY_S: Final = 0.3  # pause after a failed registration
+PORT_MAX: Final = 65_535
+
+_decode_row: Callable[[bytes], Member] = make_msgpack_decoder(Member)
+
+
+def _decode_member(value: bytes) -> Member:
+    """Return the instance in an entry. Raises msgspec.DecodeError."""
+    member = _decode_row(value)
+    if not 0 <= member.link_port <= PORT_MAX:
+        raise msgspec.DecodeError(f"link port {member.link_port} is none")
+    return member
 
 
 class ConfigurationView:
@@ -61,7 +74,8 @@
             log = logger.bind(version=configuration.version, store_version=version)
             log.bind(routes=len(configuration.routes)).info("configuration_in_force")
             for listener in self.listeners:
-                listener()
+                with contain_failure("configuration_listener"):
+                    listener()
 
 
 class MemberView:
@@ -88,7 +102,8 @@
         if all(row.key != self._own_key for row in rows):
             self.own_registration_lost.set()
         for row in rows:
-            self._put(row.key, row.value, row.version)
+            with contain_failure("instance_entry", key=row.key):
+                self._put(row.key, row.value, row.version)
         self._on_change()
 
     def apply_change(self, key: str, value: bytes | None, version: int) -> None:
@@ -121,7 +136,7 @@
 
     def _put(self, key: str, value: bytes, version: int) -> None:
         try:
-            member = msgspec.msgpack.decode(value, type=Member)
+            member = _decode_member(value)
         except msgspec.DecodeError as err:
             logger.bind(key=key, error=str(err)).warning("instance_entry_unreadable")
             return
@@ -180,9 +195,9 @@
 
     def start(self) -> None:
         """Start the followers and the registration."""
-        self._greenlets = [gevent.spawn(f.run) for f in self.followers.values()]
-        self._greenlets.append(gevent.spawn(self._keep_registered))
-        self._greenlets.append(gevent.spawn(self._prune))
+        runs = {f"{name}_follower": f.run for name, f in self.followers.items()}
+        runs |= {"registration": self._keep_registered, "prune": self._prune}
+        self._greenlets = [gevent.spawn(keep_running, *row) for row in runs.items()]
 
     def is_registration_valid(self) -> bool:
         """Return whether it is certain that no other instance considers this one lost.
@@ -245,7 +260,8 @@
 
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
-            listener()
+            with contain_failure("fleet_listener"):
+                listener()
 
     def _describe_self(self) -> Member:
         settings = self._settings
@@ -294,7 +310,8 @@
         """Tell the listeners that others may have taken over what this instance owns."""
         self._registered_until = 0.0
         for listener in self.registration_listeners:
-            listener()
+            with contain_failure("registration_listener"):
+                listener()
 
     def _register(self) -> None:
         if not self._lease_id:
--- a/clementinepin/serving/_target_view.py
+++ b/clementinepin/serving/_target_view.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
 
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.containment import contain_failure
 from clementinepin.infrastructure import KeyValue
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._outages import ExpiryGrace, StoreOutages
@@ -15,10 +17,15 @@
 from clementinepin.systems import leaving
 from clementinepin.tables.leaving import LeavingTable, TargetStart
 
+VALUE_SHOWN_MAX: Final = 80  # bytes of an entry that can't be read, in a log line
+
 
 class TargetView:
     """Targets by id. Entries that expire in an outage of the store stay for a grace time.
 
+    An entry may come from another writer. One that names no target ends the use of the target that
+    it named before; ``_odd_keys`` has the keys of those that were logged.
+
     A target that said in a response that it leaves is draining here, whatever its entry says.
     """
 
@@ -37,16 +44,19 @@
         self._leaving = LeavingTable()
         self.leaving_listeners: list[Callable[[TargetStart], None]] = []
         self._grace = ExpiryGrace(outages)
+        self._odd_keys: set[str] = set()
         self.rows: dict[str, Target] = {}
 
     def replace_rows(self, rows: list[KeyValue]) -> None:
         """Replace the state by the rows of the whole range."""
         seen = set()
         for row in rows:
-            target = self._wire.read_target(row.key, row.value)
-            if target is not None:
-                seen.add(target.target_id)
-                self._put(target)
+            with contain_failure("target_entry", key=row.key):
+                target = self._read(row.key, row.value, row.version)
+                if target is not None:
+                    seen.add(target.target_id)
+                    self._put(target)
+        self._odd_keys &= {row.key for row in rows}
         for target_id in set(self.rows) - seen:
             self._handle_missing(target_id)
         self._on_change()
@@ -54,18 +64,16 @@
     def apply_change(self, key: str, value: bytes | None, version: int) -> None:
         """Apply one changed entry, or its removal."""
         if value is None:
+            self._odd_keys.discard(key)
             self._handle_missing(self._wire.read_target_id(key))
-        else:
-            target = self._wire.read_target(key, value)
-            if target is None:
-                logger.bind(key=key, store_version=version).warning("target_entry_unreadable")
-                return
+        elif (target := self._read(key, value, version)) is not None:
             self._put(target)
         self._on_change()
 
     def is_same(self, old: bytes, new: bytes) -> bool:
         """Return whether two entries of a target differ in keep-alive data only."""
-        return self._wire.read_target("", old) == self._wire.read_target("", new)
+        key = self._wire.targets_prefix + "any"
+        return self._wire.read_target(key, old) == self._wire.read_target(key, new)
 
     def prune(self) -> None:
         """Remove targets whose grace time ended."""
@@ -97,7 +105,8 @@
             self.rows[start.target_id] = current._replace(draining=True)
             self._on_change()
         for listener in self.leaving_listeners:
-            listener(start)
+            with contain_failure("leaving_listener", target=start.target_id):
+                listener(start)
 
     def list_leaving(self) -> list[TargetStart]:
         """Return the starts of targets that said that they leave."""
@@ -113,6 +122,25 @@
             return None
         return target if software_version in ("", target.software_version) else None
 
+    def _read(self, key: str, value: bytes, version: int) -> Target | None:
+        """Return the target in an entry.
+
+        If it names none, its former target is removed at once, without the grace time of entries
+        that expire, and that is logged once until the entry is read again.
+        """
+        target = self._wire.read_target(key, value)
+        if target is not None:
+            self._odd_keys.discard(key)
+            return target
+        target_id = self._wire.read_target_id(key)
+        self._grace.record_present(target_id)
+        self._remove(target_id, "entry unreadable")
+        if key not in self._odd_keys:
+            self._odd_keys.add(key)
+            log = logger.bind(key=key, store_version=version, size=len(value))
+            log.bind(value=repr(value[:VALUE_SHOWN_MAX])).warning("target_entry_unreadable")
+        return None
+
     def _put(self, target: Target) -> None:
         self._grace.record_present(target.target_id)
         for start in leaving.record_entry(self._leaving, target.start):
--- a/clementinepin/serving/store.py
+++ b/clementinepin/serving/store.py
@@ -11,6 +11,7 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.containment import contain_failure
 from clementinepin.infrastructure import KeyValue, StateStore
 from clementinepin.infrastructure.exceptions import WatchCompactedError
 
@@ -108,12 +109,12 @@
             self._removed[key] = version
         else:
             self.rows[key] = KeyValue(key, value, version)
-        self._listener.apply_change(key, value, version)
+        with contain_failure("store_listener", key=key):
+            self._listener.apply_change(key, value, version)
         self.version = max(self.version, version) if self.is_fed() else self.version
         if value is not None and current is not None and self._is_same(current.value, value):
             return
-        for subscriber in self._subscribers:
-            subscriber(KeyValue(key, value or b"", version), value is None)
+        self._notify_subscribers(KeyValue(key, value or b"", version), gone=value is None)
 
     def trust_feed_for(self, seconds: float) -> None:
         """Rely on the feed of another instance for a number of seconds from now."""
@@ -147,12 +148,17 @@
         changed = [row for row in merged.values() if self._has_changed(row)]
         self.rows = merged
         self._removed = {k: v for k, v in self._removed.items() if v > version}
-        self._listener.replace_rows(list(merged.values()))
+        with contain_failure("store_listener", prefix=self._prefix):
+            self._listener.replace_rows(list(merged.values()))
+        for row in changed:
+            self._notify_subscribers(row, gone=False)
+        for row in gone:
+            self._notify_subscribers(row._replace(version=version), gone=True)
+
+    def _notify_subscribers(self, row: KeyValue, *, gone: bool) -> None:
         for subscriber in self._subscribers:
-            for row in changed:
-                subscriber(row, False)
-            for row in gone:
-                subscriber(row._replace(version=version), True)
+            with contain_failure("store_subscriber", key=row.key):
+                subscriber(row, gone)
 
     def _has_changed(self, row: KeyValue) -> bool:
         current = self.rows.get(row.key)
@@ -195,4 +201,5 @@
             self._known.discard(key)
         else:
             self._known.add(key)
-        self._handle_value(key.removeprefix(self._prefix), value)
+        with contain_failure("store_row", key=key):
+            self._handle_value(key.removeprefix(self._prefix), value)
