Read replies of the store and the settings whatever they hold

A reply of the store that nests too deeply raised RecursionError out of its caller, and one value that is no base64 raised binascii.Error out of a whole list or watch, so that followers ended. Settings with nan, a port in other digits, or nested arrays raised errors out of a reload that no one caught.

A reply that can't be decoded counts as lost, as before for other malformed ones; a value that is no base64 is logged and read as empty, which no reader takes for a record, so that the rows beside it are kept. Revisions, leases and times have bounds, as they go into messages between instances. A page that does not go on raises instead of being listed for ever. Settings have bounds and one error.

--- a/clementinepin/_serving_daemon.py
+++ b/clementinepin/_serving_daemon.py
@@ -15,6 +15,7 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import create_system_clock
+from clementinepin.helpers.containment import contain_failure
 from clementinepin.helpers.logs import configure_event_logs
 from clementinepin.helpers.loop import check_loop_backend
 from clementinepin.platform import (
@@ -91,7 +92,8 @@
     if reload_requested.is_set():
         reload()
     stop_requested.wait()
-    reload()  # the file limits how long a stop takes and may have changed without a signal
+    with contain_failure("settings_reload"):
+        reload()  # the file limits how long a stop takes and may have changed without a signal
     logger.info("stopping")
     app.stop()
     logger.info("stopped")
--- a/clementinepin/platform/_settings.py
+++ b/clementinepin/platform/_settings.py
@@ -4,10 +4,12 @@
 
 import tomllib
 from pathlib import Path
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
+from clementinepin.helpers.decoding import guard_decoder
+from clementinepin.platform._formats import PORT_MAX, parse_port
 from clementinepin.serving.exceptions import SettingsError
 from clementinepin.serving.models import InstanceSettings
 
@@ -16,6 +18,11 @@
 RESERVED_DESCRIPTORS: Final = 200  # file descriptors that the platform reserves for files
 
 
+_Port = Annotated[int, msgspec.Meta(ge=0, le=PORT_MAX)]
+# Any longer and the waits that end at it would not end; tomllib reads nan and inf too.
+_Duration = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+
+
 class _Listen(msgspec.Struct):
     """Listen addresses. A field is empty if the role of the process does not serve it."""
 
@@ -25,14 +32,14 @@
 
 
 class _Limits(msgspec.Struct):
-    max_fds: int = 1024
+    max_fds: Annotated[int, msgspec.Meta(ge=0, le=2**31)] = 1024
 
 
 class _Bounds(msgspec.Struct):
-    grace_period_s: float = 8.0
-    ttl_max_s: float = 5.0
-    settle_timeout_ms: float = 1000.0
-    status_retention_s: float = 120.0
+    grace_period_s: _Duration = 8.0
+    ttl_max_s: _Duration = 5.0
+    settle_timeout_ms: _Duration = 1000.0
+    status_retention_s: _Duration = 120.0
 
 
 class _Platform(msgspec.Struct):
@@ -46,7 +53,7 @@
     ip: str
     zone: str
     platform: _Platform
-    internal_ports: list[int]
+    internal_ports: list[_Port]
     region: str = ""
     bootstrap: bool = False
     serves: list[str] = []
@@ -61,9 +68,8 @@
     Metrics are served on the instance's own address. With port 0 they are not served.
     """
     try:
-        raw: dict[str, Any] = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-        file = msgspec.convert(raw, _File, strict=False)
-    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as err:
+        file = _decode_file(Path(path).read_bytes())
+    except (OSError, msgspec.DecodeError) as err:
         raise SettingsError(f"settings file {path!r}: {err}") from err
     if not file.internal_ports:
         raise SettingsError(f"settings file {path!r}: internal_ports is empty")
@@ -89,13 +95,20 @@
     )
 
 
+@guard_decoder
+def _decode_file(data: bytes) -> _File:
+    raw: dict[str, Any] = tomllib.loads(data.decode())
+    return msgspec.convert(raw, _File, strict=False)
+
+
 def _parse_address(text: str) -> tuple[str, int] | None:
     if not text:
         return None
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    number = parse_port(port)
+    if not host or number is None:
         raise SettingsError(f"{text!r} is not an address of the form HOST:PORT")
-    return host, int(port)
+    return host, number
 
 
 def _require_address(text: str, field: str) -> tuple[str, int]:
--- a/clementinepin/platform/_store.py
+++ b/clementinepin/platform/_store.py
@@ -4,12 +4,14 @@
 
 import base64
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Annotated, Any, Final, TypeVar
 from urllib.parse import quote
 
 import msgspec
+from loguru import logger
 
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.decoding import guard_decoder, make_json_decoder
 from clementinepin.infrastructure import Change, KeyValue, LeaseGrant, Page, WatchEvent
 from clementinepin.infrastructure.exceptions import (
     LeaseLostError,
@@ -26,8 +28,14 @@
 WATCH_WAIT_MS: Final = 25_000  # the platform allows 30 s; shorter waits cost more calls
 WATCH_MARGIN_S: Final = 2.0
 RESPONSE_MAX_BYTES: Final = 64_000_000  # the store limits a page to about 1 MB
+VALUE_SHOWN_MAX: Final = 60  # characters of a value that can't be decoded, in a log line
+T = TypeVar("T")
 JSON_HEADERS: Final = (("Content-Type", "application/json"),)
 
+# Numbers of 64 bits and more don't fit into messages between instances.
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
 
 class _Row(msgspec.Struct):
     """A stored item, or the removal of one in a watch.
@@ -37,24 +45,24 @@
 
     key: str
     value: str = ""
-    rev: int = 0
-    created_at: int = 0
+    rev: _Number = 0
+    created_at: _Number = 0
     tombstone: bool = False
 
 
 class _Page(msgspec.Struct):
     items: list[_Row] = []
     truncated: bool = False
-    store_revision: int = 0
+    store_revision: _Number = 0
 
 
 class _WatchEvents(msgspec.Struct):
     events: list[_Row] = []
-    store_revision: int = 0
+    store_revision: _Number = 0
 
 
 class _WriteResult(msgspec.Struct):
-    rev: int = 0
+    rev: _Number = 0
 
 
 class _Conflict(msgspec.Struct):
@@ -62,8 +70,17 @@
 
 
 class _Lease(msgspec.Struct):
-    lease: int = 0
-    ttl_ms: int = 0
+    lease: _Number = 0
+    ttl_ms: _Milliseconds = 0
+
+
+_decode_row: Callable[[bytes], _Row] = make_json_decoder(_Row)
+_decode_page: Callable[[bytes], _Page] = make_json_decoder(_Page)
+_decode_events: Callable[[bytes], _WatchEvents] = make_json_decoder(_WatchEvents)
+_decode_write: Callable[[bytes], _WriteResult] = make_json_decoder(_WriteResult)
+_decode_conflict: Callable[[bytes], _Conflict] = make_json_decoder(_Conflict)
+_decode_lease: Callable[[bytes], _Lease] = make_json_decoder(_Lease)
+_decode_value = guard_decoder(base64.b64decode)
 
 
 class _Store:
@@ -87,7 +104,7 @@
         status, body = self._call("GET", f"/v1/kv-key?key={quote(key, safe='')}")
         if status == 404:
             return None
-        return _make_value(self._decode(status, body, _Row))
+        return _make_value(self._decode(status, body, _decode_row))
 
     def list_page(self, prefix: str, after: str) -> Page:
         """Return one page of the values under a prefix whose keys come after ``after``."""
@@ -95,7 +112,7 @@
         if after:
             path += f"&after={quote(after, safe='')}"
         status, body = self._call("GET", path)
-        page = self._decode(status, body, _Page)
+        page = self._decode(status, body, _decode_page)
         values = [_make_value(row) for row in page.items]
         return Page(values, page.store_revision, not (page.truncated and values))
 
@@ -111,6 +128,8 @@
             version = page.version if version < 0 else version
             if page.is_last:
                 return Page(rows, version)
+            if page.values[-1].key == after:
+                raise ReplyLostError(f"the store's page after {after!r} does not go on")
             after = page.values[-1].key
 
     def watch(self, prefix: str, after: int) -> tuple[list[WatchEvent], int]:
@@ -124,7 +143,7 @@
         status, body = self._call("GET", path, WATCH_WAIT_MS / 1000 + WATCH_MARGIN_S)
         if status == 410:
             raise WatchCompactedError(prefix)
-        response = self._decode(status, body, _WatchEvents)
+        response = self._decode(status, body, _decode_events)
         return [_make_event(row) for row in response.events], max(after, response.store_revision)
 
     def write(self, change: Change) -> int:
@@ -143,16 +162,16 @@
         }
         status, body = self._call("POST", "/v1/kv-txn", body=message)
         if status == 412:
-            raise _make_conflict(change, self._decode(200, body, _Conflict).items)
+            raise _make_conflict(change, self._decode(200, body, _decode_conflict).items)
         if status == 404:
             raise LeaseLostError(str(change.lease_id))
-        return self._decode(status, body, _WriteResult).rev
+        return self._decode(status, body, _decode_write).rev
 
     def grant_lease(self, ttl_s: float) -> LeaseGrant:
         """Create a lease. Its deadline is counted from before the call, so it is never too late."""
         sent_at = self._clock.monotonic()
         status, body = self._call("POST", "/v1/kv-lease", body={"ttl_ms": int(ttl_s * 1000)})
-        lease = self._decode(status, body, _Lease)
+        lease = self._decode(status, body, _decode_lease)
         return LeaseGrant(lease.lease, sent_at + lease.ttl_ms / 1000)
 
     def keep_lease(self, lease_id: int) -> LeaseGrant:
@@ -161,7 +180,7 @@
         status, body = self._call("POST", f"/v1/kv-keep/{lease_id}")
         if status == 404:
             raise LeaseLostError(str(lease_id))
-        lease = self._decode(status, body, _Lease)
+        lease = self._decode(status, body, _decode_lease)
         return LeaseGrant(lease_id, sent_at + lease.ttl_ms / 1000)
 
     def revoke_lease(self, lease_id: int) -> None:
@@ -200,7 +219,7 @@
         return exchange.status, response
 
     @staticmethod
-    def _decode(status: int, body: bytes, kind: Any) -> Any:
+    def _decode(status: int, body: bytes, decode: Callable[[bytes], T]) -> T:
         """Return the decoded body.
 
         Raises ReplyLostError if the status is not 200 or the body can't be decoded.
@@ -208,7 +227,7 @@
         if status != 200:
             raise ReplyLostError(f"store responded with status {status}")
         try:
-            return msgspec.json.decode(body, type=kind)
+            return decode(body)
         except msgspec.DecodeError as err:
             raise ReplyLostError(f"response of the store can't be parsed: {err}") from err
 
@@ -243,15 +262,28 @@
     for key, expected in change.expected.items():
         row = current.get(key)
         if (row.rev if row else 0) != expected:
-            value = base64.b64decode(row.value) if row else None
+            value = _read_value(row) if row else None
             return VersionConflictError(key, row.rev if row else 0, value)
     return VersionConflictError(next(iter(change.expected), ""), 0, None)
 
 
 def _make_value(row: _Row) -> KeyValue:
-    return KeyValue(row.key, base64.b64decode(row.value), row.rev)
+    return KeyValue(row.key, _read_value(row), row.rev)
 
 
 def _make_event(row: _Row) -> WatchEvent:
-    value = None if row.tombstone else base64.b64decode(row.value)
-    return WatchEvent(row.key, value, row.rev)
+    return WatchEvent(row.key, None if row.tombstone else _read_value(row), row.rev)
+
+
+def _read_value(row: _Row) -> bytes:
+    """Return the value of a row, empty if it is no base64.
+
+    The other rows of the response must not be lost with it, and no reader takes an empty value for
+    a record.
+    """
+    try:
+        return _decode_value(row.value, validate=True)
+    except msgspec.DecodeError as err:
+        log = logger.bind(key=row.key, store_version=row.rev, error=str(err))
+        log.bind(value=row.value[:VALUE_SHOWN_MAX]).warning("value_unreadable")
+        return b""
