Serve links and the dispatcher behind an odd message

A message whose further field, of a later release, nests too deeply raised RecursionError, which no reader of a connection catches: the greenlet that keeps the link to the dispatcher ended, and its instance decided alone for the rest of its life. A reply of a relay that could not be decoded raised out of followers and calls; a feed of an unknown range, or a handler that failed, ended the link.

Each handler of a message, each listener of a closed link and the two halves of the dispatcher's tick are contained apart; the loops start again. A relay answers a change that it can't decode with "nothing was done", and such a reply to a write counts as lost. An outcome that this build doesn't know still frees its slot: a contained handler no longer closes the link, which freed it before.

--- a/clementinepin/serving/_direct_store.py
+++ b/clementinepin/serving/_direct_store.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from clementinepin.exceptions import ClementinepinError
+from clementinepin.helpers.containment import keep_running
 from clementinepin.infrastructure import Change, KeyValue, LeaseGrant, Page, StateStore, WatchEvent
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError, ReplyLostError
 
@@ -109,7 +110,7 @@
         for result in self._watches:
             if not result.ready():
                 result.set_exception(PlatformUnavailableError("the direct connection closed"))
-        gevent.spawn(self._run_probes)
+        gevent.spawn(keep_running, "direct_connection_probes", self._run_probes)
 
     def _run_probes(self) -> None:
         pause_s = PROBE_MIN_S
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.containment import contain_failure, keep_running
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._links import Link, LinkServer
@@ -78,7 +79,7 @@
     def start(self) -> None:
         """Follow the targets and start the periodic queue checks."""
         self._fleet.subscribe(self._update_targets)
-        self._ticker = gevent.spawn(self._run_ticks)
+        self._ticker = gevent.spawn(keep_running, "dispatcher_ticks", self._run_ticks)
 
     def stop(self) -> None:
         """Stop the periodic queue checks."""
@@ -152,7 +153,7 @@
 
     def _handle_release(self, link: Link, message: messages.ReleaseSlot) -> None:
         now = self._clock.monotonic()
-        outcome = RunOutcome(message.outcome)
+        outcome = read_outcome(message.outcome)
         key = (link.name, message.number)
         grant = self.table.grants.get(key)
         with self._log_avoidance(key, outcome):
@@ -227,11 +228,13 @@
     def _run_ticks(self) -> None:
         while True:
             gevent.sleep(TICK_S)
-            dispatching.expire_preemptions(self.table, self._clock.monotonic())
-            self._serve_queue()
+            with contain_failure("dispatcher_queue"):
+                dispatching.expire_preemptions(self.table, self._clock.monotonic())
+                self._serve_queue()
             now = self._clock.monotonic()
-            self._log_load(now)
-            self._report_causes(now)
+            with contain_failure("dispatcher_reports"):
+                self._log_load(now)
+                self._report_causes(now)
             if now >= self._next_keep_alive_at:
                 self._next_keep_alive_at = now + KEEP_ALIVE_PERIOD_S
                 for name in {key[0] for key in self.table.list_waiting()}:
@@ -269,6 +272,15 @@
         self._serve_queue()
 
 
+def read_outcome(text: str) -> RunOutcome:
+    """Return the outcome of a run; one that this build doesn't know must still free its slot."""
+    try:
+        return RunOutcome(text)
+    except ValueError:
+        logger.bind(outcome=text[:80]).warning("outcome_unknown")
+        return RunOutcome.CANCELLED
+
+
 def update_targets(table: DispatchTable, rows: dict[str, Target], now: float) -> None:
     """Update the table to the targets that are not draining.
 
--- a/clementinepin/serving/_dispatcher_link.py
+++ b/clementinepin/serving/_dispatcher_link.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.containment import contain_failure, keep_running
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving.models import Member
@@ -63,7 +64,8 @@
 
     def start(self) -> None:
         """Connect in the background, and reconnect after each loss."""
-        self._greenlets = [gevent.spawn(self._keep_connected), gevent.spawn(self._watch_silence)]
+        runs = {"dispatcher_link": self._keep_connected, "dispatcher_silence": self._watch_silence}
+        self._greenlets = [gevent.spawn(keep_running, *row) for row in runs.items()]
 
     def stop(self) -> None:
         """Close the connection and do not reconnect."""
@@ -160,7 +162,8 @@
                     sock.settimeout(None)
                     logger.bind(dispatcher=member.name).info("dispatcher_regained")
                 for message in reader.feed(data):
-                    self._handle_message(message)
+                    with contain_failure("dispatcher_message", message=type(message).__name__):
+                        self._handle_message(message)
         finally:
             sock.close()
 
--- a/clementinepin/serving/_links.py
+++ b/clementinepin/serving/_links.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.containment import contain_failure, report_failure
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError, ReplyLostError
 from clementinepin.serving import _messages as messages
 from clementinepin.serving.models import Member
@@ -98,19 +99,23 @@
                     self._handle_message(link, message)
         except (OSError, ValueError) as err:
             logger.bind(member=link.name, error=str(err)).info("link_broke")
+        except Exception as err:
+            report_failure("link", err, member=link.name)
         finally:
             sock.close()
             if self.links.get(link.name) is link:
                 del self.links[link.name]
                 for handler in self._close_handlers:
-                    handler(link.name)
+                    with contain_failure("link_closed", member=link.name):
+                        handler(link.name)
 
     def _handle_message(self, link: Link, message: Any) -> None:
         if isinstance(message, messages.Hello):
             link.name = message.name
             self.links[link.name] = link
         for handler in self._handlers.get(type(message), ()):
-            handler(link, message)
+            with contain_failure("message", message=type(message).__name__, member=link.name):
+                handler(link, message)
 
 
 class InstanceLinks:
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Callable
 from typing import Any, Final
 
 import gevent
@@ -15,6 +16,7 @@
 from gevent import socket
 from loguru import logger
 
+from clementinepin.helpers.decoding import make_msgpack_decoder
 from clementinepin.tables.leaving import TargetStart
 
 HEADER: Final = struct.Struct(">I")
@@ -311,7 +313,7 @@
     | TunnelLeaving
 )
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Message).decode
+_decode: Callable[[bytes], Message] = make_msgpack_decoder(Message)
 
 
 def pack_message(message: Message) -> bytes:
--- a/clementinepin/serving/_relay.py
+++ b/clementinepin/serving/_relay.py
@@ -18,6 +18,8 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.containment import contain_failure
+from clementinepin.helpers.decoding import make_msgpack_decoder
 from clementinepin.infrastructure import Change, KeyValue, LeaseGrant, Page, StateStore, WatchEvent
 from clementinepin.infrastructure.exceptions import (
     IsolatedFromStoreError,
@@ -57,8 +59,11 @@
     """A relay could not be reached or did not reply in time."""
 
 
-_decode_result = msgspec.msgpack.Decoder(_StoreResult).decode
-_decode_change = msgspec.msgpack.Decoder(Change).decode
+_decode_result: Callable[[bytes], _StoreResult] = make_msgpack_decoder(_StoreResult)
+_decode_change: Callable[[bytes], Change] = make_msgpack_decoder(Change)
+_decode_conflict: Callable[[bytes], tuple[str, int, bytes | None]] = make_msgpack_decoder(
+    tuple[str, int, bytes | None]
+)
 
 
 class RelayServer:
@@ -70,7 +75,11 @@
         links.handle(messages.StoreCall, self._handle_call)
 
     def _handle_call(self, link: Link, call: messages.StoreCall) -> None:
-        gevent.spawn(lambda: link.send(self.run_call(call)))
+        gevent.spawn(self._reply, link, call)
+
+    def _reply(self, link: Link, call: messages.StoreCall) -> None:
+        with contain_failure("relayed_call", member=link.name, call=call.kind):
+            link.send(self.run_call(call))
 
     def run_call(self, call: messages.StoreCall) -> messages.StoreReply:
         """Return the outcome of a call; an error is sent as its code."""
@@ -81,6 +90,9 @@
             return messages.StoreReply(call.number, err.code, body)
         except ClementinepinError as err:
             return messages.StoreReply(call.number, err.code, b"")
+        except msgspec.DecodeError as err:
+            logger.bind(call=call.kind, error=str(err)).error("relayed_call_unreadable")
+            return messages.StoreReply(call.number, PlatformUnavailableError.code, b"")
 
     def _call_store(self, call: messages.StoreCall) -> _StoreResult:
         store = self._store
@@ -338,11 +350,20 @@
             raise _RelayUnresponsiveError(str(err)) from err
         except PlatformUnavailableError as err:
             raise _RelayUnresponsiveError(str(err)) from err
+        try:
+            return self._read_reply(relay, call, reply)
+        except msgspec.DecodeError as err:
+            if call.kind == "write":
+                raise ReplyLostError(f"{relay.name} sent an invalid reply: {err}") from err
+            raise _RelayUnresponsiveError(f"{relay.name} sent an invalid reply: {err}") from err
+
+    def _read_reply(self, relay: Member, call: messages.StoreCall, reply: Any) -> _StoreResult:
+        if not isinstance(reply, messages.StoreReply):
+            raise msgspec.DecodeError(f"unexpected {type(reply).__name__}")
         if reply.code == "":
             return _decode_result(reply.body)
         if reply.code == VersionConflictError.code:
-            key, current, value = msgspec.msgpack.decode(reply.body)
-            raise VersionConflictError(key, current, value)
+            raise VersionConflictError(*_decode_conflict(reply.body))
         if reply.code == LeaseLostError.code:
             raise LeaseLostError(str(call.lease_id))
         if reply.code == ReplyLostError.code:
@@ -365,4 +386,6 @@
         version = page.version if version < 0 else version
         if page.is_last:
             return Page(rows, version)
+        if not page.values or page.values[-1].key == after:
+            raise ReplyLostError(f"the page after {after!r} does not go on")
         after = page.values[-1].key
