Answer any request, also one whose handler fails

A job whose body nests too deeply, a path such as //[ and a position of 1e308 ended the handler with an error that no one caught: callers saw a closed connection, for which they send the request again.

A response that has begun is cut visibly.

Ruled out: heads of targets that can't be sent on; of 28 odd ones the parser refused all that the caller's side would.

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -13,6 +13,7 @@
 
 from clementinepin.exceptions import ClementinepinError
 from clementinepin.helpers.clock import Clock
+from clementinepin.helpers.containment import keep_running
 from clementinepin.infrastructure import StateStore
 from clementinepin.serving._crash_records import CrashRecords
 from clementinepin.serving._direct_store import DirectStore
@@ -149,7 +150,7 @@
             parts.retirement.start()
         for server in self._servers:
             server.start()
-        gevent.spawn(self._metrics.run_summaries)
+        gevent.spawn(keep_running, "counters", self._metrics.run_summaries)
 
     def leave(self) -> None:
         """Announce that this instance takes no new callers or jobs.
@@ -293,6 +294,9 @@
                 header_lines.append(("Retry-After", f"{STARTING_RETRY_S}"))
             self._log_failure(request.path, request.headers, err)
             connection.answer(err.status, header_lines=header_lines)
+        except Exception as err:
+            request_id = self._wire.read_request_id(request.path, request.headers)
+            return connection.answer_failure(err, request_id)
         return True
 
     def _log_failure(self, path: str, headers: dict[str, str], err: ClementinepinError) -> None:
@@ -365,7 +369,11 @@
                 return
             if request is None:
                 return
-            answer(connection, request)
+            try:
+                answer(connection, request)
+            except Exception as err:
+                if not connection.answer_failure(err):
+                    return
             if not connection.can_continue():
                 return
 
--- a/clementinepin/serving/_http.py
+++ b/clementinepin/serving/_http.py
@@ -12,6 +12,7 @@
 from gevent.server import StreamServer
 from loguru import logger
 
+from clementinepin.helpers.containment import report_failure
 from clementinepin.serving.exceptions import BadRequestError
 from clementinepin.serving.models import CallerLimits
 
@@ -22,6 +23,7 @@
 # which could destroy the response.
 LINGER_S: Final = 1.0
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+FAILURE_STATUS: Final = 502  # promises nothing: the request may have run
 BACKLOG: Final = 1024
 REASONS: Final = {200: b"OK", 202: b"Accepted", 429: b"Too Many Requests"}
 HOP_HEADERS: Final = frozenset(
@@ -86,6 +88,8 @@
             return self._read_body(head)
         except h11.RemoteProtocolError as err:
             raise BadRequestError(str(err), err.error_status_hint) from err
+        except ValueError as err:
+            raise BadRequestError(f"the request can't be parsed: {err}") from err
         except gevent.Timeout as err:
             raise BadRequestError("the request was not complete within its timeout", 408) from err
 
@@ -114,10 +118,11 @@
         if self.must_close:
             headers.append((b"Connection", b"close"))
         event = h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
-        self.answered = True
         has_length = any(name.lower() == b"content-length" for name, _ in headers)
         self._ends_with_connection = not has_length and self._parser.their_http_version == b"1.0"
-        self._send(self._parser.send(event))
+        data = self._parser.send(event)
+        self.answered = True
+        self._send(data)
 
     def send_data(self, data: bytes) -> None:
         """Send a part of the response's body."""
@@ -143,6 +148,22 @@
             head = f"HTTP/1.1 {status} Error\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
             self._send(head.encode())
 
+    def answer_failure(self, err: Exception, request_id: str = "") -> bool:
+        """Log an unexpected error of the request's handler and answer the request.
+
+        A response that has begun is cut visibly. Return whether the connection is still usable.
+        Raises an OSError again: the caller's connection broke.
+        """
+        if isinstance(err, OSError):
+            raise err
+        report_failure("request", err, request_id=request_id, path=self.head_path)
+        if self.answered:
+            self.close(abruptly=True)
+            return False
+        self.must_close = True
+        self.answer(FAILURE_STATUS)
+        return True
+
     def can_continue(self) -> bool:
         """Return whether the connection can be used for another request."""
         return (
@@ -302,6 +323,8 @@
             self._handle(connection)
         except OSError as err:
             logger.bind(error=str(err)).debug("caller_connection_broke")
+        except Exception as err:
+            report_failure("caller_connection", err, path=connection.head_path)
         finally:
             self.connections -= 1
             connection.stop_watching()
