End a tunnel at an odd reply of its peer

A reply without a key, or with a value of another type, raised KeyError or TypeError in the greenlet that reads ahead: it ended, and whoever read the tunnel waited for ever. Replies are checked by kind, an odd one counts as a lost relay, and for an opening as a target that was not reached.

--- a/clementinepin/tunnels/_channel.py
+++ b/clementinepin/tunnels/_channel.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 import gevent
+import msgspec
 from gevent import socket
 from gevent.event import Event
 from loguru import logger
@@ -53,8 +54,11 @@
         message = messages.SendMessage(tunnel=self._number, data=piece)
         timeout_s = SEND_TIMEOUT_S if self._timeout_s is None else self._timeout_s
         try:
-            reply = self._call(messages.METHOD_SEND, message, min(timeout_s, SEND_TIMEOUT_S))
-        except ClementinepinError as err:
+            reply = messages.read_message(
+                self._call(messages.METHOD_SEND, message, min(timeout_s, SEND_TIMEOUT_S)),
+                messages.SendReply,
+            )
+        except (ClementinepinError, msgspec.DecodeError) as err:
             self._fail(RelayLostError(f"{self._peer}: {err}"))
         else:
             if not reply["sent"]:
@@ -107,8 +111,11 @@
         while not self._closed and not self._ended and self._failure is None:
             message = messages.ReceiveMessage(tunnel=self._number, wait_s=WAIT_S)
             try:
-                reply = self._call(messages.METHOD_RECEIVE, message, WAIT_S + CALL_TIMEOUT_S)
-            except ClementinepinError as err:
+                reply = messages.read_message(
+                    self._call(messages.METHOD_RECEIVE, message, WAIT_S + CALL_TIMEOUT_S),
+                    messages.ReceiveReply,
+                )
+            except (ClementinepinError, msgspec.DecodeError) as err:
                 self._fail(RelayLostError(f"{self._peer}: {err}"))
                 return
             self._held += reply["data"]
--- a/clementinepin/tunnels/_component.py
+++ b/clementinepin/tunnels/_component.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 import gevent
+import msgspec
 
 from clementinepin.core import Core, InstancesChanged, spawn_loop
 from clementinepin.exceptions import ClementinepinError
@@ -69,8 +70,11 @@
         timeout_s = max(0.0, deadline - self._core.clock.monotonic())
         message = messages.OpenMessage(target=target.name, timeout_s=timeout_s)
         try:
-            reply = self._peers.call(peer, messages.METHOD_OPEN, message, deadline=deadline)
-        except ClementinepinError as err:
+            reply = messages.read_message(
+                self._peers.call(peer, messages.METHOD_OPEN, message, deadline=deadline),
+                messages.OpenReply,
+            )
+        except (ClementinepinError, msgspec.DecodeError) as err:
             raise TargetNotReachedError(f"{peer}: {err}") from err
         if not reply["tunnel"]:
             raise TargetNotReachedError(reply["failure"], refused=bool(reply["refused"]))
--- a/clementinepin/tunnels/_messages.py
+++ b/clementinepin/tunnels/_messages.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Final, TypedDict
+from typing import Any, Final, TypedDict, TypeVar
 
+import msgspec
+
+from clementinepin.helpers.decoding import guard_decoder
+
+M = TypeVar("M")
 METHOD_OPEN: Final = "tunnels.open"
 METHOD_SEND: Final = "tunnels.send"
 METHOD_RECEIVE: Final = "tunnels.receive"
@@ -57,3 +62,12 @@
     """Closes the target's connection."""
 
     tunnel: int
+
+
+def read_message(message: object, kind: type[M]) -> M:
+    """Return a message or reply with the keys of its kind. Raises msgspec.DecodeError."""
+    # Without builtin_types text in the place of bytes would be read as base64.
+    return _convert(message, kind, builtin_types=(bytes,))  # type: ignore[no-any-return]
+
+
+_convert: Any = guard_decoder(msgspec.convert)
