Read negative counts of callers as none

A negative time to wait for results went on to the job's owner as a timeout that had passed: the owner then counted as unresponsive for 2 s at that instance, for all of its callers. Token counts and the last event of a request could be negative too. A count is now 0 or more.

test_a_negative_wait_is_none guards the wait; test_any_headers_give_facts_that_can_be_passed_on failed without the change for the counts.

--- a/clementinepin/platform/_formats.py
+++ b/clementinepin/platform/_formats.py
@@ -131,6 +131,11 @@
     return number if -NUMBER_MAX <= number <= NUMBER_MAX else None
 
 
+def parse_count(text: str) -> int:
+    """Return a number rounded down, 0 if the text is none or stands for a negative one."""
+    return max(0, int(parse_number(text) or 0))
+
+
 def split_target(target: str) -> tuple[str, dict[str, list[str]]]:
     """Return the path and the query of a request's target, which may name a host too.
 
--- a/clementinepin/platform/_wire.py
+++ b/clementinepin/platform/_wire.py
@@ -85,11 +85,11 @@
         return RequestFacts(
             request_id=request_id,
             time_left_s=None if time_left_ms is None else time_left_ms / 1000,
-            prompt_tokens=int(formats.parse_number(prompt) or 0),
-            output_tokens_max=int(formats.parse_number(output) or 0),
-            length_hint=int(formats.parse_number(headers.get(_LENGTH_HINT_HEADER, "")) or 0),
+            prompt_tokens=formats.parse_count(prompt),
+            output_tokens_max=formats.parse_count(output),
+            length_hint=formats.parse_count(headers.get(_LENGTH_HINT_HEADER, "")),
             prefix_ids=tuple(part.partition(":")[0].strip() for part in prefix.split(",") if part),
-            last_event_id=int(formats.parse_number(headers.get(_LAST_EVENT_HEADER, "")) or 0),
+            last_event_id=formats.parse_count(headers.get(_LAST_EVENT_HEADER, "")),
             resumes=headers.get(_RESUMES_HEADER, ""),
         )
 
@@ -246,7 +246,7 @@
                 after = formats.parse_number(query.get("after", ["0"])[0])
                 if after is None or after < 0:
                     raise BadRequestError("after must be a position of at least 0")
-                wait_s = (formats.parse_number(headers.get(_WAIT_HEADER, "")) or 0) / 1000
+                wait_s = formats.parse_count(headers.get(_WAIT_HEADER, "")) / 1000
                 return JobCall("read", job_id, after=int(after), wait_s=wait_s)
         if path.startswith(_BODIES_PATH) and method == "GET":
             job_id = path.removeprefix(_BODIES_PATH)
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -167,6 +167,7 @@
     facts = WIRE.read_request(headers | {"clementinepin-request-id": "q1"})
     WIRE.make_target_headers("t1", facts.time_left_s)
     numbers = (facts.prompt_tokens, facts.output_tokens_max, facts.length_hint)
+    assert min(*numbers, facts.last_event_id) >= 0
     msgspec.msgpack.encode((*numbers, facts.last_event_id, facts.prefix_ids, facts.resumes))
     WIRE.read_load(headers)
     limit_per_s = WIRE.read_limit(headers)
@@ -191,6 +192,7 @@
     with contextlib.suppress(BadRequestError):
         call = WIRE.read_job_call(method, path, headers)
         if call is not None:
+            assert call.wait_s >= 0.0  # an owner that is not waited for counts as unresponsive
             messages.pack_message(messages.ReadJob(1, call.job_id, call.after, call.wait_s))
 
 
@@ -310,3 +312,10 @@
     path.write_bytes(data)
     with pytest.raises(SettingsError):
         load_instance_settings(str(path))
+
+
+def test_a_negative_wait_is_none():
+    """Guards against a caller that makes the owner of a job count as unresponsive for all."""
+    call = WIRE.read_job_call("GET", "/v1/lots/j", {"clementinepin-wait-ms": "-5000"})
+    assert call is not None
+    assert call.wait_s == 0.0
