Let the harness of the serving tests listen at a port of its own

A port that is found first and bound later may be taken meanwhile by a connection of another test: 1 of 113 tests could not begin in one run of tests/serving/test_cut_heads.py beside other test runs, 2 of 113 in another ("Address already in use"). The server now binds port 0 and the harness asks it for the number.

--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -96,7 +96,8 @@
 
     def __init__(self) -> None:
         self.slots = FakeSlots()
-        address = ("127.0.0.1", self._find_port())
+        # A port found before the start could be taken by a connection of another test meanwhile.
+        address = ("127.0.0.1", 0)
         settings = SETTINGS._replace(name="f1", runs_jobs=False, entry_address=address)
         self.app = App(
             settings,
@@ -108,9 +109,9 @@
         )
         self.app._forwarder._slots = self.slots  # type: ignore[assignment]
         self.slots.is_link_silent = self.app._pools.is_link_silent
-        self.port = address[1]
         self._targets: list[ScriptedTarget] = []
         self.app._servers[0].start()
+        self.port: int = self.app._servers[0]._server.server_port
 
     @staticmethod
     def _find_port() -> int:
