Reject responses in a transfer coding that can't be read

Callers got a 200 that was framed as whole: a stream without an event, or one that its target had broken off. So an end of file was taken for the last chunk. Bodies in gzip were passed on without the header that says so.

Only chunks alone are accepted now; everything else is a protocol error, so that an attempt that may be repeated goes on elsewhere and others end with 502. No coding is asked for, as TE isn't passed on. A plain "identity", which RFC 9112 removed, is rejected too. A response to a HEAD request ends with its head: one to a stream's route without framing failed with 502.

The parser raises at the end of file within a head, also behind a whole header line.

--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -154,6 +154,7 @@
         self._clock = clock
         self._connection: Connection | None = connection
         self.relay = connection.relay
+        self._method = request.method
         self._parser = _Parser(request.method, request.is_mismatched)
         self._failure: TargetLostError | None = None
         self.status = 0
@@ -221,12 +222,16 @@
     @property
     def framing(self) -> BodyFraming:
         """Return what marks the end of the body."""
-        if "chunked" in self.headers.get("transfer-encoding", "").lower():
+        if "transfer-encoding" in self.headers:
             return BodyFraming.CHUNKED
-        if "content-length" in self.headers or self.status in BODYLESS_STATUSES:
+        if "content-length" in self.headers or self._has_no_body:
             return BodyFraming.LENGTH
         return BodyFraming.CONNECTION
 
+    @property
+    def _has_no_body(self) -> bool:
+        return self.status in BODYLESS_STATUSES or self._method == "HEAD"
+
     @property
     def ended(self) -> bool:
         """Return whether the whole response was received."""
@@ -315,6 +320,18 @@
         self.status = parser.status
         self.header_lines = tuple(parser.items())
         self.headers = parser.list_headers()
+        self._check_transfer_coding()
+
+    def _check_transfer_coding(self) -> None:
+        """Raise TargetProtocolError unless the body comes as it is or in chunks alone.
+
+        No other coding was asked for. The parser reads chunks only if they are the last coding, and
+        otherwise to the end of the connection, which proves nothing.
+        """
+        codings = [v for name, v in self.header_lines if name.lower() == "transfer-encoding"]
+        if codings and [coding.strip().lower() for coding in codings] != ["chunked"]:
+            self.close()
+            raise TargetProtocolError(f"the response has the transfer coding {codings}")
 
 
 def _parse_idle_limit(headers: dict[str, str], default_s: float) -> float:
