Read a short body whole before its head is sent, if the call may be repeated

A target that closed behind the head of its response, or within a short body, left an idempotent call with a 200 that was cut, though another attempt was left and another target could answer.

A body with a stated length of up to 64 KiB is now read before the head is sent, while the call may be sent again; if it breaks off, the next attempt's response is used whole. Longer bodies, chunks and unframed ones are passed on as they arrive: they may be written over time. The test of three positions in tests/serving/test_forward.py failed before (s1's head reached the caller).

--- a/clementinepin/serving/_responses.py
+++ b/clementinepin/serving/_responses.py
@@ -16,6 +16,7 @@
 from clementinepin.targets import BodyFraming, HttpExchange
 from clementinepin.targets.exceptions import TargetProtocolError
 
+BODY_HELD_BYTES: Final = 65_536  # it comes in one or two reads
 SHOWN_MAX_BYTES: Final = 60  # of what can't be an event, in a log line
 
 
@@ -58,13 +59,20 @@
     def _forward_body(self, exchange: HttpExchange) -> None:
         """Send body bytes on.
 
-        Clears ``call.can_resend``, as another target can't continue a body that breaks off. Raises
-        TargetProtocolError if part of an event stream was already sent.
+        A short one with a length is read whole before its head is sent, so that another target can
+        respond if it breaks off. Otherwise clears ``call.can_resend``, as no other target can
+        continue it. Raises TargetProtocolError if part of an event stream was already sent.
         """
-        if self._call.response_started:
+        call = self._call
+        if call.response_started:
             raise TargetProtocolError("the response to a resumed stream is not an event stream")
-        self._call.can_resend = False
+        body = b""
+        if call.may_resend(self._clock.monotonic()) and exchange.has_short_body(BODY_HELD_BYTES):
+            body = exchange.read_all(BODY_HELD_BYTES)
+        call.can_resend = False
         self._start(exchange)
+        if body:
+            self._connection.send_data(body)
         while data := exchange.read():
             self._connection.send_data(data)
 
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -228,6 +228,12 @@
             return BodyFraming.LENGTH
         return BodyFraming.CONNECTION
 
+    def has_short_body(self, size_max: int) -> bool:
+        """Return whether the head states a length of the body, of at most ``size_max`` bytes."""
+        return self.framing is BodyFraming.LENGTH and (
+            self._has_no_body or int(self.headers["content-length"]) <= size_max
+        )
+
     @property
     def _has_no_body(self) -> bool:
         return self.status in BODYLESS_STATUSES or self._method == "HEAD"
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -195,6 +195,23 @@
     assert response.endswith(b"\r\n\r\nans")
 
 
+@pytest.mark.parametrize("body", [b"", b"a", b"answe"])
+def test_a_call_cut_within_a_short_body_goes_on_elsewhere(harness: Harness, body: bytes) -> None:
+    """Guards against a short body that reaches a caller though another target could answer."""
+    harness.set_route(kind=RouteKind.IDEMPOTENT, attempts_max=2)
+
+    def cut_body(sock: Any, request: bytes) -> bool:
+        sock.sendall(HEAD % (b"s1", read_id(request)) + b"Content-Length: 6\r\n\r\n" + body)
+        return False
+
+    harness.add_target(ScriptedTarget(cut_body))
+    harness.add_target(ScriptedTarget(make_plain(b"answer", b"s2")))
+    response = call(harness.port, ID)
+    assert b"Signature: s2" in response
+    assert b"s1" not in response
+    assert response.endswith(b"\r\n\r\nanswer")
+
+
 def test_a_target_error_is_forwarded_with_its_status(harness: Harness) -> None:
     harness.set_route(resumable=False, attempts_max=2)
     failed = b"HTTP/1.1 500 No\r\nClementinepin-Server-Signature: s1\r\nContent-Length: 0\r\n\r\n"
