Take no second silence of one target for the end of a stream

Now a stream or an item without an event is never complete unless its response is framed: it runs again and fails visibly when no attempt is left. Behind an event, two targets must agree, or the response is framed. The check goes to another target of the version if there is one, so that an unframed stream still costs one run more; the only target of a version must say it three times (twice where the route allows two runs), as streams of a service with one target would else never be complete. Items can't exclude a target from their next run (an item at the head of the queue would hold the others up), so that they may need a third run.

Two tests stated what was wrong, that a stream (item) without an event is complete after a second run. A stricter rule, two empty runs by two targets besides the one that brought the events, was ruled out: it costs each unframed stream a whole run more.

--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -25,8 +25,8 @@
     part of a response was sent that no other target can continue. ``gone`` says that the caller
     closed its connection. ``returned`` marks a caller that was rejected before. ``has_succeeded``
     is set with ``is_complete`` if the response has a success status. ``framing`` says what marks
-    the end of the newest response's body, empty if there was no response. ``awaits_end`` is set
-    while another run is to show that no event follows the last one. ``target_version`` is the
+    the end of the newest response's body, empty if there was no response. ``ended_by`` has the
+    targets of the runs that ended behind the last event without proof. ``target_version`` is the
     software version of the newest target, ``software_version`` the one whose events were passed on.
     ``resumed_at_event_id`` is the last event before the newest run. ``relay`` is the instance
     through which the newest response came, empty for the own link. ``link_lost`` says that the
@@ -63,7 +63,7 @@
         self.framing = ""
         self.relay = ""
         self.link_lost = False
-        self.awaits_end = False
+        self.ended_by: list[str] = []
         self.is_complete = False
         self.has_succeeded = False
 
@@ -77,6 +77,11 @@
             and now < self.deadline
         )
 
+    @property
+    def awaits_end(self) -> bool:
+        """Return whether another run is to show that no event follows the last one."""
+        return bool(self.ended_by)
+
     @property
     def run_events(self) -> int:
         """Return how many events the newest run has brought."""
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -290,6 +290,8 @@
         try:
             if ResponseForwarder(connection, call, self._clock).forward(exchange):
                 call.has_succeeded = exchange.status < STATUS_SUCCESS_BELOW
+            elif self._fleet.targets.has_other(call.target_id, call.excluded):
+                call.excluded.add(call.target_id)  # the other one's word on the end proves more
         except TargetLostError as err:
             exchange.close()
             return self._record_target_lost(call, err)
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -224,7 +224,7 @@
         if target is None or run.cancelled:
             return RunOutcome.CANCELLED
         run.resumed_at_event_id = run.last_event_id
-        run.target_version = target.software_version
+        run.target_id, run.target_version = target.target_id, target.software_version
         try:
             with self._slots.watch_silence(slot, run.item.item_id, run.leave_lost_link):
                 exchange = self._send(run, target)
@@ -305,11 +305,7 @@
             exchange.close()
             events = run.last_event_id - events_before
             self._record_event_gap(route, self._clock.monotonic() - started_at, events)
-        # The end of a connection doesn't prove the end of a stream, not even of one without events;
-        # a second run that is to go on after the last event and brings none does.
-        is_proven = exchange.framing is not BodyFraming.CONNECTION
-        run.awaits_end = not is_proven and not (run.awaits_end and events == 0)
-        if not run.awaits_end:
+        if exchange.framing is not BodyFraming.CONNECTION or run.record_end():
             run.state = ItemState.COMPLETED
         return RunOutcome.SERVED
 
@@ -343,7 +339,7 @@
                 run.texts.append(event.text)
                 run.last_event_id = event_id
                 run.software_version = run.target_version
-                run.awaits_end = False
+                run.ended_by.clear()
                 run.losses = 0
         if splitter.incomplete.strip():
             raise TargetProtocolError("the stream ended within an event")
--- a/clementinepin/serving/_item_state.py
+++ b/clementinepin/serving/_item_state.py
@@ -8,7 +8,9 @@
 
 from clementinepin.serving import _job_records as records
 from clementinepin.serving.models import ItemState, JobItem
+from clementinepin.systems import stream_ends
 from clementinepin.targets import Abort
+from clementinepin.targets.exceptions import TargetProtocolError
 
 
 class ItemRun:
@@ -18,10 +20,10 @@
     ``losses`` counts runs in a row that lost their target without a new event. ``retry_after_s``
     is how long the dispatcher that rejected the newest run wants it to wait. ``preempted`` says
     that the dispatcher asked the latest run to free its slot. ``framing`` says what marks the end
-    of the newest response's body. ``awaits_end`` is set while another run is to show that no event
-    follows the last one. ``target_version`` is the software version of the newest target,
-    ``software_version`` the one of the events so far. ``resumed_at_event_id`` is the last event
-    before the newest run, and ``prefix_ids`` are the parts of the item's prompt.
+    of the newest response's body. ``ended_by`` has the targets of the runs that ended behind the
+    last event without proof. ``target_id`` is the newest target, ``target_version`` its software
+    version and ``software_version`` the one of the events so far. ``resumed_at_event_id`` is the
+    last event before the newest run, and ``prefix_ids`` are the parts of the item's prompt.
     """
 
     def __init__(self, item: JobItem, head: records.JobHead, failures: int) -> None:
@@ -39,9 +41,10 @@
         self.wait_reason = ""
         self.preempted = False
         self.framing = ""
+        self.target_id = ""
         self.target_version = ""
         self.software_version = ""
-        self.awaits_end = False
+        self.ended_by: list[str] = []
         self.abort = Abort()
         self.cancel_wait: Callable[[], None] = lambda: None
 
@@ -50,17 +53,32 @@
         """Return the data of all events so far, one event per line."""
         return "\n".join(self.texts)
 
+    @property
+    def awaits_end(self) -> bool:
+        """Return whether another run is to show that no event follows the last one."""
+        return bool(self.ended_by)
+
     @property
     def run_events(self) -> int:
         """Return how many events the newest run has brought; 0 if it had to begin again."""
         return max(0, self.last_event_id - self.resumed_at_event_id)
 
+    def record_end(self) -> bool:
+        """Return whether no event follows the last one, as the newest run ended its connection.
+
+        Raises TargetProtocolError if the item has no event: it has at least one.
+        """
+        if not self.last_event_id:
+            raise TargetProtocolError("the stream ended before its first event")
+        self.ended_by.append(self.target_id)
+        return stream_ends.is_end_proven(self.ended_by, stream_ends.RUNS_OF_ONE_TARGET)
+
     def begin_again(self) -> None:
         """Drop all events, so that the next run starts from the beginning."""
         self.texts.clear()
         self.last_event_id = 0
         self.software_version = ""
-        self.awaits_end = False
+        self.ended_by.clear()
 
     def resume_from(self, last_event_id: int, texts: list[str], software_version: str) -> None:
         """Start after the events that an earlier run produced at a software version."""
--- a/clementinepin/serving/_responses.py
+++ b/clementinepin/serving/_responses.py
@@ -13,6 +13,7 @@
 from clementinepin.serving._events import EventSplitter, StreamEvent
 from clementinepin.serving._http import HOP_HEADERS, CallerConnection
 from clementinepin.serving.models import RouteKind
+from clementinepin.systems import stream_ends
 from clementinepin.targets import BodyFraming, HttpExchange
 from clementinepin.targets.exceptions import TargetProtocolError
 
@@ -98,7 +99,7 @@
             sound = events[: count_sound(call, events, is_first=not brought_events)]
             if sound:
                 brought_events = True
-                call.awaits_end = False
+                call.ended_by.clear()
                 call.software_version = call.target_version
                 call.can_resend = call.can_resend and call.route.resumable
                 self._start(exchange)
@@ -116,22 +117,28 @@
     def _record_end(self, exchange: HttpExchange, *, brought_events: bool) -> None:
         """Decide whether another run must show that no event follows the last one.
 
-        The end of a connection doesn't prove the end of a stream, not even of one without events:
-        a target may fail behind the head of its response. A second run that is to go on after the
-        last event and brings none does. If none may follow, the stream counts as broken off, so
-        that its caller can resume it; one with events that can't be resumed is taken for complete.
-        Raises TargetProtocolError.
+        The end of a connection doesn't prove the end of a stream: a target may fail behind the head
+        of its response. Runs that are to go on after the last event and bring none may. If none may
+        follow, the stream counts as broken off, so that its caller can resume it; one with events
+        that can't be resumed is taken for complete. Raises TargetProtocolError.
         """
         call = self._call
         is_proven = exchange.framing is not BodyFraming.CONNECTION
-        is_proven = is_proven or (call.awaits_end and not brought_events)
-        if not is_proven and not call.route.resumable and not brought_events:
-            raise TargetProtocolError("the stream ended before its first event")
-        call.awaits_end = not is_proven and call.route.resumable
-        if call.awaits_end and not call.may_resend(self._clock.monotonic()):
-            raise TargetProtocolError(f"the end after event {call.last_event_id} can't be checked")
-        if not call.awaits_end:
+        if not is_proven and not call.route.resumable:
+            if not brought_events:
+                raise TargetProtocolError("the stream ended before its first event")
+            is_proven = True
+        if not is_proven:
+            call.ended_by.append(call.target_id)
+            # A stream has at least one event.
+            is_proven = call.last_event_id > 0 and stream_ends.is_end_proven(
+                call.ended_by, call.route.attempts_max
+            )
+        if is_proven:
+            call.ended_by.clear()
             self._start(exchange)
+        elif not call.may_resend(self._clock.monotonic()):
+            raise TargetProtocolError(f"the end after event {call.last_event_id} can't be checked")
 
 
 def is_event_stream(exchange: HttpExchange) -> bool:
--- a/clementinepin/serving/_target_view.py
+++ b/clementinepin/serving/_target_view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from loguru import logger
 
@@ -113,6 +113,18 @@
             return None
         return target if software_version in ("", target.software_version) else None
 
+    def has_other(self, target_id: str, excluded: Collection[str]) -> bool:
+        """Return whether another target of the same service and version may get new requests."""
+        target = self.rows.get(target_id)
+        return target is not None and any(
+            row.service == target.service
+            and row.software_version == target.software_version
+            and not row.draining
+            and row.target_id != target_id
+            and row.target_id not in excluded
+            for row in self.rows.values()
+        )
+
     def _put(self, target: Target) -> None:
         self._grace.record_present(target.target_id)
         for start in leaving.record_entry(self._leaving, target.start):
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -357,7 +357,35 @@
     assert harness.run_item().text == "e1\ne2\ne3"
 
 
-def test_an_item_without_events_is_complete_after_a_second_run():
-    harness = Harness(send_events(framed=False), send_events(framed=False))
+@pytest.mark.parametrize("before", [(), (1,)])
+def test_runs_of_one_target_truncated_in_a_row_prove_no_end_of_an_item(before, monkeypatch):
+    """Guards against empty and partial texts behind several truncated heads (issue 41)."""
+    monkeypatch.setattr(_item_run, "RETRY_PAUSE_S", 0.001)
+    begun = [send_events(*before, end=False)] if before else []
+    truncated = [send_events(framed=False)] * (2 if before else 6)
+    rest = [n for n in (1, 2) if n not in before]
+    run = Harness(*begun, *truncated, send_events(*rest)).run_item()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
+
+
+def test_the_only_target_checks_the_end_of_its_item():
+    harness = Harness(send_events(1, framed=False), *[send_events(framed=False)] * 4)
+    run = harness.run_item()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1")
+    assert len(harness.target.requests) == 3
+
+
+def test_another_target_checks_the_end_of_an_item_in_one_run():
+    harness = Harness()
+    second = ScriptedTarget(send_events(framed=False))
+    row = harness.fleet.targets.rows["t0"]
+    harness.fleet.targets.rows["t1"] = row._replace(target_id="t1", port=second.port)
+
+    def send_first(sock: Any, request: bytes) -> bool:
+        harness.slots.target_ids = ["t1"]
+        return send_events(1, framed=False)(sock, request)
+
+    harness.target._scripts = [send_first]
     run = harness.run_item()
-    assert (run.state, run.text) == (ItemState.COMPLETED, "")
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1")
+    assert (len(harness.target.requests), len(second.requests)) == (1, 1)
--- a/tests/serving/test_unframed_responses.py
+++ b/tests/serving/test_unframed_responses.py
@@ -190,10 +190,73 @@
     assert response.endswith(b"0\r\n\r\n")
 
 
-def test_a_stream_without_events_is_complete_after_a_second_run(harness: Harness) -> None:
+@pytest.mark.parametrize("targets", [1, 3])
+def test_a_stream_without_events_is_never_complete_however_often_it_ends(
+    harness: Harness, targets: int
+) -> None:
+    """Guards against a stream of 0 bytes behind heads truncated in a row (issue 41)."""
+    harness.set_route(resumable=True, attempts_max=3)
+    for _ in range(targets):
+        harness.add_target(ScriptedTarget(*[send_events(framed=False)] * 3))
+    assert get_status(call(harness.port, ID)) == 502
+
+
+def test_a_target_that_truncates_in_a_row_proves_no_end_while_another_can_be_asked(
+    harness: Harness,
+) -> None:
+    """Guards against half a stream that looks complete behind two truncated heads (issue 41)."""
+    harness.set_route(resumable=True, attempts_max=4)
+    harness.add_target(ScriptedTarget(send_events(1, 2, end=False)))
+    truncating = harness.add_target(ScriptedTarget(*[send_events(framed=False)] * 3))
+    harness.add_target(ScriptedTarget(send_events(3)))
+    response = call(harness.port, ID)
+    assert response.count(b"data: ") == 3
+    assert response.endswith(b"0\r\n\r\n")
+    assert len(truncating.requests) == 1
+
+
+def test_another_target_checks_the_end_of_a_stream_in_one_run(harness: Harness) -> None:
+    harness.set_route(resumable=True, attempts_max=3)
+    first = harness.add_target(ScriptedTarget(send_events(1, 2, framed=False)))
+    second = harness.add_target(ScriptedTarget(send_events(framed=False)))
+    assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+    assert (len(first.requests), len(second.requests)) == (1, 1)
+
+
+@pytest.mark.parametrize(("attempts", "runs"), [(2, 2), (3, 3), (5, 3)])
+def test_the_only_target_checks_the_end_of_its_stream(
+    harness: Harness, attempts: int, runs: int
+) -> None:
+    """Guards against streams of a service with one target that are never complete."""
+    harness.set_route(resumable=True, attempts_max=attempts)
+    checks = [send_events(framed=False)] * 4
+    target = harness.add_target(ScriptedTarget(send_events(1, 2, framed=False), *checks))
+    assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+    assert len(target.requests) == runs
+
+
+def test_targets_of_other_versions_or_that_leave_check_no_end(harness: Harness) -> None:
     harness.set_route(resumable=True, attempts_max=2)
-    harness.add_target(ScriptedTarget(send_events(framed=False), send_events(framed=False)))
+    harness.add_target(ScriptedTarget(*[send_events(*n, framed=False) for n in ((1, 2), ())]))
+    others = [harness.add_target(ScriptedTarget()) for _ in range(3)]
+    rows = harness.app.fleet.targets.rows
+    rows["t1"] = rows["t1"]._replace(draining=True)
+    rows["t2"] = rows["t2"]._replace(software_version="v2")
+    rows["t3"] = rows["t3"]._replace(service="other")
     assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+    assert [len(other.requests) for other in others] == [0, 0, 0]
+
+
+@pytest.mark.parametrize(("runs", "status"), [(1, 502), (2, 200)])
+def test_a_stream_resumed_behind_its_last_event_ends_once_two_targets_agree(
+    harness: Harness, runs: int, status: int
+) -> None:
+    harness.set_route(resumable=True, attempts_max=runs)
+    for _ in range(2):
+        harness.add_target(ScriptedTarget(send_events(framed=False)))
+    response = call(harness.port, ID, "Last-Event-Id: 2", "Resumes: q0")
+    assert get_status(response) == status
+    assert response.endswith(b"0\r\n\r\n") is (status == 200)
 
 
 def test_a_stream_truncated_behind_its_head_is_run_again(harness: Harness) -> None:
