Let engines of the soak stop within their heads, and answer plain requests

The soak's engines closed behind the heads of their responses only. A new kind of fault, "target stops within its head", cuts the next 1 to 3 heads of an engine, framed and unframed, at bytes drawn by the name of the engine. A tenth of the requests now go to an idempotent route without events, whose responses have a length; a whole one must be the engine's whole body, one that was rejected must not have run, and a run without any served one fails.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -84,8 +84,8 @@
         if not (fleet.has_two_builds or kinds):
             check_calm(fleet, callers, float(args["--rate"]))
         callers.check_runs()
-        if not callers.statuses.get(200):
-            callers.broken.append("no caller was served")
+        if not callers.statuses.get(200) or not callers.plain_count:
+            callers.broken.append("no caller of a stream, or none of a plain response, was served")
         callers.broken += list_unexpected_ends(fleet)
     finally:
         fleet.stop()
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -1,7 +1,7 @@
 """Callers of the soak, and checks of the guarantees that the system gives them.
 
-A request is answered with exactly the target's events or visibly incomplete, a stream holds the
-events of one software version also over its caller's resumptions, a request on route
+A request is answered with exactly the target's events or body, or visibly incomplete, a stream
+holds the events of one software version also over its caller's resumptions, a request on route
 ``once`` runs at most once, a rejected request doesn't run, and an accepted job lists one result for
 each item at a position that never changes.
 """
@@ -17,7 +17,7 @@
 from gevent import socket
 
 from soak._fleet import HOST, VERSIONS, Fleet
-from soak._target import make_text
+from soak._target import PLAIN_PATH, make_plain_body, make_text
 
 CALL_TIMEOUT_S = 6.0
 RESUMPTIONS_MAX = 5
@@ -119,6 +119,7 @@
         self.crashing_share = CRASHING_SHARE
         self.broken: list[str] = []
         self.statuses: dict[int, int] = {}
+        self.plain_count = 0
         self.tries: list[Try] = []
         self.resumed: dict[int, int] = {}
         self.rejected_ids: list[str] = []
@@ -132,7 +133,9 @@
         while self._fleet.now() < until:
             gevent.sleep(self._random.expovariate(rate))
             kind = self._random.random()
-            if kind < 0.55:
+            if kind < 0.1:
+                gevent.spawn(self.send_plain)
+            elif kind < 0.55:
                 gevent.spawn(self.send_stream, "once")
             elif kind < 0.9:
                 gevent.spawn(self.send_stream, "again")
@@ -192,6 +195,21 @@
         if response.status == 200:
             self._check_stream(request_id, events, body, whole)
 
+    def send_plain(self) -> None:
+        """Send a request that may be repeated, and compare the response with the target's body."""
+        ip, request_id = self.resolve_front(), self._make_id("p")
+        if ip is None:
+            return
+        headers = {"Clementinepin-Request-Id": request_id, "Clementinepin-Deadline-Ms": "5000"}
+        response = call(ip, 8161, "POST", f"{PLAIN_PATH}x", headers, request_id.encode())
+        self.statuses[response.status] = self.statuses.get(response.status, 0) + 1
+        self.plain_count += response.status == 200 and response.whole
+        if response.status in NOT_RUN_STATUSES:
+            self.rejected_ids.append(request_id)
+        possible = [make_plain_body(request_id, version) for version in VERSIONS]
+        if response.status == 200 and response.whole and response.body not in possible:
+            self.broken.append(f"{request_id}: complete response differs from the target's body")
+
     def _make_prompt(self, request_id: str) -> str:
         """Return the parts of a prompt; a share of them has one that crashes engines."""
         crashing = sorted(self._fleet.crashing_parts)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -61,6 +61,7 @@
                 ("target repeats a refusal", lambda: self._spoil("refusals_to_repeat")),
                 ("target writes errors", lambda: self._spoil("errors_to_write")),
                 ("target truncates heads", lambda: self._spoil("heads_to_truncate")),
+                ("target stops within its head", lambda: self._spoil("heads_to_cut")),
             ]
         if words:
             self._kinds = [k for k in self._kinds if any(word in k[0] for word in words)]
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -21,7 +21,7 @@
 
 from clementinepin.helpers.clock import create_system_clock
 from soak._proxy import Proxy
-from soak._target import RunLog, Target
+from soak._target import PLAIN_PATH, RunLog, Target
 from standins.key_value import create_server
 
 ENDING_SIGNALS = (signal.SIGKILL, signal.SIGTERM, signal.SIGABRT)
@@ -202,6 +202,14 @@
         common = {"host": HOST, "service": SERVICE, "timeout_ms": 5000, "sticky": True}
         stream = {"kind": "streaming", "target_latency_ms": 300, "gap_target_ms": 200}
         routes = [
+            {
+                "name": "plain",
+                "path_prefix": PLAIN_PATH,
+                "max_attempts": 3,
+                "kind": "idempotent",
+                "target_latency_ms": 500,
+                **common,
+            },
             {"name": "once", "path_prefix": "/once/", "max_attempts": 1, **stream, **common},
             {
                 "name": "again",
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -4,7 +4,8 @@
 
 import hashlib
 import itertools
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 import gevent
@@ -15,6 +16,7 @@
 STEP_S = 0.012
 QUEUE_MAX_REQUESTS = 8
 READ_SIZE_BYTES = 65_536
+PLAIN_PATH = "/plain/"  # of requests whose responses have no events
 ERROR_RESPONSE = (
     b"HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\noops\n\n"
 )
@@ -53,6 +55,11 @@
     return hashlib.sha256(f"{stream_id}/{number}/{version}".encode()).hexdigest()[:16]
 
 
+def make_plain_body(request_id: str, version: str) -> bytes:
+    """Return the body of the response to a request without events."""
+    return make_text(request_id, 0, version).encode() * 40
+
+
 class Target:
     """One engine with ``slots`` concurrent runs and a bounded queue.
 
@@ -64,8 +71,9 @@
     did. A run whose prompt has one of ``crashing_parts`` calls ``on_crash`` once its response has
     begun. Nothing is sent or accepted while ``speaks`` is cleared. ``refusals_to_repeat`` counts
     requests that are refused, with the refusal written once more a little later. It has
-    ``errors_to_write`` runs that write another response into their body, and ``heads_to_truncate``
-    runs that end their connection behind the head of their response.
+    ``errors_to_write`` runs that write another response into their body, ``heads_to_truncate`` runs
+    that end their connection behind the head of their response, and ``heads_to_cut`` runs that end
+    it within their head, at a byte drawn by the name of the engine.
     """
 
     def __init__(
@@ -90,6 +98,8 @@
         self.refusals_to_repeat = 0
         self.errors_to_write = 0
         self.heads_to_truncate = 0
+        self.heads_to_cut = 0
+        self._random = random.Random(name)
         self.limit_per_s: float | None = None
         self.crashing_parts: set[str] = set()
         self.on_crash: Callable[[str], None] = lambda _name: None
@@ -183,34 +193,48 @@
         gevent.sleep(STEP_S * 2)
         signature = next(self._signatures)
         framed = not self.unframed_period or signature % self.unframed_period > 0
-        encode = _encode_chunk if framed else bytes
         framing = "Transfer-Encoding: chunked" if framed else "Connection: close"
-        load = f"{self._running},{self._queued},{self.slots}"
-        head = (
-            f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n"
-            f"Clementinepin-Request-Id: {request_id}\r\n"
-            f"Clementinepin-Server-Signature: {self.name}.{signature}\r\n"
-            f"Clementinepin-Server-Load: {load}\r\nKeep-Alive: timeout=10\r\n"
-            f"{self._name_leaving()}"
-        )
-        if self.limit_per_s is not None:
-            head += f"Server-Limit: {self.limit_per_s}\r\n"
-        head += "\r\n"
+        plain = b""
+        if headers[":path"].startswith(PLAIN_PATH):
+            plain = make_plain_body(request_id, self.version)
+            framing = f"Content-Length: {len(plain)}"
+        kind = "text/plain" if plain else "text/event-stream"
+        fields = f"Content-Type: {kind}\r\n{framing}\r\n"
+        head = self._make_head(request_id, signature, fields)
         if self.responses_without_end:
             self.responses_without_end -= 1
-            return self._send_without_end(sock, head.encode())
-        self.speaks.wait()
-        sock.sendall(head.encode())
-        if self.heads_to_truncate:
-            self.heads_to_truncate -= 1
+            return self._send_without_end(sock, head)
+        if not self._send_head(sock, head):
             return False
         if self.crashing_parts.intersection(parts):
             self.on_crash(self.name)
             return False
-        for number in range(first, events + 1):
+        if plain:
+            return self._send_plain(sock, plain)
+        return self._send_events(sock, stream_id, range(first, events + 1), framed=framed)
+
+    def _send_head(self, sock: Any, head: bytes) -> bool:
+        """Send the head of a response; return whether its body follows."""
+        self.speaks.wait()
+        if self.heads_to_cut:
+            self.heads_to_cut -= 1
+            sock.sendall(head[: self._random.randrange(1, len(head))])
+            return False
+        sock.sendall(head)
+        if self.heads_to_truncate:
+            self.heads_to_truncate -= 1
+            return False
+        return True
+
+    def _send_events(
+        self, sock: Any, stream_id: str, numbers: Iterable[int], *, framed: bool
+    ) -> bool:
+        """Send the events of a stream; return whether the connection stays open."""
+        encode = _encode_chunk if framed else bytes
+        for count, number in enumerate(numbers):
             event = f"id: {number}\ndata: {make_text(stream_id, number, self.version)}\n\n".encode()
             self.speaks.wait()
-            if self.errors_to_write and number > first:
+            if self.errors_to_write and count:
                 self.errors_to_write -= 1
                 sock.sendall(encode(ERROR_RESPONSE))
                 return False
@@ -224,6 +248,31 @@
             sock.sendall(b"0\r\n\r\n")
         return framed
 
+    def _make_head(self, request_id: str, signature: int, fields: str) -> bytes:
+        """Return the head of a response; ``fields`` are the header lines that describe its body."""
+        load = f"{self._running},{self._queued},{self.slots}"
+        head = (
+            f"HTTP/1.1 200 OK\r\n{fields}"
+            f"Clementinepin-Request-Id: {request_id}\r\n"
+            f"Clementinepin-Server-Signature: {self.name}.{signature}\r\n"
+            f"Clementinepin-Server-Load: {load}\r\nKeep-Alive: timeout=10\r\n"
+            f"{self._name_leaving()}"
+        )
+        if self.limit_per_s is not None:
+            head += f"Server-Limit: {self.limit_per_s}\r\n"
+        return f"{head}\r\n".encode()
+
+    def _send_plain(self, sock: Any, body: bytes) -> bool:
+        """Send a body without events in two pieces, or the first one only."""
+        half = len(body) // 2
+        sock.sendall(body[:half])
+        gevent.sleep(STEP_S)
+        if self.events_to_cut:
+            self.events_to_cut -= 1
+            return False
+        sock.sendall(body[half:])
+        return True
+
     def _send_without_end(self, sock: Any, head: bytes) -> bool:
         """Send header lines, then trailers or an event, without end; in turn by the runs so far."""
         kind = len(self._run_log.runs) % 3
@@ -255,7 +304,7 @@
 
 
 def _read_request(sock: Any) -> tuple[dict[str, str], bytes] | None:
-    """Return lower-case headers and body of the next request, or None at the end."""
+    """Return lower-case headers, with ":path", and body of the next request, None at the end."""
     data = b""
     while b"\r\n\r\n" not in data:
         piece = sock.recv(READ_SIZE_BYTES)
@@ -263,8 +312,9 @@
             return None
         data += piece
     head, _, body = data.partition(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")[1:]
+    first, *lines = head.decode("latin-1").split("\r\n")
     headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
+    headers[":path"] = first.split(" ")[1]
     while len(body) < int(headers.get("content-length", "0")):
         piece = sock.recv(READ_SIZE_BYTES)
         if not piece:
