--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -23,7 +23,6 @@
 )
 from clementinepin.systems import estimates
 from clementinepin.systems.dispatch_actions import RunOutcome
-from tests.ports import find_port
 from tests.serving.memory_store import MemoryStore
 from tests.serving.parts import SETTINGS, make_route
 from tests.serving.scripted import (
@@ -96,7 +95,8 @@
 
     def __init__(self) -> None:
         self.slots = FakeSlots()
-        address = ("127.0.0.1", find_port())
+        # A port found before the start could be taken by a connection of another test meanwhile.
+        address = ("127.0.0.1", 0)
         settings = SETTINGS._replace(name="f1", runs_jobs=False, entry_address=address)
         self.app = App(
             settings,
@@ -108,9 +108,9 @@
         )
         self.app._forwarder._slots = self.slots  # type: ignore[assignment]
         self.slots.is_link_silent = self.app._pools.is_link_silent
-        self.port = address[1]
         self._targets: list[ScriptedTarget] = []
         self.app._servers[0].start()
+        self.port: int = self.app._servers[0]._server.server_port
 
     def set_route(self, **changes: object) -> Route:
         route = make_route(**changes)
