Let a known cause explain only a crash under which one run had it

The cause had a sound part too, which this dispatcher had seen succeed. Sound requests with that part ran beside each later crash, so that the crash's runs together had all of the cause's traits, and the crash counted as explained, though no request had them all.

Now a crash is explained only if a single run had all of the cause's traits. What the crashes then have in common may be a known cause again: that finding is passed over for the next one, so that the search ends. Ruled out: to demand that each crash has a run with all common traits; the sound part alone would then be blamed as often as the crashing one.

--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -204,20 +204,22 @@
     is_new = any(now - crash.at < TRIAL_GAP_S for crash in row.crashes if crash.is_settled)
     gap_s = TRIAL_GAP_S if is_new else TRIAL_GAP_S * TRIAL_GAP_FACTOR
     while traits := _find_new_cause(row, now):
-        _add_cause(table, service, _drop_sound(row, traits, now), now, gap_s)
+        _add_cause(table, service, traits, now, gap_s)
 
 
 def _find_new_cause(row: ServiceCrashes, now: float) -> frozenset[str]:
     """Return the traits that enough crashes have in common, the most specific first, or none.
 
-    A crash that a known cause explains counts only for wider forms of that cause: a sound part that
-    comes with several crashing ones would be blamed otherwise.
+    A crash that a known cause explains, as one of its runs had all of its traits, counts only for
+    wider forms of that cause: a sound part that comes with several crashing ones would be blamed
+    otherwise.
     """
     unexplained: list[Crash] = []
     explained: list[tuple[frozenset[str], Crash]] = []
     for crash in row.crashes:
         candidates = crash.get_candidates()
-        causes = [traits for traits in row.causes if traits <= candidates]
+        suspects = crash.list_suspects()
+        causes = [traits for traits in row.causes if any(traits <= run for run in suspects)]
         if causes:
             explained.append((frozenset().union(*causes), crash))
         elif crash.is_settled and candidates and not _is_one_of_many(crash, unexplained):
@@ -230,7 +232,11 @@
         if count >= needed and count + len(related) >= CRASHES_MAX:
             related += [crash for crash in unexplained if trait in crash.get_candidates()]
             found.append(_describe_common(trait, related))
-    return max(found).get_traits() if found else frozenset()
+    for finding in sorted(found, reverse=True):
+        traits = _drop_sound(row, finding.get_traits(), now)
+        if not any(known <= traits for known in row.causes):
+            return traits
+    return frozenset()
 
 
 def _is_one_of_many(crash: Crash, others: list[Crash]) -> bool:
