Look up only ids that can be parts of a key

A caller's id of a file or job became part of a key as it was, whatever its length and characters. The store's keys have at most 200 bytes, and the client counts a call that the store refuses as a failure, a few of which open the circuit breaker for all calls of the process; that follows from reading the code, no run shows it. Errors repeated the id in full.

Ids and account names of other than 1 to 64 letters, digits, '.', '_' and '-' are not found, as before, but without a call of the store.

--- a/clementinepin/batch/_codec.py
+++ b/clementinepin/batch/_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import re
 from typing import NamedTuple
 
 import msgspec
@@ -15,6 +16,11 @@
 DIGEST_BYTES = 16
 
 
+# Ids and account names, which become parts of keys.
+NAME_PATTERN = re.compile(r"[A-Za-z0-9_.-]{1,64}")
+NAME_SHOWN_CHARS = 64
+
+
 class ResultLine(NamedTuple):
     """A result in a segment: the item's index in its shard and its JSON line."""
 
@@ -33,6 +39,11 @@
     return JOB_ID_PREFIX + digest_text(account, job_key)
 
 
+def is_name(*texts: str) -> bool:
+    """Return whether texts of a caller can be ids or account names, and so parts of a key."""
+    return all(NAME_PATTERN.fullmatch(text) for text in texts)
+
+
 def key_file(account: str, file_id: str) -> str:
     """Return the key of a file's record."""
     return f"{PREFIX_FILES}{account}/{file_id}"
--- a/clementinepin/batch/_jobs.py
+++ b/clementinepin/batch/_jobs.py
@@ -4,7 +4,14 @@
 
 from typing import NamedTuple
 
-from clementinepin.batch._codec import digest_text, key_active, key_job, name_job
+from clementinepin.batch._codec import (
+    NAME_SHOWN_CHARS,
+    digest_text,
+    is_name,
+    key_active,
+    key_job,
+    name_job,
+)
 from clementinepin.batch.exceptions import InvalidBatchError, JobConflictError, JobNotFoundError
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.rows import decode_row, encode_row, read_row
@@ -60,7 +67,8 @@
 
     def find(self, account: str, job_id: str) -> StoredJob | None:
         """Return a job's record or None."""
-        stored = self._key_value.get(key_job(account, job_id))
+        key = key_job(account, job_id)
+        stored = self._key_value.get(key) if is_name(account, job_id) else None
         if stored is None:
             return None
         return StoredJob(decode_row(stored.value, JobRow), stored.version)
@@ -69,7 +77,7 @@
         """Return a job's record. Raise JobNotFoundError if there is none."""
         stored = self.find(account, job_id)
         if stored is None:
-            raise JobNotFoundError(job_id, param="batch_id")
+            raise JobNotFoundError(job_id[:NAME_SHOWN_CHARS], param="batch_id")
         return stored
 
     def list_account(self, account: str, limit: int, after: str = "") -> list[JobRow]:
@@ -194,7 +202,7 @@
     ) -> StoredJob:
         stored = self._find_after_lost_reply(account, job_id, lost)
         if stored is None:
-            raise JobNotFoundError(job_id, param="batch_id")
+            raise JobNotFoundError(job_id[:NAME_SHOWN_CHARS], param="batch_id")
         return stored
 
     def _put(self, row: JobRow, version: int) -> None:
--- a/clementinepin/batch/_uploads.py
+++ b/clementinepin/batch/_uploads.py
@@ -8,7 +8,7 @@
 import gevent
 import xxhash
 
-from clementinepin.batch._codec import key_file
+from clementinepin.batch._codec import NAME_SHOWN_CHARS, is_name, key_file
 from clementinepin.batch._lines import parse_line, read_model, split_lines
 from clementinepin.batch.exceptions import (
     DuplicateCustomIdError,
@@ -93,9 +93,10 @@
 
     def load(self, account: str, file_id: str) -> FileRecord:
         """Return a file's record. Raise FileNotFoundInAccountError if there is none."""
-        stored = self._key_value.get(key_file(account, file_id))
+        key = key_file(account, file_id)
+        stored = self._key_value.get(key) if is_name(account, file_id) else None
         if stored is None:
-            raise FileNotFoundInAccountError(file_id, param="file_id")
+            raise FileNotFoundInAccountError(file_id[:NAME_SHOWN_CHARS], param="file_id")
         return decode_row(stored.value, FileRecord)
 
     def read(self, record: FileRecord) -> Iterator[bytes]:
--- a/tests/batch/test_odd_input.py
+++ b/tests/batch/test_odd_input.py
@@ -10,7 +10,11 @@
 from clementinepin.batch._items import ItemWork, build_call
 from clementinepin.batch._lines import parse_line, read_model, split_lines
 from clementinepin.batch._results import build_response, build_result, decode_results
-from clementinepin.batch.exceptions import InvalidLineError
+from clementinepin.batch.exceptions import (
+    FileNotFoundInAccountError,
+    InvalidLineError,
+    JobNotFoundError,
+)
 from clementinepin.targets import StreamChunk
 from clementinepin.targets.exceptions import TargetRejectedError
 from standins.key_value import MemoryKeyValueStore
@@ -143,3 +147,31 @@
 def test_any_segment_gives_results_or_a_decode_error(data):
     with contextlib.suppress(msgspec.DecodeError):
         decode_results(data)
+
+
+ODD_IDS = ["", "x" * 65, "x" * 5_000, "a/b", "a\0", "é", "\ud800", "²", "a\n", "%2F"]
+
+
+# A key has at most 200 bytes; the client of the store counts a call that it refuses as a failure,
+# of which a few stop all calls of the process for a while.
+@pytest.mark.parametrize("odd", ODD_IDS)
+def test_odd_id_is_unknown_without_a_call_of_the_store(clock, odd):
+    key_value = MemoryKeyValueStore(clock)
+    batch = Node(clock, key_value).batch
+    for call in (
+        lambda: batch.describe_file(ACCOUNT, odd),
+        lambda: batch.read_file(ACCOUNT, odd),
+        lambda: batch.submit(ACCOUNT, "k", odd, ENDPOINT, 1.0),
+        lambda: batch.describe(ACCOUNT, odd),
+        lambda: batch.cancel(ACCOUNT, odd),
+        lambda: batch.cancel(odd, "batch_1"),
+        lambda: batch.read_results(ACCOUNT, odd),
+    ):
+        with pytest.raises((FileNotFoundInAccountError, JobNotFoundError)) as caught:
+            call()
+        assert caught.value.status == 404
+        assert len(caught.value.message) < 200
+    if odd:
+        with pytest.raises(JobNotFoundError):
+            batch.list_jobs(ACCOUNT, after=odd)
+    assert key_value.calls.total() == 0
