Decide on whatever the messages of other schedulers hold

The schedulers took each other's messages as they were. A demand, suspect or broken run with a value of another type, or a number that is not finite, stayed in the tables, and the next decisions raised TypeError, ValueError or OverflowError for all calls of the instance; a target could be closed for good by a time of infinity. A reply of another shape ended the greenlet that sends demand, or the start, which asks for the suspects.

Messages and replies are checked against their types before they touch a table: numbers are finite and counts not negative. An odd message is refused as a whole, and an odd reply is as good as none. The wire is unchanged.

--- a/clementinepin/scheduling/_messages.py
+++ b/clementinepin/scheduling/_messages.py
@@ -6,8 +6,13 @@
 
 from __future__ import annotations
 
-from typing import NotRequired, TypedDict
+from collections.abc import Mapping
+from typing import Annotated, Any, NotRequired, TypedDict
 
+import msgspec
+
+from clementinepin.helpers.decoding import guard_decoder
+from clementinepin.peers.exceptions import PeerMessageInvalidError
 from clementinepin.tables import Loss, SuspectRow
 from clementinepin.tables.crashes import BrokenRun
 
@@ -21,6 +26,11 @@
 METHOD_RELEASE = "quarantine.release"
 
 
+# A value that is no finite number would stay in the tables, where each decision meets it.
+Number = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
 class DemandMessage(TypedDict):
     """One instance's demand at one target, and the times that it measured, in seconds.
 
@@ -29,10 +39,10 @@
     """
 
     target: str
-    online: int
-    waiting: int
-    first_token_s: float
-    between_tokens_s: float
+    online: Count
+    waiting: Count
+    first_token_s: Number
+    between_tokens_s: Number
 
 
 class DemandsMessage(TypedDict):
@@ -44,14 +54,14 @@
 class DemandsReply(TypedDict):
     """The number of online calls of all instances but the sender of the report, by target."""
 
-    others: dict[str, int]
+    others: dict[str, Count]
 
 
 class CloseMessage(TypedDict):
     """A target to close for new calls for some seconds; 0 opens it again."""
 
     target: str
-    remaining_s: float
+    remaining_s: Number
 
 
 class LeavingMessage(TypedDict):
@@ -65,7 +75,7 @@
 
     target: str
     fingerprint: str
-    remaining_s: float
+    remaining_s: Number
 
 
 class IsolateReply(TypedDict):
@@ -78,10 +88,10 @@
     """A row of the suspect table; times are wall-clock seconds."""
 
     fingerprint: str
-    losses: list[tuple[str, float]]
+    losses: list[tuple[str, Number]]
     condemned: bool
-    cleared_at: float
-    expires_at: float
+    cleared_at: Number
+    expires_at: Number
 
 
 class PartsMessage(TypedDict):
@@ -102,12 +112,12 @@
     """A call that its target broke off ``age_s`` seconds ago, after ``tokens`` tokens."""
 
     member: str
-    ticket: int
+    ticket: Count
     target: str
     service: str
     parts: list[str]
-    tokens: int
-    age_s: float
+    tokens: Count
+    age_s: Number
 
 
 class CrashesMessage(TypedDict):
@@ -117,6 +127,20 @@
     cleared: list[PartsMessage]
 
 
+_convert = guard_decoder(msgspec.convert)
+
+
+def read_message(message: Mapping[str, Any], message_type: Any) -> Any:
+    """Return a peer's message or reply checked against its TypedDict.
+
+    Raise PeerMessageInvalidError if it has values of another type or out of range.
+    """
+    try:
+        return _convert(message, message_type)
+    except msgspec.DecodeError as err:
+        raise PeerMessageInvalidError(str(err)) from err
+
+
 def encode_suspect(row: SuspectRow) -> SuspectMessage:
     """Return the message for a row."""
     return SuspectMessage(
--- a/clementinepin/scheduling/_messenger.py
+++ b/clementinepin/scheduling/_messenger.py
@@ -11,7 +11,7 @@
 
 from clementinepin.core import Core
 from clementinepin.peers import PeerNetwork
-from clementinepin.peers.exceptions import PeerUnavailableError
+from clementinepin.peers.exceptions import PeerMessageInvalidError, PeerUnavailableError
 from clementinepin.scheduling import _messages as messages
 from clementinepin.scheduling._decider import Decider
 from clementinepin.systems import crash_causes, isolation, quarantine
@@ -91,9 +91,10 @@
         for peer in [name for name in self._peers.list_live() if name != own]:
             try:
                 reply = self._call(peer, messages.METHOD_LIST_SUSPECTS, {}, CALL_TIMEOUT_S)
-            except PeerUnavailableError:
+                self._receive_suspects(peer, reply)
+            except (PeerUnavailableError, PeerMessageInvalidError) as err:
+                logger.debug("{} No suspects from {}: {}.", LOG_PREFIX, peer, err)
                 continue
-            self._receive_suspects(peer, reply)
             return True
         return False
 
@@ -173,14 +174,16 @@
             demands=[self._create_demand_message(report) for report in reports.values()]
         )
         try:
-            reply = self._call(owner, messages.METHOD_DEMAND, message, CALL_TIMEOUT_S)
-        except PeerUnavailableError:
+            raw = self._call(owner, messages.METHOD_DEMAND, message, CALL_TIMEOUT_S)
+            reply = messages.read_message(raw, messages.DemandsReply)
+        except (PeerUnavailableError, PeerMessageInvalidError) as err:
+            logger.debug("{} No demand of others from {}: {}.", LOG_PREFIX, owner, err)
             # The owner may not have the counts, so the next tick sends them again.
             for target in reports:
                 forget_reported(self._decider.tables, target)
             return
         now = self._core.clock.monotonic()
-        for target, others in reply.get("others", {}).items():
+        for target, others in reply["others"].items():
             online_reported = reports[target].online if target in reports else None
             self._decider.record_others(target, online_reported, others, now)
         self._run_systems()
@@ -195,7 +198,8 @@
             between_tokens_s=measures.between_tokens_s,
         )
 
-    def _receive_demands(self, sender: str, message: dict[str, Any]) -> messages.DemandsReply:
+    def _receive_demands(self, sender: str, raw: dict[str, Any]) -> messages.DemandsReply:
+        message = messages.read_message(raw, messages.DemandsMessage)
         now = self._core.clock.monotonic()
         for item in message["demands"]:
             row = DemandRow(
@@ -209,19 +213,22 @@
         self._run_systems()
         return messages.DemandsReply(others=self._decider.count_others(sender, now))
 
-    def _receive_close(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+    def _receive_close(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
+        message = messages.read_message(raw, messages.CloseMessage)
         until = self._core.clock.monotonic() + message["remaining_s"]
         self._decider.tables.targets.update(message["target"], closed_until=until)
         self._run_systems()
         return {}
 
-    def _receive_leaving(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+    def _receive_leaving(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
+        message = messages.read_message(raw, messages.LeavingMessage)
         until = self._core.clock.monotonic() + REFUSED_LEAVING_S
         self._decider.tables.targets.update(message["target"], refused_until=until)
         self._run_systems()
         return {}
 
-    def _receive_suspects(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+    def _receive_suspects(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
+        message = messages.read_message(raw, messages.SuspectsMessage)
         wall = self._core.clock.wall()
         for item in message["suspects"]:
             row = messages.decode_suspect(item)
@@ -246,7 +253,8 @@
         suspects = [messages.encode_suspect(row) for row in rows]
         return messages.SuspectsMessage(suspects=suspects, causes=causes)
 
-    def _receive_crashes(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+    def _receive_crashes(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
+        message = messages.read_message(raw, messages.CrashesMessage)
         now = self._core.clock.monotonic()
         crashes = self._decider.tables.crashes
         for item in message["broken"]:
@@ -257,8 +265,9 @@
         self._run_systems()
         return {}
 
-    def _receive_isolate(self, sender: str, message: dict[str, Any]) -> messages.IsolateReply:
+    def _receive_isolate(self, sender: str, raw: dict[str, Any]) -> messages.IsolateReply:
         """Close an owned target for a suspect at all instances and wait until it is drained."""
+        message = messages.read_message(raw, messages.IsolateMessage)
         now = self._core.clock.monotonic()
         target, fingerprint = message["target"], message["fingerprint"]
         tables = self._decider.tables
@@ -282,7 +291,8 @@
                 return
             gevent.sleep(DRAIN_POLL_PERIOD_S)
 
-    def _receive_release(self, sender: str, message: dict[str, Any]) -> dict[str, Any]:
+    def _receive_release(self, sender: str, raw: dict[str, Any]) -> dict[str, Any]:
+        message = messages.read_message(raw, messages.IsolateMessage)
         now = self._core.clock.monotonic()
         target = message["target"]
         tables = self._decider.tables
