Report odd input of the command-line tool with its exit codes

An address such as "[", a base of 5,000 digits, a key file that is no text, a response nested too deeply and a time beyond the calendar ended the tool with a traceback and the code of an internal error, also where the request may have run.

Open: JSON of another shape (a field missing) still ends the tool with a traceback and code 1.

--- a/clementinepin/_cli/client.py
+++ b/clementinepin/_cli/client.py
@@ -19,6 +19,7 @@
     ResponseUnreadableError,
     UsageError,
 )
+from clementinepin.helpers.decoding import make_json_decoder
 
 CONNECT_TIMEOUT_S: Final = 3.0
 RESPONSE_TIMEOUT_S: Final = 60.0
@@ -43,6 +44,9 @@
     tls: bool
 
 
+_decode_json: Callable[[bytes], Any] = make_json_decoder()
+
+
 class EntryResponse(NamedTuple):
     """A complete response of an entry."""
 
@@ -56,7 +60,7 @@
         Raise ResponseUnreadableError if the body is not JSON.
         """
         try:
-            return msgspec.json.decode(self.body or b"null")
+            return _decode_json(self.body or b"null")
         except msgspec.DecodeError as err:
             start = self.body[:BODY_SHOWN_BYTES].decode("utf-8", "replace")
             raise ResponseUnreadableError(
@@ -69,9 +73,14 @@
 
     Raise UsageError if it is not one.
     """
-    parts = urlsplit(text if "//" in text else f"http://{text}")
+    try:
+        parts = urlsplit(text if "//" in text else f"http://{text}")
+    except ValueError as err:
+        raise UsageError(f"{text} is not an address: {err}", param="--entry") from err
     if parts.scheme not in ("http", "https") or not parts.hostname:
         raise UsageError(f"{text} is not the address of an entry (IP:PORT or URL)", param="--entry")
+    if not parts.hostname.isprintable():
+        raise UsageError(f"{text!r} is not an address", param="--entry")
     tls = parts.scheme == "https"
     try:
         port = parts.port or (TLS_PORT if tls else PLAIN_PORT)
@@ -249,7 +258,7 @@
 
 def _read_error(body: bytes) -> dict[str, Any]:
     try:
-        error = msgspec.json.decode(body)["error"]
+        error = _decode_json(body)["error"]
     except (msgspec.DecodeError, KeyError, TypeError):
         return {}
     return error if isinstance(error, dict) else {}
--- a/clementinepin/_cli/output.py
+++ b/clementinepin/_cli/output.py
@@ -100,4 +100,7 @@
 
 def format_time(seconds: float) -> str:
     """Return a wall-clock time in seconds as an ISO 8601 time in UTC."""
-    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(seconds))
+    try:
+        return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(seconds))
+    except (ArithmeticError, OSError, TypeError, ValueError):
+        return f"{seconds!r:.40}"  # no time that a calendar has
--- a/clementinepin/cli.py
+++ b/clementinepin/cli.py
@@ -58,6 +58,7 @@
 from clementinepin._cli.output import Printer
 from clementinepin.exceptions import ClementinepinError
 
+REVISION_DIGITS_MAX: Final = 19
 ENV_ENTRY: Final = "CLEMENTINEPIN_ENTRY"
 ENV_OPERATOR_KEY: Final = "CLEMENTINEPIN_OPERATOR_KEY"
 ENV_KEY: Final = "CLEMENTINEPIN_KEY"
@@ -111,7 +112,7 @@
 
 def _apply(arguments: Arguments, printer: Printer) -> None:
     base = arguments["--base"]
-    if base is not None and not base.isdecimal():
+    if base is not None and not (base.isdecimal() and len(base) <= REVISION_DIGITS_MAX):
         raise UsageError(f"--base {base} is not a revision number", param="--base")
     configuration.apply(
         arguments["DIR"],
@@ -221,6 +222,8 @@
             key = Path(file).read_text().strip()
         except OSError as err:
             raise UsageError(f"cannot read {file}: {err.strerror}", param=option) from err
+        except UnicodeDecodeError as err:
+            raise UsageError(f"{file} is no text: {err.reason}", param=option) from err
     if not key:
         raise UsageError(f"no key: set {option} or {variable}", param=option)
     return key
