--- a/clementinepin/entry/_envelope.py
+++ b/clementinepin/entry/_envelope.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -11,6 +12,7 @@
 from clementinepin.const import HEADER_OUTCOME
 from clementinepin.entry._http import JSON_TYPE, Response
 from clementinepin.exceptions import ClementinepinError, Outcome
+from clementinepin.helpers.decoding import make_json_decoder
 from clementinepin.targets.exceptions import TargetRejectedError
 
 ERROR_TYPES: Final = {
@@ -29,6 +31,13 @@
 RETRY_DEFAULT_S: Final = 1.0
 
 
+class _TargetError(msgspec.Struct):
+    error: dict[str, Any]
+
+
+_decode_error: Callable[[bytes], _TargetError] = make_json_decoder(_TargetError)
+
+
 def make_envelope(err: ClementinepinError) -> dict[str, Any]:
     """Return the error envelope of a failure."""
     error: dict[str, Any] = {
@@ -101,8 +110,8 @@
 def _read_target_error(body: bytes) -> dict[str, Any]:
     """Return message, param and type from a target's error envelope, if it has them."""
     try:
-        error = msgspec.json.decode(body).get("error")
-        fields = {name: error[name] for name in ("message", "param", "type") if name in error}
-    except (msgspec.MsgspecError, ValueError, AttributeError, TypeError, RecursionError):
+        error = _decode_error(body).error
+    except msgspec.DecodeError:
         return {}
+    fields = {name: error.get(name) for name in ("message", "param", "type")}
     return {name: value for name, value in fields.items() if isinstance(value, str)}
--- a/clementinepin/entry/_resume.py
+++ b/clementinepin/entry/_resume.py
@@ -15,14 +15,15 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import hashlib
 import hmac
+from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
 import msgspec
 
 from clementinepin.entry.exceptions import ResumeTokenInvalidError
+from clementinepin.helpers.decoding import guard_decoder, make_msgpack_decoder
 from clementinepin.targets import TargetAddress
 
 KEY_CONTEXT: Final = b"clementinepin resume token 1"
@@ -43,6 +44,10 @@
     expires_at: float
 
 
+_decode_base64 = guard_decoder(base64.b64decode)
+_decode_token: Callable[[bytes], ResumeToken] = make_msgpack_decoder(ResumeToken)
+
+
 class ResumePoint(NamedTuple):
     """The text that the caller already received, and the number of events that carried it."""
 
@@ -78,15 +83,15 @@
         if len(text) > TOKEN_MAX_CHARS:
             raise ResumeTokenInvalidError("the resume token is too long")
         try:
-            data = base64.b64decode(text.encode("ascii"), altchars=b"-_", validate=True)
-        except (binascii.Error, ValueError) as err:
+            data = _decode_base64(text.encode("ascii", "replace"), altchars=b"-_", validate=True)
+        except msgspec.DecodeError as err:
             raise ResumeTokenInvalidError("the resume token is not valid base64") from err
         payload = data[SIGNATURE_BYTES:]
         if not hmac.compare_digest(data[:SIGNATURE_BYTES], self._make_signature(payload)):
             raise ResumeTokenInvalidError("the signature of the resume token is invalid")
         try:
-            return msgspec.msgpack.decode(payload, type=ResumeToken)
-        except msgspec.MsgspecError as err:
+            return _decode_token(payload)
+        except msgspec.DecodeError as err:
             raise ResumeTokenInvalidError("the resume token is of an unknown version") from err
 
     def _make_signature(self, payload: bytes) -> bytes:
