Draw odd entries of targets in the soak

The fault leaves odd rows under keys of targets, one of them in the place of an engine's entry, and odd rows beside the operators', and adds an engine behind them. The check writes all forms at once, replaces all engines by three that join behind, and fails if an entry serves less than half of its callers or a run begins at an engine that had gone.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
     check_cut_links,
     check_leaving,
     check_limits,
+    check_odd_entries,
     check_planned_stop,
 )
 from soak._faults import Faults
@@ -106,6 +107,7 @@
 
 def check_calm(fleet: Fleet, callers: Callers, rate: float) -> None:
     """Check the guarantees that need a fleet without other faults."""
+    check_odd_entries(fleet, callers, rate)
     check_crashing_part(fleet, callers, rate)
     check_limits(fleet, callers, rate)
     check_cut_links(fleet, callers, rate)
--- a/soak/_calm.py
+++ b/soak/_calm.py
@@ -3,8 +3,8 @@
 A part of prompts that crashes engines reaches them a few times only, while sound requests with the
 same first part are served, and engines get no more requests than the limit that they name. Callers
 of an instance that is cut off from all engines are served as others are. Engines that say that they
-leave get no further requests. A planned stop of an entry, a job runner and an engine at the same
-moment cuts no request off.
+leave get no further requests. Engines that join behind odd entries are used. A planned stop of an
+entry, a job runner and an engine at the same moment cuts no request off.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 from soak._callers import Callers
 from soak._fleet import GRACE_PERIOD_S, Fleet
 from soak._kept import KeptCaller, PlannedStop, list_broken
+from soak._odd_entries import list_forms
 
 CONTACT_S = 3.0  # until a crash or a limit is known everywhere
 CRASHES_TO_KNOW = 5
@@ -35,6 +36,9 @@
 CUT_SERVED_SHARE_MIN = 2 / 3  # of the share that the other instances serve
 CUT_FAILED_ALLOWANCE = 10  # and one in CUT_FAILED_EACH of all first tries
 CUT_FAILED_EACH = 50
+BEHIND = ("behind0", "behind1", "behind2")
+ODD_BEFORE_S = 0.3
+ODD_SERVED_SHARE_MIN = 0.5
 
 
 def check_crashing_part(fleet: Fleet, callers: Callers, rate: float) -> None:
@@ -122,6 +126,38 @@
             callers.broken.append(f"{engine.name} got {len(late)} requests after it said it leaves")
 
 
+def check_odd_entries(fleet: Fleet, callers: Callers, rate: float) -> None:
+    """Leave odd entries of all forms; only engines that join behind them may serve callers."""
+    for number, value in enumerate(list_forms(fleet.random)):
+        fleet.gateway.state.put(f"servers/form{number}", value, None)
+    gevent.sleep(ODD_BEFORE_S)
+    others = sorted(fleet.targets)
+    for name in BEHIND:
+        fleet.add_target(name)
+    for name in others:
+        fleet.unregister_target(name)
+    joined_at = fleet.now()
+    callers.run(joined_at + CONTACT_S + PHASE_S, rate)
+    for instance in (i for i in fleet.instances if i.is_front):
+        tries = [t for t in callers.tries if t.ip == instance.ip]
+        served = [t.is_served for t in tries if t.sent_at > joined_at + CONTACT_S]
+        if sum(served) < ODD_SERVED_SHARE_MIN * len(served):
+            callers.broken.append(
+                f"{instance.name} served {sum(served)} of {len(served)} behind odd entries"
+            )
+    late = [r for r in fleet.run_log.runs if r.started_at > joined_at + CONTACT_S]
+    gone = [r for r in late if r.target in others]
+    if gone or not late:
+        callers.broken.append(
+            f"behind odd entries {len(gone)} of {len(late)} runs were at engines" " that had gone"
+        )
+    for name in others:
+        fleet.register_again(name)
+    gevent.sleep(CONTACT_S)
+    for name in BEHIND:
+        fleet.remove_target(name)
+
+
 def check_planned_stop(fleet: Fleet, callers: Callers) -> None:
     """Stop an entry, a job runner and an engine at once, under callers that keep connections."""
     fleet.add_target("planned")
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -14,6 +14,7 @@
 import gevent
 
 from soak._fleet import VERSIONS, Fleet, Instance
+from soak._odd_entries import make_rows
 
 
 class Faults:
@@ -61,6 +62,7 @@
                 ("target repeats a refusal", lambda: self._spoil("refusals_to_repeat")),
                 ("target writes errors", lambda: self._spoil("errors_to_write")),
                 ("target truncates heads", lambda: self._spoil("heads_to_truncate")),
+                ("odd entries of targets", self._write_odd_entries),
             ]
         if words:
             self._kinds = [k for k in self._kinds if any(word in k[0] for word in words)]
@@ -235,6 +237,17 @@
             if name in self._fleet.targets:
                 self._fleet.remove_target(name)
 
+    def _write_odd_entries(self) -> None:
+        """Leave odd rows, one in the place of an engine's entry, and add an engine behind them."""
+        name = self._choose_target()
+        for key, value in make_rows(self._random, name).items():
+            self._fleet.gateway.state.put(key, value, None)
+        self._fleet.add_target(f"{name}o", self._fleet.targets[name].version)
+        gevent.sleep(self._random.uniform(0.3, 3.0))
+        if name in self._fleet.targets:
+            self._fleet.register_again(name)
+            self._fleet.remove_target(name)
+
     def _spoil(self, fault: str) -> None:
         """Add to the responses that an engine spoils in one way."""
         target = self._fleet.targets[self._choose_target()]
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -261,6 +261,11 @@
             self._unregistered.add(name)
             self.gateway.state.revoke_lease(self._lease_ids.pop(name))
 
+    def register_again(self, name: str) -> None:
+        """Write an engine's entry anew, as its next heartbeat would."""
+        self._unregistered.discard(name)
+        self._register(name)
+
     def remove_target(self, name: str) -> None:
         """Delete an engine's entry from the store and stop the engine and its proxy."""
         self.unregister_target(name)
