Agree at all instances on which entries name a target

How deep a decoder gets depends on the depth of the stack at its call: an entry with a further field of 660 nested lists named a target where it was read near the top of a stack, and none with 300 frames more, so that instances could disagree. An entry with more than 500 opening brackets is refused, which a decoder gets through at any depth of ours.

Without the bound test_instances_agree_on_an_entry_whatever_their_stacks fails, from 660 lists on.

--- a/clementinepin/platform/_formats.py
+++ b/clementinepin/platform/_formats.py
@@ -21,6 +21,7 @@
 NUMBER_MAX: Final = 2**53  # exact as a float, and in messages between instances
 TEXT_MAX_CHARS: Final = 200  # a name; keys of the store hold 200 bytes
 TARGET_ID: Final = re.compile(rf"[!-~]{{1,{TEXT_MAX_CHARS}}}")  # it is sent in a header
+BRACKETS_MAX: Final = 500  # of an entry; it has a few for each model that a target holds
 PORT_MAX: Final = 65_535
 _PORT: Final = re.compile(r"[0-9]{1,5}")
 # What a request line and its headers may hold (RFC 9110).
@@ -115,13 +116,25 @@
 decode_configuration: Callable[[bytes], Configuration] = make_json_decoder(
     Configuration, strict=False
 )
-decode_entry: Callable[[bytes], TargetEntry] = make_json_decoder(TargetEntry)
+_decode_entry: Callable[[bytes], TargetEntry] = make_json_decoder(TargetEntry)
 decode_lot: Callable[[bytes], Lot] = make_json_decoder(Lot)
 _decode_body = guard_decoder(base64.b64decode)
 _parse_float = guard_decoder(float)
 _parse_ip_address = guard_decoder(ipaddress.ip_address)
 
 
+def decode_entry(value: bytes) -> TargetEntry:
+    """Return the entry. Raises msgspec.DecodeError.
+
+    How deep a decoder gets depends on the depth of the stack, and all instances must agree on which
+    entries name a target. So many brackets are refused that it gets through all others.
+    """
+    brackets = value.count(b"[") + value.count(b"{")
+    if brackets > BRACKETS_MAX:
+        raise msgspec.DecodeError(f"{brackets} brackets, more than {BRACKETS_MAX}")
+    return _decode_entry(value)
+
+
 def parse_number(text: str) -> float | None:
     """Return a number, None if the text is none or stands for none up to NUMBER_MAX."""
     try:
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -319,3 +319,18 @@
     call = WIRE.read_job_call("GET", "/v1/lots/j", {"clementinepin-wait-ms": "-5000"})
     assert call is not None
     assert call.wait_s == 0.0
+
+
+def test_instances_agree_on_an_entry_whatever_their_stacks():
+    """Guards against an entry that names a target where the stack is low, and none elsewhere."""
+
+    def read(nesting: int, stack: int) -> bool:
+        if stack:
+            return read(nesting, stack - 1)
+        lists = b"[" * nesting + b"]" * nesting
+        value = encode_entry()[:-1] + b',"more":' + lists + b"}"
+        return WIRE.read_target("servers/t1", value) is not None
+
+    found = [[read(nesting, stack) for nesting in range(10, 1200, 10)] for stack in (0, 300)]
+    assert found[0] == found[1]
+    assert sum(found[0]) == 49
