Stop cleanly behind a reload that fails unexpectedly

The settings are read again before a stop, in the main greenlet: an unexpected error would end the process with its requests. reload_settings as a whole is contained now; the test raises from it without.

--- a/clementinepin/_serving_daemon.py
+++ b/clementinepin/_serving_daemon.py
@@ -92,14 +92,14 @@
     if reload_requested.is_set():
         reload()
     stop_requested.wait()
-    with contain_failure("settings_reload"):
-        reload()  # the file limits how long a stop takes and may have changed without a signal
+    reload()  # the file limits how long a stop takes and may have changed without a signal
     logger.info("stopping")
     app.stop()
     logger.info("stopped")
     return 0
 
 
+@contain_failure("settings_reload")
 def reload_settings(
     path: str, metrics_port: int, app: App, move_store: Callable[[tuple[str, int]], None]
 ) -> None:
--- a/tests/serving/test_odd_entries.py
+++ b/tests/serving/test_odd_entries.py
@@ -185,15 +185,15 @@
 
     class Listener:
         def replace_rows(self, rows: list[KeyValue]) -> None:
-            raise RuntimeError("rows")
+            raise RecursionError("rows")
 
         def apply_change(self, key: str, value: bytes | None, version: int) -> None:
             if key.endswith("bad"):
-                raise RuntimeError("row")
+                raise RecursionError("row")
             seen.append(key)
 
     def subscriber(row: KeyValue, gone: bool) -> None:
-        raise RuntimeError("subscriber")
+        raise RecursionError("subscriber")
 
     follower = StoreFollower(net.store, "x/", Listener(), ManualClock())
     follower.subscribe(subscriber)
--- a/tests/serving/test_odd_messages.py
+++ b/tests/serving/test_odd_messages.py
@@ -120,7 +120,7 @@
         raise KeyError("odd")
 
     def fail_close(_name: str) -> None:
-        raise RuntimeError("odd")
+        raise RecursionError("odd")
 
     links.handle(messages.Hello, fail)
     links.handle(messages.Hello, lambda link, hello: seen.append(hello.name))
@@ -183,7 +183,7 @@
         if isinstance(message, messages.FeedRows | messages.FeedChange):
             feed.receive(message)
         elif isinstance(message, messages.SlotQueued):
-            raise RuntimeError("odd")
+            raise RecursionError("odd")
         else:
             seen.append(message)
 
--- a/tests/serving/test_reload.py
+++ b/tests/serving/test_reload.py
@@ -94,3 +94,16 @@
     assert (len(old.requests), len(new.requests)) == (1, 1)
     old.stop()
     new.stop()
+
+
+def test_a_reload_that_fails_unexpectedly_ends_neither_its_signal_nor_a_stop(
+    app: App, tmp_path: Path
+) -> None:
+    """The reload before a stop runs in the main greenlet, whose end would cut all requests off."""
+    path = tmp_path / "local.toml"
+    path.write_text(FILE.format(name="store-1", port=app._settings.link_port, store_port=4321))
+
+    def fail(_address: tuple[str, int]) -> None:
+        raise RecursionError("odd")
+
+    reload_settings(str(path), 0, app, fail)
