Let two silent targets prove no end behind a run that broke off

Such an end now needs three runs, as the run with the last event is known to have failed. If that run ended by itself behind a whole event, one run at another target proves the end as before, so that a whole unframed stream costs one run more and not two.

The tests of both rules failed before.

--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -10,6 +10,7 @@
 from clementinepin.serving._http import CallerRequest
 from clementinepin.serving.models import RequestFacts, Route
 from clementinepin.systems import estimates
+from clementinepin.tables.streams import RunEnd
 from clementinepin.targets import Abort
 
 # Of callers' patience: a sound target may fall silent for a second or so and go on. Time is left
@@ -25,8 +26,8 @@
     part of a response was sent that no other target can continue. ``gone`` says that the caller
     closed its connection. ``returned`` marks a caller that was rejected before. ``has_succeeded``
     is set with ``is_complete`` if the response has a success status. ``framing`` says what marks
-    the end of the newest response's body, empty if there was no response. ``ended_by`` has the
-    targets of the runs that ended behind the last event without proof. ``target_version`` is the
+    the end of the newest response's body, empty if there was no response. ``ends`` has the
+    runs that ended behind the last event without proof. ``target_version`` is the
     software version of the newest target, ``software_version`` the one whose events were passed on.
     ``resumed_at_event_id`` is the last event before the newest run. ``relay`` is the instance
     through which the newest response came, empty for the own link. ``link_lost`` says that the
@@ -63,7 +64,7 @@
         self.framing = ""
         self.relay = ""
         self.link_lost = False
-        self.ended_by: list[str] = []
+        self.ends: list[RunEnd] = []
         self.is_complete = False
         self.has_succeeded = False
 
@@ -80,7 +81,7 @@
     @property
     def awaits_end(self) -> bool:
         """Return whether another run is to show that no event follows the last one."""
-        return bool(self.ended_by)
+        return bool(self.ends)
 
     @property
     def run_events(self) -> int:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -339,7 +339,7 @@
                 run.texts.append(event.text)
                 run.last_event_id = event_id
                 run.software_version = run.target_version
-                run.ended_by.clear()
+                run.ends.clear()
                 run.losses = 0
         if splitter.incomplete.strip():
             raise TargetProtocolError("the stream ended within an event")
--- a/clementinepin/serving/_item_state.py
+++ b/clementinepin/serving/_item_state.py
@@ -9,6 +9,7 @@
 from clementinepin.serving import _job_records as records
 from clementinepin.serving.models import ItemState, JobItem
 from clementinepin.systems import stream_ends
+from clementinepin.tables.streams import RunEnd
 from clementinepin.targets import Abort
 from clementinepin.targets.exceptions import TargetProtocolError
 
@@ -20,8 +21,8 @@
     ``losses`` counts runs in a row that lost their target without a new event. ``retry_after_s``
     is how long the dispatcher that rejected the newest run wants it to wait. ``preempted`` says
     that the dispatcher asked the latest run to free its slot. ``framing`` says what marks the end
-    of the newest response's body. ``ended_by`` has the targets of the runs that ended behind the
-    last event without proof. ``target_id`` is the newest target, ``target_version`` its software
+    of the newest response's body. ``ends`` has the runs that ended behind the last event without
+    proof. ``target_id`` is the newest target, ``target_version`` its software
     version and ``software_version`` the one of the events so far. ``resumed_at_event_id`` is the
     last event before the newest run, and ``prefix_ids`` are the parts of the item's prompt.
     """
@@ -44,7 +45,7 @@
         self.target_id = ""
         self.target_version = ""
         self.software_version = ""
-        self.ended_by: list[str] = []
+        self.ends: list[RunEnd] = []
         self.abort = Abort()
         self.cancel_wait: Callable[[], None] = lambda: None
 
@@ -56,7 +57,7 @@
     @property
     def awaits_end(self) -> bool:
         """Return whether another run is to show that no event follows the last one."""
-        return bool(self.ended_by)
+        return bool(self.ends)
 
     @property
     def run_events(self) -> int:
@@ -70,15 +71,15 @@
         """
         if not self.last_event_id:
             raise TargetProtocolError("the stream ended before its first event")
-        self.ended_by.append(self.target_id)
-        return stream_ends.is_end_proven(self.ended_by, stream_ends.RUNS_OF_ONE_TARGET)
+        self.ends.append(RunEnd(self.target_id, self.run_events > 0))
+        return stream_ends.is_end_proven(self.ends, stream_ends.RUNS_MIN)
 
     def begin_again(self) -> None:
         """Drop all events, so that the next run starts from the beginning."""
         self.texts.clear()
         self.last_event_id = 0
         self.software_version = ""
-        self.ended_by.clear()
+        self.ends.clear()
 
     def resume_from(self, last_event_id: int, texts: list[str], software_version: str) -> None:
         """Start after the events that an earlier run produced at a software version."""
--- a/clementinepin/serving/_responses.py
+++ b/clementinepin/serving/_responses.py
@@ -14,6 +14,7 @@
 from clementinepin.serving._http import HOP_HEADERS, CallerConnection
 from clementinepin.serving.models import RouteKind
 from clementinepin.systems import stream_ends
+from clementinepin.tables.streams import RunEnd
 from clementinepin.targets import BodyFraming, HttpExchange
 from clementinepin.targets.exceptions import TargetProtocolError
 
@@ -99,7 +100,7 @@
             sound = events[: count_sound(call, events, is_first=not brought_events)]
             if sound:
                 brought_events = True
-                call.ended_by.clear()
+                call.ends.clear()
                 call.software_version = call.target_version
                 call.can_resend = call.can_resend and call.route.resumable
                 self._start(exchange)
@@ -129,13 +130,13 @@
                 raise TargetProtocolError("the stream ended before its first event")
             is_proven = True
         if not is_proven:
-            call.ended_by.append(call.target_id)
+            call.ends.append(RunEnd(call.target_id, call.run_events > 0))
             # A stream has at least one event.
             is_proven = call.last_event_id > 0 and stream_ends.is_end_proven(
-                call.ended_by, call.route.attempts_max
+                call.ends, call.route.attempts_max
             )
         if is_proven:
-            call.ended_by.clear()
+            call.ends.clear()
             self._start(exchange)
         elif not call.may_resend(self._clock.monotonic()):
             raise TargetProtocolError(f"the end after event {call.last_event_id} can't be checked")
--- a/clementinepin/systems/stream_ends.py
+++ b/clementinepin/systems/stream_ends.py
@@ -12,14 +12,18 @@
 from collections.abc import Sequence
 from typing import Final
 
-RUNS_OF_ONE_TARGET: Final = 3
+from clementinepin.tables.streams import RunEnd
 
+RUNS_MIN: Final = 3
 
-def is_end_proven(ended_by: Sequence[str], runs_max: int) -> bool:
+
+def is_end_proven(ends: Sequence[RunEnd], runs_max: int) -> bool:
     """Return whether no event follows the one behind which runs have ended.
 
-    ``ended_by`` has the target of each run. Two targets that agree prove it. Where only one can be
-    asked, it must repeat itself, as often as ``runs_max`` runs allow.
+    The target that brought the last event and another one that brings none prove it. Otherwise runs
+    must repeat it, as often as ``runs_max`` runs allow: the run with the last event broke off, or
+    there is one target only.
     """
-    runs_min = max(2, min(RUNS_OF_ONE_TARGET, runs_max))
-    return len(set(ended_by)) > 1 or len(ended_by) >= runs_min
+    if any(end.brought_events for end in ends) and len({end.target_id for end in ends}) > 1:
+        return True
+    return len(ends) >= max(2, min(RUNS_MIN, runs_max))
--- a/clementinepin/tables/streams.py
+++ b/clementinepin/tables/streams.py
@@ -13,6 +13,13 @@
     expires_at: float
 
 
+class RunEnd(NamedTuple):
+    """A run that only its connection ended, and whether it brought the last event before that."""
+
+    target_id: str
+    brought_events: bool
+
+
 class StreamTable:
     """What is known about streams and software versions.
 
--- a/tests/serving/test_unframed_responses.py
+++ b/tests/serving/test_unframed_responses.py
@@ -247,16 +247,30 @@
     assert [len(other.requests) for other in others] == [0, 0, 0]
 
 
-@pytest.mark.parametrize(("runs", "status"), [(1, 502), (2, 200)])
-def test_a_stream_resumed_behind_its_last_event_ends_once_two_targets_agree(
-    harness: Harness, runs: int, status: int
+@pytest.mark.parametrize(("attempts", "status"), [(1, 502), (2, 200), (3, 200), (4, 200)])
+def test_a_stream_resumed_behind_its_last_event_ends_once_targets_repeat_it(
+    harness: Harness, attempts: int, status: int
 ) -> None:
-    harness.set_route(resumable=True, attempts_max=runs)
-    for _ in range(2):
-        harness.add_target(ScriptedTarget(send_events(framed=False)))
+    harness.set_route(resumable=True, attempts_max=attempts)
+    targets = [harness.add_target(ScriptedTarget(send_events(framed=False))) for _ in range(4)]
     response = call(harness.port, ID, "Last-Event-Id: 2", "Resumes: q0")
     assert get_status(response) == status
     assert response.endswith(b"0\r\n\r\n") is (status == 200)
+    assert sum(len(target.requests) for target in targets) == min(attempts, 3)
+
+
+def test_two_targets_that_truncate_prove_no_end_behind_a_run_that_broke_off(
+    harness: Harness,
+) -> None:
+    """Guards against half a stream that looks complete behind two truncated heads (issue 41)."""
+    harness.set_route(resumable=True, attempts_max=4)
+    harness.add_target(ScriptedTarget(send_events(1, 2, end=False)))
+    for _ in range(2):
+        harness.add_target(ScriptedTarget(send_events(framed=False)))
+    harness.add_target(ScriptedTarget(send_events(3)))
+    response = call(harness.port, ID)
+    assert response.count(b"data: ") == 3
+    assert response.endswith(b"0\r\n\r\n")
 
 
 def test_a_stream_truncated_behind_its_head_is_run_again(harness: Harness) -> None:
