Tell comments in streams from events

A comment that came in one piece behind an event set back the number of the last event that was passed on: the stream was cut, or resumed after an event before that one, whose events would come twice. A resumed run that begins with a comment was given up, one that brought a comment alone counted as begun, and an item whose targets send comments was never completed.

Comments are passed on to callers of streams and skipped in items; only events change what is known of the stream. 5 of the tests failed before.

--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -329,6 +329,8 @@
             for event in splitter.feed(data):
                 event_id = event.event_id
                 if event_id != run.last_event_id + 1:
+                    if event.is_comment:
+                        continue
                     raise TargetProtocolError(
                         f"event {event_id} received, {run.last_event_id + 1} expected"
                     )
--- a/clementinepin/serving/_responses.py
+++ b/clementinepin/serving/_responses.py
@@ -96,16 +96,11 @@
             if call.route.resumable:
                 exchange.set_read_deadline(call.get_read_deadline(self._clock.monotonic()))
             if is_resumed and not brought_events:
-                _check_joint(call, events[0])
+                _check_joint(call, events)
             sound = events[: count_sound(call, events, is_first=not brought_events)]
             if sound:
-                brought_events = True
-                call.ends.clear()
-                call.software_version = call.target_version
-                call.can_resend = call.can_resend and call.route.resumable
-                self._start(exchange)
-                self._connection.send_data(b"".join(event.raw for event in sound))
-                call.last_event_id = max(call.last_event_id, sound[-1].event_id)
+                self._send_events(exchange, sound)
+                brought_events = brought_events or not all(event.is_comment for event in sound)
             if len(sound) < len(events):
                 raise TargetProtocolError(
                     f"{events[len(sound)].raw[:SHOWN_MAX_BYTES]!r} came in the place of the event"
@@ -115,6 +110,17 @@
             raise TargetProtocolError("the stream ended within an event")
         self._record_end(exchange, brought_events=brought_events)
 
+    def _send_events(self, exchange: HttpExchange, events: list[StreamEvent]) -> None:
+        call = self._call
+        call.software_version = call.target_version
+        call.can_resend = call.can_resend and call.route.resumable
+        self._start(exchange)
+        self._connection.send_data(b"".join(event.raw for event in events))
+        last = next((event for event in reversed(events) if not event.is_comment), None)
+        if last is not None:
+            call.ends.clear()
+            call.last_event_id = max(call.last_event_id, last.event_id)
+
     def _record_end(self, exchange: HttpExchange, *, brought_events: bool) -> None:
         """Decide whether another run must show that no event follows the last one.
 
@@ -165,9 +171,10 @@
     return len(events)
 
 
-def _check_joint(call: Call, event: StreamEvent) -> None:
+def _check_joint(call: Call, events: list[StreamEvent]) -> None:
     """Raise TargetProtocolError unless the first event of a resumed run follows the last one."""
-    if event.event_id != call.last_event_id + 1:
+    first = next((event for event in events if not event.is_comment), None)
+    if first is not None and first.event_id != call.last_event_id + 1:
         raise TargetProtocolError(
-            f"the stream was resumed with event {event.event_id} after {call.last_event_id}"
+            f"the stream was resumed with event {first.event_id} after {call.last_event_id}"
         )
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -28,7 +28,7 @@
 from clementinepin.systems.dispatch_actions import RunOutcome
 from tests.serving.harness import FakeSlots, close_at_once, send_events
 from tests.serving.parts import make_head, make_items, make_route
-from tests.serving.scripted import ScriptedTarget, refuse
+from tests.serving.scripted import ScriptedTarget, make_event, refuse
 
 FAILED = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
 UNPROCESSABLE = b"HTTP/1.1 422 No\r\nContent-Length: 0\r\n\r\n"
@@ -389,3 +389,10 @@
     run = harness.run_item()
     assert (run.state, run.text) == (ItemState.COMPLETED, "e1")
     assert (len(harness.target.requests), len(second.requests)) == (1, 1)
+
+
+def test_a_comment_between_the_events_of_an_item_is_skipped():
+    """Guards against an item that no target completes, as all of them send comments."""
+    begun = make_event(1) + b": waiting\n\n" + make_event(2)
+    run = Harness(send_events(cut=b": waiting\n\n" + begun)).run_item()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
--- a/tests/serving/test_unframed_responses.py
+++ b/tests/serving/test_unframed_responses.py
@@ -9,7 +9,7 @@
 
 from clementinepin.serving.models import RouteKind
 from tests.serving.harness import ID, Harness, close_at_once, get_status, send_events
-from tests.serving.scripted import UNNAMED_REFUSAL, ScriptedTarget, call, make_plain
+from tests.serving.scripted import UNNAMED_REFUSAL, ScriptedTarget, call, make_event, make_plain
 
 FAILED = b"HTTP/1.1 500 No\r\nContent-Length: 4\r\n\r\noops"
 
@@ -303,3 +303,48 @@
     response = call(harness.port, ID)
     assert response.count(b"data: ") == 2
     assert not response.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("framed", [False, True])
+def test_a_comment_behind_an_event_lets_no_event_come_twice(harness: Harness, framed: bool) -> None:
+    """Guards against a stream that is resumed after the event before its last one."""
+    harness.set_route(resumable=True, attempts_max=3)
+
+    def send_begun(sock: Any, request: bytes) -> bool:
+        piece = make_event(1) + make_event(2) + b": waiting\n\n"
+        send_events(end=False, cut=piece, framed=framed)(sock, request)
+        return False
+
+    harness.add_target(ScriptedTarget(send_begun))
+    second = harness.add_target(ScriptedTarget(send_events(3)))
+    response = call(harness.port, ID)
+    assert [response.count(b"data: e%d\n" % n) for n in (1, 2, 3)] == [1, 1, 1]
+    assert b"Last-Event-Id: 2" in second.requests[0]
+
+
+def test_a_resumed_stream_may_go_on_with_a_comment(harness: Harness) -> None:
+    """Guards against a sound run that is given up as its first piece has no id."""
+    harness.set_route(resumable=True, attempts_max=2)
+    harness.add_target(ScriptedTarget(send_events(1, end=False)))
+
+    def send_rest(sock: Any, request: bytes) -> bool:
+        return send_events(cut=b": waiting\n\n" + make_event(2))(sock, request)
+
+    harness.add_target(ScriptedTarget(send_rest))
+    response = call(harness.port, ID)
+    assert response.count(b"data: ") == 2
+    assert response.endswith(b"0\r\n\r\n")
+
+
+def test_a_comment_is_no_event_that_proves_an_end(harness: Harness) -> None:
+    """Guards against an unframed run with a comment alone that counts as begun or as a new end."""
+    harness.set_route(resumable=True, attempts_max=3)
+    comment = send_events(cut=b": waiting\n\n", framed=False)
+    harness.add_target(ScriptedTarget(send_events(1, framed=False)))
+    harness.add_target(ScriptedTarget(comment))
+    response = call(harness.port, ID)
+    assert response.count(b"data: ") == 1
+    assert response.endswith(b"0\r\n\r\n")
+    harness.slots.target_ids.clear()
+    harness.add_target(ScriptedTarget(comment))
+    assert not call(harness.port, ID).endswith(b"0\r\n\r\n")
