Ask another target if an unframed response ends behind its head

Nothing on the wire tells such a response from a whole one that is empty, but an empty one is rare enough to ask once more.

While the call may be sent again, the first empty and unframed success counts as lost; a second one, by another target, is passed on, so that a target's empty responses still reach callers. Responses with a body take no run more. Calls that may run once get the response as before: a 502 would deny every sound empty one. The two tests failed before.

--- a/clementinepin/serving/_responses.py
+++ b/clementinepin/serving/_responses.py
@@ -19,6 +19,7 @@
 from clementinepin.targets.exceptions import TargetProtocolError
 
 BODY_HELD_BYTES: Final = 65_536  # it comes in one or two reads
+STATUS_SUCCESS_BELOW: Final = 300
 SHOWN_MAX_BYTES: Final = 60  # of what can't be an event, in a log line
 
 
@@ -69,8 +70,8 @@
         if call.response_started:
             raise TargetProtocolError("the response to a resumed stream is not an event stream")
         body = b""
-        if call.may_resend(self._clock.monotonic()) and exchange.has_short_body(BODY_HELD_BYTES):
-            body = exchange.read_all(BODY_HELD_BYTES)
+        if call.may_resend(self._clock.monotonic()):
+            body = self._read_ahead(exchange)
         call.can_resend = False
         self._start(exchange)
         if body:
@@ -78,6 +79,22 @@
         while data := exchange.read():
             self._connection.send_data(data)
 
+    def _read_ahead(self, exchange: HttpExchange) -> bytes:
+        """Return a short body whole, or the first piece of one that only its connection ends.
+
+        If there is none, another target is asked: the first one may have failed behind its head.
+        """
+        call = self._call
+        if exchange.has_short_body(BODY_HELD_BYTES):
+            return exchange.read_all(BODY_HELD_BYTES)
+        if exchange.framing is not BodyFraming.CONNECTION:
+            return b""
+        body = exchange.read()
+        if not body and not call.ends and exchange.status < STATUS_SUCCESS_BELOW:
+            call.ends.append(RunEnd(call.target_id, brought_events=False))
+            raise TargetProtocolError("the response ended behind its head, without framing")
+        return body
+
     def _forward_events(self, exchange: HttpExchange) -> None:
         """Send complete events on.
 
--- a/tests/serving/test_cut_heads.py
+++ b/tests/serving/test_cut_heads.py
@@ -183,6 +183,26 @@
         assert get_status(response) in (200, 502), size
 
 
+def test_an_unframed_call_cut_behind_its_head_goes_on_elsewhere(harness: Harness) -> None:
+    """Guards against a 200 with an empty body that another target would fill (issue 41)."""
+    harness.set_route(kind=RouteKind.IDEMPOTENT, attempts_max=2)
+    head = make_head("unframed")
+    harness.add_target(ScriptedTarget(cut(head, len(head))))
+    harness.add_target(ScriptedTarget(make_plain(b"answer", b"s2")))
+    response = call(harness.port, ID)
+    assert response.endswith(b"\r\n\r\nanswer")
+    assert b"s1" not in response
+
+
+def test_an_unframed_response_that_two_targets_leave_empty_is_passed_on(harness: Harness) -> None:
+    harness.set_route(kind=RouteKind.IDEMPOTENT, attempts_max=3)
+    head = make_head("unframed")
+    targets = [harness.add_target(ScriptedTarget(cut(head, len(head)))) for _ in range(3)]
+    response = call(harness.port, ID)
+    assert (get_status(response), is_whole(response)) == (200, True)
+    assert [len(target.requests) for target in targets] == [1, 1, 0]
+
+
 CODED = {
     "behind chunks": b"Transfer-Encoding: chunked, gzip\r\n\r\n",
     "not chunks": b"Transfer-Encoding: xchunked\r\n\r\n",
