--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -338,6 +338,8 @@
             for event in splitter.feed(data):
                 event_id = event.event_id
                 if event_id != run.last_event_id + 1:
+                    if event.is_comment:
+                        continue
                     raise TargetProtocolError(
                         f"event {event_id} received, {run.last_event_id + 1} expected"
                     )
@@ -348,7 +350,7 @@
                 run.texts.append(event.text)
                 run.last_event_id = event_id
                 run.software_version = run.target_version
-                run.ended_by.clear()
+                run.ends.clear()
                 run.losses = 0
         if splitter.incomplete.strip():
             raise TargetProtocolError("the stream ended within an event")
--- a/clementinepin/serving/_responses.py
+++ b/clementinepin/serving/_responses.py
@@ -14,10 +14,12 @@
 from clementinepin.serving._http import HOP_HEADERS, CallerConnection
 from clementinepin.serving.models import RouteKind
 from clementinepin.systems import stream_ends
+from clementinepin.tables.streams import RunEnd
 from clementinepin.targets import BodyFraming, HttpExchange
 from clementinepin.targets.exceptions import TargetProtocolError
 
 BODY_HELD_BYTES: Final = 65_536  # it comes in one or two reads
+STATUS_SUCCESS_BELOW: Final = 300
 SHOWN_MAX_BYTES: Final = 60  # of what can't be an event, in a log line
 
 
@@ -68,8 +70,8 @@
         if call.response_started:
             raise TargetProtocolError("the response to a resumed stream is not an event stream")
         body = b""
-        if call.may_resend(self._clock.monotonic()) and exchange.has_short_body(BODY_HELD_BYTES):
-            body = exchange.read_all(BODY_HELD_BYTES)
+        if call.may_resend(self._clock.monotonic()):
+            body = self._read_ahead(exchange)
         call.can_resend = False
         self._start(exchange)
         if body:
@@ -77,6 +79,22 @@
         while data := exchange.read():
             self._connection.send_data(data)
 
+    def _read_ahead(self, exchange: HttpExchange) -> bytes:
+        """Return a short body whole, or the first piece of one that only its connection ends.
+
+        If there is none, another target is asked: the first one may have failed behind its head.
+        """
+        call = self._call
+        if exchange.has_short_body(BODY_HELD_BYTES):
+            return exchange.read_all(BODY_HELD_BYTES)
+        if exchange.framing is not BodyFraming.CONNECTION:
+            return b""
+        body = exchange.read()
+        if not body and not call.ends and exchange.status < STATUS_SUCCESS_BELOW:
+            call.ends.append(RunEnd(call.target_id, brought_events=False))
+            raise TargetProtocolError("the response ended behind its head, without framing")
+        return body
+
     def _forward_events(self, exchange: HttpExchange) -> None:
         """Send complete events on.
 
@@ -95,16 +113,11 @@
             if call.route.resumable:
                 exchange.set_read_deadline(call.get_read_deadline(self._clock.monotonic()))
             if is_resumed and not brought_events:
-                _check_joint(call, events[0])
+                _check_joint(call, events)
             sound = events[: count_sound(call, events, is_first=not brought_events)]
             if sound:
-                brought_events = True
-                call.ended_by.clear()
-                call.software_version = call.target_version
-                call.can_resend = call.can_resend and call.route.resumable
-                self._start(exchange)
-                self._connection.send_data(b"".join(event.raw for event in sound))
-                call.last_event_id = max(call.last_event_id, sound[-1].event_id)
+                self._send_events(exchange, sound)
+                brought_events = brought_events or not all(event.is_comment for event in sound)
             if len(sound) < len(events):
                 raise TargetProtocolError(
                     f"{events[len(sound)].raw[:SHOWN_MAX_BYTES]!r} came in the place of the event"
@@ -114,6 +127,17 @@
             raise TargetProtocolError("the stream ended within an event")
         self._record_end(exchange, brought_events=brought_events)
 
+    def _send_events(self, exchange: HttpExchange, events: list[StreamEvent]) -> None:
+        call = self._call
+        call.software_version = call.target_version
+        call.can_resend = call.can_resend and call.route.resumable
+        self._start(exchange)
+        self._connection.send_data(b"".join(event.raw for event in events))
+        last = next((event for event in reversed(events) if not event.is_comment), None)
+        if last is not None:
+            call.ends.clear()
+            call.last_event_id = max(call.last_event_id, last.event_id)
+
     def _record_end(self, exchange: HttpExchange, *, brought_events: bool) -> None:
         """Decide whether another run must show that no event follows the last one.
 
@@ -129,13 +153,13 @@
                 raise TargetProtocolError("the stream ended before its first event")
             is_proven = True
         if not is_proven:
-            call.ended_by.append(call.target_id)
+            call.ends.append(RunEnd(call.target_id, call.run_events > 0))
             # A stream has at least one event.
             is_proven = call.last_event_id > 0 and stream_ends.is_end_proven(
-                call.ended_by, call.route.attempts_max
+                call.ends, call.route.attempts_max
             )
         if is_proven:
-            call.ended_by.clear()
+            call.ends.clear()
             self._start(exchange)
         elif not call.may_resend(self._clock.monotonic()):
             raise TargetProtocolError(f"the end after event {call.last_event_id} can't be checked")
@@ -164,9 +188,10 @@
     return len(events)
 
 
-def _check_joint(call: Call, event: StreamEvent) -> None:
+def _check_joint(call: Call, events: list[StreamEvent]) -> None:
     """Raise TargetProtocolError unless the first event of a resumed run follows the last one."""
-    if event.event_id != call.last_event_id + 1:
+    first = next((event for event in events if not event.is_comment), None)
+    if first is not None and first.event_id != call.last_event_id + 1:
         raise TargetProtocolError(
-            f"the stream was resumed with event {event.event_id} after {call.last_event_id}"
+            f"the stream was resumed with event {first.event_id} after {call.last_event_id}"
         )
--- a/clementinepin/tables/streams.py
+++ b/clementinepin/tables/streams.py
@@ -17,6 +17,13 @@
     told_by: int = 0
 
 
+class RunEnd(NamedTuple):
+    """A run that only its connection ended, and whether it brought the last event before that."""
+
+    target_id: str
+    brought_events: bool
+
+
 class StreamTable:
     """What is known about streams and software versions.
 
