Count resumptions apart whose version has no engine left in the soak

In some draws the engines of a version leave while its streams are resumed, and a rejection is all that is left. Trials counted these with the rejections of streams that could have gone on.

The checks behind the last fault and the routes of releases have functions of their own. New tests guard the outcomes of resumptions and the links of an instance with itself; each failed under its mutation.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -85,14 +85,7 @@
         gevent.joinall([sender, injector])
         faults.end_all()
         await_jobs(fleet, callers)
-        if not (fleet.has_two_builds or kinds):
-            check_calm(fleet, callers, float(args["--rate"]))
-        if not fleet.has_two_builds and (not kinds or any(word in RELEASE_NAME for word in kinds)):
-            releases.check_calm_streams()
-        callers.check_runs()
-        if not callers.statuses.get(200) or not callers.plain_count:
-            callers.broken.append("no caller of a stream, or none of a plain response, was served")
-        callers.broken += list_unexpected_ends(fleet)
+        check_guarantees(fleet, callers, releases, kinds, float(args["--rate"]))
     finally:
         fleet.stop()
     print(
@@ -111,6 +104,21 @@
     return (build, Path(args["--beside"]).resolve()) if args["--beside"] else (build,)
 
 
+def check_guarantees(
+    fleet: Fleet, callers: Callers, releases: Releases, kinds: list[str], rate: float
+) -> None:
+    """Check the guarantees behind the last fault; record those that are violated."""
+    if not (fleet.has_two_builds or kinds):
+        check_calm(fleet, callers, rate)
+    is_release_drawn = not kinds or any(word in RELEASE_NAME for word in kinds)
+    if is_release_drawn and not fleet.has_two_builds:
+        releases.check_calm_streams()
+    callers.check_runs()
+    if not callers.statuses.get(200) or not callers.plain_count:
+        callers.broken.append("no caller of a stream, or none of a plain response, was served")
+    callers.broken += list_unexpected_ends(fleet)
+
+
 def check_calm(fleet: Fleet, callers: Callers, rate: float) -> None:
     """Check the guarantees that need a fleet without other faults."""
     check_crashing_part(fleet, callers, rate)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -24,6 +24,8 @@
     With ``words`` only kinds whose name has one of them are injected.
     """
 
+    _version = 1  # of the configuration
+
     def __init__(
         self, fleet: Fleet, releases: Releases, seed: int, words: Collection[str] = ()
     ) -> None:
@@ -68,9 +70,7 @@
                 (RELEASE_NAME, releases.inject),
                 ("target stops within its head", lambda: self._spoil("heads_to_cut")),
             ]
-        if words:
-            self._kinds = [k for k in self._kinds if any(word in k[0] for word in words)]
-        self._version = 1
+        self._kinds = [k for k in self._kinds if not words or any(w in k[0] for w in words)]
 
     def run(self, until: float, pause_s: float) -> None:
         """Inject faults until ``until``, with pauses of 0.3 to ``2 * pause_s`` seconds.
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -169,6 +169,12 @@
             self._process.wait(10)
 
 
+def make_released_routes(common: dict[str, Any]) -> list[dict[str, Any]]:
+    """Return a resumable route for each of RELEASED_SERVICES."""
+    own = [{"name": s, "path_prefix": f"/{s}/", "service": s} for s in RELEASED_SERVICES]
+    return [common | row | {"max_attempts": 3, "resumable": True} for row in own]
+
+
 class Fleet:
     """Starts and stops all parts.
 
@@ -243,18 +249,7 @@
                 **stream,
                 **common,
             },
-            *(
-                {
-                    "name": service,
-                    "path_prefix": f"/{service}/",
-                    "max_attempts": 3,
-                    "resumable": True,
-                    **stream,
-                    **common,
-                    "service": service,
-                }
-                for service in RELEASED_SERVICES
-            ),
+            *make_released_routes(common | stream),
             {
                 "name": "jobs",
                 "path_prefix": "/jobs/",
--- a/soak/_releases.py
+++ b/soak/_releases.py
@@ -280,7 +280,9 @@
             "Last-Event-Id": str(last_event),
         }
         response = self._callers.call_stream(ip, stream.service, stream.headers | resumption)
-        outcome = _classify(stream, last_event, response)
+        outcome = classify_resumption(stream, last_event, response)
+        if outcome == "rejected" and not self._has_engine(stream):
+            outcome = "rejected without an engine of the version"
         counts = self.outcomes.setdefault((release.disruption, phase), Counter())
         counts[outcome] += 1
         if response.status != 200:
@@ -289,9 +291,13 @@
         self._callers.check_stream(stream.stream_id, EVENTS, body, response.whole)
         return outcome, stream._replace(body=body[: body.rindex(b"\n\n") + 2])
 
+    def _has_engine(self, stream: BegunStream) -> bool:
+        rows = {(t.service, t.version) for t in self._fleet.targets.values()}
+        return (stream.service, stream.version) in rows
 
-def _classify(stream: BegunStream, last_event: int, response: Response) -> str:
-    """Return what became of a resumption."""
+
+def classify_resumption(stream: BegunStream, last_event: int, response: Response) -> str:
+    """Return what became of a resumption behind ``last_event``."""
     if response.status != 200:
         return "rejected" if response.status else "without a response"
     for version in VERSIONS:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,10 +11,13 @@
 import pytest
 
 from soak.__main__ import reserve_net
-from soak._callers import parse_response
+from soak._callers import Response, parse_response
+from soak._daemon import Cut, LinkFaults
 from soak._faults import Faults
 from soak._fleet import GRACE_PERIOD_S
 from soak._kept import Lost, PlannedStop
+from soak._releases import BegunStream, classify_resumption
+from soak._target import make_text
 
 ROOT = Path(__file__).parent.parent
 SEEDS = {1: "the first seed"}
@@ -87,3 +90,44 @@
     faults._random = random.Random(1)
     faults._restart_instance(instance, signal.SIGKILL)
     assert instance.starts == 1
+
+
+@pytest.mark.parametrize(
+    ("status", "version", "outcome"),
+    [
+        (200, "v1", "went on"),
+        (200, "v2", "of two versions"),
+        (200, "", "broken off"),
+        (503, "", "rejected"),
+        (0, "", "without a response"),
+    ],
+)
+def test_a_stream_that_goes_on_at_another_version_does_not_count_as_right(status, version, outcome):
+    """Mutation: take each response with status 200 for one that went on: trials show no fault."""
+    stream = BegunStream("r1", "released0", {}, b"", "v1")
+    body = f"id: 4\ndata: {make_text('r1', 4, version)}\n\n".encode() if version else b""
+    assert classify_resumption(stream, 3, Response(status, body, False)) == outcome
+
+
+def test_a_cut_from_the_other_instances_spares_links_of_an_instance_with_itself(tmp_path):
+    """Mutation: cut these too: a job runner that is cut off loses its own dispatcher."""
+
+    class Own:
+        own_address = ("127.0.0.1", 40001)
+        hangs = is_late = False
+
+        def find_cut(self):
+            return None
+
+        def send_held(self):
+            pass
+
+    faults = LinkFaults(tmp_path / "links.json")
+    faults.sockets.add(Own())
+    cut = Cut(["127.1.1.2"], [7720], "refuse", "hang", accepted=True)
+    faults._apply([cut])
+    assert faults.find_cut("127.1.1.2", 7720) == cut
+    assert faults.find_cut("127.1.1.1", 7720) is None
+    assert faults.find_accepted_cut(7720, ("127.0.0.1", 40002)) == cut
+    assert faults.find_accepted_cut(7720, ("127.0.0.1", 40001)) is None
+    assert faults.find_accepted_cut(8161, ("127.0.0.1", 40002)) is None
