--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -25,6 +25,8 @@
     With ``words`` only kinds whose name has one of them are injected.
     """
 
+    _version = 1  # of the configuration
+
     def __init__(
         self, fleet: Fleet, releases: Releases, seed: int, words: Collection[str] = ()
     ) -> None:
@@ -70,9 +72,7 @@
                 ("target stops within its head", lambda: self._spoil("heads_to_cut")),
                 ("odd entries of targets", self._write_odd_entries),
             ]
-        if words:
-            self._kinds = [k for k in self._kinds if any(word in k[0] for word in words)]
-        self._version = 1
+        self._kinds = [k for k in self._kinds if not words or any(w in k[0] for w in words)]
 
     def run(self, until: float, pause_s: float) -> None:
         """Inject faults until ``until``, with pauses of 0.3 to ``2 * pause_s`` seconds.
