--- a/tests/storage/test_odd_input.py
+++ b/tests/storage/test_odd_input.py
@@ -26,8 +26,6 @@
 from clementinepin.storage._transfers import METHOD_GET, METHOD_PUT
 from clementinepin.storage.exceptions import SegmentLostError
 from clementinepin.tables import HolderRow, SegmentRow
-from standins.key_value import MemoryKeyValueStore
-from tests.storage.fakes import Cluster
 from tests.storage.test_store import BULK
 
 DEEP = b"\x91" * 100_000
@@ -39,16 +37,6 @@
     return b"\x28\xb5\x2f\xfd\xe0" + struct.pack("<Q", size) + b"\x01\x00\x00"
 
 
-@pytest.fixture
-def key_value(clock):
-    return MemoryKeyValueStore(clock)
-
-
-@pytest.fixture
-def cluster(clock, key_value):
-    return Cluster(clock, key_value, ["dc1", "dc2", "dc3", "dc4"])
-
-
 # The decompressor reserves the size in the header of a frame, whatever its limit: MemoryError.
 @pytest.mark.parametrize("frame", [_claim_size(1 << 50), _claim_size(1 << 63), b"", b"\x28\xb5"])
 def test_frame_that_claims_a_huge_size_is_lost(frame):
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -11,22 +11,11 @@
 from clementinepin.storage._store import KEEP_S
 from clementinepin.storage._transfers import TRANSFER_TIMEOUT_S, UPLOADS_MAX
 from clementinepin.storage.exceptions import SegmentLostError, StorageUnavailableError
-from standins.key_value import MemoryKeyValueStore
 from tests.storage.fakes import Cluster
 
 BULK = random.Random(1).randbytes(2_500_000)
 
 
-@pytest.fixture
-def key_value(clock):
-    return MemoryKeyValueStore(clock)
-
-
-@pytest.fixture
-def cluster(clock, key_value):
-    return Cluster(clock, key_value, ["dc1", "dc2", "dc3", "dc4"])
-
-
 def test_small_segment_is_stored_inline_and_named_by_digest(cluster, key_value):
     name = cluster.nodes["a"].store.write(b"small" * 100)
     assert cluster.nodes["d"].store.read(name) == b"small" * 100
