Go on with the other engines when one fails unexpectedly

An error of any type but this system's own, while the load of one engine was read, ended the round over all engines of its service: the steward loaded no model anywhere. It is logged and counts as no report, like an engine that can't be reached. The test failed before with the engine's OverflowError.

--- a/clementinepin/fleet/_stewards.py
+++ b/clementinepin/fleet/_stewards.py
@@ -231,6 +231,10 @@
             return self._get_engine(row).fetch_load()
         except ClementinepinError:
             return None
+        except Exception as err:
+            # The round goes on with the other engines.
+            logger.opt(exception=err).error("{} No report of {}.", LOG_PREFIX, row.name)
+            return None
 
     def _get_engine(self, row: ListedInstance) -> Engine:
         address = _create_address(row)
--- a/tests/fleet/test_odd_input.py
+++ b/tests/fleet/test_odd_input.py
@@ -91,3 +91,20 @@
 def test_any_manifest_is_read_or_a_part_error(data):
     with contextlib.suppress(ConfigurationPartError):
         assert isinstance(messages.decode_manifest(data)["revision"], int)
+
+
+# One engine whose client failed unexpectedly ended the round over all engines of the service.
+def test_unexpected_error_of_an_engine_does_not_stop_the_others(monkeypatch):
+    fleet = FakeFleet(engines=3)
+    fleet.fleets["n0"].apply(create_files("1"), base=0)
+    fleet.list_targets()
+    odd, *others = fleet.engines.values()
+
+    def fail():
+        raise OverflowError("too large")
+
+    monkeypatch.setattr(odd, "fetch_load", fail)
+    for _ in range(8):
+        fleet.run_stewards()
+        fleet.clock.advance(2.0)
+    assert [engine.models.get("homily") for engine in others] == ["1", "1"]
