--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -50,6 +50,7 @@
 """
 NETS = range(1, 250)
 RESERVATION_PORT = 7719  # below the internal ports of the instances, 7720 to 7735
+CONTAINED = b'"event":"unexpected_failure"'
 SETTLE_S = 30.0  # lost runs of jobs start again; a lost owner is replaced within 5 s
 
 
@@ -87,7 +88,7 @@
         callers.check_runs()
         if not callers.statuses.get(200):
             callers.broken.append("no caller was served")
-        callers.broken += list_unexpected_ends(fleet)
+        callers.broken += list_unexpected_ends(fleet) + list_contained(folder)
     finally:
         fleet.stop()
     print(
@@ -126,6 +127,16 @@
     ]
 
 
+def list_contained(folder: Path) -> list[str]:
+    """Return a line for each error that a daemon contained: it went on, but that is a fault too."""
+    return [
+        f"{log.stem}: {line.decode(errors='replace').strip()}"
+        for log in sorted(folder.glob("*.log"))
+        for line in log.read_bytes().splitlines()
+        if CONTAINED in line
+    ]
+
+
 def await_jobs(fleet: Fleet, callers: Callers) -> None:
     """Wait up to ``SETTLE_S`` until all jobs list all their items; record those that don't."""
     deadline = fleet.now() + SETTLE_S
