--- a/clementinepin/batch/_jobs.py
+++ b/clementinepin/batch/_jobs.py
@@ -4,10 +4,17 @@
 
 from typing import NamedTuple
 
-from clementinepin.batch._codec import digest_text, key_active, key_job, name_job
+from clementinepin.batch._codec import (
+    NAME_SHOWN_CHARS,
+    digest_text,
+    is_name,
+    key_active,
+    key_job,
+    name_job,
+)
 from clementinepin.batch.exceptions import InvalidBatchError, JobConflictError, JobNotFoundError
 from clementinepin.helpers.clock import Clock
-from clementinepin.helpers.rows import decode_row, encode_row
+from clementinepin.helpers.rows import decode_row, encode_row, read_row
 from clementinepin.infrastructure import KeyValueStore
 from clementinepin.infrastructure.exceptions import (
     PlatformUnavailableError,
@@ -60,7 +67,8 @@
 
     def find(self, account: str, job_id: str) -> StoredJob | None:
         """Return a job's record or None."""
-        stored = self._key_value.get(key_job(account, job_id))
+        key = key_job(account, job_id)
+        stored = self._key_value.get(key) if is_name(account, job_id) else None
         if stored is None:
             return None
         return StoredJob(decode_row(stored.value, JobRow), stored.version)
@@ -69,18 +77,22 @@
         """Return a job's record. Raise JobNotFoundError if there is none."""
         stored = self.find(account, job_id)
         if stored is None:
-            raise JobNotFoundError(job_id, param="batch_id")
+            raise JobNotFoundError(job_id[:NAME_SHOWN_CHARS], param="batch_id")
         return stored
 
     def list_account(self, account: str, limit: int, after: str = "") -> list[JobRow]:
-        """Return an account's newest jobs, at most ``limit``; only those older than ``after``."""
+        """Return an account's newest jobs, at most ``limit``; only those older than ``after``.
+
+        Records that can't be decoded are left out.
+        """
         bound = _rank_by_age(self.load(account, after).row) if after else None
         rows: list[JobRow] = []
         prefix, last_key = key_job(account, ""), ""
         while True:
             page = self._key_value.list_range(prefix, after=last_key, limit=PAGE_ROWS)
-            decoded_rows = [decode_row(stored.value, JobRow) for stored in page]
-            rows.extend(row for row in decoded_rows if bound is None or _rank_by_age(row) < bound)
+            found = (read_row(stored.key, stored.value, JobRow) for stored in page)
+            readable = [row for row in found if row is not None]
+            rows.extend(row for row in readable if bound is None or _rank_by_age(row) < bound)
             rows.sort(key=_rank_by_age, reverse=True)
             del rows[limit:]
             if len(page) < PAGE_ROWS:
@@ -190,7 +202,7 @@
     ) -> StoredJob:
         stored = self._find_after_lost_reply(account, job_id, lost)
         if stored is None:
-            raise JobNotFoundError(job_id, param="batch_id")
+            raise JobNotFoundError(job_id[:NAME_SHOWN_CHARS], param="batch_id")
         return stored
 
     def _put(self, row: JobRow, version: int) -> None:
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -19,12 +19,15 @@
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving import _messages as messages
+from clementinepin.serving._batch_hold import BatchHold
 from clementinepin.serving._dispatcher import update_targets
 from clementinepin.serving._dispatcher_link import SUSPECT_S, DispatcherLink
 from clementinepin.serving._feed import FeedClient
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._local_choice import LOCAL_RETRY_S, choose_alone
+from clementinepin.serving._own_streams import OwnStreams
 from clementinepin.serving._pools import TargetPools
+from clementinepin.serving._resumption_logs import log_resumption
 from clementinepin.serving._slot_requests import (
     Slot,
     SlotRequest,
@@ -53,9 +56,6 @@
 
 REPLY_TIMEOUT_S: Final = 0.08  # a few round trips between data centres and a busy dispatcher
 BROKEN_RUNS_MAX: Final = 64  # reported to a new dispatcher
-# Batch starts without the dispatcher only after this time: a lost dispatcher's lease ends after
-# 3 s, and items are due within 18 s.
-LOCAL_BATCH_AFTER_S: Final = 9.0
 
 
 class _Waiter:
@@ -73,6 +73,7 @@
     maps a slot's number to its request, its target and when it was taken (monotonic seconds).
     ``_early_preemptions`` holds slots that were preempted before a handler was set.
     ``_broken_runs`` has the last runs that their targets broke off, and when they ended.
+    ``confirm_versions`` makes sure that this instance knows the software versions of all targets.
     ``on_broken_alone`` gets those that no dispatcher hears of, ``on_causes_found`` what this
     instance found or refuted while it decided without one.
     """
@@ -100,17 +101,19 @@
         self._preemption_handlers: dict[int, Callable[[], None]] = {}
         self._early_preemptions: set[int] = set()
         self._taken: dict[int, tuple[SlotRequest, str, float]] = {}
+        self.confirm_versions: Callable[[], None] = lambda: None
         self.on_broken_alone: Callable[[BrokenRun], None] = lambda _run: None
         self.on_causes_found: Callable[[list[CauseChange]], None] = lambda _changes: None
         self._decides_alone = False
         self._broken_runs: deque[tuple[BrokenRun, float]] = deque(maxlen=BROKEN_RUNS_MAX)
         self._response_times = estimates.ResponseTimes()
-        self._first_dispatcher_linked_at = clock.monotonic()
         suspect_s = SUSPECT_S if Mechanism.DISPATCHER_SUSPICION not in policy.disabled else 0.0
         self._link = DispatcherLink(fleet, clock, self._make_hello, self._handle_message, suspect_s)
+        self._batch_hold = BatchHold(fleet, self._link, clock)
         self._link.on_open = self._feed.open
         self._link.on_closed = self._handle_close
         self._table = DispatchTable(policy.order, policy.disabled)
+        self._own_streams = OwnStreams(self._table, clock)
 
     def start(self) -> None:
         """Follow the targets and, unless placement is local, connect to the dispatcher."""
@@ -150,13 +153,22 @@
         ``on_waiting`` receives a function that cancels the wait. Raises OverloadedError if the
         request is rejected and CallerGoneError if the wait is cancelled.
         """
-        number = next(self._numbers)
-        request = self._add_known_version(request)
+        request = self._own_streams.bind(request, is_linked=self._link.is_responsive)
+        slot = self._ask_dispatcher(request, on_waiting)
+        if slot is None and self._await_dispatcher(request):
+            slot = self._ask_dispatcher(request, on_waiting)
+        return slot if slot is not None else self._decide_locally(request)
+
+    def _ask_dispatcher(
+        self, request: SlotRequest, on_waiting: Callable[[Callable[[], None]], None]
+    ) -> Slot | None:
+        """Return the slot that the dispatcher grants, or None if none is responsive."""
         if not self._link.is_responsive:
-            return self._decide_locally(number, request)
+            return None
         if request.is_batch:
-            self._hold_batch()
+            self._batch_hold.check_linked()
         self._decides_alone = False
+        number = next(self._numbers)
         waiter = _Waiter(request)
         self._waiters[number] = waiter
         on_waiting(lambda: waiter.result.set(CallerGoneError("the wait for a slot was cancelled")))
@@ -175,6 +187,7 @@
             self._waiters.pop(number, None)
         if isinstance(reply, messages.GrantSlot):
             self._record_taken(number, request, reply.target_id, reply.limit_per_s)
+            self._own_streams.record_told(request)
             return Slot(number, reply.target_id, False, reply.software_version)
         if isinstance(reply, messages.RejectSlot):
             raise OverloadedError(reply.reason, reply.retry_after_s, list_inputs(reply))
@@ -183,38 +196,27 @@
             raise reply
         if self._clock.monotonic() >= request.deadline:
             raise OverloadedError("no slot before the latest useful start", LOCAL_RETRY_S)
-        return self._decide_locally(number, request)
-
-    def _add_known_version(self, request: SlotRequest) -> SlotRequest:
-        """Return the request with the software version of its stream if this instance knows it."""
-        if not request.is_resumption or request.software_version:
-            return request
-        now = self._clock.monotonic()
-        version = stream_versions.find_stream_version(self._table, request.stream_id, now)
-        return request._replace(software_version=version or "")
-
-    def _hold_batch(self) -> None:
-        """Raise OverloadedError while the linked dispatcher is not the first registered one.
+        return None
 
-        Load pattern: job runners lose the connection to the dispatcher while entries still reach
-        it. Batch items under a second dispatcher would take slots that the first one grants to
-        callers. After LOCAL_BATCH_AFTER_S batch uses the linked dispatcher all the same.
-        """
-        if self._record_first_dispatcher():
-            return
-        if self._clock.monotonic() - self._first_dispatcher_linked_at < LOCAL_BATCH_AFTER_S:
-            raise OverloadedError("batch waits for the first dispatcher", LOCAL_RETRY_S)
+    def _await_dispatcher(self, request: SlotRequest) -> bool:
+        """Make sure that the version of a resumed stream is known, or wait for who may know it.
 
-    def _record_first_dispatcher(self) -> bool:
-        """Return whether the linked dispatcher is the first registered one, and record the time.
+        Return whether a dispatcher is responsive then and must be asked.
 
-        Called at each message, as items that run for long send no requests meanwhile.
+        Load pattern: an instance that was suspended in a release is connected to no dispatcher for
+        a moment, and gets callers at once.
         """
-        first = next(iter(self._fleet.list_job_runners()), None)
-        if first is not None and self._link.dispatcher_name != first.name:
+        if not request.is_resumption:
+            return False
+        now = self._clock.monotonic()
+        pending = make_local_request(self._name, self._data_centre, 0, request, now)
+        if stream_versions.needs_confirmation(self._table, pending, now):
+            self.confirm_versions()
+        if stream_versions.find_required_version(self._table, pending, now).version is not None:
+            return False
+        if self._placement is not Placement.DISPATCHER:
             return False
-        self._first_dispatcher_linked_at = self._clock.monotonic()
-        return True
+        return self._link.await_reconnection(request.deadline)
 
     def release(
         self, slot: Slot, outcome: RunOutcome, *, succeeded: bool = False, events: int = 0
@@ -256,8 +258,8 @@
         now = self._clock.monotonic()
         changed = target_limits.record_limit(self._table, key, limit_per_s, now)
         says_nothing = load is None and limit_per_s is None and leaving_started_at_ms is None
-        if says_nothing and not changed:
-            return
+        if says_nothing and not changed and not self._taken[slot.number][0].stream_id:
+            return  # of a stream the dispatcher must know that it may have begun
         reported = -1 if load is None else load[0] + load[1]
         dispatching.record_load(self._table, key, reported, now)
         self._link.send(
@@ -331,21 +333,18 @@
             return waiter.result.get()
         return None
 
-    def _decide_locally(self, number: int, request: SlotRequest) -> Slot:
+    def _decide_locally(self, request: SlotRequest) -> Slot:
         """Return a slot chosen by this instance's own counts.
 
-        Raises OverloadedError if no target qualifies, and for batch items within
-        LOCAL_BATCH_AFTER_S without the first dispatcher.
+        Raises OverloadedError if no target qualifies, and for batch items that must wait for a
+        dispatcher.
         """
+        number = next(self._numbers)
         now = self._clock.monotonic()
-        if (
-            request.is_batch
-            and self._placement is Placement.DISPATCHER
-            and now - self._first_dispatcher_linked_at < LOCAL_BATCH_AFTER_S
-        ):
-            raise OverloadedError("batch waits for a dispatcher", LOCAL_RETRY_S)
+        if request.is_batch and self._placement is Placement.DISPATCHER:
+            self._batch_hold.check_alone()
         pending = make_local_request(self._name, self._data_centre, number, request, now)
-        self._table.streams.is_current = self._fleet.follows_targets()
+        log_resumption(self._table, pending, now)
         entries, runners = self._fleet.list_entries(), self._fleet.list_job_runners()
         begins, self._decides_alone = not self._decides_alone, True
         names = [member.name for member in (*entries, *runners)]
@@ -357,10 +356,11 @@
         finally:
             self.on_causes_found(crash_causes.take_changes(self.crashes))
         self._record_taken(number, request, target.target_id)
-        stream = self._describe_stream(request.stream_id, now)
+        stream = self._own_streams.describe(request.stream_id)
         self._link.send(
             messages.SlotTaken(describe_slot(number, *self._taken[number], now), stream)
         )
+        self._own_streams.record_told(request)
         return Slot(number, target.target_id, True, target.software_version)
 
     def _record_taken(
@@ -379,25 +379,17 @@
 
     def _make_hello(self) -> messages.Hello:
         now = self._clock.monotonic()
-        streams = [self._describe_stream(name, now) for name in self._table.streams.begun]
         return messages.Hello(
             self._name,
             [describe_slot(number, *self._taken[number], now) for number in self._taken],
-            [stream for stream in streams if stream is not None],
+            self._own_streams.describe_all(),
             [describe_broken_run(run, at, now) for run, at in self._broken_runs],
             target_limits.list_limits(self._table),
             list(self._fleet.targets.list_leaving()),
         )
 
-    def _describe_stream(self, stream_id: str, now: float) -> messages.StreamVersion | None:
-        """Return what a dispatcher should know about a stream; None if it can't be resumed."""
-        stream = self._table.streams.begun.get(stream_id)
-        if stream is None or stream.expires_at <= now:
-            return None
-        return messages.StreamVersion(stream_id, stream.software_version, stream.expires_at - now)
-
     def _handle_message(self, message: Any) -> None:
-        self._record_first_dispatcher()
+        self._batch_hold.record_link()
         if isinstance(message, messages.PreemptSlot):
             on_preempt = self._preemption_handlers.pop(message.number, None)
             if on_preempt is not None:
@@ -420,6 +412,7 @@
 
     def _handle_close(self) -> None:
         self._feed.close()
+        self._own_streams.record_connection_lost()
         for waiter in list(self._waiters.values()):
             if not waiter.result.ready():
                 waiter.result.set(None)
--- a/clementinepin/systems/stream_versions.py
+++ b/clementinepin/systems/stream_versions.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from typing import Final
+from enum import StrEnum
+from typing import Final, NamedTuple
 
 from clementinepin.tables.dispatch import DispatchTable, PendingRequest, TargetLoad
 from clementinepin.tables.streams import BegunStream, StreamTable
@@ -18,6 +19,23 @@
 STREAMS_MAX: Final = 100_000  # about 25 MB; the streams that were granted first are dropped
 
 
+class VersionSource(StrEnum):
+    """By what it is known at which version a request must run."""
+
+    UNBOUND = "unbound"
+    GIVEN = "given"
+    RECORDED = "recorded"
+    ONLY_VERSION = "only version"
+    UNKNOWN = "unknown"
+
+
+class RequiredVersion(NamedTuple):
+    """The version at which a request must run, empty for any, or None if it is unknown."""
+
+    version: str | None
+    source: VersionSource
+
+
 def record_versions(table: DispatchTable, versions: Iterable[tuple[str, str]], now: float) -> None:
     """Record the pairs of service and software version of all registered targets."""
     present: dict[str, set[str]] = {}
@@ -46,27 +64,67 @@
         del begun[next(iter(begun))]
 
 
+def record_told(table: DispatchTable, stream_id: str, connection: int, now: float) -> None:
+    """Record by which connection a dispatcher knows of a stream that is recorded."""
+    stream = find_stream(table, stream_id, now)
+    if stream is not None:
+        table.streams.begun[stream_id] = stream._replace(told_by=connection)
+
+
+def forget_stream(table: DispatchTable, stream_id: str) -> None:
+    """Forget at which version a stream was to begin, as it may have begun at another one."""
+    table.streams.begun.pop(stream_id, None)
+
+
+def find_stream(table: DispatchTable, stream_id: str, now: float) -> BegunStream | None:
+    """Return the record of a stream, or None without a valid one."""
+    stream = table.streams.begun.get(stream_id)
+    return stream if stream is not None and now < stream.expires_at else None
+
+
 def find_stream_version(table: DispatchTable, stream_id: str, now: float) -> str | None:
     """Return the version at which a stream began, or None if it is not recorded."""
-    stream = table.streams.begun.get(stream_id)
-    return stream.software_version if stream is not None and now < stream.expires_at else None
+    stream = find_stream(table, stream_id, now)
+    return stream.software_version if stream is not None else None
 
 
-def find_required_version(table: DispatchTable, request: PendingRequest, now: float) -> str | None:
-    """Return the version at which a request must run, empty for any, or None if it is unknown.
+def find_required_version(
+    table: DispatchTable, request: PendingRequest, now: float
+) -> RequiredVersion:
+    """Return the version at which a request must run.
 
-    The version of a stream that is not recorded is known if its service has had only one.
+    The version of a stream that is not recorded is known if its service has had only one until the
+    stream was resumed.
 
-    Load pattern: an instance that is cut off from the store during a release still has callers, and
+    Load pattern: an instance that is suspended or cut off during a release still has callers, and
     knows of the former version only. One that has just started sees the later version only.
     """
-    if request.software_version or not request.is_resumption:
-        return request.software_version
+    if request.software_version:
+        return RequiredVersion(request.software_version, VersionSource.GIVEN)
+    if not request.is_resumption:
+        return RequiredVersion("", VersionSource.UNBOUND)
     recorded = find_stream_version(table, request.stream_id, now)
     if recorded is not None:
-        return recorded
+        return RequiredVersion(recorded, VersionSource.RECORDED)
+    only_version = _find_only_version(table, request, now)
+    if only_version is None or table.streams.confirmed_at < request.resumed_at:
+        return RequiredVersion(None, VersionSource.UNKNOWN)
+    return RequiredVersion(only_version, VersionSource.ONLY_VERSION)
+
+
+def needs_confirmation(table: DispatchTable, request: PendingRequest, now: float) -> bool:
+    """Return whether the version of a request is known if the versions are confirmed now."""
+    return (
+        table.streams.confirmed_at < request.resumed_at
+        and find_required_version(table, request, now).source is VersionSource.UNKNOWN
+        and _find_only_version(table, request, now) is not None
+    )
+
+
+def _find_only_version(table: DispatchTable, request: PendingRequest, now: float) -> str | None:
+    """Return the only version that a request's service has had, None if there may be others."""
     streams = table.streams
-    if not streams.is_current or now - streams.complete_since < VERSION_MEMORY_S:
+    if now - streams.complete_since < VERSION_MEMORY_S:
         return None
     versions = list_versions(streams, now).get(request.service, set())
     return versions.pop() if len(versions) == 1 else None
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -40,7 +40,8 @@
     that a request is sent again. ``pace`` is the factor by which ``run_s`` was corrected.
     The caller gives up at ``timeout_at``, after all retries. With ``software_version`` only targets
     of that version may run it. ``stream_id`` is the request that began the stream, which its caller
-    may resume until ``stream_until``; ``is_resumption`` says that the caller does so now.
+    may resume until ``stream_until``; ``is_resumption`` says that the caller does so, with a
+    request that arrived at ``resumed_at``.
     """
 
     key: GrantKey
@@ -64,6 +65,7 @@
     stream_id: str = ""
     stream_until: float = 0.0
     is_resumption: bool = False
+    resumed_at: float = float("inf")
 
     @property
     def traits(self) -> frozenset[str]:
@@ -84,15 +86,19 @@
     """A granted slot. Times are monotonic seconds.
 
     ``ends_at`` is an estimate. ``due_at`` is the latest end at which the run is on time.
-    ``preempting`` is True once the run was asked to stop, at ``preempted_at``.
+    ``preempting`` is True once the run was asked to stop, at ``preempted_at``. ``new_stream_id`` is
+    the stream that the run is to begin, empty for others; ``has_response`` says that the target
+    has begun to respond.
     """
 
     __slots__ = (
         "due_at",
         "ends_at",
+        "has_response",
         "is_batch",
         "is_firm",
         "key",
+        "new_stream_id",
         "pace",
         "preempted_at",
         "preempting",
@@ -117,6 +123,8 @@
         self.due_at = request.on_time_by + request.run_s
         self.preempting = False
         self.preempted_at = 0.0
+        self.new_stream_id = "" if request.is_resumption else request.stream_id
+        self.has_response = False
 
     def request_preemption(self, now: float) -> None:
         """Record that the run was asked to stop."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,8 @@
 )
 from soak._faults import Faults
 from soak._fleet import ROOT, Fleet
+from soak._releases import NAME as RELEASE_NAME
+from soak._releases import Releases
 
 USAGE = """Soak the daemons under faults drawn by seeds.
 
@@ -69,7 +71,9 @@
         builds=choose_builds(args),
     )
     kinds = args["--kinds"].split(",") if args["--kinds"] else []
-    callers, faults = Callers(fleet, seed), Faults(fleet, seed, kinds)
+    callers = Callers(fleet, seed)
+    releases = Releases(fleet, callers, seed)
+    faults = Faults(fleet, releases, seed, kinds)
     try:
         gevent.sleep(float(args["--start"]))
         until = fleet.now() + float(args["--seconds"])
@@ -83,18 +87,15 @@
         gevent.joinall([sender, injector])
         faults.end_all()
         await_jobs(fleet, callers)
-        if not (fleet.has_two_builds or kinds):
-            check_calm(fleet, callers, float(args["--rate"]))
-        callers.check_runs()
-        if not callers.statuses.get(200):
-            callers.broken.append("no caller was served")
-        callers.broken += list_unexpected_ends(fleet) + list_contained(folder)
+        check_guarantees(fleet, callers, releases, kinds, float(args["--rate"]))
+        callers.broken += list_contained(folder)
     finally:
         fleet.stop()
     print(
         f"seed {seed}: {len(callers.jobs)} jobs, statuses {dict(sorted(callers.statuses.items()))}"
         f", of resumptions {dict(sorted(callers.resumed.items()))}"
     )
+    print("".join(f"  {line}\n" for line in releases.describe_outcomes()), end="")
     if callers.broken:
         print("\n".join(f"  {line}" for line in faults.log))
     return callers.broken
@@ -106,6 +107,21 @@
     return (build, Path(args["--beside"]).resolve()) if args["--beside"] else (build,)
 
 
+def check_guarantees(
+    fleet: Fleet, callers: Callers, releases: Releases, kinds: list[str], rate: float
+) -> None:
+    """Check the guarantees behind the last fault; record those that are violated."""
+    if not (fleet.has_two_builds or kinds):
+        check_calm(fleet, callers, rate)
+    is_release_drawn = not kinds or any(word in RELEASE_NAME for word in kinds)
+    if is_release_drawn and not fleet.has_two_builds:
+        releases.check_calm_streams()
+    callers.check_runs()
+    if not callers.statuses.get(200) or not callers.plain_count:
+        callers.broken.append("no caller of a stream, or none of a plain response, was served")
+    callers.broken += list_unexpected_ends(fleet)
+
+
 def check_calm(fleet: Fleet, callers: Callers, rate: float) -> None:
     """Check the guarantees that need a fleet without other faults."""
     check_odd_entries(fleet, callers, rate)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -13,8 +13,10 @@
 
 import gevent
 
-from soak._fleet import VERSIONS, Fleet, Instance
+from soak._fleet import SERVICE, VERSIONS, Fleet, Instance
 from soak._odd_entries import make_rows
+from soak._releases import NAME as RELEASE_NAME
+from soak._releases import Releases
 
 
 class Faults:
@@ -23,7 +25,11 @@
     With ``words`` only kinds whose name has one of them are injected.
     """
 
-    def __init__(self, fleet: Fleet, seed: int, words: Collection[str] = ()) -> None:
+    _version = 1  # of the configuration
+
+    def __init__(
+        self, fleet: Fleet, releases: Releases, seed: int, words: Collection[str] = ()
+    ) -> None:
         self._fleet = fleet
         self._random = random.Random(seed)
         self.log: list[str] = []
@@ -62,11 +68,11 @@
                 ("target repeats a refusal", lambda: self._spoil("refusals_to_repeat")),
                 ("target writes errors", lambda: self._spoil("errors_to_write")),
                 ("target truncates heads", lambda: self._spoil("heads_to_truncate")),
+                (RELEASE_NAME, releases.inject),
+                ("target stops within its head", lambda: self._spoil("heads_to_cut")),
                 ("odd entries of targets", self._write_odd_entries),
             ]
-        if words:
-            self._kinds = [k for k in self._kinds if any(word in k[0] for word in words)]
-        self._version = 1
+        self._kinds = [k for k in self._kinds if not words or any(w in k[0] for w in words)]
 
     def run(self, until: float, pause_s: float) -> None:
         """Inject faults until ``until``, with pauses of 0.3 to ``2 * pause_s`` seconds.
@@ -81,12 +87,13 @@
 
     def end_all(self) -> None:
         """Wait for the active faults, clear the others and start instances that are down."""
-        gevent.joinall(self._active, timeout=12)
+        gevent.joinall(self._active, timeout=15)
         for fault, value in self._fleet.gateway.faults.items():
             self._fleet.gateway.faults[fault] = type(value)()
         for instance in self._fleet.instances:
             instance.proxy.clear()
             instance.cut_links([], "", "")
+            instance.cut_off([], "", "")
             instance.send(signal.SIGCONT)
             if not instance.is_running():
                 instance.start()
@@ -162,7 +169,11 @@
         proxy.clear()
 
     def _choose_target(self) -> str:
-        return self._random.choice(sorted(self._fleet.targets))
+        return self._random.choice(sorted(self._list_targets()))
+
+    def _list_targets(self) -> list[str]:
+        """Return the engines that don't belong to a release."""
+        return [name for name, t in self._fleet.targets.items() if t.service == SERVICE]
 
     def _crash_target(self) -> None:
         self._fleet.crash_target(self._choose_target(), self._random.uniform(0.2, 1.0))
@@ -222,7 +233,7 @@
     def _kill_behind_a_release(self) -> None:
         """Replace all engines of a version by others, and kill all instances, or all entries."""
         former, later = self._random.sample(VERSIONS, 2)
-        names = [n for n, target in self._fleet.targets.items() if target.version == former]
+        names = [n for n in self._list_targets() if self._fleet.targets[n].version == former]
         only_fronts = self._random.random() < 0.5
         for name in names:
             self._fleet.add_target(f"{name}k", later)
--- a/tests/helpers/test_decoding.py
+++ b/tests/helpers/test_decoding.py
@@ -10,10 +10,13 @@
 from hypothesis import strategies as st
 
 from clementinepin.helpers.decoding import (
+    NESTING_MAX,
     REASON_MAX_CHARS,
+    check_nesting,
     guard_decoder,
     make_json_decoder,
     make_msgpack_decoder,
+    split_json_array,
 )
 
 DEPTH = 100_000
@@ -98,3 +101,44 @@
 def _decode_any(decode, data):
     with contextlib.suppress(msgspec.DecodeError):
         decode(data)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    rows=st.lists(
+        st.recursive(
+            st.none() | st.integers() | st.text(max_size=6),
+            lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=3), inner),
+            max_leaves=6,
+        )
+    )
+)
+def test_split_array_gives_the_elements(rows):
+    data = msgspec.json.encode(rows)
+    assert [msgspec.json.decode(row) for row in split_json_array(data)] == rows
+
+
+def test_split_array_gives_the_elements_beside_a_deeply_nested_one():
+    deep = b"[" * DEPTH + b"]" * DEPTH
+    assert split_json_array(b' [ {"a": "]\\"["} ,' + deep + b", 2 ] ") == [
+        b'{"a": "]\\"["}',
+        deep,
+        b"2",
+    ]
+
+
+@settings(derandomize=True, max_examples=300)
+@given(data=st.binary(max_size=30) | st.text('[]{},"\\a 1', max_size=30).map(str.encode))
+def test_split_array_gives_elements_or_a_decode_error(data):
+    with contextlib.suppress(msgspec.DecodeError):
+        assert all(isinstance(element, bytes) for element in split_json_array(data))
+
+
+@pytest.mark.parametrize(("open_", "close"), [(b"[", b"]"), (b'{"a":', b"1}")])
+def test_nesting_is_limited(open_, close):
+    decode = make_json_decoder()
+    check_nesting(decode(open_ * NESTING_MAX + close[:-1] + close[-1:] * NESTING_MAX))
+    deep = decode(open_ * (NESTING_MAX + 1) + close[:-1] + close[-1:] * (NESTING_MAX + 1))
+    with pytest.raises(msgspec.DecodeError):
+        check_nesting(deep)
+    check_nesting("text")
