Space the checks of software versions

A fleet that restarted as a whole would have read the targets and the version record once for each group of callers who resume streams, up to hundreds of times a second. A check now begins 0.1 s after the one before at the earliest, and serves all that arrived until then.

--- a/clementinepin/serving/_version_checks.py
+++ b/clementinepin/serving/_version_checks.py
@@ -19,6 +19,7 @@
 from clementinepin.serving._version_records import VersionRecords
 from clementinepin.tables.streams import StreamTable
 
+CHECK_GAP_S: Final = 0.1  # between the starts of two checks; each costs two reads of the store
 CONFIRM_TIMEOUT_S: Final = 0.5  # callers who are rejected after it still have time to come back
 
 
@@ -35,6 +36,9 @@
 
     A check counts for what happened before it began. Versions whose targets came and went since the
     last one are in the record.
+
+    Load pattern: all processes were killed, so that nobody remembers a stream, and all callers come
+    back within a second.
     """
 
     def __init__(self, fleet: FleetView, records: VersionRecords, clock: Clock) -> None:
@@ -43,6 +47,7 @@
         self._clock = clock
         self._tables: list[StreamTable] = []
         self._running: _Check | None = None
+        self._next_start_at = float("-inf")
 
     def add_table(self, streams: StreamTable) -> None:
         """Keep a table informed; until the first check its versions are not confirmed."""
@@ -65,7 +70,9 @@
         return self._running
 
     def _run(self, check: _Check) -> None:
+        gevent.sleep(max(0.0, self._next_start_at - self._clock.monotonic()))
         check.started_at = self._clock.monotonic()
+        self._next_start_at = check.started_at + CHECK_GAP_S
         try:
             self._fleet.read_targets()
             # Behind the targets: a version that is listed no more had time to be recorded.
--- a/tests/serving/test_version_checks.py
+++ b/tests/serving/test_version_checks.py
@@ -119,6 +119,19 @@
     assert streams.confirmed_at >= called_at
 
 
+def test_resumptions_one_after_the_other_share_the_calls_of_the_store() -> None:
+    """Mutation: begin each check at once: a fleet that restarted pays for hundreds of reads."""
+    store = MemoryStore()
+    checks, _ = create_checks(store)
+    checks.confirm()
+    waiting = []
+    for _ in range(20):
+        waiting.append(gevent.spawn(checks.confirm))
+        gevent.sleep(0)
+    gevent.joinall(waiting)
+    assert store.reads == 4
+
+
 def test_a_check_that_began_before_a_resumption_confirms_nothing_for_it() -> None:
     store = SlowStore()
     checks, streams = create_checks(store)
