--- a/tests/targets/scripted.py
+++ b/tests/targets/scripted.py
@@ -88,7 +88,7 @@
                 sock.close()
                 return False
             if step is HANG:
-                if sock.recv(1) == b"":
+                if is_closed(sock):
                     self.closed_by_peer.set()
                 return False
             try:
@@ -99,6 +99,14 @@
         return True
 
 
+def is_closed(sock):
+    """Return whether the peer closes the connection, with a reset if it left data unread."""
+    try:
+        return sock.recv(1) == b""
+    except ConnectionResetError:
+        return True
+
+
 def read_request(source):
     """Return method, path, headers and body of one request, or None at the end of file."""
     line = source.readline()
