--- a/tests/serving/test_version_checks.py
+++ b/tests/serving/test_version_checks.py
@@ -224,6 +224,17 @@
         acquire(pair.broker, again._replace(excluded=frozenset({"t0", "t2"})))
 
 
+def test_a_stream_that_no_dispatcher_was_told_of_may_begin_at_any_version() -> None:
+    """Mutation: keep to the first version: the last target of a version fails its retries too."""
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    pair.broker._link.stop()
+    slot = acquire(pair.broker, make_stream(pair, "q1"))
+    pair.broker.release(slot, RunOutcome.BROKEN)
+    again = make_stream(pair, "q1", excluded=frozenset({slot.target_id}))
+    assert acquire(pair.broker, again).software_version != slot.software_version
+
+
 def test_a_dispatcher_forgets_a_stream_whose_grant_may_not_have_arrived() -> None:
     pair = start_pair(targets=2)
     slots = [acquire(pair.broker, make_stream(pair, stream_id)) for stream_id in ("q1", "q2")]
