Keep a dispatcher that responds while two older ones don't

An instance that is cut off from two older dispatchers, or whose two older ones are suspended, was never connected to the third for more than a moment: two failed attempts take longer than RECONNECTED_S, so the third one's first data counted as the end of a cut of the instance itself, and the instance left it at once for those two, again and again.

A dispatcher that this instance has left itself is no sign of a cut, so the older ones stay skipped for SKIP_UNREACHED_S. Ruled out: only going back if the one that responds was skipped too, as another instance may be the first that is tried behind a cut.

--- a/clementinepin/serving/_dispatcher_link.py
+++ b/clementinepin/serving/_dispatcher_link.py
@@ -68,6 +68,7 @@
         self._checked_at = clock.monotonic()
         self._stalled_at = float("-inf")
         self._lost_at = float("-inf")
+        self._has_left = False
         self.dispatcher: Member | None = None
         self.last_received_at = 0.0
         self.on_open: Callable[[str], None] = lambda _name: None
@@ -131,6 +132,7 @@
         """Drop the connection if another instance should now be the dispatcher."""
         chosen = self._choose_dispatcher()
         if (chosen and chosen.name) != (self.dispatcher and self.dispatcher.name):
+            self._has_left = self._sender is not None
             self.drop()
 
     def _drop_if_suspected(self, sender: messages.MessageSender) -> None:
@@ -200,13 +202,16 @@
         """Record that a dispatcher responds.
 
         If none did for a while, this instance was cut off itself: the one that it had before is
-        well, and only that one knows the streams of the other instances.
+        well, and only that one knows the streams of the other instances. If this instance has left
+        a dispatcher for older ones that don't respond, these are skipped.
         """
         self._is_suspected = False
         self._responsive.set()
         self._skipped_until.pop(member.name, None)
         logger.bind(dispatcher=member.name).info("dispatcher_regained")
-        if self._skipped_until and self._clock.monotonic() - self._lost_at > RECONNECTED_S:
+        has_left, self._has_left = self._has_left, False
+        was_cut_off = self._clock.monotonic() - self._lost_at > RECONNECTED_S and not has_left
+        if self._skipped_until and was_cut_off:
             self._skipped_until.clear()
             gevent.spawn(self.recheck_dispatcher)
 
