Bind streams to a version only if a dispatcher was told it

Without any dispatcher, or with local placement, each retry of a stream was bound to the version of its first target, though nobody else knew of it. If that target was the last one of its version, the request failed although targets of another one had free slots.

The test failed before with 'no target with a free slot is known', and passed on. A slot that is taken alone counts as told only with a connection; a stream that is recorded again at the same version stays told.

--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -360,7 +360,8 @@
         self._link.send(
             messages.SlotTaken(describe_slot(number, *self._taken[number], now), stream)
         )
-        self._own_streams.record_told(request)
+        if self._link.dispatcher_name:
+            self._own_streams.record_told(request)
         return Slot(number, target.target_id, True, target.software_version)
 
     def _record_taken(
--- a/clementinepin/systems/stream_versions.py
+++ b/clementinepin/systems/stream_versions.py
@@ -58,8 +58,11 @@
     if not stream_id or expires_at <= now:
         return
     begun = table.streams.begun
-    begun.pop(stream_id, None)
-    begun[stream_id] = BegunStream(software_version, expires_at)
+    former = begun.pop(stream_id, None)
+    told_by = 0
+    if former is not None and former.software_version == software_version:
+        told_by = former.told_by
+    begun[stream_id] = BegunStream(software_version, expires_at, told_by)
     while begun and (len(begun) > STREAMS_MAX or next(iter(begun.values())).expires_at <= now):
         del begun[next(iter(begun))]
 
--- a/tests/serving/test_slot_versions.py
+++ b/tests/serving/test_slot_versions.py
@@ -95,3 +95,15 @@
     for slot in slots:
         pair.broker.release(slot, RunOutcome.CANCELLED)
     assert acquire(pair.broker, make_stream(pair, "q3")).software_version == "v1"
+
+
+def test_without_any_dispatcher_a_stream_that_has_not_begun_is_bound_to_no_version() -> None:
+    """Guards against requests that fail though targets of another version could run them."""
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    pair.broker._link.stop()
+    stream = make_stream(pair, "q1")
+    slot = acquire(pair.broker, stream)
+    pair.broker.release(slot, RunOutcome.BROKEN)
+    other = acquire(pair.broker, stream._replace(excluded=frozenset({slot.target_id})))
+    assert other.target_id != slot.target_id
