Bind a stream to its version when the dispatcher is lost meanwhile

A stream's request was bound before the dispatcher was asked only. If its connection was lost then, the instance went on by itself with the request that is not bound, and began the stream at another version than the one that the lost dispatcher still tells the others.

The test failed before: the stream got a target of the other version. The request is bound again before the instance decides alone.

--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -157,7 +157,10 @@
         slot = self._ask_dispatcher(request, on_waiting)
         if slot is None and self._await_dispatcher(request):
             slot = self._ask_dispatcher(request, on_waiting)
-        return slot if slot is not None else self._decide_locally(request)
+        if slot is None:
+            request = self._own_streams.bind(request, is_linked=self._link.is_responsive)
+            slot = self._decide_locally(request)
+        return slot
 
     def _ask_dispatcher(
         self, request: SlotRequest, on_waiting: Callable[[Callable[[], None]], None]
--- a/tests/serving/test_slot_versions.py
+++ b/tests/serving/test_slot_versions.py
@@ -8,6 +8,7 @@
 import gevent
 import pytest
 
+from clementinepin.serving import _messages as messages
 from clementinepin.serving._slot_requests import SlotRequest
 from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving.exceptions import OverloadedError
@@ -107,3 +108,22 @@
     pair.broker.release(slot, RunOutcome.BROKEN)
     other = acquire(pair.broker, stream._replace(excluded=frozenset({slot.target_id})))
     assert other.target_id != slot.target_id
+
+
+def test_a_stream_is_bound_to_its_version_if_the_dispatcher_is_lost_while_it_is_asked() -> None:
+    """Guards against a stream that begins at a version of which no dispatcher hears."""
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    slot = acquire(pair.broker, make_stream(pair, "q1"))
+    pair.broker.release(slot, RunOutcome.BROKEN)
+    again = make_stream(pair, "q1", excluded=frozenset({slot.target_id}))
+    send = pair.broker._link.send
+
+    def lose_connection(message: object) -> None:
+        if isinstance(message, messages.RequestSlot):
+            pair.broker._link.stop()
+        send(message)  # type: ignore[arg-type]
+
+    pair.broker._link.send = lose_connection  # type: ignore[method-assign]
+    with pytest.raises(OverloadedError):
+        acquire(pair.broker, again)
