Show a stale version at a dispatcher that was left (failing test)

A stream is granted at v1, its target fails before the first event, and the instance goes on through a second dispatcher, which grants v2. The first one still tells others v1. Seen in both cases, whether the target had begun to respond or not.

--- a/tests/serving/test_slot_versions.py
+++ b/tests/serving/test_slot_versions.py
@@ -127,3 +127,31 @@
     pair.broker._link.send = lose_connection  # type: ignore[method-assign]
     with pytest.raises(OverloadedError):
         acquire(pair.broker, again)
+
+
+@pytest.mark.parametrize("has_response", [False, True])
+def test_a_dispatcher_that_was_left_keeps_no_version_at_which_a_stream_did_not_begin(
+    has_response: bool,
+) -> None:
+    """The instance begins the stream at another version through a second dispatcher."""
+    pair, other = start_pair(targets=2), start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    set_versions(other, "v1", "v2")
+    slot = acquire(pair.broker, make_stream(pair, "q1"))
+    if has_response:
+        pair.broker.report_load(slot, None, None)
+    pair.broker.release(slot, RunOutcome.BROKEN)
+    gevent.sleep(0.05)
+    link, (second,) = pair.broker._link, other.broker._fleet.members
+    pair.broker._fleet.members[:] = [second._replace(name="d2")]
+    link.recheck_dispatcher()
+    with gevent.Timeout(5.0):
+        while not (link.dispatcher_name == "d2" and link.is_responsive):
+            gevent.sleep(0.005)
+    again = make_stream(pair, "q1", excluded=frozenset({slot.target_id}))
+    try:
+        begun = acquire(pair.broker, again).software_version
+    except OverloadedError:
+        return
+    known = pair.dispatcher.table.streams.begun.get("q1")
+    assert known is None or known.software_version == begun
