Keep a stream at the version that a dispatcher that was left was told

A stream was granted at v1, its target failed before the first event, and the instance went on through a second dispatcher. The hello had told that one of the stream, so the instance took it for corrected, and the second one granted v2; the first one still told others v1, as only grants that are still open are forgotten at the end of a connection.

An instance records the first dispatcher that it told, by name, and only that one can correct the version. Otherwise the stream begins at the version that was told. Fails without it: test_a_dispatcher_that_was_left_keeps_no_version_at_which_a_stream_did_not_begin.

--- a/clementinepin/serving/_dispatcher_link.py
+++ b/clementinepin/serving/_dispatcher_link.py
@@ -94,6 +94,11 @@
         """Return the name of the connected dispatcher, empty without a connection."""
         return self.dispatcher.name if self.dispatcher and self._sender is not None else ""
 
+    @property
+    def responsive_name(self) -> str:
+        """Return the name of the dispatcher that responds, empty without any."""
+        return self.dispatcher_name if self.is_responsive else ""
+
     def await_reconnection(self, deadline: float) -> bool:
         """Wait until a dispatcher is responsive; return whether one is.
 
--- a/clementinepin/serving/_own_streams.py
+++ b/clementinepin/serving/_own_streams.py
@@ -15,36 +15,31 @@
     Load pattern: the connection to a dispatcher breaks behind a grant, and the target fails before
     the first event. The dispatcher still takes the stream for one of the version that it granted,
     and callers may resume it through other instances, so it must begin at that version.
-
-    ``_connection`` counts the connections to dispatchers.
     """
 
     def __init__(self, table: DispatchTable, clock: Clock) -> None:
         self._table = table
         self._clock = clock
-        self._connection = 1
 
-    def bind(self, request: SlotRequest, *, is_linked: bool) -> SlotRequest:
-        """Return the request with the version at which it must run, if this instance knows one."""
+    def bind(self, request: SlotRequest, dispatcher: str) -> SlotRequest:
+        """Return the request with the version at which it must run, if this instance knows one.
+
+        ``dispatcher`` is the one that responds, empty without any.
+        """
         if request.software_version or not request.stream_id:
             return request
         now = self._clock.monotonic()
         stream = stream_versions.find_stream(self._table, request.stream_id, now)
         if stream is None:
             return request
-        is_corrected = is_linked and stream.told_by == self._connection
-        if request.is_resumption or (stream.told_by and not is_corrected):
+        if request.is_resumption or stream.told not in ("", dispatcher):
             return request._replace(software_version=stream.software_version)
         return request
 
-    def record_told(self, request: SlotRequest) -> None:
-        """Record that the connected dispatcher knows at which version a stream begins."""
+    def record_told(self, request: SlotRequest, dispatcher: str) -> None:
+        """Record that a dispatcher knows at which version a stream begins."""
         now = self._clock.monotonic()
-        stream_versions.record_told(self._table, request.stream_id, self._connection, now)
-
-    def record_connection_lost(self) -> None:
-        """Record that a dispatcher may not hear of corrections any more."""
-        self._connection += 1
+        stream_versions.record_told(self._table, request.stream_id, dispatcher, now)
 
     def describe(self, stream_id: str) -> messages.StreamVersion | None:
         """Return what a dispatcher should know about a stream; None if it can't be resumed."""
@@ -54,11 +49,11 @@
             return None
         return messages.StreamVersion(stream_id, stream.software_version, stream.expires_at - now)
 
-    def describe_all(self) -> list[messages.StreamVersion]:
+    def describe_all(self, dispatcher: str) -> list[messages.StreamVersion]:
         """Return what a new dispatcher should know; it is told with the next message."""
         now = self._clock.monotonic()
         rows = [self.describe(stream_id) for stream_id in self._table.streams.begun]
         described = [row for row in rows if row is not None]
         for row in described:
-            stream_versions.record_told(self._table, row.stream_id, self._connection, now)
+            stream_versions.record_told(self._table, row.stream_id, dispatcher, now)
         return described
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -153,12 +153,12 @@
         ``on_waiting`` receives a function that cancels the wait. Raises OverloadedError if the
         request is rejected and CallerGoneError if the wait is cancelled.
         """
-        request = self._own_streams.bind(request, is_linked=self._link.is_responsive)
+        request = self._own_streams.bind(request, self._link.responsive_name)
         slot = self._ask_dispatcher(request, on_waiting)
         if slot is None and self._await_dispatcher(request):
             slot = self._ask_dispatcher(request, on_waiting)
         if slot is None:
-            request = self._own_streams.bind(request, is_linked=self._link.is_responsive)
+            request = self._own_streams.bind(request, self._link.responsive_name)
             slot = self._decide_locally(request)
         return slot
 
@@ -171,6 +171,7 @@
         if request.is_batch:
             self._batch_hold.check_linked()
         self._decides_alone = False
+        dispatcher = self._link.dispatcher_name
         number = next(self._numbers)
         waiter = _Waiter(request)
         self._waiters[number] = waiter
@@ -190,7 +191,7 @@
             self._waiters.pop(number, None)
         if isinstance(reply, messages.GrantSlot):
             self._record_taken(number, request, reply.target_id, reply.limit_per_s)
-            self._own_streams.record_told(request)
+            self._own_streams.record_told(request, dispatcher)
             return Slot(number, reply.target_id, False, reply.software_version)
         if isinstance(reply, messages.RejectSlot):
             raise OverloadedError(reply.reason, reply.retry_after_s, list_inputs(reply))
@@ -363,8 +364,7 @@
         self._link.send(
             messages.SlotTaken(describe_slot(number, *self._taken[number], now), stream)
         )
-        if self._link.dispatcher_name:
-            self._own_streams.record_told(request)
+        self._own_streams.record_told(request, self._link.dispatcher_name)
         return Slot(number, target.target_id, True, target.software_version)
 
     def _record_taken(
@@ -386,7 +386,7 @@
         return messages.Hello(
             self._name,
             [describe_slot(number, *self._taken[number], now) for number in self._taken],
-            self._own_streams.describe_all(),
+            self._own_streams.describe_all(self._link.dispatcher_name),
             [describe_broken_run(run, at, now) for run, at in self._broken_runs],
             target_limits.list_limits(self._table),
             list(self._fleet.targets.list_leaving()),
@@ -416,7 +416,6 @@
 
     def _handle_close(self) -> None:
         self._feed.close()
-        self._own_streams.record_connection_lost()
         for waiter in list(self._waiters.values()):
             if not waiter.result.ready():
                 waiter.result.set(None)
--- a/clementinepin/systems/stream_versions.py
+++ b/clementinepin/systems/stream_versions.py
@@ -59,19 +59,22 @@
         return
     begun = table.streams.begun
     former = begun.pop(stream_id, None)
-    told_by = 0
+    told = ""
     if former is not None and former.software_version == software_version:
-        told_by = former.told_by
-    begun[stream_id] = BegunStream(software_version, expires_at, told_by)
+        told = former.told
+    begun[stream_id] = BegunStream(software_version, expires_at, told)
     while begun and (len(begun) > STREAMS_MAX or next(iter(begun.values())).expires_at <= now):
         del begun[next(iter(begun))]
 
 
-def record_told(table: DispatchTable, stream_id: str, connection: int, now: float) -> None:
-    """Record by which connection a dispatcher knows of a stream that is recorded."""
+def record_told(table: DispatchTable, stream_id: str, dispatcher: str, now: float) -> None:
+    """Record that a dispatcher knows of a stream that is recorded, unless another one did before.
+
+    That one would not hear of a correction.
+    """
     stream = find_stream(table, stream_id, now)
-    if stream is not None:
-        table.streams.begun[stream_id] = stream._replace(told_by=connection)
+    if stream is not None and not stream.told:
+        table.streams.begun[stream_id] = stream._replace(told=dispatcher)
 
 
 def forget_stream(table: DispatchTable, stream_id: str) -> None:
--- a/clementinepin/tables/streams.py
+++ b/clementinepin/tables/streams.py
@@ -9,12 +9,12 @@
 class BegunStream(NamedTuple):
     """A stream that a target was granted to; ``expires_at`` is in monotonic seconds.
 
-    ``told_by`` is the connection by which a dispatcher knows of it, 0 if none does.
+    ``told`` is the first dispatcher that an instance has told of it, empty if there is none.
     """
 
     software_version: str
     expires_at: float
-    told_by: int = 0
+    told: str = ""
 
 
 class RunEnd(NamedTuple):
