Keep requests of two processes of an instance apart in version checks

An instance that restarts within a check numbers its requests from 1 again. The wait of the former process's request then took the place of the later one of the same number, and its grant went to the wrong caller.

The test failed before: the former request was submitted. A waiting request is compared itself, not by its key. An unexpected error in the wait is logged as those of other messages are.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -70,7 +70,7 @@
         self.on_causes_changed: Callable[[list[CauseChange]], None] = lambda _changes: None
         self.confirm_versions: Callable[[], None] = lambda: None
         self.table = DispatchTable(policy.order, policy.disabled)
-        self._unconfirmed: set[GrantKey] = set()
+        self._unconfirmed: dict[GrantKey, PendingRequest] = {}
         links.handle(messages.Hello, self._handle_hello)
         links.handle(messages.RequestSlot, self._handle_request)
         links.handle(messages.SlotTaken, self._handle_slot_taken)
@@ -140,7 +140,7 @@
         now = self._clock.monotonic()
         pending = make_pending_request(link.name, message, now)
         if stream_versions.needs_confirmation(self.table, pending, now):
-            self._unconfirmed.add(pending.key)
+            self._unconfirmed[pending.key] = pending
             gevent.spawn(self._submit_confirmed, link, pending)
             link.send(messages.SlotQueued())
         else:
@@ -148,10 +148,13 @@
 
     def _submit_confirmed(self, link: Link, pending: PendingRequest) -> None:
         """Submit a request once all versions are known, unless it was withdrawn meanwhile."""
-        self.confirm_versions()
-        if pending.key in self._unconfirmed:
-            self._unconfirmed.discard(pending.key)
-            self._submit(link, pending)
+        with contain_failure("version_check", member=link.name):
+            self.confirm_versions()
+        # A request of the same number may be one of the instance's next process.
+        if self._unconfirmed.get(pending.key) is pending:
+            del self._unconfirmed[pending.key]
+            with contain_failure("message", message="RequestSlot", member=link.name):
+                self._submit(link, pending)
 
     def _submit(self, link: Link, pending: PendingRequest) -> None:
         now = self._clock.monotonic()
@@ -176,7 +179,7 @@
         now = self._clock.monotonic()
         outcome = read_outcome(message.outcome)
         key = (link.name, message.number)
-        self._unconfirmed.discard(key)
+        self._unconfirmed.pop(key, None)
         grant = self.table.grants.get(key)
         with self._log_avoidance(key, outcome):
             dispatching.finish(
@@ -286,7 +289,8 @@
     def _release_all(self, name: str) -> None:
         """Release an instance's slots and requests; its next hello, if any, lists slots in use."""
         now = self._clock.monotonic()
-        self._unconfirmed -= {key for key in self._unconfirmed if key[0] == name}
+        for key in [key for key in self._unconfirmed if key[0] == name]:
+            del self._unconfirmed[key]
         dispatching.forget_streams_in_doubt(self.table, name)
         for key in [k for k in (*self.table.grants, *self.table.list_waiting()) if k[0] == name]:
             dispatching.finish(self.table, key, RunOutcome.CANCELLED, now)
--- a/tests/serving/test_version_checks.py
+++ b/tests/serving/test_version_checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gevent
+import gevent.event
 import pytest
 
 from clementinepin.helpers.clock import create_system_clock
@@ -13,6 +14,7 @@
 from clementinepin.serving._outages import StoreOutages
 from clementinepin.serving._version_checks import VersionChecks
 from clementinepin.serving._version_records import VersionRecord, VersionRecords, _encode
+from clementinepin.serving._slot_requests import make_request_message
 from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.systems import stream_versions
 from clementinepin.systems.dispatch_actions import RunOutcome
@@ -244,3 +246,33 @@
     gevent.sleep(0.1)
     assert seen[0] == "d2"
     assert link.dispatcher_name == name
+
+
+def test_a_request_of_a_restarted_instance_is_not_taken_for_its_former_one() -> None:
+    """Its numbers begin again, and requests of the former process may still wait for a check."""
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v1")
+    dispatcher, now = pair.dispatcher, pair.broker._clock.monotonic()
+    dispatcher.table.streams.confirmed_at = 0.0
+    waits = [gevent.event.Event(), gevent.event.Event()]
+    pending_waits = iter(waits)
+    dispatcher.confirm_versions = lambda: next(pending_waits).wait() and None
+    link = dispatcher._links["f1"]
+    former, later = (
+        make_request_message(
+            "a", 1, make_stream(pair, stream_id, is_resumption=True), [], now
+        )
+        for stream_id in ("q8", "q9")
+    )
+    dispatcher._handle_request(link, former)
+    gevent.sleep(0)
+    dispatcher._handle_hello(link, pair.broker._make_hello())
+    dispatcher._handle_request(link, later)
+    gevent.sleep(0)
+    dispatcher.table.streams.confirmed_at = float("inf")
+    waits[0].set()
+    gevent.sleep(0.01)
+    assert "q8" not in dispatcher.table.streams.begun
+    waits[1].set()
+    gevent.sleep(0.01)
+    assert "q9" in dispatcher.table.streams.begun
