End the wait for a slot if the caller left between two waits

A caller who left while versions were confirmed or a dispatcher was awaited was not noticed by the wait that followed: its request stayed in the queue until its deadline.

The test failed before with a timeout. A wait that begins for a caller who has left is cancelled at once.

--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -148,6 +148,8 @@
 
         def set_cancel_wait(cancel: Callable[[], None]) -> None:
             call.cancel_wait = cancel
+            if call.gone:  # the caller left between two waits
+                cancel()
 
         try:
             return self._slots.acquire(request, set_cancel_wait)
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -455,3 +455,24 @@
     response = call(harness.port, ID)
     assert b"X-A: caf\xe9\r\n" in response
     assert response.endswith(b"answer")
+
+
+def test_the_wait_for_a_slot_ends_if_the_caller_left_before_it_began(harness: Harness) -> None:
+    """Guards against requests that wait in a queue for a caller who left between two waits."""
+    harness.set_route(resumable=True)
+    cancelled = []
+
+    def acquire(_request: Any, on_waiting: Any) -> Any:
+        on_waiting(lambda: None)
+        with contextlib.suppress(OSError):
+            caller.close()
+        gevent.sleep(0.1)
+        on_waiting(lambda: cancelled.append(True))
+        raise OverloadedError("test", 0.1)
+
+    harness.slots.acquire = acquire  # type: ignore[method-assign]
+    caller = socket.create_connection(("127.0.0.1", harness.port))
+    caller.sendall(b"GET /x/1 HTTP/1.1\r\nHost: h.example\r\n" + ID.encode() + b"\r\n\r\n")
+    with gevent.Timeout(5.0):
+        while not cancelled:
+            gevent.sleep(0.01)
