Keep damaged records and clock steps from completing the memory of versions

A version record that could not be read counted as none, so that an instance with the mark of a first start took all versions for known. And since each check merges the record again, a wall clock that was set forward by the memory's length completed a memory that began a moment ago. Both would resume streams that nobody remembers at the only version left.

A record that is there rules a first start out, and the time since which the versions are complete is converted only when it becomes known.

--- a/clementinepin/serving/_version_records.py
+++ b/clementinepin/serving/_version_records.py
@@ -110,7 +110,8 @@
         if record is not None:
             since_ms = record.complete_since_ms
         else:
-            since_ms = 0 if is_first_start else int(self._clock.wall() * 1000)
+            is_first = is_first_start and row is None
+            since_ms = 0 if is_first else int(self._clock.wall() * 1000)
         versions = record.versions if record is not None else {}
         since_ms = self._merge(versions, since_ms)
         self._row = row or KeyValue(self._key, b"", 0)
@@ -118,12 +119,17 @@
         log.bind(store_version=self._row.version).info("version_record_read")
 
     def _merge(self, versions: dict[str, list[str]], since_ms: int) -> int:
-        """Merge the versions of a record; return since when they are complete (Unix ms)."""
-        if self._complete_since_ms is not None:
-            since_ms = min(since_ms, self._complete_since_ms)
-        self._complete_since_ms = since_ms
-        now = self._clock.monotonic()
-        complete_since = now - max(0.0, self._clock.wall() - since_ms / 1000)
+        """Merge the versions of a record; return since when they are complete (Unix ms).
+
+        A time that is known already is not converted again, as the wall clock may be set meanwhile.
+        """
+        now, known_ms = self._clock.monotonic(), self._complete_since_ms
+        complete_since = float("inf")
+        if known_ms is None or since_ms < known_ms:
+            self._complete_since_ms = since_ms
+            complete_since = now - max(0.0, self._clock.wall() - since_ms / 1000)
+        else:
+            since_ms = known_ms
         for streams in self._tables:
             stream_versions.merge_versions(streams, versions, complete_since, now)
         return since_ms
--- a/tests/serving/test_version_records.py
+++ b/tests/serving/test_version_records.py
@@ -8,6 +8,7 @@
 import pytest
 
 from clementinepin.helpers.clock import create_system_clock
+from clementinepin.infrastructure import KeyValue
 from clementinepin.serving import _version_records
 from clementinepin.serving._version_records import VersionRecords
 from clementinepin.serving.models import Member
@@ -163,3 +164,33 @@
     writer.show("v2")
     writer.table.streams.gone_at["llm"]["v1"] -= VERSION_MEMORY_S
     wait_until(lambda: has_versions(store, "v2"))
+
+
+def test_a_record_that_cannot_be_read_is_not_taken_for_a_first_start(store: MemoryStore) -> None:
+    """Guards against versions that count as all known as their record is damaged."""
+    store.rows["cp/versions"] = KeyValue("cp/versions", b"\xc1", 1)
+    store.version = 1
+    instance = Instance(store, "v1", first=True)
+    wait_until(lambda: instance.records._complete_since_ms is not None)
+    assert instance.find_version() is None
+
+
+def test_a_step_of_the_wall_clock_completes_no_memory_of_versions(store: MemoryStore) -> None:
+    instance = Instance(store, "v1")
+    wait_until(lambda: "cp/versions" in store.rows)
+    assert instance.find_version() is None
+    wall = instance.clock.wall
+    instance.clock = instance.records._clock = ShiftedWall(wall)  # type: ignore[assignment]
+    instance.records.read_again()
+    assert instance.find_version() is None
+
+
+class ShiftedWall:
+    """The system's clock, whose wall time was set forward."""
+
+    def __init__(self, wall: Callable[[], float]) -> None:
+        self._wall = wall
+        self.monotonic = create_system_clock().monotonic
+
+    def wall(self) -> float:
+        return self._wall() + 10 * VERSION_MEMORY_S
