--- a/clementinepin/serving/_version_checks.py
+++ b/clementinepin/serving/_version_checks.py
@@ -20,9 +20,6 @@
 from clementinepin.tables.streams import StreamTable
 
 CONFIRM_TIMEOUT_S: Final = 0.5  # callers who are rejected after it still have time to come back
-# Between the starts of two checks. The instances share the store's rate limit, and all may resume
-# streams at once behind a restart of the fleet.
-PERIOD_S: Final = 0.05
 
 
 class _Check:
@@ -46,7 +43,6 @@
         self._clock = clock
         self._tables: list[StreamTable] = []
         self._running: _Check | None = None
-        self._started_at = float("-inf")
 
     def add_table(self, streams: StreamTable) -> None:
         """Keep a table informed; until the first check its versions are not confirmed."""
@@ -69,8 +65,7 @@
         return self._running
 
     def _run(self, check: _Check) -> None:
-        gevent.sleep(max(0.0, self._started_at + PERIOD_S - self._clock.monotonic()))
-        check.started_at = self._started_at = self._clock.monotonic()
+        check.started_at = self._clock.monotonic()
         try:
             self._fleet.read_targets()
             # Behind the targets: a version that is listed no more had time to be recorded.
