--- a/tests/serving/test_version_checks.py
+++ b/tests/serving/test_version_checks.py
@@ -272,9 +272,7 @@
     dispatcher.confirm_versions = lambda: next(pending_waits).wait() and None
     link = dispatcher._links["f1"]
     former, later = (
-        make_request_message(
-            "a", 1, make_stream(pair, stream_id, is_resumption=True), [], now
-        )
+        make_request_message("a", 1, make_stream(pair, stream_id, is_resumption=True), [], now)
         for stream_id in ("q8", "q9")
     )
     dispatcher._handle_request(link, former)
