--- a/tests/serving/test_version_checks.py
+++ b/tests/serving/test_version_checks.py
@@ -12,9 +12,9 @@
 from clementinepin.serving import _version_checks
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._outages import StoreOutages
+from clementinepin.serving._slot_requests import make_request_message
 from clementinepin.serving._version_checks import VersionChecks
 from clementinepin.serving._version_records import VersionRecord, VersionRecords, _encode
-from clementinepin.serving._slot_requests import make_request_message
 from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.systems import stream_versions
 from clementinepin.systems.dispatch_actions import RunOutcome
