Show a stale version behind a withdrawn request (failing test)

A dispatcher that answers late grants v1, reads the withdrawal behind it, and keeps v1 for a stream that its instance begins by itself. Nothing forgets it at the end of the connection, as the grant is closed.

--- a/tests/serving/test_slot_versions.py
+++ b/tests/serving/test_slot_versions.py
@@ -9,7 +9,7 @@
 import pytest
 
 from clementinepin.serving import _messages as messages
-from clementinepin.serving._slot_requests import SlotRequest
+from clementinepin.serving._slot_requests import SlotRequest, make_request_message
 from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.systems.dispatch_actions import RunOutcome
@@ -155,3 +155,18 @@
         return
     known = pair.dispatcher.table.streams.begun.get("q1")
     assert known is None or known.software_version == begun
+
+
+def test_a_dispatcher_forgets_a_stream_whose_request_was_withdrawn_behind_its_grant() -> None:
+    """Its instance has waited for the grant too long, and begins the stream by itself."""
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    link = pair.dispatcher._links["f1"]
+    now = pair.broker._clock.monotonic()
+    request = make_request_message("a", 77, make_stream(pair, "q1"), [], now)
+    pair.dispatcher._handle_request(link, request)
+    assert "q1" in pair.dispatcher.table.streams.begun
+    withdrawal = messages.ReleaseSlot(77, RunOutcome.CANCELLED)
+    pair.dispatcher._handle_release(link, withdrawal)
+    pair.dispatcher._release_all("f1")
+    assert "q1" not in pair.dispatcher.table.streams.begun
