--- a/tests/serving/test_slot_versions.py
+++ b/tests/serving/test_slot_versions.py
@@ -8,7 +8,8 @@
 import gevent
 import pytest
 
-from clementinepin.serving._slot_requests import SlotRequest
+from clementinepin.serving import _messages as messages
+from clementinepin.serving._slot_requests import SlotRequest, make_request_message
 from clementinepin.serving._slots import SlotBroker
 from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.systems.dispatch_actions import RunOutcome
@@ -95,3 +96,77 @@
     for slot in slots:
         pair.broker.release(slot, RunOutcome.CANCELLED)
     assert acquire(pair.broker, make_stream(pair, "q3")).software_version == "v1"
+
+
+def test_without_any_dispatcher_a_stream_that_has_not_begun_is_bound_to_no_version() -> None:
+    """Guards against requests that fail though targets of another version could run them."""
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    pair.broker._link.stop()
+    stream = make_stream(pair, "q1")
+    slot = acquire(pair.broker, stream)
+    pair.broker.release(slot, RunOutcome.BROKEN)
+    other = acquire(pair.broker, stream._replace(excluded=frozenset({slot.target_id})))
+    assert other.target_id != slot.target_id
+
+
+def test_a_stream_is_bound_to_its_version_if_the_dispatcher_is_lost_while_it_is_asked() -> None:
+    """Guards against a stream that begins at a version of which no dispatcher hears."""
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    slot = acquire(pair.broker, make_stream(pair, "q1"))
+    pair.broker.release(slot, RunOutcome.BROKEN)
+    again = make_stream(pair, "q1", excluded=frozenset({slot.target_id}))
+    send = pair.broker._link.send
+
+    def lose_connection(message: object) -> None:
+        if isinstance(message, messages.RequestSlot):
+            pair.broker._link.stop()
+        send(message)  # type: ignore[arg-type]
+
+    pair.broker._link.send = lose_connection  # type: ignore[method-assign]
+    with pytest.raises(OverloadedError):
+        acquire(pair.broker, again)
+
+
+@pytest.mark.parametrize("has_response", [False, True])
+def test_a_dispatcher_that_was_left_keeps_no_version_at_which_a_stream_did_not_begin(
+    has_response: bool,
+) -> None:
+    """The instance begins the stream at another version through a second dispatcher."""
+    pair, other = start_pair(targets=2), start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    set_versions(other, "v1", "v2")
+    slot = acquire(pair.broker, make_stream(pair, "q1"))
+    if has_response:
+        pair.broker.report_load(slot, None, None)
+    pair.broker.release(slot, RunOutcome.BROKEN)
+    gevent.sleep(0.05)
+    link, (second,) = pair.broker._link, other.broker._fleet.members
+    pair.broker._fleet.members[:] = [second._replace(name="d2")]
+    link.recheck_dispatcher()
+    with gevent.Timeout(5.0):
+        while not (link.dispatcher_name == "d2" and link.is_responsive):
+            gevent.sleep(0.005)
+    again = make_stream(pair, "q1", excluded=frozenset({slot.target_id}))
+    try:
+        begun = acquire(pair.broker, again).software_version
+    except OverloadedError:
+        return
+    known = pair.dispatcher.table.streams.begun.get("q1")
+    assert known is None or known.software_version == begun
+
+
+def test_a_dispatcher_forgets_a_stream_whose_request_was_withdrawn_behind_its_grant() -> None:
+    """Its instance has waited for the grant too long, and begins the stream by itself."""
+    pair = start_pair(targets=2)
+    set_versions(pair, "v1", "v2")
+    link = pair.dispatcher._links["f1"]
+    now = pair.broker._clock.monotonic()
+    request = make_request_message("a", 77, make_stream(pair, "q1"), [], now)
+    pair.dispatcher._handle_request(link, request)
+    assert "q1" in pair.dispatcher.table.streams.begun
+    withdrawal = messages.ReleaseSlot(77, RunOutcome.CANCELLED)
+    pair.dispatcher._handle_release(link, withdrawal)
+    pair.dispatcher._release_all("f1")
+    assert "q1" not in pair.dispatcher.table.streams.begun
