Forget a stream whose run is released before its target responded

A slow dispatcher that granted a slot after its instance had stopped waiting took the stream for one of that version, though the instance went on by itself and began it at another one.

--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -181,6 +181,9 @@
         key = (link.name, message.number)
         self._unconfirmed.pop(key, None)
         grant = self.table.grants.get(key)
+        if grant is not None and not (grant.has_response or message.events):
+            # No target has begun the stream; its instance may do so at another version.
+            stream_versions.forget_stream(self.table, grant.new_stream_id)
         with self._log_avoidance(key, outcome):
             dispatching.finish(
                 self.table, key, outcome, now, succeeded=message.succeeded, events=message.events
