Take a relay's reply without a page for no reading

list_hedged took it for an empty range, so that the versions of the targets counted as confirmed by a reading that read nothing.

--- a/clementinepin/serving/_relay.py
+++ b/clementinepin/serving/_relay.py
@@ -185,7 +185,9 @@
         def list_page(after: str) -> Page:
             call = messages.StoreCall(0, "list", key=prefix, after=after)
             page = self._hedge(lambda: self._direct_store.list_page(prefix, after), call).page
-            return page or Page([], 0)
+            if page is None:
+                raise ReplyLostError(f"a relay returned no page of {prefix!r}")
+            return page
 
         return _read_all_pages(list_page)
 
