Let the target that ended a stream check its end if the others are full

A complete stream without framing was cut visibly if no other target of its version had a free slot for the check of its end: the target that ended the stream was excluded from it for good. It is asked again now once the others can't be.

--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -29,6 +29,7 @@
     the end of the newest response's body, empty if there was no response. ``ends`` has the
     runs that ended behind the last event without proof. ``target_version`` is the
     software version of the newest target, ``software_version`` the one whose events were passed on.
+    ``spared`` are targets that are excluded only while others can be asked.
     ``resumed_at_event_id`` is the last event before the newest run. ``relay`` is the instance
     through which the newest response came, empty for the own link. ``link_lost`` says that the
     newest run was lost on the way to its target.
@@ -52,6 +53,7 @@
         self.maybe_run = False
         self.can_resend = True
         self.excluded: set[str] = set()
+        self.spared: set[str] = set()
         self.response_started = False
         self.last_event_id = facts.last_event_id
         self.resumed_at_event_id = facts.last_event_id
@@ -98,6 +100,18 @@
         patience_s = estimates.estimate_patience(self.route.objective_s, self.route.gap_objective_s)
         return min(self.deadline, now + patience_s * RESUME_STALL_SHARE)
 
+    def spare_target(self) -> None:
+        """Exclude the newest target as long as others can be asked."""
+        if self.target_id not in self.excluded:
+            self.excluded.add(self.target_id)
+            self.spared.add(self.target_id)
+
+    def stop_sparing(self) -> bool:
+        """Allow the spared targets again; return whether there was any."""
+        self.excluded -= self.spared
+        had_spared, self.spared = bool(self.spared), set()
+        return had_spared
+
     def renew_abort(self) -> None:
         """Prepare the next attempt, which an abort of the last one must not end."""
         if not self.gone:
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -154,6 +154,8 @@
         try:
             return self._slots.acquire(request, set_cancel_wait)
         except OverloadedError as err:
+            if call.stop_sparing():
+                return self._acquire_slot(call)
             log = self._log(call).bind(reason=str(err), **err.inputs)
             log.bind(retry_after_s=round(err.retry_after_s, 3)).info("request_rejected")
             if call.response_started or call.maybe_run:
@@ -293,7 +295,7 @@
             if ResponseForwarder(connection, call, self._clock).forward(exchange):
                 call.has_succeeded = exchange.status < STATUS_SUCCESS_BELOW
             elif self._fleet.targets.has_other(call.target_id, call.excluded):
-                call.excluded.add(call.target_id)  # the other one's word on the end proves more
+                call.spare_target()  # the other one's word on the end proves more
         except TargetLostError as err:
             exchange.close()
             return self._record_target_lost(call, err)
--- a/tests/serving/test_unframed_responses.py
+++ b/tests/serving/test_unframed_responses.py
@@ -9,7 +9,14 @@
 
 from clementinepin.serving.models import RouteKind
 from tests.serving.harness import ID, Harness, close_at_once, get_status, send_events
-from tests.serving.scripted import UNNAMED_REFUSAL, ScriptedTarget, call, make_event, make_plain
+from tests.serving.scripted import (
+    UNNAMED_REFUSAL,
+    ScriptedTarget,
+    call,
+    make_event,
+    make_plain,
+    refuse,
+)
 
 FAILED = b"HTTP/1.1 500 No\r\nContent-Length: 4\r\n\r\noops"
 
@@ -259,6 +266,19 @@
     assert sum(len(target.requests) for target in targets) == min(attempts, 3)
 
 
+def test_the_target_that_ended_a_stream_checks_its_end_if_the_others_are_full(
+    harness: Harness,
+) -> None:
+    """Guards against complete streams that were cut at a peak, as no other target had a slot."""
+    harness.set_route(resumable=True, attempts_max=4)
+    whole, silent = send_events(1, 2, framed=False), send_events(framed=False)
+    harness.add_target(ScriptedTarget(whole, silent, silent))
+    harness.add_target(ScriptedTarget(refuse))
+    response = call(harness.port, ID)
+    assert response.endswith(b"0\r\n\r\n")
+    assert response.count(b"data: e") == 2
+
+
 def test_two_targets_that_truncate_prove_no_end_behind_a_run_that_broke_off(
     harness: Harness,
 ) -> None:
