--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -9,13 +9,12 @@
 import itertools
 import random
 from collections import deque
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
+from contextlib import AbstractContextManager
 from typing import Any, Final
 
 import gevent
 from gevent.event import AsyncResult
-from loguru import logger
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving import _messages as messages
@@ -28,6 +27,7 @@
 from clementinepin.serving._own_streams import OwnStreams
 from clementinepin.serving._pools import TargetPools
 from clementinepin.serving._resumption_logs import log_resumption
+from clementinepin.serving._silence import SilenceWatch
 from clementinepin.serving._slot_requests import (
     Slot,
     SlotRequest,
@@ -42,9 +42,7 @@
 from clementinepin.systems import (
     crash_causes,
     dispatching,
-    estimates,
     stream_versions,
-    target_health,
     target_limits,
 )
 from clementinepin.systems.dispatch_actions import RunOutcome
@@ -106,7 +104,6 @@
         self.on_causes_found: Callable[[list[CauseChange]], None] = lambda _changes: None
         self._decides_alone = False
         self._broken_runs: deque[tuple[BrokenRun, float]] = deque(maxlen=BROKEN_RUNS_MAX)
-        self._response_times = estimates.ResponseTimes()
         suspect_s = SUSPECT_S if Mechanism.DISPATCHER_SUSPICION not in policy.disabled else 0.0
         self._link = DispatcherLink(fleet, clock, self._make_hello, self._handle_message, suspect_s)
         self._batch_hold = BatchHold(fleet, self._link, clock)
@@ -114,6 +111,7 @@
         self._link.on_closed = self._handle_close
         self._table = DispatchTable(policy.order, policy.disabled)
         self._own_streams = OwnStreams(self._table, clock)
+        self._silence = SilenceWatch(name, self._table, pools, self._link, clock)
 
     def start(self) -> None:
         """Follow the targets and, unless placement is local, connect to the dispatcher."""
@@ -270,38 +268,15 @@
             messages.ReportLoad(slot.number, reported, limit_per_s, leaving_started_at_ms)
         )
 
-    @contextmanager
     def watch_silence(
         self, slot: Slot, request_id: str, on_link_lost: Callable[[], bool]
-    ) -> Iterator[None]:
-        """Report the slot's target if the block, which waits for its response, takes long.
+    ) -> AbstractContextManager[None]:
+        """Return a context that reports the slot's target if it does not respond in the usual time.
 
-        If the own link to the target is lost, ``on_link_lost`` is called instead: the target may
-        serve all others. It returns whether the response was to come by that link.
+        ``on_link_lost`` is called instead if the own link to the target is lost; see SilenceWatch.
         """
         service = self._taken[slot.number][0].service
-        sent_at = self._clock.monotonic()
-        silent_after_s = self._response_times.get_silent_after_s(service)
-        timer = gevent.spawn_later(
-            silent_after_s, self._report_silence, slot, request_id, on_link_lost
-        )
-        try:
-            yield
-            self._response_times.record(service, self._clock.monotonic() - sent_at)
-        finally:
-            timer.kill(block=False)
-
-    def _report_silence(
-        self, slot: Slot, request_id: str, on_link_lost: Callable[[], bool]
-    ) -> None:
-        log = logger.bind(request_id=request_id, target=slot.target_id)
-        if self._pools.is_link_silent(slot.target_id) and on_link_lost():
-            log.info("target_link_silent")
-            return
-        log.bind(dispatcher=self.dispatcher_name).info("target_silent")
-        key = (self._name, slot.number)
-        target_health.record_silence(self._table, key, self._clock.monotonic())
-        self._link.send(messages.ReportSilence(slot.number))
+        return self._silence.watch(slot, service, request_id, on_link_lost)
 
     def watch_preemption(self, slot: Slot, on_preempt: Callable[[], None]) -> None:
         """Call ``on_preempt`` when the dispatcher preempts the slot, at once if it already did."""
--- a/tests/serving/test_slots.py
+++ b/tests/serving/test_slots.py
@@ -21,7 +21,7 @@
 from clementinepin.serving.exceptions import CallerGoneError, OverloadedError
 from clementinepin.serving.models import Member, Placement, Policy, Target
 from clementinepin.serving.store import StoreFollower
-from clementinepin.systems import dispatching
+from clementinepin.systems import dispatching, estimates
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.tables.dispatch import PendingRequest
 from clementinepin.tables.leaving import TargetStart
@@ -357,7 +357,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Mutation: never stop the timer: each target is avoided some time after its response."""
-    monkeypatch.setattr(_slots.estimates, "SILENT_MIN_S", 0.02)
+    monkeypatch.setattr(estimates, "SILENT_MIN_S", 0.02)
     pair = start_pair(1)
     target = pair.dispatcher.table.targets["t0"]
     slot = acquire(pair.broker, make_request(create_system_clock().monotonic()))
@@ -375,7 +375,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against one cut-off instance that makes all others avoid sound targets."""
-    monkeypatch.setattr(_slots.estimates, "SILENT_MIN_S", 0.02)
+    monkeypatch.setattr(estimates, "SILENT_MIN_S", 0.02)
     pair = start_pair(1)
     target = pair.dispatcher.table.targets["t0"]
     slot = acquire(pair.broker, make_request(create_system_clock().monotonic()))
