--- a/clementinepin/serving/_dispatcher_link.py
+++ b/clementinepin/serving/_dispatcher_link.py
@@ -44,7 +44,9 @@
     suspected, and no slots are requested from it until it sends something. It is dropped only if
     it stays silent, because two dispatchers at a time grant the same slots twice.
 
-    ``last_received_at`` is the monotonic time of the last data received, in seconds.
+    ``last_received_at`` is the monotonic time of the last data received, in seconds, ``_lost_at``
+    when the last dispatcher stopped responding and ``_checked_at`` when this process last looked.
+    ``_has_left`` is set from when a dispatcher was left for an older one until one responds.
     """
 
     def __init__(
