Wait for the report of a retirement in its test, not for 50 ms

Its log shows the order being handled at the end of the test's fixed pause of 50 ms, in which other tests' probes held the process up for 23 ms. It now waits until the completion is reported, at most 5 s, and checks the same.

--- a/tests/serving/test_retirement.py
+++ b/tests/serving/test_retirement.py
@@ -20,6 +20,10 @@
     gevent.sleep(0.01)
 
 
+def read_state(store: MemoryStore, key: str) -> object:
+    return msgspec.json.decode(store.rows[key].value)
+
+
 def order(store: MemoryStore, name: str) -> None:
     store.apply(Change({}, {f"op/retire/{name}": b'{"duration_s":10}'}))
     gevent.sleep(0.05)
@@ -32,9 +36,11 @@
     start(store, left)
     store.faults.append("unavailable")
     order(store, SETTINGS.name)
+    key = f"status/retire/{SETTINGS.name}"
+    with gevent.Timeout(5.0):
+        while store.rows.get(key) is None or read_state(store, key) != {"state": "completed"}:
+            gevent.sleep(0.005)
     assert left == [True]
-    row = store.rows[f"status/retire/{SETTINGS.name}"]
-    assert msgspec.json.decode(row.value) == {"state": "completed"}
 
 
 def test_an_order_for_another_instance_is_ignored():
