--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -201,6 +201,7 @@
         self.id = ""
         self.born = 0
         self.state = "ready"
+        self.service = SERVICE
 
     def start(self) -> None:
         """Start, as a new boot with a new id at the same address, and register."""
@@ -215,6 +216,22 @@
         self._fleet.record.write(f"worker {self.id} starts on port {self.port}")
         gevent.spawn(self._beat, self.boots)
 
+    def report_draining(self) -> None:
+        """Report that this worker leaves; it goes on serving."""
+        self.state = "draining"
+        self._fleet.record.write(f"worker {self.id} reports that it drains")
+        self._sequence += 1
+        self._fleet.store.state.put(f"servers/{self.id}", self._encode_entry(), None, self._lease)
+
+    def leave(self) -> None:
+        """End after the last run; the entry is removed."""
+        self.is_up = False
+        self._fleet.record.write(f"worker {self.id} leaves with {self.running} runs")
+        self._fleet.store.state.revoke_lease(self._lease)
+        self._server.close()
+        for sock in list(self._sockets):
+            sock.close()
+
     def crash(self) -> None:
         """End all runs and connections; the entry in the store stays until its lease ends."""
         self.is_up = False
@@ -235,7 +252,7 @@
 
     def _encode_entry(self) -> bytes:
         entry = {
-            "service": SERVICE,
+            "service": self.service,
             "address": f"127.0.0.1:{self.port}",
             "zone": "a",
             "version": "v1",
@@ -379,7 +396,9 @@
 
     def put_config(self, version: int, routes: list[dict[str, Any]] | None = None) -> None:
         """Write a desired state, as the operator does."""
-        services = [{"name": SERVICE, "health_path": "/health", "max_connections": 360}]
+        names = sorted({SERVICE, *(worker.service for worker in self.workers)})
+        common = {"health_path": "/health", "max_connections": 360}
+        services = [{"name": name, **common} for name in names]
         config = {"version": version, "routes": routes or self._routes, "services": services}
         self.store.state.put("op/config", json.dumps(config).encode(), None)
 
