--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -174,9 +174,9 @@
             self.process.wait(10)
 
 
-def make_text(request_id: str, number: int) -> str:
-    """Return the data of one event of a request's stream."""
-    return hashlib.sha256(f"{request_id}/{number}".encode()).hexdigest()[:24]
+def make_text(request_id: str, number: int, service: str = SERVICE) -> str:
+    """Return the data of one event of a request's stream, as the model of a service writes it."""
+    return hashlib.sha256(f"{service}/{request_id}/{number}".encode()).hexdigest()[:24]
 
 
 class Worker:
@@ -329,7 +329,8 @@
         fields = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
         sock.sendall(self.make_head("200 OK", request_id, fields))
         for number in range(first, count + 1):
-            event = f"id: {number}\ndata: {make_text(stream_id, number)}\n\n".encode()
+            data = make_text(stream_id, number, self.service)
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
             run["events"] = number
             gevent.sleep(self.step_s)
