--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -174,9 +174,12 @@
             self.process.wait(10)
 
 
-def make_text(request_id: str, number: int, service: str = SERVICE) -> str:
-    """Return the data of one event of a request's stream, as the model of a service writes it."""
-    return hashlib.sha256(f"{service}/{request_id}/{number}".encode()).hexdigest()[:24]
+def make_text(
+    request_id: str, number: int, service: str = SERVICE, version: str = "v1"
+) -> str:
+    """Return the data of one event of a request's stream, as a service and version writes it."""
+    text = f"{service}/{version}/{request_id}/{number}"
+    return hashlib.sha256(text.encode()).hexdigest()[:24]
 
 
 class Worker:
@@ -202,11 +205,14 @@
         self.born = 0
         self.state = "ready"
         self.service = SERVICE
+        self.version = "v1"
+        self.keeps_id = False
 
     def start(self) -> None:
-        """Start, as a new boot with a new id at the same address, and register."""
+        """Start, as a new boot at the same address, and register; mostly with a new id."""
         self.boots += 1
-        self.id = f"i-{self.number}-{self.boots}"
+        if not (self.id and self.keeps_id):
+            self.id = f"i-{self.number}-{self.boots}"
         self.born = int(time.time() * 1000)
         self._server = StreamServer(("127.0.0.1", self.port), self._serve)
         self._server.start()
@@ -243,6 +249,9 @@
     def _beat(self, boot: int) -> None:
         state, clock = self._fleet.store.state, self._fleet.store.clock
         while self.is_up and boot == self.boots:
+            if self._fleet.store.faults["down"]:
+                gevent.sleep(0.05)
+                continue
             now = clock.monotonic()
             if not self._lease or state.keep_lease(self._lease, now) is None:
                 self._lease = state.grant_lease(3 * HEARTBEAT_S, now)
@@ -255,7 +264,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
             "zone": "a",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "cold_remaining_ms": 0,
@@ -329,7 +338,7 @@
         fields = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
         sock.sendall(self.make_head("200 OK", request_id, fields))
         for number in range(first, count + 1):
-            data = make_text(stream_id, number, self.service)
+            data = make_text(stream_id, number, self.service, self.version)
             event = f"id: {number}\ndata: {data}\n\n".encode()
             sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
             run["events"] = number
@@ -395,6 +404,16 @@
     def fronts(self) -> list[Daemon]:
         return [d for d in self.daemons if d.role == "front"]
 
+    def take_store_down(self, for_s: float) -> None:
+        """Let the store answer 503 to all calls for a time, during which leases pause."""
+        self.record.write("the platform's store is down")
+        self.store.faults["down"] = True
+        gevent.sleep(for_s)
+        for lease in self.store.state._leases.values():
+            lease.deadline += for_s
+        self.store.faults["down"] = False
+        self.record.write("the platform's store is up")
+
     def put_config(self, version: int, routes: list[dict[str, Any]] | None = None) -> None:
         """Write a desired state, as the operator does."""
         names = sorted({SERVICE, *(worker.service for worker in self.workers)})
