--- a/review/6/case.py
+++ b/review/6/case.py
@@ -144,7 +144,8 @@
         busy = len(recent) * 2 > sum(worker.slots for worker in self.fleet.workers)
         self.record.write(
             f"{len(unlisted)} items unlisted, of these {len(at_workers)} at a worker in the last"
-            f" {CALM_S} s; {len(finished)} items finished in the last 3 s; workers half full: {busy}"
+            f" {CALM_S} s; {len(finished)} items finished in the last 3 s;"
+            f" workers half full: {busy}"
         )
         for run in self.fleet.runs:
             self.record.write(f"run {run}")
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -174,9 +174,7 @@
             self.process.wait(10)
 
 
-def make_text(
-    request_id: str, number: int, service: str = SERVICE, version: str = "v1"
-) -> str:
+def make_text(request_id: str, number: int, service: str = SERVICE, version: str = "v1") -> str:
     """Return the data of one event of a request's stream, as a service and version writes it."""
     text = f"{service}/{version}/{request_id}/{number}"
     return hashlib.sha256(text.encode()).hexdigest()[:24]
@@ -402,6 +400,7 @@
 
     @property
     def fronts(self) -> list[Daemon]:
+        """Return the daemons that serve clients."""
         return [d for d in self.daemons if d.role == "front"]
 
     def take_store_down(self, for_s: float) -> None:
@@ -494,12 +493,14 @@
         lines.append(f"Content-Length: {len(body)}")
     data = b""
     try:
-        with gevent.Timeout(timeout_s, OSError("timeout")):
-            with socket.create_connection((ip, port), timeout=1.0) as sock:
-                sock.settimeout(timeout_s)
-                sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-                while piece := sock.recv(READ_SIZE):
-                    data += piece
+        with (
+            gevent.Timeout(timeout_s, OSError("timeout")),
+            socket.create_connection((ip, port), timeout=1.0) as sock,
+        ):
+            sock.settimeout(timeout_s)
+            sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            while piece := sock.recv(READ_SIZE):
+                data += piece
     except OSError:
         pass
     return parse(data)
@@ -533,7 +534,9 @@
             "id": item,
             "path": f"{path}{item}",
             "headers": headers
-            | {"Clementinepin-Prompt-Prefix": headers["Clementinepin-Prompt-Prefix"] + f",{item}:9"},
+            | {
+                "Clementinepin-Prompt-Prefix": headers["Clementinepin-Prompt-Prefix"] + f",{item}:9"
+            },
             "body": base64.b64encode(b"item").decode(),
             "tokens": tokens,
         }
