--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import gevent
-from fleet import SERVICE, Fleet, Record, Worker, call, make_job, read_results
+from fleet import SERVICE, Fleet, Record, Worker, call, end_on_signals, make_job, read_results
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SHARED = "5c1e07a2:200"  # the application's system prompt, in calls and batch items alike
@@ -160,6 +160,7 @@
     """Play the case once."""
     record = Record(Path(__file__).parent / "record.txt")
     record.write(f"trouble: {TROUBLE}")
+    end_on_signals()
     case: Any = None
     try:
         case = Case(record)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A worker writes a few of its 500 answers twice; items are given up before their last attempt."""
+"""The operator moves a batch route to another service by weights; its items don't follow."""
 
 from __future__ import annotations
 
@@ -9,137 +9,118 @@
 from typing import Any
 
 import gevent
-from fleet import SERVICE, Fleet, Record, Worker, call, make_job, read_results
+from fleet import SERVICE, Fleet, Record, Worker, call, end_on_signals, make_job, read_results
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-FAILING_PERIOD = 50  # each 50th item fails twice; its first 500 answer is written twice
-JOBS, ITEMS = 40, 10
-ITEM_EVENTS = 4
-MAX_ATTEMPTS = 3
-WAIT_S = 60.0
-ROUTES = [
-    {
-        "name": "jobs",
-        "host": "review.example",
-        "path_prefix": "/jobs/",
-        "service": SERVICE,
-        "kind": "batch",
-        "timeout_ms": 15000,
-        "target_latency_ms": 500,
-        "gap_target_ms": 200,
-        "run_target_ms": 18000,
-        "retention_s": 100,
-        "max_attempts": MAX_ATTEMPTS,
-        "max_count": 2_000_000,
-        "sticky": True,
-        "resumable": True,
-        "priority": 2,
-    },
-]
-
-
-class FailingWorker(Worker):
-    """A worker that answers 500 to the first two runs of each FAILING_PERIOD-th item.
-
-    With the disruption it writes the first of these answers a second time, where the next answer
-    on the connection is expected. The copy has the id of the answer.
-    """
-
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        self._copies: dict[Any, bytes] = {}
-        self.failures: dict[str, int] = {}
-        self.answers = 0
-        self.copies = 0
-
-    def run(self, sock: Any, request_id: str, headers: dict[str, str], run: Any) -> bool:
-        """Run a request; write a copy of the connection's last answer before, if there is one."""
-        copy = self._copies.pop(sock, b"")
-        if copy:
-            self._fleet.record.write(f"the 500 answer to {request_id} is written a second time")
-            sock.sendall(copy)
-        self.answers += 1
-        number = int(request_id.rpartition("i")[2])
-        count = self.failures.get(request_id, 0)
-        if number % FAILING_PERIOD or count == MAX_ATTEMPTS - 1:
-            return super().run(sock, request_id, headers, run)
-        gevent.sleep(3 * self.step_s)
-        self.failures[request_id] = count + 1
-        run["status"] = 500
-        answer = self.make_head("500 Internal Server Error", request_id, "Content-Length: 0\r\n")
-        self._fleet.record.write(f"500 to {request_id}, number {count + 1}")
-        sock.sendall(answer)
-        if TROUBLE and not count:
-            self.copies += 1
-            self._copies[sock] = answer
-        return True
+NEW_SERVICE = "llm-new"
+CONFIG_DEADLINE_S = 2.0
+DRAIN_TIMEOUT_S = 2.0
+FINISH_DEADLINE_S = 18.0
+CALM_S = 5.0
+ITEM_EVENTS = 10
+ROUTE = {
+    "name": "jobs",
+    "host": "review.example",
+    "path_prefix": "/jobs/",
+    "kind": "batch",
+    "timeout_ms": 15000,
+    "target_latency_ms": 500,
+    "gap_target_ms": 200,
+    "run_target_ms": 18000,
+    "retention_s": 60,
+    "max_attempts": 3,
+    "max_count": 2_000_000,
+    "sticky": True,
+    "resumable": True,
+    "priority": 2,
+}
+SPLITS = {
+    1: [{"service": SERVICE, "weight": 100}, {"service": NEW_SERVICE, "weight": 0}],
+    2: [{"service": SERVICE, "weight": 0}, {"service": NEW_SERVICE, "weight": 100}],
+}
 
 
 class Case:
-    """The traffic and the check."""
+    """The changes of the desired state, the traffic and the check."""
 
     def __init__(self, record: Record) -> None:
         self.record = record
-        self.fleet = Fleet(record, ROUTES)
-        self.workers = [FailingWorker(self.fleet, n, step_s=0.02) for n in range(2)]
-        self.workers[1].failures = self.workers[0].failures
-        self.fleet.workers = list(self.workers)
+        self.fleet = Fleet(record, [ROUTE | {"traffic_split": SPLITS[1]}])
+        self.workers = [Worker(self.fleet, n, step_s=0.05) for n in range(6)]
+        for worker in self.workers[1:]:
+            worker.service = NEW_SERVICE
+        self.fleet.workers = self.workers
         self.jobs: dict[str, list[str]] = {}
 
     def run(self) -> bool:
         """Play the case; return whether the rule held."""
         self.fleet.start()
+        self.send_job("job1")
+        gevent.sleep(4.0)
+        if TROUBLE:
+            self.fleet.put_config(2, [ROUTE | {"traffic_split": SPLITS[2]}])
+            self.record.write(f"the desired state 2 is confirmed: {SPLITS[2]}")
+        gevent.sleep(2 * CONFIG_DEADLINE_S)
+        self.send_job("job2")
+        gevent.sleep(4.0)
+        if TROUBLE:
+            for worker in self.workers[:1]:
+                worker.report_draining()
+            gevent.sleep(2 * DRAIN_TIMEOUT_S)
+            for worker in self.workers[:1]:
+                worker.leave()
+        gevent.sleep(1.0)
+        self.send_job("job3")
+        self.record.write("traffic ends")
+        gevent.sleep(FINISH_DEADLINE_S)
+        return self.check()
+
+    def send_job(self, job: str) -> None:
+        """Submit a batch job until it is accepted."""
+        items = [f"{job}i{n}" for n in range(10)]
         headers = {
             "Clementinepin-Model": "m",
             "Clementinepin-Token-Count": f"230,{ITEM_EVENTS}",
             "Clementinepin-Prompt-Prefix": "5c1e07a2:200",
         }
-        for n in range(JOBS):
-            job = f"job{n}"
-            items = [f"{job}i{ITEMS * n + k}" for k in range(1, ITEMS + 1)]
-            body = make_job(items, headers, "/jobs/", 240)
+        body = make_job(items, headers, "/jobs/", 240)
+        for front in self.fleet.fronts:
             sent = {"Clementinepin-Request-Id": job, "Content-Type": "application/json"}
-            front = self.fleet.fronts[n % 2]
             port = self.fleet.ports["front"]
             answer = call(front.ip, port, "POST", f"/jobs/{job}", sent, body)
             self.record.write(f"{job} submitted at {front.name}: {answer.status}")
             if answer.status == 202:
                 self.jobs[job] = items
-            gevent.sleep(0.7)
-        deadline = self.record.now() + WAIT_S
-        results: dict[str, dict[str, Any]] = {}
-        while self.record.now() < deadline and len(results) < len(self.jobs) * ITEMS:
-            gevent.sleep(0.5)
-            for job in self.jobs:
-                for result in read_results(self.fleet, job) or []:
-                    results[result["id"]] = result
-        return self.check(results)
-
-    def check(self, results: dict[str, dict[str, Any]]) -> bool:
-        """Return whether no item was given up before MAX_ATTEMPTS answers of 500."""
-        dead = [name for name, row in results.items() if row["state"] == "dead_lettered"]
-        broken = [n for n in dead if self.workers[0].failures.get(n, 0) < MAX_ATTEMPTS]
-        answers = sum(worker.answers for worker in self.workers)
-        copies = sum(worker.copies for worker in self.workers)
+                return
+
+    def check(self) -> bool:
+        """Return whether all items are listed, or the rule excuses it."""
+        end = self.record.now()
+        unlisted: set[str] = set()
+        for job, items in self.jobs.items():
+            results = read_results(self.fleet, job)
+            if results is None:
+                raise RuntimeError(f"{job} can't be read")
+            listed = {result["id"] for result in results}
+            self.record.write(f"{job}: {len(listed)} of {len(items)} items listed")
+            unlisted.update(set(items) - listed)
+        for run in self.fleet.runs:
+            self.record.write(f"run {run}")
+        recent = [r for r in self.fleet.runs if r["end"] is None or r["end"] > end - CALM_S]
         self.record.write(
-            f"{len(results)} items listed; {copies} of {answers} answers were written twice"
+            f"{len(unlisted)} items unlisted; {len(recent)} runs at workers in the last {CALM_S} s"
         )
-        for run in self.fleet.runs:
-            if run["id"] in broken:
-                self.record.write(f"run {run}")
-        for name in broken:
-            count = self.workers[0].failures.get(name, 0)
-            self.record.write(f"{name} is dead_lettered after {count} answers of 500")
-        if len(results) < len(self.jobs) * ITEMS or not results:
-            raise RuntimeError("not all items were listed")
-        self.record.write("MIXED is broken" if broken else "MIXED held")
-        return not broken
+        if len(self.jobs) < 3:
+            raise RuntimeError("not all batch jobs were accepted")
+        self.record.write("LOST is broken" if unlisted and not recent else "LOST held")
+        return not (unlisted and not recent)
 
 
 def main() -> int:
     """Play the case once."""
     record = Record(Path(__file__).parent / "record.txt")
     record.write(f"trouble: {TROUBLE}")
+    end_on_signals()
     case: Any = None
     try:
         case = Case(record)
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -84,6 +84,13 @@
 """
 
 
+def end_on_signals() -> None:
+    """Let SIGTERM and SIGINT end the case like an error, so that it ends what it started."""
+    main = gevent.getcurrent()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, gevent.kill, main, SystemExit(2))
+
+
 def find_port() -> int:
     """Return a port that is free on all loopback addresses."""
     with socket.socket() as sock:
