--- a/review/6/case.py
+++ b/review/6/case.py
@@ -74,7 +74,7 @@
             if at >= 4.0 * sent_jobs:
                 sent_jobs += 1
                 gevent.spawn(self.send_job, f"job{sent_jobs}")
-            gevent.sleep(self.random.uniform(0.12, 0.28))
+            gevent.sleep(self.random.uniform(0.1, 0.22))
         self.record.write("traffic ends")
         gevent.sleep(FINISH_DEADLINE_S)
         return self.check()
