--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -10,6 +10,7 @@
 import hashlib
 import json
 import os
+import random
 import shlex
 import signal
 import subprocess
@@ -31,6 +32,7 @@
 SERVICE = "llm"
 HEARTBEAT_S = 1.2
 READ_SIZE = 65_536
+LISTEN_PORTS = (12_000, 30_000)
 BOUNDS = """seed_staleness_s = 3
 reuse_delay_s = 2
 contact_ms = 3000
@@ -92,10 +94,18 @@
 
 
 def find_port() -> int:
-    """Return a port that is free on all loopback addresses."""
-    with socket.socket() as sock:
-        sock.bind(("0.0.0.0", 0))
-        return int(sock.getsockname()[1])
+    """Return a port that is free on all loopback addresses.
+
+    It is below those that the system gives to outgoing connections.
+    """
+    while True:
+        port = random.randrange(*LISTEN_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+        return port
 
 
 class Record:
@@ -438,11 +448,18 @@
         deadline = time.monotonic() + 25
         for front in self.fronts:
             while call(front.ip, self.ports["ready"], "GET", "/v1/ready", {}).status != 200:
+                self._check_running()
                 if time.monotonic() > deadline:
                     raise RuntimeError(f"{front.name} isn't ready")
                 gevent.sleep(0.2)
         gevent.sleep(3.0)
 
+    def _check_running(self) -> None:
+        for daemon in self.daemons:
+            if daemon.process is not None and daemon.process.poll() is not None:
+                last = (self.folder / f"{daemon.name}.log").read_text()[-600:]
+                raise RuntimeError(f"{daemon.name} has ended: {last}")
+
     def stop(self) -> None:
         """End all processes and servers."""
         for daemon in self.daemons:
