--- a/review/10/case.py
+++ b/review/10/case.py
@@ -12,7 +12,10 @@
 from fleet import SERVICE, Fleet, Record, Worker, call, end_on_signals, make_job, read_results
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-FAILING_PERIOD = 50  # each 50th item fails twice; its first 500 answer is written twice
+FAILING_PERIOD = 10  # each 10th item fails twice
+GARBLE_AT_S = 3.0  # of the traffic
+GARBLE_S = 5.0
+GARBLE_SHARE = 0.03  # of the answers of the one worker that writes some twice
 JOBS, ITEMS = 40, 10
 ITEM_EVENTS = 4
 MAX_ATTEMPTS = 3
@@ -41,14 +44,16 @@
 class FailingWorker(Worker):
     """A worker that answers 500 to the first two runs of each FAILING_PERIOD-th item.
 
-    With the disruption it writes the first of these answers a second time, where the next answer
-    on the connection is expected. The copy has the id of the answer.
+    While it ``garbles``, it writes GARBLE_SHARE of its answers a second time, where the next answer
+    on the connection is expected: some of those to the first run of an item. The copy has the id
+    of the answer.
     """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._copies: dict[Any, bytes] = {}
         self.failures: dict[str, int] = {}
+        self.garbles = False
         self.answers = 0
         self.copies = 0
 
@@ -58,7 +63,7 @@
         if copy:
             self._fleet.record.write(f"the 500 answer to {request_id} is written a second time")
             sock.sendall(copy)
-        self.answers += 1
+        self.answers += self.garbles
         number = int(request_id.rpartition("i")[2])
         count = self.failures.get(request_id, 0)
         if number % FAILING_PERIOD or count == MAX_ATTEMPTS - 1:
@@ -69,7 +74,7 @@
         answer = self.make_head("500 Internal Server Error", request_id, "Content-Length: 0\r\n")
         self._fleet.record.write(f"500 to {request_id}, number {count + 1}")
         sock.sendall(answer)
-        if TROUBLE and not count:
+        if self.garbles and not count and self.copies + 1 <= GARBLE_SHARE * self.answers:
             self.copies += 1
             self._copies[sock] = answer
         return True
@@ -94,6 +99,8 @@
             "Clementinepin-Token-Count": f"230,{ITEM_EVENTS}",
             "Clementinepin-Prompt-Prefix": "5c1e07a2:200",
         }
+        if TROUBLE:
+            gevent.spawn_later(GARBLE_AT_S, self.garble)
         for n in range(JOBS):
             job = f"job{n}"
             items = [f"{job}i{ITEMS * n + k}" for k in range(1, ITEMS + 1)]
@@ -105,7 +112,7 @@
             self.record.write(f"{job} submitted at {front.name}: {answer.status}")
             if answer.status == 202:
                 self.jobs[job] = items
-            gevent.sleep(0.7)
+            gevent.sleep(0.3)
         deadline = self.record.now() + WAIT_S
         results: dict[str, dict[str, Any]] = {}
         while self.record.now() < deadline and len(results) < len(self.jobs) * ITEMS:
@@ -115,6 +122,12 @@
                     results[result["id"]] = result
         return self.check(results)
 
+    def garble(self) -> None:
+        """Let one of the two workers write some of its answers twice for GARBLE_S."""
+        self.workers[1].garbles = True
+        gevent.sleep(GARBLE_S)
+        self.workers[1].garbles = False
+
     def check(self, results: dict[str, dict[str, Any]]) -> bool:
         """Return whether no item was given up before MAX_ATTEMPTS answers of 500."""
         dead = [name for name, row in results.items() if row["state"] == "dead_lettered"]
@@ -122,7 +135,8 @@
         answers = sum(worker.answers for worker in self.workers)
         copies = sum(worker.copies for worker in self.workers)
         self.record.write(
-            f"{len(results)} items listed; {copies} of {answers} answers were written twice"
+            f"{len(results)} items listed; {copies} of {answers} answers of the worker were"
+            f" written twice in {GARBLE_S} s"
         )
         for run in self.fleet.runs:
             if run["id"] in broken:
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -93,19 +93,24 @@
         gevent.signal_handler(number, gevent.kill, main, SystemExit(2))
 
 
-def find_port() -> int:
-    """Return a port that is free on all loopback addresses.
+def find_port(addresses: list[str]) -> int:
+    """Return a port that is free on all the loopback addresses.
 
     It is below those that the system gives to outgoing connections.
     """
     while True:
         port = random.randrange(*LISTEN_PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("0.0.0.0", port))
-            except OSError:
-                continue
-        return port
+        if all(_is_free(address, port) for address in addresses):
+            return port
+
+
+def _is_free(address: str, port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((address, port))
+        except OSError:
+            return False
+    return True
 
 
 class Record:
@@ -288,6 +293,21 @@
         }
         return json.dumps(entry).encode()
 
+    def _make_report(self) -> bytes:
+        report = {
+            "stage": "both",
+            "models": [{"name": "m", "version": 1, "adapters": []}],
+            "busy": False,
+            "sequence": 0,
+            "waiting": self.waiting,
+            "running": self.running,
+            "kv_used": 0,
+            "kv_total": 150_701,
+            "handles": 0,
+            "born": self.born,
+        }
+        return json.dumps(report).encode()
+
     def _serve(self, sock: Any, _peer: Any) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sockets.add(sock)
@@ -308,9 +328,17 @@
         if path == "/health":
             sock.sendall(
                 f"HTTP/1.1 200 OK\r\nClementinepin-Instance-Id: {self.id}\r\n"
+                f"Clementinepin-Server-Load: {self.running},{self.waiting},{self.slots}\r\n"
                 "Content-Length: 0\r\n\r\n".encode()
             )
             return True
+        if path == "/v1/report":
+            report = self._make_report()
+            sock.sendall(
+                b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                b"Content-Length: %d\r\n\r\n%s" % (len(report), report)
+            )
+            return True
         if headers.get("clementinepin-expect-instance", self.id) != self.id:
             sock.sendall(f"HTTP/1.1 421 Other\r\n{own}Content-Length: 0\r\n\r\n".encode())
             return True
@@ -394,8 +422,6 @@
         self.record = record
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self._temporary.name)
-        names = ("front", "ready", "directory", "link", "metrics")
-        self.ports = {name: find_port() for name in names}
         server = create_server("127.0.0.1", 0, create_system_clock())
         server.start()
         self._store_server = server
@@ -414,6 +440,9 @@
             Daemon(self, f"store-{n}", f"127.{net}.2.{n + 1}", "store", "ab"[n % 2])
             for n in range(stores)
         ]
+        names = ("front", "ready", "directory", "link", "metrics")
+        addresses = [daemon.ip for daemon in self.daemons]
+        self.ports = {name: find_port(addresses) for name in names}
 
     @property
     def fronts(self) -> list[Daemon]:
