Let a trial that reached no target count for nothing

Callers saw: all targets crash once for 4.5 s under calls with a common first prompt part.

Cause: three crashes blame the part, and one request tries it again after 2 s. The trial was counted when it was granted. It went to a target that was still down, and the next one was due 60 s later.

That crashes at one moment may blame a part is kept: parts that do crash targets may crash five at one moment too, and must be stopped then.

Change: the end of a trial decides. A crash puts the next trial off, a trial that reached no target is made again at once, one that told nothing after 2 s. The same cause on related paths: a dispatcher that takes over, and a process that starts, took a trial for granted that nobody may have made; failed trials are now read off the crashes that they hear of, and kept in the record of the cause. Without a dispatcher nobody tried; now one entry does. On the own interface the instance whose turn it was may have had no call to try; the others follow in turn. Requests that all have another suspected part are let through after 2 s.

--- a/clementinepin/scheduling/_messages.py
+++ b/clementinepin/scheduling/_messages.py
@@ -101,11 +101,21 @@
     parts: list[str]
 
 
+class CauseMessage(PartsMessage):
+    """Parts of prompts that crash targets, found or tried in vain ``age_s`` seconds ago.
+
+    An instance of an older build doesn't say when, and may have tried.
+    """
+
+    age_s: NotRequired[Number]
+    failed_trials: NotRequired[Count]
+
+
 class SuspectsMessage(TypedDict):
     """Rows of the suspect table, and for an instance that starts the parts that crash targets."""
 
     suspects: list[SuspectMessage]
-    causes: NotRequired[list[PartsMessage]]
+    causes: NotRequired[list[CauseMessage]]
 
 
 class BrokenRunMessage(TypedDict):
--- a/clementinepin/scheduling/_messenger.py
+++ b/clementinepin/scheduling/_messenger.py
@@ -236,7 +236,12 @@
         now = self._core.clock.monotonic()
         for cause in message.get("causes", ()):
             crash_causes.merge_cause(
-                self._decider.tables.crashes, cause["service"], frozenset(cause["parts"]), now, now
+                self._decider.tables.crashes,
+                cause["service"],
+                frozenset(cause["parts"]),
+                now - cause.get("age_s", 0.0),
+                now,
+                cause.get("failed_trials", 1),
             )
         self._run_systems()
         return {}
@@ -245,10 +250,16 @@
         self, sender: str, message: dict[str, Any]
     ) -> messages.SuspectsMessage:
         rows = self._decider.tables.suspects
+        now = self._core.clock.monotonic()
         causes = [
-            messages.PartsMessage(service=service, parts=sorted(traits))
+            messages.CauseMessage(
+                service=service,
+                parts=sorted(cause.traits),
+                age_s=max(0.0, now - crash_causes.get_found_at(cause)),
+                failed_trials=cause.failed_trials,
+            )
             for service, crashes in self._decider.tables.crashes.services.items()
-            for traits in crashes.causes
+            for cause in crashes.causes.values()
         ]
         suspects = [messages.encode_suspect(row) for row in rows]
         return messages.SuspectsMessage(suspects=suspects, causes=causes)
--- a/clementinepin/serving/_crash_records.py
+++ b/clementinepin/serving/_crash_records.py
@@ -33,12 +33,14 @@
 class CauseRecord(msgspec.Struct, array_like=True, tag="cause", frozen=True):
     """Traits that crash targets when one request to the service has all of them.
 
-    They were found at ``found_ms`` (Unix time).
+    They were found, or crashed a target in a trial, at ``found_ms`` (Unix time). Builds that don't
+    write ``failed_trials`` may have tried.
     """
 
     service: str
     traits: list[str]
     found_ms: int
+    failed_trials: int = 1
 
 
 class RunRecord(msgspec.Struct, array_like=True, tag="run", frozen=True):
@@ -90,7 +92,8 @@
         """Write the causes that became known, and remove those no longer believed."""
         for change in changes:
             traits, found_ms = sorted(change.traits), int(self._clock.wall() * 1000)
-            value = _encode(CauseRecord(change.service, traits, found_ms))
+            record = CauseRecord(change.service, traits, found_ms, change.failed_trials)
+            value = _encode(record)
             key = self._make_cause_key(change.service, traits)
             self._put(key, value if change.is_known else None)
 
@@ -142,7 +145,9 @@
             found_at = now - max(0.0, self._clock.wall() - record.found_ms / 1000)
             for table in self._tables:
                 traits = frozenset(record.traits)
-                crash_causes.merge_cause(table, record.service, traits, found_at, now)
+                crash_causes.merge_cause(
+                    table, record.service, traits, found_at, now, record.failed_trials
+                )
 
     def _read(self, key: str, value: bytes) -> CauseRecord | RunRecord | None:
         try:
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -287,7 +287,11 @@
         self.on_causes_changed(changes)
         for change in changes:
             log = logger.bind(service=change.service, traits=sorted(change.traits))
+            log = log.bind(failed_trials=change.failed_trials)
             log.warning("crash_cause_known" if change.is_known else "crash_cause_cleared")
+        for end in crash_causes.take_trial_ends(self.table.crashes):
+            log = logger.bind(service=end.service, traits=sorted(end.traits), member=end.key[0])
+            log.bind(outcome=str(end.outcome)).info("crash_cause_tried")
 
     def _release_all(self, name: str) -> None:
         """Release an instance's slots and requests; its next hello, if any, lists slots in use."""
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -324,14 +324,12 @@
             self._batch_hold.check_alone()
         pending = make_local_request(self._name, self._data_centre, number, request, now)
         log_resumption(self._table, pending, now)
-        entries, runners = self._fleet.list_entries(), self._fleet.list_job_runners()
+        entries = [member.name for member in self._fleet.list_entries()]
         begins, self._decides_alone = not self._decides_alone, True
-        names = [member.name for member in (*entries, *runners)]
+        names = [*entries, *(member.name for member in self._fleet.list_job_runners())]
         target_limits.share_limits(self._table, self._name, names, now, begins=begins)
         try:
-            target = choose_alone(
-                self._table, pending, len(entries), now, self._placement, self._random
-            )
+            target = choose_alone(self._table, pending, entries, now, self._placement, self._random)
         finally:
             self.on_causes_found(crash_causes.take_changes(self.crashes))
         self._record_taken(number, request, target.target_id)
--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -20,7 +20,10 @@
     Crash,
     CrashCause,
     CrashTable,
+    RunKey,
     ServiceCrashes,
+    TrialEnd,
+    TrialOutcome,
 )
 
 CRASHES_MAX: Final = 3  # the users accept that one request crashes up to three targets
@@ -39,6 +42,7 @@
 CAUSE_TTL_S: Final = 3_600.0  # after the last request that has the traits
 TRIAL_GAP_S: Final = 2.0  # a wrong belief should end before callers give up
 TRIAL_GAP_FACTOR: Final = 30.0  # each trial may crash another target
+TRIAL_PATIENCE_S: Final = 2.0  # within which a request without other suspected traits may come
 
 
 def record_crash(table: CrashTable, run: BrokenRun, at: float) -> None:
@@ -88,12 +92,20 @@
         crash.clear(traits)
     for cause in refuted:
         if remaining := cause.traits - traits:
-            _add_cause(table, service, remaining, now)
+            _add_cause(table, service, CrashCause(remaining, 0, now + TRIAL_GAP_S, now))
         else:
             _remove_cause(table, service, cause.traits)
     return True
 
 
+def list_unrefuted(
+    table: CrashTable, service: str, traits: frozenset[str], at: float
+) -> frozenset[str]:
+    """Return the traits with which no request has succeeded later than ``at``."""
+    sound = table.services[service].sound
+    return frozenset(trait for trait in traits if sound.get(trait, float("-inf")) <= at)
+
+
 def find_cause(
     table: CrashTable, service: str, traits: frozenset[str], now: float
 ) -> CrashCause | None:
@@ -105,49 +117,91 @@
     return _get_cause(row, traits, now)
 
 
-def may_run(table: CrashTable, service: str, traits: frozenset[str], now: float) -> bool:
+def may_run(
+    table: CrashTable, service: str, traits: frozenset[str], now: float, *, delay_s: float = 0.0
+) -> bool:
     """Return whether a request may run: it has no known cause, or is a trial that is due.
 
-    A trial must tell something of the cause alone. A request with other traits that may have
-    crashed targets is none: it would be the next crash of a part that is blamed wrongly.
+    ``delay_s`` is for how much longer this instance leaves the trial to others.
+    A trial should tell something of the cause alone. A request with other traits that may have
+    crashed targets is the trial only if no other has come for ``TRIAL_PATIENCE_S``: it may be the
+    next crash of a part that is blamed wrongly, but there may be no other either.
     """
     cause = find_cause(table, service, traits, now)
     if cause is None:
         return True
-    if now < cause.trial_at:
+    if now < cause.trial_at + delay_s:
         return False
     others = traits - cause.traits
-    return not any(others & crash.get_candidates() for crash in table.services[service].crashes)
+    if not any(others & crash.get_candidates() for crash in table.services[service].crashes):
+        return True
+    if cause.awaited_since is None:
+        cause.awaited_since = now
+    return now - cause.awaited_since >= TRIAL_PATIENCE_S
 
 
-def record_start(table: CrashTable, service: str, traits: frozenset[str], now: float) -> None:
-    """Record that a request starts; if it has a known cause, the next trial is later.
+def record_start(
+    table: CrashTable, service: str, traits: frozenset[str], key: RunKey, now: float
+) -> None:
+    """Record that a request starts; if it has a known cause, it is the trial of that cause.
 
     A wrong belief ends with the first trial that succeeds, and a target that was mended is used
-    again.
+    again. No other trial starts before this one has ended, or was not heard of for long.
     """
     row = table.services.get(service)
     cause = _get_cause(row, traits, now) if row is not None else None
     if cause is not None:
-        cause.trial_gap_s *= TRIAL_GAP_FACTOR
-        cause.trial_at = now + cause.trial_gap_s
+        cause.trial_key = key
+        cause.trial_at = now + _get_trial_gap(cause.failed_trials + 1)
+        cause.awaited_since = None
+
+
+def record_trial_end(table: CrashTable, key: RunKey, outcome: TrialOutcome, now: float) -> None:
+    """Record the end of a run that did not succeed, if it was the trial of a cause.
+
+    Load pattern: all targets are down for some seconds, so that trials reach none of them. Such a
+    trial tells nothing, and the next request tries at once.
+    """
+    for service, row in table.services.items():
+        for cause in row.causes.values():
+            if cause.trial_key != key:
+                continue
+            cause.trial_key = None
+            table.trial_ends.append(TrialEnd(service, cause.traits, key, outcome))
+            if outcome is TrialOutcome.CRASHED:
+                _record_failed_trial(table, service, cause, now)
+            else:
+                reached = outcome is not TrialOutcome.NOT_REACHED
+                cause.trial_at = now + (TRIAL_GAP_S if reached else 0.0)
 
 
 def merge_cause(
-    table: CrashTable, service: str, traits: frozenset[str], found_at: float, now: float
+    table: CrashTable,
+    service: str,
+    traits: frozenset[str],
+    found_at: float,
+    now: float,
+    failed_trials: int = 1,
 ) -> None:
     """Add a cause that another instance found, without what has succeeded here since.
 
-    The other instance has tried it again already. A cause of which nothing remains is refuted.
+    ``failed_trials`` of it have crashed targets, the last one at ``found_at``. A cause of which
+    nothing remains is refuted.
     """
-    sound = table.services[service].sound
-    refuted = frozenset(t for t in traits if sound.get(t, float("-inf")) > found_at)
-    if refuted == traits:
+    row = table.services[service]
+    unrefuted = list_unrefuted(table, service, traits, found_at)
+    if not unrefuted:
         table.changes.append(CauseChange(service, traits, False))
         return
-    traits -= refuted
-    gap_s = TRIAL_GAP_S * TRIAL_GAP_FACTOR
-    _add_cause(table, service, traits, now, gap_s, is_own=False)
+    traits = unrefuted
+    trial_at = found_at + _get_trial_gap(failed_trials)
+    known = row.causes.get(traits)
+    if known is None:
+        cause = CrashCause(traits, failed_trials, trial_at, now)
+        _add_cause(table, service, cause, is_own=False)
+    elif failed_trials > known.failed_trials:
+        known.failed_trials = failed_trials
+        known.trial_at = max(known.trial_at, trial_at)
 
 
 def drop_cause(table: CrashTable, service: str, traits: frozenset[str]) -> None:
@@ -165,13 +219,29 @@
     }
 
 
+def get_found_at(cause: CrashCause) -> float:
+    """Return when a cause was found or its last trial failed; later while a trial runs."""
+    return cause.trial_at - _get_trial_gap(cause.failed_trials)
+
+
 def take_changes(table: CrashTable) -> list[CauseChange]:
-    """Return the changes of causes since the last call."""
-    changes = list(table.changes)
+    """Return the changes of causes since the last call that still hold."""
+    changes = [
+        change
+        for change in table.changes
+        if change.is_known == (change.traits in table.services[change.service].causes)
+    ]
     table.changes.clear()
     return changes
 
 
+def take_trial_ends(table: CrashTable) -> list[TrialEnd]:
+    """Return the ends of trials since the last call."""
+    ends = list(table.trial_ends)
+    table.trial_ends.clear()
+    return ends
+
+
 def expire(table: CrashTable, now: float) -> None:
     """Forget causes that no request has met for ``CAUSE_TTL_S``."""
     for service, row in table.services.items():
@@ -193,18 +263,49 @@
 
 
 def _settle_crashes(table: CrashTable, service: str, row: ServiceCrashes, now: float) -> None:
-    """Look for causes once all instances have reported a crash."""
-    settled = False
-    for crash in row.crashes:
-        if not crash.is_settled and now - crash.at >= SAME_CRASH_S:
-            crash.is_settled = settled = True
+    """Look for causes and failed trials once all instances have reported a crash."""
+    settled = [c for c in row.crashes if not c.is_settled and now - c.at >= SAME_CRASH_S]
     if not settled:
         return
-    # Whoever found the cause of older crashes has tried it already.
-    is_new = any(now - crash.at < TRIAL_GAP_S for crash in row.crashes if crash.is_settled)
-    gap_s = TRIAL_GAP_S if is_new else TRIAL_GAP_S * TRIAL_GAP_FACTOR
+    for crash in settled:
+        crash.is_settled = True
+    for cause in row.causes.values():
+        _count_failed_trials(table, service, cause, settled)
     while traits := _find_new_cause(row, now):
-        _add_cause(table, service, traits, now, gap_s)
+        crashes = [crash for crash in row.crashes if crash.is_settled and _explains(traits, crash)]
+        known_at = crashes[:CRASHES_MAX][-1].at if crashes else now
+        cause = CrashCause(traits, 0, known_at + TRIAL_GAP_S, now)
+        _add_cause(table, service, cause)
+        _count_failed_trials(table, service, row.causes[traits], crashes)
+
+
+def _explains(traits: frozenset[str], crash: Crash) -> bool:
+    """Return whether one of the runs that a crash ended had all of the traits."""
+    return any(traits <= run for run in crash.list_suspects())
+
+
+def _count_failed_trials(
+    table: CrashTable, service: str, cause: CrashCause, crashes: list[Crash]
+) -> None:
+    """Count the crashes under requests that ran when a trial was due, whoever let them run.
+
+    Load pattern: another dispatcher takes over and hears of the crashes before. A trial that the
+    former one has made must not be made again, and one that it has not made must not be waited for.
+    """
+    for crash in crashes:
+        if crash.at >= cause.trial_at and _explains(cause.traits, crash):
+            _record_failed_trial(table, service, cause, crash.at)
+
+
+def _record_failed_trial(table: CrashTable, service: str, cause: CrashCause, at: float) -> None:
+    cause.failed_trials += 1
+    cause.trial_at = at + _get_trial_gap(cause.failed_trials)
+    table.changes.append(CauseChange(service, cause.traits, True, cause.failed_trials))
+
+
+def _get_trial_gap(failed_trials: int) -> float:
+    """Return the seconds until the next trial of a cause."""
+    return TRIAL_GAP_S * TRIAL_GAP_FACTOR**failed_trials
 
 
 def _find_new_cause(row: ServiceCrashes, now: float) -> frozenset[str]:
@@ -218,8 +319,7 @@
     explained: list[tuple[frozenset[str], Crash]] = []
     for crash in row.crashes:
         candidates = crash.get_candidates()
-        suspects = crash.list_suspects()
-        causes = [traits for traits in row.causes if any(traits <= run for run in suspects)]
+        causes = [traits for traits in row.causes if _explains(traits, crash)]
         if causes:
             explained.append((frozenset().union(*causes), crash))
         elif crash.is_settled and candidates and not _is_one_of_many(crash, unexplained):
@@ -293,27 +393,19 @@
     return _Finding(len(common), len(crashes), len(runs), tuple(sorted(common)))
 
 
-def _add_cause(
-    table: CrashTable,
-    service: str,
-    traits: frozenset[str],
-    now: float,
-    gap_s: float = TRIAL_GAP_S,
-    *,
-    is_own: bool = True,
-) -> None:
-    """Add a cause, instead of those that have more traits; the time of its trial stays."""
-    causes = table.services[service].causes
+def _add_cause(table: CrashTable, service: str, cause: CrashCause, *, is_own: bool = True) -> None:
+    """Add a cause, instead of those that have more traits; their trials count for it."""
+    causes, traits = table.services[service].causes, cause.traits
     if any(known <= traits for known in causes):
         return
-    cause = CrashCause(traits, now, gap_s)
     for known in [known for known in causes.values() if traits < known.traits]:
         cause.trial_at = max(cause.trial_at, known.trial_at)
-        cause.trial_gap_s = max(cause.trial_gap_s, known.trial_gap_s)
+        cause.failed_trials = max(cause.failed_trials, known.failed_trials)
+        cause.trial_key = cause.trial_key or known.trial_key
         _remove_cause(table, service, known.traits, is_own=is_own)
     causes[traits] = cause
     if is_own:
-        table.changes.append(CauseChange(service, traits, True))
+        table.changes.append(CauseChange(service, traits, True, cause.failed_trials))
     while len(causes) > CAUSES_MAX:
         oldest = min(causes.values(), key=lambda cause: cause.last_met_at)
         _remove_cause(table, service, oldest.traits)
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -24,7 +24,7 @@
     RunOutcome,
 )
 from clementinepin.systems.target_choice import choose_target, choose_victim, has_free_slot
-from clementinepin.tables.crashes import BrokenRun
+from clementinepin.tables.crashes import BrokenRun, TrialOutcome
 from clementinepin.tables.dispatch import (
     BatchQueue,
     DispatchTable,
@@ -43,6 +43,10 @@
 PREEMPTION_TIMEOUT_S: Final = 0.8  # a reachable runner stops within a few milliseconds
 CRASHED_TARGETS: Final = "crashed targets"  # the reason of a rejection
 NOT_PREEMPTIBLE_SHARE_MAX: Final = 0.3  # of the slots of a service
+TRIAL_OUTCOMES: Final = {
+    RunOutcome.BROKEN: TrialOutcome.CRASHED,
+    RunOutcome.UNREACHED: TrialOutcome.NOT_REACHED,
+}
 
 
 def submit(
@@ -144,6 +148,9 @@
     a failure tells nothing of how long others take.
     """
     table.remove_waiting(key)
+    if not succeeded:
+        trial_outcome = TRIAL_OUTCOMES.get(outcome, TrialOutcome.UNDECIDED)
+        crash_causes.record_trial_end(table.crashes, key, trial_outcome, now)
     grant = table.grants.pop(key, None)
     if grant is None:
         return
@@ -368,7 +375,7 @@
     starts_now: bool = True,
 ) -> None:
     if starts_now:
-        crash_causes.record_start(table.crashes, request.service, request.traits, now)
+        crash_causes.record_start(table.crashes, request.service, request.traits, request.key, now)
         target_limits.record_start(target, now)
     grant = Grant(request, target.target_id, now)
     table.grants[request.key] = grant
--- a/clementinepin/systems/placement.py
+++ b/clementinepin/systems/placement.py
@@ -97,9 +97,9 @@
         queue = self._tables.online if is_online(row.call) else self._tables.batch
         queue.pop(row.waiting_id)
         record_start(self._tables, row)
-        traits = frozenset(row.call.parts)
-        crash_causes.record_start(self._tables.crashes, row.call.service, traits, now)
         ticket = next(self._tickets)
+        traits, key = frozenset(row.call.parts), (self._view.instance, ticket)
+        crash_causes.record_start(self._tables.crashes, row.call.service, traits, key, now)
         self._tables.calls.put(CallRow(ticket, row.call, target, now, alone=alone))
         if is_online(row.call):
             account = self._tables.accounts.get(row.call.account)
--- a/clementinepin/systems/quarantine.py
+++ b/clementinepin/systems/quarantine.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from clementinepin.helpers.rendezvous import choose_owner
+from clementinepin.helpers.rendezvous import rank_owners
 from clementinepin.systems import crash_causes
 from clementinepin.tables import CallInfo, Loss, SuspectRow, SuspectTable, Tables, View
 
@@ -15,6 +15,7 @@
 SAME_LOSS_WINDOW_S = 2.0  # instances report one loss of a target with different times
 SUSPECT_TTL_S = 600.0
 CONDEMNED_TTL_S = 86_400.0
+TRIAL_TURN_S = 4.0  # of each instance; peers hear of a trial's end within a second
 
 
 def record_loss(table: SuspectTable, fingerprint: str, target: str, wall: float) -> SuspectRow:
@@ -69,7 +70,8 @@
 def is_held_back(tables: Tables, view: View, call: CallInfo, now: float) -> bool:
     """Return whether a call has what crashes targets in common with others.
 
-    One instance alone decides when such a call tries again.
+    One instance after the other may let such a call try again; the one whose turn it is may have
+    none.
 
     Load pattern: calls that crash targets by a part of their prompts that they share, at all
     instances.
@@ -78,9 +80,11 @@
     cause = crash_causes.find_cause(tables.crashes, call.service, traits, now) if traits else None
     if cause is None:
         return False
-    if choose_owner("/".join(sorted(cause.traits)), view.live) != view.instance:
+    turns = rank_owners("/".join(sorted(cause.traits)), view.live)
+    if view.instance not in turns:
         return True
-    return not crash_causes.may_run(tables.crashes, call.service, traits, now)
+    delay_s = turns.index(view.instance) * TRIAL_TURN_S
+    return not crash_causes.may_run(tables.crashes, call.service, traits, now, delay_s=delay_s)
 
 
 def _join(left: SuspectRow, right: SuspectRow) -> SuspectRow:
--- a/clementinepin/systems/results.py
+++ b/clementinepin/systems/results.py
@@ -9,10 +9,14 @@
 from clementinepin.systems.limits import estimate_tokens, refund_tokens
 from clementinepin.systems.routing import is_online
 from clementinepin.tables import CallResult, CallRow, SuspectRow, Tables, View
-from clementinepin.tables.crashes import BrokenRun
+from clementinepin.tables.crashes import BrokenRun, TrialOutcome
 
 AVERAGE_WEIGHT = 0.2
 REFUSED_LEAVING_S = 30.0  # a target that refused a call as it is leaving gets none for this time
+TRIAL_OUTCOMES = {
+    CallResult.LOST: TrialOutcome.CRASHED,
+    CallResult.NOT_REACHED: TrialOutcome.NOT_REACHED,
+}
 
 
 class Ending(NamedTuple):
@@ -127,9 +131,14 @@
 ) -> tuple[BrokenRun | None, frozenset[str]]:
     """Record what the end of a call tells of its prompt's parts; return what peers must hear."""
     traits = frozenset(row.call.parts)
+    key = (view.instance, row.ticket)
     is_caller = is_online(row.call)  # items are never what crashes targets by themselves
-    if result is CallResult.LOST and is_caller and now < row.call.deadline and traits:
-        key = (view.instance, row.ticket)
+    outcome = TRIAL_OUTCOMES.get(result, TrialOutcome.UNDECIDED)
+    if now >= row.call.deadline:
+        outcome = TrialOutcome.UNDECIDED  # the end of the caller's time ends the run, too
+    if result is not CallResult.SUCCESS:
+        crash_causes.record_trial_end(tables.crashes, key, outcome, now)
+    if outcome is TrialOutcome.CRASHED and is_caller and traits:
         run = BrokenRun(key, row.target, row.call.service, traits, row.tokens)
         crash_causes.record_crash(tables.crashes, run, now)
         return run, frozenset()
--- a/clementinepin/tables/crashes.py
+++ b/clementinepin/tables/crashes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, defaultdict, deque
+from enum import StrEnum
 from typing import Final, NamedTuple
 
 RunKey = tuple[str, int]  # the instance that sent the request, and its number for the slot
@@ -53,28 +54,59 @@
         self.writing = [run - traits for run in self.writing]
 
 
+class TrialOutcome(StrEnum):
+    """What the end of a run tells of a cause that it tried."""
+
+    CRASHED = "crashed"
+    NOT_REACHED = "not_reached"
+    UNDECIDED = "undecided"
+
+
 class CrashCause:
     """Traits that crash targets when one request has all of them. Times are monotonic seconds.
 
-    A single request tries again at ``trial_at``, ``trial_gap_s`` after the one before.
+    A single request tries again from ``trial_at``; ``trial_key`` is the one that does so.
+    ``failed_trials`` counts the trials that crashed targets. ``awaited_since`` is when a request
+    that could have tried was held back for another suspected trait, None if there was none.
     ``last_met_at`` is when a request that has the traits came last.
     """
 
-    __slots__ = ("last_met_at", "traits", "trial_at", "trial_gap_s")
-
-    def __init__(self, traits: frozenset[str], now: float, trial_gap_s: float) -> None:
+    __slots__ = (
+        "awaited_since",
+        "failed_trials",
+        "last_met_at",
+        "traits",
+        "trial_at",
+        "trial_key",
+    )
+
+    def __init__(
+        self, traits: frozenset[str], failed_trials: int, trial_at: float, now: float
+    ) -> None:
         self.traits = traits
-        self.trial_at = now + trial_gap_s
-        self.trial_gap_s = trial_gap_s
+        self.failed_trials = failed_trials
+        self.trial_at = trial_at
+        self.trial_key: RunKey | None = None
+        self.awaited_since: float | None = None
         self.last_met_at = now
 
 
 class CauseChange(NamedTuple):
-    """A cause that was found here, or that is no longer believed here."""
+    """A cause that was found here, or tried in vain, or that is no longer believed here."""
 
     service: str
     traits: frozenset[str]
     is_known: bool
+    failed_trials: int = 0
+
+
+class TrialEnd(NamedTuple):
+    """The end of a trial that did not succeed."""
+
+    service: str
+    traits: frozenset[str]
+    key: RunKey
+    outcome: TrialOutcome
 
 
 class ServiceCrashes:
@@ -94,8 +126,12 @@
 
 
 class CrashTable:
-    """Crashes by service; ``changes`` has the changes of causes that were not yet passed on."""
+    """Crashes by service; ``changes`` has the changes of causes that were not yet passed on.
+
+    ``trial_ends`` has the ends of trials that were not yet logged.
+    """
 
     def __init__(self) -> None:
         self.services: defaultdict[str, ServiceCrashes] = defaultdict(ServiceCrashes)
         self.changes: deque[CauseChange] = deque(maxlen=CHANGES_MAX)
+        self.trial_ends: deque[TrialEnd] = deque(maxlen=CHANGES_MAX)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
     check_leaving,
     check_limits,
     check_odd_entries,
+    check_outage,
     check_planned_stop,
 )
 from soak._faults import Faults
@@ -126,6 +127,7 @@
     """Check the guarantees that need a fleet without other faults."""
     check_odd_entries(fleet, callers, rate)
     check_crashing_part(fleet, callers, rate)
+    check_outage(fleet, callers, rate)
     check_limits(fleet, callers, rate)
     check_cut_links(fleet, callers, rate)
     check_leaving(fleet, callers, rate)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -117,6 +117,7 @@
         self._random = random.Random(seed)
         self._id_count = 0
         self.crashing_share = CRASHING_SHARE
+        self.first_parts = FIRST_PARTS
         self.broken: list[str] = []
         self.statuses: dict[int, int] = {}
         self.plain_count = 0
@@ -216,7 +217,7 @@
         second = f"b{self._random.randrange(SECOND_PARTS)}"
         if crashing and self._random.random() < self.crashing_share:
             second = self._random.choice(crashing)
-        return f"a{self._random.randrange(FIRST_PARTS)}:20,{second}:20,{request_id}:10"
+        return f"a{self._random.randrange(self.first_parts)}:20,{second}:20,{request_id}:10"
 
     def call_stream(
         self, ip: str, route: str, headers: dict[str, str], events_max: int = 0
@@ -328,7 +329,10 @@
         return {
             "id": item_id,
             "path": f"/jobs/{item_id}",
-            "headers": {"Clementinepin-Token-Count": "50,30"},
+            "headers": {
+                "Clementinepin-Token-Count": "50,30",
+                "Clementinepin-Prompt-Prefix": f"a0:20,{item_id}:10",
+            },
             "body": base64.b64encode(b"item").decode(),
             "tokens": 80,
         }
--- a/soak/_calm.py
+++ b/soak/_calm.py
@@ -1,10 +1,11 @@
 """Checks of guarantees that hold some seconds after the last fault of an instance.
 
 A part of prompts that crashes engines reaches them a few times only, while sound requests with the
-same first part are served, and engines get no more requests than the limit that they name. Callers
-of an instance that is cut off from all engines are served as others are. Engines that say that they
-leave get no further requests. Engines that join behind odd entries are used. A planned stop of an
-entry, a job runner and an engine at the same moment cuts no request off.
+same first part are served, and no part is blamed for an outage of all engines. Engines get no more
+requests than the limit that they name. Callers of an instance that is cut off from all engines are
+served as others are. Engines that say that they leave get no further requests. Engines that join
+behind odd entries are used. A planned stop of an entry, a job runner and an engine at the same
+moment cuts no request off.
 """
 
 from __future__ import annotations
@@ -31,6 +32,7 @@
 DRAIN_TIMEOUT_S = 2.0
 STOP_AFTER_S = 1.0
 ABORT_S = 0.5
+POLL_S = 0.005
 KEPT_CALLERS = 4  # for each entry
 LEAVING_SHARE = 1 / 3  # of all engines
 CUT_SERVED_SHARE_MIN = 2 / 3  # of the share that the other instances serve
@@ -39,6 +41,10 @@
 BEHIND = ("behind0", "behind1", "behind2")
 ODD_BEFORE_S = 0.3
 ODD_SERVED_SHARE_MIN = 0.5
+OUTAGE_S = 4.5
+OUTAGE_BURST = 4  # streams for each engine that have just begun when all crash
+BURST_S = 0.4
+FINISH_DEADLINE_S = 18.0  # of the items of a job, behind the outage
 
 
 def check_crashing_part(fleet: Fleet, callers: Callers, rate: float) -> None:
@@ -62,6 +68,39 @@
         callers.broken.append(f"sound streams beside a crashing part ended with {counts}")
 
 
+def check_outage(fleet: Fleet, callers: Callers, rate: float) -> None:
+    """Crash all engines at once under streams and items that share the first part of their prompts.
+
+    No request crashes engines, so that all are served behind the outage.
+    """
+    fleet.crashing_parts.clear()
+    first_parts, callers.first_parts = callers.first_parts, 1
+    callers.run(fleet.now() + CONTACT_S, rate)
+    burst = [
+        gevent.spawn(callers.send_stream, "once") for _ in range(OUTAGE_BURST * len(fleet.targets))
+    ]
+    until, begun_at = fleet.now() + BURST_S, fleet.now()
+    while fleet.now() < until:
+        gevent.sleep(POLL_S)
+        reached = {run.target for run in fleet.run_log.runs if run.started_at > begun_at}
+        if reached.issuperset(fleet.targets):
+            break
+    for name in list(fleet.targets):
+        fleet.crash_target(name, OUTAGE_S)
+    back_at = fleet.now() + OUTAGE_S
+    callers.run(back_at + 2 * CONTACT_S, rate)
+    callers.run(fleet.now() + PHASE_S, rate)
+    gevent.joinall(burst)
+    callers.first_parts = first_parts
+    served = [t.is_served for t in callers.tries if t.sent_at > back_at + 2 * CONTACT_S]
+    if sum(served) < SERVED_SHARE_MIN * len(served):
+        callers.broken.append(f"{sum(served)} of {len(served)} streams served behind an outage")
+    deadline = back_at + FINISH_DEADLINE_S
+    while (unfinished_jobs := callers.read_jobs()) and fleet.now() < deadline:
+        gevent.sleep(0.5)
+    callers.broken += [f"{job}: items not listed behind an outage" for job in unfinished_jobs]
+
+
 def check_limits(fleet: Fleet, callers: Callers, rate: float) -> None:
     """Let all engines name a limit; count the runs that each gets in a window."""
     limited_at = fleet.now()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -48,6 +48,7 @@
             ("leases expire", lambda: self._fleet.gateway.state.expire_all_leases()),
             ("store connection disturbed", self._disturb_store_connection),
             ("target crashes", self._crash_target),
+            ("all targets crash", self._crash_all_targets),
             ("target is replaced", self._replace_target),
             ("target stops responding", self._block_target),
             ("target responses lost", self._lose_target_responses),
@@ -178,6 +179,11 @@
     def _crash_target(self) -> None:
         self._fleet.crash_target(self._choose_target(), self._random.uniform(0.2, 1.0))
 
+    def _crash_all_targets(self) -> None:
+        down_s = self._random.uniform(0.5, 4.5)
+        for name in self._list_targets():
+            self._fleet.crash_target(name, down_s)
+
     def _add_crashing_part(self) -> None:
         self._fleet.crashing_parts.add(f"bad{len(self._fleet.crashing_parts)}")
 
--- a/tests/scheduling/test_poison.py
+++ b/tests/scheduling/test_poison.py
@@ -8,11 +8,15 @@
 import pytest
 
 from clementinepin.exceptions import NotRunError
+from clementinepin.helpers.rendezvous import rank_owners
 from clementinepin.scheduling import CallResult
 from clementinepin.scheduling._messages import METHOD_ISOLATE
+from clementinepin.systems import crash_causes
+from clementinepin.systems.actions import Grant
 from clementinepin.systems.crash_causes import CRASHES_MAX, SAME_CRASH_S
 from clementinepin.systems.exceptions import RequestCondemnedError
 from clementinepin.systems.isolation import ISOLATION_MAX_S
+from clementinepin.systems.quarantine import TRIAL_TURN_S
 from tests.scheduling.fakes import build_call, build_configuration, build_fleet
 
 INSTANCES = tuple(f"e{i}" for i in range(6))
@@ -177,3 +181,45 @@
         grant = scheduler._decider._create_placer().grant(row, "t0", 0.0)
         scheduler._decider.finish(grant.ticket, CallResult.LOST, 1.0, 1.0)
     assert not scheduler._decider.tables.crashes.services
+
+
+def submit_trial(scheduler, now):
+    """Return the grant of a call with the part that was blamed, None if it is held back."""
+    try:
+        scheduler._decider.submit(build_call("trial", parts=("bad",)), now, now)
+    except RequestCondemnedError:
+        return None
+    actions = scheduler._decider.tick(now, now)
+    return next((action for action in actions if isinstance(action, Grant)), None)
+
+
+def test_a_trial_that_reached_no_target_is_made_again_at_once():
+    """Guards against a sound part held back for a minute while targets are down (review/6)."""
+    fleet = build_fleet(INSTANCES[:1], TARGETS, build_configuration(slots=12))
+    scheduler = fleet[INSTANCES[0]]
+    crash_by_part({INSTANCES[0]: scheduler} | dict.fromkeys(INSTANCES, scheduler), CRASHES_MAX)
+    now = scheduler._core.clock.monotonic()
+    assert submit_trial(scheduler, now) is None
+    now += crash_causes.TRIAL_GAP_S
+    for _ in range(3):
+        trial = submit_trial(scheduler, now)
+        assert trial is not None
+        assert submit_trial(scheduler, now) is None
+        scheduler._decider.finish(trial.ticket, CallResult.NOT_REACHED, now, now)
+    trial = submit_trial(scheduler, now)
+    scheduler._decider.finish(trial.ticket, CallResult.LOST, now, now)
+    assert submit_trial(scheduler, now + crash_causes.TRIAL_GAP_S) is None
+
+
+def test_an_instance_tries_a_cause_if_the_one_before_it_has_no_call_to_try():
+    """Guards against items held back for good: only the owner of a cause tried it (review/6)."""
+    fleet = build_fleet(INSTANCES[:2], TARGETS, build_configuration(slots=12))
+    crash_by_part(dict.fromkeys(INSTANCES, fleet[INSTANCES[0]]), CRASHES_MAX)
+    turns = rank_owners("bad", INSTANCES[:2])
+    first, second = fleet[turns[0]], fleet[turns[1]]
+    now = first._core.clock.monotonic()
+    assert submit_trial(first, now) is None
+    assert submit_trial(second, now) is None
+    now += crash_causes.TRIAL_GAP_S
+    assert submit_trial(second, now) is None
+    assert submit_trial(second, now + TRIAL_TURN_S) is not None
--- a/tests/serving/test_crash_records.py
+++ b/tests/serving/test_crash_records.py
@@ -5,13 +5,14 @@
 from collections.abc import Callable, Iterator
 
 import gevent
+import msgspec
 import pytest
 
 from clementinepin.helpers.clock import create_system_clock
 from clementinepin.serving import _crash_records
 from clementinepin.serving._crash_records import CrashRecords
 from clementinepin.systems import crash_causes
-from clementinepin.tables.crashes import BrokenRun, CrashTable
+from clementinepin.tables.crashes import BrokenRun, CrashTable, TrialOutcome
 from tests.serving.memory_store import MemoryStore
 
 CRASHES_GAP_S = 2 * crash_causes.SAME_CRASH_S
@@ -161,3 +162,27 @@
     instance.break_run(1, "bad")
     wait_until(lambda: bool(store.rows))
     assert [key for keys in store.leases.values() for key in keys] == list(store.rows)
+
+
+def test_a_failed_trial_is_known_to_instances_that_take_over(store: MemoryStore) -> None:
+    """Guards against a trial that each instance makes anew, or that nobody makes (review/6)."""
+    first, second = Instance(store, "f1"), Instance(store, "f2")
+    first.find_cause("bad")
+    traits = frozenset({"bad"})
+    wait_until(lambda: second.has_cause("bad"))
+    due = second.clock.monotonic() + crash_causes.TRIAL_GAP_S
+    assert crash_causes.may_run(second.table, "llm", traits, due)
+    now = first.clock.monotonic()
+    crash_causes.record_start(first.table, "llm", traits, ("f1", 9), now)
+    crash_causes.record_trial_end(first.table, ("f1", 9), TrialOutcome.CRASHED, now)
+    assert first.has_cause("bad")
+    wait_until(lambda: not crash_causes.may_run(second.table, "llm", traits, due))
+
+
+def test_a_cause_of_an_older_build_counts_as_tried(store: MemoryStore) -> None:
+    instance = Instance(store, "f1")
+    wall_ms = int(instance.clock.wall() * 1000)
+    record = msgspec.msgpack.encode(["cause", "llm", ["bad"], wall_ms])
+    instance.records.apply_change("cp/crashes/cause-1", record, 1)
+    due = instance.clock.monotonic() + crash_causes.TRIAL_GAP_S
+    assert not crash_causes.may_run(instance.table, "llm", frozenset({"bad"}), due)
