--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -145,10 +145,14 @@
     """Free a slot or remove a request from the queue, and record the outcome at the target.
 
     ``events`` is how many events the run has brought. Only runs that succeeded count for the pace:
-    a failure tells nothing of how long others take.
+    a failure tells nothing of how long others take. A run that its target wrote for some time shows
+    that its prompt crashes no target, whether its end is proven or not.
     """
     table.remove_waiting(key)
-    if not succeeded:
+    is_sound = succeeded or (
+        outcome is not RunOutcome.BROKEN and events >= crash_causes.EVENTS_TO_CLEAR
+    )
+    if not is_sound:
         trial_outcome = TRIAL_OUTCOMES.get(outcome, TrialOutcome.UNDECIDED)
         crash_causes.record_trial_end(table.crashes, key, trial_outcome, now)
     grant = table.grants.pop(key, None)
@@ -158,7 +162,7 @@
         # Items are never what crashes targets by themselves.
         run = BrokenRun(key, grant.target_id, grant.service, grant.traits, events)
         crash_causes.record_crash(table.crashes, run, now)
-    elif succeeded:
+    elif is_sound:
         crash_causes.record_success(table.crashes, grant.service, grant.traits, now)
     target = table.targets.get(grant.target_id)
     if target is None:
--- a/tests/systems/test_crash_causes.py
+++ b/tests/systems/test_crash_causes.py
@@ -264,6 +264,21 @@
     assert isinstance(submit(6.1)[0], Granted)
 
 
+@pytest.mark.parametrize("outcome", [RunOutcome.SERVED, RunOutcome.CANCELLED])
+def test_a_trial_whose_target_wrote_some_events_clears_its_part(outcome: RunOutcome) -> None:
+    """Guards against a sound part held back as the end of a trial is not proven, or not awaited.
+
+    Soak, seed 11: an item's response ended with its connection.
+    """
+    table = make_table(targets=9, slots=8)
+    now = record_crashes(table.crashes, {"a"}, {"a"}, {"a"}) + crash_causes.TRIAL_GAP_S
+    trial = make_item(9, now, prefix_ids=("a", "own"))
+    assert isinstance(dispatching.submit(table, trial, now, random.Random(1))[0], Granted)
+    events = crash_causes.EVENTS_TO_CLEAR
+    dispatching.finish(table, trial.key, outcome, now + 0.5, events=events)
+    assert not has_cause(table.crashes, now + 0.5, "a")
+
+
 def test_a_trial_that_tells_nothing_is_made_again_soon() -> None:
     table = CrashTable()
     now = record_crashes(table, {"bad"}, {"bad"}, {"bad"}) + crash_causes.TRIAL_GAP_S
