Use no connection again behind a response that a copy could not be told from

A target wrote its first 500 once more when the next run of the item was under way on the same connection.

Cause: all runs of an item have one id, so that the copy was taken for the answer of the second run, and that of the second run for the third one's. Ruled out: a run counted twice (item_run_ended shows one failure a run), and a copy that is read together with its original (it closes the connection).

Change: the connection of a response carries no other request unless the response names a request that is not sent again. That holds for failed runs of items, failures of calls that are sent again or name no request, and on the own interface for errors, reports and orders of engines and for plain services.

--- a/clementinepin/platform/_wire.py
+++ b/clementinepin/platform/_wire.py
@@ -138,6 +138,10 @@
             return status >= _ERROR_STATUS_MIN and not guarantees_not_run
         return response_id == request_id
 
+    def names_request(self, request_id: str, headers: dict[str, str]) -> bool:
+        """Return whether a response has the id of this request."""
+        return headers.get(_REQUEST_ID_HEADER) == request_id
+
     def names_other_request(self, request_id: str, headers: dict[str, str]) -> bool:
         """Return whether a response has the id of another request."""
         return headers.get(_REQUEST_ID_HEADER, request_id) != request_id
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -271,8 +271,10 @@
                 call, TargetProtocolError("a success status without the target's signature")
             )
         call.maybe_run = True
+        if not wire.names_request(call.facts.request_id, exchange.headers):
+            exchange.retire_connection()
         if exchange.status >= STATUS_SERVER_ERROR_MIN and call.may_resend(self._clock.monotonic()):
-            exchange.drain()
+            exchange.close()  # the next attempt has the same id
             call.excluded.add(sent.target.target_id)
             self._log(call).bind(status=exchange.status).info("target_failed")
             return RunOutcome.BROKEN
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -302,7 +302,7 @@
             exchange.close()  # the target may write the refusal once more, to a later request
             return RunOutcome.REFUSED
         if exchange.status != STATUS_OK:
-            exchange.drain()
+            exchange.close()  # a copy of the response could not be told from that to the next run
             self._record_failed_status(run, route, exchange.status)
             return RunOutcome.SERVED
         if not wire.has_signature(exchange.headers):
--- a/clementinepin/serving/wire.py
+++ b/clementinepin/serving/wire.py
@@ -62,6 +62,9 @@
         It must name the request, except for failures that guarantee nothing about its execution.
         """
 
+    def names_request(self, request_id: str, headers: dict[str, str]) -> bool:
+        """Return whether a response names this request."""
+
     def names_other_request(self, request_id: str, headers: dict[str, str]) -> bool:
         """Return whether a response names another request than this one."""
 
--- a/clementinepin/targets/_engine.py
+++ b/clementinepin/targets/_engine.py
@@ -181,10 +181,14 @@
         headers: tuple[tuple[str, str], ...] = (),
         size_max: int = REPORT_MAX_BYTES,
     ) -> bytes:
-        """Send a request and return the body of its response. Raises for an error status."""
+        """Send a request and return the body of its response. Raises for an error status.
+
+        The connection carries no other request, as the response names none.
+        """
         deadline = self._clock.monotonic() + timeout_s
-        request = HttpRequest(method, path, (JSON_HEADER, *headers), body, deadline)
+        request = HttpRequest(method, path, (JSON_HEADER, *headers), body, deadline, fresh=True)
         exchange = self._transport.send(request)
+        exchange.retire_connection()
         try:
             if exchange.status == CONFLICT_STATUS and path.startswith("/orders/"):
                 error = exchange.read_all(ERROR_MAX_BYTES)
@@ -205,8 +209,10 @@
     """Close the exchange and raise the error that its status stands for.
 
     Raises TargetRefusedError if the target refused before admission, else TargetRejectedError. The
-    connection of a refusal carries no other request, as the target may write the refusal once more.
+    connection carries no other request: an error names no request, and the target may write it once
+    more.
     """
+    exchange.retire_connection()
     reason = exchange.headers.get(HEADER_NOT_ADMITTED, "")
     if exchange.status == REFUSED_STATUS and reason:
         exchange.close()
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -157,6 +157,7 @@
         self._method = request.method
         self._parser = _Parser(request.method, request.is_mismatched)
         self._failure: TargetLostError | None = None
+        self._retires_connection = False
         self.status = 0
         self.header_lines: tuple[tuple[str, str], ...] = ()
         self.headers: dict[str, str] = {}
@@ -219,6 +220,14 @@
         except TargetLostError:
             self.close()
 
+    def retire_connection(self) -> None:
+        """Let the connection carry no other request behind this response.
+
+        A target may write a response once more, even when the next request is under way. A copy
+        that can't be told from the response to that request would be taken for it.
+        """
+        self._retires_connection = True
+
     @property
     def framing(self) -> BodyFraming:
         """Return what marks the end of the body."""
@@ -256,7 +265,10 @@
             return
         parser = self._parser
         must_close = (
-            parser.has_trailing_message or parser.mismatched_responses or connection.is_writing
+            self._retires_connection
+            or parser.has_trailing_message
+            or parser.mismatched_responses
+            or connection.is_writing
         )
         if must_close or parser.should_close():
             self.close()
--- a/clementinepin/targets/_plain.py
+++ b/clementinepin/targets/_plain.py
@@ -57,7 +57,7 @@
     def call(self, request: PlainRequest) -> PlainResponse:
         """Send the request once and return after the headers of the response arrived.
 
-        A non-idempotent call gets a new connection. Raises TargetRefusedError if the target
+        Each call has a connection of its own, as the response names no request. Raises TargetRefusedError if the target
         refused before admission, and TargetNotReachedError or TargetLostError.
         """
         message = HttpRequest(
@@ -66,10 +66,11 @@
             headers=request.headers,
             body=request.body,
             deadline=request.deadline,
-            fresh=not request.idempotent,
+            fresh=True,
         )
         with self._check_link(request.deadline):
             exchange = self._transport.send(message)
+        exchange.retire_connection()
         if exchange.status == REFUSED_STATUS and exchange.headers.get(HEADER_NOT_ADMITTED):
             raise_for_status(exchange)
         headers = tuple(
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -67,6 +67,7 @@
                 ("targets fall silent", self._silence_targets),
                 ("a version leaves, then a kill", self._kill_behind_a_release),
                 ("target repeats a refusal", lambda: self._spoil("refusals_to_repeat")),
+                ("target repeats a failure", self._repeat_failures),
                 ("target writes errors", lambda: self._spoil("errors_to_write")),
                 ("target truncates heads", lambda: self._spoil("heads_to_truncate")),
                 (RELEASE_NAME, releases.inject),
@@ -270,6 +271,11 @@
         target = self._fleet.targets[self._choose_target()]
         setattr(target, fault, getattr(target, fault) + self._random.randint(1, 3))
 
+    def _repeat_failures(self) -> None:
+        """Let the runs of some items fail at all engines, each with a copy of its failure."""
+        for name in self._list_targets():
+            self._fleet.targets[name].failures_to_repeat += self._random.randint(4, 12)
+
     def _send_without_end(self) -> None:
         target = self._fleet.targets[self._choose_target()]
         target.responses_without_end += self._random.randint(1, 2)
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -5,6 +5,7 @@
 import hashlib
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
@@ -17,6 +18,8 @@
 QUEUE_MAX_REQUESTS = 8
 READ_SIZE_BYTES = 65_536
 PLAIN_PATH = "/plain/"  # of requests whose responses have no events
+ITEM_PATH = "/jobs/"
+ITEM_FAILURES_MAX = 2  # an item is given up at its third attempt that fails
 ERROR_RESPONSE = (
     b"HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\noops\n\n"
 )
@@ -36,10 +39,11 @@
 
 
 class RunLog:
-    """All runs at all targets, in the order of their starts."""
+    """All runs at all targets, in the order of their starts, and by id how many failed."""
 
     def __init__(self) -> None:
         self.runs: list[Run] = []
+        self.failures: Counter[str] = Counter()
 
     def count(self, request_id: str) -> int:
         """Return how many times a request ran."""
@@ -70,7 +74,9 @@
     that it leaves if it ``says_leaving``, refusals too; ``leaving_told_at`` is when the first one
     did. A run whose prompt has one of ``crashing_parts`` calls ``on_crash`` once its response has
     begun. Nothing is sent or accepted while ``speaks`` is cleared. ``refusals_to_repeat`` counts
-    requests that are refused, with the refusal written once more a little later. It has
+    requests that are refused, with the refusal written once more a little later, and
+    ``failures_to_repeat`` runs of items that fail, with the failure written once more when the next
+    run on their connection is under way. It has
     ``errors_to_write`` runs that write another response into their body, ``heads_to_truncate`` runs
     that end their connection behind the head of their response, and ``heads_to_cut`` runs that end
     it within their head, at a byte drawn by the name of the engine.
@@ -96,6 +102,8 @@
         self.speaks = Event()
         self.speaks.set()
         self.refusals_to_repeat = 0
+        self.failures_to_repeat = 0
+        self._failures_by_socket: dict[Any, bytes] = {}
         self.errors_to_write = 0
         self.heads_to_truncate = 0
         self.heads_to_cut = 0
@@ -145,6 +153,7 @@
             return
         finally:
             self._sockets.discard(sock)
+            self._failures_by_socket.pop(sock, None)
             sock.close()
 
     def _handle_request(self, sock: Any, headers: dict[str, str], _body: bytes) -> bool:
@@ -190,6 +199,13 @@
         if self.responses_to_lose:
             self.responses_to_lose -= 1
             return False
+        if copy := self._failures_by_socket.pop(sock, b""):
+            sock.sendall(copy)
+        if self._must_fail(request_id, headers[":path"]):
+            failure = b"HTTP/1.1 500 Oops\r\nClementinepin-Request-Id: %s\r\n" % request_id.encode()
+            self._failures_by_socket[sock] = failure + b"Content-Length: 0\r\n\r\n"
+            sock.sendall(self._failures_by_socket[sock])
+            return True
         gevent.sleep(STEP_S * 2)
         signature = next(self._signatures)
         framed = not self.unframed_period or signature % self.unframed_period > 0
@@ -213,6 +229,16 @@
             return self._send_plain(sock, plain)
         return self._send_events(sock, stream_id, range(first, events + 1), framed=framed)
 
+    def _must_fail(self, request_id: str, path: str) -> bool:
+        """Return whether a run fails with status 500; count it then."""
+        failures = self._run_log.failures
+        is_item = path.startswith(ITEM_PATH)
+        if not (is_item and self.failures_to_repeat) or failures[request_id] >= ITEM_FAILURES_MAX:
+            return False
+        self.failures_to_repeat -= 1
+        failures[request_id] += 1
+        return True
+
     def _send_head(self, sock: Any, head: bytes) -> bool:
         """Send the head of a response; return whether its body follows."""
         self.speaks.wait()
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -447,6 +447,30 @@
     assert target.connections == 2
 
 
+@pytest.mark.parametrize("status", [b"500 No", b"404 No"])
+@pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.IDEMPOTENT])
+def test_a_failure_that_names_no_request_is_told_to_one_caller_only(
+    harness: Harness, kind: RouteKind, status: bytes
+) -> None:
+    """Guards against an earlier failure that is written once more to a later request."""
+    harness.set_route(kind=kind, attempts_max=1)
+    failed = b"HTTP/1.1 " + status + b"\r\nContent-Length: 3\r\n\r\nno1"
+    socks = []
+
+    def fail(sock: Any, _request: bytes) -> None:
+        socks.append(sock)
+        sock.sendall(failed)
+
+    def write_copy_first(sock: Any, request: bytes) -> None:
+        copy = failed if sock is socks[0] else b""
+        sock.sendall(copy + make_plain(b"answer", request_id=read_id(request)))
+
+    target = harness.add_target(ScriptedTarget(fail, write_copy_first))
+    assert call(harness.port, ID).endswith(b"no1")
+    assert call(harness.port, "Clementinepin-Request-Id: q2").endswith(b"answer")
+    assert target.connections == 2
+
+
 def test_headers_with_spaces_and_bytes_beyond_ascii_reach_the_caller(harness: Harness) -> None:
     """Guards against a connection that is closed without a response."""
     harness.set_route(kind=RouteKind.IDEMPOTENT)
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -341,6 +341,27 @@
     assert harness.target.connections == 2
 
 
+@pytest.mark.parametrize("named", [b"", b"Clementinepin-Request-Id: i0\r\n"])
+def test_an_answer_written_once_more_counts_for_no_other_run(named):
+    """Guards against an item given up before its attempts are used up (review/10)."""
+    failed = FAILED.replace(b"Content-Length", named + b"Content-Length")
+
+    socks = []
+
+    def fail(sock: Any, _request: bytes) -> None:
+        sock.sendall(failed * 2 if sock in socks else failed)
+        socks.append(sock)
+
+    harness = Harness(fail, fail, send_events(1))
+    route = make_route(kind=RouteKind.JOB, attempts_max=3)
+    harness.fleet.configuration.current = harness.fleet.configuration.current._replace(
+        routes=(route,)
+    )
+    run = harness.run_item()
+    assert (run.state, run.text, run.failures) == (ItemState.COMPLETED, "e1", 2)
+    assert len(harness.target.requests) == harness.target.connections == 3
+
+
 @pytest.mark.parametrize("before", [(), (1,)])
 def test_an_item_whose_run_is_truncated_behind_its_head_goes_on(before):
     """Guards against empty and partial texts that are listed as completed (review/1)."""
--- a/tests/targets/test_engine.py
+++ b/tests/targets/test_engine.py
@@ -277,6 +277,44 @@
     assert target.connections == 2
 
 
+def test_an_error_written_once_more_reaches_no_later_request(serve):
+    """Guards against an error of one caller's request that another one gets (review/10)."""
+    replies = [[make_reply(b"no", "500 Oops"), HANG], [make_reply(b'{"id": "cmpl-r1"}')]]
+    target = serve(lambda _request: replies.pop(0))
+    engine = create_engine_for(target)
+    request = make_request(whole=True, idempotent=True)
+    with pytest.raises(TargetRejectedError):
+        list(engine.generate(request))
+    (response,) = engine.generate(request)
+    assert response.data == b'{"id": "cmpl-r1"}'
+    assert target.connections == 2
+
+
+def test_a_response_written_once_more_is_no_answer_to_an_order(serve):
+    """Guards against an order taken for carried out by the copy of another response (review/10)."""
+    replies = [[make_reply(b'{"id": "cmpl-r1"}')], [make_reply(b"{}", "409 Old")]]
+    replies.append([make_reply(b"{}")])
+    target = serve(lambda _request: replies.pop(0))
+    engine = create_engine_for(target)
+    list(engine.generate(make_request(whole=True, idempotent=True)))
+    with pytest.raises(OrderRefusedError):
+        engine.load_model("m", "1", "w/m", 6)
+    engine.load_model("m", "2", "w/m", 7)
+    assert target.connections == 3
+
+
+def test_a_plain_response_written_once_more_reaches_no_later_call(serve):
+    """Guards against the response to one caller that another one gets (review/10)."""
+    replies = [[make_reply(b"one"), HANG], [make_reply(b"two")]]
+    target = serve(lambda _request: replies.pop(0))
+    service = create_plain_service(target.address, create_system_clock())
+    deadline = create_system_clock().monotonic() + 5.0
+    request = PlainRequest("GET", "/", (), b"", deadline, idempotent=True)
+    assert b"".join(service.call(request).body) == b"one"
+    assert b"".join(service.call(request).body) == b"two"
+    assert target.connections == 2
+
+
 @pytest.mark.parametrize("status", ["503 Down", "500 Oops", "400 Bad"])
 def test_other_error_statuses_are_rejections_with_their_body(serve, status):
     """Mutation: treat any 503 as refused: a call that failed while running counts as not run."""
