--- a/clementinepin/targets/_plain.py
+++ b/clementinepin/targets/_plain.py
@@ -57,8 +57,9 @@
     def call(self, request: PlainRequest) -> PlainResponse:
         """Send the request once and return after the headers of the response arrived.
 
-        Each call has a connection of its own, as the response names no request. Raises TargetRefusedError if the target
-        refused before admission, and TargetNotReachedError or TargetLostError.
+        Each call has a connection of its own, as the response names no request. Raises
+        TargetRefusedError if the target refused before admission, and TargetNotReachedError or
+        TargetLostError.
         """
         message = HttpRequest(
             method=request.method,
