Choose the service of items like that of calls, by weight

Cause: get_service took the first service of the split, whatever its weight.

Change: calls and items choose by one function. It draws by weight among the services that have targets, the same for a request at all instances, so that a retry or resumption goes where the request was before. The same cause on calls: one that was drawn to a service without targets was rejected, while the other service of the split had some. Items that wait for a slot choose again when the configuration or the services with targets change.

--- a/clementinepin/serving/_app.py
+++ b/clementinepin/serving/_app.py
@@ -110,7 +110,7 @@
         self.slots = SlotBroker(
             settings.name, settings.data_centre, self.fleet, pools, clock, rng, policy
         )
-        self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, rng, metrics)
+        self._forwarder = Forwarder(self.fleet, self.slots, pools, wire, clock, metrics)
         self._jobs = JobService(relayed, self.fleet, links, wire, clock)
         self._link_server = LinkServer((settings.host, settings.link_port))
         RelayServer(self._link_server, direct_store, clock)
--- a/clementinepin/serving/_call_requests.py
+++ b/clementinepin/serving/_call_requests.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import random
+from collections.abc import Callable, Container
 from typing import TypedDict
 
 from clementinepin.serving._call import Call, make_fingerprint
 from clementinepin.serving._slot_requests import SlotRequest
-from clementinepin.serving.models import Route, RouteKind
-from clementinepin.systems import estimates
+from clementinepin.serving.models import RouteKind
+from clementinepin.systems import estimates, service_choice
 
 
 class _StreamFields(TypedDict, total=False):
@@ -68,11 +68,17 @@
     }
 
 
-def choose_service(route: Route, rng: random.Random) -> str:
-    """Return one of the route's services, at random by weight; the first if all weights are 0."""
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    weights = [share.weight for share in route.shares]
-    if not any(weights):
-        return route.shares[0].service
-    return rng.choices([share.service for share in route.shares], weights)[0]
+def choose_call_service(call: Call, list_usable: Callable[[], Container[str]]) -> str:
+    """Return the service for the next attempt of a call.
+
+    ``list_usable`` returns the services that have targets.
+
+    The resumptions of a stream go to the service at which it began.
+    """
+    shares, facts = call.route.shares, call.facts
+    if len(shares) == 1:
+        return shares[0].service
+    key = facts.resumes if facts.last_event_id else facts.request_id
+    return service_choice.choose_service(
+        shares, key or make_fingerprint(call.request), list_usable()
+    )
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
@@ -14,7 +13,7 @@
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving._call import Call
-from clementinepin.serving._call_requests import choose_service, make_slot_request
+from clementinepin.serving._call_requests import choose_call_service, make_slot_request
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._http import HOP_HEADERS, CallerConnection, CallerRequest
 from clementinepin.serving._metrics import ServingMetrics
@@ -68,7 +67,6 @@
         pools: TargetPools,
         wire: Wire,
         clock: Clock,
-        rng: random.Random,
         metrics: ServingMetrics,
     ) -> None:
         self._metrics = metrics
@@ -79,7 +77,6 @@
         self._pools = pools
         self._wire = wire
         self._clock = clock
-        self._random = rng
 
     def serve(
         self, connection: CallerConnection, request: CallerRequest, route: Route, started_at: float
@@ -139,7 +136,7 @@
             self._check_retry(connection, call, outcome)
 
     def _acquire_slot(self, call: Call) -> Slot:
-        service = choose_service(call.route, self._random)
+        service = choose_call_service(call, self._fleet.targets.list_services)
         request = make_slot_request(call, service, self._run_times.get_mean(call.route.name))
         if not (call.response_started or call.maybe_run):
             start_by = min(request.deadline, self._find_latest_start(call))
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -17,7 +17,7 @@
 from clementinepin.helpers.texts import count_bytes
 from clementinepin.serving._events import EventSplitter
 from clementinepin.serving._fleet import FleetView
-from clementinepin.serving._item_routes import ItemRoutes, get_service
+from clementinepin.serving._item_routes import ItemRoutes
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving._pools import TargetPools
@@ -75,7 +75,7 @@
         self._wire = wire
         self._clock = clock
         self._event_gaps: dict[str, float] = {}
-        self._routes = ItemRoutes(fleet.configuration, self._leave_service)
+        self._routes = ItemRoutes(fleet, self._leave_service)
 
     def run(self, run: ItemRun) -> None:
         """Run the item until it is completed, dead or cancelled.
@@ -84,11 +84,10 @@
         hundreds of items waiting. Items of other services run meanwhile.
         """
         while run.state is None and not run.cancelled:
-            route = self._routes.find_route(run)
-            if route is None:
+            service = self._routes.find_service(run)
+            if service is None:
                 self._wait_for_route(run)
                 continue
-            service = get_service(route)
             try:
                 with self._routes.take_place(service):
                     self._run_at(run, service)
@@ -122,17 +121,18 @@
         """Run the item until it is done or cancelled, or its route leads elsewhere or nowhere."""
         while run.state is None and not run.cancelled:
             route = self._routes.find_route(run)
-            if route is None or get_service(route) != service or self._give_up_expired(run):
+            if route is None or not self._routes.leads_to(run, service):
+                return
+            if self._give_up_expired(run):
                 return
-            self._check_version(run, route)
-            outcome = self._run_once(run, route)
+            self._check_version(run, service)
+            outcome = self._run_once(run, route, service)
             if run.state is None and outcome is not RunOutcome.SERVED and not run.cancelled:
                 pause_s = max(run.retry_after_s, get_retry_pause(run.losses))
                 gevent.sleep(0.0 if run.preempted else pause_s)
 
-    def _check_version(self, run: ItemRun, route: Route) -> None:
+    def _check_version(self, run: ItemRun, service: str) -> None:
         """Begin an item again if all targets of its events' software version are gone."""
-        service = get_service(route)
         versions = {
             target.software_version
             for target in self._fleet.targets.rows.values()
@@ -148,15 +148,15 @@
         ).info("item_begun_again")
         run.begin_again()
 
-    def _run_once(self, run: ItemRun, route: Route) -> RunOutcome:
-        """Acquire a slot, run the item on it once and return how that ended."""
+    def _run_once(self, run: ItemRun, route: Route, service: str) -> RunOutcome:
+        """Acquire a slot of a service, run the item on it once and return how that ended."""
         run.abort = Abort()
         run.preempted = False
         run.retry_after_s = 0.0
         run.framing = ""
-        request = self._make_slot_request(run, route)
+        request = self._make_slot_request(run, route, service)
         try:
-            with self._routes.watch(run, request.service):
+            with self._routes.watch(run, service):
                 slot = self._slots.acquire(request, self._make_cancel_setter(run))
         except (OverloadedError, CallerGoneError) as err:
             self._log_wait(run, str(err))
@@ -168,7 +168,7 @@
         granted_at = self._clock.monotonic()
         self._slots.watch_preemption(slot, run.preempt)
         try:
-            outcome = self._use_slot(run, route, slot)
+            outcome = self._use_slot(run, route, service, slot)
         except Exception as err:
             # No answer of a target: the item stays owed.
             report_failure("item_run", err, request_id=run.item.item_id)
@@ -202,7 +202,7 @@
 
         return set_cancel_wait
 
-    def _make_slot_request(self, run: ItemRun, route: Route) -> SlotRequest:
+    def _make_slot_request(self, run: ItemRun, route: Route, service: str) -> SlotRequest:
         facts = self._wire.read_request(
             {k.lower(): v for k, v in self._wire.make_item_headers(run.item)}
         )
@@ -215,7 +215,7 @@
         now = self._clock.monotonic()
         due_in_s = run.head.due_ms / 1000 - self._clock.wall()
         return SlotRequest(
-            service=get_service(route),
+            service=service,
             is_batch=True,
             on_time_by=now + due_in_s - run_s,
             deadline=now + max(0.0, run.head.expires_ms / 1000 - self._clock.wall()),
@@ -225,10 +225,9 @@
             software_version=run.software_version,
         )
 
-    def _use_slot(self, run: ItemRun, route: Route, slot: Slot) -> RunOutcome:
+    def _use_slot(self, run: ItemRun, route: Route, service: str, slot: Slot) -> RunOutcome:
         version = run.software_version or slot.software_version
         target = self._fleet.targets.find_usable(slot.target_id, version)
-        service = get_service(route)
         if not self._routes.leads_to(run, service):
             self._log_wait(run, f"its route has left service {service!r}")
             return RunOutcome.CANCELLED
--- a/clementinepin/serving/_target_view.py
+++ b/clementinepin/serving/_target_view.py
@@ -47,6 +47,10 @@
         self._odd_keys: set[str] = set()
         self.rows: dict[str, Target] = {}
 
+    def list_services(self) -> set[str]:
+        """Return the services that have a target that is not draining."""
+        return {row.service for row in self.rows.values() if not row.draining}
+
     def replace_rows(self, rows: list[KeyValue]) -> None:
         """Replace the state by the rows of the whole range."""
         seen = set()
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -16,6 +16,7 @@
     CallerLimits,
     RouteKind,
     RoutingConfiguration,
+    ServiceShare,
 )
 from clementinepin.systems.dispatch_actions import RunOutcome
 from clementinepin.targets import HttpRequest
@@ -471,6 +472,27 @@
     assert target.connections == 2
 
 
+def test_calls_go_to_no_service_without_targets_while_another_one_of_their_route_has_some(
+    harness: Harness,
+) -> None:
+    """Guards against calls rejected for one side of a split that has no targets (review/7)."""
+    harness.set_route(
+        kind=RouteKind.IDEMPOTENT, shares=(ServiceShare("gone", 90.0), ServiceShare("llm", 10.0))
+    )
+    services = []
+    acquire = harness.slots.acquire
+
+    def record(request: Any, on_waiting: Any) -> Any:
+        services.append(request.service)
+        return acquire(request, on_waiting)
+
+    harness.slots.acquire = record  # type: ignore[method-assign]
+    harness.add_target(ScriptedTarget(*[make_plain(b"answer")] * 8))
+    for _ in range(8):
+        assert call(harness.port, ID).endswith(b"answer")
+    assert services == ["llm"] * 8
+
+
 def test_headers_with_spaces_and_bytes_beyond_ascii_reach_the_caller(harness: Harness) -> None:
     """Guards against a connection that is closed without a response."""
     harness.set_route(kind=RouteKind.IDEMPOTENT)
--- a/tests/serving/test_item_routes.py
+++ b/tests/serving/test_item_routes.py
@@ -135,3 +135,45 @@
     gevent.sleep(0.02)
     set_routes(harness, x="llm")
     wait_until_completed(waiting)
+
+
+def set_split(harness: Harness, **weights: float) -> None:
+    """Put one route in force that is split between services by weights."""
+    shares = tuple(ServiceShare(service, weight) for service, weight in weights.items())
+    route = make_route(kind=RouteKind.JOB, shares=shares, attempts_max=2)
+    version = harness.fleet.configuration.current.version + 1
+    harness.fleet.configuration.current = RoutingConfiguration(
+        version, (route,), {}, CallerLimits()
+    )
+    for listener in harness.fleet.configuration.listeners:
+        listener()
+
+
+@pytest.mark.parametrize("is_accepted_before", [True, False])
+def test_items_follow_the_weights_of_their_route(is_accepted_before: bool) -> None:
+    """Guards against items that stay at the first service of a split (review/7)."""
+    harness = Harness(*[send_events(1) for _ in range(3)])
+    harness.runner._slots = PathSlots("llm")
+    harness.runner._slots.target_ids.append("t0")
+    set_split(harness, former=100.0, llm=0.0)
+    waiting = start_items(harness, 3, "/x/1") if is_accepted_before else []
+    gevent.sleep(0.02)
+    set_split(harness, former=0.0, llm=100.0)
+    wait_until_completed(waiting or start_items(harness, 3, "/x/1"))
+
+
+def test_items_wait_for_no_service_without_targets_while_another_one_of_their_route_has_some():
+    """Guards against items that are never run as their service has no target left (review/7)."""
+    harness = Harness(*[send_events(1) for _ in range(6)])
+    harness.runner._slots = PathSlots("llm")
+    harness.runner._slots.target_ids.append("t0")
+    rows = harness.fleet.targets.rows
+    rows["t1"] = rows["t0"]._replace(target_id="t1", service="other")
+    harness.fleet.notify()
+    set_split(harness, other=90.0, llm=10.0)
+    waiting = start_items(harness, 6, "/x/1")
+    gevent.sleep(0.05)
+    assert any(run.state is None for run in waiting)
+    del rows["t1"]
+    harness.fleet.notify()
+    wait_until_completed(waiting)
--- a/tests/serving/test_item_run.py
+++ b/tests/serving/test_item_run.py
@@ -57,6 +57,9 @@
             1, (make_route(kind=RouteKind.JOB, attempts_max=2),), {}, CallerLimits()
         )
 
+    def list_services(self) -> set[str]:
+        return {row.service for row in self.rows.values() if not row.draining}
+
     def find_usable(self, target_id: str, software_version: str) -> Target | None:
         row = self.rows.get(target_id)
         return row if row and software_version in ("", row.software_version) else None
@@ -65,9 +68,14 @@
 class FakeFleet:
     def __init__(self) -> None:
         self.targets = self.configuration = FakeView()
+        self.subscribers: list[Callable[[], None]] = []
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        self.subscribers.append(listener)
 
-    def subscribe(self, listener: Any) -> None:
-        return
+    def notify(self) -> None:
+        for listener in self.subscribers:
+            listener()
 
 
 class Harness:
