Bound the responses of the instance list and the weight store by their bytes

On the own interface they could: the clients of the instance list and the weight store bounded a response by 3 s alone.

Both now read through the bounded exchange that targets have.

--- a/clementinepin/infrastructure/_http.py
+++ b/clementinepin/infrastructure/_http.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
-
-import gevent
-from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPParseError
+from typing import Final, NamedTuple
 
+from clementinepin.helpers.clock import Clock
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError
+from clementinepin.targets import HttpRequest, TargetAddress, Transport
+from clementinepin.targets.exceptions import TargetLostError, TargetNotReachedError
 
-CONNECT_TIMEOUT_S = 1.0
-READ_TIMEOUT_S = 3.0
-CONNECTIONS_MAX = 2
-RESPONSE_MAX_BYTES = 16_000_000
+TIMEOUT_S: Final = 3.0  # for the whole call
+RESPONSE_MAX_BYTES: Final = 16_000_000
 
 
 class HttpResponse(NamedTuple):
@@ -24,34 +21,27 @@
     body: bytes
 
 
-def create_http_client(address: str) -> HTTPClient:
-    """Return a client of ``address``, which is ``IP:PORT``."""
-    host, _, port = address.rpartition(":")
-    return HTTPClient(
-        host.strip("[]"),
-        int(port),
-        connection_timeout=CONNECT_TIMEOUT_S,
-        network_timeout=READ_TIMEOUT_S,
-        concurrency=CONNECTIONS_MAX,
-    )
-
-
-def fetch_response(client: HTTPClient, method: str, path: str) -> HttpResponse:
-    """Send a GET or HEAD request and return the response.
-
-    Raise PlatformUnavailableError if there is no response in time or it is too large.
-    """
-    try:
-        with gevent.Timeout(READ_TIMEOUT_S, TimeoutError):
-            response = client.request(method, path)
-            body = b"" if method == "HEAD" else bytes(response.read(RESPONSE_MAX_BYTES + 1))
-            headers = {name.lower(): value for name, value in response.headers}
-            status = response.status_code
-            response.release()
-    except (OSError, HTTPParseError) as err:
-        raise PlatformUnavailableError(f"{method} {path}: {err}") from err
-    if len(body) > RESPONSE_MAX_BYTES:
-        raise PlatformUnavailableError(
-            f"{method} {path}: response is larger than {RESPONSE_MAX_BYTES} bytes"
-        )
-    return HttpResponse(status, headers.get("retry-after"), body)
+class HttpClient:
+    """Reads from the service at ``address``, which is ``IP:PORT``."""
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        host, _, port = address.rpartition(":")
+        self._clock = clock
+        self._transport = Transport(TargetAddress(address, host.strip("[]"), int(port)), clock)
+
+    def fetch(self, method: str, path: str) -> HttpResponse:
+        """Send a GET or HEAD request and return the response.
+
+        Raise PlatformUnavailableError if there is no response in time or it is too large.
+        """
+        request = HttpRequest(method, path, deadline=self._clock.monotonic() + TIMEOUT_S)
+        try:
+            exchange = self._transport.send(request)
+            body = exchange.read_all(RESPONSE_MAX_BYTES)
+        except (TargetNotReachedError, TargetLostError) as err:
+            raise PlatformUnavailableError(f"{method} {path}: {err}") from err
+        return HttpResponse(exchange.status, exchange.headers.get("retry-after"), body)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._transport.close()
--- a/clementinepin/infrastructure/_instance_list.py
+++ b/clementinepin/infrastructure/_instance_list.py
@@ -12,7 +12,7 @@
 from clementinepin.const import InstanceState
 from clementinepin.helpers.clock import Clock
 from clementinepin.helpers.decoding import guard_decoder, make_json_decoder, split_json_array
-from clementinepin.infrastructure._http import create_http_client, fetch_response
+from clementinepin.infrastructure._http import HttpClient
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from clementinepin.infrastructure.models import InstanceList, ListedInstance, is_reachable
 
@@ -43,12 +43,12 @@
 class HttpInstanceList:
     """InstanceList over HTTP; malformed rows are logged and left out."""
 
-    def __init__(self, address: str) -> None:
-        self._client = create_http_client(address)
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._client = HttpClient(address, clock)
 
     def fetch(self) -> list[ListedInstance]:
         """Return the list. Raise PlatformUnavailableError if it can't be read or decoded."""
-        response = fetch_response(self._client, "GET", PATH)
+        response = self._client.fetch("GET", PATH)
         if response.status != STATUS_OK:
             raise PlatformUnavailableError(f"instance list responded with status {response.status}")
         try:
@@ -101,6 +101,6 @@
     )
 
 
-def create_instance_list(settings: Settings, clock: Clock) -> InstanceList:  # noqa: ARG001
+def create_instance_list(settings: Settings, clock: Clock) -> InstanceList:
     """Return a client of the instance list at the address in the settings."""
-    return HttpInstanceList(settings.platform.instance_list)
+    return HttpInstanceList(settings.platform.instance_list, clock)
--- a/clementinepin/infrastructure/_weight_store.py
+++ b/clementinepin/infrastructure/_weight_store.py
@@ -4,7 +4,7 @@
 
 from clementinepin.config import Settings
 from clementinepin.helpers.clock import Clock
-from clementinepin.infrastructure._http import create_http_client, fetch_response
+from clementinepin.infrastructure._http import HttpClient
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from clementinepin.infrastructure.models import WeightStore
 
@@ -18,7 +18,7 @@
     """WeightStore over HTTP; the store limits the rate of loads."""
 
     def __init__(self, address: str, clock: Clock) -> None:
-        self._client = create_http_client(address)
+        self._client = HttpClient(address, clock)
         self._clock = clock
 
     def check_rate(self, path: str) -> float:
@@ -26,7 +26,7 @@
 
         Raise PlatformUnavailableError if the store can't be reached or returns another status.
         """
-        response = fetch_response(self._client, "HEAD", path)
+        response = self._client.fetch("HEAD", path)
         if response.status == STATUS_OK:
             return self._clock.wall()
         if response.status == STATUS_TOO_MANY_REQUESTS:
--- a/clementinepin/platform/_store.py
+++ b/clementinepin/platform/_store.py
@@ -27,7 +27,7 @@
 CALL_TIMEOUT_S: Final = 1.5
 WATCH_WAIT_MS: Final = 25_000  # the platform allows 30 s; shorter waits cost more calls
 WATCH_MARGIN_S: Final = 2.0
-RESPONSE_MAX_BYTES: Final = 64_000_000  # the store limits a page to about 1 MB
+RESPONSE_MAX_BYTES: Final = 16_000_000  # the store limits a page to about 1 MB
 VALUE_SHOWN_MAX: Final = 60  # characters of a value that can't be decoded, in a log line
 T = TypeVar("T")
 JSON_HEADERS: Final = (("Content-Type", "application/json"),)
--- a/clementinepin/serving/_http.py
+++ b/clementinepin/serving/_http.py
@@ -219,8 +219,7 @@
         )
         headers = {name.lower(): value for name, value in header_lines}
         self.head_path, self.head_headers = head.target.decode("latin-1"), headers
-        pieces: list[bytes] = []
-        total = 0
+        body = bytearray()  # pieces of their own would take many times as much if they are small
         if self._parser.they_are_waiting_for_100_continue:
             self._send(self._parser.send(h11.InformationalResponse(status_code=100, headers=[])))
         with gevent.Timeout(BODY_TIMEOUT_S):
@@ -229,18 +228,17 @@
                 while event is h11.NEED_DATA:
                     event = self._receive()
                 if isinstance(event, h11.Data):
-                    total += len(event.data)
-                    if total > self._limits.body_max_bytes:
+                    body += event.data
+                    if len(body) > self._limits.body_max_bytes:
                         raise BadRequestError(
                             f"the body exceeds {self._limits.body_max_bytes} bytes", 413
                         )
-                    pieces.append(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage):
                     break
                 else:
                     return None
         method = head.method.decode("latin-1")
-        return CallerRequest(method, self.head_path, headers, header_lines, b"".join(pieces))
+        return CallerRequest(method, self.head_path, headers, header_lines, bytes(body))
 
     def _receive(self) -> Any:
         self._sock.settimeout(None)
--- a/tests/infrastructure/test_instance_list.py
+++ b/tests/infrastructure/test_instance_list.py
@@ -10,9 +10,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from clementinepin.helpers.clock import ManualClock
+from clementinepin.helpers.clock import ManualClock, create_system_clock
 from clementinepin.infrastructure import ListedInstance
-from clementinepin.infrastructure._http import HttpResponse
+from clementinepin.infrastructure._http import HttpClient, HttpResponse
 from clementinepin.infrastructure._instance_list import HttpInstanceList, parse_group
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 from standins.instance_list import LaggingTable, create_server
@@ -47,25 +47,25 @@
 
 def test_fetch_reads_rows_over_http(port: int):
     _put(port, "/standin/rows", [GROUP])
-    assert HttpInstanceList(f"127.0.0.1:{port}").fetch() == [ROW]
+    assert HttpInstanceList(f"127.0.0.1:{port}", create_system_clock()).fetch() == [ROW]
 
 
 def test_error_status_raises_platform_unavailable(port: int):
     _put(port, "/standin/faults", {"available": False})
     with pytest.raises(PlatformUnavailableError):
-        HttpInstanceList(f"127.0.0.1:{port}").fetch()
+        HttpInstanceList(f"127.0.0.1:{port}", create_system_clock()).fetch()
 
 
 def test_closed_port_raises_platform_unavailable():
     with pytest.raises(PlatformUnavailableError):
-        HttpInstanceList("127.0.0.1:1").fetch()
+        HttpInstanceList("127.0.0.1:1", create_system_clock()).fetch()
 
 
 def test_fetch_shows_changes_only_after_the_lag(port: int, clock: ManualClock):
     _put(port, "/standin/faults", {"lag_s": 5.0})
     _put(port, "/standin/rows", [GROUP])
     _put(port, "/standin/rows", [])
-    client = HttpInstanceList(f"127.0.0.1:{port}")
+    client = HttpInstanceList(f"127.0.0.1:{port}", create_system_clock())
     assert client.fetch() == [ROW]
     clock.advance(5.0)
     assert client.fetch() == []
@@ -99,11 +99,8 @@
 
 
 def _read_list(monkeypatch: pytest.MonkeyPatch, body: bytes) -> list[ListedInstance]:
-    monkeypatch.setattr(
-        "clementinepin.infrastructure._instance_list.fetch_response",
-        lambda *_: HttpResponse(200, None, body),
-    )
-    return HttpInstanceList("127.0.0.1:1").fetch()
+    monkeypatch.setattr(HttpClient, "fetch", lambda *_: HttpResponse(200, None, body))
+    return HttpInstanceList("127.0.0.1:1", create_system_clock()).fetch()
 
 
 # One row nested too deeply made the whole list unreadable: RecursionError, which no reader caught.
--- a/tests/infrastructure/test_odd_responses.py
+++ b/tests/infrastructure/test_odd_responses.py
@@ -2,12 +2,14 @@
 
 import contextlib
 
+import gevent
 import pytest
 from gevent.server import StreamServer
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from clementinepin.infrastructure._http import HttpResponse, create_http_client, fetch_response
+from clementinepin.helpers.clock import create_system_clock
+from clementinepin.infrastructure._http import RESPONSE_MAX_BYTES, HttpClient, HttpResponse
 from clementinepin.infrastructure._weight_store import RETRY_MAX_S, parse_retry_after
 from clementinepin.infrastructure.exceptions import PlatformUnavailableError
 
@@ -33,9 +35,9 @@
 
     def fetch(self, reply):
         self.reply = reply
-        client = create_http_client(f"127.0.0.1:{self.server.server_port}")
+        client = HttpClient(f"127.0.0.1:{self.server.server_port}", create_system_clock())
         try:
-            return fetch_response(client, "GET", "/")
+            return client.fetch("GET", "/")
         finally:
             client.close()
 
@@ -87,6 +89,40 @@
         assert isinstance(replier.fetch(bytes(data)), HttpResponse)
 
 
+ENDLESS = {
+    "header": (b"HTTP/1.1 200 OK\r\nX: ", b"a" * 65_536),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X: aaaaaaaa\r\n" * 4_000),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 65_536),
+    "chunk extension": (CHUNKED[:50], b";" + b"a" * 65_536),
+    "trailers": (CHUNKED[:-7], b"X: aaaaaaaa\r\n" * 4_000),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_a_response_without_end_is_given_up_within_its_bound(kind):
+    """Guards against a faulty service that fills the memory until the call times out (issue 47)."""
+    start, piece = ENDLESS[kind]
+    sent = 0
+
+    def serve(sock, _):
+        nonlocal sent
+        with contextlib.suppress(OSError):
+            sock.recv(65_536)
+            sock.sendall(start)
+            while sent < 4 * RESPONSE_MAX_BYTES:
+                sock.sendall(piece)
+                sent += len(piece)
+                gevent.sleep(0)
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    client = HttpClient(f"127.0.0.1:{server.server_port}", create_system_clock())
+    with pytest.raises(PlatformUnavailableError, match=r"\d bytes"):
+        client.fetch("GET", "/")
+    server.stop(timeout=0)
+
+
 @settings(derandomize=True, max_examples=200)
 @given(value=st.none() | st.text(max_size=9) | st.sampled_from(["9" * 5_000, "²", "٣", "inf"]))
 def test_any_time_to_retry_is_bounded(value):
