Bound the texts of all unfinished items together

One item's text was bounded, those of many were not.

A run whose text is no smaller than the others on average begins again once all of them exceed the bound; sound items beside it go on.

--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -17,6 +17,7 @@
 from clementinepin.helpers.texts import count_bytes
 from clementinepin.serving._events import EventSplitter
 from clementinepin.serving._fleet import FleetView
+from clementinepin.serving._held_texts import HeldTexts
 from clementinepin.serving._item_routes import ItemRoutes
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._metrics import ServingMetrics
@@ -75,6 +76,7 @@
         self._wire = wire
         self._clock = clock
         self._event_gaps: dict[str, float] = {}
+        self._held_texts = HeldTexts()
         self._routes = ItemRoutes(fleet, self._leave_service)
 
     def run(self, run: ItemRun) -> None:
@@ -83,6 +85,12 @@
         Load pattern: the operators remove a route, or all targets of a service are lost, with
         hundreds of items waiting. Items of other services run meanwhile.
         """
+        try:
+            self._run_to_end(run)
+        finally:
+            self._held_texts.forget(run)
+
+    def _run_to_end(self, run: ItemRun) -> None:
         while run.state is None and not run.cancelled:
             service = self._routes.find_service(run)
             if service is None:
@@ -331,7 +339,7 @@
         """Append the events of the response to the run.
 
         Raises TargetProtocolError if an event is out of order or the stream ends within one, or if
-        the text gets too large; then the item begins again.
+        the text, or those of all items together, get too large; then the item begins again.
         """
         splitter = EventSplitter()
         size = count_bytes(run.texts)
@@ -346,16 +354,25 @@
                     )
                 size += len(event.raw)
                 if size > TEXT_MAX_BYTES:
-                    run.begin_again()
+                    self._drop_text(run)
                     raise TargetProtocolError(f"text is larger than {TEXT_MAX_BYTES} bytes")
                 run.texts.append(event.text)
                 run.last_event_id = event_id
                 run.software_version = run.target_version
                 run.ends.clear()
                 run.losses = 0
+            try:
+                self._held_texts.update(run, size)
+            except TargetProtocolError:
+                self._drop_text(run)
+                raise
         if splitter.incomplete.strip():
             raise TargetProtocolError("the stream ended within an event")
 
+    def _drop_text(self, run: ItemRun) -> None:
+        self._held_texts.forget(run)
+        run.begin_again()
+
     def _record_failed_status(self, run: ItemRun, route: Route, status: int) -> None:
         """Count a failed attempt, drop its events, mark the item dead if it may not run again.
 
--- a/tests/serving/test_endless_responses.py
+++ b/tests/serving/test_endless_responses.py
@@ -8,10 +8,12 @@
 import gevent.event
 import pytest
 
-from clementinepin.serving import _item_run
+from clementinepin.serving import _held_texts, _item_run
+from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving.models import ItemState
 from tests.serving import test_item_run
 from tests.serving.harness import ID, Harness, send_events
+from tests.serving.parts import make_head, make_items
 from tests.serving.scripted import (
     EVENTS,
     HEAD,
@@ -71,6 +73,35 @@
     assert b"Last-Event-Id" not in harness.target.requests[1]
 
 
+def test_the_texts_of_many_items_without_end_are_bounded_together(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a job runner that runs out of memory beside several faulty targets (issue 47).
+
+    Each text alone is within its bound. The sound item beside them keeps its events.
+    """
+    monkeypatch.setattr(_held_texts, "HELD_MAX_BYTES", 4_000)
+    harness = test_item_run.Harness(
+        *[send_events_without_end] * 4, send_events(1, 2, end=False), send_events(3)
+    )
+    items = make_items(5)
+    runs = [ItemRun(item, make_head(now_s=harness.clock.wall()), 0) for item in items]
+    endless = [gevent.spawn(harness.runner.run, run) for run in runs[:4]]
+    largest = 0
+    with gevent.Timeout(20.0):
+        while len(harness.target.requests) < 4:
+            gevent.sleep(0.001)
+        harness.runner.run(runs[4])
+        for _ in range(200):
+            largest = max(largest, sum(len(run.texts) for run in runs[:4]))
+            gevent.sleep(0.001)
+    assert (runs[4].state, runs[4].text) == (ItemState.COMPLETED, "e1\ne2\ne3")
+    assert largest * _held_texts.EVENT_BYTES < 2 * 4_000
+    for run, greenlet in zip(runs, endless, strict=False):
+        run.cancel()
+        greenlet.join(5.0)
+
+
 @pytest.mark.parametrize("first", [1, 4])
 def test_a_run_that_is_given_up_is_closed_at_its_target(harness: Harness, first: int) -> None:
     """The run that was joined in vain went on at its target beside the next one."""
