Join no events of two services

Cause: the events of an item were kept as long as the service of its route had a target of the same software version, whichever service that was; the checkpoint named none either.

Change: items, checkpoints and records of streams name the service. An item goes on at the service of its events while its route gives that any weight, and begins again elsewhere. The same cause on related paths: each attempt of a call drew its service anew, also behind the first events; and a resumed stream was bound to a version only. Fields that older builds don't write are empty and hold as before.

--- a/clementinepin/serving/_call.py
+++ b/clementinepin/serving/_call.py
@@ -28,7 +28,8 @@
     is set with ``is_complete`` if the response has a success status. ``framing`` says what marks
     the end of the newest response's body, empty if there was no response. ``ends`` has the
     runs that ended behind the last event without proof. ``target_version`` is the
-    software version of the newest target, ``software_version`` the one whose events were passed on.
+    software version of the newest target, ``software_version`` the one whose events were passed on
+    and ``service`` the service of the newest attempt.
     ``spared`` are targets that are excluded only while others can be asked.
     ``resumed_at_event_id`` is the last event before the newest run. ``relay`` is the instance
     through which the newest response came, empty for the own link. ``link_lost`` says that the
@@ -60,6 +61,7 @@
         self.target_id = ""
         self.target_version = ""
         self.software_version = ""
+        self.service = ""
         self.waited_s = 0.0
         self.target_load: tuple[int, int, int] | None = None
         self.first_byte_at = started_at
--- a/clementinepin/serving/_call_requests.py
+++ b/clementinepin/serving/_call_requests.py
@@ -73,8 +73,10 @@
 
     ``list_usable`` returns the services that have targets.
 
-    The resumptions of a stream go to the service at which it began.
+    A stream goes on at the service at which it began, also if its caller resumes it.
     """
+    if call.response_started:
+        return call.service
     shares, facts = call.route.shares, call.facts
     if len(shares) == 1:
         return shares[0].service
--- a/clementinepin/serving/_checkpoints.py
+++ b/clementinepin/serving/_checkpoints.py
@@ -27,7 +27,8 @@
 class ItemCheckpoint(msgspec.Struct, array_like=True, frozen=True):
     """An item's events up to ``last_event_id``; ``failures`` counts its failed runs before.
 
-    ``software_version`` is that of the target that generated them, empty if it was not recorded.
+    ``software_version`` and ``service`` are those of the target that generated them, empty if they
+    were not recorded.
     """
 
     item_id: str
@@ -35,6 +36,7 @@
     last_event_id: int
     texts: list[str]
     software_version: str = ""
+    service: str = ""
 
 
 class JobCheckpoint(msgspec.Struct, array_like=True, frozen=True):
@@ -50,6 +52,7 @@
     last_event_id: int
     texts: list[str]
     software_version: str
+    service: str
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -67,7 +70,12 @@
         size += count_bytes(run.texts)
         if run.last_event_id and size <= VALUE_MAX_BYTES:
             rows[item_id] = ItemCheckpoint(
-                item_id, run.failures, run.last_event_id, list(run.texts), run.software_version
+                item_id,
+                run.failures,
+                run.last_event_id,
+                list(run.texts),
+                run.software_version,
+                run.service,
             )
     return rows
 
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -198,7 +198,12 @@
     def _record_stream(self, stream: messages.StreamVersion) -> None:
         now = self._clock.monotonic()
         stream_versions.record_stream(
-            self.table, stream.stream_id, stream.software_version, now + stream.ttl_s, now
+            self.table,
+            stream.stream_id,
+            stream.software_version,
+            now + stream.ttl_s,
+            now,
+            stream.service,
         )
 
     def _handle_load(self, link: Link, message: messages.ReportLoad) -> None:
--- a/clementinepin/serving/_forward.py
+++ b/clementinepin/serving/_forward.py
@@ -136,8 +136,8 @@
             self._check_retry(connection, call, outcome)
 
     def _acquire_slot(self, call: Call) -> Slot:
-        service = choose_call_service(call, self._fleet.targets.list_services)
-        request = make_slot_request(call, service, self._run_times.get_mean(call.route.name))
+        call.service = choose_call_service(call, self._fleet.targets.list_services)
+        request = make_slot_request(call, call.service, self._run_times.get_mean(call.route.name))
         if not (call.response_started or call.maybe_run):
             start_by = min(request.deadline, self._find_latest_start(call))
             request = request._replace(deadline=start_by)
--- a/clementinepin/serving/_item_routes.py
+++ b/clementinepin/serving/_item_routes.py
@@ -56,6 +56,8 @@
         if len(route.shares) == 1:
             return route.shares[0].service
         usable = self._targets.list_services()
+        if run.service in usable and run.service in service_choice.sum_weights(route.shares):
+            return run.service  # what another service writes does not go on with the events so far
         return service_choice.choose_service(route.shares, run.item.item_id, usable)
 
     def leads_to(self, run: ItemRun, service: str) -> bool:
--- a/clementinepin/serving/_item_run.py
+++ b/clementinepin/serving/_item_run.py
@@ -133,24 +133,29 @@
                 return
             if self._give_up_expired(run):
                 return
-            self._check_version(run, service)
+            self._check_origin(run, service)
             outcome = self._run_once(run, route, service)
             if run.state is None and outcome is not RunOutcome.SERVED and not run.cancelled:
                 pause_s = max(run.retry_after_s, get_retry_pause(run.losses))
                 gevent.sleep(0.0 if run.preempted else pause_s)
 
-    def _check_version(self, run: ItemRun, service: str) -> None:
-        """Begin an item again if all targets of its events' software version are gone."""
+    def _check_origin(self, run: ItemRun, service: str) -> None:
+        """Begin an item again if no target can go on with its events.
+
+        They are those of another service, or all targets of their software version are gone.
+        """
         versions = {
             target.software_version
             for target in self._fleet.targets.rows.values()
             if target.service == service and not target.draining
         }
-        if not run.software_version or not versions or run.software_version in versions:
+        is_known = not versions or run.software_version in ("", *versions)
+        if run.service in ("", service) and is_known:
             return
         logger.bind(
             request_id=run.item.item_id,
             job=run.head.job_id,
+            service=run.service,
             software_version=run.software_version,
             events=run.last_event_id,
         ).info("item_begun_again")
@@ -243,6 +248,7 @@
             return RunOutcome.CANCELLED
         run.resumed_at_event_id = run.last_event_id
         run.target_id, run.target_version = target.target_id, target.software_version
+        run.target_service = target.service
         try:
             with self._slots.watch_silence(slot, run.item.item_id, run.leave_lost_link):
                 exchange = self._send(run, target)
@@ -359,6 +365,7 @@
                 run.texts.append(event.text)
                 run.last_event_id = event_id
                 run.software_version = run.target_version
+                run.service = run.target_service
                 run.ends.clear()
                 run.losses = 0
             try:
--- a/clementinepin/serving/_item_state.py
+++ b/clementinepin/serving/_item_state.py
@@ -18,13 +18,14 @@
     """State of one item across its runs.
 
     ``state`` is None until the item is completed or dead, and stays None if it is cancelled.
-    ``losses`` counts runs in a row that lost their target without a new event. ``retry_after_s``
-    is how long the dispatcher that rejected the newest run wants it to wait. ``preempted`` says
-    that the dispatcher asked the latest run to free its slot. ``framing`` says what marks the end
-    of the newest response's body. ``ends`` has the runs that ended behind the last event without
-    proof. ``target_id`` is the newest target, ``target_version`` its software
-    version and ``software_version`` the one of the events so far. ``resumed_at_event_id`` is the
-    last event before the newest run, and ``prefix_ids`` are the parts of the item's prompt.
+    ``losses`` counts runs in a row that lost their target without a new event. ``retry_after_s`` is
+    how long the dispatcher that rejected the newest run wants it to wait. ``preempted`` says that
+    the dispatcher asked the latest run to free its slot. ``framing`` says what marks the end of the
+    newest response's body. ``ends`` has the runs that ended behind the last event without proof.
+    ``target_id`` is the newest target, ``target_version`` its software version and
+    ``target_service`` its service; ``software_version`` and ``service`` are those of the events so
+    far. ``resumed_at_event_id`` is the last event before the newest run, and ``prefix_ids`` are the
+    parts of the item's prompt.
     """
 
     def __init__(self, item: JobItem, head: records.JobHead, failures: int) -> None:
@@ -44,7 +45,9 @@
         self.framing = ""
         self.target_id = ""
         self.target_version = ""
+        self.target_service = ""
         self.software_version = ""
+        self.service = ""
         self.ends: list[RunEnd] = []
         self.abort = Abort()
         self.cancel_wait: Callable[[], None] = lambda: None
@@ -79,11 +82,18 @@
         self.texts.clear()
         self.last_event_id = 0
         self.software_version = ""
+        self.service = ""
         self.ends.clear()
 
-    def resume_from(self, last_event_id: int, texts: list[str], software_version: str) -> None:
-        """Start after the events that an earlier run produced at a software version."""
+    def resume_from(
+        self, last_event_id: int, texts: list[str], software_version: str, service: str
+    ) -> None:
+        """Start after the events that an earlier run produced at a service's software version.
+
+        ``service`` is empty if it was not recorded.
+        """
         self.software_version = software_version
+        self.service = service
         self.last_event_id = last_event_id
         self.texts = list(texts)
         logger.bind(request_id=self.item.item_id, job=self.head.job_id, events=last_event_id).info(
--- a/clementinepin/serving/_local_choice.py
+++ b/clementinepin/serving/_local_choice.py
@@ -34,9 +34,9 @@
     if _is_held_back(table, request, entries, now):
         retry_after_s = waiting.get_longest_retry_wait(request, now)
         raise OverloadedError(dispatching.CRASHED_TARGETS, retry_after_s)
-    version, _ = stream_versions.find_required_version(table, request, now)
+    version, source = stream_versions.find_required_version(table, request, now)
     if version is None:
-        raise OverloadedError("unknown software version", LOCAL_RETRY_S)
+        raise OverloadedError(stream_versions.REJECTIONS[source], LOCAL_RETRY_S)
     request = request._replace(software_version=version)
     targets = list(table.targets.values())
     if placement is Placement.RANDOM:
--- a/clementinepin/serving/_messages.py
+++ b/clementinepin/serving/_messages.py
@@ -40,11 +40,15 @@
 
 
 class StreamVersion(msgspec.Struct, array_like=True, frozen=True):
-    """The software version at which a stream began; its caller may resume it for ``ttl_s``."""
+    """The software version at which a stream began; its caller may resume it for ``ttl_s``.
+
+    Older builds don't tell ``service``.
+    """
 
     stream_id: str
     software_version: str
     ttl_s: float
+    service: str = ""
 
 
 class BrokenRun(msgspec.Struct, array_like=True, frozen=True):
--- a/clementinepin/serving/_own_streams.py
+++ b/clementinepin/serving/_own_streams.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from clementinepin.helpers.clock import Clock
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._slot_requests import SlotRequest
+from clementinepin.serving.exceptions import OverloadedError
 from clementinepin.systems import stream_versions
 from clementinepin.tables.dispatch import DispatchTable
 
+OTHER_SERVICE_RETRY_S: Final = 0.3
+
 
 class OwnStreams:
     """Binds the requests of streams to the versions at which they began.
@@ -24,7 +29,8 @@
     def bind(self, request: SlotRequest, dispatcher: str) -> SlotRequest:
         """Return the request with the version at which it must run, if this instance knows one.
 
-        ``dispatcher`` is the one that responds, empty without any.
+        ``dispatcher`` is the one that responds, empty without any. Raises OverloadedError if the
+        stream began at another service.
         """
         if request.software_version or not request.stream_id:
             return request
@@ -32,6 +38,9 @@
         stream = stream_versions.find_stream(self._table, request.stream_id, now)
         if stream is None:
             return request
+        if request.is_resumption and stream.service not in ("", request.service):
+            message = f"the stream began at service {stream.service!r}, not {request.service!r}"
+            raise OverloadedError(message, OTHER_SERVICE_RETRY_S)
         if request.is_resumption or stream.told not in ("", dispatcher):
             return request._replace(software_version=stream.software_version)
         return request
@@ -47,7 +56,8 @@
         stream = stream_versions.find_stream(self._table, stream_id, now)
         if stream is None:
             return None
-        return messages.StreamVersion(stream_id, stream.software_version, stream.expires_at - now)
+        ttl_s = stream.expires_at - now
+        return messages.StreamVersion(stream_id, stream.software_version, ttl_s, stream.service)
 
     def describe_all(self, dispatcher: str) -> list[messages.StreamVersion]:
         """Return what a new dispatcher should know; it is told with the next message."""
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -322,7 +322,10 @@
             job.runs[item.item_id] = run
             if (checkpoint := job.restored.get(item.item_id)) is not None:
                 run.resume_from(
-                    checkpoint.last_event_id, checkpoint.texts, checkpoint.software_version
+                    checkpoint.last_event_id,
+                    checkpoint.texts,
+                    checkpoint.software_version,
+                    checkpoint.service,
                 )
             gevent.spawn(self._run_item, job, run)
 
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -61,10 +61,10 @@
     """
     if (rejection := _check_cause(table, request, now)) is not None:
         return [rejection]
-    version, _ = stream_versions.find_required_version(table, request, now)
+    version, source = stream_versions.find_required_version(table, request, now)
     if version is None:
         retry_after_s = waiting.get_longest_retry_wait(request, now)
-        return [Rejected(request.key, retry_after_s, "unknown software version")]
+        return [Rejected(request.key, retry_after_s, stream_versions.REJECTIONS[source])]
     request = request._replace(software_version=version)
     if (rejection := _check_version(table, request, now)) is not None:
         return [rejection]
@@ -384,7 +384,12 @@
     grant = Grant(request, target.target_id, now)
     table.grants[request.key] = grant
     stream_versions.record_stream(
-        table, request.stream_id, target.software_version, request.stream_until, now
+        table,
+        request.stream_id,
+        target.software_version,
+        request.stream_until,
+        now,
+        target.service,
     )
     target.grants[request.key] = grant
     for prefix_id in request.prefix_ids[:-1]:
--- a/clementinepin/systems/stream_versions.py
+++ b/clementinepin/systems/stream_versions.py
@@ -27,10 +27,17 @@
     RECORDED = "recorded"
     ONLY_VERSION = "only version"
     UNKNOWN = "unknown"
+    OTHER_SERVICE = "other service"
+
+
+REJECTIONS: Final = {
+    VersionSource.UNKNOWN: "unknown software version",
+    VersionSource.OTHER_SERVICE: "the stream began at another service",
+}
 
 
 class RequiredVersion(NamedTuple):
-    """The version at which a request must run, empty for any, or None if it is unknown."""
+    """The version at which a request must run, empty for any, or None if it must not run."""
 
     version: str | None
     source: VersionSource
@@ -52,9 +59,17 @@
 
 
 def record_stream(
-    table: DispatchTable, stream_id: str, software_version: str, expires_at: float, now: float
+    table: DispatchTable,
+    stream_id: str,
+    software_version: str,
+    expires_at: float,
+    now: float,
+    service: str = "",
 ) -> None:
-    """Record at which version a stream begins or goes on; without an id there is none."""
+    """Record at which version of a service a stream begins or goes on; without an id there is none.
+
+    ``service`` is empty if it is unknown.
+    """
     if not stream_id or expires_at <= now:
         return
     begun = table.streams.begun
@@ -62,7 +77,7 @@
     told = ""
     if former is not None and former.software_version == software_version:
         told = former.told
-    begun[stream_id] = BegunStream(software_version, expires_at, told)
+    begun[stream_id] = BegunStream(software_version, expires_at, told, service)
     while begun and (len(begun) > STREAMS_MAX or next(iter(begun.values())).expires_at <= now):
         del begun[next(iter(begun))]
 
@@ -100,7 +115,7 @@
     """Return the version at which a request must run.
 
     The version of a stream that is not recorded is known if its service has had only one until the
-    stream was resumed.
+    stream was resumed. A stream goes on at no other service than that of its record.
 
     Load pattern: an instance that is suspended or cut off during a release still has callers, and
     knows of the former version only. One that has just started sees the later version only.
@@ -109,9 +124,11 @@
         return RequiredVersion(request.software_version, VersionSource.GIVEN)
     if not request.is_resumption:
         return RequiredVersion("", VersionSource.UNBOUND)
-    recorded = find_stream_version(table, request.stream_id, now)
+    recorded = find_stream(table, request.stream_id, now)
     if recorded is not None:
-        return RequiredVersion(recorded, VersionSource.RECORDED)
+        if recorded.service not in ("", request.service):
+            return RequiredVersion(None, VersionSource.OTHER_SERVICE)
+        return RequiredVersion(recorded.software_version, VersionSource.RECORDED)
     only_version = _find_only_version(table, request, now)
     if only_version is None or table.streams.confirmed_at < request.resumed_at:
         return RequiredVersion(None, VersionSource.UNKNOWN)
--- a/clementinepin/tables/streams.py
+++ b/clementinepin/tables/streams.py
@@ -10,11 +10,13 @@
     """A stream that a target was granted to; ``expires_at`` is in monotonic seconds.
 
     ``told`` is the first dispatcher that an instance has told of it, empty if there is none.
+    ``service`` is empty in what an older build tells.
     """
 
     software_version: str
     expires_at: float
     told: str = ""
+    service: str = ""
 
 
 class RunEnd(NamedTuple):
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -16,7 +16,7 @@
 import msgspec
 from gevent import socket
 
-from soak._fleet import HOST, VERSIONS, Fleet
+from soak._fleet import HOST, TEXT_VERSIONS, VERSIONS, Fleet
 from soak._target import PLAIN_PATH, make_plain_body, make_text
 
 CALL_TIMEOUT_S = 6.0
@@ -109,15 +109,15 @@
     return Response(status, rest, True)
 
 
-def make_job(items: list[str]) -> bytes:
+def make_job(items: list[str], route: str = "jobs") -> bytes:
     """Return the body of a job with items of these ids."""
-    return msgspec.json.encode({"items": [_make_item(item) for item in items]})
+    return msgspec.json.encode({"items": [_make_item(item, route) for item in items]})
 
 
-def _make_item(item_id: str) -> dict[str, Any]:
+def _make_item(item_id: str, route: str) -> dict[str, Any]:
     return {
         "id": item_id,
-        "path": f"/jobs/{item_id}",
+        "path": f"/{route}/{item_id}",
         "headers": {
             "Clementinepin-Token-Count": "50,30",
             "Clementinepin-Prompt-Prefix": f"a0:20,{item_id}:10",
@@ -156,8 +156,12 @@
                 gevent.spawn(self.send_plain)
             elif kind < 0.55:
                 gevent.spawn(self.send_stream, "once")
-            elif kind < 0.9:
+            elif kind < 0.82:
                 gevent.spawn(self.send_stream, "again")
+            elif kind < 0.87:
+                gevent.spawn(self.send_stream, "split")
+            elif kind < 0.93:
+                gevent.spawn(self.send_job, "splitjobs")
             else:
                 gevent.spawn(self.send_job)
 
@@ -185,7 +189,7 @@
             "Clementinepin-Deadline-Ms": "5000",
             "Clementinepin-Prompt-Prefix": self._make_prompt(request_id),
         }
-        breaks = route == "again" and self._random.random() < BREAKING_SHARE
+        breaks = route != "once" and self._random.random() < BREAKING_SHARE
         events_max = self._random.randint(1, events) if breaks else 0
         response = self.call_stream(ip, route, headers, events_max)
         if route == "once":
@@ -194,7 +198,7 @@
         for _ in range(RESUMPTIONS_MAX):
             last_event = body.count(b"\n\n")
             ip = self.resolve_front()
-            if route != "again" or response.status != 200 or whole or not last_event:
+            if route == "once" or response.status != 200 or whole or not last_event:
                 break
             if ip is None:
                 gevent.sleep(RESUMPTION_PAUSE_S)
@@ -258,18 +262,18 @@
                 f"id: {n}\ndata: {make_text(stream_id, n, version)}\n\n"
                 for n in range(1, events + 1)
             ).encode()
-            for version in VERSIONS
+            for version in TEXT_VERSIONS
         ]
         if whole and body not in possible:
             self.broken.append(f"{stream_id}: complete response differs from the target's events")
         if not any(expected.startswith(body) for expected in possible):
             self.broken.append(f"{stream_id}: events are missing, doubled or of another version")
 
-    def send_job(self) -> None:
-        """Submit a job, up to four times until it is accepted, as callers do after a failure."""
+    def send_job(self, route: str = "jobs") -> None:
+        """Submit a job on a route, up to four times, as callers do after a failure."""
         job_id = self.make_id("j")
         items = [self.make_id("i") for _ in range(self._random.randint(1, 8))]
-        body = make_job(items)
+        body = make_job(items, route)
         statuses = []
         for _ in range(4):
             ip = self.resolve_front()
@@ -277,7 +281,7 @@
                 gevent.sleep(0.2)
                 continue
             headers = {"Clementinepin-Request-Id": job_id, "Content-Type": "application/json"}
-            statuses.append(call(ip, 8161, "POST", f"/jobs/{job_id}", headers, body).status)
+            statuses.append(call(ip, 8161, "POST", f"/{route}/{job_id}", headers, body).status)
             if statuses[-1] == 202:
                 self.jobs[job_id] = items
                 return
@@ -338,7 +342,7 @@
                 self.broken.append(f"{job_id}: result at position {position} changed")
             possible = [
                 "\n".join(make_text(result["id"], n, version) for n in range(1, 31))
-                for version in VERSIONS
+                for version in TEXT_VERSIONS
             ]
             if result["state"] != "completed" or result["text"] not in possible:
                 self.broken.append(f"{job_id}: result of {result['id']} is incomplete or wrong")
--- a/soak/_calm.py
+++ b/soak/_calm.py
@@ -15,7 +15,7 @@
 import gevent
 
 from soak._callers import Callers
-from soak._fleet import GRACE_PERIOD_S, Fleet
+from soak._fleet import GRACE_PERIOD_S, SERVICE, Fleet
 from soak._kept import KeptCaller, PlannedStop, list_broken
 from soak._odd_entries import list_forms
 
@@ -77,14 +77,13 @@
     fleet.crashing_parts.clear()
     first_parts, callers.first_parts = callers.first_parts, 1
     callers.run(fleet.now() + CONTACT_S, rate)
-    burst = [
-        gevent.spawn(callers.send_stream, "once") for _ in range(OUTAGE_BURST * len(fleet.targets))
-    ]
+    names = [name for name, target in fleet.targets.items() if target.service == SERVICE]
+    burst = [gevent.spawn(callers.send_stream, "once") for _ in range(OUTAGE_BURST * len(names))]
     until, begun_at = fleet.now() + BURST_S, fleet.now()
     while fleet.now() < until:
         gevent.sleep(POLL_S)
         reached = {run.target for run in fleet.run_log.runs if run.started_at > begun_at}
-        if reached.issuperset(fleet.targets):
+        if reached.issuperset(names):
             break
     for name in list(fleet.targets):
         fleet.crash_target(name, OUTAGE_S)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -17,6 +17,9 @@
 from soak._odd_entries import make_rows
 from soak._releases import NAME as RELEASE_NAME
 from soak._releases import Releases
+from soak._target import SPLIT_SERVICES
+
+SPLIT_WEIGHTS = ((100, 0), (0, 100), (10, 90), (90, 10), (50, 50))
 
 
 class Faults:
@@ -26,6 +29,8 @@
     """
 
     _version = 1  # of the configuration
+    _split_engines = 0
+    _moves_split = False
 
     def __init__(
         self, fleet: Fleet, releases: Releases, seed: int, words: Collection[str] = ()
@@ -73,6 +78,7 @@
                 (RELEASE_NAME, releases.inject),
                 ("target stops within its head", lambda: self._spoil("heads_to_cut")),
                 ("odd entries of targets", self._write_odd_entries),
+                ("a split moves", self._move_split),
             ]
         self._kinds = [k for k in self._kinds if not words or any(w in k[0] for w in words)]
 
@@ -255,6 +261,28 @@
             if name in self._fleet.targets:
                 self._fleet.remove_target(name)
 
+    def _move_split(self) -> None:
+        """Change the weights of a split, and take the engines of one of its services away.
+
+        That is the one without weight, or any while the other one has weight and engines.
+        """
+        if self._moves_split:
+            return
+        self._moves_split = True
+        fleet = self._fleet
+        fleet.split_weights = self._random.choice(SPLIT_WEIGHTS)
+        pairs = dict(zip(SPLIT_SERVICES, fleet.split_weights, strict=True))
+        kept = self._random.choice([name for name, weight in pairs.items() if weight])
+        former = [name for name, t in fleet.targets.items() if t.service in pairs]
+        self._split_engines += 1
+        fleet.add_target(f"p{self._split_engines}", VERSIONS[0], kept)
+        gevent.sleep(self._random.uniform(0.2, 1.0))
+        self._change_configuration()
+        gevent.sleep(self._random.uniform(0.0, 3.0))
+        for name in former:
+            fleet.remove_target(name)
+        self._moves_split = False
+
     def _write_odd_entries(self) -> None:
         """Leave odd rows, one in the place of an engine's entry, and add an engine behind them."""
         name = self._choose_target()
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -22,7 +22,7 @@
 
 from clementinepin.helpers.clock import create_system_clock
 from soak._proxy import Proxy
-from soak._target import PLAIN_PATH, RunLog, Target
+from soak._target import PLAIN_PATH, SPLIT_SERVICES, RunLog, Target
 from standins.key_value import create_server
 
 INTERNAL_PORTS = (7720, 7735)
@@ -38,6 +38,7 @@
 CRASH_S = 0.5  # until an engine that a request crashed is back
 UNFRAMED_PERIOD = 3  # each third response of an engine ends with its connection
 VERSIONS = ("v1", "v2", "v3")  # of the engines' software
+TEXT_VERSIONS = (*VERSIONS, *(f"{s}/{v}" for s in SPLIT_SERVICES for v in VERSIONS))
 RELEASED_SERVICES = tuple(f"released{n}" for n in range(6))  # each with a resumable route
 
 SETTINGS_TEMPLATE = """node = "{name}"
@@ -207,6 +208,7 @@
         self.proxies: dict[str, Proxy] = {}
         self._lease_ids: dict[str, int] = {}
         self._unregistered: set[str] = set()
+        self.split_weights = (100, 0)
         port = self.store.server_port
         self.instances = [
             Instance(f"front-{n}", f"127.{net}.1.{n + 1}", folder, port, builds, is_front=True)
@@ -219,6 +221,7 @@
         self.put_configuration(1)
         for n in range(targets):
             self.add_target(f"w{n}", VERSIONS[0 if self.has_two_builds else n % 2])
+        self.add_target("p0", VERSIONS[0], SPLIT_SERVICES[0])
         self._heartbeat = gevent.spawn(self._run_heartbeats)
         for instance in self.instances:
             instance.start()
@@ -231,6 +234,17 @@
         """Write a configuration with this version to the store, as the operator does."""
         common = {"host": HOST, "service": SERVICE, "timeout_ms": 5000, "sticky": True}
         stream = {"kind": "streaming", "target_latency_ms": 300, "gap_target_ms": 200}
+        batch = {
+            "kind": "batch",
+            "max_attempts": 3,
+            "resumable": True,
+            "target_latency_ms": 500,
+            "run_target_ms": 18_000,
+            "retention_s": 120,
+            "max_count": 1_000_000,
+        }
+        pairs = zip(SPLIT_SERVICES, self.split_weights, strict=True)
+        split = {"traffic_split": [{"service": name, "weight": w} for name, w in pairs]}
         routes = [
             {
                 "name": "plain",
@@ -250,20 +264,20 @@
                 **common,
             },
             *make_released_routes(common | stream),
+            {"name": "jobs", "path_prefix": "/jobs/", **batch, **common},
+            {"name": "splitjobs", "path_prefix": "/splitjobs/", **batch, **common, **split},
             {
-                "name": "jobs",
-                "path_prefix": "/jobs/",
-                "kind": "batch",
+                "name": "split",
+                "path_prefix": "/split/",
                 "max_attempts": 3,
                 "resumable": True,
-                "target_latency_ms": 500,
-                "run_target_ms": 18_000,
-                "retention_s": 120,
-                "max_count": 1_000_000,
+                **stream,
                 **common,
+                **split,
             },
         ]
-        services = [{"name": service} for service in (SERVICE, *RELEASED_SERVICES)]
+        names = (SERVICE, *SPLIT_SERVICES, *RELEASED_SERVICES)
+        services = [{"name": service} for service in names]
         config = {"version": version, "routes": routes, "services": services}
         self.gateway.state.put("op/config", msgspec.json.encode(config), None)
 
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -18,13 +18,16 @@
 QUEUE_MAX_REQUESTS = 8
 READ_SIZE_BYTES = 65_536
 PLAIN_PATH = "/plain/"  # of requests whose responses have no events
-ITEM_PATH = "/jobs/"
+ITEM_PATHS = ("/jobs/", "/splitjobs/")
 ITEM_FAILURES_MAX = 2  # an item is given up at its third attempt that fails
 ERROR_RESPONSE = (
     b"HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\noops\n\n"
 )
 
 
+SPLIT_SERVICES = ("split0", "split1")  # of one route; each writes texts of its own
+
+
 class Run(NamedTuple):
     """One run of a request; ``first_event`` is the number of the first event that it sends.
 
@@ -88,6 +91,7 @@
         self.name = name
         self.version = version
         self.service = service
+        self._text_version = f"{service}/{version}" if service in SPLIT_SERVICES else version
         self.slots = slots
         self._run_log = run_log
         self._clock = clock
@@ -232,7 +236,7 @@
     def _must_fail(self, request_id: str, path: str) -> bool:
         """Return whether a run fails with status 500; count it then."""
         failures = self._run_log.failures
-        is_item = path.startswith(ITEM_PATH)
+        is_item = path.startswith(ITEM_PATHS)
         if not (is_item and self.failures_to_repeat) or failures[request_id] >= ITEM_FAILURES_MAX:
             return False
         self.failures_to_repeat -= 1
@@ -258,7 +262,8 @@
         """Send the events of a stream; return whether the connection stays open."""
         encode = _encode_chunk if framed else bytes
         for count, number in enumerate(numbers):
-            event = f"id: {number}\ndata: {make_text(stream_id, number, self.version)}\n\n".encode()
+            text = make_text(stream_id, number, self._text_version)
+            event = f"id: {number}\ndata: {text}\n\n".encode()
             self.speaks.wait()
             if self.errors_to_write and count:
                 self.errors_to_write -= 1
--- a/tests/serving/test_checkpoints.py
+++ b/tests/serving/test_checkpoints.py
@@ -159,3 +159,17 @@
     store = MemoryStore()
     store.apply(records.Change({}, {KEYS.checkpoint: b"\xff"}))
     assert CheckpointKeeper(store).restore(KEYS.checkpoint, {}) == {}
+
+
+def test_a_checkpoint_names_the_service_of_its_events() -> None:
+    """Guards against a text joined from two services behind a restart (review/8)."""
+    store = MemoryStore()
+    run = make_run(NEW_EVENTS_MIN)
+    run.service = "llm"
+    keeper = CheckpointKeeper(store)
+    keeper.save([("jc/j1", {"i0": run})])
+    assert keeper.restore("jc/j1", {})["i0"].service == "llm"
+    texts = ["e"] * NEW_EVENTS_MIN
+    older = msgspec.msgpack.encode([[["i0", 0, NEW_EVENTS_MIN, texts, "v1"]]])
+    store.write(Change({}, {"jc/j1": older}))
+    assert keeper.restore("jc/j1", {})["i0"].service == ""
--- a/tests/serving/test_forward.py
+++ b/tests/serving/test_forward.py
@@ -493,6 +493,31 @@
     assert services == ["llm"] * 8
 
 
+def test_a_stream_goes_on_at_the_service_at_which_it_began(harness: Harness) -> None:
+    """Guards against a stream joined from two services of a split (review/8)."""
+    shares = (ServiceShare("llm", 10.0), ServiceShare("other", 90.0))
+    harness.set_route(resumable=True, shares=shares, attempts_max=2)
+    services = []
+    acquire = harness.slots.acquire
+
+    def record(request: Any, on_waiting: Any) -> Any:
+        services.append(request.service)
+        slot = acquire(request, on_waiting)
+        rows = harness.app.fleet.targets.rows
+        rows["t1"] = rows["t1"]._replace(service="other")  # the draw is another one from now on
+        return slot
+
+    harness.slots.acquire = record  # type: ignore[method-assign]
+    harness.add_target(ScriptedTarget(*[send_events(1, end=False)] * 8))
+    harness.add_target(ScriptedTarget(*[send_events(2)] * 8))
+    for _ in range(8):
+        harness.app.fleet.targets.rows["t1"] = harness.app.fleet.targets.rows["t0"]._replace(
+            target_id="t1", port=harness._targets[1].port
+        )
+        assert call(harness.port, ID).endswith(b"0\r\n\r\n")
+    assert services[::2] == services[1::2] == ["llm"] * 8
+
+
 def test_headers_with_spaces_and_bytes_beyond_ascii_reach_the_caller(harness: Harness) -> None:
     """Guards against a connection that is closed without a response."""
     harness.set_route(kind=RouteKind.IDEMPOTENT)
--- a/tests/serving/test_item_routes.py
+++ b/tests/serving/test_item_routes.py
@@ -177,3 +177,40 @@
     del rows["t1"]
     harness.fleet.notify()
     wait_until_completed(waiting)
+
+
+@pytest.mark.parametrize("is_moved_back", [False, True])
+def test_an_item_goes_on_at_no_other_service(is_moved_back: bool) -> None:
+    """Guards against a text joined from two services as the route of its item moved (review/8)."""
+    harness = Harness()
+    rows = harness.fleet.targets.rows
+    rows["t1"] = rows["t0"]._replace(target_id="t1", service="other")
+
+    def move_route(sock: Any, request: bytes) -> bool:
+        send_events(1, 2, end=False)(sock, request)
+        set_routes(harness, x="other")
+        harness.slots.target_ids = ["t1"]
+        if is_moved_back:
+            set_routes(harness, x="llm")
+            harness.slots.target_ids = ["t0"]
+        return False
+
+    harness.target._scripts = [move_route, send_events(3) if is_moved_back else send_events(1)]
+    run = harness.run_item()
+    assert run.text == ("e1\ne2\ne3" if is_moved_back else "e1")
+    assert (b"Last-Event-Id" in harness.target.requests[1]) is is_moved_back
+    assert run.service == ("llm" if is_moved_back else "other")
+
+
+def test_an_item_stays_at_the_service_of_its_events_while_its_route_allows_it() -> None:
+    """Guards against work done again for each change of a weight."""
+    harness = Harness()
+    rows = harness.fleet.targets.rows
+    rows["t1"] = rows["t0"]._replace(target_id="t1", service="other")
+    routes = harness.runner._routes
+    for service, other in (("llm", "other"), ("other", "llm")):
+        harness.run.service = service
+        set_split(harness, **{service: 1.0, other: 1000.0})
+        assert routes.find_service(harness.run) == service
+        set_split(harness, **{service: 0.0, other: 1.0})
+        assert routes.find_service(harness.run) == other
--- a/tests/serving/test_slot_versions.py
+++ b/tests/serving/test_slot_versions.py
@@ -170,3 +170,16 @@
     pair.dispatcher._handle_release(link, withdrawal)
     pair.dispatcher._release_all("f1")
     assert "q1" not in pair.dispatcher.table.streams.begun
+
+
+def test_an_instance_knows_the_service_of_its_streams_whoever_dispatches() -> None:
+    """Guards against a stream joined from two services as its route moved (review/8)."""
+    pair = start_pair(targets=1)
+    set_versions(pair, "v1")
+    pair.broker.release(acquire(pair.broker, make_stream(pair, "q1")), RunOutcome.CANCELLED)
+    pair.dispatcher.table.streams.begun.clear()
+    moved = make_stream(pair, "q1", is_resumption=True, service="other")
+    with pytest.raises(OverloadedError, match="began at service 'llm', not 'other'"):
+        acquire(pair.broker, moved)
+    assert [row.service for row in pair.broker._make_hello().streams] == ["llm"]
+    pair.stop()
--- a/tests/systems/test_stream_versions.py
+++ b/tests/systems/test_stream_versions.py
@@ -50,6 +50,19 @@
     return make_request(number, now, stream_id=stream_id, is_resumption=True)
 
 
+def test_a_stream_goes_on_at_no_other_service(rng: random.Random) -> None:
+    """Guards against a stream joined from two services as its route moved (review/8)."""
+    table = make_release("v1", "v1")
+    table.targets["t2"] = TargetLoad("t2", "other", "a", 2)
+    table.targets["t2"].software_version = "v1"
+    begin(table, "q1", 0.0, rng)
+    moved = resume("q1")._replace(service="other")
+    (rejected,) = dispatching.submit(table, moved, 1.0, rng)
+    assert isinstance(rejected, Rejected)
+    assert rejected.reason == "the stream began at another service"
+    assert isinstance(dispatching.submit(table, resume("q1"), 1.0, rng)[0], Granted)
+
+
 def test_a_resumed_stream_waits_for_its_version_and_takes_no_other(rng: random.Random) -> None:
     table = make_release("v1", "v2", slots=1)
     version = begin(table, "q1", 0.0, rng)
