--- a/bench/crash_load.py
+++ b/bench/crash_load.py
@@ -102,7 +102,7 @@
         for target_id in former.targets:
             self._start_target(target_id)
         for run, at in self._broken:
-            crash_causes.record_crash(self.table.crashes, run, at)
+            crash_causes.record_crash(self.table.crashes, run, at, is_foreign=True)
         for grant in former.grants.values():
             request = self._requests[grant.key]
             dispatching.adopt_grant(self.table, request, grant.target_id, now)
--- a/clementinepin/scheduling/_messenger.py
+++ b/clementinepin/scheduling/_messenger.py
@@ -270,7 +270,7 @@
         crashes = self._decider.tables.crashes
         for item in message["broken"]:
             run = messages.decode_broken_run(item)
-            crash_causes.record_crash(crashes, run, now - item["age_s"])
+            crash_causes.record_crash(crashes, run, now - item["age_s"], is_foreign=True)
         for item in message["cleared"]:
             crash_causes.record_success(crashes, item["service"], frozenset(item["parts"]), now)
         self._run_systems()
--- a/clementinepin/serving/_crash_records.py
+++ b/clementinepin/serving/_crash_records.py
@@ -136,7 +136,7 @@
                 record.events,
             )
             for table in self._tables:
-                crash_causes.record_crash(table, run, now - age_s)
+                crash_causes.record_crash(table, run, now - age_s, is_foreign=True)
         elif record is not None and key not in self._pending:
             if key not in self._known:
                 log = logger.bind(service=record.service, traits=record.traits)
--- a/clementinepin/serving/_dispatcher.py
+++ b/clementinepin/serving/_dispatcher.py
@@ -107,7 +107,8 @@
             self._record_stream(stream)
         for run in hello.broken_runs:
             broken_run = make_broken_run(link.name, run)
-            crash_causes.record_crash(self.table.crashes, broken_run, now - run.age_s)
+            at = now - run.age_s
+            crash_causes.record_crash(self.table.crashes, broken_run, at, is_foreign=True)
         for target_id, limit_per_s in hello.limits_per_s.items():
             if target_id in self.table.targets:
                 target_limits.name_limit(self.table.targets[target_id], limit_per_s, now)
--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -45,10 +45,11 @@
 TRIAL_PATIENCE_S: Final = 2.0  # within which a request without other suspected traits may come
 
 
-def record_crash(table: CrashTable, run: BrokenRun, at: float) -> None:
+def record_crash(table: CrashTable, run: BrokenRun, at: float, *, is_foreign: bool = False) -> None:
     """Record that a target broke off a run; one that was reported before counts once.
 
-    Reports of one target at about the same time belong to one crash.
+    Reports of one target at about the same time belong to one crash. ``is_foreign`` says that
+    another instance has let the run start.
     """
     if not run.traits:
         return
@@ -66,6 +67,7 @@
         crashes.append(crash)
         crashes.sort(key=lambda other: other.at)
         crashes[:] = [c for c in crashes if at - c.at < CRASH_MEMORY_S][-CRASHES_KEPT_MAX:]
+    crash.is_foreign = crash.is_foreign or is_foreign
     runs = crash.writing if run.events >= EVENTS_TO_CLEAR else crash.silent
     if len(runs) < RUNS_PER_CRASH_MAX and len(run.traits) <= TRAITS_MAX:
         runs.append(run.traits)
@@ -287,13 +289,13 @@
 def _count_failed_trials(
     table: CrashTable, service: str, cause: CrashCause, crashes: list[Crash]
 ) -> None:
-    """Count the crashes under requests that ran when a trial was due, whoever let them run.
+    """Count the crashes under requests that another instance has let run when a trial was due.
 
     Load pattern: another dispatcher takes over and hears of the crashes before. A trial that the
     former one has made must not be made again, and one that it has not made must not be waited for.
     """
     for crash in crashes:
-        if crash.at >= cause.trial_at and _explains(cause.traits, crash):
+        if crash.is_foreign and crash.at >= cause.trial_at and _explains(cause.traits, crash):
             _record_failed_trial(table, service, cause, crash.at)
 
 
--- a/clementinepin/tables/crashes.py
+++ b/clementinepin/tables/crashes.py
@@ -24,11 +24,13 @@
     """One crash of a target, with the traits of each run that it ended. Times are monotonic.
 
     A trait is something that requests may share: a part of their prompts or the digest by which a
-    request is known when it is sent again. ``silent`` has the runs that had brought no or few
-    events, ``writing`` the others. Traits of requests that succeed later are removed.
+    request is known when it is sent again. ``is_foreign`` says that another instance let a run of
+    it start, so that it may have been a trial that is not known here. ``silent`` has the runs that
+    had brought no or few events, ``writing`` the others. Traits of requests that succeed later are
+    removed.
     """
 
-    __slots__ = ("at", "is_settled", "silent", "target_id", "writing")
+    __slots__ = ("at", "is_foreign", "is_settled", "silent", "target_id", "writing")
 
     def __init__(self, target_id: str, at: float) -> None:
         self.target_id = target_id
@@ -36,6 +38,7 @@
         self.silent: list[frozenset[str]] = []
         self.writing: list[frozenset[str]] = []
         self.is_settled = False
+        self.is_foreign = False
 
     def list_suspects(self) -> list[frozenset[str]]:
         """Return the runs that may have caused the crash.
--- a/soak/_calm.py
+++ b/soak/_calm.py
@@ -46,6 +46,7 @@
 OUTAGE_BURST = 4  # streams for each engine that have just begun when all crash
 BURST_S = 0.4
 FINISH_DEADLINE_S = 18.0  # of the items of a job, behind the outage
+IDLE_MAX_S = 5.0  # later, while no item of any job is listed
 
 
 def check_crashing_part(fleet: Fleet, callers: Callers, rate: float) -> None:
@@ -72,7 +73,8 @@
 def check_outage(fleet: Fleet, callers: Callers, rate: float) -> None:
     """Crash all engines at once under streams and items that share the first part of their prompts.
 
-    No request crashes engines, so that all are served behind the outage.
+    No request crashes engines, so that all are served behind the outage. A backlog may last longer
+    than the deadline of its items as long as some are listed.
     """
     fleet.crashing_parts.clear()
     first_parts, callers.first_parts = callers.first_parts, 1
@@ -95,8 +97,12 @@
     served = [t.is_served for t in callers.tries if t.sent_at > back_at + 2 * CONTACT_S]
     if sum(served) < SERVED_SHARE_MIN * len(served):
         callers.broken.append(f"{sum(served)} of {len(served)} streams served behind an outage")
-    deadline = back_at + FINISH_DEADLINE_S
-    while (unfinished_jobs := callers.read_jobs()) and fleet.now() < deadline:
+    listed, listed_at = 0, fleet.now()
+    while unfinished_jobs := callers.read_jobs():
+        if len(callers.results_by_position) > listed:
+            listed, listed_at = len(callers.results_by_position), fleet.now()
+        if fleet.now() > max(back_at + FINISH_DEADLINE_S, listed_at + IDLE_MAX_S):
+            break
         gevent.sleep(0.5)
     callers.broken += [f"{job}: items not listed behind an outage" for job in unfinished_jobs]
 
