--- a/clementinepin/systems/run_times.py
+++ b/clementinepin/systems/run_times.py
@@ -6,9 +6,7 @@
 
 MEAN_WEIGHT: Final = 0.1  # of the newest run in a route's mean, which adapts in ten runs
 LONGEST_WEIGHT: Final = 0.02  # of a shorter newest time in the longest one
-LONGEST_RUNS: Final = (
-    1_000  # of which, at least, the longest counts for a request of unknown length
-)
+LONGEST_RUNS: Final = 1_000  # the longest of them counts for a request of unknown length
 LONGEST_FACTOR: Final = 1.5  # for targets that turn slow
 SILENCE_S: Final = 1.4  # a sound target may fall silent for a second or so and go on
 
