Let reads see the reset that a write to a target found

Cause: the kernel reports a reset to one call only. Traced on two greenlets on one socket: the write of the rest of the request gets errno 104, the next read an end of file, in all orders tried. That write only logs its failure, as the read was to raise it. The end of an unframed response then looked like that of a target that closes in order.

Ruled out: the framing of the response (a cut body with a length fails before as well as now), the check whether the target has crashed (it accepts connections), and a target that ends its side in order before it resets. There the write gets errno 32, and the read has the end of file in either order: all of the response had come, and it is passed on as before.

Change: a connection to a target is a TargetSocket, which keeps the failure of a write and raises it at the end of file. Connections of calls, streams, items, the store and both kinds of tunnels are made in one place, so all have it.

Tunnels of the platform's interface and items held already; their tests stay.

--- a/clementinepin/serving/_tunnels.py
+++ b/clementinepin/serving/_tunnels.py
@@ -18,7 +18,7 @@
 from clementinepin.serving._fleet import FleetView
 from clementinepin.serving._links import CONNECT_TIMEOUT_S, LinkServer, set_options
 from clementinepin.tables.leaving import TargetStart
-from clementinepin.targets import Relay, TargetAddress, connect_directly
+from clementinepin.targets import Relay, TargetAddress, TargetSocket, connect_directly
 from clementinepin.targets.exceptions import RelayLostError, TargetNotReachedError
 
 READ_SIZE_BYTES: Final = 65_536
@@ -48,7 +48,7 @@
         except OSError as err:
             logger.bind(error=str(err)).info("tunnel_broke")
 
-    def send_responses(self, target_sock: Any) -> None:
+    def send_responses(self, target_sock: TargetSocket) -> None:
         """Pass the target's bytes on, and how they end."""
         try:
             while (data := _read_target(target_sock)) is not None:
@@ -116,7 +116,7 @@
             if backward is not None:
                 backward.kill(block=False)
 
-    def _connect(self, request: messages.OpenTunnel) -> Any:
+    def _connect(self, request: messages.OpenTunnel) -> TargetSocket:
         """Return a connected socket. Raises TargetNotReachedError."""
         target = self._fleet.targets.find_usable(request.target_id, "")
         if target is None or self._leaving:
@@ -129,7 +129,7 @@
         return sock
 
 
-def _send_requests(sock: Any, reader: messages.FrameReader, target_sock: Any) -> None:
+def _send_requests(sock: Any, reader: messages.FrameReader, target_sock: TargetSocket) -> None:
     """Pass bytes on to the target until the other instance closes the tunnel."""
     while data := sock.recv(READ_SIZE_BYTES):
         for message in reader.feed(data):
@@ -137,10 +137,10 @@
                 target_sock.sendall(message.data)
 
 
-def _read_target(target_sock: Any) -> bytes | None:
+def _read_target(target_sock: TargetSocket) -> bytes | None:
     """Return bytes of a target, none at the end of its connection, and None if that broke."""
     try:
-        return bytes(target_sock.recv(READ_SIZE_BYTES))
+        return target_sock.recv(READ_SIZE_BYTES)
     except OSError as err:
         logger.bind(error=str(err)).info("tunnel_target_broke")
         return None
--- a/clementinepin/targets/__init__.py
+++ b/clementinepin/targets/__init__.py
@@ -18,6 +18,7 @@
     create_plain_service,
 )
 from clementinepin.targets._relays import HedgedRelays, Relay
+from clementinepin.targets._sockets import TargetSocket
 from clementinepin.targets._transport import Transport
 from clementinepin.targets.models import (
     CacheEvent,
@@ -50,6 +51,7 @@
     "Relays",
     "StreamChunk",
     "TargetAddress",
+    "TargetSocket",
     "Transport",
     "connect_directly",
     "create_dialer",
--- a/clementinepin/targets/_dialing.py
+++ b/clementinepin/targets/_dialing.py
@@ -17,6 +17,7 @@
 from clementinepin.tables.reach import ReachTable
 from clementinepin.targets._attempts import start_attempt
 from clementinepin.targets._connection import Connection, ConnectionPool, Dialer, set_options
+from clementinepin.targets._sockets import TargetSocket
 from clementinepin.targets.exceptions import TargetNotReachedError
 from clementinepin.targets.models import Relays, TargetAddress
 
@@ -37,7 +38,7 @@
         self._sock: socket.socket | None = None
         self.is_pending = True
 
-    def wait(self, deadline: float) -> socket.socket:
+    def wait(self, deadline: float) -> TargetSocket:
         """Return the socket. Raises TargetNotReachedError if that fails or takes too long.
 
         After a time-out ``is_pending`` is still set, and the attempt may be waited for again.
@@ -55,7 +56,7 @@
             self.close()
             raise self._make_error(err) from err
         self.is_pending = False
-        return sock
+        return TargetSocket(sock)
 
     def close(self) -> None:
         """Give the attempt up."""
@@ -80,7 +81,7 @@
         )
 
 
-def connect_directly(address: TargetAddress, deadline: float, clock: Clock) -> socket.socket:
+def connect_directly(address: TargetAddress, deadline: float, clock: Clock) -> TargetSocket:
     """Return a socket that is connected by the own link. Raises TargetNotReachedError."""
     attempt = _DirectAttempt(address, clock)
     try:
--- a/clementinepin/tunnels/_server.py
+++ b/clementinepin/tunnels/_server.py
@@ -7,13 +7,12 @@
 from typing import Any, Final
 
 import gevent
-from gevent import socket
 from gevent.event import Event
 from loguru import logger
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.peers import PeerNetwork
-from clementinepin.targets import TargetAddress, connect_directly
+from clementinepin.targets import TargetAddress, TargetSocket, connect_directly
 from clementinepin.targets.exceptions import TargetNotReachedError
 from clementinepin.tunnels import _messages as messages
 
@@ -29,7 +28,7 @@
 class _Tunnel:
     """The far end of a tunnel: a connection to a target and what was read from it."""
 
-    def __init__(self, sock: socket.socket, peer: str, now: float) -> None:
+    def __init__(self, sock: TargetSocket, peer: str, now: float) -> None:
         self.sock = sock
         self.peer = peer
         self.used_at = now
--- /dev/null
+++ b/tests/serving/test_broken_answers.py
@@ -0,0 +1,85 @@
+"""Answers of targets in trouble: broken off by a reset, with an odd status or with odd fields."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import gevent
+import pytest
+
+from clementinepin.serving import _item_run
+from clementinepin.serving._item_state import ItemRun
+from clementinepin.serving.models import ItemState, RouteKind
+from tests.serving.broken_answers import UPLOAD, ResettingTarget, WriteWatch, upload
+from tests.serving.cut_links import Manner
+from tests.serving.harness import ID, Harness, get_status
+from tests.serving.scripted import make_event
+from tests.serving.test_cut_heads import ITEM_ID, is_whole, make_head
+from tests.serving.test_cut_off_instances import CutOffHarness
+from tests.serving.test_item_run import Harness as ItemHarness
+
+ANSWERS = {
+    RouteKind.IDEMPOTENT: make_head("unframed") + b"part " * 400,
+    RouteKind.NON_IDEMPOTENT: make_head("unframed") + b"part " * 400,
+    RouteKind.STREAM: make_head("unframed events") + make_event(1) + make_event(2),
+}
+SETTLED_S = 0.1  # loopback and the greenlets need far less
+
+
+@pytest.fixture(params=["directly", "through a tunnel"])
+def entry(request: pytest.FixtureRequest) -> Iterator[Harness]:
+    """An entry that reaches targets by its own links, or through another instance."""
+    harness = Harness() if request.param == "directly" else CutOffHarness()
+    yield harness
+    harness.stop()
+
+
+def add_target(entry: Harness, answer: bytes) -> ResettingTarget:
+    target = ResettingTarget(answer)
+    if isinstance(entry, CutOffHarness):
+        entry.add_cut_target(target, Manner.REFUSE)  # type: ignore[arg-type]
+    else:
+        entry.add_target(target)  # type: ignore[arg-type]
+    return target
+
+
+@pytest.mark.parametrize("kind", ANSWERS)
+def test_an_unframed_answer_reset_during_the_upload_never_looks_whole(
+    entry: Harness, kind: RouteKind, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a part of a body that is closed with a last chunk (issue 50)."""
+    entry.set_route(kind=kind, resumable=False, attempts_max=1)
+    target = add_target(entry, ANSWERS[kind])
+    watch = WriteWatch(monkeypatch)
+    caller = gevent.spawn(upload, entry.port, ID)
+    assert target.answered.wait(5.0)
+    gevent.sleep(SETTLED_S)
+    # A tunnel takes all of the upload: the write to the target is then under way at its far end.
+    assert watch.is_under_way or isinstance(entry, CutOffHarness)
+    target.may_reset.set()
+    response = caller.get(timeout=10.0)
+    assert get_status(response) == 502 or not is_whole(response)
+    assert entry.slots.successes == [False]
+
+
+def test_an_item_whose_unframed_answer_was_reset_is_run_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a part of a text that is listed as completed (issue 50)."""
+    monkeypatch.setattr(_item_run, "RETRY_PAUSE_S", 0.001)
+    harness = ItemHarness()
+    harness.run = ItemRun(harness.run.item._replace(body=UPLOAD), harness.run.head, 0)
+    target = ResettingTarget(make_head("unframed events", ITEM_ID) + make_event(1))
+    scripted, targets = harness.target.port, harness.fleet.targets.rows
+    targets["t0"] = targets["t0"]._replace(port=target.port)
+    running = gevent.spawn(harness.run_item)
+    assert target.answered.wait(5.0)
+    gevent.sleep(SETTLED_S)
+    rest = make_head("events", ITEM_ID) + b"%x\r\n%s\r\n0\r\n\r\n"
+    harness.target._scripts = [rest % (len(make_event(2)), make_event(2))]
+    targets["t0"] = targets["t0"]._replace(port=scripted)
+    target.may_reset.set()
+    run = running.get(timeout=10.0)
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
+    assert run.losses == 0
+    target.stop()
--- a/tests/tunnels/test_cut_responses.py
+++ b/tests/tunnels/test_cut_responses.py
@@ -2,25 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from typing import Any
-
 import pytest
 
-from clementinepin.core import InstancesChanged
 from clementinepin.helpers.clock import create_system_clock
-from clementinepin.infrastructure import ListedInstance
 from clementinepin.targets import (
     GenerateRequest,
     PlainRequest,
-    TargetAddress,
     create_engine,
     create_plain_service,
 )
 from clementinepin.targets.exceptions import TargetLostError
-from clementinepin.tunnels import create_tunnels
-from tests.serving.cut_links import CutLink, Manner
-from tests.targets.scripted import CUT, STREAM_HEAD, ScriptedTarget, chunk, make_reply, make_stream
+from tests.targets.scripted import STREAM_HEAD, chunk, make_reply, make_stream
+from tests.tunnels.ways import Ways, get_deadline
 
 ID = "q1"
 UNFRAMED = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -29,49 +22,6 @@
 WHOLE = make_reply(b'{"id": "cmpl-q1", "choices": []}')
 
 
-class Ways:
-    """An instance that reaches its targets directly, or through another one."""
-
-    def __init__(self, networks: list[Any] | None) -> None:
-        self._parts: list[Any] = []
-        self.dialer = None
-        if networks is not None:
-            near, self._far = (create_tunnels(n._core, n) for n in networks)
-            self._far.start()
-            self.dialer = near.dialer
-            self._core = networks[1]._core
-
-    def add_target(self, whole: bytes, sizes: range) -> TargetAddress:
-        """Return the address of a target that sends a part of each size in turn."""
-        parts = iter([whole[:size] for size in sizes])
-        target = ScriptedTarget(lambda _request: (next(parts), CUT), "t0")
-        self._parts.append(target)
-        if self.dialer is None:
-            return target.address
-        link = CutLink(Manner.REFUSE)
-        self._parts.append(link)
-        row = ListedInstance("t0", "llm", "127.0.0.1", target.address.port, 0, "dc", "r", "live")
-        self._core.publish(InstancesChanged((row,)))
-        return TargetAddress("t0", "127.0.0.1", link.port)
-
-    def stop(self) -> None:
-        if self.dialer is not None:
-            self._far.stop(0.0)
-        for part in self._parts:
-            part.stop()
-
-
-@pytest.fixture(params=["directly", "through a tunnel"])
-def ways(request: pytest.FixtureRequest, start_networks: Any) -> Iterator[Ways]:
-    ways = Ways(start_networks("a", "b") if request.param != "directly" else None)
-    yield ways
-    ways.stop()
-
-
-def get_deadline() -> float:
-    return create_system_clock().monotonic() + 10.0
-
-
 @pytest.mark.parametrize("idempotent", [False, True])
 def test_a_plain_response_that_is_cut_anywhere_is_lost(ways: Ways, idempotent: bool) -> None:
     """Guards against an empty or short body that is framed as whole (issue 41)."""
