Pass on no body of an interim response or of a status below 100

Cause: the parser takes a length or chunks for a body whatever the status, except for 100, 102 and 103, which it knows. The product skips heads below 200 as interim, but kept the bytes that came between them. Shown by the bytes "odd" and "good" of two answers, fed to the parser whole and byte by byte: its body was "oddgood" for 000, 099 and 199, and an error for 103.

Ruled out: 000 or 099 alone (the request waited for another head, then ended as lost), and statuses that are not three digits (the parser refuses them).

Change: body bytes under a status below 200 violate the protocol. The connection is closed, and the request goes on elsewhere if it may. Interim responses without a body are skipped as before.

--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 from typing import Final, NamedTuple
 
-from geventhttpclient.response import HTTPParseError, HTTPResponse
+from geventhttpclient.response import HTTPParseError, HTTPProtocolViolationError, HTTPResponse
 
 from clementinepin.helpers.clock import Clock
 from clementinepin.targets._connection import Abort, Connection, ConnectionPool
@@ -133,6 +133,9 @@
             self.ended = self.status >= STATUS_FINAL_MIN
 
     def _on_body(self, buf: bytearray) -> None:
+        if self.status < STATUS_FINAL_MIN:
+            # The parser takes a length or chunks of an interim response for those of a body.
+            raise HTTPProtocolViolationError(f"an interim response {self.status:03} has a body")
         if not self.has_trailing_message and not self._skips_body:
             self.pieces.append(bytes(buf))
 
--- a/tests/serving/broken_answers.py
+++ b/tests/serving/broken_answers.py
@@ -12,6 +12,7 @@
 from clementinepin.targets._connection import Connection
 from tests.ports import find_port
 from tests.serving.cut_links import reset
+from tests.serving.scripted import make_chunk
 
 UPLOAD = b"u" * 4_000_000  # within the limit on callers' bodies
 READ_BYTES = 4096  # what the target reads of an upload
@@ -56,6 +57,24 @@
         reset(sock)
 
 
+def send_answers(*answers: bytes) -> Any:
+    """Return a script that sends answers one behind the other and closes."""
+
+    def script(sock: Any, request: bytes) -> bool:
+        for answer in answers:
+            sock.sendall(answer)
+        return False
+
+    return script
+
+
+def frame(start: bytes, body: bytes, *, chunked: bool) -> bytes:
+    """Return a response; ``start`` is its status line and fields."""
+    if chunked:
+        return start + b"Transfer-Encoding: chunked\r\n\r\n" + make_chunk(body) + b"0\r\n\r\n"
+    return start + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
 class WriteWatch:
     """Sees the connections to targets on which a request was begun."""
 
--- a/tests/serving/test_broken_answers.py
+++ b/tests/serving/test_broken_answers.py
@@ -10,10 +10,17 @@
 from clementinepin.serving import _item_run
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving.models import ItemState, RouteKind
-from tests.serving.broken_answers import UPLOAD, ResettingTarget, WriteWatch, upload
+from tests.serving.broken_answers import (
+    UPLOAD,
+    ResettingTarget,
+    WriteWatch,
+    frame,
+    send_answers,
+    upload,
+)
 from tests.serving.cut_links import Manner
 from tests.serving.harness import ID, Harness, get_status
-from tests.serving.scripted import make_event
+from tests.serving.scripted import HEAD, ScriptedTarget, call, make_event, make_plain
 from tests.serving.test_cut_heads import ITEM_ID, is_whole, make_head
 from tests.serving.test_cut_off_instances import CutOffHarness
 from tests.serving.test_item_run import Harness as ItemHarness
@@ -23,6 +30,10 @@
     RouteKind.NON_IDEMPOTENT: make_head("unframed") + b"part " * 400,
     RouteKind.STREAM: make_head("unframed events") + make_event(1) + make_event(2),
 }
+ODD_STATUSES = ("000", "0", "20", "099", "2000", "-1", "2x0", "0200", "")
+ODD_LINES = tuple(f"HTTP/1.1 {s} Odd" for s in ODD_STATUSES)
+INTERIM_LINES = tuple(f"HTTP/1.1 {s} Odd" for s in ("100", "102", "103", "199"))
+GOOD = frame(HEAD % (b"s1", b"q1"), b"good", chunked=True)
 SETTLED_S = 0.1  # loopback and the greenlets need far less
 
 
@@ -83,3 +94,47 @@
     assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
     assert run.losses == 0
     target.stop()
+
+
+def make_odd_answer(line: str, *, chunked: bool) -> bytes:
+    """Return an answer with the status line, and a field, an id and a signature beside a body."""
+    start = HEAD.partition(b"\r\n")[2] % (b"s1", b"q1")
+    return frame(line.encode() + b"\r\nX-Odd: odd\r\n" + start, b"odd", chunked=chunked)
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunks"])
+@pytest.mark.parametrize("goes_on", [False, True], ids=["alone", "before another"])
+@pytest.mark.parametrize("line", [*ODD_LINES, *INTERIM_LINES])
+def test_an_answer_with_an_odd_status_reaches_no_caller(
+    harness: Harness, line: str, goes_on: bool, chunked: bool
+) -> None:
+    """Guards against its status, or its body in front of that of the next answer (issue 50)."""
+    harness.set_route(kind=RouteKind.NON_IDEMPOTENT, attempts_max=1)
+    rest = (GOOD,) if goes_on else ()
+    answer = make_odd_answer(line, chunked=chunked)
+    harness.add_target(ScriptedTarget(send_answers(answer, *rest)))
+    response = call(harness.port, ID)
+    assert get_status(response) == 502
+    assert b"odd" not in response.lower()
+
+
+@pytest.mark.parametrize("line", [*ODD_LINES, *INTERIM_LINES])
+def test_a_request_that_got_an_odd_status_may_go_on_elsewhere(harness: Harness, line: str) -> None:
+    harness.set_route(kind=RouteKind.IDEMPOTENT, attempts_max=2)
+    answer = make_odd_answer(line, chunked=False)
+    harness.add_target(ScriptedTarget(send_answers(answer, GOOD)))
+    harness.add_target(ScriptedTarget(make_plain(b"answer", b"s2")))
+    response = call(harness.port, ID)
+    assert (get_status(response), response[-6:]) == (200, b"answer")
+    assert b"odd" not in response.lower()
+
+
+@pytest.mark.parametrize("status", [100, 102, 103, 199])
+def test_an_interim_response_without_a_body_is_skipped(harness: Harness, status: int) -> None:
+    harness.set_route(kind=RouteKind.NON_IDEMPOTENT, attempts_max=1)
+    interim = f"HTTP/1.1 {status} Wait\r\nX-Odd: odd\r\n\r\n".encode()
+    harness.add_target(ScriptedTarget(send_answers(interim, GOOD)))
+    response = call(harness.port, ID)
+    assert (get_status(response), is_whole(response)) == (200, True)
+    assert b"good" in response
+    assert b"odd" not in response.lower()
