Take no response with an invalid status or of another version for an answer

Cause: the parser takes any three digits for a status and more versions than the product speaks, and nothing behind it looked at them. Whether 600 is an answer: the users' pages use HTTP/1.1 for everything, in which a status outside 100 to 599 is invalid and to be handled as a failure of the server. So it is one of the target that promises nothing, as other bytes that are no answer are.

Change: such a head violates the protocol. A status 000 now fails the attempt at its head, where before the request waited for another head until its deadline.

Failed before, of 20 new cases: 16 (600 and 999, and both versions, each with a length and in chunks, alone and before another answer). The 4 of requests that may go on elsewhere held: 600 and 999 counted as failures, and behind the two versions the parser refused the second answer.

--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -21,7 +21,9 @@
 HEADERS_MAX_BYTES: Final = 65_536
 SKIPPED_MAX_BYTES: Final = 2_000_000  # of interim responses and those to other requests
 UNFORWARDED_MAX_BYTES: Final = 131_072  # of framing and trailers in a row; two full reads
+STATUSES: Final = range(100, 600)  # all others are invalid (RFC 9110, section 15)
 STATUS_FINAL_MIN: Final = 200
+HTTP_VERSIONS: Final = ("HTTP/1.0", "HTTP/1.1")
 MISMATCHED_RESPONSES_MAX: Final = 2  # a target that sends more has lost track of its requests
 KEEP_ALIVE_SHARE: Final = 0.6  # a request must arrive before the target closes the connection
 KEEP_ALIVE_TIMEOUT: Final = re.compile("timeout=([0-9]{1,9})")
@@ -115,11 +117,19 @@
         if self.has_trailing_message:
             return None
         self.status = self.get_code()
+        self._check_status_line()
         result = super()._on_headers_complete()
         if self._is_mismatched is not None and self.status >= STATUS_FINAL_MIN:
             self._skips_body = self._is_mismatched(self.list_headers())
         return result
 
+    def _check_status_line(self) -> None:
+        version = self.get_http_version()
+        if self.status not in STATUSES or version not in HTTP_VERSIONS:
+            raise HTTPProtocolViolationError(
+                f"a response of {version} with status {self.status:03}"
+            )
+
     def _on_message_complete(self) -> None:
         if self.has_trailing_message:
             return
--- a/tests/serving/test_broken_answers.py
+++ b/tests/serving/test_broken_answers.py
@@ -30,8 +30,9 @@
     RouteKind.NON_IDEMPOTENT: make_head("unframed") + b"part " * 400,
     RouteKind.STREAM: make_head("unframed events") + make_event(1) + make_event(2),
 }
-ODD_STATUSES = ("000", "0", "20", "099", "2000", "-1", "2x0", "0200", "")
-ODD_LINES = tuple(f"HTTP/1.1 {s} Odd" for s in ODD_STATUSES)
+# A status has three digits, the first from 1 to 5 (RFC 9110, section 15).
+ODD_STATUSES = ("000", "0", "20", "099", "600", "999", "2000", "-1", "2x0", "0200", "")
+ODD_LINES = (*(f"HTTP/1.1 {s} Odd" for s in ODD_STATUSES), "HTTP/2.0 200 OK", "HTTP/0.9 200 OK")
 INTERIM_LINES = tuple(f"HTTP/1.1 {s} Odd" for s in ("100", "102", "103", "199"))
 GOOD = frame(HEAD % (b"s1", b"q1"), b"good", chunked=True)
 SETTLED_S = 0.1  # loopback and the greenlets need far less
