Take no response of another protocol for an answer

Cause: the parser accepts both names and does not tell which it read. The first byte of a response tells: all else is left to the parser. Checked at the start of a connection's bytes for a request only; a second head that follows an interim response in the same read is not.

--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -27,6 +27,7 @@
 MISMATCHED_RESPONSES_MAX: Final = 2  # a target that sends more has lost track of its requests
 KEEP_ALIVE_SHARE: Final = 0.6  # a request must arrive before the target closes the connection
 KEEP_ALIVE_TIMEOUT: Final = re.compile("timeout=([0-9]{1,9})")
+SHOWN_MAX_BYTES: Final = 60  # of what can't be a response, in an error
 BODYLESS_STATUSES: Final = frozenset({204, 304})
 
 
@@ -99,6 +100,16 @@
         self.pieces.clear()
         return data
 
+    def feed(self, data: str | bytes) -> None:
+        """Parse a piece of the response, none at the end of the connection.
+
+        Raises HTTPParseError, also if the protocol is RTSP or ICE, which the base class takes.
+        """
+        is_start = isinstance(data, bytes) and not self.message_begun
+        if is_start and data.lstrip(b"\r\n")[:1] not in (b"", b"H"):
+            raise HTTPProtocolViolationError(f"{data[:SHOWN_MAX_BYTES]!r} is no start of a response")
+        super().feed(data)
+
     def _on_message_begin(self) -> None:
         if self.ended:
             self.has_trailing_message = True
--- a/tests/serving/test_broken_answers.py
+++ b/tests/serving/test_broken_answers.py
@@ -32,7 +32,11 @@
 }
 # A status has three digits, the first from 1 to 5 (RFC 9110, section 15).
 ODD_STATUSES = ("000", "0", "20", "099", "600", "999", "2000", "-1", "2x0", "0200", "")
-ODD_LINES = (*(f"HTTP/1.1 {s} Odd" for s in ODD_STATUSES), "HTTP/2.0 200 OK", "HTTP/0.9 200 OK")
+ODD_PROTOCOLS = ("HTTP/2.0", "HTTP/0.9", "RTSP/1.0", "ICE/1.0")
+ODD_LINES = (
+    *(f"HTTP/1.1 {status} Odd" for status in ODD_STATUSES),
+    *(f"{protocol} 200 OK" for protocol in ODD_PROTOCOLS),
+)
 INTERIM_LINES = tuple(f"HTTP/1.1 {s} Odd" for s in ("100", "102", "103", "199"))
 GOOD = frame(HEAD % (b"s1", b"q1"), b"good", chunked=True)
 SETTLED_S = 0.1  # loopback and the greenlets need far less
