--- a/tests/serving/test_broken_answers.py
+++ b/tests/serving/test_broken_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import Any
 
 import gevent
 import pytest
@@ -38,6 +39,30 @@
     *(f"{protocol} 200 OK" for protocol in ODD_PROTOCOLS),
 )
 INTERIM_LINES = tuple(f"HTTP/1.1 {s} Odd" for s in ("100", "102", "103", "199"))
+# Each as a line of a head or of trailers.
+ODD_FIELDS = {
+    "blank in the name": b"X Odd: odd",
+    "blank before the name": b" X-Odd: odd",
+    "blank behind the name": b"X-Odd : odd",
+    "tab in the name": b"X\tOdd: odd",
+    "tab before the name": b"\tX-Odd: odd",
+    "tab behind the name": b"X-Odd\t: odd",
+    "control byte": b"X\x01Odd: odd",
+    "escape": b"X\x1bOdd: odd",
+    "NUL": b"X\0Odd: odd",
+    "CR": b"X\rOdd: odd",
+    "LF": b"X\nOdd: odd",
+    "DEL": b"X\x7fOdd: odd",
+    "byte above 127": b"X\xe9Odd: odd",
+    "no name": b": odd",
+    "no colon": b"X-Odd",
+    "Content-Length and a blank": b"Content-Length : 3",
+    "Content-Length with a blank": b"Content Length: 3",
+    "Transfer-Encoding and a blank": b"Transfer-Encoding : chunked",
+    "NUL in the value": b"X-Odd: odd\0odd",
+    "CR in the value": b"X-Odd: odd\rodd",
+    "folded value": b"X-Odd: odd\r\n odd",
+}
 GOOD = frame(HEAD % (b"s1", b"q1"), b"good", chunked=True)
 SETTLED_S = 0.1  # loopback and the greenlets need far less
 
@@ -50,13 +75,11 @@
     harness.stop()
 
 
-def add_target(entry: Harness, answer: bytes) -> ResettingTarget:
-    target = ResettingTarget(answer)
+def reach_target(entry: Harness, target: Any) -> Any:
+    """Add a target that the entry reaches in its way, and return it."""
     if isinstance(entry, CutOffHarness):
-        entry.add_cut_target(target, Manner.REFUSE)  # type: ignore[arg-type]
-    else:
-        entry.add_target(target)  # type: ignore[arg-type]
-    return target
+        return entry.add_cut_target(target, Manner.REFUSE)
+    return entry.add_target(target)
 
 
 @pytest.mark.parametrize("kind", ANSWERS)
@@ -65,7 +88,7 @@
 ) -> None:
     """Guards against a part of a body that is closed with a last chunk (issue 50)."""
     entry.set_route(kind=kind, resumable=False, attempts_max=1)
-    target = add_target(entry, ANSWERS[kind])
+    target = reach_target(entry, ResettingTarget(ANSWERS[kind]))
     watch = WriteWatch(monkeypatch)
     caller = gevent.spawn(upload, entry.port, ID)
     assert target.answered.wait(5.0)
@@ -134,6 +157,56 @@
     assert b"odd" not in response.lower()
 
 
+def put_field(field: bytes, place: str) -> bytes:
+    """Return a signed answer with a line first or last in its head, or in its trailers."""
+    line, _, fields = (HEAD % (b"s1", b"q1")).partition(b"\r\n")
+    if place == "first":
+        return frame(line + b"\r\n" + field + b"\r\n" + fields, b"good", chunked=False)
+    if place == "last":
+        return line + b"\r\n" + fields + b"Content-Length: 4\r\n" + field + b"\r\n\r\ngood"
+    whole = frame(line + b"\r\n" + fields, b"good", chunked=True)
+    return whole.removesuffix(b"\r\n") + field + b"\r\nX-Last: last\r\n\r\n"
+
+
+@pytest.mark.parametrize("place", ["first", "last"])
+@pytest.mark.parametrize("field", ODD_FIELDS.values(), ids=ODD_FIELDS)
+def test_an_answer_with_an_odd_field_reaches_no_caller(
+    entry: Harness, field: bytes, place: str
+) -> None:
+    """Guards against such a line passed on, or one that changes where the body ends (issue 50)."""
+    entry.set_route(kind=RouteKind.NON_IDEMPOTENT, attempts_max=1)
+    reach_target(entry, ScriptedTarget(send_answers(put_field(field, place))))
+    response = call(entry.port, ID)
+    assert get_status(response) == 502
+    assert b"odd" not in response.lower()
+    assert b"good" not in response
+
+
+@pytest.mark.parametrize("field", ODD_FIELDS.values(), ids=ODD_FIELDS)
+def test_an_answer_with_an_odd_field_in_its_trailers_never_looks_whole(
+    entry: Harness, field: bytes
+) -> None:
+    entry.set_route(kind=RouteKind.NON_IDEMPOTENT, attempts_max=1)
+    reach_target(entry, ScriptedTarget(send_answers(put_field(field, "trailers"))))
+    response = call(entry.port, ID)
+    assert get_status(response) == 502 or not is_whole(response)
+    assert b"odd" not in response.lower()
+
+
+@pytest.mark.parametrize("field", ODD_FIELDS.values(), ids=ODD_FIELDS)
+def test_an_item_whose_answer_has_an_odd_field_is_run_again(
+    field: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_item_run, "RETRY_PAUSE_S", 0.001)
+    events = make_head("events", ITEM_ID)
+    odd = events.removesuffix(b"\r\n") + field + b"\r\n\r\n"
+    stream = b"%x\r\n%s\r\n0\r\n\r\n" % (len(make_event(1)), make_event(1))
+    harness = ItemHarness(send_answers(odd + stream), events + stream)
+    run = harness.run_item()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1")
+    assert len(harness.target.requests) == 2
+
+
 @pytest.mark.parametrize("status", [100, 102, 103, 199])
 def test_an_interim_response_without_a_body_is_skipped(harness: Harness, status: int) -> None:
     harness.set_route(kind=RouteKind.NON_IDEMPOTENT, attempts_max=1)
