--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -105,9 +105,11 @@
 
         Raises HTTPParseError, also if the protocol is RTSP or ICE, which the base class takes.
         """
-        is_start = isinstance(data, bytes) and not self.message_begun
-        if is_start and data.lstrip(b"\r\n")[:1] not in (b"", b"H"):
-            raise HTTPProtocolViolationError(f"{data[:SHOWN_MAX_BYTES]!r} is no start of a response")
+        if isinstance(data, bytes) and not self.message_begun:
+            first = data.lstrip(b"\r\n")[:1]
+            if first not in (b"", b"H"):
+                start = data[:SHOWN_MAX_BYTES]
+                raise HTTPProtocolViolationError(f"{start!r} is no start of a response")
         super().feed(data)
 
     def _on_message_begin(self) -> None:
