Keep trailers out of the head of a response

Cause: the parser reports trailers like header fields, and the head was read once the whole read had been parsed. Trailers that came in the same read as their head, all but the last of them, were among its fields.

Change: fields behind the end of a head are dropped. The chunks and the end of the body are the parser's, as before.

Failed before: both new tests.

--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -119,13 +119,18 @@
         super()._on_message_begin()
 
     def _on_header_field(self, string: str) -> None:
-        if not self.has_trailing_message:
+        if not self._is_behind_head:
             super()._on_header_field(string)
 
     def _on_header_value(self, string: str) -> None:
-        if not self.has_trailing_message:
+        if not self._is_behind_head:
             super()._on_header_value(string)
 
+    @property
+    def _is_behind_head(self) -> bool:
+        """Return whether a field is that of a trailer or of a trailing message."""
+        return self.headers_complete or self.has_trailing_message
+
     def _on_headers_complete(self) -> int | bool | None:
         if self.has_trailing_message:
             return None
--- a/tests/serving/test_broken_answers.py
+++ b/tests/serving/test_broken_answers.py
@@ -216,3 +216,23 @@
     assert (get_status(response), is_whole(response)) == (200, True)
     assert b"good" in response
     assert b"odd" not in response.lower()
+
+
+def test_trailers_never_reach_a_caller_as_headers(harness: Harness) -> None:
+    """Guards against trailers that come in one read with their head."""
+    harness.set_route(kind=RouteKind.NON_IDEMPOTENT, attempts_max=1)
+    trailers = b"X-Late: late\r\nServer-Limit: 1"
+    harness.add_target(ScriptedTarget(send_answers(put_field(trailers, "trailers"))))
+    response = call(harness.port, ID)
+    assert (get_status(response), is_whole(response)) == (200, True)
+    assert b"late" not in response
+    assert harness.slots.limits_per_s == [None]
+
+
+def test_trailers_never_sign_or_name_an_answer(harness: Harness) -> None:
+    harness.set_route(kind=RouteKind.NON_IDEMPOTENT, attempts_max=1)
+    line, _, fields = (HEAD % (b"s1", b"q1")).partition(b"\r\n")
+    whole = frame(line + b"\r\n", b"good", chunked=True)
+    answer = whole.removesuffix(b"\r\n") + fields + b"X-Last: last\r\n\r\n"
+    harness.add_target(ScriptedTarget(send_answers(answer)))
+    assert get_status(call(harness.port, ID)) == 502
