Take an error whose body breaks off for a lost response

Cause: raise_for_status swallowed every failure to read the body, to pass on the status of an error whose body is too long.

Change: only a body that is too long is left out, with a log line; a broken one is a lost response, which is sent again if it may be, and else ends with an unknown outcome.

Failed before, of 7 new cases: the 6 that break off; the long one is as before.

--- a/clementinepin/targets/_engine.py
+++ b/clementinepin/targets/_engine.py
@@ -21,6 +21,7 @@
     OrderRefusedError,
     RefusalReason,
     ResponseMismatchError,
+    ResponseTooLargeError,
     TargetLinkLostError,
     TargetLostError,
     TargetProtocolError,
@@ -208,9 +209,9 @@
 def raise_for_status(exchange: HttpExchange) -> NoReturn:
     """Close the exchange and raise the error that its status stands for.
 
-    Raises TargetRefusedError if the target refused before admission, else TargetRejectedError. The
-    connection carries no other request: an error names no request, and the target may write it once
-    more.
+    Raises TargetRefusedError if the target refused before admission, TargetLostError if the body of
+    the error breaks off, else TargetRejectedError. The connection carries no other request: an
+    error names no request, and the target may write it once more.
     """
     exchange.retire_connection()
     reason = exchange.headers.get(HEADER_NOT_ADMITTED, "")
@@ -220,7 +221,9 @@
         raise TargetRefusedError(message, _decode_reason(reason))
     try:
         body = exchange.read_all(ERROR_MAX_BYTES)
-    except TargetLostError:
+    except ResponseTooLargeError as err:
+        log = logger.bind(target_status=exchange.status)
+        log.info("targets: The body of an error is not passed on: {}.", err.message)
         body = b""
     exchange.close()
     raise TargetRejectedError(exchange.status, body)
--- a/clementinepin/targets/_exchange.py
+++ b/clementinepin/targets/_exchange.py
@@ -12,6 +12,7 @@
 from clementinepin.helpers.clock import Clock
 from clementinepin.targets._connection import Abort, Connection, ConnectionPool
 from clementinepin.targets.exceptions import (
+    ResponseTooLargeError,
     TargetLostError,
     TargetProtocolError,
 )
@@ -216,14 +217,18 @@
         return parser.take_body()
 
     def read_all(self, size_max: int) -> bytes:
-        """Return the whole body. Raises TargetProtocolError if it exceeds ``size_max`` bytes."""
+        """Return the whole body.
+
+        Raises ResponseTooLargeError if it exceeds ``size_max`` bytes, and TargetLostError if it is
+        cut short.
+        """
         pieces: list[bytes] = []
         total = 0
         while data := self.read():
             total += len(data)
             if total > size_max:
                 self.close()
-                raise TargetProtocolError(f"response body is larger than {size_max} bytes")
+                raise ResponseTooLargeError(f"response body is larger than {size_max} bytes")
             pieces.append(data)
         return b"".join(pieces)
 
--- a/clementinepin/targets/exceptions.py
+++ b/clementinepin/targets/exceptions.py
@@ -77,6 +77,10 @@
     code = "target_protocol"
 
 
+class ResponseTooLargeError(TargetProtocolError):
+    """The body of the response exceeds what its reader takes."""
+
+
 class ResponseMismatchError(TargetLostError):
     """The target sent a response that has the id of another request."""
 
--- a/tests/targets/test_engine.py
+++ b/tests/targets/test_engine.py
@@ -325,6 +325,22 @@
     assert b"no" in caught.value.body
 
 
+@pytest.mark.parametrize("status", ["503 Down", "500 Oops", "400 Bad"])
+@pytest.mark.parametrize("end", [CUT, RESET])
+def test_an_error_whose_body_breaks_off_is_lost(serve, status, end):
+    """Guards against a broken answer that the caller gets as one without a message (issue 50)."""
+    target = serve(make_reply(b'{"error": {"message": "no"}}', status)[:-5], end)
+    with pytest.raises(TargetLostError):
+        list(create_engine_for(target).generate(make_request()))
+
+
+def test_an_error_with_a_long_body_keeps_its_status(serve):
+    target = serve(make_reply(b"x" * 100_000, "400 Bad"))
+    with pytest.raises(TargetRejectedError) as caught:
+        list(create_engine_for(target).generate(make_request()))
+    assert (caught.value.target_status, caught.value.body) == (400, b"")
+
+
 def test_a_response_to_another_request_raises_mixed_up(serve):
     """Mutation: ``EventDecoder._parse`` skips the id check: a mismatched response is accepted."""
     target = serve(STREAM_HEAD, chunk(make_stream("r2", TEXTS)), LAST_CHUNK)
