Let the soak draw uploads that targets break off and odd answers

Two kinds of trouble follow: engines answer long uploads early with a part of an unframed body and reset them, and write an odd answer in front of a good one.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -17,7 +17,7 @@
 from gevent import socket
 
 from soak._fleet import HOST, TEXT_VERSIONS, VERSIONS, Fleet
-from soak._target import PLAIN_PATH, make_plain_body, make_text
+from soak._target import LONG_UPLOAD_BYTES, PLAIN_PATH, make_plain_body, make_text
 
 CALL_TIMEOUT_S = 6.0
 RESUMPTIONS_MAX = 5
@@ -219,12 +219,17 @@
             self.check_stream(request_id, events, body, whole)
 
     def send_plain(self) -> None:
-        """Send a request that may be repeated, and compare the response with the target's body."""
+        """Send a request that may be repeated, and compare the response with the target's body.
+
+        It is a long one while engines break these off.
+        """
         ip, request_id = self.resolve_front(), self.make_id("p")
         if ip is None:
             return
         headers = {"Clementinepin-Request-Id": request_id, "Clementinepin-Deadline-Ms": "5000"}
-        response = call(ip, 8161, "POST", f"{PLAIN_PATH}x", headers, request_id.encode())
+        is_long = any(target.uploads_to_break for target in self._fleet.targets.values())
+        body = request_id.encode().ljust(LONG_UPLOAD_BYTES if is_long else 0)
+        response = call(ip, 8161, "POST", f"{PLAIN_PATH}x", headers, body)
         self.statuses[response.status] = self.statuses.get(response.status, 0) + 1
         self.plain_count += response.status == 200 and response.whole
         if response.status in NOT_RUN_STATUSES:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -79,6 +79,8 @@
                 ("target stops within its head", lambda: self._spoil("heads_to_cut")),
                 ("odd entries of targets", self._write_odd_entries),
                 ("a split moves", self._move_split),
+                ("target breaks long uploads", lambda: self._spoil("uploads_to_break")),
+                ("target answers oddly", lambda: self._spoil("odd_answers")),
             ]
         self._kinds = [k for k in self._kinds if not words or any(w in k[0] for w in words)]
 
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -22,7 +22,7 @@
 
 from clementinepin.helpers.clock import create_system_clock
 from soak._proxy import Proxy
-from soak._target import PLAIN_PATH, SPLIT_SERVICES, RunLog, Target
+from soak._target import LONG_UPLOAD_BYTES, PLAIN_PATH, SPLIT_SERVICES, RunLog, Target
 from standins.key_value import create_server
 
 INTERNAL_PORTS = (7720, 7735)
@@ -278,7 +278,8 @@
         ]
         names = (SERVICE, *SPLIT_SERVICES, *RELEASED_SERVICES)
         services = [{"name": service} for service in names]
-        config = {"version": version, "routes": routes, "services": services}
+        limits = {"max_body_bytes": LONG_UPLOAD_BYTES}
+        config = {"version": version, "routes": routes, "services": services, "limits": limits}
         self.gateway.state.put("op/config", msgspec.json.encode(config), None)
 
     def add_target(
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 from typing import Any
 
 import gevent
@@ -10,11 +11,24 @@
 
 READ_SIZE_BYTES = 65_536
 POLL_S = 0.02
+BUFFER_BYTES = 65_536  # a proxy that holds up data must not take a long request by itself
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def reset(sock: Any) -> None:
+    """Close a connection with a reset; has no effect on a closed one."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    except OSError:
+        return
+    sock.close()
 
 
 class Proxy:
     """Forwards connections of one port to ``upstream`` and injects faults.
 
+    A connection that breaks on one side is reset on the other one.
+
     ``delay_s`` delays each piece of data. ``hold_requests`` holds back data from clients,
     ``hold_replies`` data to clients; ``refusing`` closes new connections at once.
     """
@@ -38,6 +52,8 @@
     def open_port(self) -> None:
         """Listen on the port, on a free one for the first time."""
         self._server = StreamServer(("127.0.0.1", self.port), self._serve)
+        self._server.init_socket()
+        self._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
         self._server.start()
         self.port = self._server.server_port
 
@@ -72,6 +88,7 @@
         try:
             upstream_socket = socket.create_connection(self.upstream, timeout=2.0)
             upstream_socket.settimeout(None)
+            upstream_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
         except OSError:
             sock.close()
             return
@@ -97,4 +114,6 @@
                 sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
-            sink.close()
+            # The other direction may get an end of file behind the failure that this one got.
+            reset(source)
+            reset(sink)
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -14,6 +14,8 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from soak._proxy import reset
+
 STEP_S = 0.012
 QUEUE_MAX_REQUESTS = 8
 READ_SIZE_BYTES = 65_536
@@ -24,6 +26,15 @@
     b"HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\noops\n\n"
 )
 
+LONG_UPLOAD_BYTES = 8_000_000  # more than the buffers between an instance and an engine take
+RESET_DELAY_MAX_S = 0.1
+ODD_ANSWERS = (
+    b"HTTP/1.1 000 Odd\r\nContent-Length: 4\r\n\r\nodd\n",
+    b"HTTP/1.1 099 Odd\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nodd\n\r\n0\r\n\r\n",
+    b"HTTP/1.1 199 Odd\r\nContent-Length: 4\r\n\r\nodd\n",
+    b"HTTP/1.1 200 OK\r\nX Odd: odd\r\nContent-Length: 4\r\n\r\nodd\n",
+    b"HTTP/1.1 200 OK\r\nX\x01Odd: odd\r\nContent-Length: 4\r\n\r\nodd\n",
+)
 
 SPLIT_SERVICES = ("split0", "split1")  # of one route; each writes texts of its own
 
@@ -82,7 +93,9 @@
     run on their connection is under way. It has
     ``errors_to_write`` runs that write another response into their body, ``heads_to_truncate`` runs
     that end their connection behind the head of their response, and ``heads_to_cut`` runs that end
-    it within their head, at a byte drawn by the name of the engine.
+    it within their head, at a byte drawn by the name of the engine. ``uploads_to_break`` counts
+    long requests that are answered early with a part of an unframed body and reset, and
+    ``odd_answers`` runs that write an answer which is none in front of their response.
     """
 
     def __init__(
@@ -111,6 +124,8 @@
         self.errors_to_write = 0
         self.heads_to_truncate = 0
         self.heads_to_cut = 0
+        self.uploads_to_break = 0
+        self.odd_answers = 0
         self._random = random.Random(name)
         self.limit_per_s: float | None = None
         self.crashing_parts: set[str] = set()
@@ -149,9 +164,16 @@
     def _serve(self, sock: Any, _peer: Any) -> None:
         self._sockets.add(sock)
         try:
-            while (request := _read_request(sock)) is not None:
+            while (request := _read_head(sock)) is not None:
+                headers, body = request
+                if self.uploads_to_break and _get_length(headers) >= LONG_UPLOAD_BYTES:
+                    self.uploads_to_break -= 1
+                    self._break_upload(sock, headers.get("clementinepin-request-id", ""))
+                    return
+                if not _read_body(sock, _get_length(headers) - len(body)):
+                    return
                 self.speaks.wait()
-                if not self._handle_request(sock, *request):
+                if not self._handle_request(sock, headers):
                     return
         except OSError:
             return
@@ -160,7 +182,7 @@
             self._failures_by_socket.pop(sock, None)
             sock.close()
 
-    def _handle_request(self, sock: Any, headers: dict[str, str], _body: bytes) -> bool:
+    def _handle_request(self, sock: Any, headers: dict[str, str]) -> bool:
         """Answer one request; return whether the connection stays open."""
         request_id = headers.get("clementinepin-request-id", "")
         if headers.get("clementinepin-expect-instance") != self.name:
@@ -233,6 +255,16 @@
             return self._send_plain(sock, plain)
         return self._send_events(sock, stream_id, range(first, events + 1), framed=framed)
 
+    def _break_upload(self, sock: Any, request_id: str) -> None:
+        """Answer a request that is not read to its end with a part of a body, then reset it."""
+        self._run_log.runs.append(Run(request_id, self.name, self._clock(), 1, ()))
+        body = make_plain_body(request_id, self.version)
+        fields = "Content-Type: text/plain\r\nConnection: close\r\n"
+        head = self._make_head(request_id, next(self._signatures), fields)
+        sock.sendall(head + body[: len(body) // 2])
+        gevent.sleep(self._random.uniform(0.0, RESET_DELAY_MAX_S))
+        reset(sock)
+
     def _must_fail(self, request_id: str, path: str) -> bool:
         """Return whether a run fails with status 500; count it then."""
         failures = self._run_log.failures
@@ -246,6 +278,9 @@
     def _send_head(self, sock: Any, head: bytes) -> bool:
         """Send the head of a response; return whether its body follows."""
         self.speaks.wait()
+        if self.odd_answers:
+            self.odd_answers -= 1
+            sock.sendall(self._random.choice(ODD_ANSWERS))
         if self.heads_to_cut:
             self.heads_to_cut -= 1
             sock.sendall(head[: self._random.randrange(1, len(head))])
@@ -334,8 +369,11 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def _read_request(sock: Any) -> tuple[dict[str, str], bytes] | None:
-    """Return lower-case headers, with ":path", and body of the next request, None at the end."""
+def _read_head(sock: Any) -> tuple[dict[str, str], bytes] | None:
+    """Return lower-case headers, with ":path", and the start of the body of the next request.
+
+    Return None at the end of the connection.
+    """
     data = b""
     while b"\r\n\r\n" not in data:
         piece = sock.recv(READ_SIZE_BYTES)
@@ -346,9 +384,18 @@
     first, *lines = head.decode("latin-1").split("\r\n")
     headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
     headers[":path"] = first.split(" ")[1]
-    while len(body) < int(headers.get("content-length", "0")):
+    return headers, body
+
+
+def _get_length(headers: dict[str, str]) -> int:
+    return int(headers.get("content-length", "0"))
+
+
+def _read_body(sock: Any, size: int) -> bool:
+    """Read the rest of a body; return whether it is whole."""
+    while size > 0:
         piece = sock.recv(READ_SIZE_BYTES)
         if not piece:
-            return None
-        body += piece
-    return headers, body
+            return False
+        size -= len(piece)
+    return True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,9 @@
 import sys
 from pathlib import Path
 
+import gevent
 import pytest
+from gevent import socket
 
 from soak.__main__ import reserve_net
 from soak._callers import Response, parse_response
@@ -16,8 +18,11 @@
 from soak._faults import Faults
 from soak._fleet import GRACE_PERIOD_S
 from soak._kept import Lost, PlannedStop
+from soak._proxy import Proxy
 from soak._releases import BegunStream, classify_resumption
 from soak._target import make_text
+from tests.serving.broken_answers import READ_BYTES, ResettingTarget
+from tests.targets.scripted import CUT, ScriptedTarget
 
 ROOT = Path(__file__).parent.parent
 SEEDS = {1: "the first seed"}
@@ -131,3 +136,34 @@
     assert faults.find_accepted_cut(7720, ("127.0.0.1", 40002)) == cut
     assert faults.find_accepted_cut(7720, ("127.0.0.1", 40001)) is None
     assert faults.find_accepted_cut(8161, ("127.0.0.1", 40002)) is None
+
+
+@pytest.mark.parametrize("writes", [False, True])
+def test_the_proxy_passes_a_reset_on(writes):
+    """Guards against a proxy behind which each broken response looks like one that ended."""
+    target = ResettingTarget(b"part")
+    proxy = Proxy(("127.0.0.1", target.port))
+    with gevent.Timeout(5.0), socket.create_connection(("127.0.0.1", proxy.port)) as sock:
+        sock.sendall(b"x" * READ_BYTES)
+        assert sock.recv(10) == b"part"
+        writing = gevent.spawn(sock.sendall, b"x" * 20_000_000) if writes else None
+        gevent.sleep(0.1)
+        target.may_reset.set()
+        if writing is not None:
+            with pytest.raises(ConnectionResetError):
+                writing.get()
+        else:
+            with pytest.raises(ConnectionResetError):
+                sock.recv(10)
+    proxy.stop()
+    target.stop()
+
+
+def test_the_proxy_passes_an_end_in_order_on():
+    target = ScriptedTarget(lambda _request: [b"whole", CUT])
+    proxy = Proxy(("127.0.0.1", target.address.port))
+    with gevent.Timeout(5.0), socket.create_connection(("127.0.0.1", proxy.port)) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        assert (sock.recv(10), sock.recv(10)) == (b"whole", b"")
+    proxy.stop()
+    target.stop()
