--- a/soak/_target.py
+++ b/soak/_target.py
@@ -14,11 +14,11 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from soak._http import encode_chunk, get_length, read_body, read_head
 from soak._proxy import reset
 
 STEP_S = 0.012
 QUEUE_MAX_REQUESTS = 8
-READ_SIZE_BYTES = 65_536
 PLAIN_PATH = "/plain/"  # of requests whose responses have no events
 ITEM_PATHS = ("/jobs/", "/splitjobs/")
 ITEM_FAILURES_MAX = 2  # an item is given up at its third attempt that fails
@@ -164,13 +164,13 @@
     def _serve(self, sock: Any, _peer: Any) -> None:
         self._sockets.add(sock)
         try:
-            while (request := _read_head(sock)) is not None:
+            while (request := read_head(sock)) is not None:
                 headers, body = request
-                if self.uploads_to_break and _get_length(headers) >= LONG_UPLOAD_BYTES:
+                if self.uploads_to_break and get_length(headers) >= LONG_UPLOAD_BYTES:
                     self.uploads_to_break -= 1
                     self._break_upload(sock, headers.get("clementinepin-request-id", ""))
                     return
-                if not _read_body(sock, _get_length(headers) - len(body)):
+                if not read_body(sock, get_length(headers) - len(body)):
                     return
                 self.speaks.wait()
                 if not self._handle_request(sock, headers):
@@ -295,7 +295,7 @@
         self, sock: Any, stream_id: str, numbers: Iterable[int], *, framed: bool
     ) -> bool:
         """Send the events of a stream; return whether the connection stays open."""
-        encode = _encode_chunk if framed else bytes
+        encode = encode_chunk if framed else bytes
         for count, number in enumerate(numbers):
             text = make_text(stream_id, number, self._text_version)
             event = f"id: {number}\ndata: {text}\n\n".encode()
@@ -342,8 +342,8 @@
     def _send_without_end(self, sock: Any, head: bytes) -> bool:
         """Send header lines, then trailers or an event, without end; in turn by the runs so far."""
         kind = len(self._run_log.runs) % 3
-        start = (head[:-2], head + b"0\r\n", head + _encode_chunk(b"data: "))[kind]
-        piece = (b"X-A: b\r\n" * 50, b"X-A: b\r\n" * 50, _encode_chunk(b"a" * 400))[kind]
+        start = (head[:-2], head + b"0\r\n", head + encode_chunk(b"data: "))[kind]
+        piece = (b"X-A: b\r\n" * 50, b"X-A: b\r\n" * 50, encode_chunk(b"a" * 400))[kind]
         sock.sendall(start)
         while True:
             sock.sendall(piece)
@@ -363,39 +363,3 @@
         sock.sendall(data)
     except OSError:
         return  # the caller has closed the connection
-
-
-def _encode_chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-def _read_head(sock: Any) -> tuple[dict[str, str], bytes] | None:
-    """Return lower-case headers, with ":path", and the start of the body of the next request.
-
-    Return None at the end of the connection.
-    """
-    data = b""
-    while b"\r\n\r\n" not in data:
-        piece = sock.recv(READ_SIZE_BYTES)
-        if not piece:
-            return None
-        data += piece
-    head, _, body = data.partition(b"\r\n\r\n")
-    first, *lines = head.decode("latin-1").split("\r\n")
-    headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
-    headers[":path"] = first.split(" ")[1]
-    return headers, body
-
-
-def _get_length(headers: dict[str, str]) -> int:
-    return int(headers.get("content-length", "0"))
-
-
-def _read_body(sock: Any, size: int) -> bool:
-    """Read the rest of a body; return whether it is whole."""
-    while size > 0:
-        piece = sock.recv(READ_SIZE_BYTES)
-        if not piece:
-            return False
-        size -= len(piece)
-    return True
