--- a/tests/platform/test_odd_answers.py
+++ b/tests/platform/test_odd_answers.py
@@ -11,9 +11,14 @@
 from clementinepin.infrastructure.exceptions import ReplyLostError
 from clementinepin.platform import create_store
 from clementinepin.platform._store import _Store
-from tests.serving.broken_answers import frame, send_answers
+from tests.serving.broken_answers import (
+    INTERIM_LINES,
+    ODD_FIELDS,
+    ODD_LINES,
+    frame,
+    send_answers,
+)
 from tests.serving.scripted import ScriptedTarget
-from tests.serving.test_broken_answers import INTERIM_LINES, ODD_FIELDS, ODD_LINES
 
 OK_LINE = b"HTTP/1.1 200 OK\r\n"
 # One body for all calls, each of which reads its own fields.
--- a/tests/serving/broken_answers.py
+++ b/tests/serving/broken_answers.py
@@ -17,6 +17,38 @@
 UPLOAD = b"u" * 4_000_000  # within the limit on callers' bodies
 READ_BYTES = 4096  # what the target reads of an upload
 RECEIVE_BUFFER_BYTES = 4096  # so that the kernel takes only a small part of an upload
+# A status has three digits, the first from 1 to 5 (RFC 9110, section 15).
+ODD_STATUSES = ("000", "0", "20", "099", "600", "999", "2000", "-1", "2x0", "0200", "")
+ODD_PROTOCOLS = ("HTTP/2.0", "HTTP/0.9", "RTSP/1.0", "ICE/1.0")
+ODD_LINES = (
+    *(f"HTTP/1.1 {status} Odd" for status in ODD_STATUSES),
+    *(f"{protocol} 200 OK" for protocol in ODD_PROTOCOLS),
+)
+INTERIM_LINES = tuple(f"HTTP/1.1 {s} Odd" for s in ("100", "102", "103", "199"))
+# Each as a line of a head or of trailers.
+ODD_FIELDS = {
+    "blank in the name": b"X Odd: odd",
+    "blank before the name": b" X-Odd: odd",
+    "blank behind the name": b"X-Odd : odd",
+    "tab in the name": b"X\tOdd: odd",
+    "tab before the name": b"\tX-Odd: odd",
+    "tab behind the name": b"X-Odd\t: odd",
+    "control byte": b"X\x01Odd: odd",
+    "escape": b"X\x1bOdd: odd",
+    "NUL": b"X\0Odd: odd",
+    "CR": b"X\rOdd: odd",
+    "LF": b"X\nOdd: odd",
+    "DEL": b"X\x7fOdd: odd",
+    "byte above 127": b"X\xe9Odd: odd",
+    "no name": b": odd",
+    "no colon": b"X-Odd",
+    "Content-Length and a blank": b"Content-Length : 3",
+    "Content-Length with a blank": b"Content Length: 3",
+    "Transfer-Encoding and a blank": b"Transfer-Encoding : chunked",
+    "NUL in the value": b"X-Odd: odd\0odd",
+    "CR in the value": b"X-Odd: odd\rodd",
+    "folded value": b"X-Odd: odd\r\n odd",
+}
 
 
 class ResettingTarget:
@@ -25,15 +57,14 @@
     The reset follows as soon as ``may_reset`` is set. ``answered`` is set behind each answer.
     """
 
-    def __init__(self, answer: bytes, *, host: str = "127.0.0.1") -> None:
+    def __init__(self, answer: bytes) -> None:
         self._answer = answer
-        self.connections = 0
         self.answered = Event()
         self.may_reset = Event()
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        listener.bind((host, find_port()))
+        listener.bind(("127.0.0.1", find_port()))
         listener.listen(64)
         self._server = StreamServer(listener, self._serve)
         self._server.start()
@@ -44,7 +75,6 @@
         self._server.stop(timeout=0)
 
     def _serve(self, sock: Any, _peer: Any) -> None:
-        self.connections += 1
         received = 0
         while received < READ_BYTES:
             piece = sock.recv(READ_BYTES)
@@ -94,9 +124,9 @@
         return self._connections[-1].is_writing
 
 
-def upload(port: int, *headers: str, path: str = "/x/1") -> bytes:
+def upload(port: int, *headers: str) -> bytes:
     """Send a long request and return all bytes of the response until the connection ends."""
-    lines = [f"POST {path} HTTP/1.1", "Host: h.example", "Connection: close", *headers]
+    lines = ["POST /x/1 HTTP/1.1", "Host: h.example", "Connection: close", *headers]
     lines.append(f"Content-Length: {len(UPLOAD)}")
     head = ("\r\n".join(lines) + "\r\n\r\n").encode()
     with gevent.Timeout(10.0), socket.create_connection(("127.0.0.1", port)) as sock:
--- a/tests/serving/test_broken_answers.py
+++ b/tests/serving/test_broken_answers.py
@@ -12,6 +12,9 @@
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving.models import ItemState, RouteKind
 from tests.serving.broken_answers import (
+    INTERIM_LINES,
+    ODD_FIELDS,
+    ODD_LINES,
     UPLOAD,
     ResettingTarget,
     WriteWatch,
@@ -31,38 +34,6 @@
     RouteKind.NON_IDEMPOTENT: make_head("unframed") + b"part " * 400,
     RouteKind.STREAM: make_head("unframed events") + make_event(1) + make_event(2),
 }
-# A status has three digits, the first from 1 to 5 (RFC 9110, section 15).
-ODD_STATUSES = ("000", "0", "20", "099", "600", "999", "2000", "-1", "2x0", "0200", "")
-ODD_PROTOCOLS = ("HTTP/2.0", "HTTP/0.9", "RTSP/1.0", "ICE/1.0")
-ODD_LINES = (
-    *(f"HTTP/1.1 {status} Odd" for status in ODD_STATUSES),
-    *(f"{protocol} 200 OK" for protocol in ODD_PROTOCOLS),
-)
-INTERIM_LINES = tuple(f"HTTP/1.1 {s} Odd" for s in ("100", "102", "103", "199"))
-# Each as a line of a head or of trailers.
-ODD_FIELDS = {
-    "blank in the name": b"X Odd: odd",
-    "blank before the name": b" X-Odd: odd",
-    "blank behind the name": b"X-Odd : odd",
-    "tab in the name": b"X\tOdd: odd",
-    "tab before the name": b"\tX-Odd: odd",
-    "tab behind the name": b"X-Odd\t: odd",
-    "control byte": b"X\x01Odd: odd",
-    "escape": b"X\x1bOdd: odd",
-    "NUL": b"X\0Odd: odd",
-    "CR": b"X\rOdd: odd",
-    "LF": b"X\nOdd: odd",
-    "DEL": b"X\x7fOdd: odd",
-    "byte above 127": b"X\xe9Odd: odd",
-    "no name": b": odd",
-    "no colon": b"X-Odd",
-    "Content-Length and a blank": b"Content-Length : 3",
-    "Content-Length with a blank": b"Content Length: 3",
-    "Transfer-Encoding and a blank": b"Transfer-Encoding : chunked",
-    "NUL in the value": b"X-Odd: odd\0odd",
-    "CR in the value": b"X-Odd: odd\rodd",
-    "folded value": b"X-Odd: odd\r\n odd",
-}
 GOOD = frame(HEAD % (b"s1", b"q1"), b"good", chunked=True)
 SETTLED_S = 0.1  # loopback and the greenlets need far less
 
--- a/tests/tunnels/test_odd_answers.py
+++ b/tests/tunnels/test_odd_answers.py
@@ -12,8 +12,7 @@
     create_plain_service,
 )
 from clementinepin.targets.exceptions import TargetLostError
-from tests.serving.broken_answers import frame
-from tests.serving.test_broken_answers import ODD_FIELDS, ODD_LINES
+from tests.serving.broken_answers import ODD_FIELDS, ODD_LINES, frame
 from tests.targets.scripted import CUT, STREAM_HEAD, ScriptedTarget, chunk, make_reply, make_stream
 from tests.tunnels.ways import Ways, get_deadline
 
