Make sure that an upload is being written when its answer is reset

Read again, the tests of the reset checked that a part of the upload was still to be written on the own link of the platform's interface only; elsewhere they waited for a while. Now each waits until a write to the target's port is held up, directly, at the far end of either kind of tunnel, and for items, and a run on another machine fails if none is.

--- a/tests/serving/broken_answers.py
+++ b/tests/serving/broken_answers.py
@@ -9,13 +9,12 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from clementinepin.targets._connection import Connection
-from tests.ports import find_port
 from tests.serving.cut_links import reset
 from tests.serving.scripted import make_chunk
 
 UPLOAD = b"u" * 4_000_000  # within the limit on callers' bodies
 READ_BYTES = 4096  # what the target reads of an upload
+SETTLED_S = 0.1  # the answer reaches its reader meanwhile
 RECEIVE_BUFFER_BYTES = 4096  # so that the kernel takes only a small part of an upload
 # A status has three digits, the first from 1 to 5 (RFC 9110, section 15).
 ODD_STATUSES = ("000", "0", "20", "099", "600", "999", "2000", "-1", "2x0", "0200", "")
@@ -54,17 +53,19 @@
 class ResettingTarget:
     """Answers an upload early with ``answer``, reads no more of it, and resets the connection.
 
-    The reset follows as soon as ``may_reset`` is set. ``answered`` is set behind each answer.
+    The reset follows as soon as ``may_reset`` is set. ``answered`` is set behind each answer. If it
+    ``ends_in_order``, it closes its side of the connection behind the answer.
     """
 
-    def __init__(self, answer: bytes) -> None:
+    def __init__(self, answer: bytes, *, ends_in_order: bool = False) -> None:
         self._answer = answer
+        self._ends_in_order = ends_in_order
         self.answered = Event()
         self.may_reset = Event()
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        listener.bind(("127.0.0.1", find_port()))
+        listener.bind(("127.0.0.1", 0))
         listener.listen(64)
         self._server = StreamServer(listener, self._serve)
         self._server.start()
@@ -82,6 +83,8 @@
                 return
             received += len(piece)
         sock.sendall(self._answer)
+        if self._ends_in_order:
+            sock.shutdown(socket.SHUT_WR)
         self.answered.set()
         self.may_reset.wait()
         reset(sock)
@@ -106,22 +109,38 @@
 
 
 class WriteWatch:
-    """Sees the connections to targets on which a request was begun."""
-
-    def __init__(self, monkeypatch: Any) -> None:
-        self._connections: list[Connection] = []
-        write = Connection.write
-
-        def record(connection: Connection, data: bytes, deadline: float) -> None:
-            self._connections.append(connection)
-            write(connection, data, deadline)
-
-        monkeypatch.setattr(Connection, "write", record)
-
-    @property
-    def is_under_way(self) -> bool:
-        """Return whether a part of the last request is still to be written."""
-        return self._connections[-1].is_writing
+    """Sees whether a write to a port is held up, whichever part of the process writes."""
+
+    def __init__(self, monkeypatch: Any, port: int) -> None:
+        self._port = port
+        self._running = 0
+        send = socket.socket.send
+
+        def watch(sock: Any, *args: Any, **kwargs: Any) -> int:
+            if not self._leads_to_port(sock):
+                return int(send(sock, *args, **kwargs))
+            self._running += 1
+            try:
+                return int(send(sock, *args, **kwargs))
+            finally:
+                self._running -= 1
+
+        monkeypatch.setattr(socket.socket, "send", watch)
+
+    def wait_until_under_way(self, target: ResettingTarget) -> None:
+        """Wait until the target has answered while a part of a request is still to be written."""
+        with gevent.Timeout(5.0):
+            target.answered.wait()
+            while not self._running:
+                gevent.sleep(0.01)
+        gevent.sleep(SETTLED_S)
+        assert self._running
+
+    def _leads_to_port(self, sock: Any) -> bool:
+        try:
+            return bool(sock.getpeername()[1] == self._port)
+        except OSError:
+            return False
 
 
 def upload(port: int, *headers: str) -> bytes:
--- a/tests/serving/test_broken_answers.py
+++ b/tests/serving/test_broken_answers.py
@@ -8,8 +8,12 @@
 import gevent
 import pytest
 
+from clementinepin.helpers.clock import create_system_clock
+from clementinepin.platform import create_wire
 from clementinepin.serving import _item_run
+from clementinepin.serving._item_run import ItemRunner
 from clementinepin.serving._item_state import ItemRun
+from clementinepin.serving._metrics import ServingMetrics
 from clementinepin.serving.models import ItemState, RouteKind
 from tests.serving.broken_answers import (
     INTERIM_LINES,
@@ -23,8 +27,18 @@
     upload,
 )
 from tests.serving.cut_links import Manner
-from tests.serving.harness import ID, Harness, get_status
-from tests.serving.scripted import HEAD, ScriptedTarget, call, make_event, make_plain
+from tests.serving.harness import ID, Harness, get_status, send_events
+from tests.serving.parts import make_head as make_job_head
+from tests.serving.parts import make_items
+from tests.serving.scripted import (
+    EVENTS,
+    HEAD,
+    ScriptedTarget,
+    call,
+    make_chunk,
+    make_event,
+    make_plain,
+)
 from tests.serving.test_cut_heads import ITEM_ID, is_whole, make_head
 from tests.serving.test_cut_off_instances import CutOffHarness
 from tests.serving.test_item_run import Harness as ItemHarness
@@ -34,8 +48,11 @@
     RouteKind.NON_IDEMPOTENT: make_head("unframed") + b"part " * 400,
     RouteKind.STREAM: make_head("unframed events") + make_event(1) + make_event(2),
 }
+ODD_STARTS = {
+    **{line: line.encode() + b"\r\n" for line in (*ODD_LINES, *INTERIM_LINES)},
+    **{name: b"HTTP/1.1 200 OK\r\n" + field + b"\r\n" for name, field in ODD_FIELDS.items()},
+}
 GOOD = frame(HEAD % (b"s1", b"q1"), b"good", chunked=True)
-SETTLED_S = 0.1  # loopback and the greenlets need far less
 
 
 @pytest.fixture(params=["directly", "through a tunnel"])
@@ -53,46 +70,70 @@
     return entry.add_target(target)
 
 
+@pytest.mark.parametrize("resumable", [False, True])
 @pytest.mark.parametrize("kind", ANSWERS)
 def test_an_unframed_answer_reset_during_the_upload_never_looks_whole(
-    entry: Harness, kind: RouteKind, monkeypatch: pytest.MonkeyPatch
+    entry: Harness, kind: RouteKind, resumable: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a part of a body that is closed with a last chunk (issue 50)."""
-    entry.set_route(kind=kind, resumable=False, attempts_max=1)
+    entry.set_route(kind=kind, resumable=resumable, attempts_max=1)
     target = reach_target(entry, ResettingTarget(ANSWERS[kind]))
-    watch = WriteWatch(monkeypatch)
+    watch = WriteWatch(monkeypatch, target.port)
     caller = gevent.spawn(upload, entry.port, ID)
-    assert target.answered.wait(5.0)
-    gevent.sleep(SETTLED_S)
-    # A tunnel takes all of the upload: the write to the target is then under way at its far end.
-    assert watch.is_under_way or isinstance(entry, CutOffHarness)
+    watch.wait_until_under_way(target)
     target.may_reset.set()
     response = caller.get(timeout=10.0)
     assert get_status(response) == 502 or not is_whole(response)
     assert entry.slots.successes == [False]
 
 
+def test_a_resumable_stream_goes_on_behind_an_answer_that_was_reset(
+    entry: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry.set_route(kind=RouteKind.STREAM, resumable=True, attempts_max=2)
+    target = reach_target(entry, ResettingTarget(ANSWERS[RouteKind.STREAM]))
+    reach_target(entry, ScriptedTarget(send_events(3)))
+    watch = WriteWatch(monkeypatch, target.port)
+    caller = gevent.spawn(upload, entry.port, ID)
+    watch.wait_until_under_way(target)
+    target.may_reset.set()
+    response = caller.get(timeout=10.0)
+    assert [n for n in (1, 2, 3) if b"data: e%d\n" % n in response] == [1, 2, 3]
+    assert is_whole(response)
+
+
+def make_item_runner(entry: Harness) -> ItemRunner:
+    entry.slots.watch_preemption = lambda _slot, _on_preempt: None  # type: ignore[attr-defined]
+    return ItemRunner(
+        entry.app.fleet,
+        entry.slots,  # type: ignore[arg-type]
+        entry.app._pools,
+        create_wire(),
+        create_system_clock(),
+        ServingMetrics(),
+    )
+
+
 def test_an_item_whose_unframed_answer_was_reset_is_run_again(
-    monkeypatch: pytest.MonkeyPatch,
+    entry: Harness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a part of a text that is listed as completed (issue 50)."""
     monkeypatch.setattr(_item_run, "RETRY_PAUSE_S", 0.001)
-    harness = ItemHarness()
-    harness.run = ItemRun(harness.run.item._replace(body=UPLOAD), harness.run.head, 0)
-    target = ResettingTarget(make_head("unframed events", ITEM_ID) + make_event(1))
-    scripted, targets = harness.target.port, harness.fleet.targets.rows
-    targets["t0"] = targets["t0"]._replace(port=target.port)
-    running = gevent.spawn(harness.run_item)
-    assert target.answered.wait(5.0)
-    gevent.sleep(SETTLED_S)
-    rest = make_head("events", ITEM_ID) + b"%x\r\n%s\r\n0\r\n\r\n"
-    harness.target._scripts = [rest % (len(make_event(2)), make_event(2))]
-    targets["t0"] = targets["t0"]._replace(port=scripted)
+    entry.set_route(kind=RouteKind.JOB, attempts_max=2)
+    target = reach_target(
+        entry, ResettingTarget(make_head("unframed events", ITEM_ID) + make_event(1))
+    )
+    item = make_items(1)[0]._replace(body=UPLOAD)
+    run = ItemRun(item, make_job_head(now_s=create_system_clock().wall()), 0)
+    watch = WriteWatch(monkeypatch, target.port)
+    running = gevent.spawn(make_item_runner(entry).run, run)
+    watch.wait_until_under_way(target)
+    entry.slots.target_ids.clear()
+    rest = reach_target(entry, ScriptedTarget(send_events(2)))
     target.may_reset.set()
-    run = running.get(timeout=10.0)
+    running.get(timeout=10.0)
     assert (run.state, run.text) == (ItemState.COMPLETED, "e1\ne2")
-    assert run.losses == 0
-    target.stop()
+    assert b"Last-Event-Id: 1" in rest.requests[0]
 
 
 def make_odd_answer(line: str, *, chunked: bool) -> bytes:
@@ -117,6 +158,59 @@
     assert b"odd" not in response.lower()
 
 
+@pytest.mark.parametrize("line", [*ODD_LINES, *INTERIM_LINES])
+def test_a_stream_behind_an_odd_status_never_begins(entry: Harness, line: str) -> None:
+    """Guards against the bytes of a skipped answer in front of the first event (issue 50)."""
+    entry.set_route(kind=RouteKind.STREAM, resumable=False, attempts_max=1)
+    answer = make_odd_answer(line, chunked=False)
+    stream = make_head("events") + make_chunk(make_event(1)) + b"0\r\n\r\n"
+    reach_target(entry, ScriptedTarget(send_answers(answer, stream)))
+    response = call(entry.port, ID)
+    assert get_status(response) == 502
+    assert b"odd" not in response.lower()
+
+
+@pytest.mark.parametrize("line", [*ODD_LINES, *INTERIM_LINES])
+def test_an_item_that_got_an_odd_status_is_run_again(
+    line: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_item_run, "RETRY_PAUSE_S", 0.001)
+    stream = make_head("events", ITEM_ID) + make_chunk(make_event(1)) + b"0\r\n\r\n"
+    start = line.encode() + b"\r\n" + (HEAD % (b"s1", ITEM_ID)).partition(b"\r\n")[2]
+    odd = frame(start + EVENTS.partition(b"\r\n")[0] + b"\r\n", make_event(1), chunked=True)
+    harness = ItemHarness(send_answers(odd, stream), stream)
+    run = harness.run_item()
+    assert (run.state, run.text) == (ItemState.COMPLETED, "e1")
+    assert (len(harness.target.requests), run.failures) == (2, 0)
+
+
+@pytest.mark.parametrize("start", ODD_STARTS.values(), ids=ODD_STARTS)
+def test_an_odd_answer_on_a_kept_connection_reaches_no_caller(
+    harness: Harness, start: bytes
+) -> None:
+    """Guards against odd bytes behind a good answer, as the answer to the next request."""
+    harness.set_route(kind=RouteKind.NON_IDEMPOTENT, attempts_max=1)
+    odd = frame(start + (HEAD % (b"s1", b"q1")).partition(b"\r\n")[2], b"odd", chunked=False)
+    target = harness.add_target(ScriptedTarget(make_plain(b"good"), send_answers(odd, GOOD)))
+    assert call(harness.port, ID).endswith(b"good")
+    response = call(harness.port, ID)
+    assert (target.connections, len(target.requests)) == (1, 2)
+    assert get_status(response) == 502
+    assert b"odd" not in response.lower()
+
+
+@pytest.mark.parametrize("start", ODD_STARTS.values(), ids=ODD_STARTS)
+def test_an_odd_answer_behind_a_good_one_reaches_no_caller(harness: Harness, start: bytes) -> None:
+    """Guards against odd bytes that nobody asked for, between two requests."""
+    harness.set_route(kind=RouteKind.NON_IDEMPOTENT, attempts_max=1)
+    odd = frame(start + (HEAD % (b"s1", b"q1")).partition(b"\r\n")[2], b"odd", chunked=False)
+    script = make_plain(b"good") + odd
+    target = harness.add_target(ScriptedTarget(script, make_plain(b"next")))
+    assert call(harness.port, ID).endswith(b"good")
+    assert call(harness.port, ID).endswith(b"next")
+    assert target.connections == 2
+
+
 @pytest.mark.parametrize("line", [*ODD_LINES, *INTERIM_LINES])
 def test_a_request_that_got_an_odd_status_may_go_on_elsewhere(harness: Harness, line: str) -> None:
     harness.set_route(kind=RouteKind.IDEMPOTENT, attempts_max=2)
--- a/tests/tunnels/test_reset_uploads.py
+++ b/tests/tunnels/test_reset_uploads.py
@@ -12,19 +12,18 @@
 from clementinepin.targets.exceptions import TargetLostError
 from clementinepin.tunnels import _messages as messages
 from clementinepin.tunnels._server import TunnelServer
-from tests.serving.broken_answers import ResettingTarget
+from tests.serving.broken_answers import ResettingTarget, WriteWatch
 from tests.tunnels.ways import Ways, get_deadline
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
 PART = b"part " * 400
 UPLOAD = b"u" * 8_000_000
-SETTLED_S = 0.1  # a tunnel passes a write on within it
 
 
 @pytest.mark.parametrize("idempotent", [False, True])
 @pytest.mark.parametrize("framing", [b"", b"Content-Length: 4000\r\n"], ids=["unframed", "length"])
 def test_a_response_that_is_reset_during_the_upload_is_lost(
-    ways: Ways, idempotent: bool, framing: bytes
+    ways: Ways, idempotent: bool, framing: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a part of a body that looks whole, as a write saw the reset (issue 50)."""
     target = ResettingTarget(HEAD + framing + b"\r\n" + PART)
@@ -32,8 +31,9 @@
         ways.add_server(target, target.port), create_system_clock(), ways.dialer
     )
     request = PlainRequest("POST", "/x", (), UPLOAD, get_deadline(), idempotent)
+    watch = WriteWatch(monkeypatch, target.port)
     response = service.call(request)
-    gevent.sleep(SETTLED_S)
+    watch.wait_until_under_way(target)
     target.may_reset.set()
     with pytest.raises(TargetLostError):
         list(response.body)
