Read answers at the command line with the parser of the product

Change: requests are written, and their responses read, by a module of the client's own, which uses the same parser. Requests are encoded by the library as before; it sends nothing again by itself now, which it did for safe methods.

--- a/clementinepin/_cli/client.py
+++ b/clementinepin/_cli/client.py
@@ -10,7 +10,6 @@
 
 import msgspec
 from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPSocketPoolResponse
 
 from clementinepin._cli.exceptions import (
     EntryUnreachableError,
@@ -19,11 +18,11 @@
     ResponseUnreadableError,
     UsageError,
 )
+from clementinepin._cli.responses import ResponseReader, encode_chunks, send_request
 from clementinepin.helpers.decoding import make_json_decoder
 
 CONNECT_TIMEOUT_S: Final = 3.0
 RESPONSE_TIMEOUT_S: Final = 60.0
-CHUNK_BYTES: Final = 65_536
 TLS_PORT: Final = 443
 PLAIN_PORT: Final = 80
 SAFE_METHODS: Final = ("GET", "HEAD")
@@ -175,10 +174,11 @@
                 client.close()
                 continue
             try:
-                yield from _read_chunks(response)
+                yield from iter(response.read, b"")
             except (OSError, *HTTP_ERRORS) as err:
                 raise ResponseMissingError(f"the response ended early: {err}") from err
             finally:
+                response.close()
                 client.close()
             return
         raise failure
@@ -189,9 +189,10 @@
         client = self._open(entry)
         try:
             response = self._request(client, entry, method, path, body, headers)
-            return EntryResponse(
-                response.status_code, _read_headers(response), bytes(response.read())
-            )
+            try:
+                return EntryResponse(response.status, response.headers, response.read_all())
+            finally:
+                response.close()
         except (OSError, *HTTP_ERRORS) as err:
             raise ResponseMissingError(
                 f"no response from {entry.host}:{entry.port}: {err}"
@@ -222,13 +223,13 @@
         path: str,
         body: Body,
         headers: dict[str, str],
-    ) -> HTTPSocketPoolResponse:
+    ) -> ResponseReader:
         """Send one request and return the response with its body unread.
 
         The connection is opened first, so that a failure to connect proves that nothing was sent.
         """
         try:
-            client._connection_pool.return_socket(client._connection_pool.get_socket())
+            sock = client._connection_pool.get_socket()
         except OSError as err:
             raise EntryUnreachableError(
                 f"cannot connect to {entry.host}:{entry.port}: {err}"
@@ -237,23 +238,31 @@
         if self._key:
             all_headers["Authorization"] = f"Bearer {self._key}"
         try:
-            response = client.request(method, path, body() if callable(body) else body, all_headers)
+            pieces = _encode_request(client, method, path, body, all_headers)
+            response = send_request(sock, method, pieces)
+            if response.status < ERROR_STATUS_MIN:
+                return response
+            try:
+                error = _read_error(response.read_all())
+            finally:
+                response.close()
         except (OSError, *HTTP_ERRORS) as err:
             raise ResponseMissingError(
                 f"no response from {entry.host}:{entry.port}: {err}"
             ) from err
-        if response.status_code >= ERROR_STATUS_MIN:
-            raise RemoteError(response.status_code, _read_error(bytes(response.read())))
-        return response
-
-
-def _read_headers(response: HTTPSocketPoolResponse) -> dict[str, str]:
-    return {str(name).lower(): str(value) for name, value in response.items()}
-
-
-def _read_chunks(response: HTTPSocketPoolResponse) -> Iterator[bytes]:
-    while chunk := response.read(CHUNK_BYTES):
-        yield bytes(chunk)
+        raise RemoteError(response.status, error)
+
+
+def _encode_request(
+    client: HTTPClient, method: str, path: str, body: Body, headers: dict[str, str]
+) -> Iterator[bytes]:
+    """Yield the bytes of a request; a body of unknown length is sent in chunks."""
+    is_chunked = callable(body)
+    known = b"" if callable(body) else body
+    head = client._build_request(method, path, known, headers, chunked=is_chunked)
+    yield head.encode("latin-1") + known
+    if callable(body):
+        yield from encode_chunks(body())
 
 
 def _read_error(body: bytes) -> dict[str, Any]:
--- a/clementinepin/targets/__init__.py
+++ b/clementinepin/targets/__init__.py
@@ -11,6 +11,7 @@
 from clementinepin.targets._dialing import RelayingDialer, connect_directly, create_dialer
 from clementinepin.targets._engine import create_engine
 from clementinepin.targets._exchange import BodyFraming, HttpExchange, HttpRequest
+from clementinepin.targets._parser import ResponseParser
 from clementinepin.targets._plain import (
     PlainRequest,
     PlainResponse,
@@ -49,6 +50,7 @@
     "Relay",
     "RelayingDialer",
     "Relays",
+    "ResponseParser",
     "StreamChunk",
     "TargetAddress",
     "TargetSocket",
