Take no answer without a length and chunks at the command line

Cause: the end of a connection was taken for the end of an answer. The library also asks for an answer behind a failed write, which had got the news of the reset. Entries send a length or chunks with each body, so an answer without both is broken.

A whole answer that came before the reset is returned, as before.

--- a/clementinepin/_cli/responses.py
+++ b/clementinepin/_cli/responses.py
@@ -9,13 +9,15 @@
 from clementinepin.targets import ResponseParser
 
 READ_SIZE_BYTES: Final = 65_536
+BODYLESS_STATUSES: Final = (204, 304)
 
 
 class ResponseReader:
     """The response to a request, whose body is read in pieces.
 
-    ``write_failure`` is the error of a write of the request that failed. An entry may have answered
-    before it had read the request.
+    It is complete only by its length or last chunk, as the end of a connection proves nothing: the
+    write of the request may have got the news that the connection broke. ``write_failure`` is then
+    that error. An entry may have answered before it had read the request.
 
     All methods raise OSError or HTTPException if the response is broken.
     """
@@ -28,6 +30,10 @@
             self._receive()
         self.status = self._parser.status
         self.headers = self._parser.list_headers()
+        is_chunked = self.headers.get("transfer-encoding", "").lower() == "chunked"
+        has_body = method != "HEAD" and self.status not in BODYLESS_STATUSES
+        if has_body and not is_chunked and "content-length" not in self.headers:
+            raise HTTPException(f"a response with status {self.status} has no length and no chunks")
 
     def read(self) -> bytes:
         """Return the next piece of the body, none at its end."""
--- a/tests/cli/test_broken_answers.py
+++ b/tests/cli/test_broken_answers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
+import gevent
 import pytest
 
 from clementinepin._cli.client import EntryClient, EntryResponse, parse_entry
@@ -10,6 +13,8 @@
     INTERIM_LINES,
     ODD_FIELDS,
     ODD_LINES,
+    ResettingTarget,
+    WriteWatch,
     frame,
 )
 from tests.targets.scripted import CUT, ScriptedTarget, make_reply
@@ -46,3 +51,45 @@
     target = ScriptedTarget(lambda _request: [answer])
     assert send(target.address.port) == (200, {"transfer-encoding": "chunked"}, b"good")
     target.stop()
+
+
+@pytest.fixture
+def targets() -> Iterator[list[ResettingTarget]]:
+    started: list[ResettingTarget] = []
+    yield started
+    for target in started:
+        target.stop()
+
+
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: 4000\r\n"], ids=["unframed", "length"])
+def test_a_part_of_an_answer_that_was_reset_during_the_upload_is_no_response(
+    targets: list[ResettingTarget], framing: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a part of a body that looks whole, as the write saw the reset."""
+    target = ResettingTarget(OK_LINE + framing + b"\r\n" + PART)
+    targets.append(target)
+    watch = WriteWatch(monkeypatch, target.port)
+    sending = gevent.spawn(send, target.port, "POST", UPLOAD)
+    watch.wait_until_under_way(target)
+    target.may_reset.set()
+    with pytest.raises(ResponseMissingError):
+        sending.get(timeout=10.0)
+
+
+def test_a_whole_answer_that_came_before_the_upload_was_reset_is_returned(
+    targets: list[ResettingTarget], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    target = ResettingTarget(GOOD)
+    targets.append(target)
+    watch = WriteWatch(monkeypatch, target.port)
+    sending = gevent.spawn(send, target.port, "POST", UPLOAD)
+    watch.wait_until_under_way(target)
+    target.may_reset.set()
+    assert sending.get(timeout=10.0).body == b"good"
+
+
+def test_an_answer_without_a_length_and_chunks_is_no_response() -> None:
+    target = ScriptedTarget(lambda _request: [OK_LINE + b"\r\n" + PART, CUT])
+    with pytest.raises(ResponseMissingError):
+        send(target.address.port)
+    target.stop()
