--- a/tests/serving/broken_answers.py
+++ b/tests/serving/broken_answers.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from clementinepin.targets import TargetAddress
 from tests.serving.cut_links import reset
 from tests.serving.scripted import make_chunk
 
@@ -71,6 +72,10 @@
         self._server.start()
         self.port: int = self._server.server_port
 
+    @property
+    def address(self) -> TargetAddress:
+        return TargetAddress("t0", "127.0.0.1", self.port)
+
     def stop(self) -> None:
         self.may_reset.set()
         self._server.stop(timeout=0)
--- a/tests/targets/test_sockets.py
+++ b/tests/targets/test_sockets.py
@@ -6,15 +6,14 @@
 import pytest
 
 from clementinepin.helpers.clock import create_system_clock
-from clementinepin.targets import TargetAddress, TargetSocket, connect_directly
+from clementinepin.targets import TargetSocket, connect_directly
 from tests.serving.broken_answers import UPLOAD, ResettingTarget, WriteWatch
 
 
 def write_until_reset(target: ResettingTarget, watch: WriteWatch) -> tuple[TargetSocket, OSError]:
     """Return the connection, of which nothing was read, and the error of the write."""
     clock = create_system_clock()
-    address = TargetAddress("t0", "127.0.0.1", target.port)
-    sock = connect_directly(address, clock.monotonic() + 5.0, clock)
+    sock = connect_directly(target.address, clock.monotonic() + 5.0, clock)
     sock.settimeout(5.0)
     writing = gevent.spawn(sock.sendall, UPLOAD)
     watch.wait_until_under_way(target)
