--- a/tests/entry/test_tls.py
+++ b/tests/entry/test_tls.py
@@ -4,13 +4,16 @@
 import ipaddress
 import socket
 import ssl
+from functools import partial
 
 import pytest
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 
-from tests.entry.fakes import read_to_end, run_in_thread
+from clementinepin._cli.client import EntryClient, parse_entry
+from tests.entry.fakes import KEY, read_to_end, run_in_thread
+from tests.targets.scripted import make_reply
 
 
 @pytest.fixture
@@ -67,3 +70,16 @@
     stalled = entry.connect()
     stalled.sendall(b"\x16\x03\x01")
     assert read_to_end(stalled) == b""
+
+
+@pytest.mark.parametrize("size", [0, 1_000_000])
+def test_the_command_lines_client_sends_and_reads_over_tls(serve, tls_files, size):
+    limits = {"header_timeout_s": 5.0, "body_max_bytes": 2_000_000}
+    entry = serve(lambda _: [make_reply(b"y" * size)], security=tls_files, limits=limits)
+    address = parse_entry(f"https://127.0.0.1:{entry.entry.port}")
+    client = EntryClient([address], KEY, tls_files["tls_certificate"])
+    pieces = [b"x" * (size // 4)] * 4
+    for body in (b"".join(pieces), lambda: iter(pieces)):
+        response = run_in_thread(partial(client.send, "POST", "/services/desk/stalls", body))
+        assert (response.status, response.body) == (200, b"y" * size)
+    assert [request["body"] for request in entry.targets[0].requests] == [b"".join(pieces)] * 2
