--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,10 +1,10 @@
-"""Kills the process that owns a batch job while its write of a first result is under way.
+"""Lets all workers crash while calls that share a first prompt part run, then one of them again.
 
-The platform executes the write, which gets no answer, after the process has started again. The
-client reads the result and ends the batch job.
+Then all is well, and a batch job comes whose items have the same first part.
 """
 
-import signal
+import http.client
+import json
 import sys
 import threading
 import time
@@ -14,139 +14,138 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
 from fleet import (  # noqa: E402
+    HOST,
     TROUBLE,
     Fleet,
-    call,
     make_batch_route,
     make_item,
     read_job,
     submit,
 )
 
+SHARED_PART = "5c1e07a2"
 JOB = "7c41e09b52d6a3f8"
-SHORT, LONG = "e5b2907c14da6f38", "0b7d51c2e96f8a43"
-RESTART_S = 0.1
-LATE_S = 0.2  # after the new process has read the record that the write replaces
-LATE_MIN_S, LATE_MAX_S = 1.0, 6.0  # a late write is done 1 to 6 s later
-CONTACT_S, SETTLE_S = 3.0, 1.0
-CHECKS = 30
+ITEMS = [f"e5b2907c14da6f{n:02x}" for n in range(4)]
+PLAN = {"events": 26, "gap_s": 0.08}
+CALLS_PER_S = 10
+DOWN_S = 2.0
+AGAIN_S = 1.0  # from the return of the workers until one of them crashes again
+CONTACT_S, FINISH_S, CALM_S = 3.0, 18.0, 5.0
 
 
-class Trouble:
-    """Takes the first write of results over."""
+def make_stream_route():
+    return {
+        "name": "search",
+        "host": HOST,
+        "path_prefix": "/search/",
+        "service": "llm",
+        "kind": "streaming",
+        "timeout_ms": 5000,
+        "target_latency_ms": 300,
+        "gap_target_ms": 200,
+        "max_attempts": 1,
+        "priority": 0,
+        "sticky": True,
+    }
+
+
+class Callers:
+    """Sends streams at a steady rate; each one that is refused comes once more, after Retry-After."""
 
     def __init__(self, fleet):
         self.fleet, self.record = fleet, fleet.record
-        self.caught = self.read_again = None
-        self.caller = self.key = ""
-        self.restarted_at = self.applied_at = None
-        self.lock = threading.Lock()
-
-    def hook(self, handler, method, path, query, body):
-        caller = handler.server.caller
-        if path == "/v1/kv-key" and self.caught and caller == self.caller:
-            if query.get("key") == self.key and self.restarted_at is not None:
-                self.read_again.set()
-            return False
-        keys = [row["key"] for row in body.get("set_keys", [])] if path == "/v1/kv-txn" else []
-        writes_results = (
-            caller.startswith("store")
-            and body.get("precondition")
-            and len(keys) > 1
-            and all(JOB in key for key in keys)
-        )
-        if not writes_results:
-            return False
-        with self.lock:
-            if self.caught:
-                return False
-            self.caught, self.caller = body, caller
-            self.key, self.read_again = body["precondition"][0]["key"], threading.Event()
-        self.record.add("results_write", caller=caller, keys=keys)
-        if not TROUBLE:
-            return False
-        threading.Thread(target=self.run, daemon=True).start()
-        received_at = time.monotonic()
-        self.read_again.wait(LATE_MAX_S - LATE_S)
-        time.sleep(max(LATE_S, received_at + LATE_MIN_S - time.monotonic()))
-        status, _ = self.fleet.platform.state.transact(body)
-        self.applied_at = self.record.now()
-        self.record.add("late_write_executed", status=status)
-        handler.drop()
-        return True
+        self.stopped = threading.Event()
+        self.count = 0
 
     def run(self):
-        daemon = next(d for d in self.fleet.stores if d.name == self.caller)
-        daemon.kill()
-        self.record.add("killed", process=daemon.name, signal=int(signal.SIGKILL))
-        time.sleep(RESTART_S)
-        daemon.start()
-        self.restarted_at = self.record.now()
-        self.record.add("started_again", process=daemon.name)
+        while not self.stopped.wait(1 / CALLS_PER_S):
+            self.count += 1
+            threading.Thread(target=self.call, args=(self.count,), daemon=True).start()
+
+    def call(self, number):
+        front = self.fleet.fronts[number % len(self.fleet.fronts)]
+        deadline = time.monotonic() + 5.0
+        for attempt in range(2):
+            request_id = f"9c41d07be2{number:04x}{attempt:02x}"
+            status, retry_after_s = self.send(front, request_id, number, deadline)
+            self.record.add("called", id=request_id, front=front.name, status=status)
+            if status != 503:
+                return
+            left_s = deadline - time.monotonic()
+            time.sleep(min(max(0.0, left_s / 3), retry_after_s))
+            front = self.fleet.fronts[(number + 1) % len(self.fleet.fronts)]
+
+    def send(self, front, request_id, number, deadline):
+        left_s = max(0.1, deadline - time.monotonic())
+        headers = {
+            "Host": HOST,
+            "Clementinepin-Request-Id": request_id,
+            "Clementinepin-Model": "m",
+            "Clementinepin-Token-Count": "350,26",
+            "Clementinepin-Prompt-Prefix": f"{SHARED_PART}:100,{number:08x}:250",
+            "Clementinepin-Deadline-Ms": str(int(left_s * 1000)),
+        }
+        connection = http.client.HTTPConnection(front.ip, 8161, timeout=left_s + 0.5)
+        try:
+            connection.request("POST", f"/search/{number}", json.dumps(PLAN).encode(), headers)
+            response = connection.getresponse()
+            response.read()
+            return response.status, float(response.headers.get("Retry-After") or 0)
+        except (OSError, http.client.HTTPException) as err:
+            return type(err).__name__, 0.0
+        finally:
+            connection.close()
+
+
+def crash(workers):
+    for worker in workers:
+        worker.crash()
+    time.sleep(DOWN_S)
+    for worker in workers:
+        worker.start_again()
 
 
 def main():
-    fleet = Fleet(FOLDER, fronts=3, stores=2)
-    record, broken = fleet.record, []
+    fleet = Fleet(FOLDER, fronts=2, stores=2)
+    record = fleet.record
     try:
-        fleet.put_configuration(3, [make_batch_route()])
-        for n in range(2):
+        fleet.put_configuration(3, [make_stream_route(), make_batch_route()])
+        for n in range(3):
             fleet.add_worker(f"i-{n}")
         fleet.start()
-        trouble = Trouble(fleet)
-        fleet.platform.hook = trouble.hook
-        items = [
-            make_item(SHORT, {"events": 10, "gap_s": 0.7}),
-            make_item(LONG, {"events": 16, "gap_s": 1.2}),
-        ]
+        callers = Callers(fleet)
+        threading.Thread(target=callers.run, daemon=True).start()
+        time.sleep(6.0)
+        if TROUBLE:
+            crash(fleet.workers)
+            time.sleep(AGAIN_S)
+            crash([max(fleet.workers, key=lambda worker: worker.running)])
+        time.sleep(CONTACT_S + 1.0)
+        items = [make_item(i, PLAN, "350,26") for i in ITEMS]
+        for item in items:
+            item["headers"]["Clementinepin-Prompt-Prefix"] = f"{SHARED_PART}:100,{item['id']}:250"
         if submit(fleet, fleet.fronts[0], JOB, items) != 202:
             return 2
-        accepted_at = record.now()
-        seen_at = []
-        stop = threading.Event()
-
-        def poll():
-            """Read at the first front about twice a second, as the client of the batch job."""
-            while not stop.is_set():
-                status, page = read_job(fleet, fleet.fronts[0], JOB)
-                if status == 200 and page["results"] and not seen_at:
-                    seen_at.append(record.now())
-                    record.add("position_0_was_read", front=fleet.fronts[0].name)
-                stop.wait(0.5)
-
-        readers = [threading.Thread(target=poll, daemon=True) for _ in range(2)]
-        for reader in readers:
-            reader.start()
-            time.sleep(0.25)
-        ended = False
-        checks = 0
-        while record.now() < accepted_at + 60 and checks < CHECKS:
+        time.sleep(4.0)
+        callers.stopped.set()
+        ended_at = record.now()
+        record.add("traffic_ended")
+        while record.now() < ended_at + FINISH_S:
             time.sleep(0.5)
-            if not seen_at:
-                continue
-            if not ended:
-                status, _, _ = call(fleet.fronts[0].ip, 8161, "DELETE", f"/v1/lots/{JOB}")
-                ended = status == 200
-                record.add("ended_by_client", front=fleet.fronts[0].name, status=status)
-            if TROUBLE:
-                calm_from = max(trouble.restarted_at or 1e9, trouble.applied_at or 1e9) + CONTACT_S
-            else:
-                calm_from = 0.0
-            if record.now() <= max(calm_from, seen_at[0] + SETTLE_S):
-                continue
-            checks += 1
-            for front in fleet.fronts[1:]:
-                status, page = read_job(fleet, front, JOB, wait_ms=0)
-                if status in (404, 410) or (status == 200 and not page["results"]):
-                    broken.append(front.name)
-                    record.add("BROKEN", rule="LOST", front=front.name, status=status)
-        stop.set()
-        record.add("end", broken=len(broken), seen=bool(seen_at), ended=ended, checks=checks)
-        if broken:
+            status, page = read_job(fleet, fleet.fronts[1], JOB, wait_ms=0)
+        checked_at = record.now()
+        missing = set(ITEMS) - {row["id"] for row in page["results"]}
+        kinds = ("run", "run_done", "run_dropped")
+        late = [r for r in record.rows if r[1] in kinds and r[2]["id"] in missing]
+        held = [r for r in late if r[0] > checked_at - CALM_S]
+        running = sum(w.running for w in fleet.workers)
+        record.add("end", status=status, missing=len(missing), runs=len(held), running=running)
+        if missing and not held and not running:
+            record.add("BROKEN", rule="LOST", items=sorted(missing))
             return 1
-        return 0 if ended and checks == CHECKS else 2
+        return 0 if not missing else 2
     finally:
-        fleet.stop()
+        fleet.stop(keep_logs=sys.argv[1] if len(sys.argv) > 1 else None)
 
 
 if __name__ == "__main__":
--- a/review/common-3/worker.py
+++ b/review/common-3/worker.py
@@ -57,8 +57,13 @@
 
             def setup(self):
                 self.request.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                worker.sockets.add(self.request)
                 super().setup()
 
+            def finish(self):
+                worker.sockets.discard(self.request)
+                super().finish()
+
             def do_POST(self):
                 worker.serve(self)
 
@@ -76,7 +81,10 @@
             def handle_error(self, _request, _address):
                 return
 
-        self.server = Server((host, 0), Handler)
+        self.sockets = set()
+        self.is_down = False
+        self.make_server = lambda address: Server(address, Handler)
+        self.server = self.make_server((host, 0))
         self.address = f"{host}:{self.server.server_address[1]}"
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         self.beats = threading.Event()
@@ -86,7 +94,8 @@
         sequence = 0
         while not self.beats.is_set():
             sequence += 1
-            self.write_entry(sequence)
+            if not self.is_down:
+                self.write_entry(sequence)
             self.beats.wait(1.2)
 
     def write_entry(self, sequence):
@@ -176,6 +185,28 @@
         handler.wfile.write(b"0\r\n\r\n")
         self.record.add("run_done", id=request_id, worker=self.name)
 
+    def crash(self):
+        """End all connections and refuse new ones, as a process that was killed."""
+        self.is_down = True
+        self.record.add("worker_crashed", worker=self.name, running=self.running)
+        self.server.socket.close()
+        for sock in list(self.sockets):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+        threading.Thread(target=self.server.shutdown, daemon=True).start()
+
+    def start_again(self):
+        """Serve at the same address and under the same id, as a new boot."""
+        host, _, port = self.address.rpartition(":")
+        self.server = self.make_server((host, int(port)))
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.born = int(time.time() * 1000)
+        self.is_down = False
+        self.write_entry(1)
+        self.record.add("worker_started_again", worker=self.name)
+
     def stop(self):
         self.beats.set()
         self.server.shutdown()
