--- a/review/11/case.py
+++ b/review/11/case.py
@@ -29,7 +29,8 @@
 PLAN = {"events": 26, "gap_s": 0.08}
 CALLS_PER_S = 10
 DOWN_S = 2.0
-AGAIN_S = 1.0  # from the return of the workers until one of them crashes again
+AGAIN_S = 0.8  # of a run after the return of the workers, until its worker crashes again
+AGAIN_WAIT_S = 5.0  # for such a run
 CONTACT_S, FINISH_S, CALM_S = 3.0, 18.0, 5.0
 
 
@@ -118,6 +119,9 @@
         time.sleep(6.0)
         if TROUBLE:
             crash(fleet.workers)
+            wait_until = record.now() + AGAIN_WAIT_S
+            while record.now() < wait_until and not any(w.running for w in fleet.workers):
+                time.sleep(0.02)
             time.sleep(AGAIN_S)
             crash([max(fleet.workers, key=lambda worker: worker.running)])
         time.sleep(CONTACT_S + 1.0)
