--- a/review/11/case.py
+++ b/review/11/case.py
@@ -27,7 +27,8 @@
 JOB = "7c41e09b52d6a3f8"
 ITEMS = [f"e5b2907c14da6f{n:02x}" for n in range(4)]
 PLAN = {"events": 26, "gap_s": 0.08}
-CALLS_PER_S = 10
+CALLS_PER_S = 16
+WORKERS = 6  # one of them is a share of 0.167
 DOWN_S = 2.0
 AGAIN_S = 0.8  # of a run after the return of the workers, until its worker crashes again
 AGAIN_WAIT_S = 5.0  # for such a run
@@ -111,7 +112,7 @@
     record = fleet.record
     try:
         fleet.put_configuration(3, [make_stream_route(), make_batch_route()])
-        for n in range(3):
+        for n in range(WORKERS):
             fleet.add_worker(f"i-{n}")
         fleet.start()
         callers = Callers(fleet)
--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -161,6 +161,7 @@
         sys.path.insert(0, str(Path(__file__).resolve().parent))
         from platform_store import Platform
 
+        signal.signal(signal.SIGTERM, lambda *_args: sys.exit(2))  # so that stop() runs
         self.record = Record(folder)
         self.temporary = tempfile.TemporaryDirectory()
         self.net = choose_net()
--- a/review/common-3/worker.py
+++ b/review/common-3/worker.py
@@ -12,6 +12,7 @@
 import json
 import select
 import socket
+import socketserver
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -78,6 +79,11 @@
             daemon_threads = True
             request_queue_size = 256
 
+            def server_bind(self):
+                """Bind without the look-up of a host name that HTTPServer makes."""
+                socketserver.TCPServer.server_bind(self)
+                self.server_name, self.server_port = self.server_address[:2]
+
             def handle_error(self, _request, _address):
                 return
 
