Hold no batch item back for what crashes targets under calls

Cause: a cause of crashes, found under calls, was applied to items too: when they are submitted, when they start, without a dispatcher, and on the product's own interface. The users' pages say that items never crash servers by themselves. Items also made the trials of a cause, and broken runs of theirs counted as failed trials.

Change: items are neither held back nor trials nor evidence about calls, for or against a cause, on both interfaces.

--- a/clementinepin/serving/_local_choice.py
+++ b/clementinepin/serving/_local_choice.py
@@ -27,11 +27,11 @@
     """Return the target for a request, by the instance's own counts.
 
     Online requests use at most twice an equal share of a target's slots, of the instances
-    ``entries`` and at least two, batch items one slot. A request that is known to crash targets
-    gets none; it is a trial at one of these instances alone, as each would make its own. Raises
-    OverloadedError if no target qualifies.
+    ``entries`` and at least two, batch items one slot. A caller's request that is known to crash
+    targets gets none; it is a trial at one of these instances alone, as each would make its own.
+    Raises OverloadedError if no target qualifies.
     """
-    if _is_held_back(table, request, entries, now):
+    if not request.is_batch and _is_held_back(table, request, entries, now):
         retry_after_s = waiting.get_longest_retry_wait(request, now)
         raise OverloadedError(dispatching.CRASHED_TARGETS, retry_after_s)
     version, source = stream_versions.find_required_version(table, request, now)
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -89,7 +89,12 @@
 
 
 def _check_cause(table: DispatchTable, request: PendingRequest, now: float) -> Rejected | None:
-    """Return a rejection if the request is known to crash targets, else None."""
+    """Return a rejection if the request is known to crash targets, else None.
+
+    Items never crash targets by themselves, whatever they have in common with callers' requests.
+    """
+    if request.is_batch:
+        return None
     if crash_causes.may_run(table.crashes, request.service, request.traits, now):
         return None
     return Rejected(request.key, waiting.get_longest_retry_wait(request, now), CRASHED_TARGETS)
@@ -158,12 +163,8 @@
     grant = table.grants.pop(key, None)
     if grant is None:
         return
-    if outcome is RunOutcome.BROKEN and not grant.is_batch:
-        # Items are never what crashes targets by themselves.
-        run = BrokenRun(key, grant.target_id, grant.service, grant.traits, events)
-        crash_causes.record_crash(table.crashes, run, now)
-    elif is_sound:
-        crash_causes.record_success(table.crashes, grant.service, grant.traits, now)
+    if not grant.is_batch:  # items tell nothing of what crashes targets
+        _record_run(table, grant, outcome, now, is_sound=is_sound, events=events)
     target = table.targets.get(grant.target_id)
     if target is None:
         return
@@ -175,6 +176,23 @@
     target_health.record_outcome(table, target, outcome, now)
 
 
+def _record_run(
+    table: DispatchTable,
+    grant: Grant,
+    outcome: RunOutcome,
+    now: float,
+    *,
+    is_sound: bool,
+    events: int,
+) -> None:
+    """Record what the end of a caller's request tells of its traits."""
+    if outcome is RunOutcome.BROKEN:
+        run = BrokenRun(grant.key, grant.target_id, grant.service, grant.traits, events)
+        crash_causes.record_crash(table.crashes, run, now)
+    elif is_sound:
+        crash_causes.record_success(table.crashes, grant.service, grant.traits, now)
+
+
 def forget_streams_in_doubt(table: DispatchTable, instance: str) -> None:
     """Forget the versions of an instance's granted streams whose targets did not respond yet.
 
@@ -231,10 +249,6 @@
     actions: list[Action] = []
     held: list[PendingRequest] = []
     while (request := queue.get_first(now)) is not None:
-        if (rejection := _check_cause(table, request, now)) is not None:
-            queue.remove(request.key)
-            actions.append(rejection)
-            continue
         started = _try_start(table, request, now)
         if not started and not (request.software_version and has_free_slot(table, request, now)):
             break
@@ -379,7 +393,10 @@
     starts_now: bool = True,
 ) -> None:
     if starts_now:
-        crash_causes.record_start(table.crashes, request.service, request.traits, request.key, now)
+        if not request.is_batch:
+            crash_causes.record_start(
+                table.crashes, request.service, request.traits, request.key, now
+            )
         target_limits.record_start(target, now)
     grant = Grant(request, target.target_id, now)
     table.grants[request.key] = grant
--- a/clementinepin/systems/placement.py
+++ b/clementinepin/systems/placement.py
@@ -75,8 +75,7 @@
         actions: list[Action] = []
         for row in order_waiting(rows):
             action = self._check_call(row, now, wall)
-            held_back = quarantine.is_held_back(self._tables, self._view, row.call, now)
-            if action is None and not held_back and not self._must_isolate(row, wall):
+            if action is None and not self._must_isolate(row, wall):
                 action = self._place_batch_call(row, free, now)
             if action is not None:
                 actions.append(action)
@@ -98,10 +97,10 @@
         queue.pop(row.waiting_id)
         record_start(self._tables, row)
         ticket = next(self._tickets)
-        traits, key = frozenset(row.call.parts), (self._view.instance, ticket)
-        crash_causes.record_start(self._tables.crashes, row.call.service, traits, key, now)
         self._tables.calls.put(CallRow(ticket, row.call, target, now, alone=alone))
         if is_online(row.call):
+            traits, key = frozenset(row.call.parts), (self._view.instance, ticket)
+            crash_causes.record_start(self._tables.crashes, row.call.service, traits, key, now)
             account = self._tables.accounts.get(row.call.account)
             self._tables.accounts.update(account.name, running=account.running + 1)
             self._tables.targets.add_running(target, online=1)
--- a/clementinepin/systems/results.py
+++ b/clementinepin/systems/results.py
@@ -129,16 +129,20 @@
 def _update_crashes(
     tables: Tables, view: View, row: CallRow, result: CallResult, now: float
 ) -> tuple[BrokenRun | None, frozenset[str]]:
-    """Record what the end of a call tells of its prompt's parts; return what peers must hear."""
+    """Record what the end of a call tells of its prompt's parts; return what peers must hear.
+
+    Items never crash targets by themselves, and tell nothing of calls that do.
+    """
+    if not is_online(row.call):
+        return None, frozenset()
     traits = frozenset(row.call.parts)
     key = (view.instance, row.ticket)
-    is_caller = is_online(row.call)  # items are never what crashes targets by themselves
     outcome = TRIAL_OUTCOMES.get(result, TrialOutcome.UNDECIDED)
     if now >= row.call.deadline:
         outcome = TrialOutcome.UNDECIDED  # the end of the caller's time ends the run, too
     if result is not CallResult.SUCCESS:
         crash_causes.record_trial_end(tables.crashes, key, outcome, now)
-    if outcome is TrialOutcome.CRASHED and is_caller and traits:
+    if outcome is TrialOutcome.CRASHED and traits:
         run = BrokenRun(key, row.target, row.call.service, traits, row.tokens)
         crash_causes.record_crash(tables.crashes, run, now)
         return run, frozenset()
