Blame no prompt part of a run that its target wrote for some time

Cause: only runs that ended well told anything for a part. The users' pages say that such a part crashes each worker that begins to write an answer on it, so that none of these runs can have had one.

Change: parts of a broken run with five or more events are cleared like those of one that ended well, also for the runs that the same crash ended. The request itself stays suspected, so that one that crashes targets later in its response is still found. On the product's own interface, and for what instances tell a new dispatcher or the store, the same function decides.

--- a/clementinepin/serving/_slot_requests.py
+++ b/clementinepin/serving/_slot_requests.py
@@ -45,6 +45,11 @@
         """Return what the request may share with others."""
         return make_traits(self.prefix_ids, self.fingerprint)
 
+    @property
+    def parts(self) -> frozenset[str]:
+        """Return the parts of its prompt that the request may share with others."""
+        return make_traits(self.prefix_ids, "")
+
 
 class Slot(NamedTuple):
     """A granted slot. ``alone`` marks a local decision, made without the dispatcher.
--- a/clementinepin/serving/_slots.py
+++ b/clementinepin/serving/_slots.py
@@ -235,7 +235,8 @@
         now = self._clock.monotonic()
         dispatching.finish(self._table, key, outcome, now, succeeded=succeeded, events=events)
         if request is not None and outcome is RunOutcome.BROKEN and not request.is_batch:
-            run = BrokenRun(key, slot.target_id, request.service, request.traits, events)
+            suspected = crash_causes.list_suspected(request.traits, request.parts, events)
+            run = BrokenRun(key, slot.target_id, request.service, suspected, events)
             self._record_broken(run, now)
         self._link.send(messages.ReleaseSlot(slot.number, outcome, succeeded, events))
 
--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -45,12 +45,23 @@
 TRIAL_PATIENCE_S: Final = 2.0  # within which a request without other suspected traits may come
 
 
+def list_suspected(traits: frozenset[str], parts: frozenset[str], events: int) -> frozenset[str]:
+    """Return the traits of a broken run that may have crashed its target.
+
+    A part of a prompt crashes each target that begins to write a response to it. A request that
+    has some parts, ``parts`` of its ``traits``, and that was written for some time has none of
+    these.
+    """
+    return traits - parts if events >= EVENTS_TO_CLEAR else traits
+
+
 def record_crash(table: CrashTable, run: BrokenRun, at: float, *, is_foreign: bool = False) -> None:
     """Record that a target broke off a run; one that was reported before counts once.
 
     Reports of one target at about the same time belong to one crash. ``is_foreign`` says that
     another instance has let the run start.
     """
+    run = run._replace(traits=list_unrefuted(table, run.service, run.traits, at))
     if not run.traits:
         return
     row = table.services[run.service]
@@ -103,9 +114,12 @@
 def list_unrefuted(
     table: CrashTable, service: str, traits: frozenset[str], at: float
 ) -> frozenset[str]:
-    """Return the traits with which no request has succeeded later than ``at``."""
-    sound = table.services[service].sound
-    return frozenset(trait for trait in traits if sound.get(trait, float("-inf")) <= at)
+    """Return the traits with which no request has succeeded later than ``at``.
+
+    A run that a target wrote until its crash is reported with those that the crash ended.
+    """
+    sound, since = table.services[service].sound, at - SAME_CRASH_S
+    return frozenset(trait for trait in traits if sound.get(trait, float("-inf")) <= since)
 
 
 def find_cause(
--- a/clementinepin/systems/dispatching.py
+++ b/clementinepin/systems/dispatching.py
@@ -151,20 +151,21 @@
 
     ``events`` is how many events the run has brought. Only runs that succeeded count for the pace:
     a failure tells nothing of how long others take. A run that its target wrote for some time shows
-    that its prompt crashes no target, whether its end is proven or not.
+    that its prompt crashes no target, whether its end is proven or not. If the target broke it off,
+    the request itself may still be what crashed it.
     """
     table.remove_waiting(key)
     is_sound = succeeded or (
         outcome is not RunOutcome.BROKEN and events >= crash_causes.EVENTS_TO_CLEAR
     )
+    grant = table.grants.pop(key, None)
+    if grant is not None and not grant.is_batch:  # items tell nothing of what crashes targets
+        _record_run(table, grant, outcome, now, is_sound=is_sound, events=events)
     if not is_sound:
         trial_outcome = TRIAL_OUTCOMES.get(outcome, TrialOutcome.UNDECIDED)
         crash_causes.record_trial_end(table.crashes, key, trial_outcome, now)
-    grant = table.grants.pop(key, None)
     if grant is None:
         return
-    if not grant.is_batch:  # items tell nothing of what crashes targets
-        _record_run(table, grant, outcome, now, is_sound=is_sound, events=events)
     target = table.targets.get(grant.target_id)
     if target is None:
         return
@@ -187,7 +188,9 @@
 ) -> None:
     """Record what the end of a caller's request tells of its traits."""
     if outcome is RunOutcome.BROKEN:
-        run = BrokenRun(grant.key, grant.target_id, grant.service, grant.traits, events)
+        suspected = crash_causes.list_suspected(grant.traits, grant.parts, events)
+        crash_causes.record_success(table.crashes, grant.service, grant.traits - suspected, now)
+        run = BrokenRun(grant.key, grant.target_id, grant.service, suspected, events)
         crash_causes.record_crash(table.crashes, run, now)
     elif is_sound:
         crash_causes.record_success(table.crashes, grant.service, grant.traits, now)
--- a/clementinepin/systems/results.py
+++ b/clementinepin/systems/results.py
@@ -24,8 +24,8 @@
 
     ``suspect`` is a row to send to peers, ``leaving`` the name of a leaving target to report to
     them. ``ejected`` names the target if this call's failure ejected it. ``broken`` is the call's
-    run if its target was lost, and ``cleared`` its parts if they were suspected and it succeeded;
-    peers must hear of both.
+    run if its target was lost, and ``cleared`` its parts if they were suspected and it succeeded,
+    or if its target was lost when it had written for some time; peers must hear of both.
     """
 
     row: CallRow
@@ -140,9 +140,13 @@
     outcome = TRIAL_OUTCOMES.get(result, TrialOutcome.UNDECIDED)
     if now >= row.call.deadline:
         outcome = TrialOutcome.UNDECIDED  # the end of the caller's time ends the run, too
+    was_lost = outcome is TrialOutcome.CRASHED and bool(traits)
+    if was_lost and not crash_causes.list_suspected(traits, traits, row.tokens):
+        crash_causes.record_success(tables.crashes, row.call.service, traits, now)
+        return None, traits
     if result is not CallResult.SUCCESS:
         crash_causes.record_trial_end(tables.crashes, key, outcome, now)
-    if outcome is TrialOutcome.CRASHED and traits:
+    if was_lost:
         run = BrokenRun(key, row.target, row.call.service, traits, row.tokens)
         crash_causes.record_crash(tables.crashes, run, now)
         return run, frozenset()
--- a/clementinepin/tables/dispatch.py
+++ b/clementinepin/tables/dispatch.py
@@ -72,6 +72,11 @@
         """Return what the request may share with others."""
         return make_traits(self.prefix_ids, self.fingerprint)
 
+    @property
+    def parts(self) -> frozenset[str]:
+        """Return the parts of its prompt that the request may share with others."""
+        return make_traits(self.prefix_ids, "")
+
     def get_time_after_share(self, share: float) -> float:
         """Return the time at which a share of the time for a start in time has passed."""
         return self.requested_at + share * max(0.0, self.on_time_by - self.requested_at)
@@ -100,6 +105,7 @@
         "key",
         "new_stream_id",
         "pace",
+        "parts",
         "preempted_at",
         "preempting",
         "run_s",
@@ -115,6 +121,7 @@
         self.is_batch = request.is_batch
         self.service = request.service
         self.traits = request.traits
+        self.parts = request.parts
         self.is_firm = request.is_firm
         self.started_at = now
         self.run_s = request.run_s
--- a/tests/scheduling/test_poison.py
+++ b/tests/scheduling/test_poison.py
@@ -212,6 +212,20 @@
     assert submit_trial(scheduler, now + crash_causes.TRIAL_GAP_S) is None
 
 
+def test_calls_that_were_written_for_some_time_blame_no_part():
+    """Guards against calls refused for a part that targets were writing as they crashed."""
+    fleet = build_fleet(INSTANCES[:2], TARGETS, build_configuration(slots=12))
+    first, second = fleet.values()
+    placements = [first.acquire(build_call(f"c{n}", parts=("app",))) for n in range(CRASHES_MAX)]
+    for number, placement in enumerate(placements):
+        if number == 0:
+            first._decider.record_tokens(placement.ticket, crash_causes.EVENTS_TO_CLEAR, 0.0)
+        first.finish(placement.ticket, CallResult.LOST)
+    gevent.sleep(2 * SAME_CRASH_S)
+    for scheduler in (first, second):
+        assert scheduler.acquire(build_call("next", parts=("app",))).ticket
+
+
 def test_an_instance_tries_a_cause_if_the_one_before_it_has_no_call_to_try():
     """Guards against items held back for good: only the owner of a cause tried it (review/6)."""
     fleet = build_fleet(INSTANCES[:2], TARGETS, build_configuration(slots=12))
--- a/tests/systems/test_crash_causes.py
+++ b/tests/systems/test_crash_causes.py
@@ -291,6 +291,49 @@
     assert not has_cause(table.crashes, now + 0.5, "a")
 
 
+@pytest.mark.parametrize("written_first", [False, True])
+def test_targets_that_crash_under_written_responses_blame_no_part(written_first: bool) -> None:
+    """Guards against calls refused behind an outage for a part that the targets were writing.
+
+    All targets crash at once, each under several calls of one application (review/11).
+    """
+    table = make_table(targets=6, slots=8)
+    rng = random.Random(1)
+    runs = [(number, 20 if number % 2 == written_first else 1) for number in range(12)]
+    keys = []
+    for number, events in runs:
+        request = make_request(number, prefix_ids=("shared", f"own{number}"))
+        request = request._replace(fingerprint=f"f{number}")
+        assert isinstance(dispatching.submit(table, request, 0.0, rng)[0], Granted)
+        keys.append((request.key, events))
+    for number, (key, events) in enumerate(keys):
+        break_run(table, key, 1.5 + 0.001 * number, events)
+    assert not has_cause(table.crashes, 2.0, "shared", "f99")
+
+
+def test_a_trial_that_is_broken_off_when_it_was_written_for_some_time_clears_its_part() -> None:
+    """Guards against calls held back for a minute by a crash that no prompt caused (review/11)."""
+    table = make_table(targets=9, slots=8)
+    now = record_crashes(table.crashes, {"a"}, {"a"}, {"a"}) + crash_causes.TRIAL_GAP_S
+    trial = make_request(9, now, prefix_ids=("a", "own"), fingerprint="f9")
+    assert isinstance(dispatching.submit(table, trial, now, random.Random(1))[0], Granted)
+    break_run(table, trial.key, now + 0.8, crash_causes.EVENTS_TO_CLEAR)
+    assert not has_cause(table.crashes, now + 1.0, "a")
+
+
+def test_a_request_that_crashes_targets_while_they_write_is_blamed_by_itself() -> None:
+    """Mutation: clear all traits of a run that was written for some time."""
+    table = make_table(targets=9, slots=8)
+    rng = random.Random(1)
+    for number in range(3):
+        now = float(number)
+        request = make_request(number, now, prefix_ids=("a", "own"), fingerprint="poison")
+        assert isinstance(dispatching.submit(table, request, now, rng)[0], Granted)
+        break_run(table, request.key, now + 0.5, 20)
+    assert has_cause(table.crashes, 3.0, "a", "poison")
+    assert not has_cause(table.crashes, 3.0, "a", "f1")
+
+
 def test_a_trial_that_tells_nothing_is_made_again_soon() -> None:
     table = CrashTable()
     now = record_crashes(table, {"bad"}, {"bad"}, {"bad"}) + crash_causes.TRIAL_GAP_S
