Let no write of a former process change a job behind its successor's read

Cause: a process that starts under the name of the recorded owner read the progress and went on without a write of its own. The last write of results of the killed process was still conditional on the version just read, was done behind it, and was seen by readers of the store, not by readers of the owner's memory. After an end the new process never writes, so nothing told it. The living owner had the same gap between a write without a reply, its next read, and its next write.

Change: a job's progress is written once, unchanged, behind each read of it by which a process goes on, before reads are served from memory; a takeover is such a write already. Items start before, so that a lost reply delays none. A job that was stopped before gets no view: its reads go to the store.

Tests that failed before: test_a_write_of_a_former_process_is_not_done_once_its_successor_serves_reads, test_a_late_write_of_a_former_process_that_comes_first_is_read_by_its_successor and test_a_lost_write_of_the_owner_that_is_done_late_is_read_behind_the_end_of_the_job. The test store that holds replies holds those to writes of results, as the first write is another one now. The product's own interface claims each shard by a swap under an owner with a number of the process (batch/_claimer.py), so that a former process's write conflicts there; read, not run.

--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -230,6 +230,7 @@
                 try:
                     self._load(job)
                     self._run_items(job)
+                    self._settle_writes(job)
                     self._list_results(job)
                     break
                 except ClementinepinError as err:
@@ -253,7 +254,6 @@
         """
         job.must_confirm = False
         job.progress, job.version = records.fetch_progress(self._store, job.keys)
-        job.is_writing = False
         owner = job.progress.owner
         if job.progress.ended:
             job.stop()
@@ -265,11 +265,29 @@
             head = msgspec.structs.replace(job.head, owner=self._settings.name)
             job.progress = msgspec.structs.replace(job.progress, owner=head.owner)
             change = records.make_takeover(job.keys, job.version, job.progress, head)
+            job.is_writing = True
             job.version = self._store.write(change)
+            job.is_writing = False
             logger.bind(request_id=job.head.job_id, lost_owner=owner).info("job_taken_over")
         if not job.is_owned_elsewhere:
             self._restore(job)
-            self._publish_view(job)
+
+    def _settle_writes(self, job: OwnedJob) -> None:
+        """Make sure that no write that was sent before can still be done, and serve reads.
+
+        Load pattern: an owner is killed, a new process goes on under its name, and the last write
+        of results is done late. It would not conflict with anything, and readers of the store would
+        see results that the owner doesn't have. Any write of the progress makes it fail.
+        """
+        progress = job.progress
+        if progress is None or job.is_owned_elsewhere or (job.stopped and not progress.ended):
+            return
+        if job.is_writing and progress.is_open:
+            change = records.make_progress_change(job.keys, job.version, progress)
+            job.version = self._store.write(change)
+            logger.bind(request_id=job.head.job_id, store_version=job.version).info("job_settled")
+        job.is_writing = False
+        self._publish_view(job)
 
     def _restore(self, job: OwnedJob) -> None:
         """Read the checkpoint of an earlier process; a job younger than the period has none."""
--- a/tests/serving/test_owner_reads.py
+++ b/tests/serving/test_owner_reads.py
@@ -9,12 +9,12 @@
 from gevent.event import AsyncResult
 
 from clementinepin.infrastructure import Change, Page
-from clementinepin.infrastructure.exceptions import ReplyLostError
+from clementinepin.infrastructure.exceptions import ReplyLostError, VersionConflictError
 from clementinepin.serving import _job_records as records
 from clementinepin.serving import _messages as messages
 from clementinepin.serving._item_state import ItemRun
 from clementinepin.serving._runner import JobRunner
-from clementinepin.serving.models import ItemState
+from clementinepin.serving.models import ItemResult, ItemState
 from tests.serving.memory_store import MemoryStore
 from tests.serving.test_runner import (
     FakeItems,
@@ -36,7 +36,7 @@
 
 
 class SlowStore(MemoryStore):
-    """Applies writes at once; their replies come when the test lets them, or never."""
+    """Applies writes at once; the test lets replies to those of results come, or not."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -45,7 +45,7 @@
 
     def write(self, change: Change) -> int:
         version = super().write(change)
-        if self.holds:
+        if self.holds and any(key.startswith(records.RESULTS_PREFIX) for key in change.put):
             reply: AsyncResult = AsyncResult()
             self.held.append(reply)
             reply.get()
@@ -229,3 +229,84 @@
     store.held[0].set(store.rows[keys.progress].version)
     wait_until(lambda: read_from_owner(runner).known)
     assert len(read_from_owner(runner).results) == 2
+
+
+def make_result_write(store: MemoryStore, keys: records.JobKeys) -> Change:
+    """Return the write of a first result by an owner that has read the progress as it is now."""
+    progress, version = records.fetch_progress(store, keys)
+    listed = (*progress.listed, records.ListedItem("i0", ItemState.COMPLETED, 100))
+    changed = records.JobProgress("r", "store-1", progress.total, 100, False, listed)
+    results = {len(progress.listed): ItemResult("i0", ItemState.COMPLETED, "text")}
+    return records.make_progress_change(keys, version, changed, results)
+
+
+class StuckItems(FakeItems):
+    """Completes no item."""
+
+    def run(self, run: ItemRun) -> None:
+        gevent.sleep(3600.0)
+
+
+def test_a_write_of_a_former_process_is_not_done_once_its_successor_serves_reads() -> None:
+    """Guards against a result that was read and is gone for good when the job is ended (review/12).
+
+    The former process was killed; its last write is done when the new one has read the progress.
+    """
+    store = MemoryStore()
+    keys = submit(store, 2)
+    late = make_result_write(store, keys)
+    runner = start_runner(store, StuckItems())
+    wait_until(lambda: read_from_owner(runner).known)
+    with pytest.raises(VersionConflictError):
+        store.apply(late)
+    assert not read_listed(store, keys)
+
+
+def test_a_late_write_of_a_former_process_that_comes_first_is_read_by_its_successor() -> None:
+    """Guards against a view that was made before the write of a former process was done."""
+    store = MemoryStore()
+    keys = submit(store, 2)
+    late = make_result_write(store, keys)
+    runner = start_runner(store, StuckItems())
+    get, is_done = store.get, False
+
+    def do_write_behind_read(key: str) -> Any:
+        nonlocal is_done
+        row = get(key)
+        if key == keys.progress and not is_done:
+            is_done = True
+            store.apply(late)
+        return row
+
+    store.get = do_write_behind_read  # type: ignore[method-assign]
+    wait_until(lambda: read_from_owner(runner).known)
+    assert [row[0] for row in read_from_owner(runner).results] == ["i0"]
+
+
+def test_a_lost_write_of_the_owner_that_is_done_late_is_read_behind_the_end_of_the_job() -> None:
+    """Guards against a view without results that the store got behind the owner's last read.
+
+    The write got no reply; the job is ended before the owner writes again.
+    """
+    store = MemoryStore()
+    runner = start_runner(store, HalfStuckItems())
+    keys = submit(store, 3)
+    wait_until(lambda: len(read_from_owner(runner).results) == 1)
+    job = runner._jobs["j1"]
+    get = store.get
+
+    def do_late_write_behind_read(key: str) -> Any:
+        row = get(key)
+        if key == keys.progress and store.late:
+            store.do_late_writes()
+            runner._handle_end_mark("j1", b"1")
+        return row
+
+    store.get = do_late_write_behind_read  # type: ignore[method-assign]
+    store.faults.append("late")
+    complete_item(job, "i1")
+    job.changed.set()
+    wait_until(lambda: job.stopped)
+    gevent.sleep(0.05)
+    assert read_listed(store, keys) == ["i0", "i1"]
+    assert not read_from_owner(runner, 1).known
