Register again when a late write replaces the own registration

What callers would see: an instance that has just started, and serves, is taken for one that leaves or has other addresses; others take its jobs over while it serves reads of them from memory.

Cause: a registration is written without a condition. One that a former process of the same name sent (as leaving, too) may be done behind the new process's; a repeat of the own one behind the mark that the instance leaves. Only an entry that is missing was noticed, and the lease that ends the stray entry lasts up to 3 s, beyond the second behind which jobs are taken over.

Change: an entry of the own name that is newer than the confirmed one and differs from it counts as a lost registration: reads from memory stop until the jobs are confirmed, and the entry is written again at once. This holds for late writes of older builds too, which a condition would not.

Tests that failed before: test_a_registration_that_a_former_process_replaces_late_is_written_again and test_an_instance_that_leaves_is_not_shown_as_serving_by_its_own_late_write.

--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -81,7 +81,9 @@
 class MemberView:
     """Instances of the fleet by name, as registered under their leases.
 
-    ``own_registration_lost`` is set when this instance's own entry is missing.
+    ``own_registration_lost`` is set when this instance's own entry is missing or replaced. It is
+    replaced, and ``is_replaced`` set, if it differs from ``own_value``, the last one that this
+    instance wrote, and is newer than ``own_version``, which the store has confirmed.
     """
 
     def __init__(
@@ -93,6 +95,10 @@
         self._on_change = on_change
         self.rows: dict[str, Member] = {}
         self.own_registration_lost = Event()
+        self.own_value = b""
+        self.own_version = 0
+        self.is_replaced = False
+        self._own_row = KeyValue(self._own_key, b"", 0)
 
     def replace_rows(self, rows: list[KeyValue]) -> None:
         """Replace the state by the rows of the whole range."""
@@ -118,6 +124,11 @@
                 self._handle_missing(name)
         self._on_change()
 
+    def confirm_own(self, version: int) -> None:
+        """Record that the store has ``own_value`` at a version."""
+        self.own_version = version
+        self._check_own()
+
     def prune(self) -> None:
         """Remove instances whose grace time ended."""
         ended = self._grace.pop_ended()
@@ -126,6 +137,14 @@
         if ended:
             self._on_change()
 
+    def _check_own(self) -> None:
+        """Notice that a write of a former process of this name, or of this one, was done late."""
+        row = self._own_row
+        if 0 < self.own_version < row.version and row.value != self.own_value:
+            logger.bind(store_version=row.version).warning("registration_replaced")
+            self.is_replaced = True
+            self.own_registration_lost.set()
+
     def _handle_missing(self, name: str) -> None:
         if self._grace.record_missing(name):
             self._remove(name, "removed")
@@ -135,6 +154,9 @@
             logger.bind(member=name, reason=reason).info("instance_gone")
 
     def _put(self, key: str, value: bytes, version: int) -> None:
+        if key == self._own_key:
+            self._own_row = KeyValue(key, value, version)
+            self._check_own()
         try:
             member = _decode_member(value)
         except msgspec.DecodeError as err:
@@ -294,8 +316,9 @@
             try:
                 if lost.is_set():
                     lost.clear()
-                    if not self.is_registration_valid():
+                    if self.members.is_replaced or not self.is_registration_valid():
                         self._handle_registration_lost()
+                    self.members.is_replaced = False
                     self._register()
                 else:
                     sent_at, sent_wall = self._clock.monotonic(), self._clock.wall()
@@ -327,7 +350,9 @@
         value = msgspec.msgpack.encode(self._describe_self())
         key = self._members_prefix + self._settings.name
         sent_at, sent_wall = self._clock.monotonic(), self._clock.wall()
-        self._store.write(Change({}, {key: value}, lease_id=self._lease_id))
+        self.members.own_value = value
+        version = self._store.write(Change({}, {key: value}, lease_id=self._lease_id))
+        self.members.confirm_own(version)
         self._record_registered(sent_at, sent_wall)
 
     def _record_registered(self, sent_at: float, sent_wall: float) -> None:
--- a/tests/serving/test_fleet.py
+++ b/tests/serving/test_fleet.py
@@ -4,10 +4,11 @@
 
 import gevent
 import msgspec
+import pytest
 
 from clementinepin.helpers.clock import ManualClock
 from clementinepin.infrastructure import KeyValue
-from clementinepin.infrastructure.exceptions import PlatformUnavailableError
+from clementinepin.infrastructure.exceptions import PlatformUnavailableError, ReplyLostError
 from clementinepin.platform import create_wire
 from clementinepin.serving._fleet import (
     ConfigurationView,
@@ -272,3 +273,50 @@
     clock.suspended_s = 5.0
     assert not view.is_registration_valid()
     keeper.kill()
+
+
+def test_a_registration_that_a_former_process_replaces_late_is_written_again() -> None:
+    """Guards against an instance that the others take for leaving, while it serves its jobs.
+
+    The former process was killed as it left; its last write is done behind the new one's.
+    """
+    clock, store = ManualClock(), MemoryStore()
+    former = FleetView(SETTINGS, store, create_wire(), clock, StoreOutages(clock))
+    former.leaving = True
+    store.faults.append("late")
+    with pytest.raises(ReplyLostError):
+        former._register()
+    clock.advance(0.1)
+    view = FleetView(SETTINGS, store, create_wire(), clock, StoreOutages(clock))
+    key = f"cp/nodes/{SETTINGS.name}"
+    lost: list[bool] = []
+    view.registration_listeners.append(lambda: lost.append(True))
+    greenlets = [gevent.spawn(view._keep_registered), gevent.spawn(view.followers["members"].run)]
+    gevent.sleep(0.01)
+    lost.clear()
+    value, writes = store.rows[key].value, store.writes
+    store.do_late_writes()
+    assert store.rows[key].value != value
+    gevent.sleep(0.05)
+    assert store.rows[key].value == value
+    assert lost == [True]
+    assert store.writes == writes + 2
+    assert [member.name for member in view.list_job_runners()] == [SETTINGS.name]
+    gevent.killall(greenlets)
+
+
+def test_an_instance_that_leaves_is_not_shown_as_serving_by_its_own_late_write() -> None:
+    """Guards against callers that are sent to an instance that is about to end."""
+    clock, store = ManualClock(), MemoryStore()
+    view = FleetView(SETTINGS, store, create_wire(), clock, StoreOutages(clock))
+    store.faults.append("late")
+    greenlets = [gevent.spawn(view._keep_registered), gevent.spawn(view.followers["members"].run)]
+    with gevent.Timeout(5.0):
+        while not view.is_registration_valid():
+            gevent.sleep(0.01)
+    view.announce_leaving()
+    gevent.sleep(0.05)
+    store.do_late_writes()
+    gevent.sleep(0.05)
+    assert not view.list_job_runners()
+    gevent.killall(greenlets)
