Let no late report of a retirement replace a newer one

What an operator would see: a retirement that has ended is shown as running for good.

Cause: reports were written without a condition. One without a reply is repeated; done late, behind the completion, it replaced that.

Change: each report is conditional on the version of the last one, which is read before, so that any report makes those sent before it fail.

Test that failed before: test_a_report_that_is_done_late_does_not_replace_the_completion.

--- a/clementinepin/serving/_retirement.py
+++ b/clementinepin/serving/_retirement.py
@@ -67,10 +67,12 @@
         logger.info("retirement_done")
 
     def _report(self, *, done: bool) -> None:
+        """Write the state, so that no report that was sent before can still replace it."""
         key, value = self._wire.make_retirement(self._name, done=done)
         while True:
             try:
-                self._store.write(Change({}, {key: value}))
+                row = self._store.get(key)
+                self._store.write(Change({key: row.version if row else 0}, {key: value}))
                 return
             except ClementinepinError as err:
                 logger.bind(error=str(err)).info("retirement_not_reported")
--- a/tests/serving/test_retirement.py
+++ b/tests/serving/test_retirement.py
@@ -48,3 +48,22 @@
     start(store, left)
     order(store, SETTINGS.name + "0")
     assert left == []
+
+
+def test_a_report_that_is_done_late_does_not_replace_the_completion(monkeypatch):
+    """Guards against an operator who waits for a retirement that has ended.
+
+    The first report gets no reply, is repeated, and is done behind the last one.
+    """
+    monkeypatch.setattr(_retirement, "HAND_OVER_S", 0.0)
+    monkeypatch.setattr(_retirement, "RETRY_S", 0.001)
+    store = MemoryStore()
+    start(store, [])
+    store.faults.append("late")
+    order(store, SETTINGS.name)
+    key = f"status/retire/{SETTINGS.name}"
+    with gevent.Timeout(5.0):
+        while store.rows.get(key) is None or read_state(store, key) != {"state": "completed"}:
+            gevent.sleep(0.005)
+    store.do_late_writes()
+    assert read_state(store, key) == {"state": "completed"}
