Try a part that succeeded before once more soon behind a failed trial

What callers see: if one more crash, of whatever cause, meets the single trial of a part that was blamed wrongly, all calls with it are refused for a minute.

Cause: each trial that breaks off weighs thirty times the gap before it, whatever was known of the part.

Evidence: by the tests alone.

Change: a cause whose traits had all succeeded within a minute before has a second trial 8 s behind the first failed one; then as before. Records in the store and messages of peers say so; builds that don't know the field leave it out or pass over it, and wait for the minute.

--- a/clementinepin/scheduling/_messages.py
+++ b/clementinepin/scheduling/_messages.py
@@ -104,11 +104,13 @@
 class CauseMessage(PartsMessage):
     """Parts of prompts that crash targets, found or tried in vain ``age_s`` seconds ago.
 
-    An instance of an older build doesn't say when, and may have tried.
+    An instance of an older build doesn't say when, and may have tried. ``was_sound`` says that the
+    parts had succeeded shortly before.
     """
 
     age_s: NotRequired[Number]
     failed_trials: NotRequired[Count]
+    was_sound: NotRequired[bool]
 
 
 class SuspectsMessage(TypedDict):
--- a/clementinepin/scheduling/_messenger.py
+++ b/clementinepin/scheduling/_messenger.py
@@ -242,6 +242,7 @@
                 now - cause.get("age_s", 0.0),
                 now,
                 cause.get("failed_trials", 1),
+                was_sound=cause.get("was_sound", False),
             )
         self._run_systems()
         return {}
@@ -257,6 +258,7 @@
                 parts=sorted(cause.traits),
                 age_s=max(0.0, now - crash_causes.get_found_at(cause)),
                 failed_trials=cause.failed_trials,
+                was_sound=cause.was_sound,
             )
             for service, crashes in self._decider.tables.crashes.services.items()
             for cause in crashes.causes.values()
--- a/clementinepin/serving/_crash_records.py
+++ b/clementinepin/serving/_crash_records.py
@@ -34,13 +34,15 @@
     """Traits that crash targets when one request to the service has all of them.
 
     They were found, or crashed a target in a trial, at ``found_ms`` (Unix time). Builds that don't
-    write ``failed_trials`` may have tried.
+    write ``failed_trials`` may have tried. ``was_sound`` says that the traits had succeeded shortly
+    before.
     """
 
     service: str
     traits: list[str]
     found_ms: int
     failed_trials: int = 1
+    was_sound: bool = False
 
 
 class RunRecord(msgspec.Struct, array_like=True, tag="run", frozen=True):
@@ -92,7 +94,9 @@
         """Write the causes that became known, and remove those no longer believed."""
         for change in changes:
             traits, found_ms = sorted(change.traits), int(self._clock.wall() * 1000)
-            record = CauseRecord(change.service, traits, found_ms, change.failed_trials)
+            record = CauseRecord(
+                change.service, traits, found_ms, change.failed_trials, change.was_sound
+            )
             value = _encode(record)
             key = self._make_cause_key(change.service, traits)
             self._put(key, value if change.is_known else None)
@@ -146,7 +150,13 @@
             for table in self._tables:
                 traits = frozenset(record.traits)
                 crash_causes.merge_cause(
-                    table, record.service, traits, found_at, now, record.failed_trials
+                    table,
+                    record.service,
+                    traits,
+                    found_at,
+                    now,
+                    record.failed_trials,
+                    was_sound=record.was_sound,
                 )
 
     def _read(self, key: str, value: bytes) -> CauseRecord | RunRecord | None:
--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -47,6 +47,7 @@
 CAUSE_TTL_S: Final = 3_600.0  # after the last request that has the traits
 TRIAL_GAP_S: Final = 2.0  # a wrong belief should end before callers give up
 TRIAL_GAP_FACTOR: Final = 30.0  # each trial may crash another target
+SECOND_TRIAL_GAP_S: Final = 8.0  # of a cause that had succeeded shortly before
 TRIAL_PATIENCE_S: Final = 2.0  # within which a request without other suspected traits may come
 
 
@@ -173,7 +174,7 @@
     cause = _get_cause(row, traits, now) if row is not None else None
     if cause is not None:
         cause.trial_key = key
-        cause.trial_at = now + _get_trial_gap(cause.failed_trials + 1)
+        cause.trial_at = now + _get_trial_gap(cause.failed_trials + 1, cause.was_sound)
         cause.awaited_since = None
 
 
@@ -203,11 +204,13 @@
     found_at: float,
     now: float,
     failed_trials: int = 1,
+    *,
+    was_sound: bool = False,
 ) -> None:
     """Add a cause that another instance found, without what has succeeded here since.
 
-    ``failed_trials`` of it have crashed targets, the last one at ``found_at``. A cause of which
-    nothing remains is refuted.
+    ``failed_trials`` of it have crashed targets, the last one at ``found_at``. ``was_sound`` says
+    that its traits had succeeded shortly before. A cause of which nothing remains is refuted.
     """
     row = table.services[service]
     unrefuted = list_unrefuted(table, service, traits, found_at)
@@ -215,10 +218,10 @@
         table.changes.append(CauseChange(service, traits, False))
         return
     traits = unrefuted
-    trial_at = found_at + _get_trial_gap(failed_trials)
+    trial_at = found_at + _get_trial_gap(failed_trials, was_sound)
     known = row.causes.get(traits)
     if known is None:
-        cause = CrashCause(traits, failed_trials, trial_at, now)
+        cause = CrashCause(traits, failed_trials, trial_at, now, was_sound=was_sound)
         _add_cause(table, service, cause, is_own=False)
     elif failed_trials > known.failed_trials:
         known.failed_trials = failed_trials
@@ -242,7 +245,7 @@
 
 def get_found_at(cause: CrashCause) -> float:
     """Return when a cause was found or its last trial failed; later while a trial runs."""
-    return cause.trial_at - _get_trial_gap(cause.failed_trials)
+    return cause.trial_at - _get_trial_gap(cause.failed_trials, cause.was_sound)
 
 
 def take_changes(table: CrashTable) -> list[CauseChange]:
@@ -298,7 +301,8 @@
         known_at = now
         if crashes:
             known_at = max(crashes[:CRASHES_MAX][-1].at, moments[:NEW_CRASHES_MIN][-1])
-        cause = CrashCause(traits, 0, known_at + TRIAL_GAP_S, now)
+        was_sound = all(_was_sound(row, trait, now) for trait in traits)
+        cause = CrashCause(traits, 0, known_at + TRIAL_GAP_S, now, was_sound=was_sound)
         _add_cause(table, service, cause)
         _count_failed_trials(table, service, row.causes[traits], crashes)
 
@@ -323,13 +327,23 @@
 
 def _record_failed_trial(table: CrashTable, service: str, cause: CrashCause, at: float) -> None:
     cause.failed_trials += 1
-    cause.trial_at = at + _get_trial_gap(cause.failed_trials)
-    table.changes.append(CauseChange(service, cause.traits, True, cause.failed_trials))
+    cause.trial_at = at + _get_trial_gap(cause.failed_trials, cause.was_sound)
+    table.changes.append(_describe_known(service, cause))
 
 
-def _get_trial_gap(failed_trials: int) -> float:
-    """Return the seconds until the next trial of a cause."""
-    return TRIAL_GAP_S * TRIAL_GAP_FACTOR**failed_trials
+def _describe_known(service: str, cause: CrashCause) -> CauseChange:
+    return CauseChange(service, cause.traits, True, cause.failed_trials, cause.was_sound)
+
+
+def _get_trial_gap(failed_trials: int, was_sound: bool) -> float:
+    """Return the seconds until the next trial of a cause; one that was sound has one trial more.
+
+    Load pattern: several outages in a row, one of which meets the trial of a sound part.
+    """
+    if was_sound and failed_trials == 1:
+        return SECOND_TRIAL_GAP_S
+    counted = failed_trials - 1 if was_sound and failed_trials else failed_trials
+    return TRIAL_GAP_S * TRIAL_GAP_FACTOR**counted
 
 
 def _find_new_cause(row: ServiceCrashes, now: float) -> frozenset[str]:
@@ -447,7 +461,7 @@
         _remove_cause(table, service, known.traits, is_own=is_own)
     causes[traits] = cause
     if is_own:
-        table.changes.append(CauseChange(service, traits, True, cause.failed_trials))
+        table.changes.append(_describe_known(service, cause))
     while len(causes) > CAUSES_MAX:
         oldest = min(causes.values(), key=lambda cause: cause.last_met_at)
         _remove_cause(table, service, oldest.traits)
--- a/clementinepin/tables/crashes.py
+++ b/clementinepin/tables/crashes.py
@@ -69,7 +69,8 @@
     """Traits that crash targets when one request has all of them. Times are monotonic seconds.
 
     A single request tries again from ``trial_at``; ``trial_key`` is the one that does so.
-    ``failed_trials`` counts the trials that crashed targets. ``awaited_since`` is when a request
+    ``failed_trials`` counts the trials that crashed targets. ``was_sound`` says that all traits had
+    succeeded shortly before they were blamed. ``awaited_since`` is when a request
     that could have tried was held back for another suspected trait, None if there was none.
     ``last_met_at`` is when a request that has the traits came last.
     """
@@ -81,10 +82,17 @@
         "traits",
         "trial_at",
         "trial_key",
+        "was_sound",
     )
 
     def __init__(
-        self, traits: frozenset[str], failed_trials: int, trial_at: float, now: float
+        self,
+        traits: frozenset[str],
+        failed_trials: int,
+        trial_at: float,
+        now: float,
+        *,
+        was_sound: bool = False,
     ) -> None:
         self.traits = traits
         self.failed_trials = failed_trials
@@ -92,6 +100,7 @@
         self.trial_key: RunKey | None = None
         self.awaited_since: float | None = None
         self.last_met_at = now
+        self.was_sound = was_sound
 
 
 class CauseChange(NamedTuple):
@@ -101,6 +110,7 @@
     traits: frozenset[str]
     is_known: bool
     failed_trials: int = 0
+    was_sound: bool = False
 
 
 class TrialEnd(NamedTuple):
--- a/tests/serving/test_crash_records.py
+++ b/tests/serving/test_crash_records.py
@@ -12,7 +12,7 @@
 from clementinepin.serving import _crash_records
 from clementinepin.serving._crash_records import CrashRecords
 from clementinepin.systems import crash_causes
-from clementinepin.tables.crashes import BrokenRun, CrashTable, TrialOutcome
+from clementinepin.tables.crashes import BrokenRun, CauseChange, CrashTable, TrialOutcome
 from tests.serving.memory_store import MemoryStore
 
 CRASHES_GAP_S = 2 * crash_causes.SAME_CRASH_S
@@ -186,3 +186,17 @@
     instance.records.apply_change("cp/crashes/cause-1", record, 1)
     due = instance.clock.monotonic() + crash_causes.TRIAL_GAP_S
     assert not crash_causes.may_run(instance.table, "llm", frozenset({"bad"}), due)
+
+
+def test_instances_that_take_over_try_a_part_that_succeeded_before_as_soon(
+    store: MemoryStore,
+) -> None:
+    """Guards against calls refused for a minute by dispatchers that did not see the successes."""
+    first, second = Instance(store, "f1"), Instance(store, "f2")
+    traits = frozenset({"shared"})
+    first.records.record_changes([CauseChange("llm", traits, True, 1, was_sound=True)])
+    wait_until(lambda: second.has_cause("shared"))
+    now = second.clock.monotonic()
+    soon = now + crash_causes.SECOND_TRIAL_GAP_S
+    assert not crash_causes.may_run(second.table, "llm", traits, soon - 1.0)
+    assert crash_causes.may_run(second.table, "llm", traits, soon)
--- a/tests/systems/test_crash_causes.py
+++ b/tests/systems/test_crash_causes.py
@@ -389,6 +389,27 @@
     assert [change.failed_trials for change in changes] == [0, 1]
 
 
+def test_a_trial_of_a_part_that_succeeded_before_is_made_again_soon_if_it_is_broken_off() -> None:
+    """Guards against calls refused for a minute as one more outage meets the trial (review/11)."""
+    table = make_table(targets=9, slots=8)
+    rng = random.Random(1)
+    crash_causes.record_success(table.crashes, "llm", frozenset({"shared", "f"}), -1.0)
+    now = record_crashes(table.crashes, {"shared"}, {"shared"}, {"shared"})
+    now += crash_causes.TRIAL_GAP_S
+    request = make_request(9, now, prefix_ids=("shared", "own"))
+    assert isinstance(dispatching.submit(table, request, now, rng)[0], Granted)
+    break_run(table, request.key, now + 0.1, 0)
+    soon = now + 0.1 + crash_causes.SECOND_TRIAL_GAP_S
+    for at, may_run in ((soon - 0.1, False), (soon, True)):
+        assert crash_causes.may_run(table.crashes, "llm", frozenset({"shared"}), at) is may_run
+    changes = crash_causes.take_changes(table.crashes)
+    assert [change.was_sound for change in changes] == [True, True]
+    crash_causes.record_start(table.crashes, "llm", frozenset({"shared"}), ("f", 10), soon)
+    crash_causes.record_trial_end(table.crashes, ("f", 10), TrialOutcome.CRASHED, soon)
+    late = soon + crash_causes.TRIAL_GAP_S * crash_causes.TRIAL_GAP_FACTOR
+    assert not crash_causes.may_run(table.crashes, "llm", frozenset({"shared"}), late - 0.1)
+
+
 def test_a_sound_part_is_tried_though_all_requests_with_it_have_other_suspected_parts() -> None:
     """Guards against a trial that can never be made: an application has few prompts."""
     table = CrashTable()
