Leave the registration of a process that started later alone

Found on reading the change of registrations again: two processes of one name, should they ever run beside each other, would have replaced each other's entries in turn, with a write each and a false loss of the registration each time.

Change: only an entry of a process that did not start later than this one counts as replaced. The comparison is of decoded entries, so that an entry that only another build writes differently is not taken for another one.

Test: test_a_process_does_not_replace_the_registration_of_one_that_started_later, a guard of the change itself (at most three writes in 0.1 s); the two tests of the change hold as before.

--- a/clementinepin/serving/_fleet.py
+++ b/clementinepin/serving/_fleet.py
@@ -82,8 +82,8 @@
     """Instances of the fleet by name, as registered under their leases.
 
     ``own_registration_lost`` is set when this instance's own entry is missing or replaced. It is
-    replaced, and ``is_replaced`` set, if it differs from ``own_value``, the last one that this
-    instance wrote, and is newer than ``own_version``, which the store has confirmed.
+    replaced, and ``is_replaced`` set, if it differs from ``own``, the last one that this instance
+    wrote, and is newer than ``own_version``, which the store has confirmed.
     """
 
     def __init__(
@@ -95,10 +95,10 @@
         self._on_change = on_change
         self.rows: dict[str, Member] = {}
         self.own_registration_lost = Event()
-        self.own_value = b""
+        self.own: Member | None = None
         self.own_version = 0
         self.is_replaced = False
-        self._own_row = KeyValue(self._own_key, b"", 0)
+        self._stored_version = 0
 
     def replace_rows(self, rows: list[KeyValue]) -> None:
         """Replace the state by the rows of the whole range."""
@@ -125,7 +125,7 @@
         self._on_change()
 
     def confirm_own(self, version: int) -> None:
-        """Record that the store has ``own_value`` at a version."""
+        """Record that the store has accepted ``own`` at a version."""
         self.own_version = version
         self._check_own()
 
@@ -138,10 +138,16 @@
             self._on_change()
 
     def _check_own(self) -> None:
-        """Notice that a write of a former process of this name, or of this one, was done late."""
-        row = self._own_row
-        if 0 < self.own_version < row.version and row.value != self.own_value:
-            logger.bind(store_version=row.version).warning("registration_replaced")
+        """Notice that a write of a former process of this name, or of this one, was done late.
+
+        A process that started later is left alone: two of one name must not replace each other.
+        """
+        stored = self.rows.get(self._own_key.removeprefix(self._prefix))
+        if stored is None or self.own is None or stored == self.own:
+            return
+        is_newer = 0 < self.own_version < self._stored_version
+        if is_newer and stored.started_ms <= self.own.started_ms:
+            logger.bind(store_version=self._stored_version).warning("registration_replaced")
             self.is_replaced = True
             self.own_registration_lost.set()
 
@@ -154,9 +160,6 @@
             logger.bind(member=name, reason=reason).info("instance_gone")
 
     def _put(self, key: str, value: bytes, version: int) -> None:
-        if key == self._own_key:
-            self._own_row = KeyValue(key, value, version)
-            self._check_own()
         try:
             member = _decode_member(value)
         except msgspec.DecodeError as err:
@@ -167,6 +170,9 @@
         self.rows[member.name] = member
         if former is None:
             logger.bind(member=member.name, store_version=version).info("instance_known")
+        if key == self._own_key:
+            self._stored_version = version
+            self._check_own()
 
 
 class FleetView:
@@ -347,10 +353,10 @@
     def _register(self) -> None:
         if not self._lease_id:
             self._lease_id = self._store.grant_lease(LEASE_S).lease_id
-        value = msgspec.msgpack.encode(self._describe_self())
+        self.members.own = self._describe_self()
+        value = msgspec.msgpack.encode(self.members.own)
         key = self._members_prefix + self._settings.name
         sent_at, sent_wall = self._clock.monotonic(), self._clock.wall()
-        self.members.own_value = value
         version = self._store.write(Change({}, {key: value}, lease_id=self._lease_id))
         self.members.confirm_own(version)
         self._record_registered(sent_at, sent_wall)
--- a/tests/serving/test_fleet.py
+++ b/tests/serving/test_fleet.py
@@ -320,3 +320,21 @@
     gevent.sleep(0.05)
     assert not view.list_job_runners()
     gevent.killall(greenlets)
+
+
+def test_a_process_does_not_replace_the_registration_of_one_that_started_later() -> None:
+    """Mutation: two processes of one name write their entries in turn for good."""
+    clock, store = ManualClock(), MemoryStore()
+    former = FleetView(SETTINGS, store, create_wire(), clock, StoreOutages(clock))
+    clock.advance(0.1)
+    view = FleetView(SETTINGS, store, create_wire(), clock, StoreOutages(clock))
+    greenlets = [
+        gevent.spawn(run)
+        for fleet in (former, view)
+        for run in (fleet._keep_registered, fleet.followers["members"].run)
+    ]
+    gevent.sleep(0.1)
+    assert store.writes <= 3
+    entry = msgspec.msgpack.decode(store.rows[f"cp/nodes/{SETTINGS.name}"].value, type=Member)
+    assert entry == view._describe_self()
+    gevent.killall(greenlets)
