--- a/clementinepin/serving/_owned_job.py
+++ b/clementinepin/serving/_owned_job.py
@@ -22,9 +22,9 @@
     ``unlisted`` holds finished runs whose results are not listed yet, and ``changed`` is set when
     one is added or the job is stopped. ``version`` is the store's version of ``progress``.
     ``is_owned_elsewhere`` is set when another live instance owns the job, ``must_confirm`` while
-    that is possible because this instance's registration was lost. ``is_writing`` is set while a
-    write of the progress that was sent before may still be done, by this process or by a former one
-    of the same name.
+    that is possible because this instance's registration was lost. ``may_be_behind`` is set while
+    the store may have a newer progress or get one, by a write without a reply that this process, or
+    a former one of its name, has sent.
     """
 
     def __init__(self, head: records.JobHead, keys: records.JobKeys) -> None:
@@ -39,7 +39,7 @@
         self.stopped = False
         self.is_owned_elsewhere = False
         self.must_confirm = False
-        self.is_writing = True
+        self.may_be_behind = True
         self.restored: dict[str, ItemCheckpoint] = {}
 
     def stop(self) -> None:
--- a/clementinepin/serving/_runner.py
+++ b/clementinepin/serving/_runner.py
@@ -210,7 +210,7 @@
             job.must_confirm = True
             raise
         # The store may be ahead by a write of this instance whose reply has not come yet.
-        job.must_confirm = job.must_confirm or (version != job.version and job.is_writing)
+        job.must_confirm = job.must_confirm or (version != job.version and job.may_be_behind)
 
     def _list_alive(self) -> set[str]:
         """Return the names of instances that may own jobs.
@@ -265,9 +265,9 @@
             head = msgspec.structs.replace(job.head, owner=self._settings.name)
             job.progress = msgspec.structs.replace(job.progress, owner=head.owner)
             change = records.make_takeover(job.keys, job.version, job.progress, head)
-            job.is_writing = True
+            job.may_be_behind = True
             job.version = self._store.write(change)
-            job.is_writing = False
+            job.may_be_behind = False
             logger.bind(request_id=job.head.job_id, lost_owner=owner).info("job_taken_over")
         if not job.is_owned_elsewhere:
             self._restore(job)
@@ -282,11 +282,11 @@
         progress = job.progress
         if progress is None or job.is_owned_elsewhere or (job.stopped and not progress.ended):
             return
-        if job.is_writing and progress.is_open:
+        if job.may_be_behind and progress.is_open:
             change = records.make_progress_change(job.keys, job.version, progress)
             job.version = self._store.write(change)
             logger.bind(request_id=job.head.job_id, store_version=job.version).info("job_settled")
-        job.is_writing = False
+        job.may_be_behind = False
         self._publish_view(job)
 
     def _restore(self, job: OwnedJob) -> None:
@@ -319,7 +319,7 @@
             return
         view = JobView(progress.total, results[:count])
         view.is_open = progress.is_open
-        view.is_writing = job.is_writing
+        view.is_writing = job.may_be_behind
         self._views.put(job.head.job_id, view)
 
     def _find_owner(self, job_id: str) -> str:
@@ -416,11 +416,11 @@
         the write.
         """
         change = records.make_progress_change(job.keys, job.version, changed, results)
-        job.is_writing = True
+        job.may_be_behind = True
         if (view := self._views.get(job.head.job_id)) is not None:
             view.is_writing = True
         job.version = self._store.write(change)
-        job.is_writing = False
+        job.may_be_behind = False
         job.progress = changed
         if (view := self._views.get(job.head.job_id)) is not None:
             view.extend(list(results.values()))
--- a/clementinepin/systems/crash_causes.py
+++ b/clementinepin/systems/crash_causes.py
@@ -54,9 +54,9 @@
 def list_suspected(traits: frozenset[str], parts: frozenset[str], events: int) -> frozenset[str]:
     """Return the traits of a broken run that may have crashed its target.
 
-    A part of a prompt crashes each target that begins to write a response to it. A request that
-    has some parts, ``parts`` of its ``traits``, and that was written for some time has none of
-    these.
+    A part of a prompt crashes a target that begins to write a response. A run that brought
+    ``EVENTS_TO_CLEAR`` events therefore clears its ``parts``; its other traits stay suspected, as a
+    request may crash its targets later.
     """
     return traits - parts if events >= EVENTS_TO_CLEAR else traits
 
--- a/tests/serving/test_crash_reports.py
+++ b/tests/serving/test_crash_reports.py
@@ -49,6 +49,7 @@
 
 
 def test_the_dispatcher_rejects_callers_with_a_crashing_part_but_no_items() -> None:
+    """Guards against items held back by what crashes targets under callers (review/11)."""
     clock = ShiftedClock()
     pair = start_pair(4, clock)
     crash_targets(pair, clock)
--- a/tests/serving/test_owner_reads.py
+++ b/tests/serving/test_owner_reads.py
@@ -159,7 +159,7 @@
     runner._publish_view(job)  # as if it was confirmed before the store applied the write
     runner._fleet.is_registered = True  # type: ignore[attr-defined]
     store.held[0].set(store.rows[keys.progress].version)
-    wait_until(lambda: not job.is_writing and len(read_from_owner(runner).results) > 1)
+    wait_until(lambda: not job.may_be_behind and len(read_from_owner(runner).results) > 1)
     assert [row[0] for row in read_from_owner(runner).results] == ["i0", "i1"]
 
 
